--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Generates the committed protobuf code anew; needs the `generate` extra.
+set -eu
+cd "$(dirname "$0")/.."
+python="${PYTHON:-.venv/bin/python}"
+"$python" -m grpc_tools.protoc -Isrc --python_out=src --pyi_out=src --grpc_python_out=src \
+  src/godwittack/peer/peer.proto
--- /dev/null
+++ b/scripts/quickstart.sh
@@ -0,0 +1,11 @@
+#!/bin/sh
+# Installs the package into a venv and shows a small cluster at work.
+set -eu
+cd "$(dirname "$0")/.."
+venv="${VENV:-$PWD/.venv}"
+if [ ! -x "$venv/bin/godwittack" ]; then
+  python3 -m venv "$venv"
+  "$venv/bin/pip" install --quiet --editable '.[test]'
+fi
+cd tests
+exec "$venv/bin/python" -m cluster.quickstart
--- /dev/null
+++ b/src/godwittack/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line when the package is executed as a module."""
+
+import godwittack.run
+
+godwittack.run.main()
--- /dev/null
+++ b/src/godwittack/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: model engines and plain services."""
--- /dev/null
+++ b/src/godwittack/backend/http.py
@@ -0,0 +1,396 @@
+"""Backend servers over HTTP in the OpenAI form with the engine's extras."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pydantic
+from result import Err, Ok, Result
+
+from godwittack.backend import protocol, sse
+from godwittack.core import inputs, work
+
+if TYPE_CHECKING:
+    from godwittack.core import effects
+
+REFUSED_STATUSES = frozenset({429, 503})
+GONE_STATUSES = frozenset({404, 410})
+MAX_ANSWER_BYTES = 32 << 20
+AUTO_HEADERS = ("accept", "accept-encoding", "content-type", "user-agent")
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class _LoadJson(pydantic.BaseModel):
+    incarnation: str
+    weights_version: str = ""
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    prefill_us_per_token: int = 0
+    slots: int = 0
+    leaving: bool = False
+
+
+class _EventJson(pydantic.BaseModel):
+    sequence: int
+    kind: protocol.CacheEventKind
+    level_key: int
+
+
+class _EventsJson(pydantic.BaseModel):
+    incarnation: str
+    weights_version: str
+    oldest: int
+    events: list[_EventJson]
+
+
+class HttpBackend:
+    """Implements `BackendClient` with aiohttp."""
+
+    def __init__(
+        self,
+        *,
+        pooled: aiohttp.ClientSession,
+        fresh: aiohttp.ClientSession,
+        connect_timeout_ms: int,
+        control_timeout_ms: int,
+    ) -> None:
+        """Uses `pooled` for generations and `fresh` where state matters.
+
+        Args:
+            pooled: Session that keeps connections.
+            fresh: Session that opens a connection for each call.
+            connect_timeout_ms: Limit for opening a connection.
+            control_timeout_ms: Limit for load, probe and order calls.
+        """
+        self._pooled = pooled
+        self._fresh = fresh
+        # The core watches for silence; here only connecting is limited.
+        self._attempt_timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=connect_timeout_ms / 1000
+        )
+        self._control_timeout = aiohttp.ClientTimeout(
+            total=control_timeout_ms / 1000
+        )
+        self._events_timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=connect_timeout_ms / 1000,
+            sock_read=2 * control_timeout_ms / 1000,
+        )
+
+    async def send(
+        self,
+        dispatch: effects.Dispatch,
+        call: protocol.Call,
+        sink: protocol.AttemptSink,
+    ) -> None:
+        """Runs one attempt to its end."""
+        try:
+            await self._send(dispatch, call, sink)
+        except aiohttp.ClientConnectorError as error:
+            # Raised before a byte of the request is written.
+            sink.failed(
+                inputs.FailurePhase.CONNECT,
+                inputs.FailureCause.BROKEN,
+                str(error),
+            )
+        except aiohttp.ConnectionTimeoutError:
+            sink.failed(
+                inputs.FailurePhase.CONNECT,
+                inputs.FailureCause.BROKEN,
+                "no connection in time",
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            sink.failed(
+                inputs.FailurePhase.SENT,
+                inputs.FailureCause.BROKEN,
+                str(error) or type(error).__name__,
+            )
+
+    async def cancel(self, address: str, stream_id: str) -> None:
+        """Ends a stream on an engine."""
+        await self._control("cancel", address, "DELETE", _stream(stream_id))
+
+    async def load(
+        self, address: str
+    ) -> Result[protocol.EngineLoad, protocol.BackendError]:
+        """Returns the server's load."""
+        got = await self._control("load", address, "GET", "/load")
+        if isinstance(got, Err):
+            return got
+        try:
+            told = _LoadJson.model_validate_json(got.ok_value)
+        except pydantic.ValidationError as error:
+            return _error("load", address, str(error.errors()[0]["msg"]))
+        return Ok(protocol.EngineLoad(**told.model_dump()))
+
+    async def cache_events(
+        self, address: str, *, after: int
+    ) -> Result[protocol.CacheEvents, protocol.BackendError]:
+        """Waits for cache events."""
+        got = await self._control(
+            "cache events",
+            address,
+            "GET",
+            f"/cache/events?after={after}",
+            timeout=self._events_timeout,
+        )
+        if isinstance(got, Err):
+            return got
+        try:
+            told = _EventsJson.model_validate_json(got.ok_value)
+        except pydantic.ValidationError as error:
+            return _error("cache events", address, str(error.errors()[0]))
+        events = tuple(
+            protocol.CacheEvent(e.sequence, e.kind, e.level_key)
+            for e in told.events
+        )
+        return Ok(
+            protocol.CacheEvents(
+                incarnation=told.incarnation,
+                weights_version=told.weights_version,
+                oldest=told.oldest,
+                events=events,
+            )
+        )
+
+    async def order(
+        self, address: str, order: protocol.Order
+    ) -> Result[None, protocol.BackendError]:
+        """Gives an order."""
+        body = {
+            "kind": order.kind.value,
+            "fencing": order.fencing,
+            "value": order.value,
+        }
+        got = await self._control(
+            "order", address, "POST", "/orders", json.dumps(body).encode()
+        )
+        return got if isinstance(got, Err) else Ok(None)
+
+    async def export_kv(
+        self, address: str, level_key: int
+    ) -> Result[bytes, protocol.BackendError]:
+        """Returns a level's cached state."""
+        return await self._control("export", address, "GET", f"/kv/{level_key}")
+
+    async def import_kv(
+        self, address: str, data: bytes
+    ) -> Result[None, protocol.BackendError]:
+        """Hands cached state to an engine."""
+        got = await self._control("import", address, "POST", "/kv", data)
+        return got if isinstance(got, Err) else Ok(None)
+
+    async def _send(
+        self,
+        dispatch: effects.Dispatch,
+        call: protocol.Call,
+        sink: protocol.AttemptSink,
+    ) -> None:
+        session = self._fresh if dispatch.fresh_connection else self._pooled
+        method, path, body = call.method, call.path, call.body
+        if dispatch.resume_stream:
+            method, path, body = "GET", _stream(dispatch.resume_stream), b""
+        async with session.request(
+            method,
+            f"http://{dispatch.address}{path}",
+            data=body or None,
+            headers=_headers(dispatch, call),
+            timeout=self._attempt_timeout,
+            allow_redirects=False,
+            skip_auto_headers=AUTO_HEADERS,
+            middlewares=(_SendOnce(),),
+        ) as response:
+            if dispatch.stamp is None:
+                sink.answer("", await _answer(response), None)
+                return
+            if response.status != 200 and _is_refusal(response, dispatch, sink):
+                return
+            await self._read_generation(dispatch, response, sink)
+
+    async def _read_generation(
+        self,
+        dispatch: effects.Dispatch,
+        response: aiohttp.ClientResponse,
+        sink: protocol.AttemptSink,
+    ) -> None:
+        headers = response.headers
+        stamp = work.Stamp(
+            workspace=headers.get("x-workspace", ""),
+            target=headers.get("x-model", ""),
+            weights_version=headers.get("x-weights-version", ""),
+            incarnation=headers.get("x-incarnation", ""),
+        )
+        echoed = headers.get("x-stream-id", "")
+        streamed = headers.get("content-type", "").startswith(
+            "text/event-stream"
+        )
+        if streamed:
+            sink.opened(echoed, stamp)
+        if "x-prompt-tokens" in headers and not dispatch.resume_stream:
+            sink.usage(
+                prompt=int(headers["x-prompt-tokens"]),
+                cached=int(headers.get("x-cached-tokens", "0")),
+                generated=0,
+            )
+        if not streamed:
+            sink.answer(echoed, await _answer(response), stamp)
+            return
+        await _read_frames(dispatch, response, sink)
+
+    async def _control(
+        self,
+        step: str,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        timeout: aiohttp.ClientTimeout | None = None,
+    ) -> Result[bytes, protocol.BackendError]:
+        try:
+            async with self._fresh.request(
+                method,
+                f"http://{address}{path}",
+                data=body,
+                timeout=timeout or self._control_timeout,
+                allow_redirects=False,
+            ) as response:
+                data = await response.read()
+                if response.status != 200:
+                    return _error(step, address, f"status {response.status}")
+                return Ok(data)
+        except TimeoutError:
+            return _error(step, address, "no answer in time")
+        except (aiohttp.ClientError, OSError) as error:
+            return _error(step, address, str(error) or type(error).__name__)
+
+
+class _SendOnce:
+    """Stops the HTTP library from sending one attempt a second time.
+
+    aiohttp repeats PUT and DELETE on its own when the connection breaks
+    before the answer. A stall released that way would be released twice, and
+    no record here would show it. The library calls its middlewares for each
+    try, so that the second one can be refused.
+    """
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    async def __call__(
+        self,
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        if self._sent:
+            raise aiohttp.ClientError("the connection broke before the answer")
+        self._sent = True
+        return await handler(request)
+
+
+async def _read_frames(
+    dispatch: effects.Dispatch,
+    response: aiohttp.ClientResponse,
+    sink: protocol.AttemptSink,
+) -> None:
+    reader = sse.FrameReader(after=dispatch.after)
+    async for data in response.content.iter_any():
+        frames = reader.feed(data)
+        if not frames:
+            continue
+        await sink.frames(frames)
+        if frames[-1].terminal:
+            return
+    # The connection closed in order, but the stream's last frame is missing:
+    # it must not look whole.
+    sink.failed(
+        inputs.FailurePhase.SENT,
+        inputs.FailureCause.BROKEN,
+        "the connection closed before the last frame",
+    )
+
+
+def _is_refusal(
+    response: aiohttp.ClientResponse,
+    dispatch: effects.Dispatch,
+    sink: protocol.AttemptSink,
+) -> bool:
+    """Reports an engine's refusal; other statuses are answers."""
+    if dispatch.resume_stream:
+        gone = response.status in GONE_STATUSES
+        cause = (
+            inputs.FailureCause.STREAM_GONE
+            if gone
+            else inputs.FailureCause.BROKEN
+        )
+    elif response.status in REFUSED_STATUSES:
+        cause = inputs.FailureCause.REFUSED
+    elif response.status >= 500:
+        cause = inputs.FailureCause.BROKEN
+    else:
+        return False
+    sink.failed(inputs.FailurePhase.SENT, cause, f"status {response.status}")
+    return True
+
+
+async def _answer(response: aiohttp.ClientResponse) -> work.Answer:
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body.extend(data)
+        if len(body) > MAX_ANSWER_BYTES:
+            raise ValueError(f"answer is longer than {MAX_ANSWER_BYTES} bytes")
+    headers = tuple(
+        work.Header(name, value)
+        for name, value in response.headers.items()
+        if _is_end_to_end(name, response.headers.get("connection", ""))
+    )
+    return work.Answer(response.status, headers, bytes(body))
+
+
+def _is_end_to_end(name: str, connection: str) -> bool:
+    lower = name.lower()
+    named = {part.strip().lower() for part in connection.split(",")}
+    # These are set anew towards the caller.
+    length = lower in ("content-length", "date", "server")
+    return lower not in HOP_BY_HOP and lower not in named and not length
+
+
+def _headers(
+    dispatch: effects.Dispatch, call: protocol.Call
+) -> list[tuple[str, str]]:
+    headers = [(header.name, header.value) for header in call.headers]
+    if dispatch.stamp is None:
+        return headers
+    headers.append(("x-workspace", dispatch.stamp.workspace))
+    headers.append(("x-weights-version", dispatch.stamp.weights_version))
+    headers.append(("x-incarnation", dispatch.stamp.incarnation))
+    headers.append(("x-stream-id", dispatch.attempt_id))
+    headers.append(("x-priority", str(dispatch.priority)))
+    if dispatch.resume_stream:
+        headers.append(("last-event-id", str(dispatch.after)))
+    return headers
+
+
+def _stream(stream_id: str) -> str:
+    return f"/v1/streams/{stream_id}"
+
+
+def _error(step: str, address: str, detail: str) -> Err[protocol.BackendError]:
+    return Err(protocol.BackendError(step=step, peer=address, detail=detail))
+
+
+__all__ = ["HOP_BY_HOP", "HttpBackend"]
--- /dev/null
+++ b/src/godwittack/command/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the program, a verb each."""
--- /dev/null
+++ b/src/godwittack/command/check.py
@@ -0,0 +1,85 @@
+"""`godwittack check`: checks settings without starting a daemon."""
+
+from __future__ import annotations
+
+import logging
+import socket
+import sys
+import urllib.error
+import urllib.request
+from typing import Annotated
+
+import cyclopts
+from result import Err, Ok, Result
+
+from godwittack.command import codes, parser
+from godwittack.config import settings as configs
+
+PLATFORM_TIMEOUT_S = 2.0
+
+
+@parser.app.command
+def check(
+    *,
+    settings: Annotated[str, cyclopts.Parameter(help="YAML settings file")],
+) -> int:
+    """Checks a settings file, its addresses and the platform."""
+    loaded = load_checked(settings)
+    if isinstance(loaded, Err):
+        print(loaded.err_value, file=sys.stderr)
+        return codes.BAD_INPUT
+    print(f"{settings}: good, for instance {loaded.ok_value.settings.name}")
+    return codes.OK
+
+
+def load_checked(path: str) -> Result[configs.Loaded, str]:
+    """Loads settings and tries what they name."""
+    loaded = configs.load(path)
+    if isinstance(loaded, Err):
+        return loaded
+    settings = loaded.ok_value.settings
+    for key in ("http_address", "peer_address"):
+        trouble = _cannot_bind(getattr(settings, key))
+        if trouble:
+            return Err(f"{path}: {key}: {trouble}; write a free IP:port")
+    trouble = _cannot_reach(settings.platform_url)
+    if trouble:
+        # The platform has outages, and a daemon must start during one.
+        print(
+            f"{path}: platform_url: {trouble}; starting without it",
+            file=sys.stderr,
+        )
+    return Ok(loaded.ok_value)
+
+
+def log_formatter() -> logging.Formatter:
+    """Returns the form of a log line: time, level, then the pairs."""
+    return logging.Formatter(
+        "time=%(asctime)s.%(msecs)03d level=%(levelname)s %(message)s",
+        datefmt="%Y-%m-%dT%H:%M:%S",
+    )
+
+
+def _cannot_bind(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host.strip("[]"), int(port)))
+        except (OSError, OverflowError) as error:
+            return f"{address} can't be used ({error})"
+    return ""
+
+
+def _cannot_reach(url: str) -> str:
+    try:
+        with urllib.request.urlopen(
+            url + "/instances", timeout=PLATFORM_TIMEOUT_S
+        ):
+            return ""
+    except (urllib.error.URLError, OSError, ValueError) as error:
+        return f"{url} can't be reached ({error})"
+
+
+__all__ = ["check", "load_checked", "log_formatter"]
--- /dev/null
+++ b/src/godwittack/command/export.py
@@ -0,0 +1,34 @@
+"""`godwittack table export`: writes the table as CSV."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+from result import Err
+
+from godwittack.command import client, codes, parser
+from godwittack.table import sheet
+
+
+@parser.table.command
+def export(file: str = "-", /, *, target: client.TargetOption = None) -> int:
+    """Writes the table as CSV for a spreadsheet.
+
+    Args:
+        file: Where to; `-` is the standard output.
+        target: Which daemon to ask.
+    """
+    got = client.table(target)
+    if isinstance(got, Err):
+        return client.fail(got.err_value, codes.UNAVAILABLE)
+    text = sheet.to_csv(got.ok_value)
+    if file == "-":
+        sys.stdout.write(text)
+    else:
+        pathlib.Path(file).write_text(text, encoding="utf-8")
+        print(f"version {got.ok_value.version} written to {file}")
+    return codes.OK
+
+
+__all__ = ["export"]
--- /dev/null
+++ b/src/godwittack/command/history.py
@@ -0,0 +1,67 @@
+"""`godwittack table history`: prints the audit trail."""
+
+from __future__ import annotations
+
+import datetime
+import json as json_module
+
+from result import Err, Ok, Result
+
+from godwittack.command import changing, client, codes, parser
+from godwittack.table import model, schema
+
+
+@parser.table.command
+def history(
+    *,
+    after: int = 0,
+    target: client.TargetOption = None,
+    json: bool = False,
+) -> int:
+    """Shows who changed what, when and why, oldest first.
+
+    Args:
+        after: Show only versions above this one.
+        target: Which daemon to ask.
+        json: Print the entries as stored.
+    """
+    got = entries(target, after=after)
+    if isinstance(got, Err):
+        return client.fail(got.err_value, codes.UNAVAILABLE)
+    if json:
+        stored = [schema.audit_to_json(entry) for entry in got.ok_value]
+        print("[" + ",".join(stored) + "]")
+        return codes.OK
+    for entry in got.ok_value:
+        at = datetime.datetime.fromtimestamp(
+            entry.at_wall_ms / 1000, tz=datetime.UTC
+        )
+        undoes = f" (undoes {entry.undoes})" if entry.undoes else ""
+        print(
+            f"version {entry.version}{undoes}, {at:%Y-%m-%d %H:%M:%S} UTC,"
+            f" {entry.who}: {entry.why}"
+        )
+        for change in entry.changes:
+            print(f"    {changing.describe(change)}")
+    return codes.OK
+
+
+def entries(
+    target: client.Target | None, *, after: int
+) -> Result[list[model.AuditEntry], str]:
+    """Returns the audit entries above a version."""
+    got = client.call(target, "GET", f"/operator/history?after={after}")
+    if isinstance(got, Err):
+        return got
+    if got.ok_value.status != 200:
+        return Err(client.detail(got.ok_value))
+    found: list[model.AuditEntry] = []
+    for stored in json_module.loads(got.ok_value.body):
+        parsed = schema.audit_from_json(json_module.dumps(stored))
+        if isinstance(parsed, Err):
+            return parsed
+        found.append(parsed.ok_value)
+    return Ok(found)
+
+
+__all__ = ["entries", "history"]
--- /dev/null
+++ b/src/godwittack/command/parser.py
@@ -0,0 +1,40 @@
+"""The parser that every command registers with."""
+
+from __future__ import annotations
+
+import cyclopts
+
+import godwittack
+
+app = cyclopts.App(
+    name="godwittack",
+    help="Routes language-model traffic with long shared prompts.",
+    version=godwittack.__version__,
+    result_action="return_value",
+)
+table = cyclopts.App(
+    name="table", help="Shows and changes the operators' table."
+)
+app.command(table)
+
+
+def register() -> None:
+    """Imports the commands, which register themselves."""
+    # Imported here, since each of them imports this module for `app`.
+    from godwittack.command import (  # noqa: F401
+        check,
+        diff,
+        export,
+        history,
+        import_,
+        report,
+        serve,
+        set_,
+        settings,
+        show,
+        status,
+        undo,
+    )
+
+
+__all__ = ["app", "table"]
--- /dev/null
+++ b/src/godwittack/command/serve.py
@@ -0,0 +1,38 @@
+"""`godwittack serve`: runs a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Annotated
+
+import cyclopts
+from result import Err
+
+from godwittack.command import check, codes, parser
+
+
+@parser.app.command
+def serve(
+    *,
+    settings: Annotated[str, cyclopts.Parameter(help="YAML settings file")],
+) -> int:
+    """Runs a daemon until SIGTERM, then lets it finish its requests."""
+    loaded = check.load_checked(settings)
+    if isinstance(loaded, Err):
+        print(loaded.err_value, file=sys.stderr)
+        return codes.BAD_INPUT
+    from absl import flags, logging
+
+    from godwittack.daemon import serve as daemon
+
+    # Without this absl complains of flags, which this program does not use.
+    flags.FLAGS.mark_as_parsed()
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(check.log_formatter())
+    asyncio.run(daemon.serve(loaded.ok_value))
+    return codes.OK
+
+
+__all__ = ["serve"]
--- /dev/null
+++ b/src/godwittack/command/set_.py
@@ -0,0 +1,70 @@
+"""`godwittack table set`: changes cells of one row."""
+
+from __future__ import annotations
+
+from result import Err
+
+from godwittack.command import changing, client, codes, parser
+from godwittack.table import edit, model
+
+
+@parser.table.command(name="set")
+def set_(
+    kind: model.RowKind,
+    name: str,
+    /,
+    *cells: str,
+    why: str = "",
+    target: client.TargetOption = None,
+    json: bool = False,
+) -> int:
+    """Sets cells of a row; a row that does not exist is made.
+
+    Args:
+        kind: workspace, model or service.
+        name: Row name.
+        cells: Cells as `column=value`.
+        why: Reason for the audit trail.
+        target: Which daemon to ask.
+        json: Print the daemon's answer as JSON.
+    """
+    got = client.table(target)
+    if isinstance(got, Err):
+        return client.fail(got.err_value, codes.UNAVAILABLE)
+    table = got.ok_value
+    wanted: list[model.CellChange] = []
+    row = table.row(kind, name)
+    if row is None:
+        wanted.append(
+            model.CellChange(
+                kind=kind,
+                name=name,
+                column=model.ROW_COLUMN,
+                before=None,
+                after=name,
+            )
+        )
+    for cell in cells:
+        column, equals, value = cell.partition("=")
+        if not equals or column not in model.columns(kind):
+            known = ", ".join(model.columns(kind))
+            return client.fail(f"{cell}: write column=value; columns: {known}")
+        before = None if row is None else getattr(row, column)
+        wanted.append(
+            model.CellChange(
+                kind=kind,
+                name=name,
+                column=column,
+                before=before,
+                after=value,
+            )
+        )
+    applied = edit.apply(table, wanted)
+    if isinstance(applied, Err):
+        return client.fail(applied.err_value)
+    # Taken from the checked rows, so that values have the cells' own types.
+    changes = edit.diff(table, applied.ok_value)
+    return changing.send(target, changes, why=why, as_json=json)
+
+
+__all__ = ["set_"]
--- /dev/null
+++ b/src/godwittack/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon."""
--- /dev/null
+++ b/src/godwittack/config/settings.py
@@ -0,0 +1,243 @@
+"""Every setting with its default, unit and meaning, checked on reading."""
+
+from __future__ import annotations
+
+import dataclasses
+import difflib
+import pathlib
+from typing import Annotated, Any, TypeAlias
+
+import pydantic
+import yaml
+from result import Err, Ok, Result
+
+from godwittack.core import policy as policies
+from godwittack.member import view
+
+Address: TypeAlias = Annotated[
+    str,
+    pydantic.StringConstraints(
+        pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$"
+    ),
+]
+Sha256: TypeAlias = Annotated[
+    str, pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")
+]
+Ms: TypeAlias = Annotated[int, pydantic.Field(ge=1, le=3_600_000)]
+MIN_SECRET_BYTES = 16
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Operator(_Section):
+    """A person who may change the table."""
+
+    name: str = pydantic.Field(description="name written into the audit trail")
+    token_sha256: Sha256 = pydantic.Field(
+        description="SHA-256 of the operator's token, in hex"
+    )
+
+
+class Settings(_Section):
+    """Settings of one daemon."""
+
+    name: str = pydantic.Field(description="name of this instance")
+    failure_domain: str = pydantic.Field(
+        description="failure domain that this instance stands in"
+    )
+    http_address: Address = pydantic.Field(
+        description="IP:port for callers and operators"
+    )
+    peer_address: Address = pydantic.Field(
+        description="IP:port for other daemons"
+    )
+    seeds: tuple[Address, ...] = pydantic.Field(
+        default=(),
+        description="peer addresses of other daemons, to find the rest by",
+    )
+    platform_url: str = pydantic.Field(
+        description="http://IP:port of the platform's service"
+    )
+    cluster_secret_file: str = pydantic.Field(
+        description="file with the secret that all daemons share"
+    )
+    operators: tuple[Operator, ...] = pydantic.Field(
+        default=(), description="people who may change the table"
+    )
+    address_keep_ms: Ms = pydantic.Field(
+        default=5_000,
+        description="ms that a caller may keep an address from /v1/where",
+    )
+    max_body_bytes: int = pydantic.Field(
+        default=4 << 20, ge=1024, description="bytes of the longest request"
+    )
+    body_timeout_ms: Ms = pydantic.Field(
+        default=10_000, description="ms that a request's body may take"
+    )
+    max_bodies_arriving: int = pydantic.Field(
+        default=256, ge=1, description="request bodies read at one time"
+    )
+    slow_caller_ms: Ms = pydantic.Field(
+        default=30_000,
+        description="ms that a caller may leave a stream unread",
+    )
+    connect_timeout_ms: Ms = pydantic.Field(
+        default=1_000, description="ms to open a connection to a server"
+    )
+    control_timeout_ms: Ms = pydantic.Field(
+        default=1_000, description="ms for load reports, probes and orders"
+    )
+    platform_timeout_ms: Ms = pydantic.Field(
+        default=500, description="ms for one call of the platform"
+    )
+    platform_pause_ms: Ms = pydantic.Field(
+        default=500, description="ms without calls after one got no answer"
+    )
+    peer_timeout_ms: Ms = pydantic.Field(
+        default=400, description="ms for one message to another daemon"
+    )
+    tick_ms: Ms = pydantic.Field(
+        default=100, description="ms between upkeep runs of the core"
+    )
+    gossip_ms: Ms = pydantic.Field(
+        default=500, description="ms between probes of other daemons"
+    )
+    table_poll_ms: Ms = pydantic.Field(
+        default=1_000, description="ms between readings of the table's version"
+    )
+    list_poll_ms: Ms = pydantic.Field(
+        default=1_000, description="ms between readings of the instance list"
+    )
+    load_poll_ms: Ms = pydantic.Field(
+        default=500, description="ms between load reports of one server"
+    )
+    stop_patience_ms: Ms = pydantic.Field(
+        default=600_000,
+        description="ms a stop waits for requests in flight at most",
+    )
+    decisions: dict[str, int | float] = pydantic.Field(
+        default_factory=dict,
+        description="numbers of the decisions, see `godwittack settings`",
+    )
+    membership: dict[str, int | float] = pydantic.Field(
+        default_factory=dict,
+        description="numbers of the membership, see `godwittack settings`",
+    )
+
+    @pydantic.field_validator("decisions")
+    @classmethod
+    def _known_decisions(
+        cls, value: dict[str, int | float]
+    ) -> dict[str, int | float]:
+        return _check_names(value, policies.Policy)
+
+    @pydantic.field_validator("membership")
+    @classmethod
+    def _known_membership(
+        cls, value: dict[str, int | float]
+    ) -> dict[str, int | float]:
+        return _check_names(value, view.MemberPolicy)
+
+    @pydantic.field_validator("platform_url")
+    @classmethod
+    def _http_url(cls, value: str) -> str:
+        if not value.startswith(("http://", "https://")):
+            raise ValueError("write http://IP:port")
+        return value
+
+    def policy(self) -> policies.Policy:
+        """Returns the core's numbers."""
+        return dataclasses.replace(
+            policies.Policy(), **_typed(self.decisions, policies.Policy)
+        )
+
+    def member_policy(self) -> view.MemberPolicy:
+        """Returns the membership's numbers."""
+        return dataclasses.replace(
+            view.MemberPolicy(), **_typed(self.membership, view.MemberPolicy)
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loaded:
+    """Settings with the secrets that they point to."""
+
+    settings: Settings
+    cluster_secret: bytes
+
+
+def load(path: str) -> Result[Loaded, str]:
+    """Reads and checks a settings file.
+
+    Returns:
+        The settings, or one line that names file, key and what to write.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        raw = yaml.safe_load(text)
+    except OSError as error:
+        return Err(f"{path}: {error.strerror}; name a readable file")
+    except yaml.YAMLError as error:
+        return Err(f"{path}: not YAML: {' '.join(str(error).split())}")
+    if not isinstance(raw, dict):
+        return Err(f"{path}: write one `key: value` a line")
+    try:
+        settings = Settings.model_validate(raw)
+    except pydantic.ValidationError as error:
+        return Err(f"{path}: {_explain(error)}")
+    secret_path = pathlib.Path(path).parent / settings.cluster_secret_file
+    try:
+        secret = secret_path.read_bytes().strip()
+    except OSError as error:
+        return Err(f"{path}: cluster_secret_file: {error.strerror}")
+    if len(secret) < MIN_SECRET_BYTES:
+        return Err(
+            f"{path}: cluster_secret_file: write at least"
+            f" {MIN_SECRET_BYTES} bytes into it"
+        )
+    return Ok(Loaded(settings, secret))
+
+
+def _explain(error: pydantic.ValidationError) -> str:
+    first = error.errors()[0]
+    key = ".".join(str(part) for part in first["loc"]) or "settings"
+    field = Settings.model_fields.get(str(first["loc"][0]))
+    if first["type"] == "extra_forbidden":
+        close = _closest(key)
+        hint = f"did you mean {close}?" if close else "see godwittack settings"
+        return f"{key}: no such setting; {hint}"
+    if first["type"] == "missing":
+        meaning = field.description if field else ""
+        return f"{key}: missing; write the {meaning}"
+    meaning = f"; it is the {field.description}" if field else ""
+    return f"{key}: {first['msg']}{meaning}"
+
+
+def _closest(key: str) -> str:
+    found = difflib.get_close_matches(key, Settings.model_fields, n=1)
+    return found[0] if found else ""
+
+
+def _check_names(
+    value: dict[str, int | float], owner: type
+) -> dict[str, int | float]:
+    known = {field.name for field in dataclasses.fields(owner)}
+    for name, number in value.items():
+        if name not in known:
+            raise ValueError(f"no number is named {name!r}")
+        if number < 0:
+            raise ValueError(f"{name} must not be negative")
+    return value
+
+
+def _typed(value: dict[str, int | float], owner: type) -> dict[str, Any]:
+    types = {field.name: field.type for field in dataclasses.fields(owner)}
+    return {
+        name: int(number) if types[name] == "int" else float(number)
+        for name, number in value.items()
+    }
+
+
+__all__ = ["Loaded", "Operator", "Settings", "load"]
--- /dev/null
+++ b/src/godwittack/core/attempts.py
@@ -0,0 +1,448 @@
+"""Follows attempts: answers, frames, failures and silence."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import (
+    closing,
+    dispatching,
+    effects,
+    entities,
+    inputs,
+    outcomes,
+    servers,
+    work,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FAILED_RETRY_MS = 1_000
+
+
+def opened(world: entities.World, told: inputs.AttemptOpened) -> None:
+    """Checks the state that a stream says it is built on."""
+    found = _current(world, told.attempt_id)
+    if found is None:
+        return
+    request, attempt = found
+    attempt.heard_at_ms = world.now_ms
+    if _echo_holds(world, request, attempt, told.echoed_request, told.stamp):
+        attempt.opened = True
+
+
+def frames(world: entities.World, told: inputs.FramesArrived) -> None:
+    """Relays frames once each and in order."""
+    found = _current(world, told.attempt_id)
+    if found is None:
+        return
+    request, attempt = found
+    if not attempt.opened:
+        return
+    attempt.heard_at_ms = world.now_ms
+    fresh, gap = _in_order(request, told.frames)
+    if fresh:
+        _hand_on(world, request, attempt, fresh)
+    if fresh and fresh[-1].terminal:
+        world.emit(effects.EndStream(request.request_id))
+        servers.worked(world, attempt)
+        closing.finish(world, request)
+        return
+    if gap:
+        # A frame is missing in between. Waiting for it on this connection
+        # would wait for ever; the engine still has it.
+        world.emit(effects.CancelAttempt(attempt.attempt_id, False))
+        _resume_or_break(world, request, attempt, "a frame is missing")
+
+
+def answer(world: entities.World, told: inputs.AnswerArrived) -> None:
+    """Takes in a whole answer."""
+    found = _current(world, told.attempt_id)
+    if found is None:
+        return
+    request, attempt = found
+    if attempt.stamp is not None and not (
+        told.stamp is not None
+        and _echo_holds(
+            world, request, attempt, told.echoed_request, told.stamp
+        )
+    ):
+        return
+    servers.worked(world, attempt)
+    closing.learn_service_time(
+        world, request.work.target, world.now_ms - attempt.sent_at_ms
+    )
+    closing.close_attempt(world, attempt.attempt_id)
+    request.answer = told.answer
+    request.answered_at_ms = world.now_ms
+    request.late = world.now_ms > request.deadline_at_ms
+    if request.claim_key is None:
+        reply(world, request)
+        return
+    request.phase = entities.Phase.STORING
+    outcomes.store(world, request, work.ClaimState.DONE, told.answer)
+
+
+def reply(world: entities.World, request: entities.RequestRow) -> None:
+    """Hands a whole answer to the caller and ends the request."""
+    assert request.answer is not None
+    world.emit(
+        effects.Reply(
+            request_id=request.request_id,
+            answer=request.answer,
+            late=request.late,
+            replayed=False,
+        )
+    )
+    closing.finish(world, request)
+
+
+def usage(world: entities.World, told: inputs.UsageReported) -> None:
+    """Counts what an engine took from its cache and what it computed."""
+    attempt = world.attempts.get(told.attempt_id)
+    if attempt is None:
+        return
+    request = world.requests.get(attempt.request_id)
+    if request is None:
+        return
+    wasted = max(0, request.known_tokens - told.cached_tokens)
+    world.event(
+        "usage",
+        request.request_id,
+        workspace=request.workspace,
+        target=request.work.target,
+        server=attempt.server_id,
+        prompt_tokens=told.prompt_tokens,
+        cached_tokens=told.cached_tokens,
+        generated_tokens=told.generated_tokens,
+        wasted_tokens=wasted,
+    )
+
+
+def failed(world: entities.World, told: inputs.AttemptFailed) -> None:
+    """Retries, resumes or ends a request whose attempt failed."""
+    found = _current(world, told.attempt_id)
+    if found is None:
+        return
+    request, attempt = found
+    if told.phase is inputs.FailurePhase.SENT:
+        request.sent = True
+    world.event(
+        "attempt_failed",
+        request.request_id,
+        attempt=attempt.attempt_id,
+        server=attempt.server_id,
+        step=told.phase.value,
+        cause=told.cause.value,
+        detail=told.detail,
+    )
+    if told.cause is not inputs.FailureCause.STREAM_GONE:
+        servers.failed(world, attempt, told)
+    if request.begun or request.begun_elsewhere:
+        if told.cause is inputs.FailureCause.STREAM_GONE:
+            _break(world, request, "the engine no longer has the stream")
+        else:
+            _resume_or_break(world, request, attempt, told.detail)
+        return
+    closing.close_attempt(world, attempt.attempt_id)
+    if request.claim_key is not None and request.sent:
+        _outcome_lost(world, request, told.detail)
+        return
+    _retry(world, request, attempt, told.detail)
+
+
+def caller_gone(world: entities.World, told: inputs.CallerGone) -> None:
+    """Stops work that nobody waits for, unless it must be recorded."""
+    request = world.requests.get(told.request_id)
+    if request is None:
+        return
+    request.caller_gone = True
+    if request.claim_key is not None:
+        # The call may have run; its outcome is kept for the caller's retry.
+        return
+    if request.attempt_id in world.attempts:
+        # The engine keeps the stream for a while, so that the caller can
+        # resume it through any daemon.
+        world.emit(effects.CancelAttempt(request.attempt_id, False))
+    world.event("caller_gone", request.request_id, workspace=request.workspace)
+    closing.leave(world, request)
+
+
+def check_silence(world: entities.World) -> None:
+    """Acts on attempts that showed no progress for too long."""
+    for attempt in list(world.attempts.values()):
+        request = world.requests.get(attempt.request_id)
+        if request is None:
+            continue
+        silent_ms = world.now_ms - attempt.heard_at_ms
+        if request.begun or request.begun_elsewhere:
+            if silent_ms >= world.policy.frame_gap_ms:
+                _silent_stream(world, request, attempt)
+        elif request.work.kind is work.WorkKind.GENERATION:
+            if silent_ms >= _first_frame_ms(world, request):
+                _silent_start(world, request, attempt)
+        elif silent_ms >= world.policy.answer_patience_ms:
+            _silent_call(world, request, attempt)
+
+
+def reply_unstored(world: entities.World) -> None:
+    """Hands out answers whose record takes too long to write."""
+    for row in list(world.outcomes.values()):
+        request = world.requests.get(row.request_id)
+        if request is None or request.phase is not entities.Phase.STORING:
+            continue
+        waited_ms = world.now_ms - request.answered_at_ms
+        if waited_ms >= world.policy.store_patience_ms:
+            reply(world, request)
+
+
+def _first_frame_ms(world: entities.World, request: entities.RequestRow) -> int:
+    if request.work.streaming:
+        return world.policy.first_frame_ms
+    return world.policy.answer_patience_ms
+
+
+def _current(
+    world: entities.World, attempt_id: str
+) -> tuple[entities.RequestRow, entities.AttemptRow] | None:
+    """Returns request and attempt, or None for an attempt given up.
+
+    An answer that comes late, after its request went elsewhere, must not
+    reach anybody: the caller would get two answers, or another's.
+    """
+    attempt = world.attempts.get(attempt_id)
+    if attempt is None:
+        return None
+    request = world.requests.get(attempt.request_id)
+    if request is None or request.attempt_id != attempt_id:
+        return None
+    return request, attempt
+
+
+def _echo_holds(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    echoed_request: str,
+    stamp: work.Stamp,
+) -> bool:
+    """Discards an attempt whose answer is built on another state.
+
+    Between choice and first frame the engine may have restarted, loaded
+    other weights, or mixed up two connections. The caller would get an
+    answer from older weights or of another workspace.
+    """
+    if stamp == attempt.stamp and echoed_request == attempt.stream_id:
+        return True
+    world.emit(effects.CancelAttempt(attempt.attempt_id, True))
+    world.event(
+        "state_changed",
+        request.request_id,
+        attempt=attempt.attempt_id,
+        server=attempt.server_id,
+        expected=str(attempt.stamp),
+        echoed=str(stamp),
+    )
+    servers.state_echoed(world, attempt.server_id, stamp)
+    if request.begun or request.begun_elsewhere:
+        _break(world, request, "the engine restarted or changed weights")
+        return False
+    closing.close_attempt(world, attempt.attempt_id)
+    request.sent = True
+    _retry(world, request, attempt, "the engine's state had changed")
+    return False
+
+
+def _in_order(
+    request: entities.RequestRow, arrived: Iterable[work.Frame]
+) -> tuple[tuple[work.Frame, ...], bool]:
+    """Returns the frames to relay, and whether one is missing."""
+    fresh: list[work.Frame] = []
+    for frame in arrived:
+        if frame.number < request.next_frame:
+            continue
+        if frame.number > request.next_frame:
+            return tuple(fresh), True
+        fresh.append(frame)
+        request.next_frame += 1
+        if frame.terminal:
+            break
+    return tuple(fresh), False
+
+
+def _hand_on(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    fresh: tuple[work.Frame, ...],
+) -> None:
+    if not request.begun:
+        _begin(world, request, attempt)
+    request.resumes = 0
+    world.emit(effects.Relay(request.request_id, fresh))
+
+
+def _begin(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> None:
+    assert attempt.stamp is not None
+    request.begun = True
+    request.late = world.now_ms > request.deadline_at_ms
+    world.emit(
+        effects.BeginStream(
+            request_id=request.request_id,
+            server_id=attempt.server_id,
+            stream_id=attempt.stream_id,
+            stamp=attempt.stamp,
+            late=request.late,
+        )
+    )
+    world.event(
+        "first_token",
+        request.request_id,
+        workspace=request.workspace,
+        target=request.work.target,
+        server=attempt.server_id,
+        after_ms=world.now_ms - request.arrived_at_ms,
+        late=int(request.late),
+    )
+
+
+def _retry(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+) -> None:
+    request.avoid.add(attempt.server_id)
+    may_retry = (
+        request.attempts < world.policy.max_attempts
+        and world.now_ms < request.deadline_at_ms
+        and world.retry_budget.spend()
+    )
+    if may_retry:
+        world.event(
+            "retried",
+            request.request_id,
+            workspace=request.workspace,
+            target=request.work.target,
+            attempt=request.attempts + 1,
+        )
+        dispatching.place(world, request)
+        return
+    outcome = effects.Outcome.NOT_RUN
+    if request.sent:
+        outcome = effects.Outcome.UNKNOWN
+    else:
+        outcomes.store(world, request, work.ClaimState.RELEASED)
+    closing.refuse(
+        world,
+        request,
+        status=502,
+        outcome=outcome,
+        reason=effects.Reason.DISPATCH_FAILED,
+        detail=f"{attempt.server_id}: {detail}",
+        retry_after_ms=FAILED_RETRY_MS,
+    )
+
+
+def _outcome_lost(
+    world: entities.World, request: entities.RequestRow, detail: str
+) -> None:
+    outcomes.store(world, request, work.ClaimState.UNKNOWN)
+    closing.refuse(
+        world,
+        request,
+        status=502,
+        outcome=effects.Outcome.UNKNOWN,
+        reason=effects.Reason.ANSWER_LOST,
+        detail=f"sent, but its answer was lost: {detail}",
+    )
+
+
+def _resume_or_break(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+) -> None:
+    if request.resumes >= world.policy.max_resumes:
+        _break(world, request, f"could not be resumed: {detail}")
+        return
+    if attempt.server_id not in world.servers:
+        _break(world, request, "its backend server is gone")
+        return
+    world.event(
+        "stream_resumed",
+        request.request_id,
+        server=attempt.server_id,
+        after_frame=request.next_frame - 1,
+        detail=detail,
+    )
+    dispatching.resume(world, request, attempt)
+
+
+def _break(
+    world: entities.World, request: entities.RequestRow, detail: str
+) -> None:
+    closing.refuse(
+        world,
+        request,
+        status=502,
+        outcome=effects.Outcome.UNKNOWN,
+        reason=effects.Reason.STREAM_LOST,
+        detail=detail,
+    )
+
+
+def _silent_stream(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> None:
+    # A connection can go silent for good while new ones to the same server
+    # work. Only a fresh one tells a dead path from a dead engine.
+    world.emit(effects.CancelAttempt(attempt.attempt_id, False))
+    _resume_or_break(world, request, attempt, "silent between frames")
+
+
+def _silent_start(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> None:
+    world.emit(effects.CancelAttempt(attempt.attempt_id, True))
+    servers.silent(world, attempt)
+    closing.close_attempt(world, attempt.attempt_id)
+    request.sent = True
+    _retry(world, request, attempt, "silent before the first frame")
+
+
+def _silent_call(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> None:
+    world.emit(effects.CancelAttempt(attempt.attempt_id, False))
+    closing.close_attempt(world, attempt.attempt_id)
+    request.sent = True
+    if request.claim_key is not None:
+        _outcome_lost(world, request, "no answer came")
+    else:
+        _retry(world, request, attempt, "no answer came")
+
+
+__all__ = [
+    "answer",
+    "caller_gone",
+    "check_silence",
+    "failed",
+    "frames",
+    "opened",
+    "reply",
+    "reply_unstored",
+    "usage",
+]
--- /dev/null
+++ b/src/godwittack/core/claims.py
@@ -0,0 +1,165 @@
+"""Claims a key before a call that may run at most once is sent."""
+
+from __future__ import annotations
+
+from godwittack.core import (
+    closing,
+    dispatching,
+    effects,
+    entities,
+    inputs,
+    outcomes,
+    work,
+)
+
+IN_PROGRESS_RETRY_MS = 500
+SERVICE_DOWN_RETRY_MS = 2_000
+
+
+def begin(world: entities.World, request: entities.RequestRow) -> None:
+    """Writes the first claim of a request."""
+    request.phase = entities.Phase.CLAIMING
+    request.claim_key = work.ClaimKey(
+        request.workspace, request.work.target, request.work.idempotency_key
+    )
+    request.nonce = world.next_attempt_id()
+    _write(world, request, over_version=0)
+
+
+def answered(world: entities.World, told: inputs.ClaimAnswered) -> None:
+    """Goes on with a request once the table service has spoken."""
+    request = world.requests.get(told.request_id)
+    if request is None or request.phase is not entities.Phase.CLAIMING:
+        return
+    match told.verdict:
+        case inputs.ClaimVerdict.HELD:
+            _held(world, request)
+        case inputs.ClaimVerdict.TAKEN:
+            assert told.claim is not None
+            _taken(world, request, told.claim)
+        case inputs.ClaimVerdict.UNANSWERED:
+            _unanswered(world, request)
+
+
+def _write(
+    world: entities.World, request: entities.RequestRow, *, over_version: int
+) -> None:
+    assert request.claim_key is not None
+    world.emit(
+        effects.WriteClaim(
+            request_id=request.request_id,
+            key=request.claim_key,
+            claim=work.Claim(
+                state=work.ClaimState.CLAIMED,
+                nonce=request.nonce,
+                daemon=world.daemon,
+                fingerprint=request.work.fingerprint,
+            ),
+            over_version=over_version,
+        )
+    )
+
+
+def _held(world: entities.World, request: entities.RequestRow) -> None:
+    if request.caller_gone:
+        # Nobody waits and nothing was sent: the key stays free.
+        outcomes.store(world, request, work.ClaimState.RELEASED)
+        closing.leave(world, request)
+        return
+    dispatching.place(world, request)
+
+
+def _taken(
+    world: entities.World, request: entities.RequestRow, claim: work.Claim
+) -> None:
+    if claim.fingerprint != request.work.fingerprint:
+        closing.refuse(
+            world,
+            request,
+            status=422,
+            outcome=effects.Outcome.NOT_RUN,
+            reason=effects.Reason.KEY_REUSED,
+            detail="this Idempotency-Key was used for a different request",
+        )
+        return
+    match claim.state:
+        case work.ClaimState.DONE:
+            assert claim.answer is not None
+            world.emit(
+                effects.Reply(
+                    request_id=request.request_id,
+                    answer=claim.answer,
+                    late=False,
+                    replayed=True,
+                )
+            )
+            closing.finish(world, request, replayed=True)
+        case work.ClaimState.RELEASED:
+            _write(world, request, over_version=claim.row_version)
+        case work.ClaimState.UNKNOWN:
+            _refuse_unknown(world, request)
+        case work.ClaimState.CLAIMED:
+            _already_claimed(world, request, claim)
+
+
+def _already_claimed(
+    world: entities.World, request: entities.RequestRow, claim: work.Claim
+) -> None:
+    """Answers for a call that another request of the key has claimed.
+
+    A claim is never taken over: its holder may be paused between the claim
+    and the dispatch, and would send the call when it wakes. The symptom
+    would be a submission that ran twice.
+    """
+    if claim.daemon not in world.live_daemons:
+        _refuse_unknown(world, request)
+        return
+    closing.refuse(
+        world,
+        request,
+        status=409,
+        outcome=effects.Outcome.IN_PROGRESS,
+        reason=effects.Reason.KEY_IN_PROGRESS,
+        detail="a call with this Idempotency-Key is running",
+        retry_after_ms=IN_PROGRESS_RETRY_MS,
+    )
+
+
+def _refuse_unknown(
+    world: entities.World, request: entities.RequestRow
+) -> None:
+    closing.refuse(
+        world,
+        request,
+        status=409,
+        outcome=effects.Outcome.UNKNOWN,
+        reason=effects.Reason.ANSWER_LOST,
+        detail=(
+            "a call with this Idempotency-Key may have run and its answer was"
+            " lost; look it up at the service before using a new key"
+        ),
+    )
+
+
+def _unanswered(world: entities.World, request: entities.RequestRow) -> None:
+    request.claim_tries += 1
+    if request.claim_tries < world.policy.claim_tries:
+        # The same nonce again: if the first write took effect after all, the
+        # row that stands carries it and the claim is held.
+        _write(world, request, over_version=0)
+        return
+    # Nothing was sent, so "not run" is true. The row that the unanswered
+    # write may yet create must not block the caller's next try.
+    outcomes.store(world, request, work.ClaimState.RELEASED)
+    closing.refuse(
+        world,
+        request,
+        status=503,
+        outcome=effects.Outcome.NOT_RUN,
+        reason=effects.Reason.TABLE_SERVICE_DOWN,
+        detail="the key can't be claimed while the table service is down",
+        retry_after_ms=SERVICE_DOWN_RETRY_MS,
+    )
+
+
+__all__ = ["answered", "begin"]
--- /dev/null
+++ b/src/godwittack/core/closing.py
@@ -0,0 +1,126 @@
+"""Ends requests: the final effect, the rows removed, the event counted."""
+
+from __future__ import annotations
+
+from godwittack.core import effects, entities, work
+
+SERVICE_SMOOTHING = 0.1
+
+
+def refuse(
+    world: entities.World,
+    request: entities.RequestRow,
+    *,
+    status: int,
+    outcome: effects.Outcome,
+    reason: effects.Reason,
+    detail: str,
+    retry_after_ms: int = 0,
+) -> None:
+    """Ends a request without an answer."""
+    if request.begun:
+        world.emit(effects.BreakStream(request.request_id, reason, detail))
+        world.event(
+            "stream_broken",
+            request.request_id,
+            workspace=request.workspace,
+            target=request.work.target,
+            reason=reason.value,
+        )
+    else:
+        world.emit(
+            effects.Refuse(
+                request_id=request.request_id,
+                status=status,
+                outcome=outcome,
+                reason=reason,
+                detail=detail,
+                retry_after_ms=retry_after_ms,
+            )
+        )
+        world.event(
+            "refused",
+            request.request_id,
+            workspace=request.workspace,
+            target=request.work.target,
+            reason=reason.value,
+            outcome=outcome.value,
+        )
+    leave(world, request)
+
+
+def finish(
+    world: entities.World,
+    request: entities.RequestRow,
+    *,
+    replayed: bool = False,
+) -> None:
+    """Counts a request that got its whole answer."""
+    took_ms = world.now_ms - request.arrived_at_ms
+    world.event(
+        "finished",
+        request.request_id,
+        workspace=request.workspace,
+        target=request.work.target,
+        took_ms=took_ms,
+        late=int(request.late),
+        attempts=request.attempts,
+        replayed=int(replayed),
+    )
+    attempt = world.attempts.get(request.attempt_id)
+    if attempt:
+        learn_service_time(
+            world, request.work.target, world.now_ms - attempt.sent_at_ms
+        )
+    leave(world, request)
+
+
+def learn_service_time(
+    world: entities.World, target: str, took_ms: int
+) -> None:
+    """Smooths the time that a dispatch of `target` takes to its end."""
+    before = world.service_ms.get(target, float(took_ms))
+    world.service_ms[target] = before + SERVICE_SMOOTHING * (took_ms - before)
+
+
+def close_attempt(world: entities.World, attempt_id: str) -> None:
+    """Forgets an attempt; whatever arrives for it later is dropped."""
+    attempt = world.attempts.pop(attempt_id, None)
+    if attempt is None:
+        return
+    server = world.servers.get(attempt.server_id)
+    if server is None:
+        return
+    server.sent.pop(attempt_id, None)
+    if server.trial_attempt == attempt_id:
+        server.trial_attempt = ""
+
+
+def leave(world: entities.World, request: entities.RequestRow) -> None:
+    """Removes a request's rows and frees its limits."""
+    close_attempt(world, request.attempt_id)
+    world.requests.pop(request.request_id, None)
+    if request.phase is entities.Phase.QUEUED:
+        world.queues[request.work.target].drop(request.request_id)
+    for cell in limited_cells(request):
+        world.shares.ended(cell)
+    world.freed_targets.add(request.work.target)
+    world.emit(effects.Forget(request.request_id))
+
+
+def limited_cells(request: entities.RequestRow) -> list[str]:
+    """Returns the cells in which the request counts while it is in flight."""
+    cells = [f"workspace/{request.workspace}"]
+    if request.work.kind is work.WorkKind.PLAIN:
+        cells.append(f"service/{request.work.target}")
+    return cells
+
+
+__all__ = [
+    "close_attempt",
+    "finish",
+    "learn_service_time",
+    "leave",
+    "limited_cells",
+    "refuse",
+]
--- /dev/null
+++ b/src/godwittack/core/dispatching.py
@@ -0,0 +1,277 @@
+"""Sends requests to backend servers, or holds them back in fair order."""
+
+from __future__ import annotations
+
+from godwittack.core import closing, effects, entities, outcomes, placing, work
+from godwittack.limit import fair
+
+NO_SERVER_RETRY_MS = 1_000
+MIN_RETRY_MS = 100
+MAX_RETRY_MS = 60_000
+
+
+def place(world: entities.World, request: entities.RequestRow) -> None:
+    """Dispatches a request, holds it back, or refuses it at once."""
+    choice = placing.choose(world, request)
+    if choice is None:
+        _refuse_not_run(
+            world,
+            request,
+            effects.Reason.NO_SERVER,
+            f"no backend server of {request.work.target} takes work now",
+            NO_SERVER_RETRY_MS,
+        )
+        return
+    queue = world.queues.setdefault(request.work.target, fair.FairQueue())
+    weight = world.table.workspaces[request.workspace].weight
+    must_hold = choice.wait_ms > world.policy.hold_ms or len(queue) > 0
+    if not _meets_deadline(world, request, choice, queue, must_hold):
+        return
+    cost = _cost(request)
+    if not must_hold:
+        queue.charge(workspace=request.workspace, weight=weight, cost=cost)
+        dispatch(world, request, choice)
+        return
+    if len(queue) >= _queue_limit(world, request):
+        _refuse_not_run(
+            world,
+            request,
+            effects.Reason.QUEUE_FULL,
+            f"{len(queue)} requests wait for {request.work.target} already",
+            _retry_after_ms(choice.wait_ms),
+        )
+        return
+    request.phase = entities.Phase.QUEUED
+    queue.push(
+        request_id=request.request_id,
+        workspace=request.workspace,
+        weight=weight,
+        cost=cost,
+    )
+    world.freed_targets.add(request.work.target)
+
+
+def dispatch(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+) -> None:
+    """Opens a new attempt on the chosen server."""
+    server = choice.server
+    attempt_id = world.next_attempt_id()
+    attempt = entities.AttemptRow(
+        attempt_id=attempt_id,
+        request_id=request.request_id,
+        server_id=server.server_id,
+        stamp=_stamp(request, server),
+        stream_id=attempt_id,
+        sent_at_ms=world.now_ms,
+        heard_at_ms=world.now_ms,
+        expected_tokens=round(choice.uncached_tokens),
+    )
+    _open(world, request, attempt)
+    server.sent[attempt_id] = attempt
+    if server.failures:
+        server.trial_attempt = attempt_id
+    for level in request.work.levels:
+        server.cache.note(
+            level.key, now_ms=world.now_ms, limit=world.policy.max_residency
+        )
+    world.emit(
+        effects.Dispatch(
+            request_id=request.request_id,
+            attempt_id=attempt_id,
+            server_id=server.server_id,
+            address=server.address,
+            stamp=attempt.stamp,
+            # A pooled connection may be dead without either end knowing; a
+            # call that may not be repeated could then be lost with its
+            # outcome unknown. A fresh one fails before anything is sent.
+            fresh_connection=request.claim_key is not None,
+        )
+    )
+
+
+def resume(
+    world: entities.World,
+    request: entities.RequestRow,
+    broken: entities.AttemptRow,
+) -> None:
+    """Opens a new connection to a stream that broke or went silent."""
+    server = world.servers.get(broken.server_id)
+    assert server is not None
+    closing.close_attempt(world, broken.attempt_id)
+    attempt_id = world.next_attempt_id()
+    attempt = entities.AttemptRow(
+        attempt_id=attempt_id,
+        request_id=request.request_id,
+        server_id=broken.server_id,
+        stamp=broken.stamp,
+        stream_id=broken.stream_id,
+        sent_at_ms=world.now_ms,
+        heard_at_ms=world.now_ms,
+    )
+    request.resumes += 1
+    _open(world, request, attempt)
+    server.sent[attempt_id] = attempt
+    world.emit(
+        effects.Dispatch(
+            request_id=request.request_id,
+            attempt_id=attempt_id,
+            server_id=broken.server_id,
+            address=server.address,
+            stamp=attempt.stamp,
+            resume_stream=attempt.stream_id,
+            after=request.next_frame - 1,
+            fresh_connection=True,
+        )
+    )
+
+
+def drain(world: entities.World) -> None:
+    """Dispatches held-back requests while servers have room."""
+    for target in sorted(world.freed_targets):
+        queue = world.queues.get(target)
+        if queue is not None:
+            _drain_queue(world, queue)
+    world.freed_targets.clear()
+
+
+def expire_queued(world: entities.World) -> None:
+    """Refuses held-back requests that can no longer be in time."""
+    for target, queue in world.queues.items():
+        world.freed_targets.add(target)
+        for request_id in queue.request_ids():
+            request = world.requests[request_id]
+            if request.deadline_at_ms > world.now_ms:
+                continue
+            _refuse_not_run(
+                world,
+                request,
+                effects.Reason.DEADLINE,
+                "its turn did not come before the deadline",
+                _retry_after_ms(_queue_wait_ms(world, target, queue)),
+            )
+
+
+def _drain_queue(world: entities.World, queue: fair.FairQueue) -> None:
+    while len(queue):
+        waiting = queue.heads()[0]
+        request = world.requests[waiting.request_id]
+        choice = placing.choose(world, request)
+        if choice is None or choice.wait_ms > world.policy.hold_ms:
+            return
+        queue.take(waiting)
+        dispatch(world, request, choice)
+
+
+def _open(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> None:
+    request.phase = entities.Phase.RUNNING
+    request.attempt_id = attempt.attempt_id
+    request.attempts += 1
+    world.attempts[attempt.attempt_id] = attempt
+
+
+def _meets_deadline(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+    queue: fair.FairQueue,
+    must_hold: bool,
+) -> bool:
+    """Refuses at once what would only come too late.
+
+    Work that misses its deadline takes the place of work that would not. The
+    symptom is an overload in which everything is late.
+    """
+    expected_ms = choice.first_token_ms
+    if must_hold:
+        expected_ms += _queue_wait_ms(world, request.work.target, queue)
+    left_ms = request.deadline_at_ms - world.now_ms
+    if expected_ms <= left_ms:
+        return True
+    _refuse_not_run(
+        world,
+        request,
+        effects.Reason.DEADLINE,
+        f"would begin in {expected_ms:.0f} ms, its limit is {left_ms} ms",
+        _retry_after_ms(expected_ms - left_ms),
+    )
+    return False
+
+
+def _queue_wait_ms(
+    world: entities.World, target: str, queue: fair.FairQueue
+) -> float:
+    servers = [
+        server
+        for server in world.servers_by_target[target].values()
+        if not server.leaving and server.ejected_until_ms <= world.now_ms
+    ]
+    if not servers or not len(queue):
+        return 0.0
+    # Each held-back request takes a turn: the time a slot is busy over the
+    # slots there are.
+    slots = sum(server.slots or world.policy.slots for server in servers)
+    turn_ms = world.service_ms.get(target, 0.0) / slots
+    return len(queue) * turn_ms
+
+
+def _queue_limit(world: entities.World, request: entities.RequestRow) -> int:
+    room = world.policy.queue_total - world.queued()
+    model_row = world.table.models.get(request.work.target)
+    if model_row is None:
+        return room
+    return min(room, model_row.max_queue)
+
+
+def _refuse_not_run(
+    world: entities.World,
+    request: entities.RequestRow,
+    reason: effects.Reason,
+    detail: str,
+    retry_after_ms: int,
+) -> None:
+    """Refuses a request of which no byte can have reached a server."""
+    if not request.sent:
+        outcomes.store(world, request, work.ClaimState.RELEASED)
+        outcome = effects.Outcome.NOT_RUN
+    else:
+        outcome = effects.Outcome.UNKNOWN
+    closing.refuse(
+        world,
+        request,
+        status=503,
+        outcome=outcome,
+        reason=reason,
+        detail=detail,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def _stamp(
+    request: entities.RequestRow, server: entities.ServerRow
+) -> work.Stamp | None:
+    if request.work.kind is work.WorkKind.PLAIN:
+        return None
+    return work.Stamp(
+        workspace=request.workspace,
+        target=request.work.target,
+        weights_version=server.weights_version,
+        incarnation=server.incarnation,
+    )
+
+
+def _cost(request: entities.RequestRow) -> float:
+    return float(request.work.prompt_tokens + request.work.max_tokens + 1)
+
+
+def _retry_after_ms(wait_ms: float) -> int:
+    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms)))
+
+
+__all__ = ["dispatch", "drain", "expire_queued", "place", "resume"]
--- /dev/null
+++ b/src/godwittack/core/effects.py
@@ -0,0 +1,264 @@
+"""Everything the core asks its shells to do."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from godwittack.core import work
+
+
+class Outcome(enum.StrEnum):
+    """What a caller may rely on when it gets no answer.
+
+    NOT_RUN is only said where the work provably did not start.
+    """
+
+    NOT_RUN = "not_run"
+    IN_PROGRESS = "in_progress"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused or broken off."""
+
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_TARGET = "unknown_target"
+    KEY_REQUIRED = "idempotency_key_required"
+    KEY_REUSED = "idempotency_key_reused"
+    KEY_IN_PROGRESS = "in_progress"
+    LIMIT = "limit"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_SERVER = "no_server"
+    DISPATCH_FAILED = "dispatch_failed"
+    TABLE_SERVICE_DOWN = "table_service_down"
+    NOT_CURRENT = "table_not_current"
+    STOPPING = "stopping"
+    ANSWER_LOST = "answer_lost"
+    STREAM_LOST = "stream_lost"
+    STATE_CHANGED = "state_changed"
+    BAD_RESUME = "bad_resume_token"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refuse:
+    """Ends a request before any byte of an answer went out.
+
+    Attributes:
+        status: HTTP status.
+        outcome: What the caller may rely on.
+        reason: Cause, also the key of the report.
+        detail: One line for people.
+        retry_after_ms: When trying again makes sense; 0 for never.
+    """
+
+    request_id: str
+    status: int
+    outcome: Outcome
+    reason: Reason
+    detail: str
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Dispatch:
+    """Sends a request to a backend server on one attempt.
+
+    Attributes:
+        attempt_id: Names the attempt, and the stream on the engine.
+        stamp: State that the engine must echo; None for a plain service.
+        resume_stream: Stream to resume instead of starting one.
+        after: Last frame number already held, for a resumption.
+        fresh_connection: Whether a pooled connection must not be used.
+        priority: Lower is sooner, as engines have it.
+    """
+
+    request_id: str
+    attempt_id: str
+    server_id: str
+    address: str
+    stamp: work.Stamp | None
+    resume_stream: str = ""
+    after: int = 0
+    fresh_connection: bool = False
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Closes an attempt's connection.
+
+    Attributes:
+        stop_engine: Whether the engine should end the stream as well.
+    """
+
+    attempt_id: str
+    stop_engine: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BeginStream:
+    """Starts the answer to a caller.
+
+    Attributes:
+        stream_id: Engine's name of the stream, for the resume token.
+        late: Whether the deadline had passed.
+    """
+
+    request_id: str
+    server_id: str
+    stream_id: str
+    stamp: work.Stamp
+    late: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """Hands frames on to the caller."""
+
+    request_id: str
+    frames: tuple[work.Frame, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndStream:
+    """Closes a complete stream."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BreakStream:
+    """Ends a begun stream with an explicit error frame."""
+
+    request_id: str
+    reason: Reason
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Hands a whole answer to the caller.
+
+    Attributes:
+        late: Whether the deadline had passed.
+        replayed: Whether it was kept from an earlier call with the same key.
+    """
+
+    request_id: str
+    answer: work.Answer
+    late: bool
+    replayed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteClaim:
+    """Claims a key before dispatch.
+
+    Attributes:
+        over_version: Row version that the claim may replace; 0 where no row
+            may exist.
+    """
+
+    request_id: str
+    key: work.ClaimKey
+    claim: work.Claim
+    over_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreOutcome:
+    """Writes DONE, UNKNOWN or RELEASED over our own claim.
+
+    The write must also take effect where no row stands yet, so that a claim
+    write still on its way finds one and fails.
+    """
+
+    request_id: str
+    key: work.ClaimKey
+    claim: work.Claim
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks a backend server for a sign of life on a fresh connection."""
+
+    server_id: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Field:
+    """One key=value pair of a log line."""
+
+    key: str
+    value: str | int | float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Event:
+    """One log line, and one count in the report.
+
+    Attributes:
+        name: What happened.
+        request_id: Request it belongs to; empty for none.
+        fields: Pairs in the order to print.
+    """
+
+    name: str
+    request_id: str
+    fields: tuple[Field, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forget:
+    """Nothing more will be asked for a request; its body may go."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stopped:
+    """Nothing is left in flight; the process may exit."""
+
+
+Effect: TypeAlias = (
+    Refuse
+    | Dispatch
+    | CancelAttempt
+    | BeginStream
+    | Relay
+    | EndStream
+    | BreakStream
+    | Reply
+    | WriteClaim
+    | StoreOutcome
+    | Probe
+    | Event
+    | Forget
+    | Stopped
+)
+
+__all__ = [
+    "BeginStream",
+    "BreakStream",
+    "CancelAttempt",
+    "Dispatch",
+    "Effect",
+    "EndStream",
+    "Event",
+    "Field",
+    "Forget",
+    "Outcome",
+    "Probe",
+    "Reason",
+    "Refuse",
+    "Relay",
+    "Reply",
+    "Stopped",
+    "StoreOutcome",
+    "WriteClaim",
+]
--- /dev/null
+++ b/src/godwittack/core/entities.py
@@ -0,0 +1,213 @@
+"""The core's tables: one row type an entity, one mapping a table."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+
+from godwittack.core import effects
+from godwittack.core import policy as policies
+from godwittack.core import work as works
+from godwittack.limit import fair, retries, shares
+from godwittack.placement import residency
+from godwittack.table import model
+
+
+class Phase(enum.StrEnum):
+    """Where a request stands."""
+
+    CLAIMING = "claiming"
+    QUEUED = "queued"
+    RUNNING = "running"
+    STORING = "storing"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RequestRow:
+    """One caller's request from arrival to its final effect.
+
+    Attributes:
+        deadline_at_ms: When the answer should have begun.
+        known_tokens: Prompt tokens of levels that earlier requests brought.
+        attempt_id: Current attempt; frames of any other are dropped.
+        attempts: Dispatches so far.
+        avoid: Servers that failed this request.
+        next_frame: Number of the next frame the caller needs.
+        begun: Whether a byte of the answer went out.
+        begun_elsewhere: Whether another daemon sent the first frames, so
+            that a failure may not start the answer anew.
+        late: Whether the deadline had passed when the answer began.
+        sent: Whether a byte of any attempt may have reached a server.
+        resumes: Resumptions since the last new frame.
+        claim_key: Key under which the call is claimed; None where it may be
+            repeated.
+        claim_tries: Claim writes that got no reply.
+        caller_gone: Whether nobody waits any more.
+        answer: Whole answer waiting for its record.
+        answered_at_ms: When that answer came.
+    """
+
+    request_id: str
+    work: works.Work
+    workspace: str
+    arrived_at_ms: int
+    deadline_at_ms: int
+    known_tokens: int = 0
+    phase: Phase = Phase.CLAIMING
+    attempt_id: str = ""
+    attempts: int = 0
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    next_frame: int = 1
+    begun: bool = False
+    begun_elsewhere: bool = False
+    late: bool = False
+    sent: bool = False
+    resumes: int = 0
+    claim_key: works.ClaimKey | None = None
+    claim_tries: int = 0
+    nonce: str = ""
+    caller_gone: bool = False
+    answer: works.Answer | None = None
+    answered_at_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class AttemptRow:
+    """One dispatch of a request to one backend server.
+
+    Attributes:
+        stream_id: The engine's name of the stream; the first attempt's id.
+        expected_tokens: Prompt tokens this daemon expects not to be cached.
+        heard_at_ms: When the server last showed progress on this attempt.
+    """
+
+    attempt_id: str
+    request_id: str
+    server_id: str
+    stamp: works.Stamp | None
+    stream_id: str
+    sent_at_ms: int
+    heard_at_ms: int
+    expected_tokens: int = 0
+    opened: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerRow:
+    """One backend server as this daemon knows it.
+
+    Attributes:
+        incarnation: Last one seen; empty until the server was heard.
+        reported_at_ms: When the state in the last report was true.
+        sent: Own dispatches not finished: attempt id to its send time and
+            expected tokens.
+        failures: Failures in a row.
+        ejected_until_ms: No new work before this time.
+        left_at_ms: When it was first known to leave; 0 while it is not.
+    """
+
+    server_id: str
+    address: str
+    target: str
+    failure_domain: str = ""
+    incarnation: str = ""
+    weights_version: str = ""
+    leaving: bool = False
+    reported_at_ms: int = -1
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    prefill_us_per_token: int = 0
+    slots: int = 0
+    sent: dict[str, AttemptRow] = dataclasses.field(default_factory=dict)
+    failures: int = 0
+    ejected_until_ms: int = 0
+    trial_attempt: str = ""
+    cache: residency.Residency = dataclasses.field(
+        default_factory=residency.Residency
+    )
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class OutcomeRow:
+    """A claim's outcome that the table service has not yet confirmed.
+
+    Attributes:
+        next_try_at_ms: When to send it again; 0 while a write is on its way.
+    """
+
+    request_id: str
+    key: works.ClaimKey
+    claim: works.Claim
+    since_ms: int
+    next_try_at_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class World:
+    """All tables of one daemon's core.
+
+    Attributes:
+        daemon: This daemon's incarnation, as written into claims.
+        out: Effects of the input being worked on.
+        live_daemons: Incarnations of daemons believed alive.
+        freed_targets: Targets whose queues may move after this input.
+        service_ms: Smoothed time from dispatch to end, by target.
+    """
+
+    daemon: str
+    policy: policies.Policy
+    now_ms: int = 0
+    out: list[effects.Effect] = dataclasses.field(default_factory=list)
+    table: model.Table = dataclasses.field(default_factory=model.Table)
+    requests: dict[str, RequestRow] = dataclasses.field(default_factory=dict)
+    attempts: dict[str, AttemptRow] = dataclasses.field(default_factory=dict)
+    servers: dict[str, ServerRow] = dataclasses.field(default_factory=dict)
+    servers_by_target: dict[str, dict[str, ServerRow]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(dict)
+    )
+    outcomes: dict[str, OutcomeRow] = dataclasses.field(default_factory=dict)
+    queues: dict[str, fair.FairQueue] = dataclasses.field(default_factory=dict)
+    shares: shares.Shares = dataclasses.field(default_factory=shares.Shares)
+    retry_budget: retries.RetryBudget = dataclasses.field(
+        default_factory=retries.RetryBudget
+    )
+    heat: residency.Heat = dataclasses.field(default_factory=residency.Heat)
+    freed_targets: set[str] = dataclasses.field(default_factory=set)
+    service_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    live_daemons: frozenset[str] = frozenset()
+    right_to_serve: bool = True
+    stopping: bool = False
+    stopped: bool = False
+    attempt_counter: int = 0
+
+    def emit(self, effect: effects.Effect) -> None:
+        """Adds an effect to the current input's result."""
+        self.out.append(effect)
+
+    def event(
+        self, name: str, request_id: str = "", **fields: str | int | float
+    ) -> None:
+        """Emits a log line with its pairs in the order given."""
+        pairs = tuple(effects.Field(k, v) for k, v in fields.items())
+        self.out.append(effects.Event(name, request_id, pairs))
+
+    def next_attempt_id(self) -> str:
+        """Returns an id that no other daemon or incarnation uses."""
+        self.attempt_counter += 1
+        return f"{self.daemon}.{self.attempt_counter}"
+
+    def queued(self) -> int:
+        """Returns how many requests are held back."""
+        return sum(len(queue) for queue in self.queues.values())
+
+
+__all__ = [
+    "AttemptRow",
+    "OutcomeRow",
+    "Phase",
+    "RequestRow",
+    "ServerRow",
+    "World",
+]
--- /dev/null
+++ b/src/godwittack/core/inputs.py
@@ -0,0 +1,385 @@
+"""Everything the core is told; each input carries the time it came."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from godwittack.core import work
+    from godwittack.table import model
+
+
+class FailurePhase(enum.StrEnum):
+    """How far an attempt was when it failed.
+
+    CONNECT proves that nothing was sent. SENT means that at least one byte
+    of the request may have reached the backend server.
+    """
+
+    CONNECT = "connect"
+    SENT = "sent"
+
+
+class FailureCause(enum.StrEnum):
+    """Why an attempt failed, where the difference changes the decision."""
+
+    BROKEN = "broken"
+    REFUSED = "refused"
+    STREAM_GONE = "stream_gone"
+
+
+class ClaimVerdict(enum.StrEnum):
+    """What the table service said of a claim write.
+
+    HELD: the row carries our nonce. TAKEN: it carries another's. UNANSWERED:
+    no reply, so that the write may or may not have taken effect.
+    """
+
+    HELD = "held"
+    TAKEN = "taken"
+    UNANSWERED = "unanswered"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; upkeep runs."""
+
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller's request was read and parsed."""
+
+    at_ms: int
+    request_id: str
+    work: work.Work
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamResumed:
+    """A caller came back with a resume token for a stream begun elsewhere.
+
+    Attributes:
+        server_id: Backend server that holds the stream.
+        stream_id: The attempt that began it.
+        stamp: State the stream is built on.
+        after: Last frame number that the caller has.
+    """
+
+    at_ms: int
+    request_id: str
+    token_sha256: str
+    server_id: str
+    stream_id: str
+    stamp: work.Stamp
+    after: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection before the end."""
+
+    at_ms: int
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptOpened:
+    """The head of a streamed answer came, with the state it is built on."""
+
+    at_ms: int
+    attempt_id: str
+    echoed_request: str
+    stamp: work.Stamp
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FramesArrived:
+    """Frames of a stream came, in the order read from the connection."""
+
+    at_ms: int
+    attempt_id: str
+    frames: tuple[work.Frame, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerArrived:
+    """A whole answer came.
+
+    Attributes:
+        stamp: Echo of a model engine; None from a plain service.
+    """
+
+    at_ms: int
+    attempt_id: str
+    echoed_request: str
+    answer: work.Answer
+    stamp: work.Stamp | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageReported:
+    """The engine said how much of a prompt it found in its cache."""
+
+    at_ms: int
+    attempt_id: str
+    prompt_tokens: int
+    cached_tokens: int
+    generated_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt ended without an answer."""
+
+    at_ms: int
+    attempt_id: str
+    phase: FailurePhase
+    cause: FailureCause
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimAnswered:
+    """The table service settled, or failed to settle, a claim.
+
+    Attributes:
+        claim: The row that stands, for TAKEN.
+    """
+
+    at_ms: int
+    request_id: str
+    verdict: ClaimVerdict
+    claim: work.Claim | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeStored:
+    """A claim's outcome was written, or the write got no reply."""
+
+    at_ms: int
+    request_id: str
+    stored: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableChanged:
+    """A newer table version was read from the service or a peer."""
+
+    at_ms: int
+    table: model.Table
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerListed:
+    """One entry of the instance list, or the removal of one.
+
+    Attributes:
+        server_id: Name of the backend server.
+        address: IP and port.
+        target: Model or service it serves.
+        failure_domain: Where it stands.
+        leaving: Whether it is about to stop.
+        gone: Whether it left the list.
+    """
+
+    at_ms: int
+    server_id: str
+    address: str = ""
+    target: str = ""
+    failure_domain: str = ""
+    leaving: bool = False
+    gone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerLeaving:
+    """Another daemon saw a backend server leaving."""
+
+    at_ms: int
+    server_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReported:
+    """A backend server's own account of its load, some time old.
+
+    Attributes:
+        running: Requests in the current batch.
+        waiting: Requests not yet begun.
+        waiting_tokens: Uncached prompt tokens not yet computed.
+        prefill_us_per_token: Microseconds to compute a prompt token.
+        slots: Requests the engine batches at most.
+        leaving: Whether it is about to stop.
+    """
+
+    at_ms: int
+    server_id: str
+    incarnation: str
+    weights_version: str
+    running: int
+    waiting: int
+    waiting_tokens: int
+    prefill_us_per_token: int
+    slots: int
+    age_ms: int = 0
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CacheDigest:
+    """What changed in one engine's cache since the digest before.
+
+    Attributes:
+        sequence: Sequence of the last event covered.
+        after: Sequence of the last event covered by the digest before; a
+            daemon that missed that one drops all hints on the server.
+        stored: Level keys now cached.
+        removed: Level keys evicted.
+    """
+
+    at_ms: int
+    server_id: str
+    incarnation: str
+    weights_version: str
+    sequence: int
+    after: int
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HintsVoid:
+    """The watcher of a server saw a gap in its event stream."""
+
+    at_ms: int
+    server_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeAnswered:
+    """A fresh connection to a backend server was tried."""
+
+    at_ms: int
+    server_id: str
+    alive: bool
+    incarnation: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDemand:
+    """What another daemon asked for lately, by workspace.
+
+    Attributes:
+        daemon_id: The peer.
+        alive: False once the peer is dead or has left.
+        cells: Demand and share use by cell name.
+    """
+
+    at_ms: int
+    daemon_id: str
+    alive: bool
+    cells: tuple[CellDemand, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CellDemand:
+    """Demand on one limited cell.
+
+    Attributes:
+        cell: Name such as `workspace/desk`.
+        in_flight: Requests running now.
+        wanted: Requests running or held back.
+        rate_per_s: Requests arriving a second.
+    """
+
+    cell: str
+    in_flight: int
+    wanted: float
+    rate_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The set of live daemons changed.
+
+    Attributes:
+        live: Daemon incarnations now live, as written into claims.
+    """
+
+    at_ms: int
+    live: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RightToServe:
+    """Whether this daemon may claim that its table is current."""
+
+    at_ms: int
+    held: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopOrdered:
+    """The daemon was asked to stop; it finishes what it has."""
+
+    at_ms: int
+
+
+Input: TypeAlias = (
+    Tick
+    | RequestArrived
+    | StreamResumed
+    | CallerGone
+    | AttemptOpened
+    | FramesArrived
+    | AnswerArrived
+    | UsageReported
+    | AttemptFailed
+    | ClaimAnswered
+    | OutcomeStored
+    | TableChanged
+    | ServerLeaving
+    | ServerListed
+    | LoadReported
+    | CacheDigest
+    | HintsVoid
+    | ProbeAnswered
+    | PeerDemand
+    | MembersChanged
+    | RightToServe
+    | StopOrdered
+)
+
+__all__ = [
+    "AnswerArrived",
+    "AttemptFailed",
+    "AttemptOpened",
+    "CacheDigest",
+    "CallerGone",
+    "CellDemand",
+    "ClaimAnswered",
+    "ClaimVerdict",
+    "FailureCause",
+    "FailurePhase",
+    "FramesArrived",
+    "HintsVoid",
+    "Input",
+    "LoadReported",
+    "MembersChanged",
+    "OutcomeStored",
+    "PeerDemand",
+    "ProbeAnswered",
+    "RequestArrived",
+    "RightToServe",
+    "ServerLeaving",
+    "ServerListed",
+    "StopOrdered",
+    "StreamResumed",
+    "TableChanged",
+    "Tick",
+    "UsageReported",
+]
--- /dev/null
+++ b/src/godwittack/core/outcomes.py
@@ -0,0 +1,66 @@
+"""Writes what became of claimed calls until the table service has it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import effects, entities, work
+
+if TYPE_CHECKING:
+    from godwittack.core import inputs
+
+
+def store(
+    world: entities.World,
+    request: entities.RequestRow,
+    state: work.ClaimState,
+    answer: work.Answer | None = None,
+) -> None:
+    """Writes the outcome of a request's claim, now and until it holds.
+
+    The row outlives the request: a caller that was told "not run" may come
+    back, and finds its key released once the write has taken effect.
+    """
+    if request.claim_key is None:
+        return
+    row = entities.OutcomeRow(
+        request_id=request.request_id,
+        key=request.claim_key,
+        claim=work.Claim(
+            state=state,
+            nonce=request.nonce,
+            daemon=world.daemon,
+            fingerprint=request.work.fingerprint,
+            answer=answer,
+        ),
+        since_ms=world.now_ms,
+    )
+    world.outcomes[request.request_id] = row
+    _send(world, row)
+
+
+def stored(world: entities.World, told: inputs.OutcomeStored) -> bool:
+    """Takes in whether a write held; returns True where it did."""
+    row = world.outcomes.get(told.request_id)
+    if row is None:
+        return False
+    if told.stored:
+        del world.outcomes[told.request_id]
+        return True
+    row.next_try_at_ms = world.now_ms + world.policy.store_retry_ms
+    return False
+
+
+def retry_due(world: entities.World) -> None:
+    """Sends again what the table service has not confirmed."""
+    for row in list(world.outcomes.values()):
+        if row.next_try_at_ms and row.next_try_at_ms <= world.now_ms:
+            row.next_try_at_ms = 0
+            _send(world, row)
+
+
+def _send(world: entities.World, row: entities.OutcomeRow) -> None:
+    world.emit(effects.StoreOutcome(row.request_id, row.key, row.claim))
+
+
+__all__ = ["retry_due", "store", "stored"]
--- /dev/null
+++ b/src/godwittack/core/policy.py
@@ -0,0 +1,62 @@
+"""Numbers that the decisions use; settings override them by name."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """Tunable numbers of the core.
+
+    Attributes:
+        frame_gap_ms: Silence in a stream after which it is resumed on a
+            fresh connection.
+        first_frame_ms: Silence before the first frame after which a
+            generation is sent to another backend server.
+        answer_patience_ms: Longest wait for a whole answer.
+        store_patience_ms: How long an answer waits for its record to be
+            written before the caller gets it anyway.
+        store_retry_ms: Pause between tries to write an outcome.
+        claim_tries: Unanswered claim writes before the call is refused.
+        max_attempts: Dispatches of one request, the first included.
+        max_resumes: Resumptions of one stream without a new frame between.
+        retry_ratio: Retries allowed a request accepted.
+        retry_burst: Retries allowed at once after a quiet time.
+        eject_ms: First pause after failures of a backend server; doubles.
+        eject_max_ms: Longest such pause.
+        report_stale_ms: Age from which a load report is no evidence.
+        hold_ms: Estimated wait at a server from which requests are held
+            back here, so that fairness decides whose turn it is.
+        hint_ms: Age from which own dispatches no longer count as cached.
+        hot_share: Part of a server's time that one prefix may take before
+            it is spread over one more server.
+        prefill_us_per_token: Assumed until a server reports its own.
+        slots: Assumed batch size until a server reports its own.
+        queue_total: Requests held back over all targets.
+        max_residency: Level keys remembered a server.
+    """
+
+    frame_gap_ms: int = 2_000
+    first_frame_ms: int = 5_000
+    answer_patience_ms: int = 120_000
+    store_patience_ms: int = 250
+    store_retry_ms: int = 300
+    claim_tries: int = 2
+    max_attempts: int = 3
+    max_resumes: int = 3
+    retry_ratio: float = 0.1
+    retry_burst: float = 10.0
+    eject_ms: int = 1_000
+    eject_max_ms: int = 30_000
+    report_stale_ms: int = 3_000
+    hold_ms: int = 400
+    hint_ms: int = 20_000
+    hot_share: float = 0.5
+    prefill_us_per_token: int = 100
+    slots: int = 16
+    queue_total: int = 2_000
+    max_residency: int = 20_000
+
+
+__all__ = ["Policy"]
--- /dev/null
+++ b/src/godwittack/core/resuming.py
@@ -0,0 +1,89 @@
+"""Resumes a stream that another daemon, perhaps a dead one, had begun."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import (
+    admission,
+    closing,
+    dispatching,
+    effects,
+    entities,
+    work,
+)
+
+if TYPE_CHECKING:
+    from godwittack.core import inputs
+
+RESUME_DEADLINE_MS = 10_000
+
+
+def resume(world: entities.World, told: inputs.StreamResumed) -> None:
+    """Opens the stream named by a checked resume token.
+
+    The token's signature was checked where it entered; here it is checked
+    that the caller is the workspace that the stream was made for.
+    """
+    workspace = admission.authenticate(
+        world, told.request_id, told.token_sha256
+    )
+    if workspace is None:
+        return
+    request = entities.RequestRow(
+        request_id=told.request_id,
+        work=work.Work(
+            kind=work.WorkKind.GENERATION,
+            token_sha256=told.token_sha256,
+            target=told.stamp.target,
+            streaming=True,
+        ),
+        workspace=workspace.name,
+        arrived_at_ms=world.now_ms,
+        deadline_at_ms=world.now_ms + RESUME_DEADLINE_MS,
+        next_frame=told.after + 1,
+    )
+    world.requests[request.request_id] = request
+    for cell in closing.limited_cells(request):
+        world.shares.began(cell)
+    server = world.servers.get(told.server_id)
+    if workspace.name != told.stamp.workspace or server is None:
+        _refuse(world, request, server is None)
+        return
+    placeholder = entities.AttemptRow(
+        attempt_id="",
+        request_id=request.request_id,
+        server_id=told.server_id,
+        stamp=told.stamp,
+        stream_id=told.stream_id,
+        sent_at_ms=world.now_ms,
+        heard_at_ms=world.now_ms,
+    )
+    request.begun_elsewhere = True
+    dispatching.resume(world, request, placeholder)
+
+
+def _refuse(
+    world: entities.World, request: entities.RequestRow, server_gone: bool
+) -> None:
+    if server_gone:
+        closing.refuse(
+            world,
+            request,
+            status=410,
+            outcome=effects.Outcome.UNKNOWN,
+            reason=effects.Reason.STREAM_LOST,
+            detail="the backend server of this stream is gone",
+        )
+        return
+    closing.refuse(
+        world,
+        request,
+        status=403,
+        outcome=effects.Outcome.NOT_RUN,
+        reason=effects.Reason.BAD_RESUME,
+        detail="the resume token was made for another workspace",
+    )
+
+
+__all__ = ["resume"]
--- /dev/null
+++ b/src/godwittack/core/router.py
@@ -0,0 +1,170 @@
+"""The core's entry: one input in, its effects out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import (
+    admission,
+    attempts,
+    claims,
+    dispatching,
+    effects,
+    entities,
+    inputs,
+    outcomes,
+    resuming,
+    servers,
+)
+from godwittack.core import policy as policies
+from godwittack.limit import retries
+
+if TYPE_CHECKING:
+    from godwittack.table import model
+
+
+class Router:
+    """Decides what a daemon does; holds no sockets, tasks or clocks."""
+
+    def __init__(self, world: entities.World) -> None:
+        """Wraps the tables in `world`."""
+        self.world = world
+
+    @classmethod
+    def from_config(
+        cls,
+        *,
+        daemon: str,
+        table: model.Table | None = None,
+        policy: policies.Policy | None = None,
+    ) -> Router:
+        """Builds a core with empty tables.
+
+        Args:
+            daemon: This daemon's incarnation, unique over all restarts.
+            table: Operators' table, where one is known already.
+            policy: Tunable numbers.
+        """
+        policy = policy or policies.Policy()
+        world = entities.World(daemon=daemon, policy=policy)
+        world.live_daemons = frozenset({daemon})
+        world.retry_budget = retries.RetryBudget(
+            ratio=policy.retry_ratio,
+            burst=policy.retry_burst,
+            tokens=policy.retry_burst,
+        )
+        if table is not None:
+            world.table = table
+        return cls(world)
+
+    def step(self, told: inputs.Input) -> list[effects.Effect]:
+        """Takes one input and returns its effects in order."""
+        world = self.world
+        world.out = []
+        world.now_ms = max(world.now_ms, told.at_ms)
+        self._handle(told)
+        if world.freed_targets:
+            dispatching.drain(world)
+        self._check_stopped()
+        return world.out
+
+    def _handle(self, told: inputs.Input) -> None:
+        world = self.world
+        match told:
+            case inputs.FramesArrived():
+                attempts.frames(world, told)
+            case inputs.RequestArrived():
+                admission.arrive(world, told)
+            case inputs.AttemptOpened():
+                attempts.opened(world, told)
+            case inputs.AnswerArrived():
+                attempts.answer(world, told)
+            case inputs.UsageReported():
+                attempts.usage(world, told)
+            case inputs.AttemptFailed():
+                attempts.failed(world, told)
+            case inputs.CallerGone():
+                attempts.caller_gone(world, told)
+            case inputs.StreamResumed():
+                resuming.resume(world, told)
+            case inputs.ClaimAnswered():
+                claims.answered(world, told)
+            case inputs.OutcomeStored():
+                self._outcome_stored(told)
+            case inputs.LoadReported():
+                servers.load_reported(world, told)
+            case inputs.CacheDigest():
+                servers.digest(world, told)
+            case inputs.HintsVoid():
+                servers.hints_void(world, told)
+            case inputs.ServerListed():
+                servers.listed(world, told)
+            case inputs.ServerLeaving():
+                servers.leaving_told(world, told)
+            case inputs.ProbeAnswered():
+                servers.probed(world, told)
+            case _:
+                self._handle_control(told)
+
+    def _handle_control(self, told: inputs.Input) -> None:
+        world = self.world
+        match told:
+            case inputs.Tick():
+                self._tick()
+            case inputs.TableChanged():
+                if told.table.version > world.table.version:
+                    world.table = told.table
+            case inputs.PeerDemand():
+                self._peer_demand(told)
+            case inputs.MembersChanged():
+                world.live_daemons = told.live | {world.daemon}
+                world.shares.daemons = len(world.live_daemons)
+            case inputs.RightToServe():
+                if world.right_to_serve != told.held:
+                    world.event("right_to_serve", held=int(told.held))
+                world.right_to_serve = told.held
+            case inputs.StopOrdered():
+                world.stopping = True
+                world.event("stopping", in_flight=len(world.requests))
+
+    def _tick(self) -> None:
+        world = self.world
+        world.shares.measure(world.now_ms)
+        outcomes.retry_due(world)
+        attempts.reply_unstored(world)
+        attempts.check_silence(world)
+        servers.probe_ejected(world)
+        dispatching.expire_queued(world)
+
+    def _outcome_stored(self, told: inputs.OutcomeStored) -> None:
+        held = outcomes.stored(self.world, told)
+        request = self.world.requests.get(told.request_id)
+        if held and request and request.phase is entities.Phase.STORING:
+            attempts.reply(self.world, request)
+
+    def _peer_demand(self, told: inputs.PeerDemand) -> None:
+        shares = self.world.shares
+        if not told.alive:
+            shares.peer_gone(told.daemon_id)
+            return
+        for cell in told.cells:
+            shares.peer_told(
+                daemon_id=told.daemon_id,
+                cell=cell.cell,
+                wanted=cell.wanted,
+                rate_per_s=cell.rate_per_s,
+                in_flight=cell.in_flight,
+                now_ms=told.at_ms,
+            )
+
+    def _check_stopped(self) -> None:
+        world = self.world
+        if not world.stopping or world.stopped:
+            return
+        if world.requests or world.outcomes:
+            return
+        world.stopped = True
+        world.emit(effects.Stopped())
+
+
+__all__ = ["Router"]
--- /dev/null
+++ b/src/godwittack/core/servers.py
@@ -0,0 +1,228 @@
+"""Keeps the table of backend servers: lists, loads, caches, failures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import effects, entities, inputs
+
+if TYPE_CHECKING:
+    from godwittack.core import work
+
+
+def listed(world: entities.World, told: inputs.ServerListed) -> None:
+    """Takes in an entry of the instance list."""
+    if told.gone:
+        _remove(world, told.server_id)
+        return
+    server = world.servers.get(told.server_id)
+    if server and (server.address, server.target) != (
+        told.address,
+        told.target,
+    ):
+        _remove(world, told.server_id)
+        server = None
+    if server is None:
+        server = entities.ServerRow(
+            server_id=told.server_id,
+            address=told.address,
+            target=told.target,
+            failure_domain=told.failure_domain,
+        )
+        world.servers[told.server_id] = server
+        world.servers_by_target[told.target][told.server_id] = server
+    # The list lags: it may still show a server as live that has said itself
+    # that it leaves. Only a new incarnation takes that back.
+    if told.leaving:
+        _mark_leaving(world, server, True)
+
+
+def leaving_told(world: entities.World, told: inputs.ServerLeaving) -> None:
+    """Takes in that another daemon saw a server leaving."""
+    server = world.servers.get(told.server_id)
+    if server is not None:
+        _mark_leaving(world, server, True)
+
+
+def load_reported(world: entities.World, told: inputs.LoadReported) -> None:
+    """Takes in a load report unless a newer one is known."""
+    server = world.servers.get(told.server_id)
+    true_at_ms = told.at_ms - told.age_ms
+    if server is None or true_at_ms < server.reported_at_ms:
+        return
+    _see_state(world, server, told.incarnation, told.weights_version)
+    server.reported_at_ms = true_at_ms
+    server.running = told.running
+    server.waiting = told.waiting
+    server.waiting_tokens = told.waiting_tokens
+    server.prefill_us_per_token = told.prefill_us_per_token
+    server.slots = told.slots
+    if told.leaving:
+        _mark_leaving(world, server, True)
+    world.freed_targets.add(server.target)
+
+
+def digest(world: entities.World, told: inputs.CacheDigest) -> None:
+    """Takes in what changed in an engine's cache."""
+    server = world.servers.get(told.server_id)
+    if server is None or (server.incarnation, server.weights_version) != (
+        told.incarnation,
+        told.weights_version,
+    ):
+        return
+    cache = server.cache
+    if cache.sequence >= 0 and told.after != cache.sequence:
+        # Events between were lost, evictions perhaps among them. Requests
+        # would be drawn to prefixes long gone.
+        cache.clear()
+    cache.sequence = told.sequence
+    for key in told.removed:
+        cache.forget(key)
+    for key in told.stored:
+        cache.note(key, now_ms=world.now_ms, limit=world.policy.max_residency)
+
+
+def hints_void(world: entities.World, told: inputs.HintsVoid) -> None:
+    """Drops what events told of a server's cache."""
+    server = world.servers.get(told.server_id)
+    if server is not None:
+        server.cache.clear()
+
+
+def probed(world: entities.World, told: inputs.ProbeAnswered) -> None:
+    """Takes in whether a fresh connection to a server worked."""
+    server = world.servers.get(told.server_id)
+    if server is None:
+        return
+    if told.alive:
+        server.ejected_until_ms = world.now_ms
+        world.freed_targets.add(server.target)
+    else:
+        _eject(world, server, "probe failed")
+
+
+def worked(world: entities.World, attempt: entities.AttemptRow) -> None:
+    """Counts an attempt that ended well."""
+    server = world.servers.get(attempt.server_id)
+    if server is not None:
+        server.failures = 0
+        server.ejected_until_ms = 0
+
+
+def failed(
+    world: entities.World,
+    attempt: entities.AttemptRow,
+    told: inputs.AttemptFailed,
+) -> None:
+    """Counts an attempt that failed; refusals are no failures."""
+    server = world.servers.get(attempt.server_id)
+    if server is None or told.cause is inputs.FailureCause.REFUSED:
+        return
+    if told.phase is inputs.FailurePhase.CONNECT:
+        # The process is gone or starts anew: its cache is empty either way.
+        server.cache.clear()
+    _eject(world, server, told.detail)
+
+
+def silent(world: entities.World, attempt: entities.AttemptRow) -> None:
+    """Counts an attempt that showed no first frame."""
+    server = world.servers.get(attempt.server_id)
+    if server is not None:
+        _eject(world, server, "silent before the first frame")
+
+
+def state_echoed(
+    world: entities.World, server_id: str, stamp: work.Stamp
+) -> None:
+    """Believes the state that an engine itself gave with an answer."""
+    server = world.servers.get(server_id)
+    if server is not None and stamp.incarnation:
+        _see_state(world, server, stamp.incarnation, stamp.weights_version)
+
+
+def probe_ejected(world: entities.World) -> None:
+    """Asks ejected servers for a sign of life when their pause is over."""
+    for server in world.servers.values():
+        due = 0 < server.ejected_until_ms <= world.now_ms
+        if server.failures and due and not server.leaving:
+            server.ejected_until_ms = world.now_ms + _pause_ms(world, server)
+            world.emit(effects.Probe(server.server_id, server.address))
+
+
+def _see_state(
+    world: entities.World,
+    server: entities.ServerRow,
+    incarnation: str,
+    weights_version: str,
+) -> None:
+    if (server.incarnation, server.weights_version) == (
+        incarnation,
+        weights_version,
+    ):
+        return
+    if server.incarnation and server.incarnation != incarnation:
+        # A new process at the same address: the order to leave was for the
+        # old one.
+        server.leaving = False
+        server.failures = 0
+        server.ejected_until_ms = 0
+    server.incarnation = incarnation
+    server.weights_version = weights_version
+    server.cache.clear()
+    world.event(
+        "server_state",
+        server=server.server_id,
+        incarnation=incarnation,
+        weights=weights_version,
+    )
+
+
+def _mark_leaving(
+    world: entities.World, server: entities.ServerRow, leaving: bool
+) -> None:
+    if server.leaving != leaving:
+        server.leaving = leaving
+        world.event(
+            "server_leaving", server=server.server_id, leaving=int(leaving)
+        )
+
+
+def _remove(world: entities.World, server_id: str) -> None:
+    server = world.servers.pop(server_id, None)
+    if server is not None:
+        world.servers_by_target[server.target].pop(server_id, None)
+        world.event("server_gone", server=server_id)
+
+
+def _eject(
+    world: entities.World, server: entities.ServerRow, detail: str
+) -> None:
+    server.failures += 1
+    server.ejected_until_ms = world.now_ms + _pause_ms(world, server)
+    world.event(
+        "server_ejected",
+        server=server.server_id,
+        failures=server.failures,
+        until_ms=server.ejected_until_ms - world.now_ms,
+        detail=detail,
+    )
+
+
+def _pause_ms(world: entities.World, server: entities.ServerRow) -> int:
+    doubled = world.policy.eject_ms * 2 ** min(server.failures - 1, 10)
+    return min(doubled, world.policy.eject_max_ms)
+
+
+__all__ = [
+    "digest",
+    "failed",
+    "hints_void",
+    "leaving_told",
+    "listed",
+    "load_reported",
+    "probe_ejected",
+    "probed",
+    "silent",
+    "state_echoed",
+    "worked",
+]
--- /dev/null
+++ b/src/godwittack/daemon/attempt.py
@@ -0,0 +1,92 @@
+"""Turns what happens on one attempt into inputs of the core."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import inputs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwittack.clock import Clock
+    from godwittack.core import work
+    from godwittack.daemon import caller as callers
+
+
+class CoreSink:
+    """Implements `AttemptSink` for one attempt."""
+
+    def __init__(
+        self,
+        *,
+        attempt_id: str,
+        caller: callers.Caller,
+        submit: Callable[[inputs.Input], None],
+        clock: Clock,
+    ) -> None:
+        """Submits inputs for `attempt_id`."""
+        self._attempt_id = attempt_id
+        self._caller = caller
+        self._submit = submit
+        self._clock = clock
+
+    def opened(self, echoed_request: str, stamp: work.Stamp) -> None:
+        """The head of a stream came."""
+        self._submit(
+            inputs.AttemptOpened(
+                self._clock.now_ms(), self._attempt_id, echoed_request, stamp
+            )
+        )
+
+    def usage(self, *, prompt: int, cached: int, generated: int) -> None:
+        """The engine told what it took from its cache."""
+        self._submit(
+            inputs.UsageReported(
+                self._clock.now_ms(),
+                self._attempt_id,
+                prompt,
+                cached,
+                generated,
+            )
+        )
+
+    async def frames(self, frames: tuple[work.Frame, ...]) -> None:
+        """Frames came."""
+        self._submit(
+            inputs.FramesArrived(self._clock.now_ms(), self._attempt_id, frames)
+        )
+        await self._caller.room()
+
+    def answer(
+        self,
+        echoed_request: str,
+        answer: work.Answer,
+        stamp: work.Stamp | None,
+    ) -> None:
+        """A whole answer came."""
+        self._submit(
+            inputs.AnswerArrived(
+                self._clock.now_ms(),
+                self._attempt_id,
+                echoed_request,
+                answer,
+                stamp,
+            )
+        )
+
+    def failed(
+        self,
+        phase: inputs.FailurePhase,
+        cause: inputs.FailureCause,
+        detail: str,
+    ) -> None:
+        """The attempt ended without an answer."""
+        self._submit(
+            inputs.AttemptFailed(
+                self._clock.now_ms(), self._attempt_id, phase, cause, detail
+            )
+        )
+
+
+__all__ = ["CoreSink"]
--- /dev/null
+++ b/src/godwittack/daemon/observer.py
@@ -0,0 +1,56 @@
+"""Log lines, metrics and report counts from the core's events."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from godwittack.core import effects
+    from godwittack.metric import meters
+    from godwittack.report import ledger
+
+
+class Observer(Protocol):
+    """Hears every event of the core."""
+
+    def event(self, event: effects.Event) -> None:
+        """Takes in one event."""
+
+
+class EventObserver:
+    """Logs, counts and measures events."""
+
+    def __init__(
+        self, *, counts: ledger.Ledger, measures: meters.Meters
+    ) -> None:
+        """Counts in `counts` and measures in `measures`."""
+        self._counts = counts
+        self._measures = measures
+
+    def event(self, event: effects.Event) -> None:
+        """Takes in one event."""
+        self._counts.event(event)
+        self._measures.event(event)
+        logging.info("%s", line(event))
+
+
+def line(event: effects.Event) -> str:
+    """Returns an event as one line of key=value pairs."""
+    parts = [f"event={event.name}"]
+    if event.request_id:
+        parts.append(f"request={event.request_id}")
+    parts.extend(f"{f.key}={_quoted(f.value)}" for f in event.fields)
+    return " ".join(parts)
+
+
+def _quoted(value: str | int | float) -> str:
+    text = str(value)
+    # A line break in a value that came from outside would forge a line.
+    text = text.replace("\\", "\\\\").replace("\n", "\\n")
+    text = text.replace("\r", "\\r").replace('"', "'")
+    return f'"{text}"' if not text or " " in text or "=" in text else text
+
+
+__all__ = ["EventObserver", "Observer", "line"]
--- /dev/null
+++ b/src/godwittack/daemon/runtime.py
@@ -0,0 +1,206 @@
+"""Feeds the core and carries out its effects."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Ok
+
+from godwittack.core import effects, inputs
+from godwittack.daemon import attempt, caller
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from godwittack.backend import protocol as backend
+    from godwittack.claim import store
+    from godwittack.clock import Clock
+    from godwittack.core import router
+    from godwittack.daemon import observer
+
+
+class Runtime:
+    """Owns the core; the only place where its `step` is called."""
+
+    def __init__(
+        self,
+        *,
+        core: router.Router,
+        backend_client: backend.BackendClient,
+        claims: store.ClaimStore,
+        observe: observer.Observer,
+        clock: Clock,
+    ) -> None:
+        """Connects the core with its shells."""
+        self.core = core
+        self.clock = clock
+        self.stopped = asyncio.Event()
+        self._backend = backend_client
+        self._claims = claims
+        self._observe = observe
+        self._callers: dict[str, caller.Caller] = {}
+        self._attempts: dict[str, asyncio.Task[None]] = {}
+        self._addresses: dict[str, str] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._request_counter = 0
+
+    def next_request_id(self) -> str:
+        """Returns an id that no other request of the system has."""
+        self._request_counter += 1
+        return f"{self.core.world.daemon}/{self._request_counter}"
+
+    def open_caller(self, request_id: str, call: backend.Call) -> caller.Caller:
+        """Registers a caller before its request goes to the core."""
+        opened = caller.Caller(call)
+        self._callers[request_id] = opened
+        return opened
+
+    def close_caller(self, request_id: str) -> None:
+        """Forgets a caller whose request the core never took in."""
+        if request_id not in self.core.world.requests:
+            self._callers.pop(request_id, None)
+
+    def submit(self, told: inputs.Input) -> None:
+        """Hands one input to the core and carries out its effects."""
+        for effect in self.core.step(told):
+            self._carry_out(effect)
+
+    async def tick_forever(self, *, tick_ms: int) -> None:
+        """Runs the core's upkeep."""
+        while True:
+            await asyncio.sleep(tick_ms / 1000)
+            self.submit(inputs.Tick(self.clock.now_ms()))
+
+    async def close(self) -> None:
+        """Ends what is still running."""
+        tasks = [*self._attempts.values(), *self._tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        match effect:
+            case (
+                effects.Relay()
+                | effects.Refuse()
+                | effects.Reply()
+                | effects.BeginStream()
+                | effects.EndStream()
+                | effects.BreakStream()
+            ):
+                waiting = self._callers.get(effect.request_id)
+                if waiting is not None:
+                    waiting.put(effect)
+            case effects.Event():
+                self._observe.event(effect)
+            case effects.Forget():
+                self._callers.pop(effect.request_id, None)
+            case effects.Dispatch():
+                self._dispatch(effect)
+            case effects.CancelAttempt():
+                self._cancel(effect)
+            case effects.WriteClaim():
+                self._spawn(self._write_claim(effect))
+            case effects.StoreOutcome():
+                self._spawn(self._store_outcome(effect))
+            case effects.Probe():
+                self._spawn(self._probe(effect))
+            case effects.Stopped():
+                self.stopped.set()
+
+    def _dispatch(self, effect: effects.Dispatch) -> None:
+        waiting = self._callers[effect.request_id]
+        sink = attempt.CoreSink(
+            attempt_id=effect.attempt_id,
+            caller=waiting,
+            submit=self.submit,
+            clock=self.clock,
+        )
+        self._observe.event(
+            effects.Event(
+                "dispatched",
+                effect.request_id,
+                (
+                    effects.Field("attempt", effect.attempt_id),
+                    effects.Field("server", effect.server_id),
+                    effects.Field("resume_after", effect.after),
+                ),
+            )
+        )
+        task = asyncio.create_task(
+            self._backend.send(effect, waiting.call, sink)
+        )
+        self._attempts[effect.attempt_id] = task
+        self._addresses[effect.attempt_id] = effect.address
+        task.add_done_callback(
+            lambda done: self._attempt_done(effect.attempt_id, done)
+        )
+
+    def _attempt_done(self, attempt_id: str, done: asyncio.Task[None]) -> None:
+        self._attempts.pop(attempt_id, None)
+        self._addresses.pop(attempt_id, None)
+        if done.cancelled():
+            return
+        error = done.exception()
+        if error is not None:
+            # A fault of our own must end the request, not leave its caller
+            # waiting; whether the call ran is not known.
+            self.submit(
+                inputs.AttemptFailed(
+                    self.clock.now_ms(),
+                    attempt_id,
+                    inputs.FailurePhase.SENT,
+                    inputs.FailureCause.BROKEN,
+                    f"{type(error).__name__}: {error}",
+                )
+            )
+
+    def _cancel(self, effect: effects.CancelAttempt) -> None:
+        address = self._addresses.get(effect.attempt_id)
+        task = self._attempts.get(effect.attempt_id)
+        if task is not None:
+            # The attempt may be the one whose input is being handled; it
+            # must return before it can be cancelled.
+            asyncio.get_running_loop().call_soon(task.cancel)
+        if effect.stop_engine and address:
+            self._spawn(self._backend.cancel(address, effect.attempt_id))
+
+    async def _write_claim(self, effect: effects.WriteClaim) -> None:
+        reply = await self._claims.claim(effect)
+        self.submit(
+            inputs.ClaimAnswered(
+                self.clock.now_ms(),
+                effect.request_id,
+                reply.verdict,
+                reply.claim,
+            )
+        )
+
+    async def _store_outcome(self, effect: effects.StoreOutcome) -> None:
+        stored = await self._claims.store(effect)
+        self.submit(
+            inputs.OutcomeStored(self.clock.now_ms(), effect.request_id, stored)
+        )
+
+    async def _probe(self, effect: effects.Probe) -> None:
+        got = await self._backend.load(effect.address)
+        self.submit(
+            inputs.ProbeAnswered(
+                self.clock.now_ms(),
+                effect.server_id,
+                isinstance(got, Ok),
+            )
+        )
+
+    def _spawn(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(_ignore_result(work))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _ignore_result(work: Coroutine[object, object, None]) -> None:
+    await work
+
+
+__all__ = ["Runtime"]
--- /dev/null
+++ b/src/godwittack/daemon/serve.py
@@ -0,0 +1,326 @@
+"""Builds a daemon from its settings, runs it, and stops it in order."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+import signal
+from typing import TYPE_CHECKING
+
+import aiohttp
+from absl import logging
+from aiohttp import web
+
+from godwittack.backend import http as backend_http
+from godwittack.claim import store as claim_store
+from godwittack.clock import SystemClock
+from godwittack.core import inputs, router
+from godwittack.daemon import (
+    change,
+    gossip,
+    observer,
+    runtime,
+    tables,
+    watch,
+)
+from godwittack.entry import calls, operate, status, token
+from godwittack.member import view
+from godwittack.metric import meters
+from godwittack.peer import exchange
+from godwittack.platform import http as platform_http
+from godwittack.report import ledger
+from godwittack.table import store as table_store
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from godwittack.config import settings as configs
+
+POOL_CONNECTIONS = 4_000
+HTTP_BACKLOG = 1_024
+SHUTDOWN_S = 5.0
+
+
+class Daemon:
+    """One daemon process: the core and all its shells."""
+
+    def __init__(self, loaded: configs.Loaded, sessions: Sessions) -> None:
+        """Wires the parts; nothing runs yet."""
+        self._settings = settings = loaded.settings
+        self._sessions = sessions
+        clock = SystemClock()
+        rng = random.Random(secrets.randbits(64))
+        me = view.Member(
+            member_id=f"{settings.name}@{secrets.token_hex(4)}",
+            peer_address=settings.peer_address,
+            http_address=settings.http_address,
+            failure_domain=settings.failure_domain,
+        )
+        core = router.Router.from_config(
+            daemon=me.member_id, policy=settings.policy()
+        )
+        core.world.right_to_serve = False
+        counts = ledger.Ledger(daemon=me.member_id, clock=clock)
+        self._meters = meters.Meters(core.world)
+        platform = platform_http.HttpPlatform(
+            session=sessions.platform,
+            base_url=settings.platform_url,
+            timeout_ms=settings.platform_timeout_ms,
+            pause_ms=settings.platform_pause_ms,
+            clock=clock,
+        )
+        backend = backend_http.HttpBackend(
+            pooled=sessions.pooled,
+            fresh=sessions.fresh,
+            connect_timeout_ms=settings.connect_timeout_ms,
+            control_timeout_ms=settings.control_timeout_ms,
+        )
+        self.runtime = runtime.Runtime(
+            core=core,
+            backend_client=backend,
+            claims=claim_store.ClaimStore(platform),
+            observe=observer.EventObserver(
+                counts=counts, measures=self._meters
+            ),
+            clock=clock,
+        )
+        self._peers = exchange.PeerClient(
+            secret=loaded.cluster_secret,
+            timeout_ms=settings.peer_timeout_ms,
+        )
+        members = view.View(
+            me=me,
+            policy=settings.member_policy(),
+            rng=rng,
+            expected=len({*settings.seeds, settings.peer_address}),
+        )
+        store = table_store.TableStore(platform, platform)
+        self._keeper = tables.TableKeeper(
+            tables=store,
+            runtime=self.runtime,
+            peers=self._peers,
+            right=view.ServeRight(settings.member_policy()),
+            rng=rng,
+        )
+        self.gossiper = gossip.Gossiper(
+            members=members,
+            runtime=self.runtime,
+            keeper=self._keeper,
+            client=self._peers,
+            counts=counts,
+            seeds=settings.seeds,
+        )
+        self._streams = watch.Streams()
+        self._lists = watch.ListWatcher(
+            instances=platform, streams=self._streams
+        )
+        self._servers = watch.ServerWatcher(
+            core=self.runtime,
+            client=backend,
+            gossiper=self.gossiper,
+            streams=self._streams,
+            load_poll_ms=settings.load_poll_ms,
+        )
+        self._peer_server = exchange.PeerServer(
+            handler=self.gossiper, secret=loaded.cluster_secret
+        )
+        self._app = self._build_app(loaded, store, counts)
+        self._loops: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serves until a stop is ordered and everything is finished.
+
+        Raises:
+            OSError: An address is in use.
+        """
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await self._peer_server.start(self._settings.peer_address)
+        self._streams.connect(core=self.runtime, gossiper=self.gossiper)
+        await self._prepare()
+        self._start_loops()
+        runner = await self._listen()
+        logging.info(
+            "event=serving daemon=%s http=%s peer=%s",
+            self.gossiper.members.me.member_id,
+            self._settings.http_address,
+            self._settings.peer_address,
+        )
+        await stop.wait()
+        await self._stop(runner)
+
+    async def _prepare(self) -> None:
+        """Learns members, table and servers before the first caller."""
+        await self.gossiper.join()
+        addresses = [
+            row.member.peer_address
+            for row in self.gossiper.members.rows.values()
+        ]
+        await self._keeper.load_first(addresses)
+        await self._lists.poll_once(self.runtime)
+        self._servers.assign()
+
+    def _start_loops(self) -> None:
+        settings = self._settings
+        self._spawn(self.runtime.tick_forever(tick_ms=settings.tick_ms))
+        self._spawn(self.gossiper.gossip_forever(gossip_ms=settings.gossip_ms))
+        self._spawn(self._keeper.poll_forever(poll_ms=settings.table_poll_ms))
+        self._spawn(
+            self._lists.poll_forever(
+                core=self.runtime, poll_ms=settings.list_poll_ms
+            )
+        )
+        self._spawn(self._servers.assign_forever())
+
+    def _spawn(self, work: Coroutine[object, object, None]) -> None:
+        async def guarded() -> None:
+            await work
+
+        task = asyncio.create_task(guarded())
+        task.add_done_callback(_report_end)
+        self._loops.append(task)
+
+    async def _listen(self) -> web.AppRunner:
+        runner = web.AppRunner(
+            self._app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_S,
+        )
+        await runner.setup()
+        host, _, port = self._settings.http_address.rpartition(":")
+        site = web.TCPSite(
+            runner, host.strip("[]"), int(port), backlog=HTTP_BACKLOG
+        )
+        await site.start()
+        return runner
+
+    async def _stop(self, runner: web.AppRunner) -> None:
+        """Leaves in order: told, unused, empty, gone.
+
+        Callers keep an address for `address_keep_ms` after they were given
+        it. The daemon still serves for that long after the others have
+        stopped naming it, so that none of them finds the door closed.
+        """
+        settings = self._settings
+        await self.gossiper.stop()
+        await asyncio.sleep(
+            (settings.address_keep_ms + settings.gossip_ms) / 1000
+        )
+        self.runtime.submit(inputs.StopOrdered(self.runtime.clock.now_ms()))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(settings.stop_patience_ms / 1000):
+                await self.runtime.stopped.wait()
+        await runner.cleanup()
+        for task in self._loops:
+            task.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
+        self._servers.close()
+        await self.runtime.close()
+        await self._peer_server.stop(grace_ms=100)
+        await self._peers.close()
+        self._meters.close()
+        logging.info("event=stopped")
+
+    def _build_app(
+        self,
+        loaded: configs.Loaded,
+        store: table_store.TableStore,
+        counts: ledger.Ledger,
+    ) -> web.Application:
+        settings = loaded.settings
+        face = calls.CallFace(
+            runtime=self.runtime,
+            settings=settings,
+            signer=token.TokenSigner(loaded.cluster_secret),
+        )
+        state = status.StatusFace(
+            runtime=self.runtime,
+            settings=settings,
+            members=self.gossiper.members,
+            meters=self._meters,
+        )
+        operators = operate.OperatorFace(
+            runtime=self.runtime,
+            settings=settings,
+            gossiper=self.gossiper,
+            client=self._peers,
+            committer=change.Committer(
+                tables=store,
+                keeper=self._keeper,
+                gossiper=self.gossiper,
+                policy=settings.member_policy(),
+                gossip_ms=settings.gossip_ms,
+            ),
+            tables=store,
+            counts=counts,
+        )
+        app = web.Application(client_max_size=settings.max_body_bytes)
+        app.router.add_routes(
+            [
+                web.post("/v1/chat/completions", face.generate),
+                web.post("/v1/completions", face.generate),
+                web.get("/v1/resume", face.resume),
+                web.get("/v1/where", state.where),
+                web.get("/v1/models", state.models),
+                web.route("*", "/svc/{service}", face.call_service),
+                web.route("*", "/svc/{service}/{path:.*}", face.call_service),
+                web.get("/healthz", state.health),
+                web.get("/readyz", state.ready),
+                web.get("/metrics", state.metrics),
+                *operators.routes(),
+            ]
+        )
+        return app
+
+
+class Sessions:
+    """HTTP client sessions, by how their connections are kept."""
+
+    def __init__(self) -> None:
+        """Opens the sessions; needs a running loop."""
+        self.pooled = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=POOL_CONNECTIONS, keepalive_timeout=15
+            ),
+            auto_decompress=False,
+        )
+        self.fresh = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=POOL_CONNECTIONS, force_close=True
+            ),
+            auto_decompress=False,
+        )
+        self.platform = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.pooled.close()
+        await self.fresh.close()
+        await self.platform.close()
+
+
+async def serve(loaded: configs.Loaded) -> None:
+    """Runs a daemon until it is stopped."""
+    sessions = Sessions()
+    try:
+        await Daemon(loaded, sessions).run()
+    finally:
+        await sessions.close()
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        # A loop that ends silently would leave the daemon half alive.
+        logging.exception("event=loop_failed detail=%r", error, exc_info=error)
+        signal.raise_signal(signal.SIGTERM)
+
+
+__all__ = ["Daemon", "serve"]
--- /dev/null
+++ b/src/godwittack/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' and operators' side over HTTP."""
--- /dev/null
+++ b/src/godwittack/entry/calls.py
@@ -0,0 +1,233 @@
+"""Serves callers: generations, plain services, resumed streams."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from result import Err
+
+from godwittack.backend import protocol as backend
+from godwittack.core import effects, inputs, work
+from godwittack.entry import parse, refusal, token
+
+if TYPE_CHECKING:
+    from godwittack.config import settings as configs
+    from godwittack.daemon import caller as callers
+    from godwittack.daemon import runtime as runtimes
+
+RESUME_HEADER = "x-resume-token"
+BUSY_RETRY_S = 1
+
+
+@dataclasses.dataclass(slots=True)
+class CallFace:
+    """HTTP handlers for callers."""
+
+    runtime: runtimes.Runtime
+    settings: configs.Settings
+    signer: token.TokenSigner
+    _arriving: int = 0
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        """Serves `/v1/chat/completions` and `/v1/completions`."""
+        body = await self._body(request)
+        if isinstance(body, web.Response):
+            return body
+        digest = parse.bearer_digest(request)
+        workspace = self._workspace(digest)
+        asked = parse.generation(request, body, workspace=workspace)
+        if isinstance(asked, Err):
+            return refusal.bad_request(asked.err_value)
+        headers = (
+            *parse.forwarded_headers(request),
+            parse.level_header(asked.ok_value),
+        )
+        call = backend.Call(
+            method="POST", path=request.path, headers=headers, body=body
+        )
+        return await self._serve(request, asked.ok_value, call)
+
+    async def call_service(self, request: web.Request) -> web.StreamResponse:
+        """Serves `/svc/{service}/...`."""
+        body = await self._body(request)
+        if isinstance(body, web.Response):
+            return body
+        service = request.match_info["service"]
+        # The path is taken as it came: decoding and encoding it again could
+        # name another resource.
+        path = request.raw_path[len(f"/svc/{service}") :] or "/"
+        asked = parse.plain(request, body, service=service, path=path)
+        if isinstance(asked, Err):
+            return refusal.bad_request(asked.err_value)
+        call = backend.Call(
+            method=request.method,
+            path=path,
+            headers=parse.forwarded_headers(request),
+            body=body,
+        )
+        return await self._serve(request, asked.ok_value, call)
+
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Serves `/v1/resume`: the rest of a stream begun anywhere."""
+        point = self.signer.check(request.headers.get(RESUME_HEADER, ""))
+        after = request.headers.get("last-event-id", "0")
+        if point is None or not after.isdigit():
+            return refusal.bad_request(
+                "send X-Resume-Token as received, and Last-Event-ID",
+                status=403,
+                reason=effects.Reason.BAD_RESUME.value,
+            )
+        call = backend.Call(method="GET", path="/", headers=(), body=b"")
+        request_id = self.runtime.next_request_id()
+        caller = self.runtime.open_caller(request_id, call)
+        self.runtime.submit(
+            inputs.StreamResumed(
+                at_ms=self.runtime.clock.now_ms(),
+                request_id=request_id,
+                token_sha256=parse.bearer_digest(request),
+                server_id=point.server_id,
+                stream_id=point.stream_id,
+                stamp=point.stamp,
+                after=int(after),
+            )
+        )
+        return await self._answer(request, request_id, caller)
+
+    async def _serve(
+        self, request: web.Request, asked: work.Work, call: backend.Call
+    ) -> web.StreamResponse:
+        request_id = self.runtime.next_request_id()
+        caller = self.runtime.open_caller(request_id, call)
+        self.runtime.submit(
+            inputs.RequestArrived(
+                self.runtime.clock.now_ms(), request_id, asked
+            )
+        )
+        return await self._answer(request, request_id, caller)
+
+    async def _answer(
+        self,
+        request: web.Request,
+        request_id: str,
+        caller: callers.Caller,
+    ) -> web.StreamResponse:
+        echoed_id = request.headers.get("x-request-id", "") or request_id
+        try:
+            return await self._deliver(request, echoed_id, caller)
+        except (asyncio.CancelledError, ConnectionResetError):
+            self._gone(request_id)
+            raise
+        except TimeoutError:
+            # The caller has not read for long. It can resume; keeping the
+            # connection would keep its buffers.
+            self._gone(request_id)
+            if request.transport is not None:
+                request.transport.abort()
+            raise
+        finally:
+            self.runtime.close_caller(request_id)
+
+    def _gone(self, request_id: str) -> None:
+        self.runtime.submit(
+            inputs.CallerGone(self.runtime.clock.now_ms(), request_id)
+        )
+
+    async def _deliver(
+        self, request: web.Request, echoed_id: str, caller: callers.Caller
+    ) -> web.StreamResponse:
+        first = await caller.get()
+        match first:
+            case effects.Refuse():
+                return refusal.response(first, echoed_id=echoed_id)
+            case effects.Reply():
+                return _whole(first, echoed_id)
+            case effects.BeginStream():
+                return await self._stream(request, echoed_id, first, caller)
+            case _:
+                raise RuntimeError(f"not the start of an answer: {first}")
+
+    async def _stream(
+        self,
+        request: web.Request,
+        echoed_id: str,
+        begun: effects.BeginStream,
+        caller: callers.Caller,
+    ) -> web.StreamResponse:
+        point = token.ResumePoint(begun.server_id, begun.stream_id, begun.stamp)
+        headers = {
+            "content-type": "text/event-stream",
+            "cache-control": "no-cache",
+            "x-request-id": echoed_id,
+            RESUME_HEADER: self.signer.sign(point),
+        }
+        if begun.late:
+            headers["x-late"] = "true"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        while True:
+            match await caller.get():
+                case effects.Relay() as relay:
+                    data = b"".join(frame.data for frame in relay.frames)
+                    async with asyncio.timeout(
+                        self.settings.slow_caller_ms / 1000
+                    ):
+                        await response.write(data)
+                case effects.BreakStream() as broken:
+                    await response.write(refusal.stream_event(broken))
+                    # Closing in order would let the stream look whole to a
+                    # caller that does not read the error.
+                    if request.transport is not None:
+                        response.force_close()
+                        request.transport.close()
+                    return response
+                case effects.EndStream():
+                    await response.write_eof()
+                    return response
+
+    async def _body(self, request: web.Request) -> bytes | web.Response:
+        if self._arriving >= self.settings.max_bodies_arriving:
+            busy = refusal.bad_request(
+                "too many requests are arriving", status=503, reason="busy"
+            )
+            busy.headers["retry-after"] = str(BUSY_RETRY_S)
+            return busy
+        self._arriving += 1
+        try:
+            got = await parse.read_body(
+                request,
+                max_bytes=self.settings.max_body_bytes,
+                timeout_ms=self.settings.body_timeout_ms,
+            )
+        finally:
+            self._arriving -= 1
+        if isinstance(got, Err):
+            status, detail = got.err_value
+            refused = refusal.bad_request(
+                detail, status=status, reason="bad_body"
+            )
+            refused.force_close()
+            return refused
+        return got.ok_value
+
+    def _workspace(self, token_digest: str) -> str:
+        table = self.runtime.core.world.table
+        return table.workspace_by_token.get(token_digest, "")
+
+
+def _whole(reply: effects.Reply, echoed_id: str) -> web.Response:
+    response = web.Response(status=reply.answer.status, body=reply.answer.body)
+    response.headers.popall("content-type", None)
+    for header in reply.answer.headers:
+        response.headers.add(header.name, header.value)
+    response.headers["x-request-id"] = echoed_id
+    if reply.late:
+        response.headers["x-late"] = "true"
+    if reply.replayed:
+        response.headers["x-replayed"] = "true"
+    return response
+
+
+__all__ = ["CallFace"]
--- /dev/null
+++ b/src/godwittack/entry/parse.py
@@ -0,0 +1,211 @@
+"""Reads callers' requests within limits, into the core's terms."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from typing import TYPE_CHECKING
+
+import pydantic
+import xxhash
+from result import Err, Ok, Result
+
+from godwittack.backend import http as backend_http
+from godwittack.core import work
+from godwittack.placement import levels
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from aiohttp import web
+
+MAX_DEADLINE_MS = 3_600_000
+DEADLINE_HEADER = "x-deadline-ms"
+# Headers that say who may use which state. They are set by the daemon alone:
+# a caller that could send them would read another workspace's cache.
+OWN_HEADERS = frozenset(
+    {
+        "authorization",
+        "content-length",
+        "host",
+        "x-workspace",
+        "x-weights-version",
+        "x-incarnation",
+        "x-stream-id",
+        "x-priority",
+        "x-cache-levels",
+        "x-godwittack-proof",
+        "last-event-id",
+        "accept-encoding",
+        "expect",
+        DEADLINE_HEADER,
+    }
+)
+
+
+class _Message(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="allow")
+    role: str
+
+
+class _Generation(pydantic.BaseModel):
+    """The parts of an OpenAI request that routing needs."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+    model: str
+    messages: list[_Message] | None = None
+    prompt: str | list[str] | None = None
+    stream: bool = False
+    max_tokens: int | None = pydantic.Field(default=None, ge=0)
+    max_completion_tokens: int | None = pydantic.Field(default=None, ge=0)
+    cache_prefix_lengths: list[int] = []
+
+
+async def read_body(
+    request: web.Request, *, max_bytes: int, timeout_ms: int
+) -> Result[bytes, tuple[int, str]]:
+    """Reads a body of bounded length in bounded time.
+
+    Returns:
+        The body, or HTTP status and detail of the error.
+    """
+    if request.content_length and request.content_length > max_bytes:
+        return Err((413, f"the body is longer than {max_bytes} bytes"))
+    body = bytearray()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            async for data in request.content.iter_any():
+                body.extend(data)
+                if len(body) > max_bytes:
+                    detail = f"the body is longer than {max_bytes} bytes"
+                    return Err((413, detail))
+    except TimeoutError:
+        return Err((408, f"the body took longer than {timeout_ms} ms"))
+    return Ok(bytes(body))
+
+
+def bearer_digest(request: web.Request) -> str:
+    """Returns the digest of the bearer token, or an empty string."""
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        return ""
+    return hashlib.sha256(token.strip().encode()).hexdigest()
+
+
+def generation(
+    request: web.Request, body: bytes, *, workspace: str
+) -> Result[work.Work, str]:
+    """Parses a chat completion or completion."""
+    try:
+        asked = _Generation.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(part) for part in first["loc"])
+        return Err(f"{place or 'body'}: {first['msg']}")
+    if asked.messages is None and asked.prompt is None:
+        return Err("write messages or prompt")
+    deadline = _deadline(request)
+    if isinstance(deadline, Err):
+        return deadline
+    limit = asked.max_completion_tokens or asked.max_tokens or 0
+    return Ok(
+        work.Work(
+            kind=work.WorkKind.GENERATION,
+            token_sha256=bearer_digest(request),
+            target=asked.model,
+            caller_request_id=request.headers.get("x-request-id", ""),
+            levels=levels.chain(
+                workspace=workspace,
+                target=asked.model,
+                parts=_parts(asked),
+            ),
+            max_tokens=limit,
+            streaming=asked.stream,
+            deadline_ms=deadline.ok_value,
+        )
+    )
+
+
+def plain(
+    request: web.Request, body: bytes, *, service: str, path: str
+) -> Result[work.Work, str]:
+    """Parses a call of a plain service."""
+    deadline = _deadline(request)
+    if isinstance(deadline, Err):
+        return deadline
+    key = request.headers.get("idempotency-key", "")
+    if len(key) > 200:
+        return Err("Idempotency-Key is longer than 200 characters")
+    digest = xxhash.xxh3_128(f"{request.method} {path}\n".encode())
+    digest.update(body)
+    return Ok(
+        work.Work(
+            kind=work.WorkKind.PLAIN,
+            token_sha256=bearer_digest(request),
+            target=service,
+            caller_request_id=request.headers.get("x-request-id", ""),
+            deadline_ms=deadline.ok_value,
+            method=request.method,
+            idempotency_key=key,
+            fingerprint=digest.hexdigest(),
+        )
+    )
+
+
+def forwarded_headers(request: web.Request) -> tuple[work.Header, ...]:
+    """Returns the caller's end-to-end headers, without those we set."""
+    named = {
+        part.strip().lower()
+        for part in request.headers.get("connection", "").split(",")
+    }
+    dropped = backend_http.HOP_BY_HOP | OWN_HEADERS | named
+    return tuple(
+        work.Header(name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def level_header(asked: work.Work) -> work.Header:
+    """Returns the header that tells an engine the prompt's levels."""
+    value = ",".join(f"{level.key}:{level.tokens}" for level in asked.levels)
+    return work.Header("x-cache-levels", value)
+
+
+def _parts(asked: _Generation) -> Iterable[bytes]:
+    if asked.messages is not None:
+        return [
+            json.dumps(m.model_dump(), sort_keys=True).encode()
+            for m in asked.messages
+        ]
+    prompt = asked.prompt or ""
+    if isinstance(prompt, list):
+        return [part.encode() for part in prompt]
+    parts: list[bytes] = []
+    start = 0
+    for end in sorted(set(asked.cache_prefix_lengths)):
+        if start < end < len(prompt):
+            parts.append(prompt[start:end].encode())
+            start = end
+    parts.append(prompt[start:].encode())
+    return parts
+
+
+def _deadline(request: web.Request) -> Result[int, str]:
+    text = request.headers.get(DEADLINE_HEADER, "")
+    if not text:
+        return Ok(0)
+    if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+        return Err(f"{DEADLINE_HEADER}: write 1 to {MAX_DEADLINE_MS}")
+    return Ok(int(text))
+
+
+__all__ = [
+    "bearer_digest",
+    "forwarded_headers",
+    "generation",
+    "level_header",
+    "plain",
+    "read_body",
+]
--- /dev/null
+++ b/src/godwittack/entry/refusal.py
@@ -0,0 +1,72 @@
+"""Refusals and errors as callers see them."""
+
+from __future__ import annotations
+
+import json
+import math
+
+from aiohttp import web
+
+from godwittack.core import effects
+
+
+def response(refusal: effects.Refuse, *, echoed_id: str) -> web.Response:
+    """Returns a refusal as JSON with a `Retry-After` header."""
+    headers = {"x-request-id": echoed_id}
+    if refusal.retry_after_ms:
+        seconds = math.ceil(refusal.retry_after_ms / 1000)
+        headers["retry-after"] = str(seconds)
+    if refusal.status == 401:
+        headers["www-authenticate"] = "Bearer"
+    return web.json_response(
+        _body(
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+            detail=refusal.detail,
+            retry_after_ms=refusal.retry_after_ms,
+        ),
+        status=refusal.status,
+        headers=headers,
+    )
+
+
+def bad_request(
+    detail: str, *, status: int = 400, reason: str = "bad_request"
+) -> web.Response:
+    """Returns an error found before the request reached the core."""
+    return web.json_response(
+        _body(
+            outcome=effects.Outcome.NOT_RUN.value,
+            reason=reason,
+            detail=detail,
+            retry_after_ms=0,
+        ),
+        status=status,
+    )
+
+
+def stream_event(broken: effects.BreakStream) -> bytes:
+    """Returns the event that ends a stream which is not complete."""
+    body = _body(
+        outcome=effects.Outcome.UNKNOWN.value,
+        reason=broken.reason.value,
+        detail=broken.detail,
+        retry_after_ms=0,
+    )
+    return b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
+
+
+def _body(
+    *, outcome: str, reason: str, detail: str, retry_after_ms: int
+) -> dict[str, object]:
+    # The `error` object is the OpenAI form, which client libraries show.
+    return {
+        "outcome": outcome,
+        "reason": reason,
+        "detail": detail,
+        "retry_after_ms": retry_after_ms,
+        "error": {"message": detail, "type": reason, "code": reason},
+    }
+
+
+__all__ = ["bad_request", "response", "stream_event"]
--- /dev/null
+++ b/src/godwittack/entry/status.py
@@ -0,0 +1,115 @@
+"""Serves `where`, health, readiness, models and metrics."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from godwittack.entry import parse, refusal
+from godwittack.member import duty, view
+
+if TYPE_CHECKING:
+    from godwittack.config import settings as configs
+    from godwittack.daemon import runtime as runtimes
+    from godwittack.metric import meters
+
+
+@dataclasses.dataclass(slots=True)
+class StatusFace:
+    """HTTP handlers that need no backend server."""
+
+    runtime: runtimes.Runtime
+    settings: configs.Settings
+    members: view.View
+    meters: meters.Meters
+
+    async def where(self, request: web.Request) -> web.Response:
+        """Names the daemons a caller should use, best first."""
+        table = self.runtime.core.world.table
+        workspace = table.workspace_by_token.get(parse.bearer_digest(request))
+        if workspace is None:
+            return refusal.bad_request(
+                "no workspace has this bearer token",
+                status=401,
+                reason="unauthenticated",
+            )
+        asked = request.query.get("workspace", workspace)
+        if asked != workspace:
+            return refusal.bad_request(
+                "the token belongs to another workspace",
+                status=403,
+                reason="forbidden",
+            )
+        target = request.query.get("model", "")
+        chosen = duty.where(
+            workspace=workspace,
+            target=target,
+            members=self.members.serving() or [self.members.me],
+        )
+        return web.json_response(
+            {
+                "addresses": [member.http_address for member in chosen],
+                "keep_ms": self.settings.address_keep_ms,
+                "table_version": table.version,
+            }
+        )
+
+    async def models(self, request: web.Request) -> web.Response:
+        """Lists the models, in the OpenAI form."""
+        table = self.runtime.core.world.table
+        if parse.bearer_digest(request) not in table.workspace_by_token:
+            return refusal.bad_request(
+                "no workspace has this bearer token",
+                status=401,
+                reason="unauthenticated",
+            )
+        rows = [
+            {"id": name, "object": "model", "owned_by": "godwittack"}
+            for name in sorted(table.models)
+        ]
+        return web.json_response({"object": "list", "data": rows})
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Says that the process works."""
+        del request
+        return web.json_response({"daemon": self.members.me.member_id})
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Says whether new work is taken, and why not."""
+        del request
+        world = self.runtime.core.world
+        ready = world.right_to_serve and not world.stopping
+        body = {
+            "ready": ready,
+            "stopping": world.stopping,
+            "right_to_serve": world.right_to_serve,
+            "table_version": world.table.version,
+            "in_flight": len(world.requests),
+            "servers": {
+                name: {
+                    "target": row.target,
+                    "incarnation": row.incarnation,
+                    "weights_version": row.weights_version,
+                    "leaving": row.leaving,
+                    "failures": row.failures,
+                }
+                for name, row in sorted(world.servers.items())
+            },
+            "members": {
+                member.member_id: member.state.name.lower()
+                for member in self.members.live()
+            },
+        }
+        return web.json_response(body, status=200 if ready else 503)
+
+    async def metrics(self, request: web.Request) -> web.Response:
+        """Returns the metrics for Prometheus."""
+        del request
+        return web.Response(
+            body=self.meters.exposition(), content_type="text/plain"
+        )
+
+
+__all__ = ["StatusFace"]
--- /dev/null
+++ b/src/godwittack/limit/__init__.py
@@ -0,0 +1,1 @@
+"""Limits over all daemons, fair order and retry budgets."""
--- /dev/null
+++ b/src/godwittack/metric/__init__.py
@@ -0,0 +1,1 @@
+"""OpenTelemetry metrics with a Prometheus endpoint."""
--- /dev/null
+++ b/src/godwittack/metric/meters.py
@@ -0,0 +1,103 @@
+"""Instruments fed from the core's events, and gauges read on demand."""
+
+from __future__ import annotations
+
+import resource
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from godwittack.core import effects, entities
+
+
+class Meters:
+    """All instruments of one daemon."""
+
+    def __init__(self, world: entities.World) -> None:
+        """Reads gauges from `world`."""
+        reader = prometheus.PrometheusMetricReader()
+        provider = sdk.MeterProvider(metric_readers=[reader])
+        meter = provider.get_meter("godwittack")
+        self._provider = provider
+        self._requests = meter.create_counter(
+            "godwittack_requests", description="Requests by outcome"
+        )
+        self._first_token = meter.create_histogram(
+            "godwittack_first_token_ms", unit="ms"
+        )
+        self._tokens = meter.create_counter(
+            "godwittack_prompt_tokens", description="By source"
+        )
+        self._retries = meter.create_counter("godwittack_retries")
+        self.peer_bytes = meter.create_counter(
+            "godwittack_peer_bytes", unit="By"
+        )
+        for name, read in _gauges(world).items():
+            meter.create_observable_gauge(name, callbacks=[_callback(read)])
+
+    def event(self, event: effects.Event) -> None:
+        """Measures one event of the core."""
+        fields = {field.key: field.value for field in event.fields}
+        labels = {"workspace": str(fields.get("workspace", ""))}
+        match event.name:
+            case "finished":
+                outcome = "late" if fields["late"] else "in_time"
+                self._requests.add(1, {**labels, "outcome": outcome})
+            case "refused" | "stream_broken":
+                outcome = str(fields["reason"])
+                self._requests.add(1, {**labels, "outcome": outcome})
+            case "first_token":
+                self._first_token.record(float(fields["after_ms"]), labels)
+            case "retried":
+                self._retries.add(1, labels)
+            case "usage":
+                self._count_tokens(fields, labels)
+
+    def exposition(self) -> bytes:
+        """Returns all metrics in Prometheus' text form."""
+        return prometheus_client.generate_latest()
+
+    def close(self) -> None:
+        """Ends the export."""
+        self._provider.shutdown()
+
+    def _count_tokens(
+        self, fields: dict[str, str | int | float], labels: dict[str, str]
+    ) -> None:
+        for source in ("prompt", "cached", "wasted"):
+            amount = int(fields[f"{source}_tokens"])
+            self._tokens.add(amount, {**labels, "source": source})
+
+
+def _gauges(world: entities.World) -> dict[str, Callable[[], float]]:
+    return {
+        "godwittack_queued": lambda: world.queued(),
+        "godwittack_in_flight": lambda: len(world.requests),
+        "godwittack_table_version": lambda: world.table.version,
+        "godwittack_live_daemons": lambda: len(world.live_daemons),
+        "godwittack_unstored_outcomes": lambda: len(world.outcomes),
+        "godwittack_cpu_seconds": _cpu_seconds,
+    }
+
+
+def _cpu_seconds() -> float:
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return used.ru_utime + used.ru_stime
+
+
+def _callback(
+    read: Callable[[], float],
+) -> Callable[[api.CallbackOptions], Iterable[api.Observation]]:
+    def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+        return [api.Observation(read())]
+
+    return observe
+
+
+__all__ = ["Meters"]
--- /dev/null
+++ b/src/godwittack/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons over gRPC."""
--- /dev/null
+++ b/src/godwittack/peer/exchange.py
@@ -0,0 +1,208 @@
+"""Calls between daemons: client with long-lived channels, and server."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import hmac
+from typing import TYPE_CHECKING, Protocol
+
+import grpc
+import grpc.aio
+from result import Err, Ok, Result
+
+from godwittack.peer import peer_pb2, peer_pb2_grpc
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+PROTOCOL_VERSION = 1
+_PROOF_KEY = "x-godwittack-proof"
+_PROOF_LABEL = b"godwittack peer"
+_CHANNEL_OPTIONS = (
+    ("grpc.keepalive_time_ms", 20_000),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerError:
+    """A message that another daemon did not answer.
+
+    Attributes:
+        step: What was being done.
+        peer: Address of the daemon.
+        detail: One line for people.
+    """
+
+    step: str
+    peer: str
+    detail: str
+
+    def __str__(self) -> str:
+        """Returns the error as one line."""
+        return f"{self.step} at {self.peer}: {self.detail}"
+
+
+class PeerHandler(Protocol):
+    """What a daemon does with messages of others."""
+
+    def exchanged(self, told: peer_pb2.Envelope) -> peer_pb2.Envelope:
+        """Takes in an envelope and returns the own one."""
+
+    def table(self, asked: peer_pb2.TableRequest) -> peer_pb2.TableReply:
+        """Returns the table where it is newer than the one named."""
+
+    def report(self) -> peer_pb2.ReportReply:
+        """Returns this daemon's counts."""
+
+
+class PeerClient:
+    """Sends messages to other daemons."""
+
+    def __init__(self, *, secret: bytes, timeout_ms: int) -> None:
+        """Proves itself with the cluster's secret."""
+        self._metadata = ((_PROOF_KEY, _proof(secret)),)
+        self._timeout_s = timeout_ms / 1000
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    async def exchange(
+        self, address: str, message: peer_pb2.Envelope
+    ) -> Result[peer_pb2.Envelope, PeerError]:
+        """Sends an envelope and returns the peer's."""
+        stub = self._stub(address)
+        return await self._call("exchange", address, stub.Exchange, message)
+
+    async def fetch_table(
+        self, address: str, *, known_version: int
+    ) -> Result[peer_pb2.TableReply, PeerError]:
+        """Returns a peer's table."""
+        asked = peer_pb2.TableRequest(known_version=known_version)
+        stub = self._stub(address)
+        return await self._call("fetch table", address, stub.FetchTable, asked)
+
+    async def fetch_report(
+        self, address: str
+    ) -> Result[peer_pb2.ReportReply, PeerError]:
+        """Returns a peer's counts."""
+        stub = self._stub(address)
+        return await self._call(
+            "fetch report", address, stub.FetchReport, peer_pb2.ReportRequest()
+        )
+
+    async def forget(self, address: str) -> None:
+        """Closes the channel to a daemon that is gone."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        for address in list(self._channels):
+            await self.forget(address)
+
+    def _stub(self, address: str) -> peer_pb2_grpc.PeerStub:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(
+                address, options=_CHANNEL_OPTIONS
+            )
+            self._channels[address] = channel
+        return peer_pb2_grpc.PeerStub(channel)
+
+    async def _call(
+        self,
+        step: str,
+        address: str,
+        method: Callable[..., Awaitable[object]],
+        message: object,
+    ) -> Result:
+        try:
+            got = await method(
+                message, timeout=self._timeout_s, metadata=self._metadata
+            )
+        except grpc.aio.AioRpcError as error:
+            return Err(
+                PeerError(
+                    step=step,
+                    peer=address,
+                    detail=f"{error.code().name} {error.details()}",
+                )
+            )
+        return Ok(got)
+
+
+class PeerServer(peer_pb2_grpc.PeerServicer):
+    """Answers other daemons that know the cluster's secret."""
+
+    def __init__(self, *, handler: PeerHandler, secret: bytes) -> None:
+        """Hands messages to `handler`."""
+        self._handler = handler
+        self._expected = _proof(secret)
+        self._server = grpc.aio.server()
+        peer_pb2_grpc.add_PeerServicer_to_server(self, self._server)
+
+    async def start(self, address: str) -> None:
+        """Listens on `address`.
+
+        Raises:
+            OSError: The address is in use.
+        """
+        try:
+            self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise OSError(str(error)) from error
+        await self._server.start()
+
+    async def stop(self, *, grace_ms: int) -> None:
+        """Stops listening."""
+        await self._server.stop(grace_ms / 1000)
+
+    async def Exchange(  # noqa: N802 - the name is the protocol's.
+        self, request: peer_pb2.Envelope, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.Envelope:
+        """Answers `Exchange`."""
+        await self._check(context)
+        return self._handler.exchanged(request)
+
+    async def FetchTable(  # noqa: N802 - the name is the protocol's.
+        self, request: peer_pb2.TableRequest, context: grpc.aio.ServicerContext
+    ) -> peer_pb2.TableReply:
+        """Answers `FetchTable`."""
+        await self._check(context)
+        return self._handler.table(request)
+
+    async def FetchReport(  # noqa: N802 - the name is the protocol's.
+        self,
+        request: peer_pb2.ReportRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> peer_pb2.ReportReply:
+        """Answers `FetchReport`."""
+        await self._check(context)
+        return self._handler.report()
+
+    async def _check(self, context: grpc.aio.ServicerContext) -> None:
+        for key, value in context.invocation_metadata() or ():
+            if key == _PROOF_KEY and hmac.compare_digest(
+                str(value), self._expected
+            ):
+                return
+        await context.abort(
+            grpc.StatusCode.UNAUTHENTICATED, "not a daemon of this cluster"
+        )
+
+
+def _proof(secret: bytes) -> str:
+    return hmac.new(secret, _PROOF_LABEL, hashlib.sha256).hexdigest()
+
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "PeerClient",
+    "PeerError",
+    "PeerHandler",
+    "PeerServer",
+]
--- /dev/null
+++ b/src/godwittack/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where a prompt should run: levels, hashing, caches and scores."""
--- /dev/null
+++ b/src/godwittack/placement/levels.py
@@ -0,0 +1,45 @@
+"""Cuts a prompt into nested levels with chained hashes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from godwittack.core import work
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+BYTES_PER_TOKEN = 4
+MAX_LEVELS = 64
+
+
+def chain(
+    *, workspace: str, target: str, parts: Iterable[bytes]
+) -> tuple[work.Level, ...]:
+    """Returns a level a part, each hash covering all parts before it.
+
+    The seed holds workspace and model, so that equal prompts of two
+    workspaces never share a key. Parts beyond `MAX_LEVELS` are not levels of
+    their own: they still count in the last level's tokens and hash.
+
+    Args:
+        workspace: Whose prompt it is.
+        target: Model name.
+        parts: Prompt pieces, outermost first, such as one a message.
+    """
+    seed = f"{len(workspace)}:{workspace}{target}".encode()
+    running = xxhash.xxh3_64(seed)
+    levels: list[work.Level] = []
+    for part in parts:
+        running.update(len(part).to_bytes(8, "little"))
+        running.update(part)
+        tokens = max(1, len(part) // BYTES_PER_TOKEN)
+        if len(levels) == MAX_LEVELS:
+            tokens += levels.pop().tokens
+        levels.append(work.Level(running.intdigest(), tokens))
+    return tuple(levels)
+
+
+__all__ = ["BYTES_PER_TOKEN", "MAX_LEVELS", "chain"]
--- /dev/null
+++ b/src/godwittack/placement/rendezvous.py
@@ -0,0 +1,40 @@
+"""Rendezvous hashing (Thaler and Ravishankar 1998) with a rank cache."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_RANK_CACHE = 4096
+
+
+def rank(key: int, names: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns `names` by descending score for `key`.
+
+    Every daemon computes the same order from the same names, and a name that
+    comes or goes moves only the keys that it wins.
+    """
+    return _rank(key, names)
+
+
+def owner(key: str, names: Iterable[str]) -> str | None:
+    """Returns the name that a duty falls to, or None without names."""
+    ordered = rank(xxhash.xxh3_64_intdigest(key.encode()), tuple(sorted(names)))
+    return ordered[0] if ordered else None
+
+
+@functools.lru_cache(maxsize=_RANK_CACHE)
+def _rank(key: int, names: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(sorted(names, key=lambda n: (-_score(key, n), n)))
+
+
+def _score(key: int, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode(), seed=key)
+
+
+__all__ = ["owner", "rank"]
--- /dev/null
+++ b/src/godwittack/platform/http.py
@@ -0,0 +1,214 @@
+"""The platform's services over HTTP with JSON."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from urllib import parse
+
+import aiohttp
+import pydantic
+from result import Err, Ok, Result
+
+from godwittack.platform import protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from godwittack.clock import Clock
+
+MAX_OBJECT_BYTES = 64 << 20
+
+
+class _RowJson(pydantic.BaseModel):
+    table: str
+    key: str
+    value: str = ""
+    version: int
+
+
+class _TransactedJson(pydantic.BaseModel):
+    committed: bool
+    rows: list[_RowJson] = []
+
+
+class _InstanceJson(pydantic.BaseModel):
+    name: str
+    role: protocol.InstanceRole
+    address: str
+    target: str = ""
+    failure_domain: str = ""
+    leaving: bool = False
+    checks_fencing: bool = False
+
+
+_ROWS = pydantic.TypeAdapter(list[_RowJson])
+_INSTANCES = pydantic.TypeAdapter(list[_InstanceJson])
+_VERSIONS = pydantic.TypeAdapter(tuple[str, ...])
+
+
+class HttpPlatform:
+    """Implements all platform protocols on one HTTP address.
+
+    While the platform is down every call would wait for its timeout, and a
+    caller's refusal with it. After a call without an answer, calls fail at
+    once for `pause_ms`, so that a refusal is immediate.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_ms: int,
+        pause_ms: int,
+        clock: Clock,
+    ) -> None:
+        """Uses `session` for all calls to `base_url`."""
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        self._pause_ms = pause_ms
+        self._clock = clock
+        self._down_until_ms = 0
+
+    async def transact(
+        self,
+        conditions: tuple[protocol.Condition, ...],
+        writes: tuple[protocol.RowWrite, ...],
+    ) -> Result[protocol.Transacted, protocol.PlatformError]:
+        """Makes all writes if all conditions hold."""
+        body = {
+            "conditions": [
+                {
+                    "table": c.row_id.table,
+                    "key": c.row_id.key,
+                    "version": c.version,
+                }
+                for c in conditions
+            ],
+            "writes": [
+                {
+                    "table": w.row_id.table,
+                    "key": w.row_id.key,
+                    "value": w.value,
+                }
+                for w in writes
+            ],
+        }
+        got = await self._call(
+            "transact", "POST", "/tables/transact", json.dumps(body).encode()
+        )
+        if isinstance(got, Err):
+            return got
+        stored = _TransactedJson.model_validate_json(got.ok_value)
+        rows = tuple(_row(row) for row in stored.rows)
+        return Ok(protocol.Transacted(stored.committed, rows))
+
+    async def read(
+        self, row_id: protocol.RowId
+    ) -> Result[protocol.StoredRow, protocol.PlatformError]:
+        """Returns one row."""
+        path = f"/tables/{row_id.table}/{parse.quote(row_id.key, safe='')}"
+        got = await self._call("read", "GET", path)
+        if isinstance(got, Err):
+            return got
+        return Ok(_row(_RowJson.model_validate_json(got.ok_value)))
+
+    async def scan(
+        self, table: str, *, after: str, limit: int
+    ) -> Result[list[protocol.StoredRow], protocol.PlatformError]:
+        """Returns rows in key order."""
+        query = parse.urlencode({"after": after, "limit": limit})
+        got = await self._call("scan", "GET", f"/tables/{table}?{query}")
+        if isinstance(got, Err):
+            return got
+        return Ok([_row(r) for r in _ROWS.validate_json(got.ok_value)])
+
+    async def get(
+        self, name: str
+    ) -> Result[bytes | None, protocol.PlatformError]:
+        """Returns an object."""
+        got = await self._call("get", "GET", f"/objects/{name}")
+        if isinstance(got, Err):
+            return got
+        return Ok(got.ok_value or None)
+
+    async def put(
+        self, name: str, data: bytes
+    ) -> Result[None, protocol.PlatformError]:
+        """Writes an object."""
+        got = await self._call("put", "PUT", f"/objects/{name}", data)
+        if isinstance(got, Err):
+            return got
+        return Ok(None)
+
+    async def versions(
+        self, model: str
+    ) -> Result[tuple[str, ...], protocol.PlatformError]:
+        """Returns the weights versions of a model."""
+        got = await self._call("versions", "GET", f"/weights/{model}")
+        if isinstance(got, Err):
+            return got
+        return Ok(_VERSIONS.validate_json(got.ok_value))
+
+    async def instances(
+        self,
+    ) -> Result[tuple[protocol.Instance, ...], protocol.PlatformError]:
+        """Returns the instance list."""
+        got = await self._call("instances", "GET", "/instances")
+        if isinstance(got, Err):
+            return got
+        listed = _INSTANCES.validate_json(got.ok_value)
+        return Ok(tuple(protocol.Instance(**i.model_dump()) for i in listed))
+
+    async def _call(
+        self, step: str, method: str, path: str, body: bytes | None = None
+    ) -> Result[bytes, protocol.PlatformError]:
+        if self._clock.now_ms() < self._down_until_ms:
+            return self._error(step, "unreachable a moment ago", sent=False)
+        headers: Mapping[str, str] = {"content-type": "application/json"}
+        try:
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                data=body,
+                headers=headers,
+                timeout=self._timeout,
+            ) as response:
+                data = await response.read()
+                if response.status == 200:
+                    return Ok(data)
+                return self._error(step, f"status {response.status}")
+        except TimeoutError:
+            self._pause()
+            return self._error(step, "no answer in time")
+        except aiohttp.ClientConnectorError as error:
+            self._pause()
+            return self._error(step, str(error), sent=False)
+        except aiohttp.ClientError as error:
+            return self._error(step, str(error) or type(error).__name__)
+
+    def _pause(self) -> None:
+        self._down_until_ms = self._clock.now_ms() + self._pause_ms
+
+    def _error(
+        self, step: str, detail: str, *, sent: bool = True
+    ) -> Err[protocol.PlatformError]:
+        return Err(
+            protocol.PlatformError(
+                step=step,
+                peer=self._base_url,
+                detail=detail,
+                may_have_run=sent,
+            )
+        )
+
+
+def _row(row: _RowJson) -> protocol.StoredRow:
+    return protocol.StoredRow(
+        protocol.RowId(row.table, row.key), row.value, row.version
+    )
+
+
+__all__ = ["HttpPlatform"]
--- /dev/null
+++ b/src/godwittack/platform/protocol.py
@@ -0,0 +1,168 @@
+"""The platform's services as the daemon uses them."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from result import Result
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformError:
+    """A call of the platform that brought no answer.
+
+    Attributes:
+        step: What was being done.
+        peer: Address of the service.
+        detail: One line for people.
+        may_have_run: Whether a write may have taken effect all the same.
+    """
+
+    step: str
+    peer: str
+    detail: str
+    may_have_run: bool = True
+
+    def __str__(self) -> str:
+        """Returns the error as one line."""
+        return f"{self.step} at {self.peer}: {self.detail}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowId:
+    """Names one row of the table service."""
+
+    table: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRow:
+    """One row; `version` is 0 and `value` empty where none exists."""
+
+    row_id: RowId
+    value: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """A row must have this version, 0 for must not exist."""
+
+    row_id: RowId
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowWrite:
+    """A new value of a row."""
+
+    row_id: RowId
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transacted:
+    """What became of a transaction.
+
+    Attributes:
+        committed: Whether all conditions held and all writes were made.
+        rows: The rows of the conditions as they stood, when not committed.
+    """
+
+    committed: bool
+    rows: tuple[StoredRow, ...]
+
+
+class TableService(Protocol):
+    """Transactional rows with versions."""
+
+    async def transact(
+        self,
+        conditions: tuple[Condition, ...],
+        writes: tuple[RowWrite, ...],
+    ) -> Result[Transacted, PlatformError]:
+        """Makes all writes if all conditions hold."""
+
+    async def read(self, row_id: RowId) -> Result[StoredRow, PlatformError]:
+        """Returns one row, from a replica that may lag."""
+
+    async def scan(
+        self, table: str, *, after: str, limit: int
+    ) -> Result[list[StoredRow], PlatformError]:
+        """Returns up to `limit` rows with keys above `after`, in order."""
+
+
+class ObjectStore(Protocol):
+    """Named objects without transactions."""
+
+    async def get(self, name: str) -> Result[bytes | None, PlatformError]:
+        """Returns an object, or None where there is none."""
+
+    async def put(self, name: str, data: bytes) -> Result[None, PlatformError]:
+        """Writes an object."""
+
+
+class WeightStore(Protocol):
+    """Versions of weights; the engines load them from it themselves."""
+
+    async def versions(
+        self, model: str
+    ) -> Result[tuple[str, ...], PlatformError]:
+        """Returns the versions that can be loaded."""
+
+
+class InstanceRole(enum.StrEnum):
+    """What an instance of the platform's list runs."""
+
+    ENTRY = "entry"
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Instance:
+    """One entry of the platform's instance list.
+
+    Attributes:
+        name: Name, unique in the list.
+        role: What runs there.
+        address: IP and port; the peer address for entry instances.
+        target: Model or service.
+        leaving: Whether it is about to be stopped.
+        checks_fencing: Whether it refuses orders with an old number.
+    """
+
+    name: str
+    role: InstanceRole
+    address: str
+    target: str = ""
+    failure_domain: str = ""
+    leaving: bool = False
+    checks_fencing: bool = False
+
+
+class InstanceList(Protocol):
+    """Live and leaving instances; lags."""
+
+    async def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
+        """Returns all entries."""
+
+
+__all__ = [
+    "Condition",
+    "Instance",
+    "InstanceList",
+    "InstanceRole",
+    "ObjectStore",
+    "PlatformError",
+    "RowId",
+    "RowWrite",
+    "StoredRow",
+    "TableService",
+    "Transacted",
+    "WeightStore",
+]
--- /dev/null
+++ b/src/godwittack/report/text.py
@@ -0,0 +1,135 @@
+"""A report that someone in their first week can act on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.report import ledger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ADVICE: dict[str, str] = {
+    "unauthenticated": (
+        "the caller's token is in no workspace row; compare token_sha256"
+    ),
+    "unknown_target": "add a model or service row, or correct the caller",
+    "idempotency_key_required": (
+        "the caller must send an Idempotency-Key, or set repeatable to all"
+    ),
+    "idempotency_key_reused": "the caller used one key for two requests",
+    "in_progress": "the same call was still running; no action needed",
+    "limit": "raise max_in_flight or max_requests_per_s, or ask for less load",
+    "queue_full": "raise max_queue, or add backend servers",
+    "deadline": "add backend servers, or raise deadline_ms",
+    "no_server": "check the backend servers of this row: none takes work",
+    "dispatch_failed": "check the backend servers named in the log",
+    "table_service_down": "the platform's table service did not answer",
+    "table_not_current": "a daemon was cut off; see godwittack table status",
+    "answer_lost": "look these calls up at the service before repeating them",
+    "bad_resume_token": "the caller sent a token that is not its own",
+}
+
+
+def render(counts: ledger.Counts) -> str:
+    """Returns the report as lines of sentences, then numbers."""
+    return "\n".join(_lines(counts)) + "\n"
+
+
+def first_token_ms(counts: ledger.WorkspaceCounts, part: float) -> int | None:
+    """Returns the bound below which `part` of the first tokens came."""
+    total = sum(counts.first_token_counts)
+    if not total:
+        return None
+    seen = 0
+    for count, bound in zip(
+        counts.first_token_counts, ledger.BOUNDS_MS, strict=False
+    ):
+        seen += count
+        if seen >= part * total:
+            return bound
+    return ledger.BOUNDS_MS[-1]
+
+
+def _lines(counts: ledger.Counts) -> Iterator[str]:
+    minutes = max(1, round(counts.window_s / 60))
+    yield (
+        f"The last {minutes} min on {len(counts.daemons)} daemons"
+        f" ({', '.join(sorted(counts.daemons))})."
+    )
+    if counts.unreachable:
+        yield (
+            f"{len(counts.unreachable)} daemons did not answer and are not"
+            f" counted: {', '.join(sorted(counts.unreachable))}."
+        )
+    if not counts.workspaces:
+        yield "No request came."
+    for name in sorted(counts.workspaces):
+        yield ""
+        yield from _workspace(name, counts.workspaces[name])
+
+
+def _workspace(name: str, counts: ledger.WorkspaceCounts) -> Iterator[str]:
+    refused = sum(counts.refused.values())
+    asked = counts.finished + counts.broken + refused
+    yield f"{name}: {asked} requests, {counts.finished} answered."
+    yield from _late(counts)
+    yield from _refused(counts, refused)
+    yield from _wasted(counts)
+
+
+def _late(counts: ledger.WorkspaceCounts) -> Iterator[str]:
+    if counts.late:
+        yield (
+            f"  Late: {counts.late} answers began after their deadline and"
+            " were delivered all the same. Add backend servers, lower"
+            " reuse_weight, or raise deadline_ms."
+        )
+    else:
+        yield "  Late: none."
+    usual = first_token_ms(counts, 0.5)
+    tail = first_token_ms(counts, 0.95)
+    if usual is not None:
+        yield (
+            f"  The first token came within {usual} ms for half of them and"
+            f" within {tail} ms for 95 in 100."
+        )
+    if counts.broken:
+        yield (
+            f"  Broken off: {counts.broken} streams ended with an error"
+            " because their engine was lost."
+        )
+
+
+def _refused(counts: ledger.WorkspaceCounts, refused: int) -> Iterator[str]:
+    if not refused:
+        yield "  Refused: none."
+    else:
+        not_run = counts.outcomes.get("not_run", 0)
+        unknown = counts.outcomes.get("unknown", 0)
+        yield (
+            f"  Refused: {refused}, of which {not_run} were not run and may"
+            f" be sent again, and {unknown} may have run."
+        )
+    for reason, count in sorted(counts.refused.items()):
+        advice = ADVICE.get(reason, "see the log")
+        yield f"    {count} x {reason}: {advice}."
+    if counts.retried:
+        yield f"  Retried: {counts.retried} times on another backend server."
+
+
+def _wasted(counts: ledger.WorkspaceCounts) -> Iterator[str]:
+    if not counts.prompt_tokens:
+        return
+    hit = 100 * counts.cached_tokens / counts.prompt_tokens
+    wasted = 100 * counts.wasted_tokens / counts.prompt_tokens
+    yield (
+        f"  Wasted: {counts.wasted_tokens} of {counts.prompt_tokens} prompt"
+        f" tokens ({wasted:.0f}%) were computed again although they had been"
+        f" sent before; {hit:.0f}% came from a cache."
+    )
+    if wasted > 10:
+        yield "    Raise reuse_weight of the model, or add backend servers."
+
+
+__all__ = ["ADVICE", "first_token_ms", "render"]
--- /dev/null
+++ b/src/godwittack/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table: rows, cells, changes and their history."""
--- /dev/null
+++ b/src/godwittack/table/model.py
@@ -0,0 +1,228 @@
+"""Rows and cells of the operators' table as plain data."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TypeAlias
+
+CellValue: TypeAlias = str | int | float
+
+
+class RowKind(enum.StrEnum):
+    """Which of the three sheets a row belongs to."""
+
+    WORKSPACE = "workspace"
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class Repeatable(enum.StrEnum):
+    """Which calls of a plain service may be sent a second time."""
+
+    READS = "reads"
+    ALL = "all"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WorkspaceRow:
+    """One tenant; its limits hold for all daemons together.
+
+    Attributes:
+        name: Row name.
+        token_sha256: Hex digest of the bearer token of the workspace.
+        weight: Share of a full backend server, relative to other workspaces.
+        max_in_flight: Requests of the workspace that may run at one time.
+        max_requests_per_s: Requests accepted a second.
+        deadline_ms: Time to the first token when the caller names none.
+    """
+
+    name: str
+    token_sha256: str = ""
+    weight: float = 1.0
+    max_in_flight: int = 200
+    max_requests_per_s: float = 100.0
+    deadline_ms: int = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ModelRow:
+    """One model and how its placement weighs speed against reuse.
+
+    Attributes:
+        name: Row name, the `model` of a request.
+        weights_version: Version that replicas are ordered to load.
+        reuse_weight: Cost of a recomputed prompt token beside a waiting one;
+            0 looks at time to first token only, 2 avoids recomputation.
+        max_queue: Requests that one daemon may hold back for this model.
+    """
+
+    name: str
+    weights_version: str = "1"
+    reuse_weight: float = 0.5
+    max_queue: int = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceRow:
+    """One plain service.
+
+    Attributes:
+        name: Row name, the first part of the path under `/svc/`.
+        repeatable: Which calls may be sent twice without harm.
+        max_in_flight: Calls that may run at one time, over all daemons.
+        deadline_ms: Time to the answer when the caller names none.
+    """
+
+    name: str
+    repeatable: Repeatable = Repeatable.READS
+    max_in_flight: int = 200
+    deadline_ms: int = 10_000
+
+
+Row: TypeAlias = WorkspaceRow | ModelRow | ServiceRow
+
+ROW_TYPES: dict[RowKind, type[Row]] = {
+    RowKind.WORKSPACE: WorkspaceRow,
+    RowKind.MODEL: ModelRow,
+    RowKind.SERVICE: ServiceRow,
+}
+
+
+def row_kind(row: Row) -> RowKind:
+    """Returns the sheet that `row` belongs to."""
+    for kind, row_type in ROW_TYPES.items():
+        if isinstance(row, row_type):
+            return kind
+    raise TypeError(f"not a table row: {row!r}")
+
+
+def columns(kind: RowKind) -> tuple[str, ...]:
+    """Returns the cell names of a kind, without the row's name."""
+    fields = dataclasses.fields(ROW_TYPES[kind])
+    return tuple(field.name for field in fields if field.name != "name")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Table:
+    """One version of the table; a change makes a new version.
+
+    Attributes:
+        version: Counts up by one a change and never goes down.
+        workspaces: Rows by name.
+        models: Rows by name.
+        services: Rows by name.
+        workspace_by_token: Workspace name by token digest.
+    """
+
+    version: int = 0
+    workspaces: dict[str, WorkspaceRow] = dataclasses.field(
+        default_factory=dict
+    )
+    models: dict[str, ModelRow] = dataclasses.field(default_factory=dict)
+    services: dict[str, ServiceRow] = dataclasses.field(default_factory=dict)
+    workspace_by_token: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    @classmethod
+    def from_rows(cls, *, version: int, rows: list[Row]) -> Table:
+        """Builds a table from rows in any order; later rows win."""
+        table = cls(version=version)
+        for row in rows:
+            match row:
+                case WorkspaceRow():
+                    table.workspaces[row.name] = row
+                case ModelRow():
+                    table.models[row.name] = row
+                case ServiceRow():
+                    table.services[row.name] = row
+        for workspace in table.workspaces.values():
+            if workspace.token_sha256:
+                table.workspace_by_token[workspace.token_sha256] = (
+                    workspace.name
+                )
+        return table
+
+    def rows(self) -> list[Row]:
+        """Returns all rows in sheet order, sorted by name."""
+        ordered: list[Row] = []
+        ordered.extend(self.workspaces[n] for n in sorted(self.workspaces))
+        ordered.extend(self.models[n] for n in sorted(self.models))
+        ordered.extend(self.services[n] for n in sorted(self.services))
+        return ordered
+
+    def row(self, kind: RowKind, name: str) -> Row | None:
+        """Returns one row, or None where there is none."""
+        sheets: dict[RowKind, dict[str, Row]] = {
+            RowKind.WORKSPACE: dict(self.workspaces),
+            RowKind.MODEL: dict(self.models),
+            RowKind.SERVICE: dict(self.services),
+        }
+        return sheets[kind].get(name)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CellChange:
+    """One cell before and after a change.
+
+    Attributes:
+        kind: Sheet of the row.
+        name: Row name.
+        column: Cell name, or `ROW_COLUMN` where a whole row comes or goes.
+        before: Old value; None where the row is new.
+        after: New value; None where the row goes.
+    """
+
+    kind: RowKind
+    name: str
+    column: str
+    before: CellValue | None
+    after: CellValue | None
+
+    @property
+    def cell(self) -> tuple[RowKind, str, str]:
+        """Identifies the cell, to see whether two changes meet."""
+        return (self.kind, self.name, self.column)
+
+
+ROW_COLUMN = "*"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AuditEntry:
+    """Who changed what, when and why; one entry a version.
+
+    Attributes:
+        version: Table version that the change made.
+        who: Operator name.
+        why: Reason in the operator's words.
+        at_wall_ms: Wall clock of the daemon that committed it.
+        changes: The cells.
+        undoes: Version that this one takes back; 0 for none.
+        commit_id: Nonce of the commit.
+    """
+
+    version: int
+    who: str
+    why: str
+    at_wall_ms: int
+    changes: tuple[CellChange, ...]
+    undoes: int = 0
+    commit_id: str = ""
+
+
+__all__ = [
+    "ROW_COLUMN",
+    "ROW_TYPES",
+    "AuditEntry",
+    "CellChange",
+    "CellValue",
+    "ModelRow",
+    "Repeatable",
+    "Row",
+    "RowKind",
+    "ServiceRow",
+    "Table",
+    "WorkspaceRow",
+    "columns",
+    "row_kind",
+]
