--- /dev/null
+++ b/tests/cluster/processes.py
@@ -0,0 +1,286 @@
+"""Processes of a test cluster on loopback, each on a free port."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+import yaml
+
+TESTS = pathlib.Path(__file__).resolve().parent.parent
+WAIT_S = 30.0
+WORKSPACES = ("desk", "fair")
+OPERATORS = ("ana", "bilal")
+
+
+class StepError(Exception):
+    """A step did not show what it should."""
+
+
+def free_port() -> int:
+    """Returns a loopback port that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(what: str, condition, *, seconds: float = WAIT_S):
+    """Polls until `condition` returns something true, and returns it."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            got = condition()
+        except (OSError, urllib.error.URLError, ValueError):
+            got = None
+        if got:
+            return got
+        time.sleep(0.02)
+    raise StepError(f"timed out waiting until {what}")
+
+
+def call(
+    method: str, url: str, body: object = None, headers: dict | None = None
+):
+    """Makes one HTTP call; returns status, headers and body."""
+    data = None
+    if body is not None:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    request = urllib.request.Request(
+        url, data=data, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=WAIT_S) as response:
+            return response.status, response.headers, response.read()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read()
+
+
+class Cluster:
+    """Stand-ins and daemons of one test, started as needed."""
+
+    def __init__(self) -> None:
+        self.folder = tempfile.TemporaryDirectory(prefix="godwittack-")
+        self.path = pathlib.Path(self.folder.name)
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.ports: dict[str, int] = {}
+        self.peer_ports: dict[str, int] = {}
+        self.extra: dict[str, object] = {}
+        (self.path / "secret").write_text("0123456789abcdef0123456789abcdef")
+        for name in OPERATORS:
+            (self.path / f"{name}.token").write_text(f"operator-{name}")
+
+    def close(self) -> None:
+        """Ends every process that this cluster started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.folder.cleanup()
+
+    def url(self, name: str, path: str = "") -> str:
+        """Returns the URL of a process."""
+        return f"http://127.0.0.1:{self.ports[name]}{path}"
+
+    def token(self, workspace: str) -> str:
+        """Returns a workspace's bearer token."""
+        return f"token-{workspace}"
+
+    def start_platform(self) -> None:
+        """Starts the platform's stand-in."""
+        self._start_standin("platform", "platform")
+
+    def start_engine(self, name: str, model: str, *options: str) -> None:
+        """Starts an engine and puts it into the instance list."""
+        self._start_standin(name, "engine", *options)
+        self.list_instance(name, "engine", model)
+
+    def start_service(self, name: str, service: str, *options: str) -> None:
+        """Starts a plain service and puts it into the instance list."""
+        self._start_standin(name, "service", *options)
+        self.list_instance(name, "service", service)
+
+    def list_instance(
+        self, name: str, role: str, target: str, *, leaving: bool = False
+    ) -> None:
+        """Puts an instance into the platform's list."""
+        call(
+            "PUT",
+            self.url("platform", f"/instances/{name}"),
+            {
+                "role": role,
+                "address": f"127.0.0.1:{self.ports[name]}",
+                "target": target,
+                "failure_domain": "north",
+                "leaving": leaving,
+            },
+        )
+
+    def reserve_daemons(self, *names: str) -> None:
+        """Chooses the daemons' ports, so that each can name all seeds."""
+        for name in names:
+            self.ports[name] = free_port()
+            self.peer_ports[name] = free_port()
+
+    def start_daemon(self, name: str, **overrides: object) -> None:
+        """Starts a daemon and waits until it takes work."""
+        self.launch_daemon(name, **overrides)
+        self.wait_ready(name)
+
+    def launch_daemon(self, name: str, **overrides: object) -> None:
+        """Starts a daemon's process."""
+        settings = {
+            "name": name,
+            "failure_domain": "north",
+            "http_address": f"127.0.0.1:{self.ports[name]}",
+            "peer_address": f"127.0.0.1:{self.peer_ports[name]}",
+            "seeds": [f"127.0.0.1:{p}" for p in self.peer_ports.values()],
+            "platform_url": self.url("platform"),
+            "cluster_secret_file": "secret",
+            "address_keep_ms": 500,
+            "operators": [
+                {"name": n, "token_sha256": _digest(f"operator-{n}")}
+                for n in OPERATORS
+            ],
+            **self.extra,
+            **overrides,
+        }
+        file = self.path / f"{name}.yaml"
+        file.write_text(yaml.safe_dump(settings))
+        self._launch(name, "-m", "godwittack", "serve", "--settings", str(file))
+
+    def wait_ready(self, name: str) -> None:
+        """Waits until a daemon takes work and knows all servers."""
+        self.wait_up(name)
+        wait_until(f"{name} takes work", lambda: self.ready(name)["ready"])
+        listed = json.loads(call("GET", self.url("platform", "/instances"))[2])
+        wait_until(
+            f"{name} knows its servers",
+            lambda: self._knows_servers(name, len(listed)),
+        )
+
+    def wait_up(self, name: str) -> None:
+        """Waits until a daemon answers, ready or not."""
+        self._wait_up(name, "/healthz")
+
+    def ready(self, name: str) -> dict:
+        """Returns a daemon's own account."""
+        return json.loads(call("GET", self.url(name, "/readyz"))[2])
+
+    def wait_members(self, *names: str) -> None:
+        """Waits until these daemons know each other as alive."""
+        for name in names:
+            wait_until(
+                f"{name} knows the others",
+                lambda name=name: (
+                    len(self.ready(name)["members"]) == len(names)
+                ),
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one of our processes."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Ends one of our processes without warning."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def fault(self, name: str, kind: str, value: int = 1) -> None:
+        """Gives a stand-in a fault order."""
+        call("POST", self.url(name, "/fault"), {"kind": kind, "value": value})
+
+    def counts(self, name: str) -> dict:
+        """Returns what a stand-in has done."""
+        return json.loads(call("GET", self.url(name, "/fault/counts"))[2])
+
+    def command(self, *words: str, who: str = "ana", via: str = ""):
+        """Runs a command as an operator; returns the finished process."""
+        first = via or next(n for n in self.peer_ports)
+        environment = {
+            **os.environ,
+            "GODWITTACK_DAEMON": f"127.0.0.1:{self.ports[first]}",
+            "GODWITTACK_TOKEN_FILE": str(self.path / f"{who}.token"),
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "godwittack", *words],
+            env=environment,
+            capture_output=True,
+            text=True,
+            check=False,
+            stdin=subprocess.DEVNULL,
+            timeout=60,
+        )
+
+    def import_table(self, rows: list[str], why: str = "first rows") -> None:
+        """Puts a table in force through the command line."""
+        file = self.path / "table.csv"
+        file.write_text("\n".join(rows) + "\n")
+        done = self.command("table", "import", str(file), "--why", why)
+        if done.returncode != 0:
+            raise StepError(f"import failed: {done.stdout}{done.stderr}")
+
+    def standard_table(self) -> None:
+        """Puts the rows that most tests use in force."""
+        rows = ["kind,name,token_sha256,repeatable"]
+        rows.extend(
+            f"workspace,{name},{_digest(self.token(name))},"
+            for name in WORKSPACES
+        )
+        rows.append("model,rulebook,,")
+        rows.append("service,portal,,reads")
+        self.import_table(rows)
+
+    def log(self, name: str) -> str:
+        """Returns what a process has printed."""
+        return (self.path / f"{name}.log").read_text(errors="replace")
+
+    def _start_standin(self, name: str, kind: str, *options: str) -> None:
+        self.ports.setdefault(name, free_port())
+        self._launch(
+            name,
+            "-m",
+            f"standins.{kind}",
+            "--port",
+            str(self.ports[name]),
+            *options,
+        )
+        self._wait_up(name, "/fault/counts")
+
+    def _launch(self, name: str, *words: str) -> None:
+        with (self.path / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *words],
+                cwd=TESTS,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def _wait_up(self, name: str, path: str) -> None:
+        def up() -> bool:
+            if self.processes[name].poll() is not None:
+                raise StepError(f"{name} ended: {self.log(name)[-2000:]}")
+            return call("GET", self.url(name, path))[0] in (200, 503)
+
+        wait_until(f"{name} answers", up)
+
+    def _knows_servers(self, name: str, count: int) -> bool:
+        servers = self.ready(name)["servers"]
+        known = [s for s in servers.values() if s["incarnation"]]
+        return len(known) == count
+
+
+def _digest(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,20 @@
+"""Hooks of behave: every scenario gets and loses its own processes."""
+
+from __future__ import annotations
+
+from cluster import processes
+
+
+def after_scenario(context, scenario):
+    """Ends what the scenario started, also when it failed."""
+    cluster = getattr(context, "cluster", None)
+    if cluster is None:
+        return
+    if scenario.status == "failed":
+        for name in cluster.peer_ports:
+            if name in cluster.processes:
+                print(f"--- {name}\n{cluster.log(name)[-3000:]}")
+    cluster.close()
+
+
+__all__ = ["after_scenario", "processes"]
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the product."""
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,153 @@
+"""Stand-in for the platform: tables, objects, weights, instances."""
+
+from __future__ import annotations
+
+import argparse
+import json
+
+from aiohttp import web
+
+from standins import faults
+
+
+class Platform:
+    """Rows with versions, objects, and an instance list that lags."""
+
+    def __init__(self) -> None:
+        self.faults = faults.Faults()
+        self.rows: dict[str, dict[str, tuple[int, str]]] = {}
+        self.older: dict[str, dict[str, tuple[int, str]]] = {}
+        self.objects: dict[str, bytes] = {}
+        self.instances: dict[str, dict] = {}
+        self.weights: dict[str, list[str]] = {}
+        self.version = 0
+        self.reads = 0
+        self.writes = 0
+
+    def app(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(
+            middlewares=[self.faults.middleware], client_max_size=64 << 20
+        )
+        app.add_routes(
+            [
+                web.post("/tables/transact", self.transact),
+                web.get("/tables/{table}", self.scan),
+                web.get("/tables/{table}/{key}", self.read),
+                web.get("/objects/{name}", self.get),
+                web.put("/objects/{name}", self.put),
+                web.get("/weights/{model}", self.versions),
+                web.put("/weights/{model}", self.put_versions),
+                web.get("/instances", self.list),
+                web.put("/instances/{name}", self.put_instance),
+                web.delete("/instances/{name}", self.delete_instance),
+                web.post("/fault", self.faults.order),
+                web.get("/fault/counts", self.counts),
+            ]
+        )
+        return app
+
+    async def transact(self, request: web.Request) -> web.Response:
+        """Makes all writes if all conditions hold."""
+        asked = await request.json()
+        self.writes += 1
+        current = [self._row(c["table"], c["key"]) for c in asked["conditions"]]
+        holds = all(
+            row["version"] == condition["version"]
+            for row, condition in zip(current, asked["conditions"], strict=True)
+        )
+        if not holds:
+            return web.json_response({"committed": False, "rows": current})
+        for write in asked["writes"]:
+            table = self.rows.setdefault(write["table"], {})
+            old = self.older.setdefault(write["table"], {})
+            old[write["key"]] = table.get(write["key"], (0, ""))
+            self.version += 1
+            table[write["key"]] = (self.version, write["value"])
+        return web.json_response({"committed": True})
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Returns one row; a lagging replica returns the one before."""
+        self.reads += 1
+        table, key = request.match_info["table"], request.match_info["key"]
+        row = self._row(table, key)
+        if self.faults.numbers.get("stale_reads"):
+            version, value = self.older.get(table, {}).get(key, (0, ""))
+            row = {**row, "version": version, "value": value}
+        return web.json_response(row)
+
+    async def scan(self, request: web.Request) -> web.Response:
+        """Returns rows in key order."""
+        self.reads += 1
+        table = request.match_info["table"]
+        after = request.query.get("after", "")
+        limit = int(request.query.get("limit", "100"))
+        keys = sorted(k for k in self.rows.get(table, {}) if k > after)
+        rows = [self._row(table, key) for key in keys[:limit]]
+        return web.json_response(rows)
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Returns an object, empty where there is none."""
+        self.reads += 1
+        return web.Response(
+            body=self.objects.get(request.match_info["name"], b"")
+        )
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Writes an object."""
+        self.writes += 1
+        self.objects[request.match_info["name"]] = await request.read()
+        return web.json_response({})
+
+    async def versions(self, request: web.Request) -> web.Response:
+        """Returns the weights versions of a model."""
+        model = request.match_info["model"]
+        return web.json_response(self.weights.get(model, ["1"]))
+
+    async def put_versions(self, request: web.Request) -> web.Response:
+        """Sets the weights versions of a model."""
+        self.weights[request.match_info["model"]] = await request.json()
+        return web.json_response({})
+
+    async def list(self, request: web.Request) -> web.Response:
+        """Returns the instance list."""
+        del request
+        self.reads += 1
+        return web.json_response(list(self.instances.values()))
+
+    async def put_instance(self, request: web.Request) -> web.Response:
+        """Adds or changes an instance."""
+        name = request.match_info["name"]
+        self.instances[name] = {"name": name, **await request.json()}
+        return web.json_response({})
+
+    async def delete_instance(self, request: web.Request) -> web.Response:
+        """Removes an instance."""
+        self.instances.pop(request.match_info["name"], None)
+        return web.json_response({})
+
+    async def counts(self, request: web.Request) -> web.Response:
+        """Returns how much was read and written."""
+        del request
+        claims = {
+            key: json.loads(value)["state"]
+            for key, (_, value) in self.rows.get("claims", {}).items()
+        }
+        return web.json_response(
+            {"reads": self.reads, "writes": self.writes, "claims": claims}
+        )
+
+    def _row(self, table: str, key: str) -> dict:
+        version, value = self.rows.get(table, {}).get(key, (0, ""))
+        return {"table": table, "key": key, "version": version, "value": value}
+
+
+def main() -> None:
+    """Runs the stand-in."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    faults.run(Platform().app(), parser.parse_args().port)
+
+
+if __name__ == "__main__":
+    main()
