--- a/src/godwittack/command/parser.py
+++ b/src/godwittack/command/parser.py
@@ -27,6 +27,7 @@
         export,
         history,
         import_,
+        replay,
         report,
         serve,
         set_,
--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -117,6 +117,10 @@
         default=600_000,
         description="ms a stop waits for requests in flight at most",
     )
+    record_file: str = pydantic.Field(
+        default="",
+        description="file for a recording of all decisions, to find faults",
+    )
     decisions: dict[str, int | float] = pydantic.Field(
         default_factory=dict,
         description="numbers of the decisions, see `godwittack settings`",
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -4,10 +4,9 @@
 
 import dataclasses
 import enum
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TypeAlias
 
-if TYPE_CHECKING:
-    from godwittack.core import work
+from godwittack.core import work
 
 
 class Outcome(enum.StrEnum):
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -4,11 +4,10 @@
 
 import dataclasses
 import enum
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TypeAlias
 
-if TYPE_CHECKING:
-    from godwittack.core import work
-    from godwittack.table import model
+from godwittack.core import work
+from godwittack.table import model
 
 
 class FailurePhase(enum.StrEnum):
@@ -307,11 +306,11 @@
     """The set of live daemons changed.
 
     Attributes:
-        live: Daemon incarnations now live, as written into claims.
+        live: Daemon incarnations now live, as written into claims, sorted.
     """
 
     at_ms: int
-    live: frozenset[str]
+    live: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -117,7 +117,7 @@
             case inputs.PeerDemand():
                 self._peer_demand(told)
             case inputs.MembersChanged():
-                world.live_daemons = told.live | {world.daemon}
+                world.live_daemons = frozenset(told.live) | {world.daemon}
                 world.shares.daemons = len(world.live_daemons)
             case inputs.RightToServe():
                 if world.right_to_serve != told.held:
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -294,7 +294,7 @@
             for gone in self._told_live - live:
                 submit(inputs.PeerDemand(now_ms, gone, False))
                 self._news.pop(gone, None)
-            submit(inputs.MembersChanged(now_ms, live))
+            submit(inputs.MembersChanged(now_ms, tuple(sorted(live))))
             self._told_live = live
         held = self._keeper.right.held(
             self.members,
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -18,6 +18,7 @@
     from godwittack.clock import Clock
     from godwittack.core import router
     from godwittack.daemon import observer
+    from godwittack.session import record
 
 
 class Runtime:
@@ -36,6 +37,7 @@
         self.core = core
         self.clock = clock
         self.stopped = asyncio.Event()
+        self.recorder: record.Recorder | None = None
         self._backend = backend_client
         self._claims = claims
         self._observe = observe
@@ -63,7 +65,10 @@
 
     def submit(self, told: inputs.Input) -> None:
         """Hands one input to the core and carries out its effects."""
-        for effect in self.core.step(told):
+        made = self.core.step(told)
+        if self.recorder is not None:
+            self.recorder.stepped(told, made)
+        for effect in made:
             self._carry_out(effect)
 
     async def tick_forever(self, *, tick_ms: int) -> None:
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -31,6 +31,7 @@
 from godwittack.peer import exchange
 from godwittack.platform import http as platform_http
 from godwittack.report import ledger
+from godwittack.session import record
 from godwittack.table import store as table_store
 
 if TYPE_CHECKING:
@@ -86,6 +87,11 @@
             ),
             clock=clock,
         )
+        if settings.record_file:
+            sink = open(  # noqa: SIM115 - open as long as the process.
+                settings.record_file, "a", buffering=1, encoding="utf-8"
+            )
+            self.runtime.recorder = record.Recorder(core, sink)
         self._peers = exchange.PeerClient(
             secret=loaded.cluster_secret,
             timeout_ms=settings.peer_timeout_ms,
--- /dev/null
+++ b/src/godwittack/session/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded sessions: the core's inputs and effects, line by line."""
--- /dev/null
+++ b/src/godwittack/session/codec.py
@@ -0,0 +1,104 @@
+"""Turns inputs and effects into lines of JSON and back."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+import cattrs
+
+from godwittack.core import effects, inputs, policy
+from godwittack.table import model
+
+# Each byte becomes one character, so that text in a recording stays readable
+# and any other content survives as well.
+_BYTES_AS = "latin-1"
+
+_KINDS: dict[str, type] = {
+    kind.__name__: kind
+    for kind in (
+        *typing.get_args(inputs.Input),
+        *typing.get_args(effects.Effect),
+    )
+}
+
+
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter()
+    converter.register_unstructure_hook(
+        bytes, lambda data: data.decode(_BYTES_AS)
+    )
+    converter.register_structure_hook(
+        bytes, lambda text, _: text.encode(_BYTES_AS)
+    )
+    converter.register_structure_hook(str | int | float, lambda value, _: value)
+    converter.register_structure_hook(
+        str | int | float | None, lambda value, _: value
+    )
+    converter.register_unstructure_hook(model.Table, _table_out)
+    converter.register_structure_hook(model.Table, _table_in)
+    return converter
+
+
+def _table_out(table: model.Table) -> dict[str, object]:
+    rows = [
+        {"kind": model.row_kind(row).value, **_CELLS.unstructure(row)}
+        for row in table.rows()
+    ]
+    return {"version": table.version, "rows": rows}
+
+
+def _table_in(stored: dict[str, typing.Any], _: type) -> model.Table:
+    rows: list[model.Row] = []
+    for cells in stored["rows"]:
+        kind = model.RowKind(cells["kind"])
+        values = {k: v for k, v in cells.items() if k != "kind"}
+        rows.append(_CELLS.structure(values, model.ROW_TYPES[kind]))
+    return model.Table.from_rows(version=stored["version"], rows=rows)
+
+
+_CELLS = cattrs.Converter()
+_CONVERTER = _converter()
+
+
+def encode(item: inputs.Input | effects.Effect) -> str:
+    """Returns one line: the type's name, then its fields that are not empty."""
+    fields = _CONVERTER.unstructure(item)
+    told = {k: v for k, v in fields.items() if v not in ("", (), [], None)}
+    return json.dumps({"type": type(item).__name__, **told})
+
+
+def decode(line: str) -> inputs.Input | effects.Effect:
+    """Reads a line that `encode` made."""
+    told = json.loads(line)
+    kind = _KINDS[told.pop("type")]
+    for name, default in _empty(kind).items():
+        told.setdefault(name, default)
+    return _CONVERTER.structure(told, kind)
+
+
+def encode_policy(numbers: policy.Policy) -> str:
+    """Returns the core's numbers as one line."""
+    return json.dumps(_CONVERTER.unstructure(numbers))
+
+
+def decode_policy(line: str) -> policy.Policy:
+    """Reads the core's numbers."""
+    return _CONVERTER.structure(json.loads(line), policy.Policy)
+
+
+def _empty(kind: type) -> dict[str, object]:
+    """Returns what an omitted field stood for."""
+    hints = typing.get_type_hints(kind)
+    found: dict[str, object] = {}
+    for name, hint in hints.items():
+        if hint is str:
+            found[name] = ""
+        elif typing.get_origin(hint) is tuple:
+            found[name] = []
+        elif type(None) in typing.get_args(hint):
+            found[name] = None
+    return found
+
+
+__all__ = ["decode", "decode_policy", "encode", "encode_policy"]
--- /dev/null
+++ b/tests/cluster/red.py
@@ -0,0 +1,77 @@
+"""Shows each mechanism red: switches it off in a copy and runs its proof.
+
+Each entry of red.yaml names a promise, a file, the text of the mechanism,
+what stands there without it, and the feature that must then fail.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import yaml
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+WORKERS = 4
+
+
+def main() -> int:
+    """Runs all entries, or those whose promise is named."""
+    entries = yaml.safe_load((ROOT / "tests" / "red.yaml").read_text())
+    wanted = set(sys.argv[1:])
+    chosen = [e for e in entries if not wanted or e["promise"] in wanted]
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        results = list(pool.map(_run, chosen))
+    for line in results:
+        print(line)
+    green = [line for line in results if line.startswith("STILL GREEN")]
+    print(f"{len(results) - len(green)} red, {len(green)} still green")
+    return 1 if green else 0
+
+
+def _run(entry: dict) -> str:
+    with tempfile.TemporaryDirectory(prefix="godwittack-red-") as folder:
+        copy = pathlib.Path(folder)
+        for name in ("src", "tests"):
+            shutil.copytree(ROOT / name, copy / name)
+        file = copy / entry["file"]
+        text = file.read_text()
+        if text.count(entry["with"]) != 1:
+            return f"STILL GREEN {entry['promise']}: text not found once"
+        file.write_text(text.replace(entry["with"], entry["without"]))
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "behave",
+                "--no-color",
+                "--no-summary",
+                "--format=plain",
+                f"features/{entry['feature']}",
+                *(["--name", entry["name"]] if "name" in entry else []),
+            ],
+            cwd=copy / "tests",
+            env={**os.environ, "PYTHONPATH": str(copy / "src")},
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=500,
+        )
+    failures = [
+        line.strip()
+        for line in done.stdout.splitlines()
+        if "ASSERT FAILED" in line or "Error:" in line or "FAILED" in line
+    ]
+    head = f"{entry['promise']}: {entry['case']}"
+    if done.returncode == 0 or not failures:
+        return f"STILL GREEN {head}"
+    return f"red {head}\n    {failures[0][:300]}"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/features/steps/sim_steps.py
@@ -0,0 +1,145 @@
+"""Steps of sessions on virtual time."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from godwittack.core import effects
+from sim import loop, worlds
+
+KEY = "claim-1"
+
+
+@when("{count:d} seeded sessions of one key are played")
+def play_seeds(context, count):
+    """Plays sessions that differ in their seed only."""
+    context.sessions = [
+        loop.run(worlds.random_session(seed)) for seed in range(count)
+    ]
+
+
+@then("no key ran more than once")
+def at_most_once(context):
+    """Checks the count of runs."""
+    for session in context.sessions:
+        for key in session.keys:
+            assert session.world.runs(key) <= 1, (session.seed, key)
+
+
+@then("what every caller was told is true")
+def told_true(context):
+    """Checks each refusal against the services' count of runs."""
+    for session in context.sessions:
+        for told in session.world.told:
+            if told.outcome == "not_run":
+                ran = session.world.ran(told.request_id)
+                assert not ran, (session.seed, told)
+            if told.outcome == "answer":
+                assert session.world.runs(told.key) == 1, (session.seed, told)
+
+
+@then("all callers that got an answer got the same one")
+def same_answers(context):
+    """Checks the bodies of all answers to a key."""
+    answered = 0
+    for session in context.sessions:
+        for key in session.keys:
+            bodies = {
+                told.final.answer.body
+                for told in session.world.told
+                if told.key == key and isinstance(told.final, effects.Reply)
+            }
+            assert len(bodies) <= 1, (session.seed, bodies)
+            answered += len(bodies)
+    # The sessions must not pass because nothing was ever answered.
+    assert answered > len(context.sessions) // 2, answered
+
+
+@then("a key that never ran can run once the faults are over")
+def can_run(context):
+    """Checks the call made at each session's quiet end."""
+    for session in context.sessions:
+        if session.killed or session.world.runs(session.keys[0]) == 0:
+            continue
+        last = session.world.told[-1]
+        assert last.outcome in ("answer", "unknown"), (session.seed, last)
+    never = [
+        session
+        for session in context.sessions
+        if not session.killed and session.world.runs(session.keys[0]) == 0
+    ]
+    for session in never:
+        ran_by = [t for t in session.world.told if t.outcome == "unknown"]
+        assert ran_by, (session.seed, session.world.told)
+
+
+@given("a daemon that is paused after its claim, before {before}")
+def paused_holder(context, before):
+    """Plays the session: the key is sent elsewhere, then the daemon wakes."""
+    context.sessions = [loop.run(worlds.paused_holder(KEY, before=before))]
+
+
+@when("the same key is sent through another daemon after 10 minutes")
+def sent_again(context):
+    """Checks that the session had both calls."""
+    assert len(context.sessions[0].world.told) == 2
+
+
+@then('the callers were told "{first}" and "{second}"')
+def told_both(context, first, second):
+    """Checks both outcomes, in the order of the calls."""
+    outcomes = [told.outcome for told in context.sessions[0].world.told]
+    assert outcomes == [first, second], outcomes
+
+
+@given("a table service that loses the reply of the next write")
+def lost_reply(context):
+    """Chooses the fault."""
+    context.fault = "lose_reply"
+
+
+@given("a table service that is down")
+def table_down(context):
+    """Chooses the fault."""
+    context.fault = "down"
+
+
+@given("a table service on which writes take effect after 3 seconds")
+def late_writes(context):
+    """Chooses the fault."""
+    context.fault = "late_apply"
+
+
+@when("a key is sent once")
+def send_once(context):
+    """Plays a session with the fault, then one more call without it."""
+    session = loop.run(worlds.one_fault(KEY, context.fault))
+    context.sessions = [session]
+    context.session = session
+
+
+@then("the caller gets the answer")
+def got_answer(context):
+    """Checks the first caller."""
+    first = context.session.world.told[0]
+    assert first.outcome == "answer", first
+
+
+@then(
+    'the caller is told "{outcome}" with a time to come back within'
+    " {limit_ms:d} ms"
+)
+def told_outcome(context, outcome, limit_ms):
+    """Checks the first caller's refusal and how long it took."""
+    first = context.session.world.told[0]
+    assert first.outcome == outcome, first
+    assert first.final.retry_after_ms > 0
+    assert context.session.first_took_ms <= limit_ms
+
+
+@then("the same key sent after the service is back runs once")
+def runs_after(context):
+    """Checks the second caller."""
+    second = context.session.world.told[1]
+    assert second.outcome == "answer", second
+    assert context.session.world.runs(KEY) == 1
--- /dev/null
+++ b/tests/sim/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons without sockets, on virtual time, with small fakes around them."""
--- /dev/null
+++ b/tests/sim/fakes.py
@@ -0,0 +1,234 @@
+"""Fakes at the core's interfaces: table service, plain service, engines."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+from result import Err, Ok
+
+from godwittack.backend import protocol as backend
+from godwittack.core import inputs, work
+from godwittack.platform import protocol as platform
+
+
+class Gate:
+    """Closed while a daemon is paused: nothing goes out or comes in."""
+
+    def __init__(self) -> None:
+        self._open = asyncio.Event()
+        self._open.set()
+
+    def pause(self) -> None:
+        """Stops the daemon, as SIGSTOP does."""
+        self._open.clear()
+
+    def resume(self) -> None:
+        """Lets it go on."""
+        self._open.set()
+
+    async def passed(self) -> None:
+        """Waits until the daemon runs."""
+        await self._open.wait()
+
+
+@dataclasses.dataclass
+class TableFaults:
+    """How the table service misbehaves; chances are per call."""
+
+    down: bool = False
+    lose_request: float = 0.0
+    lose_reply: float = 0.0
+    late_apply: float = 0.0
+    late_ms: int = 3_000
+    latency_ms: tuple[int, int] = (1, 8)
+    timeout_ms: int = 500
+
+
+class TableFake:
+    """Rows with versions; replies may be lost and writes applied late."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.faults = TableFaults()
+        self.rows: dict[platform.RowId, platform.StoredRow] = {}
+        self.version = 0
+        self.on_write = lambda: None
+
+    async def transact(self, conditions, writes):
+        """Makes all writes if all conditions hold."""
+        await asyncio.sleep(self.rng.randint(*self.faults.latency_ms) / 1000)
+        if self.faults.down or self._chance(self.faults.lose_request):
+            return await self._silence("transact")
+        if self._chance(self.faults.late_apply):
+            # The request lingers in the network and takes effect after its
+            # sender has given up.
+            asyncio.get_running_loop().call_later(
+                self.faults.late_ms / 1000, self._apply, conditions, writes
+            )
+            return await self._silence("transact")
+        reply = self._apply(conditions, writes)
+        if self._chance(self.faults.lose_reply):
+            return await self._silence("transact")
+        return Ok(reply)
+
+    async def read(self, row_id):
+        """Returns one row."""
+        await asyncio.sleep(0.002)
+        if self.faults.down:
+            return await self._silence("read")
+        return Ok(self._row(row_id))
+
+    async def scan(self, table, *, after, limit):
+        """Returns rows in key order."""
+        if self.faults.down:
+            return await self._silence("scan")
+        rows = [
+            row
+            for row_id, row in sorted(
+                self.rows.items(), key=lambda item: item[0].key
+            )
+            if row_id.table == table and row_id.key > after
+        ]
+        return Ok(rows[:limit])
+
+    def _apply(self, conditions, writes) -> platform.Transacted:
+        current = tuple(self._row(c.row_id) for c in conditions)
+        for row, condition in zip(current, conditions, strict=True):
+            if row.version != condition.version:
+                return platform.Transacted(False, current)
+        for write in writes:
+            self.version += 1
+            self.rows[write.row_id] = platform.StoredRow(
+                write.row_id, write.value, self.version
+            )
+            self.on_write()
+        return platform.Transacted(True, ())
+
+    def _row(self, row_id) -> platform.StoredRow:
+        return self.rows.get(row_id, platform.StoredRow(row_id, "", 0))
+
+    def _chance(self, part: float) -> bool:
+        return self.rng.random() < part
+
+    async def _silence(self, step: str):
+        await asyncio.sleep(self.faults.timeout_ms / 1000)
+        return Err(
+            platform.PlatformError(step=step, peer="fake", detail="no answer")
+        )
+
+
+@dataclasses.dataclass
+class ServiceFaults:
+    """How a plain service misbehaves; chances are per call."""
+
+    refuse_connection: float = 0.0
+    lose_request: float = 0.0
+    lose_answer: float = 0.0
+    work_ms: tuple[int, int] = (5, 60)
+
+
+class ServiceFake:
+    """A plain service; runs of one call are counted by request and key."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.faults = ServiceFaults()
+        self.runs_by_request: collections.Counter[str] = collections.Counter()
+        self.runs_by_key: collections.Counter[str] = collections.Counter()
+
+    def run(self, request_id: str, call: backend.Call) -> work.Answer:
+        """Has the effect of the call."""
+        key = next(
+            (h.value for h in call.headers if h.name == "idempotency-key"), ""
+        )
+        self.runs_by_request[request_id] += 1
+        self.runs_by_key[key] += 1
+        body = f"{key} run {self.runs_by_key[key]}".encode()
+        return work.Answer(200, (), body)
+
+
+class ServiceBackend:
+    """One daemon's connection to plain services."""
+
+    def __init__(
+        self, services: dict[str, ServiceFake], gate: Gate, world
+    ) -> None:
+        self.services = services
+        self.gate = gate
+        self.world = world
+        self.on_send = lambda: None
+
+    async def send(self, dispatch, call, sink) -> None:
+        """Runs one attempt; the service's side outlives the daemon."""
+        self.on_send()
+        await self.gate.passed()
+        service = self.services[dispatch.server_id]
+        faults, rng = service.faults, service.rng
+        await asyncio.sleep(0.001)
+        if rng.random() < faults.refuse_connection:
+            sink.failed(
+                inputs.FailurePhase.CONNECT,
+                inputs.FailureCause.BROKEN,
+                "refused",
+            )
+            return
+        if rng.random() < faults.lose_request:
+            await asyncio.sleep(0.2)
+            await self.gate.passed()
+            self._broken(sink)
+            return
+        running = self.world.spawn(self._run(service, dispatch, call))
+        answer = await asyncio.shield(running)
+        await self.gate.passed()
+        if rng.random() < faults.lose_answer:
+            self._broken(sink)
+            return
+        sink.answer("", answer, None)
+
+    async def load(self, address):
+        """Is not asked in these sessions."""
+        return Ok(None)
+
+    async def cancel(self, address, stream_id) -> None:
+        """Does nothing: a plain call can't be taken back."""
+
+    async def _run(self, service, dispatch, call):
+        await asyncio.sleep(service.rng.randint(*service.faults.work_ms) / 1000)
+        return service.run(dispatch.request_id, call)
+
+    def _broken(self, sink) -> None:
+        sink.failed(
+            inputs.FailurePhase.SENT, inputs.FailureCause.BROKEN, "broken"
+        )
+
+
+class PausableTable:
+    """One daemon's connection to the table service."""
+
+    def __init__(self, table: TableFake, gate: Gate, world) -> None:
+        self.table = table
+        self.gate = gate
+        self.world = world
+
+    async def transact(self, conditions, writes):
+        """Sends a transaction that the daemon's death does not undo."""
+        await self.gate.passed()
+        sent = self.world.spawn(self.table.transact(conditions, writes))
+        reply = await asyncio.shield(sent)
+        await self.gate.passed()
+        return reply
+
+    async def read(self, row_id):
+        """Reads one row."""
+        await self.gate.passed()
+        reply = await self.table.read(row_id)
+        await self.gate.passed()
+        return reply
+
+    async def scan(self, table, *, after, limit):
+        """Reads rows."""
+        await self.gate.passed()
+        return await self.table.scan(table, after=after, limit=limit)
--- /dev/null
+++ b/tests/sim/loop.py
@@ -0,0 +1,52 @@
+"""An event loop whose time jumps to the next timer."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Runs hours of timers in a moment, the same way each time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now_s = 1000.0
+
+    def time(self) -> float:
+        """Returns virtual seconds."""
+        return self._now_s
+
+    def _run_once(self) -> None:
+        # asyncio has no public hook between two rounds of the loop.
+        if not self._ready and self._scheduled:
+            self._now_s = max(self._now_s, self._scheduled[0].when())
+        super()._run_once()
+
+
+class LoopClock:
+    """The product's clock on the loop's time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def now_ms(self) -> int:
+        """Returns virtual milliseconds."""
+        return round(self._loop.time() * 1000)
+
+    def wall_ms(self) -> int:
+        """Returns the same."""
+        return self.now_ms()
+
+
+def run(main):
+    """Runs a coroutine on virtual time and returns its result."""
+    loop = VirtualLoop()
+    try:
+        asyncio.set_event_loop(loop)
+        return loop.run_until_complete(main)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+        asyncio.set_event_loop(None)
