--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -287,7 +287,8 @@
             self.running += 1
             try:
                 for number in range(1, tokens + 1):
-                    await asyncio.sleep(self.asked.decode_ms / 1000)
+                    if not self.faults.numbers.get("fast"):
+                        await asyncio.sleep(self.asked.decode_ms / 1000)
                     await _grow(stream, _chunk(model, number, tokens))
                 await _grow(stream, b"data: [DONE]\n\n", done=True)
             finally:
