Refuse what can't be in time also when its turn comes

Change: the estimate is checked again when the turn comes, estimates may take up 0.8 of the time left, and holding back starts at 800 ms.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from bench import engines, policies, workload
+from godwittack.core import inputs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,9 +66,9 @@
         self.silent_events = False
         self.frozen_reports = False
         self._rows: dict[int, Seen] = {}
-        self._lost: dict[str, dict[int, Callable[[], None]]] = (
-            collections.defaultdict(dict)
-        )
+        self._lost: dict[
+            str, dict[int, Callable[[inputs.FailurePhase], None]]
+        ] = collections.defaultdict(dict)
         self._lagging: collections.deque[dict[str, int]] = collections.deque()
         self.policy = policies.POLICIES[policy](self)
 
@@ -84,7 +85,7 @@
         *,
         first: Callable[[], None] = lambda: None,
         last: Callable[[], None] = lambda: None,
-        lost: Callable[[], None] = lambda: None,
+        lost: Callable[[inputs.FailurePhase], None] = lambda phase: None,
     ) -> None:
         """Carries a request to an engine and its tokens back."""
         self.sent_since[ask.daemon, engine.name] += 1
@@ -106,7 +107,7 @@
                 engine.submit(job)
             else:
                 self._lost[engine.name].pop(ask.number, None)
-                lost()
+                lost(inputs.FailurePhase.CONNECT)
 
         self.timeline.after(hop_ms, deliver)
 
@@ -119,7 +120,7 @@
         engine.crash()
         lost = list(self._lost.pop(engine.name, {}).values())
         for tell in lost:
-            tell()
+            tell(inputs.FailurePhase.SENT)
 
     def _arrive(self) -> None:
         ask = self.workload.draw()
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -24,6 +24,7 @@
 DIGEST_MS = 500
 TICK_MS = 100
 GOSSIP_MS = 500
+PROBE_HOP_MS = 1.0
 BOUND = 1.25
 FOREVER_MS = 1 << 50
 
@@ -198,6 +199,8 @@
             match effect:
                 case effects.Dispatch():
                     self._dispatch(daemon, effect)
+                case effects.Probe():
+                    self._probe(daemon, effect.server_id)
                 case effects.Refuse():
                     ask = self._asks.pop(effect.request_id)
                     self.experiment.refused(ask, effect.reason.value)
@@ -224,12 +227,12 @@
             frame = (work.Frame(2, b"", True),)
             tell(lambda at: inputs.FramesArrived(at, effect.attempt_id, frame))
 
-        def lost() -> None:
+        def lost(phase: inputs.FailurePhase) -> None:
             tell(
                 lambda at: inputs.AttemptFailed(
                     at,
                     effect.attempt_id,
-                    inputs.FailurePhase.SENT,
+                    phase,
                     inputs.FailureCause.BROKEN,
                     "lost",
                 )
@@ -237,6 +240,16 @@
 
         self.experiment.send(ask, engine, first=first, last=last, lost=lost)
 
+    def _probe(self, daemon: int, name: str) -> None:
+        """Answers a probe a hop later."""
+
+        def answer() -> None:
+            alive = self.experiment.by_name[name].up
+            told = inputs.ProbeAnswered(self._now(), name, alive)
+            self._step(daemon, told)
+
+        self.experiment.timeline.after(2 * PROBE_HOP_MS, answer)
+
     def _report(self) -> None:
         """Tells every daemon a load that is `LAG_MS` old."""
         timeline = self.experiment.timeline
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -8,11 +8,13 @@
 import json
 import pathlib
 
-from bench import experiment, figures, policies, workload
+from bench import engines, experiment, figures, policies, workload
 
 UTILISATIONS = (0.5, 0.7, 0.9, 1.1)
 SEEDS = (1, 2, 3)
 WORKERS = 4
+CAPACITY_PARTS = (0.75, 0.7, 0.65, 0.6, 0.55, 0.5, 0.45, 0.4, 0.35, 0.3)
+KEEPS_UP = 0.01
 COLUMNS = (
     "hit_rate",
     "ttft_p50_ms",
@@ -25,23 +27,32 @@
 )
 
 
-def capacity_per_s(deployment: workload.Deployment) -> float:
+def capacity_per_s(name: str) -> float:
     """Returns the requests a second that the engines can do.
 
-    Measured, not assumed: the clairvoyant at a moderate rate tells how many
-    prompt tokens a request costs when caches are used well; decoding slots
-    bound it as well.
+    Measured, not assumed: the highest rate at which even the clairvoyant
+    refuses or is late with fewer than 1 in 100 requests.
     """
-    run = experiment.Experiment(
-        deployment=deployment, policy="clairvoyant", rate_per_s=60.0, seed=0
-    )
-    run.run()
-    computed = sum(engine.computed_tokens for engine in run.engines)
-    prefill_ms = 1.0 + computed / len(run.seen) * run.size.prefill_us / 1000
-    decode_ms = deployment.output_tokens * run.size.decode_ms
-    by_prefill = deployment.engines * 1000 / prefill_ms
-    by_slots = deployment.engines * run.size.slots * 1000 / decode_ms
-    return min(by_prefill, by_slots)
+    deployment = workload.DEPLOYMENTS[name]
+    size = engines.EngineSize(cache_tokens=deployment.cache_tokens)
+    decode_ms = deployment.output_tokens * size.decode_ms
+    most = deployment.engines * size.slots * 1000 / decode_ms
+    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
+        rates = [most * part for part in CAPACITY_PARTS]
+        jobs = [
+            pool.submit(one, name, rate, 1.0, "clairvoyant", 0)
+            for rate in rates
+        ]
+        good = [
+            rate
+            for rate, job in zip(rates, jobs, strict=True)
+            if _keeps_up(job.result())
+        ]
+    return max(good, default=rates[-1])
+
+
+def _keeps_up(run: figures.Figures) -> bool:
+    return (run.refused + run.late) / run.asked < KEEPS_UP
 
 
 def one(
@@ -76,9 +87,9 @@
     names = [asked.deployment] if asked.deployment else workload.DEPLOYMENTS
     seeds = [asked.seed] if asked.seed is not None else SEEDS
     runs: list[figures.Figures] = []
+    capacities = {name: capacity_per_s(name) for name in names}
     with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-        for name in names:
-            capacity = capacity_per_s(workload.DEPLOYMENTS[name])
+        for name, capacity in capacities.items():
             print(f"{name}: the engines can do {capacity:.0f} requests/s")
             jobs = [
                 pool.submit(one, name, capacity, utilisation, policy, seed)
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -145,13 +145,7 @@
             request = world.requests[request_id]
             if request.deadline_at_ms > world.now_ms:
                 continue
-            _refuse_not_run(
-                world,
-                request,
-                effects.Reason.DEADLINE,
-                "its turn did not come before the deadline",
-                _retry_after_ms(_queue_wait_ms(world, target, queue)),
-            )
+            _refuse_late(world, request, _queue_wait_ms(world, target, queue))
 
 
 def _drain_queue(world: entities.World, queue: fair.FairQueue) -> None:
@@ -161,10 +155,26 @@
         choice = placing.choose(world, request)
         if choice is None or choice.wait_ms > world.policy.hold_ms:
             return
+        if choice.first_token_ms > request.deadline_at_ms - world.now_ms:
+            _refuse_late(world, request, choice.wait_ms)
+            continue
         queue.take(waiting)
         dispatch(world, request, choice)
 
 
+def _refuse_late(
+    world: entities.World, request: entities.RequestRow, wait_ms: float
+) -> None:
+    """Refuses a held-back request that can no longer be in time."""
+    _refuse_not_run(
+        world,
+        request,
+        effects.Reason.DEADLINE,
+        "its turn did not come before the deadline",
+        _retry_after_ms(wait_ms),
+    )
+
+
 def _open(
     world: entities.World,
     request: entities.RequestRow,
@@ -192,7 +202,7 @@
     if must_hold:
         expected_ms += _queue_wait_ms(world, request.work.target, queue)
     left_ms = request.deadline_at_ms - world.now_ms
-    if expected_ms <= left_ms:
+    if expected_ms <= left_ms * world.policy.deadline_part:
         return True
     _refuse_not_run(
         world,
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -25,6 +25,8 @@
         retry_burst: Retries allowed at once after a quiet time.
         failures_to_eject: Broken connections in a row until a backend server
             is paused; one that accepts no connection is paused at once.
+        deadline_part: Part of the time left that an estimate may take up;
+            estimates are made from late news.
         spill_ratio: Moves to a server that lacks a prefix, a request accepted.
         spill_burst: Such moves allowed at once after a quiet time.
         eject_ms: First pause after failures of a backend server; doubles.
@@ -49,13 +51,14 @@
     max_resumes: int = 3
     retry_ratio: float = 0.1
     retry_burst: float = 10.0
+    deadline_part: float = 0.8
     spill_ratio: float = 0.04
     spill_burst: float = 4.0
     failures_to_eject: int = 2
     eject_ms: int = 1_000
     eject_max_ms: int = 30_000
     report_stale_ms: int = 3_000
-    hold_ms: int = 400
+    hold_ms: int = 800
     hint_ms: int = 60_000
     prefill_us_per_token: int = 100
     slots: int = 16
