--- /dev/null
+++ b/tests/features/operators.feature
@@ -0,0 +1,33 @@
+Feature: What operators and scripts see
+
+  Scenario: The table by command and by spreadsheet
+    Given a cluster of 2 daemons and a plain service
+    Then "table show" prints the rows
+    And an export can be imported again and changes nothing
+    And "table set workspace desk max_in_flight=-1" exits 2 and says "max_in_flight"
+    And "table set workspace desk colour=red" exits 2 and says "columns"
+    And "table set model new-model weights_version=2" without a reason exits 2
+    And a spreadsheet with a wrong cell exits 2 and names its line
+    And a changed cell can be undone and both stand in the history
+    And "table status" exits 0
+    And "report --json" exits 0
+
+  Scenario: Settings that are wrong
+    Then settings with these faults are refused in one line with exit code 2
+      | fault                          | says                 |
+      | unknown key                    | did you mean         |
+      | wrong unit                     | address_keep_ms      |
+      | missing key                    | peer_address         |
+      | port in use                    | http_address         |
+      | short secret                   | cluster_secret_file  |
+      | unknown decision               | no number is named   |
+    And good settings pass the check while the platform is down
+    And every setting is printed with its default
+
+  Scenario: A recording of a daemon replays byte for byte
+    # Symptom: a fault seen in the field can't be found again.
+    # Sequence: a daemon records real requests; the recording is replayed.
+    # Cause: a decision that depends on more than its inputs.
+    Given a cluster of 1 daemons that records, 1 engines and a plain service
+    When streams and submissions are served
+    Then "replay" of the recording says that it is the same
