Ask engines for their state before taking callers

Cause: a daemon just started listened before any load report had come (up to 1 s: a poll and a gossip round), knew no engine's incarnation and refused its first callers with no_server. Ruled out: the leave notice, since the refusing daemon was the new one. Change: it asks each server of its audience once before it listens.

--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -180,6 +180,7 @@
         ]
         await self._keeper.load_first(addresses)
         await self._lists.poll_once(self.runtime)
+        await self._servers.ask_unknown()
         self._servers.assign()
 
     def _start_loops(self) -> None:
--- a/src/godwittack/daemon/watch.py
+++ b/src/godwittack/daemon/watch.py
@@ -169,6 +169,30 @@
             }
         return self._duties
 
+    async def ask_unknown(self) -> None:
+        """Asks the servers of which nothing was heard yet, once.
+
+        A daemon that listens before it knows any engine's incarnation would
+        refuse its first callers: a cold start, seen as `no_server`.
+        """
+        members = self._gossiper.members.live()
+        own = self._gossiper.members.me.member_id
+        unknown = [
+            row
+            for row in self._core.core.world.servers.values()
+            if not row.incarnation
+            and any(
+                member.member_id == own
+                for member in duty.audience(row.target, members)
+            )
+        ]
+        await asyncio.gather(*(self._ask(row) for row in unknown))
+
+    async def _ask(self, row: entities.ServerRow) -> None:
+        got = await self._client.load(row.address)
+        if not isinstance(got, Err):
+            self._core.submit(_report(row, got.ok_value, self._core))
+
     def close(self) -> None:
         """Stops following."""
         for tasks in self._tasks.values():
@@ -192,18 +216,7 @@
     def _tell_load(
         self, row: entities.ServerRow, load: backend.EngineLoad
     ) -> None:
-        told = inputs.LoadReported(
-            at_ms=self._core.clock.now_ms(),
-            server_id=row.server_id,
-            incarnation=load.incarnation,
-            weights_version=load.weights_version,
-            running=load.running,
-            waiting=load.waiting,
-            waiting_tokens=load.waiting_tokens,
-            prefill_us_per_token=load.prefill_us_per_token,
-            slots=load.slots,
-            leaving=load.leaving,
-        )
+        told = _report(row, load, self._core)
         self._streams.watched.on_next(Watched(row.target, told))
         if load.leaving:
             self._gossiper.publish_leaving(row.server_id)
@@ -275,6 +288,23 @@
         return out
 
 
+def _report(
+    row: entities.ServerRow, load: backend.EngineLoad, core: runtime.Runtime
+) -> inputs.LoadReported:
+    return inputs.LoadReported(
+        at_ms=core.clock.now_ms(),
+        server_id=row.server_id,
+        incarnation=load.incarnation,
+        weights_version=load.weights_version,
+        running=load.running,
+        waiting=load.waiting,
+        waiting_tokens=load.waiting_tokens,
+        prefill_us_per_token=load.prefill_us_per_token,
+        slots=load.slots,
+        leaving=load.leaving,
+    )
+
+
 def _publish(gossiper: gossip.Gossiper, item: Watched) -> None:
     match item.told:
         case inputs.LoadReported():
