Announce a daemon only once it listens

Cause: a starting daemon probed the others before it listened, so that `where` named it and callers found its door closed (a refused connection in two runs of the suite, rolling replacement). Ruled out: the leave notice, which is repeated until heard. Change: probes name no sender until the daemon listens.

--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -73,6 +73,7 @@
         self._probing: set[str] = set()
         self._told_live: frozenset[str] = frozenset()
         self._known_leaving: set[str] = set()
+        self._announced = False
 
     async def gossip_forever(self, *, gossip_ms: int) -> None:
         """Probes others each period."""
@@ -104,6 +105,13 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tell_core(self._runtime.clock.now_ms())
 
+    def announce(self) -> None:
+        """Lets others know of this daemon, once it listens to callers.
+
+        Named by `where` before it listens, it would refuse connections.
+        """
+        self._announced = True
+
     async def spread_now(self) -> None:
         """Tells every live daemon at once and waits for their answers."""
         others = [
@@ -272,7 +280,11 @@
         now_ms = self._runtime.clock.now_ms()
         return peer_pb2.Envelope(
             protocol_version=exchange.PROTOCOL_VERSION,
-            sender=codec.member_to_proto(self.members.me),
+            sender=(
+                codec.member_to_proto(self.members.me)
+                if self._announced
+                else peer_pb2.Member()
+            ),
             updates=[codec.member_to_proto(m) for m in self.members.updates()],
             table_version=self._keeper.table.version,
             demands=[codec.demand_to_proto(d) for d in self._demands()],
@@ -298,7 +310,7 @@
         changed = False
         for message in (told.sender, *told.updates):
             member = codec.member_from_proto(message)
-            if member is not None:
+            if member is not None and member.member_id:
                 changed |= self.members.heard(member, now_ms=now_ms)
         self._take_news(told, now_ms)
         self._compare_versions(told, now_ms)
@@ -316,6 +328,8 @@
             submit(inputs.ServerDraining(now_ms, server_id, until_ms))
         for server_id in told.leaving_servers:
             submit(inputs.ServerLeaving(now_ms, server_id))
+        if not told.sender.member_id:
+            return
         submit(
             inputs.PeerDemand(
                 now_ms,
@@ -330,7 +344,7 @@
         self._keeper.right.compared(
             own=own, told=told.table_version, now_ms=now_ms
         )
-        if told.table_version > own:
+        if told.table_version > own and told.sender.peer_address:
             task = asyncio.create_task(
                 self._keeper.fetch_from_peer(told.sender.peer_address)
             )
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -162,6 +162,7 @@
         await self._prepare()
         self._start_loops()
         runner = await self._listen()
+        self.gossiper.announce()
         logging.info(
             "event=serving daemon=%s http=%s peer=%s",
             self.gossiper.members.me.member_id,
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -206,6 +206,7 @@
 
     async def _run(self) -> None:
         await self.gossiper.join()
+        self.gossiper.announce()
         rows = self.gossiper.members.rows.values()
         await self.keeper.load_first([r.member.peer_address for r in rows])
         self.tasks.append(
