--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Runs a measurement: policy, faults, limits, path, capacity or membership.
+# Runs a measurement: policy, faults, limits, path, capacity, membership, fleet.
 set -eu
 cd "$(dirname "$0")/.."
 venv="${VENV:-$PWD/.venv}"
--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -128,15 +128,19 @@
     async def load(
         self, address: str
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
-        """Returns the server's load."""
-        got = await self._control("load", address, "GET", "/load")
-        if isinstance(got, Err):
-            return got
-        try:
-            told = _LoadJson.model_validate_json(got.ok_value)
-        except pydantic.ValidationError as error:
-            return _error("load", address, str(error.errors()[0]["msg"]))
-        return Ok(protocol.EngineLoad(**told.model_dump()))
+        """Returns the server's load, on a fresh connection."""
+        return _read_load(
+            address, await self._control("load", address, "GET", "/load")
+        )
+
+    async def poll_load(
+        self, address: str
+    ) -> Result[protocol.EngineLoad, protocol.BackendError]:
+        """Returns the server's load, on a connection kept between polls."""
+        got = await self._control(
+            "poll load", address, "GET", "/load", session=self._pooled
+        )
+        return _read_load(address, got)
 
     async def cache_events(
         self, address: str, *, after: int
@@ -147,6 +151,7 @@
             address,
             "GET",
             f"/cache/events?after={after}",
+            session=self._pooled,
             timeout=self._events_timeout,
         )
         if isinstance(got, Err):
@@ -260,9 +265,10 @@
         path: str,
         body: bytes | None = None,
         timeout: aiohttp.ClientTimeout | None = None,
+        session: aiohttp.ClientSession | None = None,
     ) -> Result[bytes, protocol.BackendError]:
         try:
-            async with self._fresh.request(
+            async with (session or self._fresh).request(
                 method,
                 f"http://{address}{path}",
                 data=body,
@@ -279,6 +285,18 @@
             return _error(step, address, str(error) or type(error).__name__)
 
 
+def _read_load(
+    address: str, got: Result[bytes, protocol.BackendError]
+) -> Result[protocol.EngineLoad, protocol.BackendError]:
+    if isinstance(got, Err):
+        return got
+    try:
+        told = _LoadJson.model_validate_json(got.ok_value)
+    except pydantic.ValidationError as error:
+        return _error("load", address, str(error.errors()[0]["msg"]))
+    return Ok(protocol.EngineLoad(**told.model_dump()))
+
+
 class _SendOnce:
     """Stops the HTTP library from sending one attempt a second time.
 
--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -158,6 +158,12 @@
     async def load(self, address: str) -> Result[EngineLoad, BackendError]:
         """Returns the server's load, on a fresh connection."""
 
+    async def poll_load(self, address: str) -> Result[EngineLoad, BackendError]:
+        """Returns the server's load, on a connection kept between polls.
+
+        One that went silent costs one poll: it is closed then.
+        """
+
     async def cache_events(
         self, address: str, *, after: int
     ) -> Result[CacheEvents, BackendError]:
--- a/src/godwittack/command/check.py
+++ b/src/godwittack/command/check.py
@@ -28,30 +28,41 @@
     if isinstance(loaded, Err):
         print(loaded.err_value, file=sys.stderr)
         return codes.BAD_INPUT
+    trouble = platform_trouble(settings, loaded.ok_value)
+    if trouble:
+        print(
+            f"{trouble}; write http://IP:port of the platform's service (in an"
+            " outage of it `serve` starts all the same)",
+            file=sys.stderr,
+        )
+        return codes.BAD_INPUT
     print(f"{settings}: good, for instance {loaded.ok_value.settings.name}")
     return codes.OK
 
 
 def load_checked(path: str) -> Result[configs.Loaded, str]:
-    """Loads settings and tries what they name."""
+    """Loads settings and tries the addresses they name."""
     loaded = configs.load(path)
     if isinstance(loaded, Err):
         return loaded
     settings = loaded.ok_value.settings
-    for key in ("http_address", "peer_address"):
-        trouble = _cannot_bind(getattr(settings, key))
+    for key, kind in (
+        ("http_address", socket.SOCK_STREAM),
+        ("peer_address", socket.SOCK_STREAM),
+        ("peer_address", socket.SOCK_DGRAM),
+    ):
+        trouble = _cannot_bind(getattr(settings, key), kind)
         if trouble:
             return Err(f"{path}: {key}: {trouble}; write a free IP:port")
-    trouble = _cannot_reach(settings.platform_url)
-    if trouble:
-        # The platform has outages, and a daemon must start during one.
-        print(
-            f"{path}: platform_url: {trouble}; starting without it",
-            file=sys.stderr,
-        )
     return Ok(loaded.ok_value)
 
 
+def platform_trouble(path: str, loaded: configs.Loaded) -> str:
+    """Returns why the platform can't be reached, or nothing."""
+    trouble = _cannot_reach(loaded.settings.platform_url)
+    return f"{path}: platform_url: {trouble}" if trouble else ""
+
+
 def log_formatter() -> logging.Formatter:
     """Returns the form of a log line: time, level, then the pairs."""
     return logging.Formatter(
@@ -60,11 +71,12 @@
     )
 
 
-def _cannot_bind(address: str) -> str:
+def _cannot_bind(address: str, kind: socket.SocketKind) -> str:
     host, _, port = address.rpartition(":")
     family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
-    with socket.socket(family, socket.SOCK_STREAM) as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    with socket.socket(family, kind) as probe:
+        if kind is socket.SOCK_STREAM:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             probe.bind((host.strip("[]"), int(port)))
         except (OSError, OverflowError) as error:
@@ -82,4 +94,4 @@
         return f"{url} can't be reached ({error})"
 
 
-__all__ = ["check", "load_checked", "log_formatter"]
+__all__ = ["check", "load_checked", "log_formatter", "platform_trouble"]
--- a/src/godwittack/command/serve.py
+++ b/src/godwittack/command/serve.py
@@ -22,6 +22,10 @@
     if isinstance(loaded, Err):
         print(loaded.err_value, file=sys.stderr)
         return codes.BAD_INPUT
+    trouble = check.platform_trouble(settings, loaded.ok_value)
+    if trouble:
+        # The platform has outages, and a daemon must start during one.
+        print(f"{trouble}; starting without it", file=sys.stderr)
     from absl import flags, logging
 
     from godwittack.daemon import serve as daemon
--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -104,6 +104,10 @@
     gossip_ms: Ms = pydantic.Field(
         default=500, description="ms between probes of other daemons"
     )
+    news_ms: Ms = pydantic.Field(
+        default=500,
+        description="ms between news of servers and demand to one daemon",
+    )
     table_poll_ms: Ms = pydantic.Field(
         default=1_000, description="ms between readings of the table's version"
     )
--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -12,6 +12,7 @@
     effects,
     entities,
     placing,
+    splitting,
     work,
 )
 from godwittack.table import model
@@ -148,6 +149,7 @@
     if request.work.kind is work.WorkKind.PLAIN:
         limits.append(world.table.services[request.work.target].max_in_flight)
     cells = closing.limited_cells(request)
+    splitting.note(world, request)
     for cell in cells:
         world.shares.arrived(cell)
     for cell, limit in zip(cells, limits, strict=True):
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -128,6 +128,7 @@
             case inputs.MembersChanged():
                 world.live_daemons = frozenset(told.live) | {world.daemon}
                 world.shares.live = world.live_daemons
+                world.shares.groups.clear()
             case inputs.RightToServe():
                 held = told.until_ms > world.now_ms
                 if world.right_to_serve != held:
@@ -157,6 +158,8 @@
         if not told.alive:
             shares.peer_gone(told.daemon_id)
             return
+        # A cell that is not named any more has no demand there any more.
+        shares.peer_gone(told.daemon_id)
         for cell in told.cells:
             shares.peer_told(
                 daemon=told.daemon_id,
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -1,53 +1,48 @@
-"""Exchanges membership, versions, demand and news with other daemons."""
+"""Probes other daemons; spreads membership and table versions by that."""
 
 from __future__ import annotations
 
 import asyncio
-import collections
-import dataclasses
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
-from result import Err
+from result import Err, Result
 
 from godwittack.core import inputs
-from godwittack.member import duty, view
+from godwittack.member import view
 from godwittack.peer import codec, exchange, peer_pb2
 from godwittack.table import schema
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwittack.daemon import news as newses
     from godwittack.daemon import runtime as runtimes
     from godwittack.daemon import tables
+    from godwittack.peer import wire
     from godwittack.report import ledger
 
 
-@dataclasses.dataclass(slots=True)
-class PeerNews:
-    """What waits to be told to one peer.
-
-    Attributes:
-        loads: Newest report of each server.
-        digests: Cache digests in order.
-        leaving: Servers seen leaving.
-        draining: Servers that get no work while they load weights.
-    """
+LEAVE_MS = 3_000
+SEEDS_AT_ONCE = 16
+LEAVE_PAUSE_MS = 100
 
-    loads: dict[str, inputs.LoadReported] = dataclasses.field(
-        default_factory=dict
-    )
-    digests: list[inputs.CacheDigest] = dataclasses.field(default_factory=list)
-    leaving: set[str] = dataclasses.field(default_factory=set)
-    draining: set[str] = dataclasses.field(default_factory=set)
 
+class Prober(Protocol):
+    """A way to exchange envelopes with other daemons."""
 
-MAX_DIGESTS = 64
-LEAVE_MS = 3_000
-LEAVE_PAUSE_MS = 100
-# How long a drain holds at a daemon that hears no more of it.
-DRAIN_MS = 3_000
+    async def exchange(
+        self, address: str, message: peer_pb2.Envelope
+    ) -> Result[peer_pb2.Envelope, exchange.PeerError]:
+        """Sends an envelope and returns the peer's."""
 
 
 class Gossiper:
-    """Implements `PeerHandler` and the loop that probes other daemons."""
+    """Implements `PeerHandler` and the loop that probes other daemons.
+
+    Attributes:
+        list_hash: Returns what to tell of the instance list, 0 for nothing.
+        on_list_hash: Told which daemon has read a list of which hash.
+    """
 
     def __init__(
         self,
@@ -55,25 +50,42 @@
         members: view.View,
         runtime: runtimes.Runtime,
         keeper: tables.TableKeeper,
-        client: exchange.PeerClient,
+        client: Prober,
+        probes: Prober,
+        news: newses.News,
         counts: ledger.Ledger,
         seeds: tuple[str, ...],
     ) -> None:
-        """Gossips for the member `members.me`."""
+        """Gossips for the member `members.me`.
+
+        Args:
+            members: The view to keep.
+            runtime: Where the core is told.
+            keeper: The table kept here.
+            client: Reaches daemons of which only the address is known; its
+                answers may be of any size.
+            probes: Reaches known members.
+            news: Takes in news.
+            counts: What reports are made of.
+            seeds: Peer addresses from the settings.
+        """
         self.members = members
         self._runtime = runtime
         self._keeper = keeper
         self._client = client
+        self._probes = probes
         self._counts = counts
         self._settings_seeds = seeds
         self._seeds = seeds
-        self._news: dict[str, PeerNews] = collections.defaultdict(PeerNews)
+        self._news = news
+        self.list_hash: Callable[[], int] = lambda: 0
+        self.on_list_hash: Callable[[str, int], None] = lambda name, told: None
         keeper.on_adopted = self._adopted
         self._tasks: set[asyncio.Task[None]] = set()
         self._probing: set[str] = set()
         self._told_live: frozenset[str] = frozenset()
-        self._known_leaving: set[str] = set()
         self._announced = False
+        self._introduced: set[str] = set()
 
     async def gossip_forever(self, *, gossip_ms: int) -> None:
         """Probes others each period."""
@@ -88,19 +100,13 @@
             now_ms=now_ms,
             may_forget=self._keeper.right.service_fresh(now_ms=now_ms),
         )
-        probed: set[str] = set()
         for member in self.members.probe_targets():
             self._start_probe(member.peer_address, member.member_id)
-            probed.add(member.peer_address)
-        for member in self.members.live():
-            waiting = self._news.get(member.member_id)
-            if waiting is not None and member.peer_address not in probed:
-                self._start_probe(member.peer_address, member.member_id)
         self._probe_unknown_seeds()
         self._tell_core(now_ms)
 
     async def join(self) -> None:
-        """Asks all seeds once, so that the first decisions know them."""
+        """Asks seeds once, so that the first decisions know the members."""
         self._probe_unknown_seeds()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tell_core(self._runtime.clock.now_ms())
@@ -156,56 +162,33 @@
         self.members.expected = len(own | addresses)
         self._seeds = tuple(sorted(own | addresses))
 
-    def publish_load(self, load: inputs.LoadReported, target: str) -> None:
-        """Queues a load report for the daemons that serve its model."""
-        for name in self._audience(target):
-            self._news[name].loads[load.server_id] = load
-
-    def publish_digest(self, digest: inputs.CacheDigest, target: str) -> None:
-        """Queues a cache digest for the daemons that serve its model."""
-        for name in self._audience(target):
-            waiting = self._news[name].digests
-            waiting.append(digest)
-            # A peer that can't be reached must not fill our memory; what it
-            # misses costs a recomputation each.
-            del waiting[:-MAX_DIGESTS]
-
-    def publish_leaving(self, server_id: str) -> None:
-        """Queues a server's leaving for every daemon, once."""
-        if server_id in self._known_leaving:
-            return
-        self._known_leaving.add(server_id)
-        for member in self.members.live():
-            if member.member_id != self.members.me.member_id:
-                self._news[member.member_id].leaving.add(server_id)
-
-    def publish_draining(self, server_id: str) -> None:
-        """Queues a drain for every daemon; it lapses unless told again."""
-        for member in self.members.live():
-            if member.member_id != self.members.me.member_id:
-                self._news[member.member_id].draining.add(server_id)
-
-    def forget_leaving(self, server_id: str) -> None:
-        """Allows a server's leaving to be told anew."""
-        self._known_leaving.discard(server_id)
-
     def exchanged(self, told: peer_pb2.Envelope) -> peer_pb2.Envelope:
         """Takes in a probe and answers it."""
+        is_known = self._complete_sender(told)
         sender = told.sender.member_id
         is_new = sender not in self.members.rows
         self._take_in(told)
-        answer = self._envelope(self._news.pop(sender, PeerNews()))
+        answer = self._envelope(sender, told.sender.peer_address)
+        answer.who_is_it = not is_known
+        if told.who_is_it:
+            answer.sender.CopyFrom(codec.member_to_proto(self.members.me))
         if is_new:
             # A newcomer must know of the dead as well: started in a part of
             # the fleet that is cut off, it would take that part for all.
             del answer.updates[:]
+            answer.is_full = True
             answer.updates.extend(
                 codec.member_to_proto(row.member)
                 for row in self.members.rows.values()
             )
-        answer.updates.extend(self._accusations(told.sender.peer_address))
         return answer
 
+    def told(
+        self, sender_id: str, news: peer_pb2.News, reader: wire.NewsReader
+    ) -> None:
+        """Takes in a peer's news."""
+        self._news.take(sender_id, news, reader)
+
     def table(self, asked: peer_pb2.TableRequest) -> peer_pb2.TableReply:
         """Returns the table where it is newer than the one named."""
         table = self._keeper.table
@@ -225,10 +208,15 @@
             for row in self.members.rows.values()
             if row.member.state is not view.MemberState.DEAD
         }
-        for address in self._seeds:
-            own = address == self.members.me.peer_address
-            if not own and address not in known:
-                self._start_probe(address, "")
+        own = self.members.me.peer_address
+        unknown = [a for a in self._seeds if a != own and a not in known]
+        # One answer names all members. Asked all at once, hundreds of new
+        # connections would each take longer than a probe may, and every one
+        # of them would be given up and opened again.
+        if len(unknown) > SEEDS_AT_ONCE:
+            unknown = self.members.rng.sample(unknown, SEEDS_AT_ONCE)
+        for address in unknown:
+            self._start_probe(address, "")
 
     def _start_probe(self, address: str, member_id: str) -> None:
         if address in self._probing:
@@ -239,21 +227,23 @@
 
     async def _probe(self, address: str, member_id: str) -> None:
         self._probing.add(address)
-        waiting = self._news.pop(member_id, PeerNews())
-        message = self._envelope(waiting)
-        message.updates.extend(self._accusations(address))
+        message = self._envelope(member_id, address)
+        # Not known here, it may take this daemon for one that knows it.
+        message.who_is_it = not member_id
+        client = self._probes if member_id else self._client
         started_ms = self._runtime.clock.now_ms()
         try:
-            got = await self._client.exchange(address, message)
+            got = await client.exchange(address, message)
         finally:
             self._probing.discard(address)
         now_ms = self._runtime.clock.now_ms()
         if isinstance(got, Err):
-            self._give_back(member_id, waiting)
             if self.members.failed(member_id, now_ms=now_ms):
                 self._tell_core(now_ms)
             return
         answered = got.ok_value
+        self._complete_sender(answered)
+        self._note_introduced(answered)
         if member_id and answered.sender.member_id != member_id:
             # Another process answers at this address now.
             self.members.failed(member_id, now_ms=now_ms)
@@ -266,40 +256,60 @@
             now_ms=started_ms,
         )
 
-    def _give_back(self, member_id: str, waiting: PeerNews) -> None:
-        """Keeps the newest news for the next try."""
-        if not member_id or member_id not in self.members.rows:
-            return
-        row = self.members.rows[member_id]
-        if row.member.state is view.MemberState.DEAD:
-            return
-        kept = self._news[member_id]
-        kept.loads = {**waiting.loads, **kept.loads}
-        kept.digests = (waiting.digests + kept.digests)[-MAX_DIGESTS:]
-        kept.leaving |= waiting.leaving
-
-    def _envelope(self, waiting: PeerNews) -> peer_pb2.Envelope:
-        now_ms = self._runtime.clock.now_ms()
+    def _envelope(self, member_id: str, address: str) -> peer_pb2.Envelope:
         return peer_pb2.Envelope(
             protocol_version=exchange.PROTOCOL_VERSION,
-            sender=(
-                codec.member_to_proto(self.members.me)
-                if self._announced
-                else peer_pb2.Member()
-            ),
-            updates=[codec.member_to_proto(m) for m in self.members.updates()],
-            table_version=self._keeper.table.version,
-            demands=[codec.demand_to_proto(d) for d in self._demands()],
-            loads=[
-                codec.load_to_proto(load, now_ms=now_ms)
-                for load in waiting.loads.values()
+            sender=self._sender(member_id),
+            updates=[
+                codec.member_to_proto(member)
+                for member in (
+                    *self._accusations(member_id, address),
+                    *self.members.updates(),
+                )
             ],
-            digests=[codec.digest_to_proto(d) for d in waiting.digests],
-            leaving_servers=sorted(waiting.leaving),
-            draining_servers=sorted(waiting.draining),
+            table_version=self._keeper.table.version,
+            list_hash=self.list_hash(),
         )
 
-    def _accusations(self, address: str) -> list[peer_pb2.Member]:
+    def _sender(self, member_id: str) -> peer_pb2.Member:
+        """Returns this daemon's own entry as told to one member.
+
+        Its addresses are two thirds of a probe, and left out for a member
+        that has shown by an answer that it knows them.
+        """
+        if not self._announced:
+            return peer_pb2.Member()
+        me = self.members.me
+        if member_id not in self._introduced:
+            return codec.member_to_proto(me)
+        return peer_pb2.Member(
+            member_id=me.member_id,
+            refutation=me.refutation,
+            state=int(me.state),
+        )
+
+    def _note_introduced(self, answered: peer_pb2.Envelope) -> None:
+        if answered.who_is_it or not self._announced:
+            self._introduced.discard(answered.sender.member_id)
+        else:
+            self._introduced.add(answered.sender.member_id)
+
+    def _complete_sender(self, told: peer_pb2.Envelope) -> bool:
+        """Fills in what a sender left out; returns False if not known."""
+        sender = told.sender
+        if not sender.member_id or sender.peer_address:
+            return True
+        row = self.members.rows.get(sender.member_id)
+        if row is None:
+            # Forgotten here. Taken in, it would be a member without address.
+            sender.Clear()
+            return False
+        sender.peer_address = row.member.peer_address
+        sender.http_address = row.member.http_address
+        sender.failure_domain = row.member.failure_domain
+        return True
+
+    def _accusations(self, member_id: str, address: str) -> list[view.Member]:
         """Returns what to tell a daemon that is not held to be alive here.
 
         Two that lost each other for long hold each other dead, and the news
@@ -307,55 +317,30 @@
         neither can refute it, and each stays out of the other's fleet until
         it is forgotten.
         """
+        known = self.members.rows.get(member_id)
+        rows = (known,) if known else self.members.rows.values()
         return [
-            codec.member_to_proto(row.member)
-            for row in self.members.rows.values()
+            row.member
+            for row in rows
             if row.member.peer_address == address
             and row.member.state is not view.MemberState.ALIVE
         ]
 
-    def _demands(self) -> list[inputs.CellDemand]:
-        cells = self._runtime.core.world.shares.cells
-        return [
-            inputs.CellDemand(name, use.in_flight, use.wanted, use.rate_per_s)
-            for name, use in cells.items()
-            if use.in_flight or use.rate_per_s > 0.01
-        ]
-
     def _take_in(self, told: peer_pb2.Envelope) -> None:
         now_ms = self._runtime.clock.now_ms()
         changed = False
         for message in (told.sender, *told.updates):
             member = codec.member_from_proto(message)
             if member is not None and member.member_id:
-                changed |= self.members.heard(member, now_ms=now_ms)
-        self._take_news(told, now_ms)
+                changed |= self.members.heard(
+                    member, now_ms=now_ms, is_spread=told.is_full
+                )
+        if told.list_hash:
+            self.on_list_hash(told.sender.member_id, told.list_hash)
         self._compare_versions(told, now_ms)
         if changed:
             self._tell_core(now_ms)
 
-    def _take_news(self, told: peer_pb2.Envelope, now_ms: int) -> None:
-        submit = self._runtime.submit
-        for load in told.loads:
-            submit(codec.load_from_proto(load, now_ms=now_ms))
-        for digest in told.digests:
-            submit(codec.digest_from_proto(digest, now_ms=now_ms))
-        for server_id in told.draining_servers:
-            until_ms = now_ms + DRAIN_MS
-            submit(inputs.ServerDraining(now_ms, server_id, until_ms))
-        for server_id in told.leaving_servers:
-            submit(inputs.ServerLeaving(now_ms, server_id))
-        if not told.sender.member_id:
-            return
-        submit(
-            inputs.PeerDemand(
-                now_ms,
-                told.sender.member_id,
-                True,
-                tuple(codec.demand_from_proto(d) for d in told.demands),
-            )
-        )
-
     def _compare_versions(self, told: peer_pb2.Envelope, now_ms: int) -> None:
         own = self._keeper.table.version
         self._keeper.right.compared(
@@ -374,18 +359,14 @@
         self._keeper.right.compared(own=own, told=own, now_ms=now_ms)
         self._tell_core(now_ms)
 
-    def _audience(self, target: str) -> list[str]:
-        members = duty.audience(target, self.members.live())
-        own = self.members.me.member_id
-        return [m.member_id for m in members if m.member_id != own]
-
     def _tell_core(self, now_ms: int) -> None:
         live = frozenset(m.member_id for m in self.members.live())
         submit = self._runtime.submit
         if live != self._told_live:
             for gone in self._told_live - live:
                 submit(inputs.PeerDemand(now_ms, gone, False))
-                self._news.pop(gone, None)
+                self._news.peer_gone(gone)
+                self._introduced.discard(gone)
             submit(inputs.MembersChanged(now_ms, tuple(sorted(live))))
             self._told_live = live
         until_ms = self._keeper.right.until_ms(
@@ -397,4 +378,4 @@
             submit(inputs.RightToServe(now_ms, until_ms))
 
 
-__all__ = ["Gossiper", "PeerNews"]
+__all__ = ["Gossiper", "Prober"]
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -11,7 +11,7 @@
 
 from godwittack.backend import protocol as backend
 from godwittack.core import inputs
-from godwittack.daemon import gossip
+from godwittack.daemon import news as newses
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
 from godwittack.member import duty
@@ -21,6 +21,7 @@
 
     from godwittack.core import entities
     from godwittack.daemon import runtime
+    from godwittack.member import view
     from godwittack.platform import protocol as platform
 
 
@@ -39,7 +40,8 @@
         core: runtime.Runtime,
         client: backend.BackendClient,
         service: platform.TableService,
-        gossiper: gossip.Gossiper,
+        members: view.View,
+        news: newses.News,
         checks_fencing: Callable[[str], bool],
         policy: leases.LeasePolicy,
     ) -> None:
@@ -47,7 +49,8 @@
         self._core = core
         self._client = client
         self._service = service
-        self._gossiper = gossiper
+        self._members = members
+        self._news = news
         self._checks_fencing = checks_fencing
         self._policy = policy
         self._led: dict[str, _Led] = {}
@@ -76,18 +79,18 @@
         for server_id in decision.draining:
             self._core.submit(
                 inputs.ServerDraining(
-                    now_ms, server_id, now_ms + gossip.DRAIN_MS
+                    now_ms, server_id, now_ms + newses.DRAIN_MS
                 )
             )
-            self._gossiper.publish_draining(server_id)
+            self._news.publish_draining(server_id, model)
         for server_id in decision.load:
             await self._order(led, world.servers[server_id], wanted)
 
     def _own_models(self) -> list[str]:
         """Returns models with replicas that need new weights, and are ours."""
         world = self._core.core.world
-        members = self._gossiper.members.serving()
-        own = self._gossiper.members.me.member_id
+        members = self._members.serving()
+        own = self._members.me.member_id
         return [
             name
             for name, row in world.table.models.items()
@@ -102,7 +105,7 @@
         lease = leases.Lease(
             service=self._service,
             name=model,
-            holder=self._gossiper.members.me.member_id,
+            holder=self._members.me.member_id,
             policy=self._policy,
             clock=self._core.clock,
         )
--- /dev/null
+++ b/src/godwittack/daemon/listing.py
@@ -0,0 +1,192 @@
+"""Keeps the platform's instance list, read by a few daemons for all."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import xxhash
+from result import Err
+
+from godwittack.core import inputs
+from godwittack.member import duty
+from godwittack.platform import protocol as platform
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwittack.daemon import news as newses
+    from godwittack.daemon import runtime, watch
+    from godwittack.member import view
+
+Changes = dict[str, platform.Instance | None]
+
+# Age up to which a reading is told to others as the list's state.
+FRESH_MS = 5_000
+# A daemon that has heard of no reading for so long reads by itself.
+UNHEARD_MS = 60_000
+# Time in which news of a change should have come, where hashes differ.
+NEWS_MS = 3_000
+
+
+class ListWatcher:
+    """Reads the list, or hears of its changes from those that read it.
+
+    Readers tell all daemons what changed, and, with their probes, the hash of
+    the list they have. A daemon whose own hash differs for longer than news
+    takes has missed some, and reads the list once. So does one that hears of
+    no reader: they may be cut off, or all gone with a failure domain.
+    """
+
+    def __init__(
+        self,
+        *,
+        instances: platform.InstanceList,
+        core: runtime.Runtime,
+        members: view.View,
+        news: newses.News,
+        streams: watch.Streams,
+        on_entries: Callable[[frozenset[str]], None],
+    ) -> None:
+        """Reads `instances` into `streams`, daemons into `on_entries`."""
+        self._instances = instances
+        self._core = core
+        self._members = members
+        self._news = news
+        self._streams = streams
+        self._on_entries = on_entries
+        self._seen: dict[str, platform.Instance] = {}
+        self._hash = 0
+        self._read_at_ms = -UNHEARD_MS
+        self._heard_at_ms = -UNHEARD_MS
+        self._differs_since_ms = 0
+        self._told_hash = 0
+        news.on_listed = self.told
+
+    async def poll_forever(self, *, poll_ms: int) -> None:
+        """Reads the list again and again, where that falls to this daemon."""
+        while True:
+            if self.must_read():
+                await self.poll_once()
+            await asyncio.sleep(poll_ms / 1000)
+
+    def must_read(self) -> bool:
+        """Returns whether to read the list now."""
+        now_ms = self._core.clock.now_ms()
+        missed = (
+            self._told_hash not in (0, self._hash)
+            and now_ms - self._differs_since_ms >= NEWS_MS
+        )
+        unheard = now_ms - self._heard_at_ms >= UNHEARD_MS
+        return missed or unheard or self._is_reader()
+
+    async def poll_once(self) -> None:
+        """Reads the list once; keeps the last one while it is down."""
+        got = await self._instances.instances()
+        if isinstance(got, Err):
+            return
+        self._read_at_ms = self._core.clock.now_ms()
+        self._told_hash = 0
+        changes = self._put(
+            {instance.name: instance for instance in got.ok_value}
+        )
+        if changes and self._is_reader() and not self._all_read():
+            self._news.publish_listed(changes)
+
+    def told(self, changes: Changes) -> None:
+        """Takes in what a reader says has changed."""
+        listed = dict(self._seen)
+        for name, instance in changes.items():
+            if instance is None:
+                listed.pop(name, None)
+            else:
+                listed[name] = instance
+        self._put(listed)
+
+    def list_hash(self) -> int:
+        """Returns what a reader tells of the list; 0 for nothing to tell."""
+        age_ms = self._core.clock.now_ms() - self._read_at_ms
+        if age_ms > FRESH_MS or self._all_read() or not self._is_reader():
+            return 0
+        return self._hash
+
+    def hash_told(self, sender_id: str, told: int) -> None:
+        """Takes in which list a reader has."""
+        readers = duty.list_readers(self._members.live())
+        if sender_id not in {member.member_id for member in readers}:
+            return
+        now_ms = self._core.clock.now_ms()
+        self._heard_at_ms = now_ms
+        if told == self._hash:
+            self._told_hash = 0
+        elif self._told_hash == 0:
+            self._differs_since_ms = now_ms
+            self._told_hash = told
+
+    def checks_fencing_of(self, server_id: str) -> bool:
+        """Returns whether a server refuses orders with an old number."""
+        instance = self._seen.get(server_id)
+        return instance is not None and instance.checks_fencing
+
+    def _is_reader(self) -> bool:
+        own = self._members.me.member_id
+        readers = duty.list_readers(self._members.live())
+        return own in {member.member_id for member in readers}
+
+    def _all_read(self) -> bool:
+        return len(self._members.live()) <= duty.MESH_LIMIT
+
+    def _put(self, listed: dict[str, platform.Instance]) -> Changes:
+        """Puts a list in force and returns what is new in it."""
+        changes: Changes = {
+            name: instance
+            for name, instance in listed.items()
+            if self._seen.get(name) != instance
+        }
+        changes.update(dict.fromkeys(self._seen.keys() - listed.keys()))
+        if not changes:
+            return changes
+        for name, instance in changes.items():
+            self._tell_core(name, instance)
+        self._seen = listed
+        self._hash = fingerprint(listed)
+        self._on_entries(
+            frozenset(
+                instance.address
+                for instance in listed.values()
+                if instance.role is platform.InstanceRole.ENTRY
+            )
+        )
+        return changes
+
+    def _tell_core(self, name: str, instance: platform.Instance | None) -> None:
+        now_ms = self._core.clock.now_ms()
+        before = self._seen.get(name)
+        known = instance or before
+        if known is None or known.role is platform.InstanceRole.ENTRY:
+            return
+        self._streams.listed.on_next(
+            inputs.ServerListed(at_ms=now_ms, server_id=name, gone=True)
+            if instance is None
+            else _listed(instance, now_ms)
+        )
+
+
+def fingerprint(listed: dict[str, platform.Instance]) -> int:
+    """Returns the hash by which daemons compare their lists, never 0."""
+    text = "\n".join(repr(listed[name]) for name in sorted(listed))
+    return xxhash.xxh3_64_intdigest(text.encode()) or 1
+
+
+def _listed(instance: platform.Instance, now_ms: int) -> inputs.ServerListed:
+    return inputs.ServerListed(
+        at_ms=now_ms,
+        server_id=instance.name,
+        address=instance.address,
+        target=instance.target,
+        failure_domain=instance.failure_domain,
+        leaving=instance.leaving,
+    )
+
+
+__all__ = ["Changes", "ListWatcher", "fingerprint"]
--- /dev/null
+++ b/src/godwittack/daemon/news.py
@@ -0,0 +1,300 @@
+"""Tells other daemons news of backend servers and demand, and takes theirs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+from absl import logging
+from result import Err, Result
+
+from godwittack.core import inputs
+from godwittack.daemon import demand
+from godwittack.member import duty
+from godwittack.peer import codec, peer_pb2, pending, wire
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from godwittack.clock import Clock
+    from godwittack.daemon import runtime as runtimes
+    from godwittack.member import view
+    from godwittack.peer import exchange
+    from godwittack.platform import protocol as platform
+
+# How long a drain holds at a daemon that hears no more of it.
+DRAIN_MS = 3_000
+RETRY_MS = 500
+# A stream to a peer that has been told nothing for so long is closed.
+IDLE_MS = 10_000
+
+
+class NewsStream(Protocol):
+    """An open stream of news to one peer."""
+
+    async def send(
+        self, news: peer_pb2.News
+    ) -> Result[None, exchange.PeerError]:
+        """Sends a message; after an error the stream is of no more use."""
+
+    def close(self) -> None:
+        """Ends the stream."""
+
+
+class NewsClient(Protocol):
+    """Opens streams of news."""
+
+    def open_news(self, address: str) -> NewsStream:
+        """Returns a stream to a peer; opens with the first message."""
+
+
+class News:
+    """This daemon's news to others, one stream a peer, and theirs to it.
+
+    Probes go to few peers in turn and carry what every daemon must know; news
+    goes to the peers that it concerns. A message on an open stream costs a
+    sixth of the processor time of a call of its own (`bench capacity`).
+
+    Attributes:
+        on_listed: Told the changed entries of the instance list that a peer
+            has read.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: view.View,
+        runtime: runtimes.Runtime,
+        client: NewsClient,
+    ) -> None:
+        """Tells and takes news for the member `members.me`."""
+        self.on_listed: Callable[
+            [dict[str, platform.Instance | None]], None
+        ] = lambda changes: None
+        self._members = members
+        self._runtime = runtime
+        self._client = client
+        self._lines: dict[str, _Line] = {}
+        self._known_leaving: set[str] = set()
+        self._audiences: dict[str, list[view.Member]] = {}
+        self._audiences_for: list[view.Member] = []
+
+    async def tell_forever(self, *, news_ms: int) -> None:
+        """Sends what waits, each period."""
+        while True:
+            await asyncio.sleep(news_ms / 1000)
+            self.flush()
+
+    def flush(self) -> None:
+        """Sends what waits, and this daemon's demand where it changed."""
+        self._add_demands()
+        now_ms = self._runtime.clock.now_ms()
+        for name, line in list(self._lines.items()):
+            line.wake()
+            if now_ms - line.used_at_ms > IDLE_MS and not line.demands_told:
+                self._lines.pop(name).close()
+
+    def publish_load(self, load: inputs.LoadReported, target: str) -> None:
+        """Queues a load report for the daemons that serve its model."""
+        for line in self._lines_of(self.audience(target)):
+            line.pending.loads[load.server_id] = load
+
+    def publish_digest(self, digest: inputs.CacheDigest, target: str) -> None:
+        """Queues a cache digest for the daemons that serve its model."""
+        for line in self._lines_of(self.audience(target)):
+            line.pending.digests.append(digest)
+            del line.pending.digests[: -pending.MAX_DIGESTS]
+
+    def publish_leaving(self, server_id: str) -> None:
+        """Tells every daemon of a server's leaving, once."""
+        if server_id in self._known_leaving:
+            return
+        self._known_leaving.add(server_id)
+        for line in self._lines_of(self._members.live()):
+            line.pending.leaving.add(server_id)
+            line.wake()
+
+    def forget_leaving(self, server_id: str) -> None:
+        """Allows a server's leaving to be told anew."""
+        self._known_leaving.discard(server_id)
+
+    def publish_draining(self, server_id: str, target: str) -> None:
+        """Tells the daemons that serve a model; lapses unless told again."""
+        for line in self._lines_of(self.audience(target)):
+            line.pending.draining.add(server_id)
+            line.wake()
+
+    def publish_listed(
+        self, changes: dict[str, platform.Instance | None]
+    ) -> None:
+        """Tells every daemon what changed in the instance list."""
+        for line in self._lines_of(self._members.live()):
+            line.pending.listed.update(changes)
+            line.wake()
+
+    def take(
+        self, sender_id: str, told: peer_pb2.News, reader: wire.NewsReader
+    ) -> None:
+        """Takes in a peer's news, as the reader of its stream reads them."""
+        now_ms = self._runtime.clock.now_ms()
+        submit = self._runtime.submit
+        for load in reader.loads(told, now_ms=now_ms):
+            submit(load)
+        for digest in reader.digests(told, now_ms=now_ms):
+            submit(digest)
+        for server_id in told.draining_servers:
+            until_ms = now_ms + DRAIN_MS
+            submit(inputs.ServerDraining(now_ms, server_id, until_ms))
+        for server_id in told.leaving_servers:
+            submit(inputs.ServerLeaving(now_ms, server_id))
+        if told.has_demands and sender_id:
+            cells = tuple(codec.demand_from_proto(d) for d in told.demands)
+            submit(inputs.PeerDemand(now_ms, sender_id, True, cells))
+        if told.listed:
+            self.on_listed(codec.listed_from_proto(told.listed))
+
+    def audience(self, target: str) -> list[view.Member]:
+        """Returns the members that hear of a model's or service's servers."""
+        members = self._members.live()
+        if members is not self._audiences_for:
+            self._audiences_for = members
+            self._audiences.clear()
+        found = self._audiences.get(target)
+        if found is None:
+            found = duty.audience(target, members)
+            self._audiences[target] = found
+        return found
+
+    def peer_gone(self, member_id: str) -> None:
+        """Drops what waits for a dead peer."""
+        line = self._lines.pop(member_id, None)
+        if line is not None:
+            line.close()
+
+    def close(self) -> None:
+        """Ends all streams."""
+        for name in list(self._lines):
+            self.peer_gone(name)
+
+    def _lines_of(self, members: Iterable[view.Member]) -> list[_Line]:
+        own = self._members.me.member_id
+        return [self._line(m) for m in members if m.member_id != own]
+
+    def _line(self, member: view.Member) -> _Line:
+        line = self._lines.get(member.member_id)
+        if line is None:
+            line = self._lines[member.member_id] = _Line(
+                own_id=self._members.me.member_id,
+                address=member.peer_address,
+                client=self._client,
+                clock=self._runtime.clock,
+            )
+        return line
+
+    def _add_demands(self) -> None:
+        """Queues each cell's demand for those that may split its limit."""
+        demands = self._demands()
+        told = demand.by_member(
+            demands,
+            shares=self._runtime.core.world.shares,
+            members=self._members.live(),
+        )
+        concerned = [m for m in self._members.live() if m.member_id in told]
+        self._lines_of(concerned)
+        for name, line in self._lines.items():
+            line.tell_demands(tuple(told.get(name, ())))
+
+    def _demands(self) -> tuple[inputs.CellDemand, ...]:
+        """Returns this daemon's demand, rounded so that noise is not told."""
+        cells = self._runtime.core.world.shares.cells
+        rounded = (
+            inputs.CellDemand(
+                name,
+                use.in_flight,
+                round(use.wanted, 1),
+                round(use.rate_per_s, 1),
+            )
+            for name, use in cells.items()
+        )
+        return tuple(
+            cell
+            for cell in rounded
+            if cell.in_flight or cell.wanted or cell.rate_per_s
+        )
+
+
+class _Line:
+    """What waits for one peer, and the stream to it."""
+
+    def __init__(
+        self,
+        *,
+        own_id: str,
+        address: str,
+        client: NewsClient,
+        clock: Clock,
+    ) -> None:
+        self.pending = pending.PendingNews()
+        self.demands_told: tuple[inputs.CellDemand, ...] = ()
+        self.used_at_ms = clock.now_ms()
+        self._own_id = own_id
+        self._address = address
+        self._client = client
+        self._clock = clock
+        self._stream: NewsStream | None = None
+        self._writer = wire.NewsWriter()
+        self._due = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def tell_demands(self, demands: tuple[inputs.CellDemand, ...]) -> None:
+        """Queues the demand where it is not the one told last."""
+        if demands != self.demands_told:
+            self.demands_told = demands
+            self.pending.demands = demands
+
+    def wake(self) -> None:
+        """Has what waits sent now."""
+        if not self.pending.is_empty():
+            self._due.set()
+
+    def close(self) -> None:
+        """Ends the stream; what waits is lost."""
+        self._task.cancel()
+        if self._stream is not None:
+            self._stream.close()
+
+    async def _run(self) -> None:
+        while True:
+            await self._due.wait()
+            self._due.clear()
+            news, self.pending = self.pending, pending.PendingNews()
+            if await self._send(news):
+                continue
+            self.pending = news.followed_by(self.pending)
+            await asyncio.sleep(RETRY_MS / 1000)
+            self._due.set()
+
+    async def _send(self, news: pending.PendingNews) -> bool:
+        self.used_at_ms = self._clock.now_ms()
+        opens = self._stream is None
+        if self._stream is None:
+            self._stream = self._client.open_news(self._address)
+            self._writer = wire.NewsWriter()
+            # What was told on a stream that broke may not have arrived.
+            news.demands = self.demands_told
+        message = self._writer.write(news, now_ms=self._clock.now_ms())
+        if opens:
+            message.sender_id = self._own_id
+        got = await self._stream.send(message)
+        if isinstance(got, Err):
+            logging.info(
+                "event=news_lost peer=%s detail=%s",
+                self._address,
+                got.err_value.detail,
+            )
+            self._stream = None
+            return False
+        return True
+
+
+__all__ = ["DRAIN_MS", "News", "NewsClient", "NewsStream"]
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -21,6 +21,8 @@
     change,
     gossip,
     lead,
+    listing,
+    news,
     observer,
     runtime,
     tables,
@@ -30,7 +32,7 @@
 from godwittack.lead import lease as leases
 from godwittack.member import view
 from godwittack.metric import meters
-from godwittack.peer import exchange
+from godwittack.peer import datagram, exchange
 from godwittack.platform import http as platform_http
 from godwittack.report import ledger
 from godwittack.session import record
@@ -96,7 +98,12 @@
         self._peers = exchange.PeerClient(
             secret=loaded.cluster_secret,
             timeout_ms=settings.peer_timeout_ms,
-            count_bytes=self._meters.peer_bytes.add,
+            count_bytes=self._meters.count_peer_bytes,
+        )
+        self._probes = datagram.DatagramPeers(
+            secret=loaded.cluster_secret,
+            timeout_ms=settings.peer_timeout_ms,
+            count_bytes=self._meters.count_peer_bytes,
         )
         members = view.View(
             me=me,
@@ -112,24 +119,35 @@
             right=view.ServeRight(settings.member_policy()),
             rng=rng,
         )
+        self._news = news.News(
+            members=members, runtime=self.runtime, client=self._peers
+        )
         self.gossiper = gossip.Gossiper(
             members=members,
             runtime=self.runtime,
             keeper=self._keeper,
             client=self._peers,
+            probes=self._probes,
+            news=self._news,
             counts=counts,
             seeds=settings.seeds,
         )
         self._streams = watch.Streams()
-        self._lists = watch.ListWatcher(
+        self._lists = listing.ListWatcher(
             instances=platform,
+            core=self.runtime,
+            members=members,
+            news=self._news,
             streams=self._streams,
             on_entries=self.gossiper.entries_listed,
         )
+        self.gossiper.list_hash = self._lists.list_hash
+        self.gossiper.on_list_hash = self._lists.hash_told
         self._servers = watch.ServerWatcher(
             core=self.runtime,
             client=backend,
-            gossiper=self.gossiper,
+            members=members,
+            news=self._news,
             streams=self._streams,
             load_poll_ms=settings.load_poll_ms,
         )
@@ -137,12 +155,15 @@
             core=self.runtime,
             client=backend,
             service=platform,
-            gossiper=self.gossiper,
+            members=members,
+            news=self._news,
             checks_fencing=self._lists.checks_fencing_of,
             policy=leases.LeasePolicy(lease_ms=settings.lease_ms),
         )
         self._peer_server = exchange.PeerServer(
-            handler=self.gossiper, secret=loaded.cluster_secret
+            handler=self.gossiper,
+            secret=loaded.cluster_secret,
+            count_bytes=self._meters.count_peer_bytes,
         )
         self._app = self._build_app(loaded, store, counts)
         self._loops: list[asyncio.Task[None]] = []
@@ -158,7 +179,10 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         await self._peer_server.start(self._settings.peer_address)
-        self._streams.connect(core=self.runtime, gossiper=self.gossiper)
+        await self._probes.start(
+            self._settings.peer_address, handler=self.gossiper
+        )
+        self._streams.connect(core=self.runtime, news=self._news)
         await self._prepare()
         self._start_loops()
         runner = await self._listen()
@@ -180,7 +204,7 @@
             for row in self.gossiper.members.rows.values()
         ]
         await self._keeper.load_first(addresses)
-        await self._lists.poll_once(self.runtime)
+        await self._lists.poll_once()
         await self._servers.ask_unknown()
         self._servers.assign()
 
@@ -188,12 +212,9 @@
         settings = self._settings
         self._spawn(self.runtime.tick_forever(tick_ms=settings.tick_ms))
         self._spawn(self.gossiper.gossip_forever(gossip_ms=settings.gossip_ms))
+        self._spawn(self._news.tell_forever(news_ms=settings.news_ms))
         self._spawn(self._keeper.poll_forever(poll_ms=settings.table_poll_ms))
-        self._spawn(
-            self._lists.poll_forever(
-                core=self.runtime, poll_ms=settings.list_poll_ms
-            )
-        )
+        self._spawn(self._lists.poll_forever(poll_ms=settings.list_poll_ms))
         self._spawn(self._servers.assign_forever())
         self._spawn(self._leader.lead_forever(step_ms=settings.lead_step_ms))
 
@@ -241,9 +262,11 @@
             task.cancel()
         await asyncio.gather(*self._loops, return_exceptions=True)
         self._servers.close()
+        self._news.close()
         await self.runtime.close()
         await self._peer_server.stop(grace_ms=100)
         await self._peers.close()
+        self._probes.close()
         self._meters.close()
         logging.info("event=stopped")
 
--- a/src/godwittack/daemon/watch.py
+++ b/src/godwittack/daemon/watch.py
@@ -1,4 +1,4 @@
-"""Follows backend servers: the instance list, loads and cache events."""
+"""Follows backend servers: their loads and cache events."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 from godwittack.backend import protocol as backend
 from godwittack.core import inputs
 from godwittack.daemon import digest as digests
+from godwittack.daemon import loads
 from godwittack.member import duty
-from godwittack.platform import protocol as platform
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from godwittack.core import entities
-    from godwittack.daemon import gossip, runtime
+    from godwittack.daemon import news as newses
+    from godwittack.daemon import runtime
+    from godwittack.member import view
 
 DIGEST_MS = 500
 EVENTS_RETRY_MS = 500
@@ -42,73 +42,14 @@
         self.watched: subject.Subject[Watched] = subject.Subject()
         self.listed: subject.Subject[inputs.ServerListed] = subject.Subject()
 
-    def connect(
-        self, *, core: runtime.Runtime, gossiper: gossip.Gossiper
-    ) -> None:
+    def connect(self, *, core: runtime.Runtime, news: newses.News) -> None:
         """Subscribes the core, and the daemons that serve the model."""
-        news: reactivex.Observable[Watched] = self.watched
-        news.subscribe(on_next=lambda item: core.submit(item.told))
-        news.subscribe(on_next=lambda item: _publish(gossiper, item))
+        watched: reactivex.Observable[Watched] = self.watched
+        watched.subscribe(on_next=lambda item: core.submit(item.told))
+        watched.subscribe(on_next=_Publisher(news).publish)
         self.listed.subscribe(on_next=core.submit)
 
 
-class ListWatcher:
-    """Reads the platform's instance list into the core."""
-
-    def __init__(
-        self,
-        *,
-        instances: platform.InstanceList,
-        streams: Streams,
-        on_entries: Callable[[frozenset[str]], None],
-    ) -> None:
-        """Reads `instances` into `streams`, daemons into `on_entries`."""
-        self._instances = instances
-        self._on_entries = on_entries
-        self._streams = streams
-        self._seen: dict[str, platform.Instance] = {}
-
-    async def poll_forever(
-        self, *, core: runtime.Runtime, poll_ms: int
-    ) -> None:
-        """Reads the list again and again."""
-        while True:
-            await self.poll_once(core)
-            await asyncio.sleep(poll_ms / 1000)
-
-    def checks_fencing_of(self, server_id: str) -> bool:
-        """Returns whether a server refuses orders with an old number."""
-        instance = self._seen.get(server_id)
-        return instance is not None and instance.checks_fencing
-
-    async def poll_once(self, core: runtime.Runtime) -> None:
-        """Reads the list once; keeps the last one while it is down."""
-        got = await self._instances.instances()
-        if isinstance(got, Err):
-            return
-        self._on_entries(
-            frozenset(
-                i.address
-                for i in got.ok_value
-                if i.role is platform.InstanceRole.ENTRY
-            )
-        )
-        now_ms = core.clock.now_ms()
-        listed = {
-            i.name: i
-            for i in got.ok_value
-            if i.role is not platform.InstanceRole.ENTRY
-        }
-        for name in self._seen.keys() - listed.keys():
-            self._streams.listed.on_next(
-                inputs.ServerListed(at_ms=now_ms, server_id=name, gone=True)
-            )
-        for name, instance in listed.items():
-            if self._seen.get(name) != instance:
-                self._streams.listed.on_next(_listed(instance, now_ms))
-        self._seen = listed
-
-
 class ServerWatcher:
     """Follows the servers that fall to this daemon by rendezvous."""
 
@@ -117,20 +58,23 @@
         *,
         core: runtime.Runtime,
         client: backend.BackendClient,
-        gossiper: gossip.Gossiper,
+        members: view.View,
+        news: newses.News,
         streams: Streams,
         load_poll_ms: int,
     ) -> None:
         """Watches for `core` and tells `streams`."""
         self._core = core
         self._client = client
-        self._gossiper = gossiper
+        self._members = members
+        self._news = news
         self._streams = streams
         self._load_poll_ms = load_poll_ms
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._addresses: dict[str, str] = {}
         self._duties: set[str] = set()
-        self._ranked_for: tuple[frozenset[str], frozenset[str]] | None = None
+        self._ranked_live: list[view.Member] = []
+        self._ranked_names: frozenset[str] = frozenset()
 
     async def assign_forever(self) -> None:
         """Takes on and gives up servers as daemons come and go."""
@@ -155,17 +99,17 @@
     def _own_duties(self) -> set[str]:
         """Returns the servers that fall to this daemon.
 
-        Ranked anew only when daemons or servers came or went: among 340
-        daemons and 600 servers each ranking of all takes 15 ms.
+        Ranked anew only when daemons or servers came or went.
         """
-        members = self._gossiper.members.live()
-        servers = frozenset(self._core.core.world.servers)
-        seen = (frozenset(m.member_id for m in members), servers)
-        if seen != self._ranked_for:
-            own = self._gossiper.members.me.member_id
-            self._ranked_for = seen
+        servers = self._core.core.world.servers
+        live, names = self._members.live(), frozenset(servers)
+        if live is not self._ranked_live or names != self._ranked_names:
+            own = self._members.me.member_id
+            self._ranked_live, self._ranked_names = live, names
             self._duties = {
-                name for name in servers if duty.watcher(name, members) == own
+                name
+                for name, row in servers.items()
+                if duty.watcher(name, self._news.audience(row.target)) == own
             }
         return self._duties
 
@@ -175,15 +119,14 @@
         A daemon that listens before it knows any engine's incarnation would
         refuse its first callers: a cold start, seen as `no_server`.
         """
-        members = self._gossiper.members.live()
-        own = self._gossiper.members.me.member_id
+        own = self._members.me.member_id
         unknown = [
             row
             for row in self._core.core.world.servers.values()
             if not row.incarnation
             and any(
                 member.member_id == own
-                for member in duty.audience(row.target, members)
+                for member in self._news.audience(row.target)
             )
         ]
         await asyncio.gather(*(self._ask(row) for row in unknown))
@@ -208,7 +151,7 @@
 
     async def _poll_load(self, row: entities.ServerRow) -> None:
         while True:
-            got = await self._client.load(row.address)
+            got = await self._client.poll_load(row.address)
             if not isinstance(got, Err):
                 self._tell_load(row, got.ok_value)
             await asyncio.sleep(self._load_poll_ms / 1000)
@@ -219,9 +162,9 @@
         told = _report(row, load, self._core)
         self._streams.watched.on_next(Watched(row.target, told))
         if load.leaving:
-            self._gossiper.publish_leaving(row.server_id)
+            self._news.publish_leaving(row.server_id)
         else:
-            self._gossiper.forget_leaving(row.server_id)
+            self._news.forget_leaving(row.server_id)
 
     async def _follow_cache(self, row: entities.ServerRow) -> None:
         digester = digests.Digester(row.server_id)
@@ -257,23 +200,20 @@
     )
 
 
-def _publish(gossiper: gossip.Gossiper, item: Watched) -> None:
-    match item.told:
-        case inputs.LoadReported():
-            gossiper.publish_load(item.told, item.target)
-        case inputs.CacheDigest():
-            gossiper.publish_digest(item.told, item.target)
+class _Publisher:
+    """Passes on what other daemons should hear of."""
 
+    def __init__(self, news: newses.News) -> None:
+        self._news = news
+        self._loads = loads.LoadFilter()
 
-def _listed(instance: platform.Instance, now_ms: int) -> inputs.ServerListed:
-    return inputs.ServerListed(
-        at_ms=now_ms,
-        server_id=instance.name,
-        address=instance.address,
-        target=instance.target,
-        failure_domain=instance.failure_domain,
-        leaving=instance.leaving,
-    )
+    def publish(self, item: Watched) -> None:
+        match item.told:
+            case inputs.LoadReported():
+                if self._loads.is_news(item.told):
+                    self._news.publish_load(item.told, item.target)
+            case inputs.CacheDigest():
+                self._news.publish_digest(item.told, item.target)
 
 
-__all__ = ["ListWatcher", "ServerWatcher", "Streams", "Watched"]
+__all__ = ["ServerWatcher", "Streams", "Watched"]
--- a/src/godwittack/limit/shares.py
+++ b/src/godwittack/limit/shares.py
@@ -6,6 +6,8 @@
 import dataclasses
 import math
 
+from godwittack.member import duty
+
 WINDOW_MS = 500
 # Part of a window's demand that enters the figure told. Shares that follow
 # each window move all the time, and every move overshoots: the daemon that
@@ -67,6 +69,8 @@
     Attributes:
         daemon: This daemon's name among the others.
         live: All live daemons.
+        groups: Daemons that split a cell, by its name. Used in a large fleet
+            only, where few daemons see the requests of one workspace.
     """
 
     daemon: str = ""
@@ -77,6 +81,9 @@
     told: dict[str, dict[str, Told]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(dict)
     )
+    groups: dict[str, set[str]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(set)
+    )
     _window_from_ms: int = -WINDOW_MS
     _window: int = 0
     _recent: dict[str, collections.deque[tuple[int, float]]] = (
@@ -149,7 +156,10 @@
         self, *, daemon: str, cell: str, wanted: float, rate_per_s: float
     ) -> None:
         """Takes in a peer's demand."""
-        self.told[cell][daemon] = Told(wanted, rate_per_s)
+        if wanted or rate_per_s:
+            self.told[cell][daemon] = Told(wanted, rate_per_s)
+        else:
+            self.told[cell].pop(daemon, None)
 
     def peer_gone(self, daemon: str) -> None:
         """Forgets a dead peer, so that its share returns to the others."""
@@ -199,7 +209,11 @@
     def _known(self, cell: str) -> dict[str, Told]:
         told = self.told[cell]
         none = Told(0.0, 0.0)
-        names = self.live | {self.daemon}
+        # Among hundreds of daemons few see a cell's requests; the rest would
+        # each hold a part of its free room that nobody uses.
+        everyone = len(self.live) <= duty.MESH_LIMIT
+        some = self.groups[cell] | told.keys()
+        names = (self.live if everyone else some) | {self.daemon}
         return {name: told.get(name, none) for name in sorted(names)}
 
 
--- a/src/godwittack/member/duty.py
+++ b/src/godwittack/member/duty.py
@@ -16,14 +16,23 @@
 MESH_LIMIT = 16
 # Daemons that hear of one model's servers in a large fleet.
 AUDIENCE = 24
+# Daemons that read the instance list for a large fleet.
+LIST_READERS = 3
 # Daemons among which `where` keeps one workspace's requests for one model.
 WHERE_GROUP = 3
 
 
-def watcher(server_id: str, members: list[view.Member]) -> str | None:
-    """Returns the member that follows a backend server."""
+def watcher(server_id: str, audience: list[view.Member]) -> str | None:
+    """Returns the member that follows a backend server.
+
+    Args:
+        server_id: Name of the server.
+        audience: Members that hear of its model or service; the watcher is
+            one of them, so that its news goes to peers that it tells of other
+            servers and of demand as well.
+    """
     return rendezvous.owner(
-        f"watch/{server_id}", [member.member_id for member in members]
+        f"watch/{server_id}", [member.member_id for member in audience]
     )
 
 
@@ -37,6 +46,17 @@
     )
 
 
+def list_readers(members: list[view.Member]) -> list[view.Member]:
+    """Returns the members that read the platform's instance list for all.
+
+    Read by hundreds of daemons each second, the list would be most of what
+    they receive.
+    """
+    if len(members) <= MESH_LIMIT:
+        return members
+    return _first("instance-list", members, LIST_READERS)
+
+
 def audience(target: str, members: list[view.Member]) -> list[view.Member]:
     """Returns the members that hear of a model's backend servers."""
     if len(members) <= MESH_LIMIT:
@@ -44,6 +64,22 @@
     return _first(f"model/{target}", members, AUDIENCE)
 
 
+def audience_names(target: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the same by member id, among sorted ids."""
+    return _rank(f"model/{target}", names)[:AUDIENCE]
+
+
+def group_names(
+    workspace: str, target: str, names: tuple[str, ...]
+) -> tuple[str, ...]:
+    """Returns the ids of those that serve a workspace's requests for a target.
+
+    They are the ones that `where` names first, unless one is suspected.
+    """
+    heard = tuple(sorted(audience_names(target, names)))
+    return _rank(f"where/{workspace}/{target}", heard)[:WHERE_GROUP]
+
+
 def where(
     *,
     workspace: str,
@@ -66,18 +102,23 @@
     key: str, members: list[view.Member], count: int
 ) -> list[view.Member]:
     by_name = {member.member_id: member for member in members}
-    names = rendezvous.rank(
-        xxhash.xxh3_64_intdigest(key.encode()), tuple(sorted(by_name))
-    )
+    names = _rank(key, tuple(sorted(by_name)))
     return [by_name[name] for name in names[:count]]
 
 
+def _rank(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    return rendezvous.rank(xxhash.xxh3_64_intdigest(key.encode()), names)
+
+
 __all__ = [
     "AUDIENCE",
     "MESH_LIMIT",
     "WHERE_GROUP",
     "audience",
+    "audience_names",
+    "group_names",
     "leader",
+    "list_readers",
     "watcher",
     "where",
 ]
--- a/src/godwittack/member/view.py
+++ b/src/godwittack/member/view.py
@@ -9,6 +9,8 @@
 
 ENVELOPE_UPDATES = 12
 RETRANSMIT_FACTOR = 4
+# More transmissions than any state needs.
+SPREAD = 1_000
 
 
 class MemberState(enum.IntEnum):
@@ -114,14 +116,21 @@
     expected: int = 1
     rows: dict[str, MemberRow] = dataclasses.field(default_factory=dict)
     _order: list[str] = dataclasses.field(default_factory=list)
+    _live: list[Member] | None = None
 
     def live(self) -> list[Member]:
-        """Returns members believed alive, this one included, by id."""
-        found = [self.me]
-        for row in self.rows.values():
-            if row.member.state is not MemberState.DEAD:
-                found.append(row.member)
-        return sorted(found, key=lambda member: member.member_id)
+        """Returns members believed alive, this one included, by id.
+
+        The same list until a member changes; it is asked for with each
+        message.
+        """
+        if self._live is None:
+            found = [self.me]
+            for row in self.rows.values():
+                if row.member.state is not MemberState.DEAD:
+                    found.append(row.member)
+            self._live = sorted(found, key=lambda member: member.member_id)
+        return self._live
 
     def serving(self) -> list[Member]:
         """Returns live members that are neither suspected nor leaving."""
@@ -137,8 +146,14 @@
         if len(live) <= self.policy.fanout:
             return live
         by_id = {member.member_id: member for member in live}
-        chosen: list[Member] = []
-        while len(chosen) < self.policy.fanout:
+        # Among hundreds a member's turn comes after most of a minute. One
+        # that failed is asked again at once, or its death would show that
+        # late.
+        chosen = self._failing()
+        for member in chosen:
+            del by_id[member.member_id]
+        most = min(len(live), len(chosen) + self.policy.fanout)
+        while len(chosen) < most:
             if not self._order:
                 self._order = sorted(by_id)
                 self.rng.shuffle(self._order)
@@ -147,6 +162,14 @@
                 chosen.append(by_id.pop(name))
         return chosen
 
+    def _failing(self) -> list[Member]:
+        found = [
+            row.member
+            for row in self.rows.values()
+            if row.failed_pings and row.member.state is not MemberState.DEAD
+        ]
+        return found[: self.policy.fanout]
+
     def updates(self) -> list[Member]:
         """Returns the member states to pass on, the least told ones first."""
         limit = RETRANSMIT_FACTOR * math.ceil(math.log2(len(self.rows) + 2))
@@ -157,8 +180,17 @@
             row.transmissions += 1
         return [row.member for row in chosen]
 
-    def heard(self, told: Member, *, now_ms: int) -> bool:
-        """Takes in a member's state; returns True where it is news."""
+    def heard(
+        self, told: Member, *, now_ms: int, is_spread: bool = False
+    ) -> bool:
+        """Takes in a member's state; returns True where it is news.
+
+        Args:
+            told: The member.
+            now_ms: Time of hearing.
+            is_spread: Whether everyone has heard it long ago. A newcomer that
+                passed on each of hundreds would do so for a minute.
+        """
         if told.member_id == self.me.member_id:
             return self._refute(told)
         row = self.rows.get(told.member_id)
@@ -171,7 +203,9 @@
                 member=told,
                 since_ms=now_ms,
                 left=told.state is MemberState.LEAVING,
+                transmissions=SPREAD if is_spread else 0,
             )
+            self._live = None
             return True
         known = (row.member.refutation, row.member.state)
         if (told.refutation, told.state) <= known:
@@ -233,11 +267,13 @@
                 and may_forget
             ):
                 del self.rows[name]
+                self._live = None
         return changed
 
     def leave(self) -> None:
         """Marks this daemon as leaving; the next probes tell the others."""
         self.me = dataclasses.replace(self.me, state=MemberState.LEAVING)
+        self._live = None
 
     def known(self) -> int:
         """Returns how many daemons there should be, this one included."""
@@ -272,6 +308,7 @@
         if not accused or told.refutation < self.me.refutation:
             return False
         self.me = dataclasses.replace(self.me, refutation=told.refutation + 1)
+        self._live = None
         return True
 
     def _is_replaced(self, told: Member) -> bool:
@@ -293,8 +330,10 @@
         for name, row in list(self.rows.items()):
             if row.member.peer_address == told.peer_address:
                 del self.rows[name]
+                self._live = None
 
     def _set(self, row: MemberRow, member: Member, now_ms: int) -> None:
+        self._live = None
         row.member = member
         row.since_ms = now_ms
         row.transmissions = 0
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -35,8 +35,13 @@
             "godwittack_prompt_tokens", description="By source"
         )
         self._retries = meter.create_counter("godwittack_retries")
-        self.peer_bytes = meter.create_counter(
-            "godwittack_peer_bytes", unit="By"
+        # Counted with each message: an instrument's own count takes as long
+        # as reading the message.
+        self._peer_bytes = 0
+        meter.create_observable_counter(
+            "godwittack_peer_bytes",
+            callbacks=[_callback(lambda: self._peer_bytes)],
+            unit="By",
         )
         for name, read in _gauges(world).items():
             meter.create_observable_gauge(name, callbacks=[_callback(read)])
@@ -59,6 +64,10 @@
             case "usage":
                 self._count_tokens(fields, labels)
 
+    def count_peer_bytes(self, size: int) -> None:
+        """Counts a message sent to another daemon or received."""
+        self._peer_bytes += size
+
     def exposition(self) -> bytes:
         """Returns all metrics in Prometheus' text form."""
         return prometheus_client.generate_latest()
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from godwittack.core import inputs
 from godwittack.member import view
 from godwittack.peer import peer_pb2
+from godwittack.platform import protocol as platform
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 
 def member_to_proto(member: view.Member) -> peer_pb2.Member:
@@ -35,64 +41,31 @@
     )
 
 
-def load_to_proto(load: inputs.LoadReported, *, now_ms: int) -> peer_pb2.Load:
-    """Returns the message form of a load report, its age brought up."""
-    return peer_pb2.Load(
-        server_id=load.server_id,
-        incarnation=load.incarnation,
-        weights_version=load.weights_version,
-        running=load.running,
-        waiting=load.waiting,
-        waiting_tokens=load.waiting_tokens,
-        prefill_us_per_token=load.prefill_us_per_token,
-        slots=load.slots,
-        age_ms=load.age_ms + max(0, now_ms - load.at_ms),
-        leaving=load.leaving,
-    )
-
-
-def load_from_proto(told: peer_pb2.Load, *, now_ms: int) -> inputs.LoadReported:
-    """Returns a load report as the core takes it."""
-    return inputs.LoadReported(
-        at_ms=now_ms,
-        server_id=told.server_id,
-        incarnation=told.incarnation,
-        weights_version=told.weights_version,
-        running=told.running,
-        waiting=told.waiting,
-        waiting_tokens=told.waiting_tokens,
-        prefill_us_per_token=told.prefill_us_per_token,
-        slots=told.slots,
-        age_ms=told.age_ms,
-        leaving=told.leaving,
-    )
-
-
-def digest_to_proto(digest: inputs.CacheDigest) -> peer_pb2.Digest:
-    """Returns the message form of a cache digest."""
-    return peer_pb2.Digest(
-        server_id=digest.server_id,
-        incarnation=digest.incarnation,
-        weights_version=digest.weights_version,
-        cleared=digest.cleared,
-        stored=digest.stored,
-        removed=digest.removed,
-    )
-
-
-def digest_from_proto(
-    told: peer_pb2.Digest, *, now_ms: int
-) -> inputs.CacheDigest:
-    """Returns a cache digest as the core takes it."""
-    return inputs.CacheDigest(
-        at_ms=now_ms,
-        server_id=told.server_id,
-        incarnation=told.incarnation,
-        weights_version=told.weights_version,
-        cleared=told.cleared,
-        stored=tuple(told.stored),
-        removed=tuple(told.removed),
-    )
+def listed_from_proto(
+    told: Iterable[peer_pb2.Listed],
+) -> dict[str, platform.Instance | None]:
+    """Returns changed entries of the instance list by name.
+
+    Entries of a role that this release does not know are left out.
+    """
+    known = {role.value for role in platform.InstanceRole}
+    return {
+        entry.name: (
+            None
+            if entry.gone
+            else platform.Instance(
+                name=entry.name,
+                role=platform.InstanceRole(entry.role),
+                address=entry.address,
+                target=entry.target,
+                failure_domain=entry.failure_domain,
+                leaving=entry.leaving,
+                checks_fencing=entry.checks_fencing,
+            )
+        )
+        for entry in told
+        if entry.gone or entry.role in known
+    }
 
 
 def demand_to_proto(demand: inputs.CellDemand) -> peer_pb2.Demand:
@@ -115,13 +88,28 @@
     )
 
 
+def listed_to_proto(
+    name: str, instance: platform.Instance | None
+) -> peer_pb2.Listed:
+    """Returns the message form of an entry, None for one that is gone."""
+    if instance is None:
+        return peer_pb2.Listed(name=name, gone=True)
+    return peer_pb2.Listed(
+        name=name,
+        role=instance.role.value,
+        address=instance.address,
+        target=instance.target,
+        failure_domain=instance.failure_domain,
+        leaving=instance.leaving,
+        checks_fencing=instance.checks_fencing,
+    )
+
+
 __all__ = [
     "demand_from_proto",
     "demand_to_proto",
-    "digest_from_proto",
-    "digest_to_proto",
-    "load_from_proto",
-    "load_to_proto",
+    "listed_from_proto",
+    "listed_to_proto",
     "member_from_proto",
     "member_to_proto",
 ]
--- /dev/null
+++ b/src/godwittack/peer/datagram.py
@@ -0,0 +1,152 @@
+"""Probes between daemons as UDP datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import secrets
+from typing import TYPE_CHECKING, Protocol
+
+from google.protobuf import message as proto
+from result import Err, Ok, Result
+
+from godwittack.peer import exchange, peer_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Fits one packet on every usual network, so that it is lost or arrives whole.
+MAX_BYTES = 1_200
+RESEND_MS = 150
+_ASK = b"\x01"
+_ANSWER = b"\x02"
+_NONCE_BYTES = 8
+_PROOF_BYTES = 16
+_HEAD_BYTES = 1 + _NONCE_BYTES + _PROOF_BYTES
+_PROOF_LABEL = b"godwittack datagram"
+
+
+class ProbeHandler(Protocol):
+    """What a daemon does with a probe."""
+
+    def exchanged(self, told: peer_pb2.Envelope) -> peer_pb2.Envelope:
+        """Takes in an envelope and returns the own one."""
+
+
+class DatagramPeers(asyncio.DatagramProtocol):
+    """Sends probes and answers those of others, on one socket.
+
+    A probe by gRPC costs 860 us of processor time at both ends together and
+    some 700 bytes on the wire; among hundreds of daemons that was most of what
+    control may use. A datagram has no connection that could go silent.
+
+    Each carries a nonce, by which an answer finds its probe, and a proof that
+    its sender knows the cluster's secret. One sent again has the same nonce;
+    taking an envelope in twice changes nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        secret: bytes,
+        timeout_ms: int,
+        count_bytes: Callable[[int], None] = lambda size: None,
+    ) -> None:
+        """Proves itself with the cluster's secret; see `PeerClient`."""
+        self._handler: ProbeHandler | None = None
+        self._key = hmac.digest(secret, _PROOF_LABEL, "sha256")
+        self._timeout_ms = timeout_ms
+        self._count_bytes = count_bytes
+        self._transport: asyncio.DatagramTransport | None = None
+        self._waiting: dict[bytes, asyncio.Future[peer_pb2.Envelope]] = {}
+
+    async def start(self, address: str, *, handler: ProbeHandler) -> None:
+        """Listens on `address` and hands probes to `handler`.
+
+        Raises:
+            OSError: The address is in use.
+        """
+        self._handler = handler
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=_host_port(address)
+        )
+
+    async def exchange(
+        self, address: str, message: peer_pb2.Envelope
+    ) -> Result[peer_pb2.Envelope, exchange.PeerError]:
+        """Sends an envelope and returns the peer's."""
+        nonce = secrets.token_bytes(_NONCE_BYTES)
+        packet = self._pack(_ASK, nonce, message)
+        answered = asyncio.get_running_loop().create_future()
+        self._waiting[nonce] = answered
+        left_ms = self._timeout_ms
+        try:
+            while left_ms > 0:
+                self._send(packet, _host_port(address))
+                wait_ms = min(RESEND_MS, left_ms)
+                left_ms -= wait_ms
+                await asyncio.wait([answered], timeout=wait_ms / 1000)
+                if answered.done():
+                    return Ok(answered.result())
+        finally:
+            del self._waiting[nonce]
+        return Err(
+            exchange.PeerError(
+                step="probe",
+                peer=address,
+                detail=f"no answer within {self._timeout_ms} ms",
+            )
+        )
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Answers a probe, or hands an answer to the probe that waits."""
+        self._count_bytes(len(data))
+        kind, nonce = data[:1], data[1 : 1 + _NONCE_BYTES]
+        payload = data[_HEAD_BYTES:]
+        proof = data[1 + _NONCE_BYTES : _HEAD_BYTES]
+        if not hmac.compare_digest(proof, self._proof(kind, nonce, payload)):
+            return
+        try:
+            told = peer_pb2.Envelope.FromString(payload)
+        except proto.DecodeError:
+            return
+        if kind == _ASK and self._handler is not None:
+            answer = self._handler.exchanged(told)
+            self._send(self._pack(_ANSWER, nonce, answer), addr)
+        elif kind == _ANSWER and nonce in self._waiting:
+            answered = self._waiting[nonce]
+            if not answered.done():
+                answered.set_result(told)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def _send(self, packet: bytes, addr: tuple[str, int]) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._count_bytes(len(packet))
+            self._transport.sendto(packet, addr)
+
+    def _pack(
+        self, kind: bytes, nonce: bytes, message: peer_pb2.Envelope
+    ) -> bytes:
+        excess = message.ByteSize() - (MAX_BYTES - _HEAD_BYTES)
+        while excess > 0:
+            # Passed on with a later probe, or by somebody else.
+            excess -= message.updates.pop().ByteSize()
+        payload = message.SerializeToString()
+        return kind + nonce + self._proof(kind, nonce, payload) + payload
+
+    def _proof(self, kind: bytes, nonce: bytes, payload: bytes) -> bytes:
+        whole = hmac.digest(self._key, kind + nonce + payload, "sha256")
+        return whole[:_PROOF_BYTES]
+
+
+def _host_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+__all__ = ["DatagramPeers", "ProbeHandler"]
--- /dev/null
+++ b/src/godwittack/peer/pending.py
@@ -0,0 +1,59 @@
+"""What a daemon has to tell to one other daemon."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from godwittack.core import inputs
+    from godwittack.platform import protocol as platform
+
+MAX_DIGESTS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class PendingNews:
+    """What waits to be told to one peer.
+
+    Attributes:
+        loads: Newest report of each server.
+        digests: Cache digests in order.
+        leaving: Servers seen leaving.
+        draining: Servers that get no work while they load weights.
+        listed: Changed entries of the instance list by name, None for one
+            that is no longer listed.
+        demands: This daemon's demand, None where the last told one holds.
+    """
+
+    loads: dict[str, inputs.LoadReported] = dataclasses.field(
+        default_factory=dict
+    )
+    digests: list[inputs.CacheDigest] = dataclasses.field(default_factory=list)
+    leaving: set[str] = dataclasses.field(default_factory=set)
+    draining: set[str] = dataclasses.field(default_factory=set)
+    listed: dict[str, platform.Instance | None] = dataclasses.field(
+        default_factory=dict
+    )
+    demands: tuple[inputs.CellDemand, ...] | None = None
+
+    def is_empty(self) -> bool:
+        """Returns whether there is nothing to tell."""
+        return self == PendingNews()
+
+    def followed_by(self, later: PendingNews) -> PendingNews:
+        """Returns both as one; of each figure the newest."""
+        digests = self.digests + later.digests
+        return PendingNews(
+            loads={**self.loads, **later.loads},
+            # A peer that can't be reached must not fill our memory; what it
+            # misses costs a recomputation each.
+            digests=digests[-MAX_DIGESTS:],
+            leaving=self.leaving | later.leaving,
+            draining=self.draining | later.draining,
+            listed={**self.listed, **later.listed},
+            demands=(self.demands if later.demands is None else later.demands),
+        )
+
+
+__all__ = ["MAX_DIGESTS", "PendingNews"]
--- /dev/null
+++ b/src/godwittack/peer/wire.py
@@ -0,0 +1,185 @@
+"""Writes and reads the news on one stream, naming each server once."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from godwittack.core import inputs
+from godwittack.peer import codec, peer_pb2
+
+if TYPE_CHECKING:
+    from godwittack.peer import pending
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerIdentity:
+    """What seldom changes of a backend server."""
+
+    server_id: str
+    incarnation: str
+    weights_version: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    ref: int
+    identity: ServerIdentity
+    slots: int = -1
+
+
+class NewsWriter:
+    """Turns news into the messages of one stream, from its beginning.
+
+    A server is named in full once and where something of it changed; after
+    that a load report takes a third of the bytes.
+    """
+
+    def __init__(self) -> None:
+        """Has named no server."""
+        self._servers: dict[str, _Known] = {}
+
+    def write(self, told: pending.PendingNews, *, now_ms: int) -> peer_pb2.News:
+        """Returns the next message."""
+        return peer_pb2.News(
+            has_demands=told.demands is not None,
+            demands=[codec.demand_to_proto(d) for d in told.demands or ()],
+            loads=[
+                self._load(load, now_ms=now_ms) for load in told.loads.values()
+            ],
+            digests=[self._digest(digest) for digest in told.digests],
+            leaving_servers=sorted(told.leaving),
+            draining_servers=sorted(told.draining),
+            listed=[
+                codec.listed_to_proto(name, instance)
+                for name, instance in told.listed.items()
+            ],
+        )
+
+    def _load(self, load: inputs.LoadReported, *, now_ms: int) -> peer_pb2.Load:
+        message = peer_pb2.Load(
+            running=load.running,
+            waiting=load.waiting,
+            waiting_tokens=load.waiting_tokens,
+            prefill_us_per_token=load.prefill_us_per_token,
+            age_ms=max(0, now_ms - load.at_ms + load.age_ms),
+            leaving=load.leaving,
+        )
+        known = self._name(message, load)
+        if load.slots != known.slots:
+            known.slots = message.slots = load.slots
+        return message
+
+    def _digest(self, digest: inputs.CacheDigest) -> peer_pb2.Digest:
+        message = peer_pb2.Digest(
+            stored=digest.stored,
+            removed=digest.removed,
+            cleared=digest.cleared,
+        )
+        self._name(message, digest)
+        return message
+
+    def _name(
+        self,
+        message: peer_pb2.Load | peer_pb2.Digest,
+        told: inputs.LoadReported | inputs.CacheDigest,
+    ) -> _Known:
+        """Names a message's server, by its number where it is known."""
+        identity = _identity(told)
+        known = self._servers.get(told.server_id)
+        if known is None:
+            known = _Known(len(self._servers) + 1, identity)
+            self._servers[told.server_id] = known
+            is_named = False
+        else:
+            is_named = known.identity == identity
+        message.server_ref = known.ref
+        if not is_named:
+            known.identity = identity
+            message.server_id = identity.server_id
+            message.incarnation = identity.incarnation
+            message.weights_version = identity.weights_version
+        return known
+
+
+class NewsReader:
+    """Reads the messages of one stream, from its beginning."""
+
+    def __init__(self) -> None:
+        """Knows no server."""
+        self._servers: dict[int, _Known] = {}
+
+    def loads(
+        self, told: peer_pb2.News, *, now_ms: int
+    ) -> list[inputs.LoadReported]:
+        """Returns a message's load reports."""
+        found: list[inputs.LoadReported] = []
+        for load in told.loads:
+            known = self._known(load)
+            if known is None:
+                continue
+            known.slots = load.slots or known.slots
+            found.append(
+                inputs.LoadReported(
+                    at_ms=now_ms,
+                    server_id=known.identity.server_id,
+                    incarnation=known.identity.incarnation,
+                    weights_version=known.identity.weights_version,
+                    running=load.running,
+                    waiting=load.waiting,
+                    waiting_tokens=load.waiting_tokens,
+                    prefill_us_per_token=load.prefill_us_per_token,
+                    slots=known.slots,
+                    age_ms=load.age_ms,
+                    leaving=load.leaving,
+                )
+            )
+        return found
+
+    def digests(
+        self, told: peer_pb2.News, *, now_ms: int
+    ) -> list[inputs.CacheDigest]:
+        """Returns a message's cache digests."""
+        found: list[inputs.CacheDigest] = []
+        for digest in told.digests:
+            known = self._known(digest)
+            if known is None:
+                continue
+            found.append(
+                inputs.CacheDigest(
+                    at_ms=now_ms,
+                    server_id=known.identity.server_id,
+                    incarnation=known.identity.incarnation,
+                    weights_version=known.identity.weights_version,
+                    cleared=digest.cleared,
+                    stored=tuple(digest.stored),
+                    removed=tuple(digest.removed),
+                )
+            )
+        return found
+
+    def _known(self, told: peer_pb2.Load | peer_pb2.Digest) -> _Known | None:
+        """Returns a message's server, or None for one never named."""
+        known = self._servers.get(told.server_ref)
+        if not told.server_id:
+            return known
+        identity = ServerIdentity(
+            told.server_id, told.incarnation, told.weights_version
+        )
+        if known is None:
+            known = self._servers[told.server_ref] = _Known(
+                told.server_ref, identity, slots=0
+            )
+        known.identity = identity
+        return known
+
+
+def _identity(
+    told: inputs.LoadReported | inputs.CacheDigest,
+) -> ServerIdentity:
+    return ServerIdentity(
+        told.server_id, told.incarnation, told.weights_version
+    )
+
+
+__all__ = ["NewsReader", "NewsWriter"]
--- /dev/null
+++ b/tests/features/steps/fleet_steps.py
@@ -0,0 +1,221 @@
+"""Steps on a fleet whose daemons run on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from godwittack.core import entities, inputs, splitting, work
+from godwittack.member import duty
+from godwittack.platform import protocol as platform
+from sim import fleet as fleets
+from sim import loop
+
+LIMIT = 100
+CELL = "workspace/desk"
+
+
+@given("a fleet of {daemons:d} daemons on virtual time")
+def given_fleet(context, daemons):
+    """Notes the size; the steps play whole sessions."""
+    context.daemons = daemons
+
+
+@when("one daemon {trouble}")
+def one_in_trouble(context, trouble):
+    """Plays the trouble and 6 s more."""
+    context.fleet = loop.run(_trouble(context.daemons, trouble))
+
+
+@then("no other daemon counts it as live after 6 s")
+def counted_dead(context):
+    """Checks every other daemon's view."""
+    victim = context.fleet.victim
+    for daemon in context.fleet.alive():
+        live = {m.member_id for m in daemon.gossiper.members.live()}
+        assert daemon is victim or victim.name not in live, daemon.name
+
+
+@when("{count:d} daemons are cut off from the others for 30 s")
+def part_cut_off(context, count):
+    """Plays the partition and 5 s more."""
+    context.fleet = loop.run(_partition(context.daemons, count))
+
+
+@then("every daemon counts every other as live after 5 s")
+def counted_live(context):
+    """Checks every daemon's view."""
+    for daemon in context.fleet.alive():
+        live = daemon.gossiper.members.live()
+        assert len(live) == context.daemons, (daemon.name, len(live))
+
+
+@when("servers come and go while <news is lost, readers die, links are cut>")
+def list_changes(context):
+    """Plays 180 s of changes and faults."""
+    context.fleet = loop.run(_list_session(context.daemons))
+
+
+@then("every daemon has the platform's list")
+def same_list(context):
+    """Checks the servers that each core knows."""
+    listed = set(context.fleet.listed)
+    for daemon in context.fleet.alive():
+        known = set(daemon.runtime.core.world.servers)
+        assert known == listed, (daemon.name, known ^ listed)
+
+
+@then("the list was read fewer than {most:d} times in 180 s")
+def few_reads(context, most):
+    """Checks the platform's count."""
+    assert 0 < context.fleet.list_reads < most, context.fleet.list_reads
+
+
+@when(
+    'workspace "desk" wants more than its limit of 100 at its three daemons and'
+    " a fourth"
+)
+def demand(context):
+    """Plays steady demand until the shares are settled."""
+    context.fleet = loop.run(_demand_session(context.daemons))
+
+
+@then(
+    "these let {least:d} to {most:d} through before they have heard of each"
+    " other"
+)
+def first_shares(context, least, most):
+    """Checks what the four let through at once."""
+    first = context.fleet.first_shares
+    assert least <= sum(first) <= most, first
+
+
+@then(
+    "the shares of the four add up to at most {most:d} and to at least"
+    " {least:d}"
+)
+def shares_add_up(context, most, least):
+    """Checks what the four would let through."""
+    total = sum(context.fleet.shares)
+    assert least <= total <= most, context.fleet.shares
+
+
+@then("no other daemon was told of the demand")
+def untold(context):
+    """Checks the figures that the others hold."""
+    for daemon in context.fleet.alive():
+        told = daemon.runtime.core.world.shares.told[CELL]
+        assert daemon in context.fleet.users or not told, (daemon.name, told)
+
+
+async def _started(daemons: int) -> fleets.Fleet:
+    fleet = fleets.Fleet(seed=3, size=daemons)
+    await asyncio.sleep(10)
+    return fleet
+
+
+async def _trouble(daemons: int, trouble: str) -> fleets.Fleet:
+    fleet = await _started(daemons)
+    fleet.victim = victim = fleet.daemons[daemons // 2]
+    match trouble:
+        case "is killed":
+            victim.kill()
+        case "is paused":
+            victim.pause()
+        case "hears nobody":
+            fleet.cuts |= {(a, victim.address) for a in fleet.seeds}
+    await asyncio.sleep(6)
+    return fleet
+
+
+async def _partition(daemons: int, count: int) -> fleets.Fleet:
+    fleet = await _started(daemons)
+    fleet.partition(fleet.daemons[:count])
+    await asyncio.sleep(30)
+    fleet.heal()
+    await asyncio.sleep(5)
+    return fleet
+
+
+async def _list_session(daemons: int) -> fleets.Fleet:
+    fleet = await _started(daemons)
+    _list(fleet, *range(20))
+    await asyncio.sleep(10)
+    deaf, cut = fleet.daemons[5], fleet.daemons[6]
+    fleet.deaf_to_news.add(deaf.address)
+    fleet.partition([cut])
+    _list(fleet, 20, 21)
+    del fleet.listed["server-3"]
+    await asyncio.sleep(30)
+    fleet.heal()
+    members = deaf.gossiper.members.live()
+    for reader in duty.list_readers(members):
+        next(d for d in fleet.alive() if d.name == reader.member_id).kill()
+    _list(fleet, 22)
+    await asyncio.sleep(20)
+    fleet.table.faults.down = True
+    await asyncio.sleep(20)
+    fleet.table.faults.down = False
+    _list(fleet, 23)
+    await asyncio.sleep(100)
+    return fleet
+
+
+def _list(fleet: fleets.Fleet, *numbers: int) -> None:
+    for number in numbers:
+        name = f"server-{number}"
+        fleet.listed[name] = platform.Instance(
+            name=name,
+            role=platform.InstanceRole.ENGINE,
+            address=f"10.1.0.{number}:1",
+            target="rulebook",
+        )
+
+
+async def _demand_session(daemons: int) -> fleets.Fleet:
+    fleet = await _started(daemons)
+    live = fleet.daemons[0].gossiper.members.live()
+    names = tuple(member.member_id for member in live)
+    group = duty.group_names("desk", "rulebook", names)
+    stray = next(d for d in fleet.alive() if d.name not in group)
+    fleet.users = [d for d in fleet.alive() if d.name in group] + [stray]
+    for daemon in fleet.users:
+        _want(daemon, 40)
+    fleet.first_shares = [_share(daemon) for daemon in fleet.users]
+    for _ in range(100):
+        for daemon in fleet.users:
+            _want(daemon, 40)
+        await asyncio.sleep(0.1)
+    fleet.shares = [_share(daemon) for daemon in fleet.users]
+    return fleet
+
+
+def _want(daemon: fleets.FleetDaemon, wanted: int) -> None:
+    """Ends a fifth of a daemon's requests and begins what it may of others."""
+    world = daemon.runtime.core.world
+    use = world.shares.cells[CELL]
+    splitting.note(world, _request())
+    for _ in range(use.in_flight // 5):
+        world.shares.ended(CELL)
+    for _ in range(wanted - use.in_flight):
+        if world.shares.room(CELL, limit=LIMIT):
+            world.shares.began(CELL)
+    daemon.runtime.submit(inputs.Tick(daemon.fleet.clock.now_ms()))
+
+
+def _request() -> entities.RequestRow:
+    """Returns a request that shows which target the demand is for."""
+    return entities.RequestRow(
+        request_id="r",
+        work=work.Work(
+            kind=work.WorkKind.GENERATION, token_sha256="", target="rulebook"
+        ),
+        workspace="desk",
+        arrived_at_ms=0,
+        deadline_at_ms=1 << 50,
+    )
+
+
+def _share(daemon: fleets.FleetDaemon) -> int:
+    return daemon.runtime.core.world.shares.cells[CELL].in_flight
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -11,9 +11,18 @@
 from godwittack.claim import store as claim_store
 from godwittack.command import client
 from godwittack.core import inputs, router
-from godwittack.daemon import change, gossip, runtime, tables
+from godwittack.daemon import (
+    change,
+    gossip,
+    listing,
+    news,
+    runtime,
+    tables,
+    watch,
+)
 from godwittack.member import view
-from godwittack.peer import exchange, peer_pb2
+from godwittack.peer import exchange, peer_pb2, wire
+from godwittack.platform import protocol as platform
 from godwittack.report import ledger
 from godwittack.table import model, store
 from sim import fakes, loop
@@ -66,6 +75,22 @@
         return await super().read(row_id)
 
 
+class InstanceListFake:
+    """The platform's instance list as one daemon reaches it."""
+
+    def __init__(self, fleet: Fleet, owner: FleetDaemon) -> None:
+        self.fleet = fleet
+        self.owner = owner
+
+    async def instances(self):
+        """Returns all entries."""
+        self.fleet.list_reads += 1
+        await self.owner.gate.passed()
+        if self.owner.table.cut or self.fleet.table.faults.down:
+            return Err("down")
+        return Ok(tuple(self.fleet.listed.values()))
+
+
 class FleetPeers:
     """One daemon's way to the others."""
 
@@ -75,14 +100,20 @@
 
     async def exchange(self, address, message):
         """Carries an envelope there and the answer back."""
+        self.fleet.traffic.add(message)
         other = await self._reach(address)
         if other is None:
             return self._lost(address)
         answer = other.gossiper.exchanged(message)
+        self.fleet.traffic.add(answer)
         if not await self._back(address):
             return self._lost(address)
         return Ok(answer)
 
+    def open_news(self, address):
+        """Returns a stream of news."""
+        return FleetStream(self, address)
+
     async def fetch_table(self, address, *, known_version):
         """Fetches a table."""
         other = await self._reach(address)
@@ -121,6 +152,32 @@
         )
 
 
+class FleetStream:
+    """One daemon's stream of news to another."""
+
+    def __init__(self, peers: FleetPeers, address: str) -> None:
+        self.peers = peers
+        self.address = address
+        self.sender_id = ""
+        self.reader = wire.NewsReader()
+
+    async def send(self, message):
+        """Carries one message there."""
+        self.peers.fleet.traffic.add(message)
+        self.sender_id = self.sender_id or message.sender_id
+        other = await self.peers._reach(self.address)
+        if other is None:
+            return self.peers._lost(self.address)
+        if self.address in self.peers.fleet.deaf_to_news:
+            # Lost after it was handed to the connection.
+            return Ok(None)
+        other.gossiper.told(self.sender_id, message, self.reader)
+        return Ok(None)
+
+    def close(self) -> None:
+        """Does nothing."""
+
+
 class FleetDaemon:
     """One daemon without callers."""
 
@@ -163,14 +220,31 @@
             right=self.right,
             rng=rng,
         )
+        self.news = news.News(
+            members=members, runtime=self.runtime, client=peers
+        )
         self.gossiper = gossip.Gossiper(
+            news=self.news,
             members=members,
             runtime=self.runtime,
             keeper=self.keeper,
             client=peers,
+            probes=peers,
             counts=ledger.Ledger(daemon=name, clock=fleet.clock),
             seeds=tuple(fleet.seeds),
         )
+        streams = watch.Streams()
+        streams.connect(core=self.runtime, news=self.news)
+        self.lists = listing.ListWatcher(
+            instances=InstanceListFake(fleet, self),
+            core=self.runtime,
+            members=members,
+            news=self.news,
+            streams=streams,
+            on_entries=lambda _: None,
+        )
+        self.gossiper.list_hash = self.lists.list_hash
+        self.gossiper.on_list_hash = self.lists.hash_told
         self.committer = change.Committer(
             tables=tables_store,
             keeper=self.keeper,
@@ -214,15 +288,32 @@
         self.gossiper.announce()
         rows = self.gossiper.members.rows.values()
         await self.keeper.load_first([r.member.peer_address for r in rows])
+        self.tasks.append(
+            self.fleet.spawn(self.lists.poll_forever(poll_ms=POLL_MS))
+        )
         self.tasks.append(
             self.fleet.spawn(self.keeper.poll_forever(poll_ms=POLL_MS))
         )
         while True:
             await self.gate.passed()
             self.gossiper.tick()
+            self.news.flush()
             await asyncio.sleep(GOSSIP_MS / 1000)
 
 
+@dataclasses.dataclass
+class Traffic:
+    """Messages between daemons so far."""
+
+    messages: int = 0
+    size: int = 0
+
+    def add(self, message) -> None:
+        """Counts a message by its serialized size."""
+        self.messages += 1
+        self.size += message.ByteSize()
+
+
 @dataclasses.dataclass
 class Accepted:
     """A change that an operator was told is accepted."""
@@ -247,7 +338,11 @@
         self.accepted: list[Accepted] = []
         self.results: list[object] = []
         self.silences = 0
+        self.listed: dict[str, platform.Instance] = {}
+        self.list_reads = 0
+        self.deaf_to_news: set[str] = set()
         self.fetch_s = 0.0
+        self.traffic = Traffic()
         self.stale: list[str] = []
         self._seen: dict[str, int] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -297,6 +392,7 @@
         self.cuts.clear()
         self.table.faults = fakes.TableFaults()
         self.objects.down = False
+        self.deaf_to_news.clear()
         for daemon in self.alive():
             daemon.table.cut = False
             daemon.resume()
