Measure a restart of all daemons with the engines' event backlog

Cause: the experiment had restarted daemons learn caches from new events only; the daemon itself reads an engine's events from the oldest that it still has. Change: fake engines keep their last 2,000 events; after the herd's restart the new watchers read them, late and with the same 5% lost.

--- a/bench/engines.py
+++ b/bench/engines.py
@@ -35,6 +35,10 @@
         self.now_ms = end_ms
 
 
+# Events that an engine still has for a reader that begins anew.
+BACKLOG = 2_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSize:
     """What one fake engine can do.
@@ -94,6 +98,9 @@
         )
         self.cached_tokens = 0
         self.events: list[Event] = []
+        self.backlog: collections.deque[Event] = collections.deque(
+            maxlen=BACKLOG
+        )
         self.sequence = 0
         self.computed_tokens = 0
 
@@ -113,6 +120,7 @@
         self.ready.clear()
         self.cache.clear()
         self.events.clear()
+        self.backlog.clear()
         self.cached_tokens = 0
         self.prefilling = None
         self.decoding = 0
@@ -202,9 +210,9 @@
 
     def _event(self, stored: bool, key: int) -> None:
         self.sequence += 1
-        self.events.append(
-            Event(self.sequence, stored, key, self.timeline.now_ms)
-        )
+        event = Event(self.sequence, stored, key, self.timeline.now_ms)
+        self.events.append(event)
+        self.backlog.append(event)
 
 
 __all__ = ["Engine", "EngineSize", "Event", "Job", "Timeline"]
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -111,6 +111,7 @@
     assert isinstance(run.policy, policies.Ours)
     for daemon in range(run.deployment.daemons):
         run.policy.restart(daemon)
+    run.policy.reread_events()
 
 
 def _one_daemon(run: experiment.Experiment) -> None:
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -158,6 +158,12 @@
         """Replaces a daemon's core by an empty one."""
         self.cores[daemon] = self._core(daemon)
 
+    def reread_events(self) -> None:
+        """Has new watchers read each engine's events from the oldest kept."""
+        for engine in self.experiment.engines:
+            self._digesters[engine.name] = digest.Digester(engine.name)
+            engine.events = list(engine.backlog)
+
     def arrived(self, ask: workload.Ask) -> None:
         """Hands a request to its daemon's core."""
         request_id = str(ask.number)
