--- a/src/godwittack/daemon/listing.py
+++ b/src/godwittack/daemon/listing.py
@@ -61,6 +61,8 @@
         self._heard_at_ms = -UNHEARD_MS
         self._differs_since_ms = 0
         self._told_hash = 0
+        self._ranked_live: list[view.Member] = []
+        self._reader_ids: frozenset[str] = frozenset()
         news.on_listed = self.told
 
     async def poll_forever(self, *, poll_ms: int) -> None:
@@ -112,8 +114,7 @@
 
     def hash_told(self, sender_id: str, told: int) -> None:
         """Takes in which list a reader has."""
-        readers = duty.list_readers(self._members.live())
-        if sender_id not in {member.member_id for member in readers}:
+        if sender_id not in self._readers():
             return
         now_ms = self._core.clock.now_ms()
         self._heard_at_ms = now_ms
@@ -129,9 +130,17 @@
         return instance is not None and instance.checks_fencing
 
     def _is_reader(self) -> bool:
-        own = self._members.me.member_id
-        readers = duty.list_readers(self._members.live())
-        return own in {member.member_id for member in readers}
+        return self._members.me.member_id in self._readers()
+
+    def _readers(self) -> frozenset[str]:
+        """Returns the readers' ids; ranked anew where a member changed."""
+        live = self._members.live()
+        if live is not self._ranked_live:
+            self._ranked_live = live
+            self._reader_ids = frozenset(
+                member.member_id for member in duty.list_readers(live)
+            )
+        return self._reader_ids
 
     def _all_read(self) -> bool:
         return len(self._members.live()) <= duty.MESH_LIMIT
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -74,7 +74,7 @@
         self._members = members
         self._runtime = runtime
         self._client = client
-        self._lines: dict[str, _Line] = {}
+        self._outboxes: dict[str, _Outbox] = {}
         self._known_leaving: set[str] = set()
         self._audiences: dict[str, list[view.Member]] = {}
         self._audiences_for: tuple[list[view.Member], tuple[str, ...]] = (
@@ -92,30 +92,30 @@
         """Sends what waits, and this daemon's demand where it changed."""
         self._add_demands()
         now_ms = self._runtime.clock.now_ms()
-        for name, line in list(self._lines.items()):
-            line.wake()
-            if now_ms - line.used_at_ms > IDLE_MS and not line.demands_told:
-                self._lines.pop(name).close()
+        for name, outbox in list(self._outboxes.items()):
+            outbox.wake()
+            if outbox.is_idle(now_ms):
+                self._outboxes.pop(name).close()
 
     def publish_load(self, load: inputs.LoadReported, target: str) -> None:
         """Queues a load report for the daemons that serve its model."""
-        for line in self._lines_of(self.audience(target)):
-            line.pending.loads[load.server_id] = load
+        for outbox in self._outboxes_of(self.audience(target)):
+            outbox.pending.loads[load.server_id] = load
 
     def publish_digest(self, digest: inputs.CacheDigest, target: str) -> None:
         """Queues a cache digest for the daemons that serve its model."""
-        for line in self._lines_of(self.audience(target)):
-            line.pending.digests.append(digest)
-            del line.pending.digests[: -pending.MAX_DIGESTS]
+        for outbox in self._outboxes_of(self.audience(target)):
+            outbox.pending.digests.append(digest)
+            del outbox.pending.digests[: -pending.MAX_DIGESTS]
 
     def publish_leaving(self, server_id: str) -> None:
         """Tells every daemon of a server's leaving, once."""
         if server_id in self._known_leaving:
             return
         self._known_leaving.add(server_id)
-        for line in self._lines_of(self._members.live()):
-            line.pending.leaving.add(server_id)
-            line.wake()
+        for outbox in self._outboxes_of(self._members.live()):
+            outbox.pending.leaving.add(server_id)
+            outbox.wake()
 
     def forget_leaving(self, server_id: str) -> None:
         """Allows a server's leaving to be told anew."""
@@ -123,17 +123,17 @@
 
     def publish_draining(self, server_id: str, target: str) -> None:
         """Tells the daemons that serve a model; lapses unless told again."""
-        for line in self._lines_of(self.audience(target)):
-            line.pending.draining.add(server_id)
-            line.wake()
+        for outbox in self._outboxes_of(self.audience(target)):
+            outbox.pending.draining.add(server_id)
+            outbox.wake()
 
     def publish_listed(
         self, changes: dict[str, platform.Instance | None]
     ) -> None:
         """Tells every daemon what changed in the instance list."""
-        for line in self._lines_of(self._members.live()):
-            line.pending.listed.update(changes)
-            line.wake()
+        for outbox in self._outboxes_of(self._members.live()):
+            outbox.pending.listed.update(changes)
+            outbox.wake()
 
     def take(
         self, sender_id: str, told: peer_pb2.News, reader: wire.NewsReader
@@ -171,29 +171,29 @@
 
     def peer_gone(self, member_id: str) -> None:
         """Drops what waits for a dead peer."""
-        line = self._lines.pop(member_id, None)
-        if line is not None:
-            line.close()
+        outbox = self._outboxes.pop(member_id, None)
+        if outbox is not None:
+            outbox.close()
 
     def close(self) -> None:
         """Ends all streams."""
-        for name in list(self._lines):
+        for name in list(self._outboxes):
             self.peer_gone(name)
 
-    def _lines_of(self, members: Iterable[view.Member]) -> list[_Line]:
+    def _outboxes_of(self, members: Iterable[view.Member]) -> list[_Outbox]:
         own = self._members.me.member_id
-        return [self._line(m) for m in members if m.member_id != own]
+        return [self._outbox(m) for m in members if m.member_id != own]
 
-    def _line(self, member: view.Member) -> _Line:
-        line = self._lines.get(member.member_id)
-        if line is None:
-            line = self._lines[member.member_id] = _Line(
+    def _outbox(self, member: view.Member) -> _Outbox:
+        outbox = self._outboxes.get(member.member_id)
+        if outbox is None:
+            outbox = self._outboxes[member.member_id] = _Outbox(
                 own_id=self._members.me.member_id,
                 address=member.peer_address,
                 client=self._client,
                 clock=self._runtime.clock,
             )
-        return line
+        return outbox
 
     def _add_demands(self) -> None:
         """Queues each cell's demand for those that may split its limit."""
@@ -204,9 +204,9 @@
             members=self._members.live(),
         )
         concerned = [m for m in self._members.live() if m.member_id in told]
-        self._lines_of(concerned)
-        for name, line in self._lines.items():
-            line.tell_demands(tuple(told.get(name, ())))
+        self._outboxes_of(concerned)
+        for name, outbox in self._outboxes.items():
+            outbox.tell_demands(tuple(told.get(name, ())))
 
     def _demands(self) -> tuple[inputs.CellDemand, ...]:
         """Returns this daemon's demand, rounded so that noise is not told."""
@@ -227,7 +227,7 @@
         )
 
 
-class _Line:
+class _Outbox:
     """What waits for one peer, and the stream to it."""
 
     def __init__(
@@ -261,6 +261,15 @@
         if not self.pending.is_empty():
             self._due.set()
 
+    def is_idle(self, now_ms: int) -> bool:
+        """Returns whether the stream may be closed.
+
+        Not while something waits: woken a moment ago, it would be lost.
+        """
+        unused_ms = now_ms - self.used_at_ms
+        waits = self.demands_told or not self.pending.is_empty()
+        return unused_ms > IDLE_MS and not waits
+
     def close(self) -> None:
         """Ends the stream; what waits is lost."""
         self._task.cancel()
--- a/tests/features/promises/table_in_force.feature
+++ b/tests/features/promises/table_in_force.feature
@@ -32,6 +32,7 @@
       | is cut off from peers but not from the service             |
       | is cut off from both                                       |
       | is cut off from both and then fetches the table slowly     |
+      | is killed, counted as dead, and replaced                   |
       | and two others are cut off from service and half the peers |
       | and two others are cut off, named by no settings, for minutes |
       | is restarted while the platform is down                    |
--- a/tests/sim/fleets.py
+++ b/tests/sim/fleets.py
@@ -111,6 +111,17 @@
     assert last.version == 2 and last.may_serve, last.version
 
 
+async def _replaced(fleet: fleets.Fleet) -> None:
+    """Its death is told to its successor, at whose address it lived."""
+    lost = fleet.daemons[1]
+    lost.kill()
+    await asyncio.sleep(8)
+    fleet.restart(lost)
+    await asyncio.sleep(5)
+    got = await fleet.change(fleet.daemons[-1], 2)
+    assert not got.ok_value.lapsed, got
+
+
 async def _halves(fleet: fleets.Fleet) -> None:
     """The half with the service changes the table, for two minutes."""
     fleet.partition(fleet.daemons[:3])
@@ -171,6 +182,7 @@
 
 
 _SCRIPTS = {
+    "is killed, counted as dead, and replaced": _replaced,
     "and all others get tables slowly while it changes": _slow_tables,
     "and all others read replicas that lag": _lagging_reads,
     "is cut off from the service but not from peers": _cut_from_service,
