Split the right to serve and the engines' answers into files of their own

Change: member/right.py, backend/schema.py; behaviour as before, but for one thing: a wrong cache event answer is told by its message alone, as a wrong load already was.

--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import aiohttp
 import pydantic
 from result import Err, Ok, Result
 
-from godwittack.backend import protocol, sse
+from godwittack.backend import protocol, schema, sse
 from godwittack.core import inputs, work
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from godwittack.core import effects
 
+_Read = TypeVar("_Read")
+
 REFUSED_STATUSES = frozenset({429, 503})
 GONE_STATUSES = frozenset({404, 410})
 MAX_ANSWER_BYTES = 32 << 20
@@ -34,30 +38,6 @@
 )
 
 
-class _LoadJson(pydantic.BaseModel):
-    incarnation: str
-    weights_version: str = ""
-    running: int = 0
-    waiting: int = 0
-    waiting_tokens: int = 0
-    prefill_us_per_token: int = 0
-    slots: int = 0
-    leaving: bool = False
-
-
-class _EventJson(pydantic.BaseModel):
-    sequence: int
-    kind: protocol.CacheEventKind
-    level_key: int
-
-
-class _EventsJson(pydantic.BaseModel):
-    incarnation: str
-    weights_version: str
-    oldest: int
-    events: list[_EventJson]
-
-
 class HttpBackend:
     """Implements `BackendClient` with aiohttp."""
 
@@ -129,9 +109,10 @@
         self, address: str
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
         """Returns the server's load, on a fresh connection."""
-        return _read_load(
-            address, await self._control("load", address, "GET", "/load")
-        )
+        got = await self._control("load", address, "GET", "/load")
+        if isinstance(got, Err):
+            return got
+        return _read(address, "load", schema.load, got.ok_value)
 
     async def poll_load(
         self, address: str
@@ -140,7 +121,9 @@
         got = await self._control(
             "poll load", address, "GET", "/load", session=self._pooled
         )
-        return _read_load(address, got)
+        if isinstance(got, Err):
+            return got
+        return _read(address, "poll load", schema.load, got.ok_value)
 
     async def cache_events(
         self, address: str, *, after: int
@@ -156,22 +139,7 @@
         )
         if isinstance(got, Err):
             return got
-        try:
-            told = _EventsJson.model_validate_json(got.ok_value)
-        except pydantic.ValidationError as error:
-            return _error("cache events", address, str(error.errors()[0]))
-        events = tuple(
-            protocol.CacheEvent(e.sequence, e.kind, e.level_key)
-            for e in told.events
-        )
-        return Ok(
-            protocol.CacheEvents(
-                incarnation=told.incarnation,
-                weights_version=told.weights_version,
-                oldest=told.oldest,
-                events=events,
-            )
-        )
+        return _read(address, "cache events", schema.events, got.ok_value)
 
     async def order(
         self, address: str, order: protocol.Order
@@ -285,16 +253,13 @@
             return _error(step, address, str(error) or type(error).__name__)
 
 
-def _read_load(
-    address: str, got: Result[bytes, protocol.BackendError]
-) -> Result[protocol.EngineLoad, protocol.BackendError]:
-    if isinstance(got, Err):
-        return got
+def _read(
+    address: str, step: str, parse: Callable[[bytes], _Read], data: bytes
+) -> Result[_Read, protocol.BackendError]:
     try:
-        told = _LoadJson.model_validate_json(got.ok_value)
+        return Ok(parse(data))
     except pydantic.ValidationError as error:
-        return _error("load", address, str(error.errors()[0]["msg"]))
-    return Ok(protocol.EngineLoad(**told.model_dump()))
+        return _error(step, address, str(error.errors()[0]["msg"]))
 
 
 class _SendOnce:
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -30,7 +30,7 @@
 )
 from godwittack.entry import calls, operate, status, token
 from godwittack.lead import lease as leases
-from godwittack.member import view
+from godwittack.member import right, view
 from godwittack.metric import meters
 from godwittack.peer import datagram, exchange
 from godwittack.platform import http as platform_http
@@ -116,7 +116,7 @@
             tables=store,
             runtime=self.runtime,
             peers=self._peers,
-            right=view.ServeRight(settings.member_policy()),
+            right=right.ServeRight(settings.member_policy()),
             rng=rng,
         )
         self._news = news.News(
--- a/src/godwittack/daemon/tables.py
+++ b/src/godwittack/daemon/tables.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
     from godwittack.daemon import runtime as runtimes
-    from godwittack.member import view
+    from godwittack.member import right
     from godwittack.peer import exchange
     from godwittack.table import store
 
@@ -33,7 +33,7 @@
     tables: store.TableStore
     runtime: runtimes.Runtime
     peers: exchange.PeerClient
-    right: view.ServeRight
+    right: right.ServeRight
     rng: random.Random
     on_adopted: Callable[[], None] = lambda: None
     _fetching: bool = False
--- /dev/null
+++ b/src/godwittack/member/right.py
@@ -0,0 +1,69 @@
+"""Decides until when this daemon may call its table current."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from godwittack.member.view import MemberPolicy, View
+
+
+@dataclasses.dataclass(slots=True)
+class ServeRight:
+    """Decides until when this daemon may claim that its table is current.
+
+    A daemon that read the table's version from the service lately is
+    current. When the service is silent, it is current while it is in contact
+    with more than half of the known daemons and lags none of them: a change
+    counts as accepted only once more than half have it, so that one of those
+    it hears would tell of it. See docs/design/table.md.
+    """
+
+    policy: MemberPolicy
+    service_read_at_ms: int = -1_000_000
+    newest_told: int = 0
+    behind_since_ms: int = -1
+    _behind_until_ms: int = 0
+    _granted_until_ms: int = 0
+
+    def service_read(self, *, now_ms: int) -> None:
+        """Counts a reading of the newest version from the service."""
+        self.service_read_at_ms = max(self.service_read_at_ms, now_ms)
+
+    def compared(self, *, own: int, told: int, now_ms: int) -> None:
+        """Takes in a version that a peer told, or the own new one."""
+        self.newest_told = max(self.newest_told, told)
+        if own >= self.newest_told:
+            self.behind_since_ms = -1
+        elif self.behind_since_ms < 0:
+            self.behind_since_ms = now_ms
+            # Time to fetch the newer table goes only to a daemon that served
+            # until now: one that was cut off and hears of others again must
+            # not begin on its old table.
+            self._behind_until_ms = min(
+                self._granted_until_ms, now_ms + self.policy.behind_ms
+            )
+
+    def service_fresh(self, *, now_ms: int) -> bool:
+        """Returns whether the service was read lately."""
+        return now_ms - self.service_read_at_ms <= self.policy.lease_ms
+
+    def until_ms(self, view: View, *, own_version: int, now_ms: int) -> int:
+        """Returns the time before which new work may start; 0 for not now.
+
+        The time passes by itself: a daemon that was stopped and goes on finds
+        it in the past, before it decides on anything that waited meanwhile.
+        """
+        if own_version == 0:
+            return 0
+        until_ms = self.service_read_at_ms + self.policy.lease_ms
+        if view.contact_share(now_ms=now_ms) > 0.5:
+            until_ms = max(until_ms, now_ms + self.policy.contact_ms)
+        if self.behind_since_ms >= 0:
+            until_ms = min(until_ms, self._behind_until_ms)
+        self._granted_until_ms = until_ms if until_ms > now_ms else 0
+        return self._granted_until_ms
+
+
+__all__ = ["ServeRight"]
