--- a/tests/features/security.feature
+++ b/tests/features/security.feature
@@ -12,6 +12,7 @@
     And where with another workspace's name gets 403
     And each operator call with a workspace's token gets 401
     And a peer without the secret is refused
+    And a datagram without the secret gets no answer, with it one
     And the log holds no token
 
   Scenario: A caller can't set what says whose state is used
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -15,7 +15,7 @@
 from features.steps import cluster_steps
 from godwittack.core import effects
 from godwittack.daemon import observer
-from godwittack.peer import exchange, peer_pb2
+from godwittack.peer import datagram, exchange, peer_pb2
 
 SMUGGLED = {
     "X-Workspace": "fair",
@@ -298,6 +298,29 @@
     assert "stranger" not in context.cluster.ready("entry-1")["members"]
 
 
+@then("a datagram without the secret gets no answer, with it one")
+def stranger_datagram(context):
+    """Probes with a wrong secret, then with the right one."""
+    right = (context.cluster.path / "secret").read_bytes().strip()
+    assert not asyncio.run(_probe(context, b"x" * 32)).is_ok()
+    assert asyncio.run(_probe(context, right)).is_ok()
+    assert "stranger" not in context.cluster.ready("entry-1")["members"]
+
+
+async def _probe(context, secret):
+    peers = datagram.DatagramPeers(secret=secret, timeout_ms=2_000)
+    await peers.start("127.0.0.1:0", handler=None)
+    sender = peer_pb2.Member()
+    if secret.startswith(b"x"):
+        sender.member_id = "stranger"
+        sender.peer_address = "127.0.0.1:1"
+    address = f"127.0.0.1:{context.cluster.peer_ports['entry-1']}"
+    try:
+        return await peers.exchange(address, peer_pb2.Envelope(sender=sender))
+    finally:
+        peers.close()
+
+
 @then("the log holds no token")
 def no_token_in_log(context):
     """Searches the log."""
