--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -23,8 +23,8 @@
 
 
 LEAVE_MS = 3_000
-SEEDS_AT_ONCE = 16
 LEAVE_PAUSE_MS = 100
+SEEDS_AT_ONCE = 16
 
 
 class Prober(Protocol):
