--- a/bench/peers.py
+++ b/bench/peers.py
@@ -21,7 +21,7 @@
 from godwittack.daemon import listing
 from godwittack.member import duty, view
 from godwittack.peer import codec, datagram, exchange, peer_pb2, pending, wire
-from godwittack.platform import http
+from godwittack.store import http
 
 TIMEOUT_MS = 2_000
 
--- /dev/null
+++ b/src/godwittack/backend/connection.py
@@ -0,0 +1,296 @@
+"""One HTTP/1.1 connection to a backend server, read to the last byte.
+
+aiohttp's client hands the next answer on a connection to the next request,
+whichever request it belongs to. Servers may send a second answer late, or
+bytes after a complete one; callers would get the answer of another. Here each
+answer names the request it is for, others are read past, and a connection is
+used again only if it cannot hold anything that was not asked for. The parser
+is `httptools`, the one that aiohttp's own is made from.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import socket
+from typing import TYPE_CHECKING
+
+import httptools
+
+from godwittack.core import work
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Bytes of one answer that wait for the reader; above it the socket is not read.
+HIGH_WATER_BYTES = 1 << 18
+# Keep-alive probes: a path that lost track of the connection shows within
+# five seconds instead of never.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 3
+
+
+class ReplyError(Exception):
+    """The server's bytes are no whole answer to the request."""
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """One answer as it comes.
+
+    Attributes:
+        status: HTTP status; 0 until the head came.
+        headers: In the order and case received.
+        is_whole: Whether the body's end was seen.
+        ends_with_connection: Whether only the connection's end marks it.
+        chunks: Pieces of the body that were not read yet.
+    """
+
+    status: int = 0
+    headers: list[work.Header] = dataclasses.field(default_factory=list)
+    is_whole: bool = False
+    ends_with_connection: bool = False
+    chunks: collections.deque[bytes] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def header(self, name: str) -> str:
+        """Returns the first header of that name, or an empty text."""
+        lower = name.lower()
+        for header in self.headers:
+            if header.name.lower() == lower:
+                return header.value
+        return ""
+
+
+class Connection(asyncio.Protocol):
+    """Sends one request at a time and reads what comes back.
+
+    Attributes:
+        used: Whether a request was sent on it before.
+        idle_since_ms: When its last answer ended.
+        keep_ms: How long the server keeps it open while idle.
+    """
+
+    def __init__(self) -> None:
+        """Waits for `asyncio` to connect it."""
+        self.used = False
+        self.idle_since_ms = 0
+        self.keep_ms = 0
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._reply: Reply | None = None
+        self._heads: collections.deque[Reply] = collections.deque()
+        self._buffered = 0
+        self._awaited = False
+        self._changed = asyncio.Event()
+        self._lost: str | None = None
+        self._paused = False
+        self._spoiled = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sets the socket up so that a dead path shows."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            for option, value in (
+                (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+                (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+                (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+            ):
+                sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came."""
+        if self._spoiled:
+            return
+        if not self._awaited:
+            # Nothing was asked: whatever this is, it is not for anybody.
+            self._spoil("bytes without a request")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._spoil(f"not HTTP: {error}")
+        self._changed.set()
+
+    def eof_received(self) -> bool:
+        """Ends an answer that has no length."""
+        reply = self._reply
+        if reply is not None and reply.status and reply.ends_with_connection:
+            reply.is_whole = True
+        self._fail("the server closed the connection")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends whatever was being read."""
+        self._fail(f"connection lost: {exc}" if exc else "connection closed")
+
+    def on_message_begin(self) -> None:
+        """Parser: the first byte of an answer."""
+        self._reply = Reply()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser: one header."""
+        if self._reply is not None:
+            text = value.decode("latin-1")
+            self._reply.headers.append(
+                work.Header(name.decode("latin-1"), text)
+            )
+
+    def on_headers_complete(self) -> None:
+        """Parser: the head is whole."""
+        reply = self._reply
+        if reply is None:
+            return
+        reply.status = self._parser.get_status_code()
+        if 100 <= reply.status < 200:
+            return
+        chunked = "chunked" in reply.header("transfer-encoding").lower()
+        has_length = bool(reply.header("content-length"))
+        no_body = reply.status in (204, 304)
+        reply.ends_with_connection = not (chunked or has_length or no_body)
+        self._heads.append(reply)
+
+    def on_body(self, body: bytes) -> None:
+        """Parser: a piece of a body."""
+        if self._reply is None:
+            return
+        self._reply.chunks.append(body)
+        self._buffered += len(body)
+        if self._buffered > HIGH_WATER_BYTES and not self._paused:
+            self._paused = True
+            if self._transport is not None:
+                self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Parser: the answer's end."""
+        if self._reply is not None and self._reply.status >= 200:
+            self._reply.is_whole = True
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a request could be sent."""
+        closing = self._transport is None or self._transport.is_closing()
+        return not (self._spoiled or self._lost or closing)
+
+    def send(self, head: bytes, body: bytes) -> None:
+        """Writes a request; what the socket does not take yet is kept.
+
+        A server may answer before it has read the whole body. The rest is
+        sent all the same, so that what follows on the connection is never
+        taken for it.
+        """
+        assert self._transport is not None
+        self.used = True
+        self._awaited = True
+        self._transport.write(head + body)
+
+    async def read_head(self, is_mine: Callable[[Reply], bool]) -> Reply:
+        """Returns the head of the answer that `is_mine` recognizes.
+
+        Answers to other requests that come before it are read past.
+
+        Raises:
+            ReplyError: The connection ended, or brought no answer.
+        """
+        while True:
+            while not self._heads:
+                self._raise_if_lost()
+                await self._wait()
+            reply = self._heads.popleft()
+            if is_mine(reply):
+                return reply
+            await self.read_body(reply)
+            if reply.ends_with_connection:
+                raise ReplyError("an answer to another request, without end")
+
+    async def read_some(self, reply: Reply) -> bytes:
+        """Returns the next bytes of a body; none at its end.
+
+        Raises:
+            ReplyError: The connection ended before the body did.
+        """
+        while not reply.chunks:
+            if reply.is_whole:
+                return b""
+            self._raise_if_lost()
+            await self._wait()
+        data = b"".join(reply.chunks)
+        reply.chunks.clear()
+        self._buffered -= len(data)
+        if self._paused and self._transport is not None:
+            self._paused = False
+            self._transport.resume_reading()
+        return data
+
+    async def read_body(self, reply: Reply, *, limit: int = 32 << 20) -> bytes:
+        """Returns a whole body.
+
+        Raises:
+            ReplyError: It is not whole, or longer than `limit`.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while data := await self.read_some(reply):
+            parts.append(data)
+            size += len(data)
+            if size > limit:
+                raise ReplyError(f"the answer is longer than {limit} bytes")
+        return b"".join(parts)
+
+    def finish(self, reply: Reply, *, now_ms: int) -> bool:
+        """Ends an exchange; returns whether another one may follow."""
+        self.idle_since_ms = now_ms
+        clean = (
+            reply.is_whole
+            and not reply.ends_with_connection
+            and not self._heads
+            and self._reply is reply
+            and reply.header("connection").lower() != "close"
+        )
+        self.keep_ms = _keep_ms(reply)
+        self._reply = None
+        self._awaited = False
+        return clean and self.is_open
+
+    def close(self) -> None:
+        """Closes at once; the server sees its caller gone."""
+        self._spoiled = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _wait(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+    def _raise_if_lost(self) -> None:
+        if self._lost is not None:
+            raise ReplyError(self._lost)
+
+    def _spoil(self, detail: str) -> None:
+        self._spoiled = True
+        self._fail(detail)
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, detail: str) -> None:
+        if self._lost is None:
+            self._lost = detail
+        self._changed.set()
+
+
+def _keep_ms(reply: Reply) -> int:
+    """Returns the server's idle limit, 0 where it names none."""
+    for part in reply.header("keep-alive").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return int(value) * 1000
+    return 0
+
+
+__all__ = ["Connection", "Reply", "ReplyError"]
--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -9,7 +9,7 @@
 import pydantic
 from result import Err, Ok, Result
 
-from godwittack.backend import protocol, schema, sse
+from godwittack.backend import headers, protocol, schema, sse
 from godwittack.core import inputs, work
 
 if TYPE_CHECKING:
@@ -23,19 +23,6 @@
 GONE_STATUSES = frozenset({404, 410})
 MAX_ANSWER_BYTES = 32 << 20
 AUTO_HEADERS = ("accept", "accept-encoding", "content-type", "user-agent")
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 
 
 class HttpBackend:
@@ -106,7 +93,7 @@
         await self._control("cancel", address, "DELETE", _stream(stream_id))
 
     async def load(
-        self, address: str
+        self, address: str, *, server_id: str = ""
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
         """Returns the server's load, on a fresh connection."""
         got = await self._control("load", address, "GET", "/load")
@@ -115,7 +102,7 @@
         return _read(address, "load", schema.load, got.ok_value)
 
     async def poll_load(
-        self, address: str
+        self, address: str, *, server_id: str = ""
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
         """Returns the server's load, on a connection kept between polls."""
         got = await self._control(
@@ -126,7 +113,7 @@
         return _read(address, "poll load", schema.load, got.ok_value)
 
     async def cache_events(
-        self, address: str, *, after: int
+        self, address: str, *, after: int, server_id: str = ""
     ) -> Result[protocol.CacheEvents, protocol.BackendError]:
         """Waits for cache events."""
         got = await self._control(
@@ -348,8 +335,8 @@
     lower = name.lower()
     named = {part.strip().lower() for part in connection.split(",")}
     # These are set anew towards the caller.
-    length = lower in ("content-length", "date", "server")
-    return lower not in HOP_BY_HOP and lower not in named and not length
+    length = lower in headers.SET_ANEW
+    return lower not in headers.HOP_BY_HOP and lower not in named and not length
 
 
 def _headers(
@@ -376,4 +363,4 @@
     return Err(protocol.BackendError(step=step, peer=address, detail=detail))
 
 
-__all__ = ["HOP_BY_HOP", "HttpBackend"]
+__all__ = ["HttpBackend"]
--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -20,11 +20,13 @@
         step: What was being done.
         peer: Address of the backend server.
         detail: One line for people.
+        status: HTTP status of the answer; 0 where none came.
     """
 
     step: str
     peer: str
     detail: str
+    status: int = 0
 
     def __str__(self) -> str:
         """Returns the error as one line."""
@@ -39,18 +41,26 @@
         path: Path and query at the backend server.
         headers: End-to-end headers.
         body: Body bytes.
+        request_id: The caller's id, which an answer must echo; empty where
+            the interface has none.
     """
 
     method: str
     path: str
     headers: tuple[work.Header, ...]
     body: bytes
+    request_id: str = ""
 
 
 class AttemptSink(Protocol):
     """Receives what happens on one attempt."""
 
-    def opened(self, echoed_request: str, stamp: work.Stamp) -> None:
+    def opened(
+        self,
+        echoed_request: str,
+        stamp: work.Stamp,
+        head: work.Head | None = None,
+    ) -> None:
         """The head of a stream came."""
 
     def usage(self, *, prompt: int, cached: int, generated: int) -> None:
@@ -78,7 +88,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineLoad:
-    """An engine's or service's account of its load."""
+    """An engine's or service's account of its load.
+
+    Attributes:
+        orders_taken: Orders accepted so far; -1 where it does not count them.
+        is_ordered: Whether it is carrying out an order.
+    """
 
     incarnation: str
     weights_version: str
@@ -88,6 +103,8 @@
     prefill_us_per_token: int
     slots: int
     leaving: bool
+    orders_taken: int = -1
+    is_ordered: bool = False
 
 
 class CacheEventKind(enum.StrEnum):
@@ -137,11 +154,21 @@
         fencing: Number of the lease under which it is given; engines that
             check it refuse a lower one than they have seen.
         value: Weights version, adapter or role.
+        target: Model or service of the server.
+        server_id: Server that must get it, for servers that check.
+        holder: Daemon that gives it.
+        orders_taken: Orders that the server must have accepted before, so
+            that one on its way for seconds does not follow a newer one; -1
+            for any number.
     """
 
     kind: OrderKind
     fencing: int
     value: str
+    target: str = ""
+    server_id: str = ""
+    holder: str = ""
+    orders_taken: int = -1
 
 
 class BackendClient(Protocol):
@@ -155,17 +182,21 @@
     async def cancel(self, address: str, stream_id: str) -> None:
         """Ends a stream on an engine; failures are ignored."""
 
-    async def load(self, address: str) -> Result[EngineLoad, BackendError]:
+    async def load(
+        self, address: str, *, server_id: str = ""
+    ) -> Result[EngineLoad, BackendError]:
         """Returns the server's load, on a fresh connection."""
 
-    async def poll_load(self, address: str) -> Result[EngineLoad, BackendError]:
+    async def poll_load(
+        self, address: str, *, server_id: str = ""
+    ) -> Result[EngineLoad, BackendError]:
         """Returns the server's load, on a connection kept between polls.
 
         One that went silent costs one poll: it is closed then.
         """
 
     async def cache_events(
-        self, address: str, *, after: int
+        self, address: str, *, after: int, server_id: str = ""
     ) -> Result[CacheEvents, BackendError]:
         """Waits for cache events after a sequence number."""
 
--- /dev/null
+++ b/src/godwittack/backend/routed.py
@@ -0,0 +1,317 @@
+"""Runs attempts on backend servers whose answers are handed on unchanged."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING, Protocol
+
+from result import Err, Ok, Result
+
+from godwittack.backend import connection as connections
+from godwittack.backend import headers, protocol, sse
+from godwittack.backend import pool as pools
+from godwittack.core import inputs, work
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwittack.clock import Clock
+    from godwittack.core import effects
+
+EVENT_STREAM = "text/event-stream"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EchoedLoad:
+    """Load that a server tells with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ControlCall:
+    """A call that is not a caller's request.
+
+    Attributes:
+        head: Request line and headers, with the blank line.
+        step: What it does, for errors.
+        wait_ms: How long the server may hold it open.
+    """
+
+    step: str
+    head: bytes
+    body: bytes = b""
+    wait_ms: int = 0
+
+
+class ServerFormat(Protocol):
+    """How requests to servers are written, and their answers read."""
+
+    def request_head(
+        self, dispatch: effects.Dispatch, call: protocol.Call
+    ) -> bytes:
+        """Returns request line and headers of one attempt."""
+
+    def is_answer_to(
+        self, reply: connections.Reply, call: protocol.Call
+    ) -> bool:
+        """Returns whether an answer belongs to the call."""
+
+    def declined(
+        self, reply: connections.Reply, server_id: str
+    ) -> inputs.FailureCause | None:
+        """Returns why the server did not run the request, None if it did."""
+
+    def echoed_load(self, reply: connections.Reply) -> EchoedLoad | None:
+        """Returns the load that an answer tells."""
+
+    def load_call(self, address: str, server_id: str) -> ControlCall:
+        """Returns the call for a server's report of its state."""
+
+    def read_load(self, body: bytes, server_id: str) -> protocol.EngineLoad:
+        """Reads a report; raises ValueError for anything else."""
+
+    def events_call(
+        self, address: str, server_id: str, after: int
+    ) -> ControlCall:
+        """Returns the call for cache events."""
+
+    def read_events(self, body: bytes) -> protocol.CacheEvents:
+        """Reads cache events; raises ValueError for anything else."""
+
+    def order_call(self, address: str, order: protocol.Order) -> ControlCall:
+        """Returns the call for an order."""
+
+
+class RoutedBackend:
+    """Implements `BackendClient` over kept connections of our own."""
+
+    def __init__(
+        self,
+        *,
+        pool: pools.Pool,
+        wire: ServerFormat,
+        clock: Clock,
+        control_timeout_ms: int,
+    ) -> None:
+        """Speaks `wire` over connections of `pool`."""
+        self._pool = pool
+        self._wire = wire
+        self._clock = clock
+        self._control_timeout_ms = control_timeout_ms
+        self.on_load: Callable[[inputs.LoadEchoed], None] = lambda told: None
+
+    async def send(
+        self,
+        dispatch: effects.Dispatch,
+        call: protocol.Call,
+        sink: protocol.AttemptSink,
+    ) -> None:
+        """Runs one attempt to its end."""
+        used = None
+        if not dispatch.fresh_connection:
+            used = self._pool.take(dispatch.server_id)
+        if used is None:
+            try:
+                used = await self._pool.open(dispatch.address)
+            except OSError as error:
+                sink.failed(
+                    inputs.FailurePhase.CONNECT,
+                    inputs.FailureCause.BROKEN,
+                    str(error),
+                )
+                return
+        ended_well = False
+        try:
+            await self._exchange(used, dispatch, call, sink)
+            ended_well = True
+        except (connections.ReplyError, ValueError) as error:
+            sink.failed(
+                inputs.FailurePhase.SENT,
+                inputs.FailureCause.BROKEN,
+                str(error),
+            )
+        finally:
+            # Also where the attempt was cancelled: the server stops the work
+            # of a caller whose connection closes.
+            if not ended_well:
+                used.close()
+
+    async def cancel(self, address: str, stream_id: str) -> None:
+        """Does nothing: a closed connection is what ends a server's work."""
+
+    async def load(
+        self, address: str, *, server_id: str = ""
+    ) -> Result[protocol.EngineLoad, protocol.BackendError]:
+        """Returns the server's own report."""
+        call = self._wire.load_call(address, server_id)
+        got = await self._control(address, server_id, call)
+        if isinstance(got, Err):
+            return got
+        try:
+            return Ok(self._wire.read_load(got.ok_value, server_id))
+        except ValueError as error:
+            return _error(call.step, address, str(error))
+
+    poll_load = load
+
+    async def cache_events(
+        self, address: str, *, after: int, server_id: str = ""
+    ) -> Result[protocol.CacheEvents, protocol.BackendError]:
+        """Waits for cache events."""
+        call = self._wire.events_call(address, server_id, after)
+        got = await self._control(address, f"{server_id}/events", call)
+        if isinstance(got, Err):
+            return got
+        try:
+            return Ok(self._wire.read_events(got.ok_value))
+        except ValueError as error:
+            return _error(call.step, address, str(error))
+
+    async def order(
+        self, address: str, order: protocol.Order
+    ) -> Result[None, protocol.BackendError]:
+        """Gives an order."""
+        call = self._wire.order_call(address, order)
+        got = await self._control(address, order.server_id, call)
+        return got if isinstance(got, Err) else Ok(None)
+
+    async def export_kv(
+        self, address: str, level_key: int
+    ) -> Result[bytes, protocol.BackendError]:
+        """Not offered: servers fetch cached state from each other."""
+        return _error("export", address, "not offered by this interface")
+
+    async def import_kv(
+        self, address: str, data: bytes
+    ) -> Result[None, protocol.BackendError]:
+        """Not offered: servers fetch cached state from each other."""
+        return _error("import", address, "not offered by this interface")
+
+    async def _exchange(
+        self,
+        used: connections.Connection,
+        dispatch: effects.Dispatch,
+        call: protocol.Call,
+        sink: protocol.AttemptSink,
+    ) -> None:
+        used.send(self._wire.request_head(dispatch, call), call.body)
+        reply = await used.read_head(
+            lambda reply: self._wire.is_answer_to(reply, call)
+        )
+        self._tell_load(dispatch.server_id, reply)
+        declined = self._wire.declined(reply, dispatch.server_id)
+        if declined is not None:
+            await used.read_body(reply)
+            self._pool.give_back(dispatch.server_id, used, reply)
+            sink.failed(
+                inputs.FailurePhase.DECLINED,
+                declined,
+                f"status {reply.status}",
+            )
+            return
+        if _is_stream(reply) and dispatch.stamp is not None:
+            await _relay(used, reply, dispatch, sink)
+            self._pool.give_back(dispatch.server_id, used, reply)
+            return
+        body = await used.read_body(reply)
+        self._pool.give_back(dispatch.server_id, used, reply)
+        answer = work.Answer(reply.status, _end_to_end(reply), body)
+        sink.answer(dispatch.attempt_id, answer, dispatch.stamp)
+
+    def _tell_load(self, server_id: str, reply: connections.Reply) -> None:
+        load = self._wire.echoed_load(reply)
+        if load is not None:
+            self.on_load(
+                inputs.LoadEchoed(
+                    at_ms=self._clock.now_ms(),
+                    server_id=server_id,
+                    running=load.running,
+                    waiting=load.waiting,
+                    slots=load.slots,
+                )
+            )
+
+    async def _control(
+        self, address: str, key: str, call: ControlCall
+    ) -> Result[bytes, protocol.BackendError]:
+        # Not among the connections of callers' requests, where an answer to
+        # one of those may still come late.
+        key = f"{key}/control"
+        used = None
+        limit_s = (self._control_timeout_ms + call.wait_ms) / 1000
+        try:
+            async with asyncio.timeout(limit_s):
+                used = self._pool.take(key) or await self._pool.open(address)
+                used.send(call.head, call.body)
+                reply = await used.read_head(lambda reply: True)
+                body = await used.read_body(reply)
+        except TimeoutError:
+            _close(used)
+            return _error(call.step, address, "no answer in time")
+        except (OSError, connections.ReplyError) as error:
+            _close(used)
+            return _error(call.step, address, str(error))
+        except asyncio.CancelledError:
+            _close(used)
+            raise
+        self._pool.give_back(key, used, reply)
+        if reply.status not in (200, 202):
+            return _error(
+                call.step,
+                address,
+                f"status {reply.status}",
+                status=reply.status,
+            )
+        return Ok(body)
+
+
+async def _relay(
+    used: connections.Connection,
+    reply: connections.Reply,
+    dispatch: effects.Dispatch,
+    sink: protocol.AttemptSink,
+) -> None:
+    assert dispatch.stamp is not None
+    head = work.Head(reply.status, _end_to_end(reply))
+    sink.opened(dispatch.attempt_id, dispatch.stamp, head)
+    reader = sse.FrameReader(after=dispatch.after, done=b"")
+    while data := await used.read_some(reply):
+        frames = reader.feed(data)
+        if frames:
+            await sink.frames(frames)
+    await sink.frames((reader.end(),))
+
+
+def _is_stream(reply: connections.Reply) -> bool:
+    content_type = reply.header("content-type")
+    return reply.status == 200 and content_type.startswith(EVENT_STREAM)
+
+
+def _end_to_end(reply: connections.Reply) -> tuple[work.Header, ...]:
+    named = {
+        part.strip().lower() for part in reply.header("connection").split(",")
+    }
+    dropped = headers.HOP_BY_HOP | headers.SET_ANEW | named
+    return tuple(h for h in reply.headers if h.name.lower() not in dropped)
+
+
+def _close(used: connections.Connection | None) -> None:
+    if used is not None:
+        used.close()
+
+
+def _error(
+    step: str, address: str, detail: str, *, status: int = 0
+) -> Err[protocol.BackendError]:
+    return Err(
+        protocol.BackendError(
+            step=step, peer=address, detail=detail, status=status
+        )
+    )
+
+
+__all__ = ["ControlCall", "EchoedLoad", "RoutedBackend", "ServerFormat"]
--- a/src/godwittack/backend/sse.py
+++ b/src/godwittack/backend/sse.py
@@ -14,8 +14,9 @@
     An event without an `id:` line takes the number after the last one.
     """
 
-    def __init__(self, *, after: int) -> None:
-        """Starts behind frame `after`."""
+    def __init__(self, *, after: int, done: bytes = DONE) -> None:
+        """Starts behind frame `after`; `done` marks the last event, if any."""
+        self._done = done
         self._rest = b""
         self._last = after
 
@@ -35,11 +36,18 @@
 
     def _frame(self, event: bytes) -> work.Frame:
         number = self._last + 1
-        if event.startswith(b"id: "):
-            line, _, _ = event.partition(b"\n")
-            number = int(line[4:])
+        for line in event.split(b"\n"):
+            if line.startswith(b"id:"):
+                number = int(line[3:])
+                break
         self._last = number
-        return work.Frame(number, event + b"\n\n", DONE in event)
+        done = bool(self._done) and self._done in event
+        return work.Frame(number, event + b"\n\n", done)
+
+    def end(self) -> work.Frame:
+        """Returns the last frame of a stream that ended without a mark."""
+        rest, self._rest = self._rest, b""
+        return work.Frame(self._last + 1, rest, terminal=True)
 
 
 __all__ = ["FrameReader"]
--- a/src/godwittack/claim/batch.py
+++ b/src/godwittack/claim/batch.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from godwittack.platform import protocol
+from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/godwittack/claim/schema.py
+++ b/src/godwittack/claim/schema.py
@@ -7,7 +7,7 @@
 import pydantic
 
 from godwittack.core import work
-from godwittack.platform import protocol
+from godwittack.store import protocol
 
 TABLE = "claims"
 
--- a/src/godwittack/claim/store.py
+++ b/src/godwittack/claim/store.py
@@ -9,7 +9,7 @@
 
 from godwittack.claim import batch, schema
 from godwittack.core import inputs, work
-from godwittack.platform import protocol
+from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from godwittack.core import effects
--- a/src/godwittack/clock/__init__.py
+++ b/src/godwittack/clock/__init__.py
@@ -24,8 +24,13 @@
     """Reads the clocks of the operating system."""
 
     def now_ms(self) -> int:
-        """Returns the monotonic clock in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        """Returns milliseconds that also count while suspended.
+
+        The plain monotonic clock stands still while an instance is suspended.
+        A lease or a right read by it would seem to hold long after others
+        have taken it for lapsed.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
     def wall_ms(self) -> int:
         """Returns the wall clock in milliseconds."""
--- a/src/godwittack/command/check.py
+++ b/src/godwittack/command/check.py
@@ -46,6 +46,9 @@
     if isinstance(loaded, Err):
         return loaded
     settings = loaded.ok_value.settings
+    if settings.interface is configs.Interface.PLATFORM:
+        # The platform gives the addresses to this process alone.
+        return Ok(loaded.ok_value)
     for key, kind in (
         ("http_address", socket.SOCK_STREAM),
         ("peer_address", socket.SOCK_STREAM),
--- a/src/godwittack/command/serve.py
+++ b/src/godwittack/command/serve.py
@@ -22,20 +22,32 @@
     if isinstance(loaded, Err):
         print(loaded.err_value, file=sys.stderr)
         return codes.BAD_INPUT
-    trouble = check.platform_trouble(settings, loaded.ok_value)
+    from godwittack.config import settings as configs
+
+    on_platform = (
+        loaded.ok_value.settings.interface is configs.Interface.PLATFORM
+    )
+    trouble = ""
+    if not on_platform:
+        trouble = check.platform_trouble(settings, loaded.ok_value)
     if trouble:
         # The platform has outages, and a daemon must start during one.
         print(f"{trouble}; starting without it", file=sys.stderr)
     from absl import flags, logging
 
-    from godwittack.daemon import serve as daemon
-
     # Without this absl complains of flags, which this program does not use.
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(check.log_formatter())
-    asyncio.run(daemon.serve(loaded.ok_value))
+    if on_platform:
+        from godwittack.daemon import edge
+
+        asyncio.run(edge.serve(loaded.ok_value))
+    else:
+        from godwittack.daemon import serve as daemon
+
+        asyncio.run(daemon.serve(loaded.ok_value))
     return codes.OK
 
 
--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import difflib
+import enum
 import pathlib
 from typing import Annotated, Any, TypeAlias
 
@@ -27,6 +28,13 @@
 MIN_SECRET_BYTES = 16
 
 
+class Interface(enum.StrEnum):
+    """What the daemon's surroundings speak."""
+
+    OWN = "own"
+    PLATFORM = "platform"
+
+
 class _Section(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
@@ -61,7 +69,42 @@
         description="http://IP:port of the platform's service"
     )
     cluster_secret_file: str = pydantic.Field(
-        description="file with the secret that all daemons share"
+        default="", description="file with the secret that all daemons share"
+    )
+    cluster_secret: str = pydantic.Field(
+        default="",
+        description="that secret itself, where no file can be had",
+    )
+    interface: Interface = pydantic.Field(
+        default=Interface.OWN,
+        description="what callers, servers and the store speak: own, platform",
+    )
+    ready_address: Address = pydantic.Field(
+        default="0.0.0.0:0",
+        description="IP:port for readiness checks; platform interface only",
+    )
+    directory_address: Address = pydantic.Field(
+        default="0.0.0.0:0",
+        description="IP:port for callers' lookups; platform interface only",
+    )
+    metrics_address: Address | None = pydantic.Field(
+        default=None, description="IP:port for metrics besides http_address"
+    )
+    checks_fencing: bool = pydantic.Field(
+        default=False,
+        description="whether engines refuse orders with an old number",
+    )
+    key_bound_ms: Ms = pydantic.Field(
+        default=5_000,
+        description="ms after which a key taken away must not be served",
+    )
+    feed_wait_ms: Ms = pydantic.Field(
+        default=1_000, description="ms that the store holds a call for changes"
+    )
+    stop_grace_s: float = pydantic.Field(
+        default=8.0,
+        gt=0,
+        description="seconds from SIGTERM until the process is killed",
     )
     operators: tuple[Operator, ...] = pydantic.Field(
         default=(), description="people who may change the table"
@@ -201,6 +244,10 @@
         settings = Settings.model_validate(raw)
     except pydantic.ValidationError as error:
         return Err(f"{path}: {_explain(error)}")
+    if settings.cluster_secret:
+        return Ok(Loaded(settings, settings.cluster_secret.encode()))
+    if not settings.cluster_secret_file:
+        return Err(f"{path}: cluster_secret_file: missing; write its path")
     secret_path = pathlib.Path(path).parent / settings.cluster_secret_file
     try:
         secret = secret_path.read_bytes().strip()
@@ -254,4 +301,4 @@
     }
 
 
-__all__ = ["Loaded", "Operator", "Settings", "load"]
+__all__ = ["Interface", "Loaded", "Operator", "Settings", "load"]
--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -12,6 +12,8 @@
     effects,
     entities,
     placing,
+    retries,
+    routing,
     splitting,
     work,
 )
@@ -28,24 +30,36 @@
 def arrive(world: entities.World, arrived: inputs.RequestArrived) -> None:
     """Checks a new request and starts it."""
     asked = arrived.work
-    workspace = authenticate(world, arrived.request_id, asked.token_sha256)
-    if workspace is None:
-        return
-    if not _may_start(world, arrived.request_id, asked, workspace.name):
-        return
+    if asked.host:
+        routed = routing.route(world, arrived)
+        if isinstance(routed, routing.Refusal):
+            turn_away(world, arrived.request_id, routed)
+            return
+        asked, workspace = routed.work, routed.workspace
+    else:
+        known = authenticate(world, arrived.request_id, asked.token_sha256)
+        if known is None:
+            return
+        workspace = known
+        if not _may_start(world, arrived.request_id, asked, workspace.name):
+            return
     request = entities.RequestRow(
         request_id=arrived.request_id,
         work=asked,
         workspace=workspace.name,
         arrived_at_ms=world.now_ms,
         deadline_at_ms=world.now_ms + _deadline_ms(world, workspace, asked),
+        next_frame=asked.resume_after + 1,
+        table_version=world.table.version,
     )
+    if asked.route is not None:
+        request.give_up_at_ms = world.now_ms + asked.route.timeout_ms
     if not _within_limits(world, request, workspace):
         return
     world.requests[request.request_id] = request
     for cell in closing.limited_cells(request):
         world.shares.began(cell)
-    world.retry_budget.earn()
+    retries.earn(world, asked.target)
     world.spill_budget.earn()
     placing.note_demand(world, request)
     if needs_claim(world, asked):
@@ -74,7 +88,7 @@
 
 def needs_claim(world: entities.World, asked: work.Work) -> bool:
     """Returns whether running the call twice would do harm."""
-    if asked.kind is not work.WorkKind.PLAIN:
+    if asked.kind is not work.WorkKind.PLAIN or asked.route is not None:
         return False
     if asked.method in READ_METHODS:
         return False
@@ -135,6 +149,8 @@
 ) -> int:
     if asked.deadline_ms:
         return asked.deadline_ms
+    if asked.route is not None:
+        return asked.route.timeout_ms
     if asked.kind is work.WorkKind.PLAIN:
         return world.table.services[asked.target].deadline_ms
     return workspace.deadline_ms
@@ -209,4 +225,18 @@
     )
 
 
-__all__ = ["arrive", "authenticate", "needs_claim"]
+def turn_away(
+    world: entities.World, request_id: str, refusal: routing.Refusal
+) -> None:
+    """Refuses a request that no route, key or right lets in."""
+    _turn_away(
+        world,
+        request_id,
+        status=refusal.status,
+        reason=refusal.reason,
+        detail=refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
+__all__ = ["arrive", "authenticate", "needs_claim", "turn_away"]
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -11,6 +11,7 @@
     entities,
     inputs,
     outcomes,
+    retries,
     servers,
     work,
 )
@@ -19,6 +20,7 @@
     from collections.abc import Iterable
 
 FAILED_RETRY_MS = 1_000
+FIRST_SERVER_ERROR = 500
 
 
 def opened(world: entities.World, told: inputs.AttemptOpened) -> None:
@@ -30,6 +32,8 @@
     attempt.heard_at_ms = world.now_ms
     if _echo_holds(world, request, attempt, told.echoed_request, told.stamp):
         attempt.opened = True
+        if request.head is None:
+            request.head = told.head
 
 
 def frames(world: entities.World, told: inputs.FramesArrived) -> None:
@@ -75,6 +79,13 @@
     )
     closing.close_attempt(world, attempt.attempt_id)
     request.answer = told.answer
+    if _answer_may_improve(request, told.answer):
+        # The server's failure is kept: it is the answer where no other
+        # attempt brings a better one.
+        request.runs += 1
+        request.sent = True
+        retry(world, request, attempt, f"status {told.answer.status}")
+        return
     request.answered_at_ms = world.now_ms
     request.late = world.now_ms > request.deadline_at_ms
     if request.claim_key is None:
@@ -86,16 +97,7 @@
 
 def reply(world: entities.World, request: entities.RequestRow) -> None:
     """Hands a whole answer to the caller and ends the request."""
-    assert request.answer is not None
-    world.emit(
-        effects.Reply(
-            request_id=request.request_id,
-            answer=request.answer,
-            late=request.late,
-            replayed=False,
-        )
-    )
-    closing.finish(world, request)
+    closing.reply(world, request)
 
 
 def usage(world: entities.World, told: inputs.UsageReported) -> None:
@@ -128,6 +130,7 @@
     request, attempt = found
     if told.phase is inputs.FailurePhase.SENT:
         request.sent = True
+        request.runs += 1
     world.event(
         "attempt_failed",
         request.request_id,
@@ -146,7 +149,7 @@
             resume_or_break(world, request, attempt, told.detail)
         return
     closing.close_attempt(world, attempt.attempt_id)
-    if request.claim_key is not None and request.sent:
+    if request.at_most_once and request.sent:
         outcome_lost(world, request, told.detail)
         return
     retry(world, request, attempt, told.detail)
@@ -161,6 +164,11 @@
     if request.claim_key is not None:
         # The call may have run; its outcome is kept for the caller's retry.
         return
+    if request.at_most_once and request.work.kind is work.WorkKind.PLAIN:
+        # Broken off in the middle, a call that can't be repeated leaves its
+        # caller without a way to bring it to an end.
+        closing.leave(world, request)
+        return
     if request.attempt_id in world.attempts:
         # The engine keeps the stream for a while, so that the caller can
         # resume it through any daemon.
@@ -246,10 +254,13 @@
     for frame in arrived:
         if frame.number < request.next_frame:
             continue
-        if frame.number > request.next_frame:
+        # Events of a routed stream are numbered by the server, which may
+        # leave numbers out.
+        gapless = request.work.route is None
+        if gapless and frame.number > request.next_frame:
             return tuple(fresh), True
         fresh.append(frame)
-        request.next_frame += 1
+        request.next_frame = frame.number + 1
         if frame.terminal:
             break
     return tuple(fresh), False
@@ -282,6 +293,7 @@
             stream_id=attempt.stream_id,
             stamp=attempt.stamp,
             late=request.late,
+            head=request.head,
         )
     )
     world.event(
@@ -306,12 +318,7 @@
     """Sends a request elsewhere, or ends it where that is not allowed."""
     if avoid:
         request.avoid.add(attempt.server_id)
-    may_retry = (
-        request.attempts < world.policy.max_attempts
-        and world.now_ms < request.deadline_at_ms
-        and world.retry_budget.spend()
-    )
-    if may_retry:
+    if retries.allowed(world, request):
         world.event(
             "retried",
             request.request_id,
@@ -322,14 +329,17 @@
         dispatching.place(world, request)
         return
     outcome = effects.Outcome.NOT_RUN
+    status = 502
     if request.sent:
         outcome = effects.Outcome.UNKNOWN
     else:
         outcomes.store(world, request, work.ClaimState.RELEASED)
+        # To callers that come by a route, 503 says that nothing has run.
+        status = 503 if request.work.route else 502
     closing.refuse(
         world,
         request,
-        status=502,
+        status=status,
         outcome=outcome,
         reason=effects.Reason.DISPATCH_FAILED,
         detail=f"{attempt.server_id}: {detail}",
@@ -362,6 +372,10 @@
     if request.resumes >= world.policy.max_resumes:
         _break(world, request, f"could not be resumed: {detail}")
         return
+    route = request.work.route
+    if route is not None:
+        _go_on_elsewhere(world, request, attempt, detail)
+        return
     if attempt.server_id not in world.servers:
         _break(world, request, "its backend server is gone")
         return
@@ -375,6 +389,42 @@
     dispatching.resume(world, request, attempt)
 
 
+def _go_on_elsewhere(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+) -> None:
+    """Lets another server make the rest of a stream, or ends it broken."""
+    route = request.work.route
+    assert route is not None
+    closing.close_attempt(world, attempt.attempt_id)
+    request.avoid.add(attempt.server_id)
+    if not route.resumable or not retries.allowed(world, request):
+        _break(world, request, detail)
+        return
+    request.resumes += 1
+    world.event(
+        "stream_resumed",
+        request.request_id,
+        server=attempt.server_id,
+        after_frame=request.next_frame - 1,
+        detail=detail,
+    )
+    dispatching.place(world, request)
+
+
+def _answer_may_improve(
+    request: entities.RequestRow, answer: work.Answer
+) -> bool:
+    route = request.work.route
+    return (
+        route is not None
+        and answer.status >= FIRST_SERVER_ERROR
+        and not request.at_most_once
+    )
+
+
 def _break(
     world: entities.World, request: entities.RequestRow, detail: str
 ) -> None:
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -18,6 +18,10 @@
     retry_after_ms: int = 0,
 ) -> None:
     """Ends a request without an answer."""
+    if request.answer is not None and not request.begun:
+        # A server's failure kept from an earlier attempt is the true answer.
+        reply(world, request)
+        return
     if request.begun:
         world.emit(effects.BreakStream(request.request_id, reason, detail))
         world.event(
@@ -49,6 +53,20 @@
     leave(world, request)
 
 
+def reply(world: entities.World, request: entities.RequestRow) -> None:
+    """Hands a whole answer to the caller and ends the request."""
+    assert request.answer is not None
+    world.emit(
+        effects.Reply(
+            request_id=request.request_id,
+            answer=request.answer,
+            late=request.late,
+            replayed=False,
+        )
+    )
+    finish(world, request)
+
+
 def finish(
     world: entities.World,
     request: entities.RequestRow,
@@ -123,4 +141,5 @@
     "leave",
     "limited_cells",
     "refuse",
+    "reply",
 ]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from godwittack.core import closing, effects, entities, outcomes, placing, work
+from godwittack.core import (
+    closing,
+    effects,
+    entities,
+    kvreuse,
+    outcomes,
+    placing,
+    routing,
+    work,
+)
 from godwittack.limit import fair
 
 NO_SERVER_RETRY_MS = 1_000
@@ -23,7 +32,8 @@
         )
         return
     queue = world.queues.setdefault(request.work.target, fair.FairQueue())
-    weight = world.table.workspaces[request.workspace].weight
+    workspace = world.table.workspaces.get(request.workspace)
+    weight = workspace.weight if workspace else 1.0
     must_hold = choice.wait_ms > world.policy.hold_ms or len(queue) > 0
     if not _meets_deadline(world, request, choice, queue, must_hold):
         return
@@ -57,6 +67,10 @@
     choice: placing.Choice,
 ) -> None:
     """Opens a new attempt on the chosen server."""
+    refusal = routing.still_allowed(world, request)
+    if refusal is not None:
+        _refuse_taken_away(world, request, refusal)
+        return
     server = choice.server
     attempt_id = world.next_attempt_id()
     attempt = entities.AttemptRow(
@@ -73,6 +87,7 @@
     server.sent[attempt_id] = attempt
     if server.ejected_until_ms:
         server.trial_attempt = attempt_id
+    plan = kvreuse.plan(world, request, server, choice.uncached_tokens)
     for level in request.work.levels:
         server.cache.note(
             level.key, now_ms=world.now_ms, limit=world.policy.max_residency
@@ -87,11 +102,46 @@
             # A pooled connection may be dead without either end knowing; a
             # call that may not be repeated could then be lost with its
             # outcome unknown. A fresh one fails before anything is sent.
-            fresh_connection=request.claim_key is not None,
+            fresh_connection=request.at_most_once
+            and request.work.kind is work.WorkKind.PLAIN,
+            after=request.next_frame - 1 if request.work.route else 0,
+            priority=routing.priority(world, request),
+            workspace=request.workspace,
+            deadline_ms=_time_left_ms(world, request),
+            cache_scope=kvreuse.scope(world, request, server),
+            kv_fetch_from=plan.fetch_from,
+            kv_save_to=plan.save_to,
         )
     )
 
 
+def _time_left_ms(world: entities.World, request: entities.RequestRow) -> int:
+    ends_at_ms = request.deadline_at_ms
+    if request.give_up_at_ms:
+        ends_at_ms = min(ends_at_ms, request.give_up_at_ms)
+    return max(1, ends_at_ms - world.now_ms)
+
+
+def _refuse_taken_away(
+    world: entities.World,
+    request: entities.RequestRow,
+    refusal: routing.Refusal,
+) -> None:
+    outcome = effects.Outcome.NOT_RUN
+    status = refusal.status
+    if request.sent:
+        outcome, status = effects.Outcome.UNKNOWN, 502
+    closing.refuse(
+        world,
+        request,
+        status=status,
+        outcome=outcome,
+        reason=refusal.reason,
+        detail=refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
 def resume(
     world: entities.World,
     request: entities.RequestRow,
@@ -255,7 +305,7 @@
     closing.refuse(
         world,
         request,
-        status=503,
+        status=_not_served_status(request, outcome),
         outcome=outcome,
         reason=reason,
         detail=detail,
@@ -263,6 +313,14 @@
     )
 
 
+def _not_served_status(
+    request: entities.RequestRow, outcome: effects.Outcome
+) -> int:
+    # To callers that come by a route, 503 alone says that nothing has run.
+    may_have_run = outcome is not effects.Outcome.NOT_RUN
+    return 502 if request.work.route and may_have_run else 503
+
+
 def _stamp(
     request: entities.RequestRow, server: entities.ServerRow
 ) -> work.Stamp | None:
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -40,6 +40,8 @@
     STREAM_LOST = "stream_lost"
     STATE_CHANGED = "state_changed"
     BAD_RESUME = "bad_resume_token"
+    NO_ROUTE = "no_route"
+    TIMEOUT = "timeout"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,6 +75,11 @@
         after: Last frame number already held, for a resumption.
         fresh_connection: Whether a pooled connection must not be used.
         priority: Lower is sooner, as engines have it.
+        workspace: Whose request it is.
+        deadline_ms: Time that is left for the answer; 0 for no limit.
+        cache_scope: Text under which cached state may be shared.
+        kv_fetch_from: Address of a store of cached state to look in first.
+        kv_save_to: Address of a store to hand the computed levels to.
     """
 
     request_id: str
@@ -84,6 +91,11 @@
     after: int = 0
     fresh_connection: bool = False
     priority: int = 0
+    workspace: str = ""
+    deadline_ms: int = 0
+    cache_scope: str = ""
+    kv_fetch_from: str = ""
+    kv_save_to: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +117,7 @@
     Attributes:
         stream_id: Engine's name of the stream, for the resume token.
         late: Whether the deadline had passed.
+        head: Status and headers to hand on, where they are the server's own.
     """
 
     request_id: str
@@ -112,6 +125,7 @@
     stream_id: str
     stamp: work.Stamp
     late: bool
+    head: work.Head | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -46,6 +46,10 @@
         caller_gone: Whether nobody waits any more.
         answer: Whole answer waiting for its record.
         answered_at_ms: When that answer came.
+        give_up_at_ms: When a final answer is due in any case; 0 for never.
+        runs: Dispatches that may have run.
+        head: Status and headers of the stream's first server.
+        table_version: Version of the table by which it was admitted.
     """
 
     request_id: str
@@ -70,6 +74,18 @@
     caller_gone: bool = False
     answer: works.Answer | None = None
     answered_at_ms: int = 0
+    give_up_at_ms: int = 0
+    runs: int = 0
+    head: works.Head | None = None
+    table_version: int = 0
+
+    @property
+    def at_most_once(self) -> bool:
+        """Whether running the request twice would do harm."""
+        route = self.work.route
+        if route is None:
+            return self.claim_key is not None
+        return not (route.repeatable or route.resumable)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -156,6 +172,9 @@
         out: Effects of the input being worked on.
         right_until_ms: Until when the table here may be called current.
         live_daemons: Incarnations of daemons believed alive.
+        most_daemons: Most of them that were ever believed alive at a time.
+        target_budgets: Retry budgets by target, where the limit on retries
+            holds for each target by itself.
         freed_targets: Targets whose queues may move after this input.
         service_ms: Smoothed time from dispatch to end, by target.
     """
@@ -177,6 +196,9 @@
     retry_budget: budget.Budget = dataclasses.field(
         default_factory=budget.Budget
     )
+    target_budgets: dict[str, budget.Budget] = dataclasses.field(
+        default_factory=dict
+    )
     spill_budget: budget.Budget = dataclasses.field(
         default_factory=budget.Budget
     )
@@ -187,6 +209,7 @@
     right_until_ms: int = 0
     stopping: bool = False
     stopped: bool = False
+    most_daemons: int = 1
     attempt_counter: int = 0
 
     def emit(self, effect: effects.Effect) -> None:
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -14,11 +14,13 @@
     """How far an attempt was when it failed.
 
     CONNECT proves that nothing was sent. SENT means that at least one byte
-    of the request may have reached the backend server.
+    of the request may have reached the backend server. DECLINED means that
+    the server itself said that it did not run the request and never will.
     """
 
     CONNECT = "connect"
     SENT = "sent"
+    DECLINED = "declined"
 
 
 class FailureCause(enum.StrEnum):
@@ -26,6 +28,7 @@
 
     BROKEN = "broken"
     REFUSED = "refused"
+    OTHER_SERVER = "other_server"
     STREAM_GONE = "stream_gone"
 
 
@@ -93,6 +96,7 @@
     attempt_id: str
     echoed_request: str
     stamp: work.Stamp
+    head: work.Head | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,6 +187,9 @@
         failure_domain: Where it stands.
         leaving: Whether it is about to stop.
         gone: Whether it left the list.
+        incarnation: The server's incarnation, where the list tells it.
+        weights_version: Weights loaded, where the list tells them.
+        slots: Requests it takes at one time, where the list tells it.
     """
 
     at_ms: int
@@ -192,6 +199,9 @@
     failure_domain: str = ""
     leaving: bool = False
     gone: bool = False
+    incarnation: str = ""
+    weights_version: str = ""
+    slots: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -237,6 +247,23 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadEchoed:
+    """A backend server told its load with an answer.
+
+    Attributes:
+        running: Requests running when the answer was made.
+        waiting: Requests waiting then.
+        slots: Requests it runs at most.
+    """
+
+    at_ms: int
+    server_id: str
+    running: int
+    waiting: int
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CacheDigest:
     """What changed in one engine's cache since the digest before.
@@ -343,6 +370,7 @@
     | ServerLeaving
     | ServerListed
     | LoadReported
+    | LoadEchoed
     | CacheDigest
     | ProbeAnswered
     | PeerDemand
@@ -364,6 +392,7 @@
     "FailurePhase",
     "FramesArrived",
     "Input",
+    "LoadEchoed",
     "LoadReported",
     "MembersChanged",
     "OutcomeStored",
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -29,6 +29,8 @@
             estimates are made from late news.
         spill_ratio: Moves to a server that lacks a prefix, a request accepted.
         spill_burst: Such moves allowed at once after a quiet time.
+        budget_by_target: Whether retries are limited for each target, with a
+            burst that all live daemons share.
         eject_ms: First pause after failures of a backend server; doubles.
         eject_max_ms: Longest such pause.
         report_stale_ms: Age from which a load report is no evidence.
@@ -55,6 +57,7 @@
     spill_ratio: float = 0.02
     spill_burst: float = 4.0
     failures_to_eject: int = 2
+    budget_by_target: int = 0
     eject_ms: int = 1_000
     eject_max_ms: int = 30_000
     report_stale_ms: int = 3_000
--- /dev/null
+++ b/src/godwittack/core/retries.py
@@ -0,0 +1,61 @@
+"""Decides whether a request may be sent once more."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.limit import budget
+
+if TYPE_CHECKING:
+    from godwittack.core import entities
+
+# Dispatches of one routed request that servers declined, beyond those that
+# may have run: a stale list may name a few servers that are full or gone.
+MAX_DECLINED = 3
+
+
+def allowed(world: entities.World, request: entities.RequestRow) -> bool:
+    """Returns whether to send again, and takes the retry off its budget."""
+    if world.now_ms >= request.deadline_at_ms or _tries_used(world, request):
+        return False
+    return _budget(world, request.work.target).spend()
+
+
+def earn(world: entities.World, target: str) -> None:
+    """Counts an accepted request, which earns a part of a retry."""
+    _budget(world, target).earn()
+
+
+def _tries_used(world: entities.World, request: entities.RequestRow) -> bool:
+    route = request.work.route
+    if route is None:
+        return request.attempts >= world.policy.max_attempts
+    # A server that declined has not run the request, so that it counts
+    # against no limit of the route.
+    declined = request.attempts - request.runs
+    return request.runs >= route.max_attempts or declined > MAX_DECLINED
+
+
+def _budget(world: entities.World, target: str) -> budget.Budget:
+    """Returns the budget that a retry at `target` is taken from.
+
+    The burst is dealt to the live daemons. While views differ, one that knows
+    few others would take a larger part than it has, so that the most daemons
+    ever seen count.
+    """
+    policy = world.policy
+    if not policy.budget_by_target:
+        return world.retry_budget
+    world.most_daemons = max(world.most_daemons, len(world.live_daemons))
+    burst = policy.retry_burst / world.most_daemons
+    found = world.target_budgets.get(target)
+    if found is None:
+        found = world.target_budgets[target] = budget.Budget(
+            ratio=policy.retry_ratio, burst=burst, tokens=burst
+        )
+    found.burst = burst
+    found.tokens = min(found.tokens, burst)
+    return found
+
+
+__all__ = ["allowed", "earn"]
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -100,6 +100,8 @@
                 self._outcome_stored(told)
             case inputs.LoadReported():
                 servers.load_reported(world, told)
+            case inputs.LoadEchoed():
+                servers.load_echoed(world, told)
             case inputs.CacheDigest():
                 servers.digest(world, told)
             case inputs.ServerListed():
@@ -144,6 +146,7 @@
         outcomes.retry_due(world)
         attempts.reply_unstored(world)
         silence.check(world)
+        silence.give_up(world)
         servers.probe_ejected(world)
         dispatching.expire_queued(world)
 
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -31,12 +31,41 @@
         )
         world.servers[told.server_id] = server
         world.servers_by_target[told.target][told.server_id] = server
+    _take_listed_state(world, server, told)
     # The list lags: it may still show a server as live that has said itself
     # that it leaves. Only a new incarnation takes that back.
     if told.leaving:
         _mark_leaving(world, server, True)
 
 
+def _take_listed_state(
+    world: entities.World,
+    server: entities.ServerRow,
+    told: inputs.ServerListed,
+) -> None:
+    """Believes what the list says of a server, unless more is known.
+
+    The list lags behind a server's own reports: an older version there would
+    take back what an engine has said of itself since.
+    """
+    if told.slots and not server.slots:
+        server.slots = told.slots
+    if not told.incarnation:
+        return
+    if server.incarnation and not _is_newer(
+        told.weights_version, server.weights_version
+    ):
+        return
+    _see_state(world, server, told.incarnation, told.weights_version)
+    world.freed_targets.add(server.target)
+
+
+def _is_newer(told: str, known: str) -> bool:
+    if told.isdigit() and known.isdigit():
+        return int(told) > int(known)
+    return told != known
+
+
 def leaving_told(world: entities.World, told: inputs.ServerLeaving) -> None:
     """Takes in that another daemon saw a server leaving."""
     server = world.servers.get(told.server_id)
@@ -63,12 +92,24 @@
     server.waiting = told.waiting
     server.waiting_tokens = told.waiting_tokens
     server.prefill_us_per_token = told.prefill_us_per_token
-    server.slots = told.slots
+    server.slots = told.slots or server.slots
     if told.leaving:
         _mark_leaving(world, server, True)
     world.freed_targets.add(server.target)
 
 
+def load_echoed(world: entities.World, told: inputs.LoadEchoed) -> None:
+    """Takes in the load that came with an answer."""
+    server = world.servers.get(told.server_id)
+    if server is None:
+        return
+    server.reported_at_ms = told.at_ms
+    server.running = told.running
+    server.waiting = told.waiting
+    server.slots = told.slots or server.slots
+    world.freed_targets.add(server.target)
+
+
 def digest(world: entities.World, told: inputs.CacheDigest) -> None:
     """Takes in what changed in an engine's cache."""
     server = world.servers.get(told.server_id)
@@ -116,6 +157,10 @@
     server = world.servers.get(attempt.server_id)
     if server is None or told.cause is inputs.FailureCause.REFUSED:
         return
+    if told.cause is inputs.FailureCause.OTHER_SERVER:
+        # Another process has its address: this one is gone for good.
+        _mark_leaving(world, server, True)
+        return
     if told.phase is inputs.FailurePhase.CONNECT:
         # The process is gone or starts anew: its cache is empty either way.
         server.cache.clear()
@@ -166,6 +211,9 @@
         server.leaving = False
         server.failures = 0
         server.ejected_until_ms = 0
+    if server.weights_version != weights_version:
+        # New weights are what it was drained for.
+        server.draining_until_ms = 0
     server.incarnation = incarnation
     server.weights_version = weights_version
     server.cache.clear()
@@ -232,6 +280,7 @@
     "draining_told",
     "failed",
     "leaving_told",
+    "load_echoed",
     "listed",
     "load_reported",
     "probe_ejected",
--- a/src/godwittack/core/silence.py
+++ b/src/godwittack/core/silence.py
@@ -11,6 +11,9 @@
     work,
 )
 
+# When a request that never ran may come back after its time was over.
+GIVEN_UP_RETRY_MS = 500
+
 
 def check(world: entities.World) -> None:
     """Acts on attempts that showed no progress for too long."""
@@ -40,6 +43,9 @@
     request: entities.RequestRow,
     attempt: entities.AttemptRow,
 ) -> None:
+    if request.work.route and not request.work.route.resumable:
+        # Nothing else could make the rest, so that only waiting can help.
+        return
     # A connection can go silent for good while new ones to the same server
     # work. Only a fresh one tells a dead path from a dead engine.
     world.emit(effects.CancelAttempt(attempt.attempt_id, False))
@@ -51,10 +57,14 @@
     request: entities.RequestRow,
     attempt: entities.AttemptRow,
 ) -> None:
+    if request.at_most_once:
+        # It may be running: sent again, it would run twice.
+        return
     world.emit(effects.CancelAttempt(attempt.attempt_id, True))
     servers.silent(world, attempt)
     closing.close_attempt(world, attempt.attempt_id)
     request.sent = True
+    request.runs += 1
     attempts.retry(world, request, attempt, "silent before the first frame")
 
 
@@ -72,4 +82,30 @@
         attempts.retry(world, request, attempt, "no answer came")
 
 
-__all__ = ["check"]
+def give_up(world: entities.World) -> None:
+    """Ends requests whose last moment for a final answer has come.
+
+    Held open beyond it, a request would keep its caller waiting for what
+    can't come in time, and a place at a server that others could use.
+    """
+    for request in list(world.requests.values()):
+        if not 0 < request.give_up_at_ms <= world.now_ms:
+            continue
+        if request.attempt_id in world.attempts:
+            world.emit(effects.CancelAttempt(request.attempt_id, False))
+            request.sent = True
+        outcome = effects.Outcome.NOT_RUN
+        if request.sent:
+            outcome = effects.Outcome.UNKNOWN
+        closing.refuse(
+            world,
+            request,
+            status=504 if request.sent else 503,
+            outcome=outcome,
+            reason=effects.Reason.TIMEOUT,
+            detail="the route's time for an answer is over",
+            retry_after_ms=0 if request.sent else GIVEN_UP_RETRY_MS,
+        )
+
+
+__all__ = ["check", "give_up"]
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -4,6 +4,10 @@
 
 import dataclasses
 import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from godwittack.table import forwarding
 
 
 class WorkKind(enum.StrEnum):
@@ -46,6 +50,11 @@
         idempotency_key: The caller's key; empty where it gave none.
         fingerprint: Hash of method, path and body, to see a key used again
             for another request.
+        host: Host that the caller named, where routes decide the target;
+            empty where the caller names the target itself.
+        path: Path by which the route is found.
+        route: The route found; set by the core.
+        resume_after: Last event that the caller already has of a stream.
     """
 
     kind: WorkKind
@@ -59,6 +68,10 @@
     method: str = "POST"
     idempotency_key: str = ""
     fingerprint: str = ""
+    host: str = ""
+    path: str = ""
+    route: forwarding.Route | None = None
+    resume_after: int = 0
 
     @property
     def prompt_tokens(self) -> int:
@@ -106,6 +119,14 @@
     value: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Status and headers of a streamed answer, handed on as they came."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """A whole answer of a backend server.
@@ -170,6 +191,7 @@
     "ClaimKey",
     "ClaimState",
     "Frame",
+    "Head",
     "Header",
     "Level",
     "Stamp",
--- a/src/godwittack/daemon/attempt.py
+++ b/src/godwittack/daemon/attempt.py
@@ -31,11 +31,20 @@
         self._submit = submit
         self._clock = clock
 
-    def opened(self, echoed_request: str, stamp: work.Stamp) -> None:
+    def opened(
+        self,
+        echoed_request: str,
+        stamp: work.Stamp,
+        head: work.Head | None = None,
+    ) -> None:
         """The head of a stream came."""
         self._submit(
             inputs.AttemptOpened(
-                self._clock.now_ms(), self._attempt_id, echoed_request, stamp
+                self._clock.now_ms(),
+                self._attempt_id,
+                echoed_request,
+                stamp,
+                head,
             )
         )
 
--- a/src/godwittack/daemon/change.py
+++ b/src/godwittack/daemon/change.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from godwittack.daemon import gossip, tables
-    from godwittack.platform import protocol as platform
+    from godwittack.store import protocol as platform
 
 SPREAD_PAUSE_MS = 150
 # Added to the time after which an older table is served nowhere, for clocks
--- /dev/null
+++ b/src/godwittack/daemon/edge.py
@@ -0,0 +1,395 @@
+"""Builds and runs a daemon whose surroundings speak the platform's way."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+import signal
+from typing import TYPE_CHECKING
+
+import aiohttp
+from absl import logging
+from aiohttp import web
+
+from godwittack.backend import pool as pools
+from godwittack.backend import routed
+from godwittack.claim import store as claim_store
+from godwittack.clock import SystemClock
+from godwittack.core import inputs, router
+from godwittack.daemon import (
+    following,
+    gossip,
+    lead,
+    news,
+    observer,
+    runtime,
+    watch,
+)
+from godwittack.entry import directory, forward
+from godwittack.lead import lease as leases
+from godwittack.lead import rollout
+from godwittack.member import confirmed, view
+from godwittack.metric import meters
+from godwittack.peer import datagram, exchange
+from godwittack.platform import callers, instances, names, rows, servers, table
+from godwittack.report import ledger
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Coroutine, Mapping
+
+    from result import Result
+
+    from godwittack.config import settings as configs
+    from godwittack.store import protocol as stores
+
+HTTP_BACKLOG = 1_024
+# Callers may keep an address for three times the time they are told.
+ADDRESS_KEEP_MS = 1_000
+KEEP_FACTOR = 3
+# Taken off the bound on keys: the store's feed may be silent for a second
+# while changes are made, and a request takes a while to its server.
+KEY_MARGIN_MS = 1_500
+# Taken off the time until SIGKILL, for the last answers and the end itself.
+STOP_MARGIN_MS = 1_200
+LEASE_MARGIN_MS = 500
+POOL_TIDY_MS = 500
+# Engines let running requests end before they load, so that the order need
+# only wait until no daemon sends new ones: a notice takes some 10 ms.
+ORDER_AFTER_MS = 100
+# A load takes 1.1 s, and runs that end first some hundred ms.
+LOAD_LIMIT_MS = 4_000
+
+
+class EdgeDaemon:
+    """One daemon process on the platform."""
+
+    def __init__(
+        self, loaded: configs.Loaded, session: aiohttp.ClientSession
+    ) -> None:
+        """Wires the parts; nothing runs yet."""
+        self._settings = settings = loaded.settings
+        self._clock = clock = SystemClock()
+        self._rng = rng = random.Random(secrets.randbits(64))
+        me = view.Member(
+            member_id=f"{settings.name}@{secrets.token_hex(4)}",
+            peer_address=settings.peer_address,
+            http_address=settings.http_address,
+            failure_domain=settings.failure_domain,
+        )
+        core = router.Router.from_config(
+            daemon=me.member_id, policy=settings.policy()
+        )
+        counts = ledger.Ledger(daemon=me.member_id, clock=clock)
+        self._meters = meters.Meters(core.world)
+        self._store = rows.Rows(
+            session=session,
+            address=settings.platform_url.removeprefix("http://"),
+            timeout_ms=settings.platform_timeout_ms,
+        )
+        self._pool = pools.Pool(
+            clock=clock, connect_timeout_ms=settings.connect_timeout_ms
+        )
+        backend = routed.RoutedBackend(
+            pool=self._pool,
+            wire=servers.ServerFormat(self._model_of),
+            clock=clock,
+            control_timeout_ms=settings.control_timeout_ms,
+        )
+        self.runtime = runtime.Runtime(
+            core=core,
+            backend_client=backend,
+            claims=claim_store.ClaimStore(self._store),
+            observe=observer.EventObserver(
+                counts=counts, measures=self._meters
+            ),
+            clock=clock,
+        )
+        backend.on_load = self.runtime.submit
+        self._peers = exchange.PeerClient(
+            secret=loaded.cluster_secret,
+            timeout_ms=settings.peer_timeout_ms,
+            count_bytes=self._meters.count_peer_bytes,
+        )
+        self._probes = datagram.DatagramPeers(
+            secret=loaded.cluster_secret,
+            timeout_ms=settings.peer_timeout_ms,
+            count_bytes=self._meters.count_peer_bytes,
+        )
+        self._members = members = view.View(
+            me=me,
+            policy=settings.member_policy(),
+            rng=rng,
+            expected=len({*settings.seeds, settings.peer_address}),
+        )
+        self._keeper = following.FeedKeeper(
+            runtime=self.runtime,
+            peers=self._peers,
+            right=confirmed.ConfirmedRight(
+                bound_ms=settings.key_bound_ms - KEY_MARGIN_MS
+            ),
+            members=members,
+        )
+        self._news = news.News(
+            members=members, runtime=self.runtime, client=self._peers
+        )
+        self._gossiper = gossip.Gossiper(
+            members=members,
+            runtime=self.runtime,
+            keeper=self._keeper,
+            client=self._peers,
+            probes=self._probes,
+            news=self._news,
+            counts=counts,
+            seeds=settings.seeds,
+        )
+        self._streams = watch.Streams()
+        self._list = following.InstanceFollower(
+            core=self.runtime,
+            decode=self._decode_instances,
+            on_leaving=self._news.publish_leaving,
+        )
+        self._operator_rows = self._follower(
+            names.OPERATOR_TABLE,
+            on_rows=lambda found: self._keeper.rows_changed(
+                table.table_from_rows, found
+            ),
+            on_confirmed=self._keeper.confirmed,
+        )
+        self._server_rows = self._follower(
+            names.SERVERS_TABLE, on_rows=self._list.rows_changed
+        )
+        self._list.follower = self._server_rows
+        self._watcher = watch.ServerWatcher(
+            core=self.runtime,
+            client=backend,
+            members=members,
+            news=self._news,
+            streams=self._streams,
+            load_poll_ms=settings.load_poll_ms,
+            follows=watch.Follows.ENGINE_LOADS,
+        )
+        self._leader = lead.Leader(
+            core=self.runtime,
+            client=backend,
+            service=self._store,
+            members=members,
+            news=self._news,
+            checks_fencing=self._list.checks_fencing_of,
+            policy=leases.LeasePolicy(
+                lease_ms=settings.lease_ms, margin_ms=LEASE_MARGIN_MS
+            ),
+            rollout_policy=rollout.RolloutPolicy(
+                order_after_ms=ORDER_AFTER_MS, load_limit_ms=LOAD_LIMIT_MS
+            ),
+        )
+        self._peer_server = exchange.PeerServer(
+            handler=self._gossiper,
+            secret=loaded.cluster_secret,
+            count_bytes=self._meters.count_peer_bytes,
+        )
+        self._face = forward.ForwardFace(
+            runtime=self.runtime,
+            settings=settings,
+            wire=callers.CallerFormat(),
+        )
+        self._loops: list[asyncio.Task[None]] = []
+        self._runners: list[web.ServerRunner] = []
+        self._sites: list[web.TCPSite] = []
+
+    async def run(self) -> None:
+        """Serves until a stop is ordered and everything is finished.
+
+        Raises:
+            OSError: An address is in use.
+        """
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        # Settings that change while the process runs concern addresses,
+        # which only a restart could take up.
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        settings = self._settings
+        await self._peer_server.start(settings.peer_address)
+        await self._probes.start(settings.peer_address, handler=self._gossiper)
+        self._streams.connect(core=self.runtime, news=self._news)
+        await self._listen(settings.http_address, self._face.handle)
+        await self._listen(settings.ready_address, self._ready)
+        await self._listen(settings.directory_address, self._resolve)
+        if settings.metrics_address:
+            await self._listen(settings.metrics_address, self._metrics)
+        self._gossiper.announce()
+        self._start_loops()
+        logging.info(
+            "event=serving daemon=%s http=%s peer=%s",
+            self._members.me.member_id,
+            settings.http_address,
+            settings.peer_address,
+        )
+        await stop.wait()
+        await self._stop()
+
+    def _start_loops(self) -> None:
+        settings = self._settings
+        self._spawn(self.runtime.tick_forever(tick_ms=settings.tick_ms))
+        self._spawn(self._gossiper.gossip_forever(gossip_ms=settings.gossip_ms))
+        self._spawn(self._news.tell_forever(news_ms=settings.news_ms))
+        self._spawn(self._operator_rows.follow_forever())
+        self._spawn(self._server_rows.follow_forever())
+        self._spawn(self._list.drop_forever(every_ms=settings.gossip_ms))
+        self._spawn(self._watcher.assign_forever())
+        self._spawn(self._leader.lead_forever(step_ms=settings.lead_step_ms))
+        self._spawn(self._tidy_forever())
+
+    def _spawn(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(_run(work))
+        task.add_done_callback(_report_end)
+        self._loops.append(task)
+
+    async def _listen(
+        self,
+        address: str,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> None:
+        server = web.Server(handler, handler_cancellation=True, access_log=None)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        host, _, port = address.rpartition(":")
+        site = web.TCPSite(runner, host, int(port), backlog=HTTP_BACKLOG)
+        await site.start()
+        self._runners.append(runner)
+        self._sites.append(site)
+
+    async def _ready(self, request: web.BaseRequest) -> web.Response:
+        del request
+        world = self.runtime.core.world
+        ready = world.table.version > 0 and not self._face.stopping
+        return web.json_response(
+            {"ready": ready, "table_version": world.table.version},
+            status=200 if ready else 503,
+        )
+
+    async def _resolve(self, request: web.BaseRequest) -> web.Response:
+        members = self._members.serving()
+        if self.runtime.core.world.table.version == 0:
+            me = self._members.me
+            members = [m for m in members if m.member_id != me.member_id]
+        if request.path != names.RESOLVE_PATH or not members:
+            return web.json_response({"error": "no address"}, status=503)
+        found = directory.choose(
+            members, failure_domain=request.query.get("zone", "")
+        )
+        return web.json_response(
+            {"addresses": found, "ttl-s": ADDRESS_KEEP_MS // 1000}
+        )
+
+    async def _metrics(self, request: web.BaseRequest) -> web.Response:
+        del request
+        return web.Response(
+            body=self._meters.exposition(), content_type="text/plain"
+        )
+
+    async def _stop(self) -> None:
+        """Leaves in order: told, unused, empty, gone."""
+        settings = self._settings
+        started_ms = self._clock.now_ms()
+        grace_ms = round(settings.stop_grace_s * 1000)
+        ends_ms = started_ms + grace_ms - STOP_MARGIN_MS
+        logging.info("event=stopping in_flight=%d", self._in_flight())
+        self._face.stopping = True
+        await self._gossiper.stop()
+        kept_ms = started_ms + KEEP_FACTOR * ADDRESS_KEEP_MS
+        while self._clock.now_ms() < min(kept_ms, ends_ms):
+            await asyncio.sleep(0.05)
+        for site in self._sites:
+            await site.stop()
+        self.runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
+        left_s = max(0.1, (ends_ms - self._clock.now_ms()) / 1000)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_s):
+                await self.runtime.stopped.wait()
+        await asyncio.sleep(0.05)
+        await self._close()
+        logging.info("event=stopped in_flight=%d", self._in_flight())
+
+    async def _close(self) -> None:
+        for task in self._loops:
+            task.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
+        self._watcher.close()
+        self._news.close()
+        await self.runtime.close()
+        self._pool.close()
+        await self._peer_server.stop(grace_ms=50)
+        await self._peers.close()
+        self._probes.close()
+        self._meters.close()
+
+    async def _tidy_forever(self) -> None:
+        while True:
+            await asyncio.sleep(POOL_TIDY_MS / 1000)
+            self._pool.tidy()
+
+    def _follower(
+        self,
+        name: str,
+        *,
+        on_rows: Callable[[Mapping[str, stores.ChangedRow]], None],
+        on_confirmed: Callable[[int], None] = lambda started_ms: None,
+    ) -> following.RowsFollower:
+        return following.RowsFollower(
+            feed=self._store,
+            table=name,
+            clock=self._clock,
+            rng=self._rng,
+            wait_ms=self._settings.feed_wait_ms,
+            on_rows=on_rows,
+            on_confirmed=on_confirmed,
+        )
+
+    def _decode_instances(
+        self, found: Mapping[str, stores.ChangedRow]
+    ) -> Result[dict[str, stores.Instance], str]:
+        return instances.instances_from_rows(
+            found, checks_fencing=self._settings.checks_fencing
+        )
+
+    def _model_of(self, target: str) -> str:
+        forwarding = self.runtime.core.world.table.forwarding
+        if forwarding is None or target not in forwarding.engines:
+            return target
+        return forwarding.engines[target].model
+
+    def _in_flight(self) -> int:
+        return len(self.runtime.core.world.requests)
+
+
+async def serve(loaded: configs.Loaded) -> None:
+    """Runs a daemon until it is stopped."""
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(keepalive_timeout=30)
+    ) as session:
+        await EdgeDaemon(loaded, session).run()
+
+
+async def _run(work: Coroutine[object, object, None]) -> None:
+    await work
+
+
+def _note_reload() -> None:
+    logging.info("event=reload detail=nothing_to_take_up")
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        # A loop that ends silently would leave the daemon half alive.
+        logging.error("event=loop_failed detail=%r", error, exc_info=error)
+        signal.raise_signal(signal.SIGTERM)
+
+
+__all__ = ["EdgeDaemon", "serve"]
--- /dev/null
+++ b/src/godwittack/daemon/following.py
@@ -0,0 +1,279 @@
+"""Follows tables of the store: the operators' rows and the list of servers."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from absl import logging
+from result import Err, Result
+
+from godwittack.core import inputs
+from godwittack.daemon import listing, tables
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Mapping
+
+    from godwittack.clock import Clock
+    from godwittack.daemon import runtime as runtimes
+    from godwittack.member import view
+    from godwittack.store import protocol
+    from godwittack.table import model
+
+# Pause after a call without an answer, and its growth up to a limit: a store
+# that comes back is noticed within a second without being called in a loop.
+RETRY_FIRST_MS = 100
+RETRY_MOST_MS = 800
+# A feed may go stale without a word; a plain reading settles it this often.
+SETTLE_MS = 15_000
+# Entries that lapsed while the store was away come back within two seconds of
+# its return; what is missing after that is gone.
+LAPSED_MS = 2_300
+
+Rows = dict[str, "protocol.ChangedRow"]
+
+
+class RowsFollower:
+    """Keeps the rows of one table, by its feed and by readings.
+
+    Attributes:
+        rows: Rows by key, as last told.
+        answered_at_ms: When the store last answered.
+        failing_since_ms: Since when it has not; -1 while it does.
+    """
+
+    def __init__(
+        self,
+        *,
+        feed: protocol.RowFeed,
+        table: str,
+        clock: Clock,
+        rng: random.Random,
+        wait_ms: int,
+        on_rows: Callable[[Mapping[str, protocol.ChangedRow]], None],
+        on_confirmed: Callable[[int], None] = lambda started_ms: None,
+    ) -> None:
+        """Tells `on_rows` of changes.
+
+        Args:
+            feed: The store.
+            table: Table to follow.
+            clock: Source of time.
+            rng: Spreads retries.
+            wait_ms: How long the store may hold a call for changes.
+            on_rows: Told all rows after a change.
+            on_confirmed: Told since when the rows are known to be the newest.
+        """
+        self.rows: Rows = {}
+        self.answered_at_ms = -1
+        self.failing_since_ms = -1
+        self.recovered_at_ms = -1_000_000
+        self._feed = feed
+        self._table = table
+        self._clock = clock
+        self._rng = rng
+        self._wait_ms = wait_ms
+        self._on_rows = on_rows
+        self._on_confirmed = on_confirmed
+        self._newest = 0
+        self._settled_at_ms = -SETTLE_MS
+        self._needs_snapshot = True
+        self._pause_ms = RETRY_FIRST_MS
+
+    async def follow_forever(self) -> None:
+        """Follows until cancelled."""
+        while True:
+            if not await self.step():
+                pause_ms = self._pause_ms * self._rng.uniform(0.5, 1.0)
+                self._pause_ms = min(RETRY_MOST_MS, 2 * self._pause_ms)
+                await asyncio.sleep(pause_ms / 1000)
+
+    async def step(self) -> bool:
+        """Makes one call; returns whether it was answered."""
+        started_ms = self._clock.now_ms()
+        settles = started_ms - self._settled_at_ms >= SETTLE_MS
+        whole = self._needs_snapshot or settles
+        if whole:
+            got = await self._feed.snapshot(self._table)
+        else:
+            got = await self._feed.changes(
+                self._table, after=self._newest, wait_ms=self._wait_ms
+            )
+        if isinstance(got, Err):
+            return self._failed(got.err_value)
+        self._answered(started_ms)
+        page = got.ok_value
+        if page.newest < self._newest:
+            # Read from a copy that lags: taking it in would take back what
+            # is known to have been acknowledged.
+            logging.info(
+                "event=store_read_stale table=%s newest=%d known=%d",
+                self._table,
+                page.newest,
+                self._newest,
+            )
+            return False
+        self._take_in(page, whole=whole)
+        if whole:
+            self._settled_at_ms = started_ms
+        self._on_confirmed(started_ms)
+        return True
+
+    def _take_in(self, page: protocol.FeedPage, *, whole: bool) -> None:
+        before = self.rows
+        rows: Rows = {} if whole else dict(before)
+        for row in page.rows:
+            if row.deleted:
+                rows.pop(row.key, None)
+            else:
+                rows[row.key] = row
+        self.rows = rows
+        self._newest = page.newest
+        self._needs_snapshot = False
+        if rows != before:
+            self._on_rows(rows)
+
+    def _answered(self, started_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        self._pause_ms = RETRY_FIRST_MS
+        self.answered_at_ms = now_ms
+        if self.failing_since_ms < 0:
+            return
+        self.recovered_at_ms = now_ms
+        logging.info(
+            "event=store_regained table=%s after_ms=%d",
+            self._table,
+            now_ms - self.failing_since_ms,
+        )
+        self.failing_since_ms = -1
+
+    def _failed(self, error: protocol.PlatformError) -> bool:
+        if error.history_lost:
+            self._needs_snapshot = True
+            logging.info("event=store_history_lost table=%s", self._table)
+            return True
+        if self.failing_since_ms < 0:
+            self.failing_since_ms = self._clock.now_ms()
+            logging.info(
+                "event=store_lost table=%s step=%s peer=%s detail=%r",
+                self._table,
+                error.step,
+                error.peer,
+                error.detail,
+            )
+        return False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class FeedKeeper(tables.TableKeeper):
+    """Keeps the newest table, as told by the operators' rows."""
+
+    members: view.View
+
+    def rows_changed(
+        self,
+        decode: Callable[
+            [Mapping[str, protocol.ChangedRow]],
+            Result[model.Table | None, str],
+        ],
+        rows: Mapping[str, protocol.ChangedRow],
+    ) -> None:
+        """Puts newer rows in force."""
+        table = decode(rows)
+        if isinstance(table, Err):
+            # What is in force stays so: an older table serves, none does not.
+            logging.error("event=table_unreadable detail=%r", table.err_value)
+            return
+        if table.ok_value is not None:
+            self.adopt(table.ok_value)
+
+    def confirmed(self, started_ms: int) -> None:
+        """Takes in that the table was the newest at a time."""
+        if not self.table.version:
+            return
+        self.right.service_read(now_ms=started_ms)
+        self.tell_right()
+
+    def tell_right(self) -> None:
+        """Tells the core until when keys may be served."""
+        now_ms = self.runtime.clock.now_ms()
+        until_ms = self.right.until_ms(
+            self.members, own_version=self.table.version, now_ms=now_ms
+        )
+        self.runtime.submit(inputs.RightToServe(now_ms, until_ms))
+
+
+class InstanceFollower:
+    """Tells the core of servers that come, change and go."""
+
+    def __init__(
+        self,
+        *,
+        core: runtimes.Runtime,
+        decode: Callable[
+            [Mapping[str, protocol.ChangedRow]],
+            Result[dict[str, protocol.Instance], str],
+        ],
+        on_leaving: Callable[[str], None],
+    ) -> None:
+        """Knows no servers yet."""
+        self._core = core
+        self._decode = decode
+        self._on_leaving = on_leaving
+        self._seen: dict[str, protocol.Instance] = {}
+        self._missing_since_ms: dict[str, int] = {}
+        self.follower: RowsFollower | None = None
+
+    def rows_changed(self, rows: Mapping[str, protocol.ChangedRow]) -> None:
+        """Takes in the rows of servers."""
+        listed = self._decode(rows)
+        if isinstance(listed, Err):
+            logging.error("event=list_unreadable detail=%r", listed.err_value)
+            return
+        now_ms = self._core.clock.now_ms()
+        for name, instance in listed.ok_value.items():
+            self._missing_since_ms.pop(name, None)
+            if self._seen.get(name) != instance:
+                self._seen[name] = instance
+                self._core.submit(listing.listed(instance, now_ms))
+                if instance.leaving:
+                    self._on_leaving(name)
+        for name in self._seen.keys() - listed.ok_value.keys():
+            self._missing_since_ms.setdefault(name, now_ms)
+        self.drop_missing()
+
+    def drop_missing(self) -> None:
+        """Takes servers for gone whose entries did not come back.
+
+        An entry lapses when its server can't renew it, also where the store
+        was away and the server is well. Dropped at once, all servers of a
+        target would be gone for two seconds after each outage.
+        """
+        now_ms = self._core.clock.now_ms()
+        assert self.follower is not None
+        since_ms = now_ms - self.follower.recovered_at_ms
+        if self.follower.failing_since_ms >= 0 or since_ms < LAPSED_MS:
+            return
+        for name in list(self._missing_since_ms):
+            del self._missing_since_ms[name]
+            del self._seen[name]
+            self._on_leaving(name)
+            self._core.submit(
+                inputs.ServerListed(at_ms=now_ms, server_id=name, gone=True)
+            )
+
+    def checks_fencing_of(self, server_id: str) -> bool:
+        """Returns whether a server refuses orders with an old number."""
+        instance = self._seen.get(server_id)
+        return instance is not None and instance.checks_fencing
+
+    async def drop_forever(self, *, every_ms: int) -> None:
+        """Looks for entries that did not come back, again and again."""
+        while True:
+            await asyncio.sleep(every_ms / 1000)
+            self.drop_missing()
+
+
+__all__ = ["FeedKeeper", "InstanceFollower", "RowsFollower"]
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -12,23 +12,34 @@
 from godwittack.backend import protocol as backend
 from godwittack.core import inputs
 from godwittack.daemon import news as newses
+from godwittack.daemon import watch
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
 from godwittack.member import duty
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from godwittack.core import entities
     from godwittack.daemon import runtime
     from godwittack.member import view
-    from godwittack.platform import protocol as platform
+    from godwittack.store import protocol as platform
+
+
+# Between two notices of one drain; each holds for `newses.DRAIN_MS`.
+DRAIN_REPEAT_MS = 1_000
+# Without progress for so long, the next daemon in rank leads as well.
+PATIENCE_MS = 2_000
+# Between two looks at a server that loads weights: a load takes about 1.1 s.
+LOAD_LOOK_MS = 120
+STATUS_OLD_FENCING = 412
 
 
 @dataclasses.dataclass(slots=True)
 class _Led:
     lease: leases.Lease
     rollout: rollout.Rollout
+    drains_told_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Leader:
@@ -44,8 +55,12 @@
         news: newses.News,
         checks_fencing: Callable[[str], bool],
         policy: leases.LeasePolicy,
+        rollout_policy: rollout.RolloutPolicy | None = None,
     ) -> None:
         """Leads nothing yet."""
+        self._rollout_policy = rollout_policy or rollout.RolloutPolicy()
+        self._behind: dict[str, tuple[object, int]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
         self._core = core
         self._client = client
         self._service = service
@@ -67,39 +82,70 @@
         led = self._led.get(model)
         if led is None:
             led = self._led[model] = self._lead(model)
+        held = led.lease.valid()
         await led.lease.step()
+        if led.lease.valid() != held:
+            logging.info(
+                "event=lease model=%s held=%d fencing=%d",
+                model,
+                not held,
+                led.lease.fencing,
+            )
         if not led.lease.valid():
             return
         world = self._core.core.world
         wanted = world.table.models[model].weights_version
-        now_ms = self._core.clock.now_ms()
         decision = led.rollout.decide(
-            wanted=wanted, replicas=self._replicas(model), now_ms=now_ms
+            wanted=wanted,
+            replicas=self._replicas(model),
+            now_ms=self._core.clock.now_ms(),
         )
-        for server_id in decision.draining:
+        self._drain(led, model, decision.draining)
+        for server_id in decision.load:
+            self._load(led, world.servers[server_id], wanted)
+
+    def _drain(self, led: _Led, model: str, server_ids: Iterable[str]) -> None:
+        now_ms = self._core.clock.now_ms()
+        for server_id in server_ids:
+            told_ms = led.drains_told_ms.get(server_id, -DRAIN_REPEAT_MS)
+            if now_ms - told_ms < DRAIN_REPEAT_MS:
+                continue
+            led.drains_told_ms[server_id] = now_ms
+            until_ms = now_ms + newses.DRAIN_MS
             self._core.submit(
-                inputs.ServerDraining(
-                    now_ms, server_id, now_ms + newses.DRAIN_MS
-                )
+                inputs.ServerDraining(now_ms, server_id, until_ms)
             )
             self._news.publish_draining(server_id, model)
-        for server_id in decision.load:
-            await self._order(led, world.servers[server_id], wanted)
 
     def _own_models(self) -> list[str]:
-        """Returns models with replicas that need new weights, and are ours."""
+        """Returns models with replicas that need new weights, and are ours.
+
+        The daemon that a model falls to may be cut off from the store, or too
+        slow, while others reach it. Where nothing has come of a roll-out for
+        a while, the next one in rank tries as well; the lease decides.
+        """
         world = self._core.core.world
-        members = self._members.serving()
-        own = self._members.me.member_id
-        return [
-            name
-            for name, row in world.table.models.items()
-            if any(
-                replica.weights_version != row.weights_version
+        now_ms = self._core.clock.now_ms()
+        found = []
+        for name, row in world.table.models.items():
+            behind = frozenset(
+                replica.server_id
                 for replica in self._replicas(name)
+                if replica.weights_version != row.weights_version
             )
-            and duty.leader(name, members) == own
-        ]
+            state = (row.weights_version, behind)
+            if self._behind.get(name, (None, 0))[0] != state:
+                self._behind[name] = (state, now_ms)
+            waited_ms = now_ms - self._behind[name][1]
+            if behind and waited_ms >= self._rank(name) * PATIENCE_MS:
+                found.append(name)
+        return found
+
+    def _rank(self, model: str) -> int:
+        members = self._members.serving()
+        ranked = duty.leaders(model, members)
+        own = self._members.me.member_id
+        return ranked.index(own) if own in ranked else len(ranked)
 
     def _lead(self, model: str) -> _Led:
         lease = leases.Lease(
@@ -109,7 +155,7 @@
             policy=self._policy,
             clock=self._core.clock,
         )
-        return _Led(lease, rollout.Rollout())
+        return _Led(lease, rollout.Rollout(self._rollout_policy))
 
     def _replicas(self, model: str) -> list[rollout.Replica]:
         servers = self._core.core.world.servers_by_target[model].values()
@@ -123,26 +169,51 @@
             if row.incarnation and not row.leaving
         ]
 
-    async def _order(
+    def _load(self, led: _Led, server: entities.ServerRow, wanted: str) -> None:
+        led.rollout.ordered(
+            server.server_id,
+            wanted=wanted,
+            now_ms=self._core.clock.now_ms(),
+        )
+        task = asyncio.create_task(self._order_and_watch(led, server, wanted))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _order_and_watch(
         self, led: _Led, server: entities.ServerRow, wanted: str
     ) -> None:
+        """Orders one server to load weights, and waits until it has them."""
+        if not await self._order(led, server, wanted):
+            led.rollout.failed(server.server_id)
+            return
+        ends_ms = self._core.clock.now_ms() + led.rollout.policy.load_limit_ms
+        while self._core.clock.now_ms() < ends_ms:
+            await asyncio.sleep(LOAD_LOOK_MS / 1000)
+            got = await self._look(server)
+            if got is not None and got.weights_version == wanted:
+                return
+
+    async def _order(
+        self, led: _Led, server: entities.ServerRow, wanted: str
+    ) -> bool:
+        """Gives an order; returns whether it may have been taken."""
+        state = await self._look(server)
         checks = self._checks_fencing(server.server_id)
         # Asked again right before sending: this daemon may have been stopped
         # since the last look, and another holder may be at work.
         may_send = led.lease.valid() if checks else led.lease.settled()
         if not may_send:
-            return
-        led.rollout.ordered(
-            server.server_id,
-            wanted=wanted,
-            now_ms=self._core.clock.now_ms(),
-        )
+            return False
         got = await self._client.order(
             server.address,
             backend.Order(
                 kind=backend.OrderKind.LOAD_WEIGHTS,
                 fencing=led.lease.fencing,
                 value=wanted,
+                target=server.target,
+                server_id=server.server_id,
+                holder=self._members.me.member_id,
+                orders_taken=-1 if state is None else state.orders_taken,
             ),
         )
         detail = str(got.err_value) if isinstance(got, Err) else "ordered"
@@ -153,6 +224,26 @@
             led.lease.fencing,
             detail,
         )
+        if isinstance(got, Err) and got.err_value.status == STATUS_OLD_FENCING:
+            led.lease.forfeit()
+        # Without an answer the order may still be carried out.
+        return not isinstance(got, Err) or got.err_value.status == 0
+
+    async def _look(
+        self, server: entities.ServerRow
+    ) -> backend.EngineLoad | None:
+        """Asks a server for its state and tells it where weights changed."""
+        got = await self._client.load(
+            server.address, server_id=server.server_id
+        )
+        if isinstance(got, Err):
+            return None
+        load = got.ok_value
+        if load.weights_version != server.weights_version:
+            told = watch.report(server, load, self._core)
+            self._core.submit(told)
+            self._news.publish_load(told, server.target, now=True)
+        return load
 
 
 __all__ = ["Leader"]
--- a/src/godwittack/daemon/listing.py
+++ b/src/godwittack/daemon/listing.py
@@ -10,7 +10,7 @@
 
 from godwittack.core import inputs
 from godwittack.member import duty
-from godwittack.platform import protocol as platform
+from godwittack.store import protocol as platform
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -177,7 +177,7 @@
         self._streams.listed.on_next(
             inputs.ServerListed(at_ms=now_ms, server_id=name, gone=True)
             if instance is None
-            else _listed(instance, now_ms)
+            else listed(instance, now_ms)
         )
 
 
@@ -187,7 +187,8 @@
     return xxhash.xxh3_64_intdigest(text.encode()) or 1
 
 
-def _listed(instance: platform.Instance, now_ms: int) -> inputs.ServerListed:
+def listed(instance: platform.Instance, now_ms: int) -> inputs.ServerListed:
+    """Returns what the core is told of an entry."""
     return inputs.ServerListed(
         at_ms=now_ms,
         server_id=instance.name,
@@ -195,7 +196,10 @@
         target=instance.target,
         failure_domain=instance.failure_domain,
         leaving=instance.leaving,
+        incarnation=instance.incarnation,
+        weights_version=instance.weights_version,
+        slots=instance.slots,
     )
 
 
-__all__ = ["Changes", "ListWatcher", "fingerprint"]
+__all__ = ["Changes", "ListWatcher", "fingerprint", "listed"]
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -20,7 +20,7 @@
     from godwittack.daemon import runtime as runtimes
     from godwittack.member import view
     from godwittack.peer import exchange
-    from godwittack.platform import protocol as platform
+    from godwittack.store import protocol as platform
 
 # How long a drain holds at a daemon that hears no more of it.
 DRAIN_MS = 3_000
@@ -97,10 +97,22 @@
             if outbox.is_idle(now_ms):
                 self._outboxes.pop(name).close()
 
-    def publish_load(self, load: inputs.LoadReported, target: str) -> None:
-        """Queues a load report for the daemons that serve its model."""
+    def publish_load(
+        self, load: inputs.LoadReported, target: str, *, now: bool = False
+    ) -> None:
+        """Queues a load report for the daemons that serve its model.
+
+        Args:
+            load: The report.
+            target: The model.
+            now: Whether to send it at once, as where new weights are loaded:
+                until they hear of it, others send requests that the server
+                declines.
+        """
         for outbox in self._outboxes_of(self.audience(target)):
             outbox.pending.loads[load.server_id] = load
+            if now:
+                outbox.wake()
 
     def publish_digest(self, digest: inputs.CacheDigest, target: str) -> None:
         """Queues a cache digest for the daemons that serve its model."""
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -47,9 +47,15 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._request_counter = 0
 
-    def next_request_id(self) -> str:
-        """Returns an id that no other request of the system has."""
+    def next_request_id(self, caller_id: str = "") -> str:
+        """Returns an id that no other request of the system has.
+
+        Where callers name their requests, the id begins with that name, so
+        that log lines are found by it. Two requests may bear one name.
+        """
         self._request_counter += 1
+        if caller_id:
+            return f"{caller_id}~{self._request_counter}"
         return f"{self.core.world.daemon}/{self._request_counter}"
 
     def open_caller(self, request_id: str, call: backend.Call) -> caller.Caller:
@@ -189,7 +195,9 @@
         )
 
     async def _probe(self, effect: effects.Probe) -> None:
-        got = await self._backend.load(effect.address)
+        got = await self._backend.load(
+            effect.address, server_id=effect.server_id
+        )
         self.submit(
             inputs.ProbeAnswered(
                 self.clock.now_ms(),
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -33,9 +33,9 @@
 from godwittack.member import right, view
 from godwittack.metric import meters
 from godwittack.peer import datagram, exchange
-from godwittack.platform import http as platform_http
 from godwittack.report import ledger
 from godwittack.session import record
+from godwittack.store import http as platform_http
 from godwittack.table import store as table_store
 
 if TYPE_CHECKING:
@@ -112,7 +112,7 @@
             expected=len({*settings.seeds, settings.peer_address}),
         )
         store = table_store.TableStore(platform, platform)
-        self._keeper = tables.TableKeeper(
+        self._keeper = tables.PolledKeeper(
             tables=store,
             runtime=self.runtime,
             peers=self._peers,
--- a/src/godwittack/daemon/tables.py
+++ b/src/godwittack/daemon/tables.py
@@ -22,19 +22,17 @@
     from godwittack.table import store
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class TableKeeper:
-    """Reads versions from the service, and tables from it or from peers.
+    """Puts newer tables in force and takes them from peers.
 
     Attributes:
         on_adopted: Called when a newer table came into force here.
     """
 
-    tables: store.TableStore
     runtime: runtimes.Runtime
     peers: exchange.PeerClient
-    right: right.ServeRight
-    rng: random.Random
+    right: right.Right
     on_adopted: Callable[[], None] = lambda: None
     _fetching: bool = False
 
@@ -43,6 +41,42 @@
         """The table in force here."""
         return self.runtime.core.world.table
 
+    def adopt(self, table: model.Table) -> bool:
+        """Puts a table in force if it is newer; it never goes back."""
+        self.runtime.submit(
+            inputs.TableChanged(self.runtime.clock.now_ms(), table)
+        )
+        if self.table is not table:
+            return False
+        logging.info("event=table_in_force version=%d", table.version)
+        self.on_adopted()
+        return True
+
+    async def fetch_from_peer(self, address: str) -> None:
+        """Takes a peer's table where it is newer."""
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            got = await self.peers.fetch_table(
+                address, known_version=self.table.version
+            )
+        finally:
+            self._fetching = False
+        if isinstance(got, Err) or not got.ok_value.table_json:
+            return
+        parsed = schema.table_from_json(got.ok_value.table_json)
+        if isinstance(parsed, Ok):
+            self.adopt(parsed.ok_value)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class PolledKeeper(TableKeeper):
+    """Reads versions from the table service, and the table where newer."""
+
+    tables: store.TableStore
+    rng: random.Random
+
     async def load_first(self, peer_addresses: list[str]) -> None:
         """Finds a table to start with: the service, peers, then the copy."""
         await self.poll_once()
@@ -76,33 +110,5 @@
             # nothing of the time after it was made.
             self.right.service_read(now_ms=started_ms)
 
-    def adopt(self, table: model.Table) -> bool:
-        """Puts a table in force if it is newer; it never goes back."""
-        self.runtime.submit(
-            inputs.TableChanged(self.runtime.clock.now_ms(), table)
-        )
-        if self.table is not table:
-            return False
-        logging.info("event=table_in_force version=%d", table.version)
-        self.on_adopted()
-        return True
-
-    async def fetch_from_peer(self, address: str) -> None:
-        """Takes a peer's table where it is newer."""
-        if self._fetching:
-            return
-        self._fetching = True
-        try:
-            got = await self.peers.fetch_table(
-                address, known_version=self.table.version
-            )
-        finally:
-            self._fetching = False
-        if isinstance(got, Err) or not got.ok_value.table_json:
-            return
-        parsed = schema.table_from_json(got.ok_value.table_json)
-        if isinstance(parsed, Ok):
-            self.adopt(parsed.ok_value)
-
 
-__all__ = ["TableKeeper"]
+__all__ = ["PolledKeeper", "TableKeeper"]
--- a/src/godwittack/daemon/watch.py
+++ b/src/godwittack/daemon/watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 import reactivex
@@ -50,6 +51,15 @@
         self.listed.subscribe(on_next=core.submit)
 
 
+class Follows(enum.Flag):
+    """What is asked of servers; callers' answers tell the rest."""
+
+    ENGINE_LOADS = enum.auto()
+    SERVICE_LOADS = enum.auto()
+    CACHES = enum.auto()
+    ALL = ENGINE_LOADS | SERVICE_LOADS | CACHES
+
+
 class ServerWatcher:
     """Follows the servers that fall to this daemon by rendezvous."""
 
@@ -62,8 +72,10 @@
         news: newses.News,
         streams: Streams,
         load_poll_ms: int,
+        follows: Follows = Follows.ALL,
     ) -> None:
         """Watches for `core` and tells `streams`."""
+        self._follows = follows
         self._core = core
         self._client = client
         self._members = members
@@ -134,9 +146,9 @@
         await asyncio.gather(*(self._ask(row) for row in unknown))
 
     async def _ask(self, row: entities.ServerRow) -> None:
-        got = await self._client.load(row.address)
+        got = await self._client.load(row.address, server_id=row.server_id)
         if not isinstance(got, Err):
-            self._core.submit(_report(row, got.ok_value, self._core))
+            self._core.submit(report(row, got.ok_value, self._core))
 
     def close(self) -> None:
         """Stops following."""
@@ -146,14 +158,20 @@
         self._tasks.clear()
 
     def _follow(self, row: entities.ServerRow) -> list[asyncio.Task[None]]:
-        tasks = [asyncio.create_task(self._poll_load(row))]
-        if row.target in self._core.core.world.table.models:
+        tasks = []
+        is_engine = row.target in self._core.core.world.table.models
+        loads = Follows.ENGINE_LOADS if is_engine else Follows.SERVICE_LOADS
+        if loads in self._follows:
+            tasks.append(asyncio.create_task(self._poll_load(row)))
+        if is_engine and Follows.CACHES in self._follows:
             tasks.append(asyncio.create_task(self._follow_cache(row)))
         return tasks
 
     async def _poll_load(self, row: entities.ServerRow) -> None:
         while True:
-            got = await self._client.poll_load(row.address)
+            got = await self._client.poll_load(
+                row.address, server_id=row.server_id
+            )
             if not isinstance(got, Err):
                 self._tell_load(row, got.ok_value)
             await asyncio.sleep(self._load_poll_ms / 1000)
@@ -161,7 +179,7 @@
     def _tell_load(
         self, row: entities.ServerRow, load: backend.EngineLoad
     ) -> None:
-        told = _report(row, load, self._core)
+        told = report(row, load, self._core)
         self._streams.watched.on_next(Watched(row.target, told))
         if load.leaving:
             self._news.publish_leaving(row.server_id)
@@ -172,7 +190,9 @@
         digester = digests.Digester(row.server_id)
         while True:
             got = await self._client.cache_events(
-                row.address, after=digester.sequence
+                row.address,
+                after=digester.sequence,
+                server_id=row.server_id,
             )
             if isinstance(got, Err):
                 await asyncio.sleep(EVENTS_RETRY_MS / 1000)
@@ -185,9 +205,10 @@
             await asyncio.sleep(DIGEST_MS / 1000)
 
 
-def _report(
+def report(
     row: entities.ServerRow, load: backend.EngineLoad, core: runtime.Runtime
 ) -> inputs.LoadReported:
+    """Returns what the core is told of a server's load."""
     return inputs.LoadReported(
         at_ms=core.clock.now_ms(),
         server_id=row.server_id,
@@ -218,4 +239,4 @@
                 self._news.publish_digest(item.told, item.target)
 
 
-__all__ = ["ServerWatcher", "Streams", "Watched"]
+__all__ = ["Follows", "ServerWatcher", "Streams", "Watched", "report"]
--- /dev/null
+++ b/src/godwittack/entry/forward.py
@@ -0,0 +1,205 @@
+"""Serves callers whose requests are handed on to servers unchanged."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING, Protocol
+
+from aiohttp import web
+from result import Err
+
+from godwittack.core import effects, inputs
+from godwittack.entry import parse
+from godwittack.table import forwarding
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from godwittack.backend import protocol as backend
+    from godwittack.config import settings as configs
+    from godwittack.core import work
+    from godwittack.daemon import caller as callers
+    from godwittack.daemon import runtime as runtimes
+    from godwittack.table import model
+
+STATUS_HEADERS_TOO_LARGE = 431
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A request as the core sees it, and as it is sent on."""
+
+    work: work.Work
+    call: backend.Call
+
+
+class CallerFormat(Protocol):
+    """How callers' requests are read, and what they are answered."""
+
+    def read(
+        self, request: web.BaseRequest, body: bytes, known: model.Table
+    ) -> Result[Arrived, str]:
+        """Reads a request, or says what is wrong with it."""
+
+    def refusal(
+        self, refused: effects.Refuse, call: backend.Call
+    ) -> web.Response:
+        """Returns the answer to a request that brings no other."""
+
+    def bad_request(self, detail: str, *, status: int) -> web.Response:
+        """Returns the answer to a request that could not be read."""
+
+
+class ForwardFace:
+    """HTTP handler for callers' requests.
+
+    Attributes:
+        stopping: Whether connections are closed after their next answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        runtime: runtimes.Runtime,
+        settings: configs.Settings,
+        wire: CallerFormat,
+    ) -> None:
+        """Hands requests read by `wire` to `runtime`."""
+        self.stopping = False
+        self._runtime = runtime
+        self._settings = settings
+        self._wire = wire
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one request."""
+        response = await self._handle(request)
+        if self.stopping and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        table = self._runtime.core.world.table
+        limits = forwarding.CallerLimits()
+        if table.forwarding is not None:
+            limits = table.forwarding.limits
+        if _header_bytes(request) > limits.header_bytes:
+            return self._closing(
+                f"the headers are longer than {limits.header_bytes} bytes",
+                status=STATUS_HEADERS_TOO_LARGE,
+            )
+        body = await parse.read_body(
+            request,
+            max_bytes=limits.body_bytes,
+            timeout_ms=self._settings.body_timeout_ms,
+        )
+        if isinstance(body, Err):
+            status, detail = body.err_value
+            return self._closing(detail, status=status)
+        arrived = self._wire.read(request, body.ok_value, table)
+        if isinstance(arrived, Err):
+            return self._wire.bad_request(arrived.err_value, status=400)
+        return await self._serve(request, arrived.ok_value)
+
+    async def _serve(
+        self, request: web.BaseRequest, arrived: Arrived
+    ) -> web.StreamResponse:
+        request_id = self._runtime.next_request_id(arrived.call.request_id)
+        caller = self._runtime.open_caller(request_id, arrived.call)
+        try:
+            self._runtime.submit(
+                inputs.RequestArrived(
+                    self._runtime.clock.now_ms(), request_id, arrived.work
+                )
+            )
+            return await self._deliver(request, caller)
+        except (asyncio.CancelledError, ConnectionError):
+            self._gone(request_id)
+            raise
+        except TimeoutError:
+            # The caller has not read for long; its buffers are given up.
+            self._gone(request_id)
+            _abort(request)
+            raise
+        finally:
+            self._runtime.close_caller(request_id)
+
+    async def _deliver(
+        self, request: web.BaseRequest, caller: callers.Caller
+    ) -> web.StreamResponse:
+        match await caller.get():
+            case effects.Refuse() as refused:
+                return self._wire.refusal(refused, caller.call)
+            case effects.Reply() as reply:
+                return _whole(reply)
+            case effects.BeginStream(head=head) if head is not None:
+                return await self._stream(request, head, caller)
+            case other:
+                raise RuntimeError(f"not the start of an answer: {other}")
+
+    async def _stream(
+        self,
+        request: web.BaseRequest,
+        head: work.Head,
+        caller: callers.Caller,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(status=head.status)
+        for header in head.headers:
+            response.headers.add(header.name, header.value)
+        response.enable_chunked_encoding()
+        if self.stopping:
+            response.force_close()
+        await response.prepare(request)
+        while True:
+            match await caller.get():
+                case effects.Relay() as relay:
+                    data = b"".join(frame.data for frame in relay.frames)
+                    if not data:
+                        continue
+                    async with asyncio.timeout(
+                        self._settings.slow_caller_ms / 1000
+                    ):
+                        await response.write(data)
+                case effects.EndStream():
+                    await response.write_eof()
+                    return response
+                case effects.BreakStream():
+                    # Ended in order, an unfinished stream would look whole.
+                    response.force_close()
+                    _close(request)
+                    return response
+
+    def _gone(self, request_id: str) -> None:
+        self._runtime.submit(
+            inputs.CallerGone(self._runtime.clock.now_ms(), request_id)
+        )
+
+    def _closing(self, detail: str, *, status: int) -> web.Response:
+        response = self._wire.bad_request(detail, status=status)
+        response.force_close()
+        return response
+
+
+def _whole(reply: effects.Reply) -> web.Response:
+    response = web.Response(status=reply.answer.status, body=reply.answer.body)
+    response.headers.popall("content-type", None)
+    for header in reply.answer.headers:
+        response.headers.add(header.name, header.value)
+    return response
+
+
+def _header_bytes(request: web.BaseRequest) -> int:
+    return sum(len(n) + len(v) + 4 for n, v in request.raw_headers)
+
+
+def _close(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.close()
+
+
+def _abort(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
+__all__ = ["Arrived", "CallerFormat", "ForwardFace"]
--- a/src/godwittack/entry/operate.py
+++ b/src/godwittack/entry/operate.py
@@ -24,7 +24,7 @@
     from godwittack.daemon import gossip
     from godwittack.daemon import runtime as runtimes
     from godwittack.peer import exchange
-    from godwittack.platform import protocol as platform
+    from godwittack.store import protocol as platform
 
 MAX_CHANGE_BYTES = 1 << 20
 CHANGE_TIMEOUT_MS = 10_000
--- a/src/godwittack/entry/parse.py
+++ b/src/godwittack/entry/parse.py
@@ -11,7 +11,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from godwittack.backend import http as backend_http
+from godwittack.backend import headers as backend_headers
 from godwittack.core import work
 from godwittack.placement import levels
 
@@ -63,7 +63,7 @@
 
 
 async def read_body(
-    request: web.Request, *, max_bytes: int, timeout_ms: int
+    request: web.BaseRequest, *, max_bytes: int, timeout_ms: int
 ) -> Result[bytes, tuple[int, str]]:
     """Reads a body of bounded length in bounded time.
 
@@ -159,7 +159,7 @@
         part.strip().lower()
         for part in request.headers.get("connection", "").split(",")
     }
-    dropped = backend_http.HOP_BY_HOP | OWN_HEADERS | named
+    dropped = backend_headers.HOP_BY_HOP | OWN_HEADERS | named
     return tuple(
         work.Header(name, value)
         for name, value in request.headers.items()
--- a/src/godwittack/entry/weights.py
+++ b/src/godwittack/entry/weights.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from godwittack.platform import protocol as platform
+    from godwittack.store import protocol as platform
 
 COLUMN = "weights_version"
 
--- a/src/godwittack/lead/lease.py
+++ b/src/godwittack/lead/lease.py
@@ -8,7 +8,7 @@
 import pydantic
 from result import Err
 
-from godwittack.platform import protocol
+from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from godwittack.clock import Clock
@@ -81,10 +81,17 @@
         waited_ms = self._clock.now_ms() - self._held_since_ms
         return self.valid() and waited_ms >= self._policy.lease_ms
 
+    def forfeit(self) -> None:
+        """Gives the lease up: a server has seen a higher fencing number."""
+        self._held_until_ms = -1
+        self._stands = None
+        self._seen_since_ms = self._clock.now_ms()
+
     async def step(self) -> None:
         """Renews a held lease, or takes over one that stands still."""
         if self._stands is not None and self._stands.holder == self._holder:
-            await self._write(self._stands.fencing)
+            if not self._is_fresh():
+                await self._write(self._stands.fencing)
             return
         await self._look()
         still_ms = self._clock.now_ms() - self._seen_since_ms
@@ -125,8 +132,20 @@
         self._held_until_ms = (
             started_ms + self._policy.lease_ms - self._policy.margin_ms
         )
+        if got.ok_value.version:
+            self._row_version = got.ok_value.version
+            return
         await self._look()
 
+    def _is_fresh(self) -> bool:
+        """Returns whether over half of the time held is left.
+
+        Renewed with each step, a lease would take a call of the service each
+        time, and its calls are limited.
+        """
+        left_ms = self._held_until_ms - self._clock.now_ms()
+        return left_ms > self._policy.lease_ms / 2
+
     def _see(self, row: protocol.StoredRow) -> None:
         if row.version < self._row_version:
             return
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -11,12 +11,25 @@
 
 # The weight store slows down when more than two replicas load at once.
 MAX_LOADING = 2
-# Longest time for which a drain is waited for; after it the order is given
-# back and the replica serves on.
-DRAIN_LIMIT_MS = 120_000
-# Longest time from an order to the server's report of the new weights; after
-# it the order is taken for lost and given again.
-LOAD_LIMIT_MS = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RolloutPolicy:
+    """Times of a roll-out.
+
+    Attributes:
+        drain_limit_ms: Longest time for which a drain is waited for; after it
+            the replica serves on.
+        order_after_ms: Time of draining after which the order is given all
+            the same, to engines that let running requests end first; 0 waits
+            until nothing runs.
+        load_limit_ms: Longest time from an order to the server's report of
+            the new weights; after it the order is taken for lost.
+    """
+
+    drain_limit_ms: int = 120_000
+    order_after_ms: int = 0
+    load_limit_ms: int = 20_000
 
 
 class Step(enum.StrEnum):
@@ -67,6 +80,7 @@
     truth, so that a new holder goes on where the last one stopped.
     """
 
+    policy: RolloutPolicy = RolloutPolicy()
     _progress: dict[str, _Progress] = dataclasses.field(default_factory=dict)
 
     def decide(
@@ -90,7 +104,7 @@
         load = tuple(
             name
             for name, progress in self._progress.items()
-            if progress.step is Step.DRAINING and known[name].busy == 0
+            if self._is_drained(progress, known[name], now_ms)
         )
         return Decision(tuple(sorted(self._progress)), load)
 
@@ -98,6 +112,19 @@
         """Notes that a server was ordered to load a version."""
         self._progress[server_id] = _Progress(Step.LOADING, now_ms, wanted)
 
+    def failed(self, server_id: str) -> None:
+        """Notes that a server refused an order; its turn comes again."""
+        self._progress.pop(server_id, None)
+
+    def _is_drained(
+        self, progress: _Progress, replica: Replica, now_ms: int
+    ) -> bool:
+        if progress.step is not Step.DRAINING:
+            return False
+        patience_ms = self.policy.order_after_ms
+        waited_ms = now_ms - progress.since_ms
+        return replica.busy == 0 or 0 < patience_ms <= waited_ms
+
     def _finish(self, name: str, replica: Replica | None, now_ms: int) -> None:
         progress = self._progress[name]
         gone = replica is None
@@ -106,9 +133,9 @@
         done = replica is not None and (
             replica.weights_version == progress.wanted
         )
-        limit_ms = (
-            LOAD_LIMIT_MS if progress.step is Step.LOADING else DRAIN_LIMIT_MS
-        )
+        limit_ms = self.policy.drain_limit_ms
+        if progress.step is Step.LOADING:
+            limit_ms = self.policy.load_limit_ms
         if gone or done or now_ms - progress.since_ms > limit_ms:
             del self._progress[name]
 
@@ -119,4 +146,4 @@
         return min(MAX_LOADING, max(1, replicas // 2))
 
 
-__all__ = ["Decision", "Replica", "Rollout", "Step"]
+__all__ = ["Decision", "Replica", "Rollout", "RolloutPolicy", "Step"]
--- a/src/godwittack/member/duty.py
+++ b/src/godwittack/member/duty.py
@@ -38,14 +38,13 @@
     )
 
 
-def leader(model: str, members: list[view.Member]) -> str | None:
-    """Returns the member that should lead a model's orders.
+def leaders(model: str, members: list[view.Member]) -> tuple[str, ...]:
+    """Returns the members that may lead a model's orders, the first one first.
 
-    Two may believe it for a while; the lease decides which of them acts.
+    Two may believe to be it for a while; the lease decides which of them acts.
     """
-    return rendezvous.owner(
-        f"lead/{model}", [member.member_id for member in members]
-    )
+    names = tuple(sorted(member.member_id for member in members))
+    return _rank(f"lead/{model}", names)
 
 
 def list_readers(members: list[view.Member]) -> list[view.Member]:
@@ -153,7 +152,7 @@
     "audience",
     "audience_names",
     "group_names",
-    "leader",
+    "leaders",
     "list_readers",
     "watcher",
     "where",
--- a/src/godwittack/member/right.py
+++ b/src/godwittack/member/right.py
@@ -3,12 +3,28 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
     from godwittack.member.view import MemberPolicy, View
 
 
+class Right(Protocol):
+    """Decides until when this daemon may serve by the table it has."""
+
+    def service_read(self, *, now_ms: int) -> None:
+        """Counts a reading of the newest version from the service."""
+
+    def compared(self, *, own: int, told: int, now_ms: int) -> None:
+        """Takes in a version that a peer told, or the own new one."""
+
+    def service_fresh(self, *, now_ms: int) -> bool:
+        """Returns whether the service was read lately."""
+
+    def until_ms(self, view: View, *, own_version: int, now_ms: int) -> int:
+        """Returns the time before which new work may start; 0 for not now."""
+
+
 @dataclasses.dataclass(slots=True)
 class ServeRight:
     """Decides until when this daemon may claim that its table is current.
@@ -66,4 +82,4 @@
         return self._granted_until_ms
 
 
-__all__ = ["ServeRight"]
+__all__ = ["Right", "ServeRight"]
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -7,7 +7,7 @@
 from godwittack.core import inputs
 from godwittack.member import view
 from godwittack.peer import peer_pb2
-from godwittack.platform import protocol as platform
+from godwittack.store import protocol as platform
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from godwittack.core import inputs
-    from godwittack.platform import protocol as platform
+    from godwittack.store import protocol as platform
 
 MAX_DIGESTS = 64
 
--- a/src/godwittack/platform/__init__.py
+++ b/src/godwittack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""What the platform offers: tables, objects, weights, instances."""
+"""The users' platform: its names, formats and calls, translated."""
--- /dev/null
+++ b/src/godwittack/platform/callers.py
@@ -0,0 +1,137 @@
+"""How callers' requests are read, and what they are answered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from result import Err, Ok, Result
+
+from godwittack.backend import headers as backend_headers
+from godwittack.backend import protocol as backend
+from godwittack.core import work
+from godwittack.entry import forward
+from godwittack.platform import names, servers, table
+
+if TYPE_CHECKING:
+    from godwittack.core import effects
+    from godwittack.table import model
+
+# Set anew towards the server; `Host` is handed on, since the server sees it.
+_DROPPED = (
+    backend_headers.HOP_BY_HOP
+    | backend_headers.SET_ANEW
+    | names.SYSTEM_HEADERS
+    | {"expect"}
+)
+MAX_DEADLINE_MS = 3_600_000
+
+
+class CallerFormat:
+    """Implements `CallerFormat` of `entry/forward.py`."""
+
+    def read(
+        self, request: web.BaseRequest, body: bytes, known: model.Table
+    ) -> Result[forward.Arrived, str]:
+        """Reads a request's headers."""
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        key = request.headers.get(names.API_KEY, "")
+        for name in (names.REQUEST_ID, names.API_KEY, "Host"):
+            if len(request.headers.getall(name, [])) > 1:
+                return Err(f"{name}: sent more than once")
+        if not request_id:
+            return Err(f"{names.REQUEST_ID}: missing")
+        after = request.headers.get(names.LAST_EVENT_ID, "0")
+        deadline = request.headers.get(names.DEADLINE, "0")
+        if not after.isdigit() or not deadline.isdigit():
+            return Err("a number was expected in a header")
+        digest = table.key_digest(key)
+        workspace = known.workspace_by_token.get(digest, "")
+        path = request.raw_path
+        prompt_tokens, max_tokens = _tokens(request)
+        asked = work.Work(
+            kind=work.WorkKind.PLAIN,
+            token_sha256=digest,
+            target="",
+            caller_request_id=request_id,
+            levels=_levels(request, known, workspace, prompt_tokens),
+            max_tokens=max_tokens,
+            deadline_ms=min(int(deadline), MAX_DEADLINE_MS),
+            method=request.method,
+            host=request.headers.get("Host", ""),
+            path=path.partition("?")[0],
+            resume_after=int(after),
+        )
+        call = backend.Call(
+            method=request.method,
+            path=path,
+            headers=_forwarded(request),
+            body=body,
+            request_id=request_id,
+        )
+        return Ok(forward.Arrived(asked, call))
+
+    def refusal(
+        self, refused: effects.Refuse, call: backend.Call
+    ) -> web.Response:
+        """Returns the answer to a request that brings no other."""
+        response = web.json_response(
+            {"error": refused.reason.value, "detail": refused.detail},
+            status=refused.status,
+        )
+        response.headers[names.REQUEST_ID] = call.request_id
+        if refused.retry_after_ms:
+            response.headers[names.RETRY_AFTER] = (
+                f"{refused.retry_after_ms / 1000:.3f}"
+            )
+        return response
+
+    def bad_request(self, detail: str, *, status: int) -> web.Response:
+        """Returns the answer to a request that could not be read."""
+        return web.json_response(
+            {"error": "bad_request", "detail": detail}, status=status
+        )
+
+
+def _tokens(request: web.BaseRequest) -> tuple[int, int]:
+    first, _, second = request.headers.get(names.TOKENS, "").partition(",")
+    if not first.strip().isdigit() or not second.strip().isdigit():
+        return 0, 0
+    return int(first), int(second)
+
+
+def _levels(
+    request: web.BaseRequest,
+    known: model.Table,
+    workspace: str,
+    prompt_tokens: int,
+) -> tuple[work.Level, ...]:
+    """Returns the prompt's levels; one of a single level if none are told."""
+    forwarding = known.forwarding
+    alone = forwarding is not None and workspace in forwarding.isolated
+    scope = f"/{workspace if alone else ''}"
+    found: list[work.Level] = []
+    for entry in request.headers.get(names.LEVELS, "").split(","):
+        level, _, tokens = entry.strip().partition(":")
+        if level and tokens.isdigit():
+            key = servers.level_key(scope, level)
+            found.append(work.Level(key, int(tokens)))
+    if not found and prompt_tokens:
+        key = servers.level_key(scope, request.headers[names.REQUEST_ID])
+        found.append(work.Level(key, prompt_tokens))
+    return tuple(found)
+
+
+def _forwarded(request: web.BaseRequest) -> tuple[work.Header, ...]:
+    named = {
+        part.strip().lower()
+        for part in request.headers.get("Connection", "").split(",")
+    }
+    return tuple(
+        work.Header(name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in request.raw_headers
+        if name.decode("latin-1").lower() not in _DROPPED | named
+    )
+
+
+__all__ = ["CallerFormat"]
--- /dev/null
+++ b/src/godwittack/platform/names.py
@@ -0,0 +1,74 @@
+"""Names on the wire, each with what it holds where the name says little."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Headers of callers' requests.
+REQUEST_ID: Final = "X-Godwittack-Request-Id"
+DEADLINE: Final = "X-Godwittack-Deadline-Ms"
+API_KEY: Final = "X-Godwittack-Credential"
+LAST_EVENT_ID: Final = "Last-Event-Id"
+MODEL: Final = "X-Godwittack-Model"
+# Prompt tokens and the most tokens to generate, not what was used.
+TOKENS: Final = "X-Godwittack-Token-Usage"
+# The prompt's levels in order, each as ID:TOKENS; no hash of a prefix.
+LEVELS: Final = "X-Godwittack-Prefix-Hash"
+
+# Headers that only this system may set on a request to a backend server.
+EXPECTED_INSTANCE: Final = "X-Godwittack-Expect-Instance"
+EXPECTED_WEIGHTS: Final = "X-Godwittack-Expect-Version"
+WORKSPACE: Final = "X-Godwittack-Tenant"
+CACHE_SCOPE: Final = "X-Godwittack-Cache-Salt"
+PRIORITY: Final = "X-Godwittack-Request-Priority"
+KV_FETCH_FROM: Final = "X-Godwittack-Kv-Fetch-From"
+KV_SAVE_TO: Final = "X-Godwittack-Kv-Save-To"
+SYSTEM_HEADERS: Final = frozenset(
+    name.lower()
+    for name in (
+        API_KEY,
+        DEADLINE,
+        LAST_EVENT_ID,
+        EXPECTED_INSTANCE,
+        EXPECTED_WEIGHTS,
+        WORKSPACE,
+        CACHE_SCOPE,
+        PRIORITY,
+        KV_FETCH_FROM,
+        KV_SAVE_TO,
+        "X-Godwittack-Hold",
+        "X-Godwittack-Pin-Ms",
+        "X-Godwittack-Kv-Backup",
+        "Kv-From",
+    )
+)
+
+# Headers of answers.
+NOT_RUN: Final = "X-Godwittack-Not-Executed"
+INSTANCE: Final = "X-Godwittack-Instance-Id"
+# Running, waiting and slots, separated by commas.
+LOAD: Final = "X-Godwittack-Server-Load"
+RETRY_AFTER: Final = "Retry-After"
+
+# Calls that arrive here.
+RESOLVE_PATH: Final = "/resolve"
+READY_PATH: Final = "/ready"
+
+# Calls to a backend server.
+REPORT_PATH: Final = "/report"
+ORDER_PATH: Final = "/order"
+EVENTS_PATH: Final = "/kv-events"
+EVENTS_WAIT: Final = "Wait-Ms"
+
+# Calls to the store.
+ROWS_TX: Final = "/rows-tx"
+ROWS_GET: Final = "/rows-get"
+ROWS_FEED: Final = "/rows-feed"
+
+# Tables of the store that the operator and the servers write.
+OPERATOR_TABLE: Final = "op"
+SERVERS_TABLE: Final = "servers"
+CONFIG_KEY: Final = "config"
+WEIGHTS_KEY_PREFIX: Final = "version/"
+
+__all__ = [name for name in dir() if name.isupper()]
--- /dev/null
+++ b/src/godwittack/platform/rows.py
@@ -0,0 +1,246 @@
+"""The store's rows over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING
+from urllib import parse
+
+import aiohttp
+import pydantic
+from result import Err, Ok, Result
+
+from godwittack.platform import names
+from godwittack.store import protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+STATUS_HISTORY_LOST = 410
+STATUS_CONDITION_FAILED = 412
+# The call did nothing, by the store's own word.
+STATUSES_NOT_DONE = frozenset({400, 403, 429, 503})
+
+
+def _field(name: str) -> str:
+    return name.replace("_", "-")
+
+
+class _Wire(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(alias_generator=_field)
+
+
+class _Row(_Wire):
+    # Part of a table in which transactions run one after another; unused.
+    part: str = ""
+    table: str = ""
+    key: str
+    value: str = ""
+    row_version: int = 0
+    deleted: bool = False
+
+
+class _Rows(_Wire):
+    rows: list[_Row] = []
+    # Newest version of the whole store, not of these rows.
+    row_version: int = 0
+    has_more: bool = False
+
+
+class Rows:
+    """Implements `TableService` and `RowFeed`."""
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        address: str,
+        timeout_ms: int,
+    ) -> None:
+        """Calls the store at `address`; each call ends in `timeout_ms`."""
+        self._session = session
+        self._address = address
+        self._timeout_ms = timeout_ms
+
+    async def transact(
+        self,
+        conditions: tuple[protocol.Condition, ...],
+        writes: tuple[protocol.RowWrite, ...],
+    ) -> Result[protocol.Transacted, protocol.PlatformError]:
+        """Makes all writes if all conditions hold."""
+        body = {
+            "precondition": [
+                {**_named(c.row_id), "row-version": c.version}
+                for c in conditions
+            ],
+            "writes": [
+                {**_named(w.row_id), "value": _encoded(w.value)} for w in writes
+            ],
+            "remove": [],
+        }
+        got = await self._call(
+            "transact", "POST", names.ROWS_TX, body=json.dumps(body).encode()
+        )
+        if isinstance(got, Err):
+            return got
+        status, answer = got.ok_value
+        rows = tuple(_stored(row) for row in answer.rows)
+        return Ok(
+            protocol.Transacted(
+                status != STATUS_CONDITION_FAILED,
+                rows,
+                answer.row_version,
+            )
+        )
+
+    async def read(
+        self, row_id: protocol.RowId
+    ) -> Result[protocol.StoredRow, protocol.PlatformError]:
+        """Returns one row."""
+        query = {
+            "table": row_id.table,
+            "part": "",
+            "from": row_id.key,
+            "limit": "1",
+        }
+        got = await self._call("read", "GET", names.ROWS_GET, query=query)
+        if isinstance(got, Err):
+            return got
+        for row in got.ok_value[1].rows:
+            if row.key == row_id.key:
+                return Ok(_stored(row))
+        return Ok(protocol.StoredRow(row_id, "", 0))
+
+    async def scan(
+        self, table: str, *, after: str, limit: int
+    ) -> Result[list[protocol.StoredRow], protocol.PlatformError]:
+        """Returns rows with keys above `after`, in order."""
+        got = await self._page(table, from_key=after + "\0", limit=limit)
+        if isinstance(got, Err):
+            return got
+        return Ok([_stored(row) for row in got.ok_value.rows])
+
+    async def snapshot(
+        self, table: str
+    ) -> Result[protocol.FeedPage, protocol.PlatformError]:
+        """Returns all rows of a table.
+
+        Where they take several pages, changes between those are told again
+        by the feed, which goes on from the first page's version.
+        """
+        rows: list[protocol.ChangedRow] = []
+        newest = 0
+        from_key = ""
+        while True:
+            got = await self._page(table, from_key=from_key, limit=500)
+            if isinstance(got, Err):
+                return got
+            page = got.ok_value
+            newest = newest or page.row_version
+            rows.extend(_changed(row) for row in page.rows)
+            if not page.has_more or not page.rows:
+                return Ok(protocol.FeedPage(rows=tuple(rows), newest=newest))
+            from_key = page.rows[-1].key + "\0"
+
+    async def changes(
+        self, table: str, *, after: int, wait_ms: int
+    ) -> Result[protocol.FeedPage, protocol.PlatformError]:
+        """Returns changes after a version."""
+        query = {"table": table, "after": str(after), "wait-ms": str(wait_ms)}
+        got = await self._call(
+            "feed", "GET", names.ROWS_FEED, query=query, wait_ms=wait_ms
+        )
+        if isinstance(got, Err):
+            return got
+        page = got.ok_value[1]
+        rows = tuple(_changed(row) for row in page.rows)
+        return Ok(protocol.FeedPage(rows=rows, newest=page.row_version))
+
+    async def _page(
+        self, table: str, *, from_key: str, limit: int
+    ) -> Result[_Rows, protocol.PlatformError]:
+        query = {"table": table, "part": "", "limit": str(limit)}
+        if from_key:
+            query["from"] = from_key
+        got = await self._call("scan", "GET", names.ROWS_GET, query=query)
+        return got if isinstance(got, Err) else Ok(got.ok_value[1])
+
+    async def _call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        *,
+        query: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+        wait_ms: int = 0,
+    ) -> Result[tuple[int, _Rows], protocol.PlatformError]:
+        url = f"http://{self._address}{path}"
+        if query:
+            url = f"{url}?{parse.urlencode(query)}"
+        limit_s = (self._timeout_ms + wait_ms) / 1000
+        try:
+            async with self._session.request(
+                method,
+                url,
+                data=body,
+                headers={"Content-Type": "application/json"} if body else {},
+                timeout=aiohttp.ClientTimeout(total=limit_s),
+                allow_redirects=False,
+            ) as response:
+                data = await response.read()
+                status = response.status
+        except TimeoutError:
+            return self._error(step, "no answer in time")
+        except (aiohttp.ClientError, OSError) as error:
+            return self._error(step, str(error) or type(error).__name__)
+        if status not in (200, STATUS_CONDITION_FAILED):
+            return self._error(step, f"status {status}", status=status)
+        try:
+            return Ok((status, _Rows.model_validate_json(data)))
+        except pydantic.ValidationError as error:
+            return self._error(step, str(error.errors()[0]["msg"]))
+
+    def _error(
+        self, step: str, detail: str, *, status: int = 0
+    ) -> Err[protocol.PlatformError]:
+        return Err(
+            protocol.PlatformError(
+                step=step,
+                peer=self._address,
+                detail=detail,
+                may_have_run=status not in STATUSES_NOT_DONE,
+                history_lost=status == STATUS_HISTORY_LOST,
+            )
+        )
+
+
+def _named(row_id: protocol.RowId) -> dict[str, str | int]:
+    return {"table": row_id.table, "part": "", "key": row_id.key}
+
+
+def _encoded(value: str) -> str:
+    return base64.b64encode(value.encode()).decode()
+
+
+def _decoded(value: str) -> str:
+    return base64.b64decode(value).decode()
+
+
+def _stored(row: _Row) -> protocol.StoredRow:
+    row_id = protocol.RowId(row.table, row.key)
+    version = 0 if row.deleted else row.row_version
+    return protocol.StoredRow(row_id, _decoded(row.value), version)
+
+
+def _changed(row: _Row) -> protocol.ChangedRow:
+    return protocol.ChangedRow(
+        key=row.key,
+        value="" if row.deleted else _decoded(row.value),
+        version=row.row_version,
+        deleted=row.deleted,
+    )
+
+
+__all__ = ["Rows"]
--- /dev/null
+++ b/src/godwittack/platform/servers.py
@@ -0,0 +1,214 @@
+"""What is said to backend servers, and how their answers are read."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pydantic
+import xxhash
+
+from godwittack.backend import protocol, routed
+from godwittack.core import inputs
+from godwittack.platform import names
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwittack.backend import connection
+    from godwittack.core import effects
+
+STATUS_OTHER_INSTANCE = 421
+EVENTS_WAIT_MS = 1_000
+
+
+class _Model(pydantic.BaseModel):
+    name: str
+    version: int
+
+
+class _Report(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(
+        alias_generator=lambda name: name.replace("_", "-")
+    )
+    models: list[_Model] = []
+    queue_depth: int = 0
+    running: int = 0
+    stage: str = ""
+    # Orders accepted since the server started.
+    sequence: int = -1
+    # Whether an order is being carried out, not whether requests run.
+    busy: bool = False
+
+
+class _Events(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(
+        alias_generator=lambda name: name.replace("_", "-")
+    )
+    # Changes with each restart of the server.
+    boot_epoch: int
+    next: int
+    lost: bool = False
+    # Number, "+" or "-", scope, level id, tokens stored now, model.
+    events: list[tuple[int, str, str, str, int, str]] = []
+
+
+class ServerFormat:
+    """Implements `ServerFormat` of `backend/routed.py`."""
+
+    def __init__(self, model_of: Callable[[str], str]) -> None:
+        """Takes a function from a target to the model that it serves."""
+        self._model_of = model_of
+
+    def request_head(
+        self, dispatch: effects.Dispatch, call: protocol.Call
+    ) -> bytes:
+        """Returns request line and headers of one attempt."""
+        lines = [f"{call.method} {call.path} HTTP/1.1"]
+        lines.extend(f"{h.name}: {h.value}" for h in call.headers)
+        if call.body or call.method in ("POST", "PUT", "PATCH"):
+            lines.append(f"Content-Length: {len(call.body)}")
+        lines.append(f"{names.DEADLINE}: {dispatch.deadline_ms}")
+        lines.append(f"{names.EXPECTED_INSTANCE}: {dispatch.server_id}")
+        if dispatch.workspace:
+            lines.append(f"{names.WORKSPACE}: {dispatch.workspace}")
+        if dispatch.stamp is not None:
+            version = dispatch.stamp.weights_version
+            lines.append(f"{names.EXPECTED_WEIGHTS}: {version}")
+            lines.append(f"{names.CACHE_SCOPE}: {dispatch.cache_scope}")
+            lines.append(f"{names.PRIORITY}: {min(9, dispatch.priority)}")
+        if dispatch.after:
+            lines.append(f"{names.LAST_EVENT_ID}: {dispatch.after}")
+        if dispatch.kv_fetch_from:
+            lines.append(f"{names.KV_FETCH_FROM}: {dispatch.kv_fetch_from}")
+        if dispatch.kv_save_to:
+            lines.append(f"{names.KV_SAVE_TO}: {dispatch.kv_save_to}")
+        return _head(lines)
+
+    def is_answer_to(
+        self, reply: connection.Reply, call: protocol.Call
+    ) -> bool:
+        """Returns whether an answer belongs to the call."""
+        return reply.header(names.REQUEST_ID) == call.request_id
+
+    def declined(
+        self, reply: connection.Reply, server_id: str
+    ) -> inputs.FailureCause | None:
+        """Returns why the server did not run the request, None if it did."""
+        if reply.status == STATUS_OTHER_INSTANCE:
+            instance = reply.header(names.INSTANCE)
+            if instance and instance != server_id:
+                return inputs.FailureCause.OTHER_SERVER
+            return inputs.FailureCause.REFUSED
+        if reply.header(names.NOT_RUN):
+            return inputs.FailureCause.REFUSED
+        return None
+
+    def echoed_load(self, reply: connection.Reply) -> routed.EchoedLoad | None:
+        """Returns the load that an answer tells."""
+        parts = reply.header(names.LOAD).split(",")
+        if len(parts) != 3 or not all(p.strip().isdigit() for p in parts):
+            return None
+        running, waiting, slots = (int(part) for part in parts)
+        return routed.EchoedLoad(running=running, waiting=waiting, slots=slots)
+
+    def load_call(self, address: str, server_id: str) -> routed.ControlCall:
+        """Returns the call for a server's report of its state."""
+        head = [
+            f"GET {names.REPORT_PATH} HTTP/1.1",
+            f"Host: {address}",
+            f"{names.EXPECTED_INSTANCE}: {server_id}",
+        ]
+        return routed.ControlCall(step="report", head=_head(head))
+
+    def read_load(self, body: bytes, server_id: str) -> protocol.EngineLoad:
+        """Reads a report; raises ValueError for anything else."""
+        report = _Report.model_validate_json(body)
+        version = str(report.models[0].version) if report.models else ""
+        return protocol.EngineLoad(
+            incarnation=server_id,
+            weights_version=version,
+            running=report.running,
+            waiting=report.queue_depth,
+            waiting_tokens=0,
+            prefill_us_per_token=0,
+            slots=0,
+            leaving=False,
+            orders_taken=report.sequence,
+            is_ordered=report.busy,
+        )
+
+    def events_call(
+        self, address: str, server_id: str, after: int
+    ) -> routed.ControlCall:
+        """Returns the call for cache events."""
+        head = [
+            f"GET {names.EVENTS_PATH}?since={after} HTTP/1.1",
+            f"Host: {address}",
+            f"{names.EVENTS_WAIT}: {EVENTS_WAIT_MS}",
+        ]
+        return routed.ControlCall(
+            step="cache events", head=_head(head), wait_ms=EVENTS_WAIT_MS
+        )
+
+    def read_events(self, body: bytes) -> protocol.CacheEvents:
+        """Reads cache events; raises ValueError for anything else."""
+        told = _Events.model_validate_json(body)
+        return protocol.CacheEvents(
+            incarnation=str(told.boot_epoch),
+            weights_version="",
+            oldest=0,
+            events=tuple(
+                protocol.CacheEvent(
+                    number,
+                    protocol.CacheEventKind.STORED
+                    if sign == "+"
+                    else protocol.CacheEventKind.REMOVED,
+                    level_key(scope, level),
+                )
+                for number, sign, scope, level, _, _ in told.events
+            ),
+        )
+
+    def order_call(
+        self, address: str, order: protocol.Order
+    ) -> routed.ControlCall:
+        """Returns the call for an order to load weights."""
+        fields = {
+            "operation": "version",
+            "model": self._model_of(order.target),
+            "version": int(order.value),
+            # Requests that run end first; none is broken off.
+            "mode": "queue",
+            "holder": order.holder,
+            "fencing-token": order.fencing,
+        }
+        if order.orders_taken >= 0:
+            # The number of orders accepted so far, not a state.
+            fields["precondition"] = order.orders_taken
+        body = json.dumps(fields).encode()
+        head = [
+            f"POST {names.ORDER_PATH} HTTP/1.1",
+            f"Host: {address}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            f"{names.EXPECTED_INSTANCE}: {order.server_id}",
+        ]
+        return routed.ControlCall(step="order", head=_head(head), body=body)
+
+
+def level_key(scope: str, level: str) -> int:
+    """Returns the key of a level under a scope's workspace.
+
+    A scope's version is left out: what is known of a server's cache is
+    dropped when its weights change.
+    """
+    _, _, workspace = scope.partition("/")
+    return xxhash.xxh3_64_intdigest(f"{workspace}/{level}".encode())
+
+
+def _head(lines: list[str]) -> bytes:
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+__all__ = ["ServerFormat", "level_key"]
--- /dev/null
+++ b/src/godwittack/store/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform offers: tables, objects, weights, instances."""
--- a/src/godwittack/platform/http.py
+++ b/src/godwittack/store/http.py
@@ -10,7 +10,7 @@
 import pydantic
 from result import Err, Ok, Result
 
-from godwittack.platform import protocol
+from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/godwittack/platform/protocol.py
+++ b/src/godwittack/store/protocol.py
@@ -19,12 +19,15 @@
         peer: Address of the service.
         detail: One line for people.
         may_have_run: Whether a write may have taken effect all the same.
+        history_lost: Whether changes since the version named are no longer
+            told, so that only a snapshot helps.
     """
 
     step: str
     peer: str
     detail: str
     may_have_run: bool = True
+    history_lost: bool = False
 
     def __str__(self) -> str:
         """Returns the error as one line."""
@@ -71,10 +74,12 @@
     Attributes:
         committed: Whether all conditions held and all writes were made.
         rows: The rows of the conditions as they stood, when not committed.
+        version: Version of the written rows, where the service tells it.
     """
 
     committed: bool
     rows: tuple[StoredRow, ...]
+    version: int = 0
 
 
 class TableService(Protocol):
@@ -96,6 +101,41 @@
         """Returns up to `limit` rows with keys above `after`, in order."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChangedRow:
+    """A row as it stands, or the removal of one."""
+
+    key: str
+    value: str
+    version: int
+    deleted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FeedPage:
+    """Rows of one table.
+
+    Attributes:
+        rows: All rows for a snapshot, else those changed, in order.
+        newest: Version up to which the rows are told.
+    """
+
+    rows: tuple[ChangedRow, ...]
+    newest: int
+
+
+class RowFeed(Protocol):
+    """Changes of a table's rows, told as they happen."""
+
+    async def snapshot(self, table: str) -> Result[FeedPage, PlatformError]:
+        """Returns all rows of a table as of one moment."""
+
+    async def changes(
+        self, table: str, *, after: int, wait_ms: int
+    ) -> Result[FeedPage, PlatformError]:
+        """Returns changes after a version, waiting for one up to a limit."""
+
+
 class ObjectStore(Protocol):
     """Named objects without transactions."""
 
@@ -134,6 +174,9 @@
         target: Model or service.
         leaving: Whether it is about to be stopped.
         checks_fencing: Whether it refuses orders with an old number.
+        incarnation: Its incarnation, where the list tells it.
+        weights_version: Weights loaded, where the list tells them.
+        slots: Requests it takes at one time, where the list tells it.
     """
 
     name: str
@@ -143,6 +186,9 @@
     failure_domain: str = ""
     leaving: bool = False
     checks_fencing: bool = False
+    incarnation: str = ""
+    weights_version: str = ""
+    slots: int = 0
 
 
 class InstanceList(Protocol):
@@ -153,12 +199,15 @@
 
 
 __all__ = [
+    "ChangedRow",
     "Condition",
+    "FeedPage",
     "Instance",
     "InstanceList",
     "InstanceRole",
     "ObjectStore",
     "PlatformError",
+    "RowFeed",
     "RowId",
     "RowWrite",
     "StoredRow",
--- a/src/godwittack/table/model.py
+++ b/src/godwittack/table/model.py
@@ -6,6 +6,8 @@
 import enum
 from typing import TypeAlias
 
+from godwittack.table import forwarding as forwardings
+
 CellValue: TypeAlias = str | int | float
 
 
@@ -112,7 +114,9 @@
         workspaces: Rows by name.
         models: Rows by name.
         services: Rows by name.
-        workspace_by_token: Workspace name by token digest.
+        workspace_by_token: Workspace name by token digest; a workspace may
+            have several tokens.
+        forwarding: Routes and their surroundings, where callers come by them.
     """
 
     version: int = 0
@@ -122,6 +126,7 @@
     models: dict[str, ModelRow] = dataclasses.field(default_factory=dict)
     services: dict[str, ServiceRow] = dataclasses.field(default_factory=dict)
     workspace_by_token: dict[str, str] = dataclasses.field(default_factory=dict)
+    forwarding: forwardings.Forwarding | None = None
 
     @property
     def targets(self) -> tuple[str, ...]:
--- a/src/godwittack/table/schema.py
+++ b/src/godwittack/table/schema.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from typing import TYPE_CHECKING, Annotated
 
 import pydantic
 from result import Err, Ok, Result
 
+from godwittack.table import forwarding as forwardings
 from godwittack.table import model
 
 if TYPE_CHECKING:
@@ -81,6 +83,8 @@
     workspaces: list[_Workspace] = []
     models: list[_Model] = []
     services: list[_Service] = []
+    tokens: dict[str, str] = {}
+    forwarding: forwardings.Forwarding | None = None
 
 
 def check_row(
@@ -102,9 +106,12 @@
             "workspaces": [_fields(r) for r in table.workspaces.values()],
             "models": [_fields(r) for r in table.models.values()],
             "services": [_fields(r) for r in table.services.values()],
+            "tokens": table.workspace_by_token if table.forwarding else {},
+            "forwarding": table.forwarding,
         }
     )
-    return stored.model_dump_json()
+    absent = set() if table.forwarding else {"tokens", "forwarding"}
+    return stored.model_dump_json(exclude=absent)
 
 
 def table_from_json(text: str) -> Result[model.Table, str]:
@@ -117,7 +124,9 @@
     rows.extend(model.WorkspaceRow(**r.model_dump()) for r in stored.workspaces)
     rows.extend(model.ModelRow(**r.model_dump()) for r in stored.models)
     rows.extend(model.ServiceRow(**r.model_dump()) for r in stored.services)
-    return Ok(model.Table.from_rows(version=stored.version, rows=rows))
+    table = model.Table.from_rows(version=stored.version, rows=rows)
+    table.workspace_by_token.update(stored.tokens)
+    return Ok(dataclasses.replace(table, forwarding=stored.forwarding))
 
 
 def audit_to_json(entry: model.AuditEntry) -> str:
--- a/src/godwittack/table/store.py
+++ b/src/godwittack/table/store.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from godwittack.platform import protocol
+from godwittack.store import protocol
 from godwittack.table import edit, model, schema
 
 if TYPE_CHECKING:
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -9,7 +9,7 @@
 
 from godwittack.core import entities, inputs, splitting, work
 from godwittack.member import duty
-from godwittack.platform import protocol as platform
+from godwittack.store import protocol as platform
 from sim import fleet as fleets
 from sim import loop
 
--- a/tests/sim/fakes.py
+++ b/tests/sim/fakes.py
@@ -11,7 +11,7 @@
 
 from godwittack.backend import protocol as backend
 from godwittack.core import inputs, work
-from godwittack.platform import protocol as platform
+from godwittack.store import protocol as platform
 
 # How many versions a replica may lag.
 STALE_VERSIONS = 4
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -21,8 +21,8 @@
     watch,
 )
 from godwittack.member import right, view
-from godwittack.platform import protocol as platform
 from godwittack.report import ledger
+from godwittack.store import protocol as platform
 from godwittack.table import model, store
 from sim import fakes, loop, ways
 from sim import world as worlds
@@ -74,7 +74,7 @@
         tables_store = store.TableStore(self.table, fleet.objects)
         peers = ways.FleetPeers(fleet, self)
         self.right = right.ServeRight(policy)
-        self.keeper = tables.TableKeeper(
+        self.keeper = tables.PolledKeeper(
             tables=tables_store,
             runtime=self.runtime,
             peers=peers,
