Keep replaced weights out of use, and read servers' reports with their age

Besides, a report made before a load brought the old version back for 0.1 s, so that loads were ordered twice and requests declined; and a second daemon that led waited 2 s after each load before the next.

Ruled out: the order itself (given 24 ms after the server was back).

The store's clock dates its answers, so that a call for changes may wait 2 s.

Cases in tests/features/platform.feature.

--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -21,12 +21,14 @@
         peer: Address of the backend server.
         detail: One line for people.
         status: HTTP status of the answer; 0 where none came.
+        sent: Whether a byte of the call may have reached the server.
     """
 
     step: str
     peer: str
     detail: str
     status: int = 0
+    sent: bool = True
 
     def __str__(self) -> str:
         """Returns the error as one line."""
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -251,10 +251,12 @@
                 body = await used.read_body(reply)
         except TimeoutError:
             _close(used)
-            return _error(call.step, address, "no answer in time")
+            detail = "no answer in time"
+            return _error(call.step, address, detail, sent=used is not None)
         except (OSError, connections.ReplyError) as error:
             _close(used)
-            return _error(call.step, address, str(error))
+            sent = used is not None
+            return _error(call.step, address, str(error), sent=sent)
         except asyncio.CancelledError:
             _close(used)
             raise
@@ -305,11 +307,16 @@
 
 
 def _error(
-    step: str, address: str, detail: str, *, status: int = 0
+    step: str,
+    address: str,
+    detail: str,
+    *,
+    status: int = 0,
+    sent: bool = True,
 ) -> Err[protocol.BackendError]:
     return Err(
         protocol.BackendError(
-            step=step, peer=address, detail=detail, status=status
+            step=step, peer=address, detail=detail, status=status, sent=sent
         )
     )
 
--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -99,7 +99,7 @@
         description="ms after which a key taken away must not be served",
     )
     feed_wait_ms: Ms = pydantic.Field(
-        default=1_000, description="ms that the store holds a call for changes"
+        default=2_000, description="ms that the store holds a call for changes"
     )
     stop_grace_s: float = pydantic.Field(
         default=8.0,
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -106,7 +106,7 @@
             and request.work.kind is work.WorkKind.PLAIN,
             after=request.next_frame - 1 if request.work.route else 0,
             priority=routing.priority(world, request),
-            workspace=request.workspace,
+            workspace=request.workspace if request.work.route else "",
             deadline_ms=_time_left_ms(world, request),
             cache_scope=kvreuse.scope(world, request, server),
             kv_fetch_from=plan.fetch_from,
@@ -116,9 +116,9 @@
 
 
 def _time_left_ms(world: entities.World, request: entities.RequestRow) -> int:
-    ends_at_ms = request.deadline_at_ms
-    if request.give_up_at_ms:
-        ends_at_ms = min(ends_at_ms, request.give_up_at_ms)
+    if not request.give_up_at_ms:
+        return 0
+    ends_at_ms = min(request.deadline_at_ms, request.give_up_at_ms)
     return max(1, ends_at_ms - world.now_ms)
 
 
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -172,6 +172,8 @@
         out: Effects of the input being worked on.
         right_until_ms: Until when the table here may be called current.
         live_daemons: Incarnations of daemons believed alive.
+        weights_named_at_ms: When the weights now wanted were first known
+            here, by target.
         most_daemons: Most of them that were ever believed alive at a time.
         target_budgets: Retry budgets by target, where the limit on retries
             holds for each target by itself.
@@ -209,6 +211,9 @@
     right_until_ms: int = 0
     stopping: bool = False
     stopped: bool = False
+    weights_named_at_ms: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     most_daemons: int = 1
     attempt_counter: int = 0
 
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from godwittack.core import work
+from godwittack.core import weights, work
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -111,6 +111,8 @@
     # them ends well: sending it its full share could fail all of them.
     if server.ejected_until_ms and server.trial_attempt:
         return False
+    if weights.too_old(world, server):
+        return False
     # Without a report the engine's incarnation and weights are not known, and
     # an answer could not be checked against them.
     return bool(server.incarnation) or (
@@ -245,6 +247,7 @@
     us_per_token = prefill_us(world, server)
     compute_ms = uncached * us_per_token / 1000
     cost = wait + compute_ms * (1.0 + reuse_weight)
+    cost += weights.cost_ms(world, server)
     if not home:
         # Levels computed away from home push others out of that cache.
         cost += compute_ms * reuse_weight
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -31,6 +31,11 @@
         spill_burst: Such moves allowed at once after a quiet time.
         budget_by_target: Whether retries are limited for each target, with a
             burst that all live daemons share.
+        old_weights_limit_ms: Time after which a server with weights that have
+            been replaced gets no new work; 0 for never.
+        old_weights_from_ms: Time after which an answer by such weights is
+            worth less.
+        old_weights_cost_ms: What placement adds to such a server's cost then.
         eject_ms: First pause after failures of a backend server; doubles.
         eject_max_ms: Longest such pause.
         report_stale_ms: Age from which a load report is no evidence.
@@ -58,6 +63,9 @@
     spill_burst: float = 4.0
     failures_to_eject: int = 2
     budget_by_target: int = 0
+    old_weights_limit_ms: int = 0
+    old_weights_from_ms: int = 1_500
+    old_weights_cost_ms: int = 0
     eject_ms: int = 1_000
     eject_max_ms: int = 30_000
     report_stale_ms: int = 3_000
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -16,6 +16,7 @@
     resuming,
     servers,
     silence,
+    weights,
 )
 from godwittack.core import policy as policies
 from godwittack.limit import budget
@@ -124,6 +125,7 @@
                 # Peers, lagging replicas and the object store's copy may all
                 # bring an older table than the one in force here.
                 if told.table.version > world.table.version:
+                    weights.named(world, told.table)
                     world.table = told.table
             case inputs.PeerDemand():
                 self._peer_demand(told)
--- a/src/godwittack/core/routing.py
+++ b/src/godwittack/core/routing.py
@@ -14,7 +14,9 @@
 # When a caller may try a daemon again that has no table, or can't confirm it.
 NOT_CURRENT_RETRY_MS = 500
 # Workspace of requests on routes that need no API key.
-ANONYMOUS = model.WorkspaceRow(name="", max_in_flight=1_000_000)
+ANONYMOUS = model.WorkspaceRow(
+    name="", max_in_flight=1_000_000, max_requests_per_s=1_000_000
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -86,7 +86,8 @@
     true_at_ms = told.at_ms - told.age_ms
     if server is None or true_at_ms < server.reported_at_ms:
         return
-    _see_state(world, server, told.incarnation, told.weights_version)
+    if not _is_outdated(world, server, told):
+        _see_state(world, server, told.incarnation, told.weights_version)
     server.reported_at_ms = true_at_ms
     server.running = told.running
     server.waiting = told.waiting
@@ -98,6 +99,25 @@
     world.freed_targets.add(server.target)
 
 
+def _is_outdated(
+    world: entities.World,
+    server: entities.ServerRow,
+    told: inputs.LoadReported,
+) -> bool:
+    """Returns whether a report was made before the weights known here.
+
+    Reports are some hundred milliseconds old, and the list may have told of
+    new weights since. Believed, an old one would have requests sent for
+    weights that are gone, and the same load ordered twice.
+    """
+    return (
+        world.table.forwarding is not None
+        and server.incarnation == told.incarnation
+        and server.weights_version != told.weights_version
+        and not _is_newer(told.weights_version, server.weights_version)
+    )
+
+
 def load_echoed(world: entities.World, told: inputs.LoadEchoed) -> None:
     """Takes in the load that came with an answer."""
     server = world.servers.get(told.server_id)
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -4,10 +4,8 @@
 
 import dataclasses
 import enum
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from godwittack.table import forwarding
+from godwittack.table import forwarding
 
 
 class WorkKind(enum.StrEnum):
--- a/src/godwittack/daemon/following.py
+++ b/src/godwittack/daemon/following.py
@@ -81,6 +81,7 @@
         self._settled_at_ms = -SETTLE_MS
         self._needs_snapshot = True
         self._pause_ms = RETRY_FIRST_MS
+        self._offset_ms = -(1 << 62)
 
     async def follow_forever(self) -> None:
         """Follows until cancelled."""
@@ -118,9 +119,25 @@
         self._take_in(page, whole=whole)
         if whole:
             self._settled_at_ms = started_ms
-        self._on_confirmed(started_ms)
+        self._on_confirmed(self._made_at_ms(page, started_ms))
         return True
 
+    def _made_at_ms(self, page: protocol.FeedPage, started_ms: int) -> int:
+        """Returns a time here before which the store's answer was not made.
+
+        A call that waits for changes says nothing newer than its answer, but
+        was sent long before. Every answer holds the store's clock: one that
+        came quickly shows how far that is from ours at least, and dates the
+        others. Without it keys would be refused two seconds too soon after
+        the store was last heard.
+        """
+        if not page.service_ms:
+            return started_ms
+        offset_ms = started_ms - page.service_ms
+        self._offset_ms = max(self._offset_ms, offset_ms)
+        dated_ms = page.service_ms + self._offset_ms
+        return min(max(started_ms, dated_ms), self._clock.now_ms())
+
     def _take_in(self, page: protocol.FeedPage, *, whole: bool) -> None:
         before = self.rows
         rows: Rows = {} if whole else dict(before)
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -137,10 +137,15 @@
             if self._behind.get(name, (None, 0))[0] != state:
                 self._behind[name] = (state, now_ms)
             waited_ms = now_ms - self._behind[name][1]
-            if behind and waited_ms >= self._rank(name) * PATIENCE_MS:
+            is_ours = waited_ms >= self._rank(name) * PATIENCE_MS
+            if behind and (is_ours or self._holds(name)):
                 found.append(name)
         return found
 
+    def _holds(self, model: str) -> bool:
+        led = self._led.get(model)
+        return led is not None and led.lease.valid()
+
     def _rank(self, model: str) -> int:
         members = self._members.serving()
         ranked = duty.leaders(model, members)
@@ -226,8 +231,10 @@
         )
         if isinstance(got, Err) and got.err_value.status == STATUS_OLD_FENCING:
             led.lease.forfeit()
+        if not isinstance(got, Err):
+            return True
         # Without an answer the order may still be carried out.
-        return not isinstance(got, Err) or got.err_value.status == 0
+        return got.err_value.sent and got.err_value.status == 0
 
     async def _look(
         self, server: entities.ServerRow
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -82,6 +82,7 @@
 
     policy: RolloutPolicy = RolloutPolicy()
     _progress: dict[str, _Progress] = dataclasses.field(default_factory=dict)
+    _failures: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def decide(
         self, *, wanted: str, replicas: Sequence[Replica], now_ms: int
@@ -92,7 +93,11 @@
             self._finish(name, known.get(name), now_ms)
         behind = sorted(
             (r for r in replicas if r.weights_version != wanted),
-            key=lambda r: (r.busy, r.server_id),
+            key=lambda r: (
+                self._failures.get(r.server_id, 0),
+                r.busy,
+                r.server_id,
+            ),
         )
         for replica in behind:
             if len(self._progress) >= self._room(len(replicas)):
@@ -113,7 +118,11 @@
         self._progress[server_id] = _Progress(Step.LOADING, now_ms, wanted)
 
     def failed(self, server_id: str) -> None:
-        """Notes that a server refused an order; its turn comes again."""
+        """Notes that a server took no order; its turn comes after the others.
+
+        One that is dark would hold up those that could load meanwhile.
+        """
+        self._failures[server_id] = self._failures.get(server_id, 0) + 1
         self._progress.pop(server_id, None)
 
     def _is_drained(
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -46,6 +46,8 @@
     # Newest version of the whole store, not of these rows.
     row_version: int = 0
     has_more: bool = False
+    # A clock that only goes forward, with an origin of the store's own.
+    now_ms: int = 0
 
 
 class Rows:
@@ -130,7 +132,7 @@
         by the feed, which goes on from the first page's version.
         """
         rows: list[protocol.ChangedRow] = []
-        newest = 0
+        newest = service_ms = 0
         from_key = ""
         while True:
             got = await self._page(table, from_key=from_key, limit=500)
@@ -138,9 +140,14 @@
                 return got
             page = got.ok_value
             newest = newest or page.row_version
+            service_ms = service_ms or page.now_ms
             rows.extend(_changed(row) for row in page.rows)
             if not page.has_more or not page.rows:
-                return Ok(protocol.FeedPage(rows=tuple(rows), newest=newest))
+                return Ok(
+                    protocol.FeedPage(
+                        rows=tuple(rows), newest=newest, service_ms=service_ms
+                    )
+                )
             from_key = page.rows[-1].key + "\0"
 
     async def changes(
@@ -155,7 +162,11 @@
             return got
         page = got.ok_value[1]
         rows = tuple(_changed(row) for row in page.rows)
-        return Ok(protocol.FeedPage(rows=rows, newest=page.row_version))
+        return Ok(
+            protocol.FeedPage(
+                rows=rows, newest=page.row_version, service_ms=page.now_ms
+            )
+        )
 
     async def _page(
         self, table: str, *, from_key: str, limit: int
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import typing
 
 import cattrs
+from cattrs import gen
 
-from godwittack.core import effects, inputs, policy
-from godwittack.table import model
+from godwittack.core import effects, inputs, policy, work
+from godwittack.table import forwarding, model
 
 # Each byte becomes one character, so that text in a recording stays readable
 # and any other content survives as well.
@@ -23,6 +25,20 @@
 }
 
 
+# Fields that only requests by routes use: left out of a session without any.
+_ROUTED_FIELDS: dict[type, tuple[str, ...]] = {
+    work.Work: ("host", "path", "route", "resume_after"),
+    effects.Dispatch: ("deadline_ms",),
+    inputs.ServerListed: ("slots",),
+    policy.Policy: (
+        "budget_by_target",
+        "old_weights_limit_ms",
+        "old_weights_from_ms",
+        "old_weights_cost_ms",
+    ),
+}
+
+
 def _converter() -> cattrs.Converter:
     converter = cattrs.Converter()
     converter.register_unstructure_hook(
@@ -35,6 +51,14 @@
     converter.register_structure_hook(
         str | int | float | None, lambda value, _: value
     )
+    for kind, names in _ROUTED_FIELDS.items():
+        left_out: typing.Any = {
+            name: gen.override(omit_if_default=True) for name in names
+        }
+        hook: typing.Any = gen.make_dict_unstructure_fn(
+            kind, converter, **left_out
+        )
+        converter.register_unstructure_hook(kind, hook)
     converter.register_unstructure_hook(model.Table, _table_out)
     converter.register_structure_hook(model.Table, _table_in)
     return converter
@@ -45,7 +69,11 @@
         {"kind": model.row_kind(row).value, **_CELLS.unstructure(row)}
         for row in table.rows()
     ]
-    return {"version": table.version, "rows": rows}
+    stored: dict[str, object] = {"version": table.version, "rows": rows}
+    if table.forwarding is not None:
+        stored["tokens"] = table.workspace_by_token
+        stored["forwarding"] = _CELLS.unstructure(table.forwarding)
+    return stored
 
 
 def _table_in(stored: dict[str, typing.Any], _: type) -> model.Table:
@@ -54,10 +82,16 @@
         kind = model.RowKind(cells["kind"])
         values = {k: v for k, v in cells.items() if k != "kind"}
         rows.append(_CELLS.structure(values, model.ROW_TYPES[kind]))
-    return model.Table.from_rows(version=stored["version"], rows=rows)
+    table = model.Table.from_rows(version=stored["version"], rows=rows)
+    if "forwarding" not in stored:
+        return table
+    table.workspace_by_token.update(stored["tokens"])
+    routes = _CELLS.structure(stored["forwarding"], forwarding.Forwarding)
+    return dataclasses.replace(table, forwarding=routes)
 
 
 _CELLS = cattrs.Converter()
+_CELLS.register_unstructure_hook(frozenset, sorted)
 _CONVERTER = _converter()
 
 
--- a/src/godwittack/store/protocol.py
+++ b/src/godwittack/store/protocol.py
@@ -118,10 +118,12 @@
     Attributes:
         rows: All rows for a snapshot, else those changed, in order.
         newest: Version up to which the rows are told.
+        service_ms: The store's steady clock when it answered.
     """
 
     rows: tuple[ChangedRow, ...]
     newest: int
+    service_ms: int = 0
 
 
 class RowFeed(Protocol):
--- /dev/null
+++ b/tests/cases/__init__.py
@@ -0,0 +1,1 @@
+"""Cases that features name, one function each."""
--- /dev/null
+++ b/tests/cases/registry.py
@@ -0,0 +1,23 @@
+"""Finds cases by the sentence that names them."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import inspect
+
+GROUPS = ("routed", "weights", "connections", "following", "adapter")
+
+
+def play(group: str, name: str) -> None:
+    """Runs the case of a group whose function is named like the sentence."""
+    assert group in GROUPS, group
+    module = importlib.import_module(f"cases.{group}")
+    function = getattr(module, _identifier(name))
+    result = function()
+    if inspect.iscoroutine(result):
+        asyncio.run(result)
+
+
+def _identifier(name: str) -> str:
+    return "".join(c if c.isalnum() else "_" for c in name.lower())
--- /dev/null
+++ b/tests/cases/weights.py
@@ -0,0 +1,147 @@
+"""Weights: which servers may serve, and how a roll-out goes on."""
+
+from __future__ import annotations
+
+from cases import routed_core
+from godwittack.core import effects, inputs
+from godwittack.lead import rollout
+
+
+def _named(core: routed_core.Core, version: str) -> None:
+    core.tell(inputs.TableChanged, routed_core.table(2, weights=version))
+
+
+def _report(core: routed_core.Core, server: str, version: str) -> None:
+    core.tell_named(
+        inputs.LoadReported,
+        server_id=server,
+        incarnation=server,
+        weights_version=version,
+        running=0,
+        waiting=0,
+        waiting_tokens=0,
+        prefill_us_per_token=0,
+        slots=0,
+    )
+
+
+def a_server_back_with_replaced_weights_gets_no_work() -> None:
+    """Long after newer weights were named, older ones serve nobody.
+
+    Symptom: answers by weights that were replaced 15 s ago.
+    Sequence: version 2 is named and loaded; a server that was dark all the
+        while comes back with version 1.
+    Cause: any listed server was as good as another.
+    """
+    core = routed_core.Core(servers=1)
+    _named(core, "2")
+    _report(core, "e1", "2")
+    core.wait(12_000)
+    core.list_server("e2", routed_core.ENGINES, weights_version="1")
+    for number in range(6):
+        core.arrive("long", f"r{number}")
+        assert core.dispatch().server_id == "e1"
+
+
+def older_weights_serve_until_they_are_too_old() -> None:
+    """Just after a naming, servers go on with what they have.
+
+    Symptom: all requests are refused while a roll-out goes on.
+    Sequence: version 2 is named; no server has it yet.
+    Cause: only servers with the newest weights counted.
+    """
+    core = routed_core.Core()
+    _named(core, "2")
+    core.wait(1_000)
+    core.arrive("long")
+    assert core.dispatch().stamp.weights_version == "1"
+
+
+def a_late_report_does_not_bring_old_weights_back() -> None:
+    """A report made before a load is not believed after it.
+
+    Symptom: requests declined for the wrong weights, and the same load
+        ordered twice.
+    Sequence: the list tells of version 2; a report made 100 ms before it
+        still says 1.
+    Cause: whatever came last was believed.
+    """
+    core = routed_core.Core(servers=1)
+    _named(core, "2")
+    core.list_server("e1", routed_core.ENGINES, weights_version="2")
+    _report(core, "e1", "1")
+    assert core.world.servers["e1"].weights_version == "2"
+
+
+def new_weights_end_a_drain() -> None:
+    """A server that has loaded takes work at once.
+
+    Symptom: each server stands idle for three seconds after its load.
+    Sequence: a server is drained, loads, and reports the new version.
+    Cause: a drain lapsed by its time alone.
+    """
+    core = routed_core.Core(servers=1)
+    _named(core, "2")
+    core.tell(inputs.ServerDraining, "e1", core.now_ms + 3_000)
+    _report(core, "e1", "2")
+    core.arrive("long")
+    assert core.dispatch().server_id == "e1"
+
+
+def scopes_differ_by_version_and_isolation() -> None:
+    """Cached state is shared under one version, and by no isolated workspace.
+
+    Symptom: an answer built on state of older weights, or of a workspace
+        that shares with nobody.
+    Sequence: requests before and after a load, with and without isolation.
+    Cause: stores drop nothing when new weights come.
+    """
+    seen = set()
+    for version in ("1", "2"):
+        for isolated in (frozenset(), frozenset({"desk"})):
+            core = routed_core.Core(servers=0)
+            core.tell(
+                inputs.TableChanged,
+                routed_core.table(2, weights=version, isolated=isolated),
+            )
+            core.list_server("e1", "assistant", weights_version=version)
+            core.arrive("long")
+            seen.add(core.dispatch().cache_scope)
+    assert len(seen) == 4, seen
+
+
+def a_refused_order_frees_its_place() -> None:
+    """A server that takes no order does not hold up the others.
+
+    Symptom: a roll-out stands still for seconds beside a dark server.
+    Sequence: the order to the first of three servers is refused.
+    Cause: an order that was not taken counted as a load under way.
+    """
+    rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
+    behind = [
+        rollout.Replica(server_id=name, weights_version="1", busy=3)
+        for name in ("a", "b", "c", "d")
+    ]
+    rolling.decide(wanted="2", replicas=behind, now_ms=0)
+    ordered = rolling.decide(wanted="2", replicas=behind, now_ms=100).load
+    assert ordered == ("a", "b"), ordered
+    for name in ordered:
+        rolling.ordered(name, wanted="2", now_ms=100)
+    rolling.failed("a")
+    drained = rolling.decide(wanted="2", replicas=behind, now_ms=200).draining
+    assert drained == ("b", "c"), drained
+
+
+def no_server_left_is_refused_at_once() -> None:
+    """Where all servers are too old, callers are told so at once.
+
+    Symptom: callers wait for an answer that can't come.
+    Sequence: version 2 was named long ago; the only server has version 1.
+    Cause: a request held for a server that takes none.
+    """
+    core = routed_core.Core(servers=1)
+    _named(core, "2")
+    core.wait(12_000)
+    core.arrive("long")
+    assert core.refusal().status == 503
+    assert core.refusal().outcome is effects.Outcome.NOT_RUN
--- /dev/null
+++ b/tests/features/platform.feature
@@ -0,0 +1,60 @@
+Feature: Requests by routes, between the platform's callers and servers
+
+  Scenario Outline: <case>
+    # Each case opens with its symptom, sequence and cause; see tests/cases.
+    When the case "<case>" of "<group>" is played
+
+    Examples: requests
+      | group  | case |
+      | routed | a route without keys is served |
+      | routed | many requests without keys are served |
+      | routed | a call that may have run is not sent again |
+      | routed | a declined call goes to another server |
+      | routed | all declined is not run |
+      | routed | a failure answer is kept while another server is tried |
+      | routed | a failure answer of a call that runs once is final |
+      | routed | a stream goes on at another server |
+      | routed | a stream that may not be resumed breaks |
+      | routed | a silent stream of the other kind is not sent again |
+      | routed | a resumable stream without first event moves |
+      | routed | the route's time ends a request |
+      | routed | a key taken away in the queue is not served |
+      | routed | keys are refused once nothing confirms them |
+      | routed | an unsafe call outlives its caller |
+      | routed | retries stay within their budget |
+      | routed | a fleet shares the burst of retries |
+      | routed | a refusal that says not run is true |
+
+    Examples: weights
+      | group   | case |
+      | weights | a server back with replaced weights gets no work |
+      | weights | older weights serve until they are too old |
+      | weights | a late report does not bring old weights back |
+      | weights | new weights end a drain |
+      | weights | scopes differ by version and isolation |
+      | weights | a refused order frees its place |
+      | weights | no server left is refused at once |
+
+    Examples: a server's bytes
+      | group | case |
+      | connections | a kept connection is used again |
+      | connections | a second answer reaches nobody |
+      | connections | a late answer to another is read past |
+      | connections | an answer cut short is none |
+      | connections | an answer without length ends in order |
+      | connections | a server's word that nothing ran is told apart |
+      | connections | a body answered early is sent to its end |
+      | connections | a stream is cut back to whole events |
+      | connections | a stream ends with its server's end |
+      | connections | a server that is not there got nothing |
+      | connections | a connection closed while idle is not used |
+      | connections | a cancelled attempt closes its connection |
+
+    Examples: the store's rows
+      | group | case |
+      | following | changes are merged and told |
+      | following | lost history is read anew |
+      | following | a stale reading takes nothing back |
+      | following | a long call confirms from its answer on |
+      | following | an answer that was held up confirms less |
+      | following | an outage keeps what is known |
--- a/tests/sim/fakes.py
+++ b/tests/sim/fakes.py
@@ -198,7 +198,7 @@
             return
         sink.answer("", answer, None)
 
-    async def load(self, address):
+    async def load(self, address, *, server_id=""):
         """Is not asked in these sessions."""
         return Ok(None)
 
--- /dev/null
+++ b/tests/standins/scripted.py
@@ -0,0 +1,113 @@
+"""A server that sends given bytes, for cases at the level of bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket
+import struct
+
+
+@dataclasses.dataclass
+class Say:
+    """What follows one request on a connection.
+
+    Attributes:
+        data: Bytes sent; `{id}` stands for the request's id.
+        reads_body: Whether the request's body is read first.
+        then: "keep", "close" or "reset" the connection.
+        later: Bytes sent `LATER_S` after `data`.
+    """
+
+    data: bytes
+    reads_body: bool = True
+    then: str = "keep"
+    later: bytes = b""
+
+
+LATER_S = 0.05
+
+
+class ScriptedServer:
+    """Answers the requests of all connections with a list of sayings.
+
+    Attributes:
+        requests: Heads and bodies received, in order.
+        connections: Connections accepted.
+    """
+
+    def __init__(self, *script: Say) -> None:
+        self._script = list(script)
+        self.requests: list[tuple[bytes, bytes]] = []
+        self.connections = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> ScriptedServer:
+        """Listens."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *unused) -> None:
+        """Stops listening and closes all connections."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        self._writers.append(writer)
+        try:
+            while self._script:
+                head = await reader.readuntil(b"\r\n\r\n")
+                say = self._script.pop(0)
+                size = _length(head)
+                body = await reader.readexactly(size) if say.reads_body else b""
+                writer.write(say.data.replace(b"{id}", _id(head)))
+                await writer.drain()
+                if not say.reads_body:
+                    await asyncio.sleep(LATER_S)
+                    body = await reader.readexactly(size)
+                self.requests.append((head, body))
+                if say.later:
+                    await asyncio.sleep(LATER_S)
+                    writer.write(say.later)
+                if say.then == "reset":
+                    _reset(writer)
+                    return
+                if say.then == "close":
+                    writer.close()
+                    return
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def _header(head: bytes, name: bytes) -> bytes:
+    for line in head.split(b"\r\n"):
+        key, _, value = line.partition(b":")
+        if key.strip().lower() == name:
+            return value.strip()
+    return b""
+
+
+def _length(head: bytes) -> int:
+    return int(_header(head, b"content-length") or 0)
+
+
+def _id(head: bytes) -> bytes:
+    return _header(head, b"x-godwittack-request-id")
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+__all__ = ["LATER_S", "Say", "ScriptedServer"]
