Place prompts by what was sent, and copy cached state from its holders

Ruled out: polls of the servers' reports as a source (100 ms old, a long prompt takes as long).

Change: core/backlog.py counts prompts by priority as they are sent, long ones told to the other daemons at once; core/sourcing.py weighs waiting, computing and copying from engines and stores; cache events of engines and the store followed by one daemon each and passed on; a store that does not answer is left out.

--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -132,12 +132,17 @@
 
     Attributes:
         oldest: Sequence of the oldest event that the engine still has.
+        epoch: Changes with each restart of the numbering; empty where the
+            incarnation does.
+        next: What to ask for events after; -1 for the last one's sequence.
     """
 
     incarnation: str
     weights_version: str
     oldest: int
     events: tuple[CacheEvent, ...]
+    epoch: str = ""
+    next: int = -1
 
 
 class OrderKind(enum.StrEnum):
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -79,7 +79,7 @@
     ) -> ControlCall:
         """Returns the call for cache events."""
 
-    def read_events(self, body: bytes) -> protocol.CacheEvents:
+    def read_events(self, body: bytes, server_id: str) -> protocol.CacheEvents:
         """Reads cache events; raises ValueError for anything else."""
 
     def order_call(self, address: str, order: protocol.Order) -> ControlCall:
@@ -167,7 +167,7 @@
         if isinstance(got, Err):
             return got
         try:
-            return Ok(self._wire.read_events(got.ok_value))
+            return Ok(self._wire.read_events(got.ok_value, server_id))
         except ValueError as error:
             return _error(call.step, address, str(error))
 
--- /dev/null
+++ b/src/godwittack/core/backlog.py
@@ -0,0 +1,64 @@
+"""Estimates what each server still has to compute, from what was sent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from godwittack.core import entities, inputs
+
+# Prompt tokens from which a dispatch is told to other daemons: 500 tokens
+# take an engine 3 ms, less than the news takes.
+ANNOUNCE_TOKENS = 500
+# Part of a less urgent backlog that a request waits for all the same: engines
+# compute prompts in pieces, and the piece under way ends first.
+LESS_URGENT_PART = 0.1
+
+
+def add(
+    world: entities.World,
+    server: entities.ServerRow,
+    *,
+    tokens: float,
+    priority: int,
+) -> None:
+    """Counts a prompt that a server has begun or will begin to compute.
+
+    Server reports are some hundred milliseconds old, as long as a long prompt
+    takes. What was sent is known at once, and computed at a known pace.
+    """
+    us_per_token = server.prefill_us_per_token
+    us_per_token = us_per_token or world.policy.prefill_us_per_token
+    starts_ms = max(float(world.now_ms), server.backlog.get(priority, 0.0))
+    server.backlog[priority] = starts_ms + tokens * us_per_token / 1000
+
+
+def wait_ms(
+    world: entities.World, server: entities.ServerRow, *, priority: int
+) -> float:
+    """Returns how long a request of a priority waits for others' prompts."""
+    total = 0.0
+    for other, ends_ms in server.backlog.items():
+        left_ms = max(0.0, ends_ms - world.now_ms)
+        total += left_ms if other <= priority else left_ms * LESS_URGENT_PART
+    return total
+
+
+def peer_dispatched(world: entities.World, told: inputs.PeerDispatched) -> None:
+    """Takes in what another daemon sent to a server."""
+    server = world.servers.get(told.server_id)
+    if server is None:
+        return
+    add(world, server, tokens=told.tokens, priority=told.priority)
+    for key in told.levels:
+        server.cache.note(
+            key, now_ms=world.now_ms, limit=world.policy.max_residency
+        )
+
+
+__all__ = [
+    "ANNOUNCE_TOKENS",
+    "add",
+    "peer_dispatched",
+    "wait_ms",
+]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from godwittack.core import (
+    backlog,
     closing,
     effects,
     entities,
@@ -13,6 +14,7 @@
     work,
 )
 from godwittack.limit import fair
+from godwittack.placement import levels
 
 NO_SERVER_RETRY_MS = 1_000
 MIN_RETRY_MS = 100
@@ -87,11 +89,13 @@
     server.sent[attempt_id] = attempt
     if server.ejected_until_ms:
         server.trial_attempt = attempt_id
-    plan = kvreuse.plan(world, request, server, choice.uncached_tokens)
-    for level in request.work.levels:
+    keys = _cached_keys(request, server)
+    for key in keys:
         server.cache.note(
-            level.key, now_ms=world.now_ms, limit=world.policy.max_residency
+            key, now_ms=world.now_ms, limit=world.policy.max_residency
         )
+    if request.work.route is not None and request.work.levels:
+        _count_prompt(world, request, choice, keys)
     world.emit(
         effects.Dispatch(
             request_id=request.request_id,
@@ -109,12 +113,46 @@
             workspace=request.workspace if request.work.route else "",
             deadline_ms=_time_left_ms(world, request),
             cache_scope=kvreuse.scope(world, request, server),
-            kv_fetch_from=plan.fetch_from,
-            kv_save_to=plan.save_to,
+            kv_fetch_from=choice.fetch_from,
+            kv_save_to=kvreuse.save_to(world, request, server),
         )
     )
 
 
+def _cached_keys(
+    request: entities.RequestRow, server: entities.ServerRow
+) -> tuple[int, ...]:
+    """Returns the keys of what a server will have cached."""
+    if request.work.route is None:
+        return tuple(level.key for level in request.work.levels)
+    return tuple(
+        levels.versioned(level.key, server.weights_version)
+        for level in request.work.levels
+    )
+
+
+def _count_prompt(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+    keys: tuple[int, ...],
+) -> None:
+    """Counts a prompt in its server's backlog, here and at other daemons."""
+    priority = routing.priority(world, request)
+    tokens = round(choice.uncached_tokens)
+    backlog.add(world, choice.server, tokens=tokens, priority=priority)
+    if request.work.prompt_tokens >= backlog.ANNOUNCE_TOKENS:
+        world.emit(
+            effects.Announce(
+                server_id=choice.server.server_id,
+                target=choice.server.target,
+                tokens=tokens,
+                priority=priority,
+                levels=keys,
+            )
+        )
+
+
 def _time_left_ms(world: entities.World, request: entities.RequestRow) -> int:
     if not request.give_up_at_ms:
         return 0
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -98,6 +98,22 @@
     kv_save_to: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Announce:
+    """Tells other daemons of a long prompt sent to a server.
+
+    Each daemon sees a part of the requests. Without being told, several would
+    choose one idle server at the same moment, and none would know what the
+    others have just brought into its cache.
+    """
+
+    server_id: str
+    target: str
+    tokens: int
+    priority: int
+    levels: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelAttempt:
     """Closes an attempt's connection.
@@ -241,6 +257,7 @@
 Effect: TypeAlias = (
     Refuse
     | Dispatch
+    | Announce
     | CancelAttempt
     | BeginStream
     | Relay
@@ -256,6 +273,7 @@
 )
 
 __all__ = [
+    "Announce",
     "BeginStream",
     "BreakStream",
     "CancelAttempt",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -122,7 +122,7 @@
             expected tokens.
         failures: Failures in a row.
         ejected_until_ms: No new work before this time.
-        left_at_ms: When it was first known to leave; 0 while it is not.
+        backlog: Until when it computes prompts, by their priority.
     """
 
     server_id: str
@@ -140,6 +140,7 @@
     prefill_us_per_token: int = 0
     slots: int = 0
     sent: dict[str, AttemptRow] = dataclasses.field(default_factory=dict)
+    backlog: dict[int, float] = dataclasses.field(default_factory=dict)
     failures: int = 0
     ejected_until_ms: int = 0
     trial_attempt: str = ""
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -293,6 +293,23 @@
     incarnation: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerDispatched:
+    """Another daemon sent a long prompt to a server.
+
+    Attributes:
+        tokens: Prompt tokens that the server has to compute.
+        priority: Rank of the request; lower comes first.
+        levels: Keys of the levels that it will have cached then.
+    """
+
+    at_ms: int
+    server_id: str
+    tokens: int
+    priority: int
+    levels: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerDemand:
     """What another daemon asked for lately, by workspace.
@@ -374,6 +391,7 @@
     | CacheDigest
     | ProbeAnswered
     | PeerDemand
+    | PeerDispatched
     | MembersChanged
     | RightToServe
     | StopOrdered
@@ -397,6 +415,7 @@
     "MembersChanged",
     "OutcomeStored",
     "PeerDemand",
+    "PeerDispatched",
     "ProbeAnswered",
     "RequestArrived",
     "RightToServe",
--- a/src/godwittack/core/kvreuse.py
+++ b/src/godwittack/core/kvreuse.py
@@ -1,25 +1,18 @@
-"""Decides under which scope state is cached, and which store to use."""
+"""Decides under which scope state is cached, and what a store is given."""
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
+from godwittack.core import sourcing
+from godwittack.placement import levels
+
 if TYPE_CHECKING:
     from godwittack.core import entities
-    from godwittack.table import forwarding as forwardings
-
-# Prompt tokens expected to be computed from which a store is worth asking:
-# 1,000 tokens take an engine 6.4 ms, a miss at the store about 1 ms.
-WORTH_TOKENS = 1_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Plan:
-    """Stores that one dispatch names; empty for none."""
 
-    fetch_from: str = ""
-    save_to: str = ""
+# Shared prompt tokens from which a copy in a store is worth its transfer:
+# 1,000 take an engine 6.4 ms to compute.
+SAVE_TOKENS = 1_000
 
 
 def scope(
@@ -38,40 +31,40 @@
     if forwarding is None:
         return ""
     alone = request.workspace in forwarding.isolated
-    return join_scope(
-        server.weights_version, request.workspace if alone else ""
-    )
+    owner = request.workspace if alone else ""
+    return f"v{server.weights_version}/{owner}"
 
 
-def join_scope(weights_version: str, workspace: str) -> str:
-    """Returns the scope of a version and, where isolated, a workspace."""
-    return f"v{weights_version}/{workspace}"
-
-
-def plan(
+def save_to(
     world: entities.World,
     request: entities.RequestRow,
     server: entities.ServerRow,
-    uncached_tokens: float,
-) -> Plan:
-    """Returns what a dispatch fetches from and saves to a store."""
-    forwarding = world.table.forwarding
-    shared = request.work.levels[:-1]
-    if forwarding is None or not forwarding.kv_stores or not shared:
-        return Plan()
-    if sum(level.tokens for level in shared) < WORTH_TOKENS:
-        return Plan()
-    if uncached_tokens < WORTH_TOKENS:
-        return Plan()
-    store = _nearest(forwarding.kv_stores, server.failure_domain)
-    return Plan(fetch_from=store, save_to=store)
-
-
-def _nearest(
-    stores: tuple[forwardings.KvStore, ...], failure_domain: str
 ) -> str:
-    near = [s for s in stores if s.failure_domain == failure_domain]
-    return (near or list(stores))[0].address
-
+    """Returns the store that should keep a prompt's shared levels, if any.
 
-__all__ = ["Plan", "join_scope", "plan", "scope"]
+    One that has them already is not given them again: its link carries one
+    transfer at a time, and under load saving takes more of it than fetching.
+    """
+    version = server.weights_version
+    shared = sum(level.tokens for level in request.work.levels[:-1])
+    if shared < SAVE_TOKENS:
+        return ""
+    found = [
+        store
+        for store in sourcing.stores(world)
+        if sourcing.held_tokens(store, request, version) < shared
+    ]
+    if not found:
+        return ""
+    near = [s for s in found if s.failure_domain == server.failure_domain]
+    store = (near or found)[0]
+    for level in request.work.levels[:-1]:
+        store.cache.note(
+            levels.versioned(level.key, version),
+            now_ms=world.now_ms,
+            limit=world.policy.max_residency,
+        )
+    return store.address
+
+
+__all__ = ["save_to", "scope"]
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from godwittack.core import weights, work
+from godwittack.core import sourcing, weights, work
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -35,6 +35,7 @@
         uncached_tokens: Prompt tokens it is expected to compute.
         first_token_ms: Estimated time to the first token.
         cost: What is minimized, in milliseconds.
+        fetch_from: Address to copy cached state from; empty for none.
     """
 
     server: entities.ServerRow
@@ -42,6 +43,7 @@
     uncached_tokens: float
     first_token_ms: float
     cost: float
+    fetch_from: str = ""
 
 
 def choose(
@@ -57,6 +59,8 @@
         return None
     if request.work.kind is work.WorkKind.PLAIN:
         return _least_loaded(world, request, usable)
+    if request.work.route is not None:
+        return _routed(world, request, usable)
     homes = home_servers(world, request, usable)
     reuse_weight = world.table.models[request.work.target].reuse_weight
     waits = {server.server_id: wait_ms(world, server) for server in usable}
@@ -74,6 +78,22 @@
     return _within_budget(world, scored)
 
 
+def _routed(
+    world: entities.World,
+    request: entities.RequestRow,
+    usable: list[entities.ServerRow],
+) -> Choice:
+    placed = sourcing.choose(world, request, usable)
+    return Choice(
+        server=placed.server,
+        wait_ms=placed.wait_ms,
+        uncached_tokens=placed.uncached_tokens,
+        first_token_ms=placed.first_token_ms,
+        cost=placed.cost,
+        fetch_from=placed.source.server.address if placed.source else "",
+    )
+
+
 def _within_budget(world: entities.World, scored: list[Choice]) -> Choice:
     """Returns the cheapest choice that the recomputation budget allows.
 
@@ -247,7 +267,6 @@
     us_per_token = prefill_us(world, server)
     compute_ms = uncached * us_per_token / 1000
     cost = wait + compute_ms * (1.0 + reuse_weight)
-    cost += weights.cost_ms(world, server)
     if not home:
         # Levels computed away from home push others out of that cache.
         cost += compute_ms * reuse_weight
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -7,6 +7,7 @@
 from godwittack.core import (
     admission,
     attempts,
+    backlog,
     claims,
     dispatching,
     effects,
@@ -127,6 +128,8 @@
                 if told.table.version > world.table.version:
                     weights.named(world, told.table)
                     world.table = told.table
+            case inputs.PeerDispatched():
+                backlog.peer_dispatched(world, told)
             case inputs.PeerDemand():
                 self._peer_demand(told)
             case inputs.MembersChanged():
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -133,10 +133,11 @@
 def digest(world: entities.World, told: inputs.CacheDigest) -> None:
     """Takes in what changed in an engine's cache."""
     server = world.servers.get(told.server_id)
-    if server is None or (server.incarnation, server.weights_version) != (
-        told.incarnation,
-        told.weights_version,
-    ):
+    if server is None or server.incarnation != told.incarnation:
+        return
+    # Keys of routed requests' levels hold the weights' version themselves.
+    by_version = world.table.forwarding is None
+    if by_version and server.weights_version != told.weights_version:
         return
     cache = server.cache
     if told.cleared:
--- /dev/null
+++ b/src/godwittack/core/sourcing.py
@@ -0,0 +1,246 @@
+"""Chooses a server, and where it gets cached state that it lacks.
+
+Load pattern: prompts of ten thousand shared tokens, of more documents than
+the engines' memory holds, from several daemons. Computing such a part anew
+takes 85 ms of an engine; copying it from another takes 11 to 22 ms of a link,
+and from a store 32 to 64. So a request goes to where it waits least, and what
+is missing there is copied from whoever holds it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from godwittack.core import backlog, routing, weights
+from godwittack.placement import levels, rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from godwittack.core import entities
+
+# Target under which stores of cached state are kept in the server tables.
+STORE_TARGET = "kv-store"
+# Tokens that a copy must save at least; a source that lost them costs 1 ms.
+COPY_TOKENS = 500
+# Microseconds to copy a token of 18 KB: over an engine's link of 180 Gbit/s
+# and over a store's of 61. Between failure domains a copy takes twice as long.
+ENGINE_COPY_US = 0.82
+STORE_COPY_US = 2.4
+FAR_FACTOR = 2.0
+# What else a copied token costs, in microseconds: the memory that it takes
+# from what another server's cache holds.
+COPY_PRESSURE_US = 0.5
+# What a shared token that is computed again costs beside its time.
+REREAD_US = 13.0
+# Advantage of the server that a prompt hashes to, where nobody holds any of
+# it: several daemons then bring it to one place.
+HOME_MS = 5.0
+# Milliseconds that one more running request adds to the time of another: a
+# step of 3.55 ms grows by 0.046, over some ten steps until the first token.
+BATCH_MS = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Where cached levels can be copied from."""
+
+    server: entities.ServerRow
+    tokens: int
+    us_per_token: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Placed:
+    """One server scored for one request.
+
+    Attributes:
+        wait_ms: Estimated wait before its prompt is begun.
+        held_tokens: Leading tokens believed to be cached there.
+        source: Where more of them are copied from; None for nowhere.
+        uncached_tokens: Tokens that it will have to compute.
+        first_token_ms: Estimated time to the first token.
+        cost: What is minimized, in milliseconds.
+    """
+
+    server: entities.ServerRow
+    wait_ms: float
+    held_tokens: int
+    source: Source | None
+    uncached_tokens: float
+    first_token_ms: float
+    cost: float
+
+
+def choose(
+    world: entities.World,
+    request: entities.RequestRow,
+    usable: list[entities.ServerRow],
+) -> Placed:
+    """Returns the best of the usable servers."""
+    held = {
+        server.server_id: held_tokens(server, request, server.weights_version)
+        for server in _holders(world, request)
+    }
+    home = _home(request, usable)
+    rank = routing.priority(world, request)
+    placed = [
+        _score(world, request, server, held, rank, server.server_id == home)
+        for server in usable
+    ]
+    return min(placed, key=lambda p: (p.cost, p.server.server_id))
+
+
+def held_tokens(
+    server: entities.ServerRow, request: entities.RequestRow, version: str
+) -> int:
+    """Returns the leading tokens that a server is believed to hold.
+
+    Engines reuse a prompt's levels without gaps only.
+    """
+    total = 0
+    for level in request.work.levels:
+        key = levels.versioned(level.key, version)
+        if server.cache.seen_ms(key) is None:
+            break
+        total += level.tokens
+    return total
+
+
+def stores(world: entities.World) -> Iterable[entities.ServerRow]:
+    """Returns the stores of cached state that answer."""
+    return (
+        store
+        for store in world.servers_by_target[STORE_TARGET].values()
+        if store.draining_until_ms <= world.now_ms
+    )
+
+
+def _holders(
+    world: entities.World, request: entities.RequestRow
+) -> list[entities.ServerRow]:
+    """Returns servers that copies may come from."""
+    return [
+        server
+        for server in world.servers_by_target[request.work.target].values()
+        if server.ejected_until_ms <= world.now_ms
+    ]
+
+
+def _score(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+    held: dict[str, int],
+    rank: int,
+    is_home: bool,
+) -> Placed:
+    wait = queue_ms(world, server, rank)
+    own = held.get(server.server_id, 0)
+    source = _best_source(world, request, server, held, own)
+    known = source.tokens if source else own
+    us_per_token = world.policy.prefill_us_per_token
+    prompt = request.work.prompt_tokens
+    compute_ms = (prompt - known) * us_per_token / 1000
+    copied = known - own
+    copy_ms = copied * source.us_per_token / 1000 if source else 0.0
+    shared = sum(level.tokens for level in request.work.levels[:-1])
+    reread_ms = max(0, shared - known) * REREAD_US / 1000
+    first_token_ms = wait + compute_ms + copy_ms
+    cost = first_token_ms + reread_ms + copied * COPY_PRESSURE_US / 1000
+    cost += weights.cost_ms(world, server)
+    if is_home and known == 0:
+        cost -= HOME_MS
+    return Placed(
+        server=server,
+        wait_ms=wait,
+        held_tokens=own,
+        source=source,
+        uncached_tokens=float(prompt - known),
+        first_token_ms=first_token_ms,
+        cost=cost,
+    )
+
+
+def queue_ms(
+    world: entities.World, server: entities.ServerRow, rank: int
+) -> float:
+    """Estimates how long a request waits at a server for its first turn."""
+    wait = backlog.wait_ms(world, server, priority=rank)
+    fresh = world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
+    in_flight = len(server.sent)
+    if fresh and server.reported_at_ms >= 0:
+        since = sum(
+            1
+            for attempt in server.sent.values()
+            if attempt.sent_at_ms > server.reported_at_ms
+        )
+        in_flight = max(in_flight, server.running + server.waiting + since)
+    slots = server.slots or world.policy.slots
+    if in_flight >= slots:
+        turn_ms = world.service_ms.get(server.target, 0.0) / slots
+        wait += (in_flight - slots + 1) * turn_ms
+    # Every request in a batch makes each of its steps a little longer.
+    return wait + in_flight * BATCH_MS
+
+
+def _best_source(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+    held: dict[str, int],
+    own: int,
+) -> Source | None:
+    """Returns the source that saves the most time, None if none does."""
+    best: Source | None = None
+    best_saved = 0.0
+    for source in _sources(world, request, server, held):
+        gain = source.tokens - own
+        if gain < COPY_TOKENS:
+            continue
+        compute_us = world.policy.prefill_us_per_token + REREAD_US
+        saved = gain * (compute_us - source.us_per_token)
+        if saved > best_saved:
+            best, best_saved = source, saved
+    return best
+
+
+def _sources(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+    held: dict[str, int],
+) -> Iterable[Source]:
+    version = server.weights_version
+    for other in world.servers_by_target[request.work.target].values():
+        tokens = held.get(other.server_id, 0)
+        if tokens and other is not server and other.weights_version == version:
+            yield Source(other, tokens, ENGINE_COPY_US * _far(server, other))
+    for store in stores(world):
+        tokens = held_tokens(store, request, version)
+        if tokens:
+            yield Source(store, tokens, STORE_COPY_US * _far(server, store))
+
+
+def _far(one: entities.ServerRow, other: entities.ServerRow) -> float:
+    return 1.0 if one.failure_domain == other.failure_domain else FAR_FACTOR
+
+
+def _home(
+    request: entities.RequestRow, usable: list[entities.ServerRow]
+) -> str:
+    if not request.work.levels:
+        return ""
+    names = tuple(sorted(server.server_id for server in usable))
+    return rendezvous.rank(request.work.levels[0].key, names)[0]
+
+
+__all__ = [
+    "STORE_TARGET",
+    "Placed",
+    "Source",
+    "choose",
+    "held_tokens",
+    "stores",
+]
--- a/src/godwittack/daemon/digest.py
+++ b/src/godwittack/daemon/digest.py
@@ -27,16 +27,19 @@
         """Starts before the first event of `server_id`."""
         self.sequence = 0
         self._server_id = server_id
-        self._incarnation = ""
+        self._epoch = ""
 
     def digest(
         self, told: backend.CacheEvents, *, now_ms: int
     ) -> inputs.CacheDigest | None:
         """Returns what a piece of the stream says, or None for nothing new."""
-        if told.incarnation != self._incarnation:
-            self._incarnation = told.incarnation
+        epoch = told.epoch or told.incarnation
+        restarted = epoch != self._epoch
+        if restarted:
+            self._epoch = epoch
             self.sequence = 0
-        cleared = False
+        # A store that starts anew is empty, under the same name as before.
+        cleared = bool(restarted and told.epoch)
         held: collections.OrderedDict[int, bool] = collections.OrderedDict()
         before = self.sequence
         for event in self._fresh(told):
@@ -47,7 +50,8 @@
                 held[event.level_key] = (
                     event.kind is backend.CacheEventKind.STORED
                 )
-        if self.sequence == before:
+        self.sequence = max(self.sequence, told.next)
+        if self.sequence == before and not cleared:
             return None
         return inputs.CacheDigest(
             at_ms=now_ms,
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -134,6 +134,7 @@
         self._news = news.News(
             members=members, runtime=self.runtime, client=self._peers
         )
+        self.runtime.on_announce = self._news.publish_dispatched
         self._gossiper = gossip.Gossiper(
             members=members,
             runtime=self.runtime,
@@ -168,7 +169,7 @@
             news=self._news,
             streams=self._streams,
             load_poll_ms=settings.load_poll_ms,
-            follows=watch.Follows.ENGINE_LOADS,
+            follows=watch.Follows.ENGINE_LOADS | watch.Follows.CACHES,
         )
         self._leader = lead.Leader(
             core=self.runtime,
--- a/src/godwittack/daemon/following.py
+++ b/src/godwittack/daemon/following.py
@@ -10,6 +10,7 @@
 from result import Err, Result
 
 from godwittack.core import inputs
+from godwittack.core.sourcing import STORE_TARGET
 from godwittack.daemon import listing, tables
 
 if TYPE_CHECKING:
@@ -205,6 +206,30 @@
             return
         if table.ok_value is not None:
             self.adopt(table.ok_value)
+            self._list_stores(table.ok_value)
+
+    def _list_stores(self, table: model.Table) -> None:
+        """Tells the core of stores of cached state, which no list names."""
+        if table.forwarding is None:
+            return
+        now_ms = self.runtime.clock.now_ms()
+        named = {store.name: store for store in table.forwarding.kv_stores}
+        known = self.runtime.core.world.servers_by_target[STORE_TARGET]
+        for name in known.keys() - named.keys():
+            self.runtime.submit(
+                inputs.ServerListed(at_ms=now_ms, server_id=name, gone=True)
+            )
+        for name, store in named.items():
+            self.runtime.submit(
+                inputs.ServerListed(
+                    at_ms=now_ms,
+                    server_id=name,
+                    address=store.address,
+                    target=STORE_TARGET,
+                    failure_domain=store.failure_domain,
+                    incarnation=name,
+                )
+            )
 
     def confirmed(self, started_ms: int) -> None:
         """Takes in that the table was the newest at a time."""
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -11,7 +11,7 @@
 from godwittack.daemon import attempt, caller
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
 
     from godwittack.backend import protocol as backend
     from godwittack.claim import store
@@ -38,6 +38,7 @@
         self.clock = clock
         self.stopped = asyncio.Event()
         self.recorder: record.Recorder | None = None
+        self.on_announce: Callable[[effects.Announce], None] = lambda sent: None
         self._backend = backend_client
         self._claims = claims
         self._observe = observe
@@ -109,6 +110,8 @@
                 self._callers.pop(effect.request_id, None)
             case effects.Dispatch():
                 self._dispatch(effect)
+            case effects.Announce():
+                self.on_announce(effect)
             case effects.CancelAttempt():
                 self._cancel(effect)
             case effects.WriteClaim():
--- a/src/godwittack/daemon/watch.py
+++ b/src/godwittack/daemon/watch.py
@@ -12,14 +12,14 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import inputs
+from godwittack.core import inputs, sourcing
 from godwittack.daemon import digest as digests
 from godwittack.daemon import loads
+from godwittack.daemon import news as newses
 from godwittack.member import duty
 
 if TYPE_CHECKING:
     from godwittack.core import entities
-    from godwittack.daemon import news as newses
     from godwittack.daemon import runtime
     from godwittack.member import view
 
@@ -160,6 +160,8 @@
     def _follow(self, row: entities.ServerRow) -> list[asyncio.Task[None]]:
         tasks = []
         is_engine = row.target in self._core.core.world.table.models
+        if row.target == sourcing.STORE_TARGET:
+            return [asyncio.create_task(self._follow_cache(row))]
         loads = Follows.ENGINE_LOADS if is_engine else Follows.SERVICE_LOADS
         if loads in self._follows:
             tasks.append(asyncio.create_task(self._poll_load(row)))
@@ -186,6 +188,21 @@
         else:
             self._news.forget_leaving(row.server_id)
 
+    def _events_lost(self, row: entities.ServerRow) -> None:
+        """Keeps requests from a store of cached state that does not answer.
+
+        A dead source costs each request that names it some hundred
+        milliseconds.
+        """
+        if row.target != sourcing.STORE_TARGET:
+            return
+        now_ms = self._core.clock.now_ms()
+        until_ms = now_ms + newses.DRAIN_MS
+        self._core.submit(
+            inputs.ServerDraining(now_ms, row.server_id, until_ms)
+        )
+        self._news.publish_draining(row.server_id, row.target)
+
     async def _follow_cache(self, row: entities.ServerRow) -> None:
         digester = digests.Digester(row.server_id)
         while True:
@@ -195,6 +212,7 @@
                 server_id=row.server_id,
             )
             if isinstance(got, Err):
+                self._events_lost(row)
                 await asyncio.sleep(EVENTS_RETRY_MS / 1000)
                 continue
             now_ms = self._core.clock.now_ms()
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -23,6 +23,7 @@
         draining: Servers that get no work while they load weights.
         listed: Changed entries of the instance list by name, None for one
             that is no longer listed.
+        dispatched: Long prompts sent to servers.
         demands: This daemon's demand, None where the last told one holds.
     """
 
@@ -35,6 +36,9 @@
     listed: dict[str, platform.Instance | None] = dataclasses.field(
         default_factory=dict
     )
+    dispatched: list[inputs.PeerDispatched] = dataclasses.field(
+        default_factory=list
+    )
     demands: tuple[inputs.CellDemand, ...] | None = None
 
     def is_empty(self) -> bool:
@@ -52,6 +56,8 @@
             leaving=self.leaving | later.leaving,
             draining=self.draining | later.draining,
             listed={**self.listed, **later.listed},
+            # What could not be told at once has been computed by now.
+            dispatched=later.dispatched,
             demands=(self.demands if later.demands is None else later.demands),
         )
 
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -50,6 +50,15 @@
             digests=[self._digest(digest) for digest in told.digests],
             leaving_servers=sorted(told.leaving),
             draining_servers=sorted(told.draining),
+            dispatched=[
+                peer_pb2.Dispatched(
+                    server_id=entry.server_id,
+                    tokens=entry.tokens,
+                    priority=entry.priority,
+                    levels=entry.levels,
+                )
+                for entry in told.dispatched
+            ],
             listed=[
                 codec.listed_to_proto(name, instance)
                 for name, instance in told.listed.items()
--- a/src/godwittack/placement/levels.py
+++ b/src/godwittack/placement/levels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -15,6 +16,16 @@
 MAX_LEVELS = 64
 
 
+@functools.lru_cache(maxsize=8_192)
+def versioned(key: int, weights_version: str) -> int:
+    """Returns a level's key as computed by one version of weights.
+
+    Stores of cached state keep levels over a change of weights. Known by
+    the level alone, one of older weights would be taken for a newer one.
+    """
+    return xxhash.xxh3_64_intdigest(f"{key}/{weights_version}".encode())
+
+
 def chain(
     *, workspace: str, target: str, parts: Iterable[bytes]
 ) -> tuple[work.Level, ...]:
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -109,15 +109,15 @@
     """Returns the prompt's levels; one of a single level if none are told."""
     forwarding = known.forwarding
     alone = forwarding is not None and workspace in forwarding.isolated
-    scope = f"/{workspace if alone else ''}"
+    owner = workspace if alone else ""
     found: list[work.Level] = []
     for entry in request.headers.get(names.LEVELS, "").split(","):
         level, _, tokens = entry.strip().partition(":")
         if level and tokens.isdigit():
-            key = servers.level_key(scope, level)
+            key = servers.level_key(owner, level)
             found.append(work.Level(key, int(tokens)))
     if not found and prompt_tokens:
-        key = servers.level_key(scope, request.headers[names.REQUEST_ID])
+        key = servers.level_key(owner, request.headers[names.REQUEST_ID])
         found.append(work.Level(key, prompt_tokens))
     return tuple(found)
 
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -10,6 +10,7 @@
 
 from godwittack.backend import protocol, routed
 from godwittack.core import inputs
+from godwittack.placement import levels
 from godwittack.platform import names
 
 if TYPE_CHECKING:
@@ -151,23 +152,30 @@
             step="cache events", head=_head(head), wait_ms=EVENTS_WAIT_MS
         )
 
-    def read_events(self, body: bytes) -> protocol.CacheEvents:
+    def read_events(self, body: bytes, server_id: str) -> protocol.CacheEvents:
         """Reads cache events; raises ValueError for anything else."""
         told = _Events.model_validate_json(body)
-        return protocol.CacheEvents(
-            incarnation=str(told.boot_epoch),
-            weights_version="",
-            oldest=0,
-            events=tuple(
+        events: list[protocol.CacheEvent] = []
+        newest = ""
+        for number, sign, scope, level, tokens, _ in told.events:
+            version, _, workspace = scope.removeprefix("v").partition("/")
+            stored = sign == "+" and tokens > 0
+            kind = protocol.CacheEventKind
+            events.append(
                 protocol.CacheEvent(
                     number,
-                    protocol.CacheEventKind.STORED
-                    if sign == "+"
-                    else protocol.CacheEventKind.REMOVED,
-                    level_key(scope, level),
+                    kind.STORED if stored else kind.REMOVED,
+                    levels.versioned(level_key(workspace, level), version),
                 )
-                for number, sign, scope, level, _, _ in told.events
-            ),
+            )
+            newest = version
+        return protocol.CacheEvents(
+            incarnation=server_id,
+            weights_version=newest,
+            oldest=0,
+            events=tuple(events),
+            epoch=str(told.boot_epoch),
+            next=told.next,
         )
 
     def order_call(
@@ -197,13 +205,8 @@
         return routed.ControlCall(step="order", head=_head(head), body=body)
 
 
-def level_key(scope: str, level: str) -> int:
-    """Returns the key of a level under a scope's workspace.
-
-    A scope's version is left out: what is known of a server's cache is
-    dropped when its weights change.
-    """
-    _, _, workspace = scope.partition("/")
+def level_key(workspace: str, level: str) -> int:
+    """Returns the key of a level, of a workspace where it is isolated."""
     return xxhash.xxh3_64_intdigest(f"{workspace}/{level}".encode())
 
 
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -213,12 +213,11 @@
     core.arrive("long", "r1")
     assert core.refusal().status == 503
     core.world.servers["e1"].draining_until_ms = 0
-    core.world.servers["e1"].reported_at_ms = core.now_ms
-    core.world.servers["e1"].waiting_tokens = 10_000
+    core.world.servers["e1"].backlog[0] = core.now_ms + 1_000
     core.arrive("long", "r2")
     assert not core.find(effects.Dispatch), core.made
     core.tell(inputs.TableChanged, routed_core.table(2, keys=()))
-    core.world.servers["e1"].waiting_tokens = 0
+    core.world.servers["e1"].backlog.clear()
     core.wait(50)
     assert not core.find(effects.Dispatch), core.made
     assert core.refusal().status == 401
