Let three daemons follow the store, and the others take their word with its age

Ruled out: longer waits alone (a connection that went silent must show within three seconds); one reader (it may be the one that is cut off).

Change: duty.store_readers; a table's version and the age of the store's last confirmation travel with probes' answers and count from when the probe was sent; a daemon whose word is older than 2 s, or that finds a gap in the list's versions, asks the store itself.

Cases in tests/cases/freshness.py.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -102,7 +102,7 @@
         description="ms after which a key taken away must not be served",
     )
     feed_wait_ms: Ms = pydantic.Field(
-        default=2_000, description="ms that the store holds a call for changes"
+        default=1_000, description="ms that the store holds a call for changes"
     )
     mesh_limit: int = pydantic.Field(
         default=16,
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -30,7 +30,7 @@
 from godwittack.entry import directory, forward
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
-from godwittack.member import confirmed, view
+from godwittack.member import confirmed, duty, freshness, view
 from godwittack.metric import meters
 from godwittack.peer import datagram, exchange
 from godwittack.platform import callers, instances, names, rows, servers, table
@@ -130,7 +130,10 @@
                 bound_ms=settings.key_bound_ms - KEY_MARGIN_MS
             ),
             members=members,
+            known=freshness.Freshness(topic=freshness.Topic.TABLE),
         )
+        self._keeper.known.on_confirmed = self._keeper.confirmed
+        self._servers_known = freshness.Freshness(topic=freshness.Topic.SERVERS)
         self._news = news.News(
             members=members,
             runtime=self.runtime,
@@ -148,21 +151,27 @@
             counts=counts,
             seeds=settings.seeds,
         )
+        self._gossiper.freshness = {
+            known.topic: known
+            for known in (self._keeper.known, self._servers_known)
+        }
         self._streams = watch.Streams()
         self._list = following.InstanceFollower(
             core=self.runtime,
             decode=self._decode_instances,
-            on_leaving=self._news.publish_leaving,
+            news=self._news,
+            known=self._servers_known,
+            is_reader=self._is_reader,
         )
         self._operator_rows = self._follower(
             names.OPERATOR_TABLE,
-            on_rows=lambda found: self._keeper.rows_changed(
-                table.table_from_rows, found
-            ),
-            on_confirmed=self._keeper.confirmed,
+            on_rows=self._operator_rows_changed,
+            known=self._keeper.known,
         )
         self._server_rows = self._follower(
-            names.SERVERS_TABLE, on_rows=self._list.rows_changed
+            names.SERVERS_TABLE,
+            on_rows=self._list.rows_changed,
+            known=self._servers_known,
         )
         self._list.follower = self._server_rows
         self._watcher = watch.ServerWatcher(
@@ -199,6 +208,7 @@
             wire=callers.CallerFormat(),
         )
         self._loops: list[asyncio.Task[None]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
         self._runners: list[web.ServerRunner] = []
         self._sites: list[web.TCPSite] = []
 
@@ -341,7 +351,7 @@
         name: str,
         *,
         on_rows: Callable[[Mapping[str, stores.ChangedRow]], None],
-        on_confirmed: Callable[[int], None] = lambda started_ms: None,
+        known: freshness.Freshness,
     ) -> following.RowsFollower:
         return following.RowsFollower(
             feed=self._store,
@@ -350,8 +360,28 @@
             rng=self._rng,
             wait_ms=self._settings.feed_wait_ms,
             on_rows=on_rows,
-            on_confirmed=on_confirmed,
+            on_confirmed=known.confirmed,
+            known=known,
+            is_reader=self._is_reader,
+        )
+
+    def _is_reader(self) -> bool:
+        members = self._members.serving()
+        return self._members.me.member_id in duty.store_readers(members)
+
+    def _operator_rows_changed(
+        self, found: Mapping[str, stores.ChangedRow]
+    ) -> None:
+        before = self._keeper.table.version
+        version = self._operator_rows.version
+        self._keeper.rows_changed(
+            lambda rows: table.table_from_rows(rows, version=version), found
         )
+        if before and self._keeper.table.version > before:
+            # Probed in turn, some daemons would hear of it a second later.
+            task = asyncio.create_task(self._gossiper.spread_now())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def _decode_instances(
         self, found: Mapping[str, stores.ChangedRow]
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -8,7 +8,7 @@
 from result import Err, Result
 
 from godwittack.core import inputs
-from godwittack.member import view
+from godwittack.member import freshness, view
 from godwittack.peer import codec, exchange, peer_pb2
 from godwittack.table import schema
 
@@ -80,6 +80,7 @@
         self._news = news
         self.list_hash: Callable[[], int] = lambda: 0
         self.on_list_hash: Callable[[str, int], None] = lambda name, told: None
+        self.freshness: dict[freshness.Topic, freshness.Freshness] = {}
         keeper.on_adopted = self._adopted
         self._tasks: set[asyncio.Task[None]] = set()
         self._probing: set[str] = set()
@@ -248,6 +249,7 @@
             # Another process answers at this address now.
             self.members.failed(member_id, now_ms=now_ms)
         self._take_in(answered)
+        self._take_beliefs(answered, started_ms)
         # Counted from before the probe: its answer may have waited in the
         # socket while this process was stopped, and says nothing of now.
         self.members.acked(
@@ -269,8 +271,25 @@
             ],
             table_version=self._keeper.table.version,
             list_hash=self.list_hash(),
+            beliefs=self._beliefs(),
         )
 
+    def _beliefs(self) -> list[peer_pb2.Belief]:
+        now_ms = self._runtime.clock.now_ms()
+        told = (f.tell(now_ms=now_ms) for f in self.freshness.values())
+        return [codec.belief_to_proto(belief) for belief in told if belief]
+
+    def _take_beliefs(
+        self, answered: peer_pb2.Envelope, asked_at_ms: int
+    ) -> None:
+        now_ms = self._runtime.clock.now_ms()
+        for message in answered.beliefs:
+            belief = codec.belief_from_proto(message)
+            if belief is not None and belief.topic in self.freshness:
+                self.freshness[belief.topic].told(
+                    belief, asked_at_ms=asked_at_ms, now_ms=now_ms
+                )
+
     def _sender(self, member_id: str) -> peer_pb2.Member:
         """Returns this daemon's own entry as told to one member.
 
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -59,6 +59,8 @@
     Attributes:
         on_listed: Told the changed entries of the instance list that a peer
             has read.
+        on_versioned_list: The same with the versions before and after, where
+            the list has versions.
     """
 
     def __init__(
@@ -74,6 +76,9 @@
         self.on_listed: Callable[
             [dict[str, platform.Instance | None]], None
         ] = lambda changes: None
+        self.on_versioned_list: Callable[
+            [dict[str, platform.Instance | None], int, int], None
+        ] = lambda changes, before, version: None
         self._members = members
         self._runtime = runtime
         self._client = client
@@ -157,11 +162,23 @@
             outbox.wake()
 
     def publish_listed(
-        self, changes: dict[str, platform.Instance | None]
+        self,
+        changes: dict[str, platform.Instance | None],
+        *,
+        before: int = 0,
+        version: int = 0,
     ) -> None:
-        """Tells every daemon what changed in the instance list."""
+        """Tells every daemon what changed in the instance list.
+
+        Args:
+            changes: Entries by name, None for one that is gone.
+            before: Version of the list without them, where it has versions.
+            version: Version of the list with them.
+        """
         for outbox in self._outboxes_of(self._members.live()):
             outbox.pending.listed.update(changes)
+            outbox.pending.list_before = outbox.pending.list_before or before
+            outbox.pending.list_version = version
             outbox.wake()
 
     def take(
@@ -193,7 +210,13 @@
             cells = tuple(codec.demand_from_proto(d) for d in told.demands)
             submit(inputs.PeerDemand(now_ms, sender_id, True, cells))
         if told.listed:
-            self.on_listed(codec.listed_from_proto(told.listed))
+            changes = codec.listed_from_proto(told.listed)
+            if told.list_version:
+                self.on_versioned_list(
+                    changes, told.list_before, told.list_version
+                )
+            else:
+                self.on_listed(changes)
 
     def audience(self, target: str) -> list[view.Member]:
         """Returns the members that hear of a model's or service's servers."""
--- a/src/godwittack/member/duty.py
+++ b/src/godwittack/member/duty.py
@@ -20,6 +20,8 @@
 AUDIENCE_LEAST = 12
 # Daemons that read the instance list for a large fleet.
 LIST_READERS = 3
+# Daemons that ask the platform's store for changes all the time.
+STORE_READERS = 3
 # Daemons among which `where` keeps one workspace's requests for one model.
 WHERE_GROUP = 3
 
@@ -58,6 +60,12 @@
     return _first("instance-list", members, LIST_READERS)
 
 
+def store_readers(members: list[view.Member]) -> tuple[str, ...]:
+    """Returns the ids of the members that follow the platform's store."""
+    chosen = _first("store", members, STORE_READERS)
+    return tuple(member.member_id for member in chosen)
+
+
 def audience(
     target: str,
     members: list[view.Member],
@@ -159,6 +167,7 @@
     "audience_names",
     "group_names",
     "leaders",
+    "store_readers",
     "list_readers",
     "watcher",
     "where",
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import inputs
-from godwittack.member import view
+from godwittack.member import freshness, view
 from godwittack.peer import peer_pb2
 from godwittack.store import protocol as platform
 
@@ -61,6 +61,9 @@
                 failure_domain=entry.failure_domain,
                 leaving=entry.leaving,
                 checks_fencing=entry.checks_fencing,
+                incarnation=entry.incarnation,
+                weights_version=entry.weights_version,
+                slots=entry.slots,
             )
         )
         for entry in told
@@ -68,6 +71,22 @@
     }
 
 
+def belief_to_proto(belief: freshness.Belief) -> peer_pb2.Belief:
+    """Returns the message form of a belief."""
+    return peer_pb2.Belief(
+        topic=int(belief.topic), version=belief.version, age_ms=belief.age_ms
+    )
+
+
+def belief_from_proto(told: peer_pb2.Belief) -> freshness.Belief | None:
+    """Returns a belief, or None for a topic this release does not know."""
+    try:
+        topic = freshness.Topic(told.topic)
+    except ValueError:
+        return None
+    return freshness.Belief(topic, told.version, told.age_ms)
+
+
 def demand_to_proto(demand: inputs.CellDemand) -> peer_pb2.Demand:
     """Returns the message form of a cell's demand."""
     return peer_pb2.Demand(
@@ -102,10 +121,15 @@
         failure_domain=instance.failure_domain,
         leaving=instance.leaving,
         checks_fencing=instance.checks_fencing,
+        incarnation=instance.incarnation,
+        weights_version=instance.weights_version,
+        slots=instance.slots,
     )
 
 
 __all__ = [
+    "belief_from_proto",
+    "belief_to_proto",
     "demand_from_proto",
     "demand_to_proto",
     "listed_from_proto",
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -24,6 +24,9 @@
         listed: Changed entries of the instance list by name, None for one
             that is no longer listed.
         dispatched: Long prompts sent to servers.
+        list_before: Version of the list before the entries; 0 where the list
+            has none.
+        list_version: Version of the list with them.
         demands: This daemon's demand, None where the last told one holds.
     """
 
@@ -36,6 +39,8 @@
     listed: dict[str, platform.Instance | None] = dataclasses.field(
         default_factory=dict
     )
+    list_before: int = 0
+    list_version: int = 0
     dispatched: list[inputs.PeerDispatched] = dataclasses.field(
         default_factory=list
     )
@@ -56,6 +61,8 @@
             leaving=self.leaving | later.leaving,
             draining=self.draining | later.draining,
             listed={**self.listed, **later.listed},
+            list_before=self.list_before or later.list_before,
+            list_version=later.list_version or self.list_version,
             # What could not be told at once has been computed by now.
             dispatched=later.dispatched,
             demands=(self.demands if later.demands is None else later.demands),
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -50,6 +50,8 @@
             digests=[self._digest(digest) for digest in told.digests],
             leaving_servers=sorted(told.leaving),
             draining_servers=sorted(told.draining),
+            list_before=told.list_before,
+            list_version=told.list_version,
             dispatched=[
                 peer_pb2.Dispatched(
                     server_id=entry.server_id,
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -100,12 +100,14 @@
 
 
 def table_from_rows(
-    rows: Mapping[str, protocol.ChangedRow],
+    rows: Mapping[str, protocol.ChangedRow], *, version: int
 ) -> Result[model.Table | None, str]:
     """Decodes the operator's rows.
 
-    The version is that of the newest row: it rises with each change, of the
-    configuration and of weights alike.
+    Args:
+        rows: Rows by key.
+        version: Of the newest row: it rises with each change, of the
+            configuration and of weights alike.
 
     Returns:
         The table, None before the first configuration, or what is wrong.
@@ -120,7 +122,6 @@
         first = error.errors()[0]
         place = ".".join(str(part) for part in first["loc"])
         return Err(f"{place}: {first['msg']}")
-    version = max(entry.version for entry in rows.values())
     return Ok(_table(version, config, weights))
 
 
--- /dev/null
+++ b/tests/cases/freshness.py
@@ -0,0 +1,213 @@
+"""What daemons believe of the store by each other's word."""
+
+from __future__ import annotations
+
+from cases import following as cases
+from godwittack.member.freshness import Belief, Freshness, Topic
+from godwittack.store import protocol
+
+
+def _fresh(version: int = 5) -> Freshness:
+    known = Freshness(topic=Topic.TABLE)
+    known.changed(version)
+    return known
+
+
+def an_answer_that_waited_is_not_fresh() -> None:
+    """A peer's word counts from when it was asked.
+
+    Symptom: a key taken away is served by a daemon that was suspended.
+    Sequence: a peer is asked; this process is suspended for 8 s; it wakes and
+        reads the answer from its socket.
+    Cause: the age counted from the arrival of the answer.
+    """
+    known = _fresh()
+    belief = Belief(Topic.TABLE, 5, age_ms=200)
+    known.told(belief, asked_at_ms=10_000, now_ms=18_000)
+    assert known.confirmed_at_ms == 9_800
+
+
+def a_peer_with_a_newer_version_confirms_nothing() -> None:
+    """Another version's confirmation is none of this one's.
+
+    Symptom: a daemon serves an older table as if it were the newest.
+    Sequence: a peer says that version 6 was confirmed a moment ago.
+    Cause: only the age looked at.
+    """
+    known = _fresh()
+    known.told(Belief(Topic.TABLE, 6, 0), asked_at_ms=10_000, now_ms=10_004)
+    assert known.confirmed_at_ms < 0
+    assert known.behind_since_ms == 10_004
+    known.changed(6)
+    assert known.behind_since_ms == -1
+
+
+def a_peer_that_lags_confirms_nothing() -> None:
+    """A peer with an older version does not know of the newer one.
+
+    Symptom: a table is called confirmed by daemons that have not seen it.
+    Sequence: a peer that is cut off says that version 4 is the newest.
+    Cause: any confirmation taken for one of the own version.
+    """
+    known = _fresh()
+    known.told(Belief(Topic.TABLE, 4, 0), asked_at_ms=10_000, now_ms=10_004)
+    assert known.confirmed_at_ms < 0 and known.behind_since_ms < 0
+
+
+def ages_add_up_over_many_daemons() -> None:
+    """A confirmation passed on by many is as old as the store's answer.
+
+    Symptom: daemons cut off from the store keep each other fresh for ever.
+    Sequence: ten daemons without the store ask each other for 10 s.
+    Cause: each dated what it heard by its own clock.
+    """
+    daemons = [_fresh() for _ in range(10)]
+    daemons[0].confirmed(1_000)
+    for now_ms in range(1_000, 11_000, 100):
+        for number, known in enumerate(daemons):
+            told = daemons[(number + 1) % 10].tell(now_ms=now_ms)
+            if told is not None:
+                known.told(told, asked_at_ms=now_ms - 4, now_ms=now_ms)
+    assert max(known.confirmed_at_ms for known in daemons) == 1_000
+
+
+async def a_daemon_rests_while_peers_confirm() -> None:
+    """Only readers ask the store all the time.
+
+    Symptom: the store's calls grow with the fleet.
+    Sequence: a daemon that is no reader hears from peers, then no more.
+    Cause: each daemon followed the store by itself.
+    """
+    case = cases.Followed()
+    known = _fresh(version=5)
+    case.follower._known = known
+    case.follower._is_reader = lambda: False
+    assert not case.follower.may_rest()
+    await case.step(cases.page(5, ("a", "1"), clock_ms=50_000))
+    known.confirmed(case.clock.now_ms())
+    assert case.follower.may_rest()
+    case.clock.advance(by_ms=3_000)
+    assert not case.follower.may_rest()
+    known.confirmed(case.clock.now_ms())
+    known.behind_since_ms = case.clock.now_ms() - 1_000
+    assert not case.follower.may_rest()
+
+
+async def rows_that_can_t_be_read_confirm_nothing() -> None:
+    """A table that stayed in force for want of a better one is not fresh.
+
+    Symptom: keys taken away by a change that could not be read are served.
+    Sequence: version 5 is in force; a row of version 7 can't be decoded.
+    Cause: the store's answer taken for a word on what is in force.
+    """
+    case = cases.Followed()
+    known = _fresh(version=5)
+    case.follower._known = known
+    await case.step(cases.page(5, ("a", "1"), clock_ms=50_000))
+    told = len(case.confirmed)
+    await case.step(cases.page(7, ("a", "broken"), clock_ms=50_010))
+    assert len(case.confirmed) == told
+
+
+class _News:
+    """Keeps what readers tell."""
+
+    def __init__(self) -> None:
+        self.published: list[tuple[dict, int, int]] = []
+        self.on_versioned_list = lambda changes, before, version: None
+
+    def publish_listed(self, changes, *, before=0, version=0) -> None:
+        """A reader tells of changes."""
+        self.published.append((changes, before, version))
+
+
+def _instance(name: str, *, leaving: bool = False) -> protocol.Instance:
+    return protocol.Instance(
+        name=name,
+        role=protocol.InstanceRole.SERVICE,
+        address="10.0.0.1:1",
+        target="booking",
+        leaving=leaving,
+    )
+
+
+def _list(*, is_reader: bool):
+    from result import Ok
+
+    from cases import leading
+    from godwittack.clock import ManualClock
+    from godwittack.daemon import following
+
+    clock = ManualClock(cases.START_MS)
+    news = _News()
+    known = Freshness(topic=Topic.SERVERS)
+    follower = cases.Followed().follower
+    follower._clock = clock
+    held = following.InstanceFollower(
+        core=leading.Runtime(clock),
+        decode=lambda rows: Ok(dict(rows)),
+        news=news,
+        known=known,
+        is_reader=lambda: is_reader,
+    )
+    held.follower = follower
+    return held, follower, known, news
+
+
+def a_gap_in_the_list_s_changes_is_seen() -> None:
+    """Changes that do not follow on what is known are not taken for all.
+
+    Symptom: a daemon sends work to a server that left long ago.
+    Sequence: the news of one change is lost, the next one arrives.
+    Cause: changes merged without a look at what they follow on.
+    """
+    held, _, known, _ = _list(is_reader=False)
+    known.changed(5)
+    held.told({"s8": _instance("s8")}, 5, 6)
+    assert known.version == 6 and known.behind_since_ms < 0
+    held.told({"s9": _instance("s9")}, 7, 8)
+    assert known.version == 6 and known.behind_since_ms >= 0
+    assert "s9" not in held._seen
+
+
+def entries_that_lapse_in_an_outage_are_kept_for_a_while() -> None:
+    """A server whose entry lapsed while the store was away is not gone yet.
+
+    Symptom: for two seconds after an outage no server is known.
+    Sequence: the store is away; entries lapse; it returns without them; one
+        comes back, the other does not.
+    Cause: a missing entry taken for a server that left.
+    """
+    held, follower, _, news = _list(is_reader=True)
+    clock = held._core.clock
+    both = {name: _instance(name) for name in ("a", "b")}
+    follower.version = 5
+    held.rows_changed(both)
+    follower.recovered_at_ms = clock.now_ms()
+    follower.version = 6
+    held.rows_changed({})
+    assert set(held._seen) == {"a", "b"}
+    clock.advance(by_ms=1_500)
+    follower.version = 7
+    held.rows_changed({"a": both["a"]})
+    clock.advance(by_ms=900)
+    held.drop_missing()
+    assert set(held._seen) == {"a"}
+    assert news.published[-1][0] == {"b": None}
+
+
+def a_leaving_server_is_told_by_readers_at_once() -> None:
+    """Readers pass on what the store says of servers, others do not.
+
+    Symptom: new work for a leaving server, from daemons that rest.
+    Sequence: a reader and another daemon read that a server leaves.
+    Cause: news of the list only on the tick.
+    """
+    for is_reader in (True, False):
+        held, follower, _, news = _list(is_reader=is_reader)
+        follower.version = 5
+        held.rows_changed({"a": _instance("a")})
+        follower.version = 6
+        held.rows_changed({"a": _instance("a", leaving=True)})
+        assert held._core.core.world.servers["a"].leaving
+        assert bool(news.published) == is_reader
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -12,6 +12,7 @@
     "leading",
     "connections",
     "following",
+    "freshness",
     "adapter",
 )
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -64,3 +64,15 @@
       | leading | a lease that is not settled drains two servers only |
       | leading | a roll out goes on without pauses |
       | leading | an old fencing number ends the term |
+
+    Examples: what peers say of the store
+      | group | case |
+      | freshness | an answer that waited is not fresh |
+      | freshness | a peer with a newer version confirms nothing |
+      | freshness | a peer that lags confirms nothing |
+      | freshness | ages add up over many daemons |
+      | freshness | a daemon rests while peers confirm |
+      | freshness | rows that can't be read confirm nothing |
+      | freshness | a gap in the list's changes is seen |
+      | freshness | entries that lapse in an outage are kept for a while |
+      | freshness | a leaving server is told by readers at once |
