--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -15,7 +15,6 @@
 
 from godwittack.backend import pool as pools
 from godwittack.backend import routed
-from godwittack.claim import store as claim_store
 from godwittack.clock import SystemClock
 from godwittack.core import inputs, router
 from godwittack.daemon import (
@@ -45,6 +44,9 @@
     from godwittack.store import protocol as stores
 
 HTTP_BACKLOG = 1_024
+# Of one line of a request's head, as the HTTP library reads it; the table's
+# own limit on all headers is checked after that, with an answer that says so.
+MAX_HEAD_BYTES = 1 << 16
 # Callers may keep an address for three times the time they are told.
 ADDRESS_KEEP_MS = 1_000
 KEEP_FACTOR = 3
@@ -100,7 +102,7 @@
         self.runtime = runtime.Runtime(
             core=core,
             backend_client=backend,
-            claims=claim_store.ClaimStore(self._store),
+            claims=None,
             observe=observer.EventObserver(
                 counts=counts, measures=self._meters
             ),
@@ -267,7 +269,13 @@
         address: str,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ) -> None:
-        server = web.Server(handler, handler_cancellation=True, access_log=None)
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+        )
         runner = web.ServerRunner(server)
         await runner.setup()
         host, _, port = address.rpartition(":")
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -50,7 +50,7 @@
         *,
         core: runtime.Runtime,
         client: backend.BackendClient,
-        service: platform.TableService,
+        service: platform.ConditionalRows,
         members: view.View,
         news: newses.News,
         checks_fencing: Callable[[str], bool],
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -29,11 +29,19 @@
         *,
         core: router.Router,
         backend_client: backend.BackendClient,
-        claims: store.ClaimStore,
+        claims: store.ClaimStore | None,
         observe: observer.Observer,
         clock: Clock,
     ) -> None:
-        """Connects the core with its shells."""
+        """Connects the core with its shells.
+
+        Args:
+            core: The core.
+            backend_client: Speaks to servers.
+            claims: Keeps claims; None where callers bring no keys for them.
+            observe: Hears every event.
+            clock: Source of time.
+        """
         self.core = core
         self.clock = clock
         self.stopped = asyncio.Event()
@@ -181,6 +189,7 @@
             self._spawn(self._backend.cancel(address, effect.attempt_id))
 
     async def _write_claim(self, effect: effects.WriteClaim) -> None:
+        assert self._claims is not None
         reply = await self._claims.claim(effect)
         self.submit(
             inputs.ClaimAnswered(
@@ -192,6 +201,7 @@
         )
 
     async def _store_outcome(self, effect: effects.StoreOutcome) -> None:
+        assert self._claims is not None
         stored = await self._claims.store(effect)
         self.submit(
             inputs.OutcomeStored(self.clock.now_ms(), effect.request_id, stored)
--- a/src/godwittack/lead/lease.py
+++ b/src/godwittack/lead/lease.py
@@ -49,7 +49,7 @@
     def __init__(
         self,
         *,
-        service: protocol.TableService,
+        service: protocol.ConditionalRows,
         name: str,
         holder: str,
         policy: LeasePolicy,
--- a/src/godwittack/platform/instances.py
+++ b/src/godwittack/platform/instances.py
@@ -7,25 +7,21 @@
 import pydantic
 from result import Err, Ok, Result
 
+from godwittack.platform import wire
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 
-class _Model(pydantic.BaseModel):
-    name: str
-    # Of the weights; the entry's own `version` is that of the software.
-    version: int
-
-
-class _Server(pydantic.BaseModel):
+class _Server(wire.Wire):
+    # The entry's own `version`, left out, is that of the software.
     service: str
     address: str
     zone: str = ""
     state: str
     slots: int = 0
-    models: list[_Model] = []
+    models: tuple[wire.WeightsOf, ...] = ()
 
 
 def instances_from_rows(
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -9,29 +9,23 @@
 
 import aiohttp
 import pydantic
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from godwittack.platform import names
+from godwittack.platform import names, wire
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+# The most that the store returns at a time.
+PAGE_ROWS = "500"
 STATUS_HISTORY_LOST = 410
 STATUS_CONDITION_FAILED = 412
 # The call did nothing, by the store's own word.
 STATUSES_NOT_DONE = frozenset({400, 403, 429, 503})
 
 
-def _field(name: str) -> str:
-    return name.replace("_", "-")
-
-
-class _Wire(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(alias_generator=_field)
-
-
-class _Row(_Wire):
+class _Row(wire.Wire):
     # Part of a table in which transactions run one after another; unused.
     part: str = ""
     table: str = ""
@@ -41,8 +35,8 @@
     deleted: bool = False
 
 
-class _Rows(_Wire):
-    rows: list[_Row] = []
+class _Rows(wire.Wire):
+    rows: tuple[_Row, ...] = ()
     # Newest version of the whole store, not of these rows.
     row_version: int = 0
     has_more: bool = False
@@ -51,7 +45,7 @@
 
 
 class Rows:
-    """Implements `TableService` and `RowFeed`."""
+    """Implements `ConditionalRows` and `RowFeed`."""
 
     def __init__(
         self,
@@ -69,7 +63,7 @@
         self,
         conditions: tuple[protocol.Condition, ...],
         writes: tuple[protocol.RowWrite, ...],
-    ) -> Result[protocol.Transacted, protocol.PlatformError]:
+    ) -> protocol.Got[protocol.Transacted]:
         """Makes all writes if all conditions hold."""
         body = {
             "precondition": [
@@ -98,7 +92,7 @@
 
     async def read(
         self, row_id: protocol.RowId
-    ) -> Result[protocol.StoredRow, protocol.PlatformError]:
+    ) -> protocol.Got[protocol.StoredRow]:
         """Returns one row."""
         query = {
             "table": row_id.table,
@@ -114,18 +108,7 @@
                 return Ok(_stored(row))
         return Ok(protocol.StoredRow(row_id, "", 0))
 
-    async def scan(
-        self, table: str, *, after: str, limit: int
-    ) -> Result[list[protocol.StoredRow], protocol.PlatformError]:
-        """Returns rows with keys above `after`, in order."""
-        got = await self._page(table, from_key=after + "\0", limit=limit)
-        if isinstance(got, Err):
-            return got
-        return Ok([_stored(row) for row in got.ok_value.rows])
-
-    async def snapshot(
-        self, table: str
-    ) -> Result[protocol.FeedPage, protocol.PlatformError]:
+    async def snapshot(self, table: str) -> protocol.Got[protocol.FeedPage]:
         """Returns all rows of a table.
 
         Where they take several pages, changes between those are told again
@@ -135,10 +118,13 @@
         newest = service_ms = 0
         from_key = ""
         while True:
-            got = await self._page(table, from_key=from_key, limit=500)
+            query = {"table": table, "part": "", "limit": PAGE_ROWS}
+            if from_key:
+                query["from"] = from_key
+            got = await self._call("scan", "GET", names.ROWS_GET, query=query)
             if isinstance(got, Err):
                 return got
-            page = got.ok_value
+            page = got.ok_value[1]
             newest = newest or page.row_version
             service_ms = service_ms or page.now_ms
             rows.extend(_changed(row) for row in page.rows)
@@ -152,7 +138,7 @@
 
     async def changes(
         self, table: str, *, after: int, wait_ms: int
-    ) -> Result[protocol.FeedPage, protocol.PlatformError]:
+    ) -> protocol.Got[protocol.FeedPage]:
         """Returns changes after a version."""
         query = {"table": table, "after": str(after), "wait-ms": str(wait_ms)}
         got = await self._call(
@@ -168,15 +154,6 @@
             )
         )
 
-    async def _page(
-        self, table: str, *, from_key: str, limit: int
-    ) -> Result[_Rows, protocol.PlatformError]:
-        query = {"table": table, "part": "", "limit": str(limit)}
-        if from_key:
-            query["from"] = from_key
-        got = await self._call("scan", "GET", names.ROWS_GET, query=query)
-        return got if isinstance(got, Err) else Ok(got.ok_value[1])
-
     async def _call(
         self,
         step: str,
@@ -186,7 +163,7 @@
         query: Mapping[str, str] | None = None,
         body: bytes | None = None,
         wait_ms: int = 0,
-    ) -> Result[tuple[int, _Rows], protocol.PlatformError]:
+    ) -> protocol.Got[tuple[int, _Rows]]:
         url = f"http://{self._address}{path}"
         if query:
             url = f"{url}?{parse.urlencode(query)}"
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,13 +5,12 @@
 import json
 from typing import TYPE_CHECKING
 
-import pydantic
 import xxhash
 
 from godwittack.backend import protocol, routed
 from godwittack.core import inputs
 from godwittack.placement import levels
-from godwittack.platform import names
+from godwittack.platform import names, wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,35 +22,23 @@
 EVENTS_WAIT_MS = 1_000
 
 
-class _Model(pydantic.BaseModel):
-    name: str
-    version: int
-
-
-class _Report(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(
-        alias_generator=lambda name: name.replace("_", "-")
-    )
-    models: list[_Model] = []
+class _Report(wire.Wire):
+    models: tuple[wire.WeightsOf, ...] = ()
     queue_depth: int = 0
     running: int = 0
-    stage: str = ""
     # Orders accepted since the server started.
     sequence: int = -1
     # Whether an order is being carried out, not whether requests run.
     busy: bool = False
 
 
-class _Events(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(
-        alias_generator=lambda name: name.replace("_", "-")
-    )
+class _Events(wire.Wire):
     # Changes with each restart of the server.
     boot_epoch: int
     next: int
     lost: bool = False
     # Number, "+" or "-", scope, level id, tokens stored now, model.
-    events: list[tuple[int, str, str, str, int, str]] = []
+    events: tuple[tuple[int, str, str, str, int, str], ...] = ()
 
 
 class ServerFormat:
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -8,7 +8,7 @@
 import pydantic
 from result import Err, Ok, Result
 
-from godwittack.platform import names
+from godwittack.platform import names, wire
 from godwittack.table import forwarding, model
 
 if TYPE_CHECKING:
@@ -20,20 +20,12 @@
 NO_LIMIT = 1_000_000
 
 
-def _field(name: str) -> str:
-    return name.replace("_", "-")
-
-
-class _Wire(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(alias_generator=_field)
-
-
-class _Split(_Wire):
+class _Split(wire.Wire):
     service: str
     weight: int = 1
 
 
-class _Route(_Wire):
+class _Route(wire.Wire):
     name: str
     host: str
     prefix: str
@@ -45,26 +37,23 @@
     max_attempts: int = 1
     priority: int = 0
     service: str = ""
-    traffic_split: list[_Split] = []
+    traffic_split: tuple[_Split, ...] = ()
     allow_anonymous: bool = False
     resumable: bool = False
 
 
-class _Model(_Wire):
+class _Model(wire.Wire):
     name: str
 
 
-class _Engine(_Wire):
+class _Engine(wire.Wire):
     slots: int = 16
     kv_capacity_tokens: int = 0
-    # Calls for cache events held open at a time, not requests in flight.
-    max_inflight: int = 12
-    models: list[_Model] = []
+    models: tuple[_Model, ...] = ()
 
 
-class _Service(_Wire):
+class _Service(wire.Wire):
     name: str
-    max_connections: int = 0
     engine: _Engine | None = None
     # Set where the service is a store of cached state, not a server.
     kv_store_addr: str = ""
@@ -72,29 +61,27 @@
     kv_capacity_tokens: int = 0
 
 
-class _Tenant(_Wire):
+class _Tenant(wire.Wire):
     name: str
-    api_keys: list[str] = []
+    api_keys: tuple[str, ...] = ()
     priority: int | None = None
     isolated: bool = False
 
 
-class _Limits(_Wire):
+class _Limits(wire.Wire):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4 << 20
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
 
 
-class _Config(_Wire):
+class _Config(wire.Wire):
     version: int
-    routes: list[_Route] = []
-    services: list[_Service] = []
-    tenants: list[_Tenant] = []
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
     limits: _Limits = _Limits()
 
 
-class _Weights(_Wire):
+class _Weights(wire.Wire):
     model: str
     version: int
 
@@ -173,15 +160,12 @@
         limits=forwarding.CallerLimits(
             header_bytes=config.limits.max_header_bytes,
             body_bytes=config.limits.max_body_bytes,
-            header_timeout_ms=config.limits.header_timeout_ms,
-            idle_timeout_ms=config.limits.idle_timeout_ms,
         ),
         engines={
             service.name: forwarding.EngineLimits(
                 model=service.engine.models[0].name,
                 slots=service.engine.slots,
                 kv_tokens=service.engine.kv_capacity_tokens,
-                events_at_once=service.engine.max_inflight,
             )
             for service in config.services
             if service.engine is not None and service.engine.models
@@ -202,11 +186,6 @@
             for tenant in config.tenants
             if tenant.priority is not None
         },
-        max_connections={
-            service.name: service.max_connections
-            for service in config.services
-            if service.max_connections
-        },
     )
 
 
--- a/src/godwittack/store/protocol.py
+++ b/src/godwittack/store/protocol.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 import enum
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol, TypeAlias, TypeVar
 
-if TYPE_CHECKING:
-    from result import Result
+from result import Result
+
+_Got = TypeVar("_Got")
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,6 +35,10 @@
         return f"{self.step} at {self.peer}: {self.detail}"
 
 
+# What a call brings: its answer, or why there is none.
+Got: TypeAlias = Result[_Got, PlatformError]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowId:
     """Names one row of the table service."""
@@ -82,22 +87,26 @@
     version: int = 0
 
 
-class TableService(Protocol):
-    """Transactional rows with versions."""
+class ConditionalRows(Protocol):
+    """Rows that are written only while others stand as expected."""
 
     async def transact(
         self,
         conditions: tuple[Condition, ...],
         writes: tuple[RowWrite, ...],
-    ) -> Result[Transacted, PlatformError]:
+    ) -> Got[Transacted]:
         """Makes all writes if all conditions hold."""
 
-    async def read(self, row_id: RowId) -> Result[StoredRow, PlatformError]:
+    async def read(self, row_id: RowId) -> Got[StoredRow]:
         """Returns one row, from a replica that may lag."""
 
+
+class TableService(ConditionalRows, Protocol):
+    """Transactional rows with versions, read in order as well."""
+
     async def scan(
         self, table: str, *, after: str, limit: int
-    ) -> Result[list[StoredRow], PlatformError]:
+    ) -> Got[list[StoredRow]]:
         """Returns up to `limit` rows with keys above `after`, in order."""
 
 
@@ -129,31 +138,29 @@
 class RowFeed(Protocol):
     """Changes of a table's rows, told as they happen."""
 
-    async def snapshot(self, table: str) -> Result[FeedPage, PlatformError]:
+    async def snapshot(self, table: str) -> Got[FeedPage]:
         """Returns all rows of a table as of one moment."""
 
     async def changes(
         self, table: str, *, after: int, wait_ms: int
-    ) -> Result[FeedPage, PlatformError]:
+    ) -> Got[FeedPage]:
         """Returns changes after a version, waiting for one up to a limit."""
 
 
 class ObjectStore(Protocol):
     """Named objects without transactions."""
 
-    async def get(self, name: str) -> Result[bytes | None, PlatformError]:
+    async def get(self, name: str) -> Got[bytes | None]:
         """Returns an object, or None where there is none."""
 
-    async def put(self, name: str, data: bytes) -> Result[None, PlatformError]:
+    async def put(self, name: str, data: bytes) -> Got[None]:
         """Writes an object."""
 
 
 class WeightStore(Protocol):
     """Versions of weights; the engines load them from it themselves."""
 
-    async def versions(
-        self, model: str
-    ) -> Result[tuple[str, ...], PlatformError]:
+    async def versions(self, model: str) -> Got[tuple[str, ...]]:
         """Returns the versions that can be loaded."""
 
 
@@ -196,14 +203,16 @@
 class InstanceList(Protocol):
     """Live and leaving instances; lags."""
 
-    async def instances(self) -> Result[tuple[Instance, ...], PlatformError]:
+    async def instances(self) -> Got[tuple[Instance, ...]]:
         """Returns all entries."""
 
 
 __all__ = [
     "ChangedRow",
     "Condition",
+    "ConditionalRows",
     "FeedPage",
+    "Got",
     "Instance",
     "InstanceList",
     "InstanceRole",
--- a/src/godwittack/table/forwarding.py
+++ b/src/godwittack/table/forwarding.py
@@ -64,12 +64,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLimits:
-    """What callers may send, and how long they may take or stay idle."""
+    """What callers may send at most."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4 << 20
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -95,13 +93,11 @@
         model: Name of the model that they serve.
         slots: Requests that one engine batches.
         kv_tokens: Tokens of running requests and cached levels together.
-        events_at_once: Calls for cache events that one engine holds open.
     """
 
     model: str
     slots: int = 16
     kv_tokens: int = 0
-    events_at_once: int = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -112,7 +108,6 @@
         config_version: The operators' own number of this version.
         isolated: Workspaces that share cached state with nobody.
         priorities: Rank of a workspace, before its route's.
-        max_connections: Connections that one server of a target accepts.
     """
 
     config_version: int = 0
@@ -122,7 +117,6 @@
     kv_stores: tuple[KvStore, ...] = ()
     isolated: frozenset[str] = frozenset()
     priorities: dict[str, int] = dataclasses.field(default_factory=dict)
-    max_connections: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that begins `path`."""
--- /dev/null
+++ b/tests/cluster/platform.py
@@ -0,0 +1,298 @@
+"""Real daemons on this machine, with stand-ins for the platform around them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import os
+import pathlib
+import re
+import signal
+import sys
+import tempfile
+
+import aiohttp
+import yarl
+
+from cluster.processes import free_port
+from standins.replica import Replica
+from standins.rows import RowStore
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+TEMPLATE = ROOT / "deploy" / "settings.yaml"
+PLACEHOLDER = re.compile(r"\{\{([^}|]+)(\|json)?\}\}")
+HOST = "h.example"
+KEY = "key-of-desk"
+BOUNDS = {
+    "require-fencing": True,
+    "revoke-ms": 5000,
+    "version-ms": 12000,
+    "lease-ms": 3000,
+    "grace-s": 8,
+    "retry-slack": 52,
+}
+STEP_S = 0.02
+WAIT_S = 10.0
+
+
+def render(fields: dict) -> str:
+    """Fills the settings template in, as the platform does."""
+
+    def value(match: re.Match) -> str:
+        found: object = fields
+        for part in match.group(1).split("."):
+            if isinstance(found, list):
+                found = found[int(part)] if int(part) < len(found) else None
+            else:
+                found = found.get(part) if isinstance(found, dict) else None
+        if match.group(2):
+            return json.dumps(found) if found is not None else ""
+        return "" if found is None else str(found)
+
+    return PLACEHOLDER.sub(value, TEMPLATE.read_text())
+
+
+def settings_fields(name: str, store_port: int, seeds: list[str]) -> dict:
+    """Returns the platform's settings for one daemon."""
+    ports = {part: free_port() for part in ("front", "ready", "directory")}
+    listen = {part: f"127.0.0.1:{port}" for part, port in ports.items()}
+    listen["control"] = f"127.0.0.1:{free_port()}"
+    return {
+        "node-name": name,
+        "ip": "127.0.0.1",
+        "zone": "north",
+        "listen": listen,
+        "internal-port-range": [free_port(), free_port()],
+        "seeds": seeds,
+        "bounds": dict(BOUNDS),
+        "platform": {"address": f"127.0.0.1:{store_port}"},
+        "of no meaning here": {"a": 1},
+    }
+
+
+def route(name: str, service: str, kind: str, **fields) -> dict:
+    """Returns a route as the operator writes it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "type": kind,
+        "timeout-ms": 3000,
+        "target-latency-ms": 300,
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        "allow-anonymous": False,
+        "resumable": False,
+        **fields,
+    }
+
+
+ROUTES = [
+    route("long", "llm", "streaming", resumable=True),
+    route("short", "llm", "streaming"),
+    route("confirm", "app", "non_idempotent"),
+    route("release", "app", "idempotent"),
+    route("open", "app", "idempotent", **{"allow-anonymous": True}),
+]
+
+
+def config(version: int, *, keys: tuple[str, ...] = (KEY,)) -> dict:
+    """Returns a configuration as the operator writes it."""
+    return {
+        "version": version,
+        "routes": ROUTES,
+        "services": [
+            {"name": "llm", "engine": {"slots": 16, "models": [{"name": "m"}]}},
+            {"name": "app", "max-connections": 96},
+        ],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 100_000},
+        "tenants": [
+            {"name": "desk", "api-keys": list(keys), "isolated": False}
+        ],
+    }
+
+
+class Platform:
+    """The store, two engines, two plain servers, and daemons."""
+
+    def __init__(self, *, daemons: int = 1, configured: bool = True) -> None:
+        self.store = RowStore()
+        self.replicas = {
+            "i-e1": Replica("i-e1", model="m"),
+            "i-e2": Replica("i-e2", model="m"),
+            "i-s1": Replica("i-s1"),
+            "i-s2": Replica("i-s2"),
+        }
+        self.fields: list[dict] = []
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.logs: list[pathlib.Path] = []
+        self.session: aiohttp.ClientSession | None = None
+        self._daemons = daemons
+        self._configured = configured
+        self._folder = tempfile.TemporaryDirectory(prefix="godwittack-")
+        self.store_port = free_port()
+
+    async def __aenter__(self) -> Platform:
+        """Starts everything and waits until it serves."""
+        self.session = aiohttp.ClientSession()
+        await self.store.start(self.store_port)
+        for name, replica in self.replicas.items():
+            port = free_port()
+            await replica.start(port)
+            self.list_server(name, f"127.0.0.1:{port}")
+        if self._configured:
+            self.store.put("op", "config", config(1))
+        for number in range(self._daemons):
+            await self.start_daemon(f"edge-{number + 1}")
+        if self._configured:
+            for number in range(self._daemons):
+                await self.until_ready(number)
+        return self
+
+    async def __aexit__(self, *unused) -> None:
+        """Ends everything it started."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        await self.session.close()
+        for replica in self.replicas.values():
+            await replica.stop()
+        await self.store.stop()
+        self._folder.cleanup()
+
+    def list_server(self, name: str, address: str, **fields) -> None:
+        """Writes a server's row, as the server does."""
+        replica = self.replicas[name]
+        row = {
+            "service": "llm" if replica.model else "app",
+            "address": address,
+            "zone": "north",
+            "version": "v1",
+            "slots": 16,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "sequence": 1,
+            **fields,
+        }
+        if replica.model:
+            version = {"name": "m", "version": replica.version, "adapters": []}
+            row["models"] = [version]
+        self.store.put("servers", name, row)
+
+    async def start_daemon(self, name: str) -> None:
+        """Starts a daemon as the deploy file does."""
+        seeds = [f["listen"]["control"] for f in self.fields][:3]
+        fields = settings_fields(name, self.store_port, seeds)
+        path = pathlib.Path(self._folder.name) / f"{name}.yaml"
+        path.write_text(render(fields))
+        log = path.with_suffix(".log")
+        with log.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "daemon.py"),
+                "serve",
+                "--settings",
+                str(path),
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        self.fields.append(fields)
+        self.processes.append(process)
+        self.logs.append(log)
+
+    def log(self, number: int = 0) -> str:
+        """Returns what a daemon has logged."""
+        return self.logs[number].read_text()
+
+    def signal(self, number: int, sign: signal.Signals) -> None:
+        """Sends a signal to a daemon."""
+        self.processes[number].send_signal(sign)
+
+    async def until_ready(self, number: int = 0) -> None:
+        """Waits until a daemon is ready and knows all servers."""
+
+        async def ready() -> bool:
+            status, _ = await self.get(number, "ready", "/ready")
+            return status == 200 and self.log(number).count("server_state") >= 4
+
+        await until(f"daemon {number} is ready", ready)
+
+    async def get(self, number: int, part: str, path: str) -> tuple[int, bytes]:
+        """Calls one of a daemon's own addresses."""
+        url = f"http://{self.fields[number]['listen'][part]}{path}"
+        async with self.session.get(url) as response:
+            return response.status, await response.read()
+
+    async def call(
+        self,
+        name: str,
+        request_id: str,
+        *,
+        daemon: int = 0,
+        key: str = KEY,
+        body: object = b"body",
+        headers: dict[str, str] | None = None,
+        path: str = "x",
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Makes a caller's request; a broken answer raises."""
+        front = self.fields[daemon]["listen"]["front"]
+        sent = {
+            "Host": HOST,
+            "X-Godwittack-Request-Id": request_id,
+            "X-Godwittack-Deadline-Ms": "3000",
+            **({"X-Godwittack-Credential": key} if key else {}),
+            **(headers or {}),
+        }
+        if name in ("long", "short"):
+            sent.setdefault("X-Godwittack-Model", "m")
+            sent.setdefault("X-Godwittack-Token-Usage", "900,10")
+            sent.setdefault("X-Godwittack-Prefix-Hash", "ab12:800,cd34:100")
+        url = yarl.URL(f"http://{front}/{name}/{path}", encoded=True)
+        async with self.session.post(url, headers=sent, data=body) as response:
+            data = await response.read()
+            kept = {k.lower(): v for k, v in response.headers.items()}
+            return response.status, kept, data
+
+    def ran(self, request_id: str) -> list:
+        """Returns where a request ran."""
+        return [
+            ran
+            for replica in self.replicas.values()
+            for ran in replica.ran
+            if ran.request_id == request_id
+        ]
+
+
+def decoded(value: str) -> str:
+    """Returns a row's value as text."""
+    return base64.b64decode(value).decode()
+
+
+async def until(what: str, condition, *, seconds: float = WAIT_S) -> None:
+    """Waits until a condition holds."""
+    try:
+        async with asyncio.timeout(seconds):
+            while True:
+                try:
+                    if await condition():
+                        return
+                except (aiohttp.ClientError, OSError):
+                    pass
+                await asyncio.sleep(STEP_S)
+    except TimeoutError:
+        raise AssertionError(f"timed out waiting until {what}") from None
+
+
+__all__ = [
+    "KEY",
+    "Platform",
+    "config",
+    "decoded",
+    "render",
+    "settings_fields",
+    "until",
+]
--- /dev/null
+++ b/tests/standins/replica.py
@@ -0,0 +1,179 @@
+"""A backend server of the platform: streams, plain calls, orders, events."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+
+from aiohttp import web
+
+PREFIX = "X-Godwittack-"
+
+
+@dataclasses.dataclass
+class ReplicaFaults:
+    """How the server misbehaves.
+
+    Attributes:
+        full: Whether it declines every request.
+        cut_after: Events after which streams are cut; -1 for never.
+        silent: Whether it takes requests and answers nothing.
+        lose_orders: Orders that are carried out and not answered.
+    """
+
+    full: bool = False
+    cut_after: int = -1
+    silent: bool = False
+    lose_orders: bool = False
+
+
+@dataclasses.dataclass
+class Ran:
+    """One request that ran."""
+
+    request_id: str
+    workspace: str
+    version: str
+    scope: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class Replica:
+    """One incarnation of a server; engines have a model."""
+
+    def __init__(
+        self, instance: str, *, model: str = "", events: int = 5
+    ) -> None:
+        self.instance = instance
+        self.model = model
+        self.version = 1
+        self.faults = ReplicaFaults()
+        self.ran: list[Ran] = []
+        self.orders: list[dict] = []
+        self.left: list[str] = []
+        self.event_gap_s = 0.01
+        self._events = events
+        self._sequence = 0
+        self._busy = False
+        self._highest_fencing = 0
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self, port: int) -> None:
+        """Listens on a port of this machine."""
+        server = web.Server(self._serve, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        match request.path:
+            case "/report":
+                return self._report()
+            case "/order":
+                return await self._order(request)
+            case "/kv-events":
+                await asyncio.sleep(0.2)
+                return web.json_response(
+                    {"boot-epoch": 1, "next": 0, "lost": False, "events": []}
+                )
+        return await self._request(request)
+
+    def _report(self) -> web.Response:
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        return web.json_response(
+            {
+                "stage": "prefill_decode",
+                "models": models if self.model else [],
+                "busy": self._busy,
+                "sequence": self._sequence,
+                "queue-depth": 0,
+                "running": 0,
+            }
+        )
+
+    async def _order(self, request: web.BaseRequest) -> web.Response:
+        order = json.loads(await request.read())
+        if order["fencing-token"] < self._highest_fencing:
+            return web.Response(status=412)
+        expected = order.get("precondition", self._sequence)
+        if self._busy or expected != self._sequence:
+            return web.Response(status=409)
+        self._highest_fencing = order["fencing-token"]
+        self.orders.append(order)
+        self._sequence += 1
+        self._busy = True
+        asyncio.get_running_loop().call_later(
+            0.2, self._loaded, order["version"]
+        )
+        if self.faults.lose_orders:
+            await asyncio.sleep(3_600)
+        return web.Response(status=202)
+
+    def _loaded(self, version: int) -> None:
+        self.version = version
+        self._busy = False
+
+    async def _request(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        name = request.headers.get(PREFIX + "Request-Id", "")
+        own = {PREFIX + "Request-Id": name, PREFIX + "Server-Load": "1,0,16"}
+        if request.headers.get(PREFIX + "Expect-Instance") != self.instance:
+            own[PREFIX + "Instance-Id"] = self.instance
+            return web.Response(status=421, headers=own)
+        expected = request.headers.get(PREFIX + "Expect-Version")
+        if expected and int(expected) != self.version:
+            return web.Response(status=421, headers=own)
+        if self.faults.full or self._busy:
+            own[PREFIX + "Not-Executed"] = "1"
+            return web.Response(status=503, headers=own)
+        self.ran.append(
+            Ran(
+                name,
+                request.headers.get(PREFIX + "Tenant", ""),
+                str(self.version),
+                request.headers.get(PREFIX + "Cache-Salt", ""),
+                request.raw_path,
+                body,
+                {k.lower(): v for k, v in request.headers.items()},
+            )
+        )
+        own[PREFIX + "Response-Signature"] = f"sig.{self.instance}.{name}"
+        try:
+            if self.faults.silent:
+                await asyncio.sleep(3_600)
+            if self.model:
+                return await self._stream(request, own)
+            await asyncio.sleep(0.02)
+            return web.Response(body=body[::-1] or b"empty", headers=own)
+        except (asyncio.CancelledError, ConnectionError):
+            self.left.append(name)
+            raise
+
+    async def _stream(
+        self, request: web.BaseRequest, own: dict[str, str]
+    ) -> web.StreamResponse:
+        after = int(request.headers.get("Last-Event-Id", "0"))
+        response = web.StreamResponse(headers=own)
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(after + 1, self._events + 1):
+            if number - 1 == self.faults.cut_after:
+                await response.write(b"id: %d\nda" % number)
+                request.transport.abort()
+                return response
+            await response.write(b"id: %d\ndata: e%d\n\n" % (number, number))
+            await asyncio.sleep(self.event_gap_s)
+        await response.write_eof()
+        return response
+
+
+__all__ = ["Replica", "ReplicaFaults"]
