Tell each routed decision in bounded lines, and explain a request by its id

Cause: a caller's id stood in no line, a placement told nothing of what it was made from, and a log that nobody reads would have stopped the daemon. The first case on forged ids found a line break handed through.

--- /dev/null
+++ b/src/godwittack/command/explain.py
@@ -0,0 +1,86 @@
+"""`godwittack explain`: tells one request's story from log lines."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import sys
+from typing import TYPE_CHECKING, Annotated
+
+import cyclopts
+
+from godwittack.command import codes, parser
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+PAIR = re.compile(r'(\w+)=("[^"]*"|\S*)')
+REQUEST = "request"
+# Belief lines that concern a server, told beside a request that used it.
+SERVER_EVENTS = frozenset(
+    {"server_ejected", "server_gone", "server_leaving", "server_state"}
+)
+
+
+@parser.app.command
+def explain(
+    request_id: Annotated[
+        str, cyclopts.Parameter(help="id that the caller sent")
+    ],
+    /,
+    *logs: Annotated[
+        str, cyclopts.Parameter(help="log files; standard input if none")
+    ],
+) -> int:
+    """Prints what happened to one request, in order, over all daemons."""
+    told = sorted(_story(request_id, list(_lines(logs))))
+    if not told:
+        print(
+            f"{request_id}: no line of these logs names it; it may have reached"
+            " another daemon, or been left out under load (see"
+            " event=log_lines_left_out)",
+            file=sys.stderr,
+        )
+        return codes.BAD_INPUT
+    for _, line in told:
+        print(line)
+    return codes.OK
+
+
+def _lines(logs: tuple[str, ...]) -> Iterator[tuple[str, str]]:
+    """Yields the log's name and each line."""
+    if not logs:
+        yield from (("", line.rstrip("\n")) for line in sys.stdin)
+    for name in logs:
+        path = pathlib.Path(name)
+        with path.open(encoding="utf-8", errors="replace") as opened:
+            yield from ((path.stem, line.rstrip("\n")) for line in opened)
+
+
+def _story(
+    request_id: str, lines: Iterable[tuple[str, str]]
+) -> list[tuple[str, str]]:
+    """Returns the lines of a request, and of the servers that it used."""
+    own: list[tuple[str, str]] = []
+    others: list[tuple[str, str, str]] = []
+    servers: set[str] = set()
+    for source, line in lines:
+        pairs = dict(PAIR.findall(line))
+        shown = f"{source}: {line}" if source else line
+        if pairs.get(REQUEST, "").strip('"').partition("~")[0] == request_id:
+            own.append((pairs.get("time", ""), shown))
+            servers.add(pairs.get("server", ""))
+        elif pairs.get("event") in SERVER_EVENTS:
+            others.append((pairs.get("time", ""), pairs["server"], shown))
+    if not own:
+        return []
+    begin, end = min(own)[0], max(own)[0]
+    told = [
+        (time, shown)
+        for time, server, shown in others
+        if server in servers - {""} and begin <= time <= end
+    ]
+    return own + told
+
+
+__all__ = ["explain"]
--- a/src/godwittack/command/parser.py
+++ b/src/godwittack/command/parser.py
@@ -24,6 +24,7 @@
     from godwittack.command import (  # noqa: F401
         check,
         diff,
+        explain,
         export,
         history,
         import_,
--- a/src/godwittack/command/serve.py
+++ b/src/godwittack/command/serve.py
@@ -38,16 +38,20 @@
     # Without this absl complains of flags, which this program does not use.
     flags.FLAGS.mark_as_parsed()
     logging.set_verbosity(logging.INFO)
+    if on_platform:
+        from godwittack.daemon import edge, logs
+
+        writer = logs.install()
+        try:
+            asyncio.run(edge.serve(loaded.ok_value, write_line=writer.tell))
+        finally:
+            writer.close()
+        return codes.OK
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(check.log_formatter())
-    if on_platform:
-        from godwittack.daemon import edge
-
-        asyncio.run(edge.serve(loaded.ok_value))
-    else:
-        from godwittack.daemon import serve as daemon
+    from godwittack.daemon import serve as daemon
 
-        asyncio.run(daemon.serve(loaded.ok_value))
+    asyncio.run(daemon.serve(loaded.ok_value))
     return codes.OK
 
 
--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -204,6 +204,7 @@
     detail: str,
     retry_after_ms: int = 0,
     workspace: str = "",
+    **inputs_told: str | int,
 ) -> None:
     """Refuses a request that never got a row."""
     world.emit(
@@ -222,6 +223,7 @@
         workspace=workspace,
         reason=reason.value,
         outcome=effects.Outcome.NOT_RUN.value,
+        **inputs_told,
     )
 
 
@@ -236,6 +238,10 @@
         reason=refusal.reason,
         detail=refusal.detail,
         retry_after_ms=refusal.retry_after_ms,
+        http_status=refusal.status,
+        why=refusal.detail,
+        table=world.table.version,
+        keys_good_for_ms=world.right_until_ms - world.now_ms,
     )
 
 
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -49,10 +49,31 @@
             target=request.work.target,
             reason=reason.value,
             outcome=outcome.value,
+            **_refusal_inputs(world, request, status, detail),
         )
     leave(world, request)
 
 
+def _refusal_inputs(
+    world: entities.World,
+    request: entities.RequestRow,
+    status: int,
+    detail: str,
+) -> dict[str, str | int]:
+    """Returns what a refusal of a routed request was decided from."""
+    if request.work.route is None:
+        return {}
+    return {
+        "status": status,
+        "detail": detail,
+        "route": request.work.route.name,
+        "table": world.table.version,
+        "waited_ms": world.now_ms - request.arrived_at_ms,
+        "attempts": request.attempts,
+        "may_have_run": int(request.sent),
+    }
+
+
 def reply(world: entities.World, request: entities.RequestRow) -> None:
     """Hands a whole answer to the caller and ends the request."""
     assert request.answer is not None
@@ -84,6 +105,11 @@
         late=int(request.late),
         attempts=request.attempts,
         replayed=int(replayed),
+        **(
+            {"status": request.answer.status}
+            if request.work.route is not None and request.answer is not None
+            else {}
+        ),
     )
     attempt = world.attempts.get(request.attempt_id)
     if attempt:
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -54,6 +54,14 @@
         )
         return
     request.phase = entities.Phase.QUEUED
+    if request.work.route is not None:
+        world.event(
+            "queued",
+            request.request_id,
+            target=request.work.target,
+            wait_ms=round(choice.wait_ms),
+            before=len(queue),
+        )
     queue.push(
         request_id=request.request_id,
         workspace=request.workspace,
@@ -96,6 +104,8 @@
         )
     if request.work.route is not None and request.work.levels:
         _count_prompt(world, request, choice, keys)
+    if request.work.route is not None:
+        _tell_placed(world, request, choice, attempt_id)
     world.emit(
         effects.Dispatch(
             request_id=request.request_id,
@@ -119,6 +129,36 @@
     )
 
 
+def _tell_placed(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+    attempt_id: str,
+) -> None:
+    """Tells what a choice was made from, and how old that was."""
+    assert request.work.route is not None
+    server = choice.server
+    world.event(
+        "placed",
+        request.request_id,
+        workspace=request.workspace,
+        route=request.work.route.name,
+        table=world.table.version,
+        keys_good_for_ms=world.right_until_ms - world.now_ms,
+        attempt=attempt_id,
+        server=server.server_id,
+        weights=server.weights_version,
+        waited_ms=world.now_ms - request.arrived_at_ms,
+        wait_ms=round(choice.wait_ms),
+        compute_tokens=round(choice.uncached_tokens),
+        copy_from=choice.fetch_from,
+        load_age_ms=world.now_ms - server.reported_at_ms
+        if server.reported_at_ms >= 0
+        else -1,
+        after=request.next_frame - 1,
+    )
+
+
 def _cached_keys(
     request: entities.RequestRow, server: entities.ServerRow
 ) -> tuple[int, ...]:
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -24,6 +24,7 @@
     news,
     observer,
     runtime,
+    stories,
     watch,
 )
 from godwittack.entry import directory, forward
@@ -68,9 +69,18 @@
     """One daemon process on the platform."""
 
     def __init__(
-        self, loaded: configs.Loaded, session: aiohttp.ClientSession
+        self,
+        loaded: configs.Loaded,
+        session: aiohttp.ClientSession,
+        write_line: Callable[[str], None],
     ) -> None:
-        """Wires the parts; nothing runs yet."""
+        """Wires the parts; nothing runs yet.
+
+        Args:
+            loaded: Settings.
+            session: For calls to the store.
+            write_line: Writes a log line without waiting.
+        """
         self._settings = settings = loaded.settings
         self._clock = clock = SystemClock()
         self._rng = rng = random.Random(secrets.randbits(64))
@@ -104,7 +114,9 @@
             backend_client=backend,
             claims=None,
             observe=observer.EventObserver(
-                counts=counts, measures=self._meters
+                counts=counts,
+                measures=self._meters,
+                told=stories.Stories(write=write_line, now_ms=clock.now_ms),
             ),
             clock=clock,
         )
@@ -408,12 +420,14 @@
         return len(self.runtime.core.world.requests)
 
 
-async def serve(loaded: configs.Loaded) -> None:
+async def serve(
+    loaded: configs.Loaded, *, write_line: Callable[[str], None]
+) -> None:
     """Runs a daemon until it is stopped."""
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(keepalive_timeout=30)
     ) as session:
-        await EdgeDaemon(loaded, session).run()
+        await EdgeDaemon(loaded, session, write_line).run()
 
 
 async def _run(work: Coroutine[object, object, None]) -> None:
--- /dev/null
+++ b/src/godwittack/daemon/logs.py
@@ -0,0 +1,133 @@
+"""Writes log lines without ever waiting for whoever reads them."""
+
+from __future__ import annotations
+
+import collections
+import logging
+import sys
+import threading
+import time
+from typing import IO
+
+# Lines that wait for a slow reader; about half a megabyte.
+MOST_WAITING = 4_000
+# How often the number of lines left out is told.
+TELL_DROPPED_S = 5.0
+
+
+class LineWriter:
+    """Hands lines to a thread of its own, which may block.
+
+    A terminal or pipe that nobody reads would stop the whole daemon at its
+    next line. Lines beyond what may wait are counted and left out instead.
+    """
+
+    def __init__(self, out: IO[str], *, most: int = MOST_WAITING) -> None:
+        """Writes to `out`; at most `most` lines wait."""
+        self.dropped = 0
+        self._out = out
+        self._most = most
+        self._lines: collections.deque[str] = collections.deque()
+        self._wake = threading.Event()
+        self._told_at_s = 0.0
+        self._told = 0
+        self._closing = False
+        self._thread = threading.Thread(
+            target=self._run, name="log-writer", daemon=True
+        )
+        self._thread.start()
+
+    def write(self, line: str) -> None:
+        """Adds a line, or counts it as left out."""
+        if len(self._lines) >= self._most:
+            self.dropped += 1
+            return
+        self._lines.append(line)
+        if not self._wake.is_set():
+            self._wake.set()
+
+    def tell(self, text: str) -> None:
+        """Adds a line with the present time before it."""
+        self.write(f"{stamp(time.time())} level=INFO {text}")
+
+    def close(self, *, wait_s: float = 0.5) -> None:
+        """Writes what waits, for as long as the reader allows."""
+        self._closing = True
+        self._wake.set()
+        self._thread.join(wait_s)
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            while self._lines:
+                some: list[str] = []
+                while self._lines and len(some) < 200:
+                    some.append(self._lines.popleft())
+                self._tell_dropped(some)
+                try:
+                    self._out.write("\n".join(some) + "\n")
+                    self._out.flush()
+                except (OSError, ValueError):
+                    # The reader is gone: there is nobody left to tell.
+                    self.dropped += len(some)
+            if self._closing:
+                return
+
+    def _tell_dropped(self, some: list[str]) -> None:
+        now_s = time.monotonic()
+        if self.dropped == self._told or (
+            now_s - self._told_at_s < TELL_DROPPED_S
+        ):
+            return
+        some.append(
+            f"{stamp(time.time())} level=WARNING event=log_lines_left_out"
+            f" count={self.dropped - self._told}"
+        )
+        self._told, self._told_at_s = self.dropped, now_s
+
+
+class LineHandler(logging.Handler):
+    """Hands records of `logging` to a writer."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        """Writes through `writer`."""
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record; a trace of an error stays on its line."""
+        text = record.getMessage()
+        if record.exc_info and record.exc_info[1] is not None:
+            trace = self.formatException(record)
+            text = f"{text} trace={trace!r}"
+        self._writer.write(
+            f"{stamp(record.created)} level={record.levelname} {text}"
+        )
+
+    @staticmethod
+    def formatException(record: logging.LogRecord) -> str:  # noqa: N802
+        """Returns a record's trace as one text."""
+        assert record.exc_info is not None
+        return logging.Formatter().formatException(record.exc_info)
+
+
+def stamp(seconds: float) -> str:
+    """Returns the time field of a line."""
+    whole = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(seconds))
+    return f"time={whole}.{int(seconds % 1 * 1000):03d}"
+
+
+def install() -> LineWriter:
+    """Sends all lines of `logging` to standard output by a writer."""
+    writer = LineWriter(sys.stdout)
+    root = logging.getLogger()
+    root.handlers[:] = [LineHandler(writer)]
+    root.setLevel(logging.INFO)
+    absl = logging.getLogger("absl")
+    absl.handlers.clear()
+    absl.propagate = True
+    return writer
+
+
+__all__ = ["LineHandler", "LineWriter", "install", "stamp"]
--- a/src/godwittack/daemon/observer.py
+++ b/src/godwittack/daemon/observer.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from godwittack.core import effects
+    from godwittack.daemon import stories
     from godwittack.metric import meters
     from godwittack.report import ledger
 
@@ -23,24 +24,38 @@
     """Logs, counts and measures events."""
 
     def __init__(
-        self, *, counts: ledger.Ledger, measures: meters.Meters
+        self,
+        *,
+        counts: ledger.Ledger,
+        measures: meters.Meters,
+        told: stories.Stories | None = None,
     ) -> None:
-        """Counts in `counts` and measures in `measures`."""
+        """Counts in `counts` and measures in `measures`.
+
+        Args:
+            counts: What reports are made of.
+            measures: What metrics are made of.
+            told: Keeps the volume of lines bounded; None for all lines.
+        """
         self._counts = counts
         self._measures = measures
+        self._told = told
 
     def event(self, event: effects.Event) -> None:
         """Takes in one event."""
         self._counts.event(event)
         self._measures.event(event)
-        logging.info("%s", line(event))
+        if self._told is None:
+            logging.info("%s", line(event))
+        else:
+            self._told.tell(event, line(event))
 
 
 def line(event: effects.Event) -> str:
     """Returns an event as one line of key=value pairs."""
     parts = [f"event={event.name}"]
     if event.request_id:
-        parts.append(f"request={event.request_id}")
+        parts.append(f"request={_quoted(event.request_id)}")
     parts.extend(f"{f.key}={_quoted(f.value)}" for f in event.fields)
     return " ".join(parts)
 
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -139,6 +139,19 @@
             submit=self.submit,
             clock=self.clock,
         )
+        if not effect.deadline_ms:
+            # Of requests by routes the core tells more where it decides.
+            self._tell_dispatched(effect)
+        task = asyncio.create_task(
+            self._backend.send(effect, waiting.call, sink)
+        )
+        self._attempts[effect.attempt_id] = task
+        self._addresses[effect.attempt_id] = effect.address
+        task.add_done_callback(
+            lambda done: self._attempt_done(effect.attempt_id, done)
+        )
+
+    def _tell_dispatched(self, effect: effects.Dispatch) -> None:
         self._observe.event(
             effects.Event(
                 "dispatched",
@@ -150,14 +163,6 @@
                 ),
             )
         )
-        task = asyncio.create_task(
-            self._backend.send(effect, waiting.call, sink)
-        )
-        self._attempts[effect.attempt_id] = task
-        self._addresses[effect.attempt_id] = effect.address
-        task.add_done_callback(
-            lambda done: self._attempt_done(effect.attempt_id, done)
-        )
 
     def _attempt_done(self, attempt_id: str, done: asyncio.Task[None]) -> None:
         self._attempts.pop(attempt_id, None)
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -14,6 +14,7 @@
     "following",
     "freshness",
     "adapter",
+    "logs",
 )
 
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -76,3 +76,10 @@
       | freshness | a gap in the list's changes is seen |
       | freshness | entries that lapse in an outage are kept for a while |
       | freshness | a leaving server is told by readers at once |
+
+    Examples: log lines
+      | group | case |
+      | logs | a flood is bounded and tells whole stories |
+      | logs | a reader that stops holds nothing up |
+      | logs | a failed request is explained by its id |
+      | logs | a value from outside forges no line |
