Name a source of cached state also for what a server may have lost

Change: levels count as copyable once they are computed; a source is named for levels believed to be held as well, which costs nothing while they are.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -13,6 +13,9 @@
 # Part of a less urgent backlog that a request waits for all the same: engines
 # compute prompts in pieces, and the piece under way ends first.
 LESS_URGENT_PART = 0.1
+# Added to the estimate of when a prompt is computed: one piece of 2,048 tokens
+# and the step that it shares with running requests.
+READY_MARGIN_MS = 20
 
 
 def add(
@@ -44,21 +47,41 @@
     return total
 
 
+def note_cached(
+    world: entities.World,
+    server: entities.ServerRow,
+    keys: tuple[int, ...],
+    *,
+    priority: int,
+) -> None:
+    """Remembers what a server will hold once it has computed its backlog.
+
+    Until then no other server can copy it: a copy asked for too soon finds
+    nothing, and the same levels are computed a second time.
+    """
+    ready_ms = max(float(world.now_ms), server.backlog.get(priority, 0.0))
+    for key in keys:
+        known_ms = server.cache.seen_ms(key)
+        if known_ms is not None and known_ms <= world.now_ms:
+            at_ms = world.now_ms
+        else:
+            at_ms = round(ready_ms + READY_MARGIN_MS)
+        server.cache.note(key, now_ms=at_ms, limit=world.policy.max_residency)
+
+
 def peer_dispatched(world: entities.World, told: inputs.PeerDispatched) -> None:
     """Takes in what another daemon sent to a server."""
     server = world.servers.get(told.server_id)
     if server is None:
         return
     add(world, server, tokens=told.tokens, priority=told.priority)
-    for key in told.levels:
-        server.cache.note(
-            key, now_ms=world.now_ms, limit=world.policy.max_residency
-        )
+    note_cached(world, server, told.levels, priority=told.priority)
 
 
 __all__ = [
     "ANNOUNCE_TOKENS",
     "add",
+    "note_cached",
     "peer_dispatched",
     "wait_ms",
 ]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -98,11 +98,12 @@
     if server.ejected_until_ms:
         server.trial_attempt = attempt_id
     keys = _cached_keys(request, server)
-    for key in keys:
-        server.cache.note(
-            key, now_ms=world.now_ms, limit=world.policy.max_residency
-        )
-    if request.work.route is not None and request.work.levels:
+    if request.work.route is None:
+        for key in keys:
+            server.cache.note(
+                key, now_ms=world.now_ms, limit=world.policy.max_residency
+            )
+    elif keys:
         _count_prompt(world, request, choice, keys)
     if request.work.route is not None:
         _tell_placed(world, request, choice, attempt_id)
@@ -124,7 +125,9 @@
             deadline_ms=_time_left_ms(world, request),
             cache_scope=kvreuse.scope(world, request, server),
             kv_fetch_from=choice.fetch_from,
-            kv_save_to=kvreuse.save_to(world, request, server),
+            kv_save_to=kvreuse.save_to(
+                world, request, server, ready_in_ms=choice.first_token_ms
+            ),
         )
     )
 
@@ -181,6 +184,7 @@
     priority = routing.priority(world, request)
     tokens = round(choice.uncached_tokens)
     backlog.add(world, choice.server, tokens=tokens, priority=priority)
+    backlog.note_cached(world, choice.server, keys, priority=priority)
     if request.work.prompt_tokens >= backlog.ANNOUNCE_TOKENS:
         world.emit(
             effects.Announce(
--- a/src/godwittack/core/kvreuse.py
+++ b/src/godwittack/core/kvreuse.py
@@ -13,6 +13,9 @@
 # Shared prompt tokens from which a copy in a store is worth its transfer:
 # 1,000 take an engine 6.4 ms to compute.
 SAVE_TOKENS = 1_000
+# Time of a transfer of 13,000 tokens to a store in another failure domain,
+# behind one other.
+SAVE_MS = 130
 
 
 def scope(
@@ -38,11 +41,19 @@
     world: entities.World,
     request: entities.RequestRow,
     server: entities.ServerRow,
+    *,
+    ready_in_ms: float,
 ) -> str:
     """Returns the store that should keep a prompt's shared levels, if any.
 
     One that has them already is not given them again: its link carries one
     transfer at a time, and under load saving takes more of it than fetching.
+
+    Args:
+        world: The tables.
+        request: Whose prompt it is.
+        server: Where the prompt is computed.
+        ready_in_ms: Estimated time until it is.
     """
     version = server.weights_version
     shared = sum(level.tokens for level in request.work.levels[:-1])
@@ -60,7 +71,7 @@
     for level in request.work.levels[:-1]:
         store.cache.note(
             levels.versioned(level.key, version),
-            now_ms=world.now_ms,
+            now_ms=round(world.now_ms + ready_in_ms + SAVE_MS),
             limit=world.policy.max_residency,
         )
     return store.address
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -33,7 +33,7 @@
 # from what another server's cache holds.
 COPY_PRESSURE_US = 0.5
 # What a shared token that is computed again costs beside its time.
-REREAD_US = 13.0
+REREAD_US = 40.0
 # Advantage of the server that a prompt hashes to, where nobody holds any of
 # it: several daemons then bring it to one place.
 HOME_MS = 5.0
@@ -92,17 +92,56 @@
     return min(placed, key=lambda p: (p.cost, p.server.server_id))
 
 
+def spare_source(
+    world: entities.World, request: entities.RequestRow, placed: Placed
+) -> str:
+    """Returns the address of a source for what a server may have lost.
+
+    What a server is believed to hold may have been evicted a moment ago. A
+    source that is named costs nothing while the server still has it, and 1 ms
+    where the source has lost it as well; without one, all is computed again.
+    """
+    if placed.source is not None:
+        return placed.source.server.address
+    held = {
+        server.server_id: held_tokens(server, request, server.weights_version)
+        for server in _holders(world, request)
+    }
+    found = max(
+        _sources(world, request, placed.server, held),
+        key=lambda source: (source.tokens, -source.us_per_token),
+        default=None,
+    )
+    if found is None or found.tokens < COPY_TOKENS:
+        return ""
+    return found.server.address
+
+
 def held_tokens(
-    server: entities.ServerRow, request: entities.RequestRow, version: str
+    server: entities.ServerRow,
+    request: entities.RequestRow,
+    version: str,
+    *,
+    ready_by_ms: int | None = None,
 ) -> int:
     """Returns the leading tokens that a server is believed to hold.
 
     Engines reuse a prompt's levels without gaps only.
+
+    Args:
+        server: The server.
+        request: Whose prompt it is.
+        version: Weights by which the levels were computed.
+        ready_by_ms: Time by which they must be there; None counts those as
+            well that are still being computed.
     """
     total = 0
     for level in request.work.levels:
         key = levels.versioned(level.key, version)
-        if server.cache.seen_ms(key) is None:
+        seen_ms = server.cache.seen_ms(key)
+        if seen_ms is None:
+            break
+        if ready_by_ms is not None and seen_ms > ready_by_ms:
             break
         total += level.tokens
     return total
@@ -213,12 +252,17 @@
     held: dict[str, int],
 ) -> Iterable[Source]:
     version = server.weights_version
+    now_ms = world.now_ms
     for other in world.servers_by_target[request.work.target].values():
-        tokens = held.get(other.server_id, 0)
-        if tokens and other is not server and other.weights_version == version:
+        if other is server or other.weights_version != version:
+            continue
+        if not held.get(other.server_id):
+            continue
+        tokens = held_tokens(other, request, version, ready_by_ms=now_ms)
+        if tokens:
             yield Source(other, tokens, ENGINE_COPY_US * _far(server, other))
     for store in stores(world):
-        tokens = held_tokens(store, request, version)
+        tokens = held_tokens(store, request, version, ready_by_ms=now_ms)
         if tokens:
             yield Source(store, tokens, STORE_COPY_US * _far(server, store))
 
@@ -242,5 +286,6 @@
     "Source",
     "choose",
     "held_tokens",
+    "spare_source",
     "stores",
 ]
