Ask silent servers for a sign of life, and load one at a time under pressure

Cause: a server that goes dark under load keeps its connections open; daemons learned of it by a silence of 2 s before the first event, each for itself.

Change: core/doubt.py asks after 300 ms without a word, tells the other daemons, which ask for themselves, and moves what may be repeated; a roll-out takes one server at a time while prompts wait.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -30,6 +30,7 @@
         return
     request, attempt = found
     attempt.heard_at_ms = world.now_ms
+    servers.heard(world, attempt.server_id)
     if _echo_holds(world, request, attempt, told.echoed_request, told.stamp):
         attempt.opened = True
         if request.head is None:
@@ -45,6 +46,7 @@
     if not attempt.opened:
         return
     attempt.heard_at_ms = world.now_ms
+    servers.heard(world, attempt.server_id)
     fresh, gap = _in_order(request, told.frames)
     if fresh:
         _hand_on(world, request, attempt, fresh)
@@ -74,6 +76,7 @@
     ):
         return
     servers.worked(world, attempt)
+    servers.heard(world, attempt.server_id)
     closing.learn_service_time(
         world, request.work.target, world.now_ms - attempt.sent_at_ms
     )
--- /dev/null
+++ b/src/godwittack/core/doubt.py
@@ -0,0 +1,97 @@
+"""Notices servers that fell silent, long before a request's time is over.
+
+Load pattern: a server goes dark under full load. Its connections stay open and
+say nothing, and it is listed until its entry lapses, some four seconds later.
+Every daemon would learn of it by requests that it loses there.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import attempts, closing, effects, servers
+
+if TYPE_CHECKING:
+    from godwittack.core import entities, inputs
+
+# Silence of a server that has requests of ours, after which it is asked for a
+# sign of life. A long prompt takes some 300 ms in which nothing is sent, and
+# the question costs a busy server nothing.
+SILENT_MS = 300
+# Pause between two questions.
+ASK_AGAIN_MS = 600
+
+
+def check(world: entities.World) -> None:
+    """Asks servers that owe an answer and say nothing."""
+    if world.table.forwarding is None:
+        return
+    for server in world.servers.values():
+        if server.sent and _is_silent(world, server):
+            ask(world, server)
+
+
+def ask(world: entities.World, server: entities.ServerRow) -> None:
+    """Asks a server for a sign of life, unless it was asked just now."""
+    if world.now_ms - server.asked_at_ms < ASK_AGAIN_MS:
+        return
+    server.asked_at_ms = world.now_ms
+    world.emit(effects.Probe(server.server_id, server.address))
+
+
+def told(world: entities.World, doubted: inputs.ServerDoubted) -> None:
+    """Takes in that a server did not answer another daemon.
+
+    Believed at once, one daemon with a broken path would take every server
+    from all others; so each asks for itself.
+    """
+    server = world.servers.get(doubted.server_id)
+    if server is not None and server.ejected_until_ms <= world.now_ms:
+        ask(world, server)
+
+
+def probed(world: entities.World, answered: inputs.ProbeAnswered) -> None:
+    """Takes in whether a server gave a sign of life."""
+    server = world.servers.get(answered.server_id)
+    if server is None:
+        return
+    if answered.alive and not server.ejected_until_ms:
+        server.heard_at_ms = world.now_ms
+        return
+    was_trusted = not server.ejected_until_ms
+    servers.probed(world, answered)
+    if answered.alive or world.table.forwarding is None:
+        return
+    if was_trusted:
+        world.emit(effects.Doubt(server.server_id, server.target))
+    _move_away(world, server)
+
+
+def _is_silent(world: entities.World, server: entities.ServerRow) -> bool:
+    if server.ejected_until_ms > world.now_ms:
+        return False
+    oldest_ms = min(attempt.heard_at_ms for attempt in server.sent.values())
+    since_ms = max(oldest_ms, server.heard_at_ms)
+    return world.now_ms - since_ms >= SILENT_MS
+
+
+def _move_away(world: entities.World, server: entities.ServerRow) -> None:
+    """Lets other servers do what a dead one was asked and may be repeated."""
+    for attempt in list(server.sent.values()):
+        request = world.requests.get(attempt.request_id)
+        if request is None or request.work.route is None:
+            continue
+        if request.at_most_once or request.attempt_id != attempt.attempt_id:
+            continue
+        world.emit(effects.CancelAttempt(attempt.attempt_id, False))
+        request.sent = True
+        request.runs += 1
+        detail = "its server gave no sign of life"
+        if request.begun:
+            attempts.resume_or_break(world, request, attempt, detail)
+        else:
+            closing.close_attempt(world, attempt.attempt_id)
+            attempts.retry(world, request, attempt, detail)
+
+
+__all__ = ["ask", "check", "probed", "told"]
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -219,6 +219,14 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Doubt:
+    """Tells other daemons that a server gave no sign of life."""
+
+    server_id: str
+    target: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Field:
     """One key=value pair of a log line."""
@@ -267,6 +275,7 @@
     | WriteClaim
     | StoreOutcome
     | Probe
+    | Doubt
     | Event
     | Forget
     | Stopped
@@ -278,6 +287,7 @@
     "BreakStream",
     "CancelAttempt",
     "Dispatch",
+    "Doubt",
     "Effect",
     "EndStream",
     "Event",
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -212,6 +212,14 @@
     server_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerDoubted:
+    """A backend server gave another daemon no sign of life."""
+
+    at_ms: int
+    server_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerDraining:
     """The lead of a model takes a server out of service for a while."""
@@ -383,6 +391,7 @@
     | ClaimAnswered
     | OutcomeStored
     | TableChanged
+    | ServerDoubted
     | ServerDraining
     | ServerLeaving
     | ServerListed
@@ -419,6 +428,7 @@
     "ProbeAnswered",
     "RequestArrived",
     "RightToServe",
+    "ServerDoubted",
     "ServerDraining",
     "ServerLeaving",
     "ServerListed",
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -10,6 +10,7 @@
     backlog,
     claims,
     dispatching,
+    doubt,
     effects,
     entities,
     inputs,
@@ -113,7 +114,9 @@
             case inputs.ServerLeaving():
                 servers.leaving_told(world, told)
             case inputs.ProbeAnswered():
-                servers.probed(world, told)
+                doubt.probed(world, told)
+            case inputs.ServerDoubted():
+                doubt.told(world, told)
             case _:
                 self._handle_control(told)
 
@@ -150,6 +153,7 @@
         world.shares.measure(world.now_ms)
         outcomes.retry_due(world)
         attempts.reply_unstored(world)
+        doubt.check(world)
         silence.check(world)
         silence.give_up(world)
         servers.probe_ejected(world)
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -124,6 +124,7 @@
     if server is None:
         return
     server.reported_at_ms = told.at_ms
+    server.heard_at_ms = max(server.heard_at_ms, told.at_ms)
     server.running = told.running
     server.waiting = told.waiting
     server.slots = told.slots or server.slots
@@ -148,6 +149,13 @@
         cache.note(key, now_ms=world.now_ms, limit=world.policy.max_residency)
 
 
+def heard(world: entities.World, server_id: str) -> None:
+    """Notes that a server said something."""
+    server = world.servers.get(server_id)
+    if server is not None:
+        server.heard_at_ms = world.now_ms
+
+
 def probed(world: entities.World, told: inputs.ProbeAnswered) -> None:
     """Takes in whether a fresh connection to a server worked."""
     server = world.servers.get(told.server_id)
@@ -300,6 +308,7 @@
     "digest",
     "draining_told",
     "failed",
+    "heard",
     "leaving_told",
     "load_echoed",
     "listed",
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -155,6 +155,7 @@
             mesh_limit=settings.mesh_limit,
         )
         self.runtime.on_announce = self._news.publish_dispatched
+        self.runtime.on_doubt = self._news.publish_doubt
         self._gossiper = gossip.Gossiper(
             members=members,
             runtime=self.runtime,
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import inputs
+from godwittack.core import backlog, inputs
 from godwittack.daemon import news as newses
 from godwittack.daemon import watch
 from godwittack.lead import lease as leases
@@ -32,6 +32,10 @@
 PATIENCE_MS = 2_000
 # Between two looks at a server that loads weights: a load takes about 1.1 s.
 LOAD_LOOK_MS = 120
+# Mean wait at the servers from which only one at a time is taken out of
+# service: a third of the time in which a short answer is wanted.
+PRESSED_MS = 80
+LEAST_URGENT = 9
 STATUS_OLD_FENCING = 412
 
 
@@ -99,6 +103,7 @@
             wanted=wanted,
             replicas=self._replicas(model),
             now_ms=self._core.clock.now_ms(),
+            is_pressed=self._is_pressed(model),
         )
         self._drain(led, model, decision.draining)
         for server_id in decision.load:
@@ -165,17 +170,30 @@
         return _Led(lease, rollout.Rollout(self._rollout_policy))
 
     def _replicas(self, model: str) -> list[rollout.Replica]:
-        servers = self._core.core.world.servers_by_target[model].values()
+        world = self._core.core.world
+        servers = world.servers_by_target[model].values()
         return [
             rollout.Replica(
                 server_id=row.server_id,
                 weights_version=row.weights_version,
                 busy=row.running + row.waiting + len(row.sent),
+                is_reachable=row.ejected_until_ms <= world.now_ms,
             )
             for row in servers
             if row.incarnation and not row.leaving
         ]
 
+    def _is_pressed(self, model: str) -> bool:
+        """Returns whether prompts wait at the servers that can take them."""
+        world = self._core.core.world
+        waits = [
+            backlog.wait_ms(world, row, priority=LEAST_URGENT)
+            for row in world.servers_by_target[model].values()
+            if not row.leaving
+            and max(row.ejected_until_ms, row.draining_until_ms) <= world.now_ms
+        ]
+        return bool(waits) and sum(waits) / len(waits) > PRESSED_MS
+
     def _may_send(self, led: _Led, server: entities.ServerRow) -> bool:
         """Returns whether an order may go out at this moment."""
         if self._checks_fencing(server.server_id):
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -155,6 +155,12 @@
         """Allows a server's leaving to be told anew."""
         self._known_leaving.discard(server_id)
 
+    def publish_doubt(self, doubted: effects.Doubt) -> None:
+        """Has the daemons that serve a target ask a server for themselves."""
+        for outbox in self._outboxes_of(self.audience(doubted.target)):
+            outbox.pending.doubted.add(doubted.server_id)
+            outbox.wake()
+
     def publish_draining(self, server_id: str, target: str) -> None:
         """Tells the daemons that serve a model; lapses unless told again."""
         for outbox in self._outboxes_of(self.audience(target)):
@@ -204,6 +210,8 @@
         for server_id in told.draining_servers:
             until_ms = now_ms + DRAIN_MS
             submit(inputs.ServerDraining(now_ms, server_id, until_ms))
+        for server_id in told.doubted_servers:
+            submit(inputs.ServerDoubted(now_ms, server_id))
         for server_id in told.leaving_servers:
             submit(inputs.ServerLeaving(now_ms, server_id))
         if told.has_demands and sender_id:
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -47,6 +47,7 @@
         self.stopped = asyncio.Event()
         self.recorder: record.Recorder | None = None
         self.on_announce: Callable[[effects.Announce], None] = lambda sent: None
+        self.on_doubt: Callable[[effects.Doubt], None] = lambda doubted: None
         self._backend = backend_client
         self._claims = claims
         self._observe = observe
@@ -120,6 +121,8 @@
                 self._dispatch(effect)
             case effects.Announce():
                 self.on_announce(effect)
+            case effects.Doubt():
+                self.on_doubt(effect)
             case effects.CancelAttempt():
                 self._cancel(effect)
             case effects.WriteClaim():
@@ -220,7 +223,8 @@
             inputs.ProbeAnswered(
                 self.clock.now_ms(),
                 effect.server_id,
-                isinstance(got, Ok),
+                # Any answer is a sign of life, also a refusal.
+                isinstance(got, Ok) or got.err_value.status > 0,
             )
         )
 
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -47,11 +47,13 @@
 
     Attributes:
         busy: Requests running or waiting there.
+        is_reachable: Whether it answers; one that does not can't load.
     """
 
     server_id: str
     weights_version: str
     busy: int
+    is_reachable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,22 +89,40 @@
     _failures: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def decide(
-        self, *, wanted: str, replicas: Sequence[Replica], now_ms: int
+        self,
+        *,
+        wanted: str,
+        replicas: Sequence[Replica],
+        now_ms: int,
+        is_pressed: bool = False,
     ) -> Decision:
-        """Returns the servers to drain and to order."""
+        """Returns the servers to drain and to order.
+
+        Args:
+            wanted: Version to load.
+            replicas: All servers of the model.
+            now_ms: Time of the decision.
+            is_pressed: Whether requests wait at the servers already, so that
+                one at a time must do.
+        """
         known = {replica.server_id: replica for replica in replicas}
         for name in list(self._progress):
             self._finish(name, known.get(name), now_ms)
         behind = sorted(
-            (r for r in replicas if r.weights_version != wanted),
+            (
+                replica
+                for replica in replicas
+                if replica.weights_version != wanted and replica.is_reachable
+            ),
             key=lambda r: (
                 self._failures.get(r.server_id, 0),
                 r.busy,
                 r.server_id,
             ),
         )
+        room = 1 if is_pressed else self._room(len(replicas))
         for replica in behind:
-            if len(self._progress) >= self._room(len(replicas)):
+            if len(self._progress) >= room:
                 break
             if replica.server_id not in self._progress:
                 self._progress[replica.server_id] = _Progress(
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -23,6 +23,7 @@
         draining: Servers that get no work while they load weights.
         listed: Changed entries of the instance list by name, None for one
             that is no longer listed.
+        doubted: Servers that gave no sign of life.
         dispatched: Long prompts sent to servers.
         list_before: Version of the list before the entries; 0 where the list
             has none.
@@ -36,6 +37,7 @@
     digests: list[inputs.CacheDigest] = dataclasses.field(default_factory=list)
     leaving: set[str] = dataclasses.field(default_factory=set)
     draining: set[str] = dataclasses.field(default_factory=set)
+    doubted: set[str] = dataclasses.field(default_factory=set)
     listed: dict[str, platform.Instance | None] = dataclasses.field(
         default_factory=dict
     )
@@ -60,6 +62,7 @@
             digests=digests[-MAX_DIGESTS:],
             leaving=self.leaving | later.leaving,
             draining=self.draining | later.draining,
+            doubted=self.doubted | later.doubted,
             listed={**self.listed, **later.listed},
             list_before=self.list_before or later.list_before,
             list_version=later.list_version or self.list_version,
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -50,6 +50,7 @@
             digests=[self._digest(digest) for digest in told.digests],
             leaving_servers=sorted(told.leaving),
             draining_servers=sorted(told.draining),
+            doubted_servers=sorted(told.doubted),
             list_before=told.list_before,
             list_version=told.list_version,
             dispatched=[
