--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -119,11 +119,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvent:
-    """One entry of an engine's event stream; `sequence` counts up by one."""
+    """One entry of an engine's event stream; `sequence` counts up by one.
+
+    Attributes:
+        tokens: Tokens of the level that are stored now; 0 for all.
+    """
 
     sequence: int
     kind: CacheEventKind
     level_key: int
+    tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -280,6 +280,7 @@
         cleared: Whether the engine emptied its cache before these.
         stored: Level keys now cached.
         removed: Level keys evicted.
+        tokens: Tokens now stored of each in `stored`; empty for all of all.
     """
 
     at_ms: int
@@ -289,6 +290,7 @@
     cleared: bool
     stored: tuple[int, ...]
     removed: tuple[int, ...]
+    tokens: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -145,8 +145,14 @@
         cache.clear()
     for key in told.removed:
         cache.forget(key)
-    for key in told.stored:
-        cache.note(key, now_ms=world.now_ms, limit=world.policy.max_residency)
+    tokens = told.tokens or (0,) * len(told.stored)
+    for key, stored in zip(told.stored, tokens, strict=True):
+        cache.note(
+            key,
+            now_ms=world.now_ms,
+            limit=world.policy.max_residency,
+            tokens=stored,
+        )
 
 
 def heard(world: entities.World, server_id: str) -> None:
--- a/src/godwittack/daemon/digest.py
+++ b/src/godwittack/daemon/digest.py
@@ -40,27 +40,41 @@
             self.sequence = 0
         # A store that starts anew is empty, under the same name as before.
         cleared = bool(restarted and told.epoch)
-        held: collections.OrderedDict[int, bool] = collections.OrderedDict()
+        held: collections.OrderedDict[int, backend.CacheEvent] = (
+            collections.OrderedDict()
+        )
         before = self.sequence
         for event in self._fresh(told):
             if event.kind is backend.CacheEventKind.CLEARED:
                 cleared = True
                 held.clear()
             else:
-                held[event.level_key] = (
-                    event.kind is backend.CacheEventKind.STORED
-                )
+                held[event.level_key] = event
         self.sequence = max(self.sequence, told.next)
         if self.sequence == before and not cleared:
             return None
+        stored = [
+            event
+            for event in held.values()
+            if event.kind is backend.CacheEventKind.STORED
+        ]
         return inputs.CacheDigest(
             at_ms=now_ms,
             server_id=self._server_id,
             incarnation=told.incarnation,
             weights_version=told.weights_version,
             cleared=cleared,
-            stored=tuple(key for key, stored in held.items() if stored),
-            removed=tuple(key for key, stored in held.items() if not stored),
+            stored=tuple(event.level_key for event in stored),
+            removed=tuple(
+                key
+                for key, event in held.items()
+                if event.kind is backend.CacheEventKind.REMOVED
+            ),
+            tokens=(
+                tuple(event.tokens for event in stored)
+                if any(event.tokens for event in stored)
+                else ()
+            ),
         )
 
     def _fresh(self, told: backend.CacheEvents) -> Iterator[backend.CacheEvent]:
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -87,6 +87,7 @@
             stored=digest.stored,
             removed=digest.removed,
             cleared=digest.cleared,
+            tokens=digest.tokens,
         )
         self._name(message, digest)
         return message
@@ -166,6 +167,7 @@
                     cleared=digest.cleared,
                     stored=tuple(digest.stored),
                     removed=tuple(digest.removed),
+                    tokens=tuple(digest.tokens),
                 )
             )
         return found
--- a/src/godwittack/placement/residency.py
+++ b/src/godwittack/placement/residency.py
@@ -24,26 +24,51 @@
     _seen_ms: collections.OrderedDict[int, int] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    _tokens: dict[int, int] = dataclasses.field(default_factory=dict)
 
-    def note(self, key: int, *, now_ms: int, limit: int) -> None:
-        """Remembers that `key` was stored or used."""
+    def note(
+        self, key: int, *, now_ms: int, limit: int, tokens: int = 0
+    ) -> None:
+        """Remembers that `key` was stored or used.
+
+        Args:
+            key: Level key.
+            now_ms: Time of that.
+            limit: Keys remembered at most.
+            tokens: How many of its tokens are stored; 0 for all.
+        """
+        if tokens:
+            self._tokens[key] = tokens
+        else:
+            self._tokens.pop(key, None)
         self._seen_ms[key] = now_ms
         self._seen_ms.move_to_end(key)
         if len(self._seen_ms) > limit:
-            self._seen_ms.popitem(last=False)
+            old, _ = self._seen_ms.popitem(last=False)
+            self._tokens.pop(old, None)
 
     def forget(self, key: int) -> None:
         """Removes `key`, as after an eviction."""
         self._seen_ms.pop(key, None)
+        self._tokens.pop(key, None)
 
     def clear(self) -> None:
         """Drops everything, as after a crash."""
         self._seen_ms.clear()
+        self._tokens.clear()
 
     def seen_ms(self, key: int) -> int | None:
         """Returns when `key` was last known to be cached."""
         return self._seen_ms.get(key)
 
+    def tokens(self, key: int, *, whole: int) -> int:
+        """Returns how many tokens of a remembered level are stored.
+
+        Engines evict by blocks from a level's end, and store it piece by
+        piece: a level may be there in part.
+        """
+        return min(whole, self._tokens.get(key, whole))
+
     def __len__(self) -> int:
         """Returns how many keys are remembered."""
         return len(self._seen_ms)
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -140,15 +140,17 @@
         told = _Events.model_validate_json(body)
         events: list[protocol.CacheEvent] = []
         newest = ""
-        for number, sign, scope, level, tokens, _ in told.events:
+        for number, _, scope, level, tokens, _ in told.events:
             version, _, workspace = scope.removeprefix("v").partition("/")
-            stored = sign == "+" and tokens > 0
             kind = protocol.CacheEventKind
+            # After an eviction of some blocks the rest is still there.
+            what = kind.STORED if tokens > 0 else kind.REMOVED
             events.append(
                 protocol.CacheEvent(
                     number,
-                    kind.STORED if stored else kind.REMOVED,
+                    what,
                     levels.versioned(level_key(workspace, level), version),
+                    tokens,
                 )
             )
             newest = version
