--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
-    backlog,
     closing,
     dispatching,
     effects,
@@ -276,9 +275,6 @@
     attempt: entities.AttemptRow,
     fresh: tuple[work.Frame, ...],
 ) -> None:
-    server = world.servers.get(attempt.server_id)
-    if server is not None:
-        backlog.first_event(world, server, attempt)
     if not request.begun:
         _begin(world, request, attempt)
     request.resumes = 0
--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -16,13 +16,6 @@
 # Added to the estimate of when a prompt is computed: one piece of 2,048 tokens
 # and the step that it shares with running requests.
 READY_MARGIN_MS = 20
-# Time in which a lag that nothing confirms is half believed.
-LAG_HALF_LIFE_MS = 400
-# What is left of a known lag after a first event that came in time.
-IN_TIME_KEEPS = 0.7
-# Time to the first event of a prompt that is computed: the engine's own and
-# that of both ways.
-FIRST_EVENT_MS = 40
 
 
 def add(
@@ -51,40 +44,7 @@
     for other, ends_ms in server.backlog.items():
         left_ms = max(0.0, ends_ms - world.now_ms)
         total += left_ms if other <= priority else left_ms * LESS_URGENT_PART
-    return total + lag_ms(world, server, priority=priority)
-
-
-def lag_ms(
-    world: entities.World, server: entities.ServerRow, *, priority: int
-) -> float:
-    """Returns how far a server is behind what is expected of it.
-
-    What was sent says little of a server that is slower than others, or that
-    computes levels anew which it had lost. First events that are late, or
-    overdue, show it; without them daemons go on sending, and what waits there
-    can no longer be put in order.
-    """
-    value, at_ms = server.lag.get(priority, (0.0, 0))
-    lag = value * 0.5 ** ((world.now_ms - at_ms) / LAG_HALF_LIFE_MS)
-    for attempt in server.sent.values():
-        if attempt.priority == priority and attempt.expected_at_ms:
-            lag = max(lag, world.now_ms - attempt.expected_at_ms)
-    return lag
-
-
-def first_event(
-    world: entities.World,
-    server: entities.ServerRow,
-    attempt: entities.AttemptRow,
-) -> None:
-    """Takes in when the first event of an attempt came."""
-    if not attempt.expected_at_ms:
-        return
-    late_ms = max(0.0, world.now_ms - attempt.expected_at_ms)
-    attempt.expected_at_ms = 0.0
-    known = lag_ms(world, server, priority=attempt.priority)
-    lag = max(late_ms, known * IN_TIME_KEEPS)
-    server.lag[attempt.priority] = (lag, world.now_ms)
+    return total
 
 
 def note_cached(
@@ -120,10 +80,7 @@
 
 __all__ = [
     "ANNOUNCE_TOKENS",
-    "FIRST_EVENT_MS",
     "add",
-    "first_event",
-    "lag_ms",
     "note_cached",
     "peer_dispatched",
     "wait_ms",
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -145,23 +145,13 @@
     close_attempt(world, request.attempt_id)
     world.requests.pop(request.request_id, None)
     if request.phase is entities.Phase.QUEUED:
-        _leave_queue(world, request)
+        world.queues[request.work.target].drop(request.request_id)
     for cell in limited_cells(request):
         world.shares.ended(cell)
     world.freed_targets.add(request.work.target)
     world.emit(effects.Forget(request.request_id))
 
 
-def _leave_queue(world: entities.World, request: entities.RequestRow) -> None:
-    target = request.work.target
-    if request.work.route is None:
-        world.queues[target].drop(request.request_id)
-        return
-    for key, queue in world.timely.items():
-        if key[0] == target:
-            queue.drop(request.request_id)
-
-
 def limited_cells(request: entities.RequestRow) -> list[str]:
     """Returns the cells in which the request counts while it is in flight."""
     cells = [f"workspace/{request.workspace}"]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -7,7 +7,6 @@
     closing,
     effects,
     entities,
-    holding,
     kvreuse,
     outcomes,
     placing,
@@ -24,9 +23,6 @@
 
 def place(world: entities.World, request: entities.RequestRow) -> None:
     """Dispatches a request, holds it back, or refuses it at once."""
-    if request.work.route is not None:
-        holding.place(world, request)
-        return
     choice = placing.choose(world, request)
     if choice is None:
         _refuse_not_run(
@@ -58,6 +54,14 @@
         )
         return
     request.phase = entities.Phase.QUEUED
+    if request.work.route is not None:
+        world.event(
+            "queued",
+            request.request_id,
+            target=request.work.target,
+            wait_ms=round(choice.wait_ms),
+            before=len(queue),
+        )
     queue.push(
         request_id=request.request_id,
         workspace=request.workspace,
@@ -101,10 +105,6 @@
             )
     elif keys:
         _count_prompt(world, request, choice, keys)
-        attempt.priority = routing.priority(world, request)
-        attempt.expected_at_ms = (
-            world.now_ms + choice.first_token_ms + backlog.FIRST_EVENT_MS
-        )
     if request.work.route is not None:
         _tell_placed(world, request, choice, attempt_id)
     world.emit(
@@ -263,7 +263,6 @@
 def drain(world: entities.World) -> None:
     """Dispatches held-back requests while servers have room."""
     for target in sorted(world.freed_targets):
-        holding.drain(world, target)
         queue = world.queues.get(target)
         if queue is not None:
             _drain_queue(world, queue)
@@ -272,7 +271,6 @@
 
 def expire_queued(world: entities.World) -> None:
     """Refuses held-back requests that can no longer be in time."""
-    holding.expire(world)
     for target, queue in world.queues.items():
         world.freed_targets.add(target)
         for request_id in queue.request_ids():
@@ -389,7 +387,7 @@
     closing.refuse(
         world,
         request,
-        status=503,
+        status=_not_served_status(request, outcome),
         outcome=outcome,
         reason=reason,
         detail=detail,
@@ -397,6 +395,14 @@
     )
 
 
+def _not_served_status(
+    request: entities.RequestRow, outcome: effects.Outcome
+) -> int:
+    # To callers that come by a route, 503 alone says that nothing has run.
+    may_have_run = outcome is not effects.Outcome.NOT_RUN
+    return 502 if request.work.route and may_have_run else 503
+
+
 def _stamp(
     request: entities.RequestRow, server: entities.ServerRow
 ) -> work.Stamp | None:
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -9,7 +9,7 @@
 from godwittack.core import effects
 from godwittack.core import policy as policies
 from godwittack.core import work as works
-from godwittack.limit import budget, fair, shares, timely
+from godwittack.limit import budget, fair, shares
 from godwittack.placement import residency
 from godwittack.table import model
 
@@ -96,8 +96,6 @@
         stream_id: The engine's name of the stream; the first attempt's id.
         expected_tokens: Prompt tokens this daemon expects not to be cached.
         heard_at_ms: When the server last showed progress on this attempt.
-        expected_at_ms: When its first event was expected; 0 for never.
-        priority: Rank under which it was sent.
     """
 
     attempt_id: str
@@ -109,8 +107,6 @@
     heard_at_ms: int
     expected_tokens: int = 0
     opened: bool = False
-    expected_at_ms: float = 0.0
-    priority: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -127,8 +123,6 @@
         failures: Failures in a row.
         ejected_until_ms: No new work before this time.
         backlog: Until when it computes prompts, by their priority.
-        lag: How much later than expected first events came lately, with the
-            time of that, by priority.
         heard_at_ms: When it last said anything to this daemon.
         asked_at_ms: When it was last asked for a sign of life.
     """
@@ -149,7 +143,6 @@
     slots: int = 0
     sent: dict[str, AttemptRow] = dataclasses.field(default_factory=dict)
     backlog: dict[int, float] = dataclasses.field(default_factory=dict)
-    lag: dict[int, tuple[float, int]] = dataclasses.field(default_factory=dict)
     heard_at_ms: int = -1_000_000
     asked_at_ms: int = -1_000_000
     failures: int = 0
@@ -189,7 +182,6 @@
         most_daemons: Most of them that were ever believed alive at a time.
         target_budgets: Retry budgets by target, where the limit on retries
             holds for each target by itself.
-        timely: Routed requests held back, by target and priority.
         freed_targets: Targets whose queues may move after this input.
         service_ms: Smoothed time from dispatch to end, by target.
     """
@@ -207,9 +199,6 @@
     )
     outcomes: dict[str, OutcomeRow] = dataclasses.field(default_factory=dict)
     queues: dict[str, fair.FairQueue] = dataclasses.field(default_factory=dict)
-    timely: dict[tuple[str, int], timely.TimelyQueue] = dataclasses.field(
-        default_factory=dict
-    )
     shares: shares.Shares = dataclasses.field(default_factory=shares.Shares)
     retry_budget: budget.Budget = dataclasses.field(
         default_factory=budget.Budget
@@ -256,8 +245,7 @@
 
     def queued(self) -> int:
         """Returns how many requests are held back."""
-        held = sum(len(queue) for queue in self.queues.values())
-        return held + sum(len(queue) for queue in self.timely.values())
+        return sum(len(queue) for queue in self.queues.values())
 
 
 __all__ = [
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -22,8 +22,6 @@
 
 # Target under which stores of cached state are kept in the server tables.
 STORE_TARGET = "kv-store"
-# Prompt tokens from which a prompt is long: it fills a piece of its own.
-LONG_TOKENS = 2_048
 # Tokens that a copy must save at least; a source that lost them costs 1 ms.
 COPY_TOKENS = 500
 # Microseconds to copy a token of 18 KB: over an engine's link of 180 Gbit/s
@@ -212,27 +210,21 @@
 ) -> float:
     """Estimates how long a request waits at a server for its first turn."""
     wait = backlog.wait_ms(world, server, priority=rank)
-    busy = in_flight(world, server)
+    fresh = world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
+    in_flight = len(server.sent)
+    if fresh and server.reported_at_ms >= 0:
+        since = sum(
+            1
+            for attempt in server.sent.values()
+            if attempt.sent_at_ms > server.reported_at_ms
+        )
+        in_flight = max(in_flight, server.running + server.waiting + since)
     slots = server.slots or world.policy.slots
-    if busy >= slots:
+    if in_flight >= slots:
         turn_ms = world.service_ms.get(server.target, 0.0) / slots
-        wait += (busy - slots + 1) * turn_ms
+        wait += (in_flight - slots + 1) * turn_ms
     # Every request in a batch makes each of its steps a little longer.
-    return wait + busy * BATCH_MS
-
-
-def in_flight(world: entities.World, server: entities.ServerRow) -> int:
-    """Estimates the requests at a server, those of other daemons as well."""
-    own = len(server.sent)
-    fresh = world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
-    if not fresh or server.reported_at_ms < 0:
-        return own
-    since = sum(
-        1
-        for attempt in server.sent.values()
-        if attempt.sent_at_ms > server.reported_at_ms
-    )
-    return max(own, server.running + server.waiting + since)
+    return wait + in_flight * BATCH_MS
 
 
 def _best_source(
@@ -292,13 +284,11 @@
 
 
 __all__ = [
-    "LONG_TOKENS",
     "STORE_TARGET",
     "Placed",
     "Source",
     "choose",
     "held_tokens",
-    "in_flight",
     "spare_source",
     "stores",
 ]
