Name a store for every long shared prompt, and doubt engines as sources

Change: the cost of a copy from an engine grows with the time since it used the prompt; where no holder is believed, the nearest store is named all the same, which costs 1 ms where it has nothing.

Cases in tests/cases/sourcing.py, of a dark server in tests/cases/routed.py.

--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -29,6 +29,11 @@
 ENGINE_COPY_US = 0.82
 STORE_COPY_US = 2.4
 FAR_FACTOR = 2.0
+# Time after its last use in which an engine under load has evicted a prompt:
+# 185,000 tokens of memory at some 60,000 tokens computed a second.
+EVICTED_AFTER_MS = 3_000
+# Cost of a copied token whose source has surely lost it.
+EVICTED_US = 6.4
 # What else a copied token costs, in microseconds: the memory that it takes
 # from what another server's cache holds.
 COPY_PRESSURE_US = 0.5
@@ -112,9 +117,30 @@
         key=lambda source: (source.tokens, -source.us_per_token),
         default=None,
     )
-    if found is None or found.tokens < COPY_TOKENS:
+    if found is not None and found.tokens >= COPY_TOKENS:
+        return found.server.address
+    return _any_store(world, request, placed.server)
+
+
+def _any_store(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+) -> str:
+    """Returns a store that may hold a prompt although nothing here says so.
+
+    A daemon that is cut off from the others hears neither of what they saved
+    nor of evictions. Asked in vain, a store costs 1 ms.
+    """
+    shared = sum(level.tokens for level in request.work.levels[:-1])
+    if shared < COPY_TOKENS:
         return ""
-    return found.server.address
+    nearest = min(
+        stores(world),
+        key=lambda store: (_far(server, store), store.server_id),
+        default=None,
+    )
+    return nearest.address if nearest is not None else ""
 
 
 def held_tokens(
@@ -263,13 +289,32 @@
             continue
         tokens = held_tokens(other, request, version, ready_by_ms=now_ms)
         if tokens:
-            yield Source(other, tokens, ENGINE_COPY_US * _far(server, other))
+            copy_us = ENGINE_COPY_US * _far(server, other)
+            copy_us += _doubt_us(world, request, other, version)
+            yield Source(other, tokens, copy_us)
     for store in stores(world):
         tokens = held_tokens(store, request, version, ready_by_ms=now_ms)
         if tokens:
             yield Source(store, tokens, STORE_COPY_US * _far(server, store))
 
 
+def _doubt_us(
+    world: entities.World,
+    request: entities.RequestRow,
+    other: entities.ServerRow,
+    version: str,
+) -> float:
+    """Returns what the doubt costs whether an engine still holds a prompt.
+
+    Engines evict within seconds under load. A copy that is not there any more
+    is computed anew; a store, which holds far more, would have had it.
+    """
+    key = levels.versioned(request.work.levels[0].key, version)
+    seen_ms = other.cache.seen_ms(key) or 0
+    doubt = min(1.0, max(0, world.now_ms - seen_ms) / EVICTED_AFTER_MS)
+    return doubt * EVICTED_US
+
+
 def _far(one: entities.ServerRow, other: entities.ServerRow) -> float:
     return 1.0 if one.failure_domain == other.failure_domain else FAR_FACTOR
 
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -8,6 +8,7 @@
 
 GROUPS = (
     "routed",
+    "sourcing",
     "weights",
     "leading",
     "connections",
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -295,6 +295,67 @@
     assert again == 1, again
 
 
+def a_dark_server_is_noticed_within_half_a_second() -> None:
+    """Silence of a server that owes an answer is looked into at once.
+
+    Symptom: for seconds, a third of all requests is lost at a server that
+        went dark; every daemon learns of it by its own losses.
+    Sequence: a server goes dark with a long prompt and a short one; a probe
+        brings nothing.
+    Cause: only a silence of 2 s before the first event counted.
+    """
+    core = routed_core.Core()
+    core.arrive("long", "r1")
+    first = core.dispatch()
+    core.world.servers["e1"].leaving = first.server_id != "e1"
+    core.world.servers["e2"].leaving = first.server_id != "e2"
+    core.arrive("short", "r2")
+    assert core.dispatch().server_id == first.server_id
+    for server in core.world.servers.values():
+        server.leaving = False
+    core.wait(350)
+    probes = core.find(effects.Probe)
+    assert [probe.server_id for probe in probes] == [first.server_id]
+    core.tell(inputs.ProbeAnswered, first.server_id, False)
+    assert core.dispatch().server_id != first.server_id
+    assert core.dispatch().request_id == "r1"
+    assert core.find(effects.Doubt)
+    core.arrive("short", "r3")
+    assert core.dispatch().server_id != first.server_id
+
+
+def a_peer_s_doubt_is_a_question_not_an_answer() -> None:
+    """One daemon with a broken path takes no server from the others.
+
+    Symptom: a server that works gets no requests from any daemon.
+    Sequence: a daemon that is cut off from a server says so; the server
+        answers here.
+    Cause: another's doubt taken for one's own.
+    """
+    core = routed_core.Core(servers=1)
+    core.tell(inputs.ServerDoubted, "e1")
+    assert core.find(effects.Probe)
+    core.tell(inputs.ProbeAnswered, "e1", True)
+    core.arrive("long")
+    assert core.dispatch().server_id == "e1"
+
+
+def a_busy_server_that_answers_keeps_its_requests() -> None:
+    """A long prompt in which nothing is sent is no reason to move.
+
+    Symptom: long prompts are computed twice.
+    Sequence: nothing comes for 350 ms; the server answers a probe.
+    Cause: silence alone taken for death.
+    """
+    core = routed_core.Core()
+    core.arrive("long")
+    sent = core.dispatch()
+    core.wait(350)
+    core.tell(inputs.ProbeAnswered, sent.server_id, True)
+    assert not core.find(effects.Dispatch), core.made
+    assert not core.find(effects.CancelAttempt)
+
+
 def a_refusal_that_says_not_run_is_true() -> None:
     """Over many schedules, not run is said only where nothing ran.
 
--- a/tests/cases/routed_core.py
+++ b/tests/cases/routed_core.py
@@ -123,9 +123,9 @@
         self.tell_named(
             inputs.ServerListed,
             server_id=name,
-            address=f"10.0.0.1:{len(self.world.servers) + 1}",
             target=target,
             **{
+                "address": f"10.0.0.1:{len(self.world.servers) + 1}",
                 "incarnation": name,
                 "weights_version": weights,
                 "slots": 16,
--- /dev/null
+++ b/tests/cases/sourcing.py
@@ -0,0 +1,147 @@
+"""Where a long prompt goes, and where its cached levels come from."""
+
+from __future__ import annotations
+
+from cases import routed_core
+from godwittack.core import effects, inputs, sourcing, work
+from godwittack.placement import levels
+from godwittack.table import forwarding
+
+STORE = "10.0.9.9:8080"
+SHARED = work.Level(key=11, tokens=13_000)
+OWN = work.Level(key=12, tokens=3_000)
+
+
+def _core(*, servers: int = 3) -> routed_core.Core:
+    core = routed_core.Core(servers=servers, prefill_us_per_token=7)
+    store = forwarding.KvStore(name="keep", address=STORE)
+    core.tell(inputs.TableChanged, routed_core.table(2, kv_stores=(store,)))
+    core.list_server(
+        "keep", sourcing.STORE_TARGET, address=STORE, weights_version=""
+    )
+    return core
+
+
+def _ask(core: routed_core.Core, name: str) -> effects.Dispatch:
+    core.arrive("long", name, levels=(SHARED, OWN))
+    return core.dispatch()
+
+
+def _digest(core: routed_core.Core, server: str, **fields) -> None:
+    core.tell_named(
+        inputs.CacheDigest,
+        server_id=server,
+        incarnation=server,
+        weights_version="1",
+        **{"cleared": False, "stored": (), "removed": (), **fields},
+    )
+
+
+def a_prompt_seen_before_goes_where_it_is_held() -> None:
+    """A second question on a rulebook finds it cached.
+
+    Symptom: every question computes the whole rulebook anew.
+    Sequence: two questions on one rulebook, a second apart, no load.
+    Cause: placement by load alone.
+    """
+    core = _core()
+    first = _ask(core, "r1")
+    assert first.kv_save_to == STORE
+    core.now_ms += 1_000
+    second = _ask(core, "r2")
+    assert second.server_id == first.server_id
+    assert second.kv_save_to == ""
+
+
+def a_busy_holder_is_copied_from() -> None:
+    """A holder with a long backlog lends its state to an idle server.
+
+    Symptom: questions wait behind each other at one server, others idle.
+    Sequence: the holder has 500 ms of prompts before it.
+    Cause: the cache followed whatever the wait.
+    """
+    core = _core()
+    first = _ask(core, "r1")
+    core.now_ms += 1_000
+    holder = core.world.servers[first.server_id]
+    holder.backlog[0] = core.now_ms + 500.0
+    second = _ask(core, "r2")
+    assert second.server_id != first.server_id
+    assert second.kv_fetch_from in (holder.address, STORE)
+
+
+def what_is_still_computed_is_not_copied() -> None:
+    """A copy is not asked of a server that has not computed the levels yet.
+
+    Symptom: shared levels computed twice at the same time.
+    Sequence: the second question comes 10 ms after the first.
+    Cause: levels taken for cached as soon as they were sent.
+    """
+    core = _core()
+    first = _ask(core, "r1")
+    core.now_ms += 10
+    server = core.world.servers[first.server_id]
+    request = core.world.requests["r1"]
+    held = sourcing.held_tokens(server, request, "1", ready_by_ms=core.now_ms)
+    assert held == 0
+    assert sourcing.held_tokens(server, request, "1") == 16_000
+
+
+def a_store_is_named_for_what_may_have_been_lost() -> None:
+    """Long shared levels never depend on one belief.
+
+    Symptom: levels that were evicted a moment ago are computed again.
+    Sequence: a question goes to the server believed to hold its levels.
+    Cause: no source named where none seemed to be needed.
+    """
+    core = _core()
+    first = _ask(core, "r1")
+    core.now_ms += 1_000
+    assert _ask(core, "r2").kv_fetch_from != ""
+    assert first.kv_fetch_from == STORE
+
+
+def a_store_that_does_not_answer_is_left_out() -> None:
+    """A dead store is neither asked nor given anything.
+
+    Symptom: each long prompt waits some hundred milliseconds for nothing.
+    Sequence: the daemon that follows the store gets no answer and says so.
+    Cause: the store taken from the table alone.
+    """
+    core = _core()
+    core.tell(inputs.ServerDraining, "keep", core.now_ms + 3_000)
+    sent = _ask(core, "r1")
+    assert (sent.kv_fetch_from, sent.kv_save_to) == ("", "")
+
+
+def levels_held_in_part_count_in_part() -> None:
+    """Engines evict from a level's end, block by block.
+
+    Symptom: a server that holds a tenth of a rulebook is taken for its
+        holder.
+    Sequence: an eviction leaves 1,000 of 13,000 tokens.
+    Cause: a level known as held or not.
+    """
+    core = _core()
+    first = _ask(core, "r1")
+    core.now_ms += 1_000
+    key = levels.versioned(SHARED.key, "1")
+    _digest(core, first.server_id, stored=(key,), tokens=(1_000,))
+    server = core.world.servers[first.server_id]
+    request = core.world.requests["r1"]
+    assert sourcing.held_tokens(server, request, "1") == 1_000
+
+
+def a_store_that_starts_anew_is_empty() -> None:
+    """What a store held before its restart is not asked for.
+
+    Symptom: after a restart of the store nothing is saved to it again.
+    Sequence: the store holds a rulebook; its numbering begins anew.
+    Cause: the same name taken for the same contents.
+    """
+    core = _core()
+    _ask(core, "r1")
+    core.now_ms += 2_000
+    assert _ask(core, "r2").kv_save_to == ""
+    _digest(core, "keep", cleared=True)
+    assert _ask(core, "r3").kv_save_to == STORE
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -23,6 +23,9 @@
       | routed | an unsafe call outlives its caller |
       | routed | retries stay within their budget |
       | routed | a fleet shares the burst of retries |
+      | routed | a dark server is noticed within half a second |
+      | routed | a peer's doubt is a question not an answer |
+      | routed | a busy server that answers keeps its requests |
       | routed | a refusal that says not run is true |
 
     Examples: weights
@@ -83,3 +86,13 @@
       | logs | a reader that stops holds nothing up |
       | logs | a failed request is explained by its id |
       | logs | a value from outside forges no line |
+
+    Examples: long prompts and their cached levels
+      | group | case |
+      | sourcing | a prompt seen before goes where it is held |
+      | sourcing | a busy holder is copied from |
+      | sourcing | what is still computed is not copied |
+      | sourcing | a store is named for what may have been lost |
+      | sourcing | a store that does not answer is left out |
+      | sourcing | levels held in part count in part |
+      | sourcing | a store that starts anew is empty |
