--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -91,7 +91,9 @@
 
 
 _CELLS = cattrs.Converter()
-_CELLS.register_unstructure_hook(frozenset, sorted)
+_CELLS.register_unstructure_hook_func(
+    lambda kind: typing.get_origin(kind) is frozenset, sorted
+)
 _CONVERTER = _converter()
 
 
--- a/tests/cases/routed_core.py
+++ b/tests/cases/routed_core.py
@@ -5,6 +5,7 @@
 import hashlib
 
 from godwittack.core import effects, inputs, policy, router, work
+from godwittack.session import record
 from godwittack.table import forwarding, model
 
 KEY = "key-of-desk"
@@ -80,7 +81,7 @@
 class Core:
     """A router with its time, and what it asked for last."""
 
-    def __init__(self, *, servers: int = 2, **numbers) -> None:
+    def __init__(self, *, servers: int = 2, record_to=None, **numbers) -> None:
         numbers = {
             "budget_by_target": 1,
             "retry_burst": 50.0,
@@ -90,6 +91,9 @@
         self.router = router.Router.from_config(
             daemon="d", policy=policy.Policy(**numbers)
         )
+        self.recorder = None
+        if record_to is not None:
+            self.recorder = record.Recorder(self.router, record_to)
         self.now_ms = 1_000
         self.made: list[effects.Effect] = []
         self.tell(inputs.TableChanged, table())
@@ -105,12 +109,16 @@
 
     def tell(self, kind, *args, **fields) -> list[effects.Effect]:
         """Hands an input over at the present time."""
-        self.made = self.router.step(kind(self.now_ms, *args, **fields))
-        return self.made
+        return self._step(kind(self.now_ms, *args, **fields))
 
     def tell_named(self, kind, **fields) -> list[effects.Effect]:
         """Hands over an input whose fields are all named."""
-        self.made = self.router.step(kind(at_ms=self.now_ms, **fields))
+        return self._step(kind(at_ms=self.now_ms, **fields))
+
+    def _step(self, told) -> list[effects.Effect]:
+        self.made = self.router.step(told)
+        if self.recorder is not None:
+            self.recorder.stepped(told, self.made)
         return self.made
 
     def confirm(self, *, for_ms: int = ALLOWED_MS) -> None:
--- a/tests/features/golden.feature
+++ b/tests/features/golden.feature
@@ -13,4 +13,6 @@
       | crossed_frames      |
       | late_first_engine   |
       | overload            |
+      | routed_change_of_keys_and_weights |
+      | routed_server_goes_dark |
       | silent_for_good     |
--- a/tests/sim/recordings.py
+++ b/tests/sim/recordings.py
@@ -7,6 +7,7 @@
 import pathlib
 import sys
 
+from cases import routed_core
 from godwittack.core import effects, inputs, policy, router, work
 from godwittack.session import record
 from godwittack.table import model
@@ -290,12 +291,79 @@
     return script
 
 
+class RoutedScript:
+    """A core with routes and its recording."""
+
+    def __init__(self, story: str, **numbers) -> None:
+        self.text = io.StringIO()
+        for line in story.strip().splitlines():
+            self.text.write(f"# {line.strip()}\n")
+        self.core = routed_core.Core(record_to=self.text, **numbers)
+
+
+def routed_server_goes_dark() -> RoutedScript:
+    """A stream moves, a call that may run once ends unknown."""
+    script = RoutedScript(
+        """
+        A server goes dark with a stream and a call that may run once. The
+        stream goes on at the other server after its last event; the call is
+        answered 504 at its route's time, since it may have run.
+        """,
+        servers=2,
+    )
+    core = script.core
+    core.arrive("long", "stream", levels=(work.Level(11, 13_000),))
+    stream = core.dispatch()
+    core.open(stream)
+    core.frames(stream, 1, 2)
+    core.arrive("confirm", "call")
+    core.wait(400)
+    core.tell(inputs.ProbeAnswered, stream.server_id, False)
+    moved = core.dispatch()
+    core.open(moved)
+    core.frames(moved, 3, end=True)
+    core.wait(3_000)
+    return script
+
+
+def routed_change_of_keys_and_weights() -> RoutedScript:
+    """Keys go, weights change, and the store falls silent."""
+    script = RoutedScript(
+        """
+        A server declines a call, which goes to the other one. New weights are
+        named and one engine loads them; a key is taken away; then nothing
+        confirms the table any more, and only routes without keys are served.
+        """,
+        servers=2,
+    )
+    core = script.core
+    core.arrive("confirm", "r1")
+    core.fail(
+        core.dispatch(),
+        inputs.FailurePhase.DECLINED,
+        inputs.FailureCause.REFUSED,
+    )
+    core.answer(core.dispatch())
+    core.tell(inputs.TableChanged, routed_core.table(2, weights="2"))
+    core.list_server("e1", routed_core.ENGINES, weights_version="2")
+    core.wait(2_000)
+    core.arrive("long", "r2", levels=(work.Level(11, 13_000),))
+    core.tell(inputs.TableChanged, routed_core.table(3, keys=()))
+    core.arrive("release", "r3")
+    core.confirm(for_ms=0)
+    core.arrive("release", "r4")
+    core.arrive("open", "r5", token_sha256="")
+    return script
+
+
 SESSIONS = (
     cancel_races_answer,
     claim_outage,
     crossed_frames,
     late_first_engine,
     overload,
+    routed_change_of_keys_and_weights,
+    routed_server_goes_dark,
     silent_for_good,
 )
 
