Split what follows an attempt, what is told of one, and what all daemons share

Change: core/followup.py, core/sending.py, daemon/base.py, daemon/keeping.py, daemon/instances.py, entry/directory.py with platform/directory.py.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -6,12 +6,11 @@
 
 from godwittack.core import (
     closing,
-    dispatching,
     effects,
     entities,
+    followup,
     inputs,
     outcomes,
-    retries,
     servers,
     work,
 )
@@ -19,9 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-FAILED_RETRY_MS = 1_000
-FIRST_SERVER_ERROR = 500
-
 
 def opened(world: entities.World, told: inputs.AttemptOpened) -> None:
     """Checks the state that a stream says it is built on."""
@@ -59,7 +55,7 @@
         # A frame is missing in between. Waiting for it on this connection
         # would wait for ever; the engine still has it.
         world.emit(effects.CancelAttempt(attempt.attempt_id, False))
-        resume_or_break(world, request, attempt, "a frame is missing")
+        followup.resume_or_break(world, request, attempt, "a frame is missing")
 
 
 def answer(world: entities.World, told: inputs.AnswerArrived) -> None:
@@ -82,12 +78,12 @@
     )
     closing.close_attempt(world, attempt.attempt_id)
     request.answer = told.answer
-    if _answer_may_improve(request, told.answer):
+    if followup.answer_may_improve(request, told.answer):
         # The server's failure is kept: it is the answer where no other
         # attempt brings a better one.
         request.runs += 1
         request.sent = True
-        retry(world, request, attempt, f"status {told.answer.status}")
+        followup.retry(world, request, attempt, f"status {told.answer.status}")
         return
     request.answered_at_ms = world.now_ms
     request.late = world.now_ms > request.deadline_at_ms
@@ -147,15 +143,17 @@
         servers.failed(world, attempt, told)
     if request.begun or request.begun_elsewhere:
         if told.cause is inputs.FailureCause.STREAM_GONE:
-            _break(world, request, "the engine no longer has the stream")
+            followup.break_stream(
+                world, request, "the engine no longer has the stream"
+            )
         else:
-            resume_or_break(world, request, attempt, told.detail)
+            followup.resume_or_break(world, request, attempt, told.detail)
         return
     closing.close_attempt(world, attempt.attempt_id)
     if request.at_most_once and request.sent:
-        outcome_lost(world, request, told.detail)
+        followup.outcome_lost(world, request, told.detail)
         return
-    retry(world, request, attempt, told.detail)
+    followup.retry(world, request, attempt, told.detail)
 
 
 def caller_gone(world: entities.World, told: inputs.CallerGone) -> None:
@@ -234,12 +232,14 @@
     )
     servers.state_echoed(world, attempt.server_id, stamp)
     if request.begun or request.begun_elsewhere:
-        _break(world, request, "the engine restarted or changed weights")
+        followup.break_stream(
+            world, request, "the engine restarted or changed weights"
+        )
         return False
     closing.close_attempt(world, attempt.attempt_id)
     request.sent = True
     # The engine itself is well, and its new state is known now.
-    retry(
+    followup.retry(
         world,
         request,
         attempt,
@@ -310,147 +310,13 @@
     )
 
 
-def retry(
-    world: entities.World,
-    request: entities.RequestRow,
-    attempt: entities.AttemptRow,
-    detail: str,
-    *,
-    avoid: bool = True,
-) -> None:
-    """Sends a request elsewhere, or ends it where that is not allowed."""
-    if avoid:
-        request.avoid.add(attempt.server_id)
-    if retries.allowed(world, request):
-        world.event(
-            "retried",
-            request.request_id,
-            workspace=request.workspace,
-            target=request.work.target,
-            attempt=request.attempts + 1,
-        )
-        dispatching.place(world, request)
-        return
-    outcome = effects.Outcome.NOT_RUN
-    status = 502
-    if request.sent:
-        outcome = effects.Outcome.UNKNOWN
-    else:
-        outcomes.store(world, request, work.ClaimState.RELEASED)
-        # To callers that come by a route, 503 says that nothing has run.
-        status = 503 if request.work.route else 502
-    closing.refuse(
-        world,
-        request,
-        status=status,
-        outcome=outcome,
-        reason=effects.Reason.DISPATCH_FAILED,
-        detail=f"{attempt.server_id}: {detail}",
-        retry_after_ms=FAILED_RETRY_MS,
-    )
-
-
-def outcome_lost(
-    world: entities.World, request: entities.RequestRow, detail: str
-) -> None:
-    """Ends a call that may have run, and says so."""
-    outcomes.store(world, request, work.ClaimState.UNKNOWN)
-    closing.refuse(
-        world,
-        request,
-        status=502,
-        outcome=effects.Outcome.UNKNOWN,
-        reason=effects.Reason.ANSWER_LOST,
-        detail=f"sent, but its answer was lost: {detail}",
-    )
-
-
-def resume_or_break(
-    world: entities.World,
-    request: entities.RequestRow,
-    attempt: entities.AttemptRow,
-    detail: str,
-) -> None:
-    """Goes on with a begun stream on a fresh connection, or ends it."""
-    if request.resumes >= world.policy.max_resumes:
-        _break(world, request, f"could not be resumed: {detail}")
-        return
-    route = request.work.route
-    if route is not None:
-        _go_on_elsewhere(world, request, attempt, detail)
-        return
-    if attempt.server_id not in world.servers:
-        _break(world, request, "its backend server is gone")
-        return
-    world.event(
-        "stream_resumed",
-        request.request_id,
-        server=attempt.server_id,
-        after_frame=request.next_frame - 1,
-        detail=detail,
-    )
-    dispatching.resume(world, request, attempt)
-
-
-def _go_on_elsewhere(
-    world: entities.World,
-    request: entities.RequestRow,
-    attempt: entities.AttemptRow,
-    detail: str,
-) -> None:
-    """Lets another server make the rest of a stream, or ends it broken."""
-    route = request.work.route
-    assert route is not None
-    closing.close_attempt(world, attempt.attempt_id)
-    request.avoid.add(attempt.server_id)
-    if not route.resumable or not retries.allowed(world, request):
-        _break(world, request, detail)
-        return
-    request.resumes += 1
-    world.event(
-        "stream_resumed",
-        request.request_id,
-        server=attempt.server_id,
-        after_frame=request.next_frame - 1,
-        detail=detail,
-    )
-    dispatching.place(world, request)
-
-
-def _answer_may_improve(
-    request: entities.RequestRow, answer: work.Answer
-) -> bool:
-    route = request.work.route
-    return (
-        route is not None
-        and answer.status >= FIRST_SERVER_ERROR
-        and not request.at_most_once
-    )
-
-
-def _break(
-    world: entities.World, request: entities.RequestRow, detail: str
-) -> None:
-    closing.refuse(
-        world,
-        request,
-        status=502,
-        outcome=effects.Outcome.UNKNOWN,
-        reason=effects.Reason.STREAM_LOST,
-        detail=detail,
-    )
-
-
 __all__ = [
     "answer",
     "caller_gone",
     "failed",
     "frames",
     "opened",
-    "outcome_lost",
     "reply",
     "reply_unstored",
-    "resume_or_break",
-    "retry",
     "usage",
 ]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from godwittack.core import (
-    backlog,
     closing,
     effects,
     entities,
@@ -11,10 +10,10 @@
     outcomes,
     placing,
     routing,
+    sending,
     work,
 )
 from godwittack.limit import fair
-from godwittack.placement import levels
 
 NO_SERVER_RETRY_MS = 1_000
 MIN_RETRY_MS = 100
@@ -97,16 +96,16 @@
     server.sent[attempt_id] = attempt
     if server.ejected_until_ms:
         server.trial_attempt = attempt_id
-    keys = _cached_keys(request, server)
+    keys = sending.cached_keys(request, server)
     if request.work.route is None:
         for key in keys:
             server.cache.note(
                 key, now_ms=world.now_ms, limit=world.policy.max_residency
             )
     elif keys:
-        _count_prompt(world, request, choice, keys)
+        sending.count_prompt(world, request, choice, keys)
     if request.work.route is not None:
-        _tell_placed(world, request, choice, attempt_id)
+        sending.tell_placed(world, request, choice, attempt_id)
     world.emit(
         effects.Dispatch(
             request_id=request.request_id,
@@ -122,7 +121,7 @@
             after=request.next_frame - 1 if request.work.route else 0,
             priority=routing.priority(world, request),
             workspace=request.workspace if request.work.route else "",
-            deadline_ms=_time_left_ms(world, request),
+            deadline_ms=sending.time_left_ms(world, request),
             cache_scope=kvreuse.scope(world, request, server),
             kv_fetch_from=choice.fetch_from,
             kv_save_to=kvreuse.save_to(
@@ -132,78 +131,6 @@
     )
 
 
-def _tell_placed(
-    world: entities.World,
-    request: entities.RequestRow,
-    choice: placing.Choice,
-    attempt_id: str,
-) -> None:
-    """Tells what a choice was made from, and how old that was."""
-    assert request.work.route is not None
-    server = choice.server
-    world.event(
-        "placed",
-        request.request_id,
-        workspace=request.workspace,
-        route=request.work.route.name,
-        table=world.table.version,
-        keys_good_for_ms=world.right_until_ms - world.now_ms,
-        attempt=attempt_id,
-        server=server.server_id,
-        weights=server.weights_version,
-        waited_ms=world.now_ms - request.arrived_at_ms,
-        wait_ms=round(choice.wait_ms),
-        compute_tokens=round(choice.uncached_tokens),
-        copy_from=choice.fetch_from,
-        load_age_ms=world.now_ms - server.reported_at_ms
-        if server.reported_at_ms >= 0
-        else -1,
-        after=request.next_frame - 1,
-    )
-
-
-def _cached_keys(
-    request: entities.RequestRow, server: entities.ServerRow
-) -> tuple[int, ...]:
-    """Returns the keys of what a server will have cached."""
-    if request.work.route is None:
-        return tuple(level.key for level in request.work.levels)
-    return tuple(
-        levels.versioned(level.key, server.weights_version)
-        for level in request.work.levels
-    )
-
-
-def _count_prompt(
-    world: entities.World,
-    request: entities.RequestRow,
-    choice: placing.Choice,
-    keys: tuple[int, ...],
-) -> None:
-    """Counts a prompt in its server's backlog, here and at other daemons."""
-    priority = routing.priority(world, request)
-    tokens = round(choice.uncached_tokens)
-    backlog.add(world, choice.server, tokens=tokens, priority=priority)
-    backlog.note_cached(world, choice.server, keys, priority=priority)
-    if request.work.prompt_tokens >= backlog.ANNOUNCE_TOKENS:
-        world.emit(
-            effects.Announce(
-                server_id=choice.server.server_id,
-                target=choice.server.target,
-                tokens=tokens,
-                priority=priority,
-                levels=keys,
-            )
-        )
-
-
-def _time_left_ms(world: entities.World, request: entities.RequestRow) -> int:
-    if not request.give_up_at_ms:
-        return 0
-    ends_at_ms = min(request.deadline_at_ms, request.give_up_at_ms)
-    return max(1, ends_at_ms - world.now_ms)
-
-
 def _refuse_taken_away(
     world: entities.World,
     request: entities.RequestRow,
--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import attempts, closing, effects, servers
+from godwittack.core import closing, effects, followup, servers
 
 if TYPE_CHECKING:
     from godwittack.core import entities, inputs
@@ -88,10 +88,10 @@
         request.runs += 1
         detail = "its server gave no sign of life"
         if request.begun:
-            attempts.resume_or_break(world, request, attempt, detail)
+            followup.resume_or_break(world, request, attempt, detail)
         else:
             closing.close_attempt(world, attempt.attempt_id)
-            attempts.retry(world, request, attempt, detail)
+            followup.retry(world, request, attempt, detail)
 
 
 __all__ = ["ask", "check", "probed", "told"]
--- /dev/null
+++ b/src/godwittack/core/sending.py
@@ -0,0 +1,87 @@
+"""What is counted and told when a request is sent on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import backlog, effects, routing
+from godwittack.placement import levels
+
+if TYPE_CHECKING:
+    from godwittack.core import entities, placing
+
+
+def tell_placed(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+    attempt_id: str,
+) -> None:
+    """Tells what a choice was made from, and how old that was."""
+    assert request.work.route is not None
+    server = choice.server
+    world.event(
+        "placed",
+        request.request_id,
+        workspace=request.workspace,
+        route=request.work.route.name,
+        table=world.table.version,
+        keys_good_for_ms=world.right_until_ms - world.now_ms,
+        attempt=attempt_id,
+        server=server.server_id,
+        weights=server.weights_version,
+        waited_ms=world.now_ms - request.arrived_at_ms,
+        wait_ms=round(choice.wait_ms),
+        compute_tokens=round(choice.uncached_tokens),
+        copy_from=choice.fetch_from,
+        load_age_ms=world.now_ms - server.reported_at_ms
+        if server.reported_at_ms >= 0
+        else -1,
+        after=request.next_frame - 1,
+    )
+
+
+def cached_keys(
+    request: entities.RequestRow, server: entities.ServerRow
+) -> tuple[int, ...]:
+    """Returns the keys of what a server will have cached."""
+    if request.work.route is None:
+        return tuple(level.key for level in request.work.levels)
+    return tuple(
+        levels.versioned(level.key, server.weights_version)
+        for level in request.work.levels
+    )
+
+
+def count_prompt(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+    keys: tuple[int, ...],
+) -> None:
+    """Counts a prompt in its server's backlog, here and at other daemons."""
+    priority = routing.priority(world, request)
+    tokens = round(choice.uncached_tokens)
+    backlog.add(world, choice.server, tokens=tokens, priority=priority)
+    backlog.note_cached(world, choice.server, keys, priority=priority)
+    if request.work.prompt_tokens >= backlog.ANNOUNCE_TOKENS:
+        world.emit(
+            effects.Announce(
+                server_id=choice.server.server_id,
+                target=choice.server.target,
+                tokens=tokens,
+                priority=priority,
+                levels=keys,
+            )
+        )
+
+
+def time_left_ms(world: entities.World, request: entities.RequestRow) -> int:
+    """Returns the time left for an answer; 0 where nothing limits it."""
+    if not request.give_up_at_ms:
+        return 0
+    ends_at_ms = min(request.deadline_at_ms, request.give_up_at_ms)
+    return max(1, ends_at_ms - world.now_ms)
+
+
+__all__ = ["cached_keys", "count_prompt", "tell_placed", "time_left_ms"]
--- a/src/godwittack/core/silence.py
+++ b/src/godwittack/core/silence.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from godwittack.core import (
-    attempts,
     closing,
     effects,
     entities,
+    followup,
     servers,
     work,
 )
@@ -49,7 +49,7 @@
     # A connection can go silent for good while new ones to the same server
     # work. Only a fresh one tells a dead path from a dead engine.
     world.emit(effects.CancelAttempt(attempt.attempt_id, False))
-    attempts.resume_or_break(world, request, attempt, "silent between frames")
+    followup.resume_or_break(world, request, attempt, "silent between frames")
 
 
 def _silent_start(
@@ -65,7 +65,7 @@
     closing.close_attempt(world, attempt.attempt_id)
     request.sent = True
     request.runs += 1
-    attempts.retry(world, request, attempt, "silent before the first frame")
+    followup.retry(world, request, attempt, "silent before the first frame")
 
 
 def _silent_call(
@@ -77,9 +77,9 @@
     closing.close_attempt(world, attempt.attempt_id)
     request.sent = True
     if request.claim_key is not None:
-        attempts.outcome_lost(world, request, "no answer came")
+        followup.outcome_lost(world, request, "no answer came")
     else:
-        attempts.retry(world, request, attempt, "no answer came")
+        followup.retry(world, request, attempt, "no answer came")
 
 
 def give_up(world: entities.World) -> None:
--- /dev/null
+++ b/src/godwittack/daemon/base.py
@@ -0,0 +1,124 @@
+"""What every daemon is made of, whatever its surroundings speak."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import secrets
+import signal
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from godwittack.clock import SystemClock
+from godwittack.core import router
+from godwittack.member import view
+from godwittack.metric import meters
+from godwittack.peer import datagram, exchange
+from godwittack.report import ledger
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from godwittack.config import settings as configs
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Base:
+    """The core, the view of other daemons, and the ways to them.
+
+    Attributes:
+        clock: Source of time for all parts.
+        rng: Spreads what daemons would else do at one moment.
+        core: Decides.
+        counts: What reports are made of.
+        meters: What metrics are made of.
+        members: The view of all daemons.
+        peers: Calls and streams to other daemons.
+        probes: Probes of them, as datagrams.
+        peer_secret: Proves messages between daemons.
+    """
+
+    clock: SystemClock
+    rng: random.Random
+    core: router.Router
+    counts: ledger.Ledger
+    meters: meters.Meters
+    members: view.View
+    peers: exchange.PeerClient
+    probes: datagram.DatagramPeers
+    peer_secret: bytes
+
+    @classmethod
+    def from_config(cls, loaded: configs.Loaded) -> Base:
+        """Builds the parts of a process that has just started."""
+        settings = loaded.settings
+        clock = SystemClock()
+        rng = random.Random(secrets.randbits(64))
+        me = view.Member(
+            member_id=f"{settings.name}@{secrets.token_hex(4)}",
+            peer_address=settings.peer_address,
+            http_address=settings.http_address,
+            failure_domain=settings.failure_domain,
+        )
+        core = router.Router.from_config(
+            daemon=me.member_id, policy=settings.policy()
+        )
+        measures = meters.Meters(core.world)
+        return cls(
+            clock=clock,
+            rng=rng,
+            core=core,
+            counts=ledger.Ledger(daemon=me.member_id, clock=clock),
+            meters=measures,
+            members=view.View(
+                me=me,
+                policy=settings.member_policy(),
+                rng=rng,
+                expected=len({*settings.seeds, settings.peer_address}),
+            ),
+            peers=exchange.PeerClient(
+                secret=loaded.cluster_secret,
+                timeout_ms=settings.peer_timeout_ms,
+                count_bytes=measures.count_peer_bytes,
+            ),
+            probes=datagram.DatagramPeers(
+                secret=loaded.cluster_secret,
+                timeout_ms=settings.peer_timeout_ms,
+                count_bytes=measures.count_peer_bytes,
+            ),
+            peer_secret=loaded.cluster_secret,
+        )
+
+    def peer_server(self, handler: exchange.PeerHandler) -> exchange.PeerServer:
+        """Returns the server that other daemons call."""
+        return exchange.PeerServer(
+            handler=handler,
+            secret=self.peer_secret,
+            count_bytes=self.meters.count_peer_bytes,
+        )
+
+    async def close(
+        self, server: exchange.PeerServer, *, grace_ms: int
+    ) -> None:
+        """Ends the ways to other daemons, and the metrics."""
+        await server.stop(grace_ms=grace_ms)
+        await self.peers.close()
+        self.probes.close()
+        self.meters.close()
+
+
+def report_end(task: asyncio.Task[None]) -> None:
+    """Ends the process where one of its loops has failed.
+
+    A loop that ends silently would leave the daemon half alive.
+    """
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        logging.exception("event=loop_failed detail=%r", error, exc_info=error)
+        signal.raise_signal(signal.SIGTERM)
+
+
+__all__ = ["Base", "report_end"]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import random
-import secrets
 import signal
 from typing import TYPE_CHECKING
 
@@ -15,11 +13,13 @@
 
 from godwittack.backend import pool as pools
 from godwittack.backend import routed
-from godwittack.clock import SystemClock
-from godwittack.core import inputs, router
+from godwittack.core import inputs
 from godwittack.daemon import (
+    base,
     following,
     gossip,
+    instances,
+    keeping,
     lead,
     news,
     observer,
@@ -30,11 +30,10 @@
 from godwittack.entry import directory, forward
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
-from godwittack.member import confirmed, duty, freshness, view
-from godwittack.metric import meters
-from godwittack.peer import datagram, exchange
-from godwittack.platform import callers, instances, names, rows, servers, table
-from godwittack.report import ledger
+from godwittack.member import confirmed, duty, freshness
+from godwittack.platform import callers, names, rows, servers, table
+from godwittack.platform import directory as addresses
+from godwittack.platform import instances as list_rows
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine, Mapping
@@ -48,9 +47,6 @@
 # Of one line of a request's head, as the HTTP library reads it; the table's
 # own limit on all headers is checked after that, with an answer that says so.
 MAX_HEAD_BYTES = 1 << 16
-# Callers may keep an address for three times the time they are told.
-ADDRESS_KEEP_MS = 1_000
-KEEP_FACTOR = 3
 # Taken off the bound on keys: the store's feed may be silent for a second
 # while changes are made, and a request takes a while to its server.
 KEY_MARGIN_MS = 1_500
@@ -82,19 +78,12 @@
             write_line: Writes a log line without waiting.
         """
         self._settings = settings = loaded.settings
-        self._clock = clock = SystemClock()
-        self._rng = rng = random.Random(secrets.randbits(64))
-        me = view.Member(
-            member_id=f"{settings.name}@{secrets.token_hex(4)}",
-            peer_address=settings.peer_address,
-            http_address=settings.http_address,
-            failure_domain=settings.failure_domain,
-        )
-        core = router.Router.from_config(
-            daemon=me.member_id, policy=settings.policy()
-        )
-        counts = ledger.Ledger(daemon=me.member_id, clock=clock)
-        self._meters = meters.Meters(core.world)
+        self._base = parts = base.Base.from_config(loaded)
+        core, clock, counts = parts.core, parts.clock, parts.counts
+        self._meters = parts.meters
+        self._peers, self._probes = parts.peers, parts.probes
+        self._clock, self._rng = parts.clock, parts.rng
+        self._members = members = parts.members
         self._store = rows.Rows(
             session=session,
             address=settings.platform_url.removeprefix("http://"),
@@ -121,23 +110,7 @@
             clock=clock,
         )
         backend.on_load = self.runtime.submit
-        self._peers = exchange.PeerClient(
-            secret=loaded.cluster_secret,
-            timeout_ms=settings.peer_timeout_ms,
-            count_bytes=self._meters.count_peer_bytes,
-        )
-        self._probes = datagram.DatagramPeers(
-            secret=loaded.cluster_secret,
-            timeout_ms=settings.peer_timeout_ms,
-            count_bytes=self._meters.count_peer_bytes,
-        )
-        self._members = members = view.View(
-            me=me,
-            policy=settings.member_policy(),
-            rng=rng,
-            expected=len({*settings.seeds, settings.peer_address}),
-        )
-        self._keeper = following.FeedKeeper(
+        self._keeper = keeping.FeedKeeper(
             runtime=self.runtime,
             peers=self._peers,
             right=confirmed.ConfirmedRight(
@@ -171,7 +144,7 @@
             for known in (self._keeper.known, self._servers_known)
         }
         self._streams = watch.Streams()
-        self._list = following.InstanceFollower(
+        self._list = instances.InstanceFollower(
             core=self.runtime,
             decode=self._decode_instances,
             news=self._news,
@@ -212,16 +185,17 @@
                 order_after_ms=ORDER_AFTER_MS, load_limit_ms=LOAD_LIMIT_MS
             ),
         )
-        self._peer_server = exchange.PeerServer(
-            handler=self._gossiper,
-            secret=loaded.cluster_secret,
-            count_bytes=self._meters.count_peer_bytes,
-        )
+        self._peer_server = parts.peer_server(self._gossiper)
         self._face = forward.ForwardFace(
             runtime=self.runtime,
             settings=settings,
             wire=callers.CallerFormat(),
         )
+        self._directory = directory.DirectoryFace(
+            members=members,
+            world=core.world,
+            wire=addresses.DirectoryFormat(),
+        )
         self._loops: list[asyncio.Task[None]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._runners: list[web.ServerRunner] = []
@@ -245,8 +219,8 @@
         await self._probes.start(settings.peer_address, handler=self._gossiper)
         self._streams.connect(core=self.runtime, news=self._news)
         await self._listen(settings.http_address, self._face.handle)
-        await self._listen(settings.ready_address, self._ready)
-        await self._listen(settings.directory_address, self._resolve)
+        await self._listen(settings.ready_address, self._directory.ready)
+        await self._listen(settings.directory_address, self._directory.resolve)
         if settings.metrics_address:
             await self._listen(settings.metrics_address, self._metrics)
         self._gossiper.announce()
@@ -274,7 +248,7 @@
 
     def _spawn(self, work: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(_run(work))
-        task.add_done_callback(_report_end)
+        task.add_done_callback(base.report_end)
         self._loops.append(task)
 
     async def _listen(
@@ -297,29 +271,6 @@
         self._runners.append(runner)
         self._sites.append(site)
 
-    async def _ready(self, request: web.BaseRequest) -> web.Response:
-        del request
-        world = self.runtime.core.world
-        ready = world.table.version > 0 and not self._face.stopping
-        return web.json_response(
-            {"ready": ready, "table_version": world.table.version},
-            status=200 if ready else 503,
-        )
-
-    async def _resolve(self, request: web.BaseRequest) -> web.Response:
-        members = self._members.serving()
-        if self.runtime.core.world.table.version == 0:
-            me = self._members.me
-            members = [m for m in members if m.member_id != me.member_id]
-        if request.path != names.RESOLVE_PATH or not members:
-            return web.json_response({"error": "no address"}, status=503)
-        found = directory.choose(
-            members, failure_domain=request.query.get("zone", "")
-        )
-        return web.json_response(
-            {"addresses": found, "ttl-s": ADDRESS_KEEP_MS // 1000}
-        )
-
     async def _metrics(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.Response(
@@ -333,9 +284,9 @@
         grace_ms = round(settings.stop_grace_s * 1000)
         ends_ms = started_ms + grace_ms - STOP_MARGIN_MS
         logging.info("event=stopping in_flight=%d", self._in_flight())
-        self._face.stopping = True
+        self._face.stopping = self._directory.stopping = True
         await self._gossiper.stop()
-        kept_ms = started_ms + KEEP_FACTOR * ADDRESS_KEEP_MS
+        kept_ms = started_ms + directory.KEEP_FACTOR * directory.ADDRESS_KEEP_MS
         while self._clock.now_ms() < min(kept_ms, ends_ms):
             await asyncio.sleep(0.05)
         for site in self._sites:
@@ -357,10 +308,7 @@
         self._news.close()
         await self.runtime.close()
         self._pool.close()
-        await self._peer_server.stop(grace_ms=50)
-        await self._peers.close()
-        self._probes.close()
-        self._meters.close()
+        await self._base.close(self._peer_server, grace_ms=50)
 
     async def _tidy_forever(self) -> None:
         while True:
@@ -407,7 +355,7 @@
     def _decode_instances(
         self, found: Mapping[str, stores.ChangedRow]
     ) -> Result[dict[str, stores.Instance], str]:
-        return instances.instances_from_rows(
+        return list_rows.instances_from_rows(
             found, checks_fencing=self._settings.checks_fencing
         )
 
@@ -439,14 +387,4 @@
     logging.info("event=reload detail=nothing_to_take_up")
 
 
-def _report_end(task: asyncio.Task[None]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        # A loop that ends silently would leave the daemon half alive.
-        logging.error("event=loop_failed detail=%r", error, exc_info=error)
-        signal.raise_signal(signal.SIGTERM)
-
-
 __all__ = ["EdgeDaemon", "serve"]
--- a/src/godwittack/daemon/following.py
+++ b/src/godwittack/daemon/following.py
@@ -1,4 +1,4 @@
-"""Follows tables of the store: the operators' rows and the list of servers."""
+"""Follows one table of the store, by its feed and by readings."""
 
 from __future__ import annotations
 
@@ -7,11 +7,8 @@
 from typing import TYPE_CHECKING
 
 from absl import logging
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from godwittack.core import inputs
-from godwittack.core.sourcing import STORE_TARGET
-from godwittack.daemon import listing, tables
 from godwittack.member import freshness
 
 if TYPE_CHECKING:
@@ -19,11 +16,7 @@
     from collections.abc import Callable, Mapping
 
     from godwittack.clock import Clock
-    from godwittack.daemon import news as newses
-    from godwittack.daemon import runtime as runtimes
-    from godwittack.member import view
     from godwittack.store import protocol
-    from godwittack.table import model
 
 # Pause after a call without an answer, and its growth up to a limit: a store
 # that comes back is noticed within a second without being called in a loop.
@@ -42,9 +35,6 @@
 ASK_WAIT_MS = 1
 # Between two such calls, as before the operators' first table.
 ASK_PAUSE_MS = 500
-# Entries that lapsed while the store was away come back within two seconds of
-# its return; what is missing after that is gone.
-LAPSED_MS = 2_300
 
 Rows = dict[str, "protocol.ChangedRow"]
 
@@ -253,189 +243,4 @@
         return False
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class FeedKeeper(tables.TableKeeper):
-    """Keeps the newest table, as told by the operators' rows."""
-
-    members: view.View
-    known: freshness.Freshness
-
-    def adopt(self, table: model.Table) -> bool:
-        """Puts a table in force if it is newer; it never goes back."""
-        if not tables.TableKeeper.adopt(self, table):
-            return False
-        self.known.changed(table.version)
-        self._list_stores(table)
-        return True
-
-    def rows_changed(
-        self,
-        decode: Callable[
-            [Mapping[str, protocol.ChangedRow]],
-            Result[model.Table | None, str],
-        ],
-        rows: Mapping[str, protocol.ChangedRow],
-    ) -> None:
-        """Puts newer rows in force."""
-        table = decode(rows)
-        if isinstance(table, Err):
-            # What is in force stays so: an older table serves, none does not.
-            logging.error("event=table_unreadable detail=%r", table.err_value)
-            return
-        if table.ok_value is not None:
-            self.adopt(table.ok_value)
-
-    def _list_stores(self, table: model.Table) -> None:
-        """Tells the core of stores of cached state, which no list names."""
-        if table.forwarding is None:
-            return
-        now_ms = self.runtime.clock.now_ms()
-        named = {store.name: store for store in table.forwarding.kv_stores}
-        known = self.runtime.core.world.servers_by_target[STORE_TARGET]
-        for name in known.keys() - named.keys():
-            self.runtime.submit(
-                inputs.ServerListed(at_ms=now_ms, server_id=name, gone=True)
-            )
-        for name, store in named.items():
-            self.runtime.submit(
-                inputs.ServerListed(
-                    at_ms=now_ms,
-                    server_id=name,
-                    address=store.address,
-                    target=STORE_TARGET,
-                    failure_domain=store.failure_domain,
-                    incarnation=name,
-                )
-            )
-
-    def confirmed(self, made_at_ms: int) -> None:
-        """Takes in that the table was the newest at a time."""
-        self.right.service_read(now_ms=made_at_ms)
-        self.tell_right()
-
-    def tell_right(self) -> None:
-        """Tells the core until when keys may be served."""
-        now_ms = self.runtime.clock.now_ms()
-        until_ms = self.right.until_ms(
-            self.members, own_version=self.table.version, now_ms=now_ms
-        )
-        self.runtime.submit(inputs.RightToServe(now_ms, until_ms))
-
-
-class InstanceFollower:
-    """Tells the core of servers that come, change and go.
-
-    Readers of the list tell the other daemons each change, with the list's
-    version before and after it. A daemon that finds a gap between reads the
-    list itself.
-    """
-
-    def __init__(
-        self,
-        *,
-        core: runtimes.Runtime,
-        decode: Callable[
-            [Mapping[str, protocol.ChangedRow]],
-            Result[dict[str, protocol.Instance], str],
-        ],
-        news: newses.News,
-        known: freshness.Freshness,
-        is_reader: Callable[[], bool],
-    ) -> None:
-        """Knows no servers yet."""
-        self._core = core
-        self._decode = decode
-        self._news = news
-        self._known = known
-        self._is_reader = is_reader
-        self._seen: dict[str, protocol.Instance] = {}
-        self._missing: set[str] = set()
-        self.follower: RowsFollower | None = None
-        news.on_versioned_list = self.told
-
-    def rows_changed(self, rows: Mapping[str, protocol.ChangedRow]) -> None:
-        """Takes in the rows of servers, as read here."""
-        listed = self._decode(rows)
-        if isinstance(listed, Err):
-            logging.error("event=list_unreadable detail=%r", listed.err_value)
-            return
-        assert self.follower is not None
-        before, version = self._known.version, self.follower.version
-        changes: listing.Changes = {
-            name: instance
-            for name, instance in listed.ok_value.items()
-            if self._seen.get(name) != instance
-        }
-        self._missing = self._seen.keys() - listed.ok_value.keys()
-        changes.update(self._take_missing())
-        self._put(changes)
-        self._known.changed(version)
-        self._publish(changes, before=before, version=version)
-
-    def told(self, changes: listing.Changes, before: int, version: int) -> None:
-        """Takes in what a reader says has changed."""
-        if not before <= self._known.version <= version:
-            if version > self._known.version:
-                self._known.behind_since_ms = self._core.clock.now_ms()
-            return
-        self._put(changes)
-        self._known.changed(version)
-
-    def drop_missing(self) -> None:
-        """Takes servers for gone whose entries did not come back."""
-        changes = self._take_missing()
-        if changes:
-            self._put(changes)
-            version = self._known.version
-            self._publish(changes, before=version, version=version)
-
-    def _take_missing(self) -> listing.Changes:
-        """Returns the servers whose entries are gone for good.
-
-        An entry lapses when its server can't renew it, also where the store
-        was away and the server is well. Dropped at once, all servers of a
-        target would be gone for two seconds after each outage.
-        """
-        follower = self.follower
-        assert follower is not None
-        now_ms = self._core.clock.now_ms()
-        since_ms = now_ms - follower.recovered_at_ms
-        if follower.failing_since_ms >= 0 or since_ms < LAPSED_MS:
-            return {}
-        gone, self._missing = self._missing, set()
-        return dict.fromkeys(gone)
-
-    def _put(self, changes: listing.Changes) -> None:
-        now_ms = self._core.clock.now_ms()
-        for name, instance in changes.items():
-            if instance is None:
-                self._missing.discard(name)
-                if self._seen.pop(name, None) is not None:
-                    self._core.submit(
-                        inputs.ServerListed(
-                            at_ms=now_ms, server_id=name, gone=True
-                        )
-                    )
-            elif self._seen.get(name) != instance:
-                self._seen[name] = instance
-                self._core.submit(listing.listed(instance, now_ms))
-
-    def _publish(
-        self, changes: listing.Changes, *, before: int, version: int
-    ) -> None:
-        if changes and self._is_reader():
-            self._news.publish_listed(changes, before=before, version=version)
-
-    def checks_fencing_of(self, server_id: str) -> bool:
-        """Returns whether a server refuses orders with an old number."""
-        instance = self._seen.get(server_id)
-        return instance is not None and instance.checks_fencing
-
-    async def drop_forever(self, *, every_ms: int) -> None:
-        """Looks for entries that did not come back, again and again."""
-        while True:
-            await asyncio.sleep(every_ms / 1000)
-            self.drop_missing()
-
-
-__all__ = ["FeedKeeper", "InstanceFollower", "RowsFollower"]
+__all__ = ["Rows", "RowsFollower"]
--- /dev/null
+++ b/src/godwittack/daemon/instances.py
@@ -0,0 +1,146 @@
+"""Tells the core and other daemons of backend servers in the store's rows."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from absl import logging
+from result import Err
+
+from godwittack.core import inputs
+from godwittack.daemon import listing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from result import Result
+
+    from godwittack.daemon import following
+    from godwittack.daemon import news as newses
+    from godwittack.daemon import runtime as runtimes
+    from godwittack.member import freshness
+    from godwittack.store import protocol
+
+# Entries that lapsed while the store was away come back within two seconds of
+# its return; what is missing after that is gone.
+LAPSED_MS = 2_300
+
+
+class InstanceFollower:
+    """Tells the core of servers that come, change and go.
+
+    Readers of the list tell the other daemons each change, with the list's
+    version before and after it. A daemon that finds a gap between reads the
+    list itself.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: runtimes.Runtime,
+        decode: Callable[
+            [Mapping[str, protocol.ChangedRow]],
+            Result[dict[str, protocol.Instance], str],
+        ],
+        news: newses.News,
+        known: freshness.Freshness,
+        is_reader: Callable[[], bool],
+    ) -> None:
+        """Knows no servers yet."""
+        self._core = core
+        self._decode = decode
+        self._news = news
+        self._known = known
+        self._is_reader = is_reader
+        self._seen: dict[str, protocol.Instance] = {}
+        self._missing: set[str] = set()
+        self.follower: following.RowsFollower | None = None
+        news.on_versioned_list = self.told
+
+    def rows_changed(self, rows: Mapping[str, protocol.ChangedRow]) -> None:
+        """Takes in the rows of servers, as read here."""
+        listed = self._decode(rows)
+        if isinstance(listed, Err):
+            logging.error("event=list_unreadable detail=%r", listed.err_value)
+            return
+        assert self.follower is not None
+        before, version = self._known.version, self.follower.version
+        changes: listing.Changes = {
+            name: instance
+            for name, instance in listed.ok_value.items()
+            if self._seen.get(name) != instance
+        }
+        self._missing = self._seen.keys() - listed.ok_value.keys()
+        changes.update(self._take_missing())
+        self._put(changes)
+        self._known.changed(version)
+        self._publish(changes, before=before, version=version)
+
+    def told(self, changes: listing.Changes, before: int, version: int) -> None:
+        """Takes in what a reader says has changed."""
+        if not before <= self._known.version <= version:
+            if version > self._known.version:
+                self._known.behind_since_ms = self._core.clock.now_ms()
+            return
+        self._put(changes)
+        self._known.changed(version)
+
+    def drop_missing(self) -> None:
+        """Takes servers for gone whose entries did not come back."""
+        changes = self._take_missing()
+        if changes:
+            self._put(changes)
+            version = self._known.version
+            self._publish(changes, before=version, version=version)
+
+    def _take_missing(self) -> listing.Changes:
+        """Returns the servers whose entries are gone for good.
+
+        An entry lapses when its server can't renew it, also where the store
+        was away and the server is well. Dropped at once, all servers of a
+        target would be gone for two seconds after each outage.
+        """
+        follower = self.follower
+        assert follower is not None
+        now_ms = self._core.clock.now_ms()
+        since_ms = now_ms - follower.recovered_at_ms
+        if follower.failing_since_ms >= 0 or since_ms < LAPSED_MS:
+            return {}
+        gone, self._missing = self._missing, set()
+        return dict.fromkeys(gone)
+
+    def _put(self, changes: listing.Changes) -> None:
+        now_ms = self._core.clock.now_ms()
+        for name, instance in changes.items():
+            if instance is None:
+                self._missing.discard(name)
+                if self._seen.pop(name, None) is not None:
+                    self._core.submit(
+                        inputs.ServerListed(
+                            at_ms=now_ms, server_id=name, gone=True
+                        )
+                    )
+            elif self._seen.get(name) != instance:
+                self._seen[name] = instance
+                self._core.submit(listing.listed(instance, now_ms))
+
+    def _publish(
+        self, changes: listing.Changes, *, before: int, version: int
+    ) -> None:
+        if changes and self._is_reader():
+            self._news.publish_listed(changes, before=before, version=version)
+
+    def checks_fencing_of(self, server_id: str) -> bool:
+        """Returns whether a server refuses orders with an old number."""
+        instance = self._seen.get(server_id)
+        return instance is not None and instance.checks_fencing
+
+    async def drop_forever(self, *, every_ms: int) -> None:
+        """Looks for entries that did not come back, again and again."""
+        while True:
+            await asyncio.sleep(every_ms / 1000)
+            self.drop_missing()
+
+
+__all__ = ["InstanceFollower"]
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import random
-import secrets
 import signal
 from typing import TYPE_CHECKING
 
@@ -15,9 +13,9 @@
 
 from godwittack.backend import http as backend_http
 from godwittack.claim import store as claim_store
-from godwittack.clock import SystemClock
-from godwittack.core import inputs, router
+from godwittack.core import inputs
 from godwittack.daemon import (
+    base,
     change,
     gossip,
     lead,
@@ -30,9 +28,7 @@
 )
 from godwittack.entry import calls, operate, status, token
 from godwittack.lead import lease as leases
-from godwittack.member import right, view
-from godwittack.metric import meters
-from godwittack.peer import datagram, exchange
+from godwittack.member import right
 from godwittack.report import ledger
 from godwittack.session import record
 from godwittack.store import http as platform_http
@@ -55,19 +51,11 @@
         """Wires the parts; nothing runs yet."""
         self._settings = settings = loaded.settings
         self._sessions = sessions
-        clock = SystemClock()
-        rng = random.Random(secrets.randbits(64))
-        me = view.Member(
-            member_id=f"{settings.name}@{secrets.token_hex(4)}",
-            peer_address=settings.peer_address,
-            http_address=settings.http_address,
-            failure_domain=settings.failure_domain,
-        )
-        core = router.Router.from_config(
-            daemon=me.member_id, policy=settings.policy()
-        )
-        counts = ledger.Ledger(daemon=me.member_id, clock=clock)
-        self._meters = meters.Meters(core.world)
+        self._base = parts = base.Base.from_config(loaded)
+        core, clock, counts = parts.core, parts.clock, parts.counts
+        self._meters = parts.meters
+        self._peers, self._probes = parts.peers, parts.probes
+        rng, members = parts.rng, parts.members
         platform = platform_http.HttpPlatform(
             session=sessions.platform,
             base_url=settings.platform_url,
@@ -95,22 +83,6 @@
                 settings.record_file, "a", buffering=1, encoding="utf-8"
             )
             self.runtime.recorder = record.Recorder(core, sink)
-        self._peers = exchange.PeerClient(
-            secret=loaded.cluster_secret,
-            timeout_ms=settings.peer_timeout_ms,
-            count_bytes=self._meters.count_peer_bytes,
-        )
-        self._probes = datagram.DatagramPeers(
-            secret=loaded.cluster_secret,
-            timeout_ms=settings.peer_timeout_ms,
-            count_bytes=self._meters.count_peer_bytes,
-        )
-        members = view.View(
-            me=me,
-            policy=settings.member_policy(),
-            rng=rng,
-            expected=len({*settings.seeds, settings.peer_address}),
-        )
         store = table_store.TableStore(platform, platform)
         self._keeper = tables.PolledKeeper(
             tables=store,
@@ -160,11 +132,7 @@
             checks_fencing=self._lists.checks_fencing_of,
             policy=leases.LeasePolicy(lease_ms=settings.lease_ms),
         )
-        self._peer_server = exchange.PeerServer(
-            handler=self.gossiper,
-            secret=loaded.cluster_secret,
-            count_bytes=self._meters.count_peer_bytes,
-        )
+        self._peer_server = parts.peer_server(self.gossiper)
         self._app = self._build_app(loaded, store, platform, counts)
         self._loops: list[asyncio.Task[None]] = []
 
@@ -223,7 +191,7 @@
             await work
 
         task = asyncio.create_task(guarded())
-        task.add_done_callback(_report_end)
+        task.add_done_callback(base.report_end)
         self._loops.append(task)
 
     async def _listen(self) -> web.AppRunner:
@@ -264,10 +232,7 @@
         self._servers.close()
         self._news.close()
         await self.runtime.close()
-        await self._peer_server.stop(grace_ms=100)
-        await self._peers.close()
-        self._probes.close()
-        self._meters.close()
+        await self._base.close(self._peer_server, grace_ms=100)
         logging.info("event=stopped")
 
     def _build_app(
@@ -359,14 +324,4 @@
         await sessions.close()
 
 
-def _report_end(task: asyncio.Task[None]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        # A loop that ends silently would leave the daemon half alive.
-        logging.exception("event=loop_failed detail=%r", error, exc_info=error)
-        signal.raise_signal(signal.SIGTERM)
-
-
 __all__ = ["Daemon", "serve"]
--- a/src/godwittack/entry/directory.py
+++ b/src/godwittack/entry/directory.py
@@ -1,18 +1,81 @@
-"""Chooses the addresses that callers are told to connect to."""
+"""Tells callers where to connect, and the platform whether to send any."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
+
+from aiohttp import web
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from godwittack.core import entities
     from godwittack.member import view
 
 # Daemons in the caller's own failure domain from which those of others are
 # left out: with one alone, its loss would leave callers without an address.
 ENOUGH_NEAR = 2
 MAX_ADDRESSES = 64
+# Callers may keep an address for three times the time they are told; a daemon
+# that leaves serves on for as long.
+ADDRESS_KEEP_MS = 1_000
+KEEP_FACTOR = 3
+
+
+class DirectoryFormat(Protocol):
+    """How callers ask for addresses, and what they are answered."""
+
+    def caller_domain(self, request: web.BaseRequest) -> str | None:
+        """Returns a caller's failure domain; None for another question."""
+
+    def answer(self, addresses: list[str], *, keep_ms: int) -> web.Response:
+        """Returns addresses and how long they may be kept."""
+
+
+class DirectoryFace:
+    """HTTP handlers of the directory and of readiness.
+
+    Attributes:
+        stopping: Whether this daemon takes no new callers.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: view.View,
+        world: entities.World,
+        wire: DirectoryFormat,
+    ) -> None:
+        """Names the daemons that `members` holds to be alive."""
+        self.stopping = False
+        self._members = members
+        self._world = world
+        self._wire = wire
+
+    async def resolve(self, request: web.BaseRequest) -> web.Response:
+        """Answers which addresses a caller should use."""
+        domain = self._wire.caller_domain(request)
+        if domain is None:
+            return web.json_response({"error": "not_found"}, status=404)
+        members = self._members.serving()
+        if not self._world.table.version:
+            # Without a table it would refuse whoever came.
+            own = self._members.me.member_id
+            members = [m for m in members if m.member_id != own]
+        if not members:
+            return web.json_response({"error": "no_address"}, status=503)
+        found = choose(members, failure_domain=domain)
+        return self._wire.answer(found, keep_ms=ADDRESS_KEEP_MS)
+
+    async def ready(self, request: web.BaseRequest) -> web.Response:
+        """Says whether this daemon takes callers."""
+        del request
+        version = self._world.table.version
+        ready = version > 0 and not self.stopping
+        return web.json_response(
+            {"ready": ready, "table_version": version},
+            status=200 if ready else 503,
+        )
 
 
 def choose(members: Sequence[view.Member], *, failure_domain: str) -> list[str]:
@@ -28,4 +91,10 @@
     return [member.http_address for member in chosen[:MAX_ADDRESSES]]
 
 
-__all__ = ["choose"]
+__all__ = [
+    "ADDRESS_KEEP_MS",
+    "KEEP_FACTOR",
+    "DirectoryFace",
+    "DirectoryFormat",
+    "choose",
+]
--- a/src/godwittack/platform/names.py
+++ b/src/godwittack/platform/names.py
@@ -52,7 +52,6 @@
 
 # Calls that arrive here.
 RESOLVE_PATH: Final = "/resolve"
-READY_PATH: Final = "/ready"
 
 # Calls to a backend server.
 REPORT_PATH: Final = "/report"
--- a/tests/cases/freshness.py
+++ b/tests/cases/freshness.py
@@ -136,14 +136,14 @@
 
     from cases import leading
     from godwittack.clock import ManualClock
-    from godwittack.daemon import following
+    from godwittack.daemon import instances
 
     clock = ManualClock(cases.START_MS)
     news = _News()
     known = Freshness(topic=Topic.SERVERS)
     follower = cases.Followed().follower
     follower._clock = clock
-    held = following.InstanceFollower(
+    held = instances.InstanceFollower(
         core=leading.Runtime(clock),
         decode=lambda rows: Ok(dict(rows)),
         news=news,
