Count each naming of weights by itself

The lead was lost half way (5.2 to 11.4 s without one); version 3 was named at 8.6 s, and from then on version 1 counted as old since 8.6 s instead of 2.0 s.

Ruled out: a daemon that had not heard of version 2 (table_in_force at 2.02 s), a server's report (the list and the placement agree on version 1).

Change: core/weights.py remembers the last sixteen namings; a server is old since the first one that its weights precede. One is_newer.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 
-from godwittack.core import effects
+from godwittack.core import effects, weights
 from godwittack.core import policy as policies
 from godwittack.core import work as works
 from godwittack.limit import budget, fair, shares
@@ -177,8 +177,8 @@
         out: Effects of the input being worked on.
         right_until_ms: Until when the table here may be called current.
         live_daemons: Incarnations of daemons believed alive.
-        weights_named_at_ms: When the weights now wanted were first known
-            here, by target.
+        weights_named: Versions of weights in the order in which they were
+            wanted, by target.
         most_daemons: Most of them that were ever believed alive at a time.
         target_budgets: Retry budgets by target, where the limit on retries
             holds for each target by itself.
@@ -216,7 +216,7 @@
     right_until_ms: int = 0
     stopping: bool = False
     stopped: bool = False
-    weights_named_at_ms: dict[str, int] = dataclasses.field(
+    weights_named: dict[str, list[weights.Naming]] = dataclasses.field(
         default_factory=dict
     )
     most_daemons: int = 1
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import effects, entities, inputs
+from godwittack.core import effects, entities, inputs, weights
 
 if TYPE_CHECKING:
     from godwittack.core import work
@@ -52,7 +52,7 @@
         server.slots = told.slots
     if not told.incarnation:
         return
-    if server.incarnation and not _is_newer(
+    if server.incarnation and not weights.is_newer(
         told.weights_version, server.weights_version
     ):
         return
@@ -60,12 +60,6 @@
     world.freed_targets.add(server.target)
 
 
-def _is_newer(told: str, known: str) -> bool:
-    if told.isdigit() and known.isdigit():
-        return int(told) > int(known)
-    return told != known
-
-
 def leaving_told(world: entities.World, told: inputs.ServerLeaving) -> None:
     """Takes in that another daemon saw a server leaving."""
     server = world.servers.get(told.server_id)
@@ -114,7 +108,7 @@
         world.table.forwarding is not None
         and server.incarnation == told.incarnation
         and server.weights_version != told.weights_version
-        and not _is_newer(told.weights_version, server.weights_version)
+        and not weights.is_newer(told.weights_version, server.weights_version)
     )
 
 
--- a/src/godwittack/core/weights.py
+++ b/src/godwittack/core/weights.py
@@ -2,24 +2,40 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from godwittack.core import entities
     from godwittack.table import model
 
+# Namings of one model that are remembered; servers with older weights are too
+# old by far.
+MOST_NAMED = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Naming:
+    """A version of weights, and when it was first known to be wanted."""
+
+    version: str
+    at_ms: int
+
 
 def named(world: entities.World, table: model.Table) -> None:
     """Notes when newer weights than those in force are named."""
     for name, row in table.models.items():
         before = world.table.models.get(name)
+        if before is not None and before.weights_version == row.weights_version:
+            continue
+        at_ms = world.now_ms
         if before is None:
             # A daemon that starts can't tell how long ago they were named;
             # others may have waited for most of the limit already.
-            known_ms = world.policy.old_weights_limit_ms * 3 // 4
-            world.weights_named_at_ms[name] = world.now_ms - known_ms
-        elif before.weights_version != row.weights_version:
-            world.weights_named_at_ms[name] = world.now_ms
+            at_ms -= world.policy.old_weights_limit_ms * 3 // 4
+        known = world.weights_named.setdefault(name, [])
+        known.append(Naming(row.weights_version, at_ms))
+        del known[:-MOST_NAMED]
 
 
 def too_old(world: entities.World, server: entities.ServerRow) -> bool:
@@ -41,11 +57,28 @@
 
 
 def _old_for_ms(world: entities.World, server: entities.ServerRow) -> int:
-    """Returns for how long newer weights are named; -1 if none are."""
+    """Returns for how long newer weights are named; -1 if none are.
+
+    Each naming counts by itself: one that follows before the one before it is
+    in place everywhere does not make the oldest weights young again.
+    """
     row = world.table.models.get(server.target)
     if row is None or row.weights_version == server.weights_version:
         return -1
-    return world.now_ms - world.weights_named_at_ms.get(server.target, 0)
+    for naming in world.weights_named.get(server.target, ()):
+        if is_newer(naming.version, server.weights_version):
+            return world.now_ms - naming.at_ms
+    return -1
+
+
+def is_newer(version: str, than: str) -> bool:
+    """Returns whether a version of weights follows another.
+
+    Versions that are no numbers can only be told apart.
+    """
+    if version.isdigit() and than.isdigit():
+        return int(version) > int(than)
+    return version != than
 
 
-__all__ = ["cost_ms", "named", "too_old"]
+__all__ = ["Naming", "cost_ms", "is_newer", "named", "too_old"]
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -43,6 +43,33 @@
         assert core.dispatch().server_id == "e1"
 
 
+def each_naming_ages_older_weights_by_itself() -> None:
+    """A second naming does not make the first one's weights young again.
+
+    Symptom: a request begins on weights that were replaced 12 s ago.
+    Sequence: version 2 is named; a roll-out loses its lead half way; version
+        3 is named 7 s later; a server still has version 1.
+    Cause: the time of the last naming taken for the time since when any other
+        version is old.
+    """
+    core = routed_core.Core(servers=1)
+    _named(core, "2")
+    core.wait(7_000)
+    core.tell(inputs.TableChanged, routed_core.table(3, weights="3"))
+    core.wait(900)
+    core.arrive("long", "r1")
+    assert core.dispatch().server_id == "e1"
+    core.wait(200)
+    core.arrive("long", "r2")
+    assert core.refusal().status == 503
+    _report(core, "e1", "2")
+    core.arrive("long", "r3")
+    assert core.dispatch().stamp.weights_version == "2"
+    core.wait(7_000)
+    core.arrive("long", "r4")
+    assert core.refusal().status == 503
+
+
 def older_weights_serve_until_they_are_too_old() -> None:
     """Just after a naming, servers go on with what they have.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -31,6 +31,7 @@
     Examples: weights
       | group   | case |
       | weights | a server back with replaced weights gets no work |
+      | weights | each naming ages older weights by itself |
       | weights | older weights serve until they are too old |
       | weights | a late report does not bring old weights back |
       | weights | new weights end a drain |
