--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -127,6 +127,9 @@
         }
         self.fields: list[dict] = []
         self.processes: list[asyncio.subprocess.Process] = []
+        # All that were ever started: two faults at a time may restart one
+        # daemon twice, and the one that lost its place must end as well.
+        self._started: list[asyncio.subprocess.Process] = []
         self.logs: list[pathlib.Path] = []
         self.session: aiohttp.ClientSession | None = None
         self._daemons = daemons
@@ -162,7 +165,7 @@
 
     async def __aexit__(self, *unused) -> None:
         """Ends everything it started."""
-        for process in self.processes:
+        for process in self._started:
             if process.returncode is None:
                 process.kill()
                 await process.wait()
@@ -207,7 +210,7 @@
 
     async def _run(self, path: pathlib.Path) -> asyncio.subprocess.Process:
         with path.with_suffix(".log").open("ab") as output:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(ROOT / "deploy" / "daemon.py"),
                 "serve",
@@ -217,6 +220,8 @@
                 stderr=output,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
+        self._started.append(process)
+        return process
 
     def log(self, number: int = 0) -> str:
         """Returns what a daemon has logged."""
--- a/tests/soak/session.py
+++ b/tests/soak/session.py
@@ -52,6 +52,7 @@
         self.version = 1
         self.key_gone_at_s = 0.0
         self._stopping = False
+        self._restarting = [asyncio.Lock() for _ in range(DAEMONS)]
         self._tasks: list[asyncio.Task] = []
 
     async def play(self) -> list[str]:
@@ -174,6 +175,14 @@
 
     async def _restart(self, number: int) -> None:
         process = self.made.processes[number]
+        # Killed while it stops, a daemon is started once, not twice.
+        async with self._restarting[number]:
+            if self.made.processes[number] is process:
+                await self._restart_ended(number, process)
+
+    async def _restart_ended(
+        self, number: int, process: asyncio.subprocess.Process
+    ) -> None:
         try:
             async with asyncio.timeout(10):
                 await process.wait()
@@ -181,8 +190,7 @@
             # Paused by another fault; the platform kills it after the grace.
             process.kill()
             await process.wait()
-        if self.made.processes[number] is process:
-            await self.made.restart_daemon(number)
+        await self.made.restart_daemon(number)
 
     async def _name_weights(self) -> None:
         self.version += 1
