End callers' connections by the table's limits; drop what nobody reads

Cause: header-timeout-ms and idle-timeout-ms of the operators' limits were not applied, and the HTTP library unpacked compressed bodies while their header was passed on. Found by reading: fields that nobody reads (when the store last answered, capacities of engines and stores, the table version of a request) and the holders of a prompt looked up twice for each request.

Change: entry/patience.py ends connections past a limit; five cases with real sockets. What a request copies from is decided once, in sourcing.choose.

--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -50,7 +50,6 @@
         arrived_at_ms=world.now_ms,
         deadline_at_ms=world.now_ms + _deadline_ms(world, workspace, asked),
         next_frame=asked.resume_after + 1,
-        table_version=world.table.version,
     )
     if asked.route is not None:
         request.give_up_at_ms = world.now_ms + asked.route.timeout_ms
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -49,7 +49,6 @@
         give_up_at_ms: When a final answer is due in any case; 0 for never.
         runs: Dispatches that may have run.
         head: Status and headers of the stream's first server.
-        table_version: Version of the table by which it was admitted.
     """
 
     request_id: str
@@ -77,7 +76,6 @@
     give_up_at_ms: int = 0
     runs: int = 0
     head: works.Head | None = None
-    table_version: int = 0
 
     @property
     def at_most_once(self) -> bool:
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -90,7 +90,7 @@
         uncached_tokens=placed.uncached_tokens,
         first_token_ms=placed.first_token_ms,
         cost=placed.cost,
-        fetch_from=sourcing.spare_source(world, request, placed),
+        fetch_from=placed.fetch_from,
     )
 
 
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -62,8 +62,7 @@
 
     Attributes:
         wait_ms: Estimated wait before its prompt is begun.
-        held_tokens: Leading tokens believed to be cached there.
-        source: Where more of them are copied from; None for nowhere.
+        fetch_from: Address that cached levels are copied from, or "".
         uncached_tokens: Tokens that it will have to compute.
         first_token_ms: Estimated time to the first token.
         cost: What is minimized, in milliseconds.
@@ -71,8 +70,7 @@
 
     server: entities.ServerRow
     wait_ms: float
-    held_tokens: int
-    source: Source | None
+    fetch_from: str
     uncached_tokens: float
     first_token_ms: float
     cost: float
@@ -94,11 +92,18 @@
         _score(world, request, server, held, rank, server.server_id == home)
         for server in usable
     ]
-    return min(placed, key=lambda p: (p.cost, p.server.server_id))
+    best = min(placed, key=lambda p: (p.cost, p.server.server_id))
+    if best.fetch_from:
+        return best
+    spare = _spare_source(world, request, best.server, held)
+    return dataclasses.replace(best, fetch_from=spare)
 
 
-def spare_source(
-    world: entities.World, request: entities.RequestRow, placed: Placed
+def _spare_source(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+    held: dict[str, int],
 ) -> str:
     """Returns the address of a source for what a server may have lost.
 
@@ -106,20 +111,14 @@
     source that is named costs nothing while the server still has it, and 1 ms
     where the source has lost it as well; without one, all is computed again.
     """
-    if placed.source is not None:
-        return placed.source.server.address
-    held = {
-        server.server_id: held_tokens(server, request, server.weights_version)
-        for server in _holders(world, request)
-    }
     found = max(
-        _sources(world, request, placed.server, held),
+        _sources(world, request, server, held),
         key=lambda source: (source.tokens, -source.us_per_token),
         default=None,
     )
     if found is not None and found.tokens >= COPY_TOKENS:
         return found.server.address
-    return _any_store(world, request, placed.server)
+    return _any_store(world, request, server)
 
 
 def _any_store(
@@ -223,8 +222,7 @@
     return Placed(
         server=server,
         wait_ms=wait,
-        held_tokens=own,
-        source=source,
+        fetch_from=source.server.address if source else "",
         uncached_tokens=float(prompt - known),
         first_token_ms=first_token_ms,
         cost=cost,
@@ -334,6 +332,5 @@
     "Source",
     "choose",
     "held_tokens",
-    "spare_source",
     "stores",
 ]
--- a/src/godwittack/daemon/following.py
+++ b/src/godwittack/daemon/following.py
@@ -45,7 +45,6 @@
     Attributes:
         rows: Rows by key, as last told.
         version: Newest version of a row, of those removed as well.
-        answered_at_ms: When the store last answered.
         failing_since_ms: Since when it has not; -1 while it does.
     """
 
@@ -76,7 +75,6 @@
             is_reader: Whether this daemon asks the store all the time.
         """
         self.rows: Rows = {}
-        self.answered_at_ms = -1
         self.failing_since_ms = -1
         self.recovered_at_ms = -1_000_000
         self._feed = feed
@@ -215,7 +213,6 @@
     def _answered(self, started_ms: int) -> None:
         now_ms = self._clock.now_ms()
         self._pause_ms = RETRY_FIRST_MS
-        self.answered_at_ms = now_ms
         if self.failing_since_ms < 0:
             return
         self.recovered_at_ms = now_ms
--- /dev/null
+++ b/src/godwittack/entry/patience.py
@@ -0,0 +1,134 @@
+"""Ends callers' connections on which nothing comes for too long.
+
+A connection that never completes a request, or is kept for none, holds a
+descriptor and memory; a few thousand of them take all that a daemon has.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Awaitable, Callable
+
+    from godwittack.clock import Clock
+    from godwittack.table import forwarding
+
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class PatientServer(web.Server):
+    """An HTTP server that ends connections by the table's limits."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        clock: Clock,
+        max_line_bytes: int,
+    ) -> None:
+        """Serves requests.
+
+        Args:
+            handler: Serves one request.
+            clock: Source of time.
+            max_line_bytes: Longest line of a request's head that is read.
+        """
+        super().__init__(self._answer, handler_cancellation=True)
+        self._serve = handler
+        self._clock = clock
+        self._max_line_bytes = max_line_bytes
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return _Connection(
+            self,
+            clock=self._clock,
+            loop=self._loop,
+            max_line_bytes=self._max_line_bytes,
+        )
+
+    def end_slow(self, limits: forwarding.CallerLimits) -> int:
+        """Closes connections past a limit; returns how many."""
+        now_ms = self._clock.now_ms()
+        slow = [
+            found
+            for found in self.connections
+            if isinstance(found, _Connection)
+            and found.is_slow(limits, now_ms=now_ms)
+        ]
+        for found in slow:
+            found.close()
+            if found.transport is not None:
+                found.transport.close()
+        return len(slow)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection = request.protocol
+        assert isinstance(connection, _Connection)
+        connection.began()
+        try:
+            return await self._serve(request)
+        finally:
+            connection.ended()
+
+
+class _Connection(web.RequestHandler):
+    """One connection, and since when it waits for what."""
+
+    # The base class has slots; these are its subclass's own.
+    __slots__ = ("_clock", "_first_byte_ms", "_idle_since_ms", "_in_handler")
+
+    def __init__(
+        self,
+        manager: web.Server,
+        *,
+        clock: Clock,
+        loop: asyncio.AbstractEventLoop,
+        max_line_bytes: int,
+    ) -> None:
+        super().__init__(
+            manager,
+            loop=loop,
+            access_log=None,  # type: ignore[arg-type]
+            max_line_size=max_line_bytes,
+            max_field_size=max_line_bytes,
+            # A body is passed on as it came, also where it is compressed.
+            auto_decompress=False,
+        )
+        self._clock = clock
+        self._first_byte_ms = -1
+        self._idle_since_ms = clock.now_ms()
+        self._in_handler = False
+
+    def data_received(self, data: bytes) -> None:
+        """Notes when a request's first bytes came."""
+        if self._first_byte_ms < 0:
+            self._first_byte_ms = self._clock.now_ms()
+        super().data_received(data)
+
+    def began(self) -> None:
+        """Notes that a request's headers were read."""
+        self._in_handler = True
+
+    def ended(self) -> None:
+        """Notes that a request was answered."""
+        self._in_handler = False
+        self._first_byte_ms = -1
+        self._idle_since_ms = self._clock.now_ms()
+
+    def is_slow(self, limits: forwarding.CallerLimits, *, now_ms: int) -> bool:
+        """Returns whether the caller has taken longer than it may."""
+        if self._in_handler:
+            return False
+        if self._first_byte_ms >= 0:
+            limit_ms = limits.header_timeout_ms
+            return 0 < limit_ms <= now_ms - self._first_byte_ms
+        limit_ms = limits.idle_timeout_ms
+        return 0 < limit_ms <= now_ms - self._idle_since_ms
+
+
+__all__ = ["PatientServer"]
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -48,7 +48,6 @@
 
 class _Engine(wire.Wire):
     slots: int = 16
-    kv_capacity_tokens: int = 0
     models: tuple[_Model, ...] = ()
 
 
@@ -58,7 +57,6 @@
     # Set where the service is a store of cached state, not a server.
     kv_store_addr: str = ""
     zone: str = ""
-    kv_capacity_tokens: int = 0
 
 
 class _Tenant(wire.Wire):
@@ -71,6 +69,8 @@
 class _Limits(wire.Wire):
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4 << 20
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
 
 
 class _Config(wire.Wire):
@@ -158,12 +158,13 @@
         limits=forwarding.CallerLimits(
             header_bytes=config.limits.max_header_bytes,
             body_bytes=config.limits.max_body_bytes,
+            header_timeout_ms=config.limits.header_timeout_ms,
+            idle_timeout_ms=config.limits.idle_timeout_ms,
         ),
         engines={
             service.name: forwarding.EngineLimits(
                 model=service.engine.models[0].name,
                 slots=service.engine.slots,
-                kv_tokens=service.engine.kv_capacity_tokens,
             )
             for service in config.services
             if service.engine is not None and service.engine.models
@@ -173,7 +174,6 @@
                 name=service.name,
                 address=service.kv_store_addr,
                 failure_domain=service.zone,
-                capacity_tokens=service.kv_capacity_tokens,
             )
             for service in config.services
             if service.kv_store_addr
--- a/src/godwittack/table/forwarding.py
+++ b/src/godwittack/table/forwarding.py
@@ -64,10 +64,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLimits:
-    """What callers may send at most."""
+    """What callers may send at most, and how long they may take.
+
+    Attributes:
+        header_timeout_ms: From a request's first byte to the end of its
+            headers; 0 for no limit.
+        idle_timeout_ms: Between an answer and the next request; 0 for none.
+    """
 
     header_bytes: int = 16_384
     body_bytes: int = 4 << 20
+    header_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,13 +84,11 @@
 
     Attributes:
         address: IP and port, as engines are told.
-        capacity_tokens: Tokens that it holds at most.
     """
 
     name: str
     address: str
     failure_domain: str = ""
-    capacity_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -92,12 +98,10 @@
     Attributes:
         model: Name of the model that they serve.
         slots: Requests that one engine batches.
-        kv_tokens: Tokens of running requests and cached levels together.
     """
 
     model: str
     slots: int = 16
-    kv_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
