Log what keeps a request from being sent once more

Cause: a refusal after a declined attempt said not_run and no more; whether the budget, the attempts or the deadline had forbidden another try was found by counting lines of the second before.

--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from godwittack.limit import budget
@@ -14,11 +15,39 @@
 MAX_DECLINED = 3
 
 
+class Limit(enum.StrEnum):
+    """What keeps a request from being sent once more."""
+
+    DEADLINE = "deadline"
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+
+
 def allowed(world: entities.World, request: entities.RequestRow) -> bool:
     """Returns whether to send again, and takes the retry off its budget."""
-    if world.now_ms >= request.deadline_at_ms or _tries_used(world, request):
-        return False
-    return _budget(world, request.work.target).spend()
+    limit = _limit(world, request)
+    if limit is None:
+        return True
+    world.event(
+        "not_retried",
+        request.request_id,
+        workspace=request.workspace,
+        target=request.work.target,
+        limit=limit.value,
+        attempts=request.attempts,
+        runs=request.runs,
+    )
+    return False
+
+
+def _limit(world: entities.World, request: entities.RequestRow) -> Limit | None:
+    if world.now_ms >= request.deadline_at_ms:
+        return Limit.DEADLINE
+    if _tries_used(world, request):
+        return Limit.ATTEMPTS
+    if not _budget(world, request.work.target).spend():
+        return Limit.BUDGET
+    return None
 
 
 def earn(world: entities.World, target: str) -> None:
@@ -58,4 +87,4 @@
     return found
 
 
-__all__ = ["allowed", "earn"]
+__all__ = ["Limit", "allowed", "earn"]
