Announce long prompts by datagrams; count no cell without a limit

Cause: of 1,197 messages of news that one of sixty daemons got in 8 s, 815 were announcements of single prompts, and each was written for every peer anew. The rest was mostly demand of workspaces, which on the platform have no limits, and of models, whose rate moves with each request.

Ruled out: gathering announcements (each daemon sends 1.4 a second); fewer receivers (each of them places prompts on the same engines).

Change: daemon/announcing.py, one packet for all peers; prompts from 1,500 tokens (10 ms of an engine) instead of 500. Cells without a limit are not counted; a model's rate is told in steps of 1.5. Who reads the store is worked out when members change, not twenty times a second; the rank of a lead only where weights are behind.

--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -7,7 +7,6 @@
 
 from godwittack.core import (
     claims,
-    closing,
     dispatching,
     effects,
     entities,
@@ -56,7 +55,7 @@
     if not _within_limits(world, request, workspace):
         return
     world.requests[request.request_id] = request
-    for cell in closing.limited_cells(request):
+    for cell in request.cells:
         world.shares.began(cell)
     retries.earn(world, asked.target)
     world.spill_budget.earn()
@@ -160,14 +159,14 @@
     request: entities.RequestRow,
     workspace: model.WorkspaceRow,
 ) -> bool:
-    limits = [workspace.max_in_flight]
-    if request.work.kind is work.WorkKind.PLAIN:
-        limits.append(world.table.services[request.work.target].max_in_flight)
-    cells = closing.limited_cells(request)
+    limits = splitting.limits(world, request, workspace)
+    request.cells = tuple(limits)
+    if not limits:
+        return True
     splitting.note(world, request)
-    for cell in cells:
+    for cell in limits:
         world.shares.arrived(cell)
-    for cell, limit in zip(cells, limits, strict=True):
+    for cell, limit in limits.items():
         if not world.shares.room(cell, limit=limit):
             _turn_away(
                 world,
@@ -180,15 +179,16 @@
             )
             return False
     rate = workspace.max_requests_per_s
-    if world.shares.take_rate(cells[0], limit_per_s=rate, now_ms=world.now_ms):
+    cell = splitting.workspace_cell(workspace)
+    if world.shares.take_rate(cell, limit_per_s=rate, now_ms=world.now_ms):
         return True
     _turn_away(
         world,
         request.request_id,
         status=429,
         reason=effects.Reason.LIMIT,
-        detail=f"{cells[0]} has used max_requests_per_s {rate:g}",
-        retry_after_ms=world.shares.rate_wait_ms(cells[0], limit_per_s=rate),
+        detail=f"{cell} has used max_requests_per_s {rate:g}",
+        retry_after_ms=world.shares.rate_wait_ms(cell, limit_per_s=rate),
         workspace=request.workspace,
     )
     return False
--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -7,9 +7,9 @@
 if TYPE_CHECKING:
     from godwittack.core import entities, server_inputs
 
-# Prompt tokens from which a dispatch is told to other daemons: 500 tokens
-# take an engine 3 ms, less than the news takes.
-ANNOUNCE_TOKENS = 500
+# Prompt tokens from which a dispatch is told to other daemons: 1,500 take an
+# engine 10 ms; shorter ones are many, and gone before the news matters.
+ANNOUNCE_TOKENS = 1_500
 # Part of a less urgent backlog that a request waits for all the same: engines
 # compute prompts in pieces, and the piece under way ends first.
 LESS_URGENT_PART = 0.1
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from godwittack.core import effects, entities, work
+from godwittack.core import effects, entities
 
 SERVICE_SMOOTHING = 0.1
 
@@ -146,26 +146,17 @@
     world.requests.pop(request.request_id, None)
     if request.phase is entities.Phase.QUEUED:
         world.queues[request.work.target].drop(request.request_id)
-    for cell in limited_cells(request):
+    for cell in request.cells:
         world.shares.ended(cell)
     world.freed_targets.add(request.work.target)
     world.emit(effects.Forget(request.request_id))
 
 
-def limited_cells(request: entities.RequestRow) -> list[str]:
-    """Returns the cells in which the request counts while it is in flight."""
-    cells = [f"workspace/{request.workspace}"]
-    if request.work.kind is work.WorkKind.PLAIN:
-        cells.append(f"service/{request.work.target}")
-    return cells
-
-
 __all__ = [
     "close_attempt",
     "finish",
     "learn_service_time",
     "leave",
-    "limited_cells",
     "refuse",
     "reply",
 ]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -49,6 +49,7 @@
         give_up_at_ms: When a final answer is due in any case; 0 for never.
         runs: Dispatches that may have run.
         head: Status and headers of the stream's first server.
+        cells: Cells with a limit in which it counts while it is in flight.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     give_up_at_ms: int = 0
     runs: int = 0
     head: works.Head | None = None
+    cells: tuple[str, ...] = ()
 
     @property
     def at_most_once(self) -> bool:
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -24,6 +24,8 @@
 SPREAD_SLACK = 1.2
 # Tokens computed beyond the least possible from which a choice is a move.
 SPILL_TOKENS = 500
+# Beginning of the names of cells that count a model's requests.
+MODEL_CELLS = "model/"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,7 +177,7 @@
 
 def model_cell(target: str) -> str:
     """Returns the name under which a model's demand is told."""
-    return f"model/{target}"
+    return MODEL_CELLS + target
 
 
 def prefill_us(world: entities.World, server: entities.ServerRow) -> int:
@@ -328,6 +330,7 @@
 
 
 __all__ = [
+    "MODEL_CELLS",
     "Choice",
     "choose",
     "home_servers",
--- a/src/godwittack/core/resuming.py
+++ b/src/godwittack/core/resuming.py
@@ -10,6 +10,7 @@
     dispatching,
     effects,
     entities,
+    splitting,
     work,
 )
 
@@ -44,7 +45,8 @@
         next_frame=told.after + 1,
     )
     world.requests[request.request_id] = request
-    for cell in closing.limited_cells(request):
+    request.cells = tuple(splitting.limits(world, request, workspace))
+    for cell in request.cells:
         world.shares.began(cell)
     server = world.servers.get(told.server_id)
     if workspace.name != told.stamp.workspace or server is None:
--- a/src/godwittack/core/routing.py
+++ b/src/godwittack/core/routing.py
@@ -15,7 +15,7 @@
 NOT_CURRENT_RETRY_MS = 500
 # Workspace of requests on routes that need no API key.
 ANONYMOUS = model.WorkspaceRow(
-    name="", max_in_flight=1_000_000, max_requests_per_s=1_000_000
+    name="", max_in_flight=model.NO_LIMIT, max_requests_per_s=model.NO_LIMIT
 )
 
 
--- a/src/godwittack/core/splitting.py
+++ b/src/godwittack/core/splitting.py
@@ -6,11 +6,37 @@
 
 from godwittack.core import work
 from godwittack.member import duty
+from godwittack.table import model
 
 if TYPE_CHECKING:
     from godwittack.core import entities
 
 
+def workspace_cell(workspace: model.WorkspaceRow) -> str:
+    """Returns the name of a workspace's cell."""
+    return f"workspace/{workspace.name}"
+
+
+def limits(
+    world: entities.World,
+    request: entities.RequestRow,
+    workspace: model.WorkspaceRow,
+) -> dict[str, int]:
+    """Returns the cells with a limit in which a request counts, and limits.
+
+    What has no limit is not counted: daemons would tell each other demand
+    that nobody splits.
+    """
+    found: dict[str, int] = {}
+    if not workspace.is_unlimited:
+        found[workspace_cell(workspace)] = workspace.max_in_flight
+    if request.work.kind is work.WorkKind.PLAIN:
+        service = world.table.services[request.work.target]
+        if service.max_in_flight < model.NO_LIMIT:
+            found[f"service/{service.name}"] = service.max_in_flight
+    return found
+
+
 def note(world: entities.World, request: entities.RequestRow) -> None:
     """Notes who splits the cells that a request counts in.
 
@@ -30,4 +56,4 @@
         world.shares.groups[f"service/{target}"].update(heard)
 
 
-__all__ = ["note"]
+__all__ = ["limits", "note", "workspace_cell"]
--- a/src/godwittack/daemon/demand.py
+++ b/src/godwittack/daemon/demand.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import TYPE_CHECKING
 
+from godwittack.core import placing
 from godwittack.member import duty
 
 if TYPE_CHECKING:
@@ -12,6 +14,11 @@
     from godwittack.limit import shares
     from godwittack.member import view
 
+# Ratio of two neighbouring figures of a model's rate, and the rate from which
+# it is told so.
+RATE_STEP = 1.5
+LEAST_RATE = 0.5
+
 
 def by_member(
     demands: tuple[inputs.CellDemand, ...],
@@ -36,4 +43,17 @@
     return told
 
 
-__all__ = ["by_member"]
+def rounded_rate(cell: str, rate_per_s: float) -> float:
+    """Returns a rate as it is told.
+
+    Limits are split by exact figures, or the shares would not add up. A
+    model's rate only tells how much others send beside a daemon, and told
+    exactly it would be news to every peer twice a second.
+    """
+    if not cell.startswith(placing.MODEL_CELLS) or rate_per_s < LEAST_RATE:
+        return round(rate_per_s, 1)
+    steps = round(math.log(rate_per_s) / math.log(RATE_STEP))
+    return round(RATE_STEP**steps, 2)
+
+
+__all__ = ["by_member", "rounded_rate"]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -15,6 +15,7 @@
 from godwittack.backend import routed
 from godwittack.core import inputs
 from godwittack.daemon import (
+    announcing,
     base,
     following,
     gossip,
@@ -41,6 +42,7 @@
     from result import Result
 
     from godwittack.config import settings as configs
+    from godwittack.member import view
     from godwittack.store import protocol as stores
 
 HTTP_BACKLOG = 1_024
@@ -128,7 +130,14 @@
             client=self._peers,
             mesh_limit=settings.mesh_limit,
         )
-        self.runtime.on_announce = self._news.publish_dispatched
+        announcer = announcing.Announcer(
+            members=members,
+            news=self._news,
+            runtime=self.runtime,
+            spreader=self._probes,
+        )
+        self.runtime.on_announce = announcer.announce
+        self._probes.on_news = announcer.heard
         self.runtime.on_doubt = self._news.publish_doubt
         self._gossiper = gossip.Gossiper(
             members=members,
@@ -197,6 +206,9 @@
             world=core.world,
             wire=addresses.DirectoryFormat(),
         )
+        # Asked for ten times a second by each follower of a table.
+        self._readers_of: list[view.Member] = []
+        self._reads = False
         self._loops = base.Loops()
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[patience.PatientServer] = []
@@ -332,7 +344,11 @@
 
     def _is_reader(self) -> bool:
         members = self._members.serving()
-        return self._members.me.member_id in duty.store_readers(members)
+        if members is not self._readers_of:
+            readers = duty.store_readers(members)
+            self._readers_of = members
+            self._reads = self._members.me.member_id in readers
+        return self._reads
 
     def _operator_rows_changed(
         self, found: Mapping[str, stores.ChangedRow]
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -143,9 +143,11 @@
             state = (row.weights_version, behind)
             if self._behind.get(name, (None, 0))[0] != state:
                 self._behind[name] = (state, now_ms)
+            if not behind:
+                continue
             waited_ms = now_ms - self._behind[name][1]
             is_ours = waited_ms >= self._rank(name) * PATIENCE_MS
-            if behind and (is_ours or self._holds(name)):
+            if is_ours or self._holds(name):
                 found.append(name)
         return found
 
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -141,20 +141,6 @@
             outbox.pending.digests.append(digest)
             del outbox.pending.digests[: -pending.MAX_DIGESTS]
 
-    def publish_dispatched(self, sent: effects.Announce) -> None:
-        """Tells the daemons that serve a model of a long prompt, at once."""
-        told = server_inputs.PeerDispatched(
-            at_ms=self._runtime.clock.now_ms(),
-            server_id=sent.server_id,
-            tokens=sent.tokens,
-            priority=sent.priority,
-            levels=sent.levels,
-        )
-        for outbox in self._outboxes_of(self.audience(sent.target)):
-            outbox.pending.dispatched.append(told)
-            del outbox.pending.dispatched[: -pending.MAX_DIGESTS]
-            outbox.wake()
-
     def publish_leaving(self, server_id: str) -> None:
         """Tells every daemon of a server's leaving, once."""
         if server_id in self._known_leaving:
@@ -210,16 +196,6 @@
             submit(load)
         for digest in reader.digests(told, now_ms=now_ms):
             submit(digest)
-        for sent in told.dispatched:
-            submit(
-                server_inputs.PeerDispatched(
-                    at_ms=now_ms,
-                    server_id=sent.server_id,
-                    tokens=sent.tokens,
-                    priority=sent.priority,
-                    levels=tuple(sent.levels),
-                )
-            )
         for server_id in told.draining_servers:
             until_ms = now_ms + DRAIN_MS
             submit(server_inputs.ServerDraining(now_ms, server_id, until_ms))
@@ -298,7 +274,7 @@
             inputs.CellDemand(
                 name,
                 round(use.wanted, 1),
-                round(use.rate_per_s, 1),
+                demand.rounded_rate(name, use.rate_per_s),
             )
             for name, use in cells.items()
         )
--- a/src/godwittack/member/view.py
+++ b/src/godwittack/member/view.py
@@ -117,6 +117,7 @@
     rows: dict[str, MemberRow] = dataclasses.field(default_factory=dict)
     _order: list[str] = dataclasses.field(default_factory=list)
     _live: list[Member] | None = None
+    _serving: list[Member] | None = None
 
     def live(self) -> list[Member]:
         """Returns members believed alive, this one included, by id.
@@ -130,11 +131,18 @@
                 if row.member.state is not MemberState.DEAD:
                     found.append(row.member)
             self._live = sorted(found, key=lambda member: member.member_id)
+            self._serving = None
         return self._live
 
     def serving(self) -> list[Member]:
-        """Returns live members that are neither suspected nor leaving."""
-        return [m for m in self.live() if m.state is MemberState.ALIVE]
+        """Returns live members that are neither suspected nor leaving.
+
+        The same list until a member changes, as `live`.
+        """
+        live = self.live()
+        if self._serving is None:
+            self._serving = [m for m in live if m.state is MemberState.ALIVE]
+        return self._serving
 
     def probe_targets(self) -> list[Member]:
         """Returns whom to probe this tick, each in turn in random order."""
--- a/src/godwittack/peer/datagram.py
+++ b/src/godwittack/peer/datagram.py
@@ -1,8 +1,9 @@
-"""Probes between daemons as UDP datagrams."""
+"""Probes and short-lived news between daemons as UDP datagrams."""
 
 from __future__ import annotations
 
 import asyncio
+import functools
 import hmac
 import secrets
 from typing import TYPE_CHECKING, Protocol
@@ -13,13 +14,14 @@
 from godwittack.peer import exchange, peer_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 # Fits one packet on every usual network, so that it is lost or arrives whole.
 MAX_BYTES = 1_200
 RESEND_MS = 150
 _ASK = b"\x01"
 _ANSWER = b"\x02"
+_NEWS = b"\x03"
 _NONCE_BYTES = 8
 _PROOF_BYTES = 16
 _HEAD_BYTES = 1 + _NONCE_BYTES + _PROOF_BYTES
@@ -43,6 +45,12 @@
     Each carries a nonce, by which an answer finds its probe, and a proof that
     its sender knows the cluster's secret. One sent again has the same nonce;
     taking an envelope in twice changes nothing.
+
+    News sent so is not answered and may be lost. It is written once for all
+    peers, and read without a task that wakes for it.
+
+    Attributes:
+        on_news: Told the news of peers.
     """
 
     def __init__(
@@ -54,6 +62,7 @@
     ) -> None:
         """Proves itself with the cluster's secret; see `PeerClient`."""
         self._handler: ProbeHandler | None = None
+        self.on_news: Callable[[peer_pb2.News], None] = lambda news: None
         self._key = hmac.digest(secret, _PROOF_LABEL, "sha256")
         self._timeout_ms = timeout_ms
         self._count_bytes = count_bytes
@@ -99,6 +108,13 @@
             )
         )
 
+    def spread(self, addresses: Iterable[str], news: peer_pb2.News) -> None:
+        """Sends news once to each address, with no word of its arrival."""
+        nonce = secrets.token_bytes(_NONCE_BYTES)
+        packet = self._seal(_NEWS, nonce, news.SerializeToString())
+        for address in addresses:
+            self._send(packet, _host_port(address))
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Answers a probe, or hands an answer to the probe that waits."""
         self._count_bytes(len(data))
@@ -108,6 +124,9 @@
         if not hmac.compare_digest(proof, self._proof(kind, nonce, payload)):
             return
         try:
+            if kind == _NEWS:
+                self.on_news(peer_pb2.News.FromString(payload))
+                return
             told = peer_pb2.Envelope.FromString(payload)
         except proto.DecodeError:
             return
@@ -136,7 +155,9 @@
         while excess > 0:
             # Passed on with a later probe, or by somebody else.
             excess -= message.updates.pop().ByteSize()
-        payload = message.SerializeToString()
+        return self._seal(kind, nonce, message.SerializeToString())
+
+    def _seal(self, kind: bytes, nonce: bytes, payload: bytes) -> bytes:
         return kind + nonce + self._proof(kind, nonce, payload) + payload
 
     def _proof(self, kind: bytes, nonce: bytes, payload: bytes) -> bytes:
@@ -144,6 +165,7 @@
         return whole[:_PROOF_BYTES]
 
 
+@functools.lru_cache(maxsize=1_024)
 def _host_port(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -24,7 +24,6 @@
         listed: Changed entries of the instance list by name, None for one
             that is no longer listed.
         doubted: Servers that gave no sign of life.
-        dispatched: Long prompts sent to servers.
         list_before: Version of the list before the entries; 0 where the list
             has none.
         list_version: Version of the list with them.
@@ -45,9 +44,6 @@
     )
     list_before: int = 0
     list_version: int = 0
-    dispatched: list[server_inputs.PeerDispatched] = dataclasses.field(
-        default_factory=list
-    )
     demands: tuple[inputs.CellDemand, ...] | None = None
 
     def is_empty(self) -> bool:
@@ -59,7 +55,6 @@
             self.draining,
             self.doubted,
             self.listed,
-            self.dispatched,
         )
         return not any(told) and self.demands is None
 
@@ -77,8 +72,6 @@
             listed={**self.listed, **later.listed},
             list_before=self.list_before or later.list_before,
             list_version=later.list_version or self.list_version,
-            # What could not be told at once has been computed by now.
-            dispatched=later.dispatched,
             demands=(self.demands if later.demands is None else later.demands),
         )
 
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -53,15 +53,6 @@
             doubted_servers=sorted(told.doubted),
             list_before=told.list_before,
             list_version=told.list_version,
-            dispatched=[
-                peer_pb2.Dispatched(
-                    server_id=entry.server_id,
-                    tokens=entry.tokens,
-                    priority=entry.priority,
-                    levels=entry.levels,
-                )
-                for entry in told.dispatched
-            ],
             listed=[
                 codec.listed_to_proto(name, instance)
                 for name, instance in told.listed.items()
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -16,9 +16,6 @@
 
     from godwittack.store import protocol
 
-# The platform's tables name no limits on a workspace's or service's requests.
-NO_LIMIT = 1_000_000
-
 
 class _Split(wire.Wire):
     service: str
@@ -131,15 +128,16 @@
             table.models[service.name] = model.ModelRow(
                 name=service.name, weights_version=str(named)
             )
+        # Nothing limits the requests of a workspace or service here.
         elif not service.kv_store_addr:
             table.services[service.name] = model.ServiceRow(
-                name=service.name, max_in_flight=NO_LIMIT
+                name=service.name, max_in_flight=model.NO_LIMIT
             )
     for tenant in config.tenants:
         table.workspaces[tenant.name] = model.WorkspaceRow(
             name=tenant.name,
-            max_in_flight=NO_LIMIT,
-            max_requests_per_s=NO_LIMIT,
+            max_in_flight=model.NO_LIMIT,
+            max_requests_per_s=model.NO_LIMIT,
         )
         for key in tenant.api_keys:
             table.workspace_by_token[key_digest(key)] = tenant.name
--- a/src/godwittack/table/model.py
+++ b/src/godwittack/table/model.py
@@ -9,6 +9,8 @@
 from godwittack.table import forwarding as forwardings
 
 CellValue: TypeAlias = str | int | float
+# Limits from here on limit nothing.
+NO_LIMIT = 1_000_000
 
 
 class RowKind(enum.StrEnum):
@@ -46,6 +48,12 @@
     max_requests_per_s: float = 100.0
     deadline_ms: int = 10_000
 
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether neither number of requests is limited."""
+        least = min(self.max_in_flight, self.max_requests_per_s)
+        return least >= NO_LIMIT
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ModelRow:
--- a/tests/cases/peers.py
+++ b/tests/cases/peers.py
@@ -15,7 +15,7 @@
 from godwittack.daemon import news as newses
 from godwittack.limit import shares
 from godwittack.member import view
-from godwittack.peer import exchange, peer_pb2, server
+from godwittack.peer import datagram, exchange, peer_pb2, server
 
 SECRET = b"s" * 32
 STRANGER = b"x" * 32
@@ -167,6 +167,45 @@
         return Ok(None)
 
 
+async def what_matters_at_once_is_told_without_a_stream():
+    """Long prompts are announced to peers by datagrams with a proof.
+
+    Symptom if it fails: two daemons send their prompts to one idle engine, or
+    a stranger makes an engine look busy.
+    Sequence: a daemon spreads news to a peer that listens and to one that is
+    gone; a stranger spreads the same.
+    """
+    heard: list[peer_pb2.News] = []
+    told = peer_pb2.News()
+    told.dispatched.add(server_id="e1", tokens=9_000, levels=[1, 2])
+    hearing, sending, stranger = (
+        datagram.DatagramPeers(secret=secret, timeout_ms=TIMEOUT_MS)
+        for secret in (SECRET, SECRET, STRANGER)
+    )
+    hearing.on_news = heard.append
+    address = await _start_datagrams(hearing)
+    await _start_datagrams(stranger)
+    await _start_datagrams(sending)
+    stranger.spread([address], told)
+    sending.spread(["127.0.0.1:9", address], told)
+    await _until(lambda: heard)
+    await asyncio.sleep(0.02)
+    for peers in (hearing, sending, stranger):
+        peers.close()
+    assert heard == [told]
+
+
+async def _start_datagrams(peers: datagram.DatagramPeers) -> str:
+    for port in range(39_300, 39_400):
+        address = f"127.0.0.1:{port}"
+        try:
+            await peers.start(address, handler=FakeHandler())
+        except OSError:
+            continue
+        return address
+    raise OSError("no free port from 39300 to 39399")
+
+
 async def demand_is_told_again_when_a_stream_breaks():
     """Symptom: two daemons split a limit by figures of long ago.
 
@@ -202,6 +241,25 @@
     assert len(streams.sent[0]) == 1, streams.sent
 
 
+async def a_model_s_rate_is_told_when_it_moves():
+    """Symptom: sixty daemons tell each other of every request that comes.
+
+    Sequence: the rate of a model's requests wavers by a tenth, then doubles.
+    Cause: a figure that only weighs others' load was told as exactly as one by
+    which limits are split.
+    """
+    streams = ScriptedStreams()
+    told = _news(streams)
+    told.world.shares.cells.clear()
+    use = told.world.shares.cells["model/rulebook"]
+    for rate in (10.0, 10.9, 9.4, 20.0):
+        use.rate_per_s = rate
+        told.flush()
+        await asyncio.sleep(0.02)
+    told.close()
+    assert len(streams.sent[0]) == 2, streams.sent
+
+
 def _news(streams: ScriptedStreams) -> newses.News:
     me, other = (
         view.Member(
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -325,6 +325,22 @@
     assert core.dispatch().server_id != first.server_id
 
 
+def what_has_no_limit_is_not_counted() -> None:
+    """Workspaces without limits are no news between daemons.
+
+    Symptom: two fifths of what daemons tell each other is demand of workspaces
+        that no limit holds for.
+    Sequence: requests come and go on a table without limits.
+    Cause: every workspace's demand counted, whether or not anybody splits it.
+    """
+    core = routed_core.Core()
+    core.arrive("long", "r1")
+    core.answer(core.dispatch())
+    core.wait(1_000)
+    cells = set(core.world.shares.cells)
+    assert not [cell for cell in cells if not cell.startswith("model/")], cells
+
+
 def many_daemons_ask_a_silent_server_in_turn() -> None:
     """A server that takes its time is not asked by everybody.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -24,6 +24,7 @@
       | routed | retries stay within their budget |
       | routed | a fleet shares the burst of retries |
       | routed | a dark server is noticed within half a second |
+      | routed | what has no limit is not counted |
       | routed | many daemons ask a silent server in turn |
       | routed | a peer's doubt is a question not an answer |
       | routed | a busy server that answers keeps its requests |
@@ -36,8 +37,10 @@
       | peers | a stranger gets neither answers nor streams |
       | peers | what cannot be read is refused |
       | peers | a server that stops ends its streams at once |
+      | peers | what matters at once is told without a stream |
       | peers | demand is told again when a stream breaks |
       | peers | demand that stays is told once |
+      | peers | a model's rate is told when it moves |
 
     Examples: patience
       | group    | case |
