Fuzz both parsers with seeded bytes

Four cases with hypothesis, seeded, 150 examples each: answers of servers in any pieces and ending anywhere are whole or none; changed, lost and added bytes are none; events come out the same however they are cut; spoiled requests are served once at most, answered 4xx or closed, and a good one after them is served.

--- /dev/null
+++ b/tests/cases/fuzz.py
@@ -0,0 +1,262 @@
+"""Both parsers under bytes that nobody would write by hand, seeded."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+import hypothesis
+from aiohttp import web
+from hypothesis import strategies
+
+from godwittack.backend import connection, sse
+from godwittack.clock import SystemClock
+from godwittack.entry import patience
+
+EXAMPLES = 150
+MAX_LINE_BYTES = 1 << 16
+# Half of the spoiled requests are no whole ones and get no answer.
+SPOILED_WAIT_S = 0.05
+GOOD_WAIT_S = 5.0
+MINE = b"X-Godwittack-Request-Id: mine\r\n"
+OTHER = b"X-Godwittack-Request-Id: other\r\n"
+BODY = b"abcdefghij" * 20
+VALID = (
+    b"POST /a/x HTTP/1.1\r\nHost: h\r\nX-Godwittack-Request-Id: r1\r\n"
+    b"Content-Length: 5\r\n\r\nhello"
+)
+
+seeded = hypothesis.settings(
+    max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
+)
+
+
+class FakeTransport(asyncio.Transport):
+    """Takes what is written, and remembers whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.closed = False
+
+    def write(self, data) -> None:
+        """Takes bytes."""
+
+    def is_closing(self) -> bool:
+        """Returns whether it was closed."""
+        return self.closed
+
+    def abort(self) -> None:
+        """Closes at once."""
+        self.closed = True
+
+    def get_extra_info(self, name, default=None):
+        """Has no socket."""
+        del name
+        return default
+
+
+def _with_length(head: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        head,
+        len(BODY),
+        BODY,
+    )
+
+
+def _chunked(head: bytes) -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%s\r\n0\r\n\r\n" % (head, len(BODY), BODY)
+    )
+
+
+def _pieces(data: bytes, cuts: list[int]) -> list[bytes]:
+    places = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    return [data[a:b] for a, b in itertools.pairwise(places) if a != b]
+
+
+async def _read(pieces: list[bytes], *, reset: bool) -> bytes | None:
+    """Returns the body that a connection makes of bytes, None for none."""
+    used = connection.Connection()
+    transport = FakeTransport()
+    used.connection_made(transport)
+    used.send(b"GET / HTTP/1.1\r\n\r\n", b"")
+    for piece in pieces:
+        if not transport.closed:
+            used.data_received(piece)
+    if not transport.closed and not reset:
+        used.eof_received()
+    used.connection_lost(ConnectionResetError() if reset else None)
+    try:
+        async with asyncio.timeout(1):
+            reply = await used.read_head(
+                lambda found: found.header("X-Godwittack-Request-Id") == "mine"
+            )
+            return await used.read_body(reply)
+    except connection.ReplyError:
+        return None
+
+
+def an_answer_is_whole_or_none_however_it_is_cut() -> None:
+    """Symptom: a caller gets half an answer, or another's, as whole.
+
+    Sequence: a server answers after another's late answer or not, by length
+    or in chunks; the bytes come in any pieces, and end anywhere. Cause if it
+    happens: a piece's end taken for the answer's.
+    """
+    integers = strategies.integers(0, 2_000)
+
+    @seeded
+    @hypothesis.given(
+        strategies.lists(integers, max_size=6),
+        integers,
+        strategies.booleans(),
+        strategies.booleans(),
+        strategies.booleans(),
+    )
+    def check(cuts, end, late_first, in_chunks, reset) -> None:
+        make = _chunked if in_chunks else _with_length
+        data = (_with_length(OTHER) if late_first else b"") + make(MINE)
+        kept = data[: end % (len(data) + 200)]
+        got = asyncio.run(_read(_pieces(kept, cuts), reset=reset))
+        assert got == (BODY if kept == data else None), (kept[-30:], got)
+
+    check()
+
+
+def bytes_that_are_no_answer_are_none() -> None:
+    """Symptom: a daemon logs a traceback, or waits, for a server's noise.
+
+    Sequence: a good answer with some bytes changed, lost or added anywhere.
+    What comes of it is a body or a `ReplyError`, at once.
+    """
+
+    @seeded
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 400), strategies.binary(max_size=4)
+            ),
+            min_size=1,
+            max_size=4,
+        )
+    )
+    def check(changes) -> None:
+        data = _changed(_chunked(MINE), changes)
+        asyncio.run(_read([data], reset=True))
+
+    check()
+
+
+def events_are_the_same_however_they_are_cut() -> None:
+    """Symptom: a stream with a hole, or an event in two halves.
+
+    Sequence: ten events come in any pieces and end anywhere. Whole ones come
+    out, numbered in order, and the rest is kept back.
+    """
+    events = [b"id: %d\ndata: word\n\n" % n for n in range(1, 11)]
+    integers = strategies.integers(0, 400)
+
+    @seeded
+    @hypothesis.given(strategies.lists(integers, max_size=8), integers)
+    def check(cuts, end) -> None:
+        data = b"".join(events)
+        kept = data[: end % (len(data) + 1)]
+        reader = sse.FrameReader(after=0, done=b"")
+        frames = [
+            frame for p in _pieces(kept, cuts) for frame in reader.feed(p)
+        ]
+        whole = kept.count(b"\n\n")
+        assert [frame.data for frame in frames] == events[:whole]
+        assert [frame.number for frame in frames] == list(range(1, whole + 1))
+
+    check()
+
+
+async def a_spoiled_request_is_answered_or_closed() -> None:
+    """Symptom: a daemon that fails, or serves a request within a request.
+
+    Sequence: requests whose bytes are changed, lost or added anywhere, each
+    on a connection of its own, and a good one after all of them. Each is
+    served once at most, or answered with 4xx, or its connection is closed.
+    """
+    served: list[str] = []
+
+    async def handle(request):
+        served.append(request.path)
+        await request.read()
+        return web.Response(text="served")
+
+    server = patience.PatientServer(
+        handle, clock=SystemClock(), max_line_bytes=MAX_LINE_BYTES
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    for data in _spoiled_requests():
+        served.clear()
+        status = await _ask(host, port, data, wait_s=SPOILED_WAIT_S)
+        assert status in (0, 200) or 400 <= status < 500, (status, data)
+        assert len(served) <= 1, (served, data)
+    served.clear()
+    assert await _ask(host, port, VALID, wait_s=GOOD_WAIT_S) == 200
+    assert served == ["/a/x"]
+    await runner.cleanup()
+
+
+def _spoiled_requests() -> list[bytes]:
+    """Returns the same requests each time, from a seeded search."""
+    found: list[bytes] = []
+
+    @seeded
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, len(VALID)),
+                strategies.one_of(
+                    strategies.binary(max_size=3),
+                    strategies.sampled_from(
+                        [
+                            b"\r\n",
+                            b"\n",
+                            b"\x00",
+                            b": ",
+                            b" ",
+                            b"Content-Length",
+                        ]
+                    ),
+                ),
+            ),
+            min_size=1,
+            max_size=3,
+        )
+    )
+    def gather(changes) -> None:
+        found.append(_changed(VALID, changes))
+
+    gather()
+    return found
+
+
+def _changed(data: bytes, changes: list[tuple[int, bytes]]) -> bytes:
+    """Returns bytes with others in their place; none cut one byte out."""
+    for place, new in changes:
+        at = place % (len(data) + 1)
+        data = data[:at] + new + data[at + 1 :]
+    return data
+
+
+async def _ask(host: str, port: int, data: bytes, *, wait_s: float) -> int:
+    """Returns the status of the first answer, 0 where there is none."""
+    reader, writer = await asyncio.open_connection(host, port)
+    try:
+        writer.write(data)
+        async with asyncio.timeout(wait_s):
+            line = await reader.readline()
+        return int(line.split()[1]) if line.startswith(b"HTTP/") else 0
+    except (TimeoutError, ConnectionError):
+        return 0
+    finally:
+        writer.close()
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -18,6 +18,7 @@
     "logs",
     "peers",
     "patience",
+    "fuzz",
 )
 
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -50,6 +50,13 @@
       | patience | no limit ends nothing |
       | patience | a compressed body is passed on as it came |
 
+    Examples: bytes
+      | group | case |
+      | fuzz  | an answer is whole or none however it is cut |
+      | fuzz  | bytes that are no answer are none |
+      | fuzz  | events are the same however they are cut |
+      | fuzz  | a spoiled request is answered or closed |
+
     Examples: weights
       | group   | case |
       | weights | a server back with replaced weights gets no work |
