Have a test wait until every daemon has read an engine's new address

Cause, from the daemons' own lines: the step lists the engine again at the address of a link. entry-2, which follows it, dropped the old address at 24.608 s and used the link at 24.623; the step took that for both daemons. entry-1 still showed the engine as known, dropped it at 24.653 and refused at 24.665, before entry-2's news came. The refusal was true.

Change: the step waits until each daemon has logged the change of address, then until it knows the server; nothing that is checked is less than before.

--- a/tests/features/steps/stream_steps.py
+++ b/tests/features/steps/stream_steps.py
@@ -10,6 +10,8 @@
 from cluster import processes, streams
 from features.steps import cluster_steps
 
+# Logged where a server is listed at another address than before.
+RELISTED = "event=server_gone server=engine-1"
 GAP_MS = 400
 
 
@@ -25,7 +27,14 @@
         "the daemons use the link",
         lambda: cluster.counts("link")["connections"] > 0,
     )
+    # One daemon follows the engine and uses the link at once. Until another
+    # has read the new address as well, it would show the engine as known, and
+    # drop it for a moment in the middle of the stream's first request.
     for name in context.names:
+        processes.wait_until(
+            f"{name} has read the link's address",
+            lambda name=name: RELISTED in cluster.log(name),
+        )
         cluster.wait_ready(name)
 
 
