Give each test cluster a secret of its own

Cause, by a run that shows it: a cluster whose daemon's port had been a killed daemon's of another cluster has four members of three each time, since the other cluster's live daemon still asks that address and both had one secret. That the failing run had such a port is not shown: its log was lost.

Ruled out: calls over HTTP as such (132 starts beside one another and two suites, none failed).

Change: a random secret a cluster; the check that no log holds it uses that one.

Tests: security 3 passed; the demonstration starts with three members.

--- a/tests/cluster/processes.py
+++ b/tests/cluster/processes.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import secrets
 import signal
 import socket
 import subprocess
@@ -75,7 +76,10 @@
         self.ports: dict[str, int] = {}
         self.peer_ports: dict[str, int] = {}
         self.extra: dict[str, object] = {}
-        (self.path / "secret").write_text("0123456789abcdef0123456789abcdef")
+        # One of its own: a daemon of another cluster that still asks a port
+        # which was free again would join this one.
+        self.secret = secrets.token_hex(16)
+        (self.path / "secret").write_text(self.secret)
         for name in OPERATORS:
             (self.path / f"{name}.token").write_text(f"operator-{name}")
 
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -325,7 +325,7 @@
 def no_token_in_log(context):
     """Searches the log."""
     log = context.cluster.log("entry-1")
-    for secret in ("token-desk", "operator-ana", "0123456789abcdef0123"):
+    for secret in ("token-desk", "operator-ana", context.cluster.secret[:20]):
         assert secret not in log, secret
 
 
