Choose ports that tests listen on below those of outgoing connections

Cause: free_port took a port from the range of outgoing connections (32768 to 60999); until the daemon listened, seconds later, a connection had got it. Daemons have more outgoing connections at start since calls go by HTTP.

Ruled out: two daemons with one port (each is chosen once); a listener left over by an earlier test (the settings' check had bound the port a moment before).

Change: ports from 12000 to 31999, free by TCP and UDP, none given twice by a process; the loops over fixed ports in a case and in a bench are gone for it.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -2,8 +2,8 @@
 
 Each slope feeds the real core, gossip view or codec with the inputs that one
 daemon would get, at several sizes, and fits a line through processor time and
-memory. Nothing here uses sockets but the gRPC line, which calls itself over
-loopback.
+memory. Nothing here uses sockets but the messages between daemons, which go
+over loopback within this process.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 import pathlib
 import random
 import statistics
+import sys
 import time
 import tracemalloc
 from typing import TYPE_CHECKING
@@ -26,6 +27,11 @@
 from godwittack.peer import server as peer_server
 from godwittack.table import model, schema
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tests"))
+
+from cluster import processes  # noqa: E402 - found below tests/ only.
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -331,7 +337,7 @@
 
 
 def probe_by_call() -> Slope:
-    """One probe by gRPC, as to a daemon not known yet."""
+    """One probe as a call, as to a daemon not known yet."""
     took_us, size = asyncio.run(_exchanges(by_datagram=False))
     return Slope(
         unit="probe by call (both ends)", cpu_us=took_us, wire_bytes=size
@@ -594,13 +600,9 @@
 
 
 async def _start(server: peer_server.PeerServer) -> str:
-    for port in range(39_000, 39_100):
-        try:
-            await server.start(f"127.0.0.1:{port}")
-        except OSError:
-            continue
-        return f"127.0.0.1:{port}"
-    raise OSError("no free port from 39000 to 39099")
+    address = f"127.0.0.1:{processes.free_port()}"
+    await server.start(address)
+    return address
 
 
 async def _each_us(send: Callable[[], Awaitable[None]]) -> float:
--- a/bench/target.py
+++ b/bench/target.py
@@ -155,11 +155,8 @@
 
 
 def _free_addresses(count: int) -> list[str]:
-    # A port that was free may be given again.
-    ports: set[int] = set()
-    while len(ports) < count:
-        ports.add(processes.free_port())
-    return [f"127.0.0.1:{port}" for port in sorted(ports)]
+    ports = sorted(processes.free_port() for _ in range(count))
+    return [f"127.0.0.1:{port}" for port in ports]
 
 
 def _list_all(
--- a/tests/cases/peers.py
+++ b/tests/cases/peers.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import contextlib
+import pathlib
 import time
 import types
 
 import aiohttp
 from result import Ok
 
+from cluster import processes
 from godwittack.clock import ManualClock
 from godwittack.core import inputs
 from godwittack.daemon import news as newses
@@ -51,7 +53,8 @@
     """Runs a server, and a client with the secret."""
     handler = FakeHandler()
     listening = server.PeerServer(handler=handler, secret=SECRET)
-    address = await _start(listening)
+    address = f"127.0.0.1:{processes.free_port()}"
+    await listening.start(address)
     client = exchange.PeerClient(secret=secret, timeout_ms=TIMEOUT_MS)
     try:
         yield types.SimpleNamespace(
@@ -195,15 +198,24 @@
     assert heard == [told]
 
 
+async def ports_to_listen_on_are_no_outgoing_ones():
+    """Symptom: a test's daemon ends at once, "address already in use".
+
+    Sequence: a port is chosen while it is free; the daemon's process starts,
+    which takes a second; an outgoing connection of any process has got the
+    port meanwhile. Cause: chosen among those that outgoing connections get.
+    """
+    listed = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text()
+    first, last = map(int, listed.split())
+    ports = [processes.free_port() for _ in range(50)]
+    assert len(set(ports)) == len(ports)
+    assert not [port for port in ports if first <= port <= last], ports
+
+
 async def _start_datagrams(peers: datagram.DatagramPeers) -> str:
-    for port in range(39_300, 39_400):
-        address = f"127.0.0.1:{port}"
-        try:
-            await peers.start(address, handler=FakeHandler())
-        except OSError:
-            continue
-        return address
-    raise OSError("no free port from 39300 to 39399")
+    address = f"127.0.0.1:{processes.free_port()}"
+    await peers.start(address, handler=FakeHandler())
+    return address
 
 
 async def demand_is_told_again_when_a_stream_breaks():
@@ -296,16 +308,6 @@
     raise AssertionError("the stream broke")
 
 
-async def _start(listening: server.PeerServer) -> str:
-    for port in range(39_200, 39_300):
-        try:
-            await listening.start(f"127.0.0.1:{port}")
-        except OSError:
-            continue
-        return f"127.0.0.1:{port}"
-    raise OSError("no free port from 39200 to 39299")
-
-
 async def _until(true) -> None:
     async with asyncio.timeout(2):
         while not true():
--- a/tests/cluster/processes.py
+++ b/tests/cluster/processes.py
@@ -22,6 +22,11 @@
 WAIT_S = 30.0
 WORKSPACES = ("desk", "fair")
 OPERATORS = ("ana", "bilal")
+# Ports to listen on: below those that Linux gives to outgoing connections,
+# from 32768 on. Of those, one that was free when it was chosen may be in use
+# when the process that is to listen there has started.
+LISTEN_PORTS = range(12_000, 32_000)
+_given_ports: set[int] = set()
 
 
 class StepError(Exception):
@@ -29,10 +34,27 @@
 
 
 def free_port() -> int:
-    """Returns a loopback port that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that nobody uses, by TCP or UDP.
+
+    No port is given twice by one process, nor to an outgoing connection.
+    """
+    while True:
+        port = secrets.choice(LISTEN_PORTS)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            return port
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            if kind is socket.SOCK_STREAM:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 def wait_until(what: str, condition, *, seconds: float = WAIT_S):
