Look up each copy's source once for a request, not once for each server

Change: sources are listed once for each version of weights; the doubt is dated by the first level that was seen.

--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from godwittack.core import entities
+    from godwittack.core import entities, work
 
 # Target under which stores of cached state are kept in the server tables.
 STORE_TARGET = "kv-store"
@@ -49,11 +49,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Source:
-    """Where cached levels can be copied from."""
+    """Where cached levels can be copied from.
+
+    Attributes:
+        tokens: Leading tokens that it has by now.
+        us_per_token: Cost of copying one to its own failure domain.
+        doubt_us: Cost of each for the doubt whether it still has them.
+    """
 
     server: entities.ServerRow
     tokens: int
     us_per_token: float
+    doubt_us: float = 0.0
+
+    def cost_us(self, server: entities.ServerRow) -> float:
+        """Returns the cost of a token copied to `server`."""
+        return self.us_per_token * _far(server, self.server) + self.doubt_us
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -86,16 +97,30 @@
         server.server_id: held_tokens(server, request, server.weights_version)
         for server in _holders(world, request)
     }
+    # The same for all servers with one version of weights.
+    sources = {
+        version: _sources(world, request, version)
+        for version in {server.weights_version for server in usable}
+    }
     home = _home(request, usable)
     rank = routing.priority(world, request)
     placed = [
-        _score(world, request, server, held, rank, server.server_id == home)
+        _score(
+            world,
+            request,
+            server,
+            own=held.get(server.server_id, 0),
+            sources=sources[server.weights_version],
+            rank=rank,
+            is_home=server.server_id == home,
+        )
         for server in usable
     ]
     best = min(placed, key=lambda p: (p.cost, p.server.server_id))
     if best.fetch_from:
         return best
-    spare = _spare_source(world, request, best.server, held)
+    of_version = sources[best.server.weights_version]
+    spare = _spare_source(world, request, best.server, of_version)
     return dataclasses.replace(best, fetch_from=spare)
 
 
@@ -103,7 +128,7 @@
     world: entities.World,
     request: entities.RequestRow,
     server: entities.ServerRow,
-    held: dict[str, int],
+    sources: list[Source],
 ) -> str:
     """Returns the address of a source for what a server may have lost.
 
@@ -112,8 +137,8 @@
     where the source has lost it as well; without one, all is computed again.
     """
     found = max(
-        _sources(world, request, server, held),
-        key=lambda source: (source.tokens, -source.us_per_token),
+        (source for source in sources if source.server is not server),
+        key=lambda source: (source.tokens, -source.cost_us(server)),
         default=None,
     )
     if found is not None and found.tokens >= COPY_TOKENS:
@@ -163,7 +188,7 @@
     """
     total = untold = 0
     for level in request.work.levels:
-        key = levels.versioned(level.key, version)
+        key = _key(level, version)
         seen_ms = server.cache.seen_ms(key)
         if seen_ms is None and level.tokens < levels.SMALL_TOKENS:
             untold += level.tokens
@@ -204,19 +229,20 @@
     world: entities.World,
     request: entities.RequestRow,
     server: entities.ServerRow,
-    held: dict[str, int],
+    *,
+    own: int,
+    sources: list[Source],
     rank: int,
     is_home: bool,
 ) -> Placed:
     wait = queue_ms(world, server, rank)
-    own = held.get(server.server_id, 0)
-    source = _best_source(world, request, server, held, own)
+    source = _best_source(world, server, sources, own)
     known = source.tokens if source else own
     us_per_token = world.policy.prefill_us_per_token
     prompt = request.work.prompt_tokens
     compute_ms = (prompt - known) * us_per_token / 1000
     copied = known - own
-    copy_ms = copied * source.us_per_token / 1000 if source else 0.0
+    copy_ms = copied * source.cost_us(server) / 1000 if source else 0.0
     shared = sum(level.tokens for level in request.work.levels[:-1])
     reread_ms = max(0, shared - known) * REREAD_US / 1000
     first_token_ms = wait + compute_ms + copy_ms
@@ -258,47 +284,51 @@
 
 def _best_source(
     world: entities.World,
-    request: entities.RequestRow,
     server: entities.ServerRow,
-    held: dict[str, int],
+    sources: list[Source],
     own: int,
 ) -> Source | None:
     """Returns the source that saves the most time, None if none does."""
     best: Source | None = None
     best_saved = 0.0
-    for source in _sources(world, request, server, held):
+    for source in sources:
         gain = source.tokens - own
-        if gain < COPY_TOKENS:
+        if gain < COPY_TOKENS or source.server is server:
             continue
         compute_us = world.policy.prefill_us_per_token + REREAD_US
-        saved = gain * (compute_us - source.us_per_token)
+        saved = gain * (compute_us - source.cost_us(server))
         if saved > best_saved:
             best, best_saved = source, saved
     return best
 
 
 def _sources(
-    world: entities.World,
-    request: entities.RequestRow,
-    server: entities.ServerRow,
-    held: dict[str, int],
-) -> Iterable[Source]:
-    version = server.weights_version
-    now_ms = world.now_ms
-    for other in world.servers_by_target[request.work.target].values():
-        if other is server or other.weights_version != version:
+    world: entities.World, request: entities.RequestRow, version: str
+) -> list[Source]:
+    """Returns engines with these weights, and stores, that have any of it."""
+    found: list[Source] = []
+    for engine in _holders(world, request):
+        if engine.weights_version != version:
             continue
-        if not held.get(other.server_id):
-            continue
-        tokens = held_tokens(other, request, version, ready_by_ms=now_ms)
+        tokens = _ready_tokens(world, request, engine, version)
         if tokens:
-            copy_us = ENGINE_COPY_US * _far(server, other)
-            copy_us += _doubt_us(world, request, other, version)
-            yield Source(other, tokens, copy_us)
+            doubt_us = _doubt_us(world, request, engine, version)
+            found.append(Source(engine, tokens, ENGINE_COPY_US, doubt_us))
     for store in stores(world):
-        tokens = held_tokens(store, request, version, ready_by_ms=now_ms)
+        tokens = _ready_tokens(world, request, store, version)
         if tokens:
-            yield Source(store, tokens, STORE_COPY_US * _far(server, store))
+            found.append(Source(store, tokens, STORE_COPY_US))
+    return found
+
+
+def _ready_tokens(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+    version: str,
+) -> int:
+    """Returns the leading tokens that could be copied at this moment."""
+    return held_tokens(server, request, version, ready_by_ms=world.now_ms)
 
 
 def _doubt_us(
@@ -312,12 +342,20 @@
     Engines evict within seconds under load. A copy that is not there any more
     is computed anew; a store, which holds far more, would have had it.
     """
-    key = levels.versioned(request.work.levels[0].key, version)
-    seen_ms = other.cache.seen_ms(key) or 0
+    # Small levels are not told, so that only larger ones say when it was.
+    seen_ms = next(
+        seen_ms
+        for level in request.work.levels
+        if (seen_ms := other.cache.seen_ms(_key(level, version))) is not None
+    )
     doubt = min(1.0, max(0, world.now_ms - seen_ms) / EVICTED_AFTER_MS)
     return doubt * EVICTED_US
 
 
+def _key(level: work.Level, version: str) -> int:
+    return levels.versioned(level.key, version)
+
+
 def _far(one: entities.ServerRow, other: entities.ServerRow) -> float:
     return 1.0 if one.failure_domain == other.failure_domain else FAR_FACTOR
 
--- a/tests/cases/sourcing.py
+++ b/tests/cases/sourcing.py
@@ -192,6 +192,28 @@
     assert sourcing.held_tokens(server, request, "1") == 13_050
 
 
+def a_small_level_first_casts_no_doubt_on_its_holder() -> None:
+    """A prompt that opens with a greeting is copied from the nearest holder.
+
+    Symptom: such prompts come from the store, three times as slow, although
+        an engine has just computed them.
+    Sequence: an idle engine's neighbour and the store hold the rulebook
+        behind a greeting; the neighbour is busy.
+    Cause: when the rulebook was seen taken from the greeting, which nobody
+        tells of, so that it seemed to be long gone.
+    """
+    core = _core()
+    greeting = work.Level(key=10, tokens=50)
+    key = levels.versioned(SHARED.key, "1")
+    for holder in ("e1", "keep"):
+        _digest(core, holder, stored=(key,), tokens=(13_000,))
+    core.world.servers["e1"].backlog[0] = core.now_ms + 500.0
+    core.arrive("long", "r1", levels=(greeting, SHARED, OWN))
+    sent = core.dispatch()
+    assert sent.server_id != "e1"
+    assert sent.kv_fetch_from == core.world.servers["e1"].address
+
+
 def _events(*told: tuple) -> protocol.CacheEvents:
     """Returns a piece of a stream of (number, key, tokens now, kind)."""
     kinds = protocol.CacheEventKind
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -130,4 +130,5 @@
       | sourcing | small levels are not told to peers |
       | sourcing | an engine that tells no tokens has all its levels told |
       | sourcing | a small level before a large one is no gap |
+      | sourcing | a small level first casts no doubt on its holder |
       | sourcing | a store that starts anew is empty |
