Have duties that depend on members alone remembered in one place

Read again: the platform's daemon remembered who reads the store by the identity of the list of members, as the reader of the instance list did already, each with its own state; and both daemons built their gossiper by the same ten lines.

Change: duty.Assigned serves both; Base.gossiper builds it. Ruled out: one base for News (the platform names a limit of its own) and for refusals with unknown outcome (two calls of different reason, shorter as they stand).

--- a/src/godwittack/daemon/base.py
+++ b/src/godwittack/daemon/base.py
@@ -13,6 +13,7 @@
 
 from godwittack.clock import SystemClock
 from godwittack.core import router
+from godwittack.daemon import gossip
 from godwittack.member import view
 from godwittack.metric import meters
 from godwittack.peer import datagram, exchange, server
@@ -22,6 +23,8 @@
     from collections.abc import Coroutine
 
     from godwittack.config import settings as configs
+    from godwittack.daemon import news as newses
+    from godwittack.daemon import runtime, tables
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -38,6 +41,7 @@
         peers: Calls and streams to other daemons.
         probes: Probes of them, as datagrams.
         peer_secret: Proves messages between daemons.
+        seeds: Peer addresses from the settings.
     """
 
     clock: SystemClock
@@ -49,6 +53,7 @@
     peers: exchange.PeerClient
     probes: datagram.DatagramPeers
     peer_secret: bytes
+    seeds: tuple[str, ...]
 
     @classmethod
     def from_config(cls, loaded: configs.Loaded) -> Base:
@@ -89,6 +94,26 @@
                 count_bytes=measures.count_peer_bytes,
             ),
             peer_secret=loaded.cluster_secret,
+            seeds=settings.seeds,
+        )
+
+    def gossiper(
+        self,
+        *,
+        running: runtime.Runtime,
+        keeper: tables.TableKeeper,
+        news: newses.News,
+    ) -> gossip.Gossiper:
+        """Returns what probes the others and spreads membership."""
+        return gossip.Gossiper(
+            members=self.members,
+            runtime=running,
+            keeper=keeper,
+            client=self.peers,
+            probes=self.probes,
+            news=news,
+            counts=self.counts,
+            seeds=self.seeds,
         )
 
     def peer_server(self, handler: server.PeerHandler) -> server.PeerServer:
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -18,7 +18,6 @@
     announcing,
     base,
     following,
-    gossip,
     instances,
     keeping,
     lead,
@@ -42,7 +41,6 @@
     from result import Result
 
     from godwittack.config import settings as configs
-    from godwittack.member import view
     from godwittack.store import protocol as stores
 
 HTTP_BACKLOG = 1_024
@@ -139,15 +137,8 @@
         self.runtime.on_announce = announcer.announce
         self._probes.on_news = announcer.heard
         self.runtime.on_doubt = self._news.publish_doubt
-        self._gossiper = gossip.Gossiper(
-            members=members,
-            runtime=self.runtime,
-            keeper=self._keeper,
-            client=self._peers,
-            probes=self._probes,
-            news=self._news,
-            counts=counts,
-            seeds=settings.seeds,
+        self._gossiper = parts.gossiper(
+            running=self.runtime, keeper=self._keeper, news=self._news
         )
         self._gossiper.freshness = {
             known.topic: known
@@ -206,9 +197,7 @@
             world=core.world,
             wire=addresses.DirectoryFormat(),
         )
-        # Asked for ten times a second by each follower of a table.
-        self._readers_of: list[view.Member] = []
-        self._reads = False
+        self._store_readers = duty.Assigned(duty.store_readers)
         self._loops = base.Loops()
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[patience.PatientServer] = []
@@ -343,12 +332,8 @@
         )
 
     def _is_reader(self) -> bool:
-        members = self._members.serving()
-        if members is not self._readers_of:
-            readers = duty.store_readers(members)
-            self._readers_of = members
-            self._reads = self._members.me.member_id in readers
-        return self._reads
+        readers = self._store_readers.among(self._members.serving())
+        return self._members.me.member_id in readers
 
     def _operator_rows_changed(
         self, found: Mapping[str, stores.ChangedRow]
--- a/src/godwittack/daemon/listing.py
+++ b/src/godwittack/daemon/listing.py
@@ -61,8 +61,9 @@
         self._heard_at_ms = -UNHEARD_MS
         self._differs_since_ms = 0
         self._told_hash = 0
-        self._ranked_live: list[view.Member] = []
-        self._reader_ids: frozenset[str] = frozenset()
+        self._reader_ids = duty.Assigned(
+            lambda live: frozenset(m.member_id for m in duty.list_readers(live))
+        )
         news.on_listed = self.told
 
     async def poll_forever(self, *, poll_ms: int) -> None:
@@ -133,14 +134,7 @@
         return self._members.me.member_id in self._readers()
 
     def _readers(self) -> frozenset[str]:
-        """Returns the readers' ids; ranked anew where a member changed."""
-        live = self._members.live()
-        if live is not self._ranked_live:
-            self._ranked_live = live
-            self._reader_ids = frozenset(
-                member.member_id for member in duty.list_readers(live)
-            )
-        return self._reader_ids
+        return self._reader_ids.among(self._members.live())
 
     def _all_read(self) -> bool:
         return len(self._members.live()) <= duty.MESH_LIMIT
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -16,7 +16,6 @@
 from godwittack.daemon import (
     base,
     change,
-    gossip,
     lead,
     listing,
     news,
@@ -91,15 +90,8 @@
         self._news = news.News(
             members=members, runtime=self.runtime, client=self._peers
         )
-        self.gossiper = gossip.Gossiper(
-            members=members,
-            runtime=self.runtime,
-            keeper=self._keeper,
-            client=self._peers,
-            probes=self._probes,
-            news=self._news,
-            counts=counts,
-            seeds=settings.seeds,
+        self.gossiper = parts.gossiper(
+            running=self.runtime, keeper=self._keeper, news=self._news
         )
         self._streams = watch.Streams()
         self._lists = listing.ListWatcher(
--- a/src/godwittack/member/duty.py
+++ b/src/godwittack/member/duty.py
@@ -4,13 +4,15 @@
 
 import collections
 import functools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 import xxhash
 
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from godwittack.member import view
 
 # Daemons up to which everyone hears everything; beyond it only the daemons
@@ -26,6 +28,30 @@
 WHERE_GROUP = 3
 
 
+_Duty = TypeVar("_Duty")
+
+
+class Assigned(Generic[_Duty]):
+    """A duty worked out from members, anew only when they have changed.
+
+    Asked for many times a second. `View` returns the same list until a member
+    changes.
+    """
+
+    def __init__(self, assign: Callable[[list[view.Member]], _Duty]) -> None:
+        """Assigns by `assign`, for the first time when asked."""
+        self._assign = assign
+        self._members: list[view.Member] | None = None
+        self._assigned: _Duty
+
+    def among(self, members: list[view.Member]) -> _Duty:
+        """Returns the duty among `members`."""
+        if members is not self._members:
+            self._assigned = self._assign(members)
+            self._members = members
+        return self._assigned
+
+
 def watcher(server_id: str, audience: list[view.Member]) -> str | None:
     """Returns the member that follows a backend server.
 
@@ -172,6 +198,7 @@
 __all__ = [
     "askers",
     "AUDIENCE_LEAST",
+    "Assigned",
     "MESH_LIMIT",
     "WHERE_GROUP",
     "audience",
