Split addresses in one place

Read again: host and port were taken apart at six places, two of them without the brackets of IPv6.

Change: godwittack/address.

--- a/src/godwittack/backend/pool.py
+++ b/src/godwittack/backend/pool.py
@@ -6,6 +6,7 @@
 import collections
 from typing import TYPE_CHECKING
 
+from godwittack import address as addresses
 from godwittack.backend import connection as connections
 
 if TYPE_CHECKING:
@@ -46,12 +47,12 @@
         Raises:
             OSError: Refused, reset, or not opened in time.
         """
-        host, _, port = address.rpartition(":")
+        host, port = addresses.split(address)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, made = await loop.create_connection(
-                    connections.Connection, host, int(port)
+                    connections.Connection, host, port
                 )
         except TimeoutError as error:
             raise OSError("no connection in time") from error
--- a/src/godwittack/config/trouble.py
+++ b/src/godwittack/config/trouble.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from godwittack import address as addresses
 from godwittack.config import settings as configs
 
 PLATFORM_TIMEOUT_S = 2.0
@@ -40,13 +41,13 @@
 
 
 def _cannot_bind(address: str, kind: socket.SocketKind) -> str:
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    host, port = addresses.split(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
     with socket.socket(family, kind) as probe:
         if kind is socket.SOCK_STREAM:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            probe.bind((host.strip("[]"), int(port)))
+            probe.bind((host, port))
         except (OSError, OverflowError) as error:
             return f"{address} can't be used ({error})"
     return ""
--- a/src/godwittack/daemon/announcing.py
+++ b/src/godwittack/daemon/announcing.py
@@ -19,8 +19,8 @@
 class Spreader(Protocol):
     """Sends one message to many daemons, with no word of its arrival."""
 
-    def spread(self, addresses: Iterable[str], news: peer_pb2.News) -> None:
-        """Sends `news` once to each address."""
+    def spread(self, peers: Iterable[str], news: peer_pb2.News) -> None:
+        """Sends `news` once to each of these addresses."""
 
 
 class Announcer:
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -11,6 +11,7 @@
 from absl import logging
 from aiohttp import web
 
+from godwittack import address as addresses
 from godwittack.backend import pool as pools
 from godwittack.backend import routed
 from godwittack.core import inputs
@@ -32,7 +33,7 @@
 from godwittack.lead import rollout
 from godwittack.member import confirmed, duty, freshness
 from godwittack.platform import callers, names, rows, servers, table
-from godwittack.platform import directory as addresses
+from godwittack.platform import directory as resolving
 from godwittack.platform import instances as list_rows
 
 if TYPE_CHECKING:
@@ -195,7 +196,7 @@
         self._directory = directory.DirectoryFace(
             members=members,
             world=core.world,
-            wire=addresses.DirectoryFormat(),
+            wire=resolving.DirectoryFormat(),
         )
         self._store_readers = duty.Assigned(duty.store_readers)
         self._loops = base.Loops()
@@ -260,8 +261,8 @@
         )
         runner = web.ServerRunner(server)
         await runner.setup()
-        host, _, port = address.rpartition(":")
-        site = web.TCPSite(runner, host, int(port), backlog=HTTP_BACKLOG)
+        host, port = addresses.split(address)
+        site = web.TCPSite(runner, host, port, backlog=HTTP_BACKLOG)
         await site.start()
         self._servers.append(server)
         self._sites.append(site)
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -10,6 +10,7 @@
 from absl import logging
 from aiohttp import web
 
+from godwittack import address as addresses
 from godwittack.backend import http as backend_http
 from godwittack.claim import store as claim_store
 from godwittack.core import inputs
@@ -188,10 +189,8 @@
             shutdown_timeout=SHUTDOWN_S,
         )
         await runner.setup()
-        host, _, port = self._settings.http_address.rpartition(":")
-        site = web.TCPSite(
-            runner, host.strip("[]"), int(port), backlog=HTTP_BACKLOG
-        )
+        host, port = addresses.split(self._settings.http_address)
+        site = web.TCPSite(runner, host, port, backlog=HTTP_BACKLOG)
         await site.start()
         return runner
 
--- a/src/godwittack/peer/datagram.py
+++ b/src/godwittack/peer/datagram.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import hmac
 import secrets
 from typing import TYPE_CHECKING, Protocol
@@ -11,6 +10,7 @@
 from google.protobuf import message as proto
 from result import Err, Ok, Result
 
+from godwittack import address as addresses
 from godwittack.peer import exchange, peer_pb2
 
 if TYPE_CHECKING:
@@ -78,7 +78,7 @@
         self._handler = handler
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=_host_port(address)
+            lambda: self, local_addr=addresses.split(address)
         )
 
     async def exchange(
@@ -92,7 +92,7 @@
         left_ms = self._timeout_ms
         try:
             while left_ms > 0:
-                self._send(packet, _host_port(address))
+                self._send(packet, addresses.split(address))
                 wait_ms = min(RESEND_MS, left_ms)
                 left_ms -= wait_ms
                 await asyncio.wait([answered], timeout=wait_ms / 1000)
@@ -108,12 +108,12 @@
             )
         )
 
-    def spread(self, addresses: Iterable[str], news: peer_pb2.News) -> None:
-        """Sends news once to each address, with no word of its arrival."""
+    def spread(self, peers: Iterable[str], news: peer_pb2.News) -> None:
+        """Sends news once to each peer, with no word of its arrival."""
         nonce = secrets.token_bytes(_NONCE_BYTES)
         packet = self._seal(_NEWS, nonce, news.SerializeToString())
-        for address in addresses:
-            self._send(packet, _host_port(address))
+        for address in peers:
+            self._send(packet, addresses.split(address))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Answers a probe, or hands an answer to the probe that waits."""
@@ -165,10 +165,4 @@
         return whole[:_PROOF_BYTES]
 
 
-@functools.lru_cache(maxsize=1_024)
-def _host_port(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 __all__ = ["DatagramPeers", "ProbeHandler"]
--- a/src/godwittack/peer/server.py
+++ b/src/godwittack/peer/server.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from google.protobuf import message as proto
 
+from godwittack import address as addresses
 from godwittack.peer import exchange, peer_pb2, wire
 
 if TYPE_CHECKING:
@@ -75,11 +76,9 @@
         Raises:
             OSError: The address is in use.
         """
-        host, _, port = address.rpartition(":")
+        host, port = addresses.split(address)
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, host.strip("[]"), int(port), backlog=BACKLOG
-        )
+        site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
         await site.start()
 
     async def stop(self) -> None:
