Read each entry by itself, and tell a server's starts apart

Cause: one row that can't be read made the whole change of the list unreadable (event=list_unreadable), one bad row of weights that of the table; an incarnation was the id alone, so that a server that starts again under its id kept cache, backlog, leaving and pause.

Change: core/incarnation names a start; news of an earlier one is dropped by its start, whatever its source; daemon/entries judges rows one by one; a row that turns bad stops its server at once; daemon/naming keeps versions named; the adapter decodes strictly.

--- a/src/godwittack/address/__init__.py
+++ b/src/godwittack/address/__init__.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import functools
+import ipaddress
+
+MOST_PORT = 65_535
 
 
 @functools.lru_cache(maxsize=1_024)
@@ -16,4 +19,17 @@
     return host.strip("[]"), int(port)
 
 
-__all__ = ["split"]
+def checked(address: str) -> str:
+    """Returns an address that names an IP and a port.
+
+    Raises:
+        ValueError: It does not.
+    """
+    host, port = split(address)
+    ipaddress.ip_address(host)
+    if not 0 < port <= MOST_PORT:
+        raise ValueError("no such port")
+    return address
+
+
+__all__ = ["checked", "split"]
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -321,11 +321,9 @@
 
 
 def _end_to_end(reply: connections.Reply) -> tuple[work.Header, ...]:
-    named = {
-        part.strip().lower() for part in reply.header("connection").split(",")
-    }
-    dropped = headers.HOP_BY_HOP | headers.SET_ANEW | named
-    return tuple(h for h in reply.headers if h.name.lower() not in dropped)
+    return headers.end_to_end(
+        reply.headers, connection=reply.header("connection")
+    )
 
 
 def _close(used: connections.Connection | None) -> None:
--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -97,6 +97,10 @@
         default=False,
         description="whether engines refuse orders with an old number",
     )
+    failure_domains: dict[str, str] = pydantic.Field(
+        default_factory=dict,
+        description="region of each failure domain; none to take any",
+    )
     key_bound_ms: Ms = pydantic.Field(
         default=5_000,
         description="ms after which a key taken away must not be served",
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -133,7 +133,7 @@
     # them ends well: sending it its full share could fail all of them.
     if server.ejected_until_ms and server.trial_attempt:
         return False
-    if weights.too_old(world, server):
+    if weights.too_old(world, server) or weights.unknown(world, server):
         return False
     # Without a report the engine's incarnation and weights are not known, and
     # an answer could not be checked against them.
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -4,7 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import effects, entities, inputs, server_inputs, weights
+from godwittack.core import (
+    effects,
+    entities,
+    incarnation,
+    inputs,
+    server_inputs,
+    weights,
+)
 
 if TYPE_CHECKING:
     from godwittack.core import work
@@ -16,6 +23,8 @@
         _remove(world, told.server_id)
         return
     server = world.servers.get(told.server_id)
+    if server and _is_of_earlier_start(server, told.incarnation):
+        return
     if server and (server.address, server.target) != (
         told.address,
         told.target,
@@ -52,9 +61,9 @@
         server.slots = told.slots
     if not told.incarnation:
         return
-    if server.incarnation and not weights.is_newer(
-        told.weights_version, server.weights_version
-    ):
+    restarted = incarnation.is_older(server.incarnation, told.incarnation)
+    newer = weights.is_newer(told.weights_version, server.weights_version)
+    if server.incarnation and not restarted and not newer:
         return
     _see_state(world, server, told.incarnation, told.weights_version)
     world.freed_targets.add(server.target)
@@ -84,7 +93,10 @@
     """Takes in a load report unless a newer one is known."""
     server = world.servers.get(told.server_id)
     true_at_ms = told.at_ms - told.age_ms
-    if server is None or true_at_ms < server.reported_at_ms:
+    if server is None or _is_of_earlier_start(server, told.incarnation):
+        return
+    restarted = incarnation.is_older(server.incarnation, told.incarnation)
+    if true_at_ms < server.reported_at_ms and not restarted:
         return
     if not _is_outdated(world, server, told):
         _see_state(world, server, told.incarnation, told.weights_version)
@@ -216,7 +228,9 @@
 ) -> None:
     """Believes the state that an engine itself gave with an answer."""
     server = world.servers.get(server_id)
-    if server is not None and stamp.incarnation:
+    if server is None or _is_of_earlier_start(server, stamp.incarnation):
+        return
+    if stamp.incarnation:
         _see_state(world, server, stamp.incarnation, stamp.weights_version)
 
 
@@ -232,34 +246,59 @@
 def _see_state(
     world: entities.World,
     server: entities.ServerRow,
-    incarnation: str,
+    seen_incarnation: str,
     weights_version: str,
 ) -> None:
     if (server.incarnation, server.weights_version) == (
-        incarnation,
+        seen_incarnation,
         weights_version,
     ):
         return
-    if server.incarnation and server.incarnation != incarnation:
-        # A new process at the same address: the order to leave was for the
-        # old one.
-        server.leaving = False
-        server.failures = 0
-        server.ejected_until_ms = 0
+    if server.incarnation and server.incarnation != seen_incarnation:
+        _forget_process(server)
     if server.weights_version != weights_version:
         # New weights are what it was drained for.
         server.draining_until_ms = 0
-    server.incarnation = incarnation
+    restarted = server.incarnation not in ("", seen_incarnation)
+    server.incarnation = seen_incarnation
     server.weights_version = weights_version
     server.cache.clear()
     world.event(
-        "server_state",
+        "server_restarted" if restarted else "server_state",
         server=server.server_id,
-        incarnation=incarnation,
+        incarnation=seen_incarnation,
         weights=weights_version,
     )
 
 
+def _is_of_earlier_start(server: entities.ServerRow, told: str) -> bool:
+    """Returns whether news is of a process that has ended since.
+
+    News of a server that started again under its id may still come in from a
+    peer, the list, a report or an answer. Believed, it would give the new
+    process the cache, the leaving or the weights of the one before.
+    """
+    return bool(told) and incarnation.is_older(told, server.incarnation)
+
+
+def _forget_process(server: entities.ServerRow) -> None:
+    """Drops what was true of the process that a server ran before.
+
+    Its connections broke with it; attempts that were sent there end by that.
+    """
+    server.leaving = False
+    server.draining_until_ms = 0
+    server.failures = 0
+    server.ejected_until_ms = 0
+    server.trial_attempt = ""
+    server.reported_at_ms = -1
+    server.running = 0
+    server.waiting = 0
+    server.waiting_tokens = 0
+    server.sent.clear()
+    server.backlog.clear()
+
+
 def _mark_leaving(
     world: entities.World, server: entities.ServerRow, leaving: bool
 ) -> None:
--- a/src/godwittack/core/weights.py
+++ b/src/godwittack/core/weights.py
@@ -49,6 +49,16 @@
     return limit_ms > 0 and _old_for_ms(world, server) >= limit_ms
 
 
+def unknown(world: entities.World, server: entities.ServerRow) -> bool:
+    """Returns whether an engine's entry tells no weights.
+
+    Nothing could be expected of its answer, nor be kept apart in a cache.
+    """
+    is_engine = server.target in world.table.models
+    routed = world.table.forwarding is not None
+    return routed and is_engine and not server.weights_version
+
+
 def cost_ms(world: entities.World, server: entities.ServerRow) -> float:
     """Returns what a server's old weights add to the cost of choosing it."""
     if _old_for_ms(world, server) < world.policy.old_weights_from_ms:
@@ -81,4 +91,4 @@
     return version != than
 
 
-__all__ = ["Naming", "cost_ms", "is_newer", "named", "too_old"]
+__all__ = ["Naming", "cost_ms", "is_newer", "named", "too_old", "unknown"]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 from typing import TYPE_CHECKING
 
@@ -18,10 +19,12 @@
 from godwittack.daemon import (
     announcing,
     base,
+    entries,
     following,
     instances,
     keeping,
     lead,
+    naming,
     news,
     observer,
     runtime,
@@ -39,8 +42,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
-    from result import Result
-
     from godwittack.config import settings as configs
     from godwittack.store import protocol as stores
 
@@ -122,6 +123,7 @@
             known=freshness.Freshness(topic=freshness.Topic.TABLE),
         )
         self._keeper.known.on_confirmed = self._keeper.confirmed
+        self._named = naming.NamedVersions()
         self._servers_known = freshness.Freshness(topic=freshness.Topic.SERVERS)
         self._news = news.News(
             members=members,
@@ -341,8 +343,12 @@
     ) -> None:
         before = self._keeper.table.version
         version = self._operator_rows.version
+        self._named.take(found, table.weights_from_row)
         self._keeper.rows_changed(
-            lambda rows: table.table_from_rows(rows, version=version), found
+            lambda rows: table.table_from_rows(
+                rows, version=version, weights=self._named.by_model
+            ),
+            found,
         )
         if before and self._keeper.table.version > before:
             # Probed in turn, some daemons would hear of it a second later.
@@ -352,9 +358,13 @@
 
     def _decode_instances(
         self, found: Mapping[str, stores.ChangedRow]
-    ) -> Result[dict[str, stores.Instance], str]:
-        return list_rows.instances_from_rows(
-            found, checks_fencing=self._settings.checks_fencing
+    ) -> entries.Entries:
+        settings = self._settings
+        decode = functools.partial(
+            list_rows.instance_from_row, checks_fencing=settings.checks_fencing
+        )
+        return entries.read(
+            found, decode, failure_domains=settings.failure_domains
         )
 
     def _model_of(self, target: str) -> str:
--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -5,17 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from absl import logging
-from result import Err
-
 from godwittack.core import server_inputs
-from godwittack.daemon import listing
+from godwittack.daemon import entries, listing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from result import Result
-
     from godwittack.daemon import following
     from godwittack.daemon import news as newses
     from godwittack.daemon import runtime as runtimes
@@ -41,7 +36,7 @@
         core: runtimes.Runtime,
         decode: Callable[
             [Mapping[str, protocol.ChangedRow]],
-            Result[dict[str, protocol.Instance], str],
+            entries.Entries,
         ],
         news: newses.News,
         known: freshness.Freshness,
@@ -55,23 +50,26 @@
         self._is_reader = is_reader
         self._seen: dict[str, protocol.Instance] = {}
         self._missing: set[str] = set()
+        self._refusals = entries.RefusalLog()
         self.follower: following.RowsFollower | None = None
         news.on_versioned_list = self.told
 
     def rows_changed(self, rows: Mapping[str, protocol.ChangedRow]) -> None:
         """Takes in the rows of servers, as read here."""
-        listed = self._decode(rows)
-        if isinstance(listed, Err):
-            logging.error("event=list_unreadable detail=%r", listed.err_value)
-            return
+        decoded = self._decode(rows)
+        listed, refused = decoded.listed, decoded.refused
+        self._refusals.note(rows, refused)
         assert self.follower is not None
         before, version = self._known.version, self.follower.version
         changes: listing.Changes = {
             name: instance
-            for name, instance in listed.ok_value.items()
+            for name, instance in listed.items()
             if self._seen.get(name) != instance
         }
-        self._missing = self._seen.keys() - listed.ok_value.keys()
+        # A server whose row turned bad is no longer named by anything: unlike
+        # one whose entry lapsed, it does not come back by itself.
+        changes.update(dict.fromkeys(self._seen.keys() & refused.keys()))
+        self._missing = self._seen.keys() - listed.keys() - refused.keys()
         changes.update(self._take_missing())
         self._put(changes)
         self._known.changed(version)
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -177,6 +177,7 @@
         return [
             rollout.Replica(
                 server_id=row.server_id,
+                incarnation=row.incarnation,
                 weights_version=row.weights_version,
                 busy=row.running + row.waiting + len(row.sent),
                 is_reachable=row.ejected_until_ms <= world.now_ms,
--- a/src/godwittack/entry/parse.py
+++ b/src/godwittack/entry/parse.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from godwittack.backend import headers as backend_headers
 from godwittack.core import work
 from godwittack.placement import levels
+from godwittack.table import model
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -90,7 +90,7 @@
     scheme, _, token = request.headers.get("authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not token:
         return ""
-    return hashlib.sha256(token.strip().encode()).hexdigest()
+    return model.token_digest(token.strip())
 
 
 def generation(
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -48,12 +48,14 @@
     Attributes:
         busy: Requests running or waiting there.
         is_reachable: Whether it answers; one that does not can't load.
+        incarnation: Changes when the server starts again.
     """
 
     server_id: str
     weights_version: str
     busy: int
     is_reachable: bool = True
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +76,7 @@
     step: Step
     since_ms: int
     wanted: str
+    incarnation: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,7 +129,7 @@
                 break
             if replica.server_id not in self._progress:
                 self._progress[replica.server_id] = _Progress(
-                    Step.DRAINING, now_ms, wanted
+                    Step.DRAINING, now_ms, wanted, replica.incarnation
                 )
         load = tuple(
             name
@@ -137,7 +140,10 @@
 
     def ordered(self, server_id: str, *, wanted: str, now_ms: int) -> None:
         """Notes that a server was ordered to load a version."""
-        self._progress[server_id] = _Progress(Step.LOADING, now_ms, wanted)
+        drained = self._progress[server_id]
+        self._progress[server_id] = _Progress(
+            Step.LOADING, now_ms, wanted, drained.incarnation
+        )
 
     def failed(self, server_id: str) -> None:
         """Notes that a server took no order; its turn comes after the others.
@@ -158,7 +164,8 @@
 
     def _finish(self, name: str, replica: Replica | None, now_ms: int) -> None:
         progress = self._progress[name]
-        gone = replica is None
+        # One that started again took the order with it, or drained for nothing.
+        gone = replica is None or replica.incarnation != progress.incarnation
         # What was wanted when it began: the table may want another by now,
         # and the server is then behind again.
         done = replica is not None and (
--- a/src/godwittack/placement/levels.py
+++ b/src/godwittack/placement/levels.py
@@ -30,6 +30,11 @@
     return xxhash.xxh3_64_intdigest(f"{key}/{weights_version}".encode())
 
 
+def named(owner: str, level: str) -> int:
+    """Returns the key of a level that callers name, of an owner's alone."""
+    return xxhash.xxh3_64_intdigest(f"{owner}/{level}".encode())
+
+
 def chain(
     *, workspace: str, target: str, parts: Iterable[bytes]
 ) -> tuple[work.Level, ...]:
@@ -57,4 +62,4 @@
     return tuple(levels)
 
 
-__all__ = ["BYTES_PER_TOKEN", "MAX_LEVELS", "SMALL_TOKENS", "chain"]
+__all__ = ["BYTES_PER_TOKEN", "MAX_LEVELS", "SMALL_TOKENS", "chain", "named"]
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -11,19 +11,15 @@
 from godwittack.backend import protocol as backend
 from godwittack.core import work
 from godwittack.entry import forward
-from godwittack.platform import names, servers, table, wire
+from godwittack.placement import levels
+from godwittack.platform import names, wire
+from godwittack.table import model
 
 if TYPE_CHECKING:
     from godwittack.core import effects
-    from godwittack.table import model
 
 # Set anew towards the server; `Host` is handed on, since the server sees it.
-_DROPPED = (
-    backend_headers.HOP_BY_HOP
-    | backend_headers.SET_ANEW
-    | names.SYSTEM_HEADERS
-    | {"expect"}
-)
+_DROPPED = names.SYSTEM_HEADERS | {"expect"}
 MAX_DEADLINE_MS = 3_600_000
 
 
@@ -45,9 +41,10 @@
         deadline_ms = wire.number(request.headers.get(names.DEADLINE, "0"))
         if after is None or deadline_ms is None:
             return Err(f"{names.LAST_EVENT_ID} or {names.DEADLINE}: no number")
-        digest = table.key_digest(key)
+        digest = model.token_digest(key)
         workspace = known.workspace_by_token.get(digest, "")
         path = request.raw_path
+        owner = known.cache_owner(workspace)
         tokens = request.headers.get(names.TOKENS, "").partition(",")
         prompt_tokens = wire.number(tokens[0]) or 0
         asked = work.Work(
@@ -55,7 +52,7 @@
             token_sha256=digest,
             target="",
             caller_request_id=request_id,
-            levels=_levels(request, known, workspace, prompt_tokens),
+            levels=_levels(request, owner, prompt_tokens),
             max_tokens=wire.number(tokens[2]) or 0,
             deadline_ms=min(deadline_ms, MAX_DEADLINE_MS),
             method=request.method,
@@ -95,35 +92,29 @@
 
 
 def _levels(
-    request: web.BaseRequest,
-    known: model.Table,
-    workspace: str,
-    prompt_tokens: int,
+    request: web.BaseRequest, owner: str, prompt_tokens: int
 ) -> tuple[work.Level, ...]:
     """Returns the prompt's levels; one of a single level if none are told."""
-    forwarding = known.forwarding
-    owner = forwarding.cache_owner(workspace) if forwarding else ""
     found: list[work.Level] = []
     for entry in request.headers.get(names.LEVELS, "").split(","):
         level, _, tokens = entry.strip().partition(":")
         size = wire.number(tokens)
         if level and size is not None:
-            found.append(work.Level(servers.level_key(owner, level), size))
+            found.append(work.Level(levels.named(owner, level), size))
     if not found and prompt_tokens:
-        key = servers.level_key(owner, request.headers[names.REQUEST_ID])
+        key = levels.named(owner, request.headers[names.REQUEST_ID])
         found.append(work.Level(key, prompt_tokens))
     return tuple(found)
 
 
 def _forwarded(request: web.BaseRequest) -> tuple[work.Header, ...]:
-    named = {
-        part.strip().lower()
-        for part in request.headers.get("Connection", "").split(",")
-    }
-    return tuple(
-        work.Header(name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in request.raw_headers
-        if name.decode("latin-1").lower() not in _DROPPED | named
+    return backend_headers.end_to_end(
+        (
+            work.Header(name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in request.raw_headers
+        ),
+        connection=request.headers.get("Connection", ""),
+        dropped=_DROPPED,
     )
 
 
--- a/src/godwittack/platform/instances.py
+++ b/src/godwittack/platform/instances.py
@@ -2,61 +2,59 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Annotated, Literal
 
 import pydantic
 from result import Err, Ok, Result
 
+from godwittack import address as addresses
+from godwittack.core import incarnation
 from godwittack.platform import wire
 from godwittack.store import protocol
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
+MOST_SLOTS = 100_000
 
 
-class _Server(wire.Wire):
-    # The entry's own `version`, left out, is that of the software.
-    service: str
-    address: str
-    zone: str = ""
-    state: str
-    slots: int = 0
+class _Server(wire.StrictWire):
+    service: str = pydantic.Field(min_length=1)
+    address: Annotated[str, pydantic.AfterValidator(addresses.checked)]
+    zone: str = pydantic.Field(min_length=1)
+    # Of the server's software, not of its weights.
+    version: str
+    state: Literal["ready", "draining"]
+    slots: int = pydantic.Field(ge=1, le=MOST_SLOTS)
+    sequence: wire.Count
+    cold_remaining_ms: wire.Amount
     models: tuple[wire.WeightsOf, ...] = ()
-
-
-def instances_from_rows(
-    rows: Mapping[str, protocol.ChangedRow], *, checks_fencing: bool
-) -> Result[dict[str, protocol.Instance], str]:
-    """Decodes all rows of the table of servers, by server id."""
-    found: dict[str, protocol.Instance] = {}
-    for key, row in rows.items():
-        if row.deleted:
-            continue
-        try:
-            entry = _Server.model_validate_json(row.value)
-        except pydantic.ValidationError as error:
-            return Err(f"{key}: {error.errors()[0]['msg']}")
-        found[key] = _instance(key, entry, checks_fencing)
-    return Ok(found)
-
-
-def _instance(
-    key: str, entry: _Server, checks_fencing: bool
-) -> protocol.Instance:
+    # Unix milliseconds of its start, left out where servers don't tell it.
+    born: wire.Positive = 0
+
+
+def instance_from_row(
+    row: protocol.ChangedRow, *, checks_fencing: bool
+) -> Result[protocol.Instance, str]:
+    """Decodes one row; an error says why it names no server."""
+    try:
+        entry = _Server.model_validate_json(row.value)
+    except pydantic.ValidationError as error:
+        return Err(wire.why(error))
     role = protocol.InstanceRole
-    return protocol.Instance(
-        name=key,
-        role=role.ENGINE if entry.models else role.SERVICE,
-        address=entry.address,
-        target=entry.service,
-        failure_domain=entry.zone,
-        leaving=entry.state != "ready",
-        checks_fencing=checks_fencing,
-        # Each start of a server has an id of its own.
-        incarnation=key,
-        weights_version=str(entry.models[0].version) if entry.models else "",
-        slots=entry.slots,
+    return Ok(
+        protocol.Instance(
+            name=row.key,
+            role=role.ENGINE if entry.models else role.SERVICE,
+            address=entry.address,
+            target=entry.service,
+            failure_domain=entry.zone,
+            leaving=entry.state != "ready",
+            checks_fencing=checks_fencing,
+            incarnation=incarnation.named(row.key, entry.born),
+            weights_version=(
+                str(entry.models[0].version) if entry.models else ""
+            ),
+            slots=entry.slots,
+        )
     )
 
 
-__all__ = ["instances_from_rows"]
+__all__ = ["instance_from_row"]
--- a/src/godwittack/platform/names.py
+++ b/src/godwittack/platform/names.py
@@ -23,24 +23,13 @@
 PRIORITY: Final = "X-Godwittack-Request-Priority"
 KV_FETCH_FROM: Final = "X-Godwittack-Kv-Fetch-From"
 KV_SAVE_TO: Final = "X-Godwittack-Kv-Save-To"
+_SET_ANEW = (API_KEY, DEADLINE, LAST_EVENT_ID, WORKSPACE, PRIORITY)
+_EXPECTED = (EXPECTED_INSTANCE, EXPECTED_WEIGHTS)
+_CACHED = (CACHE_SCOPE, KV_FETCH_FROM, KV_SAVE_TO, "Kv-From")
+# Never set here, and not to be taken from a caller.
+_UNUSED = tuple(f"X-Godwittack-{n}" for n in ("Hold", "Pin-Ms", "Kv-Backup"))
 SYSTEM_HEADERS: Final = frozenset(
-    name.lower()
-    for name in (
-        API_KEY,
-        DEADLINE,
-        LAST_EVENT_ID,
-        EXPECTED_INSTANCE,
-        EXPECTED_WEIGHTS,
-        WORKSPACE,
-        CACHE_SCOPE,
-        PRIORITY,
-        KV_FETCH_FROM,
-        KV_SAVE_TO,
-        "X-Godwittack-Hold",
-        "X-Godwittack-Pin-Ms",
-        "X-Godwittack-Kv-Backup",
-        "Kv-From",
-    )
+    name.lower() for name in (*_SET_ANEW, *_EXPECTED, *_CACHED, *_UNUSED)
 )
 
 # Headers of answers.
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -7,18 +7,20 @@
 from typing import TYPE_CHECKING
 from urllib import parse
 
-import aiohttp
 import pydantic
 from result import Err, Ok
 
 from godwittack.platform import names, wire
+from godwittack.store import call as calls
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    import aiohttp
+
 # The most that the store returns at a time.
-PAGE_ROWS = "500"
+PAGE_ROWS = 500
 STATUS_HISTORY_LOST = 410
 STATUS_CONDITION_FAILED = 412
 # The call did nothing, by the store's own word.
@@ -30,7 +32,7 @@
     part: str = ""
     table: str = ""
     key: str
-    value: pydantic.Base64Str = ""
+    value: str = ""
     row_version: int = 0
     deleted: bool = False
 
@@ -88,16 +90,10 @@
         self, row_id: protocol.RowId
     ) -> protocol.Got[protocol.StoredRow]:
         """Returns one row."""
-        query = {
-            "table": row_id.table,
-            "part": "",
-            "from": row_id.key,
-            "limit": "1",
-        }
-        got = await self._call("read", "GET", names.ROWS_GET, query=query)
+        got = await self._range("read", row_id.table, row_id.key, limit=1)
         if isinstance(got, Err):
             return got
-        for row in got.ok_value[1].rows:
+        for row in got.ok_value.rows:
             if row.key == row_id.key:
                 return Ok(_stored(row))
         return Ok(protocol.StoredRow(row_id, "", 0))
@@ -106,11 +102,17 @@
         self, table: str, *, from_key: str
     ) -> protocol.Got[protocol.FeedPage]:
         """Returns rows of a table, from a key on."""
-        query = {"table": table, "part": "", "limit": PAGE_ROWS}
+        got = await self._range("scan", table, from_key, limit=PAGE_ROWS)
+        return got if isinstance(got, Err) else Ok(_page(got.ok_value))
+
+    async def _range(
+        self, step: str, table: str, from_key: str, *, limit: int
+    ) -> protocol.Got[_Rows]:
+        query = {"table": table, "part": "", "limit": str(limit)}
         if from_key:
             query["from"] = from_key
-        got = await self._call("scan", "GET", names.ROWS_GET, query=query)
-        return got if isinstance(got, Err) else Ok(_page(got.ok_value[1]))
+        got = await self._call(step, "GET", names.ROWS_GET, query=query)
+        return got if isinstance(got, Err) else Ok(got.ok_value[1])
 
     async def changes(
         self, table: str, *, after: int, wait_ms: int
@@ -137,28 +139,22 @@
         url = f"http://{self._address}{path}"
         if query:
             url = f"{url}?{parse.urlencode(query)}"
-        limit_s = (self._timeout_ms + wait_ms) / 1000
-        try:
-            async with self._session.request(
-                method,
-                url,
-                data=body,
-                headers={"Content-Type": "application/json"} if body else {},
-                timeout=aiohttp.ClientTimeout(total=limit_s),
-                allow_redirects=False,
-            ) as response:
-                data = await response.read()
-                status = response.status
-        except TimeoutError:
-            return self._error(step, "no answer in time")
-        except (aiohttp.ClientError, OSError) as error:
-            return self._error(step, str(error) or type(error).__name__)
+        got = await calls.exchange(
+            self._session,
+            method,
+            url,
+            body=body,
+            limit_ms=self._timeout_ms + wait_ms,
+        )
+        if isinstance(got, Err):
+            return self._error(step, got.err_value.detail)
+        status = got.ok_value.status
         if status not in (200, STATUS_CONDITION_FAILED):
             return self._error(step, f"status {status}", status=status)
         try:
-            return Ok((status, _Rows.model_validate_json(data)))
+            return Ok((status, _Rows.model_validate_json(got.ok_value.body)))
         except pydantic.ValidationError as error:
-            return self._error(step, str(error.errors()[0]["msg"]))
+            return self._error(step, wire.why(error))
 
     def _error(
         self, step: str, detail: str, *, status: int = 0
@@ -182,14 +178,33 @@
     return base64.b64encode(value.encode()).decode()
 
 
+def _decoded(value: str) -> str:
+    """Returns a row's text, empty where its bytes are no text.
+
+    An error would lose the whole page for one row of another writer.
+    """
+    try:
+        return base64.b64decode(value, validate=True).decode()
+    except ValueError:
+        return ""
+
+
 def _stored(row: _Row) -> protocol.StoredRow:
     row_id = protocol.RowId(row.table, row.key)
     version = 0 if row.deleted else row.row_version
-    return protocol.StoredRow(row_id, row.value, version)
+    return protocol.StoredRow(row_id, _decoded(row.value), version)
 
 
 def _page(page: _Rows) -> protocol.FeedPage:
-    rows = tuple(_changed(row) for row in page.rows)
+    rows = tuple(
+        protocol.ChangedRow(
+            key=row.key,
+            value=_decoded(row.value),
+            version=row.row_version,
+            deleted=row.deleted,
+        )
+        for row in page.rows
+    )
     return protocol.FeedPage(
         rows=rows,
         newest=page.row_version,
@@ -198,13 +213,4 @@
     )
 
 
-def _changed(row: _Row) -> protocol.ChangedRow:
-    return protocol.ChangedRow(
-        key=row.key,
-        value=row.value,
-        version=row.row_version,
-        deleted=row.deleted,
-    )
-
-
 __all__ = ["Rows"]
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,10 +5,8 @@
 import json
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from godwittack.backend import protocol, routed
-from godwittack.core import inputs
+from godwittack.core import incarnation, inputs
 from godwittack.placement import levels
 from godwittack.platform import names, wire
 
@@ -22,7 +20,9 @@
 EVENTS_WAIT_MS = 1_000
 
 
-class _Report(wire.Wire):
+class _Report(wire.StrictWire):
+    # Unix milliseconds of its start, left out where servers don't tell it.
+    born: wire.Positive = 0
     models: tuple[wire.WeightsOf, ...] = ()
     queue_depth: int = 0
     running: int = 0
@@ -32,7 +32,9 @@
     busy: bool = False
 
 
-class _Events(wire.Wire):
+class _Events(wire.StrictWire):
+    # Unix milliseconds of its start, left out where servers don't tell it.
+    born: wire.Positive = 0
     # Changes with each restart of the server.
     boot_epoch: int
     next: int
@@ -102,19 +104,16 @@
 
     def load_call(self, address: str, server_id: str) -> routed.ControlCall:
         """Returns the call for a server's report of its state."""
-        head = [
-            f"GET {names.REPORT_PATH} HTTP/1.1",
-            f"Host: {address}",
-            f"{names.EXPECTED_INSTANCE}: {server_id}",
-        ]
-        return routed.ControlCall(step="report", head=_head(head))
+        expected = f"{names.EXPECTED_INSTANCE}: {server_id}"
+        head = _control(f"GET {names.REPORT_PATH}", address, expected)
+        return routed.ControlCall(step="report", head=head)
 
     def read_load(self, body: bytes, server_id: str) -> protocol.EngineLoad:
         """Reads a report; raises ValueError for anything else."""
         report = _Report.model_validate_json(body)
         version = str(report.models[0].version) if report.models else ""
         return protocol.EngineLoad(
-            incarnation=server_id,
+            incarnation=incarnation.named(server_id, report.born),
             weights_version=version,
             running=report.running,
             waiting=report.queue_depth,
@@ -126,13 +125,12 @@
         self, address: str, server_id: str, after: int
     ) -> routed.ControlCall:
         """Returns the call for cache events."""
-        head = [
-            f"GET {names.EVENTS_PATH}?since={after} HTTP/1.1",
-            f"Host: {address}",
-            f"{names.EVENTS_WAIT}: {EVENTS_WAIT_MS}",
-        ]
+        line = f"GET {names.EVENTS_PATH}?since={after}"
+        wait = f"{names.EVENTS_WAIT}: {EVENTS_WAIT_MS}"
         return routed.ControlCall(
-            step="cache events", head=_head(head), wait_ms=EVENTS_WAIT_MS
+            step="cache events",
+            head=_control(line, address, wait),
+            wait_ms=EVENTS_WAIT_MS,
         )
 
     def read_events(self, body: bytes, server_id: str) -> protocol.CacheEvents:
@@ -149,13 +147,13 @@
                 protocol.CacheEvent(
                     number,
                     what,
-                    levels.versioned(level_key(workspace, level), version),
+                    levels.versioned(levels.named(workspace, level), version),
                     tokens,
                 )
             )
             newest = version
         return protocol.CacheEvents(
-            incarnation=server_id,
+            incarnation=incarnation.named(server_id, told.born),
             weights_version=newest,
             oldest=0,
             events=tuple(events),
@@ -180,23 +178,22 @@
             # The number of orders accepted so far, not a state.
             fields["precondition"] = order.orders_taken
         body = json.dumps(fields).encode()
-        head = [
-            f"POST {names.ORDER_PATH} HTTP/1.1",
-            f"Host: {address}",
+        head = _control(
+            f"POST {names.ORDER_PATH}",
+            address,
             "Content-Type: application/json",
             f"Content-Length: {len(body)}",
             f"{names.EXPECTED_INSTANCE}: {order.server_id}",
-        ]
-        return routed.ControlCall(step="order", head=_head(head), body=body)
+        )
+        return routed.ControlCall(step="order", head=head, body=body)
 
 
-def level_key(workspace: str, level: str) -> int:
-    """Returns the key of a level, of a workspace where it is isolated."""
-    return xxhash.xxh3_64_intdigest(f"{workspace}/{level}".encode())
+def _control(line: str, address: str, *headers: str) -> bytes:
+    return _head([f"{line} HTTP/1.1", f"Host: {address}", *headers])
 
 
 def _head(lines: list[str]) -> bytes:
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-__all__ = ["ServerFormat", "level_key"]
+__all__ = ["ServerFormat"]
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 
 import pydantic
@@ -17,6 +16,10 @@
     from godwittack.store import protocol
 
 
+# Before a version is named, servers have this one.
+FIRST_WEIGHTS = "1"
+
+
 class _Split(wire.Wire):
     service: str
     weight: int = 1
@@ -78,20 +81,39 @@
     limits: _Limits = _Limits()
 
 
-class _Weights(wire.Wire):
+class _Weights(wire.StrictWire):
     model: str
-    version: int
+    version: wire.Positive
+
+
+def weights_from_row(
+    row: protocol.ChangedRow,
+) -> Result[model.NamedWeights | None, str]:
+    """Decodes a row that names weights; None for a row of another kind."""
+    if not row.key.startswith(names.WEIGHTS_KEY_PREFIX) or row.deleted:
+        return Ok(None)
+    try:
+        named = _Weights.model_validate_json(row.value)
+    except pydantic.ValidationError as error:
+        return Err(wire.why(error))
+    if row.key != names.WEIGHTS_KEY_PREFIX + named.model:
+        return Err(f"it names {named.model}")
+    return Ok(model.NamedWeights(named.model, str(named.version)))
 
 
 def table_from_rows(
-    rows: Mapping[str, protocol.ChangedRow], *, version: int
+    rows: Mapping[str, protocol.ChangedRow],
+    *,
+    version: int,
+    weights: Mapping[str, str],
 ) -> Result[model.Table | None, str]:
-    """Decodes the operator's rows.
+    """Decodes the operator's configuration.
 
     Args:
         rows: Rows by key.
         version: Of the newest row: it rises with each change, of the
             configuration and of weights alike.
+        weights: Versions named, by model.
 
     Returns:
         The table, None before the first configuration, or what is wrong.
@@ -101,52 +123,25 @@
         return Ok(None)
     try:
         config = _Config.model_validate_json(row.value)
-        weights = _named_weights(rows)
     except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        place = ".".join(str(part) for part in first["loc"])
-        return Err(f"{place}: {first['msg']}")
-    return Ok(_table(version, config, weights))
-
-
-def _named_weights(rows: Mapping[str, protocol.ChangedRow]) -> dict[str, int]:
-    found: dict[str, int] = {}
-    for key, row in rows.items():
-        if key.startswith(names.WEIGHTS_KEY_PREFIX) and not row.deleted:
-            named = _Weights.model_validate_json(row.value)
-            found[named.model] = named.version
-    return found
-
-
-def _table(
-    version: int, config: _Config, weights: dict[str, int]
-) -> model.Table:
+        return Err(wire.why(error))
     table = model.Table(version=version, forwarding=_forwarding(config))
     for service in config.services:
         if service.engine is not None and service.engine.models:
-            named = weights.get(service.engine.models[0].name, 1)
+            held = weights.get(service.engine.models[0].name, FIRST_WEIGHTS)
             table.models[service.name] = model.ModelRow(
-                name=service.name, weights_version=str(named)
+                name=service.name, weights_version=held
             )
-        # Nothing limits the requests of a workspace or service here.
         elif not service.kv_store_addr:
-            table.services[service.name] = model.ServiceRow(
-                name=service.name, max_in_flight=model.NO_LIMIT
+            table.services[service.name] = model.ServiceRow.unlimited(
+                service.name
             )
     for tenant in config.tenants:
-        table.workspaces[tenant.name] = model.WorkspaceRow(
-            name=tenant.name,
-            max_in_flight=model.NO_LIMIT,
-            max_requests_per_s=model.NO_LIMIT,
-        )
+        row_of = model.WorkspaceRow.unlimited(tenant.name)
+        table.workspaces[tenant.name] = row_of
         for key in tenant.api_keys:
-            table.workspace_by_token[key_digest(key)] = tenant.name
-    return table
-
-
-def key_digest(key: str) -> str:
-    """Returns the digest by which a key is known inside."""
-    return hashlib.sha256(key.encode()).hexdigest() if key else ""
+            table.workspace_by_token[model.token_digest(key)] = tenant.name
+    return Ok(table)
 
 
 def _forwarding(config: _Config) -> forwarding.Forwarding:
@@ -207,4 +202,4 @@
     )
 
 
-__all__ = ["key_digest", "table_from_rows"]
+__all__ = ["table_from_rows", "weights_from_row"]
--- a/src/godwittack/platform/wire.py
+++ b/src/godwittack/platform/wire.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import pydantic
 
 # More make no sense in any header, and Python refuses thousands.
 MOST_DIGITS = 15
+_MOST = 10**MOST_DIGITS
+Count = Annotated[int, pydantic.Field(ge=0, le=_MOST)]
+Positive = Annotated[int, pydantic.Field(ge=1, le=_MOST)]
+Amount = Annotated[float, pydantic.Field(ge=0, le=_MOST)]
 
 
 class Wire(pydantic.BaseModel):
@@ -16,11 +22,23 @@
     )
 
 
-class WeightsOf(Wire):
+class StrictWire(Wire):
+    """Base of what servers say: text is no number, as others may write it."""
+
+    model_config = pydantic.ConfigDict(strict=True)
+
+
+class WeightsOf(StrictWire):
     """A model with the version of the weights that are loaded."""
 
-    name: str
-    version: int
+    name: str = pydantic.Field(min_length=1)
+    version: Positive
+
+
+def why(error: pydantic.ValidationError) -> str:
+    """Returns what is wrong first, in one line."""
+    first = error.errors()[0]
+    return ".".join(str(p) for p in first["loc"]) + f": {first['msg']}"
 
 
 def number(text: str) -> int | None:
@@ -30,4 +48,5 @@
     return int(text) if is_number else None
 
 
-__all__ = ["WeightsOf", "Wire", "number"]
+__all__ = ["Amount", "Count", "Positive", "StrictWire", "WeightsOf", "Wire"]
+__all__ += ["number", "why"]
--- /dev/null
+++ b/src/godwittack/store/call.py
@@ -0,0 +1,63 @@
+"""One HTTP call of a store, with every way in which it may fail."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import aiohttp
+from result import Err, Ok, Result
+
+JSON_TYPE = {"Content-Type": "application/json"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A call that brought no answer.
+
+    Attributes:
+        detail: One line for people.
+        sent: Whether a byte may have reached the store.
+        timed_out: Whether its time ran out.
+    """
+
+    detail: str
+    sent: bool = True
+    timed_out: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Status and whole body of an answer."""
+
+    status: int
+    body: bytes
+
+
+async def exchange(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    *,
+    body: bytes | None,
+    limit_ms: int,
+) -> Result[Reply, Failure]:
+    """Makes one call; redirects are answers like others."""
+    try:
+        async with session.request(
+            method,
+            url,
+            data=body,
+            headers=JSON_TYPE if body else {},
+            timeout=aiohttp.ClientTimeout(total=limit_ms / 1000),
+            allow_redirects=False,
+        ) as response:
+            return Ok(Reply(response.status, await response.read()))
+    except TimeoutError:
+        return Err(Failure("no answer in time", timed_out=True))
+    except aiohttp.ClientConnectorError as error:
+        return Err(Failure(str(error), sent=False))
+    except (aiohttp.ClientError, OSError) as error:
+        return Err(Failure(str(error) or type(error).__name__))
+
+
+__all__ = ["Failure", "Reply", "exchange"]
--- a/src/godwittack/store/http.py
+++ b/src/godwittack/store/http.py
@@ -10,11 +10,10 @@
 import pydantic
 from result import Err, Ok, Result
 
+from godwittack.store import call as calls
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from godwittack.clock import Clock
 
 MAX_OBJECT_BYTES = 64 << 20
@@ -67,7 +66,7 @@
         """Uses `session` for all calls to `base_url`."""
         self._session = session
         self._base_url = base_url.rstrip("/")
-        self._timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        self._timeout_ms = timeout_ms
         self._pause_ms = pause_ms
         self._clock = clock
         self._down_until_ms = 0
@@ -167,27 +166,21 @@
     ) -> Result[bytes, protocol.PlatformError]:
         if self._clock.now_ms() < self._down_until_ms:
             return self._error(step, "unreachable a moment ago", sent=False)
-        headers: Mapping[str, str] = {"content-type": "application/json"}
-        try:
-            async with self._session.request(
-                method,
-                self._base_url + path,
-                data=body,
-                headers=headers,
-                timeout=self._timeout,
-            ) as response:
-                data = await response.read()
-                if response.status == 200:
-                    return Ok(data)
-                return self._error(step, f"status {response.status}")
-        except TimeoutError:
-            self._pause()
-            return self._error(step, "no answer in time")
-        except aiohttp.ClientConnectorError as error:
-            self._pause()
-            return self._error(step, str(error), sent=False)
-        except aiohttp.ClientError as error:
-            return self._error(step, str(error) or type(error).__name__)
+        got = await calls.exchange(
+            self._session,
+            method,
+            self._base_url + path,
+            body=body,
+            limit_ms=self._timeout_ms,
+        )
+        if isinstance(got, Err):
+            failure = got.err_value
+            if failure.timed_out or not failure.sent:
+                self._pause()
+            return self._error(step, failure.detail, sent=failure.sent)
+        if got.ok_value.status != 200:
+            return self._error(step, f"status {got.ok_value.status}")
+        return Ok(got.ok_value.body)
 
     def _pause(self) -> None:
         self._down_until_ms = self._clock.now_ms() + self._pause_ms
--- a/src/godwittack/table/model.py
+++ b/src/godwittack/table/model.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import hashlib
 from typing import TypeAlias
 
 from godwittack.table import forwarding as forwardings
@@ -13,6 +14,11 @@
 NO_LIMIT = 1_000_000
 
 
+def token_digest(token: str) -> str:
+    """Returns the digest by which a caller's key is known, "" for none."""
+    return hashlib.sha256(token.encode()).hexdigest() if token else ""
+
+
 class RowKind(enum.StrEnum):
     """Which of the three sheets a row belongs to."""
 
@@ -48,6 +54,13 @@
     max_requests_per_s: float = 100.0
     deadline_ms: int = 10_000
 
+    @classmethod
+    def unlimited(cls, name: str) -> WorkspaceRow:
+        """Returns a workspace whose requests nothing limits."""
+        return cls(
+            name=name, max_in_flight=NO_LIMIT, max_requests_per_s=NO_LIMIT
+        )
+
     @property
     def is_unlimited(self) -> bool:
         """Whether neither number of requests is limited."""
@@ -89,6 +102,19 @@
     max_in_flight: int = 200
     deadline_ms: int = 10_000
 
+    @classmethod
+    def unlimited(cls, name: str) -> ServiceRow:
+        """Returns a service whose calls nothing limits."""
+        return cls(name=name, max_in_flight=NO_LIMIT)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedWeights:
+    """The version of weights that a model's servers should load."""
+
+    model: str
+    version: str
+
 
 Row: TypeAlias = WorkspaceRow | ModelRow | ServiceRow
 
@@ -136,6 +162,12 @@
     workspace_by_token: dict[str, str] = dataclasses.field(default_factory=dict)
     forwarding: forwardings.Forwarding | None = None
 
+    def cache_owner(self, workspace: str) -> str:
+        """Returns whose cached state a workspace uses; empty for all's."""
+        if self.forwarding is None:
+            return ""
+        return self.forwarding.cache_owner(workspace)
+
     @property
     def targets(self) -> tuple[str, ...]:
         """Names of all models and services."""
@@ -235,6 +267,7 @@
     "CellChange",
     "CellValue",
     "ModelRow",
+    "NamedWeights",
     "Repeatable",
     "Row",
     "RowKind",
@@ -243,4 +276,5 @@
     "WorkspaceRow",
     "columns",
     "row_kind",
+    "token_digest",
 ]
--- a/tests/cases/freshness.py
+++ b/tests/cases/freshness.py
@@ -132,11 +132,9 @@
 
 
 def _list(*, is_reader: bool):
-    from result import Ok
-
     from cases import leading
     from godwittack.clock import ManualClock
-    from godwittack.daemon import instances
+    from godwittack.daemon import entries, instances
 
     clock = ManualClock(cases.START_MS)
     news = _News()
@@ -145,7 +143,7 @@
     follower._clock = clock
     held = instances.InstanceFollower(
         core=leading.Runtime(clock),
-        decode=lambda rows: Ok(dict(rows)),
+        decode=lambda rows: entries.Entries(dict(rows), {}),
         news=news,
         known=known,
         is_reader=lambda: is_reader,
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -15,6 +15,7 @@
     "following",
     "freshness",
     "adapter",
+    "entries",
     "logs",
     "peers",
     "patience",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -62,6 +62,7 @@
         "node-name": name,
         "ip": "127.0.0.1",
         "zone": "north",
+        "zones": {"north": "all", "south": "all"},
         "listen": listen,
         "internal-port-range": [free_port(), free_port()],
         "seeds": seeds,
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -58,6 +58,20 @@
       | fuzz  | events are the same however they are cut |
       | fuzz  | a spoiled request is answered or closed |
 
+    Examples: entries
+      | group   | case |
+      | entries | a bad entry names no server and the others hold |
+      | entries | bytes of any kind in a row hurt no other |
+      | entries | servers that tell no start are named by their id |
+      | entries | of two rows with an address the later start counts |
+      | entries | a bad row of weights keeps the version in force |
+      | entries | a server that starts again has nothing of before |
+      | entries | late news of the start before is dropped |
+      | entries | an answer of the start before changes nothing |
+      | entries | an order to the start before is not waited for |
+      | entries | reports and events bear the start |
+      | entries | an engine that tells no weights gets no work |
+
     Examples: weights
       | group   | case |
       | weights | a server back with replaced weights gets no work |
