Record each order in the lease's row, and take over with one write

Change: a row a model records who is about to order which servers until when, by the store's own clock; each order needs that write just before it. Takeover needs one write and waits for those servers alone that were ordered less than a lease ago. The turn (lead/turn) goes by the last holder, rank and what the row shows. Servers are drained after the order is recorded. Whether servers check fencing numbers decides nothing any more; the setting and its plumbing are gone.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -93,10 +93,6 @@
     metrics_address: Address | None = pydantic.Field(
         default=None, description="IP:port for metrics besides http_address"
     )
-    checks_fencing: bool = pydantic.Field(
-        default=False,
-        description="whether engines refuse orders with an old number",
-    )
     failure_domains: dict[str, str] = pydantic.Field(
         default_factory=dict,
         description="region of each failure domain; none to take any",
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import functools
 import signal
 from typing import TYPE_CHECKING
 
@@ -54,7 +53,6 @@
 KEY_MARGIN_MS = 1_500
 # Taken off the time until SIGKILL, for the last answers and the end itself.
 STOP_MARGIN_MS = 1_200
-LEASE_MARGIN_MS = 500
 # Between two looks for connections that nobody uses any more.
 TIDY_MS = 500
 # Engines let running requests end before they load, so that the order need
@@ -181,10 +179,7 @@
             service=self._store,
             members=members,
             news=self._news,
-            checks_fencing=self._list.checks_fencing_of,
-            policy=leases.LeasePolicy(
-                lease_ms=settings.lease_ms, margin_ms=LEASE_MARGIN_MS
-            ),
+            policy=leases.LeasePolicy(lease_ms=settings.lease_ms),
             rollout_policy=rollout.RolloutPolicy(
                 order_after_ms=ORDER_AFTER_MS, load_limit_ms=LOAD_LIMIT_MS
             ),
@@ -359,12 +354,10 @@
     def _decode_instances(
         self, found: Mapping[str, stores.ChangedRow]
     ) -> entries.Entries:
-        settings = self._settings
-        decode = functools.partial(
-            list_rows.instance_from_row, checks_fencing=settings.checks_fencing
-        )
         return entries.read(
-            found, decode, failure_domains=settings.failure_domains
+            found,
+            list_rows.instance_from_row,
+            failure_domains=self._settings.failure_domains,
         )
 
     def _model_of(self, target: str) -> str:
--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -129,11 +129,6 @@
         if changes and self._is_reader():
             self._news.publish_listed(changes, before=before, version=version)
 
-    def checks_fencing_of(self, server_id: str) -> bool:
-        """Returns whether a server refuses orders with an old number."""
-        instance = self._seen.get(server_id)
-        return instance is not None and instance.checks_fencing
-
     async def drop_forever(self, *, every_ms: int) -> None:
         """Looks for entries that did not come back, again and again."""
         while True:
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -14,11 +14,11 @@
 from godwittack.daemon import news as newses
 from godwittack.daemon import watch
 from godwittack.lead import lease as leases
-from godwittack.lead import rollout
+from godwittack.lead import rollout, turn
 from godwittack.member import duty
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from godwittack.core import entities
     from godwittack.daemon import runtime
@@ -28,8 +28,8 @@
 
 # Between two notices of one drain; each holds for `newses.DRAIN_MS`.
 DRAIN_REPEAT_MS = 1_000
-# Without progress for so long, the next daemon in rank leads as well.
-PATIENCE_MS = 2_000
+# Pause after a call of the store that brought nothing.
+STORE_RETRY_MS = 300
 # Between two looks at a server that loads weights: a load takes about 1.1 s.
 LOAD_LOOK_MS = 120
 # Mean wait at the servers from which only one at a time is taken out of
@@ -44,6 +44,7 @@
     lease: leases.Lease
     rollout: rollout.Rollout
     drains_told_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    store_again_ms: int = 0
 
 
 class Leader:
@@ -57,7 +58,6 @@
         service: platform.ConditionalRows,
         members: view.View,
         news: newses.News,
-        checks_fencing: Callable[[str], bool],
         policy: leases.LeasePolicy,
         rollout_policy: rollout.RolloutPolicy | None = None,
     ) -> None:
@@ -70,7 +70,6 @@
         self._service = service
         self._members = members
         self._news = news
-        self._checks_fencing = checks_fencing
         self._policy = policy
         self._led: dict[str, _Led] = {}
 
@@ -82,20 +81,11 @@
             await asyncio.sleep(step_ms / 1000)
 
     async def step(self, model: str) -> None:
-        """Renews a model's lease and goes on with its roll-out."""
+        """Goes on with a model's roll-out where it is this daemon's turn."""
         led = self._led.get(model)
         if led is None:
             led = self._led[model] = self._lead(model)
-        held = led.lease.valid()
-        await led.lease.step()
-        if led.lease.valid() != held:
-            logging.info(
-                "event=lease model=%s held=%d fencing=%d",
-                model,
-                not held,
-                led.lease.fencing,
-            )
-        if not led.lease.valid():
+        if not await self._has_turn(model, led):
             return
         world = self._core.core.world
         wanted = world.table.models[model].weights_version
@@ -104,12 +94,83 @@
             replicas=self._replicas(model),
             now_ms=self._core.clock.now_ms(),
             is_pressed=self._is_pressed(model),
+            held=led.lease.held(),
         )
+        # Before the store is asked: what was decided on loads is outdated once
+        # it has answered, since servers not drained yet take work meanwhile.
+        ready = [name for name in decision.load if led.lease.may_send(name)]
+        if not await self._may_go_on(model, led, decision):
+            return
         self._drain(led, model, decision.draining)
-        for server_id in decision.load:
-            server = world.servers[server_id]
-            if self._may_send(led, server):
-                self._load(led, server, wanted)
+        for server_id in ready:
+            self._load(led, world.servers[server_id], wanted)
+
+    async def _has_turn(self, model: str, led: _Led) -> bool:
+        """Returns whether to order now; reads the row where that may be."""
+        if led.lease.is_own:
+            return True
+        now_ms = self._core.clock.now_ms()
+        if now_ms < led.store_again_ms or not self._is_turn(model, led):
+            return False
+        if not await led.lease.look():
+            led.store_again_ms = self._core.clock.now_ms() + STORE_RETRY_MS
+            return False
+        # What the row tells may be that another is at work.
+        return self._is_turn(model, led)
+
+    def _is_turn(self, model: str, led: _Led) -> bool:
+        ranked = duty.leaders(model, self._members.serving())
+        own = self._members.me.member_id
+        place = turn.rank(own, led.lease.holder, ranked)
+        since_ms = self._behind[model][1]
+        return turn.is_own(
+            place=place,
+            unchanged_ms=self._core.clock.now_ms() - since_ms,
+            idle_ms=led.lease.idle_ms(),
+        )
+
+    async def _may_go_on(
+        self, model: str, led: _Led, decision: rollout.Decision
+    ) -> bool:
+        """Records the orders decided on; returns whether they may be given.
+
+        Recorded before a server is drained: one that is drained while the
+        store lets no order go out would serve nobody for nothing.
+        """
+        lease = led.lease
+        unrecorded = {
+            name for name in decision.draining if not lease.is_recorded(name)
+        }
+        unrecorded.update(
+            name for name in decision.load if not lease.may_send(name)
+        )
+        if not unrecorded:
+            return True
+        now_ms = self._core.clock.now_ms()
+        was_own = lease.is_own
+        if now_ms >= led.store_again_ms and await lease.record(unrecorded):
+            if not was_own:
+                self._log_lease(model, led, held=True)
+            return True
+        if now_ms >= led.store_again_ms:
+            led.store_again_ms = self._core.clock.now_ms() + STORE_RETRY_MS
+        if not lease.is_own:
+            if was_own:
+                self._log_lease(model, led, held=False)
+            led.rollout = rollout.Rollout(self._rollout_policy)
+            return False
+        led.rollout.withdraw(unrecorded)
+        return False
+
+    def _log_lease(self, model: str, led: _Led, *, held: bool) -> None:
+        logging.info(
+            "event=lease model=%s held=%d fencing=%d holder=%s idle_ms=%d",
+            model,
+            held,
+            led.lease.fencing,
+            led.lease.holder,
+            led.lease.idle_ms(),
+        )
 
     def _drain(self, led: _Led, model: str, server_ids: Iterable[str]) -> None:
         now_ms = self._core.clock.now_ms()
@@ -125,16 +186,15 @@
             self._news.publish_draining(server_id, model)
 
     def _own_models(self) -> list[str]:
-        """Returns models with replicas that need new weights, and are ours.
+        """Returns models with servers that need new weights.
 
-        The daemon that a model falls to may be cut off from the store, or too
-        slow, while others reach it. Where nothing has come of a roll-out for
-        a while, the next one in rank tries as well; the lease decides.
+        Whose turn it is for each is decided by rank and by what the row of
+        its lease tells: the first in rank may be cut off from the store, or
+        too slow, while others reach it.
         """
-        world = self._core.core.world
         now_ms = self._core.clock.now_ms()
         found = []
-        for name, row in world.table.models.items():
+        for name, row in self._core.core.world.table.models.items():
             behind = frozenset(
                 replica.server_id
                 for replica in self._replicas(name)
@@ -143,24 +203,10 @@
             state = (row.weights_version, behind)
             if self._behind.get(name, (None, 0))[0] != state:
                 self._behind[name] = (state, now_ms)
-            if not behind:
-                continue
-            waited_ms = now_ms - self._behind[name][1]
-            is_ours = waited_ms >= self._rank(name) * PATIENCE_MS
-            if is_ours or self._holds(name):
+            if behind:
                 found.append(name)
         return found
 
-    def _holds(self, model: str) -> bool:
-        led = self._led.get(model)
-        return led is not None and led.lease.valid()
-
-    def _rank(self, model: str) -> int:
-        members = self._members.serving()
-        ranked = duty.leaders(model, members)
-        own = self._members.me.member_id
-        return ranked.index(own) if own in ranked else len(ranked)
-
     def _lead(self, model: str) -> _Led:
         lease = leases.Lease(
             service=self._service,
@@ -197,12 +243,6 @@
         ]
         return bool(waits) and sum(waits) / len(waits) > PRESSED_MS
 
-    def _may_send(self, led: _Led, server: entities.ServerRow) -> bool:
-        """Returns whether an order may go out at this moment."""
-        if self._checks_fencing(server.server_id):
-            return led.lease.valid()
-        return led.lease.settled()
-
     def _load(self, led: _Led, server: entities.ServerRow, wanted: str) -> None:
         led.rollout.ordered(
             server.server_id,
@@ -234,7 +274,7 @@
         state = await self._look(server)
         # Asked again right before sending: this daemon may have been stopped
         # since the last look, and another holder may be at work.
-        if not self._may_send(led, server):
+        if not led.lease.may_send(server.server_id):
             return False
         got = await self._client.order(
             server.address,
--- a/src/godwittack/daemon/listing.py
+++ b/src/godwittack/daemon/listing.py
@@ -125,11 +125,6 @@
             self._differs_since_ms = now_ms
             self._told_hash = told
 
-    def checks_fencing_of(self, server_id: str) -> bool:
-        """Returns whether a server refuses orders with an old number."""
-        instance = self._seen.get(server_id)
-        return instance is not None and instance.checks_fencing
-
     def _is_reader(self) -> bool:
         return self._members.me.member_id in self._readers()
 
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -119,7 +119,6 @@
             service=platform,
             members=members,
             news=self._news,
-            checks_fencing=self._lists.checks_fencing_of,
             policy=leases.LeasePolicy(lease_ms=settings.lease_ms),
         )
         self._peer_server = parts.peer_server(self.gossiper)
--- a/src/godwittack/lead/lease.py
+++ b/src/godwittack/lead/lease.py
@@ -1,4 +1,15 @@
-"""Leases in the table service that need no common clock."""
+"""The right to order a model's servers, recorded before it is used.
+
+Load pattern: new weights are named while their holder, or the store for some
+daemons, is away; until another daemon may order, servers grow too old for use.
+
+One row a model says who orders, under which fencing number, and which servers
+it is about to order until when. Each order needs a write of that row before it,
+under the condition that nobody else wrote, and must be sent within a short
+time of that write. So nobody holds anything while nothing is ordered: another
+daemon may take over with one write, and needs to wait for just those servers
+that the row says were ordered a moment ago.
+"""
 
 from __future__ import annotations
 
@@ -6,20 +17,33 @@
 from typing import TYPE_CHECKING
 
 import pydantic
+from absl import logging
 from result import Err
 
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from godwittack.clock import Clock
 
 TABLE = "leases"
+# Idle time told of a row that records no order: longer than any patience.
+LONG_MS = 3_600_000
+
+
+class _OrderJson(pydantic.BaseModel):
+    # Time of the store's clock until which the order may be sent.
+    until_ms: int
+    fencing: int
 
 
-class _LeaseJson(pydantic.BaseModel):
+class _RowJson(pydantic.BaseModel):
     holder: str
     fencing: int
-    renewals: int
+    # Counts up, so that a write without an answer is known by its number.
+    writes: int
+    orders: dict[str, _OrderJson] = {}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,25 +51,50 @@
     """Times of a lease.
 
     Attributes:
-        lease_ms: Time after a renewal for which the holder may act, and for
-            which others must have seen no renewal before they take over.
-        margin_ms: Taken off the holder's time and added to the others', for
-            clocks that run at different speeds.
+        lease_ms: Time between the orders of two holders to one server. One
+            that does not check fencing numbers would carry out an order that
+            its holder was paused with, after newer ones.
+        send_ms: Time from the start of a write in which the orders that it
+            records may be sent; longer than a call of the store may take.
+        kept_ms: Time for which an order stays in the row after that.
     """
 
     lease_ms: int = 4_000
-    margin_ms: int = 500
+    send_ms: int = 800
+    kept_ms: int = 10_000
 
 
-class Lease:
-    """One daemon's view of one lease.
+class _StoreClock:
+    """The store's steady clock, between two bounds.
 
-    Nobody compares clocks of two instances: the holder counts from the moment
-    before its last renewal was sent, a candidate from the moment when it first
-    saw the row as it still stands. A holder that was paused finds its time
-    over before it acts.
+    An answer's time lies between the sending of the call and its arrival.
     """
 
+    def __init__(self) -> None:
+        self._least_ms: int | None = None
+        self._most_ms = 0
+
+    def heard(self, service_ms: int, *, sent_ms: int, got_ms: int) -> None:
+        least_ms, most_ms = service_ms - got_ms, service_ms - sent_ms
+        if self._least_ms is None or not (
+            self._least_ms <= most_ms and least_ms <= self._most_ms
+        ):
+            # The first answer, or a clock that was set anew.
+            self._least_ms, self._most_ms = least_ms, most_ms
+            return
+        self._least_ms = max(self._least_ms, least_ms)
+        self._most_ms = min(self._most_ms, most_ms)
+
+    def earliest_ms(self, now_ms: int) -> int:
+        return now_ms + (self._least_ms or 0)
+
+    def latest_ms(self, now_ms: int) -> int:
+        return now_ms + self._most_ms
+
+
+class Lease:
+    """One daemon's view of one row, and of what it may send by it."""
+
     def __init__(
         self,
         *,
@@ -55,107 +104,167 @@
         policy: LeasePolicy,
         clock: Clock,
     ) -> None:
-        """Looks at the row `name`; holds nothing yet."""
+        """Looks at the row `name` when asked to; may order nothing yet."""
         self._service = service
         self._row_id = protocol.RowId(TABLE, name)
-        self._holder = holder
+        self._own = holder
         self._policy = policy
         self._clock = clock
-        self._held_until_ms = -1
-        self._held_since_ms = -1
-        self._stands: _LeaseJson | None = None
-        self._row_version = 0
-        self._seen_since_ms = clock.now_ms()
-        self.fencing = 0
-
-    def valid(self) -> bool:
-        """Returns whether this daemon may act as holder at this moment."""
-        return self._clock.now_ms() < self._held_until_ms
-
-    def settled(self) -> bool:
-        """Returns whether a holder before can have no order on its way.
-
-        Servers that do not check fencing numbers would carry out an order of
-        a holder that was paused between its check and its sending.
-        """
-        waited_ms = self._clock.now_ms() - self._held_since_ms
-        return self.valid() and waited_ms >= self._policy.lease_ms
+        self._store_clock = _StoreClock()
+        self._row = _RowJson(holder="", fencing=0, writes=0)
+        self._row_version = -1
+        self._granted_until_ms: dict[str, int] = {}
+
+    @property
+    def holder(self) -> str:
+        """Who ordered last, as far as this daemon knows; may be empty."""
+        return self._row.holder
+
+    @property
+    def fencing(self) -> int:
+        """The last holder's number, which rises with each change of holder."""
+        return self._row.fencing
+
+    @property
+    def is_own(self) -> bool:
+        """Whether this daemon ordered last, as far as it knows."""
+        return self._row.holder == self._own
+
+    def may_send(self, server_id: str) -> bool:
+        """Returns whether an order to a server may go out at this moment."""
+        until_ms = self._granted_until_ms.get(server_id, -1)
+        return self.is_own and self._clock.now_ms() < until_ms
+
+    def is_recorded(self, server_id: str) -> bool:
+        """Returns whether this holder has recorded an order to a server."""
+        order = self._row.orders.get(server_id)
+        return self.is_own and order is not None and self._is_ours(order)
+
+    def held(self) -> frozenset[str]:
+        """Returns servers that another holder ordered too short a time ago."""
+        now_ms = self._store_clock.earliest_ms(self._clock.now_ms())
+        return frozenset(
+            name
+            for name, order in self._row.orders.items()
+            if not (self.is_own and self._is_ours(order))
+            and now_ms < order.until_ms + self._policy.lease_ms
+        )
+
+    def idle_ms(self) -> int:
+        """Returns how long ago the last order was recorded."""
+        if not self._row.orders:
+            return LONG_MS
+        last_ms = max(order.until_ms for order in self._row.orders.values())
+        now_ms = self._store_clock.earliest_ms(self._clock.now_ms())
+        return max(0, now_ms - last_ms + self._policy.send_ms)
 
     def forfeit(self) -> None:
-        """Gives the lease up: a server has seen a higher fencing number."""
-        self._held_until_ms = -1
-        self._stands = None
-        self._seen_since_ms = self._clock.now_ms()
-
-    async def step(self) -> None:
-        """Renews a held lease, or takes over one that stands still."""
-        if self._stands is not None and self._stands.holder == self._holder:
-            if not self._is_fresh():
-                await self._write(self._stands.fencing)
-            return
-        await self._look()
-        still_ms = self._clock.now_ms() - self._seen_since_ms
-        patience_ms = self._policy.lease_ms + self._policy.margin_ms
-        free = self._row_version == 0
-        if free or still_ms >= patience_ms:
-            number = self._stands.fencing + 1 if self._stands else 1
-            await self._write(number)
-
-    async def _look(self) -> None:
+        """Gives the right up: a server has seen a higher fencing number."""
+        self._row = self._row.model_copy(update={"holder": ""})
+        self._granted_until_ms.clear()
+
+    async def look(self) -> bool:
+        """Reads the row; returns whether the store answered."""
+        sent_ms = self._clock.now_ms()
         got = await self._service.read(self._row_id)
-        if not isinstance(got, Err):
-            self._see(got.ok_value)
-
-    async def _write(self, fencing: int) -> None:
-        started_ms = self._clock.now_ms()
-        renewals = self._stands.renewals + 1 if self._stands else 0
-        wanted = _LeaseJson(
-            holder=self._holder, fencing=fencing, renewals=renewals
-        )
+        if isinstance(got, Err):
+            return False
+        self._hear(got.ok_value.service_ms, sent_ms)
+        self._see(got.ok_value)
+        return True
+
+    async def record(self, server_ids: Collection[str]) -> bool:
+        """Records orders that are about to be sent; returns whether it may.
+
+        Makes this daemon the holder where another one was.
+        """
+        if self._row_version < 0 and not await self.look():
+            return False
+        sent_ms = self._clock.now_ms()
+        wanted = self._with_orders(server_ids, sent_ms)
         got = await self._service.transact(
             (protocol.Condition(self._row_id, self._row_version),),
             (protocol.RowWrite(self._row_id, wanted.model_dump_json()),),
         )
         if isinstance(got, Err):
-            # Whether it was written is not known: the next look tells, and
-            # until then the time held runs out by itself.
-            await self._look()
-            return
-        if not got.ok_value.committed:
-            self._see(got.ok_value.rows[0])
-            return
-        taken = fencing != self.fencing
-        self.fencing = fencing
-        self._stands = wanted
-        if taken:
-            self._held_since_ms = started_ms
-        self._held_until_ms = (
-            started_ms + self._policy.lease_ms - self._policy.margin_ms
+            # Whether it was written is not known; the row tells.
+            if not await self.look() or self._row != wanted:
+                return False
+        else:
+            done = got.ok_value
+            self._hear(done.service_ms, sent_ms)
+            if not done.committed:
+                self._see(done.rows[0])
+                return False
+            self._row, self._row_version = wanted, done.version
+            if not done.version and not await self.look():
+                self._row_version = -1
+            if self._row != wanted:
+                return False
+        until_ms = sent_ms + self._policy.send_ms
+        self._granted_until_ms.update(dict.fromkeys(server_ids, until_ms))
+        return True
+
+    def _with_orders(
+        self, server_ids: Collection[str], sent_ms: int
+    ) -> _RowJson:
+        fencing = self._row.fencing if self.is_own else self._row.fencing + 1
+        now_ms = self._store_clock.earliest_ms(sent_ms)
+        kept = {
+            name: order
+            for name, order in self._row.orders.items()
+            if now_ms < order.until_ms + self._policy.kept_ms
+        }
+        until_ms = self._store_clock.latest_ms(sent_ms) + self._policy.send_ms
+        new = _OrderJson(until_ms=until_ms, fencing=fencing)
+        return _RowJson(
+            holder=self._own,
+            fencing=fencing,
+            writes=self._row.writes + 1,
+            orders={**kept, **dict.fromkeys(server_ids, new)},
         )
-        if got.ok_value.version:
-            self._row_version = got.ok_value.version
-            return
-        await self._look()
 
-    def _is_fresh(self) -> bool:
-        """Returns whether over half of the time held is left.
+    def _is_ours(self, order: _OrderJson) -> bool:
+        return order.fencing == self._row.fencing
 
-        Renewed with each step, a lease would take a call of the service each
-        time, and its calls are limited.
-        """
-        left_ms = self._held_until_ms - self._clock.now_ms()
-        return left_ms > self._policy.lease_ms / 2
+    def _hear(self, service_ms: int, sent_ms: int) -> None:
+        self._store_clock.heard(
+            service_ms, sent_ms=sent_ms, got_ms=self._clock.now_ms()
+        )
 
     def _see(self, row: protocol.StoredRow) -> None:
-        if row.version < self._row_version:
+        if row.version <= self._row_version:
+            return
+        self._row_version = row.version
+        if not row.version:
             return
-        if row.version != self._row_version:
-            self._row_version = row.version
-            # After the reading: this process may have been stopped before it
-            # was made, and the holder may have renewed meanwhile.
-            self._seen_since_ms = self._clock.now_ms()
-        if row.version:
-            self._stands = _LeaseJson.model_validate_json(row.value)
+        try:
+            self._row = _RowJson.model_validate_json(row.value)
+        except pydantic.ValidationError as error:
+            # By another writer. No number of a holder was ever above the
+            # row's version, so that numbers go on rising from that.
+            logging.error(
+                "event=lease_unreadable row=%s version=%d detail=%r",
+                self._row_id.key,
+                row.version,
+                error.errors()[0]["msg"],
+            )
+            self._row = self._unreadable(row.version)
+        if not self.is_own:
+            self._granted_until_ms.clear()
+
+    def _unreadable(self, version: int) -> _RowJson:
+        """Returns a row for one that can't be read: all may be ordered now."""
+        until_ms = self._store_clock.latest_ms(self._clock.now_ms())
+        any_order = _OrderJson(
+            until_ms=until_ms + self._policy.send_ms, fencing=version
+        )
+        return _RowJson(
+            holder="",
+            fencing=version,
+            writes=version,
+            orders=dict.fromkeys(self._row.orders, any_order),
+        )
 
 
 __all__ = ["Lease", "LeasePolicy"]
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
 # The weight store slows down when more replicas than these load at once: two
 # of five or six, eight of 22 on the deployments measured.
@@ -98,6 +98,7 @@
         replicas: Sequence[Replica],
         now_ms: int,
         is_pressed: bool = False,
+        held: Collection[str] = (),
     ) -> Decision:
         """Returns the servers to drain and to order.
 
@@ -107,6 +108,8 @@
             now_ms: Time of the decision.
             is_pressed: Whether requests wait at the servers already, so that
                 one at a time must do.
+            held: Servers that another holder ordered a moment ago. Those that
+                are behind may be loading, and may not be ordered yet.
         """
         known = {replica.server_id: replica for replica in replicas}
         for name in list(self._progress):
@@ -124,9 +127,12 @@
             ),
         )
         room = 1 if is_pressed else self._room(len(replicas))
+        room -= sum(replica.server_id in held for replica in behind)
         for replica in behind:
             if len(self._progress) >= room:
                 break
+            if replica.server_id in held:
+                continue
             if replica.server_id not in self._progress:
                 self._progress[replica.server_id] = _Progress(
                     Step.DRAINING, now_ms, wanted, replica.incarnation
@@ -153,6 +159,13 @@
         self._failures[server_id] = self._failures.get(server_id, 0) + 1
         self._progress.pop(server_id, None)
 
+    def withdraw(self, server_ids: Collection[str]) -> None:
+        """Takes servers back that were to be ordered, but may not be yet."""
+        for name in server_ids:
+            progress = self._progress.get(name)
+            if progress is not None and progress.step is Step.DRAINING:
+                del self._progress[name]
+
     def _is_drained(
         self, progress: _Progress, replica: Replica, now_ms: int
     ) -> bool:
--- a/src/godwittack/platform/instances.py
+++ b/src/godwittack/platform/instances.py
@@ -31,7 +31,7 @@
 
 
 def instance_from_row(
-    row: protocol.ChangedRow, *, checks_fencing: bool
+    row: protocol.ChangedRow,
 ) -> Result[protocol.Instance, str]:
     """Decodes one row; an error says why it names no server."""
     try:
@@ -47,7 +47,6 @@
             target=entry.service,
             failure_domain=entry.zone,
             leaving=entry.state != "ready",
-            checks_fencing=checks_fencing,
             incarnation=incarnation.named(row.key, entry.born),
             weights_version=(
                 str(entry.models[0].version) if entry.models else ""
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -79,10 +79,13 @@
         if isinstance(got, Err):
             return got
         status, answer = got.ok_value
-        rows = tuple(_stored(row) for row in answer.rows)
+        rows = tuple(_stored(row, answer.now_ms) for row in answer.rows)
         return Ok(
             protocol.Transacted(
-                status != STATUS_CONDITION_FAILED, rows, answer.row_version
+                status != STATUS_CONDITION_FAILED,
+                rows,
+                answer.row_version,
+                answer.now_ms,
             )
         )
 
@@ -93,10 +96,11 @@
         got = await self._range("read", row_id.table, row_id.key, limit=1)
         if isinstance(got, Err):
             return got
-        for row in got.ok_value.rows:
+        page = got.ok_value
+        for row in page.rows:
             if row.key == row_id.key:
-                return Ok(_stored(row))
-        return Ok(protocol.StoredRow(row_id, "", 0))
+                return Ok(_stored(row, page.now_ms))
+        return Ok(protocol.StoredRow(row_id, "", 0, page.now_ms))
 
     async def page(
         self, table: str, *, from_key: str
@@ -189,10 +193,10 @@
         return ""
 
 
-def _stored(row: _Row) -> protocol.StoredRow:
+def _stored(row: _Row, now_ms: int) -> protocol.StoredRow:
     row_id = protocol.RowId(row.table, row.key)
     version = 0 if row.deleted else row.row_version
-    return protocol.StoredRow(row_id, _decoded(row.value), version)
+    return protocol.StoredRow(row_id, _decoded(row.value), version, now_ms)
 
 
 def _page(page: _Rows) -> protocol.FeedPage:
--- a/src/godwittack/store/http.py
+++ b/src/godwittack/store/http.py
@@ -24,11 +24,13 @@
     key: str
     value: str = ""
     version: int
+    now_ms: int = 0
 
 
 class _TransactedJson(pydantic.BaseModel):
     committed: bool
     rows: list[_RowJson] = []
+    now_ms: int = 0
 
 
 class _InstanceJson(pydantic.BaseModel):
@@ -38,7 +40,6 @@
     target: str = ""
     failure_domain: str = ""
     leaving: bool = False
-    checks_fencing: bool = False
 
 
 _ROWS = pydantic.TypeAdapter(list[_RowJson])
@@ -102,7 +103,11 @@
             return got
         stored = _TransactedJson.model_validate_json(got.ok_value)
         rows = tuple(_row(row) for row in stored.rows)
-        return Ok(protocol.Transacted(stored.committed, rows))
+        return Ok(
+            protocol.Transacted(
+                stored.committed, rows, service_ms=stored.now_ms
+            )
+        )
 
     async def read(
         self, row_id: protocol.RowId
@@ -200,7 +205,10 @@
 
 def _row(row: _RowJson) -> protocol.StoredRow:
     return protocol.StoredRow(
-        protocol.RowId(row.table, row.key), row.value, row.version
+        protocol.RowId(row.table, row.key),
+        row.value,
+        row.version,
+        row.now_ms,
     )
 
 
--- a/src/godwittack/store/protocol.py
+++ b/src/godwittack/store/protocol.py
@@ -49,11 +49,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredRow:
-    """One row; `version` is 0 and `value` empty where none exists."""
+    """One row; `version` is 0 and `value` empty where none exists.
+
+    Attributes:
+        service_ms: The service's steady clock when it answered a reading.
+    """
 
     row_id: RowId
     value: str
     version: int
+    service_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,11 +85,13 @@
         committed: Whether all conditions held and all writes were made.
         rows: The rows of the conditions as they stood, when not committed.
         version: Version of the written rows, where the service tells it.
+        service_ms: The service's steady clock when it answered.
     """
 
     committed: bool
     rows: tuple[StoredRow, ...]
     version: int = 0
+    service_ms: int = 0
 
 
 class ConditionalRows(Protocol):
@@ -184,7 +191,6 @@
         address: IP and port; the peer address for entry instances.
         target: Model or service.
         leaving: Whether it is about to be stopped.
-        checks_fencing: Whether it refuses orders with an old number.
         incarnation: Its incarnation, where the list tells it.
         weights_version: Weights loaded, where the list tells them.
         slots: Requests it takes at one time, where the list tells it.
@@ -196,7 +202,6 @@
     target: str = ""
     failure_domain: str = ""
     leaving: bool = False
-    checks_fencing: bool = False
     incarnation: str = ""
     weights_version: str = ""
     slots: int = 0
