Learn how long a token takes, and size what is copied, saved and told by it

Cause: the settings assume 7 us a prompt token, the further site's engines take 15. Thresholds in tokens were of the same engines: the short kind's shared levels (568 tokens, 8.5 ms here) were neither copied nor saved nor, below 1,500 tokens, told to other daemons.

Ruled out, tried on a model of one engine: samples of prompts sent to an engine believed idle (none under full load; the estimate then blows up a hundredfold); counting what is ahead by the estimate itself, by a quantile or as a damped ratio (both swing between a tenth and twenty times).

Change: core/pace keeps a low quantile of the bound that each first token shows, falls with it at once and rises by half a percent a sample. Costs of copies are parts of that time, thresholds are times.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -11,6 +11,7 @@
     followup,
     inputs,
     outcomes,
+    pace,
     servers,
     work,
 )
@@ -288,6 +289,9 @@
 ) -> None:
     assert attempt.stamp is not None
     request.begun = True
+    server = world.servers.get(attempt.server_id)
+    if server is not None and request.work.route is not None:
+        pace.learn(world, attempt, server)
     request.late = world.now_ms > request.deadline_at_ms
     world.emit(
         effects.BeginStream(
--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -4,12 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from godwittack.core import pace
+
 if TYPE_CHECKING:
     from godwittack.core import entities, server_inputs
 
-# Prompt tokens from which a dispatch is told to other daemons: 1,500 take an
-# engine 10 ms; shorter ones are many, and gone before the news matters.
-ANNOUNCE_TOKENS = 1_500
+# Time of an engine from which a prompt is told to other daemons; shorter ones
+# are many, and gone before the news matters.
+ANNOUNCE_MS = 10.0
 # Part of a less urgent backlog that a request waits for all the same: engines
 # compute prompts in pieces, and the piece under way ends first.
 LESS_URGENT_PART = 0.1
@@ -30,12 +32,18 @@
     Server reports are some hundred milliseconds old, as long as a long prompt
     takes. What was sent is known at once, and computed at a known pace.
     """
-    us_per_token = server.prefill_us_per_token
-    us_per_token = us_per_token or world.policy.prefill_us_per_token
+    us_per_token = pace.us_per_token(world, server)
     starts_ms = max(float(world.now_ms), server.backlog.get(priority, 0.0))
     server.backlog[priority] = starts_ms + tokens * us_per_token / 1000
 
 
+def is_long(
+    world: entities.World, server: entities.ServerRow, tokens: int
+) -> bool:
+    """Returns whether other daemons should know of a prompt of this size."""
+    return tokens * pace.us_per_token(world, server) >= ANNOUNCE_MS * 1000
+
+
 def wait_ms(
     world: entities.World, server: entities.ServerRow, *, priority: int
 ) -> float:
@@ -81,8 +89,8 @@
 
 
 __all__ = [
-    "ANNOUNCE_TOKENS",
     "add",
+    "is_long",
     "note_cached",
     "peer_dispatched",
     "wait_ms",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 
-from godwittack.core import effects, weights
+from godwittack.core import effects, pace, weights
 from godwittack.core import policy as policies
 from godwittack.core import work as works
 from godwittack.limit import budget, fair, shares
@@ -184,6 +184,7 @@
             holds for each target by itself.
         freed_targets: Targets whose queues may move after this input.
         service_ms: Smoothed time from dispatch to end, by target.
+        paces: What first tokens have shown of engines, by target.
     """
 
     daemon: str
@@ -221,6 +222,9 @@
     )
     most_daemons: int = 1
     attempt_counter: int = 0
+    paces: dict[str, pace.Pace] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(pace.Pace)
+    )
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect to the current input's result."""
--- a/src/godwittack/core/kvreuse.py
+++ b/src/godwittack/core/kvreuse.py
@@ -4,18 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import sourcing
+from godwittack.core import pace, sourcing
 from godwittack.placement import levels
 
 if TYPE_CHECKING:
     from godwittack.core import entities
 
-# Shared prompt tokens from which a copy in a store is worth its transfer:
-# 1,000 take an engine 6.4 ms to compute.
-SAVE_TOKENS = 1_000
+# Time of computing from which a copy in a store is worth its transfer.
+SAVE_MS = 7.0
 # Time of a transfer of 13,000 tokens to a store in another failure domain,
 # behind one other.
-SAVE_MS = 130
+TRANSFER_MS = 130
 
 
 def scope(
@@ -57,7 +56,7 @@
     """
     version = server.weights_version
     shared = sum(level.tokens for level in request.work.levels[:-1])
-    if shared < SAVE_TOKENS:
+    if shared * pace.us_per_token(world, server) < SAVE_MS * 1000:
         return ""
     found = [
         store
@@ -71,7 +70,7 @@
     for level in request.work.levels[:-1]:
         store.cache.note(
             levels.versioned(level.key, version),
-            now_ms=round(world.now_ms + ready_in_ms + SAVE_MS),
+            now_ms=round(world.now_ms + ready_in_ms + TRANSFER_MS),
             limit=world.policy.max_residency,
         )
     return store.address
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from godwittack.core import sourcing, weights, work
+from godwittack.core import pace, sourcing, weights, work
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -148,7 +148,7 @@
     A load report is some time old. What this daemon sent since then is added
     at once, so that one stale report does not draw every request.
     """
-    us_per_token = prefill_us(world, server)
+    us_per_token = pace.us_per_token(world, server)
     tokens = float(server.waiting_tokens)
     in_flight = server.running + server.waiting
     since_ms = max(0, world.now_ms - server.reported_at_ms)
@@ -180,11 +180,6 @@
     return MODEL_CELLS + target
 
 
-def prefill_us(world: entities.World, server: entities.ServerRow) -> int:
-    """Returns the microseconds that a prompt token takes on `server`."""
-    return server.prefill_us_per_token or world.policy.prefill_us_per_token
-
-
 def home_servers(
     world: entities.World,
     request: entities.RequestRow,
@@ -266,7 +261,7 @@
     reuse_weight: float,
 ) -> Choice:
     uncached = uncached_tokens(world, request, server, home=home)
-    us_per_token = prefill_us(world, server)
+    us_per_token = pace.us_per_token(world, server)
     compute_ms = uncached * us_per_token / 1000
     cost = wait + compute_ms * (1.0 + reuse_weight)
     if not home:
@@ -337,7 +332,6 @@
     "is_usable",
     "model_cell",
     "note_demand",
-    "prefill_us",
     "uncached_tokens",
     "wait_ms",
 ]
--- a/src/godwittack/core/sending.py
+++ b/src/godwittack/core/sending.py
@@ -64,7 +64,7 @@
     tokens = round(choice.uncached_tokens)
     backlog.add(world, choice.server, tokens=tokens, priority=priority)
     backlog.note_cached(world, choice.server, keys, priority=priority)
-    if request.work.prompt_tokens >= backlog.ANNOUNCE_TOKENS:
+    if backlog.is_long(world, choice.server, request.work.prompt_tokens):
         world.emit(
             effects.Announce(
                 server_id=choice.server.server_id,
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -12,7 +12,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, routing, weights
+from godwittack.core import backlog, pace, routing, weights
 from godwittack.placement import levels, rendezvous
 
 if TYPE_CHECKING:
@@ -22,21 +22,24 @@
 
 # Target under which stores of cached state are kept in the server tables.
 STORE_TARGET = "kv-store"
-# Tokens that a copy must save at least; a source that lost them costs 1 ms.
-COPY_TOKENS = 500
-# Microseconds to copy a token of 18 KB: over an engine's link of 180 Gbit/s
-# and over a store's of 61. Between failure domains a copy takes twice as long.
-ENGINE_COPY_US = 0.82
-STORE_COPY_US = 2.4
+# Time of computing that a copy must save; a source that lost it costs 1 ms.
+COPY_MS = 3.5
+# Costs of a token as parts of the time that computing it takes; a larger model
+# takes longer for a token, and its cached state of it is larger as well.
+# Copying it over an engine's link (18 KB over 180 Gbit/s where it takes 7 us,
+# 164 KB over 740 where it takes 15) and over a store's. Between failure domains
+# a copy takes twice as long.
+ENGINE_COPY_PART = 0.117
+STORE_COPY_PART = 0.34
 FAR_FACTOR = 2.0
+# Cost of a copied token whose source has surely lost it.
+EVICTED_PART = 0.91
+# What else a copied token costs: the memory that it takes from what another
+# server's cache holds.
+COPY_PRESSURE_PART = 0.07
 # Time after its last use in which an engine under load has evicted a prompt:
 # 185,000 tokens of memory at some 60,000 tokens computed a second.
 EVICTED_AFTER_MS = 3_000
-# Cost of a copied token whose source has surely lost it.
-EVICTED_US = 6.4
-# What else a copied token costs, in microseconds: the memory that it takes
-# from what another server's cache holds.
-COPY_PRESSURE_US = 0.5
 # What a shared token that is computed again costs beside its time.
 REREAD_US = 40.0
 # Advantage of the server that a prompt hashes to, where nobody holds any of
@@ -141,7 +144,7 @@
         key=lambda source: (source.tokens, -source.cost_us(server)),
         default=None,
     )
-    if found is not None and found.tokens >= COPY_TOKENS:
+    if found is not None and found.tokens >= _least_copy(world, server):
         return found.server.address
     return _any_store(world, request, server)
 
@@ -157,7 +160,7 @@
     nor of evictions. Asked in vain, a store costs 1 ms.
     """
     shared = sum(level.tokens for level in request.work.levels[:-1])
-    if shared < COPY_TOKENS:
+    if shared < _least_copy(world, server):
         return ""
     nearest = min(
         stores(world),
@@ -238,7 +241,7 @@
     wait = queue_ms(world, server, rank)
     source = _best_source(world, server, sources, own)
     known = source.tokens if source else own
-    us_per_token = world.policy.prefill_us_per_token
+    us_per_token = pace.us_per_token(world, server)
     prompt = request.work.prompt_tokens
     compute_ms = (prompt - known) * us_per_token / 1000
     copied = known - own
@@ -246,7 +249,8 @@
     shared = sum(level.tokens for level in request.work.levels[:-1])
     reread_ms = max(0, shared - known) * REREAD_US / 1000
     first_token_ms = wait + compute_ms + copy_ms
-    cost = first_token_ms + reread_ms + copied * COPY_PRESSURE_US / 1000
+    pressure_ms = copied * us_per_token * COPY_PRESSURE_PART / 1000
+    cost = first_token_ms + reread_ms + pressure_ms
     cost += weights.cost_ms(world, server)
     if is_home and known == 0:
         cost -= HOME_MS
@@ -291,11 +295,12 @@
     """Returns the source that saves the most time, None if none does."""
     best: Source | None = None
     best_saved = 0.0
+    least = _least_copy(world, server)
+    compute_us = pace.us_per_token(world, server) + REREAD_US
     for source in sources:
         gain = source.tokens - own
-        if gain < COPY_TOKENS or source.server is server:
+        if gain < least or source.server is server:
             continue
-        compute_us = world.policy.prefill_us_per_token + REREAD_US
         saved = gain * (compute_us - source.cost_us(server))
         if saved > best_saved:
             best, best_saved = source, saved
@@ -312,12 +317,21 @@
             continue
         tokens = _ready_tokens(world, request, engine, version)
         if tokens:
-            doubt_us = _doubt_us(world, request, engine, version)
-            found.append(Source(engine, tokens, ENGINE_COPY_US, doubt_us))
+            us_per_token = pace.us_per_token(world, engine)
+            doubt = _doubt(world, request, engine, version)
+            found.append(
+                Source(
+                    engine,
+                    tokens,
+                    us_per_token * ENGINE_COPY_PART,
+                    us_per_token * EVICTED_PART * doubt,
+                )
+            )
+    engines_us = _engines_us(world, request)
     for store in stores(world):
         tokens = _ready_tokens(world, request, store, version)
         if tokens:
-            found.append(Source(store, tokens, STORE_COPY_US))
+            found.append(Source(store, tokens, engines_us * STORE_COPY_PART))
     return found
 
 
@@ -331,13 +345,24 @@
     return held_tokens(server, request, version, ready_by_ms=world.now_ms)
 
 
-def _doubt_us(
+def _engines_us(world: entities.World, request: entities.RequestRow) -> float:
+    """Returns the time that a token takes on the engines of a request."""
+    learnt = world.paces[request.work.target].us_per_token
+    return learnt or float(world.policy.prefill_us_per_token)
+
+
+def _least_copy(world: entities.World, server: entities.ServerRow) -> float:
+    """Returns the tokens that a copy must save at least."""
+    return COPY_MS * 1000 / pace.us_per_token(world, server)
+
+
+def _doubt(
     world: entities.World,
     request: entities.RequestRow,
     other: entities.ServerRow,
     version: str,
 ) -> float:
-    """Returns what the doubt costs whether an engine still holds a prompt.
+    """Returns the doubt whether an engine still holds a prompt, 0 to 1.
 
     Engines evict within seconds under load. A copy that is not there any more
     is computed anew; a store, which holds far more, would have had it.
@@ -348,8 +373,7 @@
         for level in request.work.levels
         if (seen_ms := other.cache.seen_ms(_key(level, version))) is not None
     )
-    doubt = min(1.0, max(0, world.now_ms - seen_ms) / EVICTED_AFTER_MS)
-    return doubt * EVICTED_US
+    return min(1.0, max(0, world.now_ms - seen_ms) / EVICTED_AFTER_MS)
 
 
 def _key(level: work.Level, version: str) -> int:
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -16,6 +16,7 @@
     "freshness",
     "adapter",
     "entries",
+    "paces",
     "logs",
     "peers",
     "patience",
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -72,6 +72,13 @@
       | entries | reports and events bear the start |
       | entries | an engine that tells no weights gets no work |
 
+    Examples: pace of engines
+      | group | case |
+      | paces | a pace is learnt within seconds |
+      | paces | one cached prompt does not make engines look fast |
+      | paces | a crowd does not make engines look slow |
+      | paces | few samples change nothing |
+
     Examples: weights
       | group   | case |
       | weights | a server back with replaced weights gets no work |
