Leave requests in line with a server that lives

Ruled out: a longer patience (a request that hangs on one server would wait as long).

Change: a resumable request whose server was heard of lately moves only once that server has begun one sent later that was no more urgent.

Tests: two cases; the first fails on the code before, the second guards what the patience was for.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -12,6 +12,7 @@
     inputs,
     outcomes,
     pace,
+    routing,
     servers,
     work,
 )
@@ -292,6 +293,9 @@
     server = world.servers.get(attempt.server_id)
     if server is not None and request.work.route is not None:
         pace.learn(world, attempt, server)
+        rank = routing.priority(world, request)
+        before_ms = server.begun_sent_ms.get(rank, 0)
+        server.begun_sent_ms[rank] = max(before_ms, attempt.sent_at_ms)
     request.late = world.now_ms > request.deadline_at_ms
     world.emit(
         effects.BeginStream(
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -123,6 +123,8 @@
         failures: Failures in a row.
         ejected_until_ms: No new work before this time.
         backlog: Until when it computes prompts, by their priority.
+        begun_sent_ms: When the last request was sent that it has begun to
+            answer, by priority.
         heard_at_ms: When it last said anything to this daemon.
         asked_at_ms: When it was last asked for a sign of life.
     """
@@ -143,6 +145,7 @@
     slots: int = 0
     sent: dict[str, AttemptRow] = dataclasses.field(default_factory=dict)
     backlog: dict[int, float] = dataclasses.field(default_factory=dict)
+    begun_sent_ms: dict[int, int] = dataclasses.field(default_factory=dict)
     heard_at_ms: int = -1_000_000
     asked_at_ms: int = -1_000_000
     failures: int = 0
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -297,6 +297,7 @@
     server.waiting_tokens = 0
     server.sent.clear()
     server.backlog.clear()
+    server.begun_sent_ms.clear()
 
 
 def _mark_leaving(
--- a/src/godwittack/core/silence.py
+++ b/src/godwittack/core/silence.py
@@ -7,6 +7,7 @@
     effects,
     entities,
     followup,
+    routing,
     servers,
     work,
 )
@@ -60,6 +61,8 @@
     if request.at_most_once:
         # It may be running: sent again, it would run twice.
         return
+    if _is_in_line(world, request, attempt):
+        return
     world.emit(effects.CancelAttempt(attempt.attempt_id, True))
     servers.silent(world, attempt)
     closing.close_attempt(world, attempt.attempt_id)
@@ -68,6 +71,36 @@
     followup.retry(world, request, attempt, "silent before the first frame")
 
 
+def _is_in_line(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> bool:
+    """Returns whether a server that lives has yet to come to a request.
+
+    Load pattern: two of five servers are dark, the others have more than a
+    second of prompts before them. Taken for hung, those that wait were sent
+    elsewhere, computed a second time, and the last servers paused for it. A
+    server that has begun what was sent to it later, and was no more urgent,
+    has lost a request; one that has not is busy.
+    """
+    server = world.servers.get(attempt.server_id)
+    if server is None:
+        return False
+    if world.now_ms - server.heard_at_ms >= world.policy.first_frame_ms:
+        return False
+    rank = routing.priority(world, request)
+    overtaken_ms = max(
+        (
+            sent_ms
+            for other, sent_ms in server.begun_sent_ms.items()
+            if other >= rank
+        ),
+        default=-1,
+    )
+    return overtaken_ms <= attempt.sent_at_ms
+
+
 def _silent_call(
     world: entities.World,
     request: entities.RequestRow,
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -399,6 +399,51 @@
     assert not core.find(effects.CancelAttempt)
 
 
+def requests_in_line_stay_with_a_server_that_lives() -> None:
+    """Under full load a first event may take longer than a lost one would.
+
+    Symptom: with two of five servers dark, those that are left are paused in
+        the worst seconds, and prompts that waited there are computed twice.
+    Sequence: two prompts wait for 2.5 s at a server that answers others.
+    Cause: every late first event taken for a request that the server lost.
+    """
+    core = routed_core.Core(servers=1, first_frame_ms=2_000)
+    core.arrive("short", "other")
+    other = core.dispatch()
+    for name in ("r1", "r2"):
+        core.arrive("long", name)
+    for _ in range(5):
+        core.wait(500)
+        core.open(other)
+        assert not core.find(effects.CancelAttempt), core.made
+    assert not core.world.servers["e1"].ejected_until_ms
+
+
+def a_request_that_was_overtaken_moves() -> None:
+    """A server that has begun later requests has lost an earlier one.
+
+    Symptom: a caller waits until its deadline for a request that hangs.
+    Sequence: two prompts are sent to each of two servers; one server begins
+        the later one alone.
+    Cause: a server that lives taken for one that still comes to it.
+    """
+    core = routed_core.Core(servers=1, first_frame_ms=2_000)
+    core.arrive("long", "r1")
+    hanging = core.dispatch()
+    core.list_server("e2", routed_core.ENGINES)
+    core.world.servers["e2"].ejected_until_ms = core.now_ms + 1_000
+    core.wait(100)
+    core.arrive("long", "r2")
+    later = core.dispatch()
+    core.open(later)
+    core.frames(later, 1)
+    for _ in range(4):
+        core.wait(500)
+        core.open(later)
+    core.wait(100)
+    assert core.world.requests["r1"].attempt_id != hanging.attempt_id
+
+
 def a_refusal_that_says_not_run_is_true() -> None:
     """Over many schedules, not run is said only where nothing ran.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -29,6 +29,8 @@
       | routed | a peer's doubt is a question not an answer |
       | routed | a busy server that answers keeps its requests |
       | routed | a refusal that says not run is true |
+      | routed | requests in line stay with a server that lives |
+      | routed | a request that was overtaken moves |
 
     Examples: peers
       | group | case |
