--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -17,6 +17,7 @@
     "adapter",
     "entries",
     "paces",
+    "crowd",
     "logs",
     "peers",
     "patience",
