--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -292,7 +292,7 @@
     request.begun = True
     server = world.servers.get(attempt.server_id)
     if server is not None and request.work.route is not None:
-        pace.learn(world, request, attempt, server)
+        pace.learn(world, attempt, server)
         rank = routing.priority(world, request)
         before_ms = server.begun_sent_ms.get(rank, 0)
         server.begun_sent_ms[rank] = max(before_ms, attempt.sent_at_ms)
--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -15,8 +15,6 @@
 # Part of a less urgent backlog that a request waits for all the same: engines
 # compute prompts in pieces, and the piece under way ends first.
 LESS_URGENT_PART = 0.1
-# Half of such a piece: the most that a less urgent backlog costs.
-PIECE_TOKENS = 2_048
 # Added to the estimate of when a prompt is computed: one piece of 2,048 tokens
 # and the step that it shares with running requests.
 READY_MARGIN_MS = 20
@@ -51,29 +49,12 @@
 ) -> float:
     """Returns how long a request of a priority waits for others' prompts."""
     total = 0.0
-    piece_ms = PIECE_TOKENS * pace.us_per_token(world, server) / 1000
     for other, ends_ms in server.backlog.items():
         left_ms = max(0.0, ends_ms - world.now_ms)
-        if other > priority:
-            left_ms = min(left_ms * LESS_URGENT_PART, piece_ms)
-        total += left_ms
+        total += left_ms if other <= priority else left_ms * LESS_URGENT_PART
     return total
 
 
-def urgent_part(
-    world: entities.World, server: entities.ServerRow, rank: int
-) -> float:
-    """Returns the part of a backlog that is no less urgent than a rank."""
-    left = {
-        other: max(0.0, ends_ms - world.now_ms)
-        for other, ends_ms in server.backlog.items()
-    }
-    total = sum(left.values())
-    if not total:
-        return 1.0
-    return sum(ms for other, ms in left.items() if other <= rank) / total
-
-
 def note_cached(
     world: entities.World,
     server: entities.ServerRow,
@@ -111,7 +92,6 @@
     "add",
     "is_long",
     "note_cached",
-    "urgent_part",
     "peer_dispatched",
     "wait_ms",
 ]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from godwittack.core import (
-    aims,
     closing,
     effects,
     entities,
@@ -33,9 +32,6 @@
             NO_SERVER_RETRY_MS,
         )
         return
-    if aims.is_missed(world, request, choice):
-        _place_behind(world, request)
-        return
     queue = world.queues.setdefault(request.work.target, fair.FairQueue())
     workspace = world.table.workspaces.get(request.workspace)
     weight = workspace.weight if workspace else 1.0
@@ -74,24 +70,6 @@
     world.freed_targets.add(request.work.target)
 
 
-def _place_behind(world: entities.World, request: entities.RequestRow) -> None:
-    """Sends a request behind all that can still be in time."""
-    request.is_behind = True
-    choice = placing.choose(world, request)
-    left_ms = request.deadline_at_ms - world.now_ms
-    if choice is None or choice.first_token_ms > left_ms:
-        expected_ms = choice.first_token_ms if choice else left_ms
-        _refuse_not_run(
-            world,
-            request,
-            effects.Reason.DEADLINE,
-            f"would begin in {expected_ms:.0f} ms, its limit is {left_ms} ms",
-            _retry_after_ms(expected_ms - left_ms),
-        )
-        return
-    dispatch(world, request, choice)
-
-
 def dispatch(
     world: entities.World,
     request: entities.RequestRow,
@@ -113,7 +91,6 @@
         sent_at_ms=world.now_ms,
         heard_at_ms=world.now_ms,
         expected_tokens=round(choice.uncached_tokens),
-        rank=routing.priority(world, request),
     )
     _open(world, request, attempt)
     server.sent[attempt_id] = attempt
@@ -142,7 +119,7 @@
             fresh_connection=request.at_most_once
             and request.work.kind is work.WorkKind.PLAIN,
             after=request.next_frame - 1 if request.work.route else 0,
-            priority=attempt.rank,
+            priority=routing.priority(world, request),
             workspace=request.workspace if request.work.route else "",
             deadline_ms=sending.time_left_ms(world, request),
             cache_scope=kvreuse.scope(world, request, server),
@@ -241,10 +218,7 @@
             _refuse_late(world, request, choice.wait_ms)
             continue
         queue.take(waiting)
-        if aims.is_missed(world, request, choice):
-            _place_behind(world, request)
-        else:
-            dispatch(world, request, choice)
+        dispatch(world, request, choice)
 
 
 def _refuse_late(
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -50,7 +50,6 @@
         runs: Dispatches that may have run.
         head: Status and headers of the stream's first server.
         cells: Cells with a limit in which it counts while it is in flight.
-        is_behind: Whether it goes behind all that can still be in time.
     """
 
     request_id: str
@@ -79,7 +78,6 @@
     runs: int = 0
     head: works.Head | None = None
     cells: tuple[str, ...] = ()
-    is_behind: bool = False
 
     @property
     def at_most_once(self) -> bool:
@@ -98,7 +96,6 @@
         stream_id: The engine's name of the stream; the first attempt's id.
         expected_tokens: Prompt tokens this daemon expects not to be cached.
         heard_at_ms: When the server last showed progress on this attempt.
-        rank: Priority that it was sent with; lower comes first.
     """
 
     attempt_id: str
@@ -109,7 +106,6 @@
     sent_at_ms: int
     heard_at_ms: int
     expected_tokens: int = 0
-    rank: int = 0
     opened: bool = False
 
 
--- a/src/godwittack/core/pace.py
+++ b/src/godwittack/core/pace.py
@@ -20,17 +20,15 @@
     from godwittack.core import entities
 
 # Samples kept; the last ones count, since engines may be replaced.
-KEPT = 32
+KEPT = 16
 # Samples from which they outweigh what was assumed.
 LEAST = 6
-# Part of the samples that lie below the bound: a prompt that is sent again may
-# be cached whole.
-QUANTILE = 0.12
-# Growth of the estimate a sample, where all of them took longer: engines that
-# were replaced by slower ones are noticed within minutes, a crowd of ten
-# seconds is not taken for that. With 1.005, 0.58 of a crowd of 1.5 times what
-# engines can do was in time, with 1.001 more (`crowd` cases).
-RISE = 1.001
+# Part of the samples that lie below the bound: of some prompts more was cached
+# than was known here.
+QUANTILE = 0.25
+# Growth of the estimate a sample, where all of them took longer: waiting makes
+# it too high by a third after some ten seconds of a crowd, not at once.
+RISE = 1.005
 # Prompts shorter than this show how long a first token takes by itself.
 SHORT_TOKENS = 300
 # Prompts from here on show the time of a token.
@@ -50,11 +48,11 @@
         self._values.append(value)
 
     def quantile(self) -> float:
-        """Returns a low quantile but never the least; 0 for too few samples."""
+        """Returns a low quantile, 0 for too few samples."""
         if len(self._values) < LEAST:
             return 0.0
         ordered = sorted(self._values)
-        return ordered[1 + int(len(ordered) * QUANTILE)]
+        return ordered[int(len(ordered) * QUANTILE)]
 
 
 @dataclasses.dataclass(slots=True)
@@ -73,7 +71,7 @@
         """Takes in how long a first token took.
 
         Args:
-            tokens: Prompt tokens that the engine had to compute at least.
+            tokens: Prompt tokens that the engine had to compute.
             took_ms: Time from sending to the first token.
         """
         if tokens < SHORT_TOKENS:
@@ -101,21 +99,16 @@
 
 def learn(
     world: entities.World,
-    request: entities.RequestRow,
     attempt: entities.AttemptRow,
     server: entities.ServerRow,
 ) -> None:
-    """Takes in that the first token of an attempt came just now.
-
-    Counts the request's own part alone: whether shared ones were cached is
-    not known for sure, and a daemon that has just started knows of none.
-    """
-    if not world.policy.learns_pace or not request.work.levels:
+    """Takes in that the first token of an attempt came just now."""
+    if not world.policy.learns_pace:
         return
     known = world.paces[server.target]
     before = known.us_per_token
     known.saw_first_token(
-        tokens=request.work.levels[-1].tokens,
+        tokens=attempt.expected_tokens,
         took_ms=world.now_ms - attempt.sent_at_ms,
     )
     if _differs(known.us_per_token, before):
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -43,8 +43,6 @@
             back here, so that fairness decides whose turn it is.
         hint_ms: Age from which a level last heard of is half believed.
         prefill_us_per_token: Assumed until a server reports its own.
-        behind_rank: Priority of requests that can't be in time any more; 0 to
-            leave them their own.
         learns_pace: Whether the time a prompt token takes is learnt from first
             tokens; 0 for what is assumed or reported alone.
         slots: Assumed batch size until a server reports its own.
@@ -77,7 +75,6 @@
     hint_ms: int = 60_000
     prefill_us_per_token: int = 100
     learns_pace: int = 1
-    behind_rank: int = 8
     slots: int = 16
     queue_total: int = 2_000
     max_residency: int = 20_000
--- a/src/godwittack/core/routing.py
+++ b/src/godwittack/core/routing.py
@@ -92,8 +92,7 @@
     forwarding = world.table.forwarding
     if found is None or forwarding is None:
         return 0
-    rank = forwarding.priorities.get(request.workspace, found.priority)
-    return max(rank, world.policy.behind_rank) if request.is_behind else rank
+    return forwarding.priorities.get(request.workspace, found.priority)
 
 
 def _check_key(
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -269,30 +269,21 @@
 ) -> float:
     """Estimates how long a request waits at a server for its first turn."""
     wait = backlog.wait_ms(world, server, priority=rank)
-    in_flight = _in_flight(world, server, rank)
+    fresh = world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
+    in_flight = len(server.sent)
+    if fresh and server.reported_at_ms >= 0:
+        since = sum(
+            1
+            for attempt in server.sent.values()
+            if attempt.sent_at_ms > server.reported_at_ms
+        )
+        in_flight = max(in_flight, server.running + server.waiting + since)
     slots = server.slots or world.policy.slots
     if in_flight >= slots:
         turn_ms = world.service_ms.get(server.target, 0.0) / slots
         wait += (in_flight - slots + 1) * turn_ms
     # Every request in a batch makes each of its steps a little longer.
-    return wait + min(in_flight, slots) * BATCH_MS
-
-
-def _in_flight(
-    world: entities.World, server: entities.ServerRow, rank: int
-) -> int:
-    """Returns how many requests come before one of a rank, or run already.
-
-    Those that are less urgent do not keep a slot from it. Counted in, what
-    was sent behind for being late made everything look late.
-    """
-    urgent = [a for a in server.sent.values() if a.rank <= rank]
-    fresh = world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
-    if not fresh or server.reported_at_ms < 0:
-        return len(urgent)
-    since = sum(a.sent_at_ms > server.reported_at_ms for a in urgent)
-    waiting = server.waiting * backlog.urgent_part(world, server, rank)
-    return max(len(urgent), server.running + round(waiting) + since)
+    return wait + in_flight * BATCH_MS
 
 
 def _best_source(
