--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -18,6 +18,9 @@
 # Added to the estimate of when a prompt is computed: one piece of 2,048 tokens
 # and the step that it shares with running requests.
 READY_MARGIN_MS = 20
+# Milliseconds that one more running request adds to the time of another: a
+# step of 3.55 ms grows by 0.046, over some ten steps until the first token.
+BATCH_MS = 0.5
 
 
 def add(
@@ -55,6 +58,28 @@
     return total
 
 
+def queue_ms(
+    world: entities.World, server: entities.ServerRow, rank: int
+) -> float:
+    """Estimates how long a request waits at a server for its first turn."""
+    wait = wait_ms(world, server, priority=rank)
+    fresh = world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
+    in_flight = len(server.sent)
+    if fresh and server.reported_at_ms >= 0:
+        since = sum(
+            1
+            for attempt in server.sent.values()
+            if attempt.sent_at_ms > server.reported_at_ms
+        )
+        in_flight = max(in_flight, server.running + server.waiting + since)
+    slots = server.slots or world.policy.slots
+    if in_flight >= slots:
+        turn_ms = world.service_ms.get(server.target, 0.0) / slots
+        wait += (in_flight - slots + 1) * turn_ms
+    # Every request in a batch makes each of its steps a little longer.
+    return wait + in_flight * BATCH_MS
+
+
 def note_cached(
     world: entities.World,
     server: entities.ServerRow,
@@ -93,5 +118,6 @@
     "is_long",
     "note_cached",
     "peer_dispatched",
+    "queue_ms",
     "wait_ms",
 ]
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -49,7 +49,7 @@
             target=request.work.target,
             reason=reason.value,
             outcome=outcome.value,
-            **_refusal_inputs(world, request, status, detail),
+            **_refusal_inputs(world, request, status, detail, retry_after_ms),
         )
     leave(world, request)
 
@@ -59,6 +59,7 @@
     request: entities.RequestRow,
     status: int,
     detail: str,
+    retry_after_ms: int,
 ) -> dict[str, str | int]:
     """Returns what a refusal of a routed request was decided from."""
     if request.work.route is None:
@@ -66,6 +67,7 @@
     return {
         "status": status,
         "detail": detail,
+        "retry_after_ms": retry_after_ms,
         "route": request.work.route.name,
         "table": world.table.version,
         "waited_ms": world.now_ms - request.arrived_at_ms,
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -45,9 +45,6 @@
 # Advantage of the server that a prompt hashes to, where nobody holds any of
 # it: several daemons then bring it to one place.
 HOME_MS = 5.0
-# Milliseconds that one more running request adds to the time of another: a
-# step of 3.55 ms grows by 0.046, over some ten steps until the first token.
-BATCH_MS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,7 +235,7 @@
     rank: int,
     is_home: bool,
 ) -> Placed:
-    wait = queue_ms(world, server, rank)
+    wait = backlog.queue_ms(world, server, rank)
     source = _best_source(world, server, sources, own)
     known = source.tokens if source else own
     us_per_token = pace.us_per_token(world, server)
@@ -264,28 +261,6 @@
     )
 
 
-def queue_ms(
-    world: entities.World, server: entities.ServerRow, rank: int
-) -> float:
-    """Estimates how long a request waits at a server for its first turn."""
-    wait = backlog.wait_ms(world, server, priority=rank)
-    fresh = world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
-    in_flight = len(server.sent)
-    if fresh and server.reported_at_ms >= 0:
-        since = sum(
-            1
-            for attempt in server.sent.values()
-            if attempt.sent_at_ms > server.reported_at_ms
-        )
-        in_flight = max(in_flight, server.running + server.waiting + since)
-    slots = server.slots or world.policy.slots
-    if in_flight >= slots:
-        turn_ms = world.service_ms.get(server.target, 0.0) / slots
-        wait += (in_flight - slots + 1) * turn_ms
-    # Every request in a batch makes each of its steps a little longer.
-    return wait + in_flight * BATCH_MS
-
-
 def _best_source(
     world: entities.World,
     server: entities.ServerRow,
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -89,6 +89,9 @@
         "godwittack_queued": lambda: world.queued(),
         "godwittack_in_flight": lambda: len(world.requests),
         "godwittack_table_version": lambda: world.table.version,
+        "godwittack_prefill_us_per_token": lambda: max(
+            (known.us_per_token for known in world.paces.values()), default=0.0
+        ),
         "godwittack_live_daemons": lambda: len(world.live_daemons),
         "godwittack_unstored_outcomes": lambda: len(world.outcomes),
         "godwittack_cpu_seconds": _cpu_seconds,
