Replay the load that the learnt pace answers on the real core

Test: queues counted at the pace that first tokens showed (fails with learns_pace: 0, the estimate is 140 ms where 300 are), prompts told by the time they take (fails on the code before: 1,500 tokens).

--- a/tests/cases/paces.py
+++ b/tests/cases/paces.py
@@ -4,7 +4,8 @@
 
 import random
 
-from godwittack.core import pace
+from cases import routed_core
+from godwittack.core import backlog, effects, pace, work
 
 SEED = 3
 TRUE_US = 15.0
@@ -100,3 +101,46 @@
     for took_ms in (4_000, 60, 70):
         known.saw_first_token(tokens=4_000, took_ms=took_ms)
     assert known.us_per_token == 0.0
+
+
+def _arrive(core: routed_core.Core, name: str, tokens: int) -> None:
+    key = 1_000 * ord(name[0]) + int(name[1:])
+    core.arrive("long", name, levels=(work.Level(key, tokens),))
+
+
+def queues_look_as_long_as_they_are() -> None:
+    """What waits at an engine is counted at the pace that it showed.
+
+    Symptom: under full load 20 to 60 ms of waiting are expected where first
+        tokens take more than a second; nothing is held, moved or refused.
+    Sequence: the settings assume 7 us a token; eight first tokens show 15;
+        five prompts are sent to the same engine at one moment.
+    Cause: the backlog counted at the pace assumed.
+    """
+    core = routed_core.Core(servers=1, prefill_us_per_token=7, hold_ms=10_000)
+    for number in range(8):
+        _arrive(core, f"a{number}", 4_000)
+        sent = core.dispatch()
+        core.now_ms += 60
+        core.open(sent)
+        core.frames(sent, 1, end=True)
+        core.wait(500)
+    for number in range(5):
+        _arrive(core, f"b{number}", 4_000)
+    (server,) = core.world.servers_by_target[routed_core.ENGINES].values()
+    waits_ms = backlog.wait_ms(core.world, server, priority=0)
+    assert 0.9 * 300 < waits_ms < 1.1 * 300, waits_ms
+
+
+def prompts_are_told_by_the_time_they_take() -> None:
+    """Other daemons hear of what keeps an engine busy for a while.
+
+    Symptom: seven daemons send short prompts to the same engine at one time.
+    Sequence: prompts of 1,000 tokens, on engines that take 7 us a token and
+        on others that take 15.
+    Cause: a threshold in tokens, made for engines twice as fast.
+    """
+    for us_per_token, told in ((7, False), (15, True)):
+        core = routed_core.Core(servers=1, prefill_us_per_token=us_per_token)
+        _arrive(core, "a1", 1_000)
+        assert bool(core.find(effects.Announce)) == told, us_per_token
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -80,6 +80,8 @@
       | paces | one cached prompt does not make engines look fast |
       | paces | a crowd does not make engines look slow |
       | paces | few samples change nothing |
+      | paces | queues look as long as they are |
+      | paces | prompts are told by the time they take |
 
     Examples: weights
       | group   | case |
