Look a server up again once the store has answered

Cause: found by reading the change: between the decision and the orders the store is asked now, and a server that left the list meanwhile ended the loop that leads (KeyError).

Change: a server or model that is gone by then is passed over. Test: one case, which fails on the code before with that KeyError.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -88,7 +88,10 @@
         if not await self._has_turn(model, led):
             return
         world = self._core.core.world
-        wanted = world.table.models[model].weights_version
+        row = world.table.models.get(model)
+        if row is None:
+            return
+        wanted = row.weights_version
         decision = led.rollout.decide(
             wanted=wanted,
             replicas=self._replicas(model),
@@ -103,7 +106,10 @@
             return
         self._drain(led, model, decision.draining)
         for server_id in ready:
-            self._load(led, world.servers[server_id], wanted)
+            # Gone, where it left the list while the store was asked.
+            server = world.servers.get(server_id)
+            if server is not None:
+                self._load(led, server, wanted)
 
     async def _has_turn(self, model: str, led: _Led) -> bool:
         """Returns whether to order now; reads the row where that may be."""
--- a/tests/cases/leading.py
+++ b/tests/cases/leading.py
@@ -10,7 +10,7 @@
 
 from cases import routed_core
 from godwittack.backend import protocol as backend
-from godwittack.core import inputs
+from godwittack.core import inputs, server_inputs
 from godwittack.daemon import lead
 from godwittack.lead import lease, rollout
 from godwittack.member import view
@@ -189,6 +189,33 @@
     _play(case())
 
 
+def a_server_that_leaves_while_the_store_is_asked_is_not_ordered() -> None:
+    """Between the decision and the store's answer a server may be gone.
+
+    Symptom: the loop that leads ends, and no weights are ordered any more.
+    Sequence: an engine is drained and may be ordered; another is recorded at
+        the store, which takes 400 ms; the first engine leaves the list.
+    Cause: the server looked up as if it were still listed.
+    """
+
+    async def case() -> None:
+        led = Led()
+        led.table.faults.latency_ms = (400, 400)
+        task = asyncio.create_task(led.lead.lead_forever(step_ms=100))
+        for name in [f"e{n}" for n in range(1, 7)]:
+            await asyncio.sleep(0.45)
+            led.runtime.submit(
+                server_inputs.ServerListed(
+                    at_ms=led.clock.now_ms(), server_id=name, gone=True
+                )
+            )
+        await asyncio.sleep(1.0)
+        assert not task.done(), task
+        task.cancel()
+
+    _play(case())
+
+
 def a_row_by_another_writer_hides_no_order() -> None:
     """A lease's row that can't be read is taken for all orders given now.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -125,6 +125,7 @@
       | leading | servers that may not be ordered are not drained |
       | leading | a roll out begins at once |
       | leading | a row by another writer hides no order |
+      | leading | a server that leaves while the store is asked is not ordered |
       | leading | a roll out goes on without pauses |
       | leading | an old fencing number ends the term |
 
