--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -174,7 +174,7 @@
         default=500, description="ms between steps of a weights roll-out"
     )
     lease_ms: Ms = pydantic.Field(
-        default=4_000, description="ms that a lease of a model's lead lasts"
+        default=4_000, description="ms between two leads' orders to one server"
     )
     load_poll_ms: Ms = pydantic.Field(
         default=500, description="ms between load reports of one server"
