--- a/tests/cases/peers.py
+++ b/tests/cases/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import sys
 import time
 import types
 
@@ -212,6 +213,36 @@
     assert not [port for port in ports if first <= port <= last], ports
 
 
+async def ports_of_processes_beside_each_other_differ():
+    """Symptom: a stand-in ends at once, "address already in use".
+
+    Sequence: features run in three processes; one chooses a port, and what it
+    starts there listens a second later; another one has chosen it meanwhile.
+    Cause: each looked only at what listens, and at what it had given itself.
+    """
+    script = (
+        "from cluster import processes;"
+        "print(*(processes.free_port() for _ in range(400)));"
+        "input()"
+    )
+    running = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            script,
+            cwd=pathlib.Path(processes.__file__).parent.parent,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for _ in range(3)
+    ]
+    given = [(await child.stdout.readline()).split() for child in running]
+    for child in running:
+        await child.communicate(b"\n")
+    every = [port for ports in given for port in ports]
+    assert len(every) == 1_200 and len(set(every)) == 1_200, len(set(every))
+
+
 async def _start_datagrams(peers: datagram.DatagramPeers) -> str:
     address = f"127.0.0.1:{processes.free_port()}"
     await peers.start(address, handler=FakeHandler())
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -41,6 +41,7 @@
       | peers | a server that stops ends its streams at once |
       | peers | what matters at once is told without a stream |
       | peers | ports to listen on are no outgoing ones |
+      | peers | ports of processes beside each other differ |
       | peers | demand is told again when a stream breaks |
       | peers | demand that stays is told once |
       | peers | a model's rate is told when it moves |
