Tell what each step of a roll-out is decided from

An on-call engineer who sees servers on replaced weights could not tell why no further server was ordered: the log named orders and changes of the holder alone. One line a step, at most twice a second unless it changes, now holds how many are behind, away, draining, loading and held, the room, and what the pressure was measured as; another says why a daemon whose turn it may be orders nothing. Gauges for servers behind and the age of the oldest weights, and a histogram of orders by outcome. No change of logic.

The harness of one lead is a module of its own, since two modules of cases use it.

--- a/src/godwittack/core/weights.py
+++ b/src/godwittack/core/weights.py
@@ -46,7 +46,7 @@
     operators have taken out of use.
     """
     limit_ms = world.policy.old_weights_limit_ms
-    return limit_ms > 0 and _old_for_ms(world, server) >= limit_ms
+    return limit_ms > 0 and old_for_ms(world, server) >= limit_ms
 
 
 def unknown(world: entities.World, server: entities.ServerRow) -> bool:
@@ -61,12 +61,12 @@
 
 def cost_ms(world: entities.World, server: entities.ServerRow) -> float:
     """Returns what a server's old weights add to the cost of choosing it."""
-    if _old_for_ms(world, server) < world.policy.old_weights_from_ms:
+    if old_for_ms(world, server) < world.policy.old_weights_from_ms:
         return 0.0
     return float(world.policy.old_weights_cost_ms)
 
 
-def _old_for_ms(world: entities.World, server: entities.ServerRow) -> int:
+def old_for_ms(world: entities.World, server: entities.ServerRow) -> int:
     """Returns for how long newer weights are named; -1 if none are.
 
     Each naming counts by itself: one that follows before the one before it is
@@ -81,6 +81,16 @@
     return -1
 
 
+def oldest_ms(world: entities.World, target: str) -> int:
+    """Returns for how long the oldest weights of a target are replaced.
+
+    Returns:
+        Milliseconds since newer ones were named; -1 if all have the newest.
+    """
+    servers = world.servers_by_target.get(target, {}).values()
+    return max((old_for_ms(world, server) for server in servers), default=-1)
+
+
 def is_newer(version: str, than: str) -> bool:
     """Returns whether a version of weights follows another.
 
@@ -91,4 +101,13 @@
     return version != than
 
 
-__all__ = ["Naming", "cost_ms", "is_newer", "named", "too_old", "unknown"]
+__all__ = [
+    "Naming",
+    "cost_ms",
+    "is_newer",
+    "named",
+    "old_for_ms",
+    "oldest_ms",
+    "too_old",
+    "unknown",
+]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -183,6 +183,7 @@
             rollout_policy=rollout.RolloutPolicy(
                 order_after_ms=ORDER_AFTER_MS, load_limit_ms=LOAD_LIMIT_MS
             ),
+            measures=self._meters,
         )
         self._peer_server = parts.peer_server(self._gossiper)
         self._face = forward.ForwardFace(
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -10,9 +10,9 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import backlog, server_inputs
+from godwittack.core import backlog, server_inputs, weights
 from godwittack.daemon import news as newses
-from godwittack.daemon import watch
+from godwittack.daemon import rollout_log, watch
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout, turn
 from godwittack.member import duty
@@ -60,8 +60,10 @@
         news: newses.News,
         policy: leases.LeasePolicy,
         rollout_policy: rollout.RolloutPolicy | None = None,
+        measures: rollout_log.Measures | None = None,
     ) -> None:
         """Leads nothing yet."""
+        self._log = rollout_log.RolloutLog(clock=core.clock, measures=measures)
         self._rollout_policy = rollout_policy or rollout.RolloutPolicy()
         self._behind: dict[str, tuple[object, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -92,13 +94,15 @@
         if row is None:
             return
         wanted = row.weights_version
+        pace = self._pace(model, wanted)
         decision = led.rollout.decide(
             wanted=wanted,
             replicas=self._replicas(model),
             now_ms=self._core.clock.now_ms(),
-            is_pressed=self._is_pressed(model),
+            is_pressed=pace.is_pressed,
             held=led.lease.held(),
         )
+        self._log.stepped(model, pace, decision.overview)
         # Before the store is asked: what was decided on loads is outdated once
         # it has answered, since servers not drained yet take work meanwhile.
         ready = [name for name in decision.load if led.lease.may_send(name)]
@@ -116,18 +120,37 @@
         if led.lease.is_own:
             return True
         now_ms = self._core.clock.now_ms()
-        if now_ms < led.store_again_ms or not self._is_turn(model, led):
+        if now_ms < led.store_again_ms:
+            return False
+        if not self._is_turn(model, led):
             return False
         if not await led.lease.look():
             led.store_again_ms = self._core.clock.now_ms() + STORE_RETRY_MS
+            self._log_wait(model, led, rollout_log.Wait.STORE_LOST)
             return False
         # What the row tells may be that another is at work.
-        return self._is_turn(model, led)
+        if not self._is_turn(model, led):
+            self._log_wait(model, led, rollout_log.Wait.OTHER_TURN)
+            return False
+        return True
 
-    def _is_turn(self, model: str, led: _Led) -> bool:
+    def _place(self, model: str, led: _Led) -> int:
+        """Returns how many daemons come before this one."""
         ranked = duty.leaders(model, self._members.serving())
         own = self._members.me.member_id
-        place = turn.rank(own, led.lease.holder, ranked)
+        return turn.rank(own, led.lease.holder, ranked)
+
+    def _log_wait(self, model: str, led: _Led, why: rollout_log.Wait) -> None:
+        self._log.waits(
+            model,
+            why,
+            place=self._place(model, led),
+            holder=led.lease.holder,
+            idle_ms=led.lease.idle_ms(),
+        )
+
+    def _is_turn(self, model: str, led: _Led) -> bool:
+        place = self._place(model, led)
         since_ms = self._behind[model][1]
         return turn.is_own(
             place=place,
@@ -157,9 +180,11 @@
         if now_ms >= led.store_again_ms and await lease.record(unrecorded):
             if not was_own:
                 self._log_lease(model, led, held=True)
+            self._log_wait(model, led, rollout_log.Wait.NONE)
             return True
         if now_ms >= led.store_again_ms:
             led.store_again_ms = self._core.clock.now_ms() + STORE_RETRY_MS
+            self._log_wait(model, led, rollout_log.Wait.NOT_RECORDED)
         if not lease.is_own:
             if was_own:
                 self._log_lease(model, led, held=False)
@@ -238,8 +263,21 @@
             if row.incarnation and not row.leaving
         ]
 
-    def _is_pressed(self, model: str) -> bool:
-        """Returns whether prompts wait at the servers that can take them."""
+    def _pace(self, model: str, wanted: str) -> rollout_log.Pace:
+        """Returns what the pace of a roll-out is decided from."""
+        world = self._core.core.world
+        servers = world.servers_by_target[model].values()
+        wait_ms = self._mean_wait_ms(model)
+        return rollout_log.Pace(
+            wanted=wanted,
+            oldest_ms=weights.oldest_ms(world, model),
+            too_old=sum(weights.too_old(world, row) for row in servers),
+            wait_ms=wait_ms,
+            is_pressed=wait_ms > PRESSED_MS,
+        )
+
+    def _mean_wait_ms(self, model: str) -> float:
+        """Returns how long prompts wait at the servers that can take them."""
         world = self._core.core.world
         waits = [
             backlog.wait_ms(world, row, priority=LEAST_URGENT)
@@ -247,7 +285,7 @@
             if not row.leaving
             and max(row.ejected_until_ms, row.draining_until_ms) <= world.now_ms
         ]
-        return bool(waits) and sum(waits) / len(waits) > PRESSED_MS
+        return sum(waits) / len(waits) if waits else 0.0
 
     def _load(self, led: _Led, server: entities.ServerRow, wanted: str) -> None:
         led.rollout.ordered(
@@ -263,15 +301,32 @@
         self, led: _Led, server: entities.ServerRow, wanted: str
     ) -> None:
         """Orders one server to load weights, and waits until it has them."""
-        if not await self._order(led, server, wanted):
+        clock = self._core.clock
+        began_ms = clock.now_ms()
+        outcome = rollout_log.OrderOutcome.NO_REPORT
+        if await self._order(led, server, wanted):
+            if await self._is_loaded(led, server, wanted):
+                outcome = rollout_log.OrderOutcome.LOADED
+        else:
             led.rollout.failed(server.server_id)
-            return
+            outcome = rollout_log.OrderOutcome.REFUSED
+        self._log.ended(outcome, after_ms=clock.now_ms() - began_ms)
+
+    async def _is_loaded(
+        self, led: _Led, server: entities.ServerRow, wanted: str
+    ) -> bool:
+        """Waits until a server has the weights that it was ordered to load.
+
+        Returns:
+            False where it did not tell so within the limit of a load.
+        """
         ends_ms = self._core.clock.now_ms() + led.rollout.policy.load_limit_ms
         while self._core.clock.now_ms() < ends_ms:
             await asyncio.sleep(LOAD_LOOK_MS / 1000)
             got = await self._look(server)
             if got is not None and got.weights_version == wanted:
-                return
+                return True
+        return False
 
     async def _order(
         self, led: _Led, server: entities.ServerRow, wanted: str
--- /dev/null
+++ b/src/godwittack/daemon/rollout_log.py
@@ -0,0 +1,154 @@
+"""Tells how roll-outs of weights go on: log lines and metrics.
+
+A server that stays on replaced weights has many possible reasons: nobody may
+order, the store is lost, too few are ordered at a time, loads are slow, or
+the server itself is away. Each line holds what tells these apart.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING, Protocol
+
+from absl import logging
+
+if TYPE_CHECKING:
+    from godwittack.clock import Clock
+    from godwittack.lead import rollout
+
+# Between two lines on one roll-out that goes on, unless the version, the
+# pressure or the room change; a step is taken ten times a second.
+REPEAT_MS = 500
+
+
+class Wait(enum.StrEnum):
+    """Why a daemon that might order does not."""
+
+    NONE = "none"
+    OTHER_TURN = "other_turn"
+    STORE_LOST = "store_lost"
+    NOT_RECORDED = "not_recorded"
+
+
+class OrderOutcome(enum.StrEnum):
+    """What became of an order."""
+
+    LOADED = "loaded"
+    REFUSED = "refused"
+    NO_REPORT = "no_report"
+
+
+class Measures(Protocol):
+    """Takes figures of loads."""
+
+    def weights_order(self, *, outcome: str, after_ms: int) -> None:
+        """Takes in what became of an order, and how long after it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Pace:
+    """What the pace of a roll-out was decided from.
+
+    Attributes:
+        wanted: Version to load.
+        oldest_ms: For how long newer weights are named than the oldest that a
+            server has.
+        too_old: Servers that get no work for the age of their weights.
+        wait_ms: Mean wait at the servers that take work.
+        is_pressed: Whether that is too long to take many servers out.
+    """
+
+    wanted: str
+    oldest_ms: int
+    too_old: int
+    wait_ms: float
+    is_pressed: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Told:
+    at_ms: int
+    marks: tuple[str, bool, int]
+
+
+class RolloutLog:
+    """Writes bounded lines on the roll-outs of one daemon."""
+
+    def __init__(
+        self, *, clock: Clock, measures: Measures | None = None
+    ) -> None:
+        """Has told nothing.
+
+        Args:
+            clock: Source of time.
+            measures: Takes figures as well, where there are metrics.
+        """
+        self._clock = clock
+        self._measures = measures
+        self._told: dict[str, _Told] = {}
+        self._waits: dict[str, Wait] = {}
+
+    def stepped(
+        self, model: str, pace: Pace, overview: rollout.Overview
+    ) -> None:
+        """Tells what a step was decided from, unless it was told just now."""
+        now_ms = self._clock.now_ms()
+        marks = (pace.wanted, pace.is_pressed, overview.room)
+        last = self._told.get(model)
+        if (
+            last is not None
+            and last.marks == marks
+            and now_ms - last.at_ms < REPEAT_MS
+        ):
+            return
+        self._told[model] = _Told(now_ms, marks)
+        logging.info(
+            "event=rollout model=%s version=%s behind=%d unreachable=%d"
+            " too_old=%d oldest_ms=%d draining=%d loading=%d held=%d room=%d"
+            " pressed=%d wait_ms=%.0f",
+            model,
+            pace.wanted,
+            overview.behind,
+            overview.unreachable,
+            pace.too_old,
+            pace.oldest_ms,
+            overview.draining,
+            overview.loading,
+            overview.held,
+            overview.room,
+            pace.is_pressed,
+            pace.wait_ms,
+        )
+
+    def waits(
+        self, model: str, why: Wait, *, place: int, holder: str, idle_ms: int
+    ) -> None:
+        """Tells why this daemon orders nothing, where that has changed.
+
+        Args:
+            model: The model with servers that need weights.
+            why: The reason, or that there is none any more.
+            place: Daemons that come before this one.
+            holder: Who ordered last.
+            idle_ms: How long ago the last order was recorded.
+        """
+        if self._waits.get(model, Wait.NONE) is why:
+            return
+        self._waits[model] = why
+        logging.info(
+            "event=rollout_waits model=%s why=%s place=%d holder=%s idle_ms=%d",
+            model,
+            why,
+            place,
+            holder,
+            idle_ms,
+        )
+
+    def ended(self, outcome: OrderOutcome, *, after_ms: int) -> None:
+        """Takes in what became of an order, and how long after it."""
+        if self._measures is not None:
+            self._measures.weights_order(outcome=outcome, after_ms=after_ms)
+
+
+__all__ = ["Measures", "OrderOutcome", "Pace", "RolloutLog", "Wait"]
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -120,6 +120,7 @@
             members=members,
             news=self._news,
             policy=leases.LeasePolicy(lease_ms=settings.lease_ms),
+            measures=self._meters,
         )
         self._peer_server = parts.peer_server(self.gossiper)
         self._app = self._build_app(loaded, store, platform, counts)
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -58,6 +58,27 @@
     incarnation: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Overview:
+    """How far a roll-out is, and what keeps it from going faster.
+
+    Attributes:
+        behind: Servers that lack the wanted version and answer.
+        unreachable: Servers that lack it and do not answer.
+        draining: Servers that wait for their requests to end.
+        loading: Servers that were ordered to load.
+        held: Servers that another holder ordered too short a time ago.
+        room: How many may drain and load at one time.
+    """
+
+    behind: int = 0
+    unreachable: int = 0
+    draining: int = 0
+    loading: int = 0
+    held: int = 0
+    room: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
     """What to do now.
@@ -65,10 +86,12 @@
     Attributes:
         draining: Servers that must get no new work, until told otherwise.
         load: Servers to order to load the wanted version.
+        overview: Counts that led to it, to be logged.
     """
 
     draining: tuple[str, ...]
     load: tuple[str, ...]
+    overview: Overview
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,7 +150,8 @@
             ),
         )
         room = 1 if is_pressed else self._room(len(replicas))
-        room -= sum(replica.server_id in held for replica in behind)
+        held_behind = sum(replica.server_id in held for replica in behind)
+        room -= held_behind
         for replica in behind:
             if len(self._progress) >= room:
                 break
@@ -142,7 +166,19 @@
             for name, progress in self._progress.items()
             if self._is_drained(progress, known[name], now_ms)
         )
-        return Decision(tuple(sorted(self._progress)), load)
+        steps = [progress.step for progress in self._progress.values()]
+        overview = Overview(
+            behind=len(behind),
+            unreachable=sum(
+                replica.weights_version != wanted and not replica.is_reachable
+                for replica in replicas
+            ),
+            draining=steps.count(Step.DRAINING),
+            loading=steps.count(Step.LOADING),
+            held=held_behind,
+            room=room,
+        )
+        return Decision(tuple(sorted(self._progress)), load, overview)
 
     def ordered(self, server_id: str, *, wanted: str, now_ms: int) -> None:
         """Notes that a server was ordered to load a version."""
@@ -204,4 +240,11 @@
         return min(most, max(1, replicas // 2))
 
 
-__all__ = ["Decision", "Replica", "Rollout", "RolloutPolicy", "Step"]
+__all__ = [
+    "Decision",
+    "Overview",
+    "Replica",
+    "Rollout",
+    "RolloutPolicy",
+    "Step",
+]
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -10,6 +10,8 @@
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk
 
+from godwittack.core import weights
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -35,6 +37,11 @@
             "godwittack_prompt_tokens", description="By source"
         )
         self._retries = meter.create_counter("godwittack_retries")
+        self._weights_orders = meter.create_histogram(
+            "godwittack_weights_order_ms",
+            unit="ms",
+            description="Orders to load weights, by outcome and time to it",
+        )
         # Counted with each message: an instrument's own count takes as long
         # as reading the message.
         self._peer_bytes = 0
@@ -64,6 +71,10 @@
             case "usage":
                 self._count_tokens(fields, labels)
 
+    def weights_order(self, *, outcome: str, after_ms: int) -> None:
+        """Measures an order to load weights that has ended."""
+        self._weights_orders.record(after_ms, {"outcome": outcome})
+
     def count_peer_bytes(self, size: int) -> None:
         """Counts a message sent to another daemon or received."""
         self._peer_bytes += size
@@ -94,6 +105,14 @@
         ),
         "godwittack_live_daemons": lambda: len(world.live_daemons),
         "godwittack_unstored_outcomes": lambda: len(world.outcomes),
+        "godwittack_weights_oldest_ms": lambda: max(
+            (weights.oldest_ms(world, name) for name in world.table.models),
+            default=-1,
+        ),
+        "godwittack_servers_behind": lambda: sum(
+            weights.old_for_ms(world, server) >= 0
+            for server in world.servers.values()
+        ),
         "godwittack_cpu_seconds": _cpu_seconds,
     }
 
--- a/tests/cases/freshness.py
+++ b/tests/cases/freshness.py
@@ -132,7 +132,7 @@
 
 
 def _list(*, is_reader: bool):
-    from cases import leading
+    from cases import one_lead
     from godwittack.clock import ManualClock
     from godwittack.daemon import entries, instances
 
@@ -142,7 +142,7 @@
     follower = cases.Followed().follower
     follower._clock = clock
     held = instances.InstanceFollower(
-        core=leading.Runtime(clock),
+        core=one_lead.Runtime(clock),
         decode=lambda rows: entries.Entries(dict(rows), {}),
         news=news,
         known=known,
--- a/tests/cases/leading.py
+++ b/tests/cases/leading.py
@@ -4,138 +4,10 @@
 
 import asyncio
 import dataclasses
-import random
-
-from result import Err, Ok
-
-from cases import routed_core
-from godwittack.backend import protocol as backend
-from godwittack.core import inputs, server_inputs
-from godwittack.daemon import lead
-from godwittack.lead import lease, rollout
-from godwittack.member import view
-from sim import fakes, loop
-
-MODEL = routed_core.ENGINES
-
-
-class Engines:
-    """Engines that load for 1.1 s; answers may be refused or lost."""
-
-    def __init__(self, clock) -> None:
-        self.clock = clock
-        self.versions: dict[str, str] = {}
-        self.orders: list[backend.Order] = []
-        self.refuse: int = 0
-
-    async def load(self, address, *, server_id=""):
-        """Returns a server's report."""
-        del address
-        return Ok(
-            backend.EngineLoad(
-                incarnation=server_id,
-                weights_version=self.versions.get(server_id, "1"),
-                running=0,
-                waiting=0,
-                waiting_tokens=0,
-                prefill_us_per_token=0,
-                slots=16,
-                leaving=False,
-            )
-        )
-
-    async def order(self, address, order):
-        """Takes an order and carries it out."""
-        del address
-        if self.refuse:
-            return Err(
-                backend.BackendError(
-                    step="order", peer="p", detail="", status=self.refuse
-                )
-            )
-        self.orders.append(order)
-        asyncio.get_running_loop().call_later(
-            1.1, self.versions.__setitem__, order.server_id, order.value
-        )
-        return Ok(None)
-
-
-class News:
-    """Keeps the drains told."""
-
-    def __init__(self) -> None:
-        self.drained: set[str] = set()
-
-    def publish_draining(self, server_id, target) -> None:
-        """A drain was told."""
-        del target
-        self.drained.add(server_id)
-
-    def publish_load(self, load, target, *, now=False) -> None:
-        """A load report was told."""
-
-
-class Runtime:
-    """A core with the clock of the loop."""
-
-    def __init__(self, clock) -> None:
-        self.clock = clock
-        self.held = routed_core.Core(servers=6)
-        self.core = self.held.router
-
-    def submit(self, told) -> None:
-        """Hands an input to the core."""
-        self.core.step(told)
-
-
-class Led:
-    """One daemon that leads six engines of one model."""
-
-    def __init__(self) -> None:
-        self.clock = loop.LoopClock(asyncio.get_running_loop())
-        self.engines = Engines(self.clock)
-        self.news = News()
-        self.table = fakes.TableFake(random.Random(1))
-        self.runtime = Runtime(self.clock)
-        self.runtime.held.now_ms = self.clock.now_ms()
-        self.runtime.held.tell(
-            inputs.TableChanged, routed_core.table(2, weights="2")
-        )
-        me = view.Member(
-            member_id="d",
-            peer_address="127.0.0.1:1",
-            http_address="127.0.0.1:2",
-            failure_domain="a",
-        )
-        self.lead = lead.Leader(
-            core=self.runtime,
-            client=self.engines,
-            service=self.table,
-            members=view.View(
-                me=me, policy=view.MemberPolicy(), rng=random.Random(1)
-            ),
-            news=self.news,
-            policy=lease.LeasePolicy(lease_ms=3_000),
-            rollout_policy=rollout.RolloutPolicy(
-                order_after_ms=100, load_limit_ms=4_000
-            ),
-        )
-
-    async def run(self, *, for_s: float) -> None:
-        """Lets it lead for a time."""
-        task = asyncio.create_task(self.lead.lead_forever(step_ms=100))
-        await asyncio.sleep(for_s)
-        task.cancel()
-
 
-def _play(coroutine) -> None:
-    virtual = loop.VirtualLoop()
-    asyncio.set_event_loop(virtual)
-    try:
-        virtual.run_until_complete(coroutine)
-    finally:
-        asyncio.set_event_loop(None)
-        virtual.close()
+from cases import one_lead
+from godwittack.core import server_inputs
+from godwittack.lead import lease
 
 
 def servers_that_may_not_be_ordered_are_not_drained() -> None:
@@ -151,10 +23,10 @@
     """
 
     async def case() -> None:
-        led = Led()
+        led = one_lead.Led()
         other = lease.Lease(
             service=led.table,
-            name=MODEL,
+            name=one_lead.MODEL,
             holder="gone",
             policy=lease.LeasePolicy(lease_ms=3_000),
             clock=led.clock,
@@ -164,12 +36,12 @@
         assert not led.engines.orders and not led.news.drained
         await led.run(for_s=5.0)
         assert len(led.engines.orders) == 6, led.engines.orders
-        led = Led()
+        led = one_lead.Led()
         led.table.faults.down = True
         await led.run(for_s=5.0)
         assert not led.news.drained
 
-    _play(case())
+    one_lead.play(case())
 
 
 def a_roll_out_begins_at_once() -> None:
@@ -181,12 +53,12 @@
     """
 
     async def case() -> None:
-        led = Led()
+        led = one_lead.Led()
         await led.run(for_s=0.5)
         assert len(led.engines.orders) == 2, led.engines.orders
         assert {order.fencing for order in led.engines.orders} == {1}
 
-    _play(case())
+    one_lead.play(case())
 
 
 def a_server_that_leaves_while_the_store_is_asked_is_not_ordered() -> None:
@@ -199,7 +71,7 @@
     """
 
     async def case() -> None:
-        led = Led()
+        led = one_lead.Led()
         led.table.faults.latency_ms = (400, 400)
         task = asyncio.create_task(led.lead.lead_forever(step_ms=100))
         for name in [f"e{n}" for n in range(1, 7)]:
@@ -213,7 +85,7 @@
         assert not task.done(), task
         task.cancel()
 
-    _play(case())
+    one_lead.play(case())
 
 
 def a_row_by_another_writer_hides_no_order() -> None:
@@ -226,7 +98,7 @@
     """
 
     async def case() -> None:
-        led = Led()
+        led = one_lead.Led()
         await led.run(for_s=0.5)
         (row_id,) = led.table.rows
         for text in ("", "x", "[]", '{"holder":1}', '{"orders":{"e1":"a"}}'):
@@ -235,13 +107,13 @@
             led.table.rows[row_id] = dataclasses.replace(
                 row, value=text, version=led.table.version
             )
-            held = led.lead._led[MODEL].lease
+            held = led.lead._led[one_lead.MODEL].lease
             assert not await held.record(["e1"])
             assert not held.may_send("e1") and "e1" in held.held()
             number = held.fencing
             assert await held.record(["e2"]) and held.fencing > number
 
-    _play(case())
+    one_lead.play(case())
 
 
 def a_roll_out_goes_on_without_pauses() -> None:
@@ -254,12 +126,12 @@
     """
 
     async def case() -> None:
-        led = Led()
+        led = one_lead.Led()
         await led.run(for_s=5.0)
         assert sorted(led.engines.versions.values()) == ["2"] * 6
         assert len(led.engines.orders) == 6, led.engines.orders
 
-    _play(case())
+    one_lead.play(case())
 
 
 def an_old_fencing_number_ends_the_term() -> None:
@@ -271,10 +143,10 @@
     """
 
     async def case() -> None:
-        led = Led()
+        led = one_lead.Led()
         led.engines.refuse = 412
         await led.run(for_s=0.5)
-        held = led.lead._led[MODEL].lease
+        held = led.lead._led[one_lead.MODEL].lease
         assert not held.may_send("e1") and not held.is_own
 
-    _play(case())
+    one_lead.play(case())
--- /dev/null
+++ b/tests/cases/one_lead.py
@@ -0,0 +1,170 @@
+"""One daemon that leads a model's engines, on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from result import Err, Ok
+
+from cases import routed_core
+from godwittack.backend import protocol as backend
+from godwittack.core import backlog, inputs, server_inputs
+from godwittack.daemon import lead
+from godwittack.lead import lease, rollout
+from godwittack.member import view
+from sim import fakes, loop
+
+MODEL = routed_core.ENGINES
+# Prompts that wait at each engine under load: twice the wait from which a
+# roll-out spares the engines.
+WAITING_MS = 160
+WAITING_TOKENS = 1_600
+
+
+class Engines:
+    """Engines that load weights; answers may be refused or lost."""
+
+    def __init__(self, clock, *, load_s: float) -> None:
+        self.clock = clock
+        self.load_s = load_s
+        self.versions: dict[str, str] = {}
+        self.orders: list[backend.Order] = []
+        self.refuse: int = 0
+
+    async def load(self, address, *, server_id=""):
+        """Returns a server's report."""
+        del address
+        return Ok(
+            backend.EngineLoad(
+                incarnation=server_id,
+                weights_version=self.versions.get(server_id, "1"),
+                running=0,
+                waiting=0,
+                waiting_tokens=0,
+                prefill_us_per_token=0,
+                slots=16,
+                leaving=False,
+            )
+        )
+
+    async def order(self, address, order):
+        """Takes an order and carries it out."""
+        del address
+        if self.refuse:
+            return Err(
+                backend.BackendError(
+                    step="order", peer="p", detail="", status=self.refuse
+                )
+            )
+        self.orders.append(order)
+        asyncio.get_running_loop().call_later(
+            self.load_s,
+            self.versions.__setitem__,
+            order.server_id,
+            order.value,
+        )
+        return Ok(None)
+
+
+class News:
+    """Keeps the drains told."""
+
+    def __init__(self) -> None:
+        self.drained: set[str] = set()
+
+    def publish_draining(self, server_id, target) -> None:
+        """A drain was told."""
+        del target
+        self.drained.add(server_id)
+
+    def publish_load(self, load, target, *, now=False) -> None:
+        """A load report was told."""
+
+
+class Runtime:
+    """A core with the clock of the loop."""
+
+    def __init__(self, clock, *, servers: int = 6) -> None:
+        self.clock = clock
+        self.held = routed_core.Core(servers=servers)
+        self.core = self.held.router
+
+    def submit(self, told) -> None:
+        """Hands an input to the core."""
+        self.core.step(told)
+
+
+class Led:
+    """One daemon that leads the engines of one model, six unless told else."""
+
+    def __init__(self, *, servers: int = 6, load_s: float = 1.1) -> None:
+        self.clock = loop.LoopClock(asyncio.get_running_loop())
+        self.engines = Engines(self.clock, load_s=load_s)
+        self.news = News()
+        self.table = fakes.TableFake(random.Random(1))
+        self.runtime = Runtime(self.clock, servers=servers)
+        self.runtime.held.now_ms = self.clock.now_ms()
+        self.runtime.held.tell(
+            inputs.TableChanged, routed_core.table(2, weights="2")
+        )
+        me = view.Member(
+            member_id="d",
+            peer_address="127.0.0.1:1",
+            http_address="127.0.0.1:2",
+            failure_domain="a",
+        )
+        self.lead = lead.Leader(
+            core=self.runtime,
+            client=self.engines,
+            service=self.table,
+            members=view.View(
+                me=me, policy=view.MemberPolicy(), rng=random.Random(1)
+            ),
+            news=self.news,
+            policy=lease.LeasePolicy(lease_ms=3_000),
+            rollout_policy=rollout.RolloutPolicy(
+                order_after_ms=100, load_limit_ms=4_000
+            ),
+        )
+
+    async def run(self, *, for_s: float) -> None:
+        """Lets it lead for a time."""
+        task = asyncio.create_task(self.lead.lead_forever(step_ms=100))
+        await asyncio.sleep(for_s)
+        task.cancel()
+
+    async def press(self) -> None:
+        """Keeps prompts waiting at each engine that takes work."""
+        world = self.runtime.core.world
+        while True:
+            now_ms = self.clock.now_ms()
+            self.runtime.submit(inputs.Tick(now_ms))
+            for name, row in world.servers.items():
+                busy_ms = backlog.wait_ms(world, row, priority=0)
+                if row.draining_until_ms <= now_ms and busy_ms < WAITING_MS:
+                    self.runtime.submit(
+                        server_inputs.PeerDispatched(
+                            at_ms=now_ms,
+                            server_id=name,
+                            tokens=WAITING_TOKENS,
+                            priority=0,
+                            levels=(),
+                        )
+                    )
+            await asyncio.sleep(0.05)
+
+    def with_weights(self, version: str) -> int:
+        """Returns how many engines have a version."""
+        return list(self.engines.versions.values()).count(version)
+
+
+def play(coroutine) -> None:
+    """Runs a case to its end on virtual time."""
+    virtual = loop.VirtualLoop()
+    asyncio.set_event_loop(virtual)
+    try:
+        virtual.run_until_complete(coroutine)
+    finally:
+        asyncio.set_event_loop(None)
+        virtual.close()
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -11,6 +11,7 @@
     "sourcing",
     "weights",
     "leading",
+    "rollouts",
     "connections",
     "following",
     "freshness",
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -130,6 +130,11 @@
       | leading | a roll out goes on without pauses |
       | leading | an old fencing number ends the term |
 
+    Examples: roll-outs over many servers
+      | group    | case |
+      | rollouts | a roll out under load tells its pace |
+      | rollouts | a lead without the store says so once |
+
     Examples: what peers say of the store
       | group | case |
       | freshness | an answer that waited is not fresh |
