Test that a large fleet under load has new weights in time (fails)

Callers saw answers by weights that had been replaced for longer than allowed. With 56 engines that load for 0.45 s and prompts waiting at all of them, 13 have new weights when the 8 s are over for which older ones may be used.

--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -83,3 +83,22 @@
         assert whys == ["store_lost", "none"], lines
 
     one_lead.play(case())
+
+
+def a_large_fleet_under_load_has_new_weights_in_time() -> None:
+    """Weights reach every server before those that they replace are too old.
+
+    Answers by weights that had been replaced for longer than allowed, on a
+    fleet of 56 engines under load. Orders went out one after the other while
+    nothing held them up: no other lead, no refusal, no loss.
+    """
+
+    async def case() -> None:
+        led = one_lead.Led(servers=56, load_s=0.45)
+        limit_ms = led.runtime.core.world.policy.old_weights_limit_ms
+        load = asyncio.create_task(led.press())
+        await led.run(for_s=limit_ms / 1000)
+        assert load.cancel(), load
+        assert led.with_weights("2") == 56, led.with_weights("2")
+
+    one_lead.play(case())
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -134,6 +134,7 @@
       | group    | case |
       | rollouts | a roll out under load tells its pace |
       | rollouts | a lead without the store says so once |
+      | rollouts | a large fleet under load has new weights in time |
 
     Examples: what peers say of the store
       | group | case |
