--- a/tests/cases/freshness.py
+++ b/tests/cases/freshness.py
@@ -209,3 +209,36 @@
         held.rows_changed({"a": _instance("a", leaving=True)})
         assert held._core.core.world.servers["a"].leaving
         assert bool(news.published) == is_reader
+
+
+def a_reader_that_keeps_entries_back_claims_no_newer_list() -> None:
+    """What a reader does not tell yet is not skipped by those that hear it.
+
+    One daemon of 63 went on with eleven servers that had left. 15 s later it
+    took the lead of a roll-out to bring them new weights: `event=lease held=1
+    fencing=2`, then orders answered 421, one every 0.2 s. It had heard no news
+    for a second, and then first those of a reader whose store had just come
+    back.
+    That reader kept lapsed entries for 2.3 s, in case their servers lived, and
+    told another server's change as the newest list; the other readers' word
+    that those were gone came after it, was older than that, and was dropped.
+    """
+    reader, follower, _, news = _list(is_reader=True)
+    peer, _, known, _ = _list(is_reader=False)
+    both = {name: _instance(name) for name in ("a", "b")}
+    follower.version = 5
+    reader.rows_changed(both)
+    peer.told(*news.published[-1])
+    follower.recovered_at_ms = reader._core.clock.now_ms()
+    follower.version = 7
+    changed = {"a": _instance("a", leaving=True)}
+    reader.rows_changed(changed)
+    peer.told(*news.published[-1])
+    assert peer._core.core.world.servers["a"].leaving
+    peer.told({"b": None}, 5, 6)
+    assert set(peer._seen) == {"a"}, peer._seen
+    reader._core.clock.advance(by_ms=2_400)
+    reader.drop_missing()
+    peer.told(*news.published[-1])
+    assert known.version == 7, known
+    assert news.published[-1][0] == {**changed, "b": None}
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -151,6 +151,7 @@
       | freshness | a gap in the list's changes is seen |
       | freshness | entries that lapse in an outage are kept for a while |
       | freshness | a leaving server is told by readers at once |
+      | freshness | a reader that keeps entries back claims no newer list |
 
     Examples: log lines
       | group | case |
