Have a reader that keeps entries back claim no newer list

Callers of one daemon were sent to servers that had left (421, sent elsewhere), and that daemon took the lead of a roll-out to order them: event=lease held=1 fencing=2, then orders answered 421, one every 0.2 s.

Cause: a reader whose store has just come back keeps lapsed entries for 2.3 s, but told peers of other changes with the version of the list at which those entries were gone. A peer that heard this first dropped the other readers' word as older; the later removal named a version that the peer had passed as well. Nothing told it again. Seen by server_gone: 62 daemons had 15 each, one had 4; the only reader that withheld (store_regained at 6.18 s, server_gone at 8.85 s) told it at 6.19 s.

Now a reader's version stays where its last whole account was until nothing is kept back; changes in between are told at that version, and once more with the rest. A peer at another version sees the gap and reads the list itself. The case that failed passes; so do the cases on outages and gaps.

--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -50,6 +50,8 @@
         self._is_reader = is_reader
         self._seen: dict[str, protocol.Instance] = {}
         self._missing: set[str] = set()
+        # Changes since the version that peers know the list to be at.
+        self._untold: listing.Changes = {}
         self._refusals = entries.RefusalLog()
         self.follower: following.RowsFollower | None = None
         news.on_versioned_list = self.told
@@ -59,8 +61,6 @@
         decoded = self._decode(rows)
         listed, refused = decoded.listed, decoded.refused
         self._refusals.note(rows, refused)
-        assert self.follower is not None
-        before, version = self._known.version, self.follower.version
         changes: listing.Changes = {
             name: instance
             for name, instance in listed.items()
@@ -72,8 +72,7 @@
         self._missing = self._seen.keys() - listed.keys() - refused.keys()
         changes.update(self._take_missing())
         self._put(changes)
-        self._known.changed(version)
-        self._publish(changes, before=before, version=version)
+        self._tell(changes)
 
     def told(self, changes: listing.Changes, before: int, version: int) -> None:
         """Takes in what a reader says has changed."""
@@ -82,15 +81,37 @@
                 self._known.behind_since_ms = self._core.clock.now_ms()
             return
         self._put(changes)
+        for name in changes:
+            self._untold.pop(name, None)
         self._known.changed(version)
 
     def drop_missing(self) -> None:
         """Takes servers for gone whose entries did not come back."""
         changes = self._take_missing()
-        if changes:
-            self._put(changes)
-            version = self._known.version
-            self._publish(changes, before=version, version=version)
+        self._put(changes)
+        assert self.follower is not None
+        is_untold = self._known.version < self.follower.version
+        if not self._missing and (changes or is_untold):
+            self._tell(changes)
+
+    def _tell(self, changes: listing.Changes) -> None:
+        """Tells peers of changes, and of a newer list where that is all.
+
+        While entries are kept back, what is known here is not the list at its
+        newest version. Told as that, it would have peers drop other readers'
+        word that those entries are gone: one that had heard no news for a
+        second went on with eleven servers that had left.
+        """
+        assert self.follower is not None
+        before = self._known.version
+        self._untold.update(changes)
+        if self._missing:
+            self._publish(changes, before=before, version=before)
+            return
+        version = max(before, self.follower.version)
+        untold, self._untold = self._untold, {}
+        self._known.changed(version)
+        self._publish(untold, before=before, version=version)
 
     def _take_missing(self) -> listing.Changes:
         """Returns the servers whose entries are gone for good.
