--- a/tests/cases/leading.py
+++ b/tests/cases/leading.py
@@ -150,3 +150,25 @@
         assert not held.may_send("e1") and not held.is_own
 
     one_lead.play(case())
+
+
+def a_server_whose_address_another_has_is_not_ordered_again() -> None:
+    """An order that another server answers says that its own is gone.
+
+    A daemon that still listed servers which had left ordered them again and
+    again, and held the lead for it: `detail='status 421'`, nine servers within
+    2 s, none of which could ever load. What a request learns by the same answer
+    was not learnt here.
+    """
+
+    async def case() -> None:
+        led = one_lead.Led()
+        led.engines.refuse = 421
+        await led.run(for_s=2.0)
+        servers = led.runtime.core.world.servers
+        assert all(servers[f"e{n}"].leaving for n in range(1, 7))
+        led.engines.refuse = 0
+        await led.run(for_s=1.0)
+        assert not led.engines.orders, led.engines.orders
+
+    one_lead.play(case())
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -129,6 +129,7 @@
       | leading | a server that leaves while the store is asked is not ordered |
       | leading | a roll out goes on without pauses |
       | leading | an old fencing number ends the term |
+      | leading | a server whose address another has is not ordered again |
 
     Examples: roll-outs over many servers
       | group    | case |
