Take a server for gone whose address answers an order as another

A lead that still listed servers which had left ordered them one after the other, each answered 421, kept the lead for it and gave them places among those that load. A request's 421 already marks its server as leaving; an order's was counted as a refusal and given again with the next step. Now it has the same effect.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -36,7 +36,13 @@
 # than must be: a third of the time in which a short answer is wanted.
 PRESSED_MS = 80
 LEAST_URGENT = 9
-STATUS_OLD_FENCING = 412
+
+
+class _Status:
+    """Statuses of orders that say more than that they were refused."""
+
+    OLD_FENCING = 412
+    OTHER_SERVER = 421
 
 
 @dataclasses.dataclass(slots=True)
@@ -363,12 +369,24 @@
             led.lease.fencing,
             detail,
         )
-        if isinstance(got, Err) and got.err_value.status == STATUS_OLD_FENCING:
-            led.lease.forfeit()
         if not isinstance(got, Err):
             return True
-        # Without an answer the order may still be carried out.
-        return got.err_value.sent and got.err_value.status == 0
+        match got.err_value.status:
+            case 0:
+                # Without an answer the order may still be carried out.
+                return got.err_value.sent
+            case _Status.OLD_FENCING:
+                led.lease.forfeit()
+            case _Status.OTHER_SERVER:
+                # Another has its address: it is gone for good. Ordered again
+                # and again, it would keep this daemon in the lead, and a place
+                # among those that load.
+                self._core.submit(
+                    server_inputs.ServerLeaving(
+                        self._core.clock.now_ms(), server.server_id
+                    )
+                )
+        return False
 
     async def _look(
         self, server: entities.ServerRow
