Have half of what is left in service stay there, and allow the last to load

The case asked that fewer load than answer, which with one server left of five asks that it never loads. It asks now for what its first line says: half of those that answer at most, and one at least; stricter than before wherever three or more are left. It still fails as the code is.

--- a/tests/cases/rollout_bounds.py
+++ b/tests/cases/rollout_bounds.py
@@ -195,7 +195,9 @@
             .decide(wanted="2", replicas=replicas, now_ms=0)
             .draining
         )
-        assert len(drained) < fleet - away, (fleet, fleet - away, len(drained))
+        left = fleet - away
+        # The only one left has to load at some time.
+        assert len(drained) <= max(1, left // 2), (fleet, left, len(drained))
 
 
 def servers_that_get_no_work_do_not_lower_the_wait() -> None:
