Keep half of the servers that answer in service during a roll-out

With two thirds of a fleet away, all that were left loaded new weights together, and callers were refused: the number at one time was a part of the whole fleet, and with nobody to wait at, the load counted as low. At most half of those that answer and have usable weights are out of service now, one at least. Names in the pacing module say what is counted.

--- a/src/godwittack/lead/pacing.py
+++ b/src/godwittack/lead/pacing.py
@@ -42,12 +42,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Left:
+class Remaining:
     """What is left of a roll-out.
 
     Attributes:
         replicas: All replicas of the model.
-        in_service: Those that get work.
+        able: Those that answer and have weights that may be used, also where
+            they drain or load at this moment.
         behind: Those of them that lack the wanted weights.
         oldest_ms: For how long newer weights are named than the oldest of
             these.
@@ -57,34 +58,49 @@
     """
 
     replicas: int
-    in_service: int
+    able: int
     behind: int
     oldest_ms: int
     load_ms: float
     use_limit_ms: int
 
 
-def most(replicas: int) -> int:
-    """Returns how many may load at one time at most."""
+def most_at_store(replicas: int) -> int:
+    """Returns how many may load at one time for the sake of the store."""
     if replicas <= 1:
         return replicas
     loading = max(LEAST_LOADING, int(replicas * LOADING_PART))
     return min(loading, max(1, replicas // 2))
 
 
-def under_load(left: Left) -> int:
+def most_loading(remaining: Remaining) -> int:
+    """Returns how many may be taken out of service at one time.
+
+    Half of those that could serve go on. With two thirds of a fleet away, a
+    part of the whole fleet was all that answered: nobody took work.
+    """
+    return min(most_at_store(remaining.replicas), max(1, remaining.able // 2))
+
+
+def most_loading_under_load(remaining: Remaining) -> int:
     """Returns how many may be taken out of service while requests wait."""
-    wanted = max(1, int(left.replicas * PRESSED_PART), _needed(left))
-    return min(wanted, most(left.replicas), max(1, left.in_service // 2))
+    wanted = max(1, int(remaining.replicas * PRESSED_PART), _needed(remaining))
+    return min(wanted, most_loading(remaining))
 
 
-def _needed(left: Left) -> int:
+def _needed(remaining: Remaining) -> int:
     """Returns how many must load at one time for all to be done in time."""
-    if not left.use_limit_ms:
+    if not remaining.use_limit_ms:
         return 0
-    left_ms = left.use_limit_ms * FINISH_PART - left.oldest_ms
-    rounds = max(1, int(left_ms / left.load_ms))
-    return math.ceil(left.behind / rounds)
-
-
-__all__ = ["Left", "LoadTime", "most", "under_load"]
+    left_ms = remaining.use_limit_ms * FINISH_PART - remaining.oldest_ms
+    rounds = max(1, int(left_ms / remaining.load_ms))
+    return math.ceil(remaining.behind / rounds)
+
+
+__all__ = [
+    "LoadTime",
+    "Remaining",
+    "most_at_store",
+    "most_loading",
+    "most_loading_under_load",
+]
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -150,15 +150,16 @@
             self._finish(name, known.get(name), now_ms)
         behind = self._behind(replicas, wanted)
         held_behind = sum(replica.server_id in held for replica in behind)
-        room = pacing.most(len(replicas))
+        remaining = self._remaining(replicas, behind, now_ms)
+        room = pacing.most_loading(remaining)
         if is_pressed:
-            room = pacing.under_load(self._left(replicas, behind, now_ms))
+            room = pacing.most_loading_under_load(remaining)
         self._take(
             [replica for replica in behind if replica.server_id not in held],
             wanted=wanted,
             now_ms=now_ms,
             room=room - held_behind,
-            most=pacing.most(len(replicas)) - held_behind,
+            most=pacing.most_at_store(len(replicas)) - held_behind,
         )
         load = tuple(
             name
@@ -204,16 +205,16 @@
             ),
         )
 
-    def _left(
+    def _remaining(
         self,
         replicas: Sequence[Replica],
         behind: Sequence[Replica],
         now_ms: int,
-    ) -> pacing.Left:
+    ) -> pacing.Remaining:
         used = [replica for replica in behind if replica.is_used]
-        return pacing.Left(
+        return pacing.Remaining(
             replicas=len(replicas),
-            in_service=sum(r.is_reachable and r.is_used for r in replicas),
+            able=sum(r.is_reachable and r.is_used for r in replicas),
             behind=len(used),
             oldest_ms=max((replica.old_for_ms for replica in used), default=0),
             load_ms=self._load_ms(now_ms),
--- a/tests/cases/rollout_bounds.py
+++ b/tests/cases/rollout_bounds.py
@@ -164,7 +164,7 @@
         load = asyncio.create_task(led.press())
         await led.run(for_s=12.0)
         load.cancel()
-        most = pacing.most(servers)
+        most = pacing.most_at_store(servers)
         assert engines.most_loading <= most, (engines.most_loading, most)
         assert not engines.refused, engines.refused
 
--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -121,12 +121,12 @@
     Cause: the number at one time follows from the fleet alone.
     """
 
-    def room(*, oldest_ms: int, in_service: int = 5) -> int:
-        return pacing.under_load(
-            pacing.Left(
+    def room(*, oldest_ms: int, able: int = 5) -> int:
+        return pacing.most_loading_under_load(
+            pacing.Remaining(
                 replicas=5,
-                in_service=in_service,
-                behind=in_service,
+                able=able,
+                behind=able,
                 oldest_ms=oldest_ms,
                 load_ms=1_000,
                 use_limit_ms=9_500,
@@ -135,8 +135,8 @@
 
     assert room(oldest_ms=0) == 1
     assert room(oldest_ms=4_000) == 2
-    assert room(oldest_ms=4_000, in_service=3) == 1
-    assert room(oldest_ms=60_000, in_service=1) == 1
+    assert room(oldest_ms=4_000, able=3) == 1
+    assert room(oldest_ms=60_000, able=1) == 1
 
 
 def _replica(name: str, **fields) -> rollout.Replica:
