Leave an order that a server has taken its place until the load ends

With loads of 5 s, 34 of 56 engines were out of service where 20 may be, and both of two: after 4 s a load was given up, the engine ordered again and refused that (409, at work), and the next ones taken beside it. The limit was meant for orders without an answer. One that the server has taken keeps its place until the server reports, starts again or is away, 20 s at most; a server that is at work by another order keeps it for the shorter limit.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -41,10 +42,20 @@
 class _Status:
     """Statuses of orders that say more than that they were refused."""
 
+    AT_WORK = 409
     OLD_FENCING = 412
     OTHER_SERVER = 421
 
 
+class _Answer(enum.Enum):
+    """What a server made of an order."""
+
+    TAKEN = enum.auto()
+    # It may be carried out now or later.
+    NONE = enum.auto()
+    REFUSED = enum.auto()
+
+
 @dataclasses.dataclass(slots=True)
 class _Led:
     lease: leases.Lease
@@ -315,32 +326,42 @@
         self, led: _Led, server: entities.ServerRow, wanted: str
     ) -> None:
         """Orders one server to load weights, and waits until it has them."""
-        clock = self._core.clock
+        clock, policy = self._core.clock, self._rollout_policy
         began_ms = clock.now_ms()
         outcome = rollout_log.OrderOutcome.NO_REPORT
-        if await self._order(led, server, wanted):
-            if await self._is_loaded(led, server, wanted):
-                outcome = rollout_log.OrderOutcome.LOADED
-                took_ms = clock.now_ms() - began_ms
-                led.rollout.loaded(
-                    took_ms=took_ms + self._rollout_policy.order_after_ms
-                )
-        else:
+        limit_ms = policy.load_limit_ms
+        answer = await self._order(led, server, wanted)
+        if answer is _Answer.REFUSED:
             led.rollout.failed(server.server_id)
             outcome = rollout_log.OrderOutcome.REFUSED
+            limit_ms = 0
+        elif answer is _Answer.TAKEN:
+            led.rollout.taken(server.server_id)
+            limit_ms = policy.taken_limit_ms
+        if await self._is_loaded(server, wanted, limit_ms=limit_ms):
+            outcome = rollout_log.OrderOutcome.LOADED
+            # It was out of service while it drained as well.
+            took_ms = clock.now_ms() - began_ms + policy.order_after_ms
+            led.rollout.loaded(took_ms=took_ms)
         self._log.ended(outcome, after_ms=clock.now_ms() - began_ms)
 
     async def _is_loaded(
-        self, led: _Led, server: entities.ServerRow, wanted: str
+        self, server: entities.ServerRow, wanted: str, *, limit_ms: int
     ) -> bool:
         """Waits until a server has the weights that it was ordered to load.
 
         Returns:
-            False where it did not tell so within the limit of a load.
+            False where it did not tell so within the limit, or started again
+            or left.
         """
-        ends_ms = self._core.clock.now_ms() + led.rollout.policy.load_limit_ms
+        ends_ms = self._core.clock.now_ms() + limit_ms
+        started = server.incarnation
+        servers = self._core.core.world.servers
         while self._core.clock.now_ms() < ends_ms:
             await asyncio.sleep(LOAD_LOOK_MS / 1000)
+            known = servers.get(server.server_id)
+            if known is None or known.incarnation != started:
+                return False
             got = await self._look(server)
             if got is not None and got.weights_version == wanted:
                 return True
@@ -348,13 +369,13 @@
 
     async def _order(
         self, led: _Led, server: entities.ServerRow, wanted: str
-    ) -> bool:
-        """Gives an order; returns whether it may have been taken."""
+    ) -> _Answer:
+        """Gives an order; returns what became of it."""
         state = await self._look(server)
         # Asked again right before sending: this daemon may have been stopped
         # since the last look, and another holder may be at work.
         if not led.lease.may_send(server.server_id):
-            return False
+            return _Answer.REFUSED
         got = await self._client.order(
             server.address,
             backend.Order(
@@ -376,11 +397,22 @@
             detail,
         )
         if not isinstance(got, Err):
-            return True
-        match got.err_value.status:
-            case 0:
+            return _Answer.TAKEN
+        return self._refused(led, server, got.err_value)
+
+    def _refused(
+        self,
+        led: _Led,
+        server: entities.ServerRow,
+        error: backend.BackendError,
+    ) -> _Answer:
+        match error.status:
+            case 0 if error.sent:
                 # Without an answer the order may still be carried out.
-                return got.err_value.sent
+                return _Answer.NONE
+            case _Status.AT_WORK:
+                # An order without an answer, or of the lead before.
+                return _Answer.NONE
             case _Status.OLD_FENCING:
                 led.lease.forfeit()
             case _Status.OTHER_SERVER:
@@ -392,7 +424,7 @@
                         self._core.clock.now_ms(), server.server_id
                     )
                 )
-        return False
+        return _Answer.REFUSED
 
     async def _look(
         self, server: entities.ServerRow
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -22,8 +22,10 @@
         order_after_ms: Time of draining after which the order is given all
             the same, to engines that let running requests end first; 0 waits
             until nothing runs.
-        load_limit_ms: Longest time from an order to the server's report of
-            the new weights; after it the order is taken for lost.
+        load_limit_ms: Longest time from an order without an answer to the
+            server's report of the new weights; after it the order is taken
+            for lost.
+        taken_limit_ms: The same from an order that the server has taken.
         use_limit_ms: Time after a naming in which older weights may be used;
             0 for no limit.
     """
@@ -31,6 +33,7 @@
     drain_limit_ms: int = 120_000
     order_after_ms: int = 0
     load_limit_ms: int = 20_000
+    taken_limit_ms: int = 20_000
     use_limit_ms: int = 0
 
 
@@ -108,6 +111,7 @@
     wanted: str
     incarnation: str
     was_used: bool
+    is_taken: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -282,6 +286,17 @@
             wanted=wanted,
         )
 
+    def taken(self, server_id: str) -> None:
+        """Notes that a server has taken its order, and is at work on it.
+
+        Until it reports the new weights it keeps its place. Given up after a
+        time, a load that lasts longer than expected was ordered again, refused
+        for that, and the next servers taken out of service beside it.
+        """
+        progress = self._progress.get(server_id)
+        if progress is not None:
+            progress.is_taken = True
+
     def loaded(self, *, took_ms: int) -> None:
         """Takes in how long a load kept a server out of service."""
         self._load_time.saw(took_ms)
@@ -326,7 +341,9 @@
             replica.weights_version == progress.wanted
         )
         limit_ms = self.policy.drain_limit_ms
-        if progress.step is Step.LOADING:
+        if progress.is_taken:
+            limit_ms = self.policy.taken_limit_ms
+        elif progress.step is Step.LOADING:
             limit_ms = self.policy.load_limit_ms
         if gone or done or now_ms - progress.since_ms > limit_ms:
             del self._progress[name]
