Don't take a lead for lost while its loads last

The second in rank took 9 of 56 orders while the first lived: an order recorded last 2 s ago counted as idle, and loads under load take up to 3 s. The first then held its own loads for another's and took the right back a lease later. A daemon that is not first waits now while a server that another ordered within a lease is still behind. One that died is not among those ranked, so that its successor needs no such wait.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -82,7 +82,8 @@
         """Leads nothing yet."""
         self._log = rollout_log.RolloutLog(clock=core.clock, measures=measures)
         self._rollout_policy = rollout_policy or rollout.RolloutPolicy()
-        self._behind: dict[str, tuple[object, int]] = {}
+        # What is behind which version, and since when that is so.
+        self._behind: dict[str, tuple[tuple[str, frozenset[str]], int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._core = core
         self._client = client
@@ -168,7 +169,12 @@
 
     def _is_turn(self, model: str, led: _Led) -> bool:
         place = self._place(model, led)
-        since_ms = self._behind[model][1]
+        (_, behind), since_ms = self._behind[model]
+        if place and behind & led.lease.held():
+            # The lead is at work: loads take up to 3 s, in which nothing need
+            # change. Taken for lost, it would have to wait a lease for what
+            # it had ordered itself, and take the right back after that.
+            return False
         return turn.is_own(
             place=place,
             unchanged_ms=self._core.clock.now_ms() - since_ms,
@@ -249,7 +255,7 @@
                 if replica.weights_version != row.weights_version
             )
             state = (row.weights_version, behind)
-            if self._behind.get(name, (None, 0))[0] != state:
+            if name not in self._behind or self._behind[name][0] != state:
                 self._behind[name] = (state, now_ms)
             if behind:
                 found.append(name)
