--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -225,3 +225,31 @@
     assert seen.estimate_ms >= 2_000, seen
     seen.saw(3_000)
     assert seen.estimate_ms == 3_000, seen
+
+
+def a_refused_order_counts_for_its_version_alone() -> None:
+    """A server that took no order once is not last for ever.
+
+    Symptom: a server grows too old for use while others load several times.
+    Sequence: it refuses an order for version 2, as while it starts; versions
+        3 and 4 are named; the others are loaded before it each time.
+    Cause: refusals counted for as long as the lead leads.
+    """
+    rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
+    replicas = [_replica(name) for name in ("a", "b", "c", "d")]
+    rolling.decide(wanted="2", replicas=replicas, now_ms=0)
+    for name in rolling.decide(wanted="2", replicas=replicas, now_ms=100).load:
+        rolling.ordered(name, wanted="2", now_ms=100)
+        rolling.failed(name)
+    after = rolling.decide(wanted="2", replicas=replicas, now_ms=200)
+    assert after.draining == ("c", "d"), after.draining
+    newer = [
+        dataclasses.replace(replica, weights_version="2")
+        for replica in replicas[2:]
+    ]
+    aged = [
+        dataclasses.replace(replica, old_for_ms=3_000)
+        for replica in replicas[:2]
+    ]
+    after = rolling.decide(wanted="3", replicas=aged + newer, now_ms=300)
+    assert after.draining == ("a", "b"), after.draining
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -141,6 +141,7 @@
       | rollouts | the oldest weights are replaced first |
       | rollouts | slow loads are begun earlier |
       | rollouts | a short load lowers the estimate slowly |
+      | rollouts | a refused order counts for its version alone |
 
     Examples: what peers say of the store
       | group | case |
