Forget refused orders with the next version

A server that refused one order came last in every later roll-out of the same lead, also where its weights were the oldest: refusals were counted for as long as the lead led. They count for one version now.

--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -124,6 +124,7 @@
 
     policy: RolloutPolicy = RolloutPolicy()
     _progress: dict[str, _Progress] = dataclasses.field(default_factory=dict)
+    _wanted: str = ""
     _failures: dict[str, int] = dataclasses.field(default_factory=dict)
     _load_time: pacing.LoadTime = dataclasses.field(
         default_factory=pacing.LoadTime
@@ -149,6 +150,9 @@
             held: Servers that another holder ordered a moment ago. Those that
                 are behind may be loading, and may not be ordered yet.
         """
+        if wanted != self._wanted:
+            self._wanted = wanted
+            self._failures.clear()
         known = {replica.server_id: replica for replica in replicas}
         for name in list(self._progress):
             self._finish(name, known.get(name), now_ms)
@@ -304,7 +308,8 @@
     def failed(self, server_id: str) -> None:
         """Notes that a server took no order; its turn comes after the others.
 
-        One that is dark would hold up those that could load meanwhile.
+        One that is dark would hold up those that could load meanwhile. Counted
+        for one version: last in each later roll-out, it would grow too old.
         """
         self._failures[server_id] = self._failures.get(server_id, 0) + 1
         self._progress.pop(server_id, None)
