Part what the lead knows and what answers mean from how it orders

What the core knows of a model's servers, and what an answer to an order says, are decisions without I/O in modules of their own. Names say what is meant: a server gets work or not, log_step and log_wait write lines, PaceInputs holds inputs. No change of behaviour.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import dataclasses
-import enum
 from typing import TYPE_CHECKING
 
 from absl import logging
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import backlog, server_inputs, weights
+from godwittack.core import server_inputs
+from godwittack.daemon import model_state, rollout_log, watch
 from godwittack.daemon import news as newses
-from godwittack.daemon import rollout_log, watch
+from godwittack.lead import answers, rollout, turn
 from godwittack.lead import lease as leases
-from godwittack.lead import rollout, turn
 from godwittack.member import duty
 
 if TYPE_CHECKING:
@@ -33,27 +32,6 @@
 STORE_RETRY_MS = 300
 # Between two looks at a server that loads weights: a load takes about 1.1 s.
 LOAD_LOOK_MS = 120
-# Mean wait at the servers from which no more of them are taken out of service
-# than must be: a third of the time in which a short answer is wanted.
-PRESSED_MS = 80
-LEAST_URGENT = 9
-
-
-class _Status:
-    """Statuses of orders that say more than that they were refused."""
-
-    AT_WORK = 409
-    OLD_FENCING = 412
-    OTHER_SERVER = 421
-
-
-class _Answer(enum.Enum):
-    """What a server made of an order."""
-
-    TAKEN = enum.auto()
-    # It may be carried out now or later.
-    NONE = enum.auto()
-    REFUSED = enum.auto()
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,15 +90,15 @@
         if row is None:
             return
         wanted = row.weights_version
-        pace = self._pace(model, wanted)
+        pace = model_state.pace_inputs(world, model, wanted)
         decision = led.rollout.decide(
             wanted=wanted,
-            replicas=self._replicas(model),
+            replicas=model_state.replicas(world, model),
             now_ms=self._core.clock.now_ms(),
             is_pressed=pace.is_pressed,
             held=led.lease.held(),
         )
-        self._log.stepped(model, pace, decision.overview)
+        self._log.log_step(model, pace, decision.overview)
         # Before the store is asked: what was decided on loads is outdated once
         # it has answered, since servers not drained yet take work meanwhile.
         ready = [name for name in decision.load if led.lease.may_send(name)]
@@ -159,7 +137,7 @@
         return turn.rank(own, led.lease.holder, ranked)
 
     def _log_wait(self, model: str, led: _Led, why: rollout_log.Wait) -> None:
-        self._log.waits(
+        self._log.log_wait(
             model,
             why,
             place=self._place(model, led),
@@ -247,11 +225,12 @@
         too slow, while others reach it.
         """
         now_ms = self._core.clock.now_ms()
+        world = self._core.core.world
         found = []
-        for name, row in self._core.core.world.table.models.items():
+        for name, row in world.table.models.items():
             behind = frozenset(
                 replica.server_id
-                for replica in self._replicas(name)
+                for replica in model_state.replicas(world, name)
                 if replica.weights_version != row.weights_version
             )
             state = (row.weights_version, behind)
@@ -271,53 +250,6 @@
         )
         return _Led(lease, rollout.Rollout(self._rollout_policy))
 
-    def _replicas(self, model: str) -> list[rollout.Replica]:
-        world = self._core.core.world
-        servers = world.servers_by_target[model].values()
-        return [
-            rollout.Replica(
-                server_id=row.server_id,
-                incarnation=row.incarnation,
-                weights_version=row.weights_version,
-                busy=row.running + row.waiting + len(row.sent),
-                is_reachable=row.ejected_until_ms <= world.now_ms,
-                old_for_ms=weights.old_for_ms(world, row),
-                is_used=not weights.too_old(world, row),
-            )
-            for row in servers
-            if row.incarnation and not row.leaving
-        ]
-
-    def _pace(self, model: str, wanted: str) -> rollout_log.Pace:
-        """Returns what the pace of a roll-out is decided from."""
-        world = self._core.core.world
-        servers = world.servers_by_target[model].values()
-        wait_ms = self._mean_wait_ms(model)
-        return rollout_log.Pace(
-            wanted=wanted,
-            oldest_ms=weights.oldest_ms(world, model),
-            too_old=sum(weights.too_old(world, row) for row in servers),
-            wait_ms=wait_ms,
-            is_pressed=wait_ms > PRESSED_MS,
-        )
-
-    def _mean_wait_ms(self, model: str) -> float:
-        """Returns how long prompts wait at the servers that get work.
-
-        Nothing waits where nothing is sent: counted in, servers with weights
-        that are too old made the wait seem low just when few carried it all,
-        and half of those were taken out as well.
-        """
-        world = self._core.core.world
-        waits = [
-            backlog.wait_ms(world, row, priority=LEAST_URGENT)
-            for row in world.servers_by_target[model].values()
-            if not row.leaving
-            and max(row.ejected_until_ms, row.draining_until_ms) <= world.now_ms
-            and not weights.too_old(world, row)
-        ]
-        return sum(waits) / len(waits) if waits else 0.0
-
     def _load(self, led: _Led, server: entities.ServerRow, wanted: str) -> None:
         led.rollout.ordered(
             server.server_id,
@@ -337,11 +269,11 @@
         outcome = rollout_log.OrderOutcome.NO_REPORT
         limit_ms = policy.load_limit_ms
         answer = await self._order(led, server, wanted)
-        if answer is _Answer.REFUSED:
+        if answer.is_refusal:
             led.rollout.failed(server.server_id)
             outcome = rollout_log.OrderOutcome.REFUSED
             limit_ms = 0
-        elif answer is _Answer.TAKEN:
+        elif answer is answers.Answer.TAKEN:
             led.rollout.taken(server.server_id)
             limit_ms = policy.taken_limit_ms
         if await self._is_loaded(server, wanted, limit_ms=limit_ms):
@@ -349,7 +281,7 @@
             # It was out of service while it drained as well.
             took_ms = clock.now_ms() - began_ms + policy.order_after_ms
             led.rollout.loaded(took_ms=took_ms)
-        self._log.ended(outcome, after_ms=clock.now_ms() - began_ms)
+        self._log.measure_order(outcome, after_ms=clock.now_ms() - began_ms)
 
     async def _is_loaded(
         self, server: entities.ServerRow, wanted: str, *, limit_ms: int
@@ -375,13 +307,13 @@
 
     async def _order(
         self, led: _Led, server: entities.ServerRow, wanted: str
-    ) -> _Answer:
+    ) -> answers.Answer:
         """Gives an order; returns what became of it."""
         state = await self._look(server)
         # Asked again right before sending: this daemon may have been stopped
         # since the last look, and another holder may be at work.
         if not led.lease.may_send(server.server_id):
-            return _Answer.REFUSED
+            return answers.Answer.REFUSED
         got = await self._client.order(
             server.address,
             backend.Order(
@@ -402,35 +334,15 @@
             led.lease.fencing,
             detail,
         )
-        if not isinstance(got, Err):
-            return _Answer.TAKEN
-        return self._refused(led, server, got.err_value)
-
-    def _refused(
-        self,
-        led: _Led,
-        server: entities.ServerRow,
-        error: backend.BackendError,
-    ) -> _Answer:
-        match error.status:
-            case 0 if error.sent:
-                # Without an answer the order may still be carried out.
-                return _Answer.NONE
-            case _Status.AT_WORK:
-                # An order without an answer, or of the lead before.
-                return _Answer.NONE
-            case _Status.OLD_FENCING:
-                led.lease.forfeit()
-            case _Status.OTHER_SERVER:
-                # Another has its address: it is gone for good. Ordered again
-                # and again, it would keep this daemon in the lead, and a place
-                # among those that load.
-                self._core.submit(
-                    server_inputs.ServerLeaving(
-                        self._core.clock.now_ms(), server.server_id
-                    )
-                )
-        return _Answer.REFUSED
+        answer = answers.of(got)
+        if answer is answers.Answer.OLD_FENCING:
+            led.lease.forfeit()
+        elif answer is answers.Answer.OTHER_SERVER:
+            now_ms = self._core.clock.now_ms()
+            self._core.submit(
+                server_inputs.ServerLeaving(now_ms, server.server_id)
+            )
+        return answer
 
     async def _look(
         self, server: entities.ServerRow
--- /dev/null
+++ b/src/godwittack/daemon/model_state.py
@@ -0,0 +1,69 @@
+"""What the core knows of a model's servers, as a roll-out needs it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import backlog, weights
+from godwittack.daemon import rollout_log
+from godwittack.lead import rollout
+
+if TYPE_CHECKING:
+    from godwittack.core import entities
+
+# Mean wait at the servers from which no more of them are taken out of service
+# than must be: a third of the time in which a short answer is wanted.
+PRESSED_MS = 80
+LEAST_URGENT = 9
+
+
+def replicas(world: entities.World, model: str) -> list[rollout.Replica]:
+    """Returns the servers that may have to load weights."""
+    return [
+        rollout.Replica(
+            server_id=row.server_id,
+            incarnation=row.incarnation,
+            weights_version=row.weights_version,
+            busy=row.running + row.waiting + len(row.sent),
+            is_reachable=row.ejected_until_ms <= world.now_ms,
+            old_for_ms=weights.old_for_ms(world, row),
+            gets_work=not weights.too_old(world, row),
+        )
+        for row in world.servers_by_target[model].values()
+        if row.incarnation and not row.leaving
+    ]
+
+
+def pace_inputs(
+    world: entities.World, model: str, wanted: str
+) -> rollout_log.PaceInputs:
+    """Returns what the pace of a roll-out is decided from."""
+    servers = world.servers_by_target[model].values()
+    wait_ms = mean_wait_ms(world, model)
+    return rollout_log.PaceInputs(
+        wanted=wanted,
+        oldest_ms=weights.oldest_ms(world, model),
+        too_old=sum(weights.too_old(world, row) for row in servers),
+        wait_ms=wait_ms,
+        is_pressed=wait_ms > PRESSED_MS,
+    )
+
+
+def mean_wait_ms(world: entities.World, model: str) -> float:
+    """Returns how long prompts wait at the servers that get work.
+
+    Nothing waits where nothing is sent: counted in, servers with weights that
+    are too old made the wait seem low just when few carried it all, and half
+    of those were taken out as well.
+    """
+    waits = [
+        backlog.wait_ms(world, row, priority=LEAST_URGENT)
+        for row in world.servers_by_target[model].values()
+        if not row.leaving
+        and max(row.ejected_until_ms, row.draining_until_ms) <= world.now_ms
+        and not weights.too_old(world, row)
+    ]
+    return sum(waits) / len(waits) if waits else 0.0
+
+
+__all__ = ["PRESSED_MS", "mean_wait_ms", "pace_inputs", "replicas"]
--- a/src/godwittack/daemon/rollout_log.py
+++ b/src/godwittack/daemon/rollout_log.py
@@ -47,7 +47,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Pace:
+class PaceInputs:
     """What the pace of a roll-out was decided from.
 
     Attributes:
@@ -89,8 +89,8 @@
         self._told: dict[str, _Told] = {}
         self._waits: dict[str, Wait] = {}
 
-    def stepped(
-        self, model: str, pace: Pace, overview: rollout.Overview
+    def log_step(
+        self, model: str, pace: PaceInputs, overview: rollout.Overview
     ) -> None:
         """Tells what a step was decided from, unless it was told just now."""
         now_ms = self._clock.now_ms()
@@ -122,7 +122,7 @@
             pace.wait_ms,
         )
 
-    def waits(
+    def log_wait(
         self, model: str, why: Wait, *, place: int, holder: str, idle_ms: int
     ) -> None:
         """Tells why this daemon orders nothing, where that has changed.
@@ -146,10 +146,10 @@
             idle_ms,
         )
 
-    def ended(self, outcome: OrderOutcome, *, after_ms: int) -> None:
+    def measure_order(self, outcome: OrderOutcome, *, after_ms: int) -> None:
         """Takes in what became of an order, and how long after it."""
         if self._measures is not None:
             self._measures.weights_order(outcome=outcome, after_ms=after_ms)
 
 
-__all__ = ["Measures", "OrderOutcome", "Pace", "RolloutLog", "Wait"]
+__all__ = ["Measures", "OrderOutcome", "PaceInputs", "RolloutLog", "Wait"]
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -53,7 +53,7 @@
         is_reachable: Whether it answers; one that does not can't load.
         incarnation: Changes when the server starts again.
         old_for_ms: For how long weights newer than its own are named.
-        is_used: Whether it gets work, which it does not where its weights are
+        gets_work: Whether it gets work, which it does not where its weights are
             too old; taking it out of service then costs nothing.
     """
 
@@ -63,7 +63,7 @@
     is_reachable: bool = True
     incarnation: str = ""
     old_for_ms: int = 0
-    is_used: bool = True
+    gets_work: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -110,7 +110,7 @@
     since_ms: int
     wanted: str
     incarnation: str
-    was_used: bool
+    got_work: bool
     is_taken: bool = False
 
 
@@ -206,7 +206,7 @@
             ),
             key=lambda r: (
                 self._failures.get(r.server_id, 0),
-                r.is_used,
+                r.gets_work,
                 -r.old_for_ms,
                 r.busy,
                 r.server_id,
@@ -219,10 +219,10 @@
         behind: Sequence[Replica],
         now_ms: int,
     ) -> pacing.Remaining:
-        used = [replica for replica in behind if replica.is_used]
+        used = [replica for replica in behind if replica.gets_work]
         return pacing.Remaining(
             replicas=len(replicas),
-            able=sum(r.is_reachable and r.is_used for r in replicas),
+            able=sum(r.is_reachable and r.gets_work for r in replicas),
             behind=len(used),
             oldest_ms=max((replica.old_for_ms for replica in used), default=0),
             load_ms=self._load_ms(now_ms),
@@ -263,13 +263,13 @@
                 that get work, servers with weights that are too old would
                 wait for their turn while the others carry their load.
         """
-        used = sum(progress.was_used for progress in self._progress.values())
+        used = sum(progress.got_work for progress in self._progress.values())
         for replica in behind:
             if len(self._progress) >= most:
                 return
             if replica.server_id in self._progress:
                 continue
-            if replica.is_used:
+            if replica.gets_work:
                 if used >= room:
                     continue
                 used += 1
@@ -278,7 +278,7 @@
                 now_ms,
                 wanted,
                 replica.incarnation,
-                replica.is_used,
+                replica.gets_work,
             )
 
     def ordered(self, server_id: str, *, wanted: str, now_ms: int) -> None:
--- a/tests/cases/rollout_bounds.py
+++ b/tests/cases/rollout_bounds.py
@@ -11,7 +11,7 @@
 from cases import one_lead
 from godwittack.backend import protocol as backend
 from godwittack.core import backlog, inputs, server_inputs
-from godwittack.daemon import lead
+from godwittack.daemon import lead, model_state
 from godwittack.lead import lease, pacing, rollout
 from godwittack.member import duty, view
 from sim import fakes, loop
@@ -232,8 +232,8 @@
                 )
             )
             waits_ms = backlog.wait_ms(world, row, priority=0)
-            assert waits_ms > lead.PRESSED_MS, waits_ms
-        pace = led.lead._pace(one_lead.MODEL, "2")
+            assert waits_ms > model_state.PRESSED_MS, waits_ms
+        pace = model_state.pace_inputs(world, one_lead.MODEL, "2")
         assert pace.too_old == 4, pace
         assert pace.is_pressed, pace
 
--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -155,7 +155,7 @@
     """
     rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
     behind = [
-        _replica(f"r{n}", old_for_ms=8_000, is_used=n >= 4) for n in range(12)
+        _replica(f"r{n}", old_for_ms=8_000, gets_work=n >= 4) for n in range(12)
     ]
     drained = rolling.decide(
         wanted="2", replicas=behind, now_ms=0, is_pressed=True
