Have roll-outs led by a daemon that hears of the servers

With 340 daemons and 15 models, 12 of 15 roll-outs were led by a daemon that is told neither what waits at the engines nor what runs there: it takes each for idle, orders the most at one time whatever the load, and drains none for its requests. The lead was chosen among all daemons, news of servers go to those that serve the model. It is chosen among these now; up to the number that hears of all (100 as deployed) nothing changes. The case asks the same of the function that now takes what it needs.

--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -186,6 +186,7 @@
                 use_limit_ms=settings.policy().old_weights_limit_ms,
             ),
             measures=self._meters,
+            mesh_limit=settings.mesh_limit,
         )
         self._peer_server = parts.peer_server(self._gossiper)
         self._face = forward.ForwardFace(
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -56,8 +56,22 @@
         policy: leases.LeasePolicy,
         rollout_policy: rollout.RolloutPolicy | None = None,
         measures: rollout_log.Measures | None = None,
+        mesh_limit: int = duty.MESH_LIMIT,
     ) -> None:
-        """Leads nothing yet."""
+        """Leads nothing yet.
+
+        Args:
+            core: What this daemon knows.
+            client: Speaks to servers.
+            service: Keeps the rows of leases.
+            members: The other daemons.
+            news: Tells them of drains.
+            policy: Times of a lease.
+            rollout_policy: Times of a roll-out.
+            measures: Takes figures of loads.
+            mesh_limit: Daemons up to which all hear of every server.
+        """
+        self._mesh_limit = mesh_limit
         self._log = rollout_log.RolloutLog(clock=core.clock, measures=measures)
         self._rollout_policy = rollout_policy or rollout.RolloutPolicy()
         # What is behind which version, and since when that is so.
@@ -132,7 +146,12 @@
 
     def _place(self, model: str, led: _Led) -> int:
         """Returns how many daemons come before this one."""
-        ranked = duty.leaders(model, self._members.serving())
+        ranked = duty.leaders(
+            model,
+            self._members.serving(),
+            self._core.core.world.table.targets,
+            self._mesh_limit,
+        )
         own = self._members.me.member_id
         return turn.rank(own, led.lease.holder, ranked)
 
--- a/src/godwittack/member/duty.py
+++ b/src/godwittack/member/duty.py
@@ -66,12 +66,27 @@
     )
 
 
-def leaders(model: str, members: list[view.Member]) -> tuple[str, ...]:
+def leaders(
+    model: str,
+    members: list[view.Member],
+    targets: tuple[str, ...],
+    mesh_limit: int = MESH_LIMIT,
+) -> tuple[str, ...]:
     """Returns the members that may lead a model's orders, the first one first.
 
+    They are those that hear of its servers: a lead that does not would take
+    each for idle, and have as many load at one time as may, whatever the load.
+
     Two may believe to be it for a while; the lease decides which of them acts.
+
+    Args:
+        model: The model.
+        members: Members that serve.
+        targets: All models and services of the table.
+        mesh_limit: Members up to which all of them hear.
     """
-    names = tuple(sorted(member.member_id for member in members))
+    hearing = audience(model, members, targets, mesh_limit)
+    names = tuple(sorted(member.member_id for member in hearing))
     return _rank(f"lead/{model}", names)
 
 
--- a/tests/cases/rollout_bounds.py
+++ b/tests/cases/rollout_bounds.py
@@ -130,7 +130,9 @@
         engines = one_lead.Engines(clock, load_s=LOADED_S)
         table = fakes.TableFake(random.Random(1))
         names = ("a", "b")
-        ranked = duty.leaders(one_lead.MODEL, [_member(n) for n in names])
+        ranked = duty.leaders(
+            one_lead.MODEL, [_member(n) for n in names], (one_lead.MODEL,)
+        )
         first, second = (
             _Daemon(name, names, engines=engines, table=table, use_limit_ms=0)
             for name in ranked
