Test that late news of a naming makes no weights young (fails)

A daemon that was suspended, cut off, or whose store readers were away while weights were named hears of it seconds later. It sent work to servers with the replaced weights for the whole limit from then on: in the case of a suspension of 5 s, still 8.1 s after the table came, 13.1 s after the store's last word on the one before, where the limit is 8 s.

Four cases: late news, two namings in one table, news after a long silence or with no word of the store at all, and a calm daemon, which must lose a second at most. All four fail on this code, each where work should be refused.

--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from cases import routed_core
 from godwittack.core import effects, inputs, server_inputs
+from godwittack.daemon import keeping
 from godwittack.lead import rollout
+from godwittack.member import confirmed, freshness
+
+if TYPE_CHECKING:
+    from godwittack.table import model
 
 
 def _named(core: routed_core.Core, version: str) -> None:
@@ -205,3 +212,138 @@
     assert decide(500).draining == ("e1",)
     assert decide(600, reachable=False).draining == ("e2",)
     assert decide(750, reachable=False).load == ("e2",)
+
+
+class _Running:
+    """Stands for the runtime and its clock: the core is told at once."""
+
+    def __init__(self, fed: routed_core.Core) -> None:
+        self.core = fed.router
+        self.clock = self
+        self._fed = fed
+
+    def now_ms(self) -> int:
+        """Returns the time of the core that is fed."""
+        return self._fed.now_ms
+
+    def submit(self, told: inputs.Input) -> None:
+        """Hands an input over."""
+        self.core.step(told)
+
+
+class _Followed:
+    """A core with one engine whose tables come as the store is followed."""
+
+    def __init__(self) -> None:
+        self.core = routed_core.Core(servers=1)
+        self.keeper = keeping.FeedKeeper(
+            runtime=_Running(self.core),
+            peers=None,
+            right=confirmed.ConfirmedRight(bound_ms=routed_core.ALLOWED_MS),
+            members=None,
+            known=freshness.Freshness(topic=freshness.Topic.TABLE),
+        )
+        self.keeper.known.on_confirmed = self.keeper.confirmed
+        self.keeper.known.changed(1)
+
+    def read(self, table: model.Table | None = None) -> None:
+        """Lets an answer of the store come, with a newer table or without."""
+        if table is not None:
+            assert self.keeper.adopt(table)
+        self.keeper.known.confirmed(self.core.now_ms)
+
+    def read_for(self, ms: int) -> None:
+        """Lets time pass, with an answer of the store each second."""
+        for _ in range(ms // 1_000):
+            self.core.wait(1_000)
+            self.read()
+        if ms % 1_000:
+            self.core.wait(ms % 1_000)
+
+    def serves(self, request: str) -> bool:
+        """Returns whether the engine gets work."""
+        self.core.arrive("long", request)
+        return bool(self.core.find(effects.Dispatch))
+
+
+def late_news_of_a_naming_makes_no_weights_young() -> None:
+    """A daemon that hears late of new weights counts from before they were.
+
+    A daemon was suspended for five seconds, and weights were named meanwhile.
+    It sent work to servers with the old ones for eight seconds after it had
+    heard of the new: thirteen after they were named, where the limit is
+    eight. The age was counted from when the table came. It is counted from
+    the store's last word that the table before was the newest; its word on
+    the new one, and a change of routes that follows, date nothing.
+    """
+    daemon = _Followed()
+    daemon.read()
+    daemon.core.wait(5_000)
+    daemon.read(routed_core.table(2, weights="2"))
+    daemon.read_for(1_000)
+    daemon.read(
+        routed_core.table(3, weights="2", routes=routed_core.ROUTES[:2])
+    )
+    daemon.read_for(1_900)
+    assert daemon.serves("r1")
+    daemon.core.wait(200)
+    assert not daemon.serves("r2")
+
+
+def namings_heard_of_together_are_of_one_age() -> None:
+    """Of two namings in one table, the one not seen dates nothing later.
+
+    The store's readers were away for three seconds, and versions 2 and 3 were
+    named meanwhile; one table brought both. A server with version 2 and one
+    with version 1 may both have had replaced weights since just after the
+    last word on the table before.
+    """
+    daemon = _Followed()
+    daemon.read()
+    daemon.core.wait(3_000)
+    daemon.read(routed_core.table(3, weights="3"))
+    daemon.read_for(4_900)
+    assert daemon.serves("r1")
+    _report(daemon.core, "e1", "2")
+    assert daemon.serves("r2")
+    daemon.core.wait(200)
+    assert not daemon.serves("r3")
+    daemon.core.list_server("e2", routed_core.ENGINES, weights_version="1")
+    assert not daemon.serves("r4")
+
+
+def news_after_a_long_silence_leaves_a_quarter_of_the_limit() -> None:
+    """A daemon that knows no better takes a naming for three quarters old.
+
+    One was cut off for twenty seconds; another had its table from a peer and
+    no word of the store at all. Both counted the age of a naming from when
+    they heard of it, and used the old weights for eight seconds more. Dated by
+    the last word, or by none, all servers would be refused at once, also where
+    weights were named a moment ago; so they go on as a daemon that starts.
+    """
+    for heard_before in (True, False):
+        daemon = _Followed()
+        if heard_before:
+            daemon.read()
+        daemon.core.wait(20_000)
+        daemon.read(routed_core.table(2, weights="2"))
+        daemon.read_for(1_900)
+        assert daemon.serves("r1")
+        daemon.core.wait(200)
+        assert not daemon.serves("r2"), heard_before
+
+
+def a_calm_daemon_dates_a_naming_a_second_early_at_most() -> None:
+    """With an answer of the store each second, most of the limit is left.
+
+    Dated by an older word than the last, a naming would take servers out of
+    use while the roll-out still has time.
+    """
+    daemon = _Followed()
+    daemon.read_for(20_000)
+    daemon.core.wait(950)
+    daemon.read(routed_core.table(2, weights="2"))
+    daemon.read_for(7_000)
+    assert daemon.serves("r1")
+    daemon.core.wait(100)
+    assert not daemon.serves("r2")
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -95,6 +95,10 @@
       | weights | a refused order frees its place |
       | weights | no server left is refused at once |
       | weights | a server that crashes while it loads frees its place |
+      | weights | late news of a naming makes no weights young |
+      | weights | namings heard of together are of one age |
+      | weights | news after a long silence leaves a quarter of the limit |
+      | weights | a calm daemon dates a naming a second early at most |
 
     Examples: a server's bytes
       | group | case |
