Date a naming of weights by the last word on the table before it

Callers saw answers by replaced weights for longer than allowed, through daemons that had been suspended, cut off, or left without store readers while weights were named.

Cause: the age of a naming counted from when the table that brought it came. Such a daemon hears of it seconds late and took older weights as good for that much longer.

Ruled out: that a confirmation of the new table dates it. The time is read in `adopt`, before the new version counts as in force, and only what is in force is confirmed; an answer that shows a newer version which can't be read confirms nothing.

Now a naming is dated by when the table before was last known to be the newest, by the store's answers or peers' word. All that a table brings was made after that, so several namings of which one is seen are safe, and a table taken from a peer is dated by one's own word. A daemon with no such word, or none for three quarters of the limit, takes a naming for that old, as one that starts does: taken for older, all servers would be refused at once, also where weights were named a moment ago. The polled form dates by its last reading of the version, which is late by what a replica lags, and never later than before. Recordings without the time mean what they did.

--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -173,10 +173,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableChanged:
-    """A newer table version was read from the service or a peer."""
+    """A newer table version was read from the service or a peer.
+
+    Attributes:
+        newest_before_ms: When the table in force before was last known to be
+            the newest, so that what this one changes was changed later; None
+            for a table that is told of as soon as it is made.
+    """
 
     at_ms: int
     table: model.Table
+    newest_before_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -130,7 +130,7 @@
                 # Peers, lagging replicas and the object store's copy may all
                 # bring an older table than the one in force here.
                 if told.table.version > world.table.version:
-                    weights.named(world, told.table)
+                    weights.named(world, told)
                     world.table = told.table
             case server_inputs.PeerDispatched():
                 backlog.peer_dispatched(world, told)
--- a/src/godwittack/core/weights.py
+++ b/src/godwittack/core/weights.py
@@ -6,8 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from godwittack.core import entities
-    from godwittack.table import model
+    from godwittack.core import entities, inputs
 
 # Namings of one model that are remembered; servers with older weights are too
 # old by far.
@@ -16,28 +15,51 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Naming:
-    """A version of weights, and when it was first known to be wanted."""
+    """A version of weights, and the earliest time at which it was named."""
 
     version: str
     at_ms: int
 
 
-def named(world: entities.World, table: model.Table) -> None:
+def named(world: entities.World, told: inputs.TableChanged) -> None:
     """Notes when newer weights than those in force are named."""
-    for name, row in table.models.items():
+    at_ms = _earliest_ms(world, told.newest_before_ms)
+    for name, row in told.table.models.items():
         before = world.table.models.get(name)
         if before is not None and before.weights_version == row.weights_version:
             continue
-        at_ms = world.now_ms
-        if before is None:
-            # A daemon that starts can't tell how long ago they were named;
-            # others may have waited for most of the limit already.
-            at_ms -= world.policy.old_weights_limit_ms * 3 // 4
         known = world.weights_named.setdefault(name, [])
-        known.append(Naming(row.weights_version, at_ms))
+        named_ms = _longest_ago_ms(world) if before is None else at_ms
+        known.append(Naming(row.weights_version, named_ms))
         del known[:-MOST_NAMED]
 
 
+def _earliest_ms(world: entities.World, newest_before_ms: int | None) -> int:
+    """Returns the earliest time at which what a new table names was named.
+
+    A daemon that was suspended or cut off hears of a naming late. Counted from
+    when it heard, replaced weights would be used for that much longer than
+    allowed, as the operators see by answers of them after all others have
+    stopped. No naming that the table brings was made while the table before
+    was the newest, also where it brings several of which one is seen.
+    """
+    if newest_before_ms is None:
+        return world.now_ms
+    newest_before_ms = min(newest_before_ms, world.now_ms)
+    return max(newest_before_ms, _longest_ago_ms(world))
+
+
+def _longest_ago_ms(world: entities.World) -> int:
+    """Returns how early a naming is dated by a daemon that can't tell.
+
+    One that starts, or has had no word of the store for long, can't tell how
+    long ago weights were named; others may have waited for most of the limit
+    already. Taken for older than that, all servers would be refused at once,
+    also where weights were named a moment ago.
+    """
+    return world.now_ms - world.policy.old_weights_limit_ms * 3 // 4
+
+
 def too_old(world: entities.World, server: entities.ServerRow) -> bool:
     """Returns whether a server's weights are too old for new work.
 
--- a/src/godwittack/daemon/tables.py
+++ b/src/godwittack/daemon/tables.py
@@ -44,7 +44,13 @@
     def adopt(self, table: model.Table) -> bool:
         """Puts a table in force if it is newer; it never goes back."""
         self.runtime.submit(
-            inputs.TableChanged(self.runtime.clock.now_ms(), table)
+            inputs.TableChanged(
+                self.runtime.clock.now_ms(),
+                table,
+                # Read before this table counts as confirmed: a word on it
+                # says nothing of when it was made.
+                newest_before_ms=self.right.newest_at_ms(),
+            )
         )
         if self.table is not table:
             return False
--- a/src/godwittack/member/confirmed.py
+++ b/src/godwittack/member/confirmed.py
@@ -36,6 +36,10 @@
         """Returns whether the store was read lately."""
         return now_ms - self.confirmed_at_ms <= self.bound_ms
 
+    def newest_at_ms(self) -> int:
+        """Returns when the store last confirmed the table."""
+        return self.confirmed_at_ms
+
     def until_ms(
         self, view: view.View, *, own_version: int, now_ms: int
     ) -> int:
--- a/src/godwittack/member/right.py
+++ b/src/godwittack/member/right.py
@@ -21,6 +21,12 @@
     def service_fresh(self, *, now_ms: int) -> bool:
         """Returns whether the service was read lately."""
 
+    def newest_at_ms(self) -> int:
+        """Returns when the table was last known to be the newest.
+
+        Long ago where it never was.
+        """
+
     def until_ms(self, view: View, *, own_version: int, now_ms: int) -> int:
         """Returns the time before which new work may start; 0 for not now."""
 
@@ -65,6 +71,10 @@
         """Returns whether the service was read lately."""
         return now_ms - self.service_read_at_ms <= self.policy.lease_ms
 
+    def newest_at_ms(self) -> int:
+        """Returns when the version was last read; a replica may have lagged."""
+        return self.service_read_at_ms
+
     def until_ms(self, view: View, *, own_version: int, now_ms: int) -> int:
         """Returns the time before which new work may start; 0 for not now.
 
