Test that more news does not put off reading a missed change (fails)

A daemon that is told of changes which do not follow on what it knows reads the list 0.4 s later. Told of others every 0.3 s, it does not: 0.6 s after the first sign it still rests.

--- a/tests/cases/freshness.py
+++ b/tests/cases/freshness.py
@@ -168,6 +168,29 @@
     assert "s9" not in held._seen
 
 
+def a_gap_is_read_also_while_more_news_comes() -> None:
+    """More news of changes does not put off the reading of a missed one.
+
+    A daemon that rests missed the news that a server leaves; news of other
+    servers followed every 0.3 s, none of which it could take in. Each began
+    the wait of 0.4 s for the missing one anew, so that the list was read only
+    once peers' word was two seconds old, and the server got new work until
+    then. The wait counts from the first sign of the gap.
+    """
+    held, follower, known, _ = _list(is_reader=False)
+    clock = held._core.clock
+    follower._known = known
+    follower._is_reader = lambda: False
+    follower._needs_snapshot = False
+    known.changed(6)
+    known.confirmed(clock.now_ms())
+    for version in (8, 9):
+        held.told({"s9": _instance(f"s{version}")}, version - 1, version)
+        assert follower.may_rest()
+        clock.advance(by_ms=300)
+    assert not follower.may_rest()
+
+
 def entries_that_lapse_in_an_outage_are_kept_for_a_while() -> None:
     """A server whose entry lapsed while the store was away is not gone yet.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -159,6 +159,7 @@
       | freshness | entries that lapse in an outage are kept for a while |
       | freshness | a leaving server is told by readers at once |
       | freshness | a reader that keeps entries back claims no newer list |
+      | freshness | a gap is read also while more news comes |
 
     Examples: log lines
       | group | case |
