--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -78,7 +78,7 @@
         """Takes in what a reader says has changed."""
         if not before <= self._known.version <= version:
             if version > self._known.version:
-                self._known.behind_since_ms = self._core.clock.now_ms()
+                self._known.heard_of_newer(now_ms=self._core.clock.now_ms())
             return
         self._put(changes)
         for name in changes:
--- a/src/godwittack/member/freshness.py
+++ b/src/godwittack/member/freshness.py
@@ -75,11 +75,22 @@
                 and a key taken away meanwhile good.
             now_ms: Time of the arrival.
         """
-        if belief.version > self.version and self.behind_since_ms < 0:
-            self.behind_since_ms = now_ms
+        if belief.version > self.version:
+            self.heard_of_newer(now_ms=now_ms)
         if belief.version == self.version:
             self.confirmed(asked_at_ms - belief.age_ms)
 
+    def heard_of_newer(self, *, now_ms: int) -> None:
+        """Takes in that a peer has a newer version than is in force here.
+
+        Only the first sign counts. Where servers come and go all the time,
+        each piece of news that can't be taken in would begin the wait for the
+        missed one anew, and a server that leaves would get new work until
+        peers' word is too old.
+        """
+        if self.behind_since_ms < 0:
+            self.behind_since_ms = now_ms
+
     def tell(self, *, now_ms: int) -> Belief | None:
         """Returns what to tell others, None for nothing of use."""
         age_ms = now_ms - self.confirmed_at_ms
