--- a/tests/cases/following.py
+++ b/tests/cases/following.py
@@ -8,6 +8,7 @@
 
 from godwittack.clock import ManualClock
 from godwittack.daemon import following
+from godwittack.member import freshness
 from godwittack.store import protocol
 
 START_MS = 100_000
@@ -106,6 +107,26 @@
     assert case.feed.asked == ["snapshot op", "changes op 5"]
 
 
+async def a_row_made_and_removed_unseen_is_a_version() -> None:
+    """What the store has done with a row nobody here saw counts as read.
+
+    Another writer made a row and removed it while this daemon did not read.
+    The rows were as before, so that nobody was told of the new version; the
+    version in force stayed behind the one read, and none of the store's
+    answers confirmed it any more, until some other row changed. Keys would
+    be refused once the last confirmation is too old.
+    """
+    case = Followed()
+    known = freshness.Freshness(topic=freshness.Topic.SERVERS)
+    case.follower._known = known
+    case.follower._on_rows = lambda rows: known.changed(case.follower.version)
+    await case.step(page(5, ("a", "1")))
+    confirmed = len(case.confirmed)
+    await case.step(page(7, gone=("b",)))
+    assert known.version == 7
+    assert len(case.confirmed) == confirmed + 1
+
+
 async def lost_history_is_read_anew() -> None:
     """Where the store has forgotten its history, a snapshot follows.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -124,6 +124,7 @@
       | following | a long call confirms from its answer on |
       | following | an answer that was held up confirms less |
       | following | an outage keeps what is known |
+      | following | a row made and removed unseen is a version |
 
     Examples: the lead of a model
       | group   | case |
