Put a version in force whose rows are as before

Callers could be refused with keys that are good, and daemons could ask the store twice a second each, from when another writer had made and removed a row between two calls.

Cause: who follows the rows was told only where they differ. The version read then rose above the one in force, and an answer confirms only what is in force.

Now a newer version is told as changed rows are. A version is told once.

--- a/src/godwittack/daemon/following.py
+++ b/src/godwittack/daemon/following.py
@@ -196,7 +196,7 @@
         return min(max(started_ms, dated_ms), self._clock.now_ms())
 
     def _take_in(self, page: protocol.FeedPage, *, whole: bool) -> None:
-        before = self.rows
+        before, version_before = self.rows, self.version
         rows: Rows = {} if whole else dict(before)
         for row in page.rows:
             self.version = max(self.version, row.version)
@@ -207,7 +207,11 @@
         self.rows = rows
         self._newest = page.newest
         self._needs_snapshot = False
-        if rows != before or (whole and not before):
+        # A row may have been made and removed between two calls. Not told of,
+        # its version would be read and never in force, and no answer would
+        # confirm what is: keys are refused, and nobody rests.
+        is_newer = self.version > version_before
+        if rows != before or is_newer or (whole and not before):
             self._on_rows(rows)
 
     def _answered(self, started_ms: int) -> None:
