--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -22,6 +22,7 @@
     "paces",
     "logs",
     "peers",
+    "starts",
     "patience",
     "fuzz",
 )
