Show the logs of a scenario that ends in an error

What was seen: a wait that timed out left a traceback and no log of any daemon.

Change: asked is whether the scenario has failed in any way. Besides the daemons' logs those of any process that has ended are printed.

--- a/tests/cluster/processes.py
+++ b/tests/cluster/processes.py
@@ -324,6 +324,10 @@
         rows.append("service,portal,,,reads")
         self.import_table(rows)
 
+    def has_ended(self, name: str) -> bool:
+        """Returns whether one of our processes runs no more."""
+        return self.processes[name].poll() is not None
+
     def log(self, name: str) -> str:
         """Returns what a process has printed."""
         return (self.path / f"{name}.log").read_text(errors="replace")
@@ -354,7 +358,7 @@
 
     def _wait_up(self, name: str, path: str) -> None:
         def up() -> bool:
-            if self.processes[name].poll() is not None:
+            if self.has_ended(name):
                 raise StepError(f"{name} ended: {self.log(name)[-2000:]}")
             return call("GET", self.url(name, path))[0] in (200, 503)
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -16,8 +16,11 @@
     cluster = getattr(context, "cluster", None)
     if cluster is None:
         return
-    if scenario.status == "failed":
-        for name in cluster.peer_ports:
-            if name in cluster.processes:
+    # Whatever is no failed assertion, such as a wait that timed out, is an
+    # error to behave and no failure: asked for failures alone, it would leave
+    # nothing to trace it by.
+    if scenario.status.has_failed():
+        for name in cluster.processes:
+            if name in cluster.peer_ports or cluster.has_ended(name):
                 print(f"--- {name}\n{cluster.log(name)[-20000:]}")
     cluster.close()
