Test that a stranger on a daemon's port is not taken for it (fails)

What was seen: with a daemon of another cluster on the HTTP port of entry-1, a start of three daemons ends by "timed out waiting until entry-1 knows the others" after 30 s. Entry-1 had ended at once, "address already in use".

--- a/tests/cases/starts.py
+++ b/tests/cases/starts.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import http.server
+import json
 import pathlib
 import subprocess
 import sys
 import tempfile
+import threading
 
 from cluster import processes
 
@@ -29,6 +32,24 @@
 """
 
 
+class Stranger(http.server.BaseHTTPRequestHandler):
+    """Answers as a daemon of another cluster does, of the same name."""
+
+    def do_GET(self):
+        """Says that it lives, alone, and serves."""
+        stranger_id = "entry-1@stranger"
+        told = {"daemon": stranger_id, "members": {stranger_id: "alive"}}
+        body = json.dumps(told).encode()
+        self.send_response(200)
+        self.send_header("content-length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *words):
+        """Prints nothing."""
+        del words
+
+
 def a_scenario_that_ends_in_an_error_shows_its_logs():
     """A start of three daemons timed out, and nobody could say why.
 
@@ -65,3 +86,43 @@
     assert done.returncode == 1, output
     assert "timed out waiting until the end of time" in output, output
     assert SHOWN_LINE in output, output
+
+
+def a_stranger_on_the_port_of_a_daemon_is_not_taken_for_it():
+    """A start timed out "waiting until entry-1 knows the others".
+
+    It looked as if membership had failed. A daemon of another cluster had got
+    entry-1's HTTP port between its choice and its use. Entry-1 ended at once,
+    "address already in use", but the stranger's answers on the port were taken
+    for its own: it was up, and its members stayed {"alien-1@82ca1271"} while
+    entry-2 and entry-3 knew each other. Eleven starts were disturbed in other
+    ways, with another port held, a peer late, stopped or killed, or datagrams
+    lost; none of them said so.
+    """
+    cluster = processes.Cluster()
+    stranger = None
+    try:
+        cluster.start_platform()
+        cluster.reserve_daemons("entry-1", "entry-2")
+        address = ("127.0.0.1", cluster.ports["entry-1"])
+        stranger = http.server.ThreadingHTTPServer(address, Stranger)
+        threading.Thread(target=stranger.serve_forever, daemon=True).start()
+        for name in ("entry-1", "entry-2"):
+            cluster.launch_daemon(name)
+        problem = _problem(lambda: cluster.wait_up("entry-1"))
+    finally:
+        if stranger is not None:
+            stranger.shutdown()
+            stranger.server_close()
+        cluster.close()
+    assert "entry-1 ended" in problem, problem
+    assert "in use" in problem, problem
+
+
+def _problem(wait) -> str:
+    """Returns what a wait in vain says; empty if it succeeds."""
+    try:
+        wait()
+    except processes.StepError as error:
+        return str(error)
+    return ""
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -201,3 +201,4 @@
     Examples: starts of test clusters
       | group  | case |
       | starts | a scenario that ends in an error shows its logs |
+      | starts | a stranger on the port of a daemon is not taken for it |
