Ask whether it is our process that answers on its port

What was seen: "timed out waiting until entry-1 knows the others", 30 s after entry-1 had ended with "address already in use".

Cause: a process counted as up once anybody answered on its port. Here that was a daemon of another cluster; its members, one and not three, were waited for.

Change: a process is up once it answers and it is the one that listens there; until then the wait sees that it has ended and says so with its log.

Test: "a stranger on the port of a daemon is not taken for it" failed before (the wait took the stranger) and passes; in that trial the start ends after 3 s, not 39 s.

The check is stricter than before: nothing that was refused is accepted.

--- a/tests/cluster/processes.py
+++ b/tests/cluster/processes.py
@@ -18,6 +18,8 @@
 
 import yaml
 
+from cluster import listening
+
 TESTS = pathlib.Path(__file__).resolve().parent.parent
 WAIT_S = 30.0
 WORKSPACES = ("desk", "fair")
@@ -360,7 +362,12 @@
         def up() -> bool:
             if self.has_ended(name):
                 raise StepError(f"{name} ended: {self.log(name)[-2000:]}")
-            return call("GET", self.url(name, path))[0] in (200, 503)
+            answered = call("GET", self.url(name, path))[0] in (200, 503)
+            # Another process that has got the port meanwhile answers as well.
+            # Taken for ours, that has ended, its members would be waited for.
+            return answered and listening.listens(
+                self.processes[name].pid, self.ports[name]
+            )
 
         wait_until(f"{name} answers", up)
 
