Test that a start that times out tells who was seen (fails)

What was seen: "timed out waiting until entry-1 knows the others" and nothing more: no members, no word of a daemon that had ended. With a daemon killed after it had answered, the wait goes on for 30 s and names it as one that doesn't know the others.

--- a/tests/cases/starts.py
+++ b/tests/cases/starts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.server
 import json
 import pathlib
@@ -9,6 +10,7 @@
 import sys
 import tempfile
 import threading
+import time
 
 from cluster import processes
 
@@ -119,6 +121,58 @@
     assert "in use" in problem, problem
 
 
+def a_wait_for_members_tells_whom_each_daemon_sees():
+    """A start timed out, and its message held what was waited for alone.
+
+    "Timed out waiting until entry-1 knows the others" left open whether a
+    member was missing, one too many was there, or entry-1 was no longer asked
+    at all. Here three are waited for and two were started.
+    """
+    with _daemons("entry-1", "entry-2") as cluster:
+        cluster.reserve_daemons("entry-3")
+        names = ("entry-1", "entry-2", "entry-3")
+        problem = _problem(lambda: cluster.wait_members(*names, seconds=2))
+    assert "until entry-1 knows the others" in problem, problem
+    for seen in ("entry-1 sees {", "entry-2 sees {"):
+        told = problem.partition(seen)[2].partition("}")[0]
+        assert "entry-1@" in told and "entry-2@" in told, problem
+        assert told.count("alive") == 2, problem
+    assert "entry-3 sees nobody" in problem, problem
+
+
+def a_daemon_that_has_ended_is_not_waited_for():
+    """A daemon ended while three waited for each other, and none said so.
+
+    The wait went on for 30 s and ended by "timed out waiting until entry-2
+    knows the others", which was killed after it had answered.
+    """
+    with _daemons("entry-1", "entry-2") as cluster:
+        cluster.kill("entry-2")
+        started = time.monotonic()
+        names = ("entry-1", "entry-2", "entry-3")
+        problem = _problem(lambda: cluster.wait_members(*names))
+        took_s = time.monotonic() - started
+    assert "entry-2 ended" in problem, problem
+    assert "event=serving daemon=entry-2@" in problem, problem
+    assert took_s < processes.WAIT_S / 3, took_s
+
+
+@contextlib.contextmanager
+def _daemons(*names: str):
+    """Runs daemons that have answered."""
+    cluster = processes.Cluster()
+    try:
+        cluster.start_platform()
+        cluster.reserve_daemons(*names)
+        for name in names:
+            cluster.launch_daemon(name)
+        for name in names:
+            cluster.wait_up(name)
+        yield cluster
+    finally:
+        cluster.close()
+
+
 def _problem(wait) -> str:
     """Returns what a wait in vain says; empty if it succeeds."""
     try:
--- a/tests/cluster/processes.py
+++ b/tests/cluster/processes.py
@@ -261,7 +261,7 @@
         """Returns a daemon's own account."""
         return json.loads(call("GET", self.url(name, "/readyz"))[2])
 
-    def wait_members(self, *names: str) -> None:
+    def wait_members(self, *names: str, seconds: float = WAIT_S) -> None:
         """Waits until these daemons know each other as alive."""
         for name in names:
             wait_until(
@@ -269,6 +269,7 @@
                 lambda name=name: (
                     len(self.ready(name)["members"]) == len(names)
                 ),
+                seconds=seconds,
             )
 
     def signal(self, name: str, number: signal.Signals) -> None:
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -202,3 +202,5 @@
       | group  | case |
       | starts | a scenario that ends in an error shows its logs |
       | starts | a stranger on the port of a daemon is not taken for it |
+      | starts | a wait for members tells whom each daemon sees |
+      | starts | a daemon that has ended is not waited for |
