Test that a daemon which doesn't listen yet is named to nobody (fails)

What callers saw: connections refused by a daemon that `where` had just named. In a trial with two daemons, one of which takes 4 s longer until it listens, it was named from 1.5 s on and listened at 5.3 s.

--- /dev/null
+++ b/tests/cases/joining.py
@@ -0,0 +1,48 @@
+"""Daemons that start beside others, on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from sim import fleet as fleets
+from sim import loop
+
+PREPARES_S = 4.0
+# Some probing periods of 500 ms.
+KNOWN_S = 2.0
+
+
+def a_daemon_that_does_not_listen_yet_is_named_to_nobody():
+    """`where` named a daemon that was still starting; its door was closed.
+
+    A daemon's own probes name no sender until it listens to callers. The others
+    ask the seeds that they don't know who is there, and were told at once: with
+    a start that took 4 s longer, `where` of the other daemon named it from
+    1.5 s on, and callers were refused connections until it listened at 5.3 s.
+    Probes of it failed meanwhile, so that it was suspected as well.
+    """
+    loop.run(_start_slowly())
+
+
+async def _start_slowly() -> None:
+    fleet = fleets.Fleet(seed=1, size=3)
+    slow = fleet.daemons[2]
+    announce = slow.gossiper.announce
+    slow.gossiper.announce = lambda: None
+    named = set()
+    for _ in range(int(PREPARES_S / fleets.SAMPLE_S)):
+        await asyncio.sleep(fleets.SAMPLE_S)
+        named.update(_named(fleet.daemons[:2]))
+    assert named == {"d0@1", "d1@1"}, named
+    announce()
+    await asyncio.sleep(KNOWN_S)
+    for daemon in fleet.daemons:
+        assert _named([daemon]) == {"d0@1", "d1@1", "d2@1"}, daemon.name
+
+
+def _named(daemons: list[fleets.FleetDaemon]) -> set[str]:
+    return {
+        member.member_id
+        for daemon in daemons
+        for member in daemon.gossiper.members.serving()
+    }
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -23,6 +23,7 @@
     "logs",
     "peers",
     "starts",
+    "joining",
     "patience",
     "fuzz",
 )
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -204,3 +204,7 @@
       | starts | a stranger on the port of a daemon is not taken for it |
       | starts | a wait for members tells whom each daemon sees |
       | starts | a daemon that has ended is not waited for |
+
+    Examples: daemons that start
+      | group   | case |
+      | joining | a daemon that does not listen yet is named to nobody |
