Tell who is there only once a daemon listens

What callers saw: connections refused by a daemon that `where` had just named. Its probes failed meanwhile as well, so that it was suspected before it had started.

Cause: a daemon's probes name no sender until it listens, but its answers to a daemon that asks who is at a seed's address did. Ruled out: the predecessor at the address; in the trial it was held dead before the new process started.

Change: the question is answered with a name only once the daemon has announced itself; then it probes at once, since nobody knows it yet. An answer without a name is not noted as an introduction: the seeds would be told no addresses from then on.

--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -115,9 +115,12 @@
     def announce(self) -> None:
         """Lets others know of this daemon, once it listens to callers.
 
-        Named by `where` before it listens, it would refuse connections.
+        Named by `where` before it listens, it would refuse connections. Until
+        then nobody counts it as a member; so that they need not wait for its
+        next probes as well, these are sent at once.
         """
         self._announced = True
+        self.tick()
 
     async def spread_now(self) -> None:
         """Tells every live daemon at once and waits for their answers."""
@@ -171,7 +174,7 @@
         self._take_in(told)
         answer = self._envelope(sender, told.sender.peer_address)
         answer.who_is_it = not is_known
-        if told.who_is_it:
+        if told.who_is_it and self._announced:
             answer.sender.CopyFrom(codec.member_to_proto(self.members.me))
         if is_new:
             # A newcomer must know of the dead as well: started in a part of
@@ -308,10 +311,13 @@
         )
 
     def _note_introduced(self, answered: peer_pb2.Envelope) -> None:
+        member_id = answered.sender.member_id
         if answered.who_is_it or not self._announced:
-            self._introduced.discard(answered.sender.member_id)
-        else:
-            self._introduced.add(answered.sender.member_id)
+            self._introduced.discard(member_id)
+        elif member_id:
+            # One that does not listen yet tells no id. Noted, the seeds that
+            # are not known would be told no addresses from then on.
+            self._introduced.add(member_id)
 
     def _complete_sender(self, told: peer_pb2.Envelope) -> bool:
         """Fills in what a sender left out; returns False if not known."""
