--- a/tests/cases/leading.py
+++ b/tests/cases/leading.py
@@ -5,8 +5,8 @@
 import asyncio
 import dataclasses
 
-from cases import one_lead
-from godwittack.core import server_inputs
+from cases import one_lead, routed_core
+from godwittack.core import inputs, server_inputs
 from godwittack.lead import lease
 
 
@@ -172,3 +172,57 @@
         assert not led.engines.orders, led.engines.orders
 
     one_lead.play(case())
+
+
+def a_server_is_drained_anew_for_each_load() -> None:
+    """Each order follows a drain that was told since the server's last load.
+
+    Requests were sent to engines that had begun to load, in 26 of 30 sessions
+    of large fleets with namings that follow each other. A drain ends with the
+    weights that it was for, at all daemons. Version 3 was named while an
+    engine loaded version 2; loaded with that, it was to be drained again
+    within a second of the last notice, and none went out, since notices of
+    one engine were told once a second. From one such session, e26 with its
+    load of version 5 done at 1049.3 s:
+
+        1048.659 drain told of e26
+        1048.772 order to e26: version 5
+        1048.802 version 6 is named
+        1049.386 order to e26: version 6
+        1049.400 a request is sent to e26
+    """
+
+    async def case() -> None:
+        led = one_lead.Led(servers=1, load_s=0.4)
+        told: set[tuple[str, str]] = set()
+        undrained: list[str] = []
+        give = led.engines.order
+
+        def version(server_id: str) -> str:
+            return led.engines.versions.get(server_id, "1")
+
+        def drained(server_id, target) -> None:
+            del target
+            told.add((server_id, version(server_id)))
+
+        async def order(address, order):
+            name = order.server_id
+            row = led.runtime.core.world.servers[name]
+            drains = row.draining_until_ms > led.clock.now_ms()
+            if not drains or (name, version(name)) not in told:
+                undrained.append(f"{name}: {order.value}")
+            return await give(address, order)
+
+        led.news.publish_draining = drained
+        led.engines.order = order
+        await led.run(for_s=0.3)
+        led.runtime.submit(
+            inputs.TableChanged(
+                led.clock.now_ms(), routed_core.table(3, weights="3")
+            )
+        )
+        await led.run(for_s=5.0)
+        assert led.with_weights("3") == 1, led.engines.versions
+        assert not undrained, undrained
+
+    one_lead.play(case())
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -135,6 +135,7 @@
       | leading | a roll out goes on without pauses |
       | leading | an old fencing number ends the term |
       | leading | a server whose address another has is not ordered again |
+      | leading | a server is drained anew for each load |
 
     Examples: roll-outs over many servers
       | group    | case |
