Drain a server anew for each load

Requests were sent to engines while these loaded weights, where namings follow each other within seconds.

Cause: a drain ends, at all daemons, with the weights that it was for. Notices of a drain were spaced by the time since the last notice of the same server. So an engine that finished one load and began the next within a second was ordered while all daemons sent work to it, until the next notice.

Ruled out by the trace of one engine: another lead (one holder), a drain that lapsed (2.4 s of 3 were left when the weights ended it).

Now a notice is spaced by what is left of the drain itself. The case that failed passes.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -38,7 +38,6 @@
 class _Led:
     lease: leases.Lease
     rollout: rollout.Rollout
-    drains_told_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     store_again_ms: int = 0
 
 
@@ -118,7 +117,7 @@
         ready = [name for name in decision.load if led.lease.may_send(name)]
         if not await self._may_go_on(model, led, decision):
             return
-        self._drain(led, model, decision.draining)
+        self._drain(model, decision.draining)
         for server_id in ready:
             # Gone, where it left the list while the store was asked.
             server = world.servers.get(server_id)
@@ -223,14 +222,22 @@
             led.lease.idle_ms(),
         )
 
-    def _drain(self, led: _Led, model: str, server_ids: Iterable[str]) -> None:
+    def _drain(self, model: str, server_ids: Iterable[str]) -> None:
+        """Takes servers out of service, and keeps those out that are.
+
+        What counts is whether one is drained, not when that was last told: a
+        drain ends with the weights that it was for, and the next load of the
+        same server may follow at once. Its order would go to a server that all
+        daemons send work to.
+        """
         now_ms = self._core.clock.now_ms()
+        until_ms = now_ms + newses.DRAIN_MS
+        servers = self._core.core.world.servers
         for server_id in server_ids:
-            told_ms = led.drains_told_ms.get(server_id, -DRAIN_REPEAT_MS)
-            if now_ms - told_ms < DRAIN_REPEAT_MS:
+            row = servers.get(server_id)
+            drained_until_ms = 0 if row is None else row.draining_until_ms
+            if until_ms - drained_until_ms < DRAIN_REPEAT_MS:
                 continue
-            led.drains_told_ms[server_id] = now_ms
-            until_ms = now_ms + newses.DRAIN_MS
             self._core.submit(
                 server_inputs.ServerDraining(now_ms, server_id, until_ms)
             )
