Record nothing as the holder once another is seen to be it

Cause: a store that does not tell the version of a write has the holder read its row after each. Cut off between the two, it went on deciding as the holder. Back again, it read the row right before its next write, found another holder there, and wrote the orders it had decided on before over that row, which made it the holder again.

Ruled out: two writes under one version (each write's condition held), a late write (none was played), clocks. The store of the users' platform tells the version of each write, so that its leads read the row before a write only at their first.

Now such a write is not made, and the roll-out begins anew from what the row tells.

--- a/src/godwittack/lead/lease.py
+++ b/src/godwittack/lead/lease.py
@@ -178,8 +178,13 @@
 
         Makes this daemon the holder where another one was.
         """
+        was_own = self.is_own
         if self._row_version < 0 and not await self.look():
             return False
+        if was_own and not self.is_own:
+            # Read for the first time since a write: what was decided on as
+            # the holder knows nothing of the other's orders.
+            return False
         sent_ms = self._clock.now_ms()
         wanted = self._with_orders(server_ids, sent_ms)
         got = await self._service.transact(
