--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -115,20 +115,17 @@
     def announce(self) -> None:
         """Lets others know of this daemon, once it listens to callers.
 
-        Named by `where` before it listens, it would refuse connections. Until
-        then nobody counts it as a member; so that they need not wait for its
-        next probes as well, these are sent at once.
+        Named by `where` before it listens, it would refuse connections. It
+        probes at once, since nobody has counted it as a member until now.
         """
         self._announced = True
         self.tick()
 
     async def spread_now(self) -> None:
         """Tells every live daemon at once and waits for their answers."""
-        others = [
-            member
-            for member in self.members.live()
-            if member.member_id != self.members.me.member_id
-        ]
+        own = self.members.me.member_id
+        live = self.members.live()
+        others = [member for member in live if member.member_id != own]
         await asyncio.gather(
             *(self._probe(m.peer_address, m.member_id) for m in others)
         )
@@ -315,8 +312,8 @@
         if answered.who_is_it or not self._announced:
             self._introduced.discard(member_id)
         elif member_id:
-            # One that does not listen yet tells no id. Noted, the seeds that
-            # are not known would be told no addresses from then on.
+            # One that does not listen yet tells no id; noted, seeds that are
+            # not known would be told no addresses.
             self._introduced.add(member_id)
 
     def _complete_sender(self, told: peer_pb2.Envelope) -> bool:
