--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -181,6 +181,23 @@
     assert drained == ("c", "d"), drained
 
 
+def a_server_with_any_newer_weights_is_drained_no_more() -> None:
+    """A load that another lead ordered ends a drain as well.
+
+    Symptom: a server that has the newest weights gets no work for 20 s.
+    Sequence: it takes an order for version 2; another daemon takes over and
+        has it load version 3; the first has not heard of that yet.
+    Cause: only the version that the first had ordered ended its drain.
+    """
+    rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
+    rolling.decide(wanted="2", replicas=[_replica("a")], now_ms=0)
+    rolling.ordered("a", wanted="2", now_ms=100)
+    rolling.taken("a")
+    loaded = _replica("a", weights_version="3")
+    after = rolling.decide(wanted="3", replicas=[loaded], now_ms=900)
+    assert not after.draining, after
+
+
 def slow_loads_are_begun_earlier() -> None:
     """Loads that take longer than those before make more load at a time.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -149,6 +149,7 @@
       | rollouts | slow loads are begun earlier |
       | rollouts | a short load lowers the estimate slowly |
       | rollouts | a refused order counts for its version alone |
+      | rollouts | a server with any newer weights is drained no more |
 
     Examples: what peers say of the store
       | group | case |
