End a drain with any newer weights

A server that has the newest weights would get no work for up to 20 s where another lead had it load them: its place here, and so its drain, ended only with the version ordered here. What ends it now is that the weights changed.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -279,7 +279,6 @@
     def _load(self, led: _Led, server: entities.ServerRow, wanted: str) -> None:
         led.rollout.ordered(
             server.server_id,
-            wanted=wanted,
             now_ms=self._core.clock.now_ms(),
         )
         task = asyncio.create_task(self._order_and_watch(led, server, wanted))
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -108,7 +108,7 @@
 class _Progress:
     step: Step
     since_ms: int
-    wanted: str
+    version_before: str
     incarnation: str
     got_work: bool
     is_taken: bool = False
@@ -164,7 +164,6 @@
             room = pacing.most_loading_under_load(remaining)
         self._take(
             [replica for replica in behind if replica.server_id not in held],
-            wanted=wanted,
             now_ms=now_ms,
             room=room - held_behind,
             most=pacing.most_at_store(len(replicas)) - held_behind,
@@ -247,7 +246,6 @@
         self,
         behind: Sequence[Replica],
         *,
-        wanted: str,
         now_ms: int,
         room: int,
         most: int,
@@ -256,7 +254,6 @@
 
         Args:
             behind: Servers that may be ordered, in the order of their turn.
-            wanted: Version to load.
             now_ms: Time of the decision.
             room: How many that get work may drain and load.
             most: How many may drain and load altogether. Spared like those
@@ -276,18 +273,17 @@
             self._progress[replica.server_id] = _Progress(
                 Step.DRAINING,
                 now_ms,
-                wanted,
+                replica.weights_version,
                 replica.incarnation,
                 replica.gets_work,
             )
 
-    def ordered(self, server_id: str, *, wanted: str, now_ms: int) -> None:
-        """Notes that a server was ordered to load a version."""
+    def ordered(self, server_id: str, *, now_ms: int) -> None:
+        """Notes that a server was ordered to load weights."""
         self._progress[server_id] = dataclasses.replace(
             self._progress[server_id],
             step=Step.LOADING,
             since_ms=now_ms,
-            wanted=wanted,
         )
 
     def taken(self, server_id: str) -> None:
@@ -340,10 +336,11 @@
             or replica.incarnation != progress.incarnation
             or not replica.is_reachable
         )
-        # What was wanted when it began: the table may want another by now,
-        # and the server is then behind again.
+        # Whatever it has loaded: the table may want another version by now, and
+        # another lead may have ordered that. Drained until it has the one that
+        # was ordered here, it would get no work for as long as a load may take.
         done = replica is not None and (
-            replica.weights_version == progress.wanted
+            replica.weights_version != progress.version_before
         )
         limit_ms = self.policy.drain_limit_ms
         if progress.is_taken:
--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -191,7 +191,7 @@
     """
     rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
     rolling.decide(wanted="2", replicas=[_replica("a")], now_ms=0)
-    rolling.ordered("a", wanted="2", now_ms=100)
+    rolling.ordered("a", now_ms=100)
     rolling.taken("a")
     loaded = _replica("a", weights_version="3")
     after = rolling.decide(wanted="3", replicas=[loaded], now_ms=900)
@@ -222,7 +222,7 @@
             wanted="2", replicas=aged, now_ms=now_ms, is_pressed=True
         )
         for name in decided.load:
-            rolling.ordered(name, wanted="2", now_ms=now_ms)
+            rolling.ordered(name, now_ms=now_ms)
         return decided.overview.room
 
     assert room(0) == room(100) == 56 // 6
@@ -256,7 +256,7 @@
     replicas = [_replica(name) for name in ("a", "b", "c", "d")]
     rolling.decide(wanted="2", replicas=replicas, now_ms=0)
     for name in rolling.decide(wanted="2", replicas=replicas, now_ms=100).load:
-        rolling.ordered(name, wanted="2", now_ms=100)
+        rolling.ordered(name, now_ms=100)
         rolling.failed(name)
     after = rolling.decide(wanted="2", replicas=replicas, now_ms=200)
     assert after.draining == ("c", "d"), after.draining
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -160,7 +160,7 @@
     ordered = rolling.decide(wanted="2", replicas=behind, now_ms=100).load
     assert ordered == ("a", "b"), ordered
     for name in ordered:
-        rolling.ordered(name, wanted="2", now_ms=100)
+        rolling.ordered(name, now_ms=100)
     rolling.failed("a")
     drained = rolling.decide(wanted="2", replicas=behind, now_ms=200).draining
     assert drained == ("b", "c"), drained
@@ -208,7 +208,7 @@
         )
 
     assert decide(0).load == ("e1",)
-    planned.ordered("e1", wanted="2", now_ms=0)
+    planned.ordered("e1", now_ms=0)
     assert decide(500).draining == ("e1",)
     assert decide(600, reachable=False).draining == ("e2",)
     assert decide(750, reachable=False).load == ("e2",)
--- a/tests/sim/leads.py
+++ b/tests/sim/leads.py
@@ -281,9 +281,7 @@
         world = self.world
         if not self.lease.may_send(replica.name):
             return
-        self.rollout.ordered(
-            replica.name, wanted=wanted, now_ms=world.clock.now_ms()
-        )
+        self.rollout.ordered(replica.name, now_ms=world.clock.now_ms())
         order = Ordered(self.name, self.lease.fencing, world.loop.time())
         if world.loop.time() - self.paused_until_s > THAW_S:
             world.sent(replica, order)
