--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -58,7 +58,8 @@
 # Engines let running requests end before they load, so that the order need
 # only wait until no daemon sends new ones: a notice takes some 10 ms.
 ORDER_AFTER_MS = 100
-# A load takes 1.1 s, and runs that end first some hundred ms.
+# For an order without an answer: a load takes up to 3.2 s where long requests
+# end first. One that was taken may last longer.
 LOAD_LIMIT_MS = 4_000
 
 
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -30,7 +30,7 @@
 DRAIN_REPEAT_MS = 1_000
 # Pause after a call of the store that brought nothing.
 STORE_RETRY_MS = 300
-# Between two looks at a server that loads weights: a load takes about 1.1 s.
+# Between two looks at a server that loads weights: a load takes 0.5 to 3.2 s.
 LOAD_LOOK_MS = 120
 
 
