Test where readers' answers and news cross, and a late refusal (fail)

Found in review by reading, each shown by a case: four ways in which a daemon ends up with an older entry under the newest version of the list, and one in which a late answer to an order ends the daemon.

--- a/tests/cases/freshness.py
+++ b/tests/cases/freshness.py
@@ -4,6 +4,7 @@
 
 from cases import following as cases
 from godwittack.member.freshness import Belief, Freshness, Topic
+from godwittack.peer import pending
 from godwittack.store import protocol
 
 
@@ -265,3 +266,101 @@
     peer.told(*news.published[-1])
     assert known.version == 7, known
     assert news.published[-1][0] == {**changed, "b": None}
+
+
+def an_answer_that_was_long_on_its_way_brings_nobody_back() -> None:
+    """A reader's answer older than a peer's word is not told as the list.
+
+    A reader's link was slow: the store's answer of version 4 came after a
+    peer's word that a server had left with version 5. The reader listed it
+    again, and told that as a change of version 5, which all others believed.
+    """
+    reader, follower, _, news = _list(is_reader=True)
+    peer, _, _, _ = _list(is_reader=False)
+    both = {name: _instance(name) for name in ("a", "b")}
+    follower.version = 3
+    reader.rows_changed(both)
+    peer.told(*news.published[-1])
+    for heard in (reader, peer):
+        heard.told({"b": None}, 3, 5)
+    follower.version = 4
+    reader.rows_changed({**both, "c": _instance("c")})
+    for told in news.published[1:]:
+        peer.told(*told)
+    assert set(reader._seen) == {"a"}, reader._seen
+    assert set(peer._seen) == {"a"}, peer._seen
+    follower.version = 6
+    reader.rows_changed({name: _instance(name) for name in ("a", "c")})
+    assert set(reader._seen) == {"a", "c"}
+
+
+def older_word_does_not_replace_what_was_read_here() -> None:
+    """While entries are kept back, a peer's word may be older than the rows.
+
+    A reader whose store had just come back had read version 5, in which a
+    server leaves, and kept another's lapsed entry. A peer's word on version 4
+    put the server's older entry in its place, and the reader then told its
+    list as version 5 without the leaving.
+    """
+    reader, follower, known, news = _list(is_reader=True)
+    both = {name: _instance(name) for name in ("a", "b")}
+    leaving = _instance("a", leaving=True)
+    follower.version = 3
+    reader.rows_changed(both)
+    follower.recovered_at_ms = reader._core.clock.now_ms()
+    follower.version = 5
+    reader.rows_changed({"a": leaving})
+    reader.told({"a": _instance("a")}, 3, 4)
+    assert reader._seen["a"].leaving
+    reader._core.clock.advance(by_ms=2_400)
+    reader.drop_missing()
+    assert known.version == 5
+    assert news.published[-1] == ({"a": leaving, "b": None}, 4, 5)
+
+
+def an_entry_that_came_back_by_a_peer_s_word_stays() -> None:
+    """An entry kept back that a newer list has again is not dropped.
+
+    A daemon that rests again had read version 5 without a server whose entry
+    had lapsed; with version 6 it was back, unchanged, so that no reader told a
+    change of it. The daemon dropped it after 2.3 s, and had the newest list
+    without it.
+    """
+    held, follower, known, _ = _list(is_reader=False)
+    both = {name: _instance(name) for name in ("a", "b")}
+    follower.version = 3
+    held.rows_changed(both)
+    follower.recovered_at_ms = held._core.clock.now_ms()
+    follower.version = 5
+    held.rows_changed({"a": both["a"]})
+    held.told({"c": _instance("c")}, 3, 6)
+    held._core.clock.advance(by_ms=2_400)
+    held.drop_missing()
+    assert known.version == 6
+    assert set(held._seen) == {"a", "b", "c"}, held._seen
+
+
+def news_that_waits_is_not_told_over_a_gap() -> None:
+    """Changes of others' telling are not skipped by what waits for a peer.
+
+    The stream to a peer was broken for a moment. A reader's changes of
+    versions 4 and 6 waited for it, and between them another reader told it
+    that a server had left. Sent as one, from version 3 to 6, they had the peer
+    drop the other reader's word of version 5, and go on with the server.
+    """
+    first = pending.PendingNews()
+    first.add_listed({"x": _instance("x")}, before=3, version=4)
+    later = pending.PendingNews()
+    later.add_listed({"y": _instance("y")}, before=5, version=6)
+    merged = first.followed_by(later)
+    first.add_listed({"y": _instance("y")}, before=5, version=6)
+    for news in (merged, first):
+        peer, _, known, _ = _list(is_reader=False)
+        peer.told({"b": _instance("b")}, 0, 3)
+        peer.told(news.listed, news.list_before, news.list_version)
+        assert known.version == 3 and known.behind_since_ms >= 0
+    whole = pending.PendingNews()
+    whole.add_listed({"x": _instance("x")}, before=3, version=4)
+    whole.add_listed({"y": None}, before=4, version=5)
+    assert (whole.list_before, whole.list_version) == (3, 5)
+    assert set(whole.listed) == {"x", "y"}
--- a/tests/cases/rollout_bounds.py
+++ b/tests/cases/rollout_bounds.py
@@ -174,6 +174,62 @@
         one_lead.play(case(servers))
 
 
+def a_late_refusal_while_the_store_is_asked_ends_no_daemon() -> None:
+    """An answer to an earlier order may come in at any moment.
+
+    An engine was ordered, seemed away for a moment, and was drained again. The
+    refusal of its first order came while the store was asked for another's:
+    `event=loop_failed detail=KeyError('e1')`, and the daemon stopped itself.
+    """
+
+    async def case() -> None:
+        led = one_lead.Led(servers=12, load_s=0.35)
+        world = led.runtime.core.world
+        name = min(world.servers_by_target[one_lead.MODEL])
+        late = asyncio.Event()
+        order, ordered = led.engines.order, []
+
+        async def answer(address, given):
+            ordered.append(given.server_id)
+            if given.server_id != name or ordered.count(name) > 1:
+                return await order(address, given)
+            await late.wait()
+            return Err(
+                backend.BackendError(
+                    step="order", peer="p", detail="", status=503
+                )
+            )
+
+        led.engines.order = answer
+        task = asyncio.create_task(led.lead.lead_forever(step_ms=100))
+        await asyncio.sleep(0.35)
+        now_ms = led.clock.now_ms()
+        world.servers[name].ejected_until_ms = now_ms + 250
+        own = led.lead._led[one_lead.MODEL]
+        held, record = own.lease, own.lease.record
+
+        async def ask(server_ids):
+            got = await record(server_ids)
+            # Drained anew for as long as that takes, so that its order is due.
+            again = own.rollout._progress.get(name)
+            if again is not None and again.step is rollout.Step.DRAINING:
+                drained_ms = led.clock.now_ms() - again.since_ms
+                if name not in server_ids and drained_ms >= 100:
+                    late.set()
+            await asyncio.sleep(0.05)
+            return got
+
+        held.record = ask
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            led.runtime.submit(inputs.Tick(led.clock.now_ms()))
+        assert not task.done(), task.exception()
+        task.cancel()
+        assert led.with_weights("2") == 12, led.engines.versions
+
+    one_lead.play(case())
+
+
 def a_fleet_that_is_mostly_away_keeps_some_in_service() -> None:
     """Of the servers that answer, half at most load at one time.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -164,6 +164,10 @@
       | freshness | a leaving server is told by readers at once |
       | freshness | a reader that keeps entries back claims no newer list |
       | freshness | a gap is read also while more news comes |
+      | freshness | an answer that was long on its way brings nobody back |
+      | freshness | older word does not replace what was read here |
+      | freshness | an entry that came back by a peer's word stays |
+      | freshness | news that waits is not told over a gap |
 
     Examples: log lines
       | group | case |
@@ -191,6 +195,7 @@
       | rollout_bounds | leads that see different waits do not take turns |
       | rollout_bounds | loads longer than their limit take no more out of service |
       | rollout_bounds | a fleet that is mostly away keeps some in service |
+      | rollout_bounds | a late refusal while the store is asked ends no daemon |
       | rollout_bounds | servers that get no work do not lower the wait |
       | rollout_bounds | a large fleet whose requests end first has new weights in time |
 
