Take no reading that is older than a peer's word

With a reader whose link was slow, all daemons went on with a server that had left: the store's answer came after a peer's newer word, listed the server again, and was told as a change at the version known meanwhile, which all others accepted. A reading older than the list known here is not taken in; the next holds all rows.

--- a/src/godwittack/daemon/following.py
+++ b/src/godwittack/daemon/following.py
@@ -94,6 +94,11 @@
         self._pause_ms = RETRY_FIRST_MS
         self._offset_ms = -(1 << 62)
 
+    @property
+    def read_version(self) -> int:
+        """Newest version of the store up to which the rows were read."""
+        return max(self.version, self._newest)
+
     async def follow_forever(self) -> None:
         """Follows until cancelled."""
         while True:
--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -57,7 +57,15 @@
         news.on_versioned_list = self.told
 
     def rows_changed(self, rows: Mapping[str, protocol.ChangedRow]) -> None:
-        """Takes in the rows of servers, as read here."""
+        """Takes in the rows of servers, as read here.
+
+        Not where a peer's word is newer than the reading: an answer that was
+        long on its way lists servers that have left since, and told on, it
+        would bring them back at each daemon. The next answer holds all rows.
+        """
+        assert self.follower is not None
+        if self.follower.read_version < self._known.version:
+            return
         decoded = self._decode(rows)
         listed, refused = decoded.listed, decoded.refused
         self._refusals.note(rows, refused)
@@ -99,8 +107,7 @@
 
         While entries are kept back, what is known here is not the list at its
         newest version. Told as that, it would have peers drop other readers'
-        word that those entries are gone: one that had heard no news for a
-        second went on with eleven servers that had left.
+        word that those entries are gone, and go on with servers that have left.
         """
         assert self.follower is not None
         before = self._known.version
