Tell a peer's word from a reading that is older or newer

While entries are kept back, a peer's word on an older version put a server's older entry in the place of the one read here, and the list was then told without the newer; and an entry that a newer word had again, unchanged, was dropped for good 2.3 s later. Word that is older than the reading now counts for the entries kept back alone; newer word voids what was kept back.

--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -88,6 +88,19 @@
             if version > self._known.version:
                 self._known.heard_of_newer(now_ms=self._core.clock.now_ms())
             return
+        assert self.follower is not None
+        if version > self.follower.read_version:
+            # The list is whole with this: an entry that was kept back and is
+            # not named here is listed again.
+            self._missing = set()
+        else:
+            # Older than what was read here, but for the entries kept back.
+            # Taken in, it would put an older entry in the place of that.
+            changes = {
+                name: None
+                for name, instance in changes.items()
+                if instance is None and name in self._missing
+            }
         self._put(changes)
         for name in changes:
             self._untold.pop(name, None)
