Tell no news of the list over a gap

A stream to a peer was broken for a moment, and two changes that a reader had told waited for it; between them another reader told that a server had left. Sent as one, they had the peer drop that word as older and go on with the server. News that waits is merged only where one follows on the other; else the peer sees the gap and reads the list.

--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -181,9 +181,7 @@
             version: Version of the list with them.
         """
         for outbox in self._outboxes_of(self._members.live()):
-            outbox.pending.listed.update(changes)
-            outbox.pending.list_before = outbox.pending.list_before or before
-            outbox.pending.list_version = version
+            outbox.pending.add_listed(changes, before=before, version=version)
             outbox.wake()
 
     def take(
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -58,10 +58,32 @@
         )
         return not any(told) and self.demands is None
 
+    def add_listed(
+        self,
+        changes: dict[str, platform.Instance | None],
+        *,
+        before: int,
+        version: int,
+    ) -> None:
+        """Adds changes of the instance list.
+
+        Changes between that this daemon heard of itself are told by their
+        reader. Told as one with these, a peer that lacks them would take its
+        list for the newest, drop the reader's word as older, and keep servers
+        that have left. What waits is dropped then: the peer sees the gap, and
+        reads the list.
+        """
+        if self.list_version and before > self.list_version:
+            self.listed = {}
+            self.list_before = before
+        self.listed = {**self.listed, **changes}
+        self.list_before = self.list_before or before
+        self.list_version = version or self.list_version
+
     def followed_by(self, later: PendingNews) -> PendingNews:
         """Returns both as one; of each figure the newest."""
         digests = self.digests + later.digests
-        return PendingNews(
+        both = PendingNews(
             loads={**self.loads, **later.loads},
             # A peer that can't be reached must not fill our memory; what it
             # misses costs a recomputation each.
@@ -69,11 +91,18 @@
             leaving=self.leaving | later.leaving,
             draining=self.draining | later.draining,
             doubted=self.doubted | later.doubted,
-            listed={**self.listed, **later.listed},
-            list_before=self.list_before or later.list_before,
-            list_version=later.list_version or self.list_version,
+            listed=self.listed,
+            list_before=self.list_before,
+            list_version=self.list_version,
             demands=(self.demands if later.demands is None else later.demands),
         )
+        if later.listed:
+            both.add_listed(
+                later.listed,
+                before=later.list_before,
+                version=later.list_version,
+            )
+        return both
 
 
 __all__ = ["MAX_DIGESTS", "PendingNews"]
