Order nothing that is no longer drained once the store has answered

A daemon stopped itself in a roll-out: event=loop_failed detail=KeyError('e1'). An engine was ordered, seemed away for a moment, and was drained again; the refusal of its first order came while the store was asked for another's, and freed the place that the second order was to be noted in. Found by reading; the case that failed passes.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -119,9 +119,11 @@
             return
         self._drain(model, decision.draining)
         for server_id in ready:
-            # Gone, where it left the list while the store was asked.
+            # Gone, where it left the list while the store was asked. No longer
+            # drained, where an order before this one was refused meanwhile:
+            # the error would end the daemon.
             server = world.servers.get(server_id)
-            if server is not None:
+            if server is not None and led.rollout.is_draining(server_id):
                 self._load(led, server, wanted)
 
     async def _has_turn(self, model: str, led: _Led) -> bool:
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -278,6 +278,11 @@
                 replica.gets_work,
             )
 
+    def is_draining(self, server_id: str) -> bool:
+        """Returns whether a server is drained for an order still to come."""
+        progress = self._progress.get(server_id)
+        return progress is not None and progress.step is Step.DRAINING
+
     def ordered(self, server_id: str, *, now_ms: int) -> None:
         """Notes that a server was ordered to load weights."""
         self._progress[server_id] = dataclasses.replace(
@@ -290,8 +295,8 @@
         """Notes that a server has taken its order, and is at work on it.
 
         Until it reports the new weights it keeps its place. Given up after a
-        time, a load that lasts longer than expected was ordered again, refused
-        for that, and the next servers taken out of service beside it.
+        time, it would be ordered again and refused, and the next servers taken
+        out of service beside it.
         """
         progress = self._progress.get(server_id)
         if progress is not None:
