--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import server_inputs
+from godwittack.core import incarnation, server_inputs
 from godwittack.daemon import model_state, rollout_log, watch
 from godwittack.daemon import news as newses
 from godwittack.lead import answers, rollout, turn
@@ -297,7 +297,8 @@
         limit_ms = policy.load_limit_ms
         answer = await self._order(led, server, wanted)
         if answer.is_refusal:
-            led.rollout.failed(server.server_id)
+            if answer is not answers.Answer.RESTARTED:
+                led.rollout.failed(server.server_id)
             outcome = rollout_log.OrderOutcome.REFUSED
             limit_ms = 0
         elif answer is answers.Answer.TAKEN:
@@ -336,7 +337,11 @@
         self, led: _Led, server: entities.ServerRow, wanted: str
     ) -> answers.Answer:
         """Gives an order; returns what became of it."""
+        drained = server.incarnation
         state = await self._look(server)
+        if server.incarnation != drained:
+            # Its drain was the process's before; all daemons send work to it.
+            return answers.Answer.RESTARTED
         # Asked again right before sending: this daemon may have been stopped
         # since the last look, and another holder may be at work.
         if not led.lease.may_send(server.server_id):
@@ -374,14 +379,15 @@
     async def _look(
         self, server: entities.ServerRow
     ) -> backend.EngineLoad | None:
-        """Asks a server for its state and tells it where weights changed."""
+        """Asks a server for its state; tells new weights and a new start."""
         got = await self._client.load(
             server.address, server_id=server.server_id
         )
         if isinstance(got, Err):
             return None
         load = got.ok_value
-        if load.weights_version != server.weights_version:
+        restarted = incarnation.is_older(server.incarnation, load.incarnation)
+        if restarted or load.weights_version != server.weights_version:
             told = watch.report(server, load, self._core)
             self._core.submit(told)
             self._news.publish_load(told, server.target, now=True)
--- a/src/godwittack/lead/answers.py
+++ b/src/godwittack/lead/answers.py
@@ -26,6 +26,8 @@
     # again, it would keep a daemon in the lead, and a place among those that
     # load.
     OTHER_SERVER = enum.auto()
+    # Not given: the server started again after it was drained.
+    RESTARTED = enum.auto()
 
     @property
     def is_refusal(self) -> bool:
