Bound a taken order by the time in which old weights may be used

A server that takes an order and does not load would be out of service for 20 s, in a roll-out that must end in 10. Found by reading; no case plays such a server.

--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -174,6 +174,7 @@
             load_poll_ms=settings.load_poll_ms,
             follows=watch.Follows.ENGINE_LOADS | watch.Follows.CACHES,
         )
+        use_limit_ms = settings.policy().old_weights_limit_ms
         self._leader = lead.Leader(
             core=self.runtime,
             client=backend,
@@ -184,7 +185,9 @@
             rollout_policy=rollout.RolloutPolicy(
                 order_after_ms=ORDER_AFTER_MS,
                 load_limit_ms=LOAD_LIMIT_MS,
-                use_limit_ms=settings.policy().old_weights_limit_ms,
+                # Until then it would not be used with its old weights either.
+                taken_limit_ms=max(LOAD_LIMIT_MS, use_limit_ms),
+                use_limit_ms=use_limit_ms,
             ),
             measures=self._meters,
             mesh_limit=settings.mesh_limit,
