--- a/src/godwittack/daemon/model_state.py
+++ b/src/godwittack/daemon/model_state.py
@@ -53,8 +53,8 @@
     """Returns how long prompts wait at the servers that get work.
 
     Nothing waits where nothing is sent: counted in, servers with weights that
-    are too old made the wait seem low just when few carried it all, and half
-    of those were taken out as well.
+    are too old would make the wait seem low just when few carry it all, and
+    half of those would be taken out as well.
     """
     waits = [
         backlog.wait_ms(world, row, priority=LEAST_URGENT)
--- a/src/godwittack/lead/pacing.py
+++ b/src/godwittack/lead/pacing.py
@@ -17,11 +17,13 @@
 LEAST_LOADING = 2
 LOADING_PART = 0.37
 # Part of the replicas that may load at one time under load while there is
-# time: one of up to eleven. With a fixed number the time for all grows with
-# the fleet: one of 56 at a time needs 40 s.
+# time: one of up to eleven, as on the fleets of five or six where one at a time
+# is in time. With a fixed number the time for all grows with the fleet: one of
+# 56 at a time needs 40 s.
 PRESSED_PART = 1 / 6
 # Part of the time limit in which all are to be done. The rest, two seconds of
-# eight, is for a lead that is lost: its successor begins that much later.
+# eight, is for a start that is late and for part of the time without a lead:
+# a successor of one that is lost begins within two to four seconds.
 FINISH_PART = 0.75
 # Time from taking a replica out of service to its report of new weights,
 # assumed until loads were seen: 1.0 to 3.2 s under load, since the requests
@@ -83,8 +85,9 @@
 def most_loading(remaining: Remaining) -> int:
     """Returns how many may be taken out of service at one time.
 
-    Half of those that could serve go on. With two thirds of a fleet away, a
-    part of the whole fleet was all that answered: nobody took work.
+    Half of those that could serve go on, unless there is only one. With two
+    thirds of a fleet away, a part of the whole fleet may be all that answer,
+    and nobody would take work.
     """
     return min(most_at_store(remaining.replicas), max(1, remaining.able // 2))
 
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -52,7 +52,8 @@
         busy: Requests running or waiting there.
         is_reachable: Whether it answers; one that does not can't load.
         incarnation: Changes when the server starts again.
-        old_for_ms: For how long weights newer than its own are named.
+        old_for_ms: For how long weights newer than its own are named; -1
+            where none are.
         gets_work: Whether it gets work, which it does not where its weights are
             too old; taking it out of service then costs nothing.
     """
--- a/src/godwittack/member/right.py
+++ b/src/godwittack/member/right.py
@@ -72,7 +72,10 @@
         return now_ms - self.service_read_at_ms <= self.policy.lease_ms
 
     def newest_at_ms(self) -> int:
-        """Returns when the version was last read; a replica may have lagged."""
+        """Returns when the version was last read.
+
+        A replica may have lagged; what is named is dated late by that.
+        """
         return self.service_read_at_ms
 
     def until_ms(self, view: View, *, own_version: int, now_ms: int) -> int:
