Test that what is told while entries are kept back is taken in (fails)

What callers would see: new work at a server that leaves, for 2.3 s, from daemons that read the list themselves since its last change, while the only readers have just got their store back. Cause: they take the change for older than their reading, by the version that it is told at. Found by reading the change once more; the case fails as the code is (leaving is not believed).

--- a/tests/cases/freshness.py
+++ b/tests/cases/freshness.py
@@ -268,6 +268,24 @@
     assert news.published[-1][0] == {**changed, "b": None}
 
 
+def what_is_told_while_entries_are_kept_back_is_taken_in() -> None:
+    """A daemon that has read the list takes a change told at its version.
+
+    A reader that keeps entries back tells other changes at the version of its
+    last whole account. A daemon that had read the list itself, with the store
+    at version 9 and the list at 5, took that for older than its own reading: a
+    server that leaves got new work from it for 2.3 s more, until the rest was
+    told. Its reading showed nothing newer than 5, so that what follows on 5 is
+    newer than the reading.
+    """
+    peer, follower, known, _ = _list(is_reader=False)
+    follower.version, follower._newest = 5, 9
+    peer.rows_changed({"a": _instance("a")})
+    peer.told({"a": _instance("a", leaving=True)}, 5, 5)
+    assert peer._core.core.world.servers["a"].leaving
+    assert known.version == 5
+
+
 def an_answer_that_was_long_on_its_way_brings_nobody_back() -> None:
     """A reader's answer older than a peer's word is not told as the list.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -164,6 +164,7 @@
       | freshness | a leaving server is told by readers at once |
       | freshness | a reader that keeps entries back claims no newer list |
       | freshness | a gap is read also while more news comes |
+      | freshness | what is told while entries are kept back is taken in |
       | freshness | an answer that was long on its way brings nobody back |
       | freshness | older word does not replace what was read here |
       | freshness | an entry that came back by a peer's word stays |
