Believe changes told while their reader keeps entries back

A server that leaves would have got new work for 2.3 s more from daemons that read the list themselves, while its readers had just got their store back: the change is told at the version of the reader's last whole account, and was taken for older than the own reading. Only a daemon that keeps entries back itself has a reading newer than the list it counts as known; only there is older word told from newer now. Newer word also drops what waited to be told with the entries kept back, since its reader has told all of it.

--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -89,11 +89,7 @@
                 self._known.heard_of_newer(now_ms=self._core.clock.now_ms())
             return
         assert self.follower is not None
-        if version > self.follower.read_version:
-            # The list is whole with this: an entry that was kept back and is
-            # not named here is listed again.
-            self._missing = set()
-        else:
+        if self._missing and version <= self.follower.read_version:
             # Older than what was read here, but for the entries kept back.
             # Taken in, it would put an older entry in the place of that.
             changes = {
@@ -101,9 +97,12 @@
                 for name, instance in changes.items()
                 if instance is None and name in self._missing
             }
+        else:
+            # The list is whole with this: an entry that was kept back and is
+            # not named here is listed again, and its reader has told the rest.
+            self._missing = set()
+            self._untold.clear()
         self._put(changes)
-        for name in changes:
-            self._untold.pop(name, None)
         self._known.changed(version)
 
     def drop_missing(self) -> None:
