Check two leads' orders by one function in both kinds of session

The sessions of three leads and those of large fleets held the same check of a server's orders, and the same record of one, twice; a case built a load report that watch.report makes. One module, sent_orders, serves both now.

--- a/tests/cases/rollout_bounds.py
+++ b/tests/cases/rollout_bounds.py
@@ -11,7 +11,7 @@
 from cases import one_lead
 from godwittack.backend import protocol as backend
 from godwittack.core import backlog, inputs, server_inputs
-from godwittack.daemon import lead, model_state
+from godwittack.daemon import lead, model_state, watch
 from godwittack.lead import lease, pacing, rollout
 from godwittack.member import duty, view
 from sim import fakes, loop
@@ -82,23 +82,10 @@
                 got = await self.engines.load(
                     row.address, server_id=row.server_id
                 )
-                version = got.ok_value.weights_version
+                load = got.ok_value
                 is_engine = row.target == one_lead.MODEL
-                if is_engine and version != row.weights_version:
-                    self.runtime.submit(
-                        server_inputs.LoadReported(
-                            at_ms=self.clock.now_ms(),
-                            server_id=row.server_id,
-                            incarnation=row.server_id,
-                            weights_version=version,
-                            running=0,
-                            waiting=0,
-                            waiting_tokens=0,
-                            prefill_us_per_token=0,
-                            slots=16,
-                            leaving=False,
-                        )
-                    )
+                if is_engine and load.weights_version != row.weights_version:
+                    self.runtime.submit(watch.report(row, load, self.runtime))
             await asyncio.sleep(0.1)
 
 
--- a/tests/sim/large_fleets.py
+++ b/tests/sim/large_fleets.py
@@ -24,7 +24,14 @@
 from godwittack.daemon import lead, news
 from godwittack.lead import lease, rollout
 from godwittack.member import view
-from sim import fakes, leads, loading_engines, loop, weights_promises
+from sim import (
+    fakes,
+    leads,
+    loading_engines,
+    loop,
+    sent_orders,
+    weights_promises,
+)
 
 MODEL = routed_core.ENGINES
 DAEMONS = 3
@@ -166,7 +173,7 @@
             service=self.way,
             members=types.SimpleNamespace(me=self.me, serving=fleet.members),
             news=News(self),
-            policy=lease.LeasePolicy(lease_ms=weights_promises.LEASE_MS),
+            policy=lease.LeasePolicy(lease_ms=sent_orders.LEASE_MS),
             rollout_policy=ROLLOUT_POLICY,
         )
         self.task = fleet.spawn(self.lead.lead_forever(step_ms=LEAD_STEP_MS))
@@ -328,7 +335,7 @@
         """Takes an order; some are carried out long after."""
         del address
         engine = self.fleet.engines.engines[order.server_id]
-        sent = loading_engines.SentOrder(
+        sent = sent_orders.SentOrder(
             order.holder, order.fencing, self.fleet.now_s()
         )
         self.fleet.promises.ordered(engine, sent)
--- a/tests/sim/leads.py
+++ b/tests/sim/leads.py
@@ -10,25 +10,15 @@
 
 from godwittack.lead import lease, pacing, rollout, turn
 from godwittack.store import protocol as platform
-from sim import fakes, loop
+from sim import fakes, loop, sent_orders
 
 STEP_S = 0.1
 LOAD_S = 0.6
-LEASE_MS = 3_000
 # Orders that arrive so soon after a pause of their sender are no fault of it:
 # it was stopped between its last look at the clock and the sending.
 THAW_S = 0.3
 
 
-@dataclasses.dataclass
-class Ordered:
-    """An order as it left its holder."""
-
-    holder: str
-    fencing: int
-    at_s: float
-
-
 @dataclasses.dataclass
 class FakeReplica:
     """One replica: what it runs, when it loads, and who ordered it."""
@@ -40,7 +30,9 @@
     draining_until: float = 0.0
     born: int = 1
     taken: int = 0
-    ordered: list[Ordered] = dataclasses.field(default_factory=list)
+    ordered: list[sent_orders.SentOrder] = dataclasses.field(
+        default_factory=list
+    )
 
 
 class CutTable:
@@ -103,14 +95,11 @@
         self.wanted = version
         self.wanted_since_s = self.loop.time()
 
-    def sent(self, replica: FakeReplica, order: Ordered) -> None:
+    def sent(self, replica: FakeReplica, order: sent_orders.SentOrder) -> None:
         """Checks an order against those that other holders sent before."""
-        for before in replica.ordered:
-            if before.holder == order.holder:
-                continue
-            apart_ms = (order.at_s - before.at_s) * 1000
-            if apart_ms < LEASE_MS or order.fencing <= before.fencing:
-                self.two_at_once.append(f"{replica.name}: {before}, {order}")
+        self.two_at_once += sent_orders.conflicts(
+            replica.name, replica.ordered, order
+        )
         replica.ordered.append(order)
 
     async def load(
@@ -189,7 +178,7 @@
             service=self.way,
             name="rulebook",
             holder=name,
-            policy=lease.LeasePolicy(lease_ms=LEASE_MS),
+            policy=lease.LeasePolicy(lease_ms=sent_orders.LEASE_MS),
             clock=world.clock,
         )
         self.rollout = rollout.Rollout()
@@ -282,7 +271,9 @@
         if not self.lease.may_send(replica.name):
             return
         self.rollout.ordered(replica.name, now_ms=world.clock.now_ms())
-        order = Ordered(self.name, self.lease.fencing, world.loop.time())
+        order = sent_orders.SentOrder(
+            self.name, self.lease.fencing, world.loop.time()
+        )
         if world.loop.time() - self.paused_until_s > THAW_S:
             world.sent(replica, order)
         world.spawn(world.load(replica, wanted, replica.born, replica.taken))
--- a/tests/sim/loading_engines.py
+++ b/tests/sim/loading_engines.py
@@ -5,6 +5,8 @@
 import dataclasses
 import random
 
+from sim import sent_orders
+
 TICK_S = 0.05
 # The weight store slows down while more than this part of the fleet loads.
 LOADING_PART = 0.37
@@ -15,15 +17,6 @@
 LONG_RUN_PART = 0.04
 
 
-@dataclasses.dataclass(frozen=True)
-class SentOrder:
-    """An order as it left its holder."""
-
-    holder: str
-    fencing: int
-    at_s: float
-
-
 @dataclasses.dataclass
 class Engine:
     """One engine: what it runs, what it loads, and who ordered it.
@@ -45,7 +38,7 @@
     loads: int = 0
     load_left_s: float = 0.0
     is_late: bool = False
-    sent: list[SentOrder] = dataclasses.field(default_factory=list)
+    sent: list[sent_orders.SentOrder] = dataclasses.field(default_factory=list)
 
     @property
     def incarnation(self) -> str:
--- a/tests/sim/weights_promises.py
+++ b/tests/sim/weights_promises.py
@@ -5,9 +5,8 @@
 import collections
 import contextlib
 
-from sim import loading_engines
+from sim import loading_engines, sent_orders
 
-LEASE_MS = 3_000
 # The operators allow a request on replaced weights for so long after a naming,
 # and the fleet for longer, in which a tenth of it may be behind.
 USE_S = 10.0
@@ -62,15 +61,12 @@
         self.calm_since_s = now_s
 
     def ordered(
-        self, engine: loading_engines.Engine, order: loading_engines.SentOrder
+        self, engine: loading_engines.Engine, order: sent_orders.SentOrder
     ) -> None:
         """Checks an order against those that other holders sent before."""
-        for before in engine.sent:
-            if before.holder == order.holder:
-                continue
-            apart_ms = (order.at_s - before.at_s) * 1000
-            if apart_ms < LEASE_MS or order.fencing <= before.fencing:
-                self.two_at_once.append(f"{engine.name}: {before}, {order}")
+        self.two_at_once += sent_orders.conflicts(
+            engine.name, engine.sent, order
+        )
         engine.sent.append(order)
 
     def worked(self, engine: loading_engines.Engine, now_s: float) -> None:
