--- a/tests/cases/leading.py
+++ b/tests/cases/leading.py
@@ -281,3 +281,25 @@
         assert "e2" in first.held()
 
     one_lead.play(case())
+
+
+def a_drain_by_the_lead_before_is_told_again() -> None:
+    """A lead tells the drains that it counts on, whoever began them.
+
+    A lead was lost after it had drained an engine, and its notice had reached
+    the next lead alone. That one saw the engine drained and gave its order
+    100 ms later, while all others sent requests there.
+    """
+
+    async def case() -> None:
+        led = one_lead.Led()
+        now_ms = led.clock.now_ms()
+        led.runtime.submit(
+            server_inputs.ServerDraining(now_ms, "e1", now_ms + 3_000)
+        )
+        await led.run(for_s=0.5)
+        ordered = {order.server_id for order in led.engines.orders}
+        assert "e1" in ordered, ordered
+        assert ordered <= led.news.drained, (ordered, led.news.drained)
+
+    one_lead.play(case())
--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -163,6 +163,29 @@
     assert drained == ("r0", "r1", "r2", "r3"), drained
 
 
+def held_servers_without_work_leave_room_to_those_that_serve() -> None:
+    """Servers held for another lead that get no work take nobody's place.
+
+    A lead took over while ten servers whose weights were too old for use were
+    held for the lead before. They were counted against the room of those that
+    serve, so that none of these was ordered until the hold was over, though
+    the time for their weights ran out as well.
+    """
+    rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
+    replicas = [
+        _replica(f"r{n:02}", old_for_ms=8_000, gets_work=n >= 10)
+        for n in range(56)
+    ]
+    drained = rolling.decide(
+        wanted="2",
+        replicas=replicas,
+        now_ms=0,
+        is_pressed=True,
+        held={f"r{n:02}" for n in range(10)},
+    ).draining
+    assert len(drained) == 56 // 6, drained
+
+
 def the_oldest_weights_are_replaced_first() -> None:
     """With namings that follow each other, no server is passed over.
 
@@ -244,6 +267,50 @@
     assert seen.estimate_ms == 3_000, seen
 
 
+def a_pause_of_the_lead_is_no_slow_load() -> None:
+    """Time in which the lead itself stood still says little of loads.
+
+    A lead that was suspended for ten seconds took that for the time of a load.
+    The estimate fell by a fifth with each load after it: eleven later it still
+    had half of the fleet out of service under load, with time for a sixth.
+    """
+    rolling = rollout.Rollout(
+        rollout.RolloutPolicy(load_limit_ms=4_000, use_limit_ms=12_000)
+    )
+    rolling.loaded(took_ms=12_000)
+    for _ in range(6):
+        rolling.loaded(took_ms=1_000)
+    decided = rolling.decide(
+        wanted="2",
+        replicas=[_replica(f"r{n:02}") for n in range(56)],
+        now_ms=0,
+        is_pressed=True,
+    )
+    assert decided.overview.load_ms < 2_000, decided.overview
+    assert decided.overview.room < 20, decided.overview
+
+
+def a_server_that_refuses_each_order_serves_between_them() -> None:
+    """Between two tries a server that takes no order gets work.
+
+    A server refused each order, as one whose weights can't be loaded does. It
+    was drained again with the next step: out of service in each of 200 steps
+    of a tenth of a second, with 100 orders and a write of the store for each.
+    """
+    rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
+    replicas = [_replica("a")]
+    orders = drained = 0
+    for now_ms in range(0, 20_000, 100):
+        decided = rolling.decide(wanted="2", replicas=replicas, now_ms=now_ms)
+        drained += len(decided.draining)
+        for name in decided.load:
+            orders += 1
+            rolling.ordered(name, now_ms=now_ms)
+            rolling.failed(name)
+    assert 5 <= orders <= 20, orders
+    assert drained <= 40, drained
+
+
 def a_refused_order_counts_for_its_version_alone() -> None:
     """A server that took no order once is not last for ever.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -137,6 +137,7 @@
       | leading | a server whose address another has is not ordered again |
       | leading | a server is drained anew for each load |
       | leading | a lead that was cut off takes nothing over unseen |
+      | leading | a drain by the lead before is told again |
 
     Examples: roll-outs over many servers
       | group    | case |
@@ -150,6 +151,9 @@
       | rollouts | a short load lowers the estimate slowly |
       | rollouts | a refused order counts for its version alone |
       | rollouts | a server with any newer weights is drained no more |
+      | rollouts | held servers without work leave room to those that serve |
+      | rollouts | a pause of the lead is no slow load |
+      | rollouts | a server that refuses each order serves between them |
 
     Examples: what peers say of the store
       | group | case |
