Tell a drain that the lead before had begun

Requests would go to an engine that has been ordered to load, where the notice of its drain by a lead that was lost reached the next lead alone: whether a notice was due was asked of what this daemon knew, not of what it had told. Both are asked now.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -38,6 +38,8 @@
 class _Led:
     lease: leases.Lease
     rollout: rollout.Rollout
+    # When this daemon last told of each drain.
+    drains_told_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     store_again_ms: int = 0
 
 
@@ -117,7 +119,7 @@
         ready = [name for name in decision.load if led.lease.may_send(name)]
         if not await self._may_go_on(model, led, decision):
             return
-        self._drain(model, decision.draining)
+        self._drain(led, model, decision.draining)
         for server_id in ready:
             # Gone, where it left the list while the store was asked. No longer
             # drained, where an order before this one was refused meanwhile:
@@ -226,13 +228,14 @@
             led.lease.idle_ms(),
         )
 
-    def _drain(self, model: str, server_ids: Iterable[str]) -> None:
+    def _drain(self, led: _Led, model: str, server_ids: Iterable[str]) -> None:
         """Takes servers out of service, and keeps those out that are.
 
-        What counts is whether one is drained, not when that was last told: a
-        drain ends with the weights that it was for, and the next load of the
-        same server may follow at once. Its order would go to a server that all
-        daemons send work to.
+        A drain ends with the weights that it was for, and the next load of the
+        same server may follow at once; and one that the lead before told may
+        have been heard here alone. Either way the order would go to a server
+        that others send work to, so that a notice is spared only where this
+        daemon has told one that still holds.
         """
         now_ms = self._core.clock.now_ms()
         until_ms = now_ms + newses.DRAIN_MS
@@ -240,8 +243,11 @@
         for server_id in server_ids:
             row = servers.get(server_id)
             drained_until_ms = 0 if row is None else row.draining_until_ms
-            if until_ms - drained_until_ms < DRAIN_REPEAT_MS:
+            told_ms = led.drains_told_ms.get(server_id, -DRAIN_REPEAT_MS)
+            told_until_ms = min(drained_until_ms, told_ms + newses.DRAIN_MS)
+            if until_ms - told_until_ms < DRAIN_REPEAT_MS:
                 continue
+            led.drains_told_ms[server_id] = now_ms
             self._core.submit(
                 server_inputs.ServerDraining(now_ms, server_id, until_ms)
             )
