Count only held servers that get work against those that do

A lead that takes over ordered nobody, while ten servers that it may not order yet and that got no work anyway were held: all held ones were taken off the room of those that serve. They count against what the weight store bears alone now.

--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -158,7 +158,8 @@
         for name in list(self._progress):
             self._finish(name, known.get(name), now_ms)
         behind = self._behind(replicas, wanted)
-        held_behind = sum(replica.server_id in held for replica in behind)
+        held_behind = [r for r in behind if r.server_id in held]
+        held_at_work = sum(replica.gets_work for replica in held_behind)
         remaining = self._remaining(replicas, behind, now_ms)
         room = pacing.most_loading(remaining)
         if is_pressed:
@@ -166,8 +167,8 @@
         self._take(
             [replica for replica in behind if replica.server_id not in held],
             now_ms=now_ms,
-            room=room - held_behind,
-            most=pacing.most_at_store(len(replicas)) - held_behind,
+            room=room - held_at_work,
+            most=pacing.most_at_store(len(replicas)) - len(held_behind),
         )
         load = tuple(
             name
@@ -183,7 +184,7 @@
             ),
             draining=steps.count(Step.DRAINING),
             loading=steps.count(Step.LOADING),
-            held=held_behind,
+            held=len(held_behind),
             room=room,
             load_ms=round(remaining.load_ms),
         )
