--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -12,6 +12,13 @@
     from collections.abc import Collection, Sequence
 
 
+# Pause before a server that refused an order is drained again, and its growth:
+# one that starts takes an order within a second; one that never does is tried
+# every few seconds.
+REFUSED_FIRST_MS = 200
+REFUSED_MOST_MS = 3_200
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RolloutPolicy:
     """Times of a roll-out.
@@ -126,7 +133,9 @@
     policy: RolloutPolicy = RolloutPolicy()
     _progress: dict[str, _Progress] = dataclasses.field(default_factory=dict)
     _wanted: str = ""
+    _now_ms: int = 0
     _failures: dict[str, int] = dataclasses.field(default_factory=dict)
+    _again_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     _load_time: pacing.LoadTime = dataclasses.field(
         default_factory=pacing.LoadTime
     )
@@ -151,9 +160,11 @@
             held: Servers that another holder ordered a moment ago. Those that
                 are behind may be loading, and may not be ordered yet.
         """
+        self._now_ms = now_ms
         if wanted != self._wanted:
             self._wanted = wanted
             self._failures.clear()
+            self._again_ms.clear()
         known = {replica.server_id: replica for replica in replicas}
         for name in list(self._progress):
             self._finish(name, known.get(name), now_ms)
@@ -269,6 +280,8 @@
                 return
             if replica.server_id in self._progress:
                 continue
+            if now_ms < self._again_ms.get(replica.server_id, now_ms):
+                continue
             if replica.gets_work:
                 if used >= room:
                     continue
@@ -317,9 +330,16 @@
         """Notes that a server took no order; its turn comes after the others.
 
         One that is dark would hold up those that could load meanwhile. Counted
-        for one version: last in each later roll-out, it would grow too old.
+        for one version: last in each later roll-out, it would grow too old. It
+        serves for a while before it is tried again; drained at once, one that
+        refuses each order would never serve.
         """
-        self._failures[server_id] = self._failures.get(server_id, 0) + 1
+        failures = self._failures.get(server_id, 0) + 1
+        pause_ms = min(
+            REFUSED_MOST_MS, REFUSED_FIRST_MS << min(failures - 1, 4)
+        )
+        self._failures[server_id] = failures
+        self._again_ms[server_id] = self._now_ms + pause_ms
         self._progress.pop(server_id, None)
 
     def withdraw(self, server_ids: Collection[str]) -> None:
