Keep what a server refused in one place

Refusals of an order and the pause after them were two tables beside a time kept from the last decision; they are one record now, and the time of a refusal is told like that of an order.

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -283,10 +283,8 @@
         return _Led(lease, rollout.Rollout(self._rollout_policy))
 
     def _load(self, led: _Led, server: entities.ServerRow, wanted: str) -> None:
-        led.rollout.ordered(
-            server.server_id,
-            now_ms=self._core.clock.now_ms(),
-        )
+        now_ms = self._core.clock.now_ms()
+        led.rollout.ordered(server.server_id, now_ms=now_ms)
         task = asyncio.create_task(self._order_and_watch(led, server, wanted))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -302,7 +300,7 @@
         answer = await self._order(led, server, wanted)
         if answer.is_refusal:
             if answer is not answers.Answer.RESTARTED:
-                led.rollout.failed(server.server_id)
+                led.rollout.failed(server.server_id, now_ms=clock.now_ms())
             outcome = rollout_log.OrderOutcome.REFUSED
             limit_ms = 0
         elif answer is answers.Answer.TAKEN:
--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -122,6 +122,16 @@
     is_taken: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusals:
+    # Orders refused for one version, and until when no other is given.
+    count: int
+    until_ms: int
+
+
+_NONE = _Refusals(0, 0)
+
+
 @dataclasses.dataclass(slots=True)
 class Rollout:
     """One model's roll-out, made anew by whoever holds the lease.
@@ -133,9 +143,7 @@
     policy: RolloutPolicy = RolloutPolicy()
     _progress: dict[str, _Progress] = dataclasses.field(default_factory=dict)
     _wanted: str = ""
-    _now_ms: int = 0
-    _failures: dict[str, int] = dataclasses.field(default_factory=dict)
-    _again_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    _refusals: dict[str, _Refusals] = dataclasses.field(default_factory=dict)
     _load_time: pacing.LoadTime = dataclasses.field(
         default_factory=pacing.LoadTime
     )
@@ -160,11 +168,9 @@
             held: Servers that another holder ordered a moment ago. Those that
                 are behind may be loading, and may not be ordered yet.
         """
-        self._now_ms = now_ms
         if wanted != self._wanted:
             self._wanted = wanted
-            self._failures.clear()
-            self._again_ms.clear()
+            self._refusals.clear()
         known = {replica.server_id: replica for replica in replicas}
         for name in list(self._progress):
             self._finish(name, known.get(name), now_ms)
@@ -217,7 +223,7 @@
                 if replica.weights_version != wanted and replica.is_reachable
             ),
             key=lambda r: (
-                self._failures.get(r.server_id, 0),
+                self._refusals.get(r.server_id, _NONE).count,
                 r.gets_work,
                 -r.old_for_ms,
                 r.busy,
@@ -280,7 +286,7 @@
                 return
             if replica.server_id in self._progress:
                 continue
-            if now_ms < self._again_ms.get(replica.server_id, now_ms):
+            if now_ms < self._refusals.get(replica.server_id, _NONE).until_ms:
                 continue
             if replica.gets_work:
                 if used >= room:
@@ -326,7 +332,7 @@
         """
         self._load_time.saw(min(took_ms, self.policy.load_limit_ms))
 
-    def failed(self, server_id: str) -> None:
+    def failed(self, server_id: str, *, now_ms: int) -> None:
         """Notes that a server took no order; its turn comes after the others.
 
         One that is dark would hold up those that could load meanwhile. Counted
@@ -334,12 +340,10 @@
         serves for a while before it is tried again; drained at once, one that
         refuses each order would never serve.
         """
-        failures = self._failures.get(server_id, 0) + 1
-        pause_ms = min(
-            REFUSED_MOST_MS, REFUSED_FIRST_MS << min(failures - 1, 4)
-        )
-        self._failures[server_id] = failures
-        self._again_ms[server_id] = self._now_ms + pause_ms
+        count = self._refusals.get(server_id, _NONE).count + 1
+        doubled_ms = REFUSED_FIRST_MS * 2 ** min(count - 1, 10)
+        until_ms = now_ms + min(doubled_ms, REFUSED_MOST_MS)
+        self._refusals[server_id] = _Refusals(count, until_ms)
         self._progress.pop(server_id, None)
 
     def withdraw(self, server_ids: Collection[str]) -> None:
--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -306,7 +306,7 @@
         for name in decided.load:
             orders += 1
             rolling.ordered(name, now_ms=now_ms)
-            rolling.failed(name)
+            rolling.failed(name, now_ms=now_ms)
     assert 5 <= orders <= 20, orders
     assert drained <= 40, drained
 
@@ -324,7 +324,7 @@
     rolling.decide(wanted="2", replicas=replicas, now_ms=0)
     for name in rolling.decide(wanted="2", replicas=replicas, now_ms=100).load:
         rolling.ordered(name, now_ms=100)
-        rolling.failed(name)
+        rolling.failed(name, now_ms=100)
     after = rolling.decide(wanted="2", replicas=replicas, now_ms=200)
     assert after.draining == ("c", "d"), after.draining
     newer = [
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -161,7 +161,7 @@
     assert ordered == ("a", "b"), ordered
     for name in ordered:
         rolling.ordered(name, now_ms=100)
-    rolling.failed("a")
+    rolling.failed("a", now_ms=100)
     drained = rolling.decide(wanted="2", replicas=behind, now_ms=200).draining
     assert drained == ("b", "c"), drained
 
