Ask the view who has not answered yet

The view of members, which keeps those rows, answers that now. Same condition; graceful_stop and fleet features pass.

--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -143,12 +143,7 @@
         while True:
             started_ms = clock.now_ms()
             await self.spread_now()
-            unheard = [
-                row
-                for row in self.members.rows.values()
-                if row.member.state is not view.MemberState.DEAD
-                and (row.failed_pings or row.probed_at_ms < started_ms)
-            ]
+            unheard = self.members.unheard(since_ms=started_ms)
             if not unheard or clock.now_ms() >= ends_ms:
                 return
             await asyncio.sleep(LEAVE_PAUSE_MS / 1000)
--- a/src/godwittack/member/view.py
+++ b/src/godwittack/member/view.py
@@ -144,6 +144,15 @@
             self._serving = [m for m in live if m.state is MemberState.ALIVE]
         return self._serving
 
+    def unheard(self, *, since_ms: int) -> list[MemberRow]:
+        """Returns members not known dead that have not answered since then."""
+        return [
+            row
+            for row in self.rows.values()
+            if row.member.state is not MemberState.DEAD
+            and (row.failed_pings or row.probed_at_ms < since_ms)
+        ]
+
     def probe_targets(self) -> list[Member]:
         """Returns whom to probe this tick, each in turn in random order."""
         live = [
