Let daemons of a large fleet save up for a retry

Callers saw: at 340 daemons and a burst of 166 a request declined by a server was answered 503 though other servers were free; no daemon ever retried. Cause: each daemon kept at most its part of the burst, 0.49 of a retry, and a retry takes a whole one. Change: a part below one is completed by savings, 0.05 of a retry a request, forgotten after ten seconds. Parts of one and more behave as before. Ruled out: rounding parts up to one (340 retries of 166 allowed in the first window); lending by news (the sum then depends on views that differ). Before: the case sent nothing again. After: it does, and in a simulated minute of 340 daemons that retry by bursts no window exceeds its budget.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -207,7 +207,7 @@
     retry_budget: budget.Budget = dataclasses.field(
         default_factory=budget.Budget
     )
-    target_budgets: dict[str, budget.Budget] = dataclasses.field(
+    target_budgets: dict[str, budget.SharedBudget] = dataclasses.field(
         default_factory=dict
     )
     spill_budget: budget.Budget = dataclasses.field(
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -23,6 +23,10 @@
         max_resumes: Resumptions of one stream without a new frame between.
         retry_ratio: Retries allowed a request accepted.
         retry_burst: Retries allowed at once after a quiet time.
+        retry_saved_ratio: Retries saved a request accepted by a daemon whose
+            part of the burst is less than one; with `retry_ratio`, at most
+            what operators allow.
+        retry_window_ms: Time for which such savings hold.
         failures_to_eject: Broken connections in a row until a backend server
             is paused; one that accepts no connection is paused at once.
         deadline_part: Part of the time left that an estimate may take up;
@@ -60,6 +64,8 @@
     max_resumes: int = 3
     retry_ratio: float = 0.1
     retry_burst: float = 10.0
+    retry_saved_ratio: float = 0.05
+    retry_window_ms: int = 10_000
     deadline_part: float = 0.8
     spill_ratio: float = 0.02
     spill_burst: float = 4.0
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -45,14 +45,21 @@
         return Limit.DEADLINE
     if _tries_used(world, request):
         return Limit.ATTEMPTS
-    if not _budget(world, request.work.target).spend():
-        return Limit.BUDGET
-    return None
+    return None if _spend(world, request.work.target) else Limit.BUDGET
 
 
 def earn(world: entities.World, target: str) -> None:
     """Counts an accepted request, which earns a part of a retry."""
-    _budget(world, target).earn()
+    if world.policy.budget_by_target:
+        _shared_budget(world, target).earn(now_ms=world.now_ms)
+    else:
+        world.retry_budget.earn()
+
+
+def _spend(world: entities.World, target: str) -> bool:
+    if world.policy.budget_by_target:
+        return _shared_budget(world, target).spend(now_ms=world.now_ms)
+    return world.retry_budget.spend()
 
 
 def _tries_used(world: entities.World, request: entities.RequestRow) -> bool:
@@ -65,25 +72,25 @@
     return request.runs >= route.max_attempts or declined > MAX_DECLINED
 
 
-def _budget(world: entities.World, target: str) -> budget.Budget:
-    """Returns the budget that a retry at `target` is taken from.
+def _shared_budget(world: entities.World, target: str) -> budget.SharedBudget:
+    """Returns this daemon's part of the budget for retries at `target`.
 
-    The burst is dealt to the live daemons. While views differ, one that knows
-    few others would take a larger part than it has, so that the most daemons
-    ever seen count.
+    While views differ, a daemon that knows few others would take a larger
+    part than it has, so that the most daemons ever seen count.
     """
     policy = world.policy
-    if not policy.budget_by_target:
-        return world.retry_budget
     world.most_daemons = max(world.most_daemons, len(world.live_daemons))
-    burst = policy.retry_burst / world.most_daemons
+    part = policy.retry_burst / world.most_daemons
     found = world.target_budgets.get(target)
     if found is None:
-        found = world.target_budgets[target] = budget.Budget(
-            ratio=policy.retry_ratio, burst=burst, tokens=burst
+        found = world.target_budgets[target] = budget.SharedBudget(
+            ratio=policy.retry_ratio,
+            saved_ratio=policy.retry_saved_ratio,
+            window_ms=policy.retry_window_ms,
+            part=part,
+            tokens=part,
         )
-    found.burst = burst
-    found.tokens = min(found.tokens, burst)
+    found.resize(part)
     return found
 
 
--- a/src/godwittack/limit/budget.py
+++ b/src/godwittack/limit/budget.py
@@ -1,4 +1,4 @@
-"""A budget that keeps something a small part of the requests."""
+"""Budgets that keep something a small part of the requests."""
 
 from __future__ import annotations
 
@@ -34,4 +34,66 @@
         return True
 
 
-__all__ = ["Budget"]
+@dataclasses.dataclass(slots=True, kw_only=True)
+class SharedBudget:
+    """One daemon's part of a budget that holds for all daemons together.
+
+    The burst is divided evenly. A part of less than one token is completed by
+    savings: a smaller ratio of the requests, forgotten after a window. In any
+    window all daemons then spend at most the burst, `ratio` of the requests
+    in it, and `saved_ratio` of those in the window before.
+
+    Attributes:
+        ratio: Tokens earned a request below the own part.
+        saved_ratio: Tokens saved a request at the own part.
+        window_ms: Time after which savings are forgotten.
+        part: This daemon's part of the burst.
+        tokens: Tokens left of that part.
+        saved: Savings of the current half of a window and the one before.
+    """
+
+    ratio: float
+    saved_ratio: float
+    window_ms: int
+    part: float
+    tokens: float
+    saved: tuple[float, float] = (0.0, 0.0)
+    _half: int = 0
+
+    def resize(self, part: float) -> None:
+        """Takes another part, as daemons come or go."""
+        self.part = part
+        self.tokens = min(self.tokens, part)
+
+    def earn(self, *, now_ms: int) -> None:
+        """Counts one accepted request."""
+        if self.tokens < self.part:
+            self.tokens = min(self.part, self.tokens + self.ratio)
+            return
+        self._forget(now_ms)
+        current, before = self.saved
+        missing = max(0.0, 1.0 - self.part - current - before)
+        self.saved = (current + min(missing, self.saved_ratio), before)
+
+    def spend(self, *, now_ms: int) -> bool:
+        """Takes a token, or returns False where none is left."""
+        self._forget(now_ms)
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return True
+        if self.tokens + sum(self.saved) < 1.0 - 1e-9:
+            return False
+        self.tokens = max(0.0, self.tokens + sum(self.saved) - 1.0)
+        self.saved = (0.0, 0.0)
+        return True
+
+    def _forget(self, now_ms: int) -> None:
+        half = now_ms * 2 // self.window_ms
+        if half > self._half + 1:
+            self.saved = (0.0, 0.0)
+        elif half > self._half:
+            self.saved = (0.0, self.saved[0])
+        self._half = max(self._half, half)
+
+
+__all__ = ["Budget", "SharedBudget"]
--- a/tests/cases/fleet_bounds.py
+++ b/tests/cases/fleet_bounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
 
 from result import Ok
@@ -10,6 +11,7 @@
 from cases import connections, one_lead, routed_core
 from godwittack.core import effects, inputs, server_inputs
 from godwittack.daemon import news
+from godwittack.limit import budget
 from godwittack.member import duty, view
 from sim import loop
 from standins.scripted import Say, ScriptedServer
@@ -68,6 +70,49 @@
     assert core.find(effects.Dispatch), core.made
 
 
+def retries_of_a_fleet_stay_within_their_budget() -> None:
+    """In no window do all daemons together retry more than is allowed.
+
+    Daemons whose part of the burst is less than one retry save up for one;
+    savings of many windows spent in one would exceed the budget.
+    """
+    rng = random.Random(7)
+    window_ms, burst, allowed_ratio = 10_000, 166.0, 0.2
+    part = burst / DAEMONS
+    budgets = [
+        budget.SharedBudget(
+            ratio=0.15,
+            saved_ratio=0.05,
+            window_ms=window_ms,
+            part=part,
+            tokens=part,
+        )
+        for _ in range(DAEMONS)
+    ]
+    requests, retries = collections.Counter(), collections.Counter()
+    for now_ms in range(0, 6 * window_ms, 20):
+        eager = rng.random() < (0.9 if now_ms % 30_000 > 18_000 else 0.0)
+        for _ in range(rng.randrange(30)):
+            one = rng.choice(budgets)
+            one.earn(now_ms=now_ms)
+            requests[now_ms] += 1
+            if eager:
+                retries[now_ms] += one.spend(now_ms=now_ms)
+    for start_ms in range(0, 5 * window_ms, 500):
+        spent = _between(retries, start_ms, start_ms + window_ms)
+        accepted = max(
+            _between(requests, start_ms - before_ms, start_ms + after_ms)
+            for before_ms, after_ms in ((0, window_ms), (window_ms, 0))
+        )
+        allowed = burst + allowed_ratio * accepted
+        assert spent <= allowed, (start_ms, spent, allowed)
+    assert sum(retries.values()) > burst, sum(retries.values())
+
+
+def _between(counts, start_ms: int, end_ms: int) -> int:
+    return sum(n for at_ms, n in counts.items() if start_ms <= at_ms < end_ms)
+
+
 async def a_full_server_is_not_taken_for_gone() -> None:
     """A server that accepts a connection and resets it is full, not gone.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -210,6 +210,7 @@
       | fleet_bounds | each daemon of a large fleet may retry |
       | fleet_bounds | a full server is not taken for gone |
       | fleet_bounds | loads told in a large fleet are news |
+      | fleet_bounds | retries of a fleet stay within their budget |
 
     Examples: starts of test clusters
       | group  | case |
