Tell a full server from one that is gone

Callers saw: 2,063 calls of a plain service refused in 13 s on a fleet of 63 daemons with both of its servers alive. Cause: a server with a long queue accepts a connection and resets it. That counted as the end of its process, and it was paused for 1, 2, 4 s by each daemon on its own. Change: a connection that was opened and reset before anything was sent counts as declined; the server stays in service and is used last for 300 ms. One that doesn't accept is paused as before. Before: CONNECT, BROKEN in the case. After: CONNECT, REFUSED.

--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -25,6 +25,10 @@
 TURNED_AWAY_MS = 4
 
 
+class TurnedAwayError(ConnectionResetError):
+    """The server accepted a connection and reset it unused."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EchoedLoad:
     """Load that a server tells with an answer."""
@@ -124,7 +128,7 @@
             except OSError as error:
                 sink.failed(
                     inputs.FailurePhase.CONNECT,
-                    inputs.FailureCause.BROKEN,
+                    _connect_cause(error),
                     str(error),
                 )
                 return
@@ -152,7 +156,8 @@
         that may run once would end there; nothing written, it goes elsewhere.
 
         Raises:
-            OSError: Not opened, or reset before anything was sent.
+            TurnedAwayError: Accepted and reset before anything was sent.
+            OSError: Not opened.
         """
         used = await self._pool.open(dispatch.address)
         if not dispatch.fresh_connection:
@@ -164,7 +169,7 @@
             raise
         if not used.is_open:
             used.close()
-            raise ConnectionResetError("reset before anything was sent")
+            raise TurnedAwayError("reset before anything was sent")
         return used
 
     async def cancel(self, address: str, stream_id: str) -> None:
@@ -298,6 +303,13 @@
         return Ok(body)
 
 
+def _connect_cause(error: OSError) -> inputs.FailureCause:
+    """Tells a live server without room from one that can't be reached."""
+    if isinstance(error, TurnedAwayError):
+        return inputs.FailureCause.REFUSED
+    return inputs.FailureCause.BROKEN
+
+
 async def _relay(
     used: connections.Connection,
     reply: connections.Reply,
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -122,6 +122,7 @@
             expected tokens.
         failures: Failures in a row.
         ejected_until_ms: No new work before this time.
+        full_until_ms: Used only where no other server is, before this time.
         backlog: Until when it computes prompts, by their priority.
         begun_sent_ms: When the last request was sent that it has begun to
             answer, by priority.
@@ -150,6 +151,7 @@
     asked_at_ms: int = -1_000_000
     failures: int = 0
     ejected_until_ms: int = 0
+    full_until_ms: int = 0
     trial_attempt: str = ""
     cache: residency.Residency = dataclasses.field(
         default_factory=residency.Residency
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -295,7 +295,14 @@
     seed = xxhash.xxh3_64_intdigest(request.request_id.encode())
     order = rendezvous.rank(seed, names)
     place = {name: number for number, name in enumerate(order)}
-    best = min(usable, key=lambda s: (load(s), place[s.server_id]))
+    best = min(
+        usable,
+        key=lambda s: (
+            s.full_until_ms > world.now_ms,
+            load(s),
+            place[s.server_id],
+        ),
+    )
     return Choice(
         server=best,
         wait_ms=0.0,
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -17,6 +17,11 @@
     from godwittack.core import work
 
 
+# Time for which a server that turned a connection away is used last. Its queue
+# is a few calls long and moves within it.
+FULL_MS = 300
+
+
 def listed(world: entities.World, told: server_inputs.ServerListed) -> None:
     """Takes in an entry of the instance list."""
     if told.gone:
@@ -202,7 +207,11 @@
 ) -> None:
     """Counts an attempt that failed; refusals are no failures."""
     server = world.servers.get(attempt.server_id)
-    if server is None or told.cause is inputs.FailureCause.REFUSED:
+    if server is None:
+        return
+    if told.cause is inputs.FailureCause.REFUSED:
+        if told.phase is inputs.FailurePhase.CONNECT:
+            server.full_until_ms = world.now_ms + FULL_MS
         return
     if told.cause is inputs.FailureCause.OTHER_SERVER:
         # Another process has its address: this one is gone for good.
@@ -290,6 +299,7 @@
     server.draining_until_ms = 0
     server.failures = 0
     server.ejected_until_ms = 0
+    server.full_until_ms = 0
     server.trial_attempt = ""
     server.reported_at_ms = -1
     server.running = 0
--- a/tests/cases/fleet_bounds.py
+++ b/tests/cases/fleet_bounds.py
@@ -9,7 +9,7 @@
 from result import Ok
 
 from cases import connections, one_lead, routed_core
-from godwittack.core import effects, inputs, server_inputs
+from godwittack.core import effects, inputs, server_inputs, servers
 from godwittack.daemon import news
 from godwittack.limit import budget
 from godwittack.member import duty, view
@@ -136,6 +136,30 @@
     ), sink.failure
 
 
+def a_server_that_turned_a_call_away_is_used_last_for_a_while() -> None:
+    """A full server stays in service, behind those that have room.
+
+    Paused like one that is gone, the two servers left of a service took no
+    call at all; not remembered as full, it was tried by each next call.
+    """
+    core = routed_core.Core(servers=2)
+    core.arrive("release", "first")
+    full = core.dispatch()
+    core.fail(full, inputs.FailurePhase.CONNECT, inputs.FailureCause.REFUSED)
+    spare = core.dispatch()
+    assert spare.server_id != full.server_id
+    for number in range(8):
+        core.arrive("release", f"soon{number}")
+        assert core.dispatch().server_id == spare.server_id
+    core.world.servers[spare.server_id].leaving = True
+    core.arrive("release", "alone")
+    assert core.dispatch().server_id == full.server_id
+    core.world.servers[spare.server_id].leaving = False
+    core.wait(servers.FULL_MS)
+    core.arrive("release", "later")
+    assert core.dispatch().server_id == full.server_id
+
+
 class _Streams:
     """Streams that take all news; keeps when loads were told on each."""
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -211,6 +211,7 @@
       | fleet_bounds | a full server is not taken for gone |
       | fleet_bounds | loads told in a large fleet are news |
       | fleet_bounds | retries of a fleet stay within their budget |
+      | fleet_bounds | a server that turned a call away is used last for a while |
 
     Examples: starts of test clusters
       | group  | case |
