Tell loads before they are too old, however many are told

Callers saw: in a fleet of 340 some daemons took every server for idle, and sent work to full ones. Cause: the pause between two messages grows by 10 ms with each peer told. One that had told all 339 others of something told loads 3.4 s late; from 3 s on they are ignored. Change: the pause ends at a quarter of that age, 0.75 s. Up to 75 peers it is what it was. Ruled out: a smaller pause a peer (at sixty peers news would be two fifths of the processor time again).

--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -32,6 +32,8 @@
 # once. With sixty peers, each told five times a second, news were two fifths
 # of a daemon's processor time.
 PEER_PAUSE_MS = 10
+# Part of the age at which a load report is ignored that it may wait here.
+WAIT_PART = 0.25
 
 
 class NewsStream(Protocol):
@@ -97,12 +99,23 @@
         )
 
     async def tell_forever(self, *, news_ms: int) -> None:
-        """Sends what waits, each period, which grows with the peers told."""
+        """Sends what waits, each period, which grows with the peers told.
+
+        It ends well below the age at which loads are ignored: told later,
+        each server would look idle to all but its watcher.
+        """
         while True:
-            pause_ms = max(news_ms, PEER_PAUSE_MS * len(self._outboxes))
-            await asyncio.sleep(pause_ms / 1000)
+            await asyncio.sleep(self._pause_ms(news_ms) / 1000)
             self.flush()
 
+    def _pause_ms(self, news_ms: int) -> float:
+        """Returns the pause for the peers told, short enough for loads."""
+        stale_ms = self._runtime.core.world.policy.report_stale_ms
+        pause_ms = min(
+            PEER_PAUSE_MS * len(self._outboxes), stale_ms * WAIT_PART
+        )
+        return max(news_ms, pause_ms)
+
     def flush(self) -> None:
         """Sends what waits, and this daemon's demand where it changed."""
         self._add_demands()
