Send callers of a large fleet to a serving set of its daemons

Callers saw: on 195 daemons half of the requests arrived at a daemon that knew neither load nor cache of the servers it needed: beyond 100 daemons each receives news of one model or service, while callers choose a daemon without naming a model. Change: beyond mesh_limit the directory names serving_daemons of the fleet, evenly by failure domain, the largest machines first, then by hash. These and two standbys a domain are the audience of all news, watch the servers and lead roll-outs; the others keep table, list and right to serve. A daemon suspected or leaving is replaced by a standby at once; one whose timers fire late stays and calls in another. Computed from the members alone, so that views that agree name the same set. News audiences are a Protocol with two forms: by target (callers that ask by model) and the serving set (the platform's). Ruled out: a set fixed by names (no answer to loss or load); all daemons receiving all news (195 streams each); asking one that knows at each request (a hop more for each).

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -109,6 +109,19 @@
         ge=1,
         description="daemons up to which each hears of all backend servers",
     )
+    serving_daemons: int = pydantic.Field(
+        default=48,
+        ge=1,
+        description="daemons beyond mesh_limit that callers are sent to",
+    )
+    cores: float | None = pydantic.Field(
+        default=None,
+        gt=0,
+        description="speed of the machine's core against the usual one",
+    )
+    core_share: float | None = pydantic.Field(
+        default=None, gt=0, description="part of that core given to the daemon"
+    )
     weights_bound_ms: int = pydantic.Field(
         default=0,
         ge=0,
@@ -217,6 +230,11 @@
             raise ValueError("write http://IP:port")
         return value
 
+    @property
+    def capacity_millicores(self) -> int:
+        """Processor time that the machine gives the daemon; 0: not known."""
+        return round((self.cores or 0.0) * (self.core_share or 0.0) * 1000)
+
     def policy(self) -> policies.Policy:
         """Returns the core's numbers."""
         bounded = dataclasses.replace(
--- a/src/godwittack/daemon/base.py
+++ b/src/godwittack/daemon/base.py
@@ -66,6 +66,7 @@
             peer_address=settings.peer_address,
             http_address=settings.http_address,
             failure_domain=settings.failure_domain,
+            capacity_millicores=settings.capacity_millicores,
         )
         core = router.Router.from_config(
             daemon=me.member_id, policy=settings.policy()
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -22,6 +22,7 @@
     following,
     instances,
     keeping,
+    lag,
     lead,
     naming,
     news,
@@ -33,7 +34,7 @@
 from godwittack.entry import directory, forward, patience
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
-from godwittack.member import confirmed, duty, freshness
+from godwittack.member import confirmed, duty, freshness, serving
 from godwittack.platform import callers, names, rows, servers, table
 from godwittack.platform import directory as resolving
 from godwittack.platform import instances as list_rows
@@ -124,11 +125,18 @@
         self._keeper.known.on_confirmed = self._keeper.confirmed
         self._named = naming.NamedVersions()
         self._servers_known = freshness.Freshness(topic=freshness.Topic.SERVERS)
+        self._serving = serving.Serving(
+            members=members,
+            policy=serving.ServingPolicy(
+                mesh_limit=settings.mesh_limit,
+                serving=settings.serving_daemons,
+            ),
+        )
         self._news = news.News(
             members=members,
             runtime=self.runtime,
             client=self._peers,
-            mesh_limit=settings.mesh_limit,
+            audience=self._serving,
         )
         announcer = announcing.Announcer(
             members=members,
@@ -190,7 +198,7 @@
                 use_limit_ms=use_limit_ms,
             ),
             measures=self._meters,
-            mesh_limit=settings.mesh_limit,
+            audience=self._serving,
         )
         self._peer_server = parts.peer_server(self._gossiper)
         self._face = forward.ForwardFace(
@@ -202,6 +210,7 @@
             members=members,
             world=core.world,
             wire=resolving.DirectoryFormat(),
+            serving=self._serving,
         )
         self._store_readers = duty.Assigned(duty.store_readers)
         self._loops = base.Loops()
@@ -255,6 +264,9 @@
             self._leader.lead_forever(step_ms=settings.lead_step_ms)
         )
         self._loops.start(self._tidy_forever())
+        self._loops.start(
+            lag.watch_forever(members=self._members, clock=self._clock)
+        )
 
     async def _listen(
         self,
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -300,6 +300,7 @@
             member_id=me.member_id,
             refutation=me.refutation,
             state=int(me.state),
+            is_overloaded=me.is_overloaded,
         )
 
     def _note_introduced(self, answered: peer_pb2.Envelope) -> None:
@@ -324,6 +325,7 @@
         sender.peer_address = row.member.peer_address
         sender.http_address = row.member.http_address
         sender.failure_domain = row.member.failure_domain
+        sender.capacity_millicores = row.member.capacity_millicores
         return True
 
     def _accusations(self, member_id: str, address: str) -> list[view.Member]:
--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -57,7 +57,7 @@
         policy: leases.LeasePolicy,
         rollout_policy: rollout.RolloutPolicy | None = None,
         measures: rollout_log.Measures | None = None,
-        mesh_limit: int = duty.MESH_LIMIT,
+        audience: duty.Audience | None = None,
     ) -> None:
         """Leads nothing yet.
 
@@ -70,9 +70,9 @@
             policy: Times of a lease.
             rollout_policy: Times of a roll-out.
             measures: Takes figures of loads.
-            mesh_limit: Daemons up to which all hear of every server.
+            audience: Chooses who hears of a model's servers.
         """
-        self._mesh_limit = mesh_limit
+        self._audience = audience or duty.ByTarget()
         self._log = rollout_log.RolloutLog(clock=core.clock, measures=measures)
         self._rollout_policy = rollout_policy or rollout.RolloutPolicy()
         # What is behind which version, and since when that is so.
@@ -153,7 +153,7 @@
             model,
             self._members.serving(),
             self._core.core.world.table.targets,
-            self._mesh_limit,
+            self._audience,
         )
         own = self._members.me.member_id
         return turn.rank(own, led.lease.holder, ranked)
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -77,10 +77,17 @@
         members: view.View,
         runtime: runtimes.Runtime,
         client: NewsClient,
-        mesh_limit: int = duty.MESH_LIMIT,
+        audience: duty.Audience | None = None,
     ) -> None:
-        """Tells and takes news for the member `members.me`."""
-        self._mesh_limit = mesh_limit
+        """Tells and takes news for the member `members.me`.
+
+        Args:
+            members: The view of all daemons.
+            runtime: Where the core is told.
+            client: Opens streams to other daemons.
+            audience: Chooses who hears of a target's servers.
+        """
+        self._audience = audience or duty.ByTarget()
         self.on_listed: Callable[
             [dict[str, platform.Instance | None]], None
         ] = lambda changes: None
@@ -235,7 +242,7 @@
             self._audiences.clear()
         found = self._audiences.get(target)
         if found is None:
-            found = duty.audience(target, members, targets, self._mesh_limit)
+            found = self._audience.among(target, members, targets)
             self._audiences[target] = found
         return found
 
--- a/src/godwittack/entry/directory.py
+++ b/src/godwittack/entry/directory.py
@@ -10,6 +10,7 @@
     from collections.abc import Sequence
 
     from godwittack.core import entities
+    from godwittack.member import serving as servings
     from godwittack.member import view
 
 # Daemons in the caller's own failure domain from which those of others are
@@ -45,8 +46,17 @@
         members: view.View,
         world: entities.World,
         wire: DirectoryFormat,
+        serving: servings.Serving,
     ) -> None:
-        """Names the daemons that `members` holds to be alive."""
+        """Names the daemons that serve.
+
+        Args:
+            members: The view of all daemons.
+            world: What this daemon knows.
+            wire: How callers ask.
+            serving: Chooses who serves in a large fleet.
+        """
+        self._serving = serving
         self.stopping = False
         self._members = members
         self._world = world
@@ -57,7 +67,7 @@
         domain = self._wire.caller_domain(request)
         if domain is None:
             return web.json_response({"error": "not_found"}, status=404)
-        members = self._members.serving()
+        members: Sequence[view.Member] = self._serving.chosen().serving
         if not self._world.table.version:
             # Without a table it would refuse whoever came.
             own = self._members.me.member_id
--- a/src/godwittack/member/duty.py
+++ b/src/godwittack/member/duty.py
@@ -4,7 +4,7 @@
 
 import collections
 import functools
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import TYPE_CHECKING, Generic, Protocol, TypeVar
 
 import xxhash
 
@@ -70,7 +70,7 @@
     model: str,
     members: list[view.Member],
     targets: tuple[str, ...],
-    mesh_limit: int = MESH_LIMIT,
+    audience: Audience,
 ) -> tuple[str, ...]:
     """Returns the members that may lead a model's orders, the first one first.
 
@@ -83,11 +83,11 @@
         model: The model.
         members: Members that serve.
         targets: All models and services of the table.
-        mesh_limit: Members up to which all of them hear.
+        audience: Chooses those that hear of its servers.
     """
-    hearing = audience(model, members, targets, mesh_limit)
+    hearing = audience.among(model, members, targets)
     names = tuple(sorted(member.member_id for member in hearing))
-    return _rank(f"lead/{model}", names)
+    return rank(f"lead/{model}", names)
 
 
 def list_readers(members: list[view.Member]) -> list[view.Member]:
@@ -107,25 +107,43 @@
     return tuple(member.member_id for member in chosen)
 
 
-def audience(
-    target: str,
-    members: list[view.Member],
-    targets: tuple[str, ...],
-    mesh_limit: int = MESH_LIMIT,
-) -> list[view.Member]:
-    """Returns the members that hear of a model's or service's servers.
+class Audience(Protocol):
+    """Chooses the members that hear of a target's servers."""
 
-    Args:
-        target: The model or service.
-        members: Live members.
-        targets: All models and services of the table.
-        mesh_limit: Members up to which all of them hear.
-    """
-    if len(members) <= mesh_limit:
-        return members
-    by_name = {member.member_id: member for member in members}
-    names = audience_names(target, tuple(sorted(by_name)), targets)
-    return [by_name[name] for name in names]
+    def among(
+        self,
+        target: str,
+        members: list[view.Member],
+        targets: tuple[str, ...],
+    ) -> list[view.Member]:
+        """Returns the members that hear of a model's or service's servers.
+
+        Args:
+            target: The model or service.
+            members: Live members.
+            targets: All models and services of the table.
+        """
+
+
+class ByTarget:
+    """Spreads the targets over members; for callers that ask by target."""
+
+    def __init__(self, mesh_limit: int = MESH_LIMIT) -> None:
+        """Lets all members hear of everything up to `mesh_limit` members."""
+        self._mesh_limit = mesh_limit
+
+    def among(
+        self,
+        target: str,
+        members: list[view.Member],
+        targets: tuple[str, ...],
+    ) -> list[view.Member]:
+        """Returns those that picked the target, see `audience_names`."""
+        if len(members) <= self._mesh_limit:
+            return members
+        by_name = {member.member_id: member for member in members}
+        names = audience_names(target, tuple(sorted(by_name)), targets)
+        return [by_name[name] for name in names]
 
 
 def audience_names(
@@ -141,7 +159,7 @@
         return names
     picked = _picks(names, targets).get(target, ())
     missing = max(0, AUDIENCE_LEAST - len(picked))
-    ranked = _rank(f"model/{target}", names)
+    ranked = rank(f"model/{target}", names)
     more = [name for name in ranked if name not in picked][:missing]
     return tuple(sorted((*picked, *more)))
 
@@ -157,7 +175,7 @@
     They are the ones that `where` names first, unless one is suspected.
     """
     heard = audience_names(target, names, targets)
-    return _rank(f"where/{workspace}/{target}", heard)[:WHERE_GROUP]
+    return rank(f"where/{workspace}/{target}", heard)[:WHERE_GROUP]
 
 
 def where(
@@ -171,7 +189,7 @@
 
     All come from the target's audience, so that they know its servers.
     """
-    heard = audience(target, members, targets)
+    heard = ByTarget().among(target, members, targets)
     return _first(f"where/{workspace}/{target}", heard, WHERE_GROUP)
 
 
@@ -192,7 +210,7 @@
     key: str, members: list[view.Member], count: int
 ) -> list[view.Member]:
     by_name = {member.member_id: member for member in members}
-    names = _rank(key, tuple(sorted(by_name)))
+    names = rank(key, tuple(sorted(by_name)))
     return [by_name[name] for name in names[:count]]
 
 
@@ -203,10 +221,11 @@
         server_id: The server.
         names: Sorted ids of all of them.
     """
-    return _rank(f"ask/{server_id}", names)
+    return rank(f"ask/{server_id}", names)
 
 
-def _rank(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
+def rank(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns sorted ids in the order of their hash with `key`."""
     return rendezvous.rank(xxhash.xxh3_64_intdigest(key.encode()), names)
 
 
@@ -214,14 +233,16 @@
     "askers",
     "AUDIENCE_LEAST",
     "Assigned",
+    "Audience",
+    "ByTarget",
     "MESH_LIMIT",
     "WHERE_GROUP",
-    "audience",
     "audience_names",
     "group_names",
     "leaders",
     "store_readers",
     "list_readers",
+    "rank",
     "watcher",
     "where",
 ]
--- /dev/null
+++ b/src/godwittack/member/serving.py
@@ -0,0 +1,167 @@
+"""Chooses the daemons that carry the traffic of a large fleet.
+
+Load pattern: a few requests a second for each of hundreds of daemons. Spread
+over all, each keeps connections of its own to every server, and decides by
+loads and caches that its own answers seldom correct. Fewer daemons with more
+requests each know more and cost less; the others keep the table, the list and
+the right to serve, and take over from those that fail.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import math
+
+from absl import logging
+
+from godwittack.member import duty, view
+
+
+class Role(enum.StrEnum):
+    """What a daemon does in a large fleet."""
+
+    SERVING = "serving"
+    STANDBY = "standby"
+    IDLE = "idle"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServingPolicy:
+    """Size of the serving set.
+
+    Attributes:
+        mesh_limit: Daemons up to which all of them serve.
+        serving: Serving daemons of all failure domains together.
+        least_per_domain: Serving daemons of one failure domain, at least.
+        standby_per_domain: Daemons of a failure domain that receive all news
+            as well, so that they are up to date when they are called in.
+    """
+
+    mesh_limit: int = 100
+    serving: int = 48
+    least_per_domain: int = 2
+    standby_per_domain: int = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServingSet:
+    """The daemons that serve, and those that are called in next.
+
+    Attributes:
+        serving: Daemons that callers are sent to, by id.
+        standby: Daemons that are called in next, by id.
+    """
+
+    serving: tuple[view.Member, ...]
+    standby: tuple[view.Member, ...]
+
+    def role(self, member_id: str) -> Role:
+        """Returns what a daemon does."""
+        if any(member.member_id == member_id for member in self.serving):
+            return Role.SERVING
+        if any(member.member_id == member_id for member in self.standby):
+            return Role.STANDBY
+        return Role.IDLE
+
+
+def choose(members: list[view.Member], policy: ServingPolicy) -> ServingSet:
+    """Returns the serving set among `members`.
+
+    Computed from the members alone, so that views that agree name the same
+    set. A daemon that comes or goes changes its own failure domain's part, by
+    one.
+
+    Args:
+        members: Live daemons; those suspected or leaving don't serve.
+        policy: Size of the set.
+    """
+    able = [m for m in members if m.state is view.MemberState.ALIVE]
+    if len(members) <= policy.mesh_limit:
+        return ServingSet(tuple(able), ())
+    domains: dict[str, list[view.Member]] = collections.defaultdict(list)
+    for member in able:
+        domains[member.failure_domain].append(member)
+    serving: list[view.Member] = []
+    standby: list[view.Member] = []
+    per_domain = math.ceil(policy.serving / max(1, len(domains)))
+    per_domain = max(policy.least_per_domain, per_domain)
+    for name in sorted(domains):
+        ranked = _ranked(domains[name])
+        count = _count(ranked, per_domain)
+        serving.extend(ranked[:count])
+        standby.extend(ranked[count : count + policy.standby_per_domain])
+    return ServingSet(_by_id(serving), _by_id(standby))
+
+
+def _ranked(members: list[view.Member]) -> list[view.Member]:
+    """Returns members of one failure domain, the largest machines first."""
+    order = duty.rank("serving", tuple(sorted(m.member_id for m in members)))
+    place = {name: number for number, name in enumerate(order)}
+    return sorted(
+        members, key=lambda m: (-m.capacity_millicores, place[m.member_id])
+    )
+
+
+def _count(ranked: list[view.Member], per_domain: int) -> int:
+    """Returns how many serve; each overloaded one calls in another."""
+    overloaded = sum(m.is_overloaded for m in ranked[:per_domain])
+    return per_domain + overloaded
+
+
+def _by_id(members: list[view.Member]) -> tuple[view.Member, ...]:
+    return tuple(sorted(members, key=lambda member: member.member_id))
+
+
+class Serving:
+    """The serving set on this daemon's view, as audience of all news."""
+
+    def __init__(self, *, members: view.View, policy: ServingPolicy) -> None:
+        """Assigns no role yet.
+
+        Args:
+            members: The view of all daemons.
+            policy: Size of the set.
+        """
+        self._members = members
+        self._policy = policy
+        self._sets = duty.Assigned(self._choose)
+        self._role: Role | None = None
+
+    def chosen(self) -> ServingSet:
+        """Returns the set as it is now."""
+        return self._sets.among(self._members.live())
+
+    def among(
+        self,
+        target: str,
+        members: list[view.Member],
+        targets: tuple[str, ...],
+    ) -> list[view.Member]:
+        """Returns the daemons that receive news of a target's servers."""
+        del target, targets
+        if len(self._members.live()) <= self._policy.mesh_limit:
+            return members
+        chosen = self.chosen()
+        return [*chosen.serving, *chosen.standby]
+
+    def _choose(self, members: list[view.Member]) -> ServingSet:
+        chosen = choose(members, self._policy)
+        role = chosen.role(self._members.me.member_id)
+        if role is not self._role:
+            logging.info(
+                "event=serving_role role=%s before=%s serving=%d standby=%d"
+                " live=%d overloaded=%d",
+                role.value,
+                self._role.value if self._role else "none",
+                len(chosen.serving),
+                len(chosen.standby),
+                len(members),
+                sum(member.is_overloaded for member in chosen.serving),
+            )
+            self._role = role
+        return chosen
+
+
+__all__ = ["Role", "Serving", "ServingPolicy", "ServingSet", "choose"]
--- a/src/godwittack/member/view.py
+++ b/src/godwittack/member/view.py
@@ -30,13 +30,18 @@
         member_id: Name and a nonce of the process, such as `entry-1@9f2c`.
         peer_address: IP and port for other daemons.
         http_address: IP and port for callers.
-        refutation: Raised by the member itself against a false suspicion.
+        capacity_millicores: Processor time that its machine gives it.
+        is_overloaded: Whether it is late with its own timers.
+        refutation: Raised by the member itself against a false suspicion, and
+            with each change of what it says of itself.
     """
 
     member_id: str
     peer_address: str
     http_address: str
     failure_domain: str
+    capacity_millicores: int = 0
+    is_overloaded: bool = False
     refutation: int = 0
     state: MemberState = MemberState.ALIVE
 
@@ -292,6 +297,15 @@
         self.me = dataclasses.replace(self.me, state=MemberState.LEAVING)
         self._live = None
 
+    def set_overloaded(self, is_overloaded: bool) -> None:
+        """Has the others told that this daemon is overloaded, or no more."""
+        self.me = dataclasses.replace(
+            self.me,
+            is_overloaded=is_overloaded,
+            refutation=self.me.refutation + 1,
+        )
+        self._live = None
+
     def known(self) -> int:
         """Returns how many daemons there should be, this one included."""
         rows = [row for row in self.rows.values() if not row.left]
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -22,6 +22,8 @@
         failure_domain=member.failure_domain,
         refutation=member.refutation,
         state=int(member.state),
+        capacity_millicores=member.capacity_millicores,
+        is_overloaded=member.is_overloaded,
     )
 
 
@@ -38,6 +40,8 @@
         failure_domain=told.failure_domain,
         refutation=told.refutation,
         state=state,
+        capacity_millicores=told.capacity_millicores,
+        is_overloaded=told.is_overloaded,
     )
 
 
--- a/tests/cases/fleet_bounds.py
+++ b/tests/cases/fleet_bounds.py
@@ -46,8 +46,9 @@
     targets = tuple(f"model-{number}" for number in range(MODELS))
     deaf = []
     for target in targets:
-        hears = duty.audience(target, members, targets, MESH_LIMIT)
-        first = duty.leaders(target, members, targets, MESH_LIMIT)[0]
+        audience = duty.ByTarget(MESH_LIMIT)
+        hears = audience.among(target, members, targets)
+        first = duty.leaders(target, members, targets, audience)[0]
         if first not in {member.member_id for member in hears}:
             deaf.append(target)
     assert not deaf, (len(deaf), MODELS)
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -14,6 +14,7 @@
     "rollouts",
     "rollout_bounds",
     "fleet_bounds",
+    "serving",
     "connections",
     "following",
     "freshness",
--- a/tests/cases/rollout_bounds.py
+++ b/tests/cases/rollout_bounds.py
@@ -118,7 +118,10 @@
         table = fakes.TableFake(random.Random(1))
         names = ("a", "b")
         ranked = duty.leaders(
-            one_lead.MODEL, [_member(n) for n in names], (one_lead.MODEL,)
+            one_lead.MODEL,
+            [_member(n) for n in names],
+            (one_lead.MODEL,),
+            duty.ByTarget(),
         )
         first, second = (
             _Daemon(name, names, engines=engines, table=table, use_limit_ms=0)
--- /dev/null
+++ b/tests/cases/serving.py
@@ -0,0 +1,184 @@
+"""Which daemons of a large fleet carry its traffic."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from godwittack.entry import directory
+from godwittack.member import overload, serving, view
+
+DAEMONS = 195
+DOMAINS = ("a", "b", "c", "d", "e", "f")
+POLICY = serving.ServingPolicy(mesh_limit=100, serving=48)
+
+
+def _member(number: int, **fields) -> view.Member:
+    return view.Member(
+        **{
+            "member_id": f"edge-{number:03}",
+            "peer_address": f"127.0.0.1:{number + 1}",
+            "http_address": f"127.0.0.2:{number + 1}",
+            "failure_domain": DOMAINS[number % len(DOMAINS)],
+            "capacity_millicores": (516, 1_075, 2_150)[number % 7 % 3],
+            **fields,
+        }
+    )
+
+
+def _fleet(count: int = DAEMONS) -> list[view.Member]:
+    return [_member(number) for number in range(count)]
+
+
+def _ids(members) -> set[str]:
+    return {member.member_id for member in members}
+
+
+def callers_of_a_large_fleet_are_sent_to_few_daemons() -> None:
+    """Each failure domain has its part of the set, of its largest machines.
+
+    Spread over all, half of the requests reached daemons that knew nothing
+    of the servers they needed.
+    """
+    chosen = serving.choose(_fleet(), POLICY)
+    assert len(chosen.serving) == POLICY.serving
+    for domain in DOMAINS:
+        part = [m for m in chosen.serving if m.failure_domain == domain]
+        others = [
+            m
+            for m in _fleet()
+            if m.failure_domain == domain and m not in chosen.serving
+        ]
+        assert len(part) == POLICY.serving // len(DOMAINS), (domain, len(part))
+        least = min(m.capacity_millicores for m in part)
+        assert least >= max(m.capacity_millicores for m in others)
+        near = directory.choose(chosen.serving, failure_domain=domain)
+        assert set(near) == {m.http_address for m in part}
+    assert not _ids(chosen.serving) & _ids(chosen.standby)
+
+
+def all_daemons_of_a_small_fleet_serve() -> None:
+    """Up to the limit, nobody is left out, not even the smallest machine."""
+    for count in (1, 7, 63, POLICY.mesh_limit):
+        chosen = serving.choose(_fleet(count), POLICY)
+        assert _ids(chosen.serving) == _ids(_fleet(count)), count
+        assert not chosen.standby, count
+
+
+def a_lost_daemon_is_replaced_by_one_that_is_up_to_date() -> None:
+    """A suspected daemon is named no more; a standby takes its place alone.
+
+    A set that moves as a whole with each loss would send all callers to
+    daemons without connections, loads and caches.
+    """
+    fleet = _fleet()
+    before = serving.choose(fleet, POLICY)
+    for lost in before.serving:
+        for state in (view.MemberState.SUSPECT, view.MemberState.LEAVING):
+            after = serving.choose(
+                [
+                    dataclasses.replace(m, state=state) if m == lost else m
+                    for m in fleet
+                ],
+                POLICY,
+            )
+            gone = _ids(before.serving) - _ids(after.serving)
+            come = _ids(after.serving) - _ids(before.serving)
+            assert gone == {lost.member_id}, gone
+            assert len(come) == 1 and come <= _ids(before.standby), come
+
+
+def a_lost_failure_domain_leaves_the_others_serving() -> None:
+    """Callers of a domain without daemons are sent to those of others."""
+    fleet = [m for m in _fleet(300) if m.failure_domain != "a"]
+    chosen = serving.choose(fleet, POLICY)
+    assert len(chosen.serving) >= POLICY.serving
+    named = directory.choose(chosen.serving, failure_domain="a")
+    assert set(named) == {m.http_address for m in chosen.serving}
+
+
+def an_overloaded_daemon_calls_in_another() -> None:
+    """The set grows by one where one of its daemons is overloaded."""
+    fleet = _fleet()
+    before = serving.choose(fleet, POLICY)
+    busy = before.serving[0]
+    after = serving.choose(
+        [
+            dataclasses.replace(m, is_overloaded=True) if m == busy else m
+            for m in fleet
+        ],
+        POLICY,
+    )
+    come = _ids(after.serving) - _ids(before.serving)
+    assert _ids(before.serving) < _ids(after.serving)
+    assert len(come) == 1 and come <= _ids(before.standby), come
+
+
+def views_that_differ_name_mostly_the_same_daemons() -> None:
+    """Two views that each miss a tenth of the fleet agree on most of a set.
+
+    Chosen by position in a list, one member more or less would move all.
+    """
+    rng = random.Random(5)
+    fleet = _fleet()
+    for _ in range(20):
+        sets = [
+            _ids(
+                serving.choose(
+                    [m for m in fleet if rng.random() > 0.1], POLICY
+                ).serving
+            )
+            for _ in range(2)
+        ]
+        common = len(sets[0] & sets[1])
+        assert common >= 0.75 * POLICY.serving, common
+
+
+def a_fleet_that_grows_through_the_limit_serves_all_the_time() -> None:
+    """With each size from 1 to 340 and back, every domain has daemons."""
+    for count in (*range(1, 341), *range(340, 0, -1)):
+        fleet = _fleet(count)
+        chosen = serving.choose(fleet, POLICY)
+        domains = {m.failure_domain for m in chosen.serving}
+        assert domains == {m.failure_domain for m in fleet}, count
+
+
+def members_without_a_known_domain_serve() -> None:
+    """An empty or unknown failure domain is a domain of its own."""
+    fleet = [*_fleet(), *(_member(n, failure_domain="") for n in (500, 501))]
+    chosen = serving.choose(fleet, POLICY)
+    assert {"edge-500", "edge-501"} <= _ids(chosen.serving)
+    assert directory.choose(chosen.serving, failure_domain="nowhere")
+
+
+def lasting_lag_alone_counts_as_overload() -> None:
+    """A suspended machine is not overloaded; a busy one is, for a while."""
+    detector = overload.OverloadDetector()
+    assert not detector.observe(8_000, now_ms=0)
+    now_ms = 0
+    for _ in range(10):
+        now_ms += 100
+        assert not detector.observe(3, now_ms=now_ms)
+    changes = []
+    for lag_ms in [150] * 60 + [2] * 80:
+        now_ms += 100
+        if detector.observe(lag_ms, now_ms=now_ms):
+            changes.append((now_ms, detector.is_overloaded))
+    assert [overloaded for _, overloaded in changes] == [True, False], changes
+    assert changes[1][0] - changes[0][0] >= overload.HOLD_MS, changes
+
+
+def news_of_overload_reaches_other_views() -> None:
+    """What a daemon says of itself later replaces what it said before."""
+    own = view.View(
+        me=_member(1), policy=view.MemberPolicy(), rng=random.Random(1)
+    )
+    other = view.View(
+        me=_member(2), policy=view.MemberPolicy(), rng=random.Random(1)
+    )
+    assert other.heard(own.me, now_ms=0)
+    for is_overloaded in (True, False):
+        own.set_overloaded(is_overloaded)
+        assert other.heard(own.me, now_ms=1)
+        told = other.rows["edge-001"].member
+        assert told.is_overloaded is is_overloaded
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -67,6 +67,7 @@
         "internal-port-range": [free_port(), free_port()],
         "seeds": seeds,
         "bounds": dict(BOUNDS),
+        "limits": {"cpu-share": 0.537, "cores": 2},
         "platform": {"address": f"127.0.0.1:{store_port}"},
         "of no meaning here": {"a": 1},
     }
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -223,3 +223,16 @@
     Examples: daemons that start
       | group   | case |
       | joining | a daemon that does not listen yet is named to nobody |
+
+    Examples: daemons that carry the traffic
+      | group   | case |
+      | serving | callers of a large fleet are sent to few daemons |
+      | serving | all daemons of a small fleet serve |
+      | serving | a lost daemon is replaced by one that is up to date |
+      | serving | a lost failure domain leaves the others serving |
+      | serving | an overloaded daemon calls in another |
+      | serving | views that differ name mostly the same daemons |
+      | serving | a fleet that grows through the limit serves all the time |
+      | serving | members without a known domain serve |
+      | serving | lasting lag alone counts as overload |
+      | serving | news of overload reaches other views |
