Ask an ejected engine once for the whole fleet

Cause: each daemon that had ejected an engine asked it for itself at the end of each pause. Change: in a fleet of more than 16 a daemon that was told an engine's load until the failure waits for the next report of the one daemon that follows it; the report counts as sign of life. One that was told nothing asks itself, as do small fleets and plain services, whose loads nobody polls. Ruled out: telling others of answers to questions (a message for each). Before: the case asks three times in 8 s; after: not at all, and the engine is used again a pause after its report.

--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -36,6 +36,42 @@
             ask(world, server)
 
 
+def check_ejected(world: entities.World) -> None:
+    """Looks for a sign of life of ejected servers when their pause is over."""
+    for server in world.servers.values():
+        due = 0 < server.ejected_until_ms <= world.now_ms
+        if not server.failures or not due or server.leaving:
+            continue
+        if server.reported_at_ms > server.ejected_at_ms:
+            servers.probed(
+                world,
+                server_inputs.ProbeAnswered(
+                    world.now_ms, server.server_id, alive=True
+                ),
+            )
+            continue
+        server.ejected_until_ms = world.now_ms + servers.pause_ms(world, server)
+        if not _is_reported_by_another(world, server):
+            world.emit(effects.Probe(server.server_id, server.address))
+
+
+def _is_reported_by_another(
+    world: entities.World, server: entities.ServerRow
+) -> bool:
+    """Returns whether a report will tell that an ejected server is back.
+
+    In a large fleet each daemon asked for itself. One daemon follows each
+    engine and tells the others; those that it told until the failure wait for
+    its word.
+    """
+    if len(world.live_daemons) <= duty.MESH_LIMIT:
+        return False
+    if server.target not in world.table.models or server.reported_at_ms < 0:
+        return False
+    unheard_ms = server.ejected_at_ms - server.reported_at_ms
+    return unheard_ms < world.policy.report_stale_ms
+
+
 def ask(world: entities.World, server: entities.ServerRow) -> None:
     """Asks a server for a sign of life, unless it was asked just now."""
     if world.now_ms - server.asked_at_ms < ASK_AGAIN_MS:
@@ -110,4 +146,4 @@
             followup.retry(world, request, attempt, detail)
 
 
-__all__ = ["ask", "check", "probed", "told"]
+__all__ = ["ask", "check", "check_ejected", "probed", "told"]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -121,6 +121,7 @@
         sent: Own dispatches not finished: attempt id to its send time and
             expected tokens.
         failures: Failures in a row.
+        ejected_at_ms: When the last such pause began.
         ejected_until_ms: No new work before this time.
         full_until_ms: Used only where no other server is, before this time.
         backlog: Until when it computes prompts, by their priority.
@@ -150,6 +151,7 @@
     heard_at_ms: int = -1_000_000
     asked_at_ms: int = -1_000_000
     failures: int = 0
+    ejected_at_ms: int = 0
     ejected_until_ms: int = 0
     full_until_ms: int = 0
     trial_attempt: str = ""
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -157,7 +157,7 @@
         doubt.check(world)
         silence.check(world)
         silence.give_up(world)
-        servers.probe_ejected(world)
+        doubt.check_ejected(world)
         dispatching.expire_queued(world)
 
     def _outcome_stored(self, told: inputs.OutcomeStored) -> None:
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
-    effects,
     entities,
     incarnation,
     inputs,
@@ -243,15 +242,6 @@
         _see_state(world, server, stamp.incarnation, stamp.weights_version)
 
 
-def probe_ejected(world: entities.World) -> None:
-    """Asks ejected servers for a sign of life when their pause is over."""
-    for server in world.servers.values():
-        due = 0 < server.ejected_until_ms <= world.now_ms
-        if server.failures and due and not server.leaving:
-            server.ejected_until_ms = world.now_ms + _pause_ms(world, server)
-            world.emit(effects.Probe(server.server_id, server.address))
-
-
 def _see_state(
     world: entities.World,
     server: entities.ServerRow,
@@ -345,7 +335,8 @@
     world: entities.World, server: entities.ServerRow, detail: str
 ) -> None:
     server.failures += 1
-    server.ejected_until_ms = world.now_ms + _pause_ms(world, server)
+    server.ejected_at_ms = world.now_ms
+    server.ejected_until_ms = world.now_ms + pause_ms(world, server)
     world.event(
         "server_ejected",
         server=server.server_id,
@@ -355,7 +346,8 @@
     )
 
 
-def _pause_ms(world: entities.World, server: entities.ServerRow) -> int:
+def pause_ms(world: entities.World, server: entities.ServerRow) -> int:
+    """Returns the pause of a server by its failures in a row."""
     doubled = world.policy.eject_ms * 2 ** min(server.failures - 1, 10)
     return min(doubled, world.policy.eject_max_ms)
 
@@ -369,7 +361,7 @@
     "load_echoed",
     "listed",
     "load_reported",
-    "probe_ejected",
+    "pause_ms",
     "probed",
     "silent",
     "state_echoed",
--- a/tests/cases/fleet_bounds.py
+++ b/tests/cases/fleet_bounds.py
@@ -9,7 +9,7 @@
 from result import Ok
 
 from cases import connections, one_lead, routed_core
-from godwittack.core import effects, inputs, server_inputs, servers
+from godwittack.core import effects, entities, inputs, server_inputs, servers
 from godwittack.daemon import news
 from godwittack.limit import budget
 from godwittack.member import duty, view
@@ -161,6 +161,55 @@
     assert core.dispatch().server_id == full.server_id
 
 
+def _report(core, server_id: str) -> None:
+    core.tell_named(
+        server_inputs.LoadReported,
+        server_id=server_id,
+        incarnation=server_id,
+        weights_version="1",
+        running=1,
+        waiting=0,
+        waiting_tokens=0,
+        prefill_us_per_token=7,
+        slots=16,
+    )
+
+
+def an_ejected_engine_is_asked_by_the_daemon_that_follows_it() -> None:
+    """In a large fleet a report tells that an engine is back, not a question.
+
+    Sixty daemons asked each of twenty dark engines every 1, 2, 4 s.
+    """
+    core = routed_core.Core(servers=1)
+    core.tell(inputs.MembersChanged, tuple(f"d{n}" for n in range(60)))
+    _report(core, "e1")
+    core.arrive("short", "lost")
+    core.fail(core.dispatch(), inputs.FailurePhase.CONNECT)
+    dark = core.world.servers["e1"]
+    assert not [made for made in core.wait(8_000) if _asks(made, dark)]
+    core.arrive("short", "early")
+    assert core.refusal()
+    _report(core, "e1")
+    core.wait(servers.pause_ms(core.world, dark) + 100)
+    core.arrive("short", "back")
+    assert core.dispatch().server_id == "e1"
+
+
+def a_daemon_without_reports_asks_an_ejected_engine_itself() -> None:
+    """A daemon outside the serving set doesn't wait for news it won't get."""
+    core = routed_core.Core(servers=1)
+    core.tell(inputs.MembersChanged, tuple(f"d{n}" for n in range(60)))
+    core.arrive("short", "lost")
+    core.fail(core.dispatch(), inputs.FailurePhase.CONNECT)
+    dark = core.world.servers["e1"]
+    assert [made for made in core.wait(1_500) if _asks(made, dark)]
+
+
+def _asks(made, server: entities.ServerRow) -> bool:
+    is_question = isinstance(made, effects.Probe)
+    return is_question and made.server_id == server.server_id
+
+
 class _Streams:
     """Streams that take all news; keeps when loads were told on each."""
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -212,6 +212,8 @@
       | fleet_bounds | loads told in a large fleet are news |
       | fleet_bounds | retries of a fleet stay within their budget |
       | fleet_bounds | a server that turned a call away is used last for a while |
+      | fleet_bounds | an ejected engine is asked by the daemon that follows it |
+      | fleet_bounds | a daemon without reports asks an ejected engine itself |
 
     Examples: starts of test clusters
       | group  | case |
