Ask a plain service after three times its usual answer

Callers saw: calls declined by a plain service whose queue was full, partly of questions: 24,597 arrivals for 5,502 requests on a fleet of 63 daemons. Cause: 300 ms without a word from a server with calls of ours counted as silence, also where the service's usual answer took 400 ms; the question waits for a place as any other call, and each daemon asked. Change: for plain services silence begins at three times the smoothed time of an answer, 300 ms at least as before. Before: the case's server is asked at 300 ms; after: between 900 and 1,500 ms.

--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -23,6 +23,9 @@
 # gets no answer tells all; sixty that asked at once were half of what engines
 # were asked beside requests, mostly for prompts that took a little longer.
 SPREAD_MS = 600
+# Usual times of an answer for which a plain service may say nothing. A question
+# takes a place in the queue whose length it asks about.
+SERVICE_TIMES = 3.0
 # Pause between two questions.
 ASK_AGAIN_MS = 600
 
@@ -120,11 +123,15 @@
 
 
 def _patience_ms(world: entities.World, server: entities.ServerRow) -> float:
+    least_ms = float(SILENT_MS)
+    if server.target in world.table.services:
+        usual_ms = world.service_ms.get(server.target, 0.0)
+        least_ms = max(least_ms, SERVICE_TIMES * usual_ms)
     names = tuple(sorted(world.live_daemons))
     if len(names) <= duty.MESH_LIMIT or world.daemon not in names:
-        return SILENT_MS
+        return least_ms
     order = duty.askers(server.server_id, names)
-    return SILENT_MS + SPREAD_MS * order.index(world.daemon) / len(order)
+    return least_ms + SPREAD_MS * order.index(world.daemon) / len(order)
 
 
 def _move_away(world: entities.World, server: entities.ServerRow) -> None:
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -296,6 +296,25 @@
     assert again == 1, again
 
 
+def a_busy_service_is_not_asked_for_each_slow_answer() -> None:
+    """Answers that take as long as usual are no sign of a dead server.
+
+    With a queue of 400 ms each server was asked by each daemon for each call,
+    and the questions stood in the same queue.
+    """
+    core = routed_core.Core(servers=2)
+    for number in range(40):
+        core.arrive("release", f"usual{number}")
+        usual = core.dispatch()
+        core.now_ms += 400
+        core.answer(usual)
+    core.arrive("release", "slow")
+    slow = core.dispatch()
+    assert not [e for e in core.wait(900) if isinstance(e, effects.Probe)]
+    asked = [e for e in core.wait(600) if isinstance(e, effects.Probe)]
+    assert [probe.server_id for probe in asked] == [slow.server_id]
+
+
 def a_dark_server_is_noticed_within_half_a_second() -> None:
     """Silence of a server that owes an answer is looked into at once.
 
