Hold requests in a queue for each rank

Callers saw: short questions that took 400 ms at the median in the seconds after an outage, while engines would have begun them at once. Cause: once one request for a model was held for its engine's backlog, each request for that model was queued behind it, also of a more urgent route, which engines admit before the backlog. Change: one fair queue for each rank; a request waits behind those of its rank and more urgent ones. The most urgent queue is emptied first.

--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -147,7 +147,8 @@
     close_attempt(world, request.attempt_id)
     world.requests.pop(request.request_id, None)
     if request.phase is entities.Phase.QUEUED:
-        world.queues[request.work.target].drop(request.request_id)
+        queue = world.queues[request.work.target][request.queue_rank]
+        queue.drop(request.request_id)
     for cell in request.cells:
         world.shares.ended(cell)
     world.freed_targets.add(request.work.target)
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -32,34 +32,37 @@
             NO_SERVER_RETRY_MS,
         )
         return
-    queue = world.queues.setdefault(request.work.target, fair.FairQueue())
+    rank = routing.priority(world, request)
+    queue = _queue(world, request.work.target, rank)
+    before = _waiting(world, request.work.target, rank)
     workspace = world.table.workspaces.get(request.workspace)
     weight = workspace.weight if workspace else 1.0
-    must_hold = choice.wait_ms > world.policy.hold_ms or len(queue) > 0
-    if not _meets_deadline(world, request, choice, queue, must_hold):
+    must_hold = choice.wait_ms > world.policy.hold_ms or before > 0
+    if not _meets_deadline(world, request, choice, before, must_hold):
         return
     cost = _cost(request)
     if not must_hold:
         queue.charge(workspace=request.workspace, weight=weight, cost=cost)
         dispatch(world, request, choice)
         return
-    if len(queue) >= _queue_limit(world, request):
+    if before >= _queue_limit(world, request):
         _refuse_not_run(
             world,
             request,
             effects.Reason.QUEUE_FULL,
-            f"{len(queue)} requests wait for {request.work.target} already",
+            f"{before} requests wait for {request.work.target} already",
             _retry_after_ms(choice.wait_ms),
         )
         return
     request.phase = entities.Phase.QUEUED
+    request.queue_rank = rank
     if request.work.route is not None:
         world.event(
             "queued",
             request.request_id,
             target=request.work.target,
             wait_ms=round(choice.wait_ms),
-            before=len(queue),
+            before=before,
         )
     queue.push(
         request_id=request.request_id,
@@ -188,23 +191,43 @@
 
 
 def drain(world: entities.World) -> None:
-    """Dispatches held-back requests while servers have room."""
+    """Dispatches held-back requests while servers have room.
+
+    The most urgent first. Load pattern: long prompts wait for a second, short
+    ones of a more urgent route come between; engines admit those first, so
+    that they need not wait here behind the long ones.
+    """
     for target in sorted(world.freed_targets):
-        queue = world.queues.get(target)
-        if queue is not None:
-            _drain_queue(world, queue)
+        by_rank = world.queues.get(target, {})
+        for rank in sorted(by_rank):
+            _drain_queue(world, by_rank[rank])
+            if len(by_rank[rank]):
+                break
     world.freed_targets.clear()
 
 
 def expire_queued(world: entities.World) -> None:
     """Refuses held-back requests that can no longer be in time."""
-    for target, queue in world.queues.items():
+    for target, by_rank in world.queues.items():
         world.freed_targets.add(target)
-        for request_id in queue.request_ids():
-            request = world.requests[request_id]
-            if request.deadline_at_ms > world.now_ms:
-                continue
-            _refuse_late(world, request, _queue_wait_ms(world, target, queue))
+        for rank, queue in by_rank.items():
+            for request_id in queue.request_ids():
+                request = world.requests[request_id]
+                if request.deadline_at_ms > world.now_ms:
+                    continue
+                before = _waiting(world, target, rank)
+                wait_ms = _queue_wait_ms(world, target, before)
+                _refuse_late(world, request, wait_ms)
+
+
+def _queue(world: entities.World, target: str, rank: int) -> fair.FairQueue:
+    return world.queues[target].setdefault(rank, fair.FairQueue())
+
+
+def _waiting(world: entities.World, target: str, rank: int) -> int:
+    """Returns how many requests of a rank and more urgent ones are held."""
+    by_rank = world.queues[target]
+    return sum(len(queue) for r, queue in by_rank.items() if r <= rank)
 
 
 def _drain_queue(world: entities.World, queue: fair.FairQueue) -> None:
@@ -249,7 +272,7 @@
     world: entities.World,
     request: entities.RequestRow,
     choice: placing.Choice,
-    queue: fair.FairQueue,
+    before: int,
     must_hold: bool,
 ) -> bool:
     """Refuses at once what would only come too late.
@@ -259,7 +282,7 @@
     """
     expected_ms = choice.first_token_ms
     if must_hold:
-        expected_ms += _queue_wait_ms(world, request.work.target, queue)
+        expected_ms += _queue_wait_ms(world, request.work.target, before)
     left_ms = request.deadline_at_ms - world.now_ms
     if expected_ms <= left_ms * world.policy.deadline_part:
         return True
@@ -273,21 +296,19 @@
     return False
 
 
-def _queue_wait_ms(
-    world: entities.World, target: str, queue: fair.FairQueue
-) -> float:
+def _queue_wait_ms(world: entities.World, target: str, before: int) -> float:
     servers = [
         server
         for server in world.servers_by_target[target].values()
         if not server.leaving and server.ejected_until_ms <= world.now_ms
     ]
-    if not servers or not len(queue):
+    if not servers or not before:
         return 0.0
     # Each held-back request takes a turn: the time a slot is busy over the
     # slots there are.
     slots = sum(server.slots or world.policy.slots for server in servers)
     turn_ms = world.service_ms.get(target, 0.0) / slots
-    return len(queue) * turn_ms
+    return before * turn_ms
 
 
 def _queue_limit(world: entities.World, request: entities.RequestRow) -> int:
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -49,6 +49,7 @@
         give_up_at_ms: When a final answer is due in any case; 0 for never.
         runs: Dispatches that may have run.
         head: Status and headers of the stream's first server.
+        queue_rank: Rank of the queue in which it is held back.
         cells: Cells with a limit in which it counts while it is in flight.
     """
 
@@ -77,6 +78,7 @@
     give_up_at_ms: int = 0
     runs: int = 0
     head: works.Head | None = None
+    queue_rank: int = 0
     cells: tuple[str, ...] = ()
 
     @property
@@ -189,6 +191,7 @@
         most_daemons: Most of them that were ever believed alive at a time.
         target_budgets: Retry budgets by target, where the limit on retries
             holds for each target by itself.
+        queues: Requests held back, by target and rank.
         freed_targets: Targets whose queues may move after this input.
         service_ms: Smoothed time from dispatch to end, by target.
         paces: What first tokens have shown of engines, by target.
@@ -206,7 +209,9 @@
         default_factory=lambda: collections.defaultdict(dict)
     )
     outcomes: dict[str, OutcomeRow] = dataclasses.field(default_factory=dict)
-    queues: dict[str, fair.FairQueue] = dataclasses.field(default_factory=dict)
+    queues: dict[str, dict[int, fair.FairQueue]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(dict)
+    )
     shares: shares.Shares = dataclasses.field(default_factory=shares.Shares)
     retry_budget: budget.Budget = dataclasses.field(
         default_factory=budget.Budget
@@ -256,7 +261,11 @@
 
     def queued(self) -> int:
         """Returns how many requests are held back."""
-        return sum(len(queue) for queue in self.queues.values())
+        return sum(
+            len(queue)
+            for by_rank in self.queues.values()
+            for queue in by_rank.values()
+        )
 
 
 __all__ = [
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from cases import routed_core
-from godwittack.core import effects, inputs, server_inputs
+from godwittack.core import effects, inputs, server_inputs, work
 from godwittack.member import duty
 
 SENT = inputs.FailurePhase.SENT
@@ -296,6 +297,33 @@
     assert again == 1, again
 
 
+def a_short_urgent_request_passes_long_ones_that_are_held() -> None:
+    """A held prompt delays those of its rank and less urgent ones alone.
+
+    Behind one long prompt that waited for 100 ms and more, each request for
+    the model was held, also those that an engine would have begun at once.
+    """
+    core = routed_core.Core(servers=2, hold_ms=100, prefill_us_per_token=15)
+    routes = (
+        routed_core.route("long", routed_core.ENGINES, streaming=True),
+        routed_core.route("short", routed_core.ENGINES, streaming=True),
+    )
+    ranked = tuple(
+        dataclasses.replace(route, priority=rank)
+        for route, rank in zip(routes, (1, 0), strict=True)
+    )
+    core.tell(inputs.TableChanged, routed_core.table(2, routes=ranked))
+    for number in range(8):
+        prompt = (work.Level(number, 10_000),)
+        core.arrive("long", f"long{number}", levels=prompt)
+    held = [e.name for e in core.find(effects.Event)]
+    assert "queued" in held, held
+    core.arrive("short", "short", levels=(work.Level(100, 300),))
+    assert core.dispatch().request_id == "short"
+    core.arrive("long", "last", levels=(work.Level(101, 300),))
+    assert not core.find(effects.Dispatch)
+
+
 def a_busy_service_is_not_asked_for_each_slow_answer() -> None:
     """Answers that take as long as usual are no sign of a dead server.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -25,6 +25,7 @@
       | routed | a fleet shares the burst of retries |
       | routed | a dark server is noticed within half a second |
       | routed | a busy service is not asked for each slow answer |
+      | routed | a short urgent request passes long ones that are held |
       | routed | what has no limit is not counted |
       | routed | many daemons ask a silent server in turn |
       | routed | a peer's doubt is a question not an answer |
