Count the wait for a slot before the last one is in use

Callers saw: short questions that waited 100 to 750 ms at engines of eight slots, while half of the others loaded weights and the rest had places. Cause: a wait for a slot was counted from the last slot on, by reports that are a second old; a request holds its slot for 0.2 to 0.7 s. Change: below the last slot the wait is the time of a turn times the third power of the part in use. From the last slot on it is what it was. Before: in the case the request stays at 7 of 8; after: it goes to an engine with 1 of 8, and stays at 1 of 8.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -21,6 +21,9 @@
 # Milliseconds that one more running request adds to the time of another: a
 # step of 3.55 ms grows by 0.046, over some ten steps until the first token.
 BATCH_MS = 0.5
+# Power of the part of slots in use that approximates the chance that a server
+# is full by the time a request arrives.
+FULL_POWER = 3
 
 
 def add(
@@ -73,13 +76,25 @@
         )
         in_flight = max(in_flight, server.running + server.waiting + since)
     slots = server.slots or world.policy.slots
-    if in_flight >= slots:
-        turn_ms = world.service_ms.get(server.target, 0.0) / slots
-        wait += (in_flight - slots + 1) * turn_ms
+    turn_ms = world.service_ms.get(server.target, 0.0) / slots
+    wait += turn_ms * _turns(in_flight, slots)
     # Every request in a batch makes each of its steps a little longer.
     return wait + in_flight * BATCH_MS
 
 
+def _turns(in_flight: int, slots: int) -> float:
+    """Returns how many requests must end at a server before the next begins.
+
+    Load pattern: half of the engines load weights, the others have four of
+    eight slots in use at the mean. What runs there is known as it was a second
+    ago, two lifetimes of a request: one with six in use has none left now and
+    then. Below the last slot this is the chance of that, not nought.
+    """
+    if in_flight >= slots:
+        return float(in_flight - slots + 1)
+    return (in_flight / slots) ** FULL_POWER
+
+
 def note_cached(
     world: entities.World,
     server: entities.ServerRow,
--- a/tests/cases/sourcing.py
+++ b/tests/cases/sourcing.py
@@ -136,6 +136,37 @@
     assert max(sent.values()) <= 3 * 400 / engines, sent
 
 
+def an_engine_with_few_free_slots_is_left_for_idle_ones() -> None:
+    """A small cached part is not worth waiting at an engine that is nearly full.
+
+    Reports are a second old; seven of eight slots in use then are eight of
+    eight now and then, and a short request waits half a second for one.
+    """
+    small = (work.Level(7, 55), work.Level(8, 37), work.Level(9, 300))
+    for running, is_left in ((1, False), (7, True)):
+        core = _core(servers=6)
+        core.world.service_ms[routed_core.ENGINES] = 350.0
+        core.arrive("short", "first", levels=small)
+        first = core.dispatch()
+        core.open(first)
+        core.frames(first, 1, end=True)
+        for name in core.world.servers_by_target[routed_core.ENGINES]:
+            core.tell_named(
+                server_inputs.LoadReported,
+                server_id=name,
+                incarnation=name,
+                weights_version="1",
+                running=running if name == first.server_id else 1,
+                waiting=0,
+                waiting_tokens=0,
+                prefill_us_per_token=0,
+                slots=8,
+            )
+        core.arrive("short", "again", levels=small)
+        left = core.dispatch().server_id != first.server_id
+        assert left is is_left, (running, left)
+
+
 def each_part_is_kept_by_one_of_several_stores() -> None:
     """Stores of cached state hold different parts, not the same ones.
 
