Draw the candidates among many engines

Cause: an engine that has loaded new weights reports itself idle to all serving daemons at once; each sends its next requests there, and hears of the others' by a report 0.4 to 2 s later. Change: beyond eight usable engines a request is scored at its home, at those that hold some of its prompt, and at four drawn by its id and the time. Ruled out: announcing short requests as well (286 a second to 60 daemons each). Up to eight engines nothing changes.

--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -12,6 +12,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import xxhash
+
 from godwittack.core import backlog, pace, routing, weights
 from godwittack.placement import levels, rendezvous
 
@@ -20,6 +22,10 @@
 
     from godwittack.core import entities, work
 
+# Servers up to which each is scored; beyond it only candidates are.
+SCORE_ALL = 8
+# Candidates drawn for a request beside its home and those that hold some of it.
+DRAWN = 4
 # Target under which stores of cached state are kept in the server tables.
 STORE_TARGET = "kv-store"
 # Time of computing that a copy must save; a source that lost it costs 1 ms.
@@ -104,6 +110,7 @@
     }
     home = _home(request, usable)
     rank = routing.priority(world, request)
+    candidates = _candidates(world, request, usable, held=held, home=home)
     placed = [
         _score(
             world,
@@ -114,7 +121,7 @@
             rank=rank,
             is_home=server.server_id == home,
         )
-        for server in usable
+        for server in candidates
     ]
     best = min(placed, key=lambda p: (p.cost, p.server.server_id))
     if best.fetch_from:
@@ -124,6 +131,38 @@
     return dataclasses.replace(best, fetch_from=spare)
 
 
+def _candidates(
+    world: entities.World,
+    request: entities.RequestRow,
+    usable: list[entities.ServerRow],
+    *,
+    held: dict[str, int],
+    home: str,
+) -> list[entities.ServerRow]:
+    """Returns the servers to score: home, holders, and a few at random.
+
+    Load pattern: an engine comes back with new weights, idle, before forty
+    daemons that learn of each other's requests late. Each would send it the
+    next requests; scored by those alone that drew it, it gets its part
+    (Mitzenmacher, The power of two choices, 2001).
+    """
+    if len(usable) <= SCORE_ALL:
+        return usable
+    seed = f"{request.request_id}/{world.now_ms}".encode()
+    drawn_at = xxhash.xxh3_64_intdigest(seed)
+    drawn = set()
+    for _ in range(DRAWN):
+        drawn_at, place = divmod(drawn_at, len(usable))
+        drawn.add(usable[place].server_id)
+    return [
+        server
+        for server in usable
+        if server.server_id in drawn
+        or server.server_id == home
+        or held.get(server.server_id, 0)
+    ]
+
+
 def _spare_source(
     world: entities.World,
     request: entities.RequestRow,
--- a/tests/cases/sourcing.py
+++ b/tests/cases/sourcing.py
@@ -137,7 +137,7 @@
 
 
 def an_engine_with_few_free_slots_is_left_for_idle_ones() -> None:
-    """A small cached part is not worth waiting at an engine that is nearly full.
+    """A small cached part is not worth the wait at a nearly full engine.
 
     Reports are a second old; seven of eight slots in use then are eight of
     eight now and then, and a short request waits half a second for one.
@@ -167,6 +167,35 @@
         assert left is is_left, (running, left)
 
 
+def an_engine_that_comes_back_idle_is_not_sent_everything() -> None:
+    """Forty daemons with one report don't all choose the one idle engine.
+
+    Each sent its next requests to an engine that had just loaded new weights:
+    eight slots, and a wait of half a second behind what others had sent.
+    """
+    daemons, engines = 40, 20
+    sent = collections.Counter()
+    for daemon in range(daemons):
+        core = _core(servers=engines)
+        core.world.service_ms[routed_core.ENGINES] = 350.0
+        for number in range(1, engines + 1):
+            core.tell_named(
+                server_inputs.LoadReported,
+                server_id=f"e{number}",
+                incarnation=f"e{number}",
+                weights_version="1",
+                running=0 if number == 1 else 5,
+                waiting=0,
+                waiting_tokens=0,
+                prefill_us_per_token=0,
+                slots=8,
+            )
+        prompt = (work.Level(100 + daemon, 40), work.Level(daemon, 300))
+        core.arrive("short", f"r{daemon}", levels=prompt)
+        sent[core.dispatch().server_id] += 1
+    assert sent["e1"] <= daemons / 2, sent
+
+
 def each_part_is_kept_by_one_of_several_stores() -> None:
     """Stores of cached state hold different parts, not the same ones.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -197,6 +197,7 @@
       | sourcing | a small level first casts no doubt on its holder |
       | sourcing | a store that starts anew is empty |
       | sourcing | prompts with one opening spread over all engines |
+      | sourcing | an engine that comes back idle is not sent everything |
       | sourcing | an engine with few free slots is left for idle ones |
       | sourcing | each part is kept by one of several stores |
       | sourcing | a daemon that heard of no save asks the store that has it |
