Split long files: what is held, candidates, listeners

core/sourcing.py (440 lines) gives up what servers and stores hold of a prompt (core/holding.py) and the drawing of candidates (core/candidates.py); daemon/edge.py (407) its HTTP servers (daemon/listening.py).

--- a/src/godwittack/core/kvreuse.py
+++ b/src/godwittack/core/kvreuse.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import pace, sourcing
+from godwittack.core import holding, pace
 from godwittack.placement import levels
 
 if TYPE_CHECKING:
@@ -58,10 +58,10 @@
     shared = sum(level.tokens for level in request.work.levels[:-1])
     if shared * pace.us_per_token(world, server) < SAVE_MS * 1000:
         return ""
-    store = sourcing.home_store(world, request)
+    store = holding.home_store(world, request)
     if store is None:
         return ""
-    if sourcing.held_tokens(store, request, version) >= shared:
+    if holding.held_tokens(store, request, version) >= shared:
         return ""
     for level in request.work.levels[:-1]:
         store.cache.note(
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -12,22 +12,18 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-import xxhash
-
-from godwittack.core import backlog, pace, routing, weights
-from godwittack.placement import levels, rendezvous
+from godwittack.core import (
+    backlog,
+    candidates,
+    holding,
+    pace,
+    routing,
+    weights,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from godwittack.core import entities, work
 
-# Servers up to which each is scored; beyond it only candidates are.
-SCORE_ALL = 8
-# Candidates drawn for a request beside its home and those that hold some of it.
-DRAWN = 4
-# Target under which stores of cached state are kept in the server tables.
-STORE_TARGET = "kv-store"
 # Time of computing that a copy must save; a source that lost it costs 1 ms.
 COPY_MS = 3.5
 # Costs of a token as parts of the time that computing it takes; a larger model
@@ -100,7 +96,9 @@
 ) -> Placed:
     """Returns the best of the usable servers."""
     held = {
-        server.server_id: held_tokens(server, request, server.weights_version)
+        server.server_id: holding.held_tokens(
+            server, request, server.weights_version
+        )
         for server in _holders(world, request)
     }
     # The same for all servers with one version of weights.
@@ -108,9 +106,9 @@
         version: _sources(world, request, version)
         for version in {server.weights_version for server in usable}
     }
-    home = _home(request, usable)
+    home = candidates.home(request, usable)
     rank = routing.priority(world, request)
-    candidates = _candidates(world, request, usable, held=held, home=home)
+    drawn = candidates.choose(world, request, usable, held=held, home=home)
     placed = [
         _score(
             world,
@@ -121,7 +119,7 @@
             rank=rank,
             is_home=server.server_id == home,
         )
-        for server in candidates
+        for server in drawn
     ]
     best = min(placed, key=lambda p: (p.cost, p.server.server_id))
     if best.fetch_from:
@@ -131,38 +129,6 @@
     return dataclasses.replace(best, fetch_from=spare)
 
 
-def _candidates(
-    world: entities.World,
-    request: entities.RequestRow,
-    usable: list[entities.ServerRow],
-    *,
-    held: dict[str, int],
-    home: str,
-) -> list[entities.ServerRow]:
-    """Returns the servers to score: home, holders, and a few at random.
-
-    Load pattern: an engine comes back with new weights, idle, before forty
-    daemons that learn of each other's requests late. Each would send it the
-    next requests; scored by those alone that drew it, it gets its part
-    (Mitzenmacher, The power of two choices, 2001).
-    """
-    if len(usable) <= SCORE_ALL:
-        return usable
-    seed = f"{request.request_id}/{world.now_ms}".encode()
-    drawn_at = xxhash.xxh3_64_intdigest(seed)
-    drawn = set()
-    for _ in range(DRAWN):
-        drawn_at, place = divmod(drawn_at, len(usable))
-        drawn.add(usable[place].server_id)
-    return [
-        server
-        for server in usable
-        if server.server_id in drawn
-        or server.server_id == home
-        or held.get(server.server_id, 0)
-    ]
-
-
 def _spare_source(
     world: entities.World,
     request: entities.RequestRow,
@@ -198,76 +164,10 @@
     shared = sum(level.tokens for level in request.work.levels[:-1])
     if shared < _least_copy(world, server):
         return ""
-    store = home_store(world, request)
+    store = holding.home_store(world, request)
     return store.address if store is not None else ""
 
 
-def held_tokens(
-    server: entities.ServerRow,
-    request: entities.RequestRow,
-    version: str,
-    *,
-    ready_by_ms: int | None = None,
-) -> int:
-    """Returns the leading tokens that a server is believed to hold.
-
-    Engines reuse a prompt's levels without gaps only. Of small ones nobody
-    tells; one before a level that is held was needed for it.
-
-    Args:
-        server: The server.
-        request: Whose prompt it is.
-        version: Weights by which the levels were computed.
-        ready_by_ms: Time by which they must be there; None counts those as
-            well that are still being computed.
-    """
-    total = untold = 0
-    for level in request.work.levels:
-        key = _key(level, version)
-        seen_ms = server.cache.seen_ms(key)
-        if seen_ms is None and level.tokens < levels.SMALL_TOKENS:
-            untold += level.tokens
-            continue
-        if seen_ms is None:
-            break
-        if ready_by_ms is not None and seen_ms > ready_by_ms:
-            break
-        stored = server.cache.tokens(key, whole=level.tokens)
-        total += untold + stored
-        untold = 0
-        if stored < level.tokens:
-            break
-    return total
-
-
-def home_store(
-    world: entities.World, request: entities.RequestRow
-) -> entities.ServerRow | None:
-    """Returns the store that keeps a prompt's shared levels.
-
-    Load pattern: 554 parts of 13,300 tokens are named anew every few seconds,
-    of which one store holds half. Saved to each of two stores they evict each
-    other from both, and each link carries all of them; saved to one each, both
-    stores together hold them all. Every daemon computes the same store from
-    the same hash, also one that has heard of no save.
-    """
-    shared = request.work.levels[:-1]
-    by_name = {store.server_id: store for store in stores(world)}
-    if not shared or not by_name:
-        return None
-    names = tuple(sorted(by_name))
-    return by_name[rendezvous.rank(shared[-1].key, names)[0]]
-
-
-def stores(world: entities.World) -> Iterable[entities.ServerRow]:
-    """Returns the stores of cached state that answer."""
-    return (
-        store
-        for store in world.servers_by_target[STORE_TARGET].values()
-        if store.draining_until_ms <= world.now_ms
-    )
-
-
 def _holders(
     world: entities.World, request: entities.RequestRow
 ) -> list[entities.ServerRow]:
@@ -357,7 +257,7 @@
                 )
             )
     engines_us = _engines_us(world, request)
-    for store in stores(world):
+    for store in holding.stores(world):
         tokens = _ready_tokens(world, request, store, version)
         if tokens:
             found.append(Source(store, tokens, engines_us * STORE_COPY_PART))
@@ -371,7 +271,9 @@
     version: str,
 ) -> int:
     """Returns the leading tokens that could be copied at this moment."""
-    return held_tokens(server, request, version, ready_by_ms=world.now_ms)
+    return holding.held_tokens(
+        server, request, version, ready_by_ms=world.now_ms
+    )
 
 
 def _engines_us(world: entities.World, request: entities.RequestRow) -> float:
@@ -400,41 +302,24 @@
     seen_ms = next(
         seen_ms
         for level in request.work.levels
-        if (seen_ms := other.cache.seen_ms(_key(level, version))) is not None
+        if (seen_ms := other.cache.seen_ms(holding.version_key(level, version)))
+        is not None
     )
     return min(1.0, max(0, world.now_ms - seen_ms) / EVICTED_AFTER_MS)
 
 
-def _key(level: work.Level, version: str) -> int:
-    return levels.versioned(level.key, version)
+def _seen_ms(
+    server: entities.ServerRow, level: work.Level, version: str
+) -> int | None:
+    return server.cache.seen_ms(holding.version_key(level, version))
 
 
 def _far(one: entities.ServerRow, other: entities.ServerRow) -> float:
     return 1.0 if one.failure_domain == other.failure_domain else FAR_FACTOR
 
 
-def _home(
-    request: entities.RequestRow, usable: list[entities.ServerRow]
-) -> str:
-    """Returns the server on which a prompt's shared levels should stand.
-
-    By the last shared level: the first one may be the same for all requests,
-    or one of three, and each of its homes would be sent a third of them.
-    """
-    levels_asked = request.work.levels
-    if not levels_asked:
-        return ""
-    names = tuple(sorted(server.server_id for server in usable))
-    last_shared = levels_asked[:-1] or levels_asked
-    return rendezvous.rank(last_shared[-1].key, names)[0]
-
-
 __all__ = [
-    "STORE_TARGET",
     "Placed",
     "Source",
     "choose",
-    "held_tokens",
-    "home_store",
-    "stores",
 ]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -11,7 +11,6 @@
 from absl import logging
 from aiohttp import web
 
-from godwittack import address as addresses
 from godwittack.backend import pool as pools
 from godwittack.backend import routed
 from godwittack.core import inputs
@@ -24,6 +23,7 @@
     keeping,
     lag,
     lead,
+    listening,
     naming,
     news,
     observer,
@@ -31,7 +31,7 @@
     stories,
     watch,
 )
-from godwittack.entry import directory, forward, patience
+from godwittack.entry import directory, forward
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
 from godwittack.member import confirmed, duty, freshness, serving
@@ -40,15 +40,11 @@
 from godwittack.platform import instances as list_rows
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Mapping
+    from collections.abc import Callable, Mapping
 
     from godwittack.config import settings as configs
     from godwittack.store import protocol as stores
 
-HTTP_BACKLOG = 1_024
-# Of one line of a request's head, as the HTTP library reads it; the table's
-# own limit on all headers is checked after that, with an answer that says so.
-MAX_LINE_BYTES = 1 << 16
 # Taken off the bound on keys: the store's feed may be silent for a second
 # while changes are made, and a request takes a while to its server.
 KEY_MARGIN_MS = 1_500
@@ -215,8 +211,7 @@
         self._store_readers = duty.Assigned(duty.store_readers)
         self._loops = base.Loops()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[patience.PatientServer] = []
-        self._sites: list[web.TCPSite] = []
+        self._listeners = listening.Listeners(clock)
 
     async def run(self) -> None:
         """Serves until a stop is ordered and everything is finished.
@@ -233,11 +228,17 @@
         await self._peer_server.start(settings.peer_address)
         await self._probes.start(settings.peer_address, handler=self._gossiper)
         self._streams.connect(core=self.runtime, news=self._news)
-        await self._listen(settings.http_address, self._face.handle)
-        await self._listen(settings.ready_address, self._directory.ready)
-        await self._listen(settings.directory_address, self._directory.resolve)
+        await self._listeners.listen(settings.http_address, self._face.handle)
+        await self._listeners.listen(
+            settings.ready_address, self._directory.ready
+        )
+        await self._listeners.listen(
+            settings.directory_address, self._directory.resolve
+        )
         if settings.metrics_address:
-            await self._listen(settings.metrics_address, self._metrics)
+            await self._listeners.listen(
+                settings.metrics_address, self._metrics
+            )
         self._gossiper.announce()
         self._start_loops()
         logging.info(
@@ -268,22 +269,6 @@
             lag.watch_forever(members=self._members, clock=self._clock)
         )
 
-    async def _listen(
-        self,
-        address: str,
-        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-    ) -> None:
-        server = patience.PatientServer(
-            handler, clock=self._clock, max_line_bytes=MAX_LINE_BYTES
-        )
-        runner = web.ServerRunner(server)
-        await runner.setup()
-        host, port = addresses.split(address)
-        site = web.TCPSite(runner, host, port, backlog=HTTP_BACKLOG)
-        await site.start()
-        self._servers.append(server)
-        self._sites.append(site)
-
     async def _metrics(self, request: web.BaseRequest) -> web.Response:
         del request
         return web.Response(
@@ -302,8 +287,7 @@
         kept_ms = started_ms + directory.KEEP_FACTOR * directory.ADDRESS_KEEP_MS
         while self._clock.now_ms() < min(kept_ms, ends_ms):
             await asyncio.sleep(0.05)
-        for site in self._sites:
-            await site.stop()
+        await self._listeners.stop()
         self.runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
         left_s = max(0.1, (ends_ms - self._clock.now_ms()) / 1000)
         with contextlib.suppress(TimeoutError):
@@ -327,8 +311,7 @@
             self._pool.tidy()
             table = self.runtime.core.world.table
             if table.forwarding is not None:
-                for server in self._servers:
-                    server.end_slow(table.forwarding.limits)
+                self._listeners.end_slow(table.forwarding.limits)
 
     def _follower(
         self,
