--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -85,10 +85,9 @@
 def _turns(in_flight: int, slots: int) -> float:
     """Returns how many requests must end at a server before the next begins.
 
-    Load pattern: half of the engines load weights, the others have four of
-    eight slots in use at the mean. What runs there is known as it was a second
-    ago, two lifetimes of a request: one with six in use has none left now and
-    then. Below the last slot this is the chance of that, not nought.
+    Load pattern: few slots are free, and a report of them is older than a
+    request lasts. A server that reported free slots may be full by now; below
+    the last slot the result is an estimate of that chance.
     """
     if in_flight >= slots:
         return float(in_flight - slots + 1)
--- a/src/godwittack/core/candidates.py
+++ b/src/godwittack/core/candidates.py
@@ -13,7 +13,7 @@
 
 # Servers up to which each is scored; beyond it only candidates are.
 SCORE_ALL = 8
-# Candidates drawn for a request beside its home and those that hold some of it.
+# Candidates drawn at random, besides the home and the holders.
 DRAWN = 4
 
 
@@ -27,10 +27,9 @@
 ) -> list[entities.ServerRow]:
     """Returns the servers to score: home, holders, and a few at random.
 
-    Load pattern: an engine comes back with new weights, idle, before forty
-    daemons that learn of each other's requests late. Each would send it the
-    next requests; scored by those alone that drew it, it gets its part
-    (Mitzenmacher, The power of two choices, 2001).
+    Load pattern: an engine comes back idle, and tens of daemons hear of it
+    before they hear of each other's requests. If all scored it, all would
+    choose it (Mitzenmacher, The power of two choices, 2001).
     """
     if len(usable) <= SCORE_ALL:
         return usable
@@ -52,8 +51,8 @@
 def home(request: entities.RequestRow, usable: list[entities.ServerRow]) -> str:
     """Returns the server on which a prompt's shared levels should stand.
 
-    By the last shared level: the first one may be the same for all requests,
-    or one of three, and each of its homes would be sent a third of them.
+    It is chosen by the last shared level, since many prompts may open with the
+    same first one.
     """
     levels_asked = request.work.levels
     if not levels_asked:
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -193,9 +193,8 @@
 def drain(world: entities.World) -> None:
     """Dispatches held-back requests while servers have room.
 
-    The most urgent first. Load pattern: long prompts wait for a second, short
-    ones of a more urgent route come between; engines admit those first, so
-    that they need not wait here behind the long ones.
+    The most urgent rank comes first, as at the engines: a short prompt of an
+    urgent route need not wait behind long ones that are held.
     """
     for target in sorted(world.freed_targets):
         by_rank = world.queues.get(target, {})
--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -23,8 +23,8 @@
 # gets no answer tells all; sixty that asked at once were half of what engines
 # were asked beside requests, mostly for prompts that took a little longer.
 SPREAD_MS = 600
-# Usual times of an answer for which a plain service may say nothing. A question
-# takes a place in the queue whose length it asks about.
+# Smoothed answer times for which a plain service may be silent. A probe waits in
+# the same queue as calls do, and makes it longer.
 SERVICE_TIMES = 3.0
 # Pause between two questions.
 ASK_AGAIN_MS = 600
@@ -63,9 +63,8 @@
 ) -> bool:
     """Returns whether a report will tell that an ejected server is back.
 
-    In a large fleet each daemon asked for itself. One daemon follows each
-    engine and tells the others; those that it told until the failure wait for
-    its word.
+    In a large fleet one daemon polls each engine and publishes its load. The
+    subscribers of those reports need no probes of their own.
     """
     if len(world.live_daemons) <= duty.MESH_LIMIT:
         return False
--- a/src/godwittack/core/holding.py
+++ b/src/godwittack/core/holding.py
@@ -58,11 +58,9 @@
 ) -> entities.ServerRow | None:
     """Returns the store that keeps a prompt's shared levels.
 
-    Load pattern: 554 parts of 13,300 tokens are named anew every few seconds,
-    of which one store holds half. Saved to each of two stores they evict each
-    other from both, and each link carries all of them; saved to one each, both
-    stores together hold them all. Every daemon computes the same store from
-    the same hash, also one that has heard of no save.
+    Load pattern: more shared parts than one store holds. Saved to every store
+    they evict each other from each, and each link carries all of them. One
+    store a part, chosen by hash, is found by every daemon without news.
     """
     shared = request.work.levels[:-1]
     by_name = {store.server_id: store for store in stores(world)}
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -16,8 +16,7 @@
     from godwittack.core import work
 
 
-# Time for which a server that turned a connection away is used last. Its queue
-# is a few calls long and moves within it.
+# Time for which a server that reset a new connection counts as full.
 FULL_MS = 300
 
 
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -32,7 +32,7 @@
 # once. With sixty peers, each told five times a second, news were two fifths
 # of a daemon's processor time.
 PEER_PAUSE_MS = 10
-# Part of the age at which a load report is ignored that it may wait here.
+# Longest pause, as a part of the age from which load reports are stale.
 WAIT_PART = 0.25
 
 
@@ -108,8 +108,7 @@
     async def tell_forever(self, *, news_ms: int) -> None:
         """Sends what waits, each period, which grows with the peers told.
 
-        It ends well below the age at which loads are ignored: told later,
-        each server would look idle to all but its watcher.
+        The period stays below the age from which load reports are stale.
         """
         while True:
             await asyncio.sleep(self._pause_ms(news_ms) / 1000)
--- a/src/godwittack/member/overload.py
+++ b/src/godwittack/member/overload.py
@@ -1,8 +1,8 @@
 """Tells from late timers that a daemon has more work than processor time.
 
-Load pattern: a crowd reaches the serving daemons of one failure domain. Their
-timers fire later and later while other daemons of the domain are idle; told
-of it, the directory sends callers to more of them.
+Load pattern: a burst reaches the serving daemons of one failure domain while
+others of the domain are idle. Timers of the busy ones fire late; the directory
+then names more daemons of that domain.
 """
 
 from __future__ import annotations
--- a/src/godwittack/member/serving.py
+++ b/src/godwittack/member/serving.py
@@ -1,10 +1,9 @@
 """Chooses the daemons that carry the traffic of a large fleet.
 
-Load pattern: a few requests a second for each of hundreds of daemons. Spread
-over all, each keeps connections of its own to every server, and decides by
-loads and caches that its own answers seldom correct. Fewer daemons with more
-requests each know more and cost less; the others keep the table, the list and
-the right to serve, and take over from those that fail.
+Load pattern: a few requests a second for each of hundreds of daemons. If all of
+them serve, each needs connections to every server and news of all loads and
+caches. A subset serves instead; the others keep the table, the list and the
+right to serve, and replace members of the subset that fail.
 """
 
 from __future__ import annotations
--- a/src/godwittack/member/view.py
+++ b/src/godwittack/member/view.py
@@ -9,8 +9,7 @@
 
 ENVELOPE_UPDATES = 12
 # Transmissions of one member's state by each daemon: this many times the binary
-# logarithm of the fleet's size, at least so many. One that hears of a state
-# from nobody after sixteen rounds of all others is one in ten million.
+# logarithm of the fleet's size, but not fewer than the second.
 RETRANSMIT_FACTOR = 2
 LEAST_RETRANSMITS = 12
 # More transmissions than any state needs.
--- a/src/godwittack/peer/tables.py
+++ b/src/godwittack/peer/tables.py
@@ -20,8 +20,7 @@
 class TableWriter:
     """Writes the table for peers, compressed once a version.
 
-    Load pattern: a change reaches hundreds of daemons within a second, most of
-    them over links between failure domains or of 20 Mbit/s.
+    Load pattern: hundreds of daemons fetch each version within a second.
     """
 
     def __init__(self) -> None:
