--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -23,8 +23,8 @@
 # gets no answer tells all; sixty that asked at once were half of what engines
 # were asked beside requests, mostly for prompts that took a little longer.
 SPREAD_MS = 600
-# Smoothed answer times for which a plain service may be silent. A probe waits in
-# the same queue as calls do, and makes it longer.
+# Smoothed answer times for which a plain service may be silent. A probe waits
+# in the same queue as calls do, and makes it longer.
 SERVICE_TIMES = 3.0
 # Pause between two questions.
 ASK_AGAIN_MS = 600
