Play the serving set with real processes

Guards against a daemon outside the set that refuses callers who kept its address, and against a lost daemon that stays named: five daemons with a limit of two name one set of two, each answers both kinds of request, one is killed, and a standby is named in its place by all.

--- a/tests/cases/adapter.py
+++ b/tests/cases/adapter.py
@@ -105,6 +105,50 @@
         assert not any(made.ran(f"r{n}") for n in (0, 1, 401, 413, 431))
 
 
+async def a_large_fleet_serves_by_some_of_its_daemons() -> None:
+    """Callers are sent to the serving set, and to a standby for one it lost."""
+    small = "mesh_limit: 2\nserving_daemons: 2\n"
+    async with Platform(daemons=5, settings=small) as made:
+
+        async def named(number: int) -> frozenset[str]:
+            path = "/resolve?name=h.example&region=all&zone=north"
+            _, body = await made.get(number, "directory", path)
+            return frozenset(json.loads(body)["addresses"])
+
+        async def agree(*numbers: int) -> bool:
+            answers = {await named(number) for number in numbers}
+            return len(answers) == 1 and len(next(iter(answers))) == 2
+
+        fronts = [fields["listen"]["front"] for fields in made.fields]
+        everyone = range(len(fronts))
+        await until("all name one set", lambda: agree(*everyone))
+        before = await named(0)
+        for number in everyone:
+            # Callers keep addresses: who does not serve answers all the same.
+            assert (await made.call("long", f"l{number}", daemon=number))[
+                0
+            ] == (200)
+            assert (await made.call("release", f"r{number}", daemon=number))[
+                0
+            ] == 200
+        roles = [made.log(n).count("role=idle") for n in everyone]
+        assert sum(roles) >= 1, roles
+        lost = fronts.index(sorted(before)[0])
+        made.signal(lost, signal.SIGKILL)
+        others = [number for number in everyone if number != lost]
+
+        async def replaced() -> bool:
+            named_now = await named(others[0])
+            return await agree(*others) and fronts[lost] not in named_now
+
+        await until("a standby is named", replaced)
+        after = await named(others[0])
+        assert len(after & before) == 1, (before, after)
+        for number in (fronts.index(front) for front in after):
+            got = await made.call("long", f"again{number}", daemon=number)
+            assert got[0] == 200, got
+
+
 async def nothing_is_ready_before_the_first_table() -> None:
     """A daemon without a table refuses, and says so to the platform.
 
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -119,7 +119,17 @@
 class Platform:
     """The store, two engines, two plain servers, and daemons."""
 
-    def __init__(self, *, daemons: int = 1, configured: bool = True) -> None:
+    def __init__(
+        self, *, daemons: int = 1, configured: bool = True, settings: str = ""
+    ) -> None:
+        """Starts nothing yet.
+
+        Args:
+            daemons: How many to start.
+            configured: Whether the operators' table is there at the start.
+            settings: Lines of settings that replace those of the template.
+        """
+        self._settings = settings
         self.store = RowStore()
         self.replicas = {
             "i-e1": Replica("i-e1", model="m"),
@@ -201,7 +211,7 @@
         seeds = [f["listen"]["control"] for f in self.fields][:3]
         self.fields.append(settings_fields(name, self.store_port, seeds))
         path = pathlib.Path(self._folder.name) / f"{name}.yaml"
-        path.write_text(render(self.fields[-1]))
+        path.write_text(f"{render(self.fields[-1])}\n{self._settings}")
         self.logs.append(path.with_suffix(".log"))
         self.processes.append(await self._run(path))
 
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -10,6 +10,7 @@
       | adapter | every kind of request is served whole |
       | adapter | what is not allowed is said so |
       | adapter | nothing is ready before the first table |
+      | adapter | a large fleet serves by some of its daemons |
       | adapter | a key taken away is refused within its bound |
       | adapter | an outage of the store ends keys alone |
       | adapter | lost history is survived |
