Expose each daemon's role in a large fleet as a metric

On-call engineers find a daemon that is idle, or standby, without its log. The case with real processes reads the metric of all five: two serve.

--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import signal
 from typing import TYPE_CHECKING
 
@@ -128,6 +129,11 @@
                 serving=settings.serving_daemons,
             ),
         )
+        for role in serving.Role:
+            self._meters.add_gauge(
+                f"godwittack_is_{role.value}",
+                functools.partial(self._serving.has_role, role),
+            )
         self._news = news.News(
             members=members,
             runtime=self.runtime,
--- a/src/godwittack/member/serving.py
+++ b/src/godwittack/member/serving.py
@@ -132,6 +132,10 @@
         """Returns the set as it is now."""
         return self._sets.among(self._members.live())
 
+    def has_role(self, role: Role) -> bool:
+        """Returns whether this daemon has a role now."""
+        return self.chosen().role(self._members.me.member_id) is role
+
     def among(
         self,
         target: str,
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -50,8 +50,13 @@
             callbacks=[_callback(lambda: self._peer_bytes)],
             unit="By",
         )
+        self._meter = meter
         for name, read in _gauges(world).items():
-            meter.create_observable_gauge(name, callbacks=[_callback(read)])
+            self.add_gauge(name, read)
+
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Exposes what `read` returns at the time of each reading."""
+        self._meter.create_observable_gauge(name, callbacks=[_callback(read)])
 
     def event(self, event: effects.Event) -> None:
         """Measures one event of the core."""
--- a/tests/cases/adapter.py
+++ b/tests/cases/adapter.py
@@ -133,6 +133,18 @@
             ] == 200
         roles = [made.log(n).count("role=idle") for n in everyone]
         assert sum(roles) >= 1, roles
+        serving = 0
+        for fields in made.fields:
+            port = fields["internal-port-range"][1]
+            url = f"http://{fields['ip']}:{port}/"
+            async with made.session.get(url) as response:
+                lines = (await response.text()).splitlines()
+            serving += any(
+                line.startswith("godwittack_is_serving")
+                and line.endswith(" 1.0")
+                for line in lines
+            )
+        assert serving == 2, serving
         lost = fronts.index(sorted(before)[0])
         made.signal(lost, signal.SIGKILL)
         others = [number for number in everyone if number != lost]
