Keep the serving set over a restart of the fleet

Callers saw (found by reading, shown by a case): after a loss of power callers that keep their addresses reach daemons that the new directory no longer names and that receive no news. Cause: equal machines were ranked by member id, which has a nonce of the process. Change: ranked by peer address. The case fails before and passes after.

--- a/src/godwittack/member/serving.py
+++ b/src/godwittack/member/serving.py
@@ -95,11 +95,16 @@
 
 
 def _ranked(members: list[view.Member]) -> list[view.Member]:
-    """Returns members of one failure domain, the largest machines first."""
-    order = duty.rank("serving", tuple(sorted(m.member_id for m in members)))
-    place = {name: number for number, name in enumerate(order)}
+    """Returns members of one failure domain, the largest machines first.
+
+    Equal ones are ranked by address, which outlives a restart: callers keep
+    addresses while the whole fleet starts anew.
+    """
+    addresses = tuple(sorted(member.peer_address for member in members))
+    order = duty.rank("serving", addresses)
+    place = {address: number for number, address in enumerate(order)}
     return sorted(
-        members, key=lambda m: (-m.capacity_millicores, place[m.member_id])
+        members, key=lambda m: (-m.capacity_millicores, place[m.peer_address])
     )
 
 
--- a/tests/cases/serving.py
+++ b/tests/cases/serving.py
@@ -88,6 +88,22 @@
             assert len(come) == 1 and come <= _ids(before.standby), come
 
 
+def a_restarted_fleet_has_the_same_serving_set() -> None:
+    """Callers that kept addresses over a loss of power find who serves.
+
+    Ranked by the ids of processes, it was another set after each restart.
+    """
+    before = serving.choose(_fleet(), POLICY)
+    restarted = [
+        dataclasses.replace(m, member_id=f"{m.member_id}@{number}")
+        for number, m in enumerate(_fleet())
+    ]
+    after = serving.choose(restarted, POLICY)
+    assert {m.http_address for m in after.serving} == {
+        m.http_address for m in before.serving
+    }
+
+
 def a_lost_failure_domain_leaves_the_others_serving() -> None:
     """Callers of a domain without daemons are sent to those of others."""
     fleet = [m for m in _fleet(300) if m.failure_domain != "a"]
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -241,6 +241,7 @@
       | serving | callers of a large fleet are sent to few daemons |
       | serving | all daemons of a small fleet serve |
       | serving | a lost daemon is replaced by one that is up to date |
+      | serving | a restarted fleet has the same serving set |
       | serving | a lost failure domain leaves the others serving |
       | serving | an overloaded daemon calls in another |
       | serving | views that differ name mostly the same daemons |
