--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -107,7 +107,7 @@
     mesh_limit: int = pydantic.Field(
         default=16,
         ge=1,
-        description="daemons up to which each hears of all backend servers",
+        description="daemons up to which all serve and receive all news",
     )
     serving_daemons: int = pydantic.Field(
         default=48,
