--- a/tests/features/leads.feature
+++ b/tests/features/leads.feature
@@ -40,6 +40,11 @@
     When session 70 of large fleets is played
     Then no request was sent to an engine that loads
 
+  Scenario: A session in which too many engines load at one time
+    # Guards against loads that slow each other down at the store of weights.
+    When session 203 of large fleets is played
+    Then never more engines loaded than the store bears
+
   Scenario: The holder is turned away when weights are named
     # Symptom: servers grow too old for use; callers are refused for seconds.
     # Sequence: one daemon has rolled weights out; the table service turns it
