--- a/src/godwittack/core/candidates.py
+++ b/src/godwittack/core/candidates.py
@@ -62,4 +62,4 @@
     return rendezvous.rank(last_shared[-1].key, names)[0]
 
 
-__all__ = ["choose", "home"]
+__all__ = ["SCORE_ALL", "choose", "home"]
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -7,14 +7,12 @@
 
 import xxhash
 
-from godwittack.core import pace, sourcing, weights, work
+from godwittack.core import candidates, pace, sourcing, weights, work
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
     from godwittack.core import entities
 
-# Servers up to which each is scored; beyond it only candidates are.
-SCORE_ALL = 8
 # Chance that a home server holds a level of which this daemon knows nothing.
 HOME_PRIOR = 0.5
 # Least-loaded servers scored besides homes and holders, so that a request
@@ -318,7 +316,7 @@
     homes: frozenset[str],
     waits: dict[str, float],
 ) -> list[entities.ServerRow]:
-    if len(usable) <= SCORE_ALL:
+    if len(usable) <= candidates.SCORE_ALL:
         return usable
     spare = sorted(waits, key=lambda name: (waits[name], name))
     chosen = set(spare[:SPARE_CANDIDATES])
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from godwittack.core import entities, work
+    from godwittack.core import entities
 
 # Time of computing that a copy must save; a source that lost it costs 1 ms.
 COPY_MS = 3.5
@@ -308,12 +308,6 @@
     return min(1.0, max(0, world.now_ms - seen_ms) / EVICTED_AFTER_MS)
 
 
-def _seen_ms(
-    server: entities.ServerRow, level: work.Level, version: str
-) -> int | None:
-    return server.cache.seen_ms(holding.version_key(level, version))
-
-
 def _far(one: entities.ServerRow, other: entities.ServerRow) -> float:
     return 1.0 if one.failure_domain == other.failure_domain else FAR_FACTOR
 
