Hold no more for a model than its limit over all ranks

Callers saw (found by reading, shown by a case): a model with max_queue 3 held four requests, with two ranks up to six. Cause: with a queue for each rank, the limit was compared with those of the own and more urgent ranks alone. Change: all held requests of the target count, as before there were ranks. Before: 4 held in the case; after: 3.

--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -45,12 +45,13 @@
         queue.charge(workspace=request.workspace, weight=weight, cost=cost)
         dispatch(world, request, choice)
         return
-    if before >= _queue_limit(world, request):
+    held = sum(map(len, world.queues[request.work.target].values()))
+    if held >= _queue_limit(world, request):
         _refuse_not_run(
             world,
             request,
             effects.Reason.QUEUE_FULL,
-            f"{before} requests wait for {request.work.target} already",
+            f"{held} requests wait for {request.work.target} already",
             _retry_after_ms(choice.wait_ms),
         )
         return
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -324,6 +324,26 @@
     assert not core.find(effects.Dispatch)
 
 
+def a_model_holds_no_more_than_its_limit_over_all_ranks() -> None:
+    """Requests held in several ranks count together against max_queue."""
+    core = routed_core.Core(servers=1, hold_ms=0, prefill_us_per_token=15)
+    routes = tuple(
+        routed_core.route(
+            name, routed_core.ENGINES, streaming=True, priority=rank
+        )
+        for name, rank in (("long", 1), ("short", 0))
+    )
+    table = routed_core.table(2, routes=routes)
+    row = table.models[routed_core.ENGINES]
+    table.models[routed_core.ENGINES] = dataclasses.replace(row, max_queue=3)
+    core.tell(inputs.TableChanged, table)
+    for number in range(12):
+        name = ("long", "short")[number % 2]
+        prompt = (work.Level(number, 4_000),)
+        core.arrive(name, f"r{number}", levels=prompt)
+    assert core.world.queued() == 3, core.world.queued()
+
+
 def a_busy_service_is_not_asked_for_each_slow_answer() -> None:
     """Answers that take as long as usual are no sign of a dead server.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -26,6 +26,7 @@
       | routed | a dark server is noticed within half a second |
       | routed | a busy service is not asked for each slow answer |
       | routed | a short urgent request passes long ones that are held |
+      | routed | a model holds no more than its limit over all ranks |
       | routed | what has no limit is not counted |
       | routed | many daemons ask a silent server in turn |
       | routed | a peer's doubt is a question not an answer |
