--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -137,6 +137,7 @@
         request.request_id,
         attempt=attempt.attempt_id,
         server=attempt.server_id,
+        content=request.content,
         step=told.phase.value,
         cause=told.cause.value,
         detail=told.detail,
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -81,6 +81,12 @@
     queue_rank: int = 0
     cells: tuple[str, ...] = ()
 
+    @property
+    def content(self) -> str:
+        """Names what is asked and by whom; empty where that is not known."""
+        fingerprint = self.work.fingerprint
+        return f"{self.workspace}/{fingerprint}" if fingerprint else ""
+
     @property
     def at_most_once(self) -> bool:
         """Whether running the request twice would do harm."""
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -46,8 +46,8 @@
             table's.
         method: HTTP method of a plain call.
         idempotency_key: The caller's key; empty where it gave none.
-        fingerprint: Hash of method, path and body, to see a key used again
-            for another request.
+        fingerprint: Hash of method, path and body, by which a request that
+            comes again is known; empty where it has none.
         host: Host that the caller named, where routes decide the target;
             empty where the caller names the target itself.
         path: Path by which the route is found.
--- a/src/godwittack/entry/parse.py
+++ b/src/godwittack/entry/parse.py
@@ -93,6 +93,13 @@
     return model.token_digest(token.strip())
 
 
+def fingerprint(method: str, path: str, body: bytes) -> str:
+    """Returns the hash that two requests for the same thing share."""
+    digest = xxhash.xxh3_128(f"{method} {path}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
 def generation(
     request: web.Request, body: bytes, *, workspace: str
 ) -> Result[work.Work, str]:
@@ -123,6 +130,7 @@
             max_tokens=limit,
             streaming=asked.stream,
             deadline_ms=deadline.ok_value,
+            fingerprint=fingerprint("POST", request.path, body),
         )
     )
 
@@ -137,8 +145,6 @@
     key = request.headers.get("idempotency-key", "")
     if len(key) > 200:
         return Err("Idempotency-Key is longer than 200 characters")
-    digest = xxhash.xxh3_128(f"{request.method} {path}\n".encode())
-    digest.update(body)
     return Ok(
         work.Work(
             kind=work.WorkKind.PLAIN,
@@ -148,7 +154,7 @@
             deadline_ms=deadline.ok_value,
             method=request.method,
             idempotency_key=key,
-            fingerprint=digest.hexdigest(),
+            fingerprint=fingerprint(request.method, path, body),
         )
     )
 
@@ -203,6 +209,7 @@
 
 __all__ = [
     "bearer_digest",
+    "fingerprint",
     "forwarded_headers",
     "generation",
     "level_header",
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -10,7 +10,7 @@
 from godwittack.backend import headers as backend_headers
 from godwittack.backend import protocol as backend
 from godwittack.core import work
-from godwittack.entry import forward
+from godwittack.entry import forward, parse
 from godwittack.placement import levels
 from godwittack.platform import names, wire
 from godwittack.table import model
@@ -45,6 +45,7 @@
         workspace = known.workspace_by_token.get(digest, "")
         path = request.raw_path
         owner = known.cache_owner(workspace)
+        host = request.headers.get("Host", "")
         tokens = request.headers.get(names.TOKENS, "").partition(",")
         prompt_tokens = wire.number(tokens[0]) or 0
         asked = work.Work(
@@ -56,7 +57,8 @@
             max_tokens=wire.number(tokens[2]) or 0,
             deadline_ms=min(deadline_ms, MAX_DEADLINE_MS),
             method=request.method,
-            host=request.headers.get("Host", ""),
+            fingerprint=parse.fingerprint(request.method, host + path, body),
+            host=host,
             path=path.partition("?")[0],
             resume_after=after,
         )
