--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -16,6 +16,7 @@
     "fleet_bounds",
     "serving",
     "connections",
+    "crashing",
     "following",
     "freshness",
     "adapter",
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -57,24 +57,37 @@
         self.orders: list[dict] = []
         self.left: list[str] = []
         self.event_gap_s = 0.01
+        # Body whose run ends the process; empty for none.
+        self.crashes_on = b""
+        self.has_crashed = False
         self._events = events
         self._sequence = 0
         self._busy = False
         self._highest_fencing = 0
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
 
     async def start(self, port: int) -> None:
         """Listens on a port of this machine."""
         server = web.Server(self._serve, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        self._site = web.TCPSite(self._runner, "127.0.0.1", port)
+        await self._site.start()
 
     async def stop(self) -> None:
         """Stops listening."""
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _crash(self) -> None:
+        """Ends as a process does: nothing listens, all connections close."""
+        self.has_crashed = True
+        await self._site.stop()
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.path:
             case "/report":
@@ -147,6 +160,9 @@
                 {k.lower(): v for k, v in request.headers.items()},
             )
         )
+        if self.crashes_on and body == self.crashes_on:
+            await self._crash()
+            await asyncio.sleep(3_600)
         own[PREFIX + "Response-Signature"] = f"sig.{self.instance}.{name}"
         try:
             if self.faults.silent:
