--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -72,7 +72,7 @@
             # Raised before a byte of the request is written.
             sink.failed(
                 inputs.FailurePhase.CONNECT,
-                inputs.FailureCause.BROKEN,
+                _connect_cause(error),
                 str(error),
             )
         except aiohttp.ConnectionTimeoutError:
@@ -240,6 +240,14 @@
             return _error(step, address, str(error) or type(error).__name__)
 
 
+def _connect_cause(
+    error: aiohttp.ClientConnectorError,
+) -> inputs.FailureCause:
+    if isinstance(error.os_error, ConnectionRefusedError):
+        return inputs.FailureCause.ENDED
+    return inputs.FailureCause.BROKEN
+
+
 def _read(
     address: str, step: str, parse: Callable[[bytes], _Read], data: bytes
 ) -> Result[_Read, protocol.BackendError]:
--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -22,6 +22,7 @@
         detail: One line for people.
         status: HTTP status of the answer; 0 where none came.
         sent: Whether a byte of the call may have reached the server.
+        ended: Whether nothing listens at its address.
     """
 
     step: str
@@ -29,6 +30,7 @@
     detail: str
     status: int = 0
     sent: bool = True
+    ended: bool = False
 
     def __str__(self) -> str:
         """Returns the error as one line."""
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -287,8 +287,13 @@
             return _error(call.step, address, detail, sent=used is not None)
         except (OSError, connections.ReplyError) as error:
             _close(used)
-            sent = used is not None
-            return _error(call.step, address, str(error), sent=sent)
+            return _error(
+                call.step,
+                address,
+                str(error),
+                sent=used is not None,
+                ended=isinstance(error, ConnectionRefusedError),
+            )
         except asyncio.CancelledError:
             _close(used)
             raise
@@ -307,6 +312,8 @@
     """Tells a live server without room from one that can't be reached."""
     if isinstance(error, TurnedAwayError):
         return inputs.FailureCause.REFUSED
+    if isinstance(error, ConnectionRefusedError):
+        return inputs.FailureCause.ENDED
     return inputs.FailureCause.BROKEN
 
 
@@ -350,10 +357,16 @@
     *,
     status: int = 0,
     sent: bool = True,
+    ended: bool = False,
 ) -> Err[protocol.BackendError]:
     return Err(
         protocol.BackendError(
-            step=step, peer=address, detail=detail, status=status, sent=sent
+            step=step,
+            peer=address,
+            detail=detail,
+            status=status,
+            sent=sent,
+            ended=ended,
         )
     )
 
--- a/src/godwittack/command/explain.py
+++ b/src/godwittack/command/explain.py
@@ -18,8 +18,16 @@
 REQUEST = "request"
 # Belief lines that concern a server, told beside a request that used it.
 SERVER_EVENTS = frozenset(
-    {"server_ejected", "server_gone", "server_leaving", "server_state"}
+    {
+        "server_crashed",
+        "server_ejected",
+        "server_gone",
+        "server_leaving",
+        "server_state",
+    }
 )
+# Lines that concern what a request asks, however long before it.
+CONTENT_EVENTS = frozenset({"quarantined", "crashes_cleared"})
 
 
 @parser.app.command
@@ -60,18 +68,23 @@
 def _story(
     request_id: str, lines: Iterable[tuple[str, str]]
 ) -> list[tuple[str, str]]:
-    """Returns the lines of a request, and of the servers that it used."""
+    """Returns the lines of a request, its content and the servers it used."""
     own: list[tuple[str, str]] = []
     others: list[tuple[str, str, str]] = []
     servers: set[str] = set()
+    contents: set[str] = set()
+    of_contents: list[tuple[str, str, str]] = []
     for source, line in lines:
         pairs = dict(PAIR.findall(line))
         shown = f"{source}: {line}" if source else line
         if pairs.get(REQUEST, "").strip('"').partition("~")[0] == request_id:
             own.append((pairs.get("time", ""), shown))
             servers.add(pairs.get("server", ""))
+            contents.add(pairs.get("content", ""))
         elif pairs.get("event") in SERVER_EVENTS:
             others.append((pairs.get("time", ""), pairs["server"], shown))
+        elif pairs.get("event") in CONTENT_EVENTS:
+            of_contents.append((pairs.get("time", ""), pairs["content"], shown))
     if not own:
         return []
     begin, end = min(own)[0], max(own)[0]
@@ -80,6 +93,11 @@
         for time, server, shown in others
         if server in servers - {""} and begin <= time <= end
     ]
+    told.extend(
+        (time, shown)
+        for time, content, shown in of_contents
+        if content in contents - {""}
+    )
     return own + told
 
 
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -6,6 +6,8 @@
 
 from godwittack.core import (
     closing,
+    crashes,
+    doubt,
     effects,
     entities,
     followup,
@@ -51,6 +53,7 @@
     if fresh and fresh[-1].terminal:
         world.emit(effects.EndStream(request.request_id))
         servers.worked(world, attempt)
+        crashes.completed(world, request)
         closing.finish(world, request)
         return
     if gap:
@@ -75,6 +78,7 @@
         return
     servers.worked(world, attempt)
     servers.heard(world, attempt.server_id)
+    crashes.completed(world, request)
     closing.learn_service_time(
         world, request.work.target, world.now_ms - attempt.sent_at_ms
     )
@@ -142,6 +146,8 @@
         cause=told.cause.value,
         detail=told.detail,
     )
+    if _may_have_crashed(told) and crashes.broke(world, request, attempt):
+        doubt.ask(world, world.servers[attempt.server_id])
     if told.cause is not inputs.FailureCause.STREAM_GONE:
         servers.failed(world, attempt, told)
     if request.begun or request.begun_elsewhere:
@@ -159,6 +165,11 @@
     followup.retry(world, request, attempt, told.detail)
 
 
+def _may_have_crashed(told: inputs.AttemptFailed) -> bool:
+    was_sent = told.phase is inputs.FailurePhase.SENT
+    return was_sent and told.cause is inputs.FailureCause.BROKEN
+
+
 def caller_gone(world: entities.World, told: inputs.CallerGone) -> None:
     """Stops work that nobody waits for, unless it must be recorded."""
     request = world.requests.get(told.request_id)
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -4,6 +4,7 @@
 
 from godwittack.core import (
     closing,
+    crashes,
     effects,
     entities,
     kvreuse,
@@ -22,6 +23,9 @@
 
 def place(world: entities.World, request: entities.RequestRow) -> None:
     """Dispatches a request, holds it back, or refuses it at once."""
+    if crashes.is_quarantined(world, request):
+        _refuse_quarantined(world, request)
+        return
     choice = placing.choose(world, request)
     if choice is None:
         _refuse_not_run(
@@ -213,6 +217,9 @@
         for rank, queue in by_rank.items():
             for request_id in queue.request_ids():
                 request = world.requests[request_id]
+                if crashes.is_quarantined(world, request):
+                    _refuse_quarantined(world, request)
+                    continue
                 if request.deadline_at_ms > world.now_ms:
                     continue
                 before = _waiting(world, target, rank)
@@ -234,6 +241,9 @@
     while len(queue):
         waiting = queue.heads()[0]
         request = world.requests[waiting.request_id]
+        if crashes.is_quarantined(world, request):
+            _refuse_quarantined(world, request)
+            continue
         choice = placing.choose(world, request)
         if choice is None or choice.wait_ms > world.policy.hold_ms:
             return
@@ -244,6 +254,19 @@
         dispatch(world, request, choice)
 
 
+def _refuse_quarantined(
+    world: entities.World, request: entities.RequestRow
+) -> None:
+    world.event("in_quarantine", request.request_id, content=request.content)
+    _refuse_not_run(
+        world,
+        request,
+        effects.Reason.QUARANTINED,
+        crashes.why(world, request),
+        crashes.left_ms(world, request),
+    )
+
+
 def _refuse_late(
     world: entities.World, request: entities.RequestRow, wait_ms: float
 ) -> None:
--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -9,7 +9,14 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import closing, effects, followup, server_inputs, servers
+from godwittack.core import (
+    closing,
+    crashes,
+    effects,
+    followup,
+    server_inputs,
+    servers,
+)
 from godwittack.member import duty
 
 if TYPE_CHECKING:
@@ -100,6 +107,10 @@
     server = world.servers.get(answered.server_id)
     if server is None:
         return
+    if answered.alive:
+        crashes.alive(world, server, answered.incarnation)
+    elif answered.ended:
+        crashes.ended(world, server)
     if answered.alive and not server.ejected_until_ms:
         server.heard_at_ms = world.now_ms
         return
@@ -109,6 +120,7 @@
         return
     if was_trusted:
         world.emit(effects.Doubt(server.server_id, server.target))
+        _note_broken(world, server)
     _move_away(world, server)
 
 
@@ -133,6 +145,14 @@
     return least_ms + SPREAD_MS * order.index(world.daemon) / len(order)
 
 
+def _note_broken(world: entities.World, server: entities.ServerRow) -> None:
+    """Notes what a dead server ran, in case its process ended under that."""
+    for attempt in server.sent.values():
+        request = world.requests.get(attempt.request_id)
+        if request is not None:
+            crashes.broke(world, request, attempt)
+
+
 def _move_away(world: entities.World, server: entities.ServerRow) -> None:
     """Lets other servers do what a dead one was asked and may be repeated."""
     for attempt in list(server.sent.values()):
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -6,7 +6,7 @@
 import enum
 from typing import TypeAlias
 
-from godwittack.core import work
+from godwittack.core import quarantine, work
 
 
 class Outcome(enum.StrEnum):
@@ -41,6 +41,7 @@
     STATE_CHANGED = "state_changed"
     BAD_RESUME = "bad_resume_token"
     NO_ROUTE = "no_route"
+    QUARANTINED = "quarantined"
     TIMEOUT = "timeout"
 
 
@@ -227,6 +228,20 @@
     target: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TellCrashes:
+    """Tells other daemons of servers that ended under requests.
+
+    Attributes:
+        target: Model or service of the servers; empty to tell every daemon.
+        completions: Contents that have run without a crash.
+    """
+
+    target: str
+    crashes: tuple[quarantine.Crash, ...] = ()
+    completions: tuple[quarantine.Completion, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Field:
     """One key=value pair of a log line."""
@@ -276,6 +291,7 @@
     | StoreOutcome
     | Probe
     | Doubt
+    | TellCrashes
     | Event
     | Forget
     | Stopped
@@ -301,5 +317,6 @@
     "Reply",
     "Stopped",
     "StoreOutcome",
+    "TellCrashes",
     "WriteClaim",
 ]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 
-from godwittack.core import effects, pace, weights
+from godwittack.core import effects, pace, quarantine, weights
 from godwittack.core import policy as policies
 from godwittack.core import work as works
 from godwittack.limit import budget, fair, shares
@@ -137,6 +137,9 @@
             answer, by priority.
         heard_at_ms: When it last said anything to this daemon.
         asked_at_ms: When it was last asked for a sign of life.
+        ended_start: The start of it that is known to have ended last.
+        broken: Requests whose connection to it closed lately, as crashes that
+            are none unless its process ends.
     """
 
     server_id: str
@@ -163,6 +166,8 @@
     ejected_until_ms: int = 0
     full_until_ms: int = 0
     trial_attempt: str = ""
+    ended_start: str = ""
+    broken: list[quarantine.Crash] = dataclasses.field(default_factory=list)
     cache: residency.Residency = dataclasses.field(
         default_factory=residency.Residency
     )
@@ -201,6 +206,7 @@
         freed_targets: Targets whose queues may move after this input.
         service_ms: Smoothed time from dispatch to end, by target.
         paces: What first tokens have shown of engines, by target.
+        quarantine: Requests under which servers ended.
     """
 
     daemon: str
@@ -240,6 +246,9 @@
     )
     most_daemons: int = 1
     attempt_counter: int = 0
+    quarantine: quarantine.Quarantine = dataclasses.field(
+        default_factory=quarantine.Quarantine
+    )
     paces: dict[str, pace.Pace] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(pace.Pace)
     )
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -9,7 +9,7 @@
 import enum
 from typing import TypeAlias
 
-from godwittack.core import server_inputs, work
+from godwittack.core import quarantine, server_inputs, work
 from godwittack.table import model
 
 
@@ -27,9 +27,13 @@
 
 
 class FailureCause(enum.StrEnum):
-    """Why an attempt failed, where the difference changes the decision."""
+    """Why an attempt failed, where the difference changes the decision.
+
+    ENDED: nothing listens at the server's address.
+    """
 
     BROKEN = "broken"
+    ENDED = "ended"
     REFUSED = "refused"
     OTHER_SERVER = "other_server"
     STREAM_GONE = "stream_gone"
@@ -217,6 +221,19 @@
     rate_per_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashesTold:
+    """Another daemon told of servers that ended under requests.
+
+    Attributes:
+        completions: Contents that have run without a crash.
+    """
+
+    at_ms: int
+    crashes: tuple[quarantine.Crash, ...]
+    completions: tuple[quarantine.Completion, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MembersChanged:
     """The set of live daemons changed.
@@ -267,6 +284,7 @@
     | server_inputs.ProbeAnswered
     | PeerDemand
     | server_inputs.PeerDispatched
+    | CrashesTold
     | MembersChanged
     | RightToServe
     | StopOrdered
@@ -280,6 +298,7 @@
     "CellDemand",
     "ClaimAnswered",
     "ClaimVerdict",
+    "CrashesTold",
     "FailureCause",
     "FailurePhase",
     "FramesArrived",
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -5,6 +5,7 @@
 import enum
 from typing import TYPE_CHECKING
 
+from godwittack.core import crashes
 from godwittack.limit import budget
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     DEADLINE = "deadline"
     ATTEMPTS = "attempts"
     BUDGET = "budget"
+    CRASHES = "crashes"
 
 
 def allowed(world: entities.World, request: entities.RequestRow) -> bool:
@@ -45,6 +47,8 @@
         return Limit.DEADLINE
     if _tries_used(world, request):
         return Limit.ATTEMPTS
+    if crashes.is_suspect(world, request):
+        return Limit.CRASHES
     return None if _spend(world, request.work.target) else Limit.BUDGET
 
 
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -9,6 +9,7 @@
     attempts,
     backlog,
     claims,
+    crashes,
     dispatching,
     doubt,
     effects,
@@ -134,6 +135,8 @@
                     world.table = told.table
             case server_inputs.PeerDispatched():
                 backlog.peer_dispatched(world, told)
+            case inputs.CrashesTold():
+                crashes.told(world, told)
             case inputs.PeerDemand():
                 self._peer_demand(told)
             case inputs.MembersChanged():
@@ -159,6 +162,7 @@
         silence.give_up(world)
         doubt.check_ejected(world)
         dispatching.expire_queued(world)
+        world.quarantine.forget(now_ms=world.now_ms)
 
     def _outcome_stored(self, told: inputs.OutcomeStored) -> None:
         held = outcomes.stored(self.world, told)
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -7,12 +7,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeAnswered:
-    """A fresh connection to a backend server was tried."""
+    """A fresh connection to a backend server was tried.
+
+    Attributes:
+        ended: Whether nothing listens at its address.
+    """
 
     at_ms: int
     server_id: str
     alive: bool
     incarnation: str = ""
+    ended: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
+    crashes,
     entities,
     incarnation,
     inputs,
@@ -213,8 +214,11 @@
         return
     if told.cause is inputs.FailureCause.OTHER_SERVER:
         # Another process has its address: this one is gone for good.
+        crashes.ended(world, server)
         _mark_leaving(world, server, True)
         return
+    if told.cause is inputs.FailureCause.ENDED:
+        crashes.ended(world, server)
     if told.phase is inputs.FailurePhase.CONNECT:
         # The process is gone or starts anew: its cache is empty either way.
         server.cache.clear()
@@ -253,6 +257,7 @@
     ):
         return
     if server.incarnation and server.incarnation != seen_incarnation:
+        crashes.ended(world, server)
         _forget_process(server)
     if server.weights_version != weights_version:
         # New weights are what it was drained for.
@@ -312,6 +317,7 @@
 def _remove(world: entities.World, server_id: str) -> None:
     server = world.servers.pop(server_id, None)
     if server is not None:
+        crashes.ended(world, server)
         world.servers_by_target[server.target].pop(server_id, None)
         world.event("server_gone", server=server_id)
 
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -149,6 +149,7 @@
         self.runtime.on_announce = announcer.announce
         self._probes.on_news = announcer.heard
         self.runtime.on_doubt = self._news.publish_doubt
+        self.runtime.on_crashes = self._news.publish_crashes
         self._gossiper = parts.gossiper(
             running=self.runtime, keeper=self._keeper, news=self._news
         )
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -264,6 +264,7 @@
             table_version=self._keeper.table.version,
             list_hash=self.list_hash(),
             beliefs=self._beliefs(),
+            crashes_digest=self._runtime.core.world.quarantine.digest(),
         )
 
     def _beliefs(self) -> list[peer_pb2.Belief]:
@@ -353,6 +354,7 @@
                 )
         if told.list_hash:
             self.on_list_hash(told.sender.member_id, told.list_hash)
+        self._news.crashes_compared(told.sender.member_id, told.crashes_digest)
         self._compare_versions(told, now_ms)
         if changed:
             self._tell_core(now_ms)
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable, Iterable
 
     from godwittack.clock import Clock
-    from godwittack.core import effects
+    from godwittack.core import effects, quarantine
     from godwittack.daemon import runtime as runtimes
     from godwittack.member import view
     from godwittack.peer import exchange
@@ -26,6 +26,9 @@
 # How long a drain holds at a daemon that hears no more of it.
 DRAIN_MS = 3_000
 RETRY_MS = 500
+# Pause between two accounts of all crashes to one peer. Meanwhile its own news
+# of the same crashes is on its way.
+TELL_AGAIN_MS = 500
 # A stream to a peer that has been told nothing for so long is closed.
 IDLE_MS = 10_000
 # Time between two messages to all peers together that need not be told at
@@ -179,6 +182,26 @@
             outbox.pending.doubted.add(doubted.server_id)
             outbox.wake()
 
+    def publish_crashes(self, seen: effects.TellCrashes) -> None:
+        """Tells of crashes those that hear of the servers, or every daemon."""
+        members = self.audience(seen.target)
+        if not seen.target:
+            members = self._members.live()
+        for outbox in self._outboxes_of(members):
+            outbox.tell_crashes(seen.crashes, seen.completions)
+
+    def crashes_compared(self, sender_id: str, digest: int) -> None:
+        """Tells a peer of crashes where it does not know the same.
+
+        News may be lost, or older than the peer's process.
+        """
+        known = self._runtime.core.world.quarantine
+        if digest == known.digest():
+            return
+        peers = [m for m in self._members.live() if m.member_id == sender_id]
+        for outbox in self._outboxes_of(peers):
+            outbox.tell_crashes_again(known)
+
     def publish_draining(self, server_id: str, target: str) -> None:
         """Tells the daemons that serve a model; lapses unless told again."""
         for outbox in self._outboxes_of(self.audience(target)):
@@ -218,6 +241,20 @@
             submit(server_inputs.ServerDraining(now_ms, server_id, until_ms))
         for server_id in told.doubted_servers:
             submit(server_inputs.ServerDoubted(now_ms, server_id))
+        if told.crashes or told.completions:
+            submit(
+                inputs.CrashesTold(
+                    now_ms,
+                    tuple(
+                        codec.crash_from_proto(crash, now_ms=now_ms)
+                        for crash in told.crashes
+                    ),
+                    tuple(
+                        codec.completion_from_proto(done, now_ms=now_ms)
+                        for done in told.completions
+                    ),
+                )
+            )
         for server_id in told.leaving_servers:
             submit(server_inputs.ServerLeaving(now_ms, server_id))
         if told.has_demands and sender_id:
@@ -318,6 +355,7 @@
         self._clock = clock
         self._stream: NewsStream | None = None
         self._writer = wire.NewsWriter()
+        self._told_again_ms = -TELL_AGAIN_MS
         self._due = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -327,6 +365,23 @@
             self.demands_told = demands
             self.pending.demands = demands
 
+    def tell_crashes(
+        self,
+        crashes: tuple[quarantine.Crash, ...],
+        completions: tuple[quarantine.Completion, ...],
+    ) -> None:
+        """Sends crashes and runs without one now."""
+        self.pending.crashes.update(crashes)
+        self.pending.completions.update(completions)
+        self.wake()
+
+    def tell_crashes_again(self, known: quarantine.Quarantine) -> None:
+        """Sends all that is known of crashes, unless it was a moment ago."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._told_again_ms >= TELL_AGAIN_MS:
+            self._told_again_ms = now_ms
+            self.tell_crashes(known.known(), known.completions())
+
     def wake(self) -> None:
         """Has what waits sent now."""
         if not self.pending.is_empty():
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from result import Ok
+from result import Err, Ok
 
 from godwittack.core import effects, inputs, server_inputs
 from godwittack.daemon import attempt, caller
@@ -48,6 +48,8 @@
         self.recorder: record.Recorder | None = None
         self.on_announce: Callable[[effects.Announce], None] = lambda sent: None
         self.on_doubt: Callable[[effects.Doubt], None] = lambda doubted: None
+        self.on_crashes: Callable[[effects.TellCrashes], None]
+        self.on_crashes = lambda seen: None
         self._backend = backend_client
         self._claims = claims
         self._observe = observe
@@ -123,6 +125,8 @@
                 self.on_announce(effect)
             case effects.Doubt():
                 self.on_doubt(effect)
+            case effects.TellCrashes():
+                self.on_crashes(effect)
             case effects.CancelAttempt():
                 self._cancel(effect)
             case effects.WriteClaim():
@@ -225,6 +229,10 @@
                 effect.server_id,
                 # Any answer is a sign of life, also a refusal.
                 isinstance(got, Ok) or got.err_value.status > 0,
+                incarnation=got.ok_value.incarnation
+                if isinstance(got, Ok)
+                else "",
+                ended=isinstance(got, Err) and got.err_value.ended,
             )
         )
 
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -91,6 +91,7 @@
         self._news = news.News(
             members=members, runtime=self.runtime, client=self._peers
         )
+        self.runtime.on_crashes = self._news.publish_crashes
         self.gossiper = parts.gossiper(
             running=self.runtime, keeper=self._keeper, news=self._news
         )
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -104,6 +104,7 @@
     return {
         "godwittack_queued": lambda: world.queued(),
         "godwittack_in_flight": lambda: len(world.requests),
+        "godwittack_quarantined": lambda: len(world.quarantine),
         "godwittack_table_version": lambda: world.table.version,
         "godwittack_prefill_us_per_token": lambda: max(
             (known.us_per_token for known in world.paces.values()), default=0.0
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import inputs
+from godwittack.core import inputs, quarantine
 from godwittack.member import freshness, view
 from godwittack.peer import peer_pb2
 from godwittack.store import protocol as platform
@@ -108,6 +108,44 @@
     )
 
 
+def crash_to_proto(crash: quarantine.Crash, *, now_ms: int) -> peer_pb2.Crash:
+    """Returns the message form of a crash."""
+    return peer_pb2.Crash(
+        content=crash.content,
+        start=crash.start,
+        reporter=crash.reporter,
+        age_ms=max(0, now_ms - crash.at_ms),
+    )
+
+
+def crash_from_proto(told: peer_pb2.Crash, *, now_ms: int) -> quarantine.Crash:
+    """Returns a crash."""
+    return quarantine.Crash(
+        content=told.content,
+        start=told.start,
+        reporter=told.reporter,
+        at_ms=now_ms - told.age_ms,
+    )
+
+
+def completion_to_proto(
+    done: quarantine.Completion, *, now_ms: int
+) -> peer_pb2.Completion:
+    """Returns the message form of a run without a crash."""
+    return peer_pb2.Completion(
+        content=done.content, age_ms=max(0, now_ms - done.at_ms)
+    )
+
+
+def completion_from_proto(
+    told: peer_pb2.Completion, *, now_ms: int
+) -> quarantine.Completion:
+    """Returns a run without a crash."""
+    return quarantine.Completion(
+        content=told.content, at_ms=now_ms - told.age_ms
+    )
+
+
 def listed_to_proto(
     name: str, instance: platform.Instance | None
 ) -> peer_pb2.Listed:
@@ -130,6 +168,10 @@
 __all__ = [
     "belief_from_proto",
     "belief_to_proto",
+    "completion_from_proto",
+    "completion_to_proto",
+    "crash_from_proto",
+    "crash_to_proto",
     "demand_from_proto",
     "demand_to_proto",
     "listed_from_proto",
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from godwittack.core import inputs, server_inputs
+    from godwittack.core import inputs, quarantine, server_inputs
     from godwittack.store import protocol as platform
 
 MAX_DIGESTS = 64
@@ -28,6 +28,8 @@
             has none.
         list_version: Version of the list with them.
         demands: This daemon's demand, None where the last told one holds.
+        crashes: Server starts that ended under requests.
+        completions: Runs without a crash.
     """
 
     loads: dict[str, server_inputs.LoadReported] = dataclasses.field(
@@ -45,6 +47,10 @@
     list_before: int = 0
     list_version: int = 0
     demands: tuple[inputs.CellDemand, ...] | None = None
+    crashes: set[quarantine.Crash] = dataclasses.field(default_factory=set)
+    completions: set[quarantine.Completion] = dataclasses.field(
+        default_factory=set
+    )
 
     def is_empty(self) -> bool:
         """Returns whether there is nothing to tell."""
@@ -55,6 +61,8 @@
             self.draining,
             self.doubted,
             self.listed,
+            self.crashes,
+            self.completions,
         )
         return not any(told) and self.demands is None
 
@@ -95,6 +103,8 @@
             list_before=self.list_before,
             list_version=self.list_version,
             demands=(self.demands if later.demands is None else later.demands),
+            crashes=self.crashes | later.crashes,
+            completions=self.completions | later.completions,
         )
         if later.listed:
             both.add_listed(
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -57,6 +57,14 @@
                 codec.listed_to_proto(name, instance)
                 for name, instance in told.listed.items()
             ],
+            crashes=[
+                codec.crash_to_proto(crash, now_ms=now_ms)
+                for crash in told.crashes
+            ],
+            completions=[
+                codec.completion_to_proto(done, now_ms=now_ms)
+                for done in told.completions
+            ],
         )
 
     def _load(
--- a/tests/cases/crashing.py
+++ b/tests/cases/crashing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 
 import aiohttp
@@ -29,6 +30,27 @@
             replica.crashes_on = CRASHING
         self._started = 0
 
+    async def until_joined(self) -> None:
+        """Waits until the daemons know of each other."""
+        expected = len(self.made.fields)
+
+        async def joined() -> bool:
+            counts = [
+                await self._live_daemons(number) for number in range(expected)
+            ]
+            return counts == [expected] * expected
+
+        await until("all daemons know of each other", joined)
+
+    async def _live_daemons(self, number: int) -> int:
+        fields = self.made.fields[number]
+        port = fields["internal-port-range"][1]
+        url = f"http://{fields['ip']}:{port}/"
+        async with self.made.session.get(url) as response:
+            text = await response.text()
+        (count,) = re.findall(r"^godwittack_live_daemons\S* (\S+)", text, re.M)
+        return int(float(count))
+
     async def ask(self, name: str, request_id: str, *, daemon: int = 0) -> int:
         """Sends the body once; returns the status, 0 for a broken answer."""
         try:
@@ -84,6 +106,7 @@
     """Guards against a request that ends servers one after the other."""
     async with Platform(daemons=4) as made:
         crashes = Crashes(made)
+        await crashes.until_joined()
         await _crash_three(crashes, "short")
         assert len(crashes.crashed) == MOST_CRASHES, crashes.crashed
         for daemon in range(4):
@@ -99,6 +122,7 @@
     """Guards against a restarted daemon that sends on what others refuse."""
     async with Platform(daemons=4) as made:
         crashes = Crashes(made)
+        await crashes.until_joined()
         await _crash_three(crashes, "short")
         made.signal(3, signal.SIGKILL)
         await made.processes[3].wait()
@@ -114,6 +138,7 @@
     """Guards against a call of a service that ends its servers in turn."""
     async with Platform(daemons=2) as made:
         crashes = Crashes(made)
+        await crashes.until_joined()
         for number in range(MOST_CRASHES + 3):
             await crashes.ask("release", f"r{number}", daemon=number % 2)
             await crashes.replace()
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -27,6 +27,7 @@
     "starts",
     "joining",
     "patience",
+    "quarantines",
     "fuzz",
 )
 
