--- a/tests/sim/fakes.py
+++ b/tests/sim/fakes.py
@@ -208,8 +208,12 @@
         sink.answer("", answer, None)
 
     async def load(self, address, *, server_id=""):
-        """Is not asked in these sessions."""
-        return Ok(None)
+        """Answers every probe: the service's process never ends."""
+        return Ok(
+            backend.EngineLoad(
+                incarnation="", weights_version="", running=0, waiting=0
+            )
+        )
 
     async def cancel(self, address, stream_id) -> None:
         """Does nothing: a plain call can't be taken back."""
