--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING, Protocol
 
+from absl import logging
 from result import Err, Ok, Result
 
 from godwittack.backend import connection as connections
@@ -23,6 +24,8 @@
 # Time in which a server that turns a connection away has reset it: a round
 # trip between failure domains of 2 ms, and 1 ms in which it accepts.
 TURNED_AWAY_MS = 4
+# Servers of which an unreadable limit is remembered, so as to log it once.
+MOST_UNREADABLE = 100
 
 
 class TurnedAwayError(ConnectionResetError):
@@ -75,6 +78,12 @@
     def echoed_load(self, reply: connections.Reply) -> EchoedLoad | None:
         """Returns the load that an answer tells."""
 
+    def rate_limit(self, reply: connections.Reply) -> Result[float | None, str]:
+        """Returns the requests a second that the server takes from all daemons.
+
+        None where the answer names no limit, an error where none can be read.
+        """
+
     def load_call(self, address: str, server_id: str) -> ControlCall:
         """Returns the call for a server's report of its state."""
 
@@ -111,6 +120,11 @@
         self._control_timeout_ms = control_timeout_ms
         self.on_load: Callable[[server_inputs.LoadEchoed], None]
         self.on_load = lambda told: None
+        self.on_rate_limit: Callable[[server_inputs.RateLimitEchoed], None]
+        self.on_rate_limit = lambda told: None
+        # Servers whose last answer named a limit.
+        self._limited: set[str] = set()
+        self._unreadable: dict[str, str] = {}
 
     async def send(
         self,
@@ -236,6 +250,10 @@
         )
         self._tell_load(dispatch.server_id, reply)
         declined = self._wire.declined(reply, dispatch.server_id)
+        if declined is not inputs.FailureCause.OTHER_SERVER:
+            self._tell_rate_limit(
+                dispatch.server_id, reply, may_lift=declined is None
+            )
         if declined is not None:
             await used.read_body(reply)
             self._pool.give_back(dispatch.server_id, used, reply)
@@ -267,6 +285,51 @@
                 )
             )
 
+    def _tell_rate_limit(
+        self, server_id: str, reply: connections.Reply, *, may_lift: bool
+    ) -> None:
+        """Tells a limit that an answer names, or that it names none any more.
+
+        Args:
+            server_id: The server that answered.
+            reply: Its answer.
+            may_lift: Whether an answer without a limit says that none holds,
+                as one to a request that was run does.
+        """
+        got = self._wire.rate_limit(reply)
+        if isinstance(got, Err):
+            self._tell_unreadable(server_id, got.err_value)
+            return
+        limit_per_s = got.ok_value
+        if limit_per_s is None and not (
+            may_lift and server_id in self._limited
+        ):
+            return
+        if limit_per_s is None:
+            self._limited.discard(server_id)
+        else:
+            self._limited.add(server_id)
+        self.on_rate_limit(
+            server_inputs.RateLimitEchoed(
+                at_ms=self._clock.now_ms(),
+                server_id=server_id,
+                limit_per_s=limit_per_s,
+            )
+        )
+
+    def _tell_unreadable(self, server_id: str, detail: str) -> None:
+        """Logs a limit that can't be read, once while it stays the same."""
+        if self._unreadable.get(server_id) == detail:
+            return
+        self._unreadable[server_id] = detail
+        while len(self._unreadable) > MOST_UNREADABLE:
+            del self._unreadable[next(iter(self._unreadable))]
+        logging.warning(
+            "event=server_limit_unreadable server=%s detail=%r",
+            server_id,
+            detail,
+        )
+
     async def _control(
         self, address: str, key: str, call: ControlCall
     ) -> Result[bytes, protocol.BackendError]:
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -137,6 +137,8 @@
             answer, by priority.
         heard_at_ms: When it last said anything to this daemon.
         asked_at_ms: When it was last asked for a sign of life.
+        limit_per_s: Requests a second that it takes from all daemons together;
+            None for any number.
         ended_start: The start of it that is known to have ended last.
         broken: Requests whose connection to it closed lately, as crashes that
             are none unless its process ends.
@@ -166,6 +168,7 @@
     ejected_until_ms: int = 0
     full_until_ms: int = 0
     trial_attempt: str = ""
+    limit_per_s: float | None = None
     ended_start: str = ""
     broken: list[quarantine.Crash] = dataclasses.field(default_factory=list)
     cache: residency.Residency = dataclasses.field(
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -280,6 +280,7 @@
     | server_inputs.ServerListed
     | server_inputs.LoadReported
     | server_inputs.LoadEchoed
+    | server_inputs.RateLimitEchoed
     | server_inputs.CacheDigest
     | server_inputs.ProbeAnswered
     | PeerDemand
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -107,6 +107,8 @@
                 servers.load_reported(world, told)
             case server_inputs.LoadEchoed():
                 servers.load_echoed(world, told)
+            case server_inputs.RateLimitEchoed():
+                servers.rate_limit_echoed(world, told)
             case server_inputs.CacheDigest():
                 servers.digest(world, told)
             case server_inputs.ServerListed():
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -83,6 +83,20 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimitEchoed:
+    """A backend server told with an answer how much it takes.
+
+    Attributes:
+        limit_per_s: Requests a second from all daemons together; None where
+            the server names no limit any more.
+    """
+
+    at_ms: int
+    server_id: str
+    limit_per_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReported:
     """A backend server's own account of its load, some time old.
@@ -160,6 +174,7 @@
     "LoadReported",
     "PeerDispatched",
     "ProbeAnswered",
+    "RateLimitEchoed",
     "ServerDoubted",
     "ServerDraining",
     "ServerLeaving",
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -110,6 +110,7 @@
             clock=clock,
         )
         backend.on_load = self.runtime.submit
+        backend.on_rate_limit = self.runtime.submit
         self._keeper = keeping.FeedKeeper(
             runtime=self.runtime,
             peers=self._peers,
--- a/src/godwittack/platform/names.py
+++ b/src/godwittack/platform/names.py
@@ -37,6 +37,8 @@
 INSTANCE: Final = "X-Godwittack-Instance-Id"
 # Running, waiting and slots, separated by commas.
 LOAD: Final = "X-Godwittack-Server-Load"
+# Requests a second that a server takes from all daemons together.
+RATE_LIMITS: Final = ("X-Godwittack-Server-Limit", "Server-Limit")
 RETRY_AFTER: Final = "Retry-After"
 
 # Calls that arrive here.
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,6 +5,8 @@
 import json
 from typing import TYPE_CHECKING
 
+from result import Err, Ok, Result
+
 from godwittack.backend import protocol, routed
 from godwittack.core import incarnation, inputs
 from godwittack.placement import levels
@@ -18,6 +20,7 @@
 
 STATUS_OTHER_INSTANCE = 421
 EVENTS_WAIT_MS = 1_000
+_RATE_LIMITS = frozenset(name.lower() for name in names.RATE_LIMITS)
 
 
 class _Report(wire.StrictWire):
@@ -102,6 +105,20 @@
         running, waiting, slots = (part or 0 for part in parts)
         return routed.EchoedLoad(running=running, waiting=waiting, slots=slots)
 
+    def rate_limit(self, reply: connection.Reply) -> Result[float | None, str]:
+        """Returns the requests a second that the server takes from all."""
+        told = [
+            header.value
+            for header in reply.headers
+            if header.name.lower() in _RATE_LIMITS
+        ]
+        if not told:
+            return Ok(None)
+        values = {wire.decimal(text) for text in told}
+        if None in values or len(values) > 1:
+            return Err(f"{names.RATE_LIMITS[0]}: {', '.join(told)!r}"[:200])
+        return Ok(values.pop())
+
     def load_call(self, address: str, server_id: str) -> routed.ControlCall:
         """Returns the call for a server's report of its state."""
         expected = f"{names.EXPECTED_INSTANCE}: {server_id}"
--- a/src/godwittack/platform/wire.py
+++ b/src/godwittack/platform/wire.py
@@ -41,6 +41,14 @@
     return ".".join(str(p) for p in first["loc"]) + f": {first['msg']}"
 
 
+def decimal(text: str) -> float | None:
+    """Returns a number with or without a fraction, None for anything else."""
+    whole, _, fraction = text.strip().partition(".")
+    digits = whole + fraction
+    is_number = digits.isascii() and digits.isdecimal() and bool(whole)
+    return float(text) if is_number and len(digits) <= MOST_DIGITS else None
+
+
 def number(text: str) -> int | None:
     """Returns a number that a header holds, None for anything else."""
     text = text.strip()
@@ -49,4 +57,4 @@
 
 
 __all__ = ["Amount", "Count", "Positive", "StrictWire", "WeightsOf", "Wire"]
-__all__ += ["number", "why"]
+__all__ += ["decimal", "number", "why"]
