--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -26,6 +26,7 @@
     "peers",
     "starts",
     "joining",
+    "limited",
     "patience",
     "quarantines",
     "fuzz",
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import json
+import time
 
 from aiohttp import web
 
@@ -41,6 +42,7 @@
     path: str
     body: bytes
     headers: dict[str, str]
+    at_s: float = dataclasses.field(default_factory=time.monotonic)
 
 
 class Replica:
@@ -60,6 +62,8 @@
         # Body whose run ends the process; empty for none.
         self.crashes_on = b""
         self.has_crashed = False
+        # Value of the header that names its limit; empty for none.
+        self.names_limit = ""
         self._events = events
         self._sequence = 0
         self._busy = False
@@ -140,6 +144,8 @@
         body = await request.read()
         name = request.headers.get(PREFIX + "Request-Id", "")
         own = {PREFIX + "Request-Id": name, PREFIX + "Server-Load": "1,0,16"}
+        if self.names_limit:
+            own[PREFIX + "Server-Limit"] = self.names_limit
         if request.headers.get(PREFIX + "Expect-Instance") != self.instance:
             own[PREFIX + "Instance-Id"] = self.instance
             return web.Response(status=421, headers=own)
