--- a/src/godwittack/backend/headers.py
+++ b/src/godwittack/backend/headers.py
@@ -1,9 +1,11 @@
-"""Headers that concern one connection, or are set anew on each."""
+"""Headers that are not handed on, and numbers that headers hold."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from result import Err, Ok, Result
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
@@ -23,6 +25,10 @@
     }
 )
 SET_ANEW = frozenset({"content-length", "date", "server"})
+# More make no sense in any header, and Python refuses thousands.
+MOST_DIGITS = 15
+# Characters shown of a header that can't be read.
+MOST_SHOWN = 100
 
 
 def end_to_end(
@@ -43,4 +49,47 @@
     return tuple(header for header in found if header.name.lower() not in named)
 
 
-__all__ = ["HOP_BY_HOP", "SET_ANEW", "end_to_end"]
+def number(text: str) -> int | None:
+    """Returns a whole number that a header holds, None for anything else."""
+    text = text.strip()
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MOST_DIGITS
+    return int(text) if is_number else None
+
+
+def decimal(
+    headers: Iterable[work.Header], names: Collection[str]
+) -> Result[float | None, str]:
+    """Returns the number, with or without a fraction, that headers hold.
+
+    Args:
+        headers: Headers of one message.
+        names: Spellings of the header's name.
+
+    Returns:
+        None without such a header; what they hold where that is no number, or
+        several of them differ.
+    """
+    known = {name.lower() for name in names}
+    told = [h.value.strip() for h in headers if h.name.lower() in known]
+    if not told:
+        return Ok(None)
+    if len(set(told)) > 1 or not _is_decimal(told[0]):
+        return Err(", ".join(told)[:MOST_SHOWN])
+    return Ok(float(told[0]))
+
+
+def _is_decimal(text: str) -> bool:
+    whole, _, fraction = text.partition(".")
+    digits = whole + fraction
+    is_number = digits.isascii() and digits.isdecimal() and bool(whole)
+    return is_number and len(digits) <= MOST_DIGITS
+
+
+__all__ = [
+    "HOP_BY_HOP",
+    "MOST_DIGITS",
+    "SET_ANEW",
+    "decimal",
+    "end_to_end",
+    "number",
+]
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -122,8 +122,7 @@
         self.on_load = lambda told: None
         self.on_rate_limit: Callable[[server_inputs.RateLimitEchoed], None]
         self.on_rate_limit = lambda told: None
-        # Servers whose last answer named a limit.
-        self._limited: set[str] = set()
+        self.is_limited: Callable[[str], bool] = lambda server_id: False
         self._unreadable: dict[str, str] = {}
 
     async def send(
@@ -301,14 +300,9 @@
             self._tell_unreadable(server_id, got.err_value)
             return
         limit_per_s = got.ok_value
-        if limit_per_s is None and not (
-            may_lift and server_id in self._limited
-        ):
+        says_none = may_lift and self.is_limited(server_id)
+        if limit_per_s is None and not says_none:
             return
-        if limit_per_s is None:
-            self._limited.discard(server_id)
-        else:
-            self._limited.add(server_id)
         self.on_rate_limit(
             server_inputs.RateLimitEchoed(
                 at_ms=self._clock.now_ms(),
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -10,6 +10,7 @@
     kvreuse,
     outcomes,
     placing,
+    rate_limits,
     routing,
     sending,
     work,
@@ -28,13 +29,7 @@
         return
     choice = placing.choose(world, request)
     if choice is None:
-        _refuse_not_run(
-            world,
-            request,
-            effects.Reason.NO_SERVER,
-            f"no backend server of {request.work.target} takes work now",
-            NO_SERVER_RETRY_MS,
-        )
+        _refuse_no_server(world, request)
         return
     rank = routing.priority(world, request)
     queue = _queue(world, request.work.target, rank)
@@ -102,6 +97,7 @@
     )
     _open(world, request, attempt)
     server.sent[attempt_id] = attempt
+    rate_limits.sent(world, server)
     if server.ejected_until_ms:
         server.trial_attempt = attempt_id
     keys = sending.cached_keys(request, server)
@@ -254,6 +250,19 @@
         dispatch(world, request, choice)
 
 
+def _refuse_no_server(
+    world: entities.World, request: entities.RequestRow
+) -> None:
+    target = request.work.target
+    _refuse_not_run(
+        world,
+        request,
+        effects.Reason.NO_SERVER,
+        f"no backend server of {target} takes work now",
+        rate_limits.retry_after_ms(world, target) or NO_SERVER_RETRY_MS,
+    )
+
+
 def _refuse_quarantined(
     world: entities.World, request: entities.RequestRow
 ) -> None:
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -242,6 +242,22 @@
     completions: tuple[quarantine.Completion, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TellRateLimit:
+    """Tells other daemons of the rate that a server takes from all.
+
+    Attributes:
+        limit_per_s: Requests a second; None where none is named any more.
+        at_ms: When the server said so.
+    """
+
+    server_id: str
+    target: str
+    incarnation: str
+    limit_per_s: float | None
+    at_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Field:
     """One key=value pair of a log line."""
@@ -292,6 +308,7 @@
     | Probe
     | Doubt
     | TellCrashes
+    | TellRateLimit
     | Event
     | Forget
     | Stopped
@@ -318,5 +335,6 @@
     "Stopped",
     "StoreOutcome",
     "TellCrashes",
+    "TellRateLimit",
     "WriteClaim",
 ]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -9,7 +9,7 @@
 from godwittack.core import effects, pace, quarantine, weights
 from godwittack.core import policy as policies
 from godwittack.core import work as works
-from godwittack.limit import budget, fair, shares
+from godwittack.limit import advertised, budget, fair, shares
 from godwittack.placement import residency
 from godwittack.table import model
 
@@ -137,8 +137,9 @@
             answer, by priority.
         heard_at_ms: When it last said anything to this daemon.
         asked_at_ms: When it was last asked for a sign of life.
-        limit_per_s: Requests a second that it takes from all daemons together;
-            None for any number.
+        limit: The rate that it takes from all daemons together; None for any.
+        limit_heard_ms: When it last said so, or that there is none.
+        limit_shared_ms: When a daemon last told the others of it.
         ended_start: The start of it that is known to have ended last.
         broken: Requests whose connection to it closed lately, as crashes that
             are none unless its process ends.
@@ -168,7 +169,9 @@
     ejected_until_ms: int = 0
     full_until_ms: int = 0
     trial_attempt: str = ""
-    limit_per_s: float | None = None
+    limit: advertised.AdvertisedLimit | None = None
+    limit_heard_ms: int = -1_000_000
+    limit_shared_ms: int = -1_000_000
     ended_start: str = ""
     broken: list[quarantine.Crash] = dataclasses.field(default_factory=list)
     cache: residency.Residency = dataclasses.field(
@@ -200,6 +203,7 @@
         out: Effects of the input being worked on.
         right_until_ms: Until when the table here may be called current.
         live_daemons: Incarnations of daemons believed alive.
+        carriers: Those of them that requests are sent by.
         weights_named: Versions of weights in the order in which they were
             wanted, by target.
         most_daemons: Most of them that were ever believed alive at a time.
@@ -241,6 +245,7 @@
     freed_targets: set[str] = dataclasses.field(default_factory=set)
     service_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     live_daemons: frozenset[str] = frozenset()
+    carriers: frozenset[str] = frozenset()
     right_until_ms: int = 0
     stopping: bool = False
     stopped: bool = False
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -240,10 +240,12 @@
 
     Attributes:
         live: Daemon incarnations now live, as written into claims, sorted.
+        carriers: Those that callers' requests are sent by; all where empty.
     """
 
     at_ms: int
     live: tuple[str, ...]
+    carriers: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -281,6 +283,7 @@
     | server_inputs.LoadReported
     | server_inputs.LoadEchoed
     | server_inputs.RateLimitEchoed
+    | server_inputs.RateLimitTold
     | server_inputs.CacheDigest
     | server_inputs.ProbeAnswered
     | PeerDemand
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -7,7 +7,14 @@
 
 import xxhash
 
-from godwittack.core import candidates, pace, sourcing, weights, work
+from godwittack.core import (
+    candidates,
+    pace,
+    rate_limits,
+    sourcing,
+    weights,
+    work,
+)
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -131,6 +138,8 @@
     # them ends well: sending it its full share could fail all of them.
     if server.ejected_until_ms and server.trial_attempt:
         return False
+    if not rate_limits.has_room(world, server):
+        return False
     if weights.too_old(world, server) or weights.unknown(world, server):
         return False
     # Without a report the engine's incarnation and weights are not known, and
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -16,6 +16,7 @@
     entities,
     inputs,
     outcomes,
+    rate_limits,
     resuming,
     server_inputs,
     servers,
@@ -53,7 +54,7 @@
         """
         policy = policy or policies.Policy()
         world = entities.World(daemon=daemon, policy=policy)
-        world.live_daemons = frozenset({daemon})
+        world.live_daemons = world.carriers = frozenset({daemon})
         world.retry_budget = budget.Budget(
             ratio=policy.retry_ratio,
             burst=policy.retry_burst,
@@ -108,7 +109,9 @@
             case server_inputs.LoadEchoed():
                 servers.load_echoed(world, told)
             case server_inputs.RateLimitEchoed():
-                servers.rate_limit_echoed(world, told)
+                rate_limits.echoed(world, told)
+            case server_inputs.RateLimitTold():
+                rate_limits.told_by_peer(world, told)
             case server_inputs.CacheDigest():
                 servers.digest(world, told)
             case server_inputs.ServerListed():
@@ -145,6 +148,8 @@
                 world.live_daemons = frozenset(told.live) | {world.daemon}
                 world.shares.live = world.live_daemons
                 world.shares.groups.clear()
+                world.carriers = frozenset(told.carriers) or world.live_daemons
+                rate_limits.deal_all(world)
             case inputs.RightToServe():
                 held = told.until_ms > world.now_ms
                 if world.right_to_serve != held:
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -97,6 +97,22 @@
     limit_per_s: float | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RateLimitTold:
+    """Another daemon told of a limit that it heard from a server.
+
+    Attributes:
+        limit_per_s: As in `RateLimitEchoed`.
+        age_ms: How long ago the server said it.
+    """
+
+    at_ms: int
+    server_id: str
+    incarnation: str
+    limit_per_s: float | None
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReported:
     """A backend server's own account of its load, some time old.
@@ -175,6 +191,7 @@
     "PeerDispatched",
     "ProbeAnswered",
     "RateLimitEchoed",
+    "RateLimitTold",
     "ServerDoubted",
     "ServerDraining",
     "ServerLeaving",
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -147,26 +147,6 @@
     world.freed_targets.add(server.target)
 
 
-def rate_limit_echoed(
-    world: entities.World, told: server_inputs.RateLimitEchoed
-) -> None:
-    """Takes in the limit that came with an answer."""
-    server = world.servers.get(told.server_id)
-    if server is None or server.limit_per_s == told.limit_per_s:
-        return
-    world.event(
-        "server_limit",
-        server=server.server_id,
-        per_s=_shown(told.limit_per_s),
-        before=_shown(server.limit_per_s),
-    )
-    server.limit_per_s = told.limit_per_s
-
-
-def _shown(limit_per_s: float | None) -> str | float:
-    return "none" if limit_per_s is None else limit_per_s
-
-
 def digest(world: entities.World, told: server_inputs.CacheDigest) -> None:
     """Takes in what changed in an engine's cache."""
     server = world.servers.get(told.server_id)
@@ -314,7 +294,7 @@
     server.failures = 0
     server.ejected_until_ms = 0
     server.full_until_ms = 0
-    server.limit_per_s = None
+    server.limit = None
     server.trial_attempt = ""
     server.reported_at_ms = -1
     server.running = 0
@@ -389,7 +369,6 @@
     "load_reported",
     "pause_ms",
     "probed",
-    "rate_limit_echoed",
     "silent",
     "state_echoed",
     "worked",
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -14,7 +14,7 @@
 
 from godwittack.backend import pool as pools
 from godwittack.backend import routed
-from godwittack.core import inputs
+from godwittack.core import inputs, rate_limits
 from godwittack.daemon import (
     announcing,
     base,
@@ -111,6 +111,9 @@
         )
         backend.on_load = self.runtime.submit
         backend.on_rate_limit = self.runtime.submit
+        backend.is_limited = functools.partial(
+            rate_limits.is_limited, core.world
+        )
         self._keeper = keeping.FeedKeeper(
             runtime=self.runtime,
             peers=self._peers,
@@ -151,9 +154,11 @@
         self._probes.on_news = announcer.heard
         self.runtime.on_doubt = self._news.publish_doubt
         self.runtime.on_crashes = self._news.publish_crashes
+        self.runtime.on_rate_limit = self._news.publish_rate_limit
         self._gossiper = parts.gossiper(
             running=self.runtime, keeper=self._keeper, news=self._news
         )
+        self._gossiper.carriers = self._carriers
         self._gossiper.freshness = {
             known.topic: known
             for known in (self._keeper.known, self._servers_known)
@@ -221,6 +226,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners = listening.Listeners(clock)
 
+    def _carriers(self) -> tuple[str, ...]:
+        """Returns the daemons that callers are sent to."""
+        return tuple(m.member_id for m in self._serving.chosen().serving)
+
     async def run(self) -> None:
         """Serves until a stop is ordered and everything is finished.
 
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -42,6 +42,8 @@
     Attributes:
         list_hash: Returns what to tell of the instance list, 0 for nothing.
         on_list_hash: Told which daemon has read a list of which hash.
+        carriers: Returns the daemons that callers are sent to, sorted; none
+            for all.
     """
 
     def __init__(
@@ -80,11 +82,13 @@
         self._news = news
         self.list_hash: Callable[[], int] = lambda: 0
         self.on_list_hash: Callable[[str, int], None] = lambda name, told: None
+        self.carriers: Callable[[], tuple[str, ...]] = lambda: ()
         self.freshness: dict[freshness.Topic, freshness.Freshness] = {}
         keeper.on_adopted = self._adopted
         self._tasks: set[asyncio.Task[None]] = set()
         self._probing: set[str] = set()
         self._told_live: frozenset[str] = frozenset()
+        self._told_carriers: tuple[str, ...] = ()
         self._announced = False
         self._introduced: set[str] = set()
         self._table_writer = tables_wire.TableWriter()
@@ -380,13 +384,15 @@
     def _tell_core(self, now_ms: int) -> None:
         live = frozenset(m.member_id for m in self.members.live())
         submit = self._runtime.submit
-        if live != self._told_live:
+        carriers = self.carriers()
+        if live != self._told_live or carriers != self._told_carriers:
             for gone in self._told_live - live:
                 submit(inputs.PeerDemand(now_ms, gone, False))
                 self._news.peer_gone(gone)
                 self._introduced.discard(gone)
-            submit(inputs.MembersChanged(now_ms, tuple(sorted(live))))
+            submit(inputs.MembersChanged(now_ms, tuple(sorted(live)), carriers))
             self._told_live = live
+            self._told_carriers = carriers
         until_ms = self._keeper.right.until_ms(
             self.members,
             own_version=self._keeper.table.version,
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -190,6 +190,12 @@
         for outbox in self._outboxes_of(members):
             outbox.tell_crashes(seen.crashes, seen.completions)
 
+    def publish_rate_limit(self, named: effects.TellRateLimit) -> None:
+        """Tells the daemons that send to a server of the rate it takes."""
+        for outbox in self._outboxes_of(self.audience(named.target)):
+            outbox.pending.rate_limits[named.server_id] = named
+            outbox.wake()
+
     def crashes_compared(self, sender_id: str, digest: int) -> None:
         """Tells a peer of crashes where it does not know the same.
 
@@ -241,6 +247,8 @@
             submit(server_inputs.ServerDraining(now_ms, server_id, until_ms))
         for server_id in told.doubted_servers:
             submit(server_inputs.ServerDoubted(now_ms, server_id))
+        for limit in told.rate_limits:
+            submit(codec.rate_limit_from_proto(limit, now_ms=now_ms))
         if told.crashes or told.completions:
             submit(
                 inputs.CrashesTold(
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -50,6 +50,8 @@
         self.on_doubt: Callable[[effects.Doubt], None] = lambda doubted: None
         self.on_crashes: Callable[[effects.TellCrashes], None]
         self.on_crashes = lambda seen: None
+        self.on_rate_limit: Callable[[effects.TellRateLimit], None]
+        self.on_rate_limit = lambda named: None
         self._backend = backend_client
         self._claims = claims
         self._observe = observe
@@ -127,6 +129,8 @@
                 self.on_doubt(effect)
             case effects.TellCrashes():
                 self.on_crashes(effect)
+            case effects.TellRateLimit():
+                self.on_rate_limit(effect)
             case effects.CancelAttempt():
                 self._cancel(effect)
             case effects.WriteClaim():
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -104,12 +104,17 @@
     async def _serve(
         self, request: web.BaseRequest, arrived: Arrived
     ) -> web.StreamResponse:
-        request_id = self._runtime.next_request_id(arrived.call.request_id)
-        caller = self._runtime.open_caller(request_id, arrived.call)
+        asked, call = arrived.work, arrived.call
+        fingerprint = parse.fingerprint(
+            call.method, asked.host + call.path, call.body
+        )
+        asked = dataclasses.replace(asked, fingerprint=fingerprint)
+        request_id = self._runtime.next_request_id(call.request_id)
+        caller = self._runtime.open_caller(request_id, call)
         try:
             self._runtime.submit(
                 inputs.RequestArrived(
-                    self._runtime.clock.now_ms(), request_id, arrived.work
+                    self._runtime.clock.now_ms(), request_id, asked
                 )
             )
             return await self._deliver(request, caller)
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -104,6 +104,9 @@
     return {
         "godwittack_queued": lambda: world.queued(),
         "godwittack_in_flight": lambda: len(world.requests),
+        "godwittack_limited_servers": lambda: sum(
+            server.limit is not None for server in world.servers.values()
+        ),
         "godwittack_quarantined": lambda: len(world.quarantine),
         "godwittack_table_version": lambda: world.table.version,
         "godwittack_prefill_us_per_token": lambda: max(
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import inputs, quarantine
+from godwittack.core import inputs, quarantine, server_inputs
 from godwittack.member import freshness, view
 from godwittack.peer import peer_pb2
 from godwittack.store import protocol as platform
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from godwittack.core import effects
+
 
 def member_to_proto(member: view.Member) -> peer_pb2.Member:
     """Returns the message form of a member."""
@@ -146,6 +148,32 @@
     )
 
 
+def rate_limit_to_proto(
+    named: effects.TellRateLimit, *, now_ms: int
+) -> peer_pb2.RateLimit:
+    """Returns the message form of a server's limit."""
+    return peer_pb2.RateLimit(
+        server_id=named.server_id,
+        incarnation=named.incarnation,
+        per_s=named.limit_per_s or 0.0,
+        is_lifted=named.limit_per_s is None,
+        age_ms=max(0, now_ms - named.at_ms),
+    )
+
+
+def rate_limit_from_proto(
+    told: peer_pb2.RateLimit, *, now_ms: int
+) -> server_inputs.RateLimitTold:
+    """Returns a server's limit as another daemon heard it."""
+    return server_inputs.RateLimitTold(
+        at_ms=now_ms,
+        server_id=told.server_id,
+        incarnation=told.incarnation,
+        limit_per_s=None if told.is_lifted else told.per_s,
+        age_ms=told.age_ms,
+    )
+
+
 def listed_to_proto(
     name: str, instance: platform.Instance | None
 ) -> peer_pb2.Listed:
@@ -178,4 +206,6 @@
     "listed_to_proto",
     "member_from_proto",
     "member_to_proto",
+    "rate_limit_from_proto",
+    "rate_limit_to_proto",
 ]
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from godwittack.core import inputs, quarantine, server_inputs
+    from godwittack.core import effects, inputs, quarantine, server_inputs
     from godwittack.store import protocol as platform
 
 MAX_DIGESTS = 64
@@ -30,6 +30,7 @@
         demands: This daemon's demand, None where the last told one holds.
         crashes: Server starts that ended under requests.
         completions: Runs without a crash.
+        rate_limits: What servers take from all daemons, by server.
     """
 
     loads: dict[str, server_inputs.LoadReported] = dataclasses.field(
@@ -52,6 +53,10 @@
         default_factory=set
     )
 
+    rate_limits: dict[str, effects.TellRateLimit] = dataclasses.field(
+        default_factory=dict
+    )
+
     def is_empty(self) -> bool:
         """Returns whether there is nothing to tell."""
         told = (
@@ -63,6 +68,7 @@
             self.listed,
             self.crashes,
             self.completions,
+            self.rate_limits,
         )
         return not any(told) and self.demands is None
 
@@ -105,6 +111,7 @@
             demands=(self.demands if later.demands is None else later.demands),
             crashes=self.crashes | later.crashes,
             completions=self.completions | later.completions,
+            rate_limits={**self.rate_limits, **later.rate_limits},
         )
         if later.listed:
             both.add_listed(
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -61,6 +61,10 @@
                 codec.crash_to_proto(crash, now_ms=now_ms)
                 for crash in told.crashes
             ],
+            rate_limits=[
+                codec.rate_limit_to_proto(named, now_ms=now_ms)
+                for named in told.rate_limits.values()
+            ],
             completions=[
                 codec.completion_to_proto(done, now_ms=now_ms)
                 for done in told.completions
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -10,9 +10,9 @@
 from godwittack.backend import headers as backend_headers
 from godwittack.backend import protocol as backend
 from godwittack.core import work
-from godwittack.entry import forward, parse
+from godwittack.entry import forward
 from godwittack.placement import levels
-from godwittack.platform import names, wire
+from godwittack.platform import names
 from godwittack.table import model
 
 if TYPE_CHECKING:
@@ -37,28 +37,29 @@
                 return Err(f"{name}: sent more than once")
         if not request_id:
             return Err(f"{names.REQUEST_ID}: missing")
-        after = wire.number(request.headers.get(names.LAST_EVENT_ID, "0"))
-        deadline_ms = wire.number(request.headers.get(names.DEADLINE, "0"))
+        after = backend_headers.number(
+            request.headers.get(names.LAST_EVENT_ID, "0")
+        )
+        deadline_ms = backend_headers.number(
+            request.headers.get(names.DEADLINE, "0")
+        )
         if after is None or deadline_ms is None:
             return Err(f"{names.LAST_EVENT_ID} or {names.DEADLINE}: no number")
         digest = model.token_digest(key)
-        workspace = known.workspace_by_token.get(digest, "")
         path = request.raw_path
-        owner = known.cache_owner(workspace)
-        host = request.headers.get("Host", "")
+        owner = known.cache_owner(known.workspace_by_token.get(digest, ""))
         tokens = request.headers.get(names.TOKENS, "").partition(",")
-        prompt_tokens = wire.number(tokens[0]) or 0
+        prompt_tokens = backend_headers.number(tokens[0]) or 0
         asked = work.Work(
             kind=work.WorkKind.PLAIN,
             token_sha256=digest,
             target="",
             caller_request_id=request_id,
             levels=_levels(request, owner, prompt_tokens),
-            max_tokens=wire.number(tokens[2]) or 0,
+            max_tokens=backend_headers.number(tokens[2]) or 0,
             deadline_ms=min(deadline_ms, MAX_DEADLINE_MS),
             method=request.method,
-            fingerprint=parse.fingerprint(request.method, host + path, body),
-            host=host,
+            host=request.headers.get("Host", ""),
             path=path.partition("?")[0],
             resume_after=after,
         )
@@ -100,7 +101,7 @@
     found: list[work.Level] = []
     for entry in request.headers.get(names.LEVELS, "").split(","):
         level, _, tokens = entry.strip().partition(":")
-        size = wire.number(tokens)
+        size = backend_headers.number(tokens)
         if level and size is not None:
             found.append(work.Level(levels.named(owner, level), size))
     if not found and prompt_tokens:
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,9 +5,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from result import Err, Ok, Result
-
-from godwittack.backend import protocol, routed
+from godwittack.backend import headers, protocol, routed
 from godwittack.core import incarnation, inputs
 from godwittack.placement import levels
 from godwittack.platform import names, wire
@@ -15,12 +13,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from result import Result
+
     from godwittack.backend import connection
     from godwittack.core import effects
 
 STATUS_OTHER_INSTANCE = 421
 EVENTS_WAIT_MS = 1_000
-_RATE_LIMITS = frozenset(name.lower() for name in names.RATE_LIMITS)
 
 
 class _Report(wire.StrictWire):
@@ -99,7 +98,7 @@
 
     def echoed_load(self, reply: connection.Reply) -> routed.EchoedLoad | None:
         """Returns the load that an answer tells."""
-        parts = [wire.number(p) for p in reply.header(names.LOAD).split(",")]
+        parts = [headers.number(p) for p in reply.header(names.LOAD).split(",")]
         if len(parts) != 3 or None in parts:
             return None
         running, waiting, slots = (part or 0 for part in parts)
@@ -107,17 +106,7 @@
 
     def rate_limit(self, reply: connection.Reply) -> Result[float | None, str]:
         """Returns the requests a second that the server takes from all."""
-        told = [
-            header.value
-            for header in reply.headers
-            if header.name.lower() in _RATE_LIMITS
-        ]
-        if not told:
-            return Ok(None)
-        values = {wire.decimal(text) for text in told}
-        if None in values or len(values) > 1:
-            return Err(f"{names.RATE_LIMITS[0]}: {', '.join(told)!r}"[:200])
-        return Ok(values.pop())
+        return headers.decimal(reply.headers, names.RATE_LIMITS)
 
     def load_call(self, address: str, server_id: str) -> routed.ControlCall:
         """Returns the call for a server's report of its state."""
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -27,6 +27,7 @@
     "starts",
     "joining",
     "limited",
+    "rate_limits",
     "patience",
     "quarantines",
     "fuzz",
