--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -72,10 +72,13 @@
 def completed(world: entities.World, request: entities.RequestRow) -> None:
     """Clears a content that a server has run to its end."""
     done = quarantine.Completion(content=request.content, at_ms=world.now_ms)
+    was_quarantined = world.quarantine.until_ms(request.content) > 0
     if not request.content or not world.quarantine.complete(done):
         return
     world.event("crashes_cleared", request.request_id, content=done.content)
-    world.emit(effects.TellCrashes(target="", completions=(done,)))
+    # Only a quarantine was told to daemons that hear of no server here.
+    target = "" if was_quarantined else request.work.target
+    world.emit(effects.TellCrashes(target=target, completions=(done,)))
 
 
 def told(world: entities.World, news: inputs.CrashesTold) -> None:
--- /dev/null
+++ b/src/godwittack/daemon/crash_rows.py
@@ -0,0 +1,174 @@
+"""Keeps quarantines in the platform's store.
+
+Daemons learn of crashes from each other. Where all of them end at one time,
+the store alone still knows which requests crash servers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Protocol
+
+import pydantic
+import xxhash
+from absl import logging
+from result import Err
+
+from godwittack.core import inputs, quarantine
+from godwittack.store import protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from godwittack.core import effects
+    from godwittack.daemon import runtime as runtimes
+
+TABLE = "quarantines"
+# Rows are never removed: a content replaces the one before it in its slot.
+SLOTS = 256
+TRIES = 5
+PAUSE_S = 0.5
+
+
+class Store(Protocol):
+    """Rows that are written, and read from a key on."""
+
+    async def transact(
+        self,
+        conditions: tuple[protocol.Condition, ...],
+        writes: tuple[protocol.RowWrite, ...],
+    ) -> protocol.Got[protocol.Transacted]:
+        """Makes all writes if all conditions hold."""
+
+    async def page(
+        self, table: str, *, from_key: str
+    ) -> protocol.Got[protocol.FeedPage]:
+        """Returns rows of a table as of one moment, from a key on."""
+
+
+class _CrashJson(pydantic.BaseModel):
+    start: str
+    reporter: str
+    at_wall_ms: int
+
+
+class _RowJson(pydantic.BaseModel):
+    content: str
+    crashes: tuple[_CrashJson, ...] = ()
+
+
+class CrashRows:
+    """Writes contents that come into quarantine, and reads them once.
+
+    They are read when this daemon first sees a server end under a request: a
+    daemon that sees none makes no call.
+    """
+
+    def __init__(self, *, service: Store, runtime: runtimes.Runtime) -> None:
+        """Reads and writes in `service`."""
+        self._service = service
+        self._runtime = runtime
+        self._is_read = False
+        self._written: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def seen(self, told: effects.TellCrashes) -> None:
+        """Takes in what this daemon tells the others of crashes."""
+        if told.crashes and not self._is_read:
+            self._is_read = True
+            self._spawn(self._read())
+        for content in sorted({crash.content for crash in told.crashes}):
+            self._keep(content)
+        for done in told.completions:
+            if self._written.pop(done.content, 0):
+                self._spawn(self._write(_RowJson(content=done.content)))
+
+    def close(self) -> None:
+        """Ends calls that are under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _keep(self, content: str) -> None:
+        known = self._runtime.core.world.quarantine
+        crashes = known.crashes(content)
+        if not known.until_ms(content):
+            return
+        if self._written.get(content, 0) >= len(crashes):
+            return
+        self._written[content] = len(crashes)
+        clock = self._runtime.clock
+        ahead_ms = clock.wall_ms() - clock.now_ms()
+        row = _RowJson(
+            content=content,
+            crashes=tuple(
+                _CrashJson(
+                    start=crash.start,
+                    reporter=crash.reporter,
+                    at_wall_ms=crash.at_ms + ahead_ms,
+                )
+                for crash in crashes
+            ),
+        )
+        self._spawn(self._write(row))
+
+    async def _write(self, row: _RowJson) -> None:
+        slot = xxhash.xxh3_64_intdigest(row.content.encode()) % SLOTS
+        write = protocol.RowWrite(
+            protocol.RowId(TABLE, f"{slot:03d}"), row.model_dump_json()
+        )
+        for _ in range(TRIES):
+            got = await self._service.transact((), (write,))
+            if not isinstance(got, Err):
+                return
+            logging.info(
+                "event=quarantine_unwritten content=%s detail=%r",
+                row.content,
+                str(got.err_value),
+            )
+            await asyncio.sleep(PAUSE_S)
+
+    async def _read(self) -> None:
+        for _ in range(TRIES):
+            got = await self._service.page(TABLE, from_key="")
+            if not isinstance(got, Err):
+                self._take(got.ok_value.rows)
+                return
+            await asyncio.sleep(PAUSE_S)
+        # Tried again at the next crash.
+        self._is_read = False
+
+    def _take(self, rows: tuple[protocol.ChangedRow, ...]) -> None:
+        clock = self._runtime.clock
+        ahead_ms = clock.wall_ms() - clock.now_ms()
+        found: list[quarantine.Crash] = []
+        for row in rows:
+            try:
+                kept = _RowJson.model_validate_json(row.value)
+            except pydantic.ValidationError as error:
+                logging.warning(
+                    "event=quarantine_unreadable row=%s detail=%r",
+                    row.key,
+                    str(error.errors()[0]["msg"]),
+                )
+                continue
+            found.extend(
+                quarantine.Crash(
+                    content=kept.content,
+                    start=crash.start,
+                    reporter=crash.reporter,
+                    at_ms=min(clock.now_ms(), crash.at_wall_ms - ahead_ms),
+                )
+                for crash in kept.crashes
+            )
+        if found:
+            self._runtime.submit(
+                inputs.CrashesTold(clock.now_ms(), tuple(found))
+            )
+
+    def _spawn(self, work: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+__all__ = ["CrashRows", "Store"]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -18,6 +18,7 @@
 from godwittack.daemon import (
     announcing,
     base,
+    crash_rows,
     entries,
     following,
     instances,
@@ -44,6 +45,7 @@
     from collections.abc import Callable, Mapping
 
     from godwittack.config import settings as configs
+    from godwittack.core import effects
     from godwittack.store import protocol as stores
 
 # Taken off the bound on keys: the store's feed may be silent for a second
@@ -153,7 +155,10 @@
         self.runtime.on_announce = announcer.announce
         self._probes.on_news = announcer.heard
         self.runtime.on_doubt = self._news.publish_doubt
-        self.runtime.on_crashes = self._news.publish_crashes
+        self._crash_rows = crash_rows.CrashRows(
+            service=self._store, runtime=self.runtime
+        )
+        self.runtime.on_crashes = self._crashes_seen
         self.runtime.on_rate_limit = self._news.publish_rate_limit
         self._gossiper = parts.gossiper(
             running=self.runtime, keeper=self._keeper, news=self._news
@@ -226,6 +231,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners = listening.Listeners(clock)
 
+    def _crashes_seen(self, told: effects.TellCrashes) -> None:
+        self._news.publish_crashes(told)
+        self._crash_rows.seen(told)
+
     def _carriers(self) -> tuple[str, ...]:
         """Returns the daemons that callers are sent to."""
         return tuple(m.member_id for m in self._serving.chosen().serving)
@@ -318,6 +327,7 @@
         await self._loops.cancel()
         self._watcher.close()
         self._news.close()
+        self._crash_rows.close()
         await self.runtime.close()
         self._pool.close()
         await self._base.close(self._peer_server)
--- /dev/null
+++ b/tests/cases/crash_rows.py
@@ -0,0 +1,143 @@
+"""Quarantines kept in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+
+from result import Err, Ok
+
+from cases import routed_core
+from godwittack.clock import ManualClock
+from godwittack.core import effects, quarantine
+from godwittack.daemon import crash_rows
+from godwittack.store import protocol
+
+FAILED = Err(protocol.PlatformError(step="read", peer="fake", detail="down"))
+
+
+class Store:
+    """Rows in memory; fails the next calls where told to."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, str] = {}
+        self.fails = 0
+        self.reads = 0
+
+    def _is_down(self) -> bool:
+        self.fails -= 1
+        return self.fails >= 0
+
+    async def transact(self, conditions, writes):
+        """Makes the writes."""
+        assert not conditions
+        if self._is_down():
+            return FAILED
+        for write in writes:
+            assert write.row_id.table == crash_rows.TABLE
+            self.rows[write.row_id.key] = write.value
+        return Ok(protocol.Transacted(True, ()))
+
+    async def page(self, table, *, from_key):
+        """Returns all rows."""
+        assert (table, from_key) == (crash_rows.TABLE, "")
+        self.reads += 1
+        if self._is_down():
+            return FAILED
+        rows = (
+            protocol.ChangedRow(key=key, value=value, version=1)
+            for key, value in self.rows.items()
+        )
+        return Ok(protocol.FeedPage(rows=tuple(rows), newest=1))
+
+
+class Daemon:
+    """A core with the rows of its crashes."""
+
+    def __init__(self, store: Store) -> None:
+        self.core = routed_core.Core()
+        clock = ManualClock(self.core.now_ms)
+        runtime = types.SimpleNamespace(
+            core=self.core.router, clock=clock, submit=self.core.router.step
+        )
+        self.rows = crash_rows.CrashRows(service=store, runtime=runtime)
+
+    def crash(self, *starts: str, content: str = "desk/f") -> None:
+        """Sees servers end under a content."""
+        seen = tuple(
+            quarantine.Crash(
+                content=content, start=start, reporter="d", at_ms=1_000
+            )
+            for start in starts
+        )
+        for crash in seen:
+            self.known.add(crash)
+        self.rows.seen(effects.TellCrashes(target="", crashes=seen))
+
+    @property
+    def known(self) -> quarantine.Quarantine:
+        """What its core knows of crashes."""
+        return self.core.world.quarantine
+
+
+async def _settle() -> None:
+    await asyncio.sleep(0.01)
+
+
+async def rows_that_cannot_be_read_are_passed_over() -> None:
+    """Guards against one bad row that hides all quarantines."""
+    store = Store()
+    store.rows = {"000": "{", "001": '{"crashes": []}', "002": "[1]"}
+    first = Daemon(store)
+    first.crash("s1", "s2", "s3")
+    await _settle()
+    assert len(store.rows) == 4
+    second = Daemon(store)
+    second.crash("s9", content="desk/g")
+    await _settle()
+    assert second.known.until_ms("desk/f") == first.known.until_ms("desk/f")
+
+
+async def a_store_that_is_down_is_asked_again() -> None:
+    """Guards against quarantines lost to one failed call."""
+    store = Store()
+    first = Daemon(store)
+    store.fails = 2
+    first.crash("s1", "s2", "s3")
+    await asyncio.sleep(3 * crash_rows.PAUSE_S)
+    assert len(store.rows) == 1
+    second = Daemon(store)
+    store.fails = crash_rows.TRIES
+    second.crash("s9", content="desk/g")
+    await asyncio.sleep((crash_rows.TRIES + 1) * crash_rows.PAUSE_S)
+    assert not second.known.until_ms("desk/f")
+    second.crash("s8", content="desk/g")
+    await _settle()
+    assert second.known.until_ms("desk/f")
+
+
+async def a_quarantine_that_was_lifted_stays_so() -> None:
+    """Guards against a harmless request refused after the next restart."""
+    store = Store()
+    first = Daemon(store)
+    first.crash("s1", "s2", "s3")
+    await _settle()
+    done = quarantine.Completion(content="desk/f", at_ms=2_000)
+    first.rows.seen(effects.TellCrashes(target="", completions=(done,)))
+    await _settle()
+    second = Daemon(store)
+    second.crash("s9", content="desk/g")
+    await _settle()
+    assert not second.known.until_ms("desk/f")
+
+
+async def daemons_that_see_no_crash_make_no_call() -> None:
+    """Guards against calls of the store on days without crashes."""
+    store = Store()
+    daemon = Daemon(store)
+    done = quarantine.Completion(content="desk/f", at_ms=2_000)
+    daemon.rows.seen(effects.TellCrashes(target="", completions=(done,)))
+    for _ in range(3):
+        daemon.crash("s1")
+    await _settle()
+    assert store.reads == 1 and not store.rows
--- a/tests/cases/crashing.py
+++ b/tests/cases/crashing.py
@@ -145,3 +145,25 @@
             await asyncio.sleep(KNOWN_S / 3)
         assert len(crashes.crashed) == MOST_CRASHES, crashes.crashed
         assert (await made.call("release", "other"))[0] == 200
+
+
+async def a_quarantine_outlives_a_restart_of_the_fleet() -> None:
+    """Guards against three more crashes after each restart of the fleet."""
+    async with Platform(daemons=3) as made:
+        crashes = Crashes(made)
+        await crashes.until_joined()
+        await _crash_three(crashes, "short")
+        for number in range(3):
+            made.signal(number, signal.SIGKILL)
+            await made.processes[number].wait()
+        for number in range(3):
+            await made.restart_daemon(number)
+        for number in range(3):
+            await made.until_ready(number)
+        for number in range(6):
+            await crashes.ask("short", f"again{number}", daemon=number % 3)
+            await crashes.replace()
+            await asyncio.sleep(KNOWN_S / 3)
+        # One more shows that there is something to read.
+        assert len(crashes.crashed) <= MOST_CRASHES + 1, crashes.crashed
+        assert await crashes.ask("short", "last", daemon=2) == 503
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -16,6 +16,7 @@
     "fleet_bounds",
     "serving",
     "connections",
+    "crash_rows",
     "crashing",
     "following",
     "freshness",
--- a/tests/features/crashing.feature
+++ b/tests/features/crashing.feature
@@ -9,6 +9,9 @@
   Scenario: Real processes, a call of a plain service
     When the case "a call that crashes plain servers is quarantined" of "crashing" is played
 
+  Scenario: Real processes, all daemons killed after the crashes
+    When the case "a quarantine outlives a restart of the fleet" of "crashing" is played
+
   Scenario Outline: <case>
     # Each case names the failure that it guards against; see
     # tests/cases/quarantines.py.
@@ -32,3 +35,7 @@
       | quarantines | starts of one server count each |
       | quarantines | news that is lost is made up for |
       | quarantines | crashes remembered are bounded |
+      | crash_rows | rows that cannot be read are passed over |
+      | crash_rows | a store that is down is asked again |
+      | crash_rows | a quarantine that was lifted stays so |
+      | crash_rows | daemons that see no crash make no call |
