--- a/src/godwittack/lead/rollout.py
+++ b/src/godwittack/lead/rollout.py
@@ -6,6 +6,7 @@
 import enum
 from typing import TYPE_CHECKING
 
+from godwittack.core import weights
 from godwittack.lead import pacing
 
 if TYPE_CHECKING:
@@ -120,6 +121,8 @@
     incarnation: str
     got_work: bool
     is_taken: bool = False
+    # Weights that it was ordered to load; empty while it drains.
+    version_ordered: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -311,6 +314,7 @@
             self._progress[server_id],
             step=Step.LOADING,
             since_ms=now_ms,
+            version_ordered=self._wanted,
         )
 
     def taken(self, server_id: str) -> None:
@@ -362,6 +366,20 @@
         waited_ms = now_ms - progress.since_ms
         return replica.busy == 0 or 0 < patience_ms <= waited_ms
 
+    def _has_loaded(self, progress: _Progress, replica: Replica) -> bool:
+        """Returns whether a server has what it was ordered to load, or newer.
+
+        Newer, since another lead may have ordered what is wanted by now. An
+        older version that was not known here is a report that came late: taken
+        for the end of the load, it would let others load beside it.
+        """
+        version = replica.weights_version
+        if version == progress.version_before:
+            return False
+        if progress.step is Step.DRAINING:
+            return True
+        return not weights.is_newer(progress.version_ordered, version)
+
     def _finish(self, name: str, replica: Replica | None, now_ms: int) -> None:
         progress = self._progress[name]
         # One that started again took the order with it, or drained for nothing.
@@ -372,12 +390,7 @@
             or replica.incarnation != progress.incarnation
             or not replica.is_reachable
         )
-        # Whatever it has loaded: the table may want another version by now, and
-        # another lead may have ordered that. Drained until it has the one that
-        # was ordered here, it would get no work for as long as a load may take.
-        done = replica is not None and (
-            replica.weights_version != progress.version_before
-        )
+        done = replica is not None and self._has_loaded(progress, replica)
         limit_ms = self.policy.drain_limit_ms
         if progress.is_taken:
             limit_ms = self.policy.taken_limit_ms
--- a/tests/cases/rollouts.py
+++ b/tests/cases/rollouts.py
@@ -221,6 +221,31 @@
     assert not after.draining, after
 
 
+def a_late_report_of_older_weights_is_no_end_of_a_load() -> None:
+    """Guards against more loads at one time than the store of weights bears."""
+    rolling = rollout.Rollout(rollout.RolloutPolicy(order_after_ms=100))
+    names = [f"s{number}" for number in range(40)]
+    # Too old for use, as far as this lead has heard.
+    stale = [_replica(name, gets_work=False) for name in names]
+    rolling.decide(wanted="5", replicas=stale, now_ms=0)
+    first = rolling.decide(wanted="5", replicas=stale, now_ms=100).load
+    for name in first:
+        rolling.ordered(name, now_ms=100)
+        rolling.taken(name)
+    late = [_replica(name, weights_version="4") for name in names]
+    after = rolling.decide(wanted="5", replicas=late, now_ms=200)
+    assert after.overview.loading == len(first) > 0, after.overview
+    most = pacing.most_at_store(len(names))
+    assert len(after.draining) <= most, (len(after.draining), most)
+    loaded = [
+        _replica(name, weights_version="5" if name in first else "4")
+        for name in names
+    ]
+    assert not rolling.decide(
+        wanted="5", replicas=loaded, now_ms=900
+    ).overview.loading
+
+
 def slow_loads_are_begun_earlier() -> None:
     """Loads that take longer than those before make more load at a time.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -156,6 +156,7 @@
       | rollouts | a short load lowers the estimate slowly |
       | rollouts | a refused order counts for its version alone |
       | rollouts | a server with any newer weights is drained no more |
+      | rollouts | a late report of older weights is no end of a load |
       | rollouts | held servers without work leave room to those that serve |
       | rollouts | a pause of the lead is no slow load |
       | rollouts | a server that refuses each order serves between them |
