--- /dev/null
+++ b/src/godwittack/backend/named_limits.py
@@ -0,0 +1,81 @@
+"""Tells the limits that servers name with their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from absl import logging
+from result import Err, Result
+
+from godwittack.core import server_inputs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from godwittack.clock import Clock
+
+# Servers of which an unreadable limit is remembered, so as to log it once.
+MOST_UNREADABLE = 100
+
+
+class NamedLimits:
+    """Turns what answers say of limits into inputs, where it says something.
+
+    Attributes:
+        on_named: Told each limit, and that a server names none any more.
+        is_known: Whether a limit of a server is known.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Dates what is told by `clock`."""
+        self._clock = clock
+        self.on_named: Callable[[server_inputs.RateLimitEchoed], None]
+        self.on_named = lambda told: None
+        self.is_known: Callable[[str], bool] = lambda server_id: False
+        self._unreadable: dict[str, str] = {}
+
+    def heard(
+        self,
+        server_id: str,
+        named: Result[float | None, str],
+        *,
+        may_lift: bool,
+    ) -> None:
+        """Takes in what an answer names.
+
+        Args:
+            server_id: The server that answered.
+            named: Requests a second, None for no limit; what could not be read.
+            may_lift: Whether an answer without a limit says that none holds,
+                as one to a request that was run does.
+        """
+        if isinstance(named, Err):
+            self._log_unreadable(server_id, named.err_value)
+            return
+        limit_per_s = named.ok_value
+        says_none = may_lift and self.is_known(server_id)
+        if limit_per_s is None and not says_none:
+            return
+        self.on_named(
+            server_inputs.RateLimitEchoed(
+                at_ms=self._clock.now_ms(),
+                server_id=server_id,
+                limit_per_s=limit_per_s,
+            )
+        )
+
+    def _log_unreadable(self, server_id: str, detail: str) -> None:
+        """Logs a limit that can't be read, once while it stays the same."""
+        if self._unreadable.get(server_id) == detail:
+            return
+        self._unreadable[server_id] = detail
+        while len(self._unreadable) > MOST_UNREADABLE:
+            del self._unreadable[next(iter(self._unreadable))]
+        logging.warning(
+            "event=server_limit_unreadable server=%s detail=%r",
+            server_id,
+            detail,
+        )
+
+
+__all__ = ["NamedLimits"]
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -6,11 +6,10 @@
 import dataclasses
 from typing import TYPE_CHECKING, Protocol
 
-from absl import logging
 from result import Err, Ok, Result
 
 from godwittack.backend import connection as connections
-from godwittack.backend import headers, protocol, sse
+from godwittack.backend import headers, named_limits, protocol, sse
 from godwittack.backend import pool as pools
 from godwittack.core import inputs, server_inputs, work
 
@@ -24,8 +23,6 @@
 # Time in which a server that turns a connection away has reset it: a round
 # trip between failure domains of 2 ms, and 1 ms in which it accepts.
 TURNED_AWAY_MS = 4
-# Servers of which an unreadable limit is remembered, so as to log it once.
-MOST_UNREADABLE = 100
 
 
 class TurnedAwayError(ConnectionResetError):
@@ -120,10 +117,7 @@
         self._control_timeout_ms = control_timeout_ms
         self.on_load: Callable[[server_inputs.LoadEchoed], None]
         self.on_load = lambda told: None
-        self.on_rate_limit: Callable[[server_inputs.RateLimitEchoed], None]
-        self.on_rate_limit = lambda told: None
-        self.is_limited: Callable[[str], bool] = lambda server_id: False
-        self._unreadable: dict[str, str] = {}
+        self.limits = named_limits.NamedLimits(clock=clock)
 
     async def send(
         self,
@@ -250,8 +244,10 @@
         self._tell_load(dispatch.server_id, reply)
         declined = self._wire.declined(reply, dispatch.server_id)
         if declined is not inputs.FailureCause.OTHER_SERVER:
-            self._tell_rate_limit(
-                dispatch.server_id, reply, may_lift=declined is None
+            self.limits.heard(
+                dispatch.server_id,
+                self._wire.rate_limit(reply),
+                may_lift=declined is None,
             )
         if declined is not None:
             await used.read_body(reply)
@@ -284,46 +280,6 @@
                 )
             )
 
-    def _tell_rate_limit(
-        self, server_id: str, reply: connections.Reply, *, may_lift: bool
-    ) -> None:
-        """Tells a limit that an answer names, or that it names none any more.
-
-        Args:
-            server_id: The server that answered.
-            reply: Its answer.
-            may_lift: Whether an answer without a limit says that none holds,
-                as one to a request that was run does.
-        """
-        got = self._wire.rate_limit(reply)
-        if isinstance(got, Err):
-            self._tell_unreadable(server_id, got.err_value)
-            return
-        limit_per_s = got.ok_value
-        says_none = may_lift and self.is_limited(server_id)
-        if limit_per_s is None and not says_none:
-            return
-        self.on_rate_limit(
-            server_inputs.RateLimitEchoed(
-                at_ms=self._clock.now_ms(),
-                server_id=server_id,
-                limit_per_s=limit_per_s,
-            )
-        )
-
-    def _tell_unreadable(self, server_id: str, detail: str) -> None:
-        """Logs a limit that can't be read, once while it stays the same."""
-        if self._unreadable.get(server_id) == detail:
-            return
-        self._unreadable[server_id] = detail
-        while len(self._unreadable) > MOST_UNREADABLE:
-            del self._unreadable[next(iter(self._unreadable))]
-        logging.warning(
-            "event=server_limit_unreadable server=%s detail=%r",
-            server_id,
-            detail,
-        )
-
     async def _control(
         self, address: str, key: str, call: ControlCall
     ) -> Result[bytes, protocol.BackendError]:
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -112,8 +112,8 @@
             clock=clock,
         )
         backend.on_load = self.runtime.submit
-        backend.on_rate_limit = self.runtime.submit
-        backend.is_limited = functools.partial(
+        backend.limits.on_named = self.runtime.submit
+        backend.limits.is_known = functools.partial(
             rate_limits.is_limited, core.world
         )
         self._keeper = keeping.FeedKeeper(
--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -3,34 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
-
-from absl import logging
-from result import Err, Result
+from typing import TYPE_CHECKING
 
 from godwittack.core import inputs, server_inputs
 from godwittack.daemon import demand
+from godwittack.daemon import outbox as outboxes
 from godwittack.member import duty
-from godwittack.peer import codec, peer_pb2, pending, wire
+from godwittack.peer import codec, pending
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from godwittack.clock import Clock
-    from godwittack.core import effects, quarantine
+    from godwittack.core import effects
     from godwittack.daemon import runtime as runtimes
     from godwittack.member import view
-    from godwittack.peer import exchange
+    from godwittack.peer import peer_pb2, wire
     from godwittack.store import protocol as platform
 
 # How long a drain holds at a daemon that hears no more of it.
 DRAIN_MS = 3_000
-RETRY_MS = 500
-# Pause between two accounts of all crashes to one peer. Meanwhile its own news
-# of the same crashes is on its way.
-TELL_AGAIN_MS = 500
-# A stream to a peer that has been told nothing for so long is closed.
-IDLE_MS = 10_000
 # Time between two messages to all peers together that need not be told at
 # once. With sixty peers, each told five times a second, news were two fifths
 # of a daemon's processor time.
@@ -39,27 +30,6 @@
 WAIT_PART = 0.25
 
 
-class NewsStream(Protocol):
-    """An open stream of news to one peer."""
-
-    async def send(
-        self, news: peer_pb2.News
-    ) -> Result[None, exchange.PeerError]:
-        """Sends a message; after an error the stream is of no more use."""
-
-    def close(self) -> None:
-        """Ends the stream."""
-
-
-class NewsClient(Protocol):
-    """Opens streams of news."""
-
-    def open_news(
-        self, address: str, *, on_broken: Callable[[], None]
-    ) -> NewsStream:
-        """Returns a stream to a peer; opens with the first message."""
-
-
 class News:
     """This daemon's news to others, one stream a peer, and theirs to it.
 
@@ -79,7 +49,7 @@
         *,
         members: view.View,
         runtime: runtimes.Runtime,
-        client: NewsClient,
+        client: outboxes.NewsClient,
         audience: duty.Audience | None = None,
     ) -> None:
         """Tells and takes news for the member `members.me`.
@@ -100,7 +70,7 @@
         self._members = members
         self._runtime = runtime
         self._client = client
-        self._outboxes: dict[str, _Outbox] = {}
+        self._outboxes: dict[str, outboxes.Outbox] = {}
         self._known_leaving: set[str] = set()
         self._audiences: dict[str, list[view.Member]] = {}
         self._audiences_for: tuple[list[view.Member], tuple[str, ...]] = (
@@ -301,14 +271,16 @@
         for name in list(self._outboxes):
             self.peer_gone(name)
 
-    def _outboxes_of(self, members: Iterable[view.Member]) -> list[_Outbox]:
+    def _outboxes_of(
+        self, members: Iterable[view.Member]
+    ) -> list[outboxes.Outbox]:
         own = self._members.me.member_id
         return [self._outbox(m) for m in members if m.member_id != own]
 
-    def _outbox(self, member: view.Member) -> _Outbox:
+    def _outbox(self, member: view.Member) -> outboxes.Outbox:
         outbox = self._outboxes.get(member.member_id)
         if outbox is None:
-            outbox = self._outboxes[member.member_id] = _Outbox(
+            outbox = self._outboxes[member.member_id] = outboxes.Outbox(
                 own_id=self._members.me.member_id,
                 address=member.peer_address,
                 client=self._client,
@@ -343,118 +315,4 @@
         return tuple(cell for cell in rounded if cell.wanted or cell.rate_per_s)
 
 
-class _Outbox:
-    """What waits for one peer, and the stream to it."""
-
-    def __init__(
-        self,
-        *,
-        own_id: str,
-        address: str,
-        client: NewsClient,
-        clock: Clock,
-    ) -> None:
-        self.pending = pending.PendingNews()
-        self.demands_told: tuple[inputs.CellDemand, ...] = ()
-        self.used_at_ms = clock.now_ms()
-        self._own_id = own_id
-        self._address = address
-        self._client = client
-        self._clock = clock
-        self._stream: NewsStream | None = None
-        self._writer = wire.NewsWriter()
-        self._told_again_ms = -TELL_AGAIN_MS
-        self._due = asyncio.Event()
-        self._task = asyncio.get_running_loop().create_task(self._run())
-
-    def tell_demands(self, demands: tuple[inputs.CellDemand, ...]) -> None:
-        """Queues the demand where it is not the one told last."""
-        if demands != self.demands_told:
-            self.demands_told = demands
-            self.pending.demands = demands
-
-    def tell_crashes(
-        self,
-        crashes: tuple[quarantine.Crash, ...],
-        completions: tuple[quarantine.Completion, ...],
-    ) -> None:
-        """Sends crashes and runs without one now."""
-        self.pending.crashes.update(crashes)
-        self.pending.completions.update(completions)
-        self.wake()
-
-    def tell_crashes_again(self, known: quarantine.Quarantine) -> None:
-        """Sends all that is known of crashes, unless it was a moment ago."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._told_again_ms >= TELL_AGAIN_MS:
-            self._told_again_ms = now_ms
-            self.tell_crashes(known.known(), known.completions())
-
-    def wake(self) -> None:
-        """Has what waits sent now."""
-        if not self.pending.is_empty():
-            self._due.set()
-
-    def is_idle(self, now_ms: int) -> bool:
-        """Returns whether the stream may be closed.
-
-        Not while something waits: woken a moment ago, it would be lost.
-        """
-        unused_ms = now_ms - self.used_at_ms
-        waits = self.demands_told or not self.pending.is_empty()
-        return unused_ms > IDLE_MS and not waits
-
-    def close(self) -> None:
-        """Ends the stream; what waits is lost."""
-        self._task.cancel()
-        if self._stream is not None:
-            self._stream.close()
-
-    def _broken(self) -> None:
-        """Tells the demand again, which may have been lost with the stream.
-
-        Loads repeat and the list has versions; demand is told on changes
-        only, so that the peer would split limits by an old one until then.
-        """
-        self._stream = None
-        if self.demands_told and self.pending.demands is None:
-            self.pending.demands = self.demands_told
-            self._due.set()
-
-    async def _run(self) -> None:
-        while True:
-            await self._due.wait()
-            self._due.clear()
-            news, self.pending = self.pending, pending.PendingNews()
-            if await self._send(news):
-                continue
-            self.pending = news.followed_by(self.pending)
-            await asyncio.sleep(RETRY_MS / 1000)
-            self._due.set()
-
-    async def _send(self, news: pending.PendingNews) -> bool:
-        self.used_at_ms = self._clock.now_ms()
-        opens = self._stream is None
-        if self._stream is None:
-            self._stream = self._client.open_news(
-                self._address, on_broken=self._broken
-            )
-            self._writer = wire.NewsWriter()
-            # What was told on a stream that broke may not have arrived.
-            news.demands = self.demands_told
-        message = self._writer.write(news, now_ms=self._clock.now_ms())
-        if opens:
-            message.sender_id = self._own_id
-        got = await self._stream.send(message)
-        if isinstance(got, Err):
-            logging.info(
-                "event=news_lost peer=%s detail=%s",
-                self._address,
-                got.err_value.detail,
-            )
-            self._stream = None
-            return False
-        return True
-
-
-__all__ = ["DRAIN_MS", "News", "NewsClient", "NewsStream"]
+__all__ = ["DRAIN_MS", "News"]
