--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -13,6 +13,7 @@
     rate_limits,
     routing,
     sending,
+    turns,
     work,
 )
 from godwittack.limit import fair
@@ -37,7 +38,13 @@
     workspace = world.table.workspaces.get(request.workspace)
     weight = workspace.weight if workspace else 1.0
     must_hold = choice.wait_ms > world.policy.hold_ms or before > 0
-    if not _meets_deadline(world, request, choice, before, must_hold):
+    wait_ms = 0.0
+    if must_hold:
+        slots_ms = turns.slots_wait_ms(world, request.work.target, before)
+        ahead = queue.ahead(request.workspace)
+        turns_ms = turns.wait_ms(world, request.work.target, rank, before=ahead)
+        wait_ms = max(slots_ms, turns_ms)
+    if not _meets_deadline(world, request, choice, wait_ms):
         return
     cost = _cost(request)
     if not must_hold:
@@ -56,6 +63,8 @@
         return
     request.phase = entities.Phase.QUEUED
     request.queue_rank = rank
+    if not len(queue):
+        turns.begin(world, request.work.target, rank)
     if request.work.route is not None:
         world.event(
             "queued",
@@ -200,7 +209,7 @@
     for target in sorted(world.freed_targets):
         by_rank = world.queues.get(target, {})
         for rank in sorted(by_rank):
-            _drain_queue(world, by_rank[rank])
+            _drain_queue(world, by_rank[rank], rank)
             if len(by_rank[rank]):
                 break
     world.freed_targets.clear()
@@ -216,10 +225,10 @@
                 if crashes.is_quarantined(world, request):
                     _refuse_quarantined(world, request)
                     continue
-                if request.deadline_at_ms > world.now_ms:
+                if request.begin_by_ms > world.now_ms:
                     continue
                 before = _waiting(world, target, rank)
-                wait_ms = _queue_wait_ms(world, target, before)
+                wait_ms = turns.slots_wait_ms(world, target, before)
                 _refuse_late(world, request, wait_ms)
 
 
@@ -233,7 +242,9 @@
     return sum(len(queue) for r, queue in by_rank.items() if r <= rank)
 
 
-def _drain_queue(world: entities.World, queue: fair.FairQueue) -> None:
+def _drain_queue(
+    world: entities.World, queue: fair.FairQueue, rank: int
+) -> None:
     while len(queue):
         waiting = queue.heads()[0]
         request = world.requests[waiting.request_id]
@@ -243,10 +254,11 @@
         choice = placing.choose(world, request)
         if choice is None or choice.wait_ms > world.policy.hold_ms:
             return
-        if choice.first_token_ms > request.deadline_at_ms - world.now_ms:
+        if choice.first_token_ms > request.begin_by_ms - world.now_ms:
             _refuse_late(world, request, choice.wait_ms)
             continue
         queue.take(waiting)
+        turns.taken(world, request.work.target, rank, left=len(queue))
         dispatch(world, request, choice)
 
 
@@ -304,18 +316,15 @@
     world: entities.World,
     request: entities.RequestRow,
     choice: placing.Choice,
-    before: int,
-    must_hold: bool,
+    queue_wait_ms: float,
 ) -> bool:
     """Refuses at once what would only come too late.
 
     Work that misses its deadline takes the place of work that would not. The
     symptom is an overload in which everything is late.
     """
-    expected_ms = choice.first_token_ms
-    if must_hold:
-        expected_ms += _queue_wait_ms(world, request.work.target, before)
-    left_ms = request.deadline_at_ms - world.now_ms
+    expected_ms = choice.first_token_ms + queue_wait_ms
+    left_ms = request.begin_by_ms - world.now_ms
     if expected_ms <= left_ms * world.policy.deadline_part:
         return True
     _refuse_not_run(
@@ -328,21 +337,6 @@
     return False
 
 
-def _queue_wait_ms(world: entities.World, target: str, before: int) -> float:
-    servers = [
-        server
-        for server in world.servers_by_target[target].values()
-        if not server.leaving and server.ejected_until_ms <= world.now_ms
-    ]
-    if not servers or not before:
-        return 0.0
-    # Each held-back request takes a turn: the time a slot is busy over the
-    # slots there are.
-    slots = sum(server.slots or world.policy.slots for server in servers)
-    turn_ms = world.service_ms.get(target, 0.0) / slots
-    return before * turn_ms
-
-
 def _queue_limit(world: entities.World, request: entities.RequestRow) -> int:
     room = world.policy.queue_total - world.queued()
     model_row = world.table.models.get(request.work.target)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -6,7 +6,7 @@
 import dataclasses
 import enum
 
-from godwittack.core import effects, pace, quarantine, weights
+from godwittack.core import effects, pace, quarantine, turns, weights
 from godwittack.core import policy as policies
 from godwittack.core import work as works
 from godwittack.limit import advertised, budget, fair, shares
@@ -29,6 +29,8 @@
 
     Attributes:
         deadline_at_ms: When the answer should have begun.
+        leaves_at_ms: When the caller leaves unless an answer has begun; 0 for
+            at the deadline.
         known_tokens: Prompt tokens of levels that earlier requests brought.
         attempt_id: Current attempt; frames of any other are dropped.
         attempts: Dispatches so far.
@@ -58,6 +60,7 @@
     workspace: str
     arrived_at_ms: int
     deadline_at_ms: int
+    leaves_at_ms: int = 0
     known_tokens: int = 0
     phase: Phase = Phase.CLAIMING
     attempt_id: str = ""
@@ -81,6 +84,13 @@
     queue_rank: int = 0
     cells: tuple[str, ...] = ()
 
+    @property
+    def begin_by_ms(self) -> int:
+        """Until when the answer is of use, as long as it has not begun."""
+        if self.begun or self.begun_elsewhere or not self.leaves_at_ms:
+            return self.deadline_at_ms
+        return min(self.deadline_at_ms, self.leaves_at_ms)
+
     @property
     def content(self) -> str:
         """Names what is asked and by whom; empty where that is not known."""
@@ -212,6 +222,7 @@
         queues: Requests held back, by target and rank.
         freed_targets: Targets whose queues may move after this input.
         service_ms: Smoothed time from dispatch to end, by target.
+        turns: How fast held-back requests go out, by target and rank.
         paces: What first tokens have shown of engines, by target.
         quarantine: Requests under which servers ended.
     """
@@ -257,6 +268,9 @@
     quarantine: quarantine.Quarantine = dataclasses.field(
         default_factory=quarantine.Quarantine
     )
+    turns: dict[tuple[str, int], turns.Turn] = dataclasses.field(
+        default_factory=dict
+    )
     paces: dict[str, pace.Pace] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(pace.Pace)
     )
--- a/src/godwittack/limit/fair.py
+++ b/src/godwittack/limit/fair.py
@@ -73,6 +73,11 @@
                     self._cost -= waiting.cost
             self._tidy(workspace)
 
+    def ahead(self, workspace: str) -> int:
+        """Returns how many go out before a further request of a workspace."""
+        own = len(self._lines.get(workspace, ()))
+        return sum(min(len(line), own + 1) for line in self._lines.values())
+
     def request_ids(self) -> list[str]:
         """Returns all requests held back."""
         return [w.request_id for line in self._lines.values() for w in line]
--- a/src/godwittack/table/forwarding.py
+++ b/src/godwittack/table/forwarding.py
@@ -15,6 +15,12 @@
     weight: int = 1
 
 
+# Callers of streams leave when no event has come for the longest of these.
+LEAST_PATIENCE_MS = 2_000
+AIMS_OF_PATIENCE = 4
+GAPS_OF_PATIENCE = 8
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
     """Requests of one host below one path prefix.
@@ -49,6 +55,15 @@
     streaming: bool = False
     anonymous: bool = False
 
+    @property
+    def patience_ms(self) -> int:
+        """Time for which callers of a stream wait for its next event."""
+        return max(
+            LEAST_PATIENCE_MS,
+            AIMS_OF_PATIENCE * self.aim_ms,
+            GAPS_OF_PATIENCE * self.gap_aim_ms,
+        )
+
     def target_of(self, request_id: str) -> str:
         """Returns the target of a request, split by a hash of its id."""
         if len(self.targets) == 1:
--- /dev/null
+++ b/tests/cases/waiting.py
@@ -0,0 +1,131 @@
+"""Requests held back while servers do less than is asked of them."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+
+from cases import routed_core
+from godwittack.core import effects, inputs, server_inputs
+
+ENGINES = 2
+WORK_MS = 200
+STEP_MS = 10
+PATIENCE_MS = 2_000
+
+
+class Overload:
+    """One daemon of nine before two engines that others keep busy as well.
+
+    Each engine takes a request of this daemon every 200 ms; by its slots it
+    could take 16 at a time.
+    """
+
+    def __init__(self, *, gap_ms: int, deadline_ms: int) -> None:
+        route = dataclasses.replace(
+            routed_core.ROUTES[0], aim_ms=300, gap_aim_ms=250
+        )
+        self.core = routed_core.Core(servers=ENGINES)
+        self.core.tell(
+            inputs.TableChanged, routed_core.table(2, routes=(route,))
+        )
+        self.gap_ms = gap_ms
+        self._deadline_ms = deadline_ms
+        self._ends: list[tuple[int, str, effects.Dispatch]] = []
+        self._busy_ms = {f"e{n}": 0 for n in range(1, ENGINES + 1)}
+        self.arrived_ms: dict[str, int] = {}
+        self.waited_ms: dict[str, int] = {}
+        self.begun = 0
+
+    def play(self, *, seconds: int) -> None:
+        """Lets requests arrive for a time."""
+        end_ms = self.core.now_ms + seconds * 1_000
+        while self.core.now_ms < end_ms:
+            self.core.now_ms += STEP_MS
+            if self.core.now_ms % self.gap_ms < STEP_MS:
+                self._arrive()
+            while self._ends and self._ends[0][0] <= self.core.now_ms:
+                self._end(heapq.heappop(self._ends)[2])
+            if self.core.now_ms % 100 < STEP_MS:
+                self._report()
+            if self.core.now_ms % 50 < STEP_MS:
+                self._take(self.core.tell(inputs.Tick))
+
+    def _arrive(self) -> None:
+        name = f"r{self.core.now_ms}"
+        self.arrived_ms[name] = self.core.now_ms
+        self._take(
+            self.core.arrive("long", name, deadline_ms=self._deadline_ms)
+        )
+
+    def _report(self) -> None:
+        for server, busy_ms in self._busy_ms.items():
+            left_ms = max(0, busy_ms - self.core.now_ms)
+            self._take(
+                self.core.tell_named(
+                    server_inputs.LoadReported,
+                    server_id=server,
+                    incarnation=server,
+                    weights_version="1",
+                    running=1,
+                    waiting=left_ms // WORK_MS,
+                    waiting_tokens=left_ms * 10,
+                    prefill_us_per_token=100,
+                    slots=16,
+                )
+            )
+
+    def _end(self, sent: effects.Dispatch) -> None:
+        self._take(self.core.open(sent))
+        self.begun += 1
+        self._take(self.core.frames(sent, 1, end=True))
+
+    def _take(self, made: list[effects.Effect]) -> None:
+        for effect in made:
+            if isinstance(effect, effects.Dispatch):
+                begins_ms = max(
+                    self._busy_ms[effect.server_id], self.core.now_ms
+                )
+                self._busy_ms[effect.server_id] = begins_ms + WORK_MS
+                ends_ms = begins_ms + WORK_MS
+                heapq.heappush(self._ends, (ends_ms, effect.request_id, effect))
+            if isinstance(effect, effects.Refuse):
+                arrived_ms = self.arrived_ms[effect.request_id]
+                waited_ms = self.core.now_ms - arrived_ms
+                self.waited_ms[effect.request_id] = waited_ms
+                assert effect.outcome is effects.Outcome.NOT_RUN
+                assert effect.retry_after_ms > 0
+
+
+def what_a_lasting_overload_leaves_no_room_for_is_refused_at_once() -> None:
+    """Guards against a queue in which every request waits until it is late."""
+    load = Overload(gap_ms=50, deadline_ms=6_000)
+    load.play(seconds=30)
+    assert load.waited_ms, "nothing was refused"
+    late = [ms for ms in load.waited_ms.values() if ms > 500]
+    # Until the first turns are seen, some wait that should not have.
+    assert len(late) <= 0.1 * len(load.arrived_ms), (
+        len(late),
+        len(load.arrived_ms),
+    )
+    assert load.begun >= 0.9 * 30 * ENGINES * 1_000 / WORK_MS, load.begun
+
+
+def a_stream_is_refused_where_its_caller_would_leave_before_it_begins() -> None:
+    """Guards against work for callers that leave long before the deadline."""
+    load = Overload(gap_ms=50, deadline_ms=6_000)
+    load.play(seconds=30)
+    assert max(load.waited_ms.values()) <= PATIENCE_MS, load.waited_ms
+
+
+def a_queue_that_was_empty_for_long_is_no_sign_of_slow_servers() -> None:
+    """Guards against a pause of the load that is taken for a long turn."""
+    load = Overload(gap_ms=50, deadline_ms=6_000)
+    load.play(seconds=5)
+    load.gap_ms = 250
+    load.core.now_ms += 60_000
+    load.play(seconds=5)
+    load.waited_ms.clear()
+    load.core.confirm()
+    load.play(seconds=10)
+    assert not load.waited_ms, load.waited_ms
