--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -95,7 +95,8 @@
         row = self._rows.get(done.content)
         if row is None:
             return False
-        self._completed_ms[done.content] = done.at_ms
+        newest_ms = self._completed_ms.get(done.content, done.at_ms)
+        self._completed_ms[done.content] = max(newest_ms, done.at_ms)
         if len(self._completed_ms) > MAX_CONTENTS:
             self._completed_ms.popitem(last=False)
         self._digest = None
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -80,7 +80,10 @@
         for content in sorted({crash.content for crash in told.crashes}):
             self._keep(content)
         for done in told.completions:
-            if self._written.pop(done.content, 0):
+            self._written.pop(done.content, None)
+            # Every daemon is told of those alone that were in quarantine. The
+            # row may be another daemon's.
+            if not told.target:
                 self._spawn(self._write(_RowJson(content=done.content)))
 
     def close(self) -> None:
@@ -133,6 +136,9 @@
             if not isinstance(got, Err):
                 self._take(got.ok_value.rows)
                 return
+            logging.info(
+                "event=quarantines_unread detail=%r", str(got.err_value)
+            )
             await asyncio.sleep(PAUSE_S)
         # Tried again at the next crash.
         self._is_read = False
--- a/tests/cases/quarantines.py
+++ b/tests/cases/quarantines.py
@@ -301,6 +301,24 @@
     assert _is_refused(core)
 
 
+def an_older_completed_run_takes_back_no_newer_one() -> None:
+    """Guards against crashes that come back by late news of an old run."""
+    known = quarantine.Quarantine()
+
+    def crash(start: str, at_ms: int) -> bool:
+        return known.add(
+            quarantine.Crash(
+                content="c", start=start, reporter="d", at_ms=at_ms
+            )
+        )
+
+    crash("s1", 10)
+    known.complete(quarantine.Completion(content="c", at_ms=100))
+    assert crash("s2", 200)
+    known.complete(quarantine.Completion(content="c", at_ms=20))
+    assert not crash("s3", 50)
+
+
 def news_that_is_lost_is_made_up_for() -> None:
     """Guards against daemons that never hear of a crash told once."""
     known = [quarantine.Quarantine() for _ in range(2)]
--- a/tests/features/crashing.feature
+++ b/tests/features/crashing.feature
@@ -33,9 +33,11 @@
       | quarantines | a quarantine ends and a further crash doubles it |
       | quarantines | a server that falls silent under requests counts |
       | quarantines | starts of one server count each |
+      | quarantines | an older completed run takes back no newer one |
       | quarantines | news that is lost is made up for |
       | quarantines | crashes remembered are bounded |
       | crash_rows | rows that cannot be read are passed over |
       | crash_rows | a store that is down is asked again |
       | crash_rows | a quarantine that was lifted stays so |
+      | crash_rows | a quarantine that another daemon lifted stays so |
       | crash_rows | daemons that see no crash make no call |
