--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -71,9 +71,12 @@
 
 def completed(world: entities.World, request: entities.RequestRow) -> None:
     """Clears a content that a server has run to its end."""
-    done = quarantine.Completion(content=request.content, at_ms=world.now_ms)
-    was_quarantined = world.quarantine.until_ms(request.content) > 0
-    if not request.content or not world.quarantine.complete(done):
+    content = request.content
+    if not world.quarantine.crashes(content):
+        return
+    done = quarantine.Completion(content=content, at_ms=world.now_ms)
+    was_quarantined = world.quarantine.until_ms(content) > 0
+    if not world.quarantine.complete(done):
         return
     world.event("crashes_cleared", request.request_id, content=done.content)
     # Only a quarantine was told to daemons that hear of no server here.
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -30,21 +30,9 @@
 PAUSE_S = 0.5
 
 
-class Store(Protocol):
+class Store(protocol.ConditionalRows, protocol.RowFeed, Protocol):
     """Rows that are written, and read from a key on."""
 
-    async def transact(
-        self,
-        conditions: tuple[protocol.Condition, ...],
-        writes: tuple[protocol.RowWrite, ...],
-    ) -> protocol.Got[protocol.Transacted]:
-        """Makes all writes if all conditions hold."""
-
-    async def page(
-        self, table: str, *, from_key: str
-    ) -> protocol.Got[protocol.FeedPage]:
-        """Returns rows of a table as of one moment, from a key on."""
-
 
 class _CrashJson(pydantic.BaseModel):
     start: str
--- a/src/godwittack/limit/advertised.py
+++ b/src/godwittack/limit/advertised.py
@@ -13,9 +13,7 @@
 import math
 from typing import TYPE_CHECKING
 
-import xxhash
-
-from godwittack.placement import rendezvous
+from godwittack.member import duty
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -53,9 +51,7 @@
         """
         names = tuple(sorted(daemons))
         count = min(len(names), LEAST_HOLDERS + math.floor(self.per_s))
-        key = xxhash.xxh3_64_intdigest(f"limit/{server_id}".encode())
-        ranked = rendezvous.rank(key, names)
-        held = own in ranked[:count]
+        held = own in duty.rank(f"limit/{server_id}", names)[:count]
         rate_per_s = max(self.per_s, LEAST_RATE_PER_S)
         self.part_per_s = rate_per_s / count if held else 0.0
 
