Log what retry budgets decide from, and the time handed on

On-call could not tell the hypotheses of repeats beyond the budget apart: retried and not_retried named neither tokens, part, daemons nor the age of the view; placed named no time left. Both do now, and two gauges tell the least tokens and the fleet that parts are reckoned for. No decision changes.

--- a/src/godwittack/core/followup.py
+++ b/src/godwittack/core/followup.py
@@ -34,6 +34,7 @@
             workspace=request.workspace,
             target=request.work.target,
             attempt=request.attempts + 1,
+            **retries.budget_state(world, request.work.target),
         )
         dispatching.place(world, request)
         return
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -38,10 +38,25 @@
         limit=limit.value,
         attempts=request.attempts,
         runs=request.runs,
+        **budget_state(world, request.work.target),
     )
     return False
 
 
+def budget_state(world: entities.World, target: str) -> dict[str, float]:
+    """Returns what a budget's word was made from, and the age of that."""
+    if not world.policy.budget_by_target:
+        return {"tokens": round(world.retry_budget.tokens, 2)}
+    shared = _shared_budget(world, target)
+    return {
+        "tokens": round(shared.tokens, 2),
+        "part": round(shared.part, 2),
+        "daemons": world.most_daemons,
+        "live": len(world.live_daemons),
+        "view_age_ms": world.now_ms - world.members_changed_ms,
+    }
+
+
 def _limit(world: entities.World, request: entities.RequestRow) -> Limit | None:
     if world.now_ms >= request.deadline_at_ms:
         return Limit.DEADLINE
@@ -98,4 +113,4 @@
     return found
 
 
-__all__ = ["Limit", "allowed", "earn"]
+__all__ = ["Limit", "allowed", "budget_state", "earn"]
--- a/src/godwittack/core/sending.py
+++ b/src/godwittack/core/sending.py
@@ -38,6 +38,7 @@
         if server.reported_at_ms >= 0
         else -1,
         after=request.next_frame - 1,
+        left_ms=time_left_ms(world, request),
     )
 
 
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -108,6 +108,11 @@
             server.limit is not None for server in world.servers.values()
         ),
         "godwittack_quarantined": lambda: len(world.quarantine),
+        "godwittack_retry_tokens": lambda: min(
+            (shared.tokens for shared in world.target_budgets.values()),
+            default=-1.0,
+        ),
+        "godwittack_retry_daemons": lambda: world.most_daemons,
         "godwittack_table_version": lambda: world.table.version,
         "godwittack_prefill_us_per_token": lambda: max(
             (known.us_per_token for known in world.paces.values()), default=0.0
