Add failing tests of repeats beyond the budget

Each form of the bound fails on the present logic. A stream that stops again and again and a call without an answer run on four servers, two allowed. A server that ends eight times under one name is never held responsible.

Two tests guard the other side and pass: a daemon on time takes nothing off, one crash seen by many counts once. What should be there is told with the members (known=), not used by any decision yet.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -217,6 +217,7 @@
         weights_named: Versions of weights in the order in which they were
             wanted, by target.
         most_daemons: Most of them that were ever believed alive at a time.
+        known_daemons: Daemons that there should be, by the last account.
         members_changed_ms: When they last changed.
         target_budgets: Retry budgets by target, where the limit on retries
             holds for each target by itself.
@@ -265,6 +266,7 @@
         default_factory=dict
     )
     most_daemons: int = 1
+    known_daemons: int = 1
     members_changed_ms: int = 0
     attempt_counter: int = 0
     quarantine: quarantine.Quarantine = dataclasses.field(
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -241,11 +241,13 @@
     Attributes:
         live: Daemon incarnations now live, as written into claims, sorted.
         carriers: Those that callers' requests are sent by; all where empty.
+        known: Daemons that there should be, with those that don't answer.
     """
 
     at_ms: int
     live: tuple[str, ...]
     carriers: tuple[str, ...] = ()
+    known: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -53,6 +53,7 @@
         "part": round(shared.part, 2),
         "daemons": world.most_daemons,
         "live": len(world.live_daemons),
+        "known": world.known_daemons,
         "view_age_ms": world.now_ms - world.members_changed_ms,
     }
 
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -146,6 +146,7 @@
                 self._peer_demand(told)
             case inputs.MembersChanged():
                 world.live_daemons = frozenset(told.live) | {world.daemon}
+                world.known_daemons = max(told.known, len(world.live_daemons))
                 world.members_changed_ms = world.now_ms
                 world.shares.live = world.live_daemons
                 world.shares.groups.clear()
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -89,6 +89,7 @@
         self._probing: set[str] = set()
         self._told_live: frozenset[str] = frozenset()
         self._told_carriers: tuple[str, ...] = ()
+        self._told_known = 0
         self._announced = False
         self._introduced: set[str] = set()
         self._table_writer = tables_wire.TableWriter()
@@ -385,12 +386,19 @@
         live = frozenset(m.member_id for m in self.members.live())
         submit = self._runtime.submit
         carriers = self.carriers()
-        if live != self._told_live or carriers != self._told_carriers:
+        known = self.members.known_addresses()
+        told = (live, carriers, known)
+        if told != (self._told_live, self._told_carriers, self._told_known):
             for gone in self._told_live - live:
                 submit(inputs.PeerDemand(now_ms, gone, False))
                 self._news.peer_gone(gone)
                 self._introduced.discard(gone)
-            submit(inputs.MembersChanged(now_ms, tuple(sorted(live)), carriers))
+            submit(
+                inputs.MembersChanged(
+                    now_ms, tuple(sorted(live)), carriers, known
+                )
+            )
+            self._told_known = known
             self._told_live = live
             self._told_carriers = carriers
         until_ms = self._keeper.right.until_ms(
--- a/src/godwittack/member/view.py
+++ b/src/godwittack/member/view.py
@@ -315,6 +315,19 @@
         rows = [row for row in self.rows.values() if not row.left]
         return max(1 + len(rows), self.expected)
 
+    def known_addresses(self) -> int:
+        """Returns at how many addresses there should be daemons.
+
+        A daemon that was started again counts once, one that does not answer
+        as well.
+        """
+        found = {
+            row.member.peer_address
+            for row in self.rows.values()
+            if not row.left
+        }
+        return max(len(found | {self.me.peer_address}), self.expected)
+
     def contact_share(self, *, now_ms: int) -> float:
         """Returns which part of the known daemons answered lately.
 
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -29,6 +29,7 @@
 _ROUTED_FIELDS: dict[type, tuple[str, ...]] = {
     work.Work: ("host", "path", "route", "resume_after"),
     effects.Dispatch: ("deadline_ms",),
+    inputs.MembersChanged: ("known",),
     server_inputs.ServerListed: ("slots",),
     policy.Policy: (
         "budget_by_target",
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -32,6 +32,8 @@
     "rate_limits",
     "patience",
     "quarantines",
+    "repeating",
+    "repeats",
     "fuzz",
 )
 
--- a/tests/cases/routed_core.py
+++ b/tests/cases/routed_core.py
@@ -81,7 +81,14 @@
 class Core:
     """A router with its time, and what it asked for last."""
 
-    def __init__(self, *, servers: int = 2, record_to=None, **numbers) -> None:
+    def __init__(
+        self,
+        *,
+        servers: int = 2,
+        record_to=None,
+        is_new: bool = False,
+        **numbers,
+    ) -> None:
         numbers = {
             "budget_by_target": 1,
             "retry_burst": 50.0,
@@ -96,6 +103,7 @@
             self.recorder = record.Recorder(self.router, record_to)
         self.now_ms = 1_000
         self.made: list[effects.Effect] = []
+        del is_new
         self.tell(inputs.TableChanged, table())
         self.confirm()
         for target, kind in ((ENGINES, "e"), (SERVICE, "s")):
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -120,7 +120,13 @@
     """The store, two engines, two plain servers, and daemons."""
 
     def __init__(
-        self, *, daemons: int = 1, configured: bool = True, settings: str = ""
+        self,
+        *,
+        daemons: int = 1,
+        configured: bool = True,
+        settings: str = "",
+        engines: int = 2,
+        services: int = 2,
     ) -> None:
         """Starts nothing yet.
 
@@ -128,14 +134,17 @@
             daemons: How many to start.
             configured: Whether the operators' table is there at the start.
             settings: Lines of settings that replace those of the template.
+            engines: How many servers of the model to start.
+            services: How many servers of the plain service to start.
         """
         self._settings = settings
         self.store = RowStore()
         self.replicas = {
-            "i-e1": Replica("i-e1", model="m"),
-            "i-e2": Replica("i-e2", model="m"),
-            "i-s1": Replica("i-s1"),
-            "i-s2": Replica("i-s2"),
+            **{
+                f"i-e{n}": Replica(f"i-e{n}", model="m")
+                for n in range(1, engines + 1)
+            },
+            **{f"i-s{n}": Replica(f"i-s{n}") for n in range(1, services + 1)},
         }
         self.fields: list[dict] = []
         self.processes: list[asyncio.subprocess.Process] = []
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import time
 
 from aiohttp import web
@@ -18,6 +19,7 @@
 
     Attributes:
         full: Whether it declines every request.
+        declined_share: Part of the requests that it declines.
         cut_after: Events after which streams are cut; -1 for never.
         silent: Whether it takes requests and answers nothing.
         lose_answers: Requests that run and whose connection then breaks.
@@ -25,6 +27,7 @@
     """
 
     full: bool = False
+    declined_share: float = 0.0
     cut_after: int = -1
     silent: bool = False
     lose_answers: bool = False
@@ -45,6 +48,16 @@
     at_s: float = dataclasses.field(default_factory=time.monotonic)
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request as it came in, declined or not."""
+
+    request_id: str
+    deadline_ms: int
+    body: bytes
+    at_s: float
+
+
 class Replica:
     """One incarnation of a server; engines have a model."""
 
@@ -56,6 +69,7 @@
         self.version = 1
         self.faults = ReplicaFaults()
         self.ran: list[Ran] = []
+        self.arrivals: list[Arrival] = []
         self.orders: list[dict] = []
         self.left: list[str] = []
         self.event_gap_s = 0.01
@@ -84,6 +98,13 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def restart(self) -> None:
+        """Starts again at its address after a crash, under the same id."""
+        port = self._site.name.rpartition(":")[2]
+        await self._runner.cleanup()
+        self.has_crashed = False
+        await self.start(int(port))
+
     async def _crash(self) -> None:
         """Ends as a process does: nothing listens, all connections close."""
         self.has_crashed = True
@@ -143,6 +164,9 @@
     async def _request(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         name = request.headers.get(PREFIX + "Request-Id", "")
+        deadline_ms = int(request.headers.get(PREFIX + "Deadline-Ms", "-1"))
+        now_s = time.monotonic()
+        self.arrivals.append(Arrival(name, deadline_ms, body, now_s))
         own = {PREFIX + "Request-Id": name, PREFIX + "Server-Load": "1,0,16"}
         if self.names_limit:
             own[PREFIX + "Server-Limit"] = self.names_limit
@@ -152,7 +176,8 @@
         expected = request.headers.get(PREFIX + "Expect-Version")
         if expected and int(expected) != self.version:
             return web.Response(status=421, headers=own)
-        if self.faults.full or self._busy:
+        is_declined = random.random() < self.faults.declined_share
+        if self.faults.full or self._busy or is_declined:
             own[PREFIX + "Not-Executed"] = "1"
             return web.Response(status=503, headers=own)
         self.ran.append(
