Count a run when it is sent, not where it is found to have ended

A client attempt ran on up to four servers where its route allows two: a stream that stops between two events goes on elsewhere, and that way of ending was not counted as a run. Seven places end an attempt; four counted, and each new one had to remember it.

A run is now counted with the send, the one place where attempts are opened, and taken back only where the server is known not to have begun. Looked at the other callers of the dispatch: all repeats pass retries.allowed, resumed streams of our own interface aside, which stay at their server.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -87,7 +87,6 @@
     if followup.answer_may_improve(request, told.answer):
         # The server's failure is kept: it is the answer where no other
         # attempt brings a better one.
-        request.runs += 1
         request.sent = True
         followup.retry(world, request, attempt, f"status {told.answer.status}")
         return
@@ -135,7 +134,8 @@
     request, attempt = found
     if told.phase is inputs.FailurePhase.SENT:
         request.sent = True
-        request.runs += 1
+    else:
+        request.runs -= 1
     world.event(
         "attempt_failed",
         request.request_id,
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -309,6 +309,8 @@
     request.phase = entities.Phase.RUNNING
     request.attempt_id = attempt.attempt_id
     request.attempts += 1
+    # Taken back where the server is known not to have begun.
+    request.runs += 1
     world.attempts[attempt.attempt_id] = attempt
 
 
--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -163,7 +163,6 @@
             continue
         world.emit(effects.CancelAttempt(attempt.attempt_id, False))
         request.sent = True
-        request.runs += 1
         detail = "its server gave no sign of life"
         if request.begun:
             followup.resume_or_break(world, request, attempt, detail)
--- a/src/godwittack/core/silence.py
+++ b/src/godwittack/core/silence.py
@@ -67,7 +67,6 @@
     servers.silent(world, attempt)
     closing.close_attempt(world, attempt.attempt_id)
     request.sent = True
-    request.runs += 1
     followup.retry(world, request, attempt, "silent before the first frame")
 
 
