Grant a part of the retry budget after a window, for all daemons that should be

Repeats piled up beyond what is allowed when daemons started again in series. Cause: a part of a bound over all daemons that was full at each start, and reckoned for the daemons that the process knew, at first itself alone.

Change: a part is granted once a process has run for a whole window. A forerunner can't have spent in that window, so that each daemon's place spends at most one part in any window, however often it starts; until then what requests earn is spent, one retry kept at most. Parts are reckoned for the most daemons that there ever should have been, by address, with those that don't answer.

Weighed: nothing but what requests earn (a daemon with little traffic would never repeat); parts filled by time from the start (two parts in a window); leases at the store (calls for each daemon, and none while it is away). Worst schedule: one part a place, ratio of the requests in the window, and the saved ratio of those before. A fleet all of whose processes start inside a cut that lasts still deals the burst once a side.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -216,8 +216,9 @@
         carriers: Those of them that requests are sent by.
         weights_named: Versions of weights in the order in which they were
             wanted, by target.
-        most_daemons: Most of them that were ever believed alive at a time.
+        started_at_ms: When the first input came; -1 before it.
         known_daemons: Daemons that there should be, by the last account.
+        most_daemons: Most that there ever should have been.
         members_changed_ms: When they last changed.
         target_budgets: Retry budgets by target, where the limit on retries
             holds for each target by itself.
@@ -232,6 +233,7 @@
     daemon: str
     policy: policies.Policy
     now_ms: int = 0
+    started_at_ms: int = -1
     out: list[effects.Effect] = dataclasses.field(default_factory=list)
     table: model.Table = dataclasses.field(default_factory=model.Table)
     requests: dict[str, RequestRow] = dataclasses.field(default_factory=dict)
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -95,11 +95,11 @@
 def _shared_budget(world: entities.World, target: str) -> budget.SharedBudget:
     """Returns this daemon's part of the budget for retries at `target`.
 
-    While views differ, a daemon that knows few others would take a larger
-    part than it has, so that the most daemons ever seen count.
+    Parts add up to more than the whole where views differ: the most daemons
+    that there ever should have been count, whether they answer or not.
     """
     policy = world.policy
-    world.most_daemons = max(world.most_daemons, len(world.live_daemons))
+    world.most_daemons = max(world.most_daemons, world.known_daemons)
     part = policy.retry_burst / world.most_daemons
     found = world.target_budgets.get(target)
     if found is None:
@@ -108,7 +108,7 @@
             saved_ratio=policy.retry_saved_ratio,
             window_ms=policy.retry_window_ms,
             part=part,
-            tokens=part,
+            granted_at_ms=world.started_at_ms + policy.retry_window_ms,
         )
     found.resize(part)
     return found
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -75,6 +75,8 @@
         world = self.world
         world.out = []
         world.now_ms = max(world.now_ms, told.at_ms)
+        if world.started_at_ms < 0:
+            world.started_at_ms = world.now_ms
         self._handle(told)
         if world.freed_targets:
             dispatching.drain(world)
--- a/tests/cases/routed_core.py
+++ b/tests/cases/routed_core.py
@@ -86,7 +86,7 @@
         *,
         servers: int = 2,
         record_to=None,
-        is_new: bool = False,
+        started_at_ms: int | None = None,
         **numbers,
     ) -> None:
         numbers = {
@@ -101,9 +101,12 @@
         self.recorder = None
         if record_to is not None:
             self.recorder = record.Recorder(self.router, record_to)
-        self.now_ms = 1_000
+        self.now_ms = 1_000 if started_at_ms is None else started_at_ms
         self.made: list[effects.Effect] = []
-        del is_new
+        if started_at_ms is None:
+            # What has just started owns no part of the retry budget yet.
+            self.tell(inputs.Tick)
+            self.now_ms += self.world.policy.retry_window_ms
         self.tell(inputs.TableChanged, table())
         self.confirm()
         for target, kind in ((ENGINES, "e"), (SERVICE, "s")):
--- a/tests/sim/repeat_fleets.py
+++ b/tests/sim/repeat_fleets.py
@@ -33,13 +33,11 @@
         self.side = 0
         self.core = routed_core.Core(
             servers=4,
-            is_new=True,
+            started_at_ms=fleet.now_ms,
             retry_ratio=fleet.load.ratio * 0.75,
             retry_burst=fleet.load.slack,
         )
-        self.core.now_ms = fleet.now_ms
         self.core.world.daemon = self.name
-        self.core.tell(inputs.Tick)
         self.told_at_ms = -1
 
     def hear(self, live: tuple[str, ...], known: int) -> None:
