Hand on the time that is left when a request is sent, from when it came in

Servers were handed more time than their callers still had. Cause: time was counted from when the event loop had read a request, and up to the decision where to send it. A loop that gets no processor reads late; a connection that opens slowly sends late.

Change: the selector measures the rounds of its loop; what is ready when a round begins may have come since the round before began, less the sleep that was wanted. A request's time runs from there, and the header is written from an absolute end when the request is sent; one whose time is over by then is not sent and counts as not run.

--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -29,6 +29,10 @@
     """The server accepted a connection and reset it unused."""
 
 
+class OutOfTimeError(Exception):
+    """The time for an answer was over before anything was sent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EchoedLoad:
     """Load that a server tells with an answer."""
@@ -58,9 +62,15 @@
     """How requests to servers are written, and their answers read."""
 
     def request_head(
-        self, dispatch: effects.Dispatch, call: protocol.Call
+        self, dispatch: effects.Dispatch, call: protocol.Call, left_ms: int
     ) -> bytes:
-        """Returns request line and headers of one attempt."""
+        """Returns request line and headers of one attempt.
+
+        Args:
+            dispatch: The attempt.
+            call: What is asked.
+            left_ms: Time that is left for the answer.
+        """
 
     def is_answer_to(
         self, reply: connections.Reply, call: protocol.Call
@@ -143,6 +153,12 @@
         try:
             await self._exchange(used, dispatch, call, sink)
             ended_well = True
+        except OutOfTimeError as error:
+            sink.failed(
+                inputs.FailurePhase.DECLINED,
+                inputs.FailureCause.REFUSED,
+                str(error),
+            )
         except (connections.ReplyError, ValueError) as error:
             sink.failed(
                 inputs.FailurePhase.SENT,
@@ -237,7 +253,11 @@
         call: protocol.Call,
         sink: protocol.AttemptSink,
     ) -> None:
-        used.send(self._wire.request_head(dispatch, call), call.body)
+        # Opening the connection has taken of the time since the decision.
+        left_ms = dispatch.ends_at_ms - self._clock.now_ms()
+        if dispatch.ends_at_ms and left_ms <= 0:
+            raise OutOfTimeError("its time was over before it was sent")
+        used.send(self._wire.request_head(dispatch, call, left_ms), call.body)
         reply = await used.read_head(
             lambda reply: self._wire.is_answer_to(reply, call)
         )
--- /dev/null
+++ b/src/godwittack/clock/loop_delay.py
@@ -0,0 +1,93 @@
+"""Tells since when data may have waited that an event loop reads now.
+
+Load pattern: more daemons than cores, or a machine that stands still for a
+while. A request lies in its socket until the loop comes to read it, and what
+its caller has left of its time is less than it was when it was sent.
+"""
+
+from __future__ import annotations
+
+import selectors
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from godwittack.clock import Clock
+
+
+class ReadDelay(Protocol):
+    """How late a loop may be with what it reads or accepts."""
+
+    @property
+    def rounds(self) -> int:
+        """Rounds of the loop so far."""
+
+    def read_ms(self) -> int:
+        """Returns how long data read in this round may have waited."""
+
+    def accepted_ms(self) -> int:
+        """Returns how long a connection accepted in the last one may have."""
+
+
+class NoDelay:
+    """A loop that is taken to be on time."""
+
+    rounds = 0
+
+    def read_ms(self) -> int:
+        """Returns 0."""
+        return 0
+
+    def accepted_ms(self) -> int:
+        """Returns 0."""
+        return 0
+
+
+class TimedSelector(selectors.DefaultSelector):
+    """A selector that measures the rounds of its loop.
+
+    What is ready when a round begins came after the round before had begun.
+    Of that time, the part for which the loop slept as it wanted does not
+    count: data would have woken it.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Measures by `clock`, which should count while suspended."""
+        super().__init__()
+        self.rounds = 0
+        self._clock = clock
+        self._began_ms = clock.now_ms()
+        self._late_ms = 0
+        self._late_before_ms = 0
+        self._unreported_ms = 0
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Waits for events; the loop calls it once a round."""
+        slept_from_ms = self._clock.now_ms()
+        ready = super().select(timeout)
+        now_ms = self._clock.now_ms()
+        overslept_ms = 0
+        if timeout is not None:
+            wake_at_ms = slept_from_ms + round(max(0.0, timeout) * 1000)
+            overslept_ms = max(0, now_ms - wake_at_ms)
+        # A wait that a signal ends reports what is ready in the round after.
+        unreported_ms = self._unreported_ms
+        self._unreported_ms = 0 if ready else unreported_ms + overslept_ms
+        self._late_before_ms = self._late_ms
+        busy_ms = slept_from_ms - self._began_ms
+        self._late_ms = busy_ms + overslept_ms + unreported_ms
+        self._began_ms = now_ms
+        self.rounds += 1
+        return ready
+
+    def read_ms(self) -> int:
+        """Returns how long data read in this round may have waited."""
+        return self._late_ms + self._clock.now_ms() - self._began_ms
+
+    def accepted_ms(self) -> int:
+        """Returns how long a connection accepted in the last one may have."""
+        return self._late_before_ms + self.read_ms()
+
+
+__all__ = ["NoDelay", "ReadDelay", "TimedSelector"]
--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -42,18 +42,19 @@
         workspace = known
         if not _may_start(world, arrived.request_id, asked, workspace.name):
             return
+    arrived_at_ms = world.now_ms - arrived.waited_ms
     request = entities.RequestRow(
         request_id=arrived.request_id,
         work=asked,
         workspace=workspace.name,
-        arrived_at_ms=world.now_ms,
-        deadline_at_ms=world.now_ms + _deadline_ms(world, workspace, asked),
+        arrived_at_ms=arrived_at_ms,
+        deadline_at_ms=arrived_at_ms + _deadline_ms(world, workspace, asked),
         next_frame=asked.resume_after + 1,
     )
     if asked.route is not None:
-        request.give_up_at_ms = world.now_ms + asked.route.timeout_ms
+        request.give_up_at_ms = arrived_at_ms + asked.route.timeout_ms
         if asked.route.streaming:
-            request.leaves_at_ms = world.now_ms + asked.route.patience_ms
+            request.leaves_at_ms = arrived_at_ms + asked.route.patience_ms
     if not _within_limits(world, request, workspace):
         return
     world.requests[request.request_id] = request
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -134,7 +134,7 @@
             after=request.next_frame - 1 if request.work.route else 0,
             priority=routing.priority(world, request),
             workspace=request.workspace if request.work.route else "",
-            deadline_ms=sending.time_left_ms(world, request),
+            ends_at_ms=sending.ends_at_ms(request),
             cache_scope=kvreuse.scope(world, request, server),
             kv_fetch_from=choice.fetch_from,
             kv_save_to=kvreuse.save_to(
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -77,7 +77,7 @@
         fresh_connection: Whether a pooled connection must not be used.
         priority: Lower is sooner, as engines have it.
         workspace: Whose request it is.
-        deadline_ms: Time that is left for the answer; 0 for no limit.
+        ends_at_ms: When the time for an answer is over; 0 for no limit.
         cache_scope: Text under which cached state may be shared.
         kv_fetch_from: Address of a store of cached state to look in first.
         kv_save_to: Address of a store to hand the computed levels to.
@@ -93,7 +93,7 @@
     fresh_connection: bool = False
     priority: int = 0
     workspace: str = ""
-    deadline_ms: int = 0
+    ends_at_ms: int = 0
     cache_scope: str = ""
     kv_fetch_from: str = ""
     kv_save_to: str = ""
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -60,11 +60,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A caller's request was read and parsed."""
+    """A caller's request was read and parsed.
+
+    Attributes:
+        waited_ms: How long it may have waited before; its time runs from then.
+    """
 
     at_ms: int
     request_id: str
     work: work.Work
+    waited_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/sending.py
+++ b/src/godwittack/core/sending.py
@@ -38,7 +38,7 @@
         if server.reported_at_ms >= 0
         else -1,
         after=request.next_frame - 1,
-        left_ms=time_left_ms(world, request),
+        left_ms=ends_at_ms(request) - world.now_ms,
     )
 
 
@@ -77,12 +77,11 @@
         )
 
 
-def time_left_ms(world: entities.World, request: entities.RequestRow) -> int:
-    """Returns the time left for an answer; 0 where nothing limits it."""
+def ends_at_ms(request: entities.RequestRow) -> int:
+    """Returns when the time for an answer is over; 0 for no limit."""
     if not request.give_up_at_ms:
         return 0
-    ends_at_ms = min(request.deadline_at_ms, request.give_up_at_ms)
-    return max(1, ends_at_ms - world.now_ms)
+    return min(request.deadline_at_ms, request.give_up_at_ms)
 
 
-__all__ = ["cached_keys", "count_prompt", "tell_placed", "time_left_ms"]
+__all__ = ["cached_keys", "count_prompt", "tell_placed", "ends_at_ms"]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -44,6 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from godwittack.clock import loop_delay
     from godwittack.config import settings as configs
     from godwittack.core import effects
     from godwittack.store import protocol as stores
@@ -71,6 +72,7 @@
         loaded: configs.Loaded,
         session: aiohttp.ClientSession,
         write_line: Callable[[str], None],
+        delay: loop_delay.ReadDelay,
     ) -> None:
         """Wires the parts; nothing runs yet.
 
@@ -78,6 +80,7 @@
             loaded: Settings.
             session: For calls to the store.
             write_line: Writes a log line without waiting.
+            delay: How late the loop may read.
         """
         self._settings = settings = loaded.settings
         self._base = parts = base.Base.from_config(loaded)
@@ -229,7 +232,7 @@
         self._store_readers = duty.Assigned(duty.store_readers)
         self._loops = base.Loops()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._listeners = listening.Listeners(clock)
+        self._listeners = listening.Listeners(clock, delay)
 
     def _crashes_seen(self, told: effects.TellCrashes) -> None:
         self._news.publish_crashes(told)
@@ -401,13 +404,16 @@
 
 
 async def serve(
-    loaded: configs.Loaded, *, write_line: Callable[[str], None]
+    loaded: configs.Loaded,
+    *,
+    write_line: Callable[[str], None],
+    delay: loop_delay.ReadDelay,
 ) -> None:
     """Runs a daemon until it is stopped."""
     async with aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(keepalive_timeout=30)
     ) as session:
-        await EdgeDaemon(loaded, session, write_line).run()
+        await EdgeDaemon(loaded, session, write_line, delay).run()
 
 
 def _note_reload() -> None:
--- a/src/godwittack/daemon/listening.py
+++ b/src/godwittack/daemon/listening.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from godwittack.clock import Clock
+    from godwittack.clock import Clock, loop_delay
     from godwittack.table import forwarding
 
 HTTP_BACKLOG = 1_024
@@ -24,9 +24,12 @@
 class Listeners:
     """All HTTP servers of one daemon."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Listens to nothing yet."""
+    def __init__(
+        self, clock: Clock, delay: loop_delay.ReadDelay | None = None
+    ) -> None:
+        """Listens to nothing yet; `delay` tells how late the loop may read."""
         self._clock = clock
+        self._delay = delay
         self._servers: list[patience.PatientServer] = []
         self._sites: list[web.TCPSite] = []
 
@@ -41,7 +44,10 @@
             OSError: The address is in use.
         """
         server = patience.PatientServer(
-            handler, clock=self._clock, max_line_bytes=MAX_LINE_BYTES
+            handler,
+            clock=self._clock,
+            max_line_bytes=MAX_LINE_BYTES,
+            delay=self._delay,
         )
         runner = web.ServerRunner(server)
         await runner.setup()
--- a/src/godwittack/daemon/process.py
+++ b/src/godwittack/daemon/process.py
@@ -9,6 +9,8 @@
 from absl import flags, logging
 from result import Err, Ok, Result
 
+from godwittack import clock
+from godwittack.clock import loop_delay
 from godwittack.config import settings as configs
 from godwittack.config import trouble as troubles
 
@@ -44,8 +46,13 @@
     from godwittack.daemon import edge, logs
 
     writer = logs.install()
+    selector = loop_delay.TimedSelector(clock.SystemClock())
+    serving = edge.serve(loaded, write_line=writer.tell, delay=selector)
     try:
-        asyncio.run(edge.serve(loaded, write_line=writer.tell))
+        with asyncio.Runner(
+            loop_factory=lambda: asyncio.SelectorEventLoop(selector)
+        ) as runner:
+            runner.run(serving)
     finally:
         writer.close()
 
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -150,7 +150,7 @@
             submit=self.submit,
             clock=self.clock,
         )
-        if not effect.deadline_ms:
+        if not effect.ends_at_ms:
             # Of requests by routes the core tells more where it decides.
             self._tell_dispatched(effect)
         task = asyncio.create_task(
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from godwittack.core import effects, inputs
-from godwittack.entry import parse
+from godwittack.entry import parse, patience
 from godwittack.table import forwarding
 
 if TYPE_CHECKING:
@@ -114,7 +114,10 @@
         try:
             self._runtime.submit(
                 inputs.RequestArrived(
-                    self._runtime.clock.now_ms(), request_id, asked
+                    self._runtime.clock.now_ms(),
+                    request_id,
+                    asked,
+                    patience.waited_ms(request),
                 )
             )
             return await self._deliver(request, caller)
--- a/src/godwittack/entry/patience.py
+++ b/src/godwittack/entry/patience.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from godwittack.clock import loop_delay
+
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Awaitable, Callable
@@ -20,6 +22,17 @@
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+# Rounds of the loop from a new connection to what its caller has sent at once.
+ROUNDS_TO_READ = 2
+
+
+def waited_ms(request: web.BaseRequest) -> int:
+    """Returns how long a request may have waited since it was sent."""
+    connection = request.protocol
+    assert isinstance(connection, _Connection)
+    return connection.waited_ms()
+
+
 class PatientServer(web.Server):
     """An HTTP server that ends connections by the table's limits."""
 
@@ -29,6 +42,7 @@
         *,
         clock: Clock,
         max_line_bytes: int,
+        delay: loop_delay.ReadDelay | None = None,
     ) -> None:
         """Serves requests.
 
@@ -36,11 +50,13 @@
             handler: Serves one request.
             clock: Source of time.
             max_line_bytes: Longest line of a request's head that is read.
+            delay: How late the loop may read; None for on time.
         """
         super().__init__(self._answer, handler_cancellation=True)
         self._serve = handler
         self._clock = clock
         self._max_line_bytes = max_line_bytes
+        self._delay = delay or loop_delay.NoDelay()
 
     def __call__(self) -> web.RequestHandler:
         """Returns the protocol of a new connection."""
@@ -49,6 +65,7 @@
             clock=self._clock,
             loop=self._loop,
             max_line_bytes=self._max_line_bytes,
+            delay=self._delay,
         )
 
     def end_slow(self, limits: forwarding.CallerLimits) -> int:
@@ -80,7 +97,15 @@
     """One connection, and since when it waits for what."""
 
     # The base class has slots; these are its subclass's own.
-    __slots__ = ("_clock", "_first_byte_ms", "_idle_since_ms", "_in_handler")
+    __slots__ = (
+        "_accepted_in_round",
+        "_clock",
+        "_delay",
+        "_first_byte_ms",
+        "_idle_since_ms",
+        "_in_handler",
+        "_sent_by_ms",
+    )
 
     def __init__(
         self,
@@ -89,6 +114,7 @@
         clock: Clock,
         loop: asyncio.AbstractEventLoop,
         max_line_bytes: int,
+        delay: loop_delay.ReadDelay,
     ) -> None:
         super().__init__(
             manager,
@@ -100,6 +126,9 @@
             auto_decompress=False,
         )
         self._clock = clock
+        self._delay = delay
+        self._accepted_in_round = delay.rounds
+        self._sent_by_ms = clock.now_ms() - delay.accepted_ms()
         self._first_byte_ms = -1
         self._idle_since_ms = clock.now_ms()
         self._in_handler = False
@@ -108,8 +137,18 @@
         """Notes when a request's first bytes came."""
         if self._first_byte_ms < 0:
             self._first_byte_ms = self._clock.now_ms()
+            if self._delay.rounds > self._accepted_in_round + ROUNDS_TO_READ:
+                waited_ms = self._delay.read_ms()
+                self._sent_by_ms = self._first_byte_ms - waited_ms
         super().data_received(data)
 
+    def waited_ms(self) -> int:
+        """Returns how long the request may have waited, by now."""
+        if self._first_byte_ms < 0:
+            # It came in one piece with the request before.
+            return 0
+        return max(0, self._clock.now_ms() - self._sent_by_ms)
+
     def began(self) -> None:
         """Notes that a request's headers were read."""
         self._in_handler = True
@@ -131,4 +170,4 @@
         return 0 < limit_ms <= now_ms - self._idle_since_ms
 
 
-__all__ = ["PatientServer"]
+__all__ = ["PatientServer", "waited_ms"]
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -53,14 +53,14 @@
         self._model_of = model_of
 
     def request_head(
-        self, dispatch: effects.Dispatch, call: protocol.Call
+        self, dispatch: effects.Dispatch, call: protocol.Call, left_ms: int
     ) -> bytes:
         """Returns request line and headers of one attempt."""
         lines = [f"{call.method} {call.path} HTTP/1.1"]
         lines.extend(f"{h.name}: {h.value}" for h in call.headers)
         if call.body or call.method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(call.body)}")
-        lines.append(f"{names.DEADLINE}: {dispatch.deadline_ms}")
+        lines.append(f"{names.DEADLINE}: {left_ms}")
         lines.append(f"{names.EXPECTED_INSTANCE}: {dispatch.server_id}")
         if dispatch.workspace:
             lines.append(f"{names.WORKSPACE}: {dispatch.workspace}")
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -28,8 +28,9 @@
 # Fields that only requests by routes use: left out of a session without any.
 _ROUTED_FIELDS: dict[type, tuple[str, ...]] = {
     work.Work: ("host", "path", "route", "resume_after"),
-    effects.Dispatch: ("deadline_ms",),
+    effects.Dispatch: ("ends_at_ms",),
     inputs.MembersChanged: ("known",),
+    inputs.RequestArrived: ("waited_ms",),
     server_inputs.ServerListed: ("slots",),
     policy.Policy: (
         "budget_by_target",
--- a/tests/cases/adapter.py
+++ b/tests/cases/adapter.py
@@ -278,6 +278,7 @@
     """
     async with Platform() as made:
         for name in ("i-e1", "i-e2"):
+            await made.earn_retry("long")
             made.replicas[name].faults.cut_after = 2
             status, headers, data = await made.call("long", f"r-{name}")
             made.replicas[name].faults.cut_after = -1
--- a/tests/cases/connections.py
+++ b/tests/cases/connections.py
@@ -92,7 +92,7 @@
             **{
                 "address": self._server.address,
                 "stamp": None,
-                "deadline_ms": 1_000,
+                "ends_at_ms": 1_000_000_000_000,
                 **fields,
             },
         )
@@ -106,6 +106,18 @@
 )
 
 
+async def what_is_out_of_time_is_not_sent() -> None:
+    """Guards against a send after its connection has taken the time left."""
+    async with ScriptedServer(Say(whole(b"1"))) as server:
+        backend = Backend(server)
+        sink = await backend.send(ends_at_ms=SystemClock().now_ms())
+        assert sink.failure == (
+            inputs.FailurePhase.DECLINED,
+            inputs.FailureCause.REFUSED,
+        ), sink.failure
+        assert (await backend.send("r2")).answered.body == b"1"
+
+
 async def a_kept_connection_is_used_again() -> None:
     """Two calls in a row take one connection.
 
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -32,6 +32,8 @@
     "grace-s": 8,
     "retry-slack": 52,
 }
+# Requests that earn one retry, by the ratio in the template of settings.
+REQUESTS_A_RETRY = 7
 STEP_S = 0.02
 WAIT_S = 10.0
 
@@ -295,6 +297,12 @@
             kept = {k.lower(): v for k, v in response.headers.items()}
             return response.status, kept, data
 
+    async def earn_retry(self, name: str) -> None:
+        """Sends what earns a daemon one retry that has just started."""
+        for number in range(REQUESTS_A_RETRY):
+            status, _, _ = await self.call(name, f"earns-{name}-{number}")
+            assert status == 200, status
+
     def ran(self, request_id: str) -> list:
         """Returns where a request ran."""
         return [
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -107,6 +107,7 @@
 
     Examples: a server's bytes
       | group | case |
+      | connections | what is out of time is not sent |
       | connections | a kept connection is used again |
       | connections | a second answer reaches nobody |
       | connections | a late answer to another is read past |
