Count what a loop overslept in the round before as well

A process that is stopped after the events of a round were collected reports what comes meanwhile a round later.

--- a/src/godwittack/clock/loop_delay.py
+++ b/src/godwittack/clock/loop_delay.py
@@ -58,7 +58,7 @@
         self._began_ms = clock.now_ms()
         self._late_ms = 0
         self._late_before_ms = 0
-        self._unreported_ms = 0
+        self._overslept_ms = 0
 
     def select(
         self, timeout: float | None = None
@@ -71,12 +71,12 @@
         if timeout is not None:
             wake_at_ms = slept_from_ms + round(max(0.0, timeout) * 1000)
             overslept_ms = max(0, now_ms - wake_at_ms)
-        # A wait that a signal ends reports what is ready in the round after.
-        unreported_ms = self._unreported_ms
-        self._unreported_ms = 0 if ready else unreported_ms + overslept_ms
         self._late_before_ms = self._late_ms
         busy_ms = slept_from_ms - self._began_ms
-        self._late_ms = busy_ms + overslept_ms + unreported_ms
+        # A process may be stopped after the events of a round were collected,
+        # or a signal end the wait: what is ready by then comes a round later.
+        self._late_ms = busy_ms + overslept_ms + self._overslept_ms
+        self._overslept_ms = overslept_ms
         self._began_ms = now_ms
         self.rounds += 1
         return ready
