Count each end of a server whose starts have no name

A request that crashes its servers was never quarantined where a server comes back under its id and names no start: a crash is keyed by content and start, and the start was the id, so that every crash was the first one.

Change: unnamed starts are numbered by the crashes that are known, and an attempt keeps the number that it was sent under. Daemons that know of the same crashes number alike, so that one crash seen by many counts once; one that missed some undercounts. Ruled out: numbers by time (two clocks, and a daemon that stands still would name one crash twice). A broken connection counts at once only where it was sent before the end was known.

Not covered: a server whose end is never seen, since its socket never closes and it answers at once.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import closing, effects, entities, quarantine, work
+from godwittack.core import incarnation as incarnations
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,11 +38,12 @@
         return False
     crash = quarantine.Crash(
         content=request.content,
-        start=_start(server, attempt.stamp),
+        start=attempt.server_start,
         reporter=world.daemon,
         at_ms=world.now_ms,
     )
-    if crash.start == server.ended_start:
+    is_before = attempt.sent_at_ms <= server.ended_at_ms
+    if crash.start == server.ended_start and is_before:
         _count(world, server, [crash])
         return False
     server.broken = [*_recent(world, server), crash]
@@ -50,7 +52,8 @@
 
 def ended(world: entities.World, server: entities.ServerRow) -> None:
     """Takes in that the process which a server ran has ended."""
-    server.ended_start = _start(server)
+    server.ended_start = start_of(world, server)
+    server.ended_at_ms = world.now_ms
     found = _recent(world, server)
     server.broken = []
     if found:
@@ -97,9 +100,17 @@
     return world.now_ms < world.quarantine.until_ms(request.content)
 
 
-def _start(server: entities.ServerRow, stamp: work.Stamp | None = None) -> str:
-    incarnation = stamp.incarnation if stamp else server.incarnation
-    return f"{server.server_id}/{incarnation}"
+def start_of(
+    world: entities.World,
+    server: entities.ServerRow,
+    stamp: work.Stamp | None = None,
+) -> str:
+    """Names the start of a server that runs now, or that a stamp names."""
+    named = stamp.incarnation if stamp else server.incarnation
+    start = f"{server.server_id}/{named}"
+    if incarnations.born_ms(named):
+        return start
+    return world.quarantine.unnamed_start(start)
 
 
 def _recent(
@@ -209,6 +220,7 @@
     "is_quarantined",
     "is_suspect",
     "left_ms",
+    "start_of",
     "told",
     "why",
 ]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -306,6 +306,8 @@
     request: entities.RequestRow,
     attempt: entities.AttemptRow,
 ) -> None:
+    server = world.servers[attempt.server_id]
+    attempt.server_start = crashes.start_of(world, server, attempt.stamp)
     request.phase = entities.Phase.RUNNING
     request.attempt_id = attempt.attempt_id
     request.attempts += 1
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -114,6 +114,7 @@
         stream_id: The engine's name of the stream; the first attempt's id.
         expected_tokens: Prompt tokens this daemon expects not to be cached.
         heard_at_ms: When the server last showed progress on this attempt.
+        server_start: Names the start of the server that it was sent to.
     """
 
     attempt_id: str
@@ -125,6 +126,7 @@
     heard_at_ms: int
     expected_tokens: int = 0
     opened: bool = False
+    server_start: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -151,6 +153,7 @@
         limit_heard_ms: When it last said so, or that there is none.
         limit_shared_ms: When a daemon last told the others of it.
         ended_start: The start of it that is known to have ended last.
+        ended_at_ms: When that was known.
         broken: Requests whose connection to it closed lately, as crashes that
             are none unless its process ends.
     """
@@ -183,6 +186,7 @@
     limit_heard_ms: int = -1_000_000
     limit_shared_ms: int = -1_000_000
     ended_start: str = ""
+    ended_at_ms: int = -1
     broken: list[quarantine.Crash] = dataclasses.field(default_factory=list)
     cache: residency.Residency = dataclasses.field(
         default_factory=residency.Residency
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -23,8 +23,11 @@
 FORGET_EVERY_MS = 10_000
 MAX_CONTENTS = 4_096
 MAX_STARTS = 16
+# Servers whose unnamed starts are counted.
+MAX_SERVERS = 4_096
 # Contents not in quarantine whose crashes are compared with other daemons.
 MOST_TOLD = 128
+_NUMBER = "#"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,6 +71,10 @@
             collections.OrderedDict()
         )
         self._quarantined: set[str] = set()
+        # Unnamed starts of a server that are known to have ended.
+        self._ended: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._forgot_ms = 0
         self._digest: int | None = 0
 
@@ -75,8 +82,20 @@
         """Returns how many contents are in quarantine."""
         return len(self._quarantined)
 
+    def unnamed_start(self, server: str) -> str:
+        """Returns a name for the present start of a server that has none.
+
+        Starts are numbered by the crashes that are known. Daemons that know
+        of the same ones number the next alike, so that a crash that several
+        see counts once; one that has missed some may give an old number, and
+        a crash is then counted with an earlier one.
+        """
+        number = self._ended.get(server, 0)
+        return f"{server}{_NUMBER}{number}" if number else server
+
     def add(self, crash: Crash) -> bool:
         """Takes in a crash; returns whether it was news."""
+        self._count_start(crash.start)
         if crash.at_ms <= self._completed_ms.get(crash.content, -1):
             return False
         row = self._rows.setdefault(crash.content, {})
@@ -90,6 +109,15 @@
         self._bound()
         return True
 
+    def _count_start(self, start: str) -> None:
+        server, separator, number = start.rpartition(_NUMBER)
+        if not separator or not number.isdecimal():
+            server, number = start, "0"
+        ended = int(number) + 1
+        self._ended[server] = max(self._ended.get(server, 0), ended)
+        if len(self._ended) > MAX_SERVERS:
+            self._ended.popitem(last=False)
+
     def complete(self, done: Completion) -> bool:
         """Drops the crashes before a completed run; returns if there were."""
         row = self._rows.get(done.content)
--- a/tests/cases/repeats.py
+++ b/tests/cases/repeats.py
@@ -116,6 +116,24 @@
     assert refused and crashes == 3, crashes
 
 
+def a_crash_heard_of_before_it_is_seen_counts_once() -> None:
+    """Guards against a start renamed while its connections still close."""
+    first, late = (routed_core.Core(servers=1) for _ in range(2))
+    sent = {}
+    for core in (first, late):
+        core.arrive("release", "r", fingerprint="f")
+        sent[core] = core.dispatch()
+    first.fail(sent[first], SENT)
+    first.tell(server_inputs.ProbeAnswered, "s1", alive=False, ended=True)
+    (told,) = first.find(effects.TellCrashes)
+    late.tell(inputs.CrashesTold, told.crashes)
+    late.fail(sent[late], SENT)
+    late.tell(server_inputs.ProbeAnswered, "s1", alive=False, ended=True)
+    content = told.crashes[0].content
+    known = late.world.quarantine.crashes(content)
+    assert len(known) == 1, known
+
+
 def one_crash_seen_by_many_daemons_counts_once() -> None:
     """Guards against a quarantine by one crash that each daemon names anew."""
     cores = [routed_core.Core(servers=2) for _ in range(5)]
--- a/tests/features/repeats.feature
+++ b/tests/features/repeats.feature
@@ -32,3 +32,6 @@
 
   Scenario: One crash seen by many daemons
     When the case "one crash seen by many daemons counts once" of "repeats" is played
+
+  Scenario: A crash heard of before it is seen
+    When the case "a crash heard of before it is seen counts once" of "repeats" is played
