Hold no part of a server's rate before another daemon was met

A daemon that starts knows itself alone, and took the whole rate that a server names for all: as many daemons as start at one time, as many times the rate, until they have met.

Evidence: the new case of limited.feature fails without the change (a newcomer of four holds all of 4.0 a second). Change: while others should be there and none was ever met, nothing is held; what is left of a fleet that has gone holds all of it as before. Feature limited: 14 passed.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -223,6 +223,7 @@
         started_at_ms: When the first input came; -1 before it.
         known_daemons: Daemons that there should be, by the last account.
         most_daemons: Most that there ever should have been.
+        has_met_others: Whether another daemon was ever believed alive.
         members_changed_ms: When they last changed.
         target_budgets: Retry budgets by target, where the limit on retries
             holds for each target by itself.
@@ -273,6 +274,7 @@
     )
     most_daemons: int = 1
     known_daemons: int = 1
+    has_met_others: bool = False
     members_changed_ms: int = 0
     attempt_counter: int = 0
     quarantine: quarantine.Quarantine = dataclasses.field(
--- a/src/godwittack/core/rate_limits.py
+++ b/src/godwittack/core/rate_limits.py
@@ -151,8 +151,12 @@
     server: entities.ServerRow,
     limit: advertised.AdvertisedLimit,
 ) -> None:
+    # A daemon that has yet to meet the others would take the whole for its own.
+    is_unmet = world.known_daemons > 1 and not world.has_met_others
     limit.deal(
-        server_id=server.server_id, own=world.daemon, daemons=world.carriers
+        server_id=server.server_id,
+        own=world.daemon,
+        daemons=() if is_unmet else world.carriers,
     )
 
 
--- a/tests/cases/rate_limits.py
+++ b/tests/cases/rate_limits.py
@@ -222,6 +222,19 @@
     assert "s1" not in _sent_to(core, "release", 50)
 
 
+def a_daemon_that_has_met_nobody_holds_no_part() -> None:
+    """Guards against newcomers that each take the whole limit for their own."""
+    core = routed_core.Core()
+    core.tell(inputs.MembersChanged, ("d",), ("d",), 4)
+    _name_limit(core, "s1", 4.0)
+    assert core.world.servers["s1"].limit.part_per_s == 0.0
+    core.tell(inputs.MembersChanged, ("d", "d1"), ("d", "d1"), 4)
+    assert core.world.servers["s1"].limit.part_per_s == 2.0
+    # The others are gone: what is left of the fleet holds all of it.
+    core.tell(inputs.MembersChanged, ("d",), ("d",), 4)
+    assert core.world.servers["s1"].limit.part_per_s == 4.0
+
+
 def limits_that_cannot_be_read_change_nothing() -> None:
     """Guards against an exception or a limit by what is no number."""
     wire = servers.ServerFormat(lambda target: target)
--- a/tests/features/limited.feature
+++ b/tests/features/limited.feature
@@ -23,4 +23,5 @@
       | rate_limits | a limit ends with the start that named it |
       | rate_limits | a limit is told again while it holds |
       | rate_limits | daemons that carry nothing hold no part |
+      | rate_limits | a daemon that has met nobody holds no part |
       | rate_limits | limits that cannot be read change nothing |
