--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -69,7 +69,7 @@
         Args:
             dispatch: The attempt.
             call: What is asked.
-            left_ms: Time that is left for the answer.
+            left_ms: Time that is left for the answer; 0 for no limit.
         """
 
     def is_answer_to(
@@ -253,10 +253,7 @@
         call: protocol.Call,
         sink: protocol.AttemptSink,
     ) -> None:
-        # Opening the connection has taken of the time since the decision.
-        left_ms = dispatch.ends_at_ms - self._clock.now_ms()
-        if dispatch.ends_at_ms and left_ms <= 0:
-            raise OutOfTimeError("its time was over before it was sent")
+        left_ms = self._left_ms(dispatch)
         used.send(self._wire.request_head(dispatch, call, left_ms), call.body)
         reply = await used.read_head(
             lambda reply: self._wire.is_answer_to(reply, call)
@@ -287,6 +284,19 @@
         answer = work.Answer(reply.status, _end_to_end(reply), body)
         sink.answer(dispatch.attempt_id, answer, dispatch.stamp)
 
+    def _left_ms(self, dispatch: effects.Dispatch) -> int:
+        """Returns the time left for an answer; 0 for no limit.
+
+        Raises:
+            OutOfTimeError: Opening the connection has taken what was left.
+        """
+        if not dispatch.ends_at_ms:
+            return 0
+        left_ms = dispatch.ends_at_ms - self._clock.now_ms()
+        if left_ms <= 0:
+            raise OutOfTimeError("its time was over before it was sent")
+        return left_ms
+
     def _tell_load(self, server_id: str, reply: connections.Reply) -> None:
         load = self._wire.echoed_load(reply)
         if load is not None:
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -27,7 +27,7 @@
 MAX_SERVERS = 4_096
 # Contents not in quarantine whose crashes are compared with other daemons.
 MOST_TOLD = 128
-_NUMBER = "#"
+_NUMBER_SEPARATOR = "#"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,7 +91,7 @@
         a crash is then counted with an earlier one.
         """
         number = self._ended.get(server, 0)
-        return f"{server}{_NUMBER}{number}" if number else server
+        return f"{server}{_NUMBER_SEPARATOR}{number}" if number else server
 
     def add(self, crash: Crash) -> bool:
         """Takes in a crash; returns whether it was news."""
@@ -110,7 +110,7 @@
         return True
 
     def _count_start(self, start: str) -> None:
-        server, separator, number = start.rpartition(_NUMBER)
+        server, separator, number = start.rpartition(_NUMBER_SEPARATOR)
         if not separator or not number.isdecimal():
             server, number = start, "0"
         ended = int(number) + 1
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -95,11 +95,10 @@
 def _shared_budget(world: entities.World, target: str) -> budget.SharedBudget:
     """Returns this daemon's part of the budget for retries at `target`.
 
-    Parts add up to more than the whole where views differ: the most daemons
-    that there ever should have been count, whether they answer or not.
+    While views differ, parts reckoned for the daemons that answer would add up
+    to more than the whole.
     """
     policy = world.policy
-    world.most_daemons = max(world.most_daemons, world.known_daemons)
     part = policy.retry_burst / world.most_daemons
     found = world.target_budgets.get(target)
     if found is None:
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -149,6 +149,9 @@
             case inputs.MembersChanged():
                 world.live_daemons = frozenset(told.live) | {world.daemon}
                 world.known_daemons = max(told.known, len(world.live_daemons))
+                world.most_daemons = max(
+                    world.most_daemons, world.known_daemons
+                )
                 world.has_met_others |= len(world.live_daemons) > 1
                 world.members_changed_ms = world.now_ms
                 world.shares.live = world.live_daemons
--- a/src/godwittack/core/sending.py
+++ b/src/godwittack/core/sending.py
@@ -84,4 +84,4 @@
     return min(request.deadline_at_ms, request.give_up_at_ms)
 
 
-__all__ = ["cached_keys", "count_prompt", "tell_placed", "ends_at_ms"]
+__all__ = ["cached_keys", "count_prompt", "ends_at_ms", "tell_placed"]
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -387,8 +387,8 @@
         submit = self._runtime.submit
         carriers = self.carriers()
         known = self.members.known_addresses()
-        told = (live, carriers, known)
-        if told != (self._told_live, self._told_carriers, self._told_known):
+        before = (self._told_live, self._told_carriers, self._told_known)
+        if (live, carriers, known) != before:
             for gone in self._told_live - live:
                 submit(inputs.PeerDemand(now_ms, gone, False))
                 self._news.peer_gone(gone)
