Read all that an answer says of its server in one place, and log it

Whether a server had said that it leaves or asked for rest could not be seen in any log: of an answer's head only load and limit were read, of answers to reports, orders, events and probes no header at all. Now one function reads an answer's words, whatever it answers to, and lines tell of leaving and rest. Nothing decides by them yet.

Words of another process that has the server's address are not taken for the server's; its load was, before. Retry-After is read in seconds, with fractions, and as a date against the answer's own Date.

--- a/src/godwittack/backend/headers.py
+++ b/src/godwittack/backend/headers.py
@@ -73,12 +73,13 @@
     told = [h.value.strip() for h in headers if h.name.lower() in known]
     if not told:
         return Ok(None)
-    if len(set(told)) > 1 or not _is_decimal(told[0]):
+    if len(set(told)) > 1 or not is_decimal(told[0]):
         return Err(", ".join(told)[:MOST_SHOWN])
     return Ok(float(told[0]))
 
 
-def _is_decimal(text: str) -> bool:
+def is_decimal(text: str) -> bool:
+    """Returns whether a text is a number, with or without a fraction."""
     whole, _, fraction = text.partition(".")
     digits = whole + fraction
     is_number = digits.isascii() and digits.isdecimal() and bool(whole)
@@ -91,5 +92,6 @@
     "SET_ANEW",
     "decimal",
     "end_to_end",
+    "is_decimal",
     "number",
 ]
--- /dev/null
+++ b/src/godwittack/backend/retry_after.py
@@ -0,0 +1,66 @@
+"""Reads `Retry-After`, by which a server asks for rest."""
+
+from __future__ import annotations
+
+import email.utils
+import math
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from godwittack.backend import headers
+
+if TYPE_CHECKING:
+    import datetime
+    from collections.abc import Iterable
+
+    from godwittack.core import work
+
+HEADER = "retry-after"
+# Longer ones are taken for this: a day.
+MOST_MS = 86_400_000
+
+
+def read(found: Iterable[work.Header]) -> Result[int | None, str]:
+    """Returns the milliseconds that an answer's headers ask for.
+
+    Seconds, with or without a fraction, or a date (RFC 9110, 10.2.3), which
+    is counted from the answer's own `Date`, so that no two clocks are compared.
+
+    Args:
+        found: Headers of one answer. Of several such ones the longest counts.
+
+    Returns:
+        None without such a header; their text where none can be read.
+    """
+    found = list(found)
+    told = [h.value.strip() for h in found if h.name.lower() == HEADER]
+    if not told:
+        return Ok(None)
+    dated = next((h.value for h in found if h.name.lower() == "date"), "")
+    read_ms = [_milliseconds(value, dated) for value in told]
+    known_ms = [value for value in read_ms if value is not None]
+    if not known_ms:
+        return Err(", ".join(told)[: headers.MOST_SHOWN])
+    return Ok(min(max(known_ms), MOST_MS))
+
+
+def _milliseconds(value: str, dated: str) -> int | None:
+    if headers.is_decimal(value):
+        return math.ceil(float(value) * 1000)
+    until, made = _moment(value), _moment(dated)
+    if until is None or made is None:
+        return None
+    return max(0, math.ceil((until - made).total_seconds() * 1000))
+
+
+def _moment(text: str) -> datetime.datetime | None:
+    """Returns a date with its zone, None for anything else."""
+    try:
+        found = email.utils.parsedate_to_datetime(text)
+    except ValueError:
+        return None
+    return found if found.tzinfo is not None else None
+
+
+__all__ = ["MOST_MS", "read"]
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -6,15 +6,15 @@
 import dataclasses
 from typing import TYPE_CHECKING, Protocol
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from godwittack.backend import connection as connections
-from godwittack.backend import headers, named_limits, protocol, sse
+from godwittack.backend import headers, protocol, sse, words
 from godwittack.backend import pool as pools
-from godwittack.core import inputs, server_inputs, work
+from godwittack.core import inputs, work
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from result import Result
 
     from godwittack.clock import Clock
     from godwittack.core import effects
@@ -25,6 +25,11 @@
 TURNED_AWAY_MS = 4
 
 
+# Names of kept connections beside those of callers' requests.
+CONTROL_CONNECTION = "control"
+EVENTS_CONNECTION = "events/control"
+
+
 class TurnedAwayError(ConnectionResetError):
     """The server accepted a connection and reset it unused."""
 
@@ -33,15 +38,6 @@
     """The time for an answer was over before anything was sent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EchoedLoad:
-    """Load that a server tells with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ControlCall:
     """A call that is not a caller's request.
@@ -58,6 +54,14 @@
     wait_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answered:
+    """Answer to a control call, with what it says of its server."""
+
+    body: bytes
+    said: words.ServerWords
+
+
 class ServerFormat(Protocol):
     """How requests to servers are written, and their answers read."""
 
@@ -82,14 +86,8 @@
     ) -> inputs.FailureCause | None:
         """Returns why the server did not run the request, None if it did."""
 
-    def echoed_load(self, reply: connections.Reply) -> EchoedLoad | None:
-        """Returns the load that an answer tells."""
-
-    def rate_limit(self, reply: connections.Reply) -> Result[float | None, str]:
-        """Returns the requests a second that the server takes from all daemons.
-
-        None where the answer names no limit, an error where none can be read.
-        """
+    def words(self, reply: connections.Reply) -> words.ServerWords:
+        """Returns all that an answer says of its server."""
 
     def load_call(self, address: str, server_id: str) -> ControlCall:
         """Returns the call for a server's report of its state."""
@@ -125,9 +123,7 @@
         self._wire = wire
         self._clock = clock
         self._control_timeout_ms = control_timeout_ms
-        self.on_load: Callable[[server_inputs.LoadEchoed], None]
-        self.on_load = lambda told: None
-        self.limits = named_limits.NamedLimits(clock=clock)
+        self.listener = words.Listener(clock=clock)
 
     async def send(
         self,
@@ -203,13 +199,18 @@
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
         """Returns the server's own report."""
         call = self._wire.load_call(address, server_id)
-        got = await self._control(address, server_id, call)
+        got = await self._control(
+            address, server_id, call, kept_as=CONTROL_CONNECTION
+        )
         if isinstance(got, Err):
             return got
+        answered = got.ok_value
         try:
-            return Ok(self._wire.read_load(got.ok_value, server_id))
+            told = self._wire.read_load(answered.body, server_id)
         except ValueError as error:
             return _error(call.step, address, str(error))
+        is_leaving = told.leaving or answered.said.is_leaving
+        return Ok(dataclasses.replace(told, leaving=is_leaving))
 
     poll_load = load
 
@@ -218,11 +219,13 @@
     ) -> Result[protocol.CacheEvents, protocol.BackendError]:
         """Waits for cache events."""
         call = self._wire.events_call(address, server_id, after)
-        got = await self._control(address, f"{server_id}/events", call)
+        got = await self._control(
+            address, server_id, call, kept_as=EVENTS_CONNECTION
+        )
         if isinstance(got, Err):
             return got
         try:
-            return Ok(self._wire.read_events(got.ok_value, server_id))
+            return Ok(self._wire.read_events(got.ok_value.body, server_id))
         except ValueError as error:
             return _error(call.step, address, str(error))
 
@@ -231,7 +234,9 @@
     ) -> Result[None, protocol.BackendError]:
         """Gives an order."""
         call = self._wire.order_call(address, order)
-        got = await self._control(address, order.server_id, call)
+        got = await self._control(
+            address, order.server_id, call, kept_as=CONTROL_CONNECTION
+        )
         return got if isinstance(got, Err) else Ok(None)
 
     async def export_kv(
@@ -258,14 +263,13 @@
         reply = await used.read_head(
             lambda reply: self._wire.is_answer_to(reply, call)
         )
-        self._tell_load(dispatch.server_id, reply)
+        speaker = words.Speaker(
+            server_id=dispatch.server_id,
+            incarnation=dispatch.incarnation,
+            request_id=dispatch.request_id,
+        )
         declined = self._wire.declined(reply, dispatch.server_id)
-        if declined is not inputs.FailureCause.OTHER_SERVER:
-            self.limits.heard(
-                dispatch.server_id,
-                self._wire.rate_limit(reply),
-                may_lift=declined is None,
-            )
+        self._hear(speaker, reply, may_lift_limit=declined is None)
         if declined is not None:
             await used.read_body(reply)
             self._pool.give_back(dispatch.server_id, used, reply)
@@ -297,25 +301,31 @@
             raise OutOfTimeError("its time was over before it was sent")
         return left_ms
 
-    def _tell_load(self, server_id: str, reply: connections.Reply) -> None:
-        load = self._wire.echoed_load(reply)
-        if load is not None:
-            self.on_load(
-                server_inputs.LoadEchoed(
-                    at_ms=self._clock.now_ms(),
-                    server_id=server_id,
-                    running=load.running,
-                    waiting=load.waiting,
-                    slots=load.slots,
-                )
-            )
+    def _hear(
+        self,
+        speaker: words.Speaker,
+        reply: connections.Reply,
+        *,
+        may_lift_limit: bool = False,
+    ) -> words.ServerWords:
+        """Takes in what an answer says of its server.
+
+        One by another process that has the address says nothing of the server
+        that was meant.
+        """
+        said = self._wire.words(reply)
+        declined = self._wire.declined(reply, speaker.server_id)
+        if declined is inputs.FailureCause.OTHER_SERVER:
+            return words.ServerWords()
+        self.listener.heard(speaker, said, may_lift_limit=may_lift_limit)
+        return said
 
     async def _control(
-        self, address: str, key: str, call: ControlCall
-    ) -> Result[bytes, protocol.BackendError]:
+        self, address: str, server_id: str, call: ControlCall, *, kept_as: str
+    ) -> Result[_Answered, protocol.BackendError]:
         # Not among the connections of callers' requests, where an answer to
         # one of those may still come late.
-        key = f"{key}/control"
+        key = f"{server_id}/{kept_as}"
         used = None
         limit_s = (self._control_timeout_ms + call.wait_ms) / 1000
         try:
@@ -341,6 +351,7 @@
             _close(used)
             raise
         self._pool.give_back(key, used, reply)
+        said = self._hear(words.Speaker(server_id=server_id), reply)
         if reply.status not in (200, 202):
             return _error(
                 call.step,
@@ -348,7 +359,7 @@
                 f"status {reply.status}",
                 status=reply.status,
             )
-        return Ok(body)
+        return Ok(_Answered(body, said))
 
 
 def _connect_cause(error: OSError) -> inputs.FailureCause:
@@ -414,4 +425,4 @@
     )
 
 
-__all__ = ["ControlCall", "EchoedLoad", "RoutedBackend", "ServerFormat"]
+__all__ = ["ControlCall", "RoutedBackend", "ServerFormat"]
--- a/src/godwittack/command/explain.py
+++ b/src/godwittack/command/explain.py
@@ -23,6 +23,8 @@
         "server_ejected",
         "server_gone",
         "server_leaving",
+        "server_rested",
+        "server_rests",
         "server_state",
     }
 )
--- /dev/null
+++ b/src/godwittack/core/availability.py
@@ -0,0 +1,101 @@
+"""Notes what servers say of their availability: that they leave, or rest.
+
+Load pattern: a server of several is full, or about to stop, and says so with
+each answer. Lists, reports and other daemons' news say so seconds later, or
+the opposite, being older; and an entry that lapses and comes back says nothing
+of what was told before. A server's own word therefore holds for the start
+that said it, until another start is known.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from godwittack.core import entities
+from godwittack.core import incarnation as incarnations
+
+if TYPE_CHECKING:
+    from godwittack.core import server_inputs
+
+# Servers of which a word is kept beyond their entry, the latest ones.
+MOST_NOTICES = 4_096
+
+
+def leaving_told(
+    world: entities.World, told: server_inputs.ServerLeaving
+) -> None:
+    """Takes in that a server leaves, said by itself or by another daemon."""
+    notice = _notice(world, told.server_id, told.incarnation)
+    if notice is None:
+        return
+    is_news = not notice.is_leaving
+    notice.is_leaving = True
+    if is_news:
+        world.event(
+            "server_leaving",
+            told.request_id,
+            server=told.server_id,
+            leaving=1,
+            start=notice.start,
+            source=told.source,
+        )
+
+
+def rest_asked(world: entities.World, told: server_inputs.RestAsked) -> None:
+    """Takes in that a server wants nothing from this daemon for a while."""
+    notice = _notice(world, told.server_id, told.incarnation)
+    if notice is None:
+        return
+    is_news = notice.rest_until_ms <= world.now_ms
+    until_ms = told.at_ms + told.rest_ms
+    notice.rest_until_ms = max(notice.rest_until_ms, until_ms)
+    if is_news and until_ms > world.now_ms:
+        world.event(
+            "server_rests",
+            told.request_id,
+            server=told.server_id,
+            start=notice.start,
+            rest_ms=told.rest_ms,
+        )
+
+
+def end_rests(world: entities.World) -> None:
+    """Takes servers back into service whose rest is over."""
+    for server_id, notice in list(world.notices.items()):
+        if not 0 < notice.rest_until_ms <= world.now_ms:
+            continue
+        notice.rest_until_ms = 0
+        if not notice.is_leaving:
+            del world.notices[server_id]
+        world.event("server_rested", server=server_id, start=notice.start)
+
+
+def _notice(
+    world: entities.World, server_id: str, told_start: str
+) -> entities.NoticeRow | None:
+    """Returns what is kept of the start that spoke, None for an earlier one."""
+    server = world.servers.get(server_id)
+    known_start = server.incarnation if server is not None else ""
+    start = told_start or known_start
+    kept = world.notices.get(server_id)
+    if incarnations.is_older(start, known_start):
+        return None
+    if kept is not None and _is_same_start(kept.start, start):
+        kept.start = kept.start or start
+        return kept
+    if kept is not None and incarnations.is_older(start, kept.start):
+        return None
+    kept = entities.NoticeRow(start=start)
+    world.notices.pop(server_id, None)
+    world.notices[server_id] = kept
+    while len(world.notices) > MOST_NOTICES:
+        del world.notices[next(iter(world.notices))]
+    return kept
+
+
+def _is_same_start(one: str, other: str) -> bool:
+    """Returns whether two names may be of one start; no name may be any."""
+    return not one or not other or one == other
+
+
+__all__ = ["end_rests", "leaving_told", "rest_asked"]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -140,6 +140,7 @@
             kv_save_to=kvreuse.save_to(
                 world, request, server, ready_in_ms=choice.first_token_ms
             ),
+            incarnation=server.incarnation if request.work.route else "",
         )
     )
 
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -81,6 +81,8 @@
         cache_scope: Text under which cached state may be shared.
         kv_fetch_from: Address of a store of cached state to look in first.
         kv_save_to: Address of a store to hand the computed levels to.
+        incarnation: Start of the server that it was chosen for; empty where
+            that is not known.
     """
 
     request_id: str
@@ -97,6 +99,7 @@
     cache_scope: str = ""
     kv_fetch_from: str = ""
     kv_save_to: str = ""
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -193,6 +193,22 @@
     )
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class NoticeRow:
+    """What one start of a server has said, kept beyond its entry in the list.
+
+    Attributes:
+        start: The start that said it; empty where that is not known.
+        is_leaving: Whether it is about to stop.
+        rest_until_ms: Until when it wants nothing from this daemon; 0 where it
+            asked for no rest.
+    """
+
+    start: str
+    is_leaving: bool = False
+    rest_until_ms: int = 0
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OutcomeRow:
     """A claim's outcome that the table service has not yet confirmed.
@@ -233,6 +249,7 @@
         turns: How fast held-back requests go out, by target and rank.
         paces: What first tokens have shown of engines, by target.
         quarantine: Requests under which servers ended.
+        notices: What servers have said of their availability, by server.
     """
 
     daemon: str
@@ -283,6 +300,7 @@
     turns: dict[tuple[str, int], turns.Turn] = dataclasses.field(
         default_factory=dict
     )
+    notices: dict[str, NoticeRow] = dataclasses.field(default_factory=dict)
     paces: dict[str, pace.Pace] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(pace.Pace)
     )
@@ -319,6 +337,7 @@
 
 __all__ = [
     "AttemptRow",
+    "NoticeRow",
     "OutcomeRow",
     "Phase",
     "RequestRow",
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -286,6 +286,7 @@
     | server_inputs.ServerDoubted
     | server_inputs.ServerDraining
     | server_inputs.ServerLeaving
+    | server_inputs.RestAsked
     | server_inputs.ServerListed
     | server_inputs.LoadReported
     | server_inputs.LoadEchoed
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -7,6 +7,7 @@
 from godwittack.core import (
     admission,
     attempts,
+    availability,
     backlog,
     claims,
     crashes,
@@ -121,7 +122,12 @@
             case server_inputs.ServerDraining():
                 servers.draining_told(world, told)
             case server_inputs.ServerLeaving():
-                servers.leaving_told(world, told)
+                if told.source is server_inputs.Source.ANSWER:
+                    availability.leaving_told(world, told)
+                else:
+                    servers.leaving_told(world, told)
+            case server_inputs.RestAsked():
+                availability.rest_asked(world, told)
             case server_inputs.ProbeAnswered():
                 doubt.probed(world, told)
             case server_inputs.ServerDoubted():
@@ -176,6 +182,7 @@
         silence.check(world)
         silence.give_up(world)
         doubt.check_ejected(world)
+        availability.end_rests(world)
         dispatching.expire_queued(world)
         world.quarantine.forget(now_ms=world.now_ms)
 
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
+from typing import TypeAlias
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,12 +39,47 @@
     until_ms: int
 
 
+class Source(enum.StrEnum):
+    """Where a daemon has the word of a server from."""
+
+    ANSWER = "answer"
+    REPORT = "report"
+    LIST = "list"
+    PEER = "peer"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLeaving:
-    """Another daemon saw a backend server leaving."""
+    """A backend server is about to stop.
+
+    Attributes:
+        incarnation: The start that leaves; empty for the one known here.
+        source: Where this is known from.
+        request_id: Request whose answer said so; empty for none.
+    """
+
+    at_ms: int
+    server_id: str
+    incarnation: str = ""
+    source: Source = Source.PEER
+    request_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RestAsked:
+    """A backend server wants nothing from this daemon for a while.
+
+    Attributes:
+        incarnation: The start that asked; empty for the one known here.
+        rest_ms: How long, from when its answer was read.
+        request_id: Request that it turned away; empty for another call.
+    """
 
     at_ms: int
     server_id: str
+    rest_ms: int
+    incarnation: str = ""
+    request_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -184,6 +221,9 @@
     slots: int = 0
 
 
+# What servers say of themselves with answers.
+ServerWord: TypeAlias = ServerLeaving | RestAsked | LoadEchoed
+
 __all__ = [
     "CacheDigest",
     "LoadEchoed",
@@ -192,8 +232,11 @@
     "ProbeAnswered",
     "RateLimitEchoed",
     "RateLimitTold",
+    "RestAsked",
     "ServerDoubted",
     "ServerDraining",
     "ServerLeaving",
     "ServerListed",
+    "ServerWord",
+    "Source",
 ]
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -114,9 +114,9 @@
             ),
             clock=clock,
         )
-        backend.on_load = self.runtime.submit
-        backend.limits.on_named = self.runtime.submit
-        backend.limits.is_known = functools.partial(
+        backend.listener.submit = self.runtime.submit
+        backend.listener.limits.on_named = self.runtime.submit
+        backend.listener.limits.is_known = functools.partial(
             rate_limits.is_limited, core.world
         )
         self._keeper = keeping.FeedKeeper(
--- a/src/godwittack/platform/names.py
+++ b/src/godwittack/platform/names.py
@@ -39,6 +39,8 @@
 LOAD: Final = "X-Godwittack-Server-Load"
 # Requests a second that a server takes from all daemons together.
 RATE_LIMITS: Final = ("X-Godwittack-Server-Limit", "Server-Limit")
+# Present in all answers of a server that is about to stop.
+LEAVING: Final = ("X-Godwittack-Server-Leaving", "Server-Leaving")
 RETRY_AFTER: Final = "Retry-After"
 
 # Calls that arrive here.
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,7 +5,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from godwittack.backend import headers, protocol, routed
+from godwittack.backend import protocol, routed, words
 from godwittack.core import incarnation, inputs
 from godwittack.placement import levels
 from godwittack.platform import names, wire
@@ -13,13 +13,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from result import Result
-
     from godwittack.backend import connection
     from godwittack.core import effects
 
 STATUS_OTHER_INSTANCE = 421
 EVENTS_WAIT_MS = 1_000
+_WORDS = words.WordHeaders(
+    load=names.LOAD,
+    rate_limit=names.RATE_LIMITS,
+    leaving=names.LEAVING,
+    not_run=names.NOT_RUN,
+)
 
 
 class _Report(wire.StrictWire):
@@ -96,17 +100,9 @@
             return inputs.FailureCause.REFUSED
         return None
 
-    def echoed_load(self, reply: connection.Reply) -> routed.EchoedLoad | None:
-        """Returns the load that an answer tells."""
-        parts = [headers.number(p) for p in reply.header(names.LOAD).split(",")]
-        if len(parts) != 3 or None in parts:
-            return None
-        running, waiting, slots = (part or 0 for part in parts)
-        return routed.EchoedLoad(running=running, waiting=waiting, slots=slots)
-
-    def rate_limit(self, reply: connection.Reply) -> Result[float | None, str]:
-        """Returns the requests a second that the server takes from all."""
-        return headers.decimal(reply.headers, names.RATE_LIMITS)
+    def words(self, reply: connection.Reply) -> words.ServerWords:
+        """Returns all that an answer says of its server."""
+        return words.read(reply, _WORDS)
 
     def load_call(self, address: str, server_id: str) -> routed.ControlCall:
         """Returns the call for a server's report of its state."""
