Add failing tests of servers that leave or ask for rest

Callers saw nothing: requests to a leaving server were served, those to a resting one were declined and mostly went elsewhere, until the retry budget was used up. Servers saw requests that they had asked not to get.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -34,6 +34,8 @@
     "quarantines",
     "repeating",
     "repeats",
+    "availability",
+    "withdrawing",
     "fuzz",
 )
 
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -110,6 +110,8 @@
         self.crashed_s: list[float] = []
         self.faults: list[str] = []
         self.wrong: list[str] = []
+        # When a daemon's process went on after it was killed or stopped.
+        self._stops: list[tuple[float, int]] = []
         # Repeats in the worst window, and how many were allowed, by target.
         self.worst: dict[str, tuple[float, float]] = {}
         # Sends of what crashes servers once that is known: all, and those by
@@ -163,13 +165,19 @@
         daemon = self.asked_at[name] = self.rng.randrange(self.daemons)
         try:
             async with asyncio.timeout(4):
-                status, _, _ = await self.made.call(
+                status, headers, _ = await self.made.call(
                     kind, name, daemon=daemon, body=body
                 )
             self.statuses[str(status)] += 1
+            self._answered(daemon, status, headers)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.statuses[type(error).__name__] += 1
 
+    def _answered(
+        self, daemon: int, status: int, headers: dict[str, str]
+    ) -> None:
+        """Takes in an answer that a daemon passed on."""
+
     async def _trouble(self) -> None:
         """Begins one fault after the other; each lasts for a while."""
         for replica in self.made.replicas.values():
@@ -257,7 +265,7 @@
             await process.wait()
             await asyncio.sleep(self.rng.uniform(0.05, 0.5))
             await self.made.restart_daemon(number)
-            self._note_disturbed((number,))
+            self._note_stopped((number,))
 
     async def _pause(self) -> None:
         chosen = self.rng.sample(range(self.daemons), self.daemons // 4)
@@ -265,7 +273,7 @@
         _signal(stopped, signal.SIGSTOP)
         await self._for_a_while(2.0)
         _signal(stopped, signal.SIGCONT)
-        self._note_disturbed(chosen)
+        self._note_stopped(chosen)
 
     async def _store_silent(self) -> None:
         self.made.store.faults.silent = True
@@ -273,6 +281,11 @@
         self.made.store.faults.silent = False
         self._note_disturbed(range(self.daemons))
 
+    def _note_stopped(self, daemons: Iterable[int]) -> None:
+        for number in daemons:
+            self._stops.append((time.monotonic(), number))
+        self._note_disturbed(daemons)
+
     def _note_disturbed(self, daemons: Iterable[int]) -> None:
         for number in daemons:
             self._disturbances.append((time.monotonic(), number))
@@ -388,12 +401,18 @@
     )
 
 
-def main() -> int:
-    """Plays seeds named on the command line."""
+def read_arguments() -> tuple[int, int, int, int]:
+    """Returns first seed, count, daemons and busy processes to play with."""
     first, count, daemons, busy = (
         int(sys.argv[n]) if len(sys.argv) > n else default
         for n, default in ((1, 0), (2, 1), (3, 12), (4, 0))
     )
+    return first, count, daemons, busy
+
+
+def main() -> int:
+    """Plays seeds named on the command line."""
+    first, count, daemons, busy = read_arguments()
     failed = 0
     for seed in range(first, first + count):
         session = Session(seed, daemons=daemons, busy=busy)
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -24,6 +24,7 @@
         silent: Whether it takes requests and answers nothing.
         lose_answers: Requests that run and whose connection then breaks.
         lose_orders: Orders that are carried out and not answered.
+        rest_s: Rest that it asks for with each request that it declines.
     """
 
     full: bool = False
@@ -32,6 +33,7 @@
     silent: bool = False
     lose_answers: bool = False
     lose_orders: bool = False
+    rest_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -58,6 +60,15 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Rest:
+    """A request that was declined with the wish for a rest."""
+
+    request_id: str
+    at_s: float
+    rest_s: float
+
+
 class Replica:
     """One incarnation of a server; engines have a model."""
 
@@ -70,6 +81,7 @@
         self.faults = ReplicaFaults()
         self.ran: list[Ran] = []
         self.arrivals: list[Arrival] = []
+        self.rests: list[Rest] = []
         self.orders: list[dict] = []
         self.left: list[str] = []
         self.event_gap_s = 0.01
@@ -78,6 +90,8 @@
         self.has_crashed = False
         # Value of the header that names its limit; empty for none.
         self.names_limit = ""
+        # Whether all its answers say that it leaves.
+        self.leaves = False
         self._events = events
         self._sequence = 0
         self._busy = False
@@ -116,15 +130,22 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.path:
             case "/report":
-                return self._report()
+                response = self._report()
             case "/order":
-                return await self._order(request)
+                response = await self._order(request)
             case "/kv-events":
                 await asyncio.sleep(0.2)
-                return web.json_response(
+                response = web.json_response(
                     {"boot-epoch": 1, "next": 0, "lost": False, "events": []}
                 )
-        return await self._request(request)
+            case _:
+                return await self._request(request)
+        response.headers.update(self._words())
+        return response
+
+    def _words(self) -> dict[str, str]:
+        """Returns the headers by which all answers tell of the server."""
+        return {"Server-Leaving": "1"} if self.leaves else {}
 
     def _report(self) -> web.Response:
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -168,6 +189,7 @@
         now_s = time.monotonic()
         self.arrivals.append(Arrival(name, deadline_ms, body, now_s))
         own = {PREFIX + "Request-Id": name, PREFIX + "Server-Load": "1,0,16"}
+        own.update(self._words())
         if self.names_limit:
             own[PREFIX + "Server-Limit"] = self.names_limit
         if request.headers.get(PREFIX + "Expect-Instance") != self.instance:
@@ -179,6 +201,9 @@
         is_declined = random.random() < self.faults.declined_share
         if self.faults.full or self._busy or is_declined:
             own[PREFIX + "Not-Executed"] = "1"
+            if self.faults.rest_s:
+                own["Retry-After"] = f"{self.faults.rest_s:g}"
+                self.rests.append(Rest(name, now_s, self.faults.rest_s))
             return web.Response(status=503, headers=own)
         self.ran.append(
             Ran(
