Keep requests from a server that says with an answer that it leaves

Callers' requests went to a leaving server until the list told of it; with the store down for twelve seconds that was eleven seconds after its word.

Cause: what a server says of itself in answers was read nowhere; leaving came from the list, from reports of our own interface and from peers.

Now an answer's word holds at once for the start that was asked. It is kept with that start, so that another start under the id, once known, is free of it; what an earlier start said is dropped.

--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -1,4 +1,4 @@
-"""Notes what servers say of their availability: that they leave, or rest.
+"""Keeps to what servers say of their availability: that they leave, or rest.
 
 Load pattern: a server of several is full, or about to stop, and says so with
 each answer. Lists, reports and other daemons' news say so seconds later, or
@@ -19,6 +19,8 @@
 
 # Servers of which a word is kept beyond their entry, the latest ones.
 MOST_NOTICES = 4_096
+# Names of servers in one log line.
+MOST_NAMED = 8
 
 
 def leaving_told(
@@ -30,6 +32,9 @@
         return
     is_news = not notice.is_leaving
     notice.is_leaving = True
+    server = world.servers.get(told.server_id)
+    if server is not None:
+        apply(world, server)
     if is_news:
         world.event(
             "server_leaving",
@@ -59,6 +64,24 @@
         )
 
 
+def apply(world: entities.World, server: entities.ServerRow) -> None:
+    """Applies what is kept of a server to its row."""
+    notice = world.notices.get(server.server_id)
+    if notice is not None and _concerns(notice, server):
+        server.leaving |= notice.is_leaving
+
+
+def start_seen(world: entities.World, server: entities.ServerRow) -> None:
+    """Drops what another start of a server had said than the one known now."""
+    notice = world.notices.get(server.server_id)
+    if notice is None:
+        return
+    if not _concerns(notice, server):
+        del world.notices[server.server_id]
+        server.leaving = False
+    apply(world, server)
+
+
 def end_rests(world: entities.World) -> None:
     """Takes servers back into service whose rest is over."""
     for server_id, notice in list(world.notices.items()):
@@ -70,6 +93,18 @@
         world.event("server_rested", server=server_id, start=notice.start)
 
 
+def left_out(world: entities.World, target: str) -> dict[str, str]:
+    """Returns the servers of a target that say they want no work, to log."""
+    servers = world.servers_by_target[target].values()
+    leaving = [s.server_id for s in servers if s.leaving]
+    found = {"leaving": leaving}
+    return {
+        why: ",".join(sorted(names)[:MOST_NAMED])
+        for why, names in found.items()
+        if names
+    }
+
+
 def _notice(
     world: entities.World, server_id: str, told_start: str
 ) -> entities.NoticeRow | None:
@@ -93,9 +128,23 @@
     return kept
 
 
+def _concerns(notice: entities.NoticeRow, server: entities.ServerRow) -> bool:
+    """Returns whether a notice is of the start of a row, or of a later one."""
+    if _is_same_start(notice.start, server.incarnation):
+        return True
+    return incarnations.is_older(server.incarnation, notice.start)
+
+
 def _is_same_start(one: str, other: str) -> bool:
     """Returns whether two names may be of one start; no name may be any."""
     return not one or not other or one == other
 
 
-__all__ = ["end_rests", "leaving_told", "rest_asked"]
+__all__ = [
+    "apply",
+    "end_rests",
+    "leaving_told",
+    "left_out",
+    "rest_asked",
+    "start_seen",
+]
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -122,10 +122,7 @@
             case server_inputs.ServerDraining():
                 servers.draining_told(world, told)
             case server_inputs.ServerLeaving():
-                if told.source is server_inputs.Source.ANSWER:
-                    availability.leaving_told(world, told)
-                else:
-                    servers.leaving_told(world, told)
+                availability.leaving_told(world, told)
             case server_inputs.RestAsked():
                 availability.rest_asked(world, told)
             case server_inputs.ProbeAnswered():
--- a/src/godwittack/core/sending.py
+++ b/src/godwittack/core/sending.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, effects, routing
+from godwittack.core import availability, backlog, effects, routing
 from godwittack.placement import levels
 
 if TYPE_CHECKING:
@@ -39,6 +39,7 @@
         else -1,
         after=request.next_frame - 1,
         left_ms=ends_at_ms(request) - world.now_ms,
+        **availability.left_out(world, request.work.target),
     )
 
 
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
+    availability,
     crashes,
     entities,
     incarnation,
@@ -48,7 +49,7 @@
     # The list lags: it may still show a server as live that has said itself
     # that it leaves. Only a new incarnation takes that back.
     if told.leaving:
-        _mark_leaving(world, server, True)
+        _leaves(world, told, server_inputs.Source.LIST)
 
 
 def _take_listed_state(
@@ -73,15 +74,6 @@
     world.freed_targets.add(server.target)
 
 
-def leaving_told(
-    world: entities.World, told: server_inputs.ServerLeaving
-) -> None:
-    """Takes in that another daemon saw a server leaving."""
-    server = world.servers.get(told.server_id)
-    if server is not None:
-        _mark_leaving(world, server, True)
-
-
 def draining_told(
     world: entities.World, told: server_inputs.ServerDraining
 ) -> None:
@@ -111,7 +103,7 @@
     server.prefill_us_per_token = told.prefill_us_per_token
     server.slots = told.slots or server.slots
     if told.leaving:
-        _mark_leaving(world, server, True)
+        _leaves(world, told, server_inputs.Source.REPORT)
     world.freed_targets.add(server.target)
 
 
@@ -213,9 +205,9 @@
             server.full_until_ms = world.now_ms + FULL_MS
         return
     if told.cause is inputs.FailureCause.OTHER_SERVER:
-        # Another process has its address: this one is gone for good.
+        # Another process has its address: at this one it is gone for good.
         crashes.ended(world, server)
-        _mark_leaving(world, server, True)
+        _mark_gone_here(world, server)
         return
     if told.cause is inputs.FailureCause.ENDED:
         crashes.ended(world, server)
@@ -266,6 +258,7 @@
     server.incarnation = seen_incarnation
     server.weights_version = weights_version
     server.cache.clear()
+    availability.start_seen(world, server)
     world.event(
         "server_restarted" if restarted else "server_state",
         server=server.server_id,
@@ -305,13 +298,29 @@
     server.begun_sent_ms.clear()
 
 
-def _mark_leaving(
-    world: entities.World, server: entities.ServerRow, leaving: bool
+def _leaves(
+    world: entities.World,
+    told: server_inputs.ServerListed | server_inputs.LoadReported,
+    source: server_inputs.Source,
 ) -> None:
-    if server.leaving != leaving:
-        server.leaving = leaving
+    availability.leaving_told(
+        world,
+        server_inputs.ServerLeaving(
+            world.now_ms, told.server_id, told.incarnation, source
+        ),
+    )
+
+
+def _mark_gone_here(world: entities.World, server: entities.ServerRow) -> None:
+    """Keeps a server from service until it is listed at another address."""
+    if not server.leaving:
+        server.leaving = True
         world.event(
-            "server_leaving", server=server.server_id, leaving=int(leaving)
+            "server_leaving",
+            server=server.server_id,
+            leaving=1,
+            start=server.incarnation,
+            source="other_server",
         )
 
 
@@ -363,7 +372,6 @@
     "draining_told",
     "failed",
     "heard",
-    "leaving_told",
     "load_echoed",
     "listed",
     "load_reported",
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -107,6 +107,9 @@
         "godwittack_limited_servers": lambda: sum(
             server.limit is not None for server in world.servers.values()
         ),
+        "godwittack_leaving_servers": lambda: sum(
+            server.leaving for server in world.servers.values()
+        ),
         "godwittack_quarantined": lambda: len(world.quarantine),
         "godwittack_retry_tokens": lambda: min(
             (shared.tokens for shared in world.target_budgets.values()),
