Keep a server's leaving over the removal of its entry

A server that had said that it leaves got requests again once its entry had lapsed and come back as ready, or had come back with another address; news of its leaving that came before its entry was lost.

Cause: what it had said was a field of its row, which goes with the entry.

--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -45,6 +45,7 @@
         )
         world.servers[told.server_id] = server
         world.servers_by_target[told.target][told.server_id] = server
+        availability.apply(world, server)
     _take_listed_state(world, server, told)
     # The list lags: it may still show a server as live that has said itself
     # that it leaves. Only a new incarnation takes that back.
