Name the start in news of a server that leaves

A server that had started again under its id was kept from service until its next start where late news said that the start before was leaving: the news named the server alone. They name the start now, and one that is known to have ended is not believed.

It is still told once, by the daemon that polls the server: told by each daemon that hears it in an answer, one server's leaving would be some 38,000 messages in a fleet of 195. No promise depends on it.

--- a/src/godwittack/daemon/news.py
+++ b/src/godwittack/daemon/news.py
@@ -71,7 +71,8 @@
         self._runtime = runtime
         self._client = client
         self._outboxes: dict[str, outboxes.Outbox] = {}
-        self._known_leaving: set[str] = set()
+        # Servers told of as leaving, each with the start that leaves.
+        self._known_leaving: dict[str, str] = {}
         self._audiences: dict[str, list[view.Member]] = {}
         self._audiences_for: tuple[list[view.Member], tuple[str, ...]] = (
             [],
@@ -133,18 +134,18 @@
             outbox.pending.digests.append(digest)
             del outbox.pending.digests[: -pending.MAX_DIGESTS]
 
-    def publish_leaving(self, server_id: str) -> None:
-        """Tells every daemon of a server's leaving, once."""
-        if server_id in self._known_leaving:
+    def publish_leaving(self, server_id: str, incarnation: str = "") -> None:
+        """Tells every daemon of the leaving of a server's start, once."""
+        if self._known_leaving.get(server_id) == incarnation:
             return
-        self._known_leaving.add(server_id)
+        self._known_leaving[server_id] = incarnation
         for outbox in self._outboxes_of(self._members.live()):
-            outbox.pending.leaving.add(server_id)
+            outbox.pending.leaving[server_id] = incarnation
             outbox.wake()
 
     def forget_leaving(self, server_id: str) -> None:
         """Allows a server's leaving to be told anew."""
-        self._known_leaving.discard(server_id)
+        self._known_leaving.pop(server_id, None)
 
     def publish_doubt(self, doubted: effects.Doubt) -> None:
         """Has the daemons that serve a target ask a server for themselves."""
@@ -233,8 +234,12 @@
                     ),
                 )
             )
-        for server_id in told.leaving_servers:
-            submit(server_inputs.ServerLeaving(now_ms, server_id))
+        for leaving in told.leaving:
+            submit(
+                server_inputs.ServerLeaving(
+                    now_ms, leaving.server_id, leaving.incarnation
+                )
+            )
         if told.has_demands and sender_id:
             cells = tuple(codec.demand_from_proto(d) for d in told.demands)
             submit(inputs.PeerDemand(now_ms, sender_id, True, cells))
--- a/src/godwittack/daemon/watch.py
+++ b/src/godwittack/daemon/watch.py
@@ -186,7 +186,7 @@
         told = report(row, load, self._core)
         self._streams.watched.on_next(Watched(row.target, told))
         if load.leaving:
-            self._news.publish_leaving(row.server_id)
+            self._news.publish_leaving(row.server_id, load.incarnation)
         else:
             self._news.forget_leaving(row.server_id)
 
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -19,7 +19,7 @@
     Attributes:
         loads: Newest report of each server.
         digests: Cache digests in order.
-        leaving: Servers seen leaving.
+        leaving: Servers seen leaving, each with the start that leaves.
         draining: Servers that get no work while they load weights.
         listed: Changed entries of the instance list by name, None for one
             that is no longer listed.
@@ -39,7 +39,7 @@
     digests: list[server_inputs.CacheDigest] = dataclasses.field(
         default_factory=list
     )
-    leaving: set[str] = dataclasses.field(default_factory=set)
+    leaving: dict[str, str] = dataclasses.field(default_factory=dict)
     draining: set[str] = dataclasses.field(default_factory=set)
     doubted: set[str] = dataclasses.field(default_factory=set)
     listed: dict[str, platform.Instance | None] = dataclasses.field(
@@ -102,7 +102,7 @@
             # A peer that can't be reached must not fill our memory; what it
             # misses costs a recomputation each.
             digests=digests[-MAX_DIGESTS:],
-            leaving=self.leaving | later.leaving,
+            leaving={**self.leaving, **later.leaving},
             draining=self.draining | later.draining,
             doubted=self.doubted | later.doubted,
             listed=self.listed,
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -48,7 +48,10 @@
                 self._load(load, now_ms=now_ms) for load in told.loads.values()
             ],
             digests=[self._digest(digest) for digest in told.digests],
-            leaving_servers=sorted(told.leaving),
+            leaving=[
+                peer_pb2.Leaving(server_id=server_id, incarnation=start)
+                for server_id, start in sorted(told.leaving.items())
+            ],
             draining_servers=sorted(told.draining),
             doubted_servers=sorted(told.doubted),
             list_before=told.list_before,
--- a/tests/cases/availability.py
+++ b/tests/cases/availability.py
@@ -5,6 +5,7 @@
 from cases import routed_core
 from cases.routed_core import Core
 from godwittack.core import server_inputs
+from godwittack.peer import pending, wire
 
 STARTED = "x@5"
 STARTED_AGAIN = "x@9"
@@ -53,3 +54,12 @@
     core.tell(server_inputs.ServerLeaving, "x", STARTED)
     _list(core)
     assert _leaves(core)
+
+
+def news_of_leaving_name_the_start_that_leaves() -> None:
+    """Guards against news that take the next start of a server for this one."""
+    told = pending.PendingNews(leaving={"x": STARTED})
+    later = pending.PendingNews(leaving={"x": STARTED_AGAIN})
+    message = wire.NewsWriter().write(told.followed_by(later), now_ms=0)
+    (leaving,) = message.leaving
+    assert (leaving.server_id, leaving.incarnation) == ("x", STARTED_AGAIN)
--- a/tests/cases/peers.py
+++ b/tests/cases/peers.py
@@ -41,7 +41,7 @@
     def told(self, sender_id, news, reader):
         """Keeps the servers named as leaving."""
         del reader
-        self.news.append((sender_id, list(news.leaving_servers)))
+        self.news.append((sender_id, [told.server_id for told in news.leaving]))
 
     def table(self, asked):
         """Returns a table."""
@@ -52,6 +52,10 @@
         return peer_pb2.ReportReply()
 
 
+def _leaving(server_id: str) -> peer_pb2.News:
+    return peer_pb2.News(leaving=[peer_pb2.Leaving(server_id=server_id)])
+
+
 @contextlib.asynccontextmanager
 async def pair(*, secret: bytes = SECRET):
     """Runs a server, and a client with the secret."""
@@ -74,7 +78,7 @@
     async with pair() as two:
         stream = two.client.open_news(two.address, on_broken=_never)
         for number in range(5):
-            sent = peer_pb2.News(leaving_servers=[f"s{number}"])
+            sent = _leaving(f"s{number}")
             if not number:
                 sent.sender_id = "d1"
             assert (await stream.send(sent)).is_ok()
@@ -104,7 +108,7 @@
         got = await two.client.fetch_table(two.address, known_version=4)
         assert "status 401" in got.err_value.detail, got
         stream = two.client.open_news(two.address, on_broken=_never)
-        sent = await stream.send(peer_pb2.News(leaving_servers=["s0"]))
+        sent = await stream.send(_leaving("s0"))
         assert sent.is_err()
     assert two.handler.news == []
 
--- a/tests/features/withdrawing.feature
+++ b/tests/features/withdrawing.feature
@@ -29,3 +29,4 @@
       | another address of the same start keeps a server leaving |
       | a peer told of a start before does not take the next one out |
       | a peer told before the entry is listed is believed |
+      | news of leaving name the start that leaves |
