Leave a server alone for as long as it asks for rest

Cause: Retry-After of a server was read nowhere; a decline kept it from work only where the connection itself was reset, for 300 ms.

Now the longest of its rests counts, from when the answer was read, and holds while its entry is away, until another start is known. It is no failure: no ejection, no crash, no trial. Where all servers of a target rest, a request waits for the first of them if that is well within its time and the servers have room for all that wait, each daemon for its part; the others are refused at once with the time left, spread over half a second. No retry is spent where all rest for too long. Reports, cache events and probes of ejected servers wait as well; orders, and looks at one that carries an order out, don't: operators set them a time. Rest isn't told to other daemons: it is one daemon's, and all servers of a service would be out of use for all by a word to each of a few.

Refusals moved to a module of their own.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
+    availability,
     closing,
     crashes,
     doubt,
@@ -162,7 +163,14 @@
     if request.at_most_once and request.sent:
         followup.outcome_lost(world, request, told.detail)
         return
-    followup.retry(world, request, attempt, told.detail)
+    # One that rests is left out by that, and may be asked once it has rested.
+    avoid = not _rests(world, attempt)
+    followup.retry(world, request, attempt, told.detail, avoid=avoid)
+
+
+def _rests(world: entities.World, attempt: entities.AttemptRow) -> bool:
+    server = world.servers.get(attempt.server_id)
+    return server is not None and availability.is_resting(world, server)
 
 
 def _may_have_crashed(told: inputs.AttemptFailed) -> bool:
--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -54,6 +54,9 @@
     is_news = notice.rest_until_ms <= world.now_ms
     until_ms = told.at_ms + told.rest_ms
     notice.rest_until_ms = max(notice.rest_until_ms, until_ms)
+    server = world.servers.get(told.server_id)
+    if server is not None:
+        apply(world, server)
     if is_news and until_ms > world.now_ms:
         world.event(
             "server_rests",
@@ -69,6 +72,7 @@
     notice = world.notices.get(server.server_id)
     if notice is not None and _concerns(notice, server):
         server.leaving |= notice.is_leaving
+        server.rest_until_ms = notice.rest_until_ms
 
 
 def start_seen(world: entities.World, server: entities.ServerRow) -> None:
@@ -79,9 +83,15 @@
     if not _concerns(notice, server):
         del world.notices[server.server_id]
         server.leaving = False
+        server.rest_until_ms = 0
     apply(world, server)
 
 
+def is_resting(world: entities.World, server: entities.ServerRow) -> bool:
+    """Returns whether a server wants nothing from this daemon now."""
+    return world.now_ms < server.rest_until_ms
+
+
 def end_rests(world: entities.World) -> None:
     """Takes servers back into service whose rest is over."""
     for server_id, notice in list(world.notices.items()):
@@ -90,6 +100,10 @@
         notice.rest_until_ms = 0
         if not notice.is_leaving:
             del world.notices[server_id]
+        server = world.servers.get(server_id)
+        if server is not None:
+            server.rest_until_ms = 0
+            world.freed_targets.add(server.target)
         world.event("server_rested", server=server_id, start=notice.start)
 
 
@@ -97,7 +111,8 @@
     """Returns the servers of a target that say they want no work, to log."""
     servers = world.servers_by_target[target].values()
     leaving = [s.server_id for s in servers if s.leaving]
-    found = {"leaving": leaving}
+    resting = [s.server_id for s in servers if is_resting(world, s)]
+    found = {"leaving": leaving, "resting": resting}
     return {
         why: ",".join(sorted(names)[:MOST_NAMED])
         for why, names in found.items()
@@ -143,6 +158,7 @@
 __all__ = [
     "apply",
     "end_rests",
+    "is_resting",
     "leaving_told",
     "left_out",
     "rest_asked",
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from godwittack.core import (
+    availability,
     closing,
     crashes,
     effects,
     entities,
     kvreuse,
-    outcomes,
     placing,
     rate_limits,
+    refusing,
+    resting,
     routing,
     sending,
     turns,
@@ -18,25 +20,19 @@
 )
 from godwittack.limit import fair
 
-NO_SERVER_RETRY_MS = 1_000
-MIN_RETRY_MS = 100
-MAX_RETRY_MS = 60_000
-
 
 def place(world: entities.World, request: entities.RequestRow) -> None:
     """Dispatches a request, holds it back, or refuses it at once."""
     if crashes.is_quarantined(world, request):
-        _refuse_quarantined(world, request)
+        refusing.quarantined(world, request)
         return
     choice = placing.choose(world, request)
     if choice is None:
-        _refuse_no_server(world, request)
+        _await_rest(world, request)
         return
     rank = routing.priority(world, request)
     queue = _queue(world, request.work.target, rank)
     before = _waiting(world, request.work.target, rank)
-    workspace = world.table.workspaces.get(request.workspace)
-    weight = workspace.weight if workspace else 1.0
     must_hold = choice.wait_ms > world.policy.hold_ms or before > 0
     wait_ms = 0.0
     if must_hold:
@@ -46,21 +42,47 @@
         wait_ms = max(slots_ms, turns_ms)
     if not _meets_deadline(world, request, choice, wait_ms):
         return
-    cost = _cost(request)
     if not must_hold:
-        queue.charge(workspace=request.workspace, weight=weight, cost=cost)
+        queue.charge(
+            workspace=request.workspace,
+            weight=_weight(world, request),
+            cost=_cost(request),
+        )
         dispatch(world, request, choice)
         return
-    held = sum(map(len, world.queues[request.work.target].values()))
+    held = _held(world, request.work.target)
     if held >= _queue_limit(world, request):
-        _refuse_not_run(
+        refusing.not_run(
             world,
             request,
             effects.Reason.QUEUE_FULL,
             f"{held} requests wait for {request.work.target} already",
-            _retry_after_ms(choice.wait_ms),
+            refusing.retry_after_ms(choice.wait_ms),
         )
         return
+    _hold(world, request, wait_ms=choice.wait_ms)
+
+
+def _await_rest(world: entities.World, request: entities.RequestRow) -> None:
+    """Holds a request until a server has rested, or refuses it at once."""
+    target = request.work.target
+    has_room = _held(world, target) < min(
+        resting.room(world, target), _queue_limit(world, request)
+    )
+    if not has_room or not resting.may_wait(world, request):
+        refusing.no_server(world, request)
+        return
+    request.awaits_rest = True
+    _hold(world, request, wait_ms=resting.left_ms(world, request) or 0)
+
+
+def _hold(
+    world: entities.World, request: entities.RequestRow, *, wait_ms: float
+) -> None:
+    """Puts a request into the queue of its rank."""
+    rank = routing.priority(world, request)
+    queue = _queue(world, request.work.target, rank)
+    before = _waiting(world, request.work.target, rank)
     request.phase = entities.Phase.QUEUED
     request.queue_rank = rank
     if not len(queue):
@@ -70,14 +92,15 @@
             "queued",
             request.request_id,
             target=request.work.target,
-            wait_ms=round(choice.wait_ms),
+            wait_ms=round(wait_ms),
             before=before,
+            **availability.left_out(world, request.work.target),
         )
     queue.push(
         request_id=request.request_id,
         workspace=request.workspace,
-        weight=weight,
-        cost=cost,
+        weight=_weight(world, request),
+        cost=_cost(request),
     )
     world.freed_targets.add(request.work.target)
 
@@ -90,7 +113,7 @@
     """Opens a new attempt on the chosen server."""
     refusal = routing.still_allowed(world, request)
     if refusal is not None:
-        _refuse_taken_away(world, request, refusal)
+        refusing.taken_away(world, request, refusal)
         return
     server = choice.server
     attempt_id = world.next_attempt_id()
@@ -145,26 +168,6 @@
     )
 
 
-def _refuse_taken_away(
-    world: entities.World,
-    request: entities.RequestRow,
-    refusal: routing.Refusal,
-) -> None:
-    outcome = effects.Outcome.NOT_RUN
-    status = refusal.status
-    if request.sent:
-        outcome, status = effects.Outcome.UNKNOWN, 502
-    closing.refuse(
-        world,
-        request,
-        status=status,
-        outcome=outcome,
-        reason=refusal.reason,
-        detail=refusal.detail,
-        retry_after_ms=refusal.retry_after_ms,
-    )
-
-
 def resume(
     world: entities.World,
     request: entities.RequestRow,
@@ -224,13 +227,26 @@
             for request_id in queue.request_ids():
                 request = world.requests[request_id]
                 if crashes.is_quarantined(world, request):
-                    _refuse_quarantined(world, request)
+                    refusing.quarantined(world, request)
+                    continue
+                if _rests_on(world, request):
+                    refusing.no_server(world, request)
                     continue
                 if request.begin_by_ms > world.now_ms:
                     continue
                 before = _waiting(world, target, rank)
                 wait_ms = turns.slots_wait_ms(world, target, before)
-                _refuse_late(world, request, wait_ms)
+                refusing.late(world, request, wait_ms)
+
+
+def _rests_on(world: entities.World, request: entities.RequestRow) -> bool:
+    """Returns whether the rests that a request waits for were made too long."""
+    return request.awaits_rest and resting.is_hopeless(world, request)
+
+
+def _held(world: entities.World, target: str) -> int:
+    """Returns how many requests for a target are held back."""
+    return sum(map(len, world.queues[target].values()))
 
 
 def _queue(world: entities.World, target: str, rank: int) -> fair.FairQueue:
@@ -250,58 +266,26 @@
         waiting = queue.heads()[0]
         request = world.requests[waiting.request_id]
         if crashes.is_quarantined(world, request):
-            _refuse_quarantined(world, request)
+            refusing.quarantined(world, request)
             continue
         choice = placing.choose(world, request)
         if choice is None or choice.wait_ms > world.policy.hold_ms:
             return
         if choice.first_token_ms > request.begin_by_ms - world.now_ms:
-            _refuse_late(world, request, choice.wait_ms)
+            refusing.late(world, request, choice.wait_ms)
             continue
         queue.take(waiting)
-        turns.taken(world, request.work.target, rank, left=len(queue))
+        turns.taken(
+            world,
+            request.work.target,
+            rank,
+            left=len(queue),
+            tells_pace=not request.awaits_rest,
+        )
+        request.awaits_rest = False
         dispatch(world, request, choice)
 
 
-def _refuse_no_server(
-    world: entities.World, request: entities.RequestRow
-) -> None:
-    target = request.work.target
-    _refuse_not_run(
-        world,
-        request,
-        effects.Reason.NO_SERVER,
-        f"no backend server of {target} takes work now",
-        rate_limits.retry_after_ms(world, target) or NO_SERVER_RETRY_MS,
-    )
-
-
-def _refuse_quarantined(
-    world: entities.World, request: entities.RequestRow
-) -> None:
-    world.event("in_quarantine", request.request_id, content=request.content)
-    _refuse_not_run(
-        world,
-        request,
-        effects.Reason.QUARANTINED,
-        crashes.why(world, request),
-        crashes.left_ms(world, request),
-    )
-
-
-def _refuse_late(
-    world: entities.World, request: entities.RequestRow, wait_ms: float
-) -> None:
-    """Refuses a held-back request that can no longer be in time."""
-    _refuse_not_run(
-        world,
-        request,
-        effects.Reason.DEADLINE,
-        "its turn did not come before the deadline",
-        _retry_after_ms(wait_ms),
-    )
-
-
 def _open(
     world: entities.World,
     request: entities.RequestRow,
@@ -332,12 +316,12 @@
     left_ms = request.begin_by_ms - world.now_ms
     if expected_ms <= left_ms * world.policy.deadline_part:
         return True
-    _refuse_not_run(
+    refusing.not_run(
         world,
         request,
         effects.Reason.DEADLINE,
         f"would begin in {expected_ms:.0f} ms, its limit is {left_ms} ms",
-        _retry_after_ms(expected_ms - left_ms),
+        refusing.retry_after_ms(expected_ms - left_ms),
     )
     return False
 
@@ -350,38 +334,6 @@
     return min(room, model_row.max_queue)
 
 
-def _refuse_not_run(
-    world: entities.World,
-    request: entities.RequestRow,
-    reason: effects.Reason,
-    detail: str,
-    retry_after_ms: int,
-) -> None:
-    """Refuses a request of which no byte can have reached a server."""
-    if not request.sent:
-        outcomes.store(world, request, work.ClaimState.RELEASED)
-        outcome = effects.Outcome.NOT_RUN
-    else:
-        outcome = effects.Outcome.UNKNOWN
-    closing.refuse(
-        world,
-        request,
-        status=_not_served_status(request, outcome),
-        outcome=outcome,
-        reason=reason,
-        detail=detail,
-        retry_after_ms=retry_after_ms,
-    )
-
-
-def _not_served_status(
-    request: entities.RequestRow, outcome: effects.Outcome
-) -> int:
-    # To callers that come by a route, 503 alone says that nothing has run.
-    may_have_run = outcome is not effects.Outcome.NOT_RUN
-    return 502 if request.work.route and may_have_run else 503
-
-
 def _stamp(
     request: entities.RequestRow, server: entities.ServerRow
 ) -> work.Stamp | None:
@@ -395,12 +347,13 @@
     )
 
 
-def _cost(request: entities.RequestRow) -> float:
-    return float(request.work.prompt_tokens + request.work.max_tokens + 1)
+def _weight(world: entities.World, request: entities.RequestRow) -> float:
+    workspace = world.table.workspaces.get(request.workspace)
+    return workspace.weight if workspace else 1.0
 
 
-def _retry_after_ms(wait_ms: float) -> int:
-    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms)))
+def _cost(request: entities.RequestRow) -> float:
+    return float(request.work.prompt_tokens + request.work.max_tokens + 1)
 
 
 __all__ = ["dispatch", "drain", "expire_queued", "place", "resume"]
--- a/src/godwittack/core/doubt.py
+++ b/src/godwittack/core/doubt.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
+    availability,
     closing,
     crashes,
     effects,
@@ -52,6 +53,8 @@
         due = 0 < server.ejected_until_ms <= world.now_ms
         if not server.failures or not due or server.leaving:
             continue
+        if availability.is_resting(world, server):
+            continue
         if server.reported_at_ms > server.ejected_at_ms:
             servers.probed(
                 world,
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -52,6 +52,7 @@
         runs: Dispatches that may have run.
         head: Status and headers of the stream's first server.
         queue_rank: Rank of the queue in which it is held back.
+        awaits_rest: Whether it is held until a server has rested.
         cells: Cells with a limit in which it counts while it is in flight.
     """
 
@@ -82,6 +83,7 @@
     runs: int = 0
     head: works.Head | None = None
     queue_rank: int = 0
+    awaits_rest: bool = False
     cells: tuple[str, ...] = ()
 
     @property
@@ -144,6 +146,7 @@
         ejected_at_ms: When the last such pause began.
         ejected_until_ms: No new work before this time.
         full_until_ms: Used only where no other server is, before this time.
+        rest_until_ms: It wants nothing from this daemon before this time.
         backlog: Until when it computes prompts, by their priority.
         begun_sent_ms: When the last request was sent that it has begun to
             answer, by priority.
@@ -181,6 +184,7 @@
     ejected_at_ms: int = 0
     ejected_until_ms: int = 0
     full_until_ms: int = 0
+    rest_until_ms: int = 0
     trial_attempt: str = ""
     limit: advertised.AdvertisedLimit | None = None
     limit_heard_ms: int = -1_000_000
--- a/src/godwittack/core/followup.py
+++ b/src/godwittack/core/followup.py
@@ -8,6 +8,7 @@
     effects,
     entities,
     outcomes,
+    resting,
     retries,
     work,
 )
@@ -53,7 +54,7 @@
         outcome=outcome,
         reason=effects.Reason.DISPATCH_FAILED,
         detail=f"{attempt.server_id}: {detail}",
-        retry_after_ms=FAILED_RETRY_MS,
+        retry_after_ms=resting.return_ms(world, request) or FAILED_RETRY_MS,
     )
 
 
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from godwittack.core import (
+    availability,
     candidates,
     pace,
     rate_limits,
@@ -130,6 +131,17 @@
     request: entities.RequestRow,
 ) -> bool:
     """Returns whether new work may go to `server` now."""
+    if availability.is_resting(world, server):
+        return False
+    return is_in_service(world, server, request)
+
+
+def is_in_service(
+    world: entities.World,
+    server: entities.ServerRow,
+    request: entities.RequestRow,
+) -> bool:
+    """Returns whether a server takes new work, but for a rest that it wants."""
     if server.leaving or server.server_id in request.avoid:
         return False
     if world.now_ms < max(server.ejected_until_ms, server.draining_until_ms):
@@ -343,6 +355,7 @@
     "Choice",
     "choose",
     "home_servers",
+    "is_in_service",
     "is_usable",
     "model_cell",
     "note_demand",
--- a/src/godwittack/core/rate_limits.py
+++ b/src/godwittack/core/rate_limits.py
@@ -89,7 +89,9 @@
     limits = [
         server.limit
         for server in world.servers_by_target[target].values()
-        if server.limit is not None and not server.leaving
+        if server.limit is not None
+        and not server.leaving
+        and server.rest_until_ms <= world.now_ms
     ]
     if not limits:
         return 0
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -5,7 +5,7 @@
 import enum
 from typing import TYPE_CHECKING
 
-from godwittack.core import crashes
+from godwittack.core import crashes, resting
 from godwittack.limit import budget
 
 if TYPE_CHECKING:
@@ -23,6 +23,7 @@
     ATTEMPTS = "attempts"
     BUDGET = "budget"
     CRASHES = "crashes"
+    REST = "rest"
 
 
 def allowed(world: entities.World, request: entities.RequestRow) -> bool:
@@ -65,6 +66,8 @@
         return Limit.ATTEMPTS
     if crashes.is_suspect(world, request):
         return Limit.CRASHES
+    if resting.is_hopeless(world, request):
+        return Limit.REST
     return None if _spend(world, request.work.target) else Limit.BUDGET
 
 
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -288,6 +288,7 @@
     server.failures = 0
     server.ejected_until_ms = 0
     server.full_until_ms = 0
+    server.rest_until_ms = 0
     server.limit = None
     server.trial_attempt = ""
     server.reported_at_ms = -1
--- a/src/godwittack/core/turns.py
+++ b/src/godwittack/core/turns.py
@@ -36,10 +36,25 @@
     _turn(world, target, rank).since_ms = world.now_ms
 
 
-def taken(world: entities.World, target: str, rank: int, *, left: int) -> None:
-    """Notes that a held-back request got its turn; `left` others wait."""
+def taken(
+    world: entities.World,
+    target: str,
+    rank: int,
+    *,
+    left: int,
+    tells_pace: bool = True,
+) -> None:
+    """Notes that a held-back request got its turn.
+
+    Args:
+        world: Tables.
+        target: Its target.
+        rank: Rank of the queue that it was held in.
+        left: How many others wait there.
+        tells_pace: Whether it waited for its turn alone, not for a rest.
+    """
     turn = _turn(world, target, rank)
-    if turn.since_ms >= 0:
+    if turn.since_ms >= 0 and tells_pace:
         gap_ms = world.now_ms - turn.since_ms
         before_ms = turn.smoothed_ms or float(gap_ms)
         turn.smoothed_ms = before_ms + SMOOTHING * (gap_ms - before_ms)
@@ -66,7 +81,8 @@
     servers = [
         server
         for server in world.servers_by_target[target].values()
-        if not server.leaving and server.ejected_until_ms <= world.now_ms
+        if not server.leaving
+        and max(server.ejected_until_ms, server.rest_until_ms) <= world.now_ms
     ]
     if not servers or not before:
         return 0.0
--- a/src/godwittack/daemon/watch.py
+++ b/src/godwittack/daemon/watch.py
@@ -173,6 +173,7 @@
 
     async def _poll_load(self, row: entities.ServerRow) -> None:
         while True:
+            await self._until_rested(row)
             got = await self._client.poll_load(
                 row.address, server_id=row.server_id
             )
@@ -180,6 +181,15 @@
                 self._tell_load(row, got.ok_value)
             await asyncio.sleep(self._load_poll_ms / 1000)
 
+    async def _until_rested(self, row: entities.ServerRow) -> None:
+        """Waits while a server wants nothing from this daemon."""
+        while True:
+            now_ms = self._core.clock.now_ms()
+            known = self._core.core.world.servers.get(row.server_id, row)
+            if known.rest_until_ms <= now_ms:
+                return
+            await asyncio.sleep((known.rest_until_ms - now_ms) / 1000)
+
     def _tell_load(
         self, row: entities.ServerRow, load: backend.EngineLoad
     ) -> None:
@@ -208,6 +218,7 @@
     async def _follow_cache(self, row: entities.ServerRow) -> None:
         digester = digests.Digester(row.server_id)
         while True:
+            await self._until_rested(row)
             got = await self._client.cache_events(
                 row.address,
                 after=digester.sequence,
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -110,6 +110,10 @@
         "godwittack_leaving_servers": lambda: sum(
             server.leaving for server in world.servers.values()
         ),
+        "godwittack_resting_servers": lambda: sum(
+            server.rest_until_ms > world.now_ms
+            for server in world.servers.values()
+        ),
         "godwittack_quarantined": lambda: len(world.quarantine),
         "godwittack_retry_tokens": lambda: min(
             (shared.tokens for shared in world.target_budgets.values()),
--- a/tests/features/withdrawing.feature
+++ b/tests/features/withdrawing.feature
@@ -30,3 +30,18 @@
       | a peer told of a start before does not take the next one out |
       | a peer told before the entry is listed is believed |
       | news of leaving name the start that leaves |
+      | a server that rests gets nothing until then |
+      | a rest is no failure of a server |
+      | a rest holds while its entry is away |
+      | a server that starts again has asked for nothing |
+      | what a later start said holds once it is listed |
+      | a request waits for a rest that ends in its time |
+      | a rest that is made longer ends the wait |
+      | no more wait for a rest than the servers take |
+      | callers return spread after the least rest |
+      | no retry is spent where all servers rest |
+      | a rest says nothing of how fast turns come |
+      | what is kept of servers is bounded |
+      | each way to ask for rest is read |
+      | each spelling of leaving is read |
+      | a rest that cannot be read is a short one |
