Ask once more before the first byte whether a server wants the request

A request was chosen a server, and sent there although it had said with another answer that it leaves or rests, where a connection had to be opened first: up to a second, on a path that loses packets.

Cause: the decision was made when a request was placed, and nothing looked again when it was sent. Now the gate is right before the first byte. What is withheld has reached nobody: it is placed anew, at no cost to the retry budget or the attempts of its route, also where it may run once.

The case failed before (the request arrived at the server); core: placed anew at no cost.

--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -14,6 +14,8 @@
 from godwittack.core import inputs, work
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from godwittack.clock import Clock
@@ -34,6 +36,10 @@
     """The server accepted a connection and reset it unused."""
 
 
+class WithheldError(Exception):
+    """The server wanted no work any more before anything was sent."""
+
+
 class OutOfTimeError(Exception):
     """The time for an answer was over before anything was sent."""
 
@@ -124,6 +130,8 @@
         self._clock = clock
         self._control_timeout_ms = control_timeout_ms
         self.listener = words.Listener(clock=clock)
+        self.may_send: Callable[[effects.Dispatch], bool]
+        self.may_send = lambda dispatch: True
 
     async def send(
         self,
@@ -149,6 +157,12 @@
         try:
             await self._exchange(used, dispatch, call, sink)
             ended_well = True
+        except WithheldError as error:
+            sink.failed(
+                inputs.FailurePhase.CONNECT,
+                inputs.FailureCause.WITHHELD,
+                str(error),
+            )
         except OutOfTimeError as error:
             sink.failed(
                 inputs.FailurePhase.DECLINED,
@@ -259,6 +273,8 @@
         sink: protocol.AttemptSink,
     ) -> None:
         left_ms = self._left_ms(dispatch)
+        if not self.may_send(dispatch):
+            raise WithheldError(f"{dispatch.server_id} wants no work any more")
         used.send(self._wire.request_head(dispatch, call, left_ms), call.body)
         reply = await used.read_head(
             lambda reply: self._wire.is_answer_to(reply, call)
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -133,6 +133,9 @@
     if found is None:
         return
     request, attempt = found
+    if told.cause is inputs.FailureCause.WITHHELD:
+        followup.place_anew(world, request, told.detail)
+        return
     if told.phase is inputs.FailurePhase.SENT:
         request.sent = True
     else:
--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -15,7 +15,7 @@
 from godwittack.core import incarnation as incarnations
 
 if TYPE_CHECKING:
-    from godwittack.core import server_inputs
+    from godwittack.core import effects, server_inputs
 
 # Servers of which a word is kept beyond their entry, the latest ones.
 MOST_NOTICES = 4_096
@@ -92,6 +92,20 @@
     return world.now_ms < server.rest_until_ms
 
 
+def may_send(
+    world: entities.World, sent: effects.Dispatch, *, now_ms: int
+) -> bool:
+    """Returns whether a request may still go to the server chosen for it.
+
+    Between the choice and the first byte a connection may have to be opened,
+    and the server may have said with another answer that it wants nothing.
+    """
+    server = world.servers.get(sent.server_id)
+    if server is None:
+        return False
+    return not server.leaving and server.rest_until_ms <= now_ms
+
+
 def end_rests(world: entities.World) -> None:
     """Takes servers back into service whose rest is over."""
     for server_id, notice in list(world.notices.items()):
@@ -161,6 +175,7 @@
     "is_resting",
     "leaving_told",
     "left_out",
+    "may_send",
     "rest_asked",
     "start_seen",
 ]
--- a/src/godwittack/core/followup.py
+++ b/src/godwittack/core/followup.py
@@ -58,6 +58,25 @@
     )
 
 
+def place_anew(
+    world: entities.World, request: entities.RequestRow, detail: str
+) -> None:
+    """Places a request anew of whose attempt no byte was sent.
+
+    Nothing has reached a server, so that it counts against no limit.
+    """
+    closing.close_attempt(world, request.attempt_id)
+    request.attempts -= 1
+    request.runs -= 1
+    world.event(
+        "placed_anew",
+        request.request_id,
+        target=request.work.target,
+        detail=detail,
+    )
+    dispatching.place(world, request)
+
+
 def outcome_lost(
     world: entities.World, request: entities.RequestRow, detail: str
 ) -> None:
@@ -155,6 +174,7 @@
     "answer_may_improve",
     "break_stream",
     "outcome_lost",
+    "place_anew",
     "resume_or_break",
     "retry",
 ]
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -29,7 +29,8 @@
 class FailureCause(enum.StrEnum):
     """Why an attempt failed, where the difference changes the decision.
 
-    ENDED: nothing listens at the server's address.
+    ENDED: nothing listens at the server's address. WITHHELD: not sent, as the
+    server wanted no work any more.
     """
 
     BROKEN = "broken"
@@ -37,6 +38,7 @@
     REFUSED = "refused"
     OTHER_SERVER = "other_server"
     STREAM_GONE = "stream_gone"
+    WITHHELD = "withheld"
 
 
 class ClaimVerdict(enum.StrEnum):
--- a/src/godwittack/daemon/edge.py
+++ b/src/godwittack/daemon/edge.py
@@ -14,7 +14,7 @@
 
 from godwittack.backend import pool as pools
 from godwittack.backend import routed
-from godwittack.core import inputs, rate_limits
+from godwittack.core import availability, inputs, rate_limits
 from godwittack.daemon import (
     announcing,
     base,
@@ -115,6 +115,9 @@
             clock=clock,
         )
         backend.listener.submit = self.runtime.submit
+        backend.may_send = lambda dispatch: availability.may_send(
+            core.world, dispatch, now_ms=clock.now_ms()
+        )
         backend.listener.limits.on_named = self.runtime.submit
         backend.listener.limits.is_known = functools.partial(
             rate_limits.is_limited, core.world
--- a/tests/cases/availability.py
+++ b/tests/cases/availability.py
@@ -23,6 +23,7 @@
 DAY_MS = 86_400_000
 DECLINED = inputs.FailurePhase.DECLINED
 REFUSED = inputs.FailureCause.REFUSED
+WITHHELD = inputs.FailureCause.WITHHELD
 
 
 def _list(core: Core, **fields) -> None:
@@ -290,3 +291,22 @@
     (rest,) = told
     assert (rest.server_id, rest.incarnation) == ("s1", "s1@3")
     assert rest.rest_ms == words.UNREADABLE_REST_MS
+
+
+def what_was_not_sent_is_placed_anew_and_costs_nothing() -> None:
+    """Guards against a retry spent, or a call ended, for what was not sent."""
+    core = Core()
+    for name in ("release", "confirm"):
+        core.arrive(name, name)
+        first = core.dispatch()
+        tokens = core.world.target_budgets[routed_core.SERVICE].tokens
+        _rest(core, first.server_id)
+        core.fail(first, inputs.FailurePhase.CONNECT, WITHHELD)
+        second = core.dispatch()
+        assert second.server_id != first.server_id
+        request = core.world.requests[name]
+        assert (request.attempts, request.runs) == (1, 1)
+        budget = core.world.target_budgets[routed_core.SERVICE]
+        assert budget.tokens == tokens
+        core.answer(second)
+        core.wait(3_000)
--- a/tests/cases/connections.py
+++ b/tests/cases/connections.py
@@ -5,9 +5,16 @@
 import asyncio
 import dataclasses
 
+from cases import routed_core
 from godwittack.backend import pool, protocol, routed
 from godwittack.clock import SystemClock
-from godwittack.core import effects, inputs, work
+from godwittack.core import (
+    availability,
+    effects,
+    inputs,
+    server_inputs,
+    work,
+)
 from godwittack.platform import servers
 from standins.scripted import LATER_S, Say, ScriptedServer
 
@@ -68,7 +75,7 @@
         self._server = server
         clock = SystemClock()
         self.pool = pool.Pool(clock=clock, connect_timeout_ms=500)
-        self._routed = routed.RoutedBackend(
+        self.routed = routed.RoutedBackend(
             pool=self.pool,
             wire=servers.ServerFormat(lambda target: "m"),
             clock=clock,
@@ -97,7 +104,7 @@
             },
         )
         async with asyncio.timeout(2):
-            await self._routed.send(sent, call, sink)
+            await self.routed.send(sent, call, sink)
         return sink
 
 
@@ -118,6 +125,83 @@
         assert (await backend.send("r2")).answered.body == b"1"
 
 
+async def what_its_server_wants_no_more_is_not_sent() -> None:
+    """Guards against a send decided before its server asked for rest."""
+    async with ScriptedServer(Say(whole(b"1")), Say(whole(b"2"))) as server:
+        backend = Backend(server)
+        core = routed_core.Core(servers=0)
+        core.list_server("i-1", routed_core.SERVICE)
+        backend.routed.may_send = lambda sent: availability.may_send(
+            core.world, sent, now_ms=core.now_ms
+        )
+        open_at_once = backend.pool.open
+
+        async def open_slowly(address: str):
+            core.tell_named(
+                server_inputs.RestAsked, server_id="i-1", rest_ms=1_000
+            )
+            return await open_at_once(address)
+
+        backend.pool.open = open_slowly
+        sink = await backend.send(fresh_connection=True)
+        assert server.requests == []
+        assert sink.failure == (
+            inputs.FailurePhase.CONNECT,
+            inputs.FailureCause.WITHHELD,
+        )
+        core.now_ms += 1_000
+        backend.pool.open = open_at_once
+        assert (await backend.send("r2")).answered.body == b"1"
+        core.tell(server_inputs.ServerLeaving, "i-1")
+        await backend.send("r3")
+        assert len(server.requests) == 1
+
+
+async def another_process_tells_nothing_of_a_server() -> None:
+    """Guards against words of the process that now has a server's address."""
+    words = b"Server-Leaving: 1\r\nRetry-After: 3\r\n"
+    declined = HEAD.replace(b"200 OK", b"421 Misdirected Request") + words
+    by_other = whole(b"", declined + b"X-Godwittack-Instance-Id: i-2\r\n")
+    by_itself = whole(b"", HEAD.replace(b"200 OK", b"503 Full") + words)
+    told: list[object] = []
+    async with ScriptedServer(Say(by_other), Say(by_itself)) as server:
+        backend = Backend(server)
+        backend.routed.listener.submit = told.append
+        await backend.send()
+        assert told == []
+        await backend.send("r2")
+        kinds = [type(word) for word in told]
+        assert kinds == [server_inputs.ServerLeaving, server_inputs.RestAsked]
+
+
+async def control_calls_tell_of_their_server() -> None:
+    """Guards against words in reports, events and orders that nobody reads."""
+    declined = b"HTTP/1.1 503 Full\r\nServer-Leaving: 1\r\nRetry-After: 2\r\n"
+    order = protocol.Order(
+        kind=protocol.OrderKind.LOAD_WEIGHTS,
+        fencing=1,
+        value="2",
+        target="t",
+        server_id="i-1",
+    )
+    async with ScriptedServer(*[Say(whole(b"", declined))] * 3) as server:
+        backend = Backend(server)
+        told: list[object] = []
+        backend.routed.listener.submit = told.append
+        for call in (
+            backend.routed.load(server.address, server_id="i-1"),
+            backend.routed.cache_events(
+                server.address, after=0, server_id="i-1"
+            ),
+            backend.routed.order(server.address, order),
+        ):
+            told.clear()
+            assert (await call).is_err()
+            leaving, rest = told
+            assert leaving.server_id == rest.server_id == "i-1"
+            assert rest.rest_ms == 2_000
+
+
 async def a_kept_connection_is_used_again() -> None:
     """Two calls in a row take one connection.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -108,6 +108,9 @@
     Examples: a server's bytes
       | group | case |
       | connections | what is out of time is not sent |
+      | connections | what its server wants no more is not sent |
+      | connections | another process tells nothing of a server |
+      | connections | control calls tell of their server |
       | connections | a kept connection is used again |
       | connections | a second answer reaches nobody |
       | connections | a late answer to another is read past |
--- a/tests/features/withdrawing.feature
+++ b/tests/features/withdrawing.feature
@@ -45,3 +45,4 @@
       | each way to ask for rest is read |
       | each spelling of leaving is read |
       | a rest that cannot be read is a short one |
+      | what was not sent is placed anew and costs nothing |
