Hear on our own interface as well that a server asks for rest

An engine's or service's 503 with Retry-After, and an engine's 429, were read for their status alone by the client of our own interface, as by the platform's before: the same class. The same function reads them. The case failed before (no such listener).

--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -9,12 +9,13 @@
 import pydantic
 from result import Err, Ok, Result
 
-from godwittack.backend import headers, protocol, schema, sse
+from godwittack.backend import headers, protocol, schema, sse, words
 from godwittack.core import inputs, work
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from godwittack.clock import Clock
     from godwittack.core import effects
 
 _Read = TypeVar("_Read")
@@ -33,6 +34,7 @@
         *,
         pooled: aiohttp.ClientSession,
         fresh: aiohttp.ClientSession,
+        clock: Clock,
         connect_timeout_ms: int,
         control_timeout_ms: int,
     ) -> None:
@@ -41,11 +43,13 @@
         Args:
             pooled: Session that keeps connections.
             fresh: Session that opens a connection for each call.
+            clock: Dates what servers say.
             connect_timeout_ms: Limit for opening a connection.
             control_timeout_ms: Limit for load, probe and order calls.
         """
         self._pooled = pooled
         self._fresh = fresh
+        self.listener = words.Listener(clock=clock)
         # The core watches for silence; here only connecting is limited.
         self._attempt_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_ms / 1000
@@ -175,6 +179,7 @@
             skip_auto_headers=AUTO_HEADERS,
             middlewares=(_SendOnce(),),
         ) as response:
+            self._hear(dispatch, response)
             if dispatch.stamp is None:
                 sink.answer("", await _answer(response), None)
                 return
@@ -182,6 +187,25 @@
                 return
             await self._read_generation(dispatch, response, sink)
 
+    def _hear(
+        self, dispatch: effects.Dispatch, response: aiohttp.ClientResponse
+    ) -> None:
+        """Takes in the rest that a server asks for where it declines."""
+        found = [
+            work.Header(name, value) for name, value in response.headers.items()
+        ]
+        rest = words.read_rest(
+            response.status, found, is_declined=dispatch.stamp is not None
+        )
+        speaker = words.Speaker(
+            server_id=dispatch.server_id,
+            incarnation=dispatch.stamp.incarnation if dispatch.stamp else "",
+            request_id=dispatch.request_id,
+        )
+        self.listener.heard(
+            speaker, words.ServerWords(rest=rest), may_lift_limit=False
+        )
+
     async def _read_generation(
         self,
         dispatch: effects.Dispatch,
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -63,6 +63,7 @@
         backend = backend_http.HttpBackend(
             pooled=sessions.pooled,
             fresh=sessions.fresh,
+            clock=clock,
             connect_timeout_ms=settings.connect_timeout_ms,
             control_timeout_ms=settings.control_timeout_ms,
         )
@@ -75,6 +76,7 @@
             ),
             clock=clock,
         )
+        backend.listener.submit = self.runtime.submit
         if settings.record_file:
             sink = open(  # noqa: SIM115 - open as long as the process.
                 settings.record_file, "a", buffering=1, encoding="utf-8"
--- a/tests/cases/connections.py
+++ b/tests/cases/connections.py
@@ -5,8 +5,10 @@
 import asyncio
 import dataclasses
 
+import aiohttp
+
 from cases import routed_core
-from godwittack.backend import pool, protocol, routed
+from godwittack.backend import http, pool, protocol, routed
 from godwittack.clock import SystemClock
 from godwittack.core import (
     availability,
@@ -202,6 +204,38 @@
             assert rest.rest_ms == 2_000
 
 
+async def our_own_interface_hears_that_a_server_wants_rest() -> None:
+    """Guards against a wish for rest that only one interface reads."""
+    full = whole(b"", b"HTTP/1.1 503 Full\r\nRetry-After: 1.5\r\n")
+    sent = effects.Dispatch(
+        request_id="r1",
+        attempt_id="r1",
+        server_id="i-1",
+        address="",
+        stamp=STAMP,
+    )
+    call = protocol.Call(method="POST", path="/x", headers=(), body=b"b")
+    async with (
+        ScriptedServer(Say(full)) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        backend = http.HttpBackend(
+            pooled=session,
+            fresh=session,
+            clock=SystemClock(),
+            connect_timeout_ms=500,
+            control_timeout_ms=500,
+        )
+        told: list[object] = []
+        backend.listener.submit = told.append
+        sink = Sink()
+        dispatch = dataclasses.replace(sent, address=server.address)
+        await backend.send(dispatch, call, sink)
+        assert sink.failure == (SENT, inputs.FailureCause.REFUSED)
+        (rest,) = told
+        assert (rest.server_id, rest.rest_ms) == ("i-1", 1_500)
+
+
 async def a_kept_connection_is_used_again() -> None:
     """Two calls in a row take one connection.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -111,6 +111,7 @@
       | connections | what its server wants no more is not sent |
       | connections | another process tells nothing of a server |
       | connections | control calls tell of their server |
+      | connections | our own interface hears that a server wants rest |
       | connections | a kept connection is used again |
       | connections | a second answer reaches nobody |
       | connections | a late answer to another is read past |
