--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -18,7 +18,7 @@
     from godwittack.core import effects, server_inputs
 
 # Servers of which a word is kept beyond their entry, the latest ones.
-MOST_NOTICES = 4_096
+MOST_NOTICES = 1_024
 # Names of servers in one log line.
 MOST_NAMED = 8
 
@@ -38,11 +38,11 @@
     if is_news:
         world.event(
             "server_leaving",
-            told.request_id,
             server=told.server_id,
             leaving=1,
             start=notice.start,
-            source=told.source,
+            source=told.source.value,
+            **_of_request(told.request_id),
         )
 
 
@@ -60,10 +60,10 @@
     if is_news and until_ms > world.now_ms:
         world.event(
             "server_rests",
-            told.request_id,
             server=told.server_id,
             start=notice.start,
             rest_ms=told.rest_ms,
+            **_of_request(told.request_id),
         )
 
 
@@ -71,6 +71,7 @@
     """Applies what is kept of a server to its row."""
     notice = world.notices.get(server.server_id)
     if notice is not None and _concerns(notice, server):
+        notice.start = notice.start or server.incarnation
         server.leaving |= notice.is_leaving
         server.rest_until_ms = notice.rest_until_ms
 
@@ -134,6 +135,15 @@
     }
 
 
+def _of_request(request_id: str) -> dict[str, str]:
+    """Returns the request whose answer told, as a field.
+
+    Not as the line's own request: under load the lines of requests that end
+    well are left out.
+    """
+    return {"request": request_id} if request_id else {}
+
+
 def _notice(
     world: entities.World, server_id: str, told_start: str
 ) -> entities.NoticeRow | None:
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -85,7 +85,7 @@
     before = _waiting(world, request.work.target, rank)
     request.phase = entities.Phase.QUEUED
     request.queue_rank = rank
-    if not len(queue):
+    if not len(queue) and not request.awaits_rest:
         turns.begin(world, request.work.target, rank)
     if request.work.route is not None:
         world.event(
--- a/src/godwittack/daemon/watch.py
+++ b/src/godwittack/daemon/watch.py
@@ -183,12 +183,13 @@
 
     async def _until_rested(self, row: entities.ServerRow) -> None:
         """Waits while a server wants nothing from this daemon."""
-        while True:
-            now_ms = self._core.clock.now_ms()
-            known = self._core.core.world.servers.get(row.server_id, row)
-            if known.rest_until_ms <= now_ms:
-                return
-            await asyncio.sleep((known.rest_until_ms - now_ms) / 1000)
+        servers = self._core.core.world.servers
+        while (
+            servers.get(row.server_id, row).rest_until_ms
+            > self._core.clock.now_ms()
+        ):
+            # Looked at again and again: one that starts anew rests no more.
+            await asyncio.sleep(self._load_poll_ms / 1000)
 
     def _tell_load(
         self, row: entities.ServerRow, load: backend.EngineLoad
--- a/tests/cases/availability.py
+++ b/tests/cases/availability.py
@@ -310,3 +310,24 @@
         assert budget.tokens == tokens
         core.answer(second)
         core.wait(3_000)
+
+
+def a_word_that_names_no_start_ends_with_the_one_it_met() -> None:
+    """Guards against leaving that outlives every start of a server."""
+    core = Core()
+    core.tell(server_inputs.ServerLeaving, "x")
+    _list(core)
+    assert _leaves(core)
+    _list(core, incarnation=STARTED_AGAIN)
+    assert not _leaves(core)
+
+
+def who_arrives_as_a_rest_ends_is_not_refused_for_the_wait() -> None:
+    """Guards against a rest taken for the time that a turn takes."""
+    core = Core()
+    _rest_all(core, 1_000)
+    for number in range(5):
+        core.arrive("release", f"r{number}", deadline_ms=3_000)
+    core.now_ms += 1_000
+    core.arrive("release", "after", deadline_ms=3_000)
+    assert len(core.find(effects.Dispatch)) == 6, core.made
--- a/tests/features/withdrawing.feature
+++ b/tests/features/withdrawing.feature
@@ -46,3 +46,5 @@
       | each spelling of leaving is read |
       | a rest that cannot be read is a short one |
       | what was not sent is placed anew and costs nothing |
+      | a word that names no start ends with the one it met |
+      | who arrives as a rest ends is not refused for the wait |
