--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -11,6 +11,7 @@
 import collections
 import dataclasses
 import random
+import shutil
 import signal
 import sys
 import time
@@ -24,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+# Where the logs of sessions that went wrong are kept.
+KEPT_LOGS = platform.ROOT / "target" / "soak"
 PLAY_S = 16.0
 ENGINES = 6
 SERVICES = 3
@@ -99,6 +102,7 @@
         busy: int = 0,
         plan: Plan | None = None,
     ) -> None:
+        self.seed = seed
         self.plan = plan or Plan()
         self.rng = random.Random(seed)
         self.daemons = daemons
@@ -143,8 +147,18 @@
                     process.kill()
                     await process.wait()
             self._check()
+            if self.wrong:
+                self._keep_logs()
         return self.wrong
 
+    def _keep_logs(self) -> None:
+        """Copies the daemons' logs before their folder goes."""
+        folder = KEPT_LOGS / f"{type(self).__module__}-{self.seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        for log in self.made.logs:
+            shutil.copy(log, folder)
+        (folder / "faults.txt").write_text("\n".join(self.faults))
+
     async def _call_on(self, number: int) -> None:
         count = 0
         while not self._stopping:
