Let a server whose starts have no names come back with its entry

A year that no calendar has is unreadable, not an exception (it would have ended the answer as broken).

--- a/src/godwittack/backend/retry_after.py
+++ b/src/godwittack/backend/retry_after.py
@@ -11,7 +11,6 @@
 from godwittack.backend import headers
 
 if TYPE_CHECKING:
-    import datetime
     from collections.abc import Iterable
 
     from godwittack.core import work
@@ -48,19 +47,21 @@
 def _milliseconds(value: str, dated: str) -> int | None:
     if headers.is_decimal(value):
         return math.ceil(float(value) * 1000)
-    until, made = _moment(value), _moment(dated)
-    if until is None or made is None:
+    until_s, made_s = _moment_s(value), _moment_s(dated)
+    if until_s is None or made_s is None:
         return None
-    return max(0, math.ceil((until - made).total_seconds() * 1000))
+    return max(0, (until_s - made_s) * 1000)
 
 
-def _moment(text: str) -> datetime.datetime | None:
-    """Returns a date with its zone, None for anything else."""
+def _moment_s(text: str) -> int | None:
+    """Returns a date's Unix seconds, None for what is no date."""
+    parsed = email.utils.parsedate_tz(text)
+    if parsed is None:
+        return None
     try:
-        found = email.utils.parsedate_to_datetime(text)
-    except ValueError:
+        return email.utils.mktime_tz(parsed)
+    except (ValueError, OverflowError):
         return None
-    return found if found.tzinfo is not None else None
 
 
 __all__ = ["MOST_MS", "read"]
--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -88,6 +88,16 @@
     apply(world, server)
 
 
+def entry_gone(world: entities.World, server_id: str) -> None:
+    """Drops what a server had said whose starts have no names.
+
+    Nothing else would ever show that another one has begun.
+    """
+    notice = world.notices.get(server_id)
+    if notice is not None and not notice.start:
+        del world.notices[server_id]
+
+
 def is_resting(world: entities.World, server: entities.ServerRow) -> bool:
     """Returns whether a server wants nothing from this daemon now."""
     return world.now_ms < server.rest_until_ms
@@ -182,6 +192,7 @@
 __all__ = [
     "apply",
     "end_rests",
+    "entry_gone",
     "is_resting",
     "leaving_told",
     "left_out",
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -330,6 +330,7 @@
     server = world.servers.pop(server_id, None)
     if server is not None:
         crashes.ended(world, server)
+        availability.entry_gone(world, server_id)
         world.servers_by_target[server.target].pop(server_id, None)
         world.event("server_gone", server=server_id)
 
--- a/tests/cases/availability.py
+++ b/tests/cases/availability.py
@@ -258,6 +258,8 @@
     )
     assert _read(Retry_After=until, Date=made).rest == Ok(5_000)
     assert _read(Retry_After=made, Date=until).rest == Ok(0)
+    beyond = "Fri, 04 Dec 99999 10:00:07 GMT"
+    assert isinstance(_read(Retry_After=beyond, Date=made).rest, Err)
     for text in ("", "-1", "nan", "soon", "1e9", "3 s", until):
         assert isinstance(_read(Retry_After=text).rest, Err), text
     assert _read().rest == Ok(None)
@@ -323,6 +325,17 @@
     assert not _leaves(core)
 
 
+def a_server_whose_starts_have_no_names_comes_back_with_its_entry() -> None:
+    """Guards against one word that keeps a server from service for good."""
+    core = Core()
+    _list(core, incarnation="")
+    core.tell(server_inputs.ServerLeaving, "x")
+    assert _leaves(core)
+    core.tell_named(server_inputs.ServerListed, server_id="x", gone=True)
+    _list(core, incarnation="")
+    assert not _leaves(core)
+
+
 def who_arrives_as_a_rest_ends_is_not_refused_for_the_wait() -> None:
     """Guards against a rest taken for the time that a turn takes."""
     core = Core()
--- a/tests/features/withdrawing.feature
+++ b/tests/features/withdrawing.feature
@@ -48,3 +48,4 @@
       | what was not sent is placed anew and costs nothing |
       | a word that names no start ends with the one it met |
       | who arrives as a rest ends is not refused for the wait |
+      | a server whose starts have no names comes back with its entry |
