Keep crashes from the second on beyond the daemons' lives

Cause, from the logs: i-s2 crashed at 23.54 and i-s3 at 23.82, seen by two daemons and told; all twelve were killed within the next second and the third crash was seen by none that lived. The daemons that served from 28.9 on knew nothing and counted three more before the quarantine at 31.15. Rows were written from the third crash on.

Now a content is written from its second crash on, and a run that completes clears the row, whoever wrote it. Rows of fewer crashes than a quarantine takes are not read beyond the time for which daemons would remember them.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -78,12 +78,12 @@
     if not world.quarantine.crashes(content):
         return
     done = quarantine.Completion(content=content, at_ms=world.now_ms)
-    was_quarantined = world.quarantine.until_ms(content) > 0
+    was_kept = world.quarantine.is_kept(content)
     if not world.quarantine.complete(done):
         return
     world.event("crashes_cleared", request.request_id, content=done.content)
-    # Only a quarantine was told to daemons that hear of no server here.
-    target = "" if was_quarantined else request.work.target
+    # Daemons that hear of no server here know only of what was kept.
+    target = "" if was_kept else request.work.target
     world.emit(effects.TellCrashes(target=target, completions=(done,)))
 
 
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -15,6 +15,9 @@
 # Server starts that must have ended under a content until it is quarantined.
 # Requests that ran beside it are seldom with it three times.
 MOST_CRASHES = 3
+# Crashes from which a content is kept beyond the daemons' lives. Kept from the
+# third on only, a restart of all daemons between would begin the count anew.
+KEPT_CRASHES = MOST_CRASHES - 1
 # A quarantine's first length; each further crash doubles it.
 QUARANTINE_MS = 600_000
 MOST_DOUBLINGS = 6
@@ -141,6 +144,10 @@
         """Returns the crashes known of a content."""
         return tuple(self._rows.get(content, {}).values())
 
+    def is_kept(self, content: str) -> bool:
+        """Returns whether a content's crashes are kept beyond this process."""
+        return len(self._rows.get(content, {})) >= KEPT_CRASHES
+
     def until_ms(self, content: str) -> int:
         """Returns when a content's quarantine ends; 0 where it has none."""
         if content not in self._quarantined:
@@ -208,4 +215,11 @@
         self._quarantined.discard(content)
 
 
-__all__ = ["MOST_CRASHES", "Completion", "Crash", "Quarantine"]
+__all__ = [
+    "KEPT_CRASHES",
+    "MEMORY_MS",
+    "MOST_CRASHES",
+    "Completion",
+    "Crash",
+    "Quarantine",
+]
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -1,4 +1,4 @@
-"""Keeps quarantines in the platform's store.
+"""Keeps what crashes servers in the platform's store.
 
 Daemons learn of crashes from each other. Where all of them end at one time,
 the store alone still knows which requests crash servers.
@@ -46,7 +46,7 @@
 
 
 class CrashRows:
-    """Writes contents that come into quarantine, and reads them once.
+    """Writes contents that crash servers again, and reads them once.
 
     They are read when this daemon first sees a server end under a request: a
     daemon that sees none makes no call.
@@ -69,8 +69,8 @@
             self._keep(content)
         for done in told.completions:
             self._written.pop(done.content, None)
-            # Every daemon is told of those alone that were in quarantine. The
-            # row may be another daemon's.
+            # Every daemon is told of those alone that were kept. The row may
+            # be another daemon's.
             if not told.target:
                 self._spawn(self._write(_RowJson(content=done.content)))
 
@@ -82,7 +82,7 @@
     def _keep(self, content: str) -> None:
         known = self._runtime.core.world.quarantine
         crashes = known.crashes(content)
-        if not known.until_ms(content):
+        if not known.is_kept(content):
             return
         if self._written.get(content, 0) >= len(crashes):
             return
@@ -153,6 +153,7 @@
                     at_ms=min(clock.now_ms(), crash.at_wall_ms - ahead_ms),
                 )
                 for crash in kept.crashes
+                if _is_remembered(kept, crash, now_wall_ms=clock.wall_ms())
             )
         if found:
             self._runtime.submit(
@@ -165,4 +166,16 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _is_remembered(
+    kept: _RowJson, crash: _CrashJson, *, now_wall_ms: int
+) -> bool:
+    """Returns whether a daemon that had lived on would know of a crash.
+
+    A quarantine may last for longer than its crashes would be remembered.
+    """
+    if len(kept.crashes) >= quarantine.MOST_CRASHES:
+        return True
+    return now_wall_ms - crash.at_wall_ms <= quarantine.MEMORY_MS
+
+
 __all__ = ["CrashRows", "Store"]
--- a/tests/cases/crash_rows.py
+++ b/tests/cases/crash_rows.py
@@ -9,7 +9,7 @@
 
 from cases import routed_core
 from godwittack.clock import ManualClock
-from godwittack.core import effects, quarantine
+from godwittack.core import crashes, effects, quarantine
 from godwittack.daemon import crash_rows
 from godwittack.store import protocol
 
@@ -56,7 +56,7 @@
 
     def __init__(self, store: Store) -> None:
         self.core = routed_core.Core()
-        clock = ManualClock(self.core.now_ms)
+        clock = self.clock = ManualClock(self.core.now_ms)
         runtime = types.SimpleNamespace(
             core=self.core.router, clock=clock, submit=self.core.router.step
         )
@@ -146,6 +146,52 @@
     assert not later.known.until_ms("desk/f")
 
 
+async def crashes_before_a_quarantine_outlive_the_daemons() -> None:
+    """Guards against a count that begins anew as all daemons are killed."""
+    store = Store()
+    Daemon(store).crash("s1", "s2")
+    await _settle()
+    later = Daemon(store)
+    later.crash("s3")
+    await _settle()
+    assert later.known.until_ms("desk/f")
+
+
+async def a_completed_run_clears_crashes_before_a_quarantine() -> None:
+    """Guards against old crashes that put a harmless request in quarantine."""
+    store = Store()
+    first = Daemon(store)
+    first.crash("s1", "s2")
+    await _settle()
+    other = Daemon(store)
+    for crash in first.known.crashes("desk/f"):
+        other.known.add(crash)
+    work = types.SimpleNamespace(target="m", route=None)
+    request = types.SimpleNamespace(content="desk/f", request_id="r", work=work)
+    other.core.world.out = []
+    crashes.completed(other.core.world, request)
+    for told in other.core.world.out:
+        if isinstance(told, effects.TellCrashes):
+            other.rows.seen(told)
+    await _settle()
+    later = Daemon(store)
+    later.crash("s3")
+    await _settle()
+    assert not later.known.until_ms("desk/f")
+
+
+async def crashes_of_long_ago_are_not_read() -> None:
+    """Guards against a quarantine by crashes that no daemon would remember."""
+    store = Store()
+    Daemon(store).crash("s1", "s2")
+    await _settle()
+    later = Daemon(store)
+    later.clock.advance(by_ms=quarantine.MEMORY_MS + 1)
+    later.crash("s3")
+    await _settle()
+    assert not later.known.until_ms("desk/f")
+
+
 async def daemons_that_see_no_crash_make_no_call() -> None:
     """Guards against calls of the store on days without crashes."""
     store = Store()
--- a/tests/features/crashing.feature
+++ b/tests/features/crashing.feature
@@ -40,4 +40,7 @@
       | crash_rows | a store that is down is asked again |
       | crash_rows | a quarantine that was lifted stays so |
       | crash_rows | a quarantine that another daemon lifted stays so |
+      | crash_rows | crashes before a quarantine outlive the daemons |
+      | crash_rows | a completed run clears crashes before a quarantine |
+      | crash_rows | crashes of long ago are not read |
       | crash_rows | daemons that see no crash make no call |
