Look at servers that rest alone when time passes

Each tick looked at all servers of which a word is kept: 0.87 ms with 1,000 of them (beside other load), 20 times a second. Now at those that rest.

--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -54,6 +54,7 @@
     is_news = notice.rest_until_ms <= world.now_ms
     until_ms = told.at_ms + told.rest_ms
     notice.rest_until_ms = max(notice.rest_until_ms, until_ms)
+    world.resting.add(told.server_id)
     server = world.servers.get(told.server_id)
     if server is not None:
         apply(world, server)
@@ -119,9 +120,15 @@
 
 def end_rests(world: entities.World) -> None:
     """Takes servers back into service whose rest is over."""
-    for server_id, notice in list(world.notices.items()):
-        if not 0 < notice.rest_until_ms <= world.now_ms:
+    for server_id in list(world.resting):
+        notice = world.notices.get(server_id)
+        if notice is None:
+            # Another start has asked for nothing.
+            world.resting.discard(server_id)
             continue
+        if notice.rest_until_ms > world.now_ms:
+            continue
+        world.resting.discard(server_id)
         notice.rest_until_ms = 0
         if not notice.is_leaving:
             del world.notices[server_id]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -254,6 +254,7 @@
         paces: What first tokens have shown of engines, by target.
         quarantine: Requests under which servers ended.
         notices: What servers have said of their availability, by server.
+        resting: Servers that have asked for a rest that is not over yet.
     """
 
     daemon: str
@@ -305,6 +306,7 @@
         default_factory=dict
     )
     notices: dict[str, NoticeRow] = dataclasses.field(default_factory=dict)
+    resting: set[str] = dataclasses.field(default_factory=set)
     paces: dict[str, pace.Pace] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(pace.Pace)
     )
--- a/tests/cases/availability.py
+++ b/tests/cases/availability.py
@@ -236,6 +236,7 @@
     assert len(core.world.notices) == availability.MOST_NOTICES
     core.wait(3_100)
     assert "s1" not in core.world.notices
+    assert not core.world.resting
 
 
 def _read(status: int = 503, **told: str) -> words.ServerWords:
