--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -122,7 +122,7 @@
     """Takes servers back into service whose rest is over."""
     for server_id in list(world.resting):
         notice = world.notices.get(server_id)
-        if notice is None:
+        if notice is None or not notice.rest_until_ms:
             # Another start has asked for nothing.
             world.resting.discard(server_id)
             continue
