--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -9,7 +9,7 @@
 import pydantic
 from result import Err, Ok, Result
 
-from godwittack.backend import headers, protocol, schema, sse, words
+from godwittack.backend import headers, protocol, schema, signals, sse
 from godwittack.core import inputs, work
 
 if TYPE_CHECKING:
@@ -49,7 +49,7 @@
         """
         self._pooled = pooled
         self._fresh = fresh
-        self.listener = words.Listener(clock=clock)
+        self.listener = signals.Listener(clock=clock)
         # The core watches for silence; here only connecting is limited.
         self._attempt_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_ms / 1000
@@ -194,16 +194,16 @@
         found = [
             work.Header(name, value) for name, value in response.headers.items()
         ]
-        rest = words.read_rest(
+        rest = signals.read_rest(
             response.status, found, is_declined=dispatch.stamp is not None
         )
-        speaker = words.Speaker(
+        sender = signals.Sender(
             server_id=dispatch.server_id,
             incarnation=dispatch.stamp.incarnation if dispatch.stamp else "",
             request_id=dispatch.request_id,
         )
         self.listener.heard(
-            speaker, words.ServerWords(rest=rest), may_lift_limit=False
+            sender, signals.ServerSignals(rest=rest), may_lift_limit=False
         )
 
     async def _read_generation(
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -9,7 +9,7 @@
 from result import Err, Ok
 
 from godwittack.backend import connection as connections
-from godwittack.backend import headers, protocol, sse, words
+from godwittack.backend import headers, protocol, signals, sse
 from godwittack.backend import pool as pools
 from godwittack.core import inputs, work
 
@@ -65,7 +65,7 @@
     """Answer to a control call, with what it says of its server."""
 
     body: bytes
-    said: words.ServerWords
+    said: signals.ServerSignals
 
 
 class ServerFormat(Protocol):
@@ -92,7 +92,7 @@
     ) -> inputs.FailureCause | None:
         """Returns why the server did not run the request, None if it did."""
 
-    def words(self, reply: connections.Reply) -> words.ServerWords:
+    def signals(self, reply: connections.Reply) -> signals.ServerSignals:
         """Returns all that an answer says of its server."""
 
     def load_call(self, address: str, server_id: str) -> ControlCall:
@@ -129,7 +129,7 @@
         self._wire = wire
         self._clock = clock
         self._control_timeout_ms = control_timeout_ms
-        self.listener = words.Listener(clock=clock)
+        self.listener = signals.Listener(clock=clock)
         self.may_send: Callable[[effects.Dispatch], bool]
         self.may_send = lambda dispatch: True
 
@@ -279,13 +279,13 @@
         reply = await used.read_head(
             lambda reply: self._wire.is_answer_to(reply, call)
         )
-        speaker = words.Speaker(
+        sender = signals.Sender(
             server_id=dispatch.server_id,
             incarnation=dispatch.incarnation,
             request_id=dispatch.request_id,
         )
         declined = self._wire.declined(reply, dispatch.server_id)
-        self._hear(speaker, reply, may_lift_limit=declined is None)
+        self._hear(sender, reply, may_lift_limit=declined is None)
         if declined is not None:
             await used.read_body(reply)
             self._pool.give_back(dispatch.server_id, used, reply)
@@ -319,21 +319,21 @@
 
     def _hear(
         self,
-        speaker: words.Speaker,
+        sender: signals.Sender,
         reply: connections.Reply,
         *,
         may_lift_limit: bool = False,
-    ) -> words.ServerWords:
+    ) -> signals.ServerSignals:
         """Takes in what an answer says of its server.
 
         One by another process that has the address says nothing of the server
         that was meant.
         """
-        said = self._wire.words(reply)
-        declined = self._wire.declined(reply, speaker.server_id)
+        said = self._wire.signals(reply)
+        declined = self._wire.declined(reply, sender.server_id)
         if declined is inputs.FailureCause.OTHER_SERVER:
-            return words.ServerWords()
-        self.listener.heard(speaker, said, may_lift_limit=may_lift_limit)
+            return signals.ServerSignals()
+        self.listener.heard(sender, said, may_lift_limit=may_lift_limit)
         return said
 
     async def _control(
@@ -367,7 +367,7 @@
             _close(used)
             raise
         self._pool.give_back(key, used, reply)
-        said = self._hear(words.Speaker(server_id=server_id), reply)
+        said = self._hear(signals.Sender(server_id=server_id), reply)
         if reply.status not in (200, 202):
             return _error(
                 call.step,
--- a/src/godwittack/backend/words.py
+++ b/src/godwittack/backend/signals.py
@@ -37,7 +37,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ServerWords:
+class ServerSignals:
     """All that an answer says of its server.
 
     Attributes:
@@ -60,7 +60,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class WordHeaders:
+class SignalHeaders:
     """Names of the headers by which servers tell of themselves.
 
     Attributes:
@@ -77,7 +77,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Speaker:
+class Sender:
     """Who said it, and in answer to what.
 
     Attributes:
@@ -102,56 +102,56 @@
     def __init__(self, *, clock: Clock) -> None:
         """Dates what is told by `clock`."""
         self._clock = clock
-        self.submit: Callable[[server_inputs.ServerWord], None]
+        self.submit: Callable[[server_inputs.ServerSignal], None]
         self.submit = lambda told: None
         self.limits = named_limits.NamedLimits(clock=clock)
         self._unreadable: dict[str, str] = {}
 
     def heard(
-        self, speaker: Speaker, words: ServerWords, *, may_lift_limit: bool
+        self, sender: Sender, signals: ServerSignals, *, may_lift_limit: bool
     ) -> None:
         """Takes in what came with an answer.
 
         Args:
-            speaker: The server that answered.
-            words: What it said.
+            sender: The server that answered.
+            signals: What it said.
             may_lift_limit: Whether an answer without a limit says that none
                 holds, as one to a request that was run does.
         """
         now_ms = self._clock.now_ms()
-        if words.is_leaving:
+        if signals.is_leaving:
             self.submit(
                 server_inputs.ServerLeaving(
                     now_ms,
-                    speaker.server_id,
-                    incarnation=speaker.incarnation,
+                    sender.server_id,
+                    incarnation=sender.incarnation,
                     source=server_inputs.Source.ANSWER,
-                    request_id=speaker.request_id,
+                    request_id=sender.request_id,
                 )
             )
-        rest_ms = self._rest_ms(speaker.server_id, words.rest)
+        rest_ms = self._rest_ms(sender.server_id, signals.rest)
         if rest_ms:
             self.submit(
                 server_inputs.RestAsked(
                     at_ms=now_ms,
-                    server_id=speaker.server_id,
-                    incarnation=speaker.incarnation,
+                    server_id=sender.server_id,
+                    incarnation=sender.incarnation,
                     rest_ms=rest_ms,
-                    request_id=speaker.request_id,
+                    request_id=sender.request_id,
                 )
             )
-        if words.load is not None:
+        if signals.load is not None:
             self.submit(
                 server_inputs.LoadEchoed(
                     at_ms=now_ms,
-                    server_id=speaker.server_id,
-                    running=words.load.running,
-                    waiting=words.load.waiting,
-                    slots=words.load.slots,
+                    server_id=sender.server_id,
+                    running=signals.load.running,
+                    waiting=signals.load.waiting,
+                    slots=signals.load.slots,
                 )
             )
         self.limits.heard(
-            speaker.server_id, words.rate_limit, may_lift=may_lift_limit
+            sender.server_id, signals.rate_limit, may_lift=may_lift_limit
         )
 
     def _rest_ms(self, server_id: str, rest: Result[int | None, str]) -> int:
@@ -175,9 +175,9 @@
         )
 
 
-def read(reply: connection.Reply, names: WordHeaders) -> ServerWords:
+def read(reply: connection.Reply, names: SignalHeaders) -> ServerSignals:
     """Returns all that an answer says of its server."""
-    return ServerWords(
+    return ServerSignals(
         load=_load(reply.header(names.load)),
         rate_limit=headers.decimal(reply.headers, names.rate_limit),
         is_leaving=any(_is_set(reply.header(name)) for name in names.leaving),
@@ -218,9 +218,9 @@
 __all__ = [
     "EchoedLoad",
     "Listener",
-    "ServerWords",
-    "Speaker",
-    "WordHeaders",
+    "ServerSignals",
+    "Sender",
+    "SignalHeaders",
     "read",
     "read_rest",
 ]
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -222,7 +222,7 @@
 
 
 # What servers say of themselves with answers.
-ServerWord: TypeAlias = ServerLeaving | RestAsked | LoadEchoed
+ServerSignal: TypeAlias = ServerLeaving | RestAsked | LoadEchoed
 
 __all__ = [
     "CacheDigest",
@@ -237,6 +237,6 @@
     "ServerDraining",
     "ServerLeaving",
     "ServerListed",
-    "ServerWord",
+    "ServerSignal",
     "Source",
 ]
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,7 +5,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from godwittack.backend import protocol, routed, words
+from godwittack.backend import protocol, routed, signals
 from godwittack.core import incarnation, inputs
 from godwittack.placement import levels
 from godwittack.platform import names, wire
@@ -18,7 +18,7 @@
 
 STATUS_OTHER_INSTANCE = 421
 EVENTS_WAIT_MS = 1_000
-_WORDS = words.WordHeaders(
+_SIGNALS = signals.SignalHeaders(
     load=names.LOAD,
     rate_limit=names.RATE_LIMITS,
     leaving=names.LEAVING,
@@ -100,9 +100,9 @@
             return inputs.FailureCause.REFUSED
         return None
 
-    def words(self, reply: connection.Reply) -> words.ServerWords:
+    def signals(self, reply: connection.Reply) -> signals.ServerSignals:
         """Returns all that an answer says of its server."""
-        return words.read(reply, _WORDS)
+        return signals.read(reply, _SIGNALS)
 
     def load_call(self, address: str, server_id: str) -> routed.ControlCall:
         """Returns the call for a server's report of its state."""
--- a/tests/cases/availability.py
+++ b/tests/cases/availability.py
@@ -6,7 +6,7 @@
 
 from cases import routed_core
 from cases.routed_core import Core
-from godwittack.backend import connection, retry_after, words
+from godwittack.backend import connection, retry_after, signals
 from godwittack.clock import ManualClock
 from godwittack.core import (
     availability,
@@ -239,13 +239,13 @@
     assert not core.world.resting
 
 
-def _read(status: int = 503, **told: str) -> words.ServerWords:
+def _read(status: int = 503, **told: str) -> signals.ServerSignals:
     named = [
         work.Header(name.replace("_", "-"), value)
         for name, value in told.items()
     ]
     reply = connection.Reply(status=status, headers=named)
-    return servers.ServerFormat(lambda target: target).words(reply)
+    return servers.ServerFormat(lambda target: target).signals(reply)
 
 
 def each_way_to_ask_for_rest_is_read() -> None:
@@ -287,14 +287,14 @@
 
 def a_rest_that_cannot_be_read_is_a_short_one() -> None:
     """Guards against a wish for rest that is passed over for its form."""
-    listener = words.Listener(clock=ManualClock(5))
+    listener = signals.Listener(clock=ManualClock(5))
     told = []
     listener.submit = told.append
-    speaker = words.Speaker(server_id="s1", incarnation="s1@3")
-    listener.heard(speaker, _read(Retry_After="soon"), may_lift_limit=False)
+    sender = signals.Sender(server_id="s1", incarnation="s1@3")
+    listener.heard(sender, _read(Retry_After="soon"), may_lift_limit=False)
     (rest,) = told
     assert (rest.server_id, rest.incarnation) == ("s1", "s1@3")
-    assert rest.rest_ms == words.UNREADABLE_REST_MS
+    assert rest.rest_ms == signals.UNREADABLE_REST_MS
 
 
 def what_was_not_sent_is_placed_anew_and_costs_nothing() -> None:
--- a/tests/features/withdrawing.feature
+++ b/tests/features/withdrawing.feature
@@ -15,7 +15,7 @@
   Scenario: Real processes, all servers of a service ask for rest
     When the case "a service all of whose servers ask for rest gets it" of "withdrawing" is played
 
-  Scenario: Real processes, a short session of words and faults that overlap
+  Scenario: Real processes, a short session of signals and faults that overlap
     When the case "a short session keeps to what servers say" of "withdrawing" is played
 
   Scenario Outline: <case>
--- a/tests/soak/words.py
+++ b/tests/soak/signals.py
@@ -1,7 +1,7 @@
 """Seeded sessions in which servers say that they leave, or ask for rest.
 
-`cd tests && python -m soak.words SEED [COUNT [DAEMONS [BUSY]]]` plays seeds by
-hand. What a server says with an answer binds the daemon that got the answer,
+`cd tests && python -m soak.signals SEED [COUNT [DAEMONS [BUSY]]]` plays seeds
+by hand. What a server says with an answer binds the daemon that got the answer,
 whatever the store, the list and other daemons say; requests are counted at the
 servers, by daemon, beside kills, pauses and a silent store.
 """
@@ -202,7 +202,7 @@
         print(
             f"seed {seed}: {daemons} daemons, {len(session.asked)} asked,"
             f" {dict(session.statuses.most_common(4))},"
-            f" {sum(map(len, session.heard.values()))} words of leaving,"
+            f" {sum(map(len, session.heard.values()))} signals of leaving,"
             f" {session.after_leaving} sent after them,"
             f" {session.rests} rests, most in one {session.most_in_rest},"
             f" {len(wrong)} wrong",
