Read in reports as well that a server is draining

The table of what servers tell showed it: a report of the platform may name the server's state, as its entry in the list does, and nothing read it. Another type than text says nothing. The case failed before.

--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -36,6 +36,7 @@
     sequence: int = -1
     # Whether an order is being carried out, not whether requests run.
     busy: bool = False
+    state: object = ""
 
 
 class _Events(wire.StrictWire):
@@ -121,6 +122,7 @@
             waiting=report.queue_depth,
             orders_taken=report.sequence,
             is_ordered=report.busy,
+            leaving=report.state == "draining",
         )
 
     def events_call(
--- a/tests/cases/availability.py
+++ b/tests/cases/availability.py
@@ -346,3 +346,12 @@
     core.now_ms += 1_000
     core.arrive("release", "after", deadline_ms=3_000)
     assert len(core.find(effects.Dispatch)) == 6, core.made
+
+
+def a_report_of_a_draining_server_says_that_it_leaves() -> None:
+    """Guards against a state in reports that nobody reads."""
+    wire_format = servers.ServerFormat(lambda target: target)
+    states = {'"draining"': True, '"ready"': False, "7": False, "null": False}
+    for state, is_leaving in states.items():
+        body = b'{"running": 1, "state": %s}' % state.encode()
+        assert wire_format.read_load(body, "x").leaving is is_leaving, state
--- a/tests/features/withdrawing.feature
+++ b/tests/features/withdrawing.feature
@@ -49,3 +49,4 @@
       | a word that names no start ends with the one it met |
       | who arrives as a rest ends is not refused for the wait |
       | a server whose starts have no names comes back with its entry |
+      | a report of a draining server says that it leaves |
