Keep one log of unreadable texts, one loop over seeds, and read an answer once

Found in reading the whole change again; no behaviour changes.

The client's rests and limits each kept their own copy of a log that repeats no line: one class serves both, with the same lines. The two rigs of seeds each had the loop that plays and prints them: one serves both, and each session says what it has counted. Of each answer it was asked twice whether it was declined; it is asked once, and what another process says is not read at all.

--- a/src/godwittack/backend/named_limits.py
+++ b/src/godwittack/backend/named_limits.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from absl import logging
 from result import Err, Result
 
+from godwittack.backend import unreadable
 from godwittack.core import server_inputs
 
 if TYPE_CHECKING:
@@ -14,9 +14,6 @@
 
     from godwittack.clock import Clock
 
-# Servers of which an unreadable limit is remembered, so as to log it once.
-MOST_UNREADABLE = 100
-
 
 class NamedLimits:
     """Turns what answers say of limits into inputs, where it says something.
@@ -32,7 +29,7 @@
         self.on_named: Callable[[server_inputs.RateLimitEchoed], None]
         self.on_named = lambda told: None
         self.is_known: Callable[[str], bool] = lambda server_id: False
-        self._unreadable: dict[str, str] = {}
+        self._unreadable = unreadable.UnreadableLog("server_limit_unreadable")
 
     def heard(
         self,
@@ -50,7 +47,7 @@
                 as one to a request that was run does.
         """
         if isinstance(named, Err):
-            self._log_unreadable(server_id, named.err_value)
+            self._unreadable.note(server_id, named.err_value)
             return
         limit_per_s = named.ok_value
         says_none = may_lift and self.is_known(server_id)
@@ -64,18 +61,5 @@
             )
         )
 
-    def _log_unreadable(self, server_id: str, detail: str) -> None:
-        """Logs a limit that can't be read, once while it stays the same."""
-        if self._unreadable.get(server_id) == detail:
-            return
-        self._unreadable[server_id] = detail
-        while len(self._unreadable) > MOST_UNREADABLE:
-            del self._unreadable[next(iter(self._unreadable))]
-        logging.warning(
-            "event=server_limit_unreadable server=%s detail=%r",
-            server_id,
-            detail,
-        )
-
 
 __all__ = ["NamedLimits"]
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -285,7 +285,9 @@
             request_id=dispatch.request_id,
         )
         declined = self._wire.declined(reply, dispatch.server_id)
-        self._hear(sender, reply, may_lift_limit=declined is None)
+        self._hear(
+            sender, reply, declined=declined, may_lift_limit=declined is None
+        )
         if declined is not None:
             await used.read_body(reply)
             self._pool.give_back(dispatch.server_id, used, reply)
@@ -322,6 +324,7 @@
         sender: signals.Sender,
         reply: connections.Reply,
         *,
+        declined: inputs.FailureCause | None,
         may_lift_limit: bool = False,
     ) -> signals.ServerSignals:
         """Takes in what an answer says of its server.
@@ -329,10 +332,9 @@
         One by another process that has the address says nothing of the server
         that was meant.
         """
-        said = self._wire.signals(reply)
-        declined = self._wire.declined(reply, sender.server_id)
         if declined is inputs.FailureCause.OTHER_SERVER:
             return signals.ServerSignals()
+        said = self._wire.signals(reply)
         self.listener.heard(sender, said, may_lift_limit=may_lift_limit)
         return said
 
@@ -367,7 +369,11 @@
             _close(used)
             raise
         self._pool.give_back(key, used, reply)
-        said = self._hear(signals.Sender(server_id=server_id), reply)
+        said = self._hear(
+            signals.Sender(server_id=server_id),
+            reply,
+            declined=self._wire.declined(reply, server_id),
+        )
         if reply.status not in (200, 202):
             return _error(
                 call.step,
--- a/src/godwittack/backend/signals.py
+++ b/src/godwittack/backend/signals.py
@@ -5,10 +5,9 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from absl import logging
 from result import Err, Ok, Result
 
-from godwittack.backend import headers, named_limits, retry_after
+from godwittack.backend import headers, named_limits, retry_after, unreadable
 from godwittack.core import server_inputs
 
 if TYPE_CHECKING:
@@ -23,8 +22,6 @@
 
 # Rest of a server that asks for one of a length that can't be read.
 UNREADABLE_REST_MS = 1_000
-# Servers of which an unreadable rest is remembered, so as to log it once.
-MOST_UNREADABLE = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -105,7 +102,9 @@
         self.submit: Callable[[server_inputs.ServerSignal], None]
         self.submit = lambda told: None
         self.limits = named_limits.NamedLimits(clock=clock)
-        self._unreadable: dict[str, str] = {}
+        self._unreadable = unreadable.UnreadableLog(
+            "server_rest_unreadable", assumed_ms=UNREADABLE_REST_MS
+        )
 
     def heard(
         self, sender: Sender, signals: ServerSignals, *, may_lift_limit: bool
@@ -156,24 +155,10 @@
 
     def _rest_ms(self, server_id: str, rest: Result[int | None, str]) -> int:
         if isinstance(rest, Err):
-            self._log_unreadable(server_id, rest.err_value)
+            self._unreadable.note(server_id, rest.err_value)
             return UNREADABLE_REST_MS
         return rest.ok_value or 0
 
-    def _log_unreadable(self, server_id: str, detail: str) -> None:
-        """Logs a rest that can't be read, once while it stays the same."""
-        if self._unreadable.get(server_id) == detail:
-            return
-        self._unreadable[server_id] = detail
-        while len(self._unreadable) > MOST_UNREADABLE:
-            del self._unreadable[next(iter(self._unreadable))]
-        logging.warning(
-            "event=server_rest_unreadable server=%s detail=%r assumed_ms=%d",
-            server_id,
-            detail,
-            UNREADABLE_REST_MS,
-        )
-
 
 def read(reply: connection.Reply, names: SignalHeaders) -> ServerSignals:
     """Returns all that an answer says of its server."""
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -23,7 +23,7 @@
 from cluster.platform import Platform
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 # Where the logs of sessions that went wrong are kept.
 KEPT_LOGS = platform.ROOT / "target" / "soak"
@@ -151,6 +151,13 @@
                 self._keep_logs()
         return self.wrong
 
+    def summary(self) -> str:
+        """Returns what a played session has counted."""
+        return (
+            f"{len(self.crashed_s)} crashes, {self.sent_on} sent on,"
+            f" worst {self.worst}"
+        )
+
     def _keep_logs(self) -> None:
         """Copies the daemons' logs before their folder goes."""
         folder = KEPT_LOGS / f"{type(self).__module__}-{self.seed}"
@@ -424,19 +431,17 @@
     return first, count, daemons, busy
 
 
-def main() -> int:
-    """Plays seeds named on the command line."""
+def play_seeds(make: Callable[..., Session]) -> int:
+    """Plays the seeds named on the command line; returns 1 if any is wrong."""
     first, count, daemons, busy = read_arguments()
     failed = 0
     for seed in range(first, first + count):
-        session = Session(seed, daemons=daemons, busy=busy)
+        session = make(seed, daemons=daemons, busy=busy)
         wrong = asyncio.run(session.play())
         print(
             f"seed {seed}: {daemons} daemons, {len(session.asked)} asked,"
             f" {dict(session.statuses.most_common(4))},"
-            f" {len(session.crashed_s)} crashes, {session.sent_on} sent on,"
-            f" worst {session.worst},"
-            f" {len(wrong)} wrong",
+            f" {session.summary()}, {len(wrong)} wrong",
             flush=True,
         )
         for line in wrong:
@@ -449,4 +454,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_seeds(Session))
--- a/tests/soak/signals.py
+++ b/tests/soak/signals.py
@@ -11,6 +11,7 @@
 import asyncio
 import bisect
 import collections
+import functools
 import json
 import sys
 import time
@@ -136,6 +137,14 @@
         for replica in chosen:
             replica.faults.declined_share = replica.faults.rest_s = 0.0
 
+    def summary(self) -> str:
+        """Returns what a played session has counted."""
+        return (
+            f"{sum(map(len, self.heard.values()))} signals of leaving,"
+            f" {self.after_leaving} sent after them,"
+            f" {self.rests} rests, most in one {self.most_in_rest}"
+        )
+
     def _check(self) -> None:
         stops = collections.defaultdict(list)
         for at_s, number in sorted(self._stops):
@@ -192,30 +201,5 @@
     return moments_s[index - 1] if index else 0.0
 
 
-def main() -> int:
-    """Plays seeds named on the command line."""
-    first, count, daemons, busy = repeats.read_arguments()
-    failed = 0
-    for seed in range(first, first + count):
-        session = Session(seed, daemons=daemons, busy=busy, plan=OVERLAPPING)
-        wrong = asyncio.run(session.play())
-        print(
-            f"seed {seed}: {daemons} daemons, {len(session.asked)} asked,"
-            f" {dict(session.statuses.most_common(4))},"
-            f" {sum(map(len, session.heard.values()))} signals of leaving,"
-            f" {session.after_leaving} sent after them,"
-            f" {session.rests} rests, most in one {session.most_in_rest},"
-            f" {len(wrong)} wrong",
-            flush=True,
-        )
-        for line in wrong:
-            print(f"  {line}", flush=True)
-        if wrong:
-            print(f"  faults: {session.faults}", flush=True)
-            failed += 1
-    print(f"{count - failed} passed, {failed} failed")
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(repeats.play_seeds(functools.partial(Session, plan=OVERLAPPING)))
