Log which servers are ejected, on what evidence

Callers of daemons cut off from all servers got `no_server` without a word why, and `server_ejected` said neither whether a probe was refused or not answered, nor whether a newer report of another daemon shows a live server. Refusals, `queued` and `placed` now name the ejected servers, and `server_ejected` gives the cause and the age of the last report.

--- a/src/godwittack/core/availability.py
+++ b/src/godwittack/core/availability.py
@@ -143,11 +143,14 @@
 
 
 def unavailable_servers(world: entities.World, target: str) -> dict[str, str]:
-    """Returns a target's leaving and resting servers, for the log."""
+    """Returns a target's leaving, resting and ejected servers, for the log."""
     servers = world.servers_by_target[target].values()
     leaving = [s.server_id for s in servers if s.leaving]
     resting = [s.server_id for s in servers if is_resting(world, s)]
-    by_state = {"leaving": leaving, "resting": resting}
+    ejected = [
+        s.server_id for s in servers if s.ejected_until_ms > world.now_ms
+    ]
+    by_state = {"leaving": leaving, "resting": resting, "ejected": ejected}
     return {
         state: ",".join(sorted(names)[:MAX_LOGGED_SERVERS])
         for state, names in by_state.items()
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -191,7 +191,8 @@
         server.ejected_until_ms = world.now_ms
         world.targets_to_dispatch.add(server.target)
     else:
-        _eject(world, server, "probe failed")
+        cause = "refused" if result.ended else "not answered"
+        _eject(world, server, f"probe {cause}")
 
 
 def record_success(world: entities.World, attempt: entities.AttemptRow) -> None:
@@ -383,6 +384,11 @@
         failures=server.consecutive_failures,
         until_ms=server.ejected_until_ms - world.now_ms,
         detail=detail,
+        # A report that is newer than the ejection shows a live server that
+        # this daemon can't reach.
+        report_age_ms=world.now_ms - server.reported_at_ms
+        if server.reported_at_ms >= 0
+        else -1,
     )
 
 
