Add failing tests of daemons cut off from servers

Real daemons whose paths to servers are cut in their event loop: connections hang, are reset, live on while new ones are refused, or carry requests but no answers; to all servers or some; at two of six daemons and at all but one. First tries at daemons cut off are held against the others', as operators ask. Core cases: a refused connection alone is recorded as a crash and clears the cache record, a peer's load report ends the ejection, and no request goes through another daemon.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -36,6 +36,8 @@
     "repeats",
     "availability",
     "withdrawing",
+    "cut_off",
+    "paths",
     "fuzz",
 )
 
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import tempfile
+from typing import TYPE_CHECKING
 
 import aiohttp
 import yarl
@@ -19,7 +20,11 @@
 from standins.replica import Replica
 from standins.rows import RowStore
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+CUT_DAEMON = ROOT / "tests" / "standins" / "cut_daemon.py"
 TEMPLATE = ROOT / "deploy" / "settings.yaml"
 PLACEHOLDER = re.compile(r"\{\{([^}|]+)(\|json)?\}\}")
 HOST = "h.example"
@@ -129,6 +134,7 @@
         settings: str = "",
         engines: int = 2,
         services: int = 2,
+        can_cut: bool = False,
     ) -> None:
         """Creates the stand-ins without starting them.
 
@@ -138,7 +144,9 @@
             settings: Lines of settings that override those of the template.
             engines: How many servers of the model to start.
             services: How many servers of the plain service to start.
+            can_cut: Whether the daemons' paths to servers can be cut.
         """
+        self._can_cut = can_cut
         self._settings = settings
         self.store = RowStore()
         self.replicas = {
@@ -237,8 +245,7 @@
         with path.with_suffix(".log").open("ab") as output:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "deploy" / "daemon.py"),
-                str(path),
+                *self._daemon_arguments(path),
                 stdout=output,
                 stderr=output,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
@@ -246,6 +253,34 @@
         self._started.append(process)
         return process
 
+    def _daemon_arguments(self, path: pathlib.Path) -> list[str]:
+        if self._can_cut:
+            # -P: the folder of the script has modules named like the library's.
+            return ["-P", str(CUT_DAEMON), self._folder.name, str(path)]
+        return [str(ROOT / "deploy" / "daemon.py"), str(path)]
+
+    def cut(
+        self, number: int, mode: str, servers: Iterable[str] | None = None
+    ) -> None:
+        """Cuts a daemon's paths to some servers, or to all.
+
+        Args:
+            number: The daemon.
+            mode: Mode of `standins/cut_daemon.py`.
+            servers: Names of servers; None for all.
+        """
+        chosen = self.replicas if servers is None else servers
+        ports = [self.replicas[name].port for name in chosen]
+        cut = {"mode": mode, "ports": ports}
+        path = self.logs[number].with_suffix(".cut")
+        unfinished = path.with_suffix(".tmp")
+        unfinished.write_text(json.dumps(cut))
+        unfinished.rename(path)
+
+    def heal(self, number: int) -> None:
+        """Ends a daemon's cut."""
+        self.logs[number].with_suffix(".cut").unlink(missing_ok=True)
+
     def log(self, number: int = 0) -> str:
         """Returns what a daemon has logged."""
         return self.logs[number].read_text()
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -77,6 +77,7 @@
     ) -> None:
         self.instance = instance
         self.model = model
+        self.port = 0
         self.version = 1
         self.faults = ReplicaFaults()
         self.ran: list[Execution] = []
@@ -101,6 +102,7 @@
 
     async def start(self, port: int) -> None:
         """Starts listening on a loopback port."""
+        self.port = port
         server = web.Server(self._serve, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
@@ -114,10 +116,9 @@
 
     async def restart(self) -> None:
         """Restarts after a crash, at the same address and under the same id."""
-        port = self._site.name.rpartition(":")[2]
         await self._runner.cleanup()
         self.has_crashed = False
-        await self.start(int(port))
+        await self.start(self.port)
 
     async def _crash(self) -> None:
         """Simulates the end of the process: closes listener and connections."""
