--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -104,14 +104,22 @@
         )
 
     async def load(
-        self, address: str, *, server_id: str = ""
+        self,
+        address: str,
+        *,
+        server_id: str = "",
+        fresh_connection: bool = True,
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
-        """Returns the server's load, on a fresh connection."""
+        """Returns the server's load, always on a fresh connection."""
+        del server_id, fresh_connection
         result = await self._control("load", address, "GET", "/load")
         if isinstance(result, Err):
             return result
         return _parse(address, "load", schema.load, result.ok_value)
 
+    def drop_connections(self, server_id: str) -> None:
+        """Does nothing: the pool of aiohttp is not kept by server."""
+
     async def poll_load(
         self, address: str, *, server_id: str = ""
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
--- a/src/godwittack/backend/pool.py
+++ b/src/godwittack/backend/pool.py
@@ -72,6 +72,11 @@
             return
         idle.append(connection)
 
+    def drop(self, key: str) -> None:
+        """Closes all idle connections of a key."""
+        for connection in self._idle.pop(key, ()):
+            connection.close()
+
     def close_expired(self) -> None:
         """Closes connections that are closed by the server or expired."""
         for key, idle in list(self._idle.items()):
--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from result import Result
 
+    from godwittack.backend import signals
     from godwittack.core import effects, inputs, work
 
 
@@ -81,6 +82,17 @@
     ) -> None:
         """Handles a complete answer."""
 
+    def signals(
+        self, reported: signals.ServerSignals, *, may_lift_limit: bool
+    ) -> None:
+        """Handles what the server reported about itself with its answer.
+
+        Args:
+            reported: The signals, which this daemon's core has received.
+            may_lift_limit: Whether an answer without a limit lifts the known
+                one.
+        """
+
     def failed(
         self,
         phase: inputs.FailurePhase,
@@ -199,9 +211,22 @@
         """Ends a stream on an engine; failures are ignored."""
 
     async def load(
-        self, address: str, *, server_id: str = ""
+        self,
+        address: str,
+        *,
+        server_id: str = "",
+        fresh_connection: bool = False,
     ) -> Result[EngineLoad, BackendError]:
-        """Returns the server's load, on a fresh connection."""
+        """Returns the server's load.
+
+        Args:
+            address: Address of the server.
+            server_id: The server, for servers that check it.
+            fresh_connection: Whether a pooled connection must not be used.
+        """
+
+    def drop_connections(self, server_id: str) -> None:
+        """Closes the pooled connections to a server."""
 
     async def poll_load(
         self, address: str, *, server_id: str = ""
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -215,13 +215,27 @@
     async def cancel(self, address: str, stream_id: str) -> None:
         """Does nothing: closing the connection ends the server's work."""
 
+    def drop_connections(self, server_id: str) -> None:
+        """Closes the pooled connections to a server."""
+        self._pool.drop(server_id)
+        for name in (CONTROL_CONNECTION, EVENTS_CONNECTION):
+            self._pool.drop(f"{server_id}/{name}")
+
     async def load(
-        self, address: str, *, server_id: str = ""
+        self,
+        address: str,
+        *,
+        server_id: str = "",
+        fresh_connection: bool = False,
     ) -> Result[protocol.EngineLoad, protocol.BackendError]:
         """Returns the server's load report."""
         call = self._format.load_call(address, server_id)
         result = await self._control(
-            address, server_id, call, connection_name=CONTROL_CONNECTION
+            address,
+            server_id,
+            call,
+            connection_name=CONTROL_CONNECTION,
+            fresh_connection=fresh_connection,
         )
         if isinstance(result, Err):
             return result
@@ -233,7 +247,11 @@
         is_leaving = load.leaving or reply.signals.is_leaving
         return Ok(dataclasses.replace(load, leaving=is_leaving))
 
-    poll_load = load
+    async def poll_load(
+        self, address: str, *, server_id: str = ""
+    ) -> Result[protocol.EngineLoad, protocol.BackendError]:
+        """Returns the server's load, on a connection kept between polls."""
+        return await self.load(address, server_id=server_id)
 
     async def cache_events(
         self, address: str, *, after: int, server_id: str = ""
@@ -294,12 +312,14 @@
             request_id=dispatch.request_id,
         )
         decline_cause = self._format.decline_cause(reply, dispatch.server_id)
-        self._report_signals(
+        may_lift_limit = decline_cause is None
+        reported = self._report_signals(
             origin,
             reply,
             decline_cause=decline_cause,
-            may_lift_limit=decline_cause is None,
+            may_lift_limit=may_lift_limit,
         )
+        sink.signals(reported, may_lift_limit=may_lift_limit)
         if decline_cause is not None:
             await connection.read_body(reply)
             self._pool.release(dispatch.server_id, connection, reply)
@@ -360,6 +380,7 @@
         call: ControlCall,
         *,
         connection_name: str,
+        fresh_connection: bool = False,
     ) -> Result[_ControlReply, protocol.BackendError]:
         # Kept apart from the connections of callers' requests, on which a late
         # answer to one of those may still arrive.
@@ -368,9 +389,9 @@
         limit_s = (self._control_timeout_ms + call.wait_ms) / 1000
         try:
             async with asyncio.timeout(limit_s):
-                connection = self._pool.acquire(key) or await self._pool.open(
-                    address
-                )
+                if not fresh_connection:
+                    connection = self._pool.acquire(key)
+                connection = connection or await self._pool.open(address)
                 connection.send(call.head, call.body)
                 reply = await connection.read_head(lambda reply: True)
                 body = await connection.read_body(reply)
--- a/src/godwittack/backend/signals.py
+++ b/src/godwittack/backend/signals.py
@@ -89,11 +89,13 @@
         incarnation: Incarnation that the call was meant for; empty where it
             is not known.
         request_id: Request that was answered; empty for other calls.
+        is_relayed: Whether the answer came through another daemon.
     """
 
     server_id: str
     incarnation: str = ""
     request_id: str = ""
+    is_relayed: bool = False
 
 
 class SignalReporter:
@@ -159,6 +161,7 @@
                     running=signals.load.running,
                     waiting=signals.load.waiting,
                     slots=signals.load.slots,
+                    is_relayed=origin.is_relayed,
                 )
             )
         self.limits.report(
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -13,6 +13,7 @@
     followup,
     inputs,
     outcomes,
+    paths,
     prefill_cost,
     probing,
     routing,
@@ -31,7 +32,7 @@
         return
     request, attempt = current
     attempt.last_progress_ms = world.now_ms
-    servers.record_contact(world, attempt.server_id)
+    servers.record_contact(world, attempt)
     if _check_echo(
         world, request, attempt, message.echoed_request, message.stamp
     ):
@@ -49,7 +50,7 @@
     if not attempt.opened:
         return
     attempt.last_progress_ms = world.now_ms
-    servers.record_contact(world, attempt.server_id)
+    servers.record_contact(world, attempt)
     new_frames, is_frame_missing = _take_new_frames(request, message.frames)
     if new_frames:
         _relay(world, request, attempt, new_frames)
@@ -80,7 +81,7 @@
     ):
         return
     servers.record_success(world, attempt)
-    servers.record_contact(world, attempt.server_id)
+    servers.record_contact(world, attempt)
     crashes.record_completion(world, request)
     closing.update_service_time(
         world, request.work.target, world.now_ms - attempt.sent_at_ms
@@ -139,12 +140,14 @@
     if current is None:
         return
     request, attempt = current
-    if failure.cause is inputs.FailureCause.WITHHELD:
+    if _was_not_passed_on(failure):
+        _record_not_passed_on(world, attempt, failure)
         followup.place_again(world, request, failure.detail)
         return
+    may_place_again = _has_other_path(world, request, attempt, failure)
     if failure.phase is inputs.FailurePhase.SENT:
         request.may_have_run = True
-    else:
+    elif not may_place_again:
         request.possible_runs -= 1
     world.event(
         "attempt_failed",
@@ -155,6 +158,7 @@
         step=failure.phase.value,
         cause=failure.cause.value,
         detail=failure.detail,
+        **({"relay": attempt.relay} if attempt.relay else {}),
     )
     if _may_have_crashed(failure) and crashes.record_broken_connection(
         world, request, attempt
@@ -162,6 +166,9 @@
         probing.probe(world, world.servers[attempt.server_id])
     if failure.cause is not inputs.FailureCause.STREAM_GONE:
         servers.record_failure(world, attempt, failure)
+    if may_place_again:
+        followup.place_again(world, request, failure.detail)
+        return
     if request.answer_started or request.started_elsewhere:
         if failure.cause is inputs.FailureCause.STREAM_GONE:
             followup.break_stream(
@@ -179,6 +186,56 @@
     followup.retry(world, request, attempt, failure.detail, avoid=avoid)
 
 
+def _was_not_passed_on(failure: inputs.AttemptFailed) -> bool:
+    """Returns whether a request was withheld, here or by another daemon."""
+    if failure.cause is inputs.FailureCause.WITHHELD:
+        return True
+    is_relay = failure.cause is inputs.FailureCause.RELAY
+    return is_relay and _is_connect_failure(failure)
+
+
+def _record_not_passed_on(
+    world: entities.World,
+    attempt: entities.AttemptRow,
+    failure: inputs.AttemptFailed,
+) -> None:
+    """Avoids a daemon that declined to pass on a request, for a time."""
+    if attempt.relay:
+        paths.record_relay_failure(world, attempt, failure)
+
+
+def _is_connect_failure(failure: inputs.AttemptFailed) -> bool:
+    return failure.phase is inputs.FailurePhase.CONNECT
+
+
+def _has_other_path(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    failure: inputs.AttemptFailed,
+) -> bool:
+    """Returns whether an unsent request may take another path at no cost.
+
+    No server received anything, and other daemons may reach the server that
+    this one, or the daemon chosen to pass it on, can't connect to.
+    """
+    is_unreachable = _is_connect_failure(failure) and failure.cause in (
+        inputs.FailureCause.BROKEN,
+        inputs.FailureCause.ENDED,
+    )
+    # A stream without a route is bound to its engine.
+    is_movable = request.work.route is not None or not (
+        request.answer_started or request.started_elsewhere
+    )
+    return (
+        is_unreachable
+        and is_movable
+        and attempt.server_id in world.servers
+        and paths.has_other_daemons(world)
+        and world.now_ms < request.deadline_at_ms
+    )
+
+
 def _is_resting(world: entities.World, attempt: entities.AttemptRow) -> bool:
     server = world.servers.get(attempt.server_id)
     return server is not None and availability.is_resting(world, server)
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -114,6 +114,7 @@
             if request.work.route is not None and request.answer is not None
             else {}
         ),
+        **({"relay": request.relay} if request.relay else {}),
     )
     attempt = world.attempts.get(request.attempt_id)
     if attempt:
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -15,7 +15,7 @@
     world: entities.World,
     request: entities.RequestRow,
     choice: placing.Choice,
-    attempt_id: str,
+    attempt: entities.AttemptRow,
 ) -> None:
     """Logs a placement with its inputs and their age."""
     assert request.work.route is not None
@@ -27,8 +27,9 @@
         route=request.work.route.name,
         table=world.table.version,
         keys_good_for_ms=world.serving_lease_until_ms - world.now_ms,
-        attempt=attempt_id,
+        attempt=attempt.attempt_id,
         server=server.server_id,
+        **({"relay": attempt.relay} if attempt.relay else {}),
         weights=server.weights_version,
         waited_ms=world.now_ms - request.arrived_at_ms,
         wait_ms=round(choice.wait_ms),
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -11,6 +11,7 @@
     effects,
     entities,
     kv_cache,
+    paths,
     placing,
     rate_limits,
     refusing,
@@ -122,6 +123,9 @@
         refusing.refuse_revoked(world, request, refusal)
         return
     server = choice.server
+    relay = ""
+    if paths.is_lost(server):
+        relay = paths.choose_relay(world, server, request)
     attempt_id = world.next_attempt_id()
     attempt = entities.AttemptRow(
         attempt_id=attempt_id,
@@ -132,11 +136,12 @@
         sent_at_ms=world.now_ms,
         last_progress_ms=world.now_ms,
         expected_tokens=round(choice.uncached_tokens),
+        relay=relay,
     )
     _record_attempt(world, request, attempt)
     server.in_flight[attempt_id] = attempt
     rate_limits.record_dispatch(world, server)
-    if server.ejected_until_ms:
+    if server.ejected_until_ms and not relay:
         server.trial_attempt_id = attempt_id
     keys = dispatch_records.cached_keys(request, server)
     if request.work.route is None:
@@ -149,7 +154,7 @@
     elif keys:
         dispatch_records.record_prompt(world, request, choice, keys)
     if request.work.route is not None:
-        dispatch_records.log_placement(world, request, choice, attempt_id)
+        dispatch_records.log_placement(world, request, choice, attempt)
     world.emit(
         effects.Dispatch(
             request_id=request.request_id,
@@ -172,6 +177,7 @@
                 world, request, server, ready_in_ms=choice.first_token_ms
             ),
             incarnation=server.incarnation if request.work.route else "",
+            relay=relay,
         )
     )
 
@@ -185,6 +191,9 @@
     server = world.servers.get(lost_attempt.server_id)
     assert server is not None
     closing.close_attempt(world, lost_attempt.attempt_id)
+    relay = ""
+    if paths.is_lost(server):
+        relay = paths.choose_relay(world, server, request)
     attempt_id = world.next_attempt_id()
     attempt = entities.AttemptRow(
         attempt_id=attempt_id,
@@ -194,6 +203,7 @@
         stream_id=lost_attempt.stream_id,
         sent_at_ms=world.now_ms,
         last_progress_ms=world.now_ms,
+        relay=relay,
     )
     request.resumes += 1
     _record_attempt(world, request, attempt)
@@ -208,6 +218,7 @@
             resume_stream=attempt.stream_id,
             after=request.next_frame - 1,
             fresh_connection=True,
+            relay=relay,
         )
     )
 
@@ -312,6 +323,7 @@
     )
     request.phase = entities.Phase.RUNNING
     request.attempt_id = attempt.attempt_id
+    request.relay = attempt.relay
     request.attempts += 1
     # Undone if the server turns out not to have run the request.
     request.possible_runs += 1
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -83,6 +83,8 @@
             levels first.
         kv_save_to: Address of the KV store to which to save computed levels.
         incarnation: Incarnation of the chosen server; empty if not known.
+        relay: Daemon that sends the request to the server for this one; empty
+            to send it over this daemon's own path.
     """
 
     request_id: str
@@ -100,6 +102,7 @@
     kv_fetch_from: str = ""
     kv_save_to: str = ""
     incarnation: str = ""
+    relay: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -217,10 +220,44 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
-    """Sends a health check to a backend server on a fresh connection."""
+    """Sends a health check to a backend server.
+
+    Attributes:
+        fresh_connection: Whether a pooled connection must not be used: open
+            connections may live on where no new one can be opened.
+    """
 
     server_id: str
     address: str
+    fresh_connection: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DropConnections:
+    """Closes the pooled connections to a server that can't be reached.
+
+    They may look open although their path is gone; a request written to one
+    would be lost with its outcome unknown.
+    """
+
+    server_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskPaths:
+    """Asks other daemons whether they reach a server."""
+
+    server_id: str
+    address: str
+    daemons: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellPaths:
+    """Tells other daemons which servers this one can't reach."""
+
+    lost: tuple[str, ...]
+    targets: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -310,6 +347,9 @@
     | WriteClaim
     | StoreOutcome
     | Probe
+    | DropConnections
+    | AskPaths
+    | TellPaths
     | Doubt
     | TellCrashes
     | TellRateLimit
@@ -320,11 +360,13 @@
 
 __all__ = [
     "Announce",
+    "AskPaths",
     "BeginStream",
     "BreakStream",
     "CancelAttempt",
     "Dispatch",
     "Doubt",
+    "DropConnections",
     "Effect",
     "EndStream",
     "Event",
@@ -339,6 +381,7 @@
     "Stopped",
     "StoreOutcome",
     "TellCrashes",
+    "TellPaths",
     "TellRateLimit",
     "WriteClaim",
 ]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -11,6 +11,7 @@
     effects,
     prefill_cost,
     quarantine,
+    server_inputs,
     weights,
 )
 from godwittack.core import policy as policies
@@ -64,6 +65,7 @@
         awaits_rest_end: Whether it is queued until a server's requested rest
             ends.
         cells: Limited cells that count the request while it is in flight.
+        relay: Daemon that passed its last attempt on; empty for none.
     """
 
     request_id: str
@@ -95,6 +97,7 @@
     queue_priority: int = 0
     awaits_rest_end: bool = False
     cells: tuple[str, ...] = ()
+    relay: str = ""
 
     @property
     def answer_start_deadline_ms(self) -> int:
@@ -131,6 +134,7 @@
         last_progress_ms: When the server last made progress on this attempt.
         expected_tokens: Prompt tokens that are expected not to be cached.
         incarnation_id: Unique id of the server's incarnation at dispatch.
+        relay: Daemon that sends it to the server; empty for this one.
     """
 
     attempt_id: str
@@ -143,6 +147,32 @@
     expected_tokens: int = 0
     opened: bool = False
     incarnation_id: str = ""
+    relay: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class PeerPath:
+    """What this daemon knows of another daemon's path to a server."""
+
+    reaches: bool
+    until_ms: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Inquiry:
+    """A question to other daemons whether they reach a server.
+
+    Attributes:
+        waiting_for: Daemons that have not answered.
+        asked: All daemons asked.
+        answers: Answers received, other than that the server is alive.
+    """
+
+    waiting_for: set[str]
+    asked: set[str]
+    answers: list[server_inputs.PathAnswered] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -179,6 +209,17 @@
         ended_at_ms: When this daemon learnt that it had ended.
         possible_crashes: Recent requests whose connection closed; they count
             as crashes only if the server's process has ended.
+        path_lost_at_ms: When this daemon found that it can't reach the server;
+            0 while it can.
+        path_probe_at_ms: When to probe the lost path next.
+        heard_alive_ms: When this daemon last learnt through another one that
+            the server is alive.
+        peer_paths: Other daemons' paths to it, by daemon, while the own path
+            is lost.
+        inquiry: The question to other daemons that is not yet answered.
+        asked_at_ms: When other daemons were last asked.
+        found_dead_until_ms: Until when to believe other daemons that don't
+            reach it either.
     """
 
     server_id: str
@@ -216,6 +257,13 @@
     possible_crashes: list[quarantine.Crash] = dataclasses.field(
         default_factory=list
     )
+    path_lost_at_ms: int = 0
+    path_probe_at_ms: int = 0
+    heard_alive_ms: int = -1_000_000
+    peer_paths: dict[str, PeerPath] = dataclasses.field(default_factory=dict)
+    inquiry: Inquiry | None = None
+    asked_at_ms: int = -1_000_000
+    found_dead_until_ms: int = 0
     cache: residency.Residency = dataclasses.field(
         default_factory=residency.Residency
     )
@@ -255,6 +303,14 @@
     next_retry_at_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ToldPaths:
+    """Servers that another daemon can't reach, as it told last."""
+
+    lost: frozenset[str]
+    at_ms: int
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class World:
     """All state of one daemon's core.
@@ -271,6 +327,9 @@
         service_time_ms: Smoothed time from dispatch to completion, by target.
         live_daemons: Incarnations of daemons believed alive.
         serving_daemons: Those of them that send requests to servers.
+        near_daemons: Those of them in this daemon's failure domain.
+        told_paths: Servers that other daemons can't reach, by daemon.
+        paths_told_ms: When this daemon last told others its lost paths.
         serving_lease_until_ms: Until when the table may be treated as current.
         weights_history: Requested versions of weights, oldest first, by target.
         max_expected_daemons: Maximum of `expected_daemons` since the start.
@@ -321,6 +380,9 @@
     service_time_ms: dict[str, float] = dataclasses.field(default_factory=dict)
     live_daemons: frozenset[str] = frozenset()
     serving_daemons: frozenset[str] = frozenset()
+    near_daemons: frozenset[str] = frozenset()
+    told_paths: dict[str, ToldPaths] = dataclasses.field(default_factory=dict)
+    paths_told_ms: int = 0
     serving_lease_until_ms: int = 0
     stopping: bool = False
     stopped: bool = False
@@ -381,9 +443,12 @@
 __all__ = [
     "AttemptRow",
     "AvailabilityNotice",
+    "Inquiry",
     "OutcomeRow",
+    "PeerPath",
     "Phase",
     "RequestRow",
     "ServerRow",
+    "ToldPaths",
     "World",
 ]
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -29,8 +29,9 @@
 class FailureCause(enum.StrEnum):
     """Causes of a failed attempt that lead to different decisions.
 
-    ENDED: nothing listens at the server's address. WITHHELD: not sent, as the
-    server had stopped accepting work.
+    ENDED: the server's address refused the connection. WITHHELD: not sent, as
+    the server had stopped accepting work. RELAY: the daemon that was to pass it
+    on declined, or the connection to that daemon failed.
     """
 
     BROKEN = "broken"
@@ -39,6 +40,7 @@
     OTHER_SERVER = "other_server"
     STREAM_GONE = "stream_gone"
     WITHHELD = "withheld"
+    RELAY = "relay"
 
 
 class ClaimVerdict(enum.StrEnum):
@@ -250,12 +252,14 @@
         live: Daemon incarnations now live, as written into claims, sorted.
         carriers: Those that send callers' requests to servers; empty for all.
         known: Expected number of daemons, including unreachable ones.
+        near: Live daemons in this daemon's failure domain, sorted.
     """
 
     at_ms: int
     live: tuple[str, ...]
     carriers: tuple[str, ...] = ()
     known: int = 0
+    near: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -297,6 +301,8 @@
     | server_inputs.RateLimitTold
     | server_inputs.CacheDigest
     | server_inputs.ProbeAnswered
+    | server_inputs.PathAnswered
+    | server_inputs.PathsTold
     | PeerDemand
     | server_inputs.PeerDispatched
     | CrashesTold
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -10,6 +10,7 @@
 from godwittack.core import (
     availability,
     candidates,
+    paths,
     prefill_cost,
     rate_limits,
     sourcing,
@@ -61,11 +62,14 @@
     world: entities.World, request: entities.RequestRow
 ) -> Choice | None:
     """Returns the best usable server, or None if no server is usable."""
-    usable = [
-        server
-        for server in world.servers_by_target[request.work.target].values()
-        if is_usable(world, server, request)
-    ]
+    servers = world.servers_by_target[request.work.target].values()
+    usable = [s for s in servers if is_usable(world, s, request)]
+    if not usable:
+        usable = [
+            server
+            for server in servers
+            if is_usable(world, server, request, tries_unknown_relays=True)
+        ]
     if not usable:
         return None
     if request.work.kind is work.WorkKind.PLAIN:
@@ -137,26 +141,38 @@
     world: entities.World,
     server: entities.ServerRow,
     request: entities.RequestRow,
+    *,
+    tries_unknown_relays: bool = False,
 ) -> bool:
-    """Returns whether new work may be sent to `server` now."""
+    """Returns whether new work may be sent to `server` now.
+
+    Args:
+        world: The tables.
+        server: The server.
+        request: The request to place.
+        tries_unknown_relays: Whether to try other daemons that may not reach
+            the server either.
+    """
     if availability.is_resting(world, server):
         return False
-    return is_in_service(world, server, request)
+    return is_in_service(
+        world, server, request, tries_unknown_relays=tries_unknown_relays
+    )
 
 
 def is_in_service(
     world: entities.World,
     server: entities.ServerRow,
     request: entities.RequestRow,
+    *,
+    tries_unknown_relays: bool = False,
 ) -> bool:
     """Returns whether a server accepts new work, rest periods aside."""
     if server.leaving or server.server_id in request.excluded_servers:
         return False
-    if world.now_ms < max(server.ejected_until_ms, server.draining_until_ms):
+    if world.now_ms < server.draining_until_ms:
         return False
-    # After an ejection a server gets one request at a time until one of them
-    # succeeds: if it still fails, its full share of requests would fail.
-    if server.ejected_until_ms and server.trial_attempt_id:
+    if not _has_path(world, server, tries_unknown_relays=tries_unknown_relays):
         return False
     if not rate_limits.has_capacity(world, server):
         return False
@@ -169,6 +185,24 @@
     )
 
 
+def _has_path(
+    world: entities.World,
+    server: entities.ServerRow,
+    *,
+    tries_unknown_relays: bool,
+) -> bool:
+    """Returns whether a request can reach a server, here or by a relay."""
+    if paths.is_lost(server):
+        return paths.has_relay(
+            world, server, tries_unknown=tries_unknown_relays
+        )
+    if world.now_ms < server.ejected_until_ms:
+        return False
+    # After an ejection a server gets one request at a time until one of them
+    # succeeds: if it still fails, its full share of requests would fail.
+    return not (server.ejected_until_ms and server.trial_attempt_id)
+
+
 def wait_ms(world: entities.World, server: entities.ServerRow) -> float:
     """Estimates how long a prompt waits before `server` begins it.
 
@@ -299,6 +333,8 @@
     us_per_token = prefill_cost.us_per_token(world, server)
     compute_ms = uncached * us_per_token / 1000
     cost = wait + compute_ms * (1.0 + reuse_weight)
+    if paths.is_lost(server):
+        cost += paths.RELAY_COST_MS
     if not is_home:
         # Levels computed away from their home evict others from that cache.
         cost += compute_ms * reuse_weight
@@ -335,6 +371,7 @@
         key=lambda s: (
             s.full_until_ms > world.now_ms,
             load(s),
+            paths.is_lost(s),
             position[s.server_id],
         ),
     )
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -16,6 +16,7 @@
     crashes,
     effects,
     followup,
+    paths,
     server_inputs,
     servers,
 )
@@ -45,13 +46,20 @@
     if world.table.forwarding is None:
         return
     for server in world.servers.values():
-        if server.in_flight and _is_unresponsive(world, server):
+        if not server.in_flight:
+            continue
+        if paths.is_lost(server):
+            _ask_silent_relays(world, server)
+        elif _is_unresponsive(world, server):
             probe(world, server)
 
 
 def check_ejected(world: entities.World) -> None:
     """Checks whether ejected servers are back when their ejection ends."""
     for server in world.servers.values():
+        if paths.is_lost(server):
+            _check_lost(world, server)
+            continue
         is_ejection_over = 0 < server.ejected_until_ms <= world.now_ms
         if (
             not server.consecutive_failures
@@ -76,6 +84,30 @@
             world.emit(effects.Probe(server.server_id, server.address))
 
 
+def _check_lost(world: entities.World, server: entities.ServerRow) -> None:
+    """Checks whether a lost path works again.
+
+    A server that is known to be alive is probed at a fixed interval, as only
+    the path is at fault. Load reports that others received don't count.
+    """
+    if not paths.is_probe_due(world, server) or server.leaving:
+        return
+    if availability.is_resting(world, server):
+        return
+    is_alive = paths.is_alive_elsewhere(server)
+    server.path_probe_at_ms = world.now_ms + (
+        paths.PROBE_INTERVAL_MS
+        if is_alive
+        else servers.ejection_ms(world, server)
+    )
+    if is_alive or not _is_reported_by_another(world, server):
+        world.emit(
+            effects.Probe(
+                server.server_id, server.address, fresh_connection=True
+            )
+        )
+
+
 def _is_reported_by_another(
     world: entities.World, server: entities.ServerRow
 ) -> bool:
@@ -122,19 +154,60 @@
         return
     if result.alive:
         crashes.record_health_response(world, server, result.incarnation)
-    elif result.ended:
-        crashes.record_process_end(world, server)
     if result.alive and not server.ejected_until_ms:
         server.last_contact_ms = world.now_ms
         return
     was_in_service = not server.ejected_until_ms
+    is_silent = not result.alive and world.table.forwarding is not None
+    if is_silent and was_in_service:
+        # A daemon that is cut off would make all others doubt live servers.
+        if not paths.is_cut_off(world):
+            world.emit(effects.Doubt(server.server_id, server.target))
+        _record_possible_crashes(world, server)
     servers.apply_probe_result(world, result)
-    if result.alive or world.table.forwarding is None:
+    if is_silent:
+        _move_requests(world, server)
+
+
+def apply_path_answer(
+    world: entities.World, answer: server_inputs.PathAnswered
+) -> None:
+    """Applies another daemon's answer, and moves requests off it.
+
+    A daemon that passes on requests to a server may lose its own path to it.
+    """
+    paths.apply_answer(world, answer)
+    server = world.servers.get(answer.server_id)
+    if server is None or answer.verdict is server_inputs.PathVerdict.ALIVE:
         return
-    if was_in_service:
-        world.emit(effects.Doubt(server.server_id, server.target))
-        _record_possible_crashes(world, server)
-    _move_requests(world, server)
+    relayed = [
+        attempt
+        for attempt in server.in_flight.values()
+        if attempt.relay == answer.daemon
+    ]
+    _move_attempts(world, relayed)
+
+
+def _ask_silent_relays(
+    world: entities.World, server: entities.ServerRow
+) -> None:
+    """Asks daemons whether they still reach a server that is silent."""
+    if world.now_ms - server.last_probe_ms < PROBE_INTERVAL_MS:
+        return
+    silence_ms = _silence_limit_ms(world, server)
+    silent_relays = {
+        attempt.relay
+        for attempt in server.in_flight.values()
+        if attempt.relay
+        and world.now_ms - attempt.last_progress_ms >= silence_ms
+    }
+    if silent_relays:
+        server.last_probe_ms = world.now_ms
+        world.emit(
+            effects.AskPaths(
+                server.server_id, server.address, tuple(sorted(silent_relays))
+            )
+        )
 
 
 def _is_unresponsive(world: entities.World, server: entities.ServerRow) -> bool:
@@ -168,7 +241,7 @@
     world: entities.World, server: entities.ServerRow
 ) -> None:
     """Records a dead server's requests, in case one of them crashed it."""
-    for attempt in server.in_flight.values():
+    for attempt in _own_attempts(server):
         request = world.requests.get(attempt.request_id)
         if request is not None:
             crashes.record_broken_connection(world, request, attempt)
@@ -176,7 +249,13 @@
 
 def _move_requests(world: entities.World, server: entities.ServerRow) -> None:
     """Moves requests that may be repeated from a dead server to others."""
-    for attempt in list(server.in_flight.values()):
+    _move_attempts(world, _own_attempts(server))
+
+
+def _move_attempts(
+    world: entities.World, attempts: list[entities.AttemptRow]
+) -> None:
+    for attempt in attempts:
         request = world.requests.get(attempt.request_id)
         if request is None or request.work.route is None:
             continue
@@ -192,6 +271,11 @@
             followup.retry(world, request, attempt, detail)
 
 
+def _own_attempts(server: entities.ServerRow) -> list[entities.AttemptRow]:
+    """Returns the attempts that this daemon sent over its own path."""
+    return [a for a in server.in_flight.values() if not a.relay]
+
+
 __all__ = [
     "apply_result",
     "check_ejected",
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -16,6 +16,7 @@
     entities,
     inputs,
     outcomes,
+    paths,
     probing,
     rate_limits,
     resuming,
@@ -127,6 +128,10 @@
                 availability.record_rest(world, input_)
             case server_inputs.ProbeAnswered():
                 probing.apply_result(world, input_)
+            case server_inputs.PathAnswered():
+                probing.apply_path_answer(world, input_)
+            case server_inputs.PathsTold():
+                paths.apply_told(world, input_)
             case server_inputs.ServerDoubted():
                 probing.handle_suspected(world, input_)
             case _:
@@ -159,6 +164,7 @@
                 )
                 world.has_seen_peers |= len(world.live_daemons) > 1
                 world.members_changed_ms = world.now_ms
+                world.near_daemons = frozenset(input_.near) - {world.daemon}
                 world.shares.live = world.live_daemons
                 world.shares.groups.clear()
                 world.serving_daemons = (
@@ -182,6 +188,7 @@
         probing.probe_unresponsive(world)
         timeouts.handle_stalled(world)
         timeouts.end_overdue(world)
+        paths.check(world)
         probing.check_ejected(world)
         availability.end_rests(world)
         dispatching.expire_queued(world)
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -12,7 +12,9 @@
     """Result of a probe of a backend server on a fresh connection.
 
     Attributes:
-        ended: Whether nothing listens at its address.
+        ended: Whether its address refused the connection.
+        fresh_connection: Whether a new connection was opened for the probe.
+        was_asked: Whether another daemon asked for the probe.
     """
 
     at_ms: int
@@ -20,6 +22,49 @@
     alive: bool
     incarnation: str = ""
     ended: bool = False
+    fresh_connection: bool = False
+    was_asked: bool = False
+
+
+class PathVerdict(enum.StrEnum):
+    """What another daemon found when it probed a server.
+
+    ENDED: the address refuses connections. SILENT: no answer in time. UNKNOWN:
+    the daemon did not answer, or does not know the server.
+    """
+
+    ALIVE = "alive"
+    ENDED = "ended"
+    SILENT = "silent"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PathAnswered:
+    """Another daemon's answer whether it reaches a server.
+
+    Attributes:
+        daemon: The daemon that probed the server.
+        incarnation: Incarnation that answered it.
+        reaches_others: Whether that daemon reaches another server, so that the
+            fault is not on its own path.
+    """
+
+    at_ms: int
+    server_id: str
+    daemon: str
+    verdict: PathVerdict
+    incarnation: str = ""
+    reaches_others: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PathsTold:
+    """All servers that another daemon can't reach."""
+
+    at_ms: int
+    daemon: str
+    lost: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +158,7 @@
         running: Requests running when the answer was produced.
         waiting: Requests waiting at that time.
         slots: Maximum number of requests it runs at a time.
+        is_relayed: Whether the answer came through another daemon.
     """
 
     at_ms: int
@@ -120,6 +166,7 @@
     running: int
     waiting: int
     slots: int
+    is_relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -231,6 +278,9 @@
     "CacheDigest",
     "LoadEchoed",
     "LoadReported",
+    "PathAnswered",
+    "PathVerdict",
+    "PathsTold",
     "PeerDispatched",
     "ProbeAnswered",
     "RateLimitEchoed",
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -10,6 +10,7 @@
     entities,
     incarnation,
     inputs,
+    paths,
     server_inputs,
     weights,
 )
@@ -139,7 +140,10 @@
     if server is None:
         return
     server.reported_at_ms = load.at_ms
-    server.last_contact_ms = max(server.last_contact_ms, load.at_ms)
+    if load.is_relayed:
+        server.heard_alive_ms = load.at_ms
+    else:
+        server.last_contact_ms = max(server.last_contact_ms, load.at_ms)
     server.running = load.running
     server.waiting = load.waiting
     server.slots = load.slots or server.slots
@@ -172,31 +176,50 @@
         )
 
 
-def record_contact(world: entities.World, server_id: str) -> None:
+def record_contact(world: entities.World, attempt: entities.AttemptRow) -> None:
     """Records when this daemon last received something from a server."""
-    server = world.servers.get(server_id)
-    if server is not None:
+    server = world.servers.get(attempt.server_id)
+    if server is None:
+        return
+    if attempt.relay:
+        server.heard_alive_ms = world.now_ms
+    else:
         server.last_contact_ms = world.now_ms
 
 
 def apply_probe_result(
     world: entities.World, result: server_inputs.ProbeAnswered
 ) -> None:
-    """Applies the result of a probe over a new connection."""
+    """Applies the result of a probe."""
     server = world.servers.get(result.server_id)
     if server is None:
         return
     if result.alive:
+        if paths.is_lost(server) and not result.fresh_connection:
+            return
         # Not 0, which would end the ejection: the next request is a trial.
         server.ejected_until_ms = world.now_ms
+        paths.restore(world, server)
         world.targets_to_dispatch.add(server.target)
-    else:
-        cause = "refused" if result.ended else "not answered"
-        _eject(world, server, f"probe {cause}")
+        return
+    detail = "probe refused" if result.ended else "probe not answered"
+    if not paths.is_alive_elsewhere(server):
+        _eject(world, server, detail)
+    has_own_requests = bool(server.in_flight or server.possible_crashes)
+    paths.lose(
+        world,
+        server,
+        is_refused=result.ended,
+        detail=detail,
+        asks=has_own_requests and not result.was_asked,
+    )
 
 
 def record_success(world: entities.World, attempt: entities.AttemptRow) -> None:
     """Resets a server's failures and ejection after a success."""
+    if attempt.relay:
+        paths.record_relayed(world, attempt)
+        return
     server = world.servers.get(attempt.server_id)
     if server is not None:
         server.consecutive_failures = 0
@@ -216,17 +239,23 @@
         if failure.phase is inputs.FailurePhase.CONNECT:
             server.full_until_ms = world.now_ms + FULL_AFTER_RESET_MS
         return
+    if attempt.relay and failure.cause is not inputs.FailureCause.OTHER_SERVER:
+        paths.record_relay_failure(world, attempt, failure)
+        return
     if failure.cause is inputs.FailureCause.OTHER_SERVER:
         # Another process has its address: the server won't return there.
         crashes.record_process_end(world, server)
         _mark_gone_at_address(world, server)
         return
-    if failure.cause is inputs.FailureCause.ENDED:
-        crashes.record_process_end(world, server)
     if failure.phase is inputs.FailurePhase.CONNECT:
-        # The process has ended or restarted: its cache is empty either way.
-        server.cache.clear()
-        _eject(world, server, failure.detail)
+        if not paths.is_lost(server):
+            _eject(world, server, failure.detail)
+        paths.lose(
+            world,
+            server,
+            is_refused=failure.cause is inputs.FailureCause.ENDED,
+            detail=failure.detail,
+        )
     else:
         _count_failure(world, server, failure.detail)
 
@@ -236,7 +265,11 @@
 ) -> None:
     """Counts an attempt whose first frame did not arrive in time."""
     server = world.servers.get(attempt.server_id)
-    if server is not None:
+    if server is None:
+        return
+    if attempt.relay:
+        paths.record_failed_relay(world, server, attempt.relay)
+    else:
         _count_failure(world, server, "silent before the first frame")
 
 
@@ -312,6 +345,7 @@
     server.rest_until_ms = 0
     server.rate_limit = None
     server.trial_attempt_id = ""
+    paths.forget(server)
     server.reported_at_ms = -1
     server.running = 0
     server.waiting = 0
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -17,6 +17,7 @@
     backlog,
     cached_state,
     candidates,
+    paths,
     prefill_cost,
     routing,
     weights,
@@ -189,7 +190,9 @@
     return [
         server
         for server in world.servers_by_target[request.work.target].values()
+        # Servers copy from each other, whatever this daemon reaches.
         if server.ejected_until_ms <= world.now_ms
+        or paths.is_alive_elsewhere(server)
     ]
 
 
@@ -221,6 +224,8 @@
     )
     cost = first_token_ms + recompute_extra_ms + memory_cost_ms
     cost += weights.outdated_cost_ms(world, server)
+    if paths.is_lost(server):
+        cost += paths.RELAY_COST_MS
     if is_home and reused_tokens < max(shared_tokens, 1):
         cost -= HOME_BONUS_MS
     return Placement(
--- a/src/godwittack/daemon/attempt.py
+++ b/src/godwittack/daemon/attempt.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from godwittack.backend import signals
     from godwittack.clock import Clock
     from godwittack.core import work
     from godwittack.daemon import caller as callers
@@ -84,6 +85,11 @@
             )
         )
 
+    def signals(
+        self, reported: signals.ServerSignals, *, may_lift_limit: bool
+    ) -> None:
+        """Does nothing: the backend client has passed them to the core."""
+
     def failed(
         self,
         phase: inputs.FailurePhase,
--- a/src/godwittack/daemon/base.py
+++ b/src/godwittack/daemon/base.py
@@ -17,13 +17,16 @@
 from godwittack.member import view
 from godwittack.metric import meters
 from godwittack.peer import datagram, exchange, server
+from godwittack.relay import client as relay_client
+from godwittack.relay import server as relay_server
 from godwittack.report import counters
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from godwittack.backend import protocol, signals
     from godwittack.config import settings as configs
-    from godwittack.daemon import peer_updates, runtime, tables
+    from godwittack.daemon import observer, peer_updates, runtime, tables
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -116,14 +119,46 @@
             seeds=self.seeds,
         )
 
+    def build_relay(
+        self,
+        *,
+        daemon_runtime: runtime.Runtime,
+        backend: protocol.BackendClient,
+        reporter: signals.SignalReporter,
+        event_observer: observer.Observer,
+        probe_timeout_ms: int,
+    ) -> relay_server.RelayServer:
+        """Lets a daemon send through others, and returns what they call."""
+        daemon_runtime.relay = relay_client.RelayClient(
+            peers=self.peers,
+            own_id=self.members.me.member_id,
+            address_of=self._peer_address,
+            reporter=reporter,
+            clock=self.clock,
+            probe_timeout_ms=probe_timeout_ms,
+        )
+        return relay_server.RelayServer(
+            world=self.core.world,
+            backend=backend,
+            clock=self.clock,
+            submit=daemon_runtime.submit,
+            observer=event_observer,
+            is_overloaded=lambda: self.members.me.is_overloaded,
+        )
+
+    def _peer_address(self, member_id: str) -> str:
+        row = self.members.rows.get(member_id)
+        return row.member.peer_address if row is not None else ""
+
     def build_peer_server(
-        self, handler: server.PeerHandler
+        self, handler: server.PeerHandler, relay: relay_server.RelayServer
     ) -> server.PeerServer:
         """Returns the server that other daemons call."""
         return server.PeerServer(
             handler=handler,
             secret=self.peer_secret,
             count_bytes=self.meters.count_peer_bytes,
+            relay=relay,
         )
 
     async def close(self, peer_server: server.PeerServer) -> None:
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -209,6 +209,15 @@
         counts = self._counts.totals()
         return peer_pb2.ReportReply(report_json=counts.model_dump_json())
 
+    def _near_daemons(self) -> tuple[str, ...]:
+        """Returns the live daemons of this daemon's failure domain, sorted."""
+        own_domain = self.members.me.failure_domain
+        return tuple(
+            member.member_id
+            for member in self.members.live()
+            if member.failure_domain == own_domain
+        )
+
     def _probe_unknown_seeds(self) -> None:
         known_addresses = {
             row.member.peer_address
@@ -422,7 +431,11 @@
                 self._has_own_addresses.discard(removed_id)
             submit(
                 inputs.MembersChanged(
-                    now_ms, tuple(sorted(live)), serving_daemons, expected
+                    now_ms,
+                    tuple(sorted(live)),
+                    serving_daemons,
+                    expected,
+                    self._near_daemons(),
                 )
             )
             self._reported_expected = expected
--- a/src/godwittack/daemon/log_sampling.py
+++ b/src/godwittack/daemon/log_sampling.py
@@ -21,7 +21,7 @@
 # The last event of a request is one of these; FAILURE_EVENTS are those for
 # which buffered lines are written.
 FINAL_EVENTS = frozenset(
-    {"finished", "refused", "stream_broken", "caller_gone"}
+    {"finished", "refused", "relayed", "stream_broken", "caller_gone"}
 )
 FAILURE_EVENTS = frozenset({"refused", "stream_broken"})
 
--- a/src/godwittack/daemon/peer_updates.py
+++ b/src/godwittack/daemon/peer_updates.py
@@ -40,6 +40,7 @@
     Attributes:
         on_listed: Called with the changes of the instance list that a peer has
             read.
+        lost_paths: Servers that daemons can't reach, by daemon.
         on_versioned_list: The same with the versions before and after, where
             the list has versions.
     """
@@ -71,6 +72,7 @@
         self._runtime = runtime
         self._client = client
         self._outboxes: dict[str, outboxes.Outbox] = {}
+        self.lost_paths: dict[str, frozenset[str]] = {}
         # Incarnations published as leaving, by server id.
         self._known_leaving: dict[str, str] = {}
         self._audiences: dict[str, list[view.Member]] = {}
@@ -154,6 +156,26 @@
             outbox.pending.suspected.add(suspected.server_id)
             outbox.send_pending()
 
+    def publish_paths(self, update: effects.TellPaths) -> None:
+        """Publishes the servers that this daemon can't reach.
+
+        The daemons that receive updates on any of the targets need it: they
+        choose each other to pass on requests and to watch servers.
+        """
+        self.lost_paths[self._members.me.member_id] = frozenset(update.lost)
+        members = {
+            member.member_id: member
+            for target in update.targets
+            for member in self.audience(target)
+        }
+        for outbox in self._outboxes_for(members.values()):
+            outbox.pending.lost_paths = update.lost
+            outbox.send_pending()
+
+    def has_path(self, member: view.Member, server_id: str) -> bool:
+        """Returns whether a daemon has told no lost path to a server."""
+        return server_id not in self.lost_paths.get(member.member_id, ())
+
     def publish_crashes(self, report: effects.TellCrashes) -> None:
         """Publishes crashes to a target's audience, or without one to all."""
         members = self.audience(report.target)
@@ -246,6 +268,13 @@
                     now_ms, leaving.server_id, leaving.incarnation
                 )
             )
+        if message.has_lost_paths and sender_id:
+            self.lost_paths[sender_id] = frozenset(message.lost_paths)
+            submit(
+                server_inputs.PathsTold(
+                    now_ms, sender_id, tuple(message.lost_paths)
+                )
+            )
         if message.has_demands and sender_id:
             cells = tuple(codec.demand_from_proto(d) for d in message.demands)
             submit(inputs.PeerDemand(now_ms, sender_id, True, cells))
@@ -273,6 +302,7 @@
 
     def remove_peer(self, member_id: str) -> None:
         """Closes the stream to a dead peer and drops its pending updates."""
+        self.lost_paths.pop(member_id, None)
         outbox = self._outboxes.pop(member_id, None)
         if outbox is not None:
             outbox.close()
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -108,19 +108,27 @@
             clock=clock,
             control_timeout_ms=settings.control_timeout_ms,
         )
+        event_observer = observer.EventObserver(
+            counts=counts,
+            event_meters=self._meters,
+            log_sampler=log_sampling.RequestLogSampler(
+                write=write_line, now_ms=clock.now_ms
+            ),
+        )
         self.runtime = runtime.Runtime(
             core=core,
             backend_client=backend,
             claims=None,
-            event_observer=observer.EventObserver(
-                counts=counts,
-                event_meters=self._meters,
-                log_sampler=log_sampling.RequestLogSampler(
-                    write=write_line, now_ms=clock.now_ms
-                ),
-            ),
+            event_observer=event_observer,
             clock=clock,
         )
+        self._relay_server = components.build_relay(
+            daemon_runtime=self.runtime,
+            backend=backend,
+            reporter=backend.signal_reporter,
+            event_observer=event_observer,
+            probe_timeout_ms=settings.control_timeout_ms,
+        )
         backend.signal_reporter.submit = self.runtime.submit
         backend.may_send = lambda dispatch: availability.may_send(
             core.world, dispatch, now_ms=clock.now_ms()
@@ -177,6 +185,7 @@
         )
         self.runtime.on_crashes = self._publish_crashes
         self.runtime.on_rate_limit = self._peer_updates.publish_rate_limit
+        self.runtime.on_paths = self._peer_updates.publish_paths
         self._gossiper = components.build_gossiper(
             daemon_runtime=self.runtime,
             keeper=self._keeper,
@@ -235,7 +244,9 @@
             metrics=self._meters,
             audience=self._serving,
         )
-        self._peer_server = components.build_peer_server(self._gossiper)
+        self._peer_server = components.build_peer_server(
+            self._gossiper, self._relay_server
+        )
         self._forward_handler = forward.ForwardHandler(
             runtime=self.runtime,
             settings=settings,
@@ -355,6 +366,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(remaining_s):
                 await self.runtime.stopped.wait()
+                await self._relay_server.wait_until_idle()
         await asyncio.sleep(0.05)
         await self._close()
         logging.info("event=stopped in_flight=%d", self._in_flight())
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -18,6 +18,7 @@
     from godwittack.clock import Clock
     from godwittack.core import router
     from godwittack.daemon import observer
+    from godwittack.relay import client as relays
     from godwittack.session import record
 
 
@@ -33,6 +34,8 @@
         on_suspicion: Called with each server that other daemons should probe.
         on_crashes: Called with crashes and completions to publish.
         on_rate_limit: Called with each rate limit to publish.
+        on_paths: Called with the servers that this daemon can't reach.
+        relay: Sends attempts through other daemons; None if it can't.
     """
 
     def __init__(
@@ -65,12 +68,15 @@
         self.on_crashes = lambda effect: None
         self.on_rate_limit: Callable[[effects.TellRateLimit], None]
         self.on_rate_limit = lambda effect: None
+        self.on_paths: Callable[[effects.TellPaths], None]
+        self.on_paths = lambda effect: None
+        self.relay: relays.RelayClient | None = None
         self._backend = backend_client
         self._claims = claims
         self._observer = event_observer
         self._callers: dict[str, caller.Caller] = {}
         self._attempts: dict[str, asyncio.Task[None]] = {}
-        self._attempt_addresses: dict[str, str] = {}
+        self._dispatches: dict[str, effects.Dispatch] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._request_counter = 0
 
@@ -140,6 +146,13 @@
                 self.on_announce(effect)
             case effects.Doubt():
                 self.on_suspicion(effect)
+            case effects.DropConnections():
+                self._backend.drop_connections(effect.server_id)
+            case effects.AskPaths():
+                for daemon in effect.daemons:
+                    self._spawn(self._ask_path(effect, daemon))
+            case effects.TellPaths():
+                self.on_paths(effect)
             case effects.TellCrashes():
                 self.on_crashes(effect)
             case effects.TellRateLimit():
@@ -167,11 +180,14 @@
             # For requests by routes, the core logs the placement itself, with
             # more detail.
             self._log_dispatched(effect)
+        client: backend.BackendClient | relays.RelayClient = self._backend
+        if effect.relay and self.relay is not None:
+            client = self.relay
         task = asyncio.create_task(
-            self._backend.send(effect, effect_caller.call, sink)
+            client.send(effect, effect_caller.call, sink)
         )
         self._attempts[effect.attempt_id] = task
-        self._attempt_addresses[effect.attempt_id] = effect.address
+        self._dispatches[effect.attempt_id] = effect
         task.add_done_callback(
             lambda done: self._finish_attempt(effect.attempt_id, done)
         )
@@ -193,7 +209,7 @@
         self, attempt_id: str, task: asyncio.Task[None]
     ) -> None:
         self._attempts.pop(attempt_id, None)
-        self._attempt_addresses.pop(attempt_id, None)
+        self._dispatches.pop(attempt_id, None)
         if task.cancelled():
             return
         error = task.exception()
@@ -211,14 +227,30 @@
             )
 
     def _cancel(self, effect: effects.CancelAttempt) -> None:
-        address = self._attempt_addresses.get(effect.attempt_id)
+        dispatch = self._dispatches.get(effect.attempt_id)
         task = self._attempts.get(effect.attempt_id)
         if task is not None:
             # The input being handled may come from this very attempt, which
             # must return before it can be cancelled.
             asyncio.get_running_loop().call_soon(task.cancel)
-        if effect.stop_engine and address:
-            self._spawn(self._backend.cancel(address, effect.attempt_id))
+        if effect.stop_engine and dispatch is not None:
+            self._spawn(self._stop_engine(dispatch))
+
+    async def _stop_engine(self, dispatch: effects.Dispatch) -> None:
+        if dispatch.relay and self.relay is not None:
+            await self.relay.cancel(
+                dispatch.relay, dispatch.address, dispatch.attempt_id
+            )
+        else:
+            await self._backend.cancel(dispatch.address, dispatch.attempt_id)
+
+    async def _ask_path(self, effect: effects.AskPaths, daemon: str) -> None:
+        if self.relay is not None:
+            self.submit(
+                await self.relay.ask(
+                    daemon, server_id=effect.server_id, address=effect.address
+                )
+            )
 
     async def _write_claim(self, effect: effects.WriteClaim) -> None:
         assert self._claims is not None
@@ -241,7 +273,9 @@
 
     async def _probe(self, effect: effects.Probe) -> None:
         result = await self._backend.load(
-            effect.address, server_id=effect.server_id
+            effect.address,
+            server_id=effect.server_id,
+            fresh_connection=effect.fresh_connection,
         )
         self.submit(
             server_inputs.ProbeAnswered(
@@ -254,6 +288,7 @@
                 else "",
                 ended=isinstance(result, Err)
                 and result.err_value.connection_refused,
+                fresh_connection=effect.fresh_connection,
             )
         )
 
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -73,15 +73,23 @@
             connect_timeout_ms=settings.connect_timeout_ms,
             control_timeout_ms=settings.control_timeout_ms,
         )
+        event_observer = observer.EventObserver(
+            counts=counts, event_meters=self._meters
+        )
         self.runtime = runtime.Runtime(
             core=core,
             backend_client=backend,
             claims=claim_store.ClaimStore(platform),
-            event_observer=observer.EventObserver(
-                counts=counts, event_meters=self._meters
-            ),
+            event_observer=event_observer,
             clock=clock,
         )
+        self._relay_server = components.build_relay(
+            daemon_runtime=self.runtime,
+            backend=backend,
+            reporter=backend.signal_reporter,
+            event_observer=event_observer,
+            probe_timeout_ms=settings.control_timeout_ms,
+        )
         backend.signal_reporter.submit = self.runtime.submit
         if settings.record_file:
             sink = open(  # noqa: SIM115 - open as long as the process.
@@ -102,6 +110,7 @@
             members=members, runtime=self.runtime, client=self._peers
         )
         self.runtime.on_crashes = self._peer_updates.publish_crashes
+        self.runtime.on_paths = self._peer_updates.publish_paths
         self.gossiper = components.build_gossiper(
             daemon_runtime=self.runtime,
             keeper=self._keeper,
@@ -135,7 +144,9 @@
             policy=leases.LeasePolicy(lease_ms=settings.lease_ms),
             metrics=self._meters,
         )
-        self._peer_server = components.build_peer_server(self.gossiper)
+        self._peer_server = components.build_peer_server(
+            self.gossiper, self._relay_server
+        )
         self._app = self._build_app(loaded, store, platform, counts)
         self._background_tasks = base.BackgroundTasks()
 
@@ -227,6 +238,7 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(settings.stop_patience_ms / 1000):
                 await self.runtime.stopped.wait()
+                await self._relay_server.wait_until_idle()
         await runner.cleanup()
         await self._background_tasks.cancel()
         self._server_watcher.close()
--- a/src/godwittack/peer/exchange.py
+++ b/src/godwittack/peer/exchange.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from contextlib import AbstractAsyncContextManager
 
 PROTOCOL_VERSION = 1
 PROOF_HEADER = "x-godwittack-proof"
@@ -25,6 +26,11 @@
 TABLE_PATH = "/peer/table"
 REPORT_PATH = "/peer/report"
 NEWS_PATH = "/peer/news"
+RELAY_PATH = "/peer/relay"
+RELAY_CANCEL_PATH = "/peer/relay-cancel"
+PATH_PATH = "/peer/path"
+STATUS_OK = 200
+STATUS_DECLINED = 503
 _PROOF_LABEL = b"godwittack peer"
 
 _Message = TypeVar("_Message", bound=proto.Message)
@@ -76,6 +82,7 @@
         self._headers = {PROOF_HEADER: proof(secret)}
         self._timeout_s = timeout_ms / 1000
         self._client_session: aiohttp.ClientSession | None = None
+        self._fresh_session: aiohttp.ClientSession | None = None
 
     async def exchange(
         self, address: str, message: peer_pb2.Envelope
@@ -123,13 +130,74 @@
             "fetch report", address, REPORT_PATH, request, peer_pb2.ReportReply
         )
 
+    def open_call(
+        self,
+        address: str,
+        path: str,
+        message: proto.Message,
+        *,
+        fresh_connection: bool,
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Sends a message whose answer is a stream, without a time limit.
+
+        Args:
+            address: Address of the peer.
+            path: Path of the call.
+            message: The message.
+            fresh_connection: Whether to open a connection for the call. A
+                pooled one may be dead, and a call written to it be lost.
+        """
+        self._count_bytes(message.ByteSize())
+        return self._get_session(fresh=fresh_connection).post(
+            f"http://{address}{path}",
+            data=message.SerializeToString(),
+            headers=self._headers,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=self._timeout_s
+            ),
+        )
+
+    async def ask_path(
+        self, address: str, query: peer_pb2.PathQuery, *, timeout_ms: int
+    ) -> Result[peer_pb2.PathReply, PeerError]:
+        """Asks a peer whether it reaches a server."""
+        return await self._call(
+            "ask path",
+            address,
+            PATH_PATH,
+            query,
+            peer_pb2.PathReply,
+            timeout_s=timeout_ms / 1000,
+        )
+
+    async def cancel_stream(
+        self, address: str, message: peer_pb2.RelayCancel
+    ) -> Result[peer_pb2.RelayCancelled, PeerError]:
+        """Asks a peer to end a stream on an engine."""
+        return await self._call(
+            "cancel stream",
+            address,
+            RELAY_CANCEL_PATH,
+            message,
+            peer_pb2.RelayCancelled,
+        )
+
     async def close(self) -> None:
         """Closes all connections."""
-        if self._client_session is not None:
-            await self._client_session.close()
+        for session in (self._client_session, self._fresh_session):
+            if session is not None:
+                await session.close()
 
-    def _get_session(self) -> aiohttp.ClientSession:
+    def _get_session(self, *, fresh: bool = False) -> aiohttp.ClientSession:
         # A session belongs to the event loop in which it is created.
+        if fresh:
+            if self._fresh_session is None:
+                self._fresh_session = aiohttp.ClientSession(
+                    connector=aiohttp.TCPConnector(
+                        limit=0, force_close=True, socket_factory=_open_socket
+                    )
+                )
+            return self._fresh_session
         if self._client_session is None:
             self._client_session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
@@ -145,12 +213,15 @@
         path: str,
         message: proto.Message,
         reply_type: type[_Message],
+        *,
+        timeout_s: float | None = None,
     ) -> Result[_Message, PeerError]:
         self._count_bytes(message.ByteSize())
+        timeout_s = timeout_s or self._timeout_s
         try:
             # A timeout closes the connection, and the next call uses another.
             async with (
-                asyncio.timeout(self._timeout_s),
+                asyncio.timeout(timeout_s),
                 self._get_session().post(
                     f"http://{address}{path}",
                     data=message.SerializeToString(),
@@ -164,7 +235,7 @@
                 )
             answer = reply_type.FromString(body)
         except TimeoutError:
-            limit_ms = round(self._timeout_s * 1000)
+            limit_ms = round(timeout_s * 1000)
             return _error(step, address, f"no answer within {limit_ms} ms")
         except (aiohttp.ClientError, proto.DecodeError) as error:
             return _error(step, address, repr(error))
@@ -266,9 +337,14 @@
 __all__ = [
     "EXCHANGE_PATH",
     "NEWS_PATH",
+    "PATH_PATH",
     "PROOF_HEADER",
     "PROTOCOL_VERSION",
+    "RELAY_CANCEL_PATH",
+    "RELAY_PATH",
     "REPORT_PATH",
+    "STATUS_DECLINED",
+    "STATUS_OK",
     "TABLE_PATH",
     "NewsStream",
     "PeerClient",
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -33,6 +33,8 @@
         completions: Runs without a crash.
         rate_limits: Rate that each server accepts from all daemons together,
             by server.
+        lost_paths: Servers that this daemon can't reach, None if unchanged
+            since the last message.
     """
 
     loads: dict[str, server_inputs.LoadReported] = dataclasses.field(
@@ -54,10 +56,10 @@
     completions: set[quarantine.Completion] = dataclasses.field(
         default_factory=set
     )
-
     rate_limits: dict[str, effects.TellRateLimit] = dataclasses.field(
         default_factory=dict
     )
+    lost_paths: tuple[str, ...] | None = None
 
     def is_empty(self) -> bool:
         """Returns whether there is nothing to send."""
@@ -72,7 +74,8 @@
             self.completions,
             self.rate_limits,
         )
-        return not any(updates) and self.demands is None
+        has_totals = self.demands is not None or self.lost_paths is not None
+        return not any(updates) and not has_totals
 
     def add_list_changes(
         self,
@@ -115,6 +118,11 @@
             crashes=self.crashes | later.crashes,
             completions=self.completions | later.completions,
             rate_limits={**self.rate_limits, **later.rate_limits},
+            lost_paths=(
+                self.lost_paths
+                if later.lost_paths is None
+                else later.lost_paths
+            ),
         )
         if later.listed:
             merged.add_list_changes(
--- a/src/godwittack/peer/server.py
+++ b/src/godwittack/peer/server.py
@@ -15,7 +15,7 @@
 from godwittack.peer import exchange, peer_pb2, wire
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
 # Connections that may wait to be accepted: after a network partition heals,
 # hundreds of daemons connect within one probing period.
@@ -44,6 +44,19 @@
         """Returns this daemon's counters."""
 
 
+class RelayHandler(Protocol):
+    """Passes on attempts of other daemons to backend servers."""
+
+    async def relay(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Passes on one attempt and answers with its events."""
+
+    async def cancel(self, body: bytes) -> proto.Message:
+        """Ends a stream on an engine."""
+
+    async def answer_path(self, body: bytes) -> proto.Message:
+        """Returns whether this daemon reaches a server."""
+
+
 class PeerServer:
     """Answers other daemons that know the cluster's secret."""
 
@@ -53,9 +66,26 @@
         handler: PeerHandler,
         secret: bytes,
         count_bytes: Callable[[int], None] = lambda size: None,
+        relay: RelayHandler | None = None,
     ) -> None:
-        """Passes messages to `handler`, and their sizes to `count_bytes`."""
+        """Passes messages to handlers.
+
+        Args:
+            handler: Handles messages.
+            secret: The cluster's secret.
+            count_bytes: Called with the size of each message.
+            relay: Passes on attempts; None to offer that to no daemon.
+        """
         self._handler = handler
+        self._relay = relay
+        self._relay_calls: dict[
+            str, Callable[[bytes], Awaitable[proto.Message]]
+        ] = {}
+        if relay is not None:
+            self._relay_calls = {
+                exchange.RELAY_CANCEL_PATH: relay.cancel,
+                exchange.PATH_PATH: relay.answer_path,
+            }
         self._count_bytes = count_bytes
         self._expected_proof = exchange.proof(secret)
         self._calls: dict[str, Callable[[bytes], proto.Message]] = {
@@ -69,7 +99,9 @@
         }
         self._sockets: set[web.WebSocketResponse] = set()
         self._runner = web.ServerRunner(
-            web.Server(self._answer, access_log=None),
+            web.Server(
+                self._answer, access_log=None, handler_cancellation=True
+            ),
             shutdown_timeout=STOP_TIMEOUT_S,
         )
 
@@ -102,14 +134,23 @@
             return web.Response(status=401, text="not a daemon of this cluster")
         if request.path == exchange.NEWS_PATH:
             return await self._receive_news(request)
-        call = self._calls.get(request.path)
-        if call is None:
-            return web.Response(status=404, text="no such call")
-        body = await request.read()
         try:
-            answer = call(body)
+            if request.path == exchange.RELAY_PATH and self._relay is not None:
+                return await self._relay.relay(request)
+            return await self._answer_call(request)
         except proto.DecodeError as error:
             return web.Response(status=400, text=repr(error))
+
+    async def _answer_call(self, request: web.BaseRequest) -> web.Response:
+        call = self._calls.get(request.path)
+        relay_call = self._relay_calls.get(request.path)
+        body = await request.read()
+        if call is not None:
+            answer = call(body)
+        elif relay_call is not None:
+            answer = await relay_call(body)
+        else:
+            return web.Response(status=404, text="no such call")
         payload = answer.SerializeToString()
         self._count_bytes(len(body) + len(payload))
         return web.Response(body=payload)
@@ -138,4 +179,4 @@
         return socket
 
 
-__all__ = ["PeerHandler", "PeerServer"]
+__all__ = ["PeerHandler", "PeerServer", "RelayHandler"]
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -75,6 +75,8 @@
                 codec.completion_to_proto(completion, now_ms=now_ms)
                 for completion in updates.completions
             ],
+            has_lost_paths=updates.lost_paths is not None,
+            lost_paths=updates.lost_paths or (),
         )
 
     def _load(
--- /dev/null
+++ b/src/godwittack/relay/server.py
@@ -0,0 +1,369 @@
+"""Passes other daemons' attempts to backend servers that this one reaches."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from google.protobuf import message as proto
+from result import Err, Ok
+
+from godwittack.core import (
+    availability,
+    effects,
+    entities,
+    inputs,
+    paths,
+    server_inputs,
+    work,
+)
+from godwittack.peer import exchange, peer_pb2
+from godwittack.relay import codec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from godwittack.backend import protocol, signals
+    from godwittack.clock import Clock
+    from godwittack.daemon import observer as observers
+
+# Attempts passed on at the same time; beyond it, others are asked to do it.
+MAX_ATTEMPTS = 256
+# Events buffered for a daemon that reads slowly.
+MAX_BUFFERED_EVENTS = 64
+# Time for which a refused connection answers further questions.
+REFUSED_KEEP_MS = 300
+
+
+class EventQueue:
+    """Implements `AttemptSink`; queues the events of one attempt."""
+
+    def __init__(self) -> None:
+        """Starts without events."""
+        self.outcome = "broken"
+        self._events: collections.deque[peer_pb2.RelayEvent] = (
+            collections.deque()
+        )
+        self._is_finished = False
+        self._changed = asyncio.Event()
+        self._has_room = asyncio.Event()
+
+    def opened(
+        self,
+        echoed_request: str,
+        stamp: work.Stamp,
+        head: work.Head | None = None,
+    ) -> None:
+        """Queues the head of a stream."""
+        self._put(codec.opened(echoed_request, stamp, head))
+
+    def usage(self, *, prompt: int, cached: int, generated: int) -> None:
+        """Queues the token usage that the engine reported."""
+        usage = peer_pb2.RelayUsage(
+            prompt=prompt, cached=cached, generated=generated
+        )
+        self._put(peer_pb2.RelayEvent(usage=usage))
+
+    async def frames(self, frames: tuple[work.Frame, ...]) -> None:
+        """Queues frames; waits while too many events are queued."""
+        for frame in frames:
+            self._put(codec.frame(frame))
+            if frame.terminal:
+                self.outcome = "finished"
+        while len(self._events) >= MAX_BUFFERED_EVENTS:
+            self._has_room.clear()
+            await self._has_room.wait()
+
+    def answer(
+        self,
+        echoed_request: str,
+        answer: work.Answer,
+        stamp: work.Stamp | None,
+    ) -> None:
+        """Queues a complete answer."""
+        self.outcome = "finished"
+        self._put(codec.answer(echoed_request, answer, stamp))
+
+    def failed(
+        self,
+        phase: inputs.FailurePhase,
+        cause: inputs.FailureCause,
+        detail: str,
+    ) -> None:
+        """Queues the end of an attempt without an answer."""
+        self.outcome = f"{phase.value}_{cause.value}"
+        self._put(codec.failure(phase, cause, detail))
+
+    def signals(
+        self, reported: signals.ServerSignals, *, may_lift_limit: bool
+    ) -> None:
+        """Queues what the server reported about itself."""
+        self._put(codec.server_signals(reported, may_lift_limit=may_lift_limit))
+
+    def finish(self, task: asyncio.Task[None]) -> None:
+        """Ends the queue once the attempt has ended."""
+        if not task.cancelled() and task.exception() is not None:
+            self.failed(
+                inputs.FailurePhase.SENT,
+                inputs.FailureCause.BROKEN,
+                repr(task.exception()),
+            )
+        self._is_finished = True
+        self._changed.set()
+
+    async def get(self) -> peer_pb2.RelayEvent | None:
+        """Waits for the next event; returns None at the end."""
+        while not self._events:
+            if self._is_finished:
+                return None
+            self._changed.clear()
+            await self._changed.wait()
+        event = self._events.popleft()
+        self._has_room.set()
+        return event
+
+    def _put(self, event: peer_pb2.RelayEvent) -> None:
+        self._events.append(event)
+        self._changed.set()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refused:
+    """A probe whose connection was refused."""
+
+    at_ms: int
+    reply: peer_pb2.PathReply
+
+
+class RelayServer:
+    """Serves the attempts and questions of other daemons.
+
+    Attributes:
+        submit: Passes inputs to this daemon's core.
+        observer: Records one event for each attempt.
+        is_overloaded: Returns whether this daemon lacks processor time.
+    """
+
+    def __init__(
+        self,
+        *,
+        world: entities.World,
+        backend: protocol.BackendClient,
+        clock: Clock,
+        submit: Callable[[inputs.Input], None],
+        observer: observers.Observer,
+        is_overloaded: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Sends over the connections of `backend`."""
+        self._world = world
+        self._backend = backend
+        self._clock = clock
+        self.submit = submit
+        self.observer = observer
+        self.is_overloaded = is_overloaded
+        self._attempts = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._probes: dict[str, asyncio.Task[peer_pb2.PathReply]] = {}
+        self._refused: dict[str, _Refused] = {}
+
+    async def wait_until_idle(self) -> None:
+        """Waits until no attempt of another daemon is being passed on."""
+        await self._idle.wait()
+
+    async def relay(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Passes one attempt to its server, and its events back."""
+        message = peer_pb2.RelayCall.FromString(await request.read())
+        dispatch = codec.dispatch_from_proto(
+            message, now_ms=self._clock.now_ms()
+        )
+        declined = self._decline_reason(dispatch)
+        if declined:
+            self._record(message, f"declined: {declined}", 0)
+            return web.Response(status=exchange.STATUS_DECLINED, text=declined)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        started_ms = self._clock.now_ms()
+        queue = EventQueue()
+        task = asyncio.create_task(
+            self._backend.send(dispatch, codec.call_from_proto(message), queue)
+        )
+        task.add_done_callback(queue.finish)
+        self._attempts += 1
+        self._idle.clear()
+        try:
+            while (event := await queue.get()) is not None:
+                await response.write(codec.frame_event(event))
+            await response.write_eof()
+        except (asyncio.CancelledError, ConnectionError):
+            queue.outcome = "sender_gone"
+            raise
+        finally:
+            self._attempts -= 1
+            if not self._attempts:
+                self._idle.set()
+            # Closes the connection to the server if the sender has gone.
+            task.cancel()
+            self._record(
+                message, queue.outcome, self._clock.now_ms() - started_ms
+            )
+        return response
+
+    async def cancel(self, body: bytes) -> proto.Message:
+        """Ends a stream on an engine."""
+        message = peer_pb2.RelayCancel.FromString(body)
+        await self._backend.cancel(message.address, message.stream_id)
+        return peer_pb2.RelayCancelled()
+
+    async def answer_path(self, body: bytes) -> proto.Message:
+        """Probes a server over a new connection, for another daemon."""
+        query = peer_pb2.PathQuery.FromString(body)
+        server = self._world.servers.get(query.server_id)
+        if server is None or server.address != query.address:
+            return _reply(server_inputs.PathVerdict.UNKNOWN)
+        refused = self._refused.get(query.server_id)
+        now_ms = self._clock.now_ms()
+        if refused is not None and now_ms - refused.at_ms < REFUSED_KEEP_MS:
+            return refused.reply
+        probe = self._probes.get(query.server_id)
+        if probe is None:
+            probe = asyncio.create_task(self._probe(server))
+            self._probes[query.server_id] = probe
+            probe.add_done_callback(
+                lambda _: self._probes.pop(query.server_id, None)
+            )
+        return await asyncio.shield(probe)
+
+    def _decline_reason(self, dispatch: effects.Dispatch) -> str:
+        """Returns why an attempt isn't passed on; empty if it is."""
+        server = self._world.servers.get(dispatch.server_id)
+        now_ms = self._clock.now_ms()
+        if self._world.stopping:
+            return "this daemon stops"
+        if server is None or server.address != dispatch.address:
+            return "this daemon does not know the server"
+        if paths.is_lost(server):
+            return "this daemon does not reach the server"
+        if not availability.may_send(self._world, dispatch, now_ms=now_ms):
+            return "the server accepts no work from this daemon"
+        if self._attempts >= MAX_ATTEMPTS or self.is_overloaded():
+            return "this daemon is overloaded"
+        return ""
+
+    async def _probe(self, server: entities.ServerRow) -> peer_pb2.PathReply:
+        other = self._other_server(server)
+        result, other_result = await asyncio.gather(
+            self._load(server), self._load(other)
+        )
+        now_ms = self._clock.now_ms()
+        is_alive = _is_alive(result)
+        is_refused = (
+            isinstance(result, Err) and result.err_value.connection_refused
+        )
+        self.submit(
+            server_inputs.ProbeAnswered(
+                now_ms,
+                server.server_id,
+                is_alive,
+                incarnation=_incarnation(result),
+                ended=is_refused,
+                fresh_connection=True,
+                was_asked=True,
+            )
+        )
+        verdict = server_inputs.PathVerdict.SILENT
+        if is_alive:
+            verdict = server_inputs.PathVerdict.ALIVE
+        elif is_refused:
+            verdict = server_inputs.PathVerdict.ENDED
+        reply = _reply(
+            verdict,
+            incarnation=_incarnation(result),
+            reaches_others=other is None or _is_alive(other_result),
+        )
+        if is_refused:
+            self._refused[server.server_id] = _Refused(now_ms, reply)
+        return reply
+
+    def _other_server(
+        self, server: entities.ServerRow
+    ) -> entities.ServerRow | None:
+        """Returns another server, which shows whether this daemon is cut off.
+
+        One of the same target, as a cut may concern one service only; of
+        these, the one heard from last is the least likely to have ended.
+        """
+        others = [
+            other
+            for other in self._world.servers.values()
+            if other is not server and not other.leaving
+        ]
+        same_target = [o for o in others if o.target == server.target]
+        return max(
+            same_target or others,
+            key=lambda other: other.last_contact_ms,
+            default=None,
+        )
+
+    async def _load(
+        self, server: entities.ServerRow | None
+    ) -> Result[protocol.EngineLoad, protocol.BackendError] | None:
+        if server is None:
+            return None
+        return await self._backend.load(
+            server.address, server_id=server.server_id, fresh_connection=True
+        )
+
+    def _record(
+        self, message: peer_pb2.RelayCall, outcome: str, took_ms: int
+    ) -> None:
+        self.observer.record(
+            effects.Event(
+                "relayed",
+                message.request_id,
+                (
+                    effects.Field("attempt", message.attempt_id),
+                    effects.Field("server", message.server_id),
+                    effects.Field("sender", message.sender_id),
+                    effects.Field("outcome", outcome),
+                    effects.Field("took_ms", took_ms),
+                    effects.Field("active", self._attempts),
+                ),
+            )
+        )
+
+
+def _reply(
+    verdict: server_inputs.PathVerdict,
+    *,
+    incarnation: str = "",
+    reaches_others: bool = False,
+) -> peer_pb2.PathReply:
+    return peer_pb2.PathReply(
+        verdict=verdict.value,
+        incarnation=incarnation,
+        reaches_others=reaches_others,
+    )
+
+
+def _is_alive(
+    result: Result[protocol.EngineLoad, protocol.BackendError] | None,
+) -> bool:
+    """Returns whether a server responded; a rejection counts as well."""
+    if result is None:
+        return False
+    return isinstance(result, Ok) or result.err_value.status > 0
+
+
+def _incarnation(
+    result: Result[protocol.EngineLoad, protocol.BackendError] | None,
+) -> str:
+    return result.ok_value.incarnation if isinstance(result, Ok) else ""
+
+
+__all__ = ["RelayServer"]
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -30,8 +30,11 @@
 _OMITTED_IF_DEFAULT: dict[type, tuple[str, ...]] = {
     work.Work: ("host", "path", "route", "resume_after"),
     effects.Dispatch: ("ends_at_ms",),
+    effects.Probe: ("fresh_connection",),
     inputs.MembersChanged: ("known",),
     inputs.RequestArrived: ("waited_ms",),
+    server_inputs.LoadEchoed: ("is_relayed",),
+    server_inputs.ProbeAnswered: ("fresh_connection", "was_asked"),
     server_inputs.ServerListed: ("slots",),
     policy.Policy: (
         "budget_by_target",
--- a/tests/cases/connections.py
+++ b/tests/cases/connections.py
@@ -64,6 +64,9 @@
         del echoed_request, stamp
         self.answered = answer
 
+    def signals(self, reported, *, may_lift_limit) -> None:
+        """Ignores signals, which the backend client reports itself."""
+
     def failed(self, phase, cause, detail) -> None:
         """Records a failure."""
         del detail
--- a/tests/cases/fleet_bounds.py
+++ b/tests/cases/fleet_bounds.py
@@ -177,7 +177,7 @@
 
 
 def an_ejected_engine_is_probed_by_its_watcher_only() -> None:
-    """In a large fleet a load report ends an ejection, not a probe.
+    """In a large fleet only a load report leads to a probe of a lost engine.
 
     Sixty daemons probed each of twenty unresponsive engines every 1, 2, 4 s.
     """
@@ -185,17 +185,37 @@
     core.tell(inputs.MembersChanged, tuple(f"d{n}" for n in range(60)))
     _report(core, "e1")
     core.arrive("short", "lost")
-    core.fail(core.dispatch(), inputs.FailurePhase.CONNECT)
+    questions = core.fail(core.dispatch(), inputs.FailurePhase.CONNECT)
     ejected = core.world.servers["e1"]
-    assert not [
-        effect for effect in core.wait(8_000) if _is_probe_of(effect, ejected)
-    ]
+    found = core.wait(8_000)
+    assert not [effect for effect in found if _is_probe_of(effect, ejected)]
+    _answer_dead(core, questions)
     core.arrive("short", "early")
     assert core.refusal()
     _report(core, "e1")
-    core.wait(servers.ejection_ms(core.world, ejected) + 100)
+    found = core.wait(servers.ejection_ms(core.world, ejected) + 100)
+    assert [effect for effect in found if _is_probe_of(effect, ejected)]
+    core.tell(
+        server_inputs.ProbeAnswered, "e1", alive=True, fresh_connection=True
+    )
     core.arrive("short", "back")
     assert core.dispatch().server_id == "e1"
+    assert not core.dispatch().relay
+
+
+def _answer_dead(core, questions) -> None:
+    """Answers all questions: other daemons don't reach the server either."""
+    for question in questions:
+        if not isinstance(question, effects.AskPaths):
+            continue
+        for daemon in question.daemons:
+            core.tell_named(
+                server_inputs.PathAnswered,
+                server_id=question.server_id,
+                daemon=daemon,
+                verdict=server_inputs.PathVerdict.SILENT,
+                reaches_others=True,
+            )
 
 
 def a_daemon_without_reports_probes_an_ejected_engine_itself() -> None:
--- a/tests/cases/one_lead.py
+++ b/tests/cases/one_lead.py
@@ -32,7 +32,10 @@
         self.orders: list[backend.Order] = []
         self.refuse: int = 0
 
-    async def load(self, address, *, server_id=""):
+    def drop_connections(self, server_id) -> None:
+        """Does nothing: no connections are kept."""
+
+    async def load(self, address, *, server_id="", fresh_connection=False):
         """Returns a server's report."""
         del address
         return Ok(
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -275,8 +275,7 @@
         retries += len(core.find(effects.Dispatch))
         for sent in core.find(effects.Dispatch):
             core.answer(sent)
-        for server in core.world.servers.values():
-            server.ejected_until_ms = 0
+        core.restore_servers()
     assert 5 <= retries <= 16, retries
 
 
@@ -292,10 +291,9 @@
     retries = 0
     for number in range(30):
         core.arrive("release", f"r{number}")
-        core.fail(core.dispatch(), CONNECT)
+        core.fail(core.dispatch(), SENT)
         retries += len(core.find(effects.Dispatch))
-        for server in core.world.servers.values():
-            server.ejected_until_ms = 0
+        core.restore_servers()
     assert retries == 1, retries
 
 
--- a/tests/cases/routed_core.py
+++ b/tests/cases/routed_core.py
@@ -201,6 +201,17 @@
             inputs.AttemptFailed, sent.attempt_id, phase, cause, "test"
         )
 
+    def restore_servers(self) -> None:
+        """Ends all ejections, as after probes on new connections."""
+        for name in self.world.servers:
+            self.tell(
+                server_inputs.ProbeAnswered,
+                name,
+                alive=True,
+                fresh_connection=True,
+            )
+            self.world.servers[name].ejected_until_ms = 0
+
     def answer(self, sent: effects.Dispatch, status: int = 200):
         """Delivers the whole answer of an attempt."""
         return self.tell(
--- a/tests/sim/fakes.py
+++ b/tests/sim/fakes.py
@@ -207,7 +207,10 @@
             return
         sink.answer("", answer, None)
 
-    async def load(self, address, *, server_id=""):
+    def drop_connections(self, server_id) -> None:
+        """Does nothing: no connections are kept."""
+
+    async def load(self, address, *, server_id="", fresh_connection=False):
         """Answers every probe, since the service never fails."""
         return Ok(
             backend.EngineLoad(
--- a/tests/sim/large_fleets.py
+++ b/tests/sim/large_fleets.py
@@ -321,7 +321,10 @@
         self.daemon = daemon
         self.fleet = daemon.fleet
 
-    async def load(self, address, *, server_id=""):
+    def drop_connections(self, server_id) -> None:
+        """Does nothing: no connections are kept."""
+
+    async def load(self, address, *, server_id="", fresh_connection=False):
         """Returns an engine's load report."""
         del address
         engine = self.fleet.engines.engines[server_id]
