Let daemons watch only servers that they reach

Callers of the whole fleet were placed by stale loads and caches where the daemon that watched an engine had lost its path to it: it kept the watch, its polls failed, and no other daemon followed the engine's cache events.

Daemons tell each other the servers that they can't reach; such a daemon is left out when the watcher of a server is chosen, unless none reaches it. The case with all daemons but one cut off checks that each engine's events are still followed; without this change nobody asked for those of i-e1.

--- a/src/godwittack/daemon/server_watcher.py
+++ b/src/godwittack/daemon/server_watcher.py
@@ -99,7 +99,13 @@
         self._addresses: dict[str, str] = {}
         self._assigned: set[str] = set()
         self._assigned_for: (
-            tuple[list[view.Member], frozenset[str], tuple[str, ...]] | None
+            tuple[
+                list[view.Member],
+                frozenset[str],
+                tuple[str, ...],
+                dict[str, frozenset[str]],
+            ]
+            | None
         ) = None
 
     async def assign_forever(self) -> None:
@@ -125,22 +131,37 @@
     def _assigned_servers(self) -> set[str]:
         """Returns the servers assigned to this daemon.
 
-        Recomputed only when daemons or servers were added or removed.
+        Recomputed only when daemons or servers were added or removed, or the
+        paths between them changed.
         """
         servers = self._core.core.world.servers
         live, names = self._members.live(), frozenset(servers)
-        assigned_for = (live, names, self._core.core.world.table.targets)
+        assigned_for = (
+            live,
+            names,
+            self._core.core.world.table.targets,
+            dict(self._updates.lost_paths),
+        )
         if assigned_for != self._assigned_for:
             own = self._members.me.member_id
             self._assigned_for = assigned_for
             self._assigned = {
                 name
                 for name, row in servers.items()
-                if assignment.watcher(name, self._updates.audience(row.target))
-                == own
+                if self._watcher_of(row) == own
             }
         return self._assigned
 
+    def _watcher_of(self, row: entities.ServerRow) -> str | None:
+        """Returns the daemon that watches a server, one that reaches it."""
+        audience = self._updates.audience(row.target)
+        reaching = [
+            member
+            for member in audience
+            if self._updates.has_path(member, row.server_id)
+        ]
+        return assignment.watcher(row.server_id, reaching or audience)
+
     async def poll_unknown(self) -> None:
         """Polls the servers without a report so far, once.
 
--- a/tests/cases/cut_off.py
+++ b/tests/cases/cut_off.py
@@ -83,6 +83,7 @@
             await asyncio.sleep(HEALED_S)
             self._is_stopping = True
             await asyncio.gather(*tasks)
+            self.engines = [r for r in platform.replicas.values() if r.model]
             self.logs = [platform.log(n) for n in range(self.daemons)]
             self.runs = collections.Counter(
                 execution.request_id
@@ -152,6 +153,17 @@
                 assert runs <= 1, tried
                 assert not (runs and tried.status == "503"), tried
 
+    def check_watched(self) -> None:
+        """Checks that a daemon follows the cache events of each engine."""
+        start_s = self.cut_at_s + STABLE_S
+        for engine in self.engines:
+            calls = [
+                at_s
+                for at_s in engine.event_calls_s
+                if start_s <= at_s < self.healed_at_s
+            ]
+            assert calls, engine.instance
+
     def check_no_crash(self) -> None:
         """Checks that no daemon takes a server for crashed."""
         for number, log in enumerate(self.logs):
@@ -195,7 +207,8 @@
 
 async def all_daemons_but_one_are_cut_off_and_serve_their_callers() -> None:
     """Guards against fleets that need more than one daemon with a path."""
-    await _check("reset", daemons=5, cut_off=4)
+    fleet = await _check("reset", daemons=5, cut_off=4)
+    fleet.check_watched()
 
 
 async def daemons_without_a_path_to_one_service_serve_its_callers() -> None:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -84,6 +84,8 @@
         self.arrivals: list[Arrival] = []
         self.rests: list[Rest] = []
         self.orders: list[dict] = []
+        # Times of calls for cache events.
+        self.event_calls_s: list[float] = []
         self.cancelled: list[str] = []
         self.event_gap_s = 0.01
         # Request body that crashes the server; empty for none.
@@ -135,6 +137,7 @@
             case "/order":
                 response = await self._order(request)
             case "/kv-events":
+                self.event_calls_s.append(time.monotonic())
                 await asyncio.sleep(0.2)
                 response = web.json_response(
                     {"boot-epoch": 1, "next": 0, "lost": False, "events": []}
