Tell a broken connection and a quick restart from a lost path

And requests that crash servers were sent 22 times after the third crash where servers restart within 20 ms under one id.

Cause: a probe whose answer was cut counted as a lost path, though its connection had been open; and a success on a connection opened before reset the ejection but not the path, so that neither was usable. An "alive" of another daemon cleared the crash evidence although the process had ended and restarted in between, which shows only by the refused connection where incarnations have no names.

Change: only a probe that can't connect or gets no answer loses a path; one that broke is repeated on a new connection. A success on a lost path lets it be probed at once. A path that was refused for less than a second to a server without named incarnations counts as a restart; if it stays lost while the server is alive elsewhere, its broken connections are cleared. A daemon that can't be reached is left out as a relay for all servers, one that declines for the server that it declined.

--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -279,8 +279,14 @@
                 return Ok(data)
         except TimeoutError:
             return _error(step, address, "no answer in time")
+        except aiohttp.ClientConnectorError as error:
+            is_refused = _connect_cause(error) is inputs.FailureCause.ENDED
+            return _error(
+                step, address, str(error), connection_refused=is_refused
+            )
         except (aiohttp.ClientError, OSError) as error:
-            return _error(step, address, str(error) or type(error).__name__)
+            detail = str(error) or type(error).__name__
+            return _error(step, address, detail, connection_broken=True)
 
 
 def _connect_cause(
@@ -414,8 +420,23 @@
     return f"/v1/streams/{stream_id}"
 
 
-def _error(step: str, address: str, detail: str) -> Err[protocol.BackendError]:
-    return Err(protocol.BackendError(step=step, peer=address, detail=detail))
+def _error(
+    step: str,
+    address: str,
+    detail: str,
+    *,
+    connection_refused: bool = False,
+    connection_broken: bool = False,
+) -> Err[protocol.BackendError]:
+    return Err(
+        protocol.BackendError(
+            step=step,
+            peer=address,
+            detail=detail,
+            connection_refused=connection_refused,
+            connection_broken=connection_broken,
+        )
+    )
 
 
 __all__ = ["HttpBackend"]
--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -23,7 +23,9 @@
         detail: Human-readable cause in one line.
         status: HTTP status of the answer; 0 where none was received.
         may_have_run: Whether a byte of the call may have reached the server.
-        connection_refused: Whether nothing listens at its address.
+        connection_refused: Whether its address refused the connection.
+        connection_broken: Whether an open connection ended before the answer
+            did.
     """
 
     step: str
@@ -32,6 +34,7 @@
     status: int = 0
     may_have_run: bool = True
     connection_refused: bool = False
+    connection_broken: bool = False
 
     def __str__(self) -> str:
         """Returns the error as one line."""
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -409,6 +409,7 @@
                 str(error),
                 may_have_run=connection is not None,
                 connection_refused=isinstance(error, ConnectionRefusedError),
+                connection_broken=connection is not None,
             )
         except asyncio.CancelledError:
             _close(connection)
@@ -479,6 +480,7 @@
     status: int = 0,
     may_have_run: bool = True,
     connection_refused: bool = False,
+    connection_broken: bool = False,
 ) -> Err[protocol.BackendError]:
     return Err(
         protocol.BackendError(
@@ -488,6 +490,7 @@
             status=status,
             may_have_run=may_have_run,
             connection_refused=connection_refused,
+            connection_broken=connection_broken,
         )
     )
 
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -191,7 +191,7 @@
     if failure.cause is inputs.FailureCause.WITHHELD:
         return True
     is_relay = failure.cause is inputs.FailureCause.RELAY
-    return is_relay and _is_connect_failure(failure)
+    return is_relay and failure.phase is not inputs.FailurePhase.SENT
 
 
 def _record_not_passed_on(
--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -75,6 +75,13 @@
         record_process_end(world, server)
 
 
+def clear_possible(server: entities.ServerRow, *, until_ms: int) -> None:
+    """Clears broken connections before a time at which a server was alive."""
+    server.possible_crashes = [
+        crash for crash in server.possible_crashes if crash.at_ms > until_ms
+    ]
+
+
 def record_completion(
     world: entities.World, request: entities.RequestRow
 ) -> None:
@@ -240,6 +247,7 @@
 
 __all__ = [
     "apply_peer_update",
+    "clear_possible",
     "is_quarantined",
     "quarantine_left_ms",
     "quarantine_reason",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -211,6 +211,7 @@
             as crashes only if the server's process has ended.
         path_lost_at_ms: When this daemon found that it can't reach the server;
             0 while it can.
+        path_is_refused: Whether connections were refused when it was lost.
         path_probe_at_ms: When to probe the lost path next.
         heard_alive_ms: When this daemon last learnt through another one that
             the server is alive.
@@ -258,6 +259,7 @@
         default_factory=list
     )
     path_lost_at_ms: int = 0
+    path_is_refused: bool = False
     path_probe_at_ms: int = 0
     heard_alive_ms: int = -1_000_000
     peer_paths: dict[str, PeerPath] = dataclasses.field(default_factory=dict)
@@ -329,6 +331,7 @@
         serving_daemons: Those of them that send requests to servers.
         near_daemons: Those of them in this daemon's failure domain.
         told_paths: Servers that other daemons can't reach, by daemon.
+        lost_relays: Until when not to send requests through a daemon.
         paths_told_ms: When this daemon last told others its lost paths.
         serving_lease_until_ms: Until when the table may be treated as current.
         weights_history: Requested versions of weights, oldest first, by target.
@@ -382,6 +385,7 @@
     serving_daemons: frozenset[str] = frozenset()
     near_daemons: frozenset[str] = frozenset()
     told_paths: dict[str, ToldPaths] = dataclasses.field(default_factory=dict)
+    lost_relays: dict[str, int] = dataclasses.field(default_factory=dict)
     paths_told_ms: int = 0
     serving_lease_until_ms: int = 0
     stopping: bool = False
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -18,7 +18,8 @@
 
     CONNECT proves that nothing was sent. SENT means that at least one byte
     of the request may have reached the backend server. DECLINED means that
-    the server itself reported that it did not and will not run the request.
+    the server itself, or the daemon that was to pass the request on, reported
+    that it did not and will not run it.
     """
 
     CONNECT = "connect"
--- a/src/godwittack/core/paths.py
+++ b/src/godwittack/core/paths.py
@@ -25,6 +25,7 @@
     inputs,
     server_inputs,
 )
+from godwittack.core import incarnation as incarnations
 from godwittack.placement import rendezvous
 
 # Daemons asked at a time, and at most, whether they reach a server.
@@ -48,6 +49,8 @@
 TOLD_EXPIRES_MS = 3 * TELL_INTERVAL_MS
 # Estimated time that passing a request through another daemon takes.
 RELAY_COST_MS = 3.0
+# Time for which a refused path may be that of a server that restarts.
+QUICK_RESTART_MS = 1_000
 # Time without contact after which a server counts as possibly unreachable.
 CONTACT_MS = 300
 
@@ -89,6 +92,7 @@
     """
     if not is_lost(server):
         server.path_lost_at_ms = world.now_ms
+        server.path_is_refused = is_refused
         server.path_probe_at_ms = world.now_ms + FIRST_PROBE_MS
         server.peer_paths.clear()
         world.event(
@@ -111,6 +115,8 @@
     """Records that a new connection to a server could be opened."""
     if not is_lost(server):
         return
+    if was_quick_restart(world, server):
+        _record_process_end(world, server)
     was_alive = is_alive_elsewhere(server)
     world.event(
         "path_restored",
@@ -137,6 +143,46 @@
     server.found_dead_until_ms = 0
 
 
+def verify(
+    world: entities.World, server: entities.ServerRow, *, is_verified: bool
+) -> None:
+    """Probes a server on a new connection after an open one has broken.
+
+    Args:
+        world: The tables.
+        server: The server.
+        is_verified: Whether it was a new connection that has broken.
+    """
+    if not is_verified and not is_lost(server):
+        world.emit(
+            effects.Probe(
+                server.server_id, server.address, fresh_connection=True
+            )
+        )
+
+
+def probe_soon(world: entities.World, server: entities.ServerRow) -> None:
+    """Lets a lost path be probed at once, as it may work again."""
+    server.path_probe_at_ms = min(server.path_probe_at_ms, world.now_ms)
+
+
+def was_quick_restart(
+    world: entities.World, server: entities.ServerRow
+) -> bool:
+    """Returns whether a path was refused for a moment only.
+
+    A process that has no named incarnations and restarts at once looks the
+    same as a path that is lost for a moment. It counts as a restart, so that
+    a request that crashes such servers is recorded.
+    """
+    return (
+        is_lost(server)
+        and server.path_is_refused
+        and not incarnations.started_at_ms(server.incarnation)
+        and world.now_ms - server.path_lost_at_ms < QUICK_RESTART_MS
+    )
+
+
 def ask(world: entities.World, server: entities.ServerRow) -> None:
     """Asks other daemons whether they reach a server."""
     if server.inquiry is not None:
@@ -166,7 +212,9 @@
     if answer.verdict is server_inputs.PathVerdict.ALIVE:
         _apply_alive(world, server, answer)
         return
-    if is_lost(server):
+    if answer.verdict is server_inputs.PathVerdict.UNKNOWN:
+        world.lost_relays[answer.daemon] = world.now_ms + DECLINED_MS
+    elif is_lost(server):
         record_failed_relay(world, server, answer.daemon)
     inquiry = server.inquiry
     if inquiry is None or answer.daemon not in inquiry.asked:
@@ -201,6 +249,8 @@
     _expire_told(world)
     lost = [server for server in world.servers.values() if is_lost(server)]
     for server in lost:
+        if is_alive_elsewhere(server) and not was_quick_restart(world, server):
+            crashes.clear_possible(server, until_ms=server.heard_alive_ms)
         if server.possible_crashes and any(
             crash.at_ms >= server.asked_at_ms
             for crash in server.possible_crashes
@@ -306,19 +356,16 @@
     server = world.servers.get(attempt.server_id)
     if server is None:
         return
-    if failure.phase is inputs.FailurePhase.DECLINED:
+    is_declined = failure.phase is inputs.FailurePhase.DECLINED
+    if failure.cause is inputs.FailureCause.RELAY and not is_declined:
+        # The daemon itself is lost, whichever server it is to send to.
+        world.lost_relays[attempt.relay] = world.now_ms + FAILED_MS
+    elif failure.cause is inputs.FailureCause.RELAY:
+        record_failed_relay(world, server, attempt.relay, for_ms=DECLINED_MS)
+    elif is_declined:
         server.heard_alive_ms = world.now_ms
-        return
-    is_declined = (
-        failure.cause is inputs.FailureCause.RELAY
-        and failure.phase is inputs.FailurePhase.CONNECT
-    )
-    record_failed_relay(
-        world,
-        server,
-        attempt.relay,
-        for_ms=DECLINED_MS if is_declined else FAILED_MS,
-    )
+    else:
+        record_failed_relay(world, server, attempt.relay)
 
 
 def _apply_alive(
@@ -331,7 +378,8 @@
     server.inquiry = None
     # The server responds to another daemon, so its process has not ended, or
     # another one runs in its place.
-    crashes.record_health_response(world, server, answer.incarnation)
+    if not was_quick_restart(world, server):
+        crashes.record_health_response(world, server, answer.incarnation)
     if not is_lost(server):
         return
     server.peer_paths[answer.daemon] = entities.PeerPath(
@@ -425,6 +473,8 @@
 def _may_reach(
     world: entities.World, server: entities.ServerRow, daemon: str
 ) -> bool:
+    if world.now_ms < world.lost_relays.get(daemon, 0):
+        return False
     known = server.peer_paths.get(daemon)
     if known is not None and known.until_ms > world.now_ms:
         return known.reaches
@@ -443,6 +493,9 @@
         is_expired = world.now_ms - told.at_ms >= TOLD_EXPIRES_MS
         if is_expired or daemon not in world.live_daemons:
             del world.told_paths[daemon]
+    for daemon, until_ms in list(world.lost_relays.items()):
+        if until_ms <= world.now_ms:
+            del world.lost_relays[daemon]
 
 
 __all__ = [
@@ -460,10 +513,13 @@
     "is_lost",
     "is_probe_due",
     "lose",
+    "probe_soon",
     "record_failed_relay",
     "record_relay_failure",
     "record_relayed",
     "relays",
     "restore",
     "tell",
+    "verify",
+    "was_quick_restart",
 ]
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -152,7 +152,7 @@
     server = world.servers.get(result.server_id)
     if server is None:
         return
-    if result.alive:
+    if result.alive and not paths.was_quick_restart(world, server):
         crashes.record_health_response(world, server, result.incarnation)
     if result.alive and not server.ejected_until_ms:
         server.last_contact_ms = world.now_ms
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -15,6 +15,7 @@
         ended: Whether its address refused the connection.
         fresh_connection: Whether a new connection was opened for the probe.
         was_asked: Whether another daemon asked for the probe.
+        broken: Whether an open connection ended before the answer did.
     """
 
     at_ms: int
@@ -24,6 +25,7 @@
     ended: bool = False
     fresh_connection: bool = False
     was_asked: bool = False
+    broken: bool = False
 
 
 class PathVerdict(enum.StrEnum):
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -202,9 +202,13 @@
         paths.restore(world, server)
         world.targets_to_dispatch.add(server.target)
         return
-    detail = "probe refused" if result.ended else "probe not answered"
+    detail = _probe_detail(result)
     if not paths.is_alive_elsewhere(server):
         _eject(world, server, detail)
+    if result.broken:
+        # The connection was open: this daemon reaches the server.
+        paths.verify(world, server, is_verified=result.fresh_connection)
+        return
     has_own_requests = bool(server.in_flight or server.possible_crashes)
     paths.lose(
         world,
@@ -215,13 +219,24 @@
     )
 
 
+def _probe_detail(result: server_inputs.ProbeAnswered) -> str:
+    if result.ended:
+        return "probe refused"
+    return "probe broken" if result.broken else "probe not answered"
+
+
 def record_success(world: entities.World, attempt: entities.AttemptRow) -> None:
     """Resets a server's failures and ejection after a success."""
     if attempt.relay:
         paths.record_relayed(world, attempt)
         return
     server = world.servers.get(attempt.server_id)
-    if server is not None:
+    if server is None:
+        return
+    if paths.is_lost(server):
+        # The connection may be older than the loss of the path.
+        paths.probe_soon(world, server)
+    else:
         server.consecutive_failures = 0
         server.ejected_until_ms = 0
 
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -289,6 +289,8 @@
                 ended=isinstance(result, Err)
                 and result.err_value.connection_refused,
                 fresh_connection=effect.fresh_connection,
+                broken=isinstance(result, Err)
+                and result.err_value.connection_broken,
             )
         )
 
--- a/src/godwittack/relay/client.py
+++ b/src/godwittack/relay/client.py
@@ -84,8 +84,10 @@
                 if response.status != exchange.STATUS_OK:
                     body = await response.read()
                     detail = body[:200].decode(errors="replace")
-                    _fail_unsent(
-                        sink, f"{dispatch.relay}: {response.status} {detail}"
+                    sink.failed(
+                        inputs.FailurePhase.DECLINED,
+                        inputs.FailureCause.RELAY,
+                        f"{dispatch.relay}: {response.status} {detail}",
                     )
                     return
                 await self._receive(dispatch, response.content, sink)
--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -53,6 +53,11 @@
         self._changed = asyncio.Event()
         self._has_room = asyncio.Event()
 
+    @property
+    def size(self) -> int:
+        """Number of queued events."""
+        return len(self._events)
+
     def opened(
         self,
         echoed_request: str,
@@ -144,6 +149,7 @@
     """Serves the attempts and questions of other daemons.
 
     Attributes:
+        queues: Events of the attempts that are passed on at present.
         submit: Passes inputs to this daemon's core.
         observer: Records one event for each attempt.
         is_overloaded: Returns whether this daemon lacks processor time.
@@ -166,7 +172,7 @@
         self.submit = submit
         self.observer = observer
         self.is_overloaded = is_overloaded
-        self._attempts = 0
+        self.queues: list[EventQueue] = []
         self._idle = asyncio.Event()
         self._idle.set()
         self._probes: dict[str, asyncio.Task[peer_pb2.PathReply]] = {}
@@ -194,18 +200,20 @@
             self._backend.send(dispatch, codec.call_from_proto(message), queue)
         )
         task.add_done_callback(queue.finish)
-        self._attempts += 1
+        self.queues.append(queue)
         self._idle.clear()
         try:
             while (event := await queue.get()) is not None:
                 await response.write(codec.frame_event(event))
             await response.write_eof()
-        except (asyncio.CancelledError, ConnectionError):
+        except asyncio.CancelledError:
             queue.outcome = "sender_gone"
             raise
+        except ConnectionError:
+            queue.outcome = "sender_gone"
         finally:
-            self._attempts -= 1
-            if not self._attempts:
+            self.queues.remove(queue)
+            if not self.queues:
                 self._idle.set()
             # Closes the connection to the server if the sender has gone.
             task.cancel()
@@ -251,7 +259,7 @@
             return "this daemon does not reach the server"
         if not availability.may_send(self._world, dispatch, now_ms=now_ms):
             return "the server accepts no work from this daemon"
-        if self._attempts >= MAX_ATTEMPTS or self.is_overloaded():
+        if len(self.queues) >= MAX_ATTEMPTS or self.is_overloaded():
             return "this daemon is overloaded"
         return ""
 
@@ -332,7 +340,7 @@
                     effects.Field("sender", message.sender_id),
                     effects.Field("outcome", outcome),
                     effects.Field("took_ms", took_ms),
-                    effects.Field("active", self._attempts),
+                    effects.Field("active", len(self.queues)),
                 ),
             )
         )
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -34,7 +34,7 @@
     inputs.MembersChanged: ("known",),
     inputs.RequestArrived: ("waited_ms",),
     server_inputs.LoadEchoed: ("is_relayed",),
-    server_inputs.ProbeAnswered: ("fresh_connection", "was_asked"),
+    server_inputs.ProbeAnswered: ("fresh_connection", "was_asked", "broken"),
     server_inputs.ServerListed: ("slots",),
     policy.Policy: (
         "budget_by_target",
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -38,6 +38,7 @@
     "withdrawing",
     "cut_off",
     "paths",
+    "relaying",
     "fuzz",
 )
 
