--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -37,6 +37,10 @@
             "godwittack_prompt_tokens", description="By source"
         )
         self._retries = meter.create_counter("godwittack_retries")
+        self._relayed = meter.create_counter(
+            "godwittack_relayed",
+            description="Attempts passed on for other daemons, by outcome",
+        )
         self._weights_orders = meter.create_histogram(
             "godwittack_weights_order_ms",
             unit="ms",
@@ -73,6 +77,9 @@
                 self._requests.add(1, {**labels, "outcome": outcome})
             case "first_token":
                 self._first_token.record(float(fields["after_ms"]), labels)
+            case "relayed":
+                outcome = str(fields["outcome"]).partition(":")[0]
+                self._relayed.add(1, {"outcome": outcome})
             case "retried":
                 self._retries.add(1, labels)
             case "usage":
@@ -112,6 +119,13 @@
         "godwittack_leaving_servers": lambda: sum(
             server.leaving for server in world.servers.values()
         ),
+        "godwittack_lost_paths": lambda: sum(
+            server.path_lost_at_ms > 0 for server in world.servers.values()
+        ),
+        "godwittack_brittle_servers": lambda: sum(
+            server.max_rejected_per_s is not None
+            for server in world.servers.values()
+        ),
         "godwittack_resting_servers": lambda: sum(
             server.rest_until_ms > world.now_ms
             for server in world.servers.values()
--- a/tests/cases/brittle.py
+++ b/tests/cases/brittle.py
@@ -19,6 +19,7 @@
 from godwittack.peer import pending, wire
 from godwittack.platform import servers
 from sim.brittle_fleets import Fleet, Load
+from soak import cuts
 
 SEED = 7
 SENT = inputs.FailurePhase.SENT
@@ -327,6 +328,13 @@
     assert reported[0].max_rejected_per_s is None
 
 
+async def a_short_session_leaves_brittle_servers_standing() -> None:
+    """Guards against brittle servers that fall over beside other faults."""
+    session = cuts.Session(2, daemons=6, plan=cuts.BRITTLE)
+    violations = await session.play()
+    assert not violations, (violations, session.faults)
+
+
 async def brittle_servers_of_real_daemons_do_not_fall_over() -> None:
     """Guards against brittle servers overloaded by real daemons."""
     daemons = 6
--- a/tests/cases/cut_off.py
+++ b/tests/cases/cut_off.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from cluster.platform import Platform
+from soak import cuts
 
 SEED = 11
 # Limits that operators set: time from which a cut must not show, the share of
@@ -185,6 +186,13 @@
     return fleet
 
 
+async def a_short_session_of_cuts_keeps_all_promises() -> None:
+    """Guards against cuts that overlap kills, pauses and other faults."""
+    session = cuts.Session(4, daemons=6, plan=cuts.CUTS)
+    violations = await session.play()
+    assert not violations, (violations, session.faults)
+
+
 async def daemons_whose_connections_hang_serve_their_callers() -> None:
     """Guards against daemons that refuse all while their paths hang."""
     await _check("hang", daemons=6, cut_off=2)
--- a/tests/features/brittle.feature
+++ b/tests/features/brittle.feature
@@ -3,6 +3,9 @@
   Scenario: Real processes, brittle servers under load
     When the case "brittle servers of real daemons do not fall over" of "brittle" is played
 
+  Scenario: Real processes, a short session of brittle servers and faults
+    When the case "a short session leaves brittle servers standing" of "brittle" is played
+
   Scenario Outline: <case>
     # Each case names the failure that it guards against; see
     # tests/cases/brittle.py.
--- a/tests/features/cut_off.feature
+++ b/tests/features/cut_off.feature
@@ -18,6 +18,9 @@
   Scenario: Real processes, a part of the servers is cut off
     When the case "daemons without a path to one service serve its callers" of "cut_off" is played
 
+  Scenario: Real processes, a short session of cuts and faults that overlap
+    When the case "a short session of cuts keeps all promises" of "cut_off" is played
+
   Scenario Outline: <case>
     # Each case names the failure that it guards against; see
     # tests/cases/paths.py.
--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -30,7 +30,7 @@
 PLAY_S = 16.0
 ENGINES = 6
 SERVICES = 3
-TARGETS = {"long": "llm", "short": "llm", "release": "app"}
+TARGETS = {"long": "llm", "short": "llm", "release": "app", "confirm": "app"}
 DEADLINE_MS = 3_000
 MAX_ATTEMPTS = 2
 CRASHING_BODY = b"deadly"
@@ -128,9 +128,7 @@
 
     async def play(self) -> list[str]:
         """Plays the session and returns the violations."""
-        async with Platform(
-            daemons=self.daemons, engines=ENGINES, services=SERVICES
-        ) as fleet:
+        async with self._create_platform() as fleet:
             self.fleet = fleet
             busy = [await _start_busy_process() for _ in range(self._busy)]
             callers = [
@@ -152,6 +150,11 @@
                 self._keep_logs()
         return self.violations
 
+    def _create_platform(self) -> Platform:
+        return Platform(
+            daemons=self.daemons, engines=ENGINES, services=SERVICES
+        )
+
     def summary(self) -> str:
         """Summarizes the counts of the finished session."""
         return (
@@ -185,7 +188,8 @@
             await self._send_request(f"x-{count}", "release", CRASHING_BODY)
             await asyncio.sleep(0.25)
 
-    async def _send_request(self, name: str, kind: str, body: bytes) -> None:
+    async def _send_request(self, name: str, kind: str, body: bytes) -> str:
+        """Sends a request; returns its status, or the name of the error."""
         self.requests[name] = (kind, time.monotonic())
         daemon = self.daemon_by_request[name] = self.rng.randrange(self.daemons)
         try:
@@ -193,10 +197,12 @@
                 status, headers, _ = await self.fleet.call(
                     kind, name, daemon=daemon, body=body
                 )
-            self.statuses[str(status)] += 1
             self._record_answer(daemon, status, headers)
+            result = str(status)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            self.statuses[type(error).__name__] += 1
+            result = type(error).__name__
+        self.statuses[result] += 1
+        return result
 
     def _record_answer(
         self, daemon: int, status: int, headers: dict[str, str]
