--- a/src/godwittack/command/explain.py
+++ b/src/godwittack/command/explain.py
@@ -19,6 +19,9 @@
 # Lines about a server's state, shown for requests that used the server.
 SERVER_STATE_EVENTS = frozenset(
     {
+        "path_lost",
+        "path_restored",
+        "server_brittle",
         "server_crashed",
         "server_ejected",
         "server_gone",
--- a/src/godwittack/core/paths.py
+++ b/src/godwittack/core/paths.py
@@ -34,6 +34,8 @@
 MAX_ASKED = 16
 # Minimum time between two questions about a server.
 ASK_INTERVAL_MS = 500
+# Time after which a question without an answer is asked again.
+ASK_EXPIRES_MS = 3_000
 # Time until the first probe of a lost path: an open connection may have been
 # silent while new ones work.
 FIRST_PROBE_MS = 100
@@ -186,9 +188,10 @@
 
 def ask(world: entities.World, server: entities.ServerRow) -> None:
     """Asks other daemons whether they reach a server."""
-    if server.inquiry is not None:
+    asked_ago_ms = world.now_ms - server.asked_at_ms
+    if server.inquiry is not None and asked_ago_ms < ASK_EXPIRES_MS:
         return
-    if world.now_ms - server.asked_at_ms < ASK_INTERVAL_MS:
+    if asked_ago_ms < ASK_INTERVAL_MS:
         return
     server.asked_at_ms = world.now_ms
     server.inquiry = entities.Inquiry(waiting_for=set(), asked=set())
@@ -245,6 +248,30 @@
     )
 
 
+def reaches(
+    world: entities.World, daemon: str, server: entities.ServerRow
+) -> bool:
+    """Returns whether no loss of a daemon's path to a server is known."""
+    if daemon == world.daemon:
+        return not is_lost(server)
+    return not _has_told_loss(world, server, daemon)
+
+
+def lost_paths(world: entities.World) -> frozenset[tuple[str, str]]:
+    """Returns all known lost paths as pairs of daemon and server."""
+    own = {
+        (world.daemon, server.server_id)
+        for server in world.servers.values()
+        if is_lost(server)
+    }
+    told = {
+        (daemon, server_id)
+        for daemon, told_paths in world.told_paths.items()
+        for server_id in told_paths.lost
+    }
+    return frozenset(own | told)
+
+
 def check(world: entities.World) -> None:
     """Asks, tells and probes again while paths are lost."""
     _expire_told(world)
@@ -368,12 +395,7 @@
     ):
         brittle.record_declined(world, server, attempt.relay)
     elif failure.cause is inputs.FailureCause.RELAY:
-        record_failed_relay(
-            world,
-            server,
-            attempt.relay,
-            for_ms=DECLINED_MS,
-        )
+        record_failed_relay(world, server, attempt.relay, for_ms=DECLINED_MS)
     elif is_declined:
         server.heard_alive_ms = world.now_ms
     else:
@@ -525,7 +547,9 @@
     "is_lost",
     "is_probe_due",
     "lose",
+    "lost_paths",
     "probe_soon",
+    "reaches",
     "record_failed_relay",
     "record_relay_failure",
     "record_relayed",
--- a/src/godwittack/daemon/peer_updates.py
+++ b/src/godwittack/daemon/peer_updates.py
@@ -40,7 +40,6 @@
     Attributes:
         on_listed: Called with the changes of the instance list that a peer has
             read.
-        lost_paths: Servers that daemons can't reach, by daemon.
         on_versioned_list: The same with the versions before and after, where
             the list has versions.
     """
@@ -72,7 +71,6 @@
         self._runtime = runtime
         self._client = client
         self._outboxes: dict[str, outboxes.Outbox] = {}
-        self.lost_paths: dict[str, frozenset[str]] = {}
         # Incarnations published as leaving, by server id.
         self._known_leaving: dict[str, str] = {}
         self._audiences: dict[str, list[view.Member]] = {}
@@ -168,7 +166,6 @@
         The daemons that receive updates on any of the targets need it: they
         choose each other to pass on requests and to watch servers.
         """
-        self.lost_paths[self._members.me.member_id] = frozenset(update.lost)
         members = {
             member.member_id: member
             for target in update.targets
@@ -178,10 +175,6 @@
             outbox.pending.lost_paths = update.lost
             outbox.send_pending()
 
-    def has_path(self, member: view.Member, server_id: str) -> bool:
-        """Returns whether a daemon has told no lost path to a server."""
-        return server_id not in self.lost_paths.get(member.member_id, ())
-
     def publish_crashes(self, report: effects.TellCrashes) -> None:
         """Publishes crashes to a target's audience, or without one to all."""
         members = self.audience(report.target)
@@ -277,7 +270,6 @@
                 )
             )
         if message.has_lost_paths and sender_id:
-            self.lost_paths[sender_id] = frozenset(message.lost_paths)
             submit(
                 server_inputs.PathsTold(
                     now_ms, sender_id, tuple(message.lost_paths)
@@ -310,7 +302,6 @@
 
     def remove_peer(self, member_id: str) -> None:
         """Closes the stream to a dead peer and drops its pending updates."""
-        self.lost_paths.pop(member_id, None)
         outbox = self._outboxes.pop(member_id, None)
         if outbox is not None:
             outbox.close()
--- a/src/godwittack/daemon/server_watcher.py
+++ b/src/godwittack/daemon/server_watcher.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import cached_state, server_inputs
+from godwittack.core import cached_state, paths, server_inputs
 from godwittack.daemon import digest as digests
 from godwittack.daemon import load_filter, peer_updates
 from godwittack.member import assignment
@@ -103,7 +103,7 @@
                 list[view.Member],
                 frozenset[str],
                 tuple[str, ...],
-                dict[str, frozenset[str]],
+                frozenset[tuple[str, str]],
             ]
             | None
         ) = None
@@ -140,7 +140,7 @@
             live,
             names,
             self._core.core.world.table.targets,
-            dict(self._updates.lost_paths),
+            paths.lost_paths(self._core.core.world),
         )
         if assigned_for != self._assigned_for:
             own = self._members.me.member_id
@@ -154,11 +154,12 @@
 
     def _watcher_of(self, row: entities.ServerRow) -> str | None:
         """Returns the daemon that watches a server, one that reaches it."""
+        world = self._core.core.world
         audience = self._updates.audience(row.target)
         reaching = [
             member
             for member in audience
-            if self._updates.has_path(member, row.server_id)
+            if paths.reaches(world, member.member_id, row)
         ]
         return assignment.watcher(row.server_id, reaching or audience)
 
--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -229,7 +229,9 @@
     async def cancel(self, body: bytes) -> proto.Message:
         """Ends a stream on an engine."""
         message = peer_pb2.RelayCancel.FromString(body)
-        await self._backend.cancel(message.address, message.stream_id)
+        known = {server.address for server in self._world.servers.values()}
+        if message.address in known:
+            await self._backend.cancel(message.address, message.stream_id)
         return peer_pb2.RelayCancelled()
 
     async def answer_path(self, body: bytes) -> proto.Message:
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -135,6 +135,8 @@
 
     async def _crash(self) -> None:
         """Simulates the end of the process: closes listener and connections."""
+        if self.has_crashed:
+            return
         self.has_crashed = True
         await self._site.stop()
         for connection in self._runner.server.connections:
