Take a relay's place before the first wait of an attempt

What callers could see: at a relay, one place of a brittle server given to two attempts; or, where a server's entry was removed just then, an attempt that ran on without its sender and kept the relay from stopping before its grace.

Cause, found by reading, not seen in a run: the place was checked, then the head of the response was written, and only then the place was counted and the server's row looked up again, outside the block that cleans up.

Change: row and place are taken directly after the check, and everything that may fail is inside that block.

Two cases of this neighbourhood were added. Both pass on the code before as well, since writing the head seldom waits, so they guard but don't show the fault.

--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -193,19 +193,24 @@
         if declined:
             self._record(message, f"declined: {declined}", 0)
             return web.Response(status=exchange.STATUS_DECLINED, text=declined)
-        response = web.StreamResponse()
-        await response.prepare(request)
-        started_ms = self._clock.now_ms()
+        # Taken before the first wait: another attempt may want the same place,
+        # or the server's entry be removed.
+        server = self._world.servers[dispatch.server_id]
+        server.passed_on += not dispatch.has_own_place
         queue = EventQueue()
-        task = asyncio.create_task(
-            self._backend.send(dispatch, codec.call_from_proto(message), queue)
-        )
-        task.add_done_callback(queue.finish)
         self.queues.append(queue)
         self._idle.clear()
-        server = self._world.servers[dispatch.server_id]
-        server.passed_on += not dispatch.has_own_place
+        response = web.StreamResponse()
+        started_ms = self._clock.now_ms()
+        task: asyncio.Task[None] | None = None
         try:
+            await response.prepare(request)
+            task = asyncio.create_task(
+                self._backend.send(
+                    dispatch, codec.call_from_proto(message), queue
+                )
+            )
+            task.add_done_callback(queue.finish)
             while (event := await queue.get()) is not None:
                 await response.write(codec.frame_event(event))
             await response.write_eof()
@@ -219,8 +224,9 @@
             server.passed_on -= not dispatch.has_own_place
             if not self.queues:
                 self._idle.set()
-            # Closes the connection to the server if the sender has gone.
-            task.cancel()
+            if task is not None:
+                # Closes the connection to the server if the sender has gone.
+                task.cancel()
             self._record(
                 message, queue.outcome, self._clock.now_ms() - started_ms
             )
--- a/tests/cases/relaying.py
+++ b/tests/cases/relaying.py
@@ -285,6 +285,31 @@
         assert not relays.plain.arrivals
 
 
+async def two_attempts_do_not_share_a_place_of_a_relay() -> None:
+    """Guards against one place of a brittle server given away twice."""
+    async with Relays() as relays:
+        row = relays.core.world.servers[relays.plain.instance]
+        row.slots, row.max_rejected_per_s = 2, 1.0
+        sinks = await asyncio.gather(
+            *(relays.send(relays.plain, has_own_place=False) for _ in range(2))
+        )
+        assert sum(sink.answered is not None for sink in sinks) == 1
+        assert row.passed_on == 0
+
+
+async def an_entry_removed_meanwhile_leaves_a_relay_idle() -> None:
+    """Guards against attempts that never end at a relay that stops."""
+    async with Relays() as relays:
+        relays.plain.work_s = 0.2
+        sending = asyncio.create_task(relays.send(relays.plain))
+        while not relays.plain.ran:
+            await asyncio.sleep(0.01)
+        del relays.core.world.servers[relays.plain.instance]
+        assert (await sending).answered is not None
+        async with asyncio.timeout(0.4):
+            await relays.relay.wait_until_idle()
+
+
 async def what_a_server_says_reaches_sender_and_relay() -> None:
     """Guards against signals that only one of two daemons learns."""
     async with Relays() as relays:
