Add failing tests of answers that break off

Callers got part of an answer with a last chunk or a length of our own, so that it looked complete: the server had sent it with neither, and closed its connection inside an event, between two, or after its head.

Whole answers without framing already arrive whole. On the way: callers of HTTP/1.0 get a 500 for every stream.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -37,6 +37,7 @@
     "availability",
     "withdrawing",
     "cut_off",
+    "broken_off",
     "paths",
     "relaying",
     "brittle",
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from standins import endings
+
 HEADER_PREFIX = "X-Godwittack-"
 
 
@@ -25,6 +27,8 @@
         lose_answers: Whether connections break after their requests have run.
         lose_orders: Whether orders are executed and not answered.
         rest_s: Rest requested with each declined request; 0 for none.
+        ending: How answers are framed and broken off; None for whole answers
+            with chunks or a length.
     """
 
     full: bool = False
@@ -34,6 +38,7 @@
     lose_answers: bool = False
     lose_orders: bool = False
     rest_s: float = 0.0
+    ending: endings.Ending | None = None
 
 
 @dataclasses.dataclass
@@ -303,6 +308,9 @@
             if self.faults.lose_answers:
                 request.transport.abort()
                 return web.Response(headers=headers)
+            if self.faults.ending is not None:
+                await self._end(self.faults.ending, request, body, headers)
+                return web.Response(headers=headers)
             if self.model:
                 return await self._stream(request, headers)
             await asyncio.sleep(self.work_s)
@@ -311,6 +319,33 @@
             self.cancelled.append(request_id)
             raise
 
+    async def _end(
+        self,
+        ending: endings.Ending,
+        request: web.BaseRequest,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> None:
+        """Answers in a framing of its own, past aiohttp's."""
+        half = len(body) // 2
+        pieces = [body[:half], body[half:]]
+        content_type = "text/plain"
+        if self.model:
+            content_type = "text/event-stream"
+            after = int(request.headers.get("Last-Event-Id", "0"))
+            pieces = [
+                b"id: %d\ndata: e%d\n\n" % (number, number)
+                for number in range(after + 1, self._events + 1)
+            ]
+        request_id = request.headers.get(HEADER_PREFIX + "Request-Id", "")
+        await ending.answer(
+            request,
+            {**headers, "Content-Type": content_type},
+            pieces,
+            gap_s=self.event_gap_s,
+            cut=ending.cut_of(request_id),
+        )
+
     async def _stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
