Log which answers their servers did not delimit

`finished` looked the same for a stream whose server sent its last chunk and for one whose server gave no framing and closed the connection, so that two hypotheses of the incident could not be told apart. Heads and answers now say whether the server marks their end, through relays too, and `finished` has delimited=0 where it does not. A relay that does not say it counts as one that saw no mark.

--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -335,7 +335,12 @@
             return
         body = await connection.read_body(reply)
         self._pool.release(dispatch.server_id, connection, reply)
-        answer = work.Answer(reply.status, _end_to_end(reply), body)
+        answer = work.Answer(
+            reply.status,
+            _end_to_end(reply),
+            body,
+            is_delimited=not reply.is_close_delimited,
+        )
         sink.answer(dispatch.attempt_id, answer, dispatch.stamp)
 
     def _remaining_ms(self, dispatch: effects.Dispatch) -> int:
@@ -446,7 +451,11 @@
     sink: protocol.AttemptSink,
 ) -> None:
     assert dispatch.stamp is not None
-    head = work.Head(reply.status, _end_to_end(reply))
+    head = work.Head(
+        reply.status,
+        _end_to_end(reply),
+        is_delimited=not reply.is_close_delimited,
+    )
     sink.opened(dispatch.attempt_id, dispatch.stamp, head)
     reader = sse.FrameReader(after=dispatch.after, done_marker=b"")
     while data := await connection.read_chunk(reply):
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -37,6 +37,8 @@
         world, request, attempt, message.echoed_request, message.stamp
     ):
         attempt.opened = True
+        if message.head is not None:
+            attempt.is_delimited = message.head.is_delimited
         if request.head is None:
             request.head = message.head
 
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -100,6 +100,7 @@
 ) -> None:
     """Logs and removes a request that got its whole answer."""
     took_ms = world.now_ms - request.arrived_at_ms
+    attempt = world.attempts.get(request.attempt_id)
     world.event(
         "finished",
         request.request_id,
@@ -115,8 +116,8 @@
             else {}
         ),
         **({"relay": request.relay} if request.relay else {}),
+        **({} if _is_delimited(request, attempt) else {"delimited": 0}),
     )
-    attempt = world.attempts.get(request.attempt_id)
     if attempt:
         update_service_time(
             world, request.work.target, world.now_ms - attempt.sent_at_ms
@@ -124,6 +125,15 @@
     remove(world, request)
 
 
+def _is_delimited(
+    request: entities.RequestRow, attempt: entities.AttemptRow | None
+) -> bool:
+    """Returns whether the server marked the end of the answer."""
+    if request.answer is not None:
+        return request.answer.is_delimited
+    return attempt is None or attempt.is_delimited
+
+
 def update_service_time(
     world: entities.World, target: str, took_ms: int
 ) -> None:
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -134,6 +134,7 @@
         last_progress_ms: When the server last made progress on this attempt.
         expected_tokens: Prompt tokens that are expected not to be cached.
         incarnation_id: Unique id of the server's incarnation at dispatch.
+        is_delimited: Whether the server marks the end of its answer.
         relay: Daemon that sends it to the server; empty for this one.
         has_own_place: Whether it takes a place of this daemon at a brittle
             server.
@@ -148,6 +149,7 @@
     last_progress_ms: int
     expected_tokens: int = 0
     opened: bool = False
+    is_delimited: bool = True
     incarnation_id: str = ""
     relay: str = ""
     has_own_place: bool = True
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -119,10 +119,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
-    """Status and headers of a streamed answer, forwarded unchanged."""
+    """Status and headers of a streamed answer, forwarded unchanged.
+
+    Attributes:
+        is_delimited: Whether the server marks the end of the stream, by a
+            length or a last chunk, so that a closed connection is no end.
+    """
 
     status: int
     headers: tuple[Header, ...]
+    is_delimited: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,11 +139,14 @@
         status: HTTP status.
         headers: Headers except hop-by-hop headers.
         body: Bytes as received.
+        is_delimited: Whether the server marked the end of the body, by a
+            length or a last chunk; it may be incomplete otherwise.
     """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
+    is_delimited: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/relay/codec.py
+++ b/src/godwittack/relay/codec.py
@@ -115,6 +115,7 @@
     if head is not None:
         message.has_head = True
         message.status = head.status
+        message.is_delimited = head.is_delimited
         message.headers.extend(_headers_to_proto(head.headers))
     return peer_pb2.RelayEvent(opened=message)
 
@@ -137,6 +138,7 @@
         status=sent.status,
         headers=_headers_to_proto(sent.headers),
         body=sent.body,
+        is_delimited=sent.is_delimited,
     )
     if stamp is not None:
         message.stamp.CopyFrom(_stamp_to_proto(stamp))
@@ -235,6 +237,7 @@
                     event.answer.status,
                     _headers_from_proto(event.answer.headers),
                     event.answer.body,
+                    event.answer.is_delimited,
                 ),
                 _read_stamp(event.answer.stamp)
                 if event.answer.HasField("stamp")
@@ -279,7 +282,11 @@
 def _read_head(message: peer_pb2.RelayOpened) -> work.Head | None:
     if not message.has_head:
         return None
-    return work.Head(message.status, _headers_from_proto(message.headers))
+    return work.Head(
+        message.status,
+        _headers_from_proto(message.headers),
+        message.is_delimited,
+    )
 
 
 def _stamp_to_proto(stamp: work.Stamp) -> peer_pb2.Stamp:
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -29,6 +29,8 @@
 # value, so sessions without such requests do not contain them.
 _OMITTED_IF_DEFAULT: dict[type, tuple[str, ...]] = {
     work.Work: ("host", "path", "route", "resume_after"),
+    work.Answer: ("is_delimited",),
+    work.Head: ("is_delimited",),
     effects.Dispatch: ("ends_at_ms", "has_own_place"),
     effects.Probe: ("fresh_connection",),
     inputs.MembersChanged: ("known",),
