Claim no end that a server did not mark

Callers got part of an answer as the whole one.

Cause: a server may send an answer with neither a length nor chunks, which ends with its connection. `Connection.eof_received` declared it complete wherever it ended, `FrameReader.finish` passed half an event on as the last frame, and the answer was framed anew, with a last chunk or a length: a claim that no server had made.

Change: such an answer goes to its caller without a length or chunks as well, through relays too, and in our own interface. Its connection is set to be reset on close until the answer has ended, so that the end of the daemon's process is no end of the answer. A stream that ends inside an event has broken off, in any framing, and so has one that closes before its first event: it is resumed or tried again where that is allowed, and otherwise reset, cut before its last chunk, or answered 502. A stream that began with chunks and goes on at a server without them breaks instead of ending. An end without a mark clears no crash evidence. Answers in another transfer coding are refused: they were forwarded with the coding and without its name.

--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -141,10 +141,15 @@
         reply.status = self._parser.get_status_code()
         if 100 <= reply.status < 200:
             return
-        chunked = "chunked" in reply.header("transfer-encoding").lower()
+        coding = reply.header("transfer-encoding").strip().lower()
+        if coding not in ("", "chunked"):
+            # Its body would be forwarded with the coding, but without the
+            # header that names it.
+            self._abort(f"unsupported transfer coding {coding!r}")
+            return
         has_length = bool(reply.header("content-length"))
         no_body = reply.status in (204, 304)
-        reply.is_close_delimited = not (chunked or has_length or no_body)
+        reply.is_close_delimited = not (coding or has_length or no_body)
         self._unread_replies.append(reply)
 
     def on_body(self, body: bytes) -> None:
--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -22,6 +22,7 @@
 
 REFUSED_STATUSES = frozenset({429, 503})
 GONE_STATUSES = frozenset({404, 410})
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MAX_ANSWER_BYTES = 32 << 20
 SKIPPED_AUTO_HEADERS = (
     "accept",
@@ -385,7 +386,21 @@
         for name, value in response.headers.items()
         if _is_end_to_end(name, response.headers.get("connection", ""))
     )
-    return work.Answer(response.status, headers, bytes(body))
+    return work.Answer(
+        response.status,
+        headers,
+        bytes(body),
+        is_delimited=_is_delimited(response),
+    )
+
+
+def _is_delimited(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether a server marks the end of its answer."""
+    return (
+        response.status in STATUSES_WITHOUT_BODY
+        or "content-length" in response.headers
+        or "transfer-encoding" in response.headers
+    )
 
 
 def _is_end_to_end(name: str, connection: str) -> bool:
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -458,10 +458,18 @@
     )
     sink.opened(dispatch.attempt_id, dispatch.stamp, head)
     reader = sse.FrameReader(after=dispatch.after, done_marker=b"")
+    has_events = False
     while data := await connection.read_chunk(reply):
         frames = reader.feed(data)
         if frames:
+            has_events = True
             await sink.frames(frames)
+    if reader.is_inside_event:
+        raise connections.ReplyError("the stream ended inside an event")
+    # A resumed stream may have no more events.
+    is_empty = not (has_events or dispatch.after)
+    if is_empty and reply.is_close_delimited:
+        raise connections.ReplyError("the connection closed before any event")
     await sink.frames((reader.finish(),))
 
 
--- a/src/godwittack/claim/schema.py
+++ b/src/godwittack/claim/schema.py
@@ -16,6 +16,7 @@
     status: int
     headers: list[tuple[str, str]]
     body_base64: str
+    is_delimited: bool = True
 
 
 class _ClaimJson(pydantic.BaseModel):
@@ -40,6 +41,7 @@
             status=claim.answer.status,
             headers=[(h.name, h.value) for h in claim.answer.headers],
             body_base64=base64.b64encode(claim.answer.body).decode(),
+            is_delimited=claim.answer.is_delimited,
         )
     return _ClaimJson(
         state=claim.state,
@@ -59,6 +61,7 @@
             status=stored.answer.status,
             headers=tuple(work.Header(n, v) for n, v in stored.answer.headers),
             body=base64.b64decode(stored.answer.body_base64),
+            is_delimited=stored.answer.is_delimited,
         )
     return work.Claim(
         state=stored.state,
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -57,10 +57,7 @@
     if new_frames:
         _relay(world, request, attempt, new_frames)
     if new_frames and new_frames[-1].terminal:
-        world.emit(effects.EndStream(request.request_id))
-        servers.record_success(world, attempt)
-        crashes.record_completion(world, request)
-        closing.finish(world, request)
+        _end_stream(world, request, attempt)
         return
     if is_frame_missing:
         # A frame is missing. It will never come on this connection, but the
@@ -69,6 +66,27 @@
         followup.resume_or_break(world, request, attempt, "a frame is missing")
 
 
+def _end_stream(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> None:
+    """Ends a stream, or breaks it if it can't be known to be complete."""
+    servers.record_success(world, attempt)
+    has_claim = request.head is None or request.head.is_delimited
+    if has_claim and not attempt.is_delimited:
+        # The caller was told that the end would be marked, by the server that
+        # began the stream.
+        followup.break_stream(
+            world, request, "the connection closed without a mark of the end"
+        )
+        return
+    world.emit(effects.EndStream(request.request_id))
+    if attempt.is_delimited:
+        crashes.record_completion(world, request)
+    closing.finish(world, request)
+
+
 def handle_answer(world: entities.World, message: inputs.AnswerArrived) -> None:
     """Checks a complete answer, then retries, stores or delivers it."""
     current = _current_attempt(world, message.attempt_id)
@@ -84,7 +102,8 @@
         return
     servers.record_success(world, attempt)
     servers.record_contact(world, attempt)
-    crashes.record_completion(world, request)
+    if message.answer.is_delimited:
+        crashes.record_completion(world, request)
     closing.update_service_time(
         world, request.work.target, world.now_ms - attempt.sent_at_ms
     )
--- a/src/godwittack/entry/calls.py
+++ b/src/godwittack/entry/calls.py
@@ -11,7 +11,7 @@
 
 from godwittack.backend import protocol as backend
 from godwittack.core import effects, inputs, work
-from godwittack.entry import parse, refusal, token
+from godwittack.entry import delimiting, parse, refusal, token
 
 if TYPE_CHECKING:
     from godwittack.config import settings as configs
@@ -150,7 +150,9 @@
             case effects.Refuse():
                 return refusal.refusal_response(first, echoed_id=echoed_id)
             case effects.Reply():
-                return _complete_response(first, echoed_id)
+                return await delimiting.send_answer(
+                    request, first.answer, _headers(first, echoed_id)
+                )
             case effects.BeginStream():
                 return await self._relay_stream(
                     request, echoed_id, first, caller
@@ -230,17 +232,14 @@
         return table.workspace_by_token.get(token_digest, "")
 
 
-def _complete_response(reply: effects.Reply, echoed_id: str) -> web.Response:
-    response = web.Response(status=reply.answer.status, body=reply.answer.body)
-    response.headers.popall("content-type", None)
-    for header in reply.answer.headers:
-        response.headers.add(header.name, header.value)
-    response.headers["x-request-id"] = echoed_id
+def _headers(reply: effects.Reply, echoed_id: str) -> dict[str, str]:
+    """Returns the headers of this daemon in a response."""
+    headers = {"x-request-id": echoed_id}
     if reply.late:
-        response.headers["x-late"] = "true"
+        headers["x-late"] = "true"
     if reply.replayed:
-        response.headers["x-replayed"] = "true"
-    return response
+        headers["x-replayed"] = "true"
+    return headers
 
 
 __all__ = ["CallHandlers"]
--- /dev/null
+++ b/src/godwittack/entry/delimiting.py
@@ -0,0 +1,121 @@
+"""Responses whose end is marked, or is the end of their connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from aiohttp import abc
+
+    from godwittack.core import work
+
+_RESETS_ON_CLOSE = struct.pack("ii", 1, 0)
+_CLOSES_IN_ORDER = struct.pack("ii", 0, 0)
+
+
+class CloseDelimitedResponse(web.StreamResponse):
+    """A response with neither a length nor chunks.
+
+    Until it has ended, whatever closes its connection resets it, also the end
+    of this process: a connection closed in order would be taken for the end.
+    """
+
+    # Otherwise aiohttp adds chunks.
+    _length_check = False
+
+    def __init__(self, *, status: int) -> None:
+        """Creates an empty response."""
+        super().__init__(status=status)
+        self.force_close()
+        self._transport: asyncio.Transport | None = None
+
+    async def prepare(
+        self, request: web.BaseRequest
+    ) -> abc.AbstractStreamWriter | None:
+        """Sends the head; aiohttp calls it again after the end."""
+        if not self.prepared:
+            self._transport = request.transport
+            _set_linger(self._transport, _RESETS_ON_CLOSE)
+        return await super().prepare(request)
+
+    async def end(self) -> None:
+        """Ends the response; its connection is then closed in order.
+
+        aiohttp calls `write_eof` for responses that broke off as well.
+        """
+        await self.write_eof()
+        _set_linger(self._transport, _CLOSES_IN_ORDER)
+
+
+def stream_response(status: int, *, is_delimited: bool) -> web.StreamResponse:
+    """Returns a response to a stream.
+
+    Args:
+        status: HTTP status.
+        is_delimited: Whether the server marks the end of the stream.
+    """
+    if not is_delimited:
+        return CloseDelimitedResponse(status=status)
+    response = web.StreamResponse(status=status)
+    response.enable_chunked_encoding()
+    return response
+
+
+async def send_answer(
+    request: web.BaseRequest,
+    answer: work.Answer,
+    headers: Mapping[str, str] | None = None,
+) -> web.StreamResponse:
+    """Returns the response for a whole answer.
+
+    An answer without a mark of its end may be incomplete; it is sent without
+    one as well.
+
+    Args:
+        request: The caller's request.
+        answer: The answer.
+        headers: Further headers.
+    """
+    response: web.StreamResponse
+    if answer.is_delimited:
+        response = web.Response(status=answer.status, body=answer.body)
+        response.headers.popall("content-type", None)
+    else:
+        response = CloseDelimitedResponse(status=answer.status)
+    for header in answer.headers:
+        response.headers.add(header.name, header.value)
+    response.headers.update(headers or {})
+    if not answer.is_delimited:
+        await response.prepare(request)
+        await response.write(answer.body)
+        await end(response)
+    return response
+
+
+async def end(response: web.StreamResponse) -> None:
+    """Ends a response that is complete."""
+    if isinstance(response, CloseDelimitedResponse):
+        await response.end()
+    else:
+        await response.write_eof()
+
+
+def _set_linger(transport: asyncio.Transport | None, value: bytes) -> None:
+    sock = transport.get_extra_info("socket") if transport else None
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
+__all__ = [
+    "CloseDelimitedResponse",
+    "end",
+    "send_answer",
+    "stream_response",
+]
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from godwittack.core import effects, inputs
-from godwittack.entry import connection_timeouts, parse
+from godwittack.entry import connection_timeouts, delimiting, parse
 from godwittack.table import forwarding
 
 if TYPE_CHECKING:
@@ -141,7 +141,7 @@
             case effects.Refuse() as refusal:
                 return self._format.refusal_response(refusal, caller.call)
             case effects.Reply() as reply:
-                return _complete_response(reply)
+                return await delimiting.send_answer(request, reply.answer)
             case effects.BeginStream(head=head) if head is not None:
                 return await self._relay_stream(request, head, caller)
             case other:
@@ -155,10 +155,11 @@
         head: work.Head,
         caller: callers.Caller,
     ) -> web.StreamResponse:
-        response = web.StreamResponse(status=head.status)
+        response = delimiting.stream_response(
+            head.status, is_delimited=head.is_delimited
+        )
         for header in head.headers:
             response.headers.add(header.name, header.value)
-        response.enable_chunked_encoding()
         if self.stopping:
             response.force_close()
         await response.prepare(request)
@@ -173,10 +174,9 @@
                     ):
                         await response.write(data)
                 case effects.EndStream():
-                    await response.write_eof()
+                    await delimiting.end(response)
                     return response
                 case effects.BreakStream():
-                    # A clean close would make a truncated stream look complete.
                     response.force_close()
                     _close(request)
                     return response
@@ -192,14 +192,6 @@
         return response
 
 
-def _complete_response(reply: effects.Reply) -> web.Response:
-    response = web.Response(status=reply.answer.status, body=reply.answer.body)
-    response.headers.popall("content-type", None)
-    for header in reply.answer.headers:
-        response.headers.add(header.name, header.value)
-    return response
-
-
 def _header_bytes(request: web.BaseRequest) -> int:
     return sum(len(n) + len(v) + 4 for n, v in request.raw_headers)
 
--- a/tests/cases/fuzz.py
+++ b/tests/cases/fuzz.py
@@ -9,9 +9,12 @@
 from aiohttp import web
 from hypothesis import strategies
 
-from godwittack.backend import connection, sse
+from cases import connections
+from godwittack.backend import connection, pool, protocol, routed, sse
 from godwittack.clock import SystemClock
+from godwittack.core import effects
 from godwittack.entry import connection_timeouts
+from godwittack.platform import servers
 
 EXAMPLES = 150
 MAX_LINE_BYTES = 1 << 16
@@ -175,6 +178,89 @@
     check()
 
 
+def a_stream_that_looks_complete_is_complete() -> None:
+    """Guards against part of a stream that is passed on as the whole one."""
+    integers = strategies.integers(0, 600)
+
+    @seeded
+    @hypothesis.given(
+        strategies.sampled_from(["chunks", "length", "close"]),
+        strategies.sampled_from([b"\n", b"\r\n", b"\r"]),
+        strategies.lists(integers, max_size=8),
+        integers,
+        strategies.booleans(),
+    )
+    def check(framing, line_end, cuts, end, reset) -> None:
+        data, body = _stream(framing, line_end)
+        kept = data[: end % (len(data) + 200)]
+        sink = asyncio.run(_relay_stream(_pieces(kept, cuts), reset=reset))
+        relayed = b"".join(frame.data for frame in sink.frames_seen)
+        assert body.startswith(relayed)
+        has_ended = bool(sink.frames_seen) and sink.frames_seen[-1].terminal
+        if kept == data and not (framing == "close" and reset):
+            assert has_ended and relayed == body, (kept, relayed)
+        elif has_ended:
+            assert not sink.head.is_delimited and not reset, (kept, relayed)
+            assert relayed.endswith(2 * line_end), (kept, relayed)
+            assert len(data) - len(kept) == len(body) - len(relayed)
+
+    check()
+
+
+def _stream(framing: str, line_end: bytes) -> tuple[bytes, bytes]:
+    """Returns the bytes of an answer with five events, and its body."""
+    events = [b"id: %d\ndata: word\n\n: comment\n\n" % n for n in range(1, 6)]
+    body = b"".join(events).replace(b"\n", line_end)
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + OWN_ID
+    if framing == "chunks":
+        chunked = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunked, body
+    if framing == "length":
+        return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body), body
+    return head + b"\r\n" + body, body
+
+
+async def _relay_stream(
+    pieces: list[bytes], *, reset: bool
+) -> connections.Sink:
+    """Returns what an attempt passes on of a stream that arrives in pieces."""
+    server_connection = connection.Connection()
+    server_connection.connection_made(FakeTransport())
+    clock = SystemClock()
+    held = pool.Pool(clock=clock, connect_timeout_ms=500)
+    held.acquire = lambda key: server_connection
+    routed_backend = routed.RoutedBackend(
+        pool=held,
+        server_format=servers.ServerFormat(lambda target: "m"),
+        clock=clock,
+        control_timeout_ms=500,
+    )
+    sink = connections.Sink()
+    call = protocol.Call(
+        method="POST", path="/x", headers=(), body=b"", request_id="mine"
+    )
+    sent = effects.Dispatch(
+        request_id="mine",
+        attempt_id="mine",
+        server_id="i-1",
+        address="",
+        stamp=connections.STAMP,
+    )
+    async with asyncio.timeout(1):
+        attempt = asyncio.create_task(routed_backend.send(sent, call, sink))
+        for piece in pieces:
+            await asyncio.sleep(0)
+            server_connection.data_received(piece)
+        await asyncio.sleep(0)
+        if not reset:
+            server_connection.eof_received()
+        server_connection.connection_lost(
+            ConnectionResetError() if reset else None
+        )
+        await attempt
+    return sink
+
+
 async def a_corrupted_request_is_answered_or_its_connection_closed() -> None:
     """A corrupted request is served at most once, gets 4xx, or is closed.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -65,6 +65,7 @@
       | fuzz  | an answer is complete or rejected however it is split |
       | fuzz  | malformed answers are rejected |
       | fuzz  | events are the same however they are split |
+      | fuzz  | a stream that looks complete is complete |
       | fuzz  | a corrupted request is answered or its connection closed |
 
     Examples: instance entries
