Add failing tests of streams of two software versions

With half of six engines at v1.1, streams ran at both versions: gone on with inside their answers, taken up by clients at other daemons, twice, and after the first daemon was killed; a stream that no daemon knows was resumed anywhere.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -38,6 +38,7 @@
     "withdrawing",
     "cut_off",
     "broken_off",
+    "versions",
     "paths",
     "relaying",
     "brittle",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -135,6 +135,7 @@
         engines: int = 2,
         services: int = 2,
         can_cut: bool = False,
+        software: dict[str, str] | None = None,
     ) -> None:
         """Creates the stand-ins without starting them.
 
@@ -145,6 +146,7 @@
             engines: How many servers of the model to start.
             services: How many servers of the plain service to start.
             can_cut: Whether the daemons' paths to servers can be cut.
+            software: Versions of the software of some servers.
         """
         self._can_cut = can_cut
         self._settings = settings
@@ -156,6 +158,8 @@
             },
             **{f"i-s{n}": Replica(f"i-s{n}") for n in range(1, services + 1)},
         }
+        for name, version in (software or {}).items():
+            self.replicas[name].software = version
         self.fields: list[dict] = []
         self.processes: list[asyncio.subprocess.Process] = []
         # All processes ever started: two faults at once may restart a daemon
@@ -213,7 +217,7 @@
             "service": "llm" if replica.model else "app",
             "address": address,
             "zone": "north",
-            "version": "v1",
+            "version": replica.software,
             "slots": 16,
             "state": "ready",
             "cold-remaining-ms": 0,
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -84,6 +84,8 @@
         self.model = model
         self.port = 0
         self.version = 1
+        # Version of its software, as its row has it.
+        self.software = "v1"
         self.faults = ReplicaFaults()
         self.ran: list[Execution] = []
         self.arrivals: list[Arrival] = []
@@ -110,7 +112,7 @@
         self.falls_s: list[float] = []
         # Whether all its answers have the Server-Leaving header.
         self.is_leaving = False
-        self._events = events
+        self.event_count = events
         self._sequence = 0
         self._busy = False
         self._highest_fencing = 0
@@ -335,7 +337,7 @@
             after = int(request.headers.get("Last-Event-Id", "0"))
             pieces = [
                 b"id: %d\ndata: e%d\n\n" % (number, number)
-                for number in range(after + 1, self._events + 1)
+                for number in range(after + 1, self.event_count + 1)
             ]
         request_id = request.headers.get(HEADER_PREFIX + "Request-Id", "")
         await ending.answer(
@@ -354,7 +356,7 @@
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
-        for number in range(after + 1, self._events + 1):
+        for number in range(after + 1, self.event_count + 1):
             if number - 1 == self.faults.cut_after:
                 await response.write(b"id: %d\nda" % number)
                 request.transport.abort()
