Log the software version of the server of each placement

Streams went on at another software version, but `placed` and `first_token` named the server only: whether chance, a late list or a reused id chose it could be told only by joining the operators' log by hand. The version was read from the instance list and dropped. It is now kept with a server and with each attempt at its dispatch, passed between daemons with the list, and logged.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -429,6 +429,11 @@
         workspace=request.workspace,
         target=request.work.target,
         server=attempt.server_id,
+        **(
+            {"software": attempt.software_version}
+            if attempt.software_version
+            else {}
+        ),
         after_ms=world.now_ms - request.arrived_at_ms,
         late=int(request.late),
     )
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -30,6 +30,11 @@
         attempt=attempt.attempt_id,
         server=server.server_id,
         **({"relay": attempt.relay} if attempt.relay else {}),
+        **(
+            {"software": server.software_version}
+            if server.software_version
+            else {}
+        ),
         weights=server.weights_version,
         waited_ms=world.now_ms - request.arrived_at_ms,
         wait_ms=round(choice.wait_ms),
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -137,6 +137,7 @@
         sent_at_ms=world.now_ms,
         last_progress_ms=world.now_ms,
         expected_tokens=round(choice.uncached_tokens),
+        software_version=server.software_version,
         relay=relay,
     )
     _record_attempt(world, request, attempt)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -134,6 +134,8 @@
         last_progress_ms: When the server last made progress on this attempt.
         expected_tokens: Prompt tokens that are expected not to be cached.
         incarnation_id: Unique id of the server's incarnation at dispatch.
+        software_version: Version of the server's software at dispatch; empty if
+            not known.
         is_delimited: Whether the server marks the end of its answer.
         relay: Daemon that sends it to the server; empty for this one.
         has_own_place: Whether it takes a place of this daemon at a brittle
@@ -151,6 +153,7 @@
     opened: bool = False
     is_delimited: bool = True
     incarnation_id: str = ""
+    software_version: str = ""
     relay: str = ""
     has_own_place: bool = True
 
@@ -186,6 +189,7 @@
 
     Attributes:
         incarnation: Last incarnation seen; empty until the first contact.
+        software_version: Version of its software; empty if not listed.
         draining_until_ms: No new work before this time, so that weights can
             be loaded without interrupting a stream.
         reported_at_ms: Time to which the last load report applies.
@@ -239,6 +243,7 @@
     target: str
     failure_domain: str = ""
     incarnation: str = ""
+    software_version: str = ""
     weights_version: str = ""
     leaving: bool = False
     draining_until_ms: int = 0
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -289,6 +289,7 @@
         incarnation: The server's incarnation, if listed.
         weights_version: Version of the loaded weights, if listed.
         slots: Maximum number of concurrent requests, if listed.
+        software_version: Version of its software, if listed.
     """
 
     at_ms: int
@@ -301,6 +302,7 @@
     incarnation: str = ""
     weights_version: str = ""
     slots: int = 0
+    software_version: str = ""
 
 
 # What servers report about themselves with answers.
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -69,6 +69,7 @@
     """
     if entry.slots and not server.slots:
         server.slots = entry.slots
+    server.software_version = entry.software_version
     if not entry.incarnation:
         return
     restarted = incarnation.is_older(server.incarnation, entry.incarnation)
--- a/src/godwittack/daemon/listing.py
+++ b/src/godwittack/daemon/listing.py
@@ -208,6 +208,7 @@
         incarnation=instance.incarnation,
         weights_version=instance.weights_version,
         slots=instance.slots,
+        software_version=instance.software_version,
     )
 
 
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -69,6 +69,7 @@
                 incarnation=entry.incarnation,
                 weights_version=entry.weights_version,
                 slots=entry.slots,
+                software_version=entry.software_version,
             )
         )
         for entry in entries
@@ -220,6 +221,7 @@
         incarnation=instance.incarnation,
         weights_version=instance.weights_version,
         slots=instance.slots,
+        software_version=instance.software_version,
     )
 
 
--- a/src/godwittack/platform/instances.py
+++ b/src/godwittack/platform/instances.py
@@ -50,6 +50,7 @@
             incarnation=incarnation.make_name(row.key, body.born),
             weights_version=str(body.models[0].version) if body.models else "",
             slots=body.slots,
+            software_version=body.version,
         )
     )
 
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -37,7 +37,7 @@
     inputs.RequestArrived: ("waited_ms",),
     server_inputs.LoadEchoed: ("is_relayed",),
     server_inputs.ProbeAnswered: ("fresh_connection", "was_asked", "broken"),
-    server_inputs.ServerListed: ("slots",),
+    server_inputs.ServerListed: ("slots", "software_version"),
     policy.Policy: (
         "budget_by_target",
         "old_weights_limit_ms",
--- a/src/godwittack/store/protocol.py
+++ b/src/godwittack/store/protocol.py
@@ -196,6 +196,7 @@
         incarnation: Incarnation of the process, if listed.
         weights_version: Version of the loaded weights, if listed.
         slots: Maximum number of concurrent requests, if listed.
+        software_version: Version of its software, if listed.
     """
 
     name: str
@@ -207,6 +208,7 @@
     incarnation: str = ""
     weights_version: str = ""
     slots: int = 0
+    software_version: str = ""
 
 
 class InstanceList(Protocol):
