Add a soak of streams that break off while software versions change

Engines mark the end of their answers by chunks, a length or the connection, and break them off inside events, between them and after the head, with FIN or RST; they are released to other versions forth and back; daemons are killed and paused; clients leave streams and take them up at other daemons. Each event names the version that wrote it. Promises: no stream has events of two versions, none is missing or double, no false end, and as many streams go on as half the share of new ones that begin.

--- a/tests/cases/versions.py
+++ b/tests/cases/versions.py
@@ -14,6 +14,7 @@
 
 from cluster import platform, raw_caller
 from cluster.platform import Platform
+from soak import streams
 from standins.endings import Cut, Ending, Framing
 
 if TYPE_CHECKING:
@@ -174,6 +175,13 @@
                 assert len(_versions(made, name, f"{name}-1")) == 1, name
 
 
+async def a_short_session_of_streams_keeps_all_promises() -> None:
+    """Guards against releases that overlap broken streams and restarts."""
+    session = streams.Session(3, daemons=6, plan=streams.PLAN)
+    violations = await session.play()
+    assert not violations, (violations, session.faults)
+
+
 async def a_stream_that_nobody_knows_is_not_resumed() -> None:
     """Guards against a guess at the version that began a stream."""
     async with _fleet(2) as made:
--- a/tests/cluster/raw_caller.py
+++ b/tests/cluster/raw_caller.py
@@ -58,8 +58,22 @@
     http_version: str = "1.1",
     method: str = "POST",
     headers: dict[str, str] | None = None,
+    leave_after: int = 0,
 ) -> Received:
-    """Sends a caller's request over a connection of its own."""
+    """Sends a caller's request over a connection of its own.
+
+    Args:
+        made: The platform.
+        name: Name of the route.
+        request_id: Id of the request.
+        daemon: Number of the daemon.
+        body: Body of the request.
+        http_version: Version of HTTP in the request.
+        method: Method of the request.
+        headers: Further headers.
+        leave_after: Events of a stream after which the caller leaves; 0 to read
+            to the end.
+    """
     host, port = made.fields[daemon]["listen"]["front"].split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     try:
@@ -68,7 +82,9 @@
             + body
         )
         async with asyncio.timeout(READ_S):
-            return await _read(reader, has_body=method != "HEAD")
+            return await _read(
+                reader, has_body=method != "HEAD", leave_after=leave_after
+            )
     finally:
         writer.close()
 
@@ -87,18 +103,20 @@
         "X-Godwittack-Deadline-Ms": "3000",
         "X-Godwittack-Credential": platform.KEY,
         "Content-Length": str(len(body)),
-        **headers,
     }
     if name in ("long", "short"):
         fields["X-Godwittack-Model"] = "m"
         fields["X-Godwittack-Token-Usage"] = "900,10"
         fields["X-Godwittack-Prefix-Hash"] = "ab12:800,cd34:100"
+    fields.update(headers)
     lines = [f"{method} /{name}/x HTTP/{http_version}"]
     lines += [f"{key}: {value}" for key, value in fields.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-async def _read(reader: asyncio.StreamReader, *, has_body: bool) -> Received:
+async def _read(
+    reader: asyncio.StreamReader, *, has_body: bool, leave_after: int
+) -> Received:
     received = bytearray()
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
@@ -117,6 +135,8 @@
         elif framing is Framing.CHUNKED:
             while data := await _read_chunk(reader):
                 received += data
+                if 0 < leave_after <= received.count(b"\n\n"):
+                    return Received(status, framing, False, bytes(received))
         elif framing is Framing.LENGTH:
             size = int(head.split("\r\ncontent-length:")[1].split()[0])
             while len(received) < size:
@@ -127,6 +147,8 @@
         else:
             while data := await reader.read(1 << 16):
                 received += data
+                if 0 < leave_after <= received.count(b"\n\n"):
+                    return Received(status, framing, False, bytes(received))
     except (asyncio.IncompleteReadError, ConnectionError):
         has_ended = False
     return Received(status, framing, has_ended, bytes(received))
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -113,6 +113,8 @@
         # Whether all its answers have the Server-Leaving header.
         self.is_leaving = False
         self.event_count = events
+        # Whether each event names the version that wrote it.
+        self.signs_events = False
         self._sequence = 0
         self._busy = False
         self._highest_fencing = 0
@@ -336,7 +338,7 @@
             content_type = "text/event-stream"
             after = int(request.headers.get("Last-Event-Id", "0"))
             pieces = [
-                b"id: %d\ndata: e%d\n\n" % (number, number)
+                self._event(number)
                 for number in range(after + 1, self.event_count + 1)
             ]
         request_id = request.headers.get(HEADER_PREFIX + "Request-Id", "")
@@ -348,6 +350,10 @@
             cut=ending.cut_of(request_id),
         )
 
+    def _event(self, number: int) -> bytes:
+        suffix = f" {self.software}".encode() if self.signs_events else b""
+        return b"id: %d\ndata: e%d%s\n\n" % (number, number, suffix)
+
     async def _stream(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
@@ -361,7 +367,7 @@
                 await response.write(b"id: %d\nda" % number)
                 request.transport.abort()
                 return response
-            await response.write(b"id: %d\ndata: e%d\n\n" % (number, number))
+            await response.write(self._event(number))
             await asyncio.sleep(self.event_gap_s)
         await response.write_eof()
         return response
