--- a/src/godwittack/core/stream_versions.py
+++ b/src/godwittack/core/stream_versions.py
@@ -110,7 +110,13 @@
     if answer.knowledge is not None:
         inquiry.has_answer = True
         if answer.knowledge.is_known:
-            _decide(world, request, answer.knowledge.version, answer.daemon)
+            _decide(
+                world,
+                request,
+                answer.knowledge.version,
+                "peer",
+                daemon=answer.daemon,
+            )
             return
         inquiry.versions.update(answer.knowledge.recent_versions)
         inquiry.is_complete |= answer.knowledge.is_complete
@@ -178,6 +184,8 @@
     request: entities.RequestRow,
     version: str,
     source: str,
+    *,
+    daemon: str = "",
 ) -> None:
     inquiry = request.inquiry
     request.inquiry = None
@@ -189,6 +197,7 @@
         after=request.work.resume_after,
         software=version,
         source=source,
+        **({"daemon": daemon} if daemon else {}),
         took_ms=world.now_ms - inquiry.asked_at_ms if inquiry else 0,
     )
     if version:
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -37,6 +37,10 @@
             "godwittack_prompt_tokens", description="By source"
         )
         self._retries = meter.create_counter("godwittack_retries")
+        self._resumptions = meter.create_counter(
+            "godwittack_resumptions",
+            description="Streams resumed, by how their version was known",
+        )
         self._relayed = meter.create_counter(
             "godwittack_relayed",
             description="Attempts passed on for other daemons, by outcome",
@@ -77,6 +81,10 @@
                 self._requests.add(1, {**labels, "outcome": outcome})
             case "first_token":
                 self._first_token.record(float(fields["after_ms"]), labels)
+            case "stream_resumed":
+                self._resumptions.add(1, {"source": "same_answer"})
+            case "stream_version":
+                self._resumptions.add(1, {"source": str(fields["source"])})
             case "relayed":
                 outcome = str(fields["outcome"]).partition(":")[0]
                 self._relayed.add(1, {"outcome": outcome})
--- a/tests/cluster/red.py
+++ b/tests/cluster/red.py
@@ -44,7 +44,7 @@
 def _run(entry: dict) -> str:
     with tempfile.TemporaryDirectory(prefix="godwittack-red-") as folder:
         copy = pathlib.Path(folder)
-        for name in ("src", "tests"):
+        for name in ("src", "tests", "deploy"):
             shutil.copytree(ROOT / name, copy / name)
         for edit in (entry, entry.get("also")):
             if edit and not _apply_edit(copy, edit):
