Answer a HEAD request when its server's head arrives

A HEAD waited until the route's time was over, and its caller got a 504: the parser waits for the body that the headers describe. Found when the ends of answers were gone through; an answer to HEAD is complete with its head now, and its connection is not used again, as the parser can't go on after it.

--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -82,6 +82,7 @@
         self._unread_replies: collections.deque[Reply] = collections.deque()
         self._unread_bytes = 0
         self._is_awaiting_reply = False
+        self._is_head_request = False
         self._progress = asyncio.Event()
         self._failure: str | None = None
         self._is_reading_paused = False
@@ -148,8 +149,11 @@
             self._abort(f"unsupported transfer coding {coding!r}")
             return
         has_length = bool(reply.header("content-length"))
-        no_body = reply.status in (204, 304)
+        no_body = self._is_head_request or reply.status in (204, 304)
         reply.is_close_delimited = not (coding or has_length or no_body)
+        if self._is_head_request:
+            # The parser waits for the body that the headers describe.
+            reply.is_complete = True
         self._unread_replies.append(reply)
 
     def on_body(self, body: bytes) -> None:
@@ -187,6 +191,7 @@
         assert self._transport is not None
         self.was_used = True
         self._is_awaiting_reply = True
+        self._is_head_request = head.startswith(b"HEAD ")
         self._transport.write(head + body)
 
     async def read_head(self, matches: Callable[[Reply], bool]) -> Reply:
@@ -247,6 +252,7 @@
         self.idle_since_ms = now_ms
         is_clean = (
             reply.is_complete
+            and not self._is_head_request
             and not reply.is_close_delimited
             and not self._unread_replies
             and self._reply is reply
--- a/tests/cases/broken_off.py
+++ b/tests/cases/broken_off.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 
 from cluster import raw_caller
@@ -13,52 +14,79 @@
 WHOLE_STREAM = b"".join(
     b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, EVENTS + 1)
 )
-BODY = b"body of a request that is answered with its own bytes"
 STREAMS = ("long", "short")
 CALLS = ("confirm", "release")
+# Enough that a few ejected ones are not missed.
+SERVERS = 12
 # Framing, and whether the connection is reset.
 ENDS = tuple(itertools.product(Framing, (False, True)))
 # Time in which a daemon learns that its paths are cut.
 CUT_S = 0.5
 
 
-def _set_ending(made: Platform, ending: Ending) -> None:
+def _set_ending(made: Platform, ending: Ending | None) -> None:
     for replica in made.replicas.values():
         replica.faults.ending = ending
 
 
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """A request and its answer."""
+
+    name: str
+    request_id: str
+    received: raw_caller.Received
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether all of the answer arrived."""
+        expected = _body(self.request_id)
+        if self.name in STREAMS:
+            expected = WHOLE_STREAM
+        return self.received.status == 200 and self.received.body == expected
+
+    def check_no_false_claim(self) -> None:
+        """Checks that an incomplete success doesn't look complete."""
+        if self.received.status == 200 and not self.is_whole:
+            assert not self.received.is_claimed_complete, self
+
+
 async def _call(
     made: Platform, name: str, request_id: str, **fields
-) -> raw_caller.Received:
-    return await raw_caller.call(made, name, request_id, body=BODY, **fields)
+) -> Answered:
+    received = await raw_caller.call(
+        made, name, request_id, body=_body(request_id), **fields
+    )
+    return Answered(name, request_id, received)
+
 
+def _body(request_id: str) -> bytes:
+    """Returns the body of a request, which no other one has.
 
-def _is_whole(name: str, received: raw_caller.Received) -> bool:
-    expected = WHOLE_STREAM if name in STREAMS else BODY
-    return received.status == 200 and received.body == expected
+    A call is answered with it.
+    """
+    return f"{request_id} is answered with its own bytes".encode()
 
 
-def _check_no_false_claim(
-    name: str, case: str, received: raw_caller.Received
-) -> None:
-    """Checks that an incomplete success doesn't look complete."""
-    if received.status != 200 or _is_whole(name, received):
-        return
-    assert not received.is_claimed_complete, (name, case, received)
+async def _earn_retry(made: Platform, name: str) -> None:
+    """Lets all servers answer whole again, and earns one retry."""
+    _set_ending(made, None)
+    await made.earn_retry(name)
 
 
 async def a_stream_cut_inside_an_event_is_not_complete() -> None:
     """Guards against half an event passed on as the end of a stream."""
-    for framing, resets in ENDS:
-        async with Platform() as made:
-            await made.earn_retry("long")
+    async with Platform(engines=SERVERS) as made:
+        for framing, resets in ENDS:
+            case = f"{framing}-{resets}"
+            await _earn_retry(made, "long")
             _set_ending(made, Ending(framing, Cut.INSIDE, resets))
-            received = await _call(made, "long", "r1")
-            assert _is_whole("long", received), (framing, resets, received)
-            assert received.has_ended, (framing, resets, received)
-            received = await _call(made, "short", "r2")
-            assert not received.is_inside_event, (framing, resets, received)
-            assert not received.has_ended, (framing, resets, received)
+            answered = await _call(made, "long", f"{case}-long")
+            assert answered.is_whole, answered
+            assert answered.received.has_ended, answered
+            answered = await _call(made, "short", f"{case}-short")
+            assert not answered.received.is_inside_event, answered
+            assert not answered.received.has_ended, answered
 
 
 async def a_stream_that_a_server_closes_makes_no_claim() -> None:
@@ -66,8 +94,8 @@
     async with Platform() as made:
         _set_ending(made, Ending(Framing.CLOSE, Cut.BETWEEN))
         for name in STREAMS:
-            received = await _call(made, name, f"between-{name}")
-            _check_no_false_claim(name, "between", received)
+            answered = await _call(made, name, f"between-{name}")
+            answered.check_no_false_claim()
 
 
 async def a_whole_answer_without_framing_arrives_whole() -> None:
@@ -76,38 +104,39 @@
         for framing in Framing:
             _set_ending(made, Ending(framing))
             for name in (*STREAMS, *CALLS):
-                received = await _call(made, name, f"{name}-{framing}")
-                assert _is_whole(name, received), (name, framing, received)
-                assert received.has_ended, (name, framing, received)
+                answered = await _call(made, name, f"{name}-{framing}")
+                assert answered.is_whole, answered
+                assert answered.received.has_ended, answered
 
 
 async def a_call_cut_inside_its_body_is_not_complete() -> None:
     """Guards against a length of our own for part of a body."""
-    for (framing, resets), cut in itertools.product(
-        ENDS, (Cut.HEAD, Cut.INSIDE)
-    ):
-        async with Platform() as made:
-            await made.earn_retry("release")
-            _set_ending(made, Ending(framing, cut, resets, after=1))
+    async with Platform(services=SERVERS) as made:
+        for (framing, resets), cut in itertools.product(
+            ENDS, (Cut.HEAD, Cut.INSIDE)
+        ):
             case = f"{framing}-{cut}-{resets}"
-            received = await _call(made, "release", "r1")
-            _check_no_false_claim("release", case, received)
+            await _earn_retry(made, "release")
+            _set_ending(made, Ending(framing, cut, resets, after=1))
+            answered = await _call(made, "release", f"{case}-release")
+            answered.check_no_false_claim()
             if resets or framing is not Framing.CLOSE:
-                assert _is_whole("release", received), (case, received)
-            received = await _call(made, "confirm", "r2")
-            _check_no_false_claim("confirm", case, received)
+                assert answered.is_whole, answered
+            answered = await _call(made, "confirm", f"{case}-confirm")
+            answered.check_no_false_claim()
 
 
 async def a_stream_that_ends_after_its_head_is_no_success() -> None:
     """Guards against an empty stream in place of a stream that broke off."""
-    for framing, resets in ENDS:
-        async with Platform() as made:
-            await made.earn_retry("long")
+    async with Platform(engines=SERVERS) as made:
+        for framing, resets in ENDS:
+            case = f"{framing}-{resets}"
+            await _earn_retry(made, "long")
             _set_ending(made, Ending(framing, Cut.HEAD, resets))
-            received = await _call(made, "long", "r1")
-            assert _is_whole("long", received), (framing, resets, received)
-            received = await _call(made, "short", "r2")
-            assert received.status == 502, (framing, resets, received)
+            answered = await _call(made, "long", f"{case}-long")
+            assert answered.is_whole, answered
+            answered = await _call(made, "short", f"{case}-short")
+            assert answered.received.status == 502, answered
 
 
 async def an_answer_through_another_daemon_makes_no_claim() -> None:
@@ -119,10 +148,10 @@
             await asyncio.sleep(CUT_S)
             _set_ending(made, Ending(Framing.CLOSE, cut, after=1))
             for name in (*STREAMS, *CALLS):
-                received = await _call(made, name, f"r-{name}")
-                _check_no_false_claim(name, cut, received)
+                answered = await _call(made, name, f"r-{name}")
+                answered.check_no_false_claim()
                 if cut is Cut.NONE:
-                    assert _is_whole(name, received), (name, received)
+                    assert answered.is_whole, answered
             assert made.log(1).count("event=relayed") >= 4
 
 
@@ -133,9 +162,20 @@
             Framing, (Cut.NONE, Cut.INSIDE, Cut.BETWEEN)
         ):
             _set_ending(made, Ending(framing, cut, resets=cut is Cut.BETWEEN))
-            received = await _call(
+            answered = await _call(
                 made, "short", f"{framing}-{cut}", http_version="1.0"
             )
-            assert received.status == 200, (framing, cut, received)
+            assert answered.received.status == 200, answered
             expected = cut is Cut.NONE
-            assert received.has_ended == expected, (framing, cut, received)
+            assert answered.received.has_ended == expected, answered
+
+
+async def an_answer_without_a_body_ends_with_its_head() -> None:
+    """Guards against a HEAD that waits for the body that it doesn't get."""
+    async with Platform() as made:
+        for number in range(2):
+            received = await raw_caller.call(
+                made, "release", f"r{number}", method="HEAD", body=b""
+            )
+            assert received.status == 200, received
+            assert len(made.ran(f"r{number}")) == 1
--- a/tests/features/broken_off.feature
+++ b/tests/features/broken_off.feature
@@ -14,3 +14,4 @@
       | a stream that ends after its head is no success |
       | an answer through another daemon makes no claim |
       | an old client sees that a stream broke |
+      | an answer without a body ends with its head |
