Leave the socket of a caller that has left alone

The end of an answer without framing sets an option of its caller's socket, which fails if the caller has closed the connection in the meantime. The case stays as a test.

--- a/src/godwittack/entry/delimiting.py
+++ b/src/godwittack/entry/delimiting.py
@@ -112,7 +112,10 @@
 
 
 def _set_linger(transport: asyncio.Transport | None, value: bytes) -> None:
-    sock = transport.get_extra_info("socket") if transport else None
+    if transport is None or transport.is_closing():
+        # The caller has left.
+        return
+    sock = transport.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
--- a/tests/cases/broken_off.py
+++ b/tests/cases/broken_off.py
@@ -22,6 +22,8 @@
 ENDS = tuple(itertools.product(Framing, (False, True)))
 # Time in which a daemon learns that its paths are cut.
 CUT_S = 0.5
+# Time in which a daemon notices that a caller has left.
+LEFT_S = 0.3
 
 
 def _set_ending(made: Platform, ending: Ending | None) -> None:
@@ -179,3 +181,17 @@
             )
             assert received.status == 200, received
             assert len(made.ran(f"r{number}")) == 1
+
+
+async def a_caller_may_leave_an_answer_without_framing() -> None:
+    """Guards against an error for each caller that leaves early."""
+    async with Platform() as made:
+        _set_ending(made, Ending(Framing.CLOSE))
+        for number in range(20):
+            name = STREAMS[number % 2]
+            leave_after = 1 + number % EVENTS
+            await _call(made, name, f"r{number}", leave_after=leave_after)
+        await asyncio.sleep(LEFT_S)
+        assert "Traceback" not in made.log(), made.log()[-2000:]
+        answered = await _call(made, "long", "last")
+        assert answered.is_whole, answered
--- a/tests/features/broken_off.feature
+++ b/tests/features/broken_off.feature
@@ -15,3 +15,4 @@
       | an answer through another daemon makes no claim |
       | an old client sees that a stream broke |
       | an answer without a body ends with its head |
+      | a caller may leave an answer without framing |
