Keep one way to dispatch unqueued requests, and less state of streams

Read again as a whole: begun streams and new requests each charged the fair queue and dispatched in a copy of the same lines; a record of a stream had two flags where one says all (a record told by another daemon need not be told); the versions served were collected before the cheaper question whether they are complete; and the reason why a broken stream isn't ended in order had been lost.

--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -52,12 +52,7 @@
     if not _meets_deadline(world, request, choice, wait_ms):
         return
     if not must_queue:
-        queue.charge(
-            workspace=request.workspace,
-            weight=_weight(world, request),
-            cost=_cost(request),
-        )
-        dispatch(world, request, choice)
+        _dispatch_unqueued(world, request, choice)
         return
     queued = _queued_count(world, request.work.target)
     if queued >= _queue_limit(world, request):
@@ -84,8 +79,16 @@
     if choice is None or not brittle.has_room(world, choice.server):
         refusing.refuse_no_server(world, request)
         return
-    if not _meets_deadline(world, request, choice, 0.0):
-        return
+    if _meets_deadline(world, request, choice, 0.0):
+        _dispatch_unqueued(world, request, choice)
+
+
+def _dispatch_unqueued(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+) -> None:
+    """Dispatches a request at once, and counts it in the queue's fair order."""
     priority = routing.priority(world, request)
     _queue(world, request.work.target, priority).charge(
         workspace=request.workspace,
--- a/src/godwittack/core/software.py
+++ b/src/godwittack/core/software.py
@@ -66,8 +66,9 @@
 
 def has_one_version(world: entities.World, target: str) -> bool:
     """Returns whether all streams of a target began at the same version."""
-    versions = recent_versions(world, target)
-    return is_complete(world, target) and len(versions) == 1
+    return (
+        is_complete(world, target) and len(recent_versions(world, target)) == 1
+    )
 
 
 def holders(world: entities.World, key: bytes) -> tuple[str, ...]:
--- a/src/godwittack/core/stream_records.py
+++ b/src/godwittack/core/stream_records.py
@@ -34,14 +34,12 @@
         target: Model of the stream.
         version: Software version; empty if two streams have the same id.
         expires_at_ms: When no caller can take the stream up any more.
-        is_own: Whether it began at this daemon.
-        was_told: Whether other daemons have been told.
+        was_told: Whether this daemon has told others, or was told by one.
     """
 
     target: str
     version: str
     expires_at_ms: int
-    is_own: bool = False
     was_told: bool = False
 
 
@@ -83,8 +81,7 @@
         return [
             (key, record)
             for key, record in self._records.items()
-            if record.is_own
-            and not record.was_told
+            if not record.was_told
             and record.target == target
             and record.expires_at_ms > now_ms
         ]
--- a/src/godwittack/core/stream_versions.py
+++ b/src/godwittack/core/stream_versions.py
@@ -60,7 +60,6 @@
         target=request.work.target,
         version=version,
         expires_at_ms=request.arrived_at_ms + life_ms,
-        is_own=True,
     )
     world.streams.add(key, record)
     if not software.has_one_version(world, request.work.target):
@@ -132,6 +131,7 @@
             target=told.target,
             version=told.version,
             expires_at_ms=world.now_ms + told.left_ms,
+            was_told=True,
         ),
     )
 
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -177,6 +177,8 @@
                     await delimiting.end(response)
                     return response
                 case effects.BreakStream():
+                    # Without the mark of its end, or with a reset connection,
+                    # a truncated stream doesn't look complete.
                     response.force_close()
                     _close(request)
                     return response
