Build the error of a server call in one place

Both clients of backend servers had the same function, one with two fields fewer. It stands beside BackendError now.

--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -276,18 +276,22 @@
             ) as response:
                 data = await response.read()
                 if response.status != 200:
-                    return _error(step, address, f"status {response.status}")
+                    return protocol.failed_call(
+                        step, address, f"status {response.status}"
+                    )
                 return Ok(data)
         except TimeoutError:
-            return _error(step, address, "no answer in time")
+            return protocol.failed_call(step, address, "no answer in time")
         except aiohttp.ClientConnectorError as error:
             is_refused = _connect_cause(error) is inputs.FailureCause.ENDED
-            return _error(
+            return protocol.failed_call(
                 step, address, str(error), connection_refused=is_refused
             )
         except (aiohttp.ClientError, OSError) as error:
             detail = str(error) or type(error).__name__
-            return _error(step, address, detail, connection_broken=True)
+            return protocol.failed_call(
+                step, address, detail, connection_broken=True
+            )
 
 
 def _connect_cause(
@@ -304,7 +308,9 @@
     try:
         return Ok(parse(data))
     except pydantic.ValidationError as error:
-        return _error(step, address, str(error.errors()[0]["msg"]))
+        return protocol.failed_call(
+            step, address, str(error.errors()[0]["msg"])
+        )
 
 
 class _SendOnce:
@@ -435,23 +441,4 @@
     return f"/v1/streams/{stream_id}"
 
 
-def _error(
-    step: str,
-    address: str,
-    detail: str,
-    *,
-    connection_refused: bool = False,
-    connection_broken: bool = False,
-) -> Err[protocol.BackendError]:
-    return Err(
-        protocol.BackendError(
-            step=step,
-            peer=address,
-            detail=detail,
-            connection_refused=connection_refused,
-            connection_broken=connection_broken,
-        )
-    )
-
-
 __all__ = ["HttpBackend"]
--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -6,6 +6,8 @@
 import enum
 from typing import TYPE_CHECKING, Protocol
 
+from result import Err
+
 if TYPE_CHECKING:
     from result import Result
 
@@ -41,6 +43,30 @@
         return f"{self.step} at {self.peer}: {self.detail}"
 
 
+def failed_call(
+    step: str,
+    peer: str,
+    detail: str,
+    *,
+    status: int = 0,
+    may_have_run: bool = True,
+    connection_refused: bool = False,
+    connection_broken: bool = False,
+) -> Err[BackendError]:
+    """Returns the error of a call; see `BackendError`."""
+    return Err(
+        BackendError(
+            step=step,
+            peer=peer,
+            detail=detail,
+            status=status,
+            may_have_run=may_have_run,
+            connection_refused=connection_refused,
+            connection_broken=connection_broken,
+        )
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
     """A caller's request in the form in which it is forwarded.
@@ -271,4 +297,5 @@
     "EngineLoad",
     "Order",
     "OrderKind",
+    "failed_call",
 ]
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -243,7 +243,7 @@
         try:
             load = self._format.read_load(reply.body, server_id)
         except ValueError as error:
-            return _error(call.step, address, str(error))
+            return protocol.failed_call(call.step, address, str(error))
         is_leaving = load.leaving or reply.signals.is_leaving
         return Ok(dataclasses.replace(load, leaving=is_leaving))
 
@@ -266,7 +266,7 @@
         try:
             return Ok(self._format.read_events(result.ok_value.body, server_id))
         except ValueError as error:
-            return _error(call.step, address, str(error))
+            return protocol.failed_call(call.step, address, str(error))
 
     async def order(
         self, address: str, order: protocol.Order
@@ -282,13 +282,17 @@
         self, address: str, level_key: int
     ) -> Result[bytes, protocol.BackendError]:
         """Not offered: servers fetch cached state from each other."""
-        return _error("export", address, "not offered by this interface")
+        return protocol.failed_call(
+            "export", address, "not offered by this interface"
+        )
 
     async def import_kv(
         self, address: str, data: bytes
     ) -> Result[None, protocol.BackendError]:
         """Not offered: servers fetch cached state from each other."""
-        return _error("import", address, "not offered by this interface")
+        return protocol.failed_call(
+            "import", address, "not offered by this interface"
+        )
 
     async def _exchange(
         self,
@@ -403,12 +407,12 @@
         except TimeoutError:
             _close(connection)
             detail = "no answer in time"
-            return _error(
+            return protocol.failed_call(
                 call.step, address, detail, may_have_run=connection is not None
             )
         except (OSError, connections.ReplyError) as error:
             _close(connection)
-            return _error(
+            return protocol.failed_call(
                 call.step,
                 address,
                 str(error),
@@ -426,7 +430,7 @@
             decline_cause=self._format.decline_cause(reply, server_id),
         )
         if reply.status not in (200, 202):
-            return _error(
+            return protocol.failed_call(
                 call.step,
                 address,
                 f"status {reply.status}",
@@ -489,27 +493,4 @@
         connection.close()
 
 
-def _error(
-    step: str,
-    address: str,
-    detail: str,
-    *,
-    status: int = 0,
-    may_have_run: bool = True,
-    connection_refused: bool = False,
-    connection_broken: bool = False,
-) -> Err[protocol.BackendError]:
-    return Err(
-        protocol.BackendError(
-            step=step,
-            peer=address,
-            detail=detail,
-            status=status,
-            may_have_run=may_have_run,
-            connection_refused=connection_refused,
-            connection_broken=connection_broken,
-        )
-    )
-
-
 __all__ = ["ControlCall", "RoutedBackend", "ServerFormat"]
