Log the shared parts of prompts whose attempts failed

attempt_failed names the workspace and a hash of the whole request, so that requests which share one part of their prompts and crash one server each can't be told from requests beside servers that crash by themselves. Work now has the names of the parts that other requests may share, the same wherever a part stands, also on our own interface, whose levels are chained hashes.

No decision reads them.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -181,6 +181,11 @@
         cause=failure.cause.value,
         detail=failure.detail,
         **({"relay": attempt.relay} if attempt.relay else {}),
+        **(
+            {"parts": ",".join(request.work.parts)}
+            if request.work.parts
+            else {}
+        ),
     )
     if _may_have_crashed(failure) and crashes.record_broken_connection(
         world, request, attempt
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -40,6 +40,8 @@
         caller_request_id: The caller's own id, echoed and logged, never used
             as a key: two workspaces may use the same one.
         levels: Prompt levels, outermost first; empty for plain calls.
+        parts: Names of the parts of the prompt that other requests may share,
+            outermost first, the same wherever a part stands.
         max_tokens: Maximum number of tokens to generate.
         streaming: Whether the caller reads the answer as it is generated.
         deadline_ms: The caller's time limit until the answer begins; 0 for
@@ -62,6 +64,7 @@
     target: str
     caller_request_id: str = ""
     levels: tuple[Level, ...] = ()
+    parts: tuple[str, ...] = ()
     max_tokens: int = 0
     streaming: bool = False
     deadline_ms: int = 0
--- a/src/godwittack/entry/parse.py
+++ b/src/godwittack/entry/parse.py
@@ -16,8 +16,6 @@
 from godwittack.table import model
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from aiohttp import web
 
 MAX_DEADLINE_MS = 3_600_000
@@ -117,6 +115,7 @@
     if isinstance(deadline, Err):
         return deadline
     max_tokens = generation.max_completion_tokens or generation.max_tokens or 0
+    parts = _prompt_parts(generation)
     return Ok(
         work.Work(
             kind=work.WorkKind.GENERATION,
@@ -126,8 +125,9 @@
             levels=levels.chain(
                 workspace=workspace,
                 target=generation.model,
-                parts=_prompt_parts(generation),
+                parts=parts,
             ),
+            parts=levels.shared_parts(map(levels.part_digest, parts)),
             max_tokens=max_tokens,
             streaming=generation.stream,
             deadline_ms=deadline.ok_value,
@@ -182,7 +182,7 @@
     return work.Header("x-cache-levels", value)
 
 
-def _prompt_parts(generation: _Generation) -> Iterable[bytes]:
+def _prompt_parts(generation: _Generation) -> list[bytes]:
     if generation.messages is not None:
         return [
             json.dumps(m.model_dump(), sort_keys=True).encode()
--- a/src/godwittack/placement/levels.py
+++ b/src/godwittack/placement/levels.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 from typing import TYPE_CHECKING
 
 import xxhash
 
+from godwittack.backend import headers
 from godwittack.core import work
 
 if TYPE_CHECKING:
@@ -14,6 +16,8 @@
 
 BYTES_PER_TOKEN = 4
 MAX_LEVELS = 64
+# Longest name of a part that is kept as its caller wrote it.
+MAX_PART_NAME = 32
 # Below this many tokens it does not matter where a level is cached: an engine
 # computes 157 tokens a millisecond. Most levels are that small; exchanged
 # between daemons, they made up most bytes of the peer updates.
@@ -35,6 +39,53 @@
     return xxhash.xxh3_64_intdigest(f"{owner}/{level_name}".encode())
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """One part of a prompt, as its caller names it."""
+
+    name: str
+    tokens: int
+
+
+def parse_parts(text: str) -> tuple[Part, ...]:
+    """Parses comma-separated entries NAME:TOKENS; skips malformed ones."""
+    parts: list[Part] = []
+    for entry in text.split(","):
+        name, _, tokens = entry.strip().partition(":")
+        size = headers.parse_number(tokens)
+        if name and size is not None:
+            parts.append(Part(name, size))
+    return tuple(parts)
+
+
+def of_parts(parts: Iterable[Part], *, owner: str) -> tuple[work.Level, ...]:
+    """Returns the levels of the parts that callers name."""
+    return tuple(
+        work.Level(key_for_name(owner, part.name), part.tokens)
+        for part in parts
+    )
+
+
+def part_digest(part: bytes) -> str:
+    """Returns a name that is equal for equal parts."""
+    return xxhash.xxh3_128_hexdigest(part)
+
+
+def shared_parts(names: Iterable[str]) -> tuple[str, ...]:
+    """Returns the names of the parts that other requests may share.
+
+    The last part belongs to the request itself. Of a prompt with very many
+    parts, the first `MAX_LEVELS` are returned.
+    """
+    return tuple(map(_short_name, tuple(names)[:-1][:MAX_LEVELS]))
+
+
+def _short_name(name: str) -> str:
+    if len(name) <= MAX_PART_NAME and name.isascii() and name.isalnum():
+        return name
+    return part_digest(name.encode())
+
+
 def chain(
     *, workspace: str, target: str, parts: Iterable[bytes]
 ) -> tuple[work.Level, ...]:
@@ -66,6 +117,11 @@
     "BYTES_PER_TOKEN",
     "MAX_LEVELS",
     "SMALL_LEVEL_TOKENS",
+    "Part",
     "chain",
     "key_for_name",
+    "of_parts",
+    "parse_parts",
+    "part_digest",
+    "shared_parts",
 ]
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -49,12 +49,14 @@
         owner = table.cache_owner(table.workspace_by_token.get(digest, ""))
         counts = request.headers.get(names.TOKEN_COUNTS, "").partition(",")
         prompt_tokens = backend_headers.parse_number(counts[0]) or 0
+        parts = levels.parse_parts(request.headers.get(names.LEVELS, ""))
         requested_work = work.Work(
             kind=work.WorkKind.PLAIN,
             token_sha256=digest,
             target="",
             caller_request_id=request_id,
-            levels=_levels(request, owner, prompt_tokens),
+            levels=_levels(request, owner, prompt_tokens, parts),
+            parts=levels.shared_parts(part.name for part in parts),
             max_tokens=backend_headers.parse_number(counts[2]) or 0,
             deadline_ms=min(deadline_ms, MAX_DEADLINE_MS),
             method=request.method,
@@ -95,19 +97,16 @@
 
 
 def _levels(
-    request: web.BaseRequest, owner: str, prompt_tokens: int
+    request: web.BaseRequest,
+    owner: str,
+    prompt_tokens: int,
+    parts: tuple[levels.Part, ...],
 ) -> tuple[work.Level, ...]:
     """Returns the prompt's levels; the whole prompt as one if none are sent."""
-    result: list[work.Level] = []
-    for part in request.headers.get(names.LEVELS, "").split(","):
-        level, _, tokens = part.strip().partition(":")
-        size = backend_headers.parse_number(tokens)
-        if level and size is not None:
-            result.append(work.Level(levels.key_for_name(owner, level), size))
-    if not result and prompt_tokens:
-        key = levels.key_for_name(owner, request.headers[names.REQUEST_ID])
-        result.append(work.Level(key, prompt_tokens))
-    return tuple(result)
+    if parts or not prompt_tokens:
+        return levels.of_parts(parts, owner=owner)
+    key = levels.key_for_name(owner, request.headers[names.REQUEST_ID])
+    return (work.Level(key, prompt_tokens),)
 
 
 def _forwarded_headers(request: web.BaseRequest) -> tuple[work.Header, ...]:
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -28,7 +28,7 @@
 # Fields used only by requests with routes. They are omitted at their default
 # value, so sessions without such requests do not contain them.
 _OMITTED_IF_DEFAULT: dict[type, tuple[str, ...]] = {
-    work.Work: ("host", "path", "route", "resume_after", "resumes"),
+    work.Work: ("host", "path", "route", "resume_after", "resumes", "parts"),
     work.Answer: ("is_delimited",),
     work.Head: ("is_delimited",),
     effects.Dispatch: ("ends_at_ms", "has_own_place"),
