Add failing tests of parts of prompts that crash servers

Real daemons and engines that crash when they begin an answer on one part, whatever else the request holds; sound requests have the same caller and the other parts.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -19,6 +19,7 @@
     "connections",
     "crash_rows",
     "crashing",
+    "crashing_parts",
     "feed_follower",
     "freshness",
     "adapter",
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -7,11 +7,15 @@
 import json
 import random
 import time
+from typing import TYPE_CHECKING
 
 from aiohttp import web
 
 from standins import endings
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 HEADER_PREFIX = "X-Godwittack-"
 
 
@@ -41,6 +45,29 @@
     ending: endings.Ending | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class PartFault:
+    """A part of prompts on which an engine crashes when it begins an answer.
+
+    Attributes:
+        part: Name of the part; it does no harm as the last one.
+        share: Share of the answers on which the engine crashes.
+        after: Events written before the crash.
+        delay_s: Time from the last of them to the crash.
+    """
+
+    part: str
+    share: float = 1.0
+    after: int = 1
+    delay_s: float = 0.02
+
+    def hits(self, headers: Mapping[str, str]) -> bool:
+        """Returns whether the engine crashes on a request."""
+        entries = headers.get(HEADER_PREFIX + "Prefix-Hash", "").split(",")
+        parts = [entry.strip().partition(":")[0] for entry in entries]
+        return self.part in parts[:-1] and random.random() < self.share
+
+
 @dataclasses.dataclass
 class Execution:
     """One request that was executed."""
@@ -97,6 +124,8 @@
         self.event_gap_s = 0.01
         # Request body that crashes the server; empty for none.
         self.crashes_on = b""
+        # Part of prompts that crashes the engine; None for none.
+        self.part_fault: PartFault | None = None
         self.has_crashed = False
         # Value of the Server-Limit header; empty for none.
         self.limit_header = ""
@@ -142,6 +171,10 @@
         self.running = self.waiting = 0
         await self.start(self.port)
 
+    async def crash(self) -> None:
+        """Ends the process as a crash does."""
+        await self._crash()
+
     async def _crash(self) -> None:
         """Simulates the end of the process: closes listener and connections."""
         if self.has_crashed:
@@ -312,6 +345,8 @@
             if self.faults.lose_answers:
                 request.transport.abort()
                 return web.Response(headers=headers)
+            if self.part_fault and self.part_fault.hits(request.headers):
+                return await self._crash_on_part(request, headers)
             if self.faults.ending is not None:
                 await self._end(self.faults.ending, request, body, headers)
                 return web.Response(headers=headers)
@@ -323,6 +358,35 @@
             self.cancelled.append(request_id)
             raise
 
+    async def _crash_on_part(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Crashes after the first events of an answer.
+
+        Where answers have no mark of their end, the connection is closed in
+        order between two events, and the process ends then.
+        """
+        fault = self.part_fault
+        assert fault is not None
+        framing = endings.Framing.CHUNKED
+        if self.faults.ending is not None:
+            framing = self.faults.ending.framing
+        ending = endings.Ending(framing, endings.Cut.BETWEEN, after=fault.after)
+        if framing is endings.Framing.CLOSE:
+            await self._end(ending, request, b"", headers)
+            await self._crash()
+            return web.Response(headers=headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        response.enable_chunked_encoding()
+        if fault.after:
+            await response.prepare(request)
+        for number in range(1, fault.after + 1):
+            await response.write(self._event(number))
+        await asyncio.sleep(fault.delay_s)
+        await self._crash()
+        return response
+
     async def _end(
         self,
         ending: endings.Ending,
@@ -373,4 +437,4 @@
         return response
 
 
-__all__ = ["Replica", "ReplicaFaults"]
+__all__ = ["PartFault", "Replica", "ReplicaFaults"]
