Blame crashes of servers on the parts of prompts as well

Callers saw engines end one after the other, and their streams with them, under requests that share one part of their prompts. A crash was blamed on the whole request: workspace, method, host, path and body. No two of these requests are alike, so no content ever had a second crash, and nothing was refused.

A crash now counts against each key of the requests that ran there: the content and the shared parts. One table, one message and one check serve both. A part that is popular is at most crashes, so its crashes are weighed against the runs that completed with it, here and at the daemons that announce theirs; the worst part explains the crashes at which it was, so that those beside it are not refused; nothing is blamed while servers complete nothing at all.

Ruled out: a veto by one completed run (a part that crashes half of its runs is never found), three crashes without any weighing (an outage of all engines refuses the first part of everybody), and one daemon's own counts (each sees a part of the runs).

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -104,7 +104,7 @@
     servers.record_success(world, attempt)
     servers.record_contact(world, attempt)
     if message.answer.is_delimited:
-        crashes.record_completion(world, request)
+        crashes.record_completion(world, request, status=message.answer.status)
     closing.update_service_time(
         world, request.work.target, world.now_ms - attempt.sent_at_ms
     )
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -88,6 +88,7 @@
             to send it over this daemon's own path.
         has_own_place: Whether it takes a place of this daemon at a brittle
             server, not one of the relay.
+        suspects: Keys of what may crash the server, for the relay.
     """
 
     request_id: str
@@ -107,6 +108,7 @@
     incarnation: str = ""
     relay: str = ""
     has_own_place: bool = True
+    suspects: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -13,6 +13,7 @@
     quarantine,
     server_inputs,
     stream_records,
+    suspects,
     weights,
 )
 from godwittack.core import policy as policies
@@ -138,8 +139,18 @@
     @property
     def content(self) -> str:
         """Key of workspace and request content; empty if not known."""
-        fingerprint = self.work.fingerprint
-        return f"{self.workspace}/{fingerprint}" if fingerprint else ""
+        return suspects.content_key(self.workspace, self.work.fingerprint)
+
+    @property
+    def part_keys(self) -> tuple[str, ...]:
+        """Keys of the parts of its prompt that other requests may share."""
+        target = self.work.target
+        return tuple(suspects.part_key(target, p) for p in self.work.parts)
+
+    @property
+    def suspect_keys(self) -> tuple[str, ...]:
+        """Keys of all that may crash a server."""
+        return (*filter(None, (self.content,)), *self.part_keys)
 
     @property
     def at_most_once(self) -> bool:
@@ -241,8 +252,8 @@
         ended_incarnation_id: Unique id of its last incarnation known to have
             ended.
         ended_at_ms: When this daemon learnt that it had ended.
-        possible_crashes: Recent requests whose connection closed; they count
-            as crashes only if the server's process has ended.
+        possible_crashes: Recent runs whose connection closed; they count as
+            crashes only if the server's process has ended.
         path_lost_at_ms: When this daemon found that it can't reach the server;
             0 while it can.
         path_is_refused: Whether connections were refused when it was lost.
@@ -296,7 +307,7 @@
     rate_limit_announced_ms: int = -1_000_000
     ended_incarnation_id: str = ""
     ended_at_ms: int = -1
-    possible_crashes: list[quarantine.Crash] = dataclasses.field(
+    possible_crashes: list[quarantine.BrokenRun] = dataclasses.field(
         default_factory=list
     )
     path_lost_at_ms: int = 0
@@ -415,7 +426,7 @@
             change.
         has_seen_peers: Whether another daemon was ever believed alive.
         members_changed_ms: When the membership last changed.
-        quarantine: Contents of requests during which servers crashed.
+        quarantine: What requests held during which servers crashed.
         dispatch_pacing: Dispatch interval of queued requests, by target and
             priority.
         availability_notices: Availability announced by servers, by server id.
--- a/src/godwittack/core/paths.py
+++ b/src/godwittack/core/paths.py
@@ -278,10 +278,11 @@
     lost = [server for server in world.servers.values() if is_lost(server)]
     for server in lost:
         if is_alive_elsewhere(server) and not was_quick_restart(world, server):
-            crashes.clear_possible(server, until_ms=server.heard_alive_ms)
+            crashes.clear_possible(
+                world, server, until_ms=server.heard_alive_ms
+            )
         if server.possible_crashes and any(
-            crash.at_ms >= server.asked_at_ms
-            for crash in server.possible_crashes
+            run.at_ms >= server.asked_at_ms for run in server.possible_crashes
         ):
             ask(world, server)
         server.ejected_until_ms = max(
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -1,35 +1,58 @@
-"""Counts server crashes by the content of the requests that were running.
+"""Counts server crashes by what the requests held that were running.
 
 A request that crashes its server, and is sent again, takes down one server
-after the other for all callers. Load pattern: a caller repeats such a request
-within seconds, at any daemon, each time under a new id.
+after the other for all callers. Load patterns: a caller repeats such a request
+within seconds, at any daemon, each time under a new id; callers send requests
+that share one part of their prompts, no two alike.
+
+A crash counts against each key of `suspects`. A run without a crash clears a
+whole request; of parts, `evidence` weighs crashes against completed runs.
 """
 
 from __future__ import annotations
 
 import collections
 import dataclasses
+from typing import TYPE_CHECKING
 
 import xxhash
 
+from godwittack.core import evidence, recent_runs, suspects
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
 # Crashes after which a content is quarantined. Other requests rarely happen to
 # run beside it three times.
 CRASHES_TO_QUARANTINE = 3
 # Crashes after which a content is also stored, to outlive the daemons. If this
 # were the third one, a restart of all daemons before it would reset the count.
 CRASHES_TO_PERSIST = CRASHES_TO_QUARANTINE - 1
-# Length of the first quarantine; each further crash doubles it.
+# Crashes of a part after which daemons announce the completed runs with it.
+CRASHES_TO_ANNOUNCE_RUNS = 2
+# Length of the first quarantine; each further crash of a content doubles it,
+# and each further crash of parts after a quarantine.
 QUARANTINE_MS = 600_000
 MAX_DOUBLINGS = 6
+# Time for which parts must look harmful before they are refused: the completed
+# runs that other daemons announce arrive after the crashes.
+SETTLE_MS = 300
 # Time after a content's last crash or quarantine for which it is remembered.
 RETENTION_MS = 600_000
 EXPIRY_INTERVAL_MS = 10_000
+# Keys whose crashes are remembered.
 MAX_CONTENTS = 4_096
-MAX_CRASHES_PER_CONTENT = 16
+MAX_CRASHES_PER_KEY = 16
+MAX_COMPLETIONS_PER_PART = 64
 # Servers whose unnamed incarnations are counted.
 MAX_SERVERS = 4_096
-# Contents not in quarantine whose crashes are exchanged with other daemons.
-MAX_EXCHANGED_CONTENTS = 128
+# Incarnations of a target's servers whose end is remembered.
+MAX_ENDED = 1_024
+# Keys with a single crash that are exchanged with other daemons.
+MAX_EXCHANGED_KEYS = 128
+# Weights below which further completed runs of a part change nothing.
+SETTLED_CRASHES = -CRASHES_TO_QUARANTINE
+SETTLED_TIMES = 1
 _NUMBER_SEPARATOR = "#"
 
 
@@ -38,7 +61,7 @@
     """A server incarnation that ended while it ran a request.
 
     Attributes:
-        content: Identifies what was requested and by which workspace.
+        content: Key of what the request held.
         start: Name of the incarnation, unique over all servers.
         reporter: Daemon that observed the crash.
         at_ms: When the crash was observed.
@@ -52,28 +75,84 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Completion:
-    """A run without a crash, which proves a content harmless."""
+    """Runs without a crash, which speak for what they held.
+
+    Attributes:
+        content: Key of what the requests held.
+        at_ms: When the last of them completed.
+        reporter: Daemon that observed them.
+        number: Number of the announcement, by key and reporter.
+        count: Number of runs.
+    """
 
     content: str
     at_ms: int
+    reporter: str = ""
+    number: int = 0
+    count: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BrokenRun:
+    """A run whose connection closed; a crash if its server's process ended.
+
+    Attributes:
+        keys: Keys of what the request held.
+        start: Name of the server's incarnation.
+        at_ms: When the connection closed.
+        target: Model or service of the server.
+        is_answered: Whether the answer may be whole: its end had no mark.
+    """
+
+    keys: tuple[str, ...]
+    start: str
+    at_ms: int
+    target: str
+    is_answered: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Changes:
+    """Sets of parts that were put into quarantine, and that left it."""
+
+    added: frozenset[frozenset[str]] = frozenset()
+    lifted: frozenset[frozenset[str]] = frozenset()
 
 
 class Quarantine:
-    """The crashes known by content, and the contents in quarantine.
+    """The crashes known by key, and what is in quarantine.
+
+    Crashes form a set by key and incarnation: received late, twice or in
+    another order, they leave all daemons with the same view.
 
-    Crashes form a set by content and incarnation: received late, twice or in
-    another order, they leave all daemons with the same contents in quarantine.
+    Attributes:
+        runs: Runs that completed at this daemon recently.
     """
 
     def __init__(self) -> None:
         """Starts without crashes."""
+        self.runs = recent_runs.RecentRuns()
         self._crashes: collections.OrderedDict[str, dict[str, Crash]] = (
             collections.OrderedDict()
         )
         self._completed_at_ms: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        # Completed runs with a part, by its key, reporter and number.
+        self._completions: dict[str, dict[tuple[str, int], Completion]] = {}
+        # Runs with a part that completed here since its first crash.
+        self._runs_since_crash: dict[str, int] = {}
+        # Runs on its target that were complete before a part's first crash.
+        self._totals_before: dict[str, int] = {}
+        self._announced_numbers: dict[str, int] = {}
         self._quarantined: set[str] = set()
+        # Sets of parts that are refused if held together, and since when each
+        # part looks harmful.
+        self._harmful_since_ms: dict[str, int] = {}
+        self._harmful: frozenset[frozenset[str]] = frozenset()
+        self._is_settled = True
+        # When incarnations ended, by target.
+        self._ended_at_ms: dict[str, dict[str, int]] = {}
         # Unnamed incarnations known to have ended, by server.
         self._ended_counts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -82,8 +161,8 @@
         self._digest: int | None = 0
 
     def __len__(self) -> int:
-        """Returns how many contents are in quarantine."""
-        return len(self._quarantined)
+        """Returns how many contents and sets of parts are in quarantine."""
+        return len(self._quarantined) + len(self._harmful)
 
     def numbered_incarnation(self, server: str) -> str:
         """Returns an id for the current incarnation of a server without one.
@@ -99,22 +178,40 @@
     def add(self, crash: Crash) -> bool:
         """Adds a crash; returns whether it was new."""
         self._count_ended_incarnation(crash.start)
-        if crash.at_ms <= self._completed_at_ms.get(crash.content, -1):
+        key = crash.content
+        if crash.at_ms <= self._completed_at_ms.get(key, -1):
             return False
-        by_incarnation = self._crashes.setdefault(crash.content, {})
+        by_incarnation = self._crashes.setdefault(key, {})
         if (
             crash.start in by_incarnation
-            or len(by_incarnation) >= MAX_CRASHES_PER_CONTENT
+            or len(by_incarnation) >= MAX_CRASHES_PER_KEY
         ):
             return False
         by_incarnation[crash.start] = crash
         self._digest = None
-        self._crashes.move_to_end(crash.content)
-        if len(by_incarnation) >= CRASHES_TO_QUARANTINE:
-            self._quarantined.add(crash.content)
+        self._crashes.move_to_end(key)
+        if suspects.is_part(key):
+            self._record_part_crash(crash)
+        elif len(by_incarnation) >= CRASHES_TO_QUARANTINE:
+            self._quarantined.add(key)
         self._evict_excess()
         return True
 
+    def _record_part_crash(self, crash: Crash) -> None:
+        target = suspects.target_of(crash.content)
+        ended = self._ended_at_ms.setdefault(target, {})
+        ended[crash.start] = min(
+            crash.at_ms, ended.get(crash.start, crash.at_ms)
+        )
+        if len(ended) > MAX_ENDED:
+            del ended[next(iter(ended))]
+        if crash.content not in self._totals_before:
+            self._runs_since_crash[crash.content] = 0
+            self._totals_before[crash.content] = self.runs.total_before_window(
+                target, now_ms=crash.at_ms
+            )
+        self._is_settled = False
+
     def _count_ended_incarnation(self, incarnation: str) -> None:
         server, separator, number = incarnation.rpartition(_NUMBER_SEPARATOR)
         if not separator or not number.isdecimal():
@@ -127,16 +224,18 @@
             self._ended_counts.popitem(last=False)
 
     def add_completion(self, completion: Completion) -> bool:
-        """Drops crashes before a completed run; returns whether any were."""
-        by_incarnation = self._crashes.get(completion.content)
+        """Adds completed runs; returns whether they change anything.
+
+        They drop the earlier crashes of a content.
+        """
+        key = completion.content
+        by_incarnation = self._crashes.get(key)
         if by_incarnation is None:
             return False
-        newest_ms = self._completed_at_ms.get(
-            completion.content, completion.at_ms
-        )
-        self._completed_at_ms[completion.content] = max(
-            newest_ms, completion.at_ms
-        )
+        if suspects.is_part(key):
+            return self._add_part_completion(completion)
+        newest_ms = self._completed_at_ms.get(key, completion.at_ms)
+        self._completed_at_ms[key] = max(newest_ms, completion.at_ms)
         if len(self._completed_at_ms) > MAX_CONTENTS:
             self._completed_at_ms.popitem(last=False)
         self._digest = None
@@ -146,25 +245,201 @@
             for name, crash in by_incarnation.items()
             if crash.at_ms > completion.at_ms
         }
-        self._crashes[completion.content] = remaining
+        self._crashes[key] = remaining
         if not remaining:
-            del self._crashes[completion.content]
+            del self._crashes[key]
         if len(remaining) < CRASHES_TO_QUARANTINE:
-            self._quarantined.discard(completion.content)
+            self._quarantined.discard(key)
         return len(remaining) < count_before
 
-    def crashes(self, content: str) -> tuple[Crash, ...]:
-        """Returns the known crashes of a content."""
-        return tuple(self._crashes.get(content, {}).values())
+    def _add_part_completion(self, completion: Completion) -> bool:
+        known = self._completions.setdefault(completion.content, {})
+        name = (completion.reporter, completion.number)
+        if name in known:
+            return False
+        known[name] = completion
+        if len(known) > MAX_COMPLETIONS_PER_PART:
+            # The oldest ones matter least for the crashes since.
+            del known[min(known, key=lambda name: known[name].at_ms)]
+        self._is_settled = False
+        return True
 
-    def is_persisted(self, content: str) -> bool:
-        """Returns whether a content's crashes outlive this process."""
-        return len(self._crashes.get(content, {})) >= CRASHES_TO_PERSIST
+    def add_run(
+        self, target: str, parts: Iterable[str], *, now_ms: int
+    ) -> None:
+        """Counts a run that completed at this daemon."""
+        self.runs.add(target, parts, now_ms=now_ms)
+        if not self._runs_since_crash:
+            return
+        for part in parts:
+            if part in self._runs_since_crash:
+                self._runs_since_crash[part] += 1
 
-    def until_ms(self, content: str) -> int:
-        """Returns when a content's quarantine ends; 0 if it has none."""
-        if content not in self._quarantined:
+    def runs_to_announce(
+        self, key: str, *, reporter: str, now_ms: int
+    ) -> tuple[Completion, ...]:
+        """Returns this daemon's recent runs with a part that has crashes.
+
+        They are announced once, separately for those before the first crash.
+        """
+        by_incarnation = self._crashes.get(key, {})
+        if (
+            not suspects.is_part(key)
+            or len(by_incarnation) < CRASHES_TO_ANNOUNCE_RUNS
+            or key in self._announced_numbers
+        ):
+            return ()
+        self._announced_numbers[key] = 0
+        first_ms = min(crash.at_ms for crash in by_incarnation.values())
+        since = self._runs_since_crash.get(key, 0)
+        before = max(0, self.runs.count(key, now_ms=now_ms) - since)
+        counts = ((before, first_ms - 1), (since, now_ms))
+        return tuple(
+            self._next_completion(key, reporter, count=count, at_ms=at_ms)
+            for count, at_ms in counts
+            if count
+        )
+
+    def run_to_announce(
+        self, key: str, *, reporter: str, now_ms: int
+    ) -> Completion | None:
+        """Returns the announcement of a run with a part; None if needless."""
+        if key not in self._announced_numbers:
+            return None
+        weight = self._weight(key)
+        if weight.crashes <= SETTLED_CRASHES and weight.times <= SETTLED_TIMES:
+            return None
+        return self._next_completion(key, reporter, count=1, at_ms=now_ms)
+
+    def _next_completion(
+        self, key: str, reporter: str, *, count: int, at_ms: int
+    ) -> Completion:
+        self._announced_numbers[key] += 1
+        return Completion(
+            content=key,
+            at_ms=at_ms,
+            reporter=reporter,
+            number=self._announced_numbers[key],
+            count=count,
+        )
+
+    def settle(self, *, now_ms: int) -> Changes:
+        """Decides which sets of parts are in quarantine."""
+        if self._is_settled:
+            return Changes()
+        found = self._find_harmful()
+        keys = frozenset().union(*found.harmful)
+        self._harmful_since_ms = {
+            key: self._harmful_since_ms.get(key, now_ms) for key in keys
+        }
+        before = self._harmful
+        self._harmful = frozenset(
+            parts
+            for parts in found.harmful
+            if now_ms - min(self._harmful_since_ms[key] for key in parts)
+            >= SETTLE_MS
+        )
+        is_complete = len(self._harmful) == len(found.harmful)
+        self._is_settled = is_complete and not found.is_undecided
+        return Changes(
+            added=self._harmful - before, lifted=before - self._harmful
+        )
+
+    def _find_harmful(self) -> evidence.Findings:
+        by_target: dict[str, list[evidence.Evidence]] = {}
+        for key, by_incarnation in self._crashes.items():
+            if len(by_incarnation) < evidence.CRASHES_TO_BLAME:
+                continue
+            if suspects.is_part(key):
+                target = suspects.target_of(key)
+                by_target.setdefault(target, []).append(self._evidence(key))
+        harmful: list[frozenset[str]] = []
+        is_undecided = False
+        for target, parts in by_target.items():
+            ended_at_ms = self._ended_at_ms.get(target, {})
+            found = evidence.find_harmful(parts, ended_at_ms)
+            harmful.extend(found.harmful)
+            is_undecided |= found.is_undecided
+        return evidence.Findings(harmful, is_undecided)
+
+    def _evidence(self, key: str) -> evidence.Evidence:
+        return evidence.Evidence(
+            key=key,
+            crashes=self.crashes(key),
+            completions=tuple(self._completions.get(key, {}).values()),
+            others=self._others(key),
+        )
+
+    def _weight(self, key: str) -> evidence.Weight:
+        ended_at_ms = self._ended_at_ms.get(suspects.target_of(key), {})
+        return evidence.weigh(self._evidence(key), ended_at_ms)
+
+    def _others(self, key: str) -> int:
+        """Returns how many runs without a part completed on its target."""
+        target = suspects.target_of(key)
+        counts = {
+            other: sum(completion.count for completion in known.values())
+            for other, known in self._completions.items()
+            if suspects.target_of(other) == target
+        }
+        own = counts.pop(key, 0)
+        here = self.runs.total(target) - self._totals_before.get(key, 0) - own
+        return max(here, *counts.values(), 0)
+
+    def crashes(self, key: str) -> tuple[Crash, ...]:
+        """Returns the known crashes of a key."""
+        return tuple(self._crashes.get(key, {}).values())
+
+    def completed_count(self, key: str) -> int:
+        """Returns how many runs with a part are known to have completed."""
+        known = self._completions.get(key, {})
+        return sum(completion.count for completion in known.values())
+
+    def is_persisted(self, key: str) -> bool:
+        """Returns whether a key's crashes outlive this process."""
+        if suspects.is_part(key):
+            return any(key in parts for parts in self._harmful)
+        return len(self._crashes.get(key, {})) >= CRASHES_TO_PERSIST
+
+    def would_blame(self, key: str, more_starts: set[str]) -> bool:
+        """Returns whether further crashes would put a key into quarantine.
+
+        Args:
+            key: Key of what a request holds.
+            more_starts: Incarnations that may have crashed on it.
+        """
+        more = len(more_starts - self._crashes.get(key, {}).keys())
+        if not suspects.is_part(key):
+            return len(self.crashes(key)) + more >= CRASHES_TO_QUARANTINE
+        if not more:
+            return False
+        return self._weight(key).crashes + more >= evidence.CRASHES_TO_BLAME
+
+    def harmful_parts(self) -> frozenset[frozenset[str]]:
+        """Returns the sets of parts that are refused if held together."""
+        return self._harmful
+
+    def blamed(self, keys: Collection[str]) -> frozenset[str]:
+        """Returns those of a request's keys for which it is in quarantine."""
+        if not len(self):
+            return frozenset()
+        held = frozenset(keys)
+        contents = held & self._quarantined
+        if contents:
+            return contents
+        found = [parts for parts in self._harmful if parts <= held]
+        return max(found, key=self._parts_until_ms, default=frozenset())
+
+    def until_ms(self, *keys: str) -> int:
+        """Returns when the quarantine of a request's keys ends; 0 for none."""
+        blamed = self.blamed(keys)
+        if not blamed:
             return 0
+        if suspects.is_part(next(iter(blamed))):
+            return self._parts_until_ms(blamed)
+        return max(map(self._content_until_ms, blamed))
+
+    def _content_until_ms(self, content: str) -> int:
         by_incarnation = self._crashes[content]
         doublings = min(
             len(by_incarnation) - CRASHES_TO_QUARANTINE, MAX_DOUBLINGS
@@ -172,24 +447,50 @@
         last_ms = max(crash.at_ms for crash in by_incarnation.values())
         return last_ms + QUARANTINE_MS * 2**doublings
 
+    def _parts_until_ms(self, parts: frozenset[str]) -> int:
+        """Returns when parts may be sent again.
+
+        Several crashes happen before the first quarantine; only those after
+        a quarantine make the next one longer.
+        """
+        times = sorted(
+            crash.at_ms for key in parts for crash in self.crashes(key)
+        )
+        if not times:
+            return 0
+        ended = sum(
+            later - earlier >= QUARANTINE_MS
+            for earlier, later in zip(times, times[1:], strict=False)
+        )
+        return times[-1] + QUARANTINE_MS * 2 ** min(ended, MAX_DOUBLINGS)
+
     def crashes_to_exchange(self) -> tuple[Crash, ...]:
         """Returns the crashes that other daemons should know as well.
 
-        These are all crashes of contents in quarantine, and those of the other
-        contents with the latest crashes.
+        These are all crashes of keys with several, and those of the other keys
+        with the latest crashes.
         """
-        others = [c for c in self._crashes if c not in self._quarantined]
-        contents = [*self._quarantined, *others[-MAX_EXCHANGED_CONTENTS:]]
-        return tuple(
-            crash for content in contents for crash in self.crashes(content)
-        )
+        several = [
+            k for k, crashes in self._crashes.items() if len(crashes) > 1
+        ]
+        single = [
+            k for k, crashes in self._crashes.items() if len(crashes) == 1
+        ]
+        keys = [*several, *single[-MAX_EXCHANGED_KEYS:]]
+        return tuple(crash for key in keys for crash in self.crashes(key))
 
     def completions(self) -> tuple[Completion, ...]:
-        """Returns the completed runs that cleared crashes."""
-        return tuple(
+        """Returns the completed runs that speak for keys with crashes."""
+        contents = tuple(
             Completion(content=c, at_ms=t)
             for c, t in self._completed_at_ms.items()
         )
+        parts = tuple(
+            completion
+            for known in self._completions.values()
+            for completion in known.values()
+        )
+        return contents + parts
 
     def digest(self) -> int:
         """Returns a hash that is equal where the same crashes are known."""
@@ -201,39 +502,61 @@
         return self._digest
 
     def expire(self, *, now_ms: int) -> None:
-        """Drops contents whose last crash or quarantine is long past."""
+        """Drops keys whose last crash or quarantine is long past."""
         if now_ms - self._expired_at_ms < EXPIRY_INTERVAL_MS:
             return
         self._expired_at_ms = now_ms
-        for content, by_incarnation in list(self._crashes.items()):
+        for key, by_incarnation in list(self._crashes.items()):
             last_ms = max(crash.at_ms for crash in by_incarnation.values())
-            ends_at_ms = max(last_ms, self.until_ms(content))
+            ends_at_ms = max(last_ms, self._longest_until_ms(key))
             if now_ms - ends_at_ms > RETENTION_MS:
-                self._drop(content)
+                self._drop(key)
         while self._completed_at_ms:
             oldest = next(iter(self._completed_at_ms))
             if now_ms - self._completed_at_ms[oldest] <= RETENTION_MS:
                 break
             del self._completed_at_ms[oldest]
+        for ended in self._ended_at_ms.values():
+            for start, at_ms in list(ended.items()):
+                if now_ms - at_ms > RETENTION_MS:
+                    del ended[start]
+
+    def _longest_until_ms(self, key: str) -> int:
+        if key in self._quarantined:
+            return self._content_until_ms(key)
+        sets = [parts for parts in self._harmful if key in parts]
+        return max(map(self._parts_until_ms, sets), default=0)
 
     def _evict_excess(self) -> None:
+        """Drops the oldest keys, first those with a single crash."""
         while len(self._crashes) > MAX_CONTENTS:
+            refused = self._quarantined.union(*self._harmful)
             oldest = next(
-                (c for c in self._crashes if c not in self._quarantined),
+                (k for k, found in self._crashes.items() if len(found) == 1),
+                None,
+            ) or next(
+                (k for k in self._crashes if k not in refused),
                 next(iter(self._crashes)),
             )
             self._drop(oldest)
 
-    def _drop(self, content: str) -> None:
+    def _drop(self, key: str) -> None:
         self._digest = None
-        del self._crashes[content]
-        self._quarantined.discard(content)
+        del self._crashes[key]
+        self._quarantined.discard(key)
+        self._completions.pop(key, None)
+        self._runs_since_crash.pop(key, None)
+        self._totals_before.pop(key, None)
+        self._announced_numbers.pop(key, None)
+        self._is_settled = False
 
 
 __all__ = [
     "CRASHES_TO_PERSIST",
     "CRASHES_TO_QUARANTINE",
     "RETENTION_MS",
+    "BrokenRun",
+    "Changes",
     "Completion",
     "Crash",
     "Quarantine",
--- a/src/godwittack/core/refusing.py
+++ b/src/godwittack/core/refusing.py
@@ -72,8 +72,12 @@
 def refuse_quarantined(
     world: entities.World, request: entities.RequestRow
 ) -> None:
-    """Refuses a request whose content is in quarantine."""
-    world.event("in_quarantine", request.request_id, content=request.content)
+    """Refuses a request that holds what is in quarantine."""
+    world.event(
+        "in_quarantine",
+        request.request_id,
+        **crashes.quarantine_fields(world, request),
+    )
     refuse_unassigned(
         world,
         request,
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -203,6 +203,7 @@
         paths.check(world)
         probing.check_ejected(world)
         availability.end_rests(world)
+        crashes.settle(world)
         dispatching.expire_queued(world)
         world.quarantine.expire(now_ms=world.now_ms)
         world.streams.expire(now_ms=world.now_ms)
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -67,12 +67,12 @@
             self._spawn(self._read())
         for content in sorted({crash.content for crash in update.crashes}):
             self._write_crashes(content)
-        for completion in update.completions:
-            self._written_counts.pop(completion.content, None)
+        for content in sorted({done.content for done in update.completions}):
+            self._written_counts.pop(content, None)
             # Only completions of stored contents are published to every
             # daemon, with no target. Another daemon may have written the row.
             if not update.target:
-                self._spawn(self._write(_RowJson(content=completion.content)))
+                self._spawn(self._write(_RowJson(content=content)))
 
     def close(self) -> None:
         """Cancels calls in progress."""
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -136,18 +136,26 @@
 def completion_to_proto(
     completion: quarantine.Completion, *, now_ms: int
 ) -> peer_pb2.Completion:
-    """Returns a run without a crash as a protobuf message."""
+    """Returns runs without a crash as a protobuf message."""
     return peer_pb2.Completion(
-        content=completion.content, age_ms=max(0, now_ms - completion.at_ms)
+        content=completion.content,
+        age_ms=max(0, now_ms - completion.at_ms),
+        reporter=completion.reporter,
+        number=completion.number,
+        count=completion.count,
     )
 
 
 def completion_from_proto(
     message: peer_pb2.Completion, *, now_ms: int
 ) -> quarantine.Completion:
-    """Returns a run without a crash."""
+    """Returns runs without a crash."""
     return quarantine.Completion(
-        content=message.content, at_ms=now_ms - message.age_ms
+        content=message.content,
+        at_ms=now_ms - message.age_ms,
+        reporter=message.reporter,
+        number=message.number,
+        count=message.count or 1,
     )
 
 
--- a/src/godwittack/relay/codec.py
+++ b/src/godwittack/relay/codec.py
@@ -59,6 +59,7 @@
         body=call.body,
         caller_request_id=call.request_id,
         has_no_place=not dispatch.has_own_place,
+        suspects=dispatch.suspects,
     )
     if dispatch.ends_at_ms:
         message.has_deadline = True
@@ -91,6 +92,7 @@
         kv_save_to=message.kv_save_to,
         incarnation=message.incarnation,
         has_own_place=not message.has_no_place,
+        suspects=tuple(message.suspects),
     )
 
 
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -31,7 +31,7 @@
     work.Work: ("host", "path", "route", "resume_after", "resumes", "parts"),
     work.Answer: ("is_delimited",),
     work.Head: ("is_delimited",),
-    effects.Dispatch: ("ends_at_ms", "has_own_place"),
+    effects.Dispatch: ("ends_at_ms", "has_own_place", "suspects"),
     effects.Probe: ("fresh_connection",),
     inputs.MembersChanged: ("known",),
     inputs.RequestArrived: ("waited_ms",),
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -20,6 +20,7 @@
     "crash_rows",
     "crashing",
     "crashing_parts",
+    "suspect_parts",
     "feed_follower",
     "freshness",
     "adapter",
--- /dev/null
+++ b/tests/cases/suspect_parts.py
@@ -0,0 +1,347 @@
+"""Which parts of prompts the core refuses for crashes of servers."""
+
+from __future__ import annotations
+
+import random
+
+from cases import routed_core
+from godwittack.core import (
+    effects,
+    evidence,
+    inputs,
+    quarantine,
+    server_inputs,
+    suspects,
+)
+
+SENT = inputs.FailurePhase.SENT
+TARGET = routed_core.ENGINES
+SERVERS = 12
+# Enough completed runs to show that the servers complete others.
+SOUND_RUNS = 100
+GAP_MS = 700
+
+
+def _key(part: str) -> str:
+    return suspects.part_key(TARGET, part)
+
+
+def _core(**fields) -> routed_core.Core:
+    return routed_core.Core(servers=SERVERS, **fields)
+
+
+def _run(core: routed_core.Core, *parts: str, status: int = 200) -> bool:
+    """Sends a request; returns whether it ran, and completes it then."""
+    core.now_ms += 1
+    core.arrive(
+        "short", f"r{core.now_ms}", fingerprint=f"f{core.now_ms}", parts=parts
+    )
+    if not core.find(effects.Dispatch):
+        refused = core.refusal()
+        assert refused.reason is effects.Reason.QUARANTINED, refused
+        assert refused.status == 503, refused
+        assert refused.retry_after_ms > 0
+        return False
+    core.answer(core.dispatch(), status)
+    return True
+
+
+def _end(core: routed_core.Core, server_id: str) -> None:
+    core.tell(server_inputs.ProbeAnswered, server_id, alive=False, ended=True)
+    core.tell_named(server_inputs.ServerListed, server_id=server_id, gone=True)
+    core.list_server(f"{server_id}x", TARGET)
+
+
+def _crash(core: routed_core.Core, *parts: str) -> list:
+    """Sends a request during which its server ends; returns what is told."""
+    core.now_ms += 1
+    core.arrive(
+        "short", f"c{core.now_ms}", fingerprint=f"f{core.now_ms}", parts=parts
+    )
+    sent = core.dispatch()
+    core.fail(sent, SENT)
+    told = core.find(effects.TellCrashes)
+    core.tell(
+        server_inputs.ProbeAnswered, sent.server_id, alive=False, ended=True
+    )
+    told.extend(core.find(effects.TellCrashes))
+    _end(core, sent.server_id)
+    return told
+
+
+def _complete_others(core: routed_core.Core, *parts: str) -> None:
+    for _ in range(SOUND_RUNS):
+        assert _run(core, *(parts or ("s0", "s1")))
+
+
+def _settle(core: routed_core.Core) -> None:
+    core.wait(2 * quarantine.SETTLE_MS)
+
+
+def requests_that_share_a_part_are_refused_by_it() -> None:
+    """Guards against crashes that are blamed on whole requests only."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(3):
+        _crash(core, "s0", "bad", "s1")
+        _run(core, "s0", "s1")
+        core.wait(GAP_MS)
+    _settle(core)
+    assert not _run(core, "s0", "bad", "s1")
+    assert not _run(core, "bad")
+    assert _run(core, "s0", "s1")
+
+
+def crashes_seen_by_several_daemons_add_up() -> None:
+    """Guards against daemons that count only what they have sent."""
+    cores = [_core() for _ in range(4)]
+    for number, core in enumerate(cores):
+        _complete_others(core)
+        for gone in range(1, number + 1):
+            core.tell(server_inputs.ServerLeaving, f"e{gone}")
+    for core in cores[:3]:
+        told = _crash(core, "s0", "bad", "s1")
+        for other in cores:
+            for update in told:
+                other.tell(
+                    inputs.CrashesTold, update.crashes, update.completions
+                )
+            other.wait(GAP_MS)
+    for core in cores:
+        _settle(core)
+        assert not _run(core, "s0", "bad", "s1")
+        assert _run(core, "s0", "s1")
+
+
+def completed_runs_of_other_daemons_count() -> None:
+    """Guards against blaming a part that completes at other daemons."""
+    core, other = _core(), _core()
+    other.router.world.daemon = "other"
+    _complete_others(core, "s1")
+    _complete_others(other, "s0")
+    for _ in range(3):
+        for update in _crash(core, "s0"):
+            other.tell(inputs.CrashesTold, update.crashes, update.completions)
+            for answer in other.find(effects.TellCrashes):
+                core.tell(
+                    inputs.CrashesTold, answer.crashes, answer.completions
+                )
+    _settle(core)
+    assert _run(core, "s0")
+
+
+def an_outage_of_all_servers_blames_no_part() -> None:
+    """Guards against blaming what was on all servers when they ended."""
+    for has_history in (True, False):
+        core = _core()
+        if has_history:
+            _complete_others(core)
+        sent = []
+        for number in range(SERVERS):
+            core.arrive(
+                "short",
+                f"o{number}",
+                fingerprint=f"o{number}",
+                parts=("s0", "s1"),
+            )
+            sent.append(core.dispatch())
+        for dispatched in sent:
+            core.fail(dispatched, SENT)
+        for dispatched in sent:
+            _end(core, dispatched.server_id)
+        _settle(core)
+        for _ in range(SOUND_RUNS):
+            assert _run(core, "s0", "s1"), has_history
+
+
+def parts_that_are_always_together_are_refused_together() -> None:
+    """Guards against refusing sound requests that hold one of a pair."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(3):
+        _crash(core, "pair", "bad")
+        core.wait(GAP_MS)
+    _settle(core)
+    assert not _run(core, "pair", "bad")
+    assert _run(core, "pair")
+    assert _run(core, "pair", "s0")
+    _crash(core, "bad", "s0")
+    _settle(core)
+    assert not _run(core, "bad", "s1")
+    assert _run(core, "pair")
+
+
+def two_parts_that_crash_servers_at_one_time_are_found() -> None:
+    """Guards against crashes of one part that hide those of another."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(evidence.TIMES_TO_BLAME):
+        for part in ("bad", "worse"):
+            if not core.world.quarantine.blamed((_key(part),)):
+                _crash(core, "s0", part, "s1")
+            assert _run(core, "s0", "s1")
+            core.wait(GAP_MS // 2)
+    _settle(core)
+    assert not _run(core, "s0", "bad")
+    assert not _run(core, "s0", "worse")
+    assert _run(core, "s0", "s1")
+
+
+def a_part_that_was_sound_before_is_found() -> None:
+    """Guards against runs before a change that acquit a part for long."""
+    core = _core()
+    _complete_others(core, "turned")
+    _complete_others(core)
+    for _ in range(evidence.TIMES_TO_BLAME):
+        _crash(core, "turned")
+        _run(core, "s0", "s1")
+        core.wait(GAP_MS)
+    _settle(core)
+    assert not _run(core, "turned")
+
+
+def the_last_part_is_never_blamed() -> None:
+    """Guards against keys of single requests, which fill the table."""
+    core = _core()
+    _crash(core)
+    assert not [
+        crash
+        for crash in core.world.quarantine.crashes_to_exchange()
+        if suspects.is_part(crash.content)
+    ]
+
+
+def an_error_acquits_no_part() -> None:
+    """Guards against answers that their servers refused to begin."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(3):
+        _crash(core, "bad")
+        for _ in range(evidence.COMPLETIONS_PER_CRASH):
+            _run(core, "bad", status=400)
+        core.wait(GAP_MS)
+    _settle(core)
+    assert not _run(core, "bad")
+
+
+def requests_in_flight_are_cancelled_by_their_part() -> None:
+    """Guards against a further server that ends under an earlier attempt."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(2):
+        _crash(core, "bad")
+        core.wait(GAP_MS)
+    core.arrive("long", "running", fingerprint="x", parts=("bad",))
+    assert core.find(effects.Dispatch)
+    _crash(core, "bad")
+    _settle(core)
+    assert "running" not in core.world.requests
+
+
+def a_request_is_not_sent_again_after_a_possible_third_crash() -> None:
+    """Guards against a retry before the end of the third server is known."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(2):
+        _crash(core, "bad")
+        core.wait(GAP_MS)
+    core.arrive("long", "r", fingerprint="x", parts=("bad",))
+    core.fail(core.dispatch(), SENT)
+    assert not core.find(effects.Dispatch)
+    assert core.refusal().status == 502
+
+
+def daemons_send_again_one_after_the_other() -> None:
+    """Guards against one more crash for each daemon after a quarantine."""
+    cores = [_core() for _ in range(4)]
+    names = tuple(f"d{number}" for number in range(len(cores)))
+    released = []
+    for name, core in zip(names, cores, strict=True):
+        core.world.daemon = name
+        core.tell(inputs.MembersChanged, live=names)
+        _complete_others(core)
+        crashes = tuple(
+            quarantine.Crash(
+                content=_key("bad"),
+                start=f"e{number}/x",
+                reporter="d0",
+                at_ms=core.now_ms + GAP_MS * number,
+            )
+            for number in range(3)
+        )
+        core.tell(inputs.CrashesTold, crashes)
+        _settle(core)
+        assert not _run(core, "bad")
+        core.now_ms += quarantine.QUARANTINE_MS + 2 * GAP_MS
+        core.renew_serving_lease()
+        core.tell(inputs.MembersChanged, live=names)
+        core.wait(50)
+        released.append(_run(core, "bad"))
+    assert released.count(True) == 1, released
+
+
+def views_do_not_depend_on_the_order_of_reports() -> None:
+    """Guards against daemons that refuse different parts for good."""
+    for seed in range(50):
+        rng = random.Random(seed)
+        parts = [_key(f"p{number}") for number in range(4)]
+        reports: list = [
+            quarantine.Crash(
+                content=rng.choice(parts),
+                start=f"s{rng.randrange(8)}",
+                reporter="d",
+                at_ms=rng.randrange(4_000),
+            )
+            for _ in range(30)
+        ]
+        runs = [
+            quarantine.Completion(
+                content=rng.choice(parts),
+                at_ms=rng.randrange(4_000),
+                reporter="d",
+                number=number,
+                count=rng.randrange(1, 5),
+            )
+            for number in range(12)
+        ]
+        starts = {(c.content, c.start): c for c in reports}
+        views = []
+        for _ in range(3):
+            view = quarantine.Quarantine()
+            crashes = list(starts.values())
+            rng.shuffle(crashes)
+            rng.shuffle(runs)
+            for crash in crashes:
+                view.add(crash)
+            for completion in runs:
+                view.add_completion(completion)
+            view.settle(now_ms=5_000)
+            view.settle(now_ms=5_000 + quarantine.SETTLE_MS)
+            views.append(view.harmful_parts())
+        assert len(set(views)) == 1, seed
+
+
+def parts_remembered_are_bounded() -> None:
+    """Guards against callers that fill memory with ever new parts."""
+    state = quarantine.Quarantine()
+    for number in range(3):
+        state.add(
+            quarantine.Crash(
+                content=_key("bad"),
+                start=f"s{number}",
+                reporter="d",
+                at_ms=number,
+            )
+        )
+    for number in range(2 * quarantine.MAX_CONTENTS):
+        state.add(
+            quarantine.Crash(
+                content=_key(f"p{number}"), start="s", reporter="d", at_ms=9
+            )
+        )
+    assert len(state.crashes(_key("bad"))) == 3
+    kept = sum(
+        bool(state.crashes(_key(f"p{n}")))
+        for n in range(2 * quarantine.MAX_CONTENTS)
+    )
+    assert kept == quarantine.MAX_CONTENTS - 1
--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -13,3 +13,20 @@
       | crashing_parts | a part that crashes now and then is refused |
       | crashing_parts | a crash behind an answer without a mark counts |
       | crashing_parts | an outage of all servers refuses no part |
+
+    Examples: decisions of the core
+      | group         | case |
+      | suspect_parts | requests that share a part are refused by it |
+      | suspect_parts | crashes seen by several daemons add up |
+      | suspect_parts | completed runs of other daemons count |
+      | suspect_parts | an outage of all servers blames no part |
+      | suspect_parts | parts that are always together are refused together |
+      | suspect_parts | two parts that crash servers at one time are found |
+      | suspect_parts | a part that was sound before is found |
+      | suspect_parts | the last part is never blamed |
+      | suspect_parts | an error acquits no part |
+      | suspect_parts | requests in flight are cancelled by their part |
+      | suspect_parts | a request is not sent again after a possible third crash |
+      | suspect_parts | daemons send again one after the other |
+      | suspect_parts | views do not depend on the order of reports |
+      | suspect_parts | parts remembered are bounded |
