Let a relay refuse what it has in quarantine

A daemon that passes an attempt on for another one checked reach, rest and room, and never what the request holds: the call to it named neither content nor parts. A sender that has missed the crashes, for it is cut off or has just started, went on sending through daemons that refuse the same request from callers. The call now has the keys, and the relay declines before it sends anything; the sender places the request again.

The new case of relaying fails without the check: the server is sent the request. Found by looking for places where a send can start.

--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -211,6 +211,7 @@
             incarnation=server.incarnation if request.work.route else "",
             relay=relay,
             has_own_place=attempt.has_own_place,
+            suspects=request.suspect_keys if relay else (),
         )
     )
 
--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -14,6 +14,7 @@
 from godwittack.core import (
     availability,
     brittle,
+    crashes,
     effects,
     entities,
     inputs,
@@ -275,6 +276,8 @@
             self._world, server
         ):
             return "this daemon has no place at the server"
+        if crashes.is_blocked(self._world, dispatch.suspects):
+            return "what it holds crashes servers"
         if len(self.queues) >= MAX_ATTEMPTS or self.is_overloaded():
             return "this daemon is overloaded"
         return ""
--- a/tests/cases/relaying.py
+++ b/tests/cases/relaying.py
@@ -12,7 +12,7 @@
 from godwittack.backend import pool as pools
 from godwittack.backend import protocol, routed, signals
 from godwittack.clock import SystemClock
-from godwittack.core import effects, inputs, server_inputs, work
+from godwittack.core import effects, inputs, quarantine, server_inputs, work
 from godwittack.peer import exchange, peer_pb2, server
 from godwittack.platform import servers
 from godwittack.relay import client as relay_client
@@ -285,6 +285,27 @@
         assert not relays.plain.arrivals
 
 
+async def a_relay_passes_on_nothing_that_it_has_in_quarantine() -> None:
+    """Guards against a sender that has missed what crashes servers."""
+    async with Relays() as relays:
+        now_ms = relays.core.world.now_ms
+        crashes = tuple(
+            quarantine.Crash(
+                content="desk/f", start=f"s{n}", reporter="x", at_ms=now_ms
+            )
+            for n in range(3)
+        )
+        relays.core.tell(inputs.CrashesTold, crashes)
+        sink = await relays.send(relays.plain, suspects=("desk/f",))
+        assert sink.failure == (
+            inputs.FailurePhase.DECLINED,
+            inputs.FailureCause.RELAY,
+        )
+        assert not relays.plain.arrivals
+        sink = await relays.send(relays.plain, suspects=("desk/g",))
+        assert sink.failure is None, sink.failure
+
+
 async def two_attempts_do_not_share_a_place_of_a_relay() -> None:
     """Guards against one place of a brittle server given away twice."""
     async with Relays() as relays:
--- a/tests/features/cut_off.feature
+++ b/tests/features/cut_off.feature
@@ -68,6 +68,7 @@
       | a relay that dies leaves the outcome open |
       | a relay without a path declines at once |
       | a relay sends nothing to a server that wants rest |
+      | a relay passes on nothing that it has in quarantine |
       | two attempts do not share a place of a relay |
       | an entry removed meanwhile leaves a relay idle |
       | what a server says reaches sender and relay |
