Count a crash behind an answer without a mark of its end

Such a run is now kept like one whose connection broke, and marked as answered. If its server's process ends within six seconds, it is a crash; if the server gives a sign of life at least 250 ms later, by a probe or a load report, it is a completed run. The same margin holds for broken connections: a probe that is answered by a process which has closed its connections and is about to end no longer clears them; the server is probed again.

The last scenario of crashing_parts.feature fails without the change, and so do three cases of suspect_parts.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -85,6 +85,10 @@
     world.emit(effects.EndStream(request.request_id))
     if attempt.is_delimited:
         crashes.record_completion(world, request)
+    else:
+        crashes.record_broken_connection(
+            world, request, attempt, is_answered=True
+        )
     closing.finish(world, request)
 
 
@@ -105,6 +109,10 @@
     servers.record_contact(world, attempt)
     if message.answer.is_delimited:
         crashes.record_completion(world, request, status=message.answer.status)
+    else:
+        crashes.record_broken_connection(
+            world, request, attempt, is_answered=True
+        )
     closing.update_service_time(
         world, request.work.target, world.now_ms - attempt.sent_at_ms
     )
--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -111,7 +111,7 @@
     if not incarnation or not server.possible_crashes:
         return
     if _is_same_process(server, incarnation):
-        clear_possible(world, server, until_ms=world.now_ms)
+        clear_possible(world, server, until_ms=world.now_ms - OUTLIVED_MS)
     else:
         record_process_end(world, server)
 
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -46,6 +46,8 @@
     if world.table.forwarding is None:
         return
     for server in world.servers.values():
+        if crashes.needs_sign_of_life(world, server):
+            probe(world, server)
         if not server.in_flight:
             continue
         if paths.is_lost(server):
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -106,6 +106,7 @@
     if not _is_outdated(world, server, report):
         _update_state(world, server, report.incarnation, report.weights_version)
     server.reported_at_ms = measured_at_ms
+    crashes.record_report(world, server, report)
     server.running = report.running
     server.waiting = report.waiting
     server.waiting_tokens = report.waiting_tokens
--- a/tests/cases/suspect_parts.py
+++ b/tests/cases/suspect_parts.py
@@ -12,6 +12,7 @@
     quarantine,
     server_inputs,
     suspects,
+    work,
 )
 
 SENT = inputs.FailurePhase.SENT
@@ -345,3 +346,109 @@
         for n in range(2 * quarantine.MAX_CONTENTS)
     )
     assert kept == quarantine.MAX_CONTENTS - 1
+
+
+def _answer_unmarked(core: routed_core.Core, part: str) -> effects.Dispatch:
+    """Sends a request, and answers it without a mark of the end."""
+    core.now_ms += 1
+    core.arrive(
+        "short",
+        f"u{core.now_ms}",
+        fingerprint=f"u{core.now_ms}",
+        parts=(part,),
+    )
+    sent = core.dispatch()
+    core.tell(
+        inputs.AnswerArrived,
+        sent.attempt_id,
+        sent.attempt_id,
+        work.Answer(200, (), b"x", is_delimited=False),
+        sent.stamp,
+    )
+    return sent
+
+
+def a_server_that_ends_after_an_unmarked_answer_has_crashed() -> None:
+    """Guards against a crash taken for the end of an answer."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(3):
+        sent = _answer_unmarked(core, "bad")
+        core.wait(GAP_MS)
+        _end(core, sent.server_id)
+    _settle(core)
+    assert not _run(core, "bad")
+
+
+def a_server_that_outlives_an_unmarked_answer_acquits_its_part() -> None:
+    """Guards against engines that never mark an end and acquit nothing."""
+    for is_reported in (True, False):
+        core = _core()
+        _complete_others(core)
+        for _ in range(3):
+            _crash(core, "s2")
+            for _ in range(4):
+                sent = _answer_unmarked(core, "s2")
+                core.wait(GAP_MS)
+                if is_reported:
+                    core.tell_named(
+                        server_inputs.LoadReported,
+                        server_id=sent.server_id,
+                        incarnation=sent.server_id,
+                        weights_version="1",
+                        running=0,
+                        waiting=0,
+                        waiting_tokens=0,
+                        prefill_us_per_token=100,
+                        slots=16,
+                    )
+                    continue
+                core.tell(
+                    server_inputs.ProbeAnswered,
+                    sent.server_id,
+                    alive=True,
+                    incarnation=sent.server_id,
+                )
+        _settle(core)
+        assert _run(core, "s2"), is_reported
+
+
+def a_server_may_have_crashed_until_it_outlives_its_answer() -> None:
+    """Guards against a process that responds once more before it ends."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(3):
+        sent = _answer_unmarked(core, "bad")
+        core.now_ms += 5
+        core.tell(
+            server_inputs.ProbeAnswered,
+            sent.server_id,
+            alive=True,
+            incarnation=sent.server_id,
+        )
+        probes = [
+            effect
+            for effect in core.wait(GAP_MS)
+            if isinstance(effect, effects.Probe)
+        ]
+        assert [probe.server_id for probe in probes] == [sent.server_id]
+        _end(core, sent.server_id)
+    _settle(core)
+    assert not _run(core, "bad")
+
+
+def a_response_without_a_start_time_is_no_other_process() -> None:
+    """Guards against live servers that are taken for ended ones."""
+    core = _core()
+    core.list_server("e99", TARGET, incarnation="e99@7")
+    server = core.world.servers["e99"]
+    server.possible_crashes = [
+        quarantine.BrokenRun(
+            keys=(_key("s0"),),
+            start="e99/e99@7",
+            at_ms=core.now_ms,
+            target=TARGET,
+        )
+    ]
+    core.tell(server_inputs.ProbeAnswered, "e99", alive=True, incarnation="e99")
+    assert not core.find(effects.TellCrashes), core.last_effects
--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -30,3 +30,7 @@
       | suspect_parts | daemons send again one after the other |
       | suspect_parts | views do not depend on the order of reports |
       | suspect_parts | parts remembered are bounded |
+      | suspect_parts | a server that ends after an unmarked answer has crashed |
+      | suspect_parts | a server that outlives an unmarked answer acquits its part |
+      | suspect_parts | a server may have crashed until it outlives its answer |
+      | suspect_parts | a response without a start time is no other process |
