Weigh a part by the crashes it was at, against its share of all runs

A harmless part is at a crash with the chance that follows from its share of all runs and from how many runs a crash breaks. The score is the ratio of the likelihoods of the crashes it was at; a thousand to one is enough, with three crashes at two times at least. For the share daemons also announce the runs that a crash broke and that completed on a target, with each crash. What a part in quarantine was weighed against is stored with it.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -131,7 +131,7 @@
     if not _is_same_process(server, report.incarnation):
         return
     until_ms = world.now_ms - report.age_ms - OUTLIVED_MS
-    clear_possible(world, server, until_ms=until_ms, only_answered=True)
+    clear_possible(world, server, until_ms=until_ms, answered=True)
 
 
 def _is_same_process(server: entities.ServerRow, incarnation: str) -> bool:
@@ -147,7 +147,7 @@
     server: entities.ServerRow,
     *,
     until_ms: int,
-    only_answered: bool = False,
+    answered: bool | None = None,
 ) -> None:
     """Clears closed connections that a server has outlived.
 
@@ -155,17 +155,32 @@
         world: The tables.
         server: The server.
         until_ms: Time of the last ones to clear.
-        only_answered: Whether to clear only unmarked ends of answers.
+        answered: Whether to clear only unmarked ends of answers, or only
+            other ones; None for both.
     """
     kept: list[quarantine.BrokenRun] = []
     for run in server.possible_crashes:
-        if run.at_ms > until_ms or (only_answered and not run.is_answered):
+        is_meant = answered is None or run.is_answered is answered
+        if run.at_ms > until_ms or not is_meant:
             kept.append(run)
         elif run.is_answered:
             _record_run(world, run.target, run.keys)
     server.possible_crashes = kept
 
 
+def clear_by_relay(world: entities.World, server: entities.ServerRow) -> None:
+    """Clears closed connections to a server that others have found alive.
+
+    The connections of a lost path break without the server; an answer that
+    came through another daemon ends with its server's last sign of life.
+    """
+    alive_ms = server.heard_alive_ms
+    clear_possible(world, server, until_ms=alive_ms, answered=False)
+    clear_possible(
+        world, server, until_ms=alive_ms - OUTLIVED_MS, answered=True
+    )
+
+
 def needs_sign_of_life(
     world: entities.World, server: entities.ServerRow
 ) -> bool:
@@ -251,13 +266,12 @@
     """Applies the crashes and completions that another daemon sent."""
     for completion in update.completions:
         is_new = world.quarantine.add_completion(completion)
-        if is_new and not suspects.is_part(completion.content):
+        if is_new and suspects.is_content(completion.content):
             world.event("crashes_cleared", content=completion.content)
     _add_crashes(world, update.crashes)
     # Runs with a part count only once a crash of it is known.
     for completion in update.completions:
-        if suspects.is_part(completion.content):
-            world.quarantine.add_completion(completion)
+        world.quarantine.add_completion(completion)
 
 
 def settle(world: entities.World) -> None:
@@ -345,7 +359,17 @@
     )
     # One crash for each key of the requests that ran there.
     distinct = {(c.content, c.start): c for c in reversed(crashes)}
-    crashes = tuple(distinct.values())
+    broken = (
+        quarantine.Crash(
+            content=suspects.target_key(server.target),
+            start=start,
+            reporter=world.daemon,
+            at_ms=min(run.at_ms for run in runs if run.start == start),
+            runs=sum(run.start == start for run in runs),
+        )
+        for start in {run.start for run in runs}
+    )
+    crashes = (*broken, *distinct.values())
     world.emit(effects.TellCrashes(target=server.target, crashes=crashes))
     _add_crashes(world, crashes)
 
@@ -358,8 +382,9 @@
         key = crash.content
         was_quarantined = world.quarantine.until_ms(key) > 0
         is_new = world.quarantine.add(crash)
-        if suspects.is_part(key):
-            by_target.setdefault(suspects.target_of(key), []).extend(
+        if suspects.is_part(key) or suspects.is_target(key):
+            target = suspects.target_of(key)
+            by_target.setdefault(target, []).extend(
                 world.quarantine.runs_to_announce(
                     key, reporter=world.daemon, now_ms=world.now_ms
                 )
@@ -450,7 +475,9 @@
     their servers crashed, it could crash another one.
     """
     return any(
-        world.quarantine.would_blame(key, _possible_starts(world, key))
+        world.quarantine.would_blame(
+            key, _possible_starts(world, key), now_ms=world.now_ms
+        )
         for key in request.suspect_keys
     )
 
@@ -498,7 +525,7 @@
 
 __all__ = [
     "apply_peer_update",
-    "clear_possible",
+    "clear_by_relay",
     "incarnation_id",
     "is_blocked",
     "is_quarantined",
--- a/src/godwittack/core/evidence.py
+++ b/src/godwittack/core/evidence.py
@@ -1,9 +1,9 @@
 """Weighs which parts of prompts crash the servers that run them.
 
-A part that many requests share is on many servers, so it is at most crashes
-whether or not it causes them. What tells a harmful part from those beside it
-is what completes: a harmless part completes elsewhere, at the same time and
-before, about as often as it is used; a harmful one doesn't, or seldom.
+A popular part is on most servers, so it is at most crashes whether or not it
+causes them. A harmful part is told from those beside it by how many crashes it
+was at, compared with the number expected from its share of all runs: that of a
+harmless part doesn't differ, in an outage of all servers neither.
 
 Load patterns: requests that share one part, no two alike, end one server after
 the other, beside many sound requests with the same other parts; all servers
@@ -12,29 +12,36 @@
 
 from __future__ import annotations
 
-import dataclasses
+import bisect
+import copy
+import itertools
+import math
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Iterable
 
-# Crashes, less what completed runs outweigh, that make a part harmful.
+# Crashes without which nothing is blamed.
 CRASHES_TO_BLAME = 3
-# Completed runs that outweigh one crash. With fewer, a part on which half of
-# the runs crash would never be found.
-COMPLETIONS_PER_CRASH = 3
-# The same for a part that has completed many times before: times of crashes
-# with fewer completed runs between them.
-TIMES_TO_BLAME = 4
-# Servers that end within this time end together. Nothing completes between.
+# Different times of crashes without which nothing is blamed.
+TIMES_TO_BLAME = 2
+# Least share of the runs with a harmful part that crash.
+HARMFUL_SHARE = 1 / 20
+# Least chance for a part to be at a crash that it doesn't cause.
+MIN_CHANCE = 0.02
+# Logarithm of how much more likely the crashes must be with a harmful part.
+BLAME_SCORE = math.log(1_000)
+# Time before the first crash in which completed runs count.
+HISTORY_MS = 20_000
+# Servers that end within this time end together: nothing completes between, and
+# they may have one cause of their own.
 TOGETHER_MS = 500
-# Completed runs of other prompts, for each crash, without which it isn't known
-# whether the servers complete anything.
-OTHERS_PER_CRASH = 4
+# Difference between the times at which daemons observe one crash.
+REPORT_DELAY_MS = 100
 
 
 class Timed(Protocol):
-    """A crash: a server's incarnation that ended, and when."""
+    """A server's incarnation that ended, and when."""
 
     @property
     def start(self) -> str:
@@ -46,6 +53,11 @@
         """When its end was observed."""
         ...
 
+    @property
+    def runs(self) -> int:
+        """Runs that it broke at the daemon that observed it."""
+        ...
+
 
 class Counted(Protocol):
     """Completed runs, and when the last of them completed."""
@@ -61,83 +73,138 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Evidence:
-    """What is known of one part.
+    """What is known of one part, or of all runs on a target.
 
     Attributes:
-        key: Key of the part.
-        crashes: Crashes of servers that ran it.
-        completions: Runs with it that completed.
-        others: Recent completed runs without it on the same target.
+        key: Its key.
+        crashes: Crashes that broke runs, by time.
     """
 
-    key: str
-    crashes: Sequence[Timed]
-    completions: Sequence[Counted]
-    others: int
+    def __init__(
+        self,
+        key: str,
+        crashes: Iterable[Timed],
+        completions: Iterable[Counted],
+    ) -> None:
+        """Sorts what is known by time."""
+        self.key = key
+        self.crashes = sorted(crashes, key=lambda crash: crash.at_ms)
+        self._completed = _Timeline((c.at_ms, c.count) for c in completions)
+        self._broken = _Timeline((c.at_ms, c.runs) for c in self.crashes)
+        first_ms: dict[str, int] = {}
+        for crash in self.crashes:
+            first_ms.setdefault(crash.start, crash.at_ms)
+        self._ended = _Timeline((at_ms, 1) for at_ms in first_ms.values())
 
     @property
     def starts(self) -> frozenset[str]:
-        """The incarnations that ended while they ran the part."""
+        """The incarnations that ended."""
         return frozenset(crash.start for crash in self.crashes)
 
+    def with_crashes(self, crashes: Iterable[Timed]) -> Evidence:
+        """Returns evidence with other crashes."""
+        changed = copy.copy(self)
+        changed.crashes = sorted(crashes, key=lambda crash: crash.at_ms)
+        return changed
+
     def without(self, explained: set[str]) -> Evidence:
         """Returns the evidence less the crashes that have another cause."""
-        crashes = [c for c in self.crashes if c.start not in explained]
-        return dataclasses.replace(self, crashes=crashes)
+        if not explained:
+            return self
+        return self.with_crashes(
+            c for c in self.crashes if c.start not in explained
+        )
 
+    def completed(self, from_ms: float, to_ms: float = math.inf) -> int:
+        """Returns how many runs completed in a time."""
+        return self._completed.sum(from_ms, to_ms)
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Weight:
-    """How much speaks against a part; larger is worse.
+    def broken(self, from_ms: float, to_ms: float) -> int:
+        """Returns how many runs were broken in a time."""
+        return self._broken.sum(from_ms, to_ms)
 
-    Attributes:
-        times: Times of crashes in a row, less completed runs between them.
-        crashes: Crashes, less what completed runs outweigh.
-    """
+    def crash_count(self, from_ms: float, to_ms: float) -> int:
+        """Returns how many incarnations ended in a time."""
+        return self._ended.sum(from_ms, to_ms)
 
-    times: float
-    crashes: float
 
-    @property
-    def is_harmful(self) -> bool:
-        """Whether it is enough to refuse the part."""
-        return self.crashes >= CRASHES_TO_BLAME or self.times >= TIMES_TO_BLAME
+class _Timeline:
+    """Sums counts over spans of time."""
 
+    def __init__(self, counts: Iterable[tuple[int, int]]) -> None:
+        ordered = sorted(counts)
+        self._times_ms = [at_ms for at_ms, _ in ordered]
+        self._totals = [0, *itertools.accumulate(count for _, count in ordered)]
 
-def weigh(evidence: Evidence, ended_at_ms: Mapping[str, int]) -> Weight:
-    """Weighs the crashes of a part against its completed runs.
+    def sum(self, from_ms: float, to_ms: float) -> int:
+        """Returns the sum of the counts in a span."""
+        first = bisect.bisect_left(self._times_ms, from_ms)
+        last = bisect.bisect_right(self._times_ms, to_ms)
+        return max(0, self._totals[last] - self._totals[first])
 
-    Args:
-        evidence: What is known of the part.
-        ended_at_ms: When incarnations of the target's servers ended.
-    """
-    return Weight(
-        times=_times_in_a_row(evidence),
-        crashes=_explained_crashes(evidence, ended_at_ms)
-        - sum(c.count for c in evidence.completions) / COMPLETIONS_PER_CRASH,
-    )
 
+def score(part: Evidence, usual: Evidence) -> float:
+    """Returns how much speaks for a part to be harmful, as a logarithm.
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Findings:
-    """Which parts are harmful.
+    A part may have become harmful only lately, so the worst time counts: from
+    before its first crash on, or from any later time of crashes on.
 
-    Attributes:
-        harmful: Sets of parts that are refused if held together.
-        is_undecided: Whether a part is harmful unless the servers complete
-            nothing at all, which isn't known yet.
+    Args:
+        part: What is known of the part.
+        usual: The same of all runs on its target.
     """
+    times_ms = _distinct_times(crash.at_ms for crash in part.crashes)
+    if len(times_ms) < TIMES_TO_BLAME:
+        return 0.0
+    first_ms, *later_ms = times_ms
+    starts_ms = [first_ms - HISTORY_MS, first_ms, *later_ms]
+    return max(
+        _score_from(part, usual, from_ms - REPORT_DELAY_MS // 2)
+        for from_ms in starts_ms
+    )
 
-    harmful: list[frozenset[str]]
-    is_undecided: bool
+
+def _distinct_times(at_ms: Iterable[int]) -> list[int]:
+    """Returns the times of crashes without those soon after another."""
+    times: list[int] = []
+    for time_ms in sorted(at_ms):
+        if not times or time_ms > times[-1] + TOGETHER_MS:
+            times.append(time_ms)
+    return times
+
+
+def _score_from(part: Evidence, usual: Evidence, from_ms: int) -> float:
+    """Compares how often a part is at crashes with its chance to be there."""
+    times_ms = [c.at_ms for c in part.crashes if c.at_ms >= from_ms]
+    own = len(times_ms)
+    if own < CRASHES_TO_BLAME:
+        return 0.0
+    if len(_distinct_times(times_ms)) < TIMES_TO_BLAME:
+        return 0.0
+    to_ms = max(times_ms) + REPORT_DELAY_MS
+    completed = part.completed(from_ms)
+    if own < HARMFUL_SHARE * (own + completed):
+        return 0.0
+    crashes = max(own, usual.crash_count(from_ms, to_ms))
+    broken = max(crashes, usual.broken(from_ms, to_ms))
+    all_completed = max(completed, usual.completed(from_ms, to_ms))
+    share_of_runs = (own + completed) / (broken + all_completed)
+    chance = 1 - (1 - share_of_runs) ** (broken / crashes)
+    chance = max(MIN_CHANCE, chance)
+    rate = own / crashes
+    if rate <= chance:
+        return 0.0
+    result = own * math.log(rate / chance)
+    if own < crashes:
+        result += (crashes - own) * math.log((1 - rate) / (1 - chance))
+    return result
 
 
 def find_harmful(
-    parts: Iterable[Evidence], ended_at_ms: Mapping[str, int]
-) -> Findings:
-    """Returns the harmful parts.
+    parts: Iterable[Evidence], usual: Evidence
+) -> list[frozenset[str]]:
+    """Returns the harmful parts, as sets that are refused if held together.
 
     The worst part explains the crashes at which it was: they no longer count
     against the parts beside it. Parts that were at the same crashes can't be
@@ -145,105 +212,36 @@
 
     Args:
         parts: The parts with crashes.
-        ended_at_ms: When incarnations of the target's servers ended.
+        usual: What is known of all runs on their target.
     """
     left = {part.key: part for part in parts}
     explained: set[str] = set()
     found: list[frozenset[str]] = []
     while True:
-        unexplained = {
-            start: at_ms
-            for start, at_ms in ended_at_ms.items()
-            if start not in explained
+        unexplained = [part.without(explained) for part in left.values()]
+        scores = {part.key: score(part, usual) for part in unexplained}
+        blamed = {
+            part.key: part.starts
+            for part in unexplained
+            if scores[part.key] >= BLAME_SCORE
         }
-        weighed = {
-            key: _Weighed.from_evidence(whole.without(explained), unexplained)
-            for key, whole in left.items()
-        }
-        harmful = {key: w for key, w in weighed.items() if w.is_harmful}
-        blamed = {key: w for key, w in harmful.items() if w.has_contrast}
         if not blamed:
-            return Findings(found, is_undecided=bool(harmful))
-        worst = max(blamed, key=lambda key: (blamed[key].weight, key))
-        starts = blamed[worst].starts
-        together = frozenset(k for k, w in blamed.items() if w.starts == starts)
+            return found
+        worst = max(blamed, key=lambda key: (scores[key], key))
+        together = frozenset(
+            key for key, starts in blamed.items() if starts == blamed[worst]
+        )
         found.append(together)
-        explained |= starts
+        explained |= blamed[worst]
         for key in together:
             del left[key]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Weighed:
-    weight: Weight
-    starts: frozenset[str]
-    has_contrast: bool
-
-    @classmethod
-    def from_evidence(
-        cls, part: Evidence, ended_at_ms: Mapping[str, int]
-    ) -> _Weighed:
-        needed = OTHERS_PER_CRASH * len(part.crashes)
-        return cls(weigh(part, ended_at_ms), part.starts, part.others >= needed)
-
-    @property
-    def is_harmful(self) -> bool:
-        has_crashes = len(self.starts) >= CRASHES_TO_BLAME
-        return has_crashes and self.weight.is_harmful
-
-
-def _times_in_a_row(evidence: Evidence) -> float:
-    """Returns the most times of crashes, less completed runs since then.
-
-    Servers that end together count once: nothing could complete between.
-    """
-    times: list[int] = []
-    for at_ms in sorted(crash.at_ms for crash in evidence.crashes):
-        if not times or at_ms > times[-1] + TOGETHER_MS:
-            times.append(at_ms)
-    return max(
-        (
-            len(times) - position - _completed_since(evidence, at_ms)
-            for position, at_ms in enumerate(times)
-        ),
-        default=0,
-    )
-
-
-def _completed_since(evidence: Evidence, since_ms: int) -> int:
-    return sum(c.count for c in evidence.completions if c.at_ms >= since_ms)
-
-
-def _explained_crashes(
-    evidence: Evidence, ended_at_ms: Mapping[str, int]
-) -> float:
-    """Returns how many crashes the part explains.
-
-    Of servers that end together, a part that was on a few only explains those
-    less: something else has ended the others.
-    """
-    starts = evidence.starts
-    total = 0.0
-    for crash in evidence.crashes:
-        together = [
-            start
-            for start, at_ms in ended_at_ms.items()
-            if abs(at_ms - crash.at_ms) <= TOGETHER_MS
-        ]
-        own = sum(start in starts for start in together)
-        total += own / len(together) if together else 1.0
-    return total
-
-
 __all__ = [
-    "COMPLETIONS_PER_CRASH",
+    "BLAME_SCORE",
     "CRASHES_TO_BLAME",
-    "OTHERS_PER_CRASH",
-    "TIMES_TO_BLAME",
-    "TOGETHER_MS",
+    "HISTORY_MS",
     "Evidence",
-    "Findings",
-    "Weight",
     "find_harmful",
-    "weigh",
+    "score",
 ]
--- a/src/godwittack/core/paths.py
+++ b/src/godwittack/core/paths.py
@@ -278,9 +278,7 @@
     lost = [server for server in world.servers.values() if is_lost(server)]
     for server in lost:
         if is_alive_elsewhere(server) and not was_quick_restart(world, server):
-            crashes.clear_possible(
-                world, server, until_ms=server.heard_alive_ms
-            )
+            crashes.clear_by_relay(world, server)
         if server.possible_crashes and any(
             run.at_ms >= server.asked_at_ms for run in server.possible_crashes
         ):
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -46,11 +46,12 @@
     if world.table.forwarding is None:
         return
     for server in world.servers.values():
-        if crashes.needs_sign_of_life(world, server):
+        is_lost = paths.is_lost(server)
+        if not is_lost and crashes.needs_sign_of_life(world, server):
             probe(world, server)
         if not server.in_flight:
             continue
-        if paths.is_lost(server):
+        if is_lost:
             _ask_silent_relays(world, server)
         elif _is_unresponsive(world, server):
             probe(world, server)
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -30,6 +30,8 @@
 CRASHES_TO_PERSIST = CRASHES_TO_QUARANTINE - 1
 # Crashes of a part after which daemons announce the completed runs with it.
 CRASHES_TO_ANNOUNCE_RUNS = 2
+# Runs on a target that are announced again with a further crash.
+MIN_RUNS_TO_ANNOUNCE = 10
 # Length of the first quarantine; each further crash of a content doubles it,
 # and each further crash of parts after a quarantine.
 QUARANTINE_MS = 600_000
@@ -37,22 +39,23 @@
 # Time for which parts must look harmful before they are refused: the completed
 # runs that other daemons announce arrive after the crashes.
 SETTLE_MS = 300
+# Least time between two weighings of all parts.
+WEIGH_INTERVAL_MS = 100
 # Time after a content's last crash or quarantine for which it is remembered.
 RETENTION_MS = 600_000
 EXPIRY_INTERVAL_MS = 10_000
 # Keys whose crashes are remembered.
 MAX_CONTENTS = 4_096
 MAX_CRASHES_PER_KEY = 16
-MAX_COMPLETIONS_PER_PART = 64
+MAX_COMPLETIONS_PER_KEY = 512
 # Servers whose unnamed incarnations are counted.
 MAX_SERVERS = 4_096
-# Incarnations of a target's servers whose end is remembered.
-MAX_ENDED = 1_024
+# Reports of runs that crashes have broken, by target.
+MAX_BROKEN = 1_024
 # Keys with a single crash that are exchanged with other daemons.
 MAX_EXCHANGED_KEYS = 128
-# Weights below which further completed runs of a part change nothing.
-SETTLED_CRASHES = -CRASHES_TO_QUARANTINE
-SETTLED_TIMES = 1
+# Reporter of what was read from the store.
+STORED = "stored"
 _NUMBER_SEPARATOR = "#"
 
 
@@ -65,12 +68,14 @@
         start: Name of the incarnation, unique over all servers.
         reporter: Daemon that observed the crash.
         at_ms: When the crash was observed.
+        runs: Runs with the key that the reporter lost.
     """
 
     content: str
     start: str
     reporter: str
     at_ms: int
+    runs: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,26 +129,25 @@
 
     Crashes form a set by key and incarnation: received late, twice or in
     another order, they leave all daemons with the same view.
-
-    Attributes:
-        runs: Runs that completed at this daemon recently.
     """
 
     def __init__(self) -> None:
         """Starts without crashes."""
-        self.runs = recent_runs.RecentRuns()
+        self._recent = recent_runs.RecentRuns(window_ms=evidence.HISTORY_MS)
         self._crashes: collections.OrderedDict[str, dict[str, Crash]] = (
             collections.OrderedDict()
         )
         self._completed_at_ms: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        # Completed runs with a part, by its key, reporter and number.
+        # Runs that crashes have broken, by the key of a target, incarnation and
+        # reporter.
+        self._broken: dict[str, dict[tuple[str, str], Crash]] = {}
+        # Completed runs of a part or target, by its key, reporter and number.
         self._completions: dict[str, dict[tuple[str, int], Completion]] = {}
-        # Runs with a part that completed here since its first crash.
+        # Runs that completed here since a key's first crash, or since they were
+        # announced last.
         self._runs_since_crash: dict[str, int] = {}
-        # Runs on its target that were complete before a part's first crash.
-        self._totals_before: dict[str, int] = {}
         self._announced_numbers: dict[str, int] = {}
         self._quarantined: set[str] = set()
         # Sets of parts that are refused if held together, and since when each
@@ -151,8 +155,9 @@
         self._harmful_since_ms: dict[str, int] = {}
         self._harmful: frozenset[frozenset[str]] = frozenset()
         self._is_settled = True
-        # When incarnations ended, by target.
-        self._ended_at_ms: dict[str, dict[str, int]] = {}
+        self._weighed_at_ms = -WEIGH_INTERVAL_MS
+        # Parts that look harmful to some degree.
+        self._doubtful: set[str] = set()
         # Unnamed incarnations known to have ended, by server.
         self._ended_counts: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -179,6 +184,8 @@
         """Adds a crash; returns whether it was new."""
         self._count_ended_incarnation(crash.start)
         key = crash.content
+        if suspects.is_target(key):
+            return self._add_broken(crash)
         if crash.at_ms <= self._completed_at_ms.get(key, -1):
             return False
         by_incarnation = self._crashes.setdefault(key, {})
@@ -191,26 +198,25 @@
         self._digest = None
         self._crashes.move_to_end(key)
         if suspects.is_part(key):
-            self._record_part_crash(crash)
+            self._runs_since_crash.setdefault(key, 0)
+            self._is_settled = False
         elif len(by_incarnation) >= CRASHES_TO_QUARANTINE:
             self._quarantined.add(key)
         self._evict_excess()
         return True
 
-    def _record_part_crash(self, crash: Crash) -> None:
-        target = suspects.target_of(crash.content)
-        ended = self._ended_at_ms.setdefault(target, {})
-        ended[crash.start] = min(
-            crash.at_ms, ended.get(crash.start, crash.at_ms)
-        )
-        if len(ended) > MAX_ENDED:
-            del ended[next(iter(ended))]
-        if crash.content not in self._totals_before:
-            self._runs_since_crash[crash.content] = 0
-            self._totals_before[crash.content] = self.runs.total_before_window(
-                target, now_ms=crash.at_ms
-            )
+    def _add_broken(self, crash: Crash) -> bool:
+        """Adds the runs on a target that a crash has broken at a daemon."""
+        broken = self._broken.setdefault(crash.content, {})
+        name = (crash.start, crash.reporter)
+        if name in broken:
+            return False
+        broken[name] = crash
+        if len(broken) > MAX_BROKEN:
+            del broken[next(iter(broken))]
+        self._runs_since_crash.setdefault(crash.content, 0)
         self._is_settled = False
+        return True
 
     def _count_ended_incarnation(self, incarnation: str) -> None:
         server, separator, number = incarnation.rpartition(_NUMBER_SEPARATOR)
@@ -229,11 +235,11 @@
         They drop the earlier crashes of a content.
         """
         key = completion.content
+        if key in self._runs_since_crash:
+            return self._add_counted(completion)
         by_incarnation = self._crashes.get(key)
         if by_incarnation is None:
             return False
-        if suspects.is_part(key):
-            return self._add_part_completion(completion)
         newest_ms = self._completed_at_ms.get(key, completion.at_ms)
         self._completed_at_ms[key] = max(newest_ms, completion.at_ms)
         if len(self._completed_at_ms) > MAX_CONTENTS:
@@ -252,13 +258,13 @@
             self._quarantined.discard(key)
         return len(remaining) < count_before
 
-    def _add_part_completion(self, completion: Completion) -> bool:
+    def _add_counted(self, completion: Completion) -> bool:
         known = self._completions.setdefault(completion.content, {})
         name = (completion.reporter, completion.number)
         if name in known:
             return False
         known[name] = completion
-        if len(known) > MAX_COMPLETIONS_PER_PART:
+        if len(known) > MAX_COMPLETIONS_PER_KEY:
             # The oldest ones matter least for the crashes since.
             del known[min(known, key=lambda name: known[name].at_ms)]
         self._is_settled = False
@@ -268,48 +274,55 @@
         self, target: str, parts: Iterable[str], *, now_ms: int
     ) -> None:
         """Counts a run that completed at this daemon."""
-        self.runs.add(target, parts, now_ms=now_ms)
+        keys = (suspects.target_key(target), *parts)
+        self._recent.add(keys, now_ms=now_ms)
         if not self._runs_since_crash:
             return
-        for part in parts:
-            if part in self._runs_since_crash:
-                self._runs_since_crash[part] += 1
+        for key in keys:
+            if key in self._runs_since_crash:
+                self._runs_since_crash[key] += 1
 
     def runs_to_announce(
         self, key: str, *, reporter: str, now_ms: int
     ) -> tuple[Completion, ...]:
-        """Returns this daemon's recent runs with a part that has crashes.
+        """Returns this daemon's runs with a key that has crashes.
 
-        They are announced once, separately for those before the first crash.
+        Most of them completed before the last crash, and are counted there;
+        those before the first one are counted separately.
         """
-        by_incarnation = self._crashes.get(key, {})
-        if (
-            not suspects.is_part(key)
-            or len(by_incarnation) < CRASHES_TO_ANNOUNCE_RUNS
-            or key in self._announced_numbers
-        ):
+        crashes = self._known_crashes(key)
+        starts = {crash.start for crash in crashes}
+        if len(starts) < CRASHES_TO_ANNOUNCE_RUNS:
             return ()
-        self._announced_numbers[key] = 0
-        first_ms = min(crash.at_ms for crash in by_incarnation.values())
         since = self._runs_since_crash.get(key, 0)
-        before = max(0, self.runs.count(key, now_ms=now_ms) - since)
-        counts = ((before, first_ms - 1), (since, now_ms))
+        last_ms = max(crash.at_ms for crash in crashes)
+        counts = [(since, last_ms - evidence.REPORT_DELAY_MS)]
+        if key not in self._announced_numbers:
+            self._announced_numbers[key] = 0
+            first_ms = min(crash.at_ms for crash in crashes)
+            before = self._recent.count(key, now_ms=now_ms) - since
+            # Other daemons may know of earlier crashes.
+            counts.insert(0, (before, first_ms - evidence.TOGETHER_MS))
+        elif suspects.is_target(key) and since < MIN_RUNS_TO_ANNOUNCE:
+            return ()
+        self._runs_since_crash[key] = 0
         return tuple(
             self._next_completion(key, reporter, count=count, at_ms=at_ms)
             for count, at_ms in counts
-            if count
+            if count > 0
         )
 
     def run_to_announce(
         self, key: str, *, reporter: str, now_ms: int
     ) -> Completion | None:
         """Returns the announcement of a run with a part; None if needless."""
-        if key not in self._announced_numbers:
+        if key not in self._doubtful or key not in self._announced_numbers:
             return None
-        weight = self._weight(key)
-        if weight.crashes <= SETTLED_CRASHES and weight.times <= SETTLED_TIMES:
+        count = self._runs_since_crash[key]
+        self._runs_since_crash[key] = 0
+        if not count:
             return None
-        return self._next_completion(key, reporter, count=1, at_ms=now_ms)
+        return self._next_completion(key, reporter, count=count, at_ms=now_ms)
 
     def _next_completion(
         self, key: str, reporter: str, *, count: int, at_ms: int
@@ -325,27 +338,27 @@
 
     def settle(self, *, now_ms: int) -> Changes:
         """Decides which sets of parts are in quarantine."""
-        if self._is_settled:
+        if self._is_settled or now_ms - self._weighed_at_ms < WEIGH_INTERVAL_MS:
             return Changes()
+        self._weighed_at_ms = now_ms
         found = self._find_harmful()
-        keys = frozenset().union(*found.harmful)
+        keys = frozenset().union(*found)
         self._harmful_since_ms = {
             key: self._harmful_since_ms.get(key, now_ms) for key in keys
         }
         before = self._harmful
         self._harmful = frozenset(
             parts
-            for parts in found.harmful
+            for parts in found
             if now_ms - min(self._harmful_since_ms[key] for key in parts)
             >= SETTLE_MS
         )
-        is_complete = len(self._harmful) == len(found.harmful)
-        self._is_settled = is_complete and not found.is_undecided
+        self._is_settled = len(self._harmful) == len(found)
         return Changes(
             added=self._harmful - before, lifted=before - self._harmful
         )
 
-    def _find_harmful(self) -> evidence.Findings:
+    def _find_harmful(self) -> list[frozenset[str]]:
         by_target: dict[str, list[evidence.Evidence]] = {}
         for key, by_incarnation in self._crashes.items():
             if len(by_incarnation) < evidence.CRASHES_TO_BLAME:
@@ -353,38 +366,64 @@
             if suspects.is_part(key):
                 target = suspects.target_of(key)
                 by_target.setdefault(target, []).append(self._evidence(key))
-        harmful: list[frozenset[str]] = []
-        is_undecided = False
+        found: list[frozenset[str]] = []
+        self._doubtful.clear()
         for target, parts in by_target.items():
-            ended_at_ms = self._ended_at_ms.get(target, {})
-            found = evidence.find_harmful(parts, ended_at_ms)
-            harmful.extend(found.harmful)
-            is_undecided |= found.is_undecided
-        return evidence.Findings(harmful, is_undecided)
+            usual = self._evidence(suspects.target_key(target))
+            scores = {part.key: evidence.score(part, usual) for part in parts}
+            self._doubtful.update(key for key in scores if scores[key] > 0.0)
+            if max(scores.values()) >= evidence.BLAME_SCORE:
+                found.extend(evidence.find_harmful(parts, usual))
+        return found
 
     def _evidence(self, key: str) -> evidence.Evidence:
         return evidence.Evidence(
-            key=key,
-            crashes=self.crashes(key),
-            completions=tuple(self._completions.get(key, {}).values()),
-            others=self._others(key),
+            key,
+            self._known_crashes(key),
+            self._completions.get(key, {}).values(),
         )
 
-    def _weight(self, key: str) -> evidence.Weight:
-        ended_at_ms = self._ended_at_ms.get(suspects.target_of(key), {})
-        return evidence.weigh(self._evidence(key), ended_at_ms)
+    def _known_crashes(self, key: str) -> tuple[Crash, ...]:
+        if suspects.is_target(key):
+            return tuple(self._broken.get(key, {}).values())
+        return self.crashes(key)
 
-    def _others(self, key: str) -> int:
-        """Returns how many runs without a part completed on its target."""
-        target = suspects.target_of(key)
-        counts = {
-            other: sum(completion.count for completion in known.values())
-            for other, known in self._completions.items()
-            if suspects.target_of(other) == target
-        }
-        own = counts.pop(key, 0)
-        here = self.runs.total(target) - self._totals_before.get(key, 0) - own
-        return max(here, *counts.values(), 0)
+    def stored_context(
+        self, key: str
+    ) -> tuple[tuple[Crash, ...], tuple[Completion, ...]]:
+        """Returns, summed up, what the crashes of a part are weighed against.
+
+        It is stored with the crashes of a part in quarantine, so that daemons
+        without a history come to the same conclusion.
+        """
+        if not suspects.is_part(key) or key not in self._crashes:
+            return (), ()
+        target = suspects.target_key(suspects.target_of(key))
+        lost: dict[str, list[Crash]] = {}
+        for crash in self._known_crashes(target):
+            lost.setdefault(crash.start, []).append(crash)
+        broken = tuple(
+            Crash(
+                content=target,
+                start=start,
+                reporter=STORED,
+                at_ms=min(crash.at_ms for crash in found),
+                runs=sum(crash.runs for crash in found),
+            )
+            for start, found in lost.items()
+        )
+        first_ms = min(crash.at_ms for crash in self.crashes(key))
+        completions = tuple(
+            Completion(
+                content=counted,
+                at_ms=first_ms - evidence.TOGETHER_MS,
+                reporter=STORED,
+                count=self.completed_count(counted),
+            )
+            for counted in (key, target)
+            if self.completed_count(counted)
+        )
+        return broken[-MAX_CRASHES_PER_KEY:], completions
 
     def crashes(self, key: str) -> tuple[Crash, ...]:
         """Returns the known crashes of a key."""
@@ -401,19 +440,30 @@
             return any(key in parts for parts in self._harmful)
         return len(self._crashes.get(key, {})) >= CRASHES_TO_PERSIST
 
-    def would_blame(self, key: str, more_starts: set[str]) -> bool:
+    def would_blame(
+        self, key: str, more_starts: set[str], *, now_ms: int
+    ) -> bool:
         """Returns whether further crashes would put a key into quarantine.
 
         Args:
             key: Key of what a request holds.
             more_starts: Incarnations that may have crashed on it.
+            now_ms: Current time.
         """
-        more = len(more_starts - self._crashes.get(key, {}).keys())
-        if not suspects.is_part(key):
-            return len(self.crashes(key)) + more >= CRASHES_TO_QUARANTINE
-        if not more:
+        known = self._crashes.get(key, {})
+        more = [
+            Crash(content=key, start=start, reporter="", at_ms=now_ms)
+            for start in more_starts
+            if start not in known
+        ]
+        if len(known) + len(more) < CRASHES_TO_QUARANTINE:
             return False
-        return self._weight(key).crashes + more >= evidence.CRASHES_TO_BLAME
+        if not suspects.is_part(key):
+            return True
+        part = self._evidence(key).with_crashes((*known.values(), *more))
+        target = suspects.target_of(key)
+        usual = self._evidence(suspects.target_key(target))
+        return evidence.score(part, usual) >= evidence.BLAME_SCORE
 
     def harmful_parts(self) -> frozenset[frozenset[str]]:
         """Returns the sets of parts that are refused if held together."""
@@ -479,6 +529,12 @@
         keys = [*several, *single[-MAX_EXCHANGED_KEYS:]]
         return tuple(crash for key in keys for crash in self.crashes(key))
 
+    def broken_runs(self) -> tuple[Crash, ...]:
+        """Returns the runs that crashes have broken, by target."""
+        return tuple(
+            crash for known in self._broken.values() for crash in known.values()
+        )
+
     def completions(self) -> tuple[Completion, ...]:
         """Returns the completed runs that speak for keys with crashes."""
         contents = tuple(
@@ -516,10 +572,11 @@
             if now_ms - self._completed_at_ms[oldest] <= RETENTION_MS:
                 break
             del self._completed_at_ms[oldest]
-        for ended in self._ended_at_ms.values():
-            for start, at_ms in list(ended.items()):
-                if now_ms - at_ms > RETENTION_MS:
-                    del ended[start]
+        for target, broken in list(self._broken.items()):
+            last_ms = max(crash.at_ms for crash in broken.values())
+            if now_ms - last_ms > RETENTION_MS:
+                del self._broken[target]
+                self._forget_runs(target)
 
     def _longest_until_ms(self, key: str) -> int:
         if key in self._quarantined:
@@ -544,10 +601,13 @@
         self._digest = None
         del self._crashes[key]
         self._quarantined.discard(key)
+        self._forget_runs(key)
+
+    def _forget_runs(self, key: str) -> None:
         self._completions.pop(key, None)
         self._runs_since_crash.pop(key, None)
-        self._totals_before.pop(key, None)
         self._announced_numbers.pop(key, None)
+        self._doubtful.discard(key)
         self._is_settled = False
 
 
@@ -555,6 +615,7 @@
     "CRASHES_TO_PERSIST",
     "CRASHES_TO_QUARANTINE",
     "RETENTION_MS",
+    "STORED",
     "BrokenRun",
     "Changes",
     "Completion",
--- a/src/godwittack/core/recent_runs.py
+++ b/src/godwittack/core/recent_runs.py
@@ -1,4 +1,4 @@
-"""Counts the runs that completed recently, by part of their prompts."""
+"""Counts the runs that completed recently, by what they held."""
 
 from __future__ import annotations
 
@@ -9,60 +9,46 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-WINDOW_MS = 10_000
-PERIOD_MS = 250
-# Parts counted in one period; further ones are not.
-MAX_PARTS = 1_024
+PERIOD_MS = 1_000
+# Keys counted in one period; further ones are not.
+MAX_KEYS = 1_024
 
 
 @dataclasses.dataclass(slots=True)
 class _Period:
     from_ms: int
-    by_part: dict[str, int] = dataclasses.field(default_factory=dict)
-    by_target: dict[str, int] = dataclasses.field(default_factory=dict)
+    counts: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 class RecentRuns:
-    """Completed runs of the last `WINDOW_MS`, in short periods."""
+    """Completed runs of a window before now, in short periods."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, window_ms: int) -> None:
         """Starts without runs."""
+        self._window_ms = window_ms
         self._periods: collections.deque[_Period] = collections.deque()
-        self._totals: dict[str, int] = {}
 
-    def add(self, target: str, parts: Iterable[str], *, now_ms: int) -> None:
-        """Counts one run that completed."""
+    def add(self, keys: Iterable[str], *, now_ms: int) -> None:
+        """Counts one run that completed, under each key."""
         periods = self._periods
         if not periods or now_ms - periods[-1].from_ms >= PERIOD_MS:
             self._drop_old(now_ms)
             periods.append(_Period(now_ms))
-        period = periods[-1]
-        period.by_target[target] = period.by_target.get(target, 0) + 1
-        self._totals[target] = self._totals.get(target, 0) + 1
-        for part in parts:
-            count = period.by_part.get(part, 0)
-            if count or len(period.by_part) < MAX_PARTS:
-                period.by_part[part] = count + 1
-
-    def count(self, part: str, *, now_ms: int) -> int:
-        """Returns how many runs with a part completed."""
-        self._drop_old(now_ms)
-        return sum(p.by_part.get(part, 0) for p in self._periods)
-
-    def total(self, target: str) -> int:
-        """Returns how many runs on a target completed since the start."""
-        return self._totals.get(target, 0)
-
-    def total_before_window(self, target: str, *, now_ms: int) -> int:
-        """Returns how many of them completed before the last `WINDOW_MS`."""
+        counts = periods[-1].counts
+        for key in keys:
+            count = counts.get(key, 0)
+            if count or len(counts) < MAX_KEYS:
+                counts[key] = count + 1
+
+    def count(self, key: str, *, now_ms: int) -> int:
+        """Returns how many runs completed under a key."""
         self._drop_old(now_ms)
-        recent = sum(p.by_target.get(target, 0) for p in self._periods)
-        return self.total(target) - recent
+        return sum(period.counts.get(key, 0) for period in self._periods)
 
     def _drop_old(self, now_ms: int) -> None:
         periods = self._periods
-        while periods and now_ms - periods[0].from_ms > WINDOW_MS:
+        while periods and now_ms - periods[0].from_ms > self._window_ms:
             periods.popleft()
 
 
-__all__ = ["PERIOD_MS", "WINDOW_MS", "RecentRuns"]
+__all__ = ["RecentRuns"]
--- a/src/godwittack/core/suspects.py
+++ b/src/godwittack/core/suspects.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 _PART_PREFIX = "/part/"
+_TARGET_PREFIX = "/target/"
 
 
 def content_key(workspace: str, fingerprint: str) -> str:
@@ -23,14 +24,31 @@
     return f"{_PART_PREFIX}{target}/{part}"
 
 
+def target_key(target: str) -> str:
+    """Returns the key of all that a target's servers run."""
+    return _TARGET_PREFIX + target
+
+
+def is_target(key: str) -> bool:
+    """Returns whether a key is that of all that a target's servers run."""
+    return key.startswith(_TARGET_PREFIX)
+
+
 def is_part(key: str) -> bool:
     """Returns whether a key is that of a part, not of a whole request."""
     return key.startswith(_PART_PREFIX)
 
 
-def target_of(part: str) -> str:
-    """Returns the model whose servers a part's key is about."""
-    return part.removeprefix(_PART_PREFIX).rpartition("/")[0]
+def is_content(key: str) -> bool:
+    """Returns whether a key is that of a whole request."""
+    return not (is_part(key) or is_target(key))
+
+
+def target_of(key: str) -> str:
+    """Returns the model whose servers the key of a part or target is about."""
+    if is_target(key):
+        return key.removeprefix(_TARGET_PREFIX)
+    return key.removeprefix(_PART_PREFIX).rpartition("/")[0]
 
 
 def name_of(part: str) -> str:
@@ -38,4 +56,13 @@
     return part.rpartition("/")[2]
 
 
-__all__ = ["content_key", "is_part", "name_of", "part_key", "target_of"]
+__all__ = [
+    "content_key",
+    "is_content",
+    "is_part",
+    "is_target",
+    "name_of",
+    "part_key",
+    "target_key",
+    "target_of",
+]
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -38,11 +38,30 @@
     start: str
     reporter: str
     at_wall_ms: int
+    content: str = ""
+    runs: int = 1
+
+
+class _CompletionJson(pydantic.BaseModel):
+    content: str
+    at_wall_ms: int
+    count: int
 
 
 class _RowJson(pydantic.BaseModel):
+    """A stored row.
+
+    Attributes:
+        content: Key of what crashes servers.
+        crashes: Its crashes.
+        broken: Runs on its target that were lost in crashes; for parts.
+        completions: Completed runs of the part and on its target.
+    """
+
     content: str
     crashes: tuple[_CrashJson, ...] = ()
+    broken: tuple[_CrashJson, ...] = ()
+    completions: tuple[_CompletionJson, ...] = ()
 
 
 class CrashRows:
@@ -89,15 +108,18 @@
         self._written_counts[content] = len(crashes)
         clock = self._runtime.clock
         wall_offset_ms = clock.wall_ms() - clock.now_ms()
+        broken, completions = crash_history.stored_context(content)
         row = _RowJson(
             content=content,
-            crashes=tuple(
-                _CrashJson(
-                    start=crash.start,
-                    reporter=crash.reporter,
-                    at_wall_ms=crash.at_ms + wall_offset_ms,
+            crashes=_to_json(crashes, wall_offset_ms),
+            broken=_to_json(broken, wall_offset_ms),
+            completions=tuple(
+                _CompletionJson(
+                    content=done.content,
+                    at_wall_ms=done.at_ms + wall_offset_ms,
+                    count=done.count,
                 )
-                for crash in crashes
+                for done in completions
             ),
         )
         self._spawn(self._write(row))
@@ -135,6 +157,7 @@
         clock = self._runtime.clock
         wall_offset_ms = clock.wall_ms() - clock.now_ms()
         crashes: list[quarantine.Crash] = []
+        completions: list[quarantine.Completion] = []
         for row in rows:
             try:
                 stored = _RowJson.model_validate_json(row.value)
@@ -147,21 +170,33 @@
                 continue
             crashes.extend(
                 quarantine.Crash(
-                    content=stored.content,
+                    content=crash.content or stored.content,
                     start=crash.start,
                     reporter=crash.reporter,
                     at_ms=min(
                         clock.now_ms(), crash.at_wall_ms - wall_offset_ms
                     ),
+                    runs=crash.runs,
                 )
-                for crash in stored.crashes
+                for crash in stored.crashes + stored.broken
                 if _is_still_relevant(
                     stored, crash, now_wall_ms=clock.wall_ms()
                 )
             )
+            completions.extend(
+                quarantine.Completion(
+                    content=done.content,
+                    at_ms=done.at_wall_ms - wall_offset_ms,
+                    reporter=quarantine.STORED,
+                    count=done.count,
+                )
+                for done in stored.completions
+            )
         if crashes:
             self._runtime.submit(
-                inputs.CrashesTold(clock.now_ms(), tuple(crashes))
+                inputs.CrashesTold(
+                    clock.now_ms(), tuple(crashes), tuple(completions)
+                )
             )
 
     def _spawn(self, coroutine: Coroutine[object, object, None]) -> None:
@@ -170,6 +205,21 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _to_json(
+    crashes: tuple[quarantine.Crash, ...], wall_offset_ms: int
+) -> tuple[_CrashJson, ...]:
+    return tuple(
+        _CrashJson(
+            content=crash.content,
+            start=crash.start,
+            reporter=crash.reporter,
+            at_wall_ms=crash.at_ms + wall_offset_ms,
+            runs=crash.runs,
+        )
+        for crash in crashes
+    )
+
+
 def _is_still_relevant(
     stored: _RowJson, crash: _CrashJson, *, now_wall_ms: int
 ) -> bool:
--- a/src/godwittack/daemon/outbox.py
+++ b/src/godwittack/daemon/outbox.py
@@ -99,7 +99,9 @@
         if now_ms - self._last_resend_ms >= RESEND_INTERVAL_MS:
             self._last_resend_ms = now_ms
             self.send_crashes(
-                crash_history.crashes_to_exchange(), crash_history.completions()
+                crash_history.crashes_to_exchange()
+                + crash_history.broken_runs(),
+                crash_history.completions(),
             )
 
     def send_pending(self) -> None:
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -118,6 +118,7 @@
         start=crash.start,
         reporter=crash.reporter,
         age_ms=max(0, now_ms - crash.at_ms),
+        runs=crash.runs,
     )
 
 
@@ -130,6 +131,7 @@
         start=message.start,
         reporter=message.reporter,
         at_ms=now_ms - message.age_ms,
+        runs=message.runs or 1,
     )
 
 
--- a/tests/cases/crash_rows.py
+++ b/tests/cases/crash_rows.py
@@ -9,7 +9,13 @@
 
 from cases import routed_core
 from godwittack.clock import ManualClock
-from godwittack.core import crashes, effects, quarantine
+from godwittack.core import (
+    crashes,
+    effects,
+    inputs,
+    quarantine,
+    suspects,
+)
 from godwittack.daemon import crash_rows
 from godwittack.store import protocol
 
@@ -169,7 +175,9 @@
     for crash in first.known.crashes("desk/f"):
         other.known.add(crash)
     work = types.SimpleNamespace(target="m", route=None)
-    request = types.SimpleNamespace(content="desk/f", request_id="r", work=work)
+    request = types.SimpleNamespace(
+        content="desk/f", suspect_keys=("desk/f",), request_id="r", work=work
+    )
     other.core.world.pending_effects = []
     crashes.record_completion(other.core.world, request)
     for effect in other.core.world.pending_effects:
@@ -207,3 +215,39 @@
         daemon.crash("s1")
     await _settle()
     assert store.reads == 1 and not store.rows
+
+
+async def a_part_stays_in_quarantine_over_a_restart_of_all_daemons() -> None:
+    """Guards against parts whose crashes are stored without their weight."""
+    store = Store()
+    first = Daemon(store)
+    bad = suspects.part_key(routed_core.ENGINES, "bad")
+    target = suspects.target_key(routed_core.ENGINES)
+    told = tuple(
+        quarantine.Crash(
+            content=key,
+            start=f"s{number}",
+            reporter="d",
+            at_ms=first.core.now_ms - 1_000 * number,
+        )
+        for key in (bad, target)
+        for number in range(4)
+    )
+    runs = quarantine.Completion(
+        content=target, at_ms=told[-1].at_ms, reporter="d", count=200
+    )
+    first.core.tell(inputs.CrashesTold, told, (runs,))
+    announced = [
+        effect
+        for effect in first.core.wait(1_000)
+        if isinstance(effect, effects.TellCrashes)
+    ]
+    assert first.known.is_persisted(bad)
+    for effect in announced:
+        first.rows.record(effect)
+    await _settle()
+    second = Daemon(store)
+    second.crash("s9", content="desk/g")
+    await _settle()
+    second.core.wait(1_000)
+    assert second.known.blamed((bad,)), store.rows
--- a/tests/cases/suspect_parts.py
+++ b/tests/cases/suspect_parts.py
@@ -7,7 +7,6 @@
 from cases import routed_core
 from godwittack.core import (
     effects,
-    evidence,
     inputs,
     quarantine,
     server_inputs,
@@ -21,6 +20,9 @@
 # Enough completed runs to show that the servers complete others.
 SOUND_RUNS = 100
 GAP_MS = 700
+# Crashes after which operators allow no more than three further requests.
+MAX_CRASHES = 5
+ERRORS = 4
 
 
 def _key(part: str) -> str:
@@ -176,7 +178,7 @@
     """Guards against crashes of one part that hide those of another."""
     core = _core()
     _complete_others(core)
-    for _ in range(evidence.TIMES_TO_BLAME):
+    for _ in range(MAX_CRASHES):
         for part in ("bad", "worse"):
             if not core.world.quarantine.blamed((_key(part),)):
                 _crash(core, "s0", part, "s1")
@@ -193,9 +195,11 @@
     core = _core()
     _complete_others(core, "turned")
     _complete_others(core)
-    for _ in range(evidence.TIMES_TO_BLAME):
-        _crash(core, "turned")
-        _run(core, "s0", "s1")
+    for _ in range(MAX_CRASHES):
+        if not core.world.quarantine.blamed((_key("turned"),)):
+            _crash(core, "turned")
+        for _ in range(SOUND_RUNS // MAX_CRASHES):
+            _run(core, "s0", "s1")
         core.wait(GAP_MS)
     _settle(core)
     assert not _run(core, "turned")
@@ -218,7 +222,7 @@
     _complete_others(core)
     for _ in range(3):
         _crash(core, "bad")
-        for _ in range(evidence.COMPLETIONS_PER_CRASH):
+        for _ in range(ERRORS):
             _run(core, "bad", status=400)
         core.wait(GAP_MS)
     _settle(core)
@@ -263,11 +267,12 @@
         _complete_others(core)
         crashes = tuple(
             quarantine.Crash(
-                content=_key("bad"),
+                content=key,
                 start=f"e{number}/x",
                 reporter="d0",
                 at_ms=core.now_ms + GAP_MS * number,
             )
+            for key in (_key("bad"), suspects.target_key(TARGET))
             for number in range(3)
         )
         core.tell(inputs.CrashesTold, crashes)
--- a/tests/features/crashing.feature
+++ b/tests/features/crashing.feature
@@ -44,3 +44,4 @@
       | crash_rows | a completed run clears crashes before a quarantine |
       | crash_rows | expired crashes are not read |
       | crash_rows | daemons without crashes make no store call |
+      | crash_rows | a part stays in quarantine over a restart of all daemons |
