Find parts that never complete, and acquit by any later sign of life

Then the part is at few more crashes than its share of all runs lets expect, and sound runs that had completed up to six seconds before a crash counted as broken by it.

A part at four crashes at three times, of which no run has ever completed, while four others for each crash have, is harmful now. An unmarked answer is acquitted by any sign of life of its server 250 ms later, as by the next event of another answer. Runs on a target are announced with each crash, twice a second at most: with a least number of ten, daemons with little traffic never announced any. The crashes of a part are remembered up to 128, since those beyond the sixteenth counted against all runs and not for the part. explain shows the lines on parts.

--- a/src/godwittack/command/explain.py
+++ b/src/godwittack/command/explain.py
@@ -31,8 +31,10 @@
         "server_state",
     }
 )
-# Lines about a request's content, shown however long before the request.
-CONTENT_EVENTS = frozenset({"quarantined", "crashes_cleared"})
+# Lines about what a request holds, shown however long before the request.
+CONTENT_EVENTS = frozenset(
+    {"quarantined", "quarantine_lifted", "crashes_cleared"}
+)
 
 
 @parser.app.command
@@ -73,12 +75,12 @@
 def _request_lines(
     request_id: str, lines: Iterable[tuple[str, str]]
 ) -> list[tuple[str, str]]:
-    """Returns time and text of lines on a request, its servers and content."""
+    """Returns time and text of lines on a request and what it used or held."""
     request_lines: list[tuple[str, str]] = []
     server_lines: list[tuple[str, str, str]] = []
     servers: set[str] = set()
     contents: set[str] = set()
-    content_lines: list[tuple[str, str, str]] = []
+    content_lines: list[tuple[str, set[str], str]] = []
     for source, line in lines:
         fields = dict(KEY_VALUE.findall(line))
         text = f"{source}: {line}" if source else line
@@ -88,15 +90,13 @@
         ):
             request_lines.append((fields.get("time", ""), text))
             servers.add(fields.get("server", ""))
-            contents.add(fields.get("content", ""))
+            contents |= _held(fields)
         elif fields.get("event") in SERVER_STATE_EVENTS:
             server_lines.append(
                 (fields.get("time", ""), fields["server"], text)
             )
         elif fields.get("event") in CONTENT_EVENTS:
-            content_lines.append(
-                (fields.get("time", ""), fields["content"], text)
-            )
+            content_lines.append((fields.get("time", ""), _held(fields), text))
     if not request_lines:
         return []
     started, ended = min(request_lines)[0], max(request_lines)[0]
@@ -106,11 +106,15 @@
         if server in servers - {""} and started <= time <= ended
     ]
     selected.extend(
-        (time, text)
-        for time, content, text in content_lines
-        if content in contents - {""}
+        (time, text) for time, held, text in content_lines if held <= contents
     )
     return request_lines + selected
 
 
+def _held(fields: dict[str, str]) -> set[str]:
+    """Returns the content and the parts of prompts that a line names."""
+    names = [fields.get("content", ""), *fields.get("parts", "").split(",")]
+    return set(filter(None, names))
+
+
 __all__ = ["explain"]
--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -89,6 +89,7 @@
     """Records that a server's process has ended, and counts its crashes."""
     server.ended_incarnation_id = incarnation_id(world, server)
     server.ended_at_ms = world.now_ms
+    clear_outlived(world, server)
     runs = _recent_runs(world, server)
     server.possible_crashes = []
     if not runs:
@@ -168,6 +169,13 @@
     server.possible_crashes = kept
 
 
+def clear_outlived(world: entities.World, server: entities.ServerRow) -> None:
+    """Clears unmarked ends of answers before a server's last sign of life."""
+    if server.possible_crashes:
+        until_ms = server.last_contact_ms - OUTLIVED_MS
+        clear_possible(world, server, until_ms=until_ms, answered=True)
+
+
 def clear_by_relay(world: entities.World, server: entities.ServerRow) -> None:
     """Clears closed connections to a server that others have found alive.
 
@@ -526,6 +534,7 @@
 __all__ = [
     "apply_peer_update",
     "clear_by_relay",
+    "clear_outlived",
     "incarnation_id",
     "is_blocked",
     "is_quarantined",
--- a/src/godwittack/core/evidence.py
+++ b/src/godwittack/core/evidence.py
@@ -40,6 +40,13 @@
 REPORT_DELAY_MS = 100
 
 
+# The same for a part of which no run is known to have completed, and completed
+# runs without it, for each of its crashes, that show that others do.
+CRASHES_WITHOUT_COMPLETION = 4
+TIMES_WITHOUT_COMPLETION = 3
+OTHERS_PER_CRASH = 4
+
+
 class Timed(Protocol):
     """A server's incarnation that ended, and when."""
 
@@ -157,6 +164,8 @@
     times_ms = _distinct_times(crash.at_ms for crash in part.crashes)
     if len(times_ms) < TIMES_TO_BLAME:
         return 0.0
+    if _never_completes(part, usual, times_ms):
+        return BLAME_SCORE + len(part.crashes)
     first_ms, *later_ms = times_ms
     starts_ms = [first_ms - HISTORY_MS, first_ms, *later_ms]
     return max(
@@ -165,6 +174,26 @@
     )
 
 
+def _never_completes(
+    part: Evidence, usual: Evidence, times_ms: list[int]
+) -> bool:
+    """Returns whether a part only crashes, while others complete.
+
+    If most requests hold a harmful part, and all servers end again and again,
+    it isn't at more crashes than its share of all runs lets expect.
+    """
+    crashes = len(part.crashes)
+    if (
+        crashes < CRASHES_WITHOUT_COMPLETION
+        or len(times_ms) < TIMES_WITHOUT_COMPLETION
+        or part.completed(-math.inf)
+    ):
+        return False
+    all_crashes = usual.crash_count(times_ms[0] - REPORT_DELAY_MS, math.inf)
+    others = usual.completed(times_ms[0])
+    return 2 * crashes >= all_crashes and others >= OTHERS_PER_CRASH * crashes
+
+
 def _distinct_times(at_ms: Iterable[int]) -> list[int]:
     """Returns the times of crashes without those soon after another."""
     times: list[int] = []
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -46,6 +46,7 @@
     if world.table.forwarding is None:
         return
     for server in world.servers.values():
+        crashes.clear_outlived(world, server)
         is_lost = paths.is_lost(server)
         if not is_lost and crashes.needs_sign_of_life(world, server):
             probe(world, server)
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -30,8 +30,8 @@
 CRASHES_TO_PERSIST = CRASHES_TO_QUARANTINE - 1
 # Crashes of a part after which daemons announce the completed runs with it.
 CRASHES_TO_ANNOUNCE_RUNS = 2
-# Runs on a target that are announced again with a further crash.
-MIN_RUNS_TO_ANNOUNCE = 10
+# Least time between two announcements of the runs on a target.
+ANNOUNCE_INTERVAL_MS = 500
 # Length of the first quarantine; each further crash of a content doubles it,
 # and each further crash of parts after a quarantine.
 QUARANTINE_MS = 600_000
@@ -47,6 +47,7 @@
 # Keys whose crashes are remembered.
 MAX_CONTENTS = 4_096
 MAX_CRASHES_PER_KEY = 16
+MAX_CRASHES_PER_PART = 128
 MAX_COMPLETIONS_PER_KEY = 512
 # Servers whose unnamed incarnations are counted.
 MAX_SERVERS = 4_096
@@ -149,6 +150,7 @@
         # announced last.
         self._runs_since_crash: dict[str, int] = {}
         self._announced_numbers: dict[str, int] = {}
+        self._announced_at_ms: dict[str, int] = {}
         self._quarantined: set[str] = set()
         # Sets of parts that are refused if held together, and since when each
         # part looks harmful.
@@ -189,15 +191,14 @@
         if crash.at_ms <= self._completed_at_ms.get(key, -1):
             return False
         by_incarnation = self._crashes.setdefault(key, {})
-        if (
-            crash.start in by_incarnation
-            or len(by_incarnation) >= MAX_CRASHES_PER_KEY
-        ):
+        is_part = suspects.is_part(key)
+        limit = MAX_CRASHES_PER_PART if is_part else MAX_CRASHES_PER_KEY
+        if crash.start in by_incarnation or len(by_incarnation) >= limit:
             return False
         by_incarnation[crash.start] = crash
         self._digest = None
         self._crashes.move_to_end(key)
-        if suspects.is_part(key):
+        if is_part:
             self._runs_since_crash.setdefault(key, 0)
             self._is_settled = False
         elif len(by_incarnation) >= CRASHES_TO_QUARANTINE:
@@ -303,8 +304,11 @@
             before = self._recent.count(key, now_ms=now_ms) - since
             # Other daemons may know of earlier crashes.
             counts.insert(0, (before, first_ms - evidence.TOGETHER_MS))
-        elif suspects.is_target(key) and since < MIN_RUNS_TO_ANNOUNCE:
-            return ()
+        elif suspects.is_target(key):
+            announced_ms = self._announced_at_ms.get(key, 0)
+            if now_ms - announced_ms < ANNOUNCE_INTERVAL_MS:
+                return ()
+        self._announced_at_ms[key] = now_ms
         self._runs_since_crash[key] = 0
         return tuple(
             self._next_completion(key, reporter, count=count, at_ms=at_ms)
@@ -607,6 +611,7 @@
         self._completions.pop(key, None)
         self._runs_since_crash.pop(key, None)
         self._announced_numbers.pop(key, None)
+        self._announced_at_ms.pop(key, None)
         self._doubtful.discard(key)
         self._is_settled = False
 
--- a/tests/cases/crashing_parts.py
+++ b/tests/cases/crashing_parts.py
@@ -14,6 +14,7 @@
     Plan,
 )
 from cluster.platform import Platform
+from soak import parts
 from standins.endings import Ending, Framing
 from standins.replica import PartFault
 
@@ -23,6 +24,7 @@
 BAD_S = 14.0
 # Operators allow a half; what is refused with the bad part alone is nothing.
 MIN_SHARE = 0.5
+SOAK_SEEDS = (1, 2)
 
 
 async def _play(
@@ -85,6 +87,14 @@
     assert traffic.statuses[-5:] == [503] * 5, traffic.statuses
 
 
+async def a_short_session_with_a_bad_part_keeps_all_promises() -> None:
+    """Guards against what daemons forget when they start again."""
+    for seed in SOAK_SEEDS:
+        session = parts.Session(seed, daemons=DAEMONS)
+        violations = await session.play()
+        assert not violations, (seed, violations, session.faults)
+
+
 async def an_outage_of_all_servers_refuses_no_part() -> None:
     """Guards against blaming parts that were on all servers of an outage."""
     platform = Platform(daemons=DAEMONS, engines=ENGINES, services=1)
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -21,6 +21,7 @@
     "crashing",
     "crashing_parts",
     "suspect_parts",
+    "part_fleets",
     "feed_follower",
     "freshness",
     "adapter",
--- a/tests/cases/suspect_parts.py
+++ b/tests/cases/suspect_parts.py
@@ -392,7 +392,7 @@
         _complete_others(core)
         for _ in range(3):
             _crash(core, "s2")
-            for _ in range(4):
+            for _ in range(SOUND_RUNS // MAX_CRASHES):
                 sent = _answer_unmarked(core, "s2")
                 core.wait(GAP_MS)
                 if is_reported:
@@ -457,3 +457,27 @@
     ]
     core.tell(server_inputs.ProbeAnswered, "e99", alive=True, incarnation="e99")
     assert not core.find(effects.TellCrashes), core.last_effects
+
+
+def a_later_answer_shows_that_a_server_has_outlived_one() -> None:
+    """Guards against answers blamed for the end of a server long after them."""
+    core = _core()
+    _complete_others(core)
+    for _ in range(MAX_CRASHES):
+        core.arrive("long", f"l{core.now_ms}", parts=())
+        later = core.dispatch()
+        for name in list(core.world.servers):
+            if name != later.server_id and name.startswith("e"):
+                core.world.servers[name].draining_until_ms = 10**9
+        sent = _answer_unmarked(core, "s2")
+        assert sent.server_id == later.server_id
+        core.now_ms += GAP_MS
+        core.open(later)
+        core.frames(later, 1)
+        for server in core.world.servers.values():
+            server.draining_until_ms = 0
+        core.fail(later, SENT)
+        _end(core, sent.server_id)
+        core.wait(GAP_MS)
+    crashes = core.world.quarantine.crashes(_key("s2"))
+    assert not crashes, crashes
--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -13,6 +13,7 @@
       | crashing_parts | a part that crashes now and then is refused |
       | crashing_parts | a crash behind an answer without a mark counts |
       | crashing_parts | an outage of all servers refuses no part |
+      | crashing_parts | a short session with a bad part keeps all promises |
 
     Examples: decisions of the core
       | group         | case |
@@ -34,3 +35,13 @@
       | suspect_parts | a server that outlives an unmarked answer acquits its part |
       | suspect_parts | a server may have crashed until it outlives its answer |
       | suspect_parts | a response without a start time is no other process |
+      | suspect_parts | a later answer shows that a server has outlived one |
+
+    Examples: simulated fleets
+      | group       | case |
+      | part_fleets | a bad part is refused beside other faults |
+      | part_fleets | outages refuse nobody |
+      | part_fleets | long runs are not blamed for an outage |
+      | part_fleets | a part on which one run in three crashes is refused |
+      | part_fleets | two bad parts are refused |
+      | part_fleets | a larger fleet refuses a bad part |
