Exchange the same crashes wherever the same ones are known

Of keys with one crash the 128 latest were exchanged, by the order in which a daemon had heard of them. From some ten crashes on, two daemons with the same knowledge chose others, their digests differed, and each gossip probe made both send everything again, until the last crash was ten minutes old. With parts there is more to send, so it matters more. The keys are chosen by name now, and of announced runs at most 32 for each key are sent.

The new case has three digests of one set before, and one after.

--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -13,6 +13,7 @@
 
 import collections
 import dataclasses
+import heapq
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -55,6 +56,8 @@
 MAX_BROKEN = 1_024
 # Keys with a single crash that are exchanged with other daemons.
 MAX_EXCHANGED_KEYS = 128
+# Announcements of completed runs that are exchanged, by key.
+MAX_EXCHANGED_COMPLETIONS = 32
 # Reporter of what was read from the store.
 STORED = "stored"
 _NUMBER_SEPARATOR = "#"
@@ -521,8 +524,8 @@
     def crashes_to_exchange(self) -> tuple[Crash, ...]:
         """Returns the crashes that other daemons should know as well.
 
-        These are all crashes of keys with several, and those of the other keys
-        with the latest crashes.
+        These are all crashes of keys with several, and those of some other
+        keys: the same ones at all daemons that know the same.
         """
         several = [
             k for k, crashes in self._crashes.items() if len(crashes) > 1
@@ -530,7 +533,7 @@
         single = [
             k for k, crashes in self._crashes.items() if len(crashes) == 1
         ]
-        keys = [*several, *single[-MAX_EXCHANGED_KEYS:]]
+        keys = [*several, *heapq.nsmallest(MAX_EXCHANGED_KEYS, single)]
         return tuple(crash for key in keys for crash in self.crashes(key))
 
     def broken_runs(self) -> tuple[Crash, ...]:
@@ -540,7 +543,10 @@
         )
 
     def completions(self) -> tuple[Completion, ...]:
-        """Returns the completed runs that speak for keys with crashes."""
+        """Returns the completed runs that speak for keys with crashes.
+
+        Of many announcements those with most runs are returned.
+        """
         contents = tuple(
             Completion(content=c, at_ms=t)
             for c, t in self._completed_at_ms.items()
@@ -548,7 +554,11 @@
         parts = tuple(
             completion
             for known in self._completions.values()
-            for completion in known.values()
+            for completion in heapq.nlargest(
+                MAX_EXCHANGED_COMPLETIONS,
+                known.values(),
+                key=lambda completion: completion.count,
+            )
         )
         return contents + parts
 
--- a/tests/cases/suspect_parts.py
+++ b/tests/cases/suspect_parts.py
@@ -481,3 +481,24 @@
         core.wait(GAP_MS)
     crashes = core.world.quarantine.crashes(_key("s2"))
     assert not crashes, crashes
+
+
+def equal_knowledge_has_equal_digests() -> None:
+    """Guards against exchanges that never end, as the order was another."""
+    crashes = [
+        quarantine.Crash(
+            content=f"desk/{number:04d}",
+            start=f"s{number // 20}",
+            reporter="d",
+            at_ms=number,
+        )
+        for number in range(4 * quarantine.MAX_EXCHANGED_KEYS)
+    ]
+    views = []
+    for seed in range(3):
+        random.Random(seed).shuffle(crashes)
+        view = quarantine.Quarantine()
+        for crash in crashes:
+            view.add(crash)
+        views.append(view.digest())
+    assert len(set(views)) == 1, views
--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -36,6 +36,7 @@
       | suspect_parts | a server may have crashed until it outlives its answer |
       | suspect_parts | a response without a start time is no other process |
       | suspect_parts | a later answer shows that a server has outlived one |
+      | suspect_parts | equal knowledge has equal digests |
 
     Examples: simulated fleets
       | group       | case |
