Announce runs only with crashes that are new

Crashes that a daemon knew already, as each exchange sends them all, made it announce its runs with their parts again, once for each exchange. Behaviour is unchanged otherwise: suspect_parts, quarantines, crash_rows and part_fleets pass.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -389,15 +389,16 @@
     for crash in crashes:
         key = crash.content
         was_quarantined = world.quarantine.until_ms(key) > 0
-        is_new = world.quarantine.add(crash)
-        if suspects.is_part(key) or suspects.is_target(key):
+        if not world.quarantine.add(crash):
+            continue
+        if not suspects.is_content(key):
             target = suspects.target_of(key)
             by_target.setdefault(target, []).extend(
                 world.quarantine.runs_to_announce(
                     key, reporter=world.daemon, now_ms=world.now_ms
                 )
             )
-        elif is_new and world.quarantine.until_ms(key):
+        elif world.quarantine.until_ms(key):
             _announce_quarantine(world, frozenset({key}))
             if not was_quarantined:
                 _cancel_unanswered_runs(world)
