Count errors neither for a part nor for its target

An answer with an error counted as a completed run on the target, and not for the parts of its request: a part whose requests the servers reject had a small share of all runs, and was blamed for three crashes beside it. The new case fails before. Found by reading the change again.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -210,9 +210,11 @@
     An error clears the content, but its server may not have begun the answer,
     so it says nothing of the parts.
     """
-    is_success = FIRST_SUCCESS <= status < FIRST_REDIRECTION
-    keys = request.suspect_keys if is_success else (request.content,)
-    _record_run(world, request.work.target, keys, request.request_id)
+    target = request.work.target
+    if FIRST_SUCCESS <= status < FIRST_REDIRECTION:
+        _record_run(world, target, request.suspect_keys, request.request_id)
+    else:
+        _clear_content(world, target, request.content, request.request_id)
 
 
 def _record_run(
--- a/tests/cases/suspect_parts.py
+++ b/tests/cases/suspect_parts.py
@@ -502,3 +502,15 @@
             view.add(crash)
         views.append(view.digest())
     assert len(set(views)) == 1, views
+
+
+def errors_are_no_runs_of_other_parts_either() -> None:
+    """Guards against blaming a part whose requests its servers reject."""
+    core = _core()
+    for _ in range(2 * SOUND_RUNS):
+        assert _run(core, "s0", status=404)
+    for _ in range(3):
+        _crash(core, "s0")
+        core.wait(GAP_MS)
+    _settle(core)
+    assert _run(core, "s0")
--- a/tests/features/crashing_parts.feature
+++ b/tests/features/crashing_parts.feature
@@ -37,6 +37,7 @@
       | suspect_parts | a response without a start time is no other process |
       | suspect_parts | a later answer shows that a server has outlived one |
       | suspect_parts | equal knowledge has equal digests |
+      | suspect_parts | errors are no runs of other parts either |
 
     Examples: simulated fleets
       | group       | case |
