Blame no crash on an attempt that was never sent

Each had been placed at four engines within 0.2 s, and every connection was refused; a probe had found the engines dead while it connected, and took all attempts in flight there for what might have ended them. Three engines that end at one time were enough, for ten minutes.

An attempt that fails before anything is sent is taken off the possible crashes of its server. The new case fails before.

The crashes that a daemon announces have those of requests first again: the runs that a crash broke on a target came first, and the case "a crash reported by a peer before it is seen counts once" of repeats, which reads the first, failed.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -83,6 +83,26 @@
     return True
 
 
+def forget_unsent(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+) -> None:
+    """Clears an attempt of which no byte was sent, so that it ended nothing.
+
+    A probe may find its server dead while it still connects.
+    """
+    server = world.servers.get(attempt.server_id)
+    if server is None or not server.possible_crashes:
+        return
+    keys = request.suspect_keys
+    server.possible_crashes = [
+        run
+        for run in server.possible_crashes
+        if run.keys != keys or run.start != attempt.incarnation_id
+    ]
+
+
 def record_process_end(
     world: entities.World, server: entities.ServerRow
 ) -> None:
@@ -379,7 +399,7 @@
         )
         for start in {run.start for run in runs}
     )
-    crashes = (*broken, *distinct.values())
+    crashes = (*distinct.values(), *broken)
     world.emit(effects.TellCrashes(target=server.target, crashes=crashes))
     _add_crashes(world, crashes)
 
@@ -538,6 +558,7 @@
     "apply_peer_update",
     "clear_by_relay",
     "clear_outlived",
+    "forget_unsent",
     "incarnation_id",
     "is_blocked",
     "is_quarantined",
--- a/tests/cases/quarantines.py
+++ b/tests/cases/quarantines.py
@@ -360,3 +360,18 @@
     assert kept == quarantine.MAX_CONTENTS
     state.expire(now_ms=10 * quarantine.QUARANTINE_MS)
     assert len(state) == 0
+
+
+def an_attempt_that_was_never_sent_is_not_blamed() -> None:
+    """Guards against blaming what was connecting when its server ended."""
+    core = _core()
+    for number in range(3):
+        core.arrive("short", f"r{number}", fingerprint="f")
+        sent = core.dispatch()
+        core.tell(server_inputs.ProbeAnswered, sent.server_id, alive=False)
+        core.fail(sent, CONNECT, ENDED)
+        core.tell_named(
+            server_inputs.ServerListed, server_id=sent.server_id, gone=True
+        )
+        assert not _announced(core), number
+    assert not _is_refused(core)
--- a/tests/features/crashing.feature
+++ b/tests/features/crashing.feature
@@ -36,6 +36,7 @@
       | quarantines | an older completed run does not replace a newer one |
       | quarantines | an exchange makes up for lost crash reports |
       | quarantines | crashes remembered are bounded |
+      | quarantines | an attempt that was never sent is not blamed |
       | crash_rows | unreadable rows are skipped |
       | crash_rows | a call to an unavailable store is retried |
       | crash_rows | a quarantine that was lifted stays so |
