Weigh parts once, and keep what one part and all runs need apart

One class served both for a part and for all runs on a target: each used half of it, and a copy with other crashes kept the sums of the old ones. They are two now. Every weighing scored all parts, and then once more to find the harmful ones; it returns both now.

--- a/src/godwittack/core/evidence.py
+++ b/src/godwittack/core/evidence.py
@@ -14,6 +14,7 @@
 
 import bisect
 import copy
+import dataclasses
 import itertools
 import math
 from typing import TYPE_CHECKING, Protocol
@@ -21,9 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Crashes without which nothing is blamed.
+# Crashes, and different times of them, without which nothing is blamed.
 CRASHES_TO_BLAME = 3
-# Different times of crashes without which nothing is blamed.
 TIMES_TO_BLAME = 2
 # Least share of the runs with a harmful part that crash.
 HARMFUL_SHARE = 1 / 20
@@ -38,10 +38,8 @@
 TOGETHER_MS = 500
 # Difference between the times at which daemons observe one crash.
 REPORT_DELAY_MS = 100
-
-
-# The same for a part of which no run is known to have completed, and completed
-# runs without it, for each of its crashes, that show that others do.
+# Crashes, and different times of them, that are enough to blame a part of which
+# no run is known to have completed, while others have: so many for each crash.
 CRASHES_WITHOUT_COMPLETION = 4
 TIMES_WITHOUT_COMPLETION = 3
 OTHERS_PER_CRASH = 4
@@ -80,12 +78,12 @@
         ...
 
 
-class Evidence:
-    """What is known of one part, or of all runs on a target.
+class PartEvidence:
+    """What is known of one part.
 
     Attributes:
         key: Its key.
-        crashes: Crashes that broke runs, by time.
+        crashes: Crashes at which it was.
     """
 
     def __init__(
@@ -94,28 +92,23 @@
         crashes: Iterable[Timed],
         completions: Iterable[Counted],
     ) -> None:
-        """Sorts what is known by time."""
+        """Orders what is known by time."""
         self.key = key
-        self.crashes = sorted(crashes, key=lambda crash: crash.at_ms)
+        self.crashes = tuple(crashes)
         self._completed = _Timeline((c.at_ms, c.count) for c in completions)
-        self._broken = _Timeline((c.at_ms, c.runs) for c in self.crashes)
-        first_ms: dict[str, int] = {}
-        for crash in self.crashes:
-            first_ms.setdefault(crash.start, crash.at_ms)
-        self._ended = _Timeline((at_ms, 1) for at_ms in first_ms.values())
 
     @property
     def starts(self) -> frozenset[str]:
         """The incarnations that ended."""
         return frozenset(crash.start for crash in self.crashes)
 
-    def with_crashes(self, crashes: Iterable[Timed]) -> Evidence:
-        """Returns evidence with other crashes."""
+    def with_crashes(self, crashes: Iterable[Timed]) -> PartEvidence:
+        """Returns the evidence with other crashes."""
         changed = copy.copy(self)
-        changed.crashes = sorted(crashes, key=lambda crash: crash.at_ms)
+        changed.crashes = tuple(crashes)
         return changed
 
-    def without(self, explained: set[str]) -> Evidence:
+    def without(self, explained: set[str]) -> PartEvidence:
         """Returns the evidence less the crashes that have another cause."""
         if not explained:
             return self
@@ -123,15 +116,36 @@
             c for c in self.crashes if c.start not in explained
         )
 
+    def completed(self, from_ms: float) -> int:
+        """Returns how many runs have completed from a time on."""
+        return self._completed.sum(from_ms, math.inf)
+
+
+class UsualRuns:
+    """What is known of all runs on a target."""
+
+    def __init__(
+        self, crashes: Iterable[Timed], completions: Iterable[Counted]
+    ) -> None:
+        """Orders what is known by time."""
+        crashes = tuple(crashes)
+        ended_ms: dict[str, int] = {}
+        for crash in crashes:
+            first_ms = ended_ms.get(crash.start, crash.at_ms)
+            ended_ms[crash.start] = min(first_ms, crash.at_ms)
+        self._ended = _Timeline((at_ms, 1) for at_ms in ended_ms.values())
+        self._broken = _Timeline((c.at_ms, c.runs) for c in crashes)
+        self._completed = _Timeline((c.at_ms, c.count) for c in completions)
+
     def completed(self, from_ms: float, to_ms: float = math.inf) -> int:
         """Returns how many runs completed in a time."""
         return self._completed.sum(from_ms, to_ms)
 
     def broken(self, from_ms: float, to_ms: float) -> int:
-        """Returns how many runs were broken in a time."""
+        """Returns how many runs crashes broke in a time."""
         return self._broken.sum(from_ms, to_ms)
 
-    def crash_count(self, from_ms: float, to_ms: float) -> int:
+    def crash_count(self, from_ms: float, to_ms: float = math.inf) -> int:
         """Returns how many incarnations ended in a time."""
         return self._ended.sum(from_ms, to_ms)
 
@@ -151,7 +165,7 @@
         return max(0, self._totals[last] - self._totals[first])
 
 
-def score(part: Evidence, usual: Evidence) -> float:
+def score(part: PartEvidence, usual: UsualRuns) -> float:
     """Returns how much speaks for a part to be harmful, as a logarithm.
 
     A part may have become harmful only lately, so the worst time counts: from
@@ -159,7 +173,7 @@
 
     Args:
         part: What is known of the part.
-        usual: The same of all runs on its target.
+        usual: What is known of all runs on its target.
     """
     times_ms = _distinct_times(crash.at_ms for crash in part.crashes)
     if len(times_ms) < TIMES_TO_BLAME:
@@ -175,7 +189,7 @@
 
 
 def _never_completes(
-    part: Evidence, usual: Evidence, times_ms: list[int]
+    part: PartEvidence, usual: UsualRuns, times_ms: list[int]
 ) -> bool:
     """Returns whether a part only crashes, while others complete.
 
@@ -189,7 +203,7 @@
         or part.completed(-math.inf)
     ):
         return False
-    all_crashes = usual.crash_count(times_ms[0] - REPORT_DELAY_MS, math.inf)
+    all_crashes = usual.crash_count(times_ms[0] - REPORT_DELAY_MS)
     others = usual.completed(times_ms[0])
     return 2 * crashes >= all_crashes and others >= OTHERS_PER_CRASH * crashes
 
@@ -203,7 +217,7 @@
     return times
 
 
-def _score_from(part: Evidence, usual: Evidence, from_ms: int) -> float:
+def _score_from(part: PartEvidence, usual: UsualRuns, from_ms: int) -> float:
     """Compares how often a part is at crashes with its chance to be there."""
     times_ms = [c.at_ms for c in part.crashes if c.at_ms >= from_ms]
     own = len(times_ms)
@@ -230,10 +244,21 @@
     return result
 
 
-def find_harmful(
-    parts: Iterable[Evidence], usual: Evidence
-) -> list[frozenset[str]]:
-    """Returns the harmful parts, as sets that are refused if held together.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Findings:
+    """What parts are blamed for.
+
+    Attributes:
+        harmful: Sets of parts that are refused if held together.
+        doubtful: Parts for which anything speaks to be harmful.
+    """
+
+    harmful: list[frozenset[str]]
+    doubtful: frozenset[str]
+
+
+def weigh(parts: Iterable[PartEvidence], usual: UsualRuns) -> Findings:
+    """Finds the harmful parts.
 
     The worst part explains the crashes at which it was: they no longer count
     against the parts beside it. Parts that were at the same crashes can't be
@@ -244,33 +269,38 @@
         usual: What is known of all runs on their target.
     """
     left = {part.key: part for part in parts}
+    scores = {key: score(part, usual) for key, part in left.items()}
+    doubtful = frozenset(key for key in scores if scores[key] > 0.0)
+    harmful: list[frozenset[str]] = []
     explained: set[str] = set()
-    found: list[frozenset[str]] = []
-    while True:
-        unexplained = [part.without(explained) for part in left.values()]
-        scores = {part.key: score(part, usual) for part in unexplained}
-        blamed = {
-            part.key: part.starts
-            for part in unexplained
-            if scores[part.key] >= BLAME_SCORE
-        }
-        if not blamed:
-            return found
-        worst = max(blamed, key=lambda key: (scores[key], key))
+    while scores and max(scores.values()) >= BLAME_SCORE:
+        worst = max(scores, key=lambda key: (scores[key], key))
+        starts = left[worst].starts
         together = frozenset(
-            key for key, starts in blamed.items() if starts == blamed[worst]
+            key
+            for key, part in left.items()
+            if scores[key] >= BLAME_SCORE and part.starts == starts
         )
-        found.append(together)
-        explained |= blamed[worst]
-        for key in together:
-            del left[key]
+        harmful.append(together)
+        explained |= starts
+        left = {
+            key: part.without(explained)
+            for key, part in left.items()
+            if key not in together
+        }
+        scores = {key: score(part, usual) for key, part in left.items()}
+    return Findings(harmful, doubtful)
 
 
 __all__ = [
     "BLAME_SCORE",
     "CRASHES_TO_BLAME",
     "HISTORY_MS",
-    "Evidence",
-    "find_harmful",
+    "REPORT_DELAY_MS",
+    "TOGETHER_MS",
+    "Findings",
+    "PartEvidence",
+    "UsualRuns",
     "score",
+    "weigh",
 ]
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -366,29 +366,29 @@
         )
 
     def _find_harmful(self) -> list[frozenset[str]]:
-        by_target: dict[str, list[evidence.Evidence]] = {}
+        by_target: dict[str, list[evidence.PartEvidence]] = {}
         for key, by_incarnation in self._crashes.items():
             if len(by_incarnation) < evidence.CRASHES_TO_BLAME:
                 continue
             if suspects.is_part(key):
                 target = suspects.target_of(key)
                 by_target.setdefault(target, []).append(self._evidence(key))
-        found: list[frozenset[str]] = []
+        harmful: list[frozenset[str]] = []
         self._doubtful.clear()
         for target, parts in by_target.items():
-            usual = self._evidence(suspects.target_key(target))
-            scores = {part.key: evidence.score(part, usual) for part in parts}
-            self._doubtful.update(key for key in scores if scores[key] > 0.0)
-            if max(scores.values()) >= evidence.BLAME_SCORE:
-                found.extend(evidence.find_harmful(parts, usual))
-        return found
-
-    def _evidence(self, key: str) -> evidence.Evidence:
-        return evidence.Evidence(
-            key,
-            self._known_crashes(key),
-            self._completions.get(key, {}).values(),
-        )
+            found = evidence.weigh(parts, self._usual_runs(target))
+            self._doubtful.update(found.doubtful)
+            harmful.extend(found.harmful)
+        return harmful
+
+    def _evidence(self, key: str) -> evidence.PartEvidence:
+        completions = self._completions.get(key, {}).values()
+        return evidence.PartEvidence(key, self.crashes(key), completions)
+
+    def _usual_runs(self, target: str) -> evidence.UsualRuns:
+        key = suspects.target_key(target)
+        completions = self._completions.get(key, {}).values()
+        return evidence.UsualRuns(self._known_crashes(key), completions)
 
     def _known_crashes(self, key: str) -> tuple[Crash, ...]:
         if suspects.is_target(key):
@@ -468,8 +468,7 @@
         if not suspects.is_part(key):
             return True
         part = self._evidence(key).with_crashes((*known.values(), *more))
-        target = suspects.target_of(key)
-        usual = self._evidence(suspects.target_key(target))
+        usual = self._usual_runs(suspects.target_of(key))
         return evidence.score(part, usual) >= evidence.BLAME_SCORE
 
     def harmful_parts(self) -> frozenset[frozenset[str]]:
