--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -326,7 +326,7 @@
     until_ms = world.quarantine.until_ms(*keys)
     if world.now_ms < until_ms:
         return True
-    return 0 < until_ms and world.now_ms < until_ms + _release_delay_ms(
+    return until_ms > 0 and world.now_ms < until_ms + _release_delay_ms(
         world, keys
     )
 
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -14,6 +14,7 @@
 import collections
 import dataclasses
 import heapq
+import itertools
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -516,7 +517,7 @@
             return 0
         ended = sum(
             later - earlier >= QUARANTINE_MS
-            for earlier, later in zip(times, times[1:], strict=False)
+            for earlier, later in itertools.pairwise(times)
         )
         return times[-1] + QUARANTINE_MS * 2 ** min(ended, MAX_DOUBLINGS)
 
