Believe daemons that reach any of three other servers

A process counts as ended if daemons that reach others find it so. They showed that by one other server, the one heard from last. They show it by any of three now, first those whose paths are not known to be lost.

The new case of relaying fails before.

--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import heapq
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -38,6 +39,8 @@
 MAX_ATTEMPTS = 256
 # Events buffered for a daemon that reads slowly.
 MAX_BUFFERED_EVENTS = 64
+# Other servers that a daemon probes to find out whether it is cut off.
+MAX_OTHERS = 3
 # Time for which a refused connection answers further questions.
 REFUSED_KEEP_MS = 300
 
@@ -283,9 +286,9 @@
         return ""
 
     async def _probe(self, server: entities.ServerRow) -> peer_pb2.PathReply:
-        other = self._other_server(server)
-        result, other_result = await asyncio.gather(
-            self._load(server), self._load(other)
+        others = self._other_servers(server)
+        result, *other_results = await asyncio.gather(
+            self._load(server), *map(self._load, others)
         )
         now_ms = self._clock.now_ms()
         is_alive = _is_alive(result)
@@ -311,19 +314,20 @@
         reply = _reply(
             verdict,
             incarnation=_incarnation(result),
-            reaches_others=other is None or _is_alive(other_result),
+            reaches_others=not others or any(map(_is_alive, other_results)),
         )
         if is_refused:
             self._refused[server.server_id] = _Refused(now_ms, reply)
         return reply
 
-    def _other_server(
+    def _other_servers(
         self, server: entities.ServerRow
-    ) -> entities.ServerRow | None:
-        """Returns another server, which shows whether this daemon is cut off.
+    ) -> list[entities.ServerRow]:
+        """Returns other servers, which show whether this daemon is cut off.
 
-        One of the same target, as a cut may concern one service only; of
-        these, the one heard from last is the least likely to have ended.
+        Of the same target, as a cut may concern one service only. Several, as
+        many servers may end at one time; those heard from last are the least
+        likely to have ended, unless their paths are known to be lost.
         """
         others = [
             other
@@ -331,17 +335,15 @@
             if other is not server and not other.leaving
         ]
         same_target = [o for o in others if o.target == server.target]
-        return max(
+        return heapq.nsmallest(
+            MAX_OTHERS,
             same_target or others,
-            key=lambda other: other.last_contact_ms,
-            default=None,
+            key=lambda other: (paths.is_lost(other), -other.last_contact_ms),
         )
 
     async def _load(
-        self, server: entities.ServerRow | None
-    ) -> Result[protocol.EngineLoad, protocol.BackendError] | None:
-        if server is None:
-            return None
+        self, server: entities.ServerRow
+    ) -> Result[protocol.EngineLoad, protocol.BackendError]:
         return await self._backend.load(
             server.address, server_id=server.server_id, fresh_connection=True
         )
@@ -379,16 +381,14 @@
 
 
 def _is_alive(
-    result: Result[protocol.EngineLoad, protocol.BackendError] | None,
+    result: Result[protocol.EngineLoad, protocol.BackendError],
 ) -> bool:
     """Returns whether a server responded; a rejection counts as well."""
-    if result is None:
-        return False
     return isinstance(result, Ok) or result.err_value.status > 0
 
 
 def _incarnation(
-    result: Result[protocol.EngineLoad, protocol.BackendError] | None,
+    result: Result[protocol.EngineLoad, protocol.BackendError],
 ) -> str:
     return result.ok_value.incarnation if isinstance(result, Ok) else ""
 
--- a/tests/cases/relaying.py
+++ b/tests/cases/relaying.py
@@ -427,6 +427,30 @@
         assert nobody.verdict is server_inputs.PathVerdict.UNKNOWN
 
 
+async def any_live_server_shows_that_a_daemon_is_not_cut_off() -> None:
+    """Guards against daemons not believed while most servers have ended."""
+    async with Relays() as relays:
+        for number in range(3):
+            name = f"i-dead{number}"
+            relays.core.list_server(
+                name,
+                routed_core.ENGINES,
+                address=f"127.0.0.1:{free_port()}",
+            )
+            dead = relays.core.world.servers[name]
+            dead.last_contact_ms = relays.clock.now_ms() + number
+        await relays.plain.stop()
+        lost = relays.core.world.servers["i-dead1"]
+        lost.path_lost_at_ms = 1
+        address = relays.core.world.servers["i-dead0"].address
+        ended = await relays.client.ask(
+            "relay", server_id="i-dead0", address=address
+        )
+        assert ended.verdict is server_inputs.PathVerdict.ENDED
+        # The engine is alive, though it was heard from before the others.
+        assert ended.reaches_others
+
+
 async def messages_of_unknown_kinds_end_an_attempt_as_open() -> None:
     """Guards against an answer that never ends after an unknown event."""
     event = peer_pb2.RelayEvent(failure=peer_pb2.RelayFailure(phase="newer"))
--- a/tests/features/cut_off.feature
+++ b/tests/features/cut_off.feature
@@ -37,6 +37,7 @@
       | a broken relay is no crash of a server |
       | a crash counts once no daemon finds the server alive |
       | daemons that are cut off themselves are not believed |
+      | an undecided end is asked about again |
       | one daemon that finds a server alive outweighs all others |
       | a process that restarts at once counts as ended |
       | a named incarnation that answers has not restarted |
@@ -69,6 +70,7 @@
       | a relay without a path declines at once |
       | a relay sends nothing to a server that wants rest |
       | a relay passes on nothing that it has in quarantine |
+      | any live server shows that a daemon is not cut off |
       | two attempts do not share a place of a relay |
       | an entry removed meanwhile leaves a relay idle |
       | what a server says reaches sender and relay |
