Ask again whether a server has ended while it is undecided

Other daemons were asked once for each broken run. If none of them was believed, nobody asked again, and the end of the process was known when its entry lapsed. It is asked again each second while runs there may have been broken by a crash.

The new case of paths fails before ("not asked again").

--- a/src/godwittack/core/paths.py
+++ b/src/godwittack/core/paths.py
@@ -34,6 +34,8 @@
 MAX_ASKED = 16
 # Minimum time between two questions about a server.
 ASK_INTERVAL_MS = 500
+# Interval at which it is asked again whether a server has ended.
+ASK_AGAIN_MS = 1_000
 # Time after which a question without an answer is asked again.
 ASK_EXPIRES_MS = 3_000
 # Time until the first probe of a lost path: an open connection may have been
@@ -279,9 +281,7 @@
     for server in lost:
         if is_alive_elsewhere(server) and not was_quick_restart(world, server):
             crashes.clear_by_relay(world, server)
-        if server.possible_crashes and any(
-            run.at_ms >= server.asked_at_ms for run in server.possible_crashes
-        ):
+        if _is_end_undecided(world, server):
             ask(world, server)
         server.ejected_until_ms = max(
             server.ejected_until_ms, world.now_ms + PROBE_INTERVAL_MS
@@ -290,6 +290,24 @@
         tell(world)
 
 
+def _is_end_undecided(
+    world: entities.World, server: entities.ServerRow
+) -> bool:
+    """Returns whether to ask if a server has ended under its requests.
+
+    Where most servers have ended, few daemons are believed at first.
+    """
+    if not server.possible_crashes:
+        return False
+    broken_ms = max(run.at_ms for run in server.possible_crashes)
+    if broken_ms >= server.asked_at_ms:
+        return True
+    return (
+        world.now_ms - server.asked_at_ms >= ASK_AGAIN_MS
+        and world.now_ms - broken_ms < crashes.CRASH_WINDOW_MS
+    )
+
+
 def is_probe_due(world: entities.World, server: entities.ServerRow) -> bool:
     """Returns whether to probe a lost path now."""
     return is_lost(server) and world.now_ms >= server.path_probe_at_ms
--- a/tests/cases/paths.py
+++ b/tests/cases/paths.py
@@ -190,6 +190,25 @@
         assert not _events(found, "server_crashed"), peer
 
 
+def an_undecided_end_is_asked_about_again() -> None:
+    """Guards against ends known only when the entries lapse."""
+    core = fleet_core()
+    sent = _broken_call(core)
+    core.now_ms += 5
+    _lose(core, sent.server_id, is_refused=True)
+    for peer in PEERS[1:]:
+        _answer(core, sent.server_id, peer, "ended")
+    asked = [e for e in core.wait(1_500) if isinstance(e, effects.AskPaths)]
+    assert asked, "not asked again"
+    for peer in PEERS[1:]:
+        found = _answer(
+            core, sent.server_id, peer, "ended", reaches_others=True
+        )
+    assert _events(found, "server_crashed")
+    later = [e for e in core.wait(3_000) if isinstance(e, effects.AskPaths)]
+    assert not later, later
+
+
 def one_daemon_that_finds_a_server_alive_outweighs_all_others() -> None:
     """Guards against crashes recorded while all daemons but one are cut off."""
     core = fleet_core()
