Keep workspaces to their quotas over all daemons

What callers saw: nothing read the operators' quotas.

Change: each workspace has one token bucket, which every daemon keeps whole. It takes what it admits itself at once and what others report; a report is due once the unreported use passes the daemon's part of a tolerance that shrinks with the bucket. In debt, an ever smaller part of the requests is admitted. Buckets fill by the part of the fleet in contact, start empty, and are charged for the time that a process was suspended. The adapter translates the operators' limits; the table, its checks, the refusal and its log line are the product's own.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -214,6 +214,14 @@
         description="numbers that tune membership, see `godwittack settings`",
     )
 
+    @pydantic.field_validator("decisions", mode="before")
+    @classmethod
+    def _drop_empty_decisions(cls, value: object) -> object:
+        # A template writes a key without a value where it has none.
+        if not isinstance(value, dict):
+            return value
+        return {k: number for k, number in value.items() if number is not None}
+
     @pydantic.field_validator("decisions")
     @classmethod
     def _check_decisions(
--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -12,6 +12,7 @@
     effects,
     entities,
     placing,
+    quotas,
     retries,
     routing,
     stream_versions,
@@ -65,6 +66,10 @@
             )
     if not _check_limits(world, request, workspace):
         return
+    verdict = quotas.check(world, request, workspace)
+    if verdict is not None:
+        quotas.refuse(world, request, workspace, verdict)
+        return
     world.requests[request.request_id] = request
     for cell in request.cells:
         world.shares.record_start(cell)
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from godwittack.core import effects, entities
+from godwittack.core import effects, entities, quotas
 
 SERVICE_TIME_SMOOTHING = 0.1
 
@@ -166,6 +166,7 @@
         queue.remove(request.request_id)
     for cell in request.cells:
         world.shares.record_end(cell)
+    quotas.release(world, request)
     world.targets_to_dispatch.add(request.work.target)
     world.emit(effects.Forget(request.request_id))
 
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -14,6 +14,7 @@
     kv_cache,
     paths,
     placing,
+    quotas,
     rate_limits,
     refusing,
     resting,
@@ -361,6 +362,7 @@
     request.attempts += 1
     # Undone if the server turns out not to have run the request.
     request.possible_runs += 1
+    quotas.record_dispatch(world, request)
     world.attempts[attempt.attempt_id] = attempt
 
 
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 from godwittack.core import quarantine, work
+from godwittack.limit import quota
 
 
 class Outcome(enum.StrEnum):
@@ -29,6 +30,7 @@
     KEY_REUSED = "idempotency_key_reused"
     KEY_IN_PROGRESS = "in_progress"
     LIMIT = "limit"
+    QUOTA = "quota"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     NO_SERVER = "no_server"
@@ -334,6 +336,13 @@
     at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellUsage:
+    """Reports to the serving daemons what was admitted under quotas here."""
+
+    usages: tuple[quota.Usage, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TellBrittle:
     """Announces to other daemons that a server is brittle, or no longer.
@@ -407,6 +416,7 @@
     | Doubt
     | TellCrashes
     | TellRateLimit
+    | TellUsage
     | TellBrittle
     | Event
     | Forget
@@ -440,6 +450,7 @@
     "TellCrashes",
     "TellPaths",
     "TellRateLimit",
+    "TellUsage",
     "TellStream",
     "WriteClaim",
 ]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -18,7 +18,7 @@
 )
 from godwittack.core import policy as policies
 from godwittack.core import work as works
-from godwittack.limit import advertised, budget, fair, shares
+from godwittack.limit import advertised, budget, fair, quota, shares
 from godwittack.placement import residency
 from godwittack.table import model
 
@@ -86,6 +86,8 @@
         awaits_rest_end: Whether it is queued until a server's requested rest
             ends.
         cells: Limited cells that count the request while it is in flight.
+        quota_units: Units that one run of it takes from its workspace's quota.
+        quota_runs: Runs for which they were taken.
         relay: Daemon that passed its last attempt on; empty for none.
         stream_version: Software version that began its stream, at which it must
             go on; empty if none has, or if it is not known.
@@ -121,6 +123,8 @@
     queue_priority: int = 0
     awaits_rest_end: bool = False
     cells: tuple[str, ...] = ()
+    quota_units: int = 0
+    quota_runs: int = 0
     relay: str = ""
     stream_version: str = ""
     inquiry: StreamInquiry | None = None
@@ -408,6 +412,7 @@
             each target separately.
         targets_to_dispatch: Targets whose queues are to be dispatched after
             this input.
+        quotas: Buckets of the workspaces that have a quota.
         service_time_ms: Smoothed time from dispatch to completion, by target.
         live_daemons: Incarnations of daemons believed alive.
         serving_daemons: Those of them that send requests to servers.
@@ -455,6 +460,7 @@
         default_factory=lambda: collections.defaultdict(dict)
     )
     shares: shares.Shares = dataclasses.field(default_factory=shares.Shares)
+    quotas: quota.Quotas = dataclasses.field(default_factory=quota.Quotas)
     retry_budget: budget.Budget = dataclasses.field(
         default_factory=budget.Budget
     )
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -10,6 +10,7 @@
 from typing import TypeAlias
 
 from godwittack.core import quarantine, server_inputs, work
+from godwittack.limit import quota
 from godwittack.table import model
 
 
@@ -217,6 +218,27 @@
     cells: tuple[CellDemand, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UsageTold:
+    """Another daemon reports what it admitted under quotas."""
+
+    at_ms: int
+    daemon_id: str
+    usages: tuple[quota.Usage, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetReached:
+    """The part of the expected daemons that this one is in contact with.
+
+    Attributes:
+        part: From 0 to 1, this daemon included.
+    """
+
+    at_ms: int
+    part: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CellDemand:
     """Demand on one limited cell.
@@ -341,6 +363,8 @@
     | server_inputs.PathAnswered
     | server_inputs.PathsTold
     | PeerDemand
+    | UsageTold
+    | FleetReached
     | server_inputs.PeerDispatched
     | CrashesTold
     | MembersChanged
@@ -361,6 +385,7 @@
     "CrashesTold",
     "FailureCause",
     "FailurePhase",
+    "FleetReached",
     "FramesArrived",
     "Input",
     "MembersChanged",
@@ -375,4 +400,5 @@
     "TableChanged",
     "Tick",
     "UsageReported",
+    "UsageTold",
 ]
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -56,6 +56,9 @@
         slots: Assumed batch size until a server reports its own.
         queue_total: Maximum queued requests over all targets.
         max_residency: Maximum level keys remembered per server.
+        quota_window_s: Window in which operators tolerate use beyond a quota.
+        quota_overage_ratio: That use relative to what the quota allows in it.
+        quota_slack: Further units of that use.
     """
 
     frame_gap_ms: int = 2_000
@@ -88,6 +91,9 @@
     slots: int = 16
     queue_total: int = 2_000
     max_residency: int = 20_000
+    quota_window_s: float = 8.0
+    quota_overage_ratio: float = 0.1
+    quota_slack: float = 0.0
 
 
 __all__ = ["Policy"]
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -19,6 +19,7 @@
     outcomes,
     paths,
     probing,
+    quotas,
     rate_limits,
     resuming,
     server_inputs,
@@ -70,6 +71,7 @@
             tokens=policy.spill_burst,
         )
         world.shares.daemon = daemon
+        world.quotas.tolerance = quotas.tolerance(policy)
         if table is not None:
             world.table = table
         return cls(world)
@@ -81,6 +83,7 @@
         world.now_ms = max(world.now_ms, input_.at_ms)
         if world.started_at_ms < 0:
             world.started_at_ms = world.now_ms
+            world.quotas.start_listening(world.now_ms)
         self._handle(input_)
         if world.targets_to_dispatch:
             dispatching.dispatch_queued(world)
@@ -160,6 +163,10 @@
                 crashes.apply_peer_update(world, input_)
             case inputs.PeerDemand():
                 self._apply_peer_demand(input_)
+            case inputs.UsageTold():
+                quotas.apply_reports(world, input_)
+            case inputs.FleetReached():
+                quotas.record_reach(world, input_.part)
             case inputs.StreamTold():
                 stream_versions.apply_told(world, input_)
             case inputs.StreamAnswered():
@@ -183,6 +190,7 @@
                 )
                 rate_limits.recompute_shares(world)
                 brittle.record_members(world, before=before)
+                quotas.record_members(world, before=before)
             case inputs.RightToServe():
                 is_held = input_.until_ms > world.now_ms
                 if world.has_serving_lease != is_held:
@@ -195,6 +203,7 @@
     def _tick(self) -> None:
         world = self.world
         world.shares.update_demand(world.now_ms)
+        quotas.report_usage(world)
         outcomes.retry_due_writes(world)
         attempts.reply_unstored(world)
         probing.probe_unresponsive(world)
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -57,6 +57,8 @@
         resume_after: Last event of a stream that the caller already has.
         resumes: The caller's id of the request that brought that stream's first
             event; empty if it names none.
+        used_tokens: Tokens that it counts as against a quota, those of the
+            answer included; None if the caller states no count.
     """
 
     kind: WorkKind
@@ -76,6 +78,7 @@
     route: forwarding.Route | None = None
     resume_after: int = 0
     resumes: str = ""
+    used_tokens: int | None = None
 
     @property
     def prompt_tokens(self) -> int:
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -24,6 +24,8 @@
 LEAVE_TIMEOUT_MS = 3_000
 LEAVE_RETRY_MS = 100
 MAX_SEED_PROBES = 16
+# Age up to which probes show which part of the fleet is in contact.
+REACH_WINDOW_MS = 1_200
 
 
 class Prober(Protocol):
@@ -441,6 +443,14 @@
             self._reported_expected = expected
             self._reported_live = live
             self._reported_serving = serving_daemons
+        submit(
+            inputs.FleetReached(
+                now_ms,
+                self.members.reachable_fraction(
+                    now_ms=now_ms, within_ms=REACH_WINDOW_MS
+                ),
+            )
+        )
         until_ms = self._keeper.serving_lease.valid_until_ms(
             self.members,
             own_version=self._keeper.table.version,
--- a/src/godwittack/daemon/outbox.py
+++ b/src/godwittack/daemon/outbox.py
@@ -15,6 +15,7 @@
 
     from godwittack.clock import Clock
     from godwittack.core import inputs, quarantine
+    from godwittack.limit import quota
     from godwittack.peer import exchange
 
 RETRY_PAUSE_MS = 500
@@ -23,6 +24,8 @@
 RESEND_INTERVAL_MS = 500
 # A stream without messages for this long is closed.
 IDLE_TIMEOUT_MS = 10_000
+# Reports of use that are repeated on a new stream, in case they were lost.
+USAGE_KEPT_MS = 30_000
 
 
 class NewsStream(Protocol):
@@ -52,6 +55,7 @@
     Attributes:
         pending: Updates not sent yet.
         last_demands: The demand sent or queued last.
+        last_usages: The reports of use sent or queued last, by workspace.
         last_used_ms: When a message was last sent.
     """
 
@@ -66,6 +70,7 @@
         """Starts a task that sends to `address` once updates are pending."""
         self.pending = pending.PendingNews()
         self.last_demands: tuple[inputs.CellDemand, ...] = ()
+        self.last_usages: dict[str, quota.Usage] = {}
         self.last_used_ms = clock.now_ms()
         self._own_id = own_id
         self._address = address
@@ -93,6 +98,13 @@
         self.pending.completions.update(completions)
         self.send_pending()
 
+    def send_usages(self, usages: tuple[quota.Usage, ...]) -> None:
+        """Sends reports of use at once."""
+        reports = {usage.workspace: usage for usage in usages}
+        self.last_usages.update(reports)
+        self.pending.usages.update(reports)
+        self.send_pending()
+
     def resend_all_crashes(self, crash_history: quarantine.Quarantine) -> None:
         """Sends all known crashes, at most once per resend interval."""
         now_ms = self._clock.now_ms()
@@ -126,16 +138,26 @@
             self._stream.close()
 
     def _handle_broken_stream(self) -> None:
-        """Queues the demand again, which may have been lost with the stream.
+        """Queues again what may have been lost with the stream.
 
-        Loads are repeated and the instance list has versions, but demand is
-        sent only on changes: until the next one, the peer would split limits
-        by an outdated demand.
+        Loads are repeated and the instance list has versions, but demand and
+        use are sent only on changes: until the next one, the peer would apply
+        limits by outdated figures.
         """
         self._stream = None
         if self.last_demands and self.pending.demands is None:
             self.pending.demands = self.last_demands
-            self._send_requested.set()
+        self.pending.usages = {**self._recent_usages(), **self.pending.usages}
+        self.send_pending()
+
+    def _recent_usages(self) -> dict[str, quota.Usage]:
+        oldest_ms = self._clock.now_ms() - USAGE_KEPT_MS
+        self.last_usages = {
+            workspace: usage
+            for workspace, usage in self.last_usages.items()
+            if usage.at_ms >= oldest_ms
+        }
+        return self.last_usages
 
     async def _run(self) -> None:
         while True:
@@ -158,6 +180,7 @@
             self._writer = wire.NewsWriter()
             # The demand sent on a stream that broke may not have arrived.
             updates.demands = self.last_demands
+            updates.usages = {**self._recent_usages(), **updates.usages}
         message = self._writer.write(updates, now_ms=self._clock.now_ms())
         if is_new_stream:
             message.sender_id = self._own_id
--- a/src/godwittack/daemon/peer_updates.py
+++ b/src/godwittack/daemon/peer_updates.py
@@ -189,6 +189,13 @@
             outbox.pending.rate_limits[limit.server_id] = limit
             outbox.send_pending()
 
+    def publish_usage(self, report: effects.TellUsage) -> None:
+        """Publishes what was admitted under quotas to the serving daemons."""
+        serving = self._runtime.core.world.serving_daemons
+        members = [m for m in self._members.live() if m.member_id in serving]
+        for outbox in self._outboxes_for(members):
+            outbox.send_usages(report.usages)
+
     def compare_crashes(self, sender_id: str, digest: int) -> None:
         """Sends all known crashes to a peer whose digest of them differs.
 
@@ -278,6 +285,12 @@
         if message.has_demands and sender_id:
             cells = tuple(codec.demand_from_proto(d) for d in message.demands)
             submit(inputs.PeerDemand(now_ms, sender_id, True, cells))
+        if message.usages and sender_id:
+            usages = tuple(
+                codec.usage_from_proto(usage, now_ms=now_ms)
+                for usage in message.usages
+            )
+            submit(inputs.UsageTold(now_ms, sender_id, usages))
         if message.listed:
             changes = codec.listed_from_proto(message.listed)
             if message.list_version:
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -192,6 +192,7 @@
         )
         self.runtime.on_crashes = self._publish_crashes
         self.runtime.on_rate_limit = self._peer_updates.publish_rate_limit
+        self.runtime.on_usage = self._peer_updates.publish_usage
         self.runtime.on_paths = self._peer_updates.publish_paths
         self.runtime.on_brittle = self._peer_updates.publish_brittle
         self._gossiper = components.build_gossiper(
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -34,6 +34,7 @@
         on_suspicion: Called with each server that other daemons should probe.
         on_crashes: Called with crashes and completions to publish.
         on_rate_limit: Called with each rate limit to publish.
+        on_usage: Called with what was admitted here under quotas.
         on_brittle: Called with each server that is brittle, or no longer.
         on_paths: Called with the servers that this daemon can't reach.
         relay: Sends attempts through other daemons; None if it can't.
@@ -70,6 +71,8 @@
         self.on_crashes = lambda effect: None
         self.on_rate_limit: Callable[[effects.TellRateLimit], None]
         self.on_rate_limit = lambda effect: None
+        self.on_usage: Callable[[effects.TellUsage], None]
+        self.on_usage = lambda effect: None
         self.on_brittle: Callable[[effects.TellBrittle], None]
         self.on_brittle = lambda effect: None
         self.on_paths: Callable[[effects.TellPaths], None]
@@ -170,6 +173,8 @@
                 self.on_crashes(effect)
             case effects.TellRateLimit():
                 self.on_rate_limit(effect)
+            case effects.TellUsage():
+                self.on_usage(effect)
             case effects.CancelAttempt():
                 self._cancel(effect)
             case effects.WriteClaim():
--- a/src/godwittack/entry/parse.py
+++ b/src/godwittack/entry/parse.py
@@ -116,17 +116,18 @@
         return deadline
     max_tokens = generation.max_completion_tokens or generation.max_tokens or 0
     parts = _prompt_parts(generation)
+    prompt_levels = levels.chain(
+        workspace=workspace, target=generation.model, parts=parts
+    )
     return Ok(
         work.Work(
             kind=work.WorkKind.GENERATION,
             token_sha256=bearer_digest(request),
             target=generation.model,
             caller_request_id=request.headers.get("x-request-id", ""),
-            levels=levels.chain(
-                workspace=workspace,
-                target=generation.model,
-                parts=parts,
-            ),
+            levels=prompt_levels,
+            used_tokens=sum(level.tokens for level in prompt_levels)
+            + max_tokens,
             parts=levels.shared_parts(map(levels.part_digest, parts)),
             max_tokens=max_tokens,
             streaming=generation.stream,
--- a/src/godwittack/member/view.py
+++ b/src/godwittack/member/view.py
@@ -334,24 +334,29 @@
         }
         return max(len(addresses | {self.me.peer_address}), self.expected)
 
-    def reachable_fraction(self, *, now_ms: int) -> float:
+    def reachable_fraction(
+        self, *, now_ms: int, within_ms: int | None = None
+    ) -> float:
         """Returns the fraction of the expected daemons in recent contact.
 
         Dead daemons count as expected, and the total is at least the number in
         the settings: a daemon that is cut off believes all others to be dead,
         and must not conclude that it is the whole fleet. In a large fleet only
-        some daemons are probed within `quorum_ms`; the same fraction of the
-        others is assumed to be reachable.
+        some daemons are probed in time; the same fraction of the others is
+        assumed to be reachable.
+
+        Args:
+            now_ms: Time of the call.
+            within_ms: Age up to which a probe counts; `quorum_ms` if None.
         """
+        max_age_ms = self.policy.quorum_ms if within_ms is None else within_ms
         live = [
             row
             for row in self.rows.values()
             if not row.has_left and row.member.state is not MemberState.DEAD
         ]
         probed = [
-            row
-            for row in live
-            if now_ms - row.probed_at_ms <= self.policy.quorum_ms
+            row for row in live if now_ms - row.probed_at_ms <= max_age_ms
         ]
         answered = sum(1 for row in probed if row.failed_pings == 0)
         reachable = len(live) * answered / len(probed) if probed else 0.0
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import inputs, quarantine, server_inputs
+from godwittack.limit import quota
 from godwittack.member import freshness, view
 from godwittack.peer import peer_pb2
 from godwittack.store import protocol as platform
@@ -187,6 +188,27 @@
     )
 
 
+def usage_to_proto(usage: quota.Usage, *, now_ms: int) -> peer_pb2.Usage:
+    """Returns a workspace's use of its quota as a protobuf message."""
+    return peer_pb2.Usage(
+        workspace=usage.workspace,
+        admitted=usage.admitted,
+        opened_ms_ago=max(0, now_ms - usage.opened_at_ms),
+        level=usage.level,
+    )
+
+
+def usage_from_proto(message: peer_pb2.Usage, *, now_ms: int) -> quota.Usage:
+    """Returns a workspace's use of its quota, dated by this daemon's clock."""
+    return quota.Usage(
+        workspace=message.workspace,
+        admitted=message.admitted,
+        opened_at_ms=now_ms - message.opened_ms_ago,
+        level=message.level,
+        at_ms=now_ms,
+    )
+
+
 def brittle_to_proto(
     brittle: effects.TellBrittle, *, now_ms: int
 ) -> peer_pb2.Brittle:
@@ -252,4 +274,6 @@
     "member_to_proto",
     "rate_limit_from_proto",
     "rate_limit_to_proto",
+    "usage_from_proto",
+    "usage_to_proto",
 ]
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from godwittack.core import effects, inputs, quarantine, server_inputs
+    from godwittack.limit import quota
     from godwittack.store import protocol as platform
 
 MAX_DIGESTS = 64
@@ -36,6 +37,7 @@
         brittle: Tolerance of rejections of each server, by server.
         lost_paths: Servers that this daemon can't reach, None if unchanged
             since the last message.
+        usages: What this daemon admitted under quotas, by workspace.
     """
 
     loads: dict[str, server_inputs.LoadReported] = dataclasses.field(
@@ -64,6 +66,7 @@
         default_factory=dict
     )
     lost_paths: tuple[str, ...] | None = None
+    usages: dict[str, quota.Usage] = dataclasses.field(default_factory=dict)
 
     def is_empty(self) -> bool:
         """Returns whether there is nothing to send."""
@@ -78,6 +81,7 @@
             self.completions,
             self.rate_limits,
             self.brittle,
+            self.usages,
         )
         has_totals = self.demands is not None or self.lost_paths is not None
         return not any(updates) and not has_totals
@@ -129,6 +133,7 @@
                 if later.lost_paths is None
                 else later.lost_paths
             ),
+            usages={**self.usages, **later.usages},
         )
         if later.listed:
             merged.add_list_changes(
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -79,6 +79,10 @@
                 codec.brittle_to_proto(brittle, now_ms=now_ms)
                 for brittle in updates.brittle.values()
             ],
+            usages=[
+                codec.usage_to_proto(usage, now_ms=now_ms)
+                for usage in updates.usages.values()
+            ],
             has_lost_paths=updates.lost_paths is not None,
             lost_paths=updates.lost_paths or (),
         )
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -64,6 +64,7 @@
             path=path.partition("?")[0],
             resume_after=after,
             resumes=request.headers.get(names.RESUMES, ""),
+            used_tokens=_used_tokens(request, parts),
         )
         call = backend.Call(
             method=request.method,
@@ -109,6 +110,21 @@
     return (work.Level(key, prompt_tokens),)
 
 
+def _used_tokens(
+    request: web.BaseRequest, parts: tuple[levels.Part, ...]
+) -> int | None:
+    """Returns the tokens that a request counts as, None without a count.
+
+    A count that can't be read does not make a request cheaper than the parts
+    of its prompt.
+    """
+    counts = request.headers.get(names.TOKEN_COUNTS, "").split(",")
+    numbers = [backend_headers.parse_number(count) for count in counts]
+    if len(numbers) == 2 and None not in numbers:
+        return sum(number or 0 for number in numbers)
+    return sum(part.tokens for part in parts) or None
+
+
 def _forwarded_headers(request: web.BaseRequest) -> tuple[work.Header, ...]:
     return backend_headers.end_to_end(
         (
--- a/src/godwittack/report/text.py
+++ b/src/godwittack/report/text.py
@@ -20,6 +20,7 @@
     "idempotency_key_reused": "the caller used one key for two requests",
     "in_progress": "the same call was still running; no action needed",
     "limit": "raise max_in_flight or max_requests_per_s, or reduce the load",
+    "quota": "raise quota_per_s or quota_burst, or reduce the load",
     "queue_full": "raise max_queue, or add backend servers",
     "deadline": "add backend servers, or raise deadline_ms",
     "no_server": "check the backend servers of this row: none accepts requests",
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -28,7 +28,15 @@
 # Fields used only by requests with routes. They are omitted at their default
 # value, so sessions without such requests do not contain them.
 _OMITTED_IF_DEFAULT: dict[type, tuple[str, ...]] = {
-    work.Work: ("host", "path", "route", "resume_after", "resumes", "parts"),
+    work.Work: (
+        "host",
+        "path",
+        "route",
+        "resume_after",
+        "resumes",
+        "parts",
+        "used_tokens",
+    ),
     work.Answer: ("is_delimited",),
     work.Head: ("is_delimited",),
     effects.Dispatch: ("ends_at_ms", "has_own_place", "suspects"),
@@ -43,6 +51,9 @@
         "old_weights_limit_ms",
         "old_weights_from_ms",
         "old_weights_cost_ms",
+        "quota_window_s",
+        "quota_overage_ratio",
+        "quota_slack",
     ),
 }
 
--- a/src/godwittack/table/model.py
+++ b/src/godwittack/table/model.py
@@ -27,6 +27,13 @@
     SERVICE = "service"
 
 
+class QuotaUnit(enum.StrEnum):
+    """What a workspace's quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
 class Repeatable(enum.StrEnum):
     """Which calls of a plain service may be sent more than once."""
 
@@ -46,6 +53,10 @@
         max_in_flight: Maximum number of requests that run at the same time.
         max_requests_per_s: Maximum number of requests accepted per second.
         deadline_ms: Deadline for the first token if the caller sends none.
+        quota_per_s: Units that its requests may use per second; 0 for no quota.
+        quota_burst: Units that they may use at once in addition.
+        quota_unit: What the quota counts.
+        uncounted_tokens: Tokens that a request without a count uses.
     """
 
     name: str
@@ -54,6 +65,10 @@
     max_in_flight: int = 200
     max_requests_per_s: float = 100.0
     deadline_ms: int = 10_000
+    quota_per_s: float = 0.0
+    quota_burst: float = 0.0
+    quota_unit: QuotaUnit = QuotaUnit.TOKENS
+    uncounted_tokens: int = 0
 
     @classmethod
     def unlimited(cls, name: str) -> WorkspaceRow:
@@ -64,7 +79,10 @@
 
     @property
     def is_unlimited(self) -> bool:
-        """Whether neither concurrent requests nor their rate is limited."""
+        """Whether neither concurrent requests nor their rate is limited.
+
+        A quota does not count: it has a bucket of its own.
+        """
         lowest_limit = min(self.max_in_flight, self.max_requests_per_s)
         return lowest_limit >= NO_LIMIT
 
@@ -276,6 +294,7 @@
     "CellValue",
     "ModelRow",
     "PublishedWeights",
+    "QuotaUnit",
     "Repeatable",
     "Row",
     "RowKind",
--- a/src/godwittack/table/schema.py
+++ b/src/godwittack/table/schema.py
@@ -24,6 +24,7 @@
 ]
 Count = Annotated[int, pydantic.Field(ge=0, le=1_000_000)]
 Rate = Annotated[float, pydantic.Field(ge=0, le=1_000_000)]
+Units = Annotated[float, pydantic.Field(ge=0, le=1e15, allow_inf_nan=False)]
 Weight = Annotated[float, pydantic.Field(gt=0, le=1000)]
 DeadlineMs = Annotated[int, pydantic.Field(ge=10, le=3_600_000)]
 
@@ -39,6 +40,24 @@
     max_in_flight: Count = 200
     max_requests_per_s: Rate = 100.0
     deadline_ms: DeadlineMs = 10_000
+    quota_per_s: Units = 0.0
+    quota_burst: Units = 0.0
+    quota_unit: model.QuotaUnit = model.QuotaUnit.TOKENS
+    uncounted_tokens: Count = 0
+
+    @pydantic.model_serializer(mode="wrap")
+    def _omit_no_quota(
+        self, handler: pydantic.SerializerFunctionWrapHandler
+    ) -> dict[str, object]:
+        """Leaves out an unset quota, which earlier releases can't read."""
+        cells: dict[str, object] = handler(self)
+        if self.quota_per_s or self.quota_burst or self.uncounted_tokens:
+            return cells
+        return {
+            k: v
+            for k, v in cells.items()
+            if not k.startswith("quota_") and k != "uncounted_tokens"
+        }
 
 
 class _Model(_Checked):
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -33,6 +33,7 @@
     "joining",
     "limited",
     "rate_limits",
+    "quotas",
     "connection_timeouts",
     "quarantines",
     "repeating",
