Split quotas from their buckets, and exchange use in our own interface too

A daemon with our own interface refused by its quota but never published its use, so that each daemon let the whole quota through; it is wired like the others now. A daemon without others reports to nobody.

Added: a case with four real daemons, which the operators' rows bring into force (60 requests a second against 20: at most the tolerated use in 8 s, at least 0.9 of the quota, 429 with a time to come back; none refused at 12).

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -18,7 +18,7 @@
 )
 from godwittack.core import policy as policies
 from godwittack.core import work as works
-from godwittack.limit import advertised, budget, fair, quota, shares
+from godwittack.limit import advertised, buckets, budget, fair, shares
 from godwittack.placement import residency
 from godwittack.table import model
 
@@ -460,7 +460,7 @@
         default_factory=lambda: collections.defaultdict(dict)
     )
     shares: shares.Shares = dataclasses.field(default_factory=shares.Shares)
-    quotas: quota.Quotas = dataclasses.field(default_factory=quota.Quotas)
+    quotas: buckets.Buckets = dataclasses.field(default_factory=buckets.Buckets)
     retry_budget: budget.Budget = dataclasses.field(
         default_factory=budget.Budget
     )
--- a/src/godwittack/core/quotas.py
+++ b/src/godwittack/core/quotas.py
@@ -120,7 +120,7 @@
 def report_usage(world: entities.World) -> None:
     """Reports use that the other daemons must know of."""
     due = world.quotas.due_reports(world.now_ms)
-    if due:
+    if due and len(world.serving_daemons) > 1:
         world.emit(effects.TellUsage(tuple(due)))
 
 
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -110,6 +110,7 @@
             members=members, runtime=self.runtime, client=self._peers
         )
         self.runtime.on_crashes = self._peer_updates.publish_crashes
+        self.runtime.on_usage = self._peer_updates.publish_usage
         self.runtime.on_paths = self._peer_updates.publish_paths
         self.gossiper = components.build_gossiper(
             daemon_runtime=self.runtime,
--- a/tests/cases/quotas.py
+++ b/tests/cases/quotas.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
+import time
 
 from result import Ok
 
 from cases import routed_core
+from cluster import platform
 from godwittack.core import effects, inputs
-from godwittack.limit import quota
+from godwittack.limit import buckets, quota
 from godwittack.peer import codec
 from godwittack.platform import table as platform_table
 from godwittack.store import protocol
@@ -40,7 +43,7 @@
     core.tell(inputs.TableChanged, changed)
 
 
-def _bucket(core: routed_core.Core) -> quota.Bucket:
+def _bucket(core: routed_core.Core) -> buckets.Bucket:
     return core.world.quotas.buckets["desk"]
 
 
@@ -140,7 +143,7 @@
 
 def small_requests_do_not_starve_large_ones() -> None:
     """Guards against a bucket that never holds enough for a large request."""
-    quotas = quota.Quotas(tolerance=LARGE_TOLERANCE)
+    quotas = buckets.Buckets(tolerance=LARGE_TOLERANCE)
     quotas.start_listening(0)
     admitted = {300: 0, 17_000: 0}
     for now_ms in range(20_000, 60_000, 5):
@@ -261,7 +264,7 @@
 
 def a_restarted_peer_is_counted_anew() -> None:
     """Guards against a counter that begins again at zero."""
-    quotas = quota.Quotas()
+    quotas = buckets.Buckets()
     limit = quota.Quota(per_s=0.001, burst=10_000.0)
     quotas.start_listening(0)
     now_ms = 10_000
@@ -284,7 +287,7 @@
 
 def a_newcomer_takes_over_the_level_of_others() -> None:
     """Guards against a started daemon that admits more than the others."""
-    quotas = quota.Quotas()
+    quotas = buckets.Buckets()
     limit = quota.Quota(per_s=1_000.0, burst=1_000.0)
     quotas.start_listening(60_000)
     for number in range(8):
@@ -295,7 +298,7 @@
 
 def buckets_that_are_not_in_use_are_forgotten() -> None:
     """Guards against memory that grows with every workspace ever seen."""
-    quotas = quota.Quotas()
+    quotas = buckets.Buckets()
     limit = quota.Quota(per_s=1_000.0, burst=1_000.0)
     quotas.start_listening(0)
     for number in range(10_000):
@@ -307,7 +310,7 @@
 
 def little_is_reported_far_below_a_quota() -> None:
     """Guards against reports of each request to each daemon."""
-    quotas = quota.Quotas(tolerance=LARGE_TOLERANCE, daemons=12)
+    quotas = buckets.Buckets(tolerance=LARGE_TOLERANCE, daemons=12)
     limit = quota.Quota(per_s=300_000.0, burst=300_000.0)
     quotas.start_listening(0)
     reports = 0
@@ -374,3 +377,67 @@
     )
     assert found["b"].quota_per_s == 0
     assert found["c"].quota_unit is model.QuotaUnit.REQUESTS
+
+
+RATE_PER_S = 4_000
+TOKENS = 200
+WINDOW_S = 8.0
+
+
+def _limited_config() -> dict:
+    config = platform.config(2)
+    config["tenants"][0] |= {
+        "rate-per-s": RATE_PER_S,
+        "burst": RATE_PER_S,
+        "unit": "token_count",
+        "uncached-tokens": TOKENS,
+    }
+    return config
+
+
+async def _ask_all(
+    made: platform.Platform, name: str, *, per_s: float, seconds: float
+) -> list[tuple[float, int, str]]:
+    """Sends requests to all daemons in turn.
+
+    Returns:
+        Time, status and Retry-After of each answer.
+    """
+    answers: list[tuple[float, int, str]] = []
+
+    async def ask(number: int) -> None:
+        at_s = time.monotonic()
+        status, headers, _ = await made.call(
+            "release", f"{name}{number}", daemon=number % len(made.fields)
+        )
+        answers.append((at_s, status, headers.get("retry-after", "")))
+
+    tasks = []
+    for number in range(round(seconds * per_s)):
+        tasks.append(asyncio.create_task(ask(number)))
+        await asyncio.sleep(1 / per_s)
+    await asyncio.gather(*tasks)
+    return answers
+
+
+async def real_daemons_keep_to_a_quota() -> None:
+    """Guards against quotas that the operators' rows don't bring into force."""
+    async with platform.Platform(daemons=4, services=4) as made:
+        made.store.put("op", "config", _limited_config())
+        await asyncio.sleep(3)
+        below = await _ask_all(made, "below", per_s=12, seconds=3)
+        assert {status for _, status, _ in below} == {200}
+        await asyncio.sleep(1)
+        over = await _ask_all(made, "over", per_s=60, seconds=11)
+    served_s = sorted(at_s for at_s, status, _ in over if status == 200)
+    most = max(
+        sum(start_s <= at_s < start_s + WINDOW_S for at_s in served_s)
+        for start_s in served_s
+    )
+    assert most * TOKENS <= 1.1 * (RATE_PER_S * WINDOW_S + RATE_PER_S), most
+    late = [at_s for at_s in served_s if at_s >= served_s[0] + 5]
+    span_s = max(at_s for at_s, _, _ in over) - served_s[0] - 5
+    assert len(late) * TOKENS >= 0.9 * RATE_PER_S * span_s, (late, span_s)
+    refused = [row for row in over if row[1] != 200]
+    assert all(status == 429 for _, status, _ in refused), refused
+    assert all(float(retry) > 0 for _, _, retry in refused), refused
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -1,5 +1,8 @@
 Feature: All daemons together keep to the quota of a workspace
 
+  Scenario: Real processes
+    When the case "real daemons keep to a quota" of "quotas" is played
+
   Scenario Outline: <case>
     # Each case names the failure that it guards against; see
     # tests/cases/quotas.py.
--- a/tests/sim/quota_fleets.py
+++ b/tests/sim/quota_fleets.py
@@ -11,7 +11,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from godwittack.limit import quota
+from godwittack.limit import buckets, quota
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,7 +78,7 @@
         self._backlog: list[tuple[int, int]] = []
         self._cut: set[int] = set()
         self._current = 0
-        self.daemons: dict[int, quota.Quotas] = {}
+        self.daemons: dict[int, buckets.Buckets] = {}
         self.names: dict[int, str] = {}
         for number in range(plan.daemons):
             self.start(number)
@@ -87,7 +87,7 @@
         """Starts a daemon without any state."""
         self._starts += 1
         self.names[number] = f"d{number}@{self._starts}"
-        daemon = quota.Quotas(tolerance=self.plan.tolerance)
+        daemon = buckets.Buckets(tolerance=self.plan.tolerance)
         daemon.start_listening(self.now_ms)
         self.daemons[number] = daemon
         self._set_reach(number)
