--- a/tests/cases/peers.py
+++ b/tests/cases/peers.py
@@ -16,9 +16,9 @@
 from cases import routed_core
 from cluster import processes
 from godwittack.clock import ManualClock
-from godwittack.core import inputs
+from godwittack.core import effects, inputs
 from godwittack.daemon import peer_updates
-from godwittack.limit import shares
+from godwittack.limit import quota, shares
 from godwittack.member import view
 from godwittack.peer import datagram, exchange, peer_pb2, server, tables
 from godwittack.table import model, schema
@@ -294,6 +294,27 @@
     updates.close()
 
 
+async def reported_use_is_sent_again_when_a_stream_breaks():
+    """Guards against use of a quota that a peer never hears of.
+
+    A daemon reports its use; the stream breaks before the peer reads it, and
+    the workspace sends nothing more to this daemon.
+    """
+    streams = ScriptedStreams()
+    updates = _start_updates(streams)
+    updates.world.serving_daemons = frozenset({"d1", "d2"})
+    usage = quota.Usage(
+        workspace="desk", admitted=700, opened_at_ms=900, level=0.0, at_ms=1_000
+    )
+    updates.publish_usage(effects.TellUsage((usage,)))
+    await _until(lambda: len(streams.sent) == 1 and streams.sent[0])
+    assert [u.admitted for u in streams.sent[0][0].usages] == [700]
+    streams.breaks[0]()
+    await _until(lambda: len(streams.sent) == 2 and streams.sent[1])
+    assert [u.admitted for u in streams.sent[1][0].usages] == [700]
+    updates.close()
+
+
 async def unchanged_demand_is_sent_once():
     """Demand is not sent again while its relevant figures stay the same.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -47,6 +47,7 @@
       | peers | test ports are outside the ephemeral range |
       | peers | concurrent processes choose different ports |
       | peers | demand is sent again when a stream breaks |
+      | peers | reported use is sent again when a stream breaks |
       | peers | unchanged demand is sent once |
       | peers | a model's rate is sent when it changes |
       | peers | a forwarded table is unchanged |
