--- a/src/godwittack/limit/buckets.py
+++ b/src/godwittack/limit/buckets.py
@@ -62,12 +62,14 @@
     """One workspace's bucket as known here.
 
     Attributes:
+        limit: Quota that was last applied.
         level: Units left, negative for a debt.
         turn: Part of a request that may be admitted while in debt.
         admitted: Units that this daemon admitted since `opened_at_ms`.
         returned: Units of admitted requests that did not run, not yet offset
             against later ones.
         reported: Units of `admitted` that were reported.
+        pulled_at_ms: When the level last moved towards that of another daemon.
         peers: Last report of each daemon.
     """
 
