Keep the adapter to names, formats and calls

What a request counts as, and the levels of a prompt without parts, moved to placement/levels.py; a workspace with a quota is made by the table's model.

--- a/src/godwittack/backend/headers.py
+++ b/src/godwittack/backend/headers.py
@@ -59,6 +59,12 @@
     return int(text) if is_number else None
 
 
+def parse_pair(text: str) -> tuple[int | None, int | None]:
+    """Returns two numbers that a comma separates, None for anything else."""
+    first, _, second = text.partition(",")
+    return parse_number(first), parse_number(second)
+
+
 def parse_decimal(
     headers: Iterable[work.Header], names: Collection[str]
 ) -> Result[float | None, str]:
@@ -99,4 +105,5 @@
     "end_to_end",
     "is_decimal",
     "parse_number",
+    "parse_pair",
 ]
--- a/src/godwittack/placement/levels.py
+++ b/src/godwittack/placement/levels.py
@@ -66,6 +66,37 @@
     )
 
 
+def of_prompt(
+    parts: tuple[Part, ...], tokens: int | None, owner: str, name: str
+) -> tuple[work.Level, ...]:
+    """Returns a prompt's levels; all of it as one level without parts.
+
+    Args:
+        parts: The parts that its caller names.
+        tokens: Tokens of the prompt; None if the caller does not state them.
+        owner: Owner of the cached state.
+        name: Name of the whole prompt.
+    """
+    if parts or not tokens:
+        return of_parts(parts, owner=owner)
+    return (work.Level(key_for_name(owner, name), tokens),)
+
+
+def used_tokens(
+    parts: tuple[Part, ...],
+    prompt_tokens: int | None,
+    answer_tokens: int | None,
+) -> int | None:
+    """Returns the tokens that a request counts as, None without a count.
+
+    A count that can't be read does not make a request cheaper than the parts
+    of its prompt.
+    """
+    if prompt_tokens is not None and answer_tokens is not None:
+        return prompt_tokens + answer_tokens
+    return sum(part.tokens for part in parts) or None
+
+
 def part_digest(part: bytes) -> str:
     """Returns a name that is equal for equal parts."""
     return xxhash.xxh3_128_hexdigest(part)
@@ -121,7 +152,9 @@
     "chain",
     "key_for_name",
     "of_parts",
+    "of_prompt",
     "parse_parts",
     "part_digest",
     "shared_parts",
+    "used_tokens",
 ]
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -47,24 +47,25 @@
         digest = model.token_digest(request.headers.get(names.API_KEY, ""))
         path = request.raw_path
         owner = table.cache_owner(table.workspace_by_token.get(digest, ""))
-        counts = request.headers.get(names.TOKEN_COUNTS, "").partition(",")
-        prompt_tokens = backend_headers.parse_number(counts[0]) or 0
+        prompt_tokens, answer_tokens = backend_headers.parse_pair(
+            request.headers.get(names.TOKEN_COUNTS, "")
+        )
         parts = levels.parse_parts(request.headers.get(names.LEVELS, ""))
         requested_work = work.Work(
             kind=work.WorkKind.PLAIN,
             token_sha256=digest,
             target="",
             caller_request_id=request_id,
-            levels=_levels(request, owner, prompt_tokens, parts),
+            levels=levels.of_prompt(parts, prompt_tokens, owner, request_id),
             parts=levels.shared_parts(part.name for part in parts),
-            max_tokens=backend_headers.parse_number(counts[2]) or 0,
+            max_tokens=answer_tokens or 0,
             deadline_ms=min(deadline_ms, MAX_DEADLINE_MS),
             method=request.method,
             host=request.headers.get("Host", ""),
             path=path.partition("?")[0],
             resume_after=after,
             resumes=request.headers.get(names.RESUMES, ""),
-            used_tokens=_used_tokens(request, parts),
+            used_tokens=levels.used_tokens(parts, prompt_tokens, answer_tokens),
         )
         call = backend.Call(
             method=request.method,
@@ -97,34 +98,6 @@
         )
 
 
-def _levels(
-    request: web.BaseRequest,
-    owner: str,
-    prompt_tokens: int,
-    parts: tuple[levels.Part, ...],
-) -> tuple[work.Level, ...]:
-    """Returns the prompt's levels; the whole prompt as one if none are sent."""
-    if parts or not prompt_tokens:
-        return levels.of_parts(parts, owner=owner)
-    key = levels.key_for_name(owner, request.headers[names.REQUEST_ID])
-    return (work.Level(key, prompt_tokens),)
-
-
-def _used_tokens(
-    request: web.BaseRequest, parts: tuple[levels.Part, ...]
-) -> int | None:
-    """Returns the tokens that a request counts as, None without a count.
-
-    A count that can't be read does not make a request cheaper than the parts
-    of its prompt.
-    """
-    counts = request.headers.get(names.TOKEN_COUNTS, "").split(",")
-    numbers = [backend_headers.parse_number(count) for count in counts]
-    if len(numbers) == 2 and None not in numbers:
-        return sum(number or 0 for number in numbers)
-    return sum(part.tokens for part in parts) or None
-
-
 def _forwarded_headers(request: web.BaseRequest) -> tuple[work.Header, ...]:
     return backend_headers.end_to_end(
         (
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING
 
 import pydantic
 from result import Err, Ok, Result
@@ -22,12 +21,6 @@
 
 # Unit of a quota that counts tokens; any other one counts requests.
 TOKEN_UNIT = "token_count"
-# Left out and null both mean none.
-_Units = Annotated[
-    float,
-    pydantic.Field(ge=0, allow_inf_nan=False),
-    pydantic.BeforeValidator(lambda value: 0.0 if value is None else value),
-]
 
 
 class _Split(wire.Body):
@@ -74,10 +67,10 @@
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
     isolated: bool = False
-    rate_per_s: _Units = 0.0
-    burst: _Units = 0.0
+    rate_per_s: wire.Amount | None = None
+    burst: wire.Amount | None = None
     unit: str = ""
-    uncached_tokens: _Units = 0.0
+    uncached_tokens: wire.Count | None = None
 
 
 class _Limits(wire.Body):
@@ -151,25 +144,18 @@
                 service.name
             )
     for tenant in config.tenants:
-        table.workspaces[tenant.name] = _workspace(tenant)
+        table.workspaces[tenant.name] = model.WorkspaceRow.with_quota(
+            tenant.name,
+            per_s=tenant.rate_per_s or 0.0,
+            burst=tenant.burst or 0.0,
+            counts_tokens=tenant.unit == TOKEN_UNIT,
+            uncounted_tokens=tenant.uncached_tokens or 0,
+        )
         for key in tenant.api_keys:
             table.workspace_by_token[model.token_digest(key)] = tenant.name
     return Ok(table)
 
 
-def _workspace(tenant: _Tenant) -> model.WorkspaceRow:
-    unit = model.QuotaUnit.REQUESTS
-    if tenant.unit == TOKEN_UNIT:
-        unit = model.QuotaUnit.TOKENS
-    return dataclasses.replace(
-        model.WorkspaceRow.unlimited(tenant.name),
-        quota_per_s=tenant.rate_per_s,
-        quota_burst=tenant.burst,
-        quota_unit=unit,
-        uncounted_tokens=int(tenant.uncached_tokens),
-    )
-
-
 def _forwarding(config: _Config) -> forwarding.Forwarding:
     return forwarding.Forwarding(
         config_version=config.version,
--- a/src/godwittack/table/model.py
+++ b/src/godwittack/table/model.py
@@ -77,6 +77,26 @@
             name=name, max_in_flight=NO_LIMIT, max_requests_per_s=NO_LIMIT
         )
 
+    @classmethod
+    def with_quota(
+        cls,
+        name: str,
+        *,
+        per_s: float,
+        burst: float,
+        counts_tokens: bool,
+        uncounted_tokens: int,
+    ) -> WorkspaceRow:
+        """Returns a workspace without limits but for a quota."""
+        unit = QuotaUnit.TOKENS if counts_tokens else QuotaUnit.REQUESTS
+        return dataclasses.replace(
+            cls.unlimited(name),
+            quota_per_s=per_s,
+            quota_burst=burst,
+            quota_unit=unit,
+            uncounted_tokens=uncounted_tokens,
+        )
+
     @property
     def is_unlimited(self) -> bool:
         """Whether neither concurrent requests nor their rate is limited.
--- a/tests/cases/quotas.py
+++ b/tests/cases/quotas.py
@@ -10,9 +10,11 @@
 
 from cases import routed_core
 from cluster import platform
+from godwittack.backend import headers
 from godwittack.core import effects, inputs
 from godwittack.limit import buckets, quota
 from godwittack.peer import codec
+from godwittack.placement import levels
 from godwittack.platform import table as platform_table
 from godwittack.store import protocol
 from godwittack.table import model, schema
@@ -441,3 +443,21 @@
     refused = [row for row in over if row[1] != 200]
     assert all(status == 429 for _, status, _ in refused), refused
     assert all(float(retry) > 0 for _, _, retry in refused), refused
+
+
+def counts_that_cannot_be_read_are_not_free() -> None:
+    """Guards against a broken count that makes a large request cheap."""
+    parts = levels.parse_parts("ab12:800,cd34:100")
+    for text, used in (
+        ("900,10", 910),
+        ("0,0", 0),
+        ("-5,10", 900),
+        ("900", 900),
+        ("nan,1", 900),
+        ("1,2,3", 900),
+        ("1" + "0" * 30 + ",1", 900),
+        ("", 900),
+    ):
+        counts = headers.parse_pair(text)
+        assert levels.used_tokens(parts, *counts) == used, text
+    assert levels.used_tokens((), *headers.parse_pair("x,1")) is None
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -39,3 +39,4 @@
       | tables without quotas are stored as before |
       | quotas in a table are checked |
       | the operators quotas are read |
+      | counts that cannot be read are not free |
