Log silent attempts, and what was known of a stream when it broke

What on-call saw: a broken stream had one INFO line without server, attempt, last event or time left, and nothing said when a server that gave no sign of life had last been heard, or by whom.

attempt_silent is logged where an attempt is given up for its silence, with the time since its last progress, the server's last contact here and its last report through anyone; stream_broken carries the same and is a warning; two gauges count the answers that wait for silent servers, and for how long.

--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from godwittack.core import effects, entities, quotas
+from godwittack.core import effects, entities, quotas, silence
 
 SERVICE_TIME_SMOOTHING = 0.1
 
@@ -30,6 +30,7 @@
             workspace=request.workspace,
             target=request.work.target,
             reason=reason.value,
+            **_break_log_fields(world, request, detail),
         )
     else:
         world.emit(
@@ -56,6 +57,24 @@
     remove(world, request)
 
 
+def _break_log_fields(
+    world: entities.World, request: entities.RequestRow, detail: str
+) -> dict[str, str | int]:
+    """Returns the log fields that explain a broken stream."""
+    fields: dict[str, str | int] = {"detail": detail}
+    attempt = request.last_attempt
+    if attempt is not None:
+        fields["attempt"] = attempt.attempt_id
+        fields |= silence.attempt_fields(world, attempt)
+    return {
+        **fields,
+        "after_frame": request.next_frame - 1,
+        "waited_ms": world.now_ms - request.arrived_at_ms,
+        "left_ms": request.deadline_at_ms - world.now_ms,
+        "attempts": request.attempts,
+    }
+
+
 def _refusal_log_fields(
     world: entities.World,
     request: entities.RequestRow,
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -358,6 +358,7 @@
     )
     request.phase = entities.Phase.RUNNING
     request.attempt_id = attempt.attempt_id
+    request.last_attempt = attempt
     request.relay = attempt.relay
     request.attempts += 1
     # Undone if the server turns out not to have run the request.
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -92,6 +92,7 @@
         stream_version: Software version that began its stream, at which it must
             go on; empty if none has, or if it is not known.
         inquiry: The question which version that was.
+        last_attempt: Its newest attempt, also once that is closed.
     """
 
     request_id: str
@@ -128,6 +129,7 @@
     relay: str = ""
     stream_version: str = ""
     inquiry: StreamInquiry | None = None
+    last_attempt: AttemptRow | None = None
 
     @property
     def answer_start_deadline_ms(self) -> int:
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -19,6 +19,7 @@
     paths,
     server_inputs,
     servers,
+    silence,
 )
 from godwittack.member import assignment
 
@@ -265,9 +266,10 @@
             continue
         if request.at_most_once or request.attempt_id != attempt.attempt_id:
             continue
+        detail = "its server gave no sign of life"
+        silence.log_attempt(world, request, attempt, detail)
         world.emit(effects.CancelAttempt(attempt.attempt_id, False))
         request.may_have_run = True
-        detail = "its server gave no sign of life"
         if request.answer_started:
             followup.resume_or_break(world, request, attempt, detail)
         else:
--- /dev/null
+++ b/src/godwittack/core/silence.py
@@ -0,0 +1,96 @@
+"""Tells how long backend servers and attempts have been silent.
+
+A silent server may have ended, hang, be cut off from this daemon, or be about
+to go on. Only a proof that its process has ended tells these apart.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from godwittack.core import entities
+
+# Time without progress from which an attempt counts as waiting for a silent
+# server. A long prompt takes some 300 ms in which nothing is sent.
+SILENT_MS = 300
+
+
+def contact_age_ms(world: entities.World, server: entities.ServerRow) -> int:
+    """Returns the time since this daemon last heard a server; -1 for never."""
+    if server.last_contact_ms < 0:
+        return -1
+    return world.now_ms - server.last_contact_ms
+
+
+def report_age_ms(world: entities.World, server: entities.ServerRow) -> int:
+    """Returns the age of a server's last load report; -1 for none.
+
+    Other daemons publish such reports, so it may be known by them alone that
+    a server is alive.
+    """
+    if server.reported_at_ms < 0:
+        return -1
+    return world.now_ms - server.reported_at_ms
+
+
+def silent_attempts(world: entities.World) -> list[entities.AttemptRow]:
+    """Returns the attempts that wait for servers of which nothing is heard."""
+    return [
+        attempt
+        for server in world.servers.values()
+        if world.now_ms - server.last_contact_ms >= SILENT_MS
+        for attempt in server.in_flight.values()
+        if world.now_ms - attempt.last_progress_ms >= SILENT_MS
+    ]
+
+
+def longest_wait_ms(world: entities.World) -> int:
+    """Returns how long the oldest attempt has waited for a silent server."""
+    return max(
+        (world.now_ms - a.last_progress_ms for a in silent_attempts(world)),
+        default=0,
+    )
+
+
+def log_attempt(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+) -> None:
+    """Logs that an attempt made no progress, and when its server was heard."""
+    world.event(
+        "attempt_silent",
+        request.request_id,
+        attempt=attempt.attempt_id,
+        **attempt_fields(world, attempt),
+        left_ms=request.deadline_at_ms - world.now_ms,
+        detail=detail,
+    )
+
+
+def attempt_fields(
+    world: entities.World, attempt: entities.AttemptRow
+) -> dict[str, str | int]:
+    """Returns the log fields of an attempt's last signs of life."""
+    fields: dict[str, str | int] = {"server": attempt.server_id}
+    if attempt.relay:
+        fields["relay"] = attempt.relay
+    fields["idle_ms"] = world.now_ms - attempt.last_progress_ms
+    server = world.servers.get(attempt.server_id)
+    if server is not None:
+        fields["contact_age_ms"] = contact_age_ms(world, server)
+        fields["report_age_ms"] = report_age_ms(world, server)
+    return fields
+
+
+__all__ = [
+    "SILENT_MS",
+    "attempt_fields",
+    "contact_age_ms",
+    "log_attempt",
+    "longest_wait_ms",
+    "report_age_ms",
+    "silent_attempts",
+]
--- a/src/godwittack/core/timeouts.py
+++ b/src/godwittack/core/timeouts.py
@@ -9,6 +9,7 @@
     followup,
     routing,
     servers,
+    silence,
     work,
 )
 
@@ -51,8 +52,10 @@
         return
     # A connection can stall for good while new ones to the same server work.
     # Only a new one distinguishes a dead network path from a dead engine.
+    detail = "silent between frames"
+    silence.log_attempt(world, request, attempt, detail)
     world.emit(effects.CancelAttempt(attempt.attempt_id, False))
-    followup.resume_or_break(world, request, attempt, "silent between frames")
+    followup.resume_or_break(world, request, attempt, detail)
 
 
 def _handle_stalled_start(
@@ -65,11 +68,13 @@
         return
     if _is_queued_at_server(world, request, attempt):
         return
+    detail = "silent before the first frame"
+    silence.log_attempt(world, request, attempt, detail)
     world.emit(effects.CancelAttempt(attempt.attempt_id, True))
     servers.record_missing_first_frame(world, attempt)
     closing.close_attempt(world, attempt.attempt_id)
     request.may_have_run = True
-    followup.retry(world, request, attempt, "silent before the first frame")
+    followup.retry(world, request, attempt, detail)
 
 
 def _is_queued_at_server(
--- a/src/godwittack/daemon/logs.py
+++ b/src/godwittack/daemon/logs.py
@@ -49,9 +49,9 @@
         if not self._wake.is_set():
             self._wake.set()
 
-    def write_info(self, text: str) -> None:
-        """Queues a line at level INFO with the current time."""
-        self.write(f"{format_time(time.time())} level=INFO {text}")
+    def write_now(self, text: str) -> None:
+        """Queues a line with the current time."""
+        self.write(f"{format_time(time.time())} {text}")
 
     def close(self, *, wait_s: float = 0.5) -> None:
         """Writes the queued lines, for at most `wait_s`."""
--- a/src/godwittack/daemon/observer.py
+++ b/src/godwittack/daemon/observer.py
@@ -13,6 +13,10 @@
     from godwittack.report import counters
 
 
+# Events after which a caller holds a part of an answer.
+WARNING_EVENTS = frozenset({"stream_broken"})
+
+
 class Observer(Protocol):
     """Receives every event of the core."""
 
@@ -45,10 +49,18 @@
         """Counts, measures and logs one event."""
         self._counts.record(event)
         self._meters.record_event(event)
-        if self._log_sampler is None:
-            logging.info("%s", format_line(event))
+        line = format_line(event)
+        if self._log_sampler is not None:
+            self._log_sampler.record(event, f"level={level_name(event)} {line}")
+        elif event.name in WARNING_EVENTS:
+            logging.warning("%s", line)
         else:
-            self._log_sampler.record(event, format_line(event))
+            logging.info("%s", line)
+
+
+def level_name(event: effects.Event) -> str:
+    """Returns the level at which an event is logged."""
+    return "WARNING" if event.name in WARNING_EVENTS else "INFO"
 
 
 def format_line(event: effects.Event) -> str:
@@ -68,4 +80,4 @@
     return f'"{text}"' if not text or " " in text or "=" in text else text
 
 
-__all__ = ["EventObserver", "Observer", "format_line"]
+__all__ = ["EventObserver", "Observer", "format_line", "level_name"]
--- a/src/godwittack/daemon/process.py
+++ b/src/godwittack/daemon/process.py
@@ -48,7 +48,7 @@
     writer = logs.install()
     selector = loop_delay.TimedSelector(clock.SystemClock())
     daemon_run = platform_daemon.serve(
-        loaded, write_line=writer.write_info, delay=selector
+        loaded, write_line=writer.write_now, delay=selector
     )
     try:
         with asyncio.Runner(
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -10,7 +10,7 @@
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk
 
-from godwittack.core import weights
+from godwittack.core import silence, weights
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -130,6 +130,10 @@
         "godwittack_lost_paths": lambda: sum(
             server.path_lost_at_ms > 0 for server in world.servers.values()
         ),
+        "godwittack_silent_attempts": lambda: len(
+            silence.silent_attempts(world)
+        ),
+        "godwittack_silent_longest_ms": lambda: silence.longest_wait_ms(world),
         "godwittack_brittle_servers": lambda: sum(
             server.max_rejected_per_s is not None
             for server in world.servers.values()
--- a/tests/cases/logs.py
+++ b/tests/cases/logs.py
@@ -15,6 +15,8 @@
 from godwittack.core import effects, inputs
 from godwittack.daemon import log_sampling, logs, observer
 
+NEVER_MS = 1 << 40
+
 
 class LoggedCore:
     """A core whose events are logged."""
@@ -136,6 +138,28 @@
     assert "other" not in explanation and "no line" in errors.getvalue()
 
 
+def a_broken_stream_is_explained_by_its_line() -> None:
+    """Guards against broken streams without server, last event or time left."""
+    logged = LoggedCore()
+    logged.core.arrive("long", "9c41d07b~7")
+    sent = logged.core.dispatch()
+    logged.core.open(sent)
+    logged.core.frames(sent, 1, 2)
+    logged.core.now_ms += 70
+    for name in ("e1", "e2"):
+        logged.core.world.servers[name].draining_until_ms = NEVER_MS
+    logged.core.fail(sent, inputs.FailurePhase.SENT)
+    logged.log_events()
+    (broken,) = (x for x in logged.lines if "event=stream_broken" in x)
+    fields = dict(explain.KEY_VALUE.findall(broken))
+    expected = {"after_frame": "2", "left_ms": "5930", "attempts": "1"}
+    assert fields.items() >= expected.items(), broken
+    assert fields["server"] == sent.server_id, broken
+    assert fields["idle_ms"] == "70" and fields["detail"], broken
+    event = effects.Event("stream_broken", "r", ())
+    assert observer.level_name(event) == "WARNING"
+
+
 def an_external_value_forges_no_log_line() -> None:
     """A line break in a caller's id does not start a new line.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -193,6 +193,7 @@
       | logs | log volume is bounded and requests are logged whole |
       | logs | a stalled log reader blocks nothing |
       | logs | a failed request is explained by its id |
+      | logs | a broken stream is explained by its line |
       | logs | an external value forges no log line |
 
     Examples: long prompts and their cached levels
