Add failing tests of answers that end while servers are silent

With six daemons and six engines that send nothing for 1.3 s, streams are cut and calls end with 502.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -44,6 +44,8 @@
     "broken_off",
     "versions",
     "stream_versions",
+    "silent",
+    "silent_servers",
     "paths",
     "relaying",
     "brittle",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -39,6 +39,8 @@
 }
 # Requests that earn one retry, by the ratio in the settings template.
 REQUESTS_PER_RETRY = 7
+# Time limit of all routes, unless a test sets another.
+TIMEOUT_MS = 3000
 POLL_S = 0.02
 WAIT_S = 10.0
 
@@ -87,7 +89,7 @@
         "host": HOST,
         "prefix": f"/{name}/",
         "type": kind,
-        "timeout-ms": 3000,
+        "timeout-ms": TIMEOUT_MS,
         "target-latency-ms": 300,
         "priority": 1,
         "service": service,
@@ -107,11 +109,16 @@
 ]
 
 
-def config(version: int, *, keys: tuple[str, ...] = (KEY,)) -> dict:
+def config(
+    version: int,
+    *,
+    keys: tuple[str, ...] = (KEY,),
+    timeout_ms: int = TIMEOUT_MS,
+) -> dict:
     """Returns a configuration in the operator's format."""
     return {
         "version": version,
-        "routes": ROUTES,
+        "routes": [{**fields, "timeout-ms": timeout_ms} for fields in ROUTES],
         "services": [
             {"name": "llm", "engine": {"slots": 16, "models": [{"name": "m"}]}},
             {"name": "app", "max-connections": 96},
@@ -136,6 +143,7 @@
         services: int = 2,
         can_cut: bool = False,
         software: dict[str, str] | None = None,
+        timeout_ms: int = TIMEOUT_MS,
     ) -> None:
         """Creates the stand-ins without starting them.
 
@@ -147,7 +155,9 @@
             services: How many servers of the plain service to start.
             can_cut: Whether the daemons' paths to servers can be cut.
             software: Versions of the software of some servers.
+            timeout_ms: Time limit of all routes.
         """
+        self._timeout_ms = timeout_ms
         self._can_cut = can_cut
         self._settings = settings
         self.store = RowStore()
@@ -190,7 +200,9 @@
             await replica.start(port)
             self.list_server(name, f"127.0.0.1:{port}")
         if self._configured:
-            self.store.put("op", "config", config(1))
+            self.store.put(
+                "op", "config", config(1, timeout_ms=self._timeout_ms)
+            )
         for number in range(self._daemons):
             await self.start_daemon(f"edge-{number + 1}")
         if self._configured:
--- a/tests/cluster/raw_caller.py
+++ b/tests/cluster/raw_caller.py
@@ -59,6 +59,7 @@
     method: str = "POST",
     headers: dict[str, str] | None = None,
     leave_after: int = 0,
+    read_s: float = READ_S,
 ) -> Received:
     """Sends a caller's request over a connection of its own.
 
@@ -73,6 +74,7 @@
         headers: Further headers.
         leave_after: Events of a stream after which the caller leaves; 0 to read
             to the end.
+        read_s: Time in which the answer must end.
     """
     host, port = made.fields[daemon]["listen"]["front"].split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -81,7 +83,7 @@
             _head(name, request_id, body, http_version, method, headers or {})
             + body
         )
-        async with asyncio.timeout(READ_S):
+        async with asyncio.timeout(read_s):
             return await _read(
                 reader, has_body=method != "HEAD", leave_after=leave_after
             )
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -139,6 +139,8 @@
         self.waiting = 0
         self.rejected_s: list[float] = []
         self.falls_s: list[float] = []
+        # Until when it sends nothing; it still accepts connections and bytes.
+        self.silent_until_s = 0.0
         # Whether all its answers have the Server-Leaving header.
         self.is_leaving = False
         self.event_count = events
@@ -185,7 +187,21 @@
             if connection.transport is not None:
                 connection.transport.abort()
 
+    def fall_silent(self, for_s: float) -> None:
+        """Sends nothing for a time, as a process that is paused."""
+        self.silent_until_s = time.monotonic() + for_s
+
+    async def _outlast_silence(self) -> None:
+        while (left_s := self.silent_until_s - time.monotonic()) > 0:
+            await asyncio.sleep(left_s)
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        await self._outlast_silence()
+        response = await self._respond(request)
+        await self._outlast_silence()
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         match request.path:
             case "/report":
                 response = self._report()
@@ -431,8 +447,10 @@
                 await response.write(b"id: %d\nda" % number)
                 request.transport.abort()
                 return response
+            await self._outlast_silence()
             await response.write(self._event(number))
             await asyncio.sleep(self.event_gap_s)
+        await self._outlast_silence()
         await response.write_eof()
         return response
 
