Let a request have several open attempts

A request had one attempt, so asking a second server meant to cancel the first one before it was known whether the second would answer. Now it keeps its open attempts in the order of their dispatch, and the head of an answer belongs to its attempt until the first event.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -40,8 +40,7 @@
         attempt.opened = True
         if message.head is not None:
             attempt.is_delimited = message.head.is_delimited
-        if request.head is None:
-            request.head = message.head
+        attempt.head = message.head
 
 
 def relay_frames(world: entities.World, message: inputs.FramesArrived) -> None:
@@ -172,7 +171,7 @@
     request, attempt = current
     if _was_not_passed_on(failure):
         _record_not_passed_on(world, attempt, failure)
-        followup.place_again(world, request, failure.detail)
+        followup.place_again(world, request, attempt, failure.detail)
         return
     may_place_again = _has_other_path(world, request, attempt, failure)
     if _is_connect_failure(failure):
@@ -204,7 +203,7 @@
     if failure.cause is not inputs.FailureCause.STREAM_GONE:
         servers.record_failure(world, attempt, failure)
     if may_place_again:
-        followup.place_again(world, request, failure.detail)
+        followup.place_again(world, request, attempt, failure.detail)
         return
     if request.answer_started or request.started_elsewhere:
         if failure.cause is inputs.FailureCause.STREAM_GONE:
@@ -299,10 +298,9 @@
         # repeated nor completed by its caller.
         closing.remove(world, request)
         return
-    if request.attempt_id in world.attempts:
-        # The engine keeps the stream for a while, so that the caller can
-        # resume it through any daemon.
-        world.emit(effects.CancelAttempt(request.attempt_id, False))
+    # An engine keeps a stream for a while, so that the caller can resume it
+    # through any daemon.
+    closing.cancel_attempts(world, request)
     world.event("caller_gone", request.request_id, workspace=request.workspace)
     closing.remove(world, request)
 
@@ -330,7 +328,7 @@
     if attempt is None:
         return None
     request = world.requests.get(attempt.request_id)
-    if request is None or request.attempt_id != attempt_id:
+    if request is None or attempt_id not in request.open_attempts:
         return None
     return request, attempt
 
@@ -420,6 +418,7 @@
 ) -> None:
     assert attempt.stamp is not None
     request.answer_started = True
+    request.head = attempt.head
     server = world.servers.get(attempt.server_id)
     if server is not None and request.work.route is not None:
         prefill_cost.record_first_token(world, attempt, server)
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -119,7 +119,7 @@
 ) -> None:
     """Logs and removes a request that got its whole answer."""
     took_ms = world.now_ms - request.arrived_at_ms
-    attempt = world.attempts.get(request.attempt_id)
+    attempt = next(iter(request.open_attempts.values()), None)
     world.event(
         "finished",
         request.request_id,
@@ -168,6 +168,9 @@
     attempt = world.attempts.pop(attempt_id, None)
     if attempt is None:
         return
+    request = world.requests.get(attempt.request_id)
+    if request is not None:
+        request.open_attempts.pop(attempt_id, None)
     server = world.servers.get(attempt.server_id)
     if server is None:
         return
@@ -176,9 +179,31 @@
         server.trial_attempt_id = ""
 
 
+def cancel_attempts(
+    world: entities.World,
+    request: entities.RequestRow,
+    *,
+    kept: str = "",
+    stop_engine: bool = False,
+) -> None:
+    """Cancels and closes a request's attempts.
+
+    Args:
+        world: The tables.
+        request: The request.
+        kept: Id of an attempt that goes on; empty for none.
+        stop_engine: Whether engines must end the streams as well.
+    """
+    for attempt_id in list(request.open_attempts):
+        if attempt_id != kept:
+            world.emit(effects.CancelAttempt(attempt_id, stop_engine))
+            close_attempt(world, attempt_id)
+
+
 def remove(world: entities.World, request: entities.RequestRow) -> None:
     """Removes a request's rows and releases its limits."""
-    close_attempt(world, request.attempt_id)
+    for attempt_id in list(request.open_attempts):
+        close_attempt(world, attempt_id)
     world.requests.pop(request.request_id, None)
     if request.phase is entities.Phase.QUEUED:
         queue = world.queues[request.work.target][request.queue_priority]
@@ -191,6 +216,7 @@
 
 
 __all__ = [
+    "cancel_attempts",
     "close_attempt",
     "finish",
     "refuse",
--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -477,14 +477,13 @@
 def _cancel_unanswered_runs(world: entities.World) -> None:
     """Cancels runs of what is in quarantine that have no answer yet."""
     for request in list(world.requests.values()):
-        attempt = world.attempts.get(request.attempt_id)
-        if attempt is None or request.answer_started:
+        if not request.open_attempts or request.answer_started:
             continue
         if request.work.kind is work.WorkKind.PLAIN and request.at_most_once:
             continue
         if not is_quarantined(world, request):
             continue
-        world.emit(effects.CancelAttempt(attempt.attempt_id, True))
+        closing.cancel_attempts(world, request, stop_engine=True)
         request.may_have_run = True
         closing.refuse(
             world,
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -357,7 +357,7 @@
         world, server, attempt.stamp
     )
     request.phase = entities.Phase.RUNNING
-    request.attempt_id = attempt.attempt_id
+    request.open_attempts[attempt.attempt_id] = attempt
     request.last_attempt = attempt
     request.relay = attempt.relay
     request.attempts += 1
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -60,7 +60,8 @@
         caller_timeout_at_ms: When the caller disconnects unless the answer has
             begun; 0 if that is at the deadline.
         seen_tokens: Prompt tokens of levels seen in earlier requests.
-        attempt_id: Current attempt; frames of any other are dropped.
+        open_attempts: Attempts that may still bring the answer, oldest first;
+            frames of any other are dropped.
         attempts: Dispatches so far.
         excluded_servers: Ids of servers on which this request failed; they
             are not tried again.
@@ -81,7 +82,7 @@
         answered_at_ms: When the held answer was received.
         timeout_at_ms: When the request is ended in any case; 0 for never.
         possible_runs: Dispatches that may have been run by a server.
-        head: Status and headers from the stream's first server.
+        head: Status and headers that the caller got with the first event.
         queue_priority: Priority of the queue that holds the request.
         awaits_rest_end: Whether it is queued until a server's requested rest
             ends.
@@ -103,7 +104,9 @@
     caller_timeout_at_ms: int = 0
     seen_tokens: int = 0
     phase: Phase = Phase.CLAIMING
-    attempt_id: str = ""
+    open_attempts: dict[str, AttemptRow] = dataclasses.field(
+        default_factory=dict
+    )
     attempts: int = 0
     excluded_servers: set[str] = dataclasses.field(default_factory=set)
     next_frame: int = 1
@@ -180,6 +183,7 @@
             not known.
         is_delimited: Whether the server marks the end of its answer.
         relay: Daemon that sends it to the server; empty for this one.
+        head: Status and headers of the answer; None until they arrive.
         has_own_place: Whether it takes a place of this daemon at a brittle
             server.
     """
@@ -197,6 +201,7 @@
     incarnation_id: str = ""
     software_version: str = ""
     relay: str = ""
+    head: works.Head | None = None
     has_own_place: bool = True
 
 
--- a/src/godwittack/core/followup.py
+++ b/src/godwittack/core/followup.py
@@ -68,13 +68,16 @@
 
 
 def place_again(
-    world: entities.World, request: entities.RequestRow, detail: str
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
 ) -> None:
     """Places a request again after an attempt of which no byte was sent.
 
     No server received anything, so the attempt counts against no limit.
     """
-    closing.close_attempt(world, request.attempt_id)
+    closing.close_attempt(world, attempt.attempt_id)
     request.attempts -= 1
     request.possible_runs -= 1
     world.event(
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -264,7 +264,7 @@
         request = world.requests.get(attempt.request_id)
         if request is None or request.work.route is None:
             continue
-        if request.at_most_once or request.attempt_id != attempt.attempt_id:
+        if request.at_most_once:
             continue
         detail = "its server gave no sign of life"
         silence.log_attempt(world, request, attempt, detail)
--- a/src/godwittack/core/timeouts.py
+++ b/src/godwittack/core/timeouts.py
@@ -130,8 +130,8 @@
     for request in list(world.requests.values()):
         if not 0 < request.timeout_at_ms <= world.now_ms:
             continue
-        if request.attempt_id in world.attempts:
-            world.emit(effects.CancelAttempt(request.attempt_id, False))
+        if request.open_attempts:
+            closing.cancel_attempts(world, request)
             request.may_have_run = True
         outcome = effects.Outcome.NOT_RUN
         if request.may_have_run:
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -511,7 +511,7 @@
         core.wait(500)
         core.open(later)
     core.wait(100)
-    assert core.world.requests["r1"].attempt_id != hanging.attempt_id
+    assert hanging.attempt_id not in core.world.requests["r1"].open_attempts
 
 
 def a_refusal_that_says_not_run_is_true() -> None:
--- a/tests/cases/silent.py
+++ b/tests/cases/silent.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from cases import routed_core
 from cases.routed_core import Core
-from godwittack.core import effects, inputs, server_inputs
+from godwittack.core import effects, server_inputs
 
 SILENT = 400
 
