Keep a silent attempt until another one has brought something new

What callers saw: streams cut, and calls answered 502, while servers that were sound sent nothing for about a second, whether or not the configuration changed.

Cause: an attempt was cancelled on suspicion, by an unanswered probe or a long pause, and only then was another server looked for. Where none might be asked (no attempt, retry token or usable server left), or where that one was silent as well, the answer was broken although it would have gone on a moment later.

Change: a silent attempt is marked and kept. Another server is asked beside it, if route, budget and deadline allow and that server shows signs of life; otherwise it is probed first. The first attempt that brings a new event or the answer goes on, the others are cancelled then. A second attempt that fails leaves the first one. Nothing ends for a silence: the time limits of caller and route do, the caller's leaving, or a server that is silent and no longer listed.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -11,13 +11,14 @@
     effects,
     entities,
     followup,
+    hedging,
     inputs,
     outcomes,
     paths,
     prefill_cost,
-    probing,
     routing,
     servers,
+    silence,
     stream_versions,
     work,
 )
@@ -32,8 +33,7 @@
     if current is None:
         return
     request, attempt = current
-    attempt.last_progress_ms = world.now_ms
-    servers.record_contact(world, attempt)
+    hedging.record_progress(world, request, attempt)
     if _check_echo(
         world, request, attempt, message.echoed_request, message.stamp
     ):
@@ -51,10 +51,10 @@
     request, attempt = current
     if not attempt.opened:
         return
-    attempt.last_progress_ms = world.now_ms
-    servers.record_contact(world, attempt)
+    hedging.record_progress(world, request, attempt)
     new_frames, is_frame_missing = _take_new_frames(request, message.frames)
     if new_frames:
+        hedging.settle(world, request, attempt)
         _relay(world, request, attempt, new_frames)
     if new_frames and new_frames[-1].terminal:
         _end_stream(world, request, attempt)
@@ -121,10 +121,9 @@
         # The error response is kept: it goes to the caller if no other
         # attempt gets a better one.
         request.may_have_run = True
-        followup.retry(
-            world, request, attempt, f"status {message.answer.status}"
-        )
+        _go_on(world, request, attempt, f"status {message.answer.status}")
         return
+    hedging.settle(world, request, attempt)
     request.answered_at_ms = world.now_ms
     request.late = world.now_ms > request.deadline_at_ms
     if request.claim_key is None:
@@ -199,27 +198,44 @@
     if _may_have_crashed(failure) and crashes.record_broken_connection(
         world, request, attempt
     ):
-        probing.probe(world, world.servers[attempt.server_id])
+        silence.probe(world, world.servers[attempt.server_id])
     if failure.cause is not inputs.FailureCause.STREAM_GONE:
         servers.record_failure(world, attempt, failure)
     if may_place_again:
         followup.place_again(world, request, attempt, failure.detail)
         return
-    if request.answer_started or request.started_elsewhere:
-        if failure.cause is inputs.FailureCause.STREAM_GONE:
-            followup.break_stream(
-                world, request, "the engine no longer has the stream"
-            )
-        else:
-            followup.resume_or_break(world, request, attempt, failure.detail)
-        return
-    closing.close_attempt(world, attempt.attempt_id)
-    if request.at_most_once and request.may_have_run:
-        followup.refuse_unknown(world, request, failure.detail)
+    if failure.cause is inputs.FailureCause.STREAM_GONE and (
+        request.answer_started or request.started_elsewhere
+    ):
+        followup.break_stream(
+            world, request, "the engine no longer has the stream"
+        )
         return
     # A resting server gets no work anyway, and may be used after its rest.
     avoid = not _is_resting(world, attempt)
-    followup.retry(world, request, attempt, failure.detail, avoid=avoid)
+    _go_on(world, request, attempt, failure.detail, avoid=avoid)
+
+
+def _go_on(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+    *,
+    avoid: bool = True,
+) -> None:
+    """Goes on after an attempt has failed, by another one if one is open."""
+    closing.close_attempt(world, attempt.attempt_id)
+    if request.open_attempts:
+        if avoid:
+            request.excluded_servers.add(attempt.server_id)
+        request.hedge_check_at_ms = world.now_ms
+        return
+    has_begun = request.answer_started or request.started_elsewhere
+    if request.at_most_once and request.may_have_run and not has_begun:
+        followup.refuse_unknown(world, request, detail)
+        return
+    followup.retry_or_resume(world, request, attempt, detail, avoid=avoid)
 
 
 def _was_not_passed_on(failure: inputs.AttemptFailed) -> bool:
@@ -361,20 +377,17 @@
         echoed=str(stamp),
     )
     servers.apply_echoed_state(world, attempt.server_id, stamp)
-    if request.answer_started or request.started_elsewhere:
+    closing.close_attempt(world, attempt.attempt_id)
+    has_begun = request.answer_started or request.started_elsewhere
+    if has_begun and not request.open_attempts:
         followup.break_stream(
             world, request, "the engine restarted or changed weights"
         )
         return False
-    closing.close_attempt(world, attempt.attempt_id)
     request.may_have_run = True
     # The engine is healthy, and its new state is now known.
-    followup.retry(
-        world,
-        request,
-        attempt,
-        "the engine's state had changed",
-        avoid=False,
+    _go_on(
+        world, request, attempt, "the engine's state had changed", avoid=False
     )
     return False
 
--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -179,6 +179,17 @@
         server.trial_attempt_id = ""
 
 
+def cancel_attempt(
+    world: entities.World,
+    attempt: entities.AttemptRow,
+    *,
+    stop_engine: bool = False,
+) -> None:
+    """Cancels and closes an attempt."""
+    world.emit(effects.CancelAttempt(attempt.attempt_id, stop_engine))
+    close_attempt(world, attempt.attempt_id)
+
+
 def cancel_attempts(
     world: entities.World,
     request: entities.RequestRow,
@@ -194,10 +205,9 @@
         kept: Id of an attempt that goes on; empty for none.
         stop_engine: Whether engines must end the streams as well.
     """
-    for attempt_id in list(request.open_attempts):
-        if attempt_id != kept:
-            world.emit(effects.CancelAttempt(attempt_id, stop_engine))
-            close_attempt(world, attempt_id)
+    for attempt in list(request.open_attempts.values()):
+        if attempt.attempt_id != kept:
+            cancel_attempt(world, attempt, stop_engine=stop_engine)
 
 
 def remove(world: entities.World, request: entities.RequestRow) -> None:
@@ -216,6 +226,7 @@
 
 
 __all__ = [
+    "cancel_attempt",
     "cancel_attempts",
     "close_attempt",
     "finish",
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -53,7 +53,7 @@
     if not _meets_deadline(world, request, choice, wait_ms):
         return
     if not must_queue:
-        _dispatch_unqueued(world, request, choice)
+        dispatch_unqueued(world, request, choice)
         return
     queued = _queued_count(world, request.work.target)
     if queued >= _queue_limit(world, request):
@@ -81,10 +81,10 @@
         refusing.refuse_no_server(world, request)
         return
     if _meets_deadline(world, request, choice, 0.0):
-        _dispatch_unqueued(world, request, choice)
+        dispatch_unqueued(world, request, choice)
 
 
-def _dispatch_unqueued(
+def dispatch_unqueued(
     world: entities.World,
     request: entities.RequestRow,
     choice: placing.Choice,
@@ -367,6 +367,18 @@
     world.attempts[attempt.attempt_id] = attempt
 
 
+def is_in_time(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+    queue_wait_ms: float = 0.0,
+) -> bool:
+    """Returns whether a request is expected to meet its deadline."""
+    expected_ms = choice.first_token_ms + queue_wait_ms
+    left_ms = request.answer_start_deadline_ms - world.now_ms
+    return expected_ms <= left_ms * world.policy.deadline_part
+
+
 def _meets_deadline(
     world: entities.World,
     request: entities.RequestRow,
@@ -381,10 +393,10 @@
     Returns:
         Whether the request is expected to be in time.
     """
+    if is_in_time(world, request, choice, queue_wait_ms):
+        return True
     expected_ms = choice.first_token_ms + queue_wait_ms
     left_ms = request.answer_start_deadline_ms - world.now_ms
-    if expected_ms <= left_ms * world.policy.deadline_part:
-        return True
     refusing.refuse_unassigned(
         world,
         request,
@@ -425,4 +437,12 @@
     return float(request.work.prompt_tokens + request.work.max_tokens + 1)
 
 
-__all__ = ["dispatch", "dispatch_queued", "expire_queued", "place", "resume"]
+__all__ = [
+    "dispatch",
+    "dispatch_queued",
+    "dispatch_unqueued",
+    "expire_queued",
+    "is_in_time",
+    "place",
+    "resume",
+]
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -33,6 +33,20 @@
     STORING = "storing"
 
 
+class Silence(enum.StrEnum):
+    """What an attempt that makes no progress is believed to wait for.
+
+    SERVER: nothing at all is heard of the server. RELAY: the daemon that passes
+    the attempt on does not reach it. ANSWER: the server responds, but not to
+    this attempt.
+    """
+
+    NONE = "none"
+    SERVER = "server"
+    RELAY = "relay"
+    ANSWER = "answer"
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class StreamInquiry:
     """A question to other daemons which software version began a stream.
@@ -94,6 +108,9 @@
             go on; empty if none has, or if it is not known.
         inquiry: The question which version that was.
         last_attempt: Its newest attempt, also once that is closed.
+        hedge_check_at_ms: When to check next whether another server may be
+            asked while its attempts are silent.
+        logged_limit: Limit that was last logged to prevent a retry.
     """
 
     request_id: str
@@ -133,6 +150,8 @@
     stream_version: str = ""
     inquiry: StreamInquiry | None = None
     last_attempt: AttemptRow | None = None
+    hedge_check_at_ms: int = 0
+    logged_limit: str = ""
 
     @property
     def answer_start_deadline_ms(self) -> int:
@@ -145,6 +164,13 @@
             return self.deadline_at_ms
         return min(self.deadline_at_ms, self.caller_timeout_at_ms)
 
+    def has_attempt_at(self, server_id: str) -> bool:
+        """Returns whether an open attempt runs at a server."""
+        return any(
+            attempt.server_id == server_id
+            for attempt in self.open_attempts.values()
+        )
+
     @property
     def content(self) -> str:
         """Key of workspace and request content; empty if not known."""
@@ -184,6 +210,9 @@
         is_delimited: Whether the server marks the end of its answer.
         relay: Daemon that sends it to the server; empty for this one.
         head: Status and headers of the answer; None until they arrive.
+        silence: What it waits for in vain.
+        silent_since_ms: When that was found.
+        silence_detail: How it was found, for the log.
         has_own_place: Whether it takes a place of this daemon at a brittle
             server.
     """
@@ -202,6 +231,9 @@
     software_version: str = ""
     relay: str = ""
     head: works.Head | None = None
+    silence: Silence = Silence.NONE
+    silent_since_ms: int = 0
+    silence_detail: str = ""
     has_own_place: bool = True
 
 
@@ -567,6 +599,7 @@
     "Phase",
     "RequestRow",
     "ServerRow",
+    "Silence",
     "StreamInquiry",
     "ToldPaths",
     "World",
--- a/src/godwittack/core/followup.py
+++ b/src/godwittack/core/followup.py
@@ -37,14 +37,7 @@
     if avoid:
         request.excluded_servers.add(attempt.server_id)
     if retries.try_acquire(world, request):
-        world.event(
-            "retried",
-            request.request_id,
-            workspace=request.workspace,
-            target=request.work.target,
-            attempt=request.attempts + 1,
-            **retries.budget_state(world, request.work.target),
-        )
+        log_second_attempt(world, request, attempt, detail)
         dispatching.place(world, request)
         return
     outcome = effects.Outcome.NOT_RUN
@@ -67,6 +60,55 @@
     )
 
 
+def retry_or_resume(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+    *,
+    avoid: bool = True,
+) -> None:
+    """Goes on elsewhere after the last attempt of a request has failed."""
+    if request.answer_started or request.started_elsewhere:
+        resume_or_break(world, request, attempt, detail)
+    else:
+        retry(world, request, attempt, detail, avoid=avoid)
+
+
+def log_second_attempt(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+) -> None:
+    """Logs that a request is sent to another server, and why.
+
+    Args:
+        world: Tables.
+        request: The request.
+        attempt: Its attempt that failed or is silent.
+        detail: What happened to that attempt.
+    """
+    if request.answer_started:
+        world.event(
+            "stream_resumed",
+            request.request_id,
+            server=attempt.server_id,
+            software=request.stream_version,
+            after_frame=request.next_frame - 1,
+            detail=detail,
+        )
+        return
+    world.event(
+        "retried",
+        request.request_id,
+        workspace=request.workspace,
+        target=request.work.target,
+        attempt=request.attempts + 1,
+        **retries.budget_state(world, request.work.target),
+    )
+
+
 def place_again(
     world: entities.World,
     request: entities.RequestRow,
@@ -86,7 +128,10 @@
         target=request.work.target,
         detail=detail,
     )
-    dispatching.place(world, request)
+    if request.open_attempts:
+        request.hedge_check_at_ms = world.now_ms
+    else:
+        dispatching.place(world, request)
 
 
 def refuse_unknown(
@@ -149,14 +194,7 @@
         break_stream(world, request, detail)
         return
     request.resumes += 1
-    world.event(
-        "stream_resumed",
-        request.request_id,
-        server=attempt.server_id,
-        software=request.stream_version,
-        after_frame=request.next_frame - 1,
-        detail=detail,
-    )
+    log_second_attempt(world, request, attempt, detail)
     dispatching.place(world, request)
 
 
@@ -189,8 +227,10 @@
 __all__ = [
     "break_stream",
     "is_retryable_answer",
+    "log_second_attempt",
     "place_again",
     "refuse_unknown",
     "resume_or_break",
     "retry",
+    "retry_or_resume",
 ]
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -60,12 +60,22 @@
 
 
 def choose(
-    world: entities.World, request: entities.RequestRow
+    world: entities.World,
+    request: entities.RequestRow,
+    *,
+    tries_unknown_relays: bool = True,
 ) -> Choice | None:
-    """Returns the best usable server, or None if no server is usable."""
+    """Returns the best usable server, or None if no server is usable.
+
+    Args:
+        world: The tables.
+        request: The request to place.
+        tries_unknown_relays: Whether to try other daemons that may not reach
+            a server either, if no server is known to be usable.
+    """
     servers = world.servers_by_target[request.work.target].values()
     usable = [s for s in servers if is_usable(world, s, request)]
-    if not usable:
+    if not usable and tries_unknown_relays:
         usable = [
             server
             for server in servers
@@ -194,6 +204,8 @@
     """Returns whether a server accepts new work, rest periods aside."""
     if server.leaving or server.server_id in request.excluded_servers:
         return False
+    if request.has_attempt_at(server.server_id):
+        return False
     if world.now_ms < server.draining_until_ms:
         return False
     if request.stream_version not in ("", server.software_version):
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -12,10 +12,10 @@
 
 from godwittack.core import (
     availability,
-    closing,
     crashes,
     effects,
-    followup,
+    entities,
+    hedging,
     paths,
     server_inputs,
     servers,
@@ -24,12 +24,8 @@
 from godwittack.member import assignment
 
 if TYPE_CHECKING:
-    from godwittack.core import entities
+    from collections.abc import Iterable
 
-# Time without progress after which a server with requests from this daemon is
-# probed. A long prompt takes some 300 ms in which nothing is sent, and a probe
-# costs a busy server nothing.
-PROBE_AFTER_MS = 300
 # Extra delay of the last daemon to probe a server in a large fleet; the others
 # are spread below it, and the first that gets no response notifies them. When
 # sixty daemons probed at once, their probes were half of all calls to engines
@@ -38,8 +34,6 @@
 # Multiple of a plain service's smoothed answer time after which it is probed. A
 # probe waits in the same queue as calls and makes it longer.
 SERVICE_TIME_FACTOR = 3.0
-# Minimum time between two probes of a server.
-PROBE_INTERVAL_MS = 600
 
 
 def probe_unresponsive(world: entities.World) -> None:
@@ -50,13 +44,13 @@
         crashes.clear_outlived(world, server)
         is_lost = paths.is_lost(server)
         if not is_lost and crashes.needs_sign_of_life(world, server):
-            probe(world, server)
+            silence.probe(world, server)
         if not server.in_flight:
             continue
         if is_lost:
             _ask_silent_relays(world, server)
         elif _is_unresponsive(world, server):
-            probe(world, server)
+            silence.probe(world, server)
 
 
 def check_ejected(world: entities.World) -> None:
@@ -129,14 +123,6 @@
     return report_age_ms < world.policy.report_stale_ms
 
 
-def probe(world: entities.World, server: entities.ServerRow) -> None:
-    """Probes a server, unless it was probed just now."""
-    if world.now_ms - server.last_probe_ms < PROBE_INTERVAL_MS:
-        return
-    server.last_probe_ms = world.now_ms
-    world.emit(effects.Probe(server.server_id, server.address))
-
-
 def handle_suspected(
     world: entities.World, report: server_inputs.ServerDoubted
 ) -> None:
@@ -147,21 +133,23 @@
     """
     server = world.servers.get(report.server_id)
     if server is not None and server.ejected_until_ms <= world.now_ms:
-        probe(world, server)
+        silence.probe(world, server)
 
 
 def apply_result(
     world: entities.World, result: server_inputs.ProbeAnswered
 ) -> None:
-    """Records the result of a probe, and moves requests off a dead server."""
+    """Records the result of a probe, and whether a server is silent."""
     server = world.servers.get(result.server_id)
     if server is None:
         return
     if result.alive and not paths.was_quick_restart(world, server):
         crashes.record_health_response(world, server, result.incarnation)
-    if result.alive and not server.ejected_until_ms:
+    if result.alive:
         server.last_contact_ms = world.now_ms
-        return
+        if not server.ejected_until_ms:
+            hedging.check_target(world, server.target)
+            return
     was_in_service = not server.ejected_until_ms
     is_silent = not result.alive and world.table.forwarding is not None
     if is_silent and was_in_service:
@@ -171,13 +159,18 @@
         _record_possible_crashes(world, server)
     servers.apply_probe_result(world, result)
     if is_silent:
-        _move_requests(world, server)
+        _suspect(
+            world,
+            _own_attempts(server),
+            "its server gave no sign of life",
+            entities.Silence.SERVER,
+        )
 
 
 def apply_path_answer(
     world: entities.World, answer: server_inputs.PathAnswered
 ) -> None:
-    """Applies another daemon's answer, and moves requests off it.
+    """Applies another daemon's answer about its path to a server.
 
     A daemon that passes on requests to a server may lose its own path to it.
     """
@@ -190,14 +183,19 @@
         for attempt in server.in_flight.values()
         if attempt.relay == answer.daemon
     ]
-    _move_attempts(world, relayed)
+    _suspect(
+        world,
+        relayed,
+        "its relay does not reach the server",
+        entities.Silence.RELAY,
+    )
 
 
 def _ask_silent_relays(
     world: entities.World, server: entities.ServerRow
 ) -> None:
     """Asks daemons whether they still reach a server that is silent."""
-    if world.now_ms - server.last_probe_ms < PROBE_INTERVAL_MS:
+    if world.now_ms - server.last_probe_ms < silence.PROBE_INTERVAL_MS:
         return
     silence_ms = _silence_limit_ms(world, server)
     silent_relays = {
@@ -223,7 +221,7 @@
     )
     last_contact_ms = max(oldest_progress_ms, server.last_contact_ms)
     silent_ms = world.now_ms - last_contact_ms
-    return silent_ms >= PROBE_AFTER_MS and silent_ms >= _silence_limit_ms(
+    return silent_ms >= silence.SILENT_MS and silent_ms >= _silence_limit_ms(
         world, server
     )
 
@@ -231,7 +229,7 @@
 def _silence_limit_ms(
     world: entities.World, server: entities.ServerRow
 ) -> float:
-    limit_ms = float(PROBE_AFTER_MS)
+    limit_ms = float(silence.SILENT_MS)
     if server.target in world.table.services:
         usual_ms = world.service_time_ms.get(server.target, 0.0)
         limit_ms = max(limit_ms, SERVICE_TIME_FACTOR * usual_ms)
@@ -252,29 +250,16 @@
             crashes.record_broken_connection(world, request, attempt)
 
 
-def _move_requests(world: entities.World, server: entities.ServerRow) -> None:
-    """Moves requests that may be repeated from a dead server to others."""
-    _move_attempts(world, _own_attempts(server))
-
-
-def _move_attempts(
-    world: entities.World, attempts: list[entities.AttemptRow]
+def _suspect(
+    world: entities.World,
+    attempts: Iterable[entities.AttemptRow],
+    detail: str,
+    cause: entities.Silence,
 ) -> None:
-    for attempt in attempts:
+    for attempt in list(attempts):
         request = world.requests.get(attempt.request_id)
-        if request is None or request.work.route is None:
-            continue
-        if request.at_most_once:
-            continue
-        detail = "its server gave no sign of life"
-        silence.log_attempt(world, request, attempt, detail)
-        world.emit(effects.CancelAttempt(attempt.attempt_id, False))
-        request.may_have_run = True
-        if request.answer_started:
-            followup.resume_or_break(world, request, attempt, detail)
-        else:
-            closing.close_attempt(world, attempt.attempt_id)
-            followup.retry(world, request, attempt, detail)
+        if request is not None and request.work.route is not None:
+            hedging.suspect(world, request, attempt, detail, cause=cause)
 
 
 def _own_attempts(server: entities.ServerRow) -> list[entities.AttemptRow]:
@@ -286,6 +271,5 @@
     "apply_result",
     "check_ejected",
     "handle_suspected",
-    "probe",
     "probe_unresponsive",
 ]
--- a/src/godwittack/core/retries.py
+++ b/src/godwittack/core/retries.py
@@ -32,6 +32,9 @@
     limit = _exceeded_limit(world, request)
     if limit is None:
         return True
+    if limit.value == request.logged_limit:
+        return False
+    request.logged_limit = limit.value
     world.event(
         "not_retried",
         request.request_id,
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -15,6 +15,7 @@
     dispatching,
     effects,
     entities,
+    hedging,
     inputs,
     outcomes,
     paths,
@@ -207,6 +208,7 @@
         outcomes.retry_due_writes(world)
         attempts.reply_unstored(world)
         probing.probe_unresponsive(world)
+        hedging.check(world)
         timeouts.handle_stalled(world)
         timeouts.end_overdue(world)
         paths.check(world)
--- a/src/godwittack/core/silence.py
+++ b/src/godwittack/core/silence.py
@@ -1,4 +1,4 @@
-"""Tells how long backend servers and attempts have been silent.
+"""Tells how long backend servers are silent, and asks for a sign of life.
 
 A silent server may have ended, hang, be cut off from this daemon, or be about
 to go on. Only a proof that its process has ended tells these apart.
@@ -8,12 +8,24 @@
 
 from typing import TYPE_CHECKING
 
+from godwittack.core import effects
+
 if TYPE_CHECKING:
     from godwittack.core import entities
 
 # Time without progress from which an attempt counts as waiting for a silent
 # server. A long prompt takes some 300 ms in which nothing is sent.
 SILENT_MS = 300
+# Minimum time between two probes of a server.
+PROBE_INTERVAL_MS = 600
+
+
+def probe(world: entities.World, server: entities.ServerRow) -> None:
+    """Probes a server, unless it was probed just now."""
+    if world.now_ms - server.last_probe_ms < PROBE_INTERVAL_MS:
+        return
+    server.last_probe_ms = world.now_ms
+    world.emit(effects.Probe(server.server_id, server.address))
 
 
 def contact_age_ms(world: entities.World, server: entities.ServerRow) -> int:
@@ -86,11 +98,13 @@
 
 
 __all__ = [
+    "PROBE_INTERVAL_MS",
     "SILENT_MS",
     "attempt_fields",
     "contact_age_ms",
     "log_attempt",
     "longest_wait_ms",
+    "probe",
     "report_age_ms",
     "silent_attempts",
 ]
--- a/src/godwittack/core/timeouts.py
+++ b/src/godwittack/core/timeouts.py
@@ -1,4 +1,4 @@
-"""Enforces the time limits of attempts and requests."""
+"""Finds silent attempts, and enforces the time limits of requests."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
     effects,
     entities,
     followup,
+    hedging,
     routing,
     servers,
     silence,
@@ -18,10 +19,10 @@
 
 
 def handle_stalled(world: entities.World) -> None:
-    """Retries, resumes or ends attempts that made no progress for too long."""
+    """Finds attempts that made no progress for too long."""
     for attempt in list(world.attempts.values()):
         request = world.requests.get(attempt.request_id)
-        if request is None:
+        if request is None or attempt.silence is not entities.Silence.NONE:
             continue
         idle_ms = world.now_ms - attempt.last_progress_ms
         if request.answer_started or request.started_elsewhere:
@@ -47,12 +48,12 @@
     request: entities.RequestRow,
     attempt: entities.AttemptRow,
 ) -> None:
-    if request.work.route and not request.work.route.resumable:
-        # No other server could continue the stream, so it only waits.
+    detail = "silent between frames"
+    if request.work.route is not None:
+        _suspect(world, request, attempt, detail)
         return
     # A connection can stall for good while new ones to the same server work.
     # Only a new one distinguishes a dead network path from a dead engine.
-    detail = "silent between frames"
     silence.log_attempt(world, request, attempt, detail)
     world.emit(effects.CancelAttempt(attempt.attempt_id, False))
     followup.resume_or_break(world, request, attempt, detail)
@@ -68,13 +69,19 @@
         return
     if _is_queued_at_server(world, request, attempt):
         return
-    detail = "silent before the first frame"
-    silence.log_attempt(world, request, attempt, detail)
-    world.emit(effects.CancelAttempt(attempt.attempt_id, True))
     servers.record_missing_first_frame(world, attempt)
-    closing.close_attempt(world, attempt.attempt_id)
-    request.may_have_run = True
-    followup.retry(world, request, attempt, detail)
+    _suspect(world, request, attempt, "silent before the first frame")
+
+
+def _suspect(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+) -> None:
+    hedging.suspect(
+        world, request, attempt, detail, cause=entities.Silence.ANSWER
+    )
 
 
 def _is_queued_at_server(
@@ -112,13 +119,12 @@
     request: entities.RequestRow,
     attempt: entities.AttemptRow,
 ) -> None:
-    world.emit(effects.CancelAttempt(attempt.attempt_id, False))
-    closing.close_attempt(world, attempt.attempt_id)
-    request.may_have_run = True
-    if request.claim_key is not None:
+    if hedging.may_hedge(request):
+        _suspect(world, request, attempt, "no answer came")
+    elif request.claim_key is not None:
+        closing.cancel_attempt(world, attempt)
+        request.may_have_run = True
         followup.refuse_unknown(world, request, "no answer came")
-    else:
-        followup.retry(world, request, attempt, "no answer came")
 
 
 def end_overdue(world: entities.World) -> None:
--- a/tests/features/silent.feature
+++ b/tests/features/silent.feature
@@ -21,3 +21,15 @@
       | a stream without retry budget outlasts a silence |
       | a request without an answer outlasts a silence of all servers |
       | a pause between events ends nothing |
+      | a silent attempt is kept until another brings an event |
+      | a silent server that goes on first keeps its stream |
+      | an answer keeps the head of the server that begins it |
+      | a server that may be silent too is probed first |
+      | a second attempt that fails leaves the silent one |
+      | a silent attempt that fails leaves the second one |
+      | a call gets the first answer |
+      | a caller that leaves ends all attempts |
+      | the time limit of a route ends all attempts |
+      | what may run once is sent to one server |
+      | a stream runs on no more servers than its route allows |
+      | a removed server ends the wait |
