Count a silence as no crash unless the process has ended

What callers saw: with silent attempts kept, 6 of 419 resumable streams on real processes waited to the end of their time at engines that had gone dark for good, beside three that answered, and were cut there.

Cause: when a probe had no answer, all that ran at the server was recorded as runs that it may have crashed on, and a part or content with three such servers was not sent again (not_retried limit=crashes). A silence of several servers with a shared prompt so blamed the prompt.

Change: such a run is recorded as silent. It counts as a crash if the process is known to have ended (address refused, entry gone, another incarnation), as before, but not while that is unknown; it is cleared when the attempt goes on.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -174,7 +174,7 @@
         return
     may_place_again = _has_other_path(world, request, attempt, failure)
     if _is_connect_failure(failure):
-        crashes.forget_unsent(world, request, attempt)
+        crashes.forget_run(world, request, attempt)
     if failure.phase is inputs.FailurePhase.SENT:
         request.may_have_run = True
     elif not may_place_again:
--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -3,7 +3,8 @@
 A closed connection alone proves nothing: an answer may be lost, a connection
 reset, this daemon cut off. It counts as a crash once the server's process is
 known to have ended as well. All requests that ran there are counted, with what
-they hold; runs that complete speak for it.
+they hold; runs that complete speak for it. A silence proves even less: all
+servers of a target may be silent at one time, with whatever they run.
 """
 
 from __future__ import annotations
@@ -52,14 +53,16 @@
     attempt: entities.AttemptRow,
     *,
     is_answered: bool = False,
+    is_silent: bool = False,
 ) -> bool:
-    """Records a connection that closed before the end of the answer.
+    """Records a run that its server cut short, as far as is known.
 
     Args:
         world: The tables.
         request: The request.
-        attempt: Its attempt on that connection.
+        attempt: Its attempt on the connection that closed or is silent.
         is_answered: Whether the answer may be whole: its end had no mark.
+        is_silent: Whether the connection is only silent.
 
     Returns:
         Whether it is still unknown if the server's process has ended.
@@ -74,23 +77,34 @@
         at_ms=world.now_ms,
         target=server.target,
         is_answered=is_answered,
+        is_silent=is_silent,
     )
     was_sent_before_end = attempt.sent_at_ms <= server.ended_at_ms
     if run.start == server.ended_incarnation_id and was_sent_before_end:
         _record_crashes(world, server, [run])
         return False
+    forget_run(world, request, attempt, only_silent=True)
     server.possible_crashes = [*_recent_runs(world, server), run]
     return True
 
 
-def forget_unsent(
+def forget_run(
     world: entities.World,
     request: entities.RequestRow,
     attempt: entities.AttemptRow,
+    *,
+    only_silent: bool = False,
 ) -> None:
-    """Clears an attempt of which no byte was sent, so that it ended nothing.
+    """Clears a run that can't have ended its server.
+
+    No byte of it was sent, although a probe found the server dead while it
+    still connected, or it was only silent and goes on.
 
-    A probe may find its server dead while it still connects.
+    Args:
+        world: The tables.
+        request: The request.
+        attempt: Its attempt.
+        only_silent: Whether to keep the record of a connection that closed.
     """
     server = world.servers.get(attempt.server_id)
     if server is None or not server.possible_crashes:
@@ -99,7 +113,9 @@
     server.possible_crashes = [
         run
         for run in server.possible_crashes
-        if run.keys != keys or run.start != attempt.incarnation_id
+        if run.keys != keys
+        or run.start != attempt.incarnation_id
+        or (only_silent and not run.is_silent)
     ]
 
 
@@ -502,7 +518,7 @@
     """Returns whether a request would be quarantined for broken connections.
 
     They count like crashes here: if it were resent before it is known whether
-    their servers crashed, it could crash another one.
+    their servers crashed, it could crash another one. Silences don't count.
     """
     return any(
         world.quarantine.would_blame(
@@ -519,7 +535,7 @@
         for server in world.servers.values()
         if server.possible_crashes
         for run in _recent_runs(world, server)
-        if key in run.keys
+        if key in run.keys and not run.is_silent
     }
 
 
@@ -557,7 +573,7 @@
     "apply_peer_update",
     "clear_by_relay",
     "clear_outlived",
-    "forget_unsent",
+    "forget_run",
     "incarnation_id",
     "is_blocked",
     "is_quarantined",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -295,7 +295,7 @@
         ended_incarnation_id: Unique id of its last incarnation known to have
             ended.
         ended_at_ms: When this daemon learnt that it had ended.
-        possible_crashes: Recent runs whose connection closed; they count as
+        possible_crashes: Recent runs that were cut short; they count as
             crashes only if the server's process has ended.
         path_lost_at_ms: When this daemon found that it can't reach the server;
             0 while it can.
--- a/src/godwittack/core/hedging.py
+++ b/src/godwittack/core/hedging.py
@@ -56,6 +56,10 @@
     server = world.servers.get(attempt.server_id)
     if server is not None and server.trial_attempt_id == attempt.attempt_id:
         server.trial_attempt_id = ""
+    if cause is entities.Silence.SERVER:
+        crashes.record_broken_connection(
+            world, request, attempt, is_silent=True
+        )
     silence.log_attempt(world, request, attempt, detail)
     _ask_another(world, request, attempt)
 
@@ -226,6 +230,7 @@
     )
     attempt.silence = entities.Silence.NONE
     attempt.last_progress_ms = world.now_ms
+    crashes.forget_run(world, request, attempt, only_silent=True)
 
 
 def _leave_removed(
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -152,11 +152,9 @@
             return
     was_in_service = not server.ejected_until_ms
     is_silent = not result.alive and world.table.forwarding is not None
-    if is_silent and was_in_service:
-        # A daemon that is cut off would make all others doubt live servers.
-        if not paths.is_cut_off(world):
-            world.emit(effects.Doubt(server.server_id, server.target))
-        _record_possible_crashes(world, server)
+    # A daemon that is cut off would make all others doubt live servers.
+    if is_silent and was_in_service and not paths.is_cut_off(world):
+        world.emit(effects.Doubt(server.server_id, server.target))
     servers.apply_probe_result(world, result)
     if is_silent:
         _suspect(
@@ -240,16 +238,6 @@
     return limit_ms + PROBE_SPREAD_MS * order.index(world.daemon) / len(order)
 
 
-def _record_possible_crashes(
-    world: entities.World, server: entities.ServerRow
-) -> None:
-    """Records a dead server's requests, in case one of them crashed it."""
-    for attempt in _own_attempts(server):
-        request = world.requests.get(attempt.request_id)
-        if request is not None:
-            crashes.record_broken_connection(world, request, attempt)
-
-
 def _suspect(
     world: entities.World,
     attempts: Iterable[entities.AttemptRow],
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -104,14 +104,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BrokenRun:
-    """A run whose connection closed; a crash if its server's process ended.
+    """A run that was cut short; a crash if its server's process has ended.
 
     Attributes:
         keys: Keys of what the request held.
         start: Name of the server's incarnation.
-        at_ms: When the connection closed.
+        at_ms: When the connection closed, or was found silent.
         target: Model or service of the server.
         is_answered: Whether the answer may be whole: its end had no mark.
+        is_silent: Whether its connection was only silent.
     """
 
     keys: tuple[str, ...]
@@ -119,6 +120,7 @@
     at_ms: int
     target: str
     is_answered: bool = False
+    is_silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
