Reconnect to a silent stream for as long as its engine is listed

What callers of our own interface would see: a stream that had begun ended with an error after four pauses of frame_gap_ms without a frame, beside an engine that goes on afterwards.

Cause: the same class as that of routed streams. A silence was counted like a failed resumption, and after max_resumes of them the stream was broken, although the engine keeps it and a new connection costs nothing.

Change: a silent stream is reconnected at the same interval until its engine is no longer listed, which ends it with an explicit error, or its caller leaves. max_resumes limits failures only.

Found by looking for the same cause elsewhere, not reported. The new case fails before the change (BreakStream at the fourth silence).

--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -240,7 +240,6 @@
         last_progress_ms=world.now_ms,
         relay=relay,
     )
-    request.resumes += 1
     _record_attempt(world, request, attempt)
     server.in_flight[attempt_id] = attempt
     world.emit(
--- a/src/godwittack/core/followup.py
+++ b/src/godwittack/core/followup.py
@@ -163,6 +163,21 @@
     if route is not None:
         _resume_elsewhere(world, request, attempt, detail)
         return
+    request.resumes += 1
+    reconnect(world, request, attempt, detail)
+
+
+def reconnect(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
+    detail: str,
+) -> None:
+    """Continues a stream at its engine, on a new connection.
+
+    An open connection can stall for good while new ones to the same server
+    work.
+    """
     if attempt.server_id not in world.servers:
         break_stream(world, request, "its backend server is gone")
         return
@@ -228,6 +243,7 @@
     "break_stream",
     "is_retryable_answer",
     "log_second_attempt",
+    "reconnect",
     "place_again",
     "refuse_unknown",
     "resume_or_break",
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -20,7 +20,8 @@
         store_retry_ms: Pause between attempts to write an outcome.
         claim_tries: Unanswered claim writes before the call is refused.
         max_attempts: Maximum dispatches of one request, including the first.
-        max_resumes: Maximum resumptions of a stream without a new frame.
+        max_resumes: Maximum resumptions of a stream that fails again and again
+            without a new frame.
         retry_ratio: Retries earned per accepted request.
         retry_burst: Retries allowed at once after a quiet period.
         retry_saved_ratio: Retries saved per accepted request by a daemon whose
--- a/src/godwittack/core/resuming.py
+++ b/src/godwittack/core/resuming.py
@@ -62,6 +62,7 @@
         last_progress_ms=world.now_ms,
     )
     request.started_elsewhere = True
+    request.resumes += 1
     dispatching.resume(world, request, original_attempt)
 
 
--- a/src/godwittack/core/timeouts.py
+++ b/src/godwittack/core/timeouts.py
@@ -52,11 +52,10 @@
     if request.work.route is not None:
         _suspect(world, request, attempt, detail)
         return
-    # A connection can stall for good while new ones to the same server work.
-    # Only a new one distinguishes a dead network path from a dead engine.
+    # The engine keeps the stream, so nothing is lost by a new connection.
     silence.log_attempt(world, request, attempt, detail)
     world.emit(effects.CancelAttempt(attempt.attempt_id, False))
-    followup.resume_or_break(world, request, attempt, detail)
+    followup.reconnect(world, request, attempt, detail)
 
 
 def _handle_stalled_start(
--- a/tests/cases/silent.py
+++ b/tests/cases/silent.py
@@ -5,6 +5,7 @@
 from cases import routed_core
 from cases.routed_core import Core
 from godwittack.core import effects, inputs, server_inputs
+from sim import recordings
 
 SILENT_MS = 400
 
@@ -318,7 +319,26 @@
         assert len(core.world.quarantine.crashes("desk/f")) == 1
 
 
+def a_stream_of_our_own_interface_outlasts_a_silence() -> None:
+    """Guards against a stream ended because its engine was silent for long."""
+    script = recordings.Script("", frame_gap_ms=500)
+    script.list_server("engine-1", "rulebook")
+    script.submit_generation("r")
+    script.open(script.dispatches()[0])
+    script.frames(script.dispatches()[0], 1, 2)
+    for _ in range(8):
+        script.tick(after_ms=500)
+    resumed = script.dispatches()
+    assert len(resumed) == 9 and resumed[-1].after == 2, resumed
+    script.open(resumed[-1])
+    script.frames(resumed[-1], 3, 4, end=True)
+    ends = (effects.BreakStream, effects.EndStream)
+    (end,) = [e for e in script.effects if isinstance(e, ends)]
+    assert isinstance(end, effects.EndStream), end
+
+
 __all__ = [
+    "a_stream_of_our_own_interface_outlasts_a_silence",
     "a_call_gets_the_first_answer",
     "a_caller_that_leaves_ends_all_attempts",
     "a_pause_between_events_ends_nothing",
--- a/tests/features/silent.feature
+++ b/tests/features/silent.feature
@@ -21,6 +21,7 @@
       | a stream without retry budget outlasts a silence |
       | a request without an answer outlasts a silence of all servers |
       | a pause between events ends nothing |
+      | a stream of our own interface outlasts a silence |
       | a silent attempt is kept until another brings an event |
       | a silent server that goes on first keeps its stream |
       | an answer keeps the head of the server that begins it |
