Probe a lost path at once when its server goes on

What callers saw: for up to four seconds after a silence of all servers, requests were refused or queued beside servers that had gone on.

Cause: a server that doesn't answer is probed after 100 ms, then after 1, 2 and 4 s. That a kept attempt was heard again, or that other daemons had new reports of it, did not bring the next probe forward.

Only a probe on a new connection restores a path, as before. The new case fails before the change.

--- a/src/godwittack/core/hedging.py
+++ b/src/godwittack/core/hedging.py
@@ -230,6 +230,9 @@
     )
     attempt.silence = entities.Silence.NONE
     attempt.last_progress_ms = world.now_ms
+    server = world.servers.get(attempt.server_id)
+    if server is not None and paths.is_lost(server) and not attempt.relay:
+        paths.probe_soon(world, server)
     crashes.forget_run(world, request, attempt, only_silent=True)
 
 
--- a/src/godwittack/core/paths.py
+++ b/src/godwittack/core/paths.py
@@ -279,8 +279,13 @@
     _expire_told(world)
     lost = [server for server in world.servers.values() if is_lost(server)]
     for server in lost:
-        if is_alive_elsewhere(server) and not was_quick_restart(world, server):
-            crashes.clear_by_relay(world, server)
+        if is_alive_elsewhere(server):
+            # It was probed less and less often while it seemed to be dead.
+            server.path_probe_at_ms = min(
+                server.path_probe_at_ms, world.now_ms + PROBE_INTERVAL_MS
+            )
+            if not was_quick_restart(world, server):
+                crashes.clear_by_relay(world, server)
         if _is_end_undecided(world, server):
             ask(world, server)
         server.ejected_until_ms = max(
--- a/tests/cases/silent.py
+++ b/tests/cases/silent.py
@@ -293,6 +293,30 @@
     assert core.find(effects.BreakStream), core.last_effects
 
 
+def a_server_that_goes_on_is_used_again_at_once() -> None:
+    """Guards against sound servers left out for seconds after a silence."""
+    core = Core()
+    sent = begun(core, 1)
+    lose(core, "e1", "e2")
+    for _ in range(8):
+        for probe in core.wait(200):
+            if isinstance(probe, effects.Probe):
+                core.tell(
+                    server_inputs.ProbeAnswered,
+                    probe.server_id,
+                    alive=False,
+                    fresh_connection=True,
+                )
+    core.frames(sent, 2)
+    probed = [e for e in core.wait(50) if isinstance(e, effects.Probe)]
+    assert [(p.server_id, p.fresh_connection) for p in probed] == [
+        (sent.server_id, True)
+    ]
+    core.restore_servers()
+    core.arrive("long", "next")
+    assert core.dispatch()
+
+
 def a_silence_is_no_crash_of_a_part() -> None:
     """Guards against shared prompts withheld because servers were silent."""
     core = Core(servers=6)
--- a/tests/features/silent.feature
+++ b/tests/features/silent.feature
@@ -34,5 +34,6 @@
       | what may run once is sent to one server |
       | a stream runs on no more servers than its route allows |
       | a removed server ends the wait |
+      | a server that goes on is used again at once |
       | a silence is no crash of a part |
       | a server that ends in a silence counts what it ran |
