Don't take a pause of this process for a silence of its servers

What on-call would see: a daemon that was stopped for over a second, or whose event loop stood, logged its attempts as silent when it went on, and a probe that had timed out meanwhile ejected a sound server.

Timers of the daemon expire before it has read what servers sent while it stood, so its own pause looks like a silence of everybody.

Change: a tick says how late it is. Time in which the process did not run counts for no silence, and a probe that timed out in a pause or right after it is repeated; a refused or broken connection counts as before. daemon_paused is logged. Both new cases fail before the change.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -478,6 +478,7 @@
         prefill_costs: Prefill cost learnt from first tokens, by target.
         streams: Which software version began a stream.
         served_versions: Software versions of the servers, by target.
+        paused_until_ms: When this process last went on after a pause.
     """
 
     daemon: str
@@ -557,6 +558,7 @@
     served_versions: dict[str, stream_records.ServedVersions] = (
         dataclasses.field(default_factory=dict)
     )
+    paused_until_ms: int = -1_000_000
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect to the current input's result."""
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -59,9 +59,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
-    """Triggers periodic maintenance."""
+    """Triggers periodic maintenance.
+
+    Attributes:
+        late_ms: How much later it comes than it was due.
+    """
 
     at_ms: int
+    late_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -150,6 +150,15 @@
         if not server.ejected_until_ms:
             hedging.check_target(world, server.target)
             return
+    has_timed_out = not (result.alive or result.ended or result.broken)
+    if has_timed_out and silence.was_paused(world, result.late_ms):
+        # Its answer may wait to be read.
+        world.emit(
+            effects.Probe(
+                server.server_id, server.address, result.fresh_connection
+            )
+        )
+        return
     was_in_service = not server.ejected_until_ms
     is_silent = not result.alive and world.table.forwarding is not None
     # A daemon that is cut off would make all others doubt live servers.
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -25,6 +25,7 @@
     resuming,
     server_inputs,
     servers,
+    silence,
     stream_versions,
     timeouts,
     weights,
@@ -151,6 +152,7 @@
         world = self.world
         match input_:
             case inputs.Tick():
+                silence.discount_pause(world, input_.late_ms)
                 self._tick()
             case inputs.TableChanged():
                 # Peers, lagging replicas and the object store's copy may all
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -16,6 +16,7 @@
         fresh_connection: Whether a new connection was opened for the probe.
         was_asked: Whether another daemon asked for the probe.
         broken: Whether an open connection ended before the answer did.
+        late_ms: How late this daemon's own timers are at that time.
     """
 
     at_ms: int
@@ -26,6 +27,7 @@
     fresh_connection: bool = False
     was_asked: bool = False
     broken: bool = False
+    late_ms: int = 0
 
 
 class PathVerdict(enum.StrEnum):
--- a/src/godwittack/core/silence.py
+++ b/src/godwittack/core/silence.py
@@ -16,10 +16,47 @@
 # Time without progress from which an attempt counts as waiting for a silent
 # server. A long prompt takes some 300 ms in which nothing is sent.
 SILENT_MS = 300
+# Time after a pause of this process in which expired timeouts are ignored.
+PAUSE_GRACE_MS = 100
 # Minimum time between two probes of a server.
 PROBE_INTERVAL_MS = 600
 
 
+def discount_pause(world: entities.World, late_ms: int) -> None:
+    """Lets the time in which this process did not run count for no silence.
+
+    Args:
+        world: The tables.
+        late_ms: How late the current tick is.
+    """
+    if late_ms < SILENT_MS:
+        return
+    world.event("daemon_paused", late_ms=late_ms, in_flight=len(world.attempts))
+    world.paused_until_ms = world.now_ms
+    for attempt in world.attempts.values():
+        attempt.last_progress_ms = min(
+            world.now_ms, attempt.last_progress_ms + late_ms
+        )
+    for server in world.servers.values():
+        if server.last_contact_ms >= 0:
+            server.last_contact_ms = min(
+                world.now_ms, server.last_contact_ms + late_ms
+            )
+
+
+def was_paused(world: entities.World, late_ms: int) -> bool:
+    """Returns whether a timeout may have expired while this process stood.
+
+    Args:
+        world: The tables.
+        late_ms: How late this process's timers are.
+    """
+    return (
+        late_ms >= SILENT_MS
+        or world.now_ms - world.paused_until_ms < PAUSE_GRACE_MS
+    )
+
+
 def probe(world: entities.World, server: entities.ServerRow) -> None:
     """Probes a server, unless it was probed just now."""
     if world.now_ms - server.last_probe_ms < PROBE_INTERVAL_MS:
@@ -102,9 +139,11 @@
     "SILENT_MS",
     "attempt_fields",
     "contact_age_ms",
+    "discount_pause",
     "log_attempt",
     "longest_wait_ms",
     "probe",
     "report_age_ms",
     "silent_attempts",
+    "was_paused",
 ]
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -87,6 +87,7 @@
         self._dispatches: dict[str, effects.Dispatch] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._request_counter = 0
+        self._next_tick_ms = 0
 
     def next_request_id(self, caller_id: str = "") -> str:
         """Returns an id that no other request of the system has.
@@ -120,9 +121,24 @@
 
     async def tick_forever(self, *, tick_ms: int) -> None:
         """Submits a tick to the core once per period."""
+        self._next_tick_ms = self.clock.now_ms() + tick_ms
         while True:
             await asyncio.sleep(tick_ms / 1000)
-            self.submit(inputs.Tick(self.clock.now_ms()))
+            late_ms = self._late_ms()
+            now_ms = self.clock.now_ms()
+            self._next_tick_ms = now_ms + tick_ms
+            self.submit(inputs.Tick(now_ms, late_ms))
+
+    def _late_ms(self) -> int:
+        """Returns how long this process has not run when it should have.
+
+        Load pattern: the process is stopped, or its machine frozen, for a
+        second. Timers that expired meanwhile say nothing of the servers, whose
+        bytes have not been read yet.
+        """
+        if not self._next_tick_ms:
+            return 0
+        return max(0, self.clock.now_ms() - self._next_tick_ms)
 
     async def close(self) -> None:
         """Cancels all attempts and other tasks that still run."""
@@ -313,6 +329,7 @@
                 fresh_connection=effect.fresh_connection,
                 broken=isinstance(result, Err)
                 and result.err_value.connection_broken,
+                late_ms=self._late_ms(),
             )
         )
 
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -43,8 +43,14 @@
     effects.Probe: ("fresh_connection",),
     inputs.MembersChanged: ("known",),
     inputs.RequestArrived: ("waited_ms",),
+    inputs.Tick: ("late_ms",),
     server_inputs.LoadEchoed: ("is_relayed",),
-    server_inputs.ProbeAnswered: ("fresh_connection", "was_asked", "broken"),
+    server_inputs.ProbeAnswered: (
+        "fresh_connection",
+        "was_asked",
+        "broken",
+        "late_ms",
+    ),
     server_inputs.ServerListed: ("slots", "software_version"),
     policy.Policy: (
         "budget_by_target",
--- a/tests/cases/silent.py
+++ b/tests/cases/silent.py
@@ -317,6 +317,26 @@
     assert core.dispatch()
 
 
+def a_pause_of_the_daemon_is_no_silence_of_its_servers() -> None:
+    """Guards against second runs of all requests after a pause of this process.
+
+    Its timers expire before it has read what servers sent meanwhile.
+    """
+    core = Core(frame_gap_ms=1_000)
+    sent = begun(core, 1)
+    core.wait(50)
+    core.now_ms += 1_350
+    timed_out = {"alive": False, "late_ms": 1_300}
+    found = core.tell(server_inputs.ProbeAnswered, sent.server_id, **timed_out)
+    assert [type(e) for e in found] == [effects.Probe], found
+    found = core.tell(inputs.Tick, 1_300)
+    found += core.tell(server_inputs.ProbeAnswered, sent.server_id, alive=False)
+    names = {e.name for e in found if isinstance(e, effects.Event)}
+    assert names == {"daemon_paused"}, found
+    core.frames(sent, 2, end=True)
+    assert core.find(effects.EndStream), core.last_effects
+
+
 def a_silence_is_no_crash_of_a_part() -> None:
     """Guards against shared prompts withheld because servers were silent."""
     core = Core(servers=6)
--- a/tests/features/silent.feature
+++ b/tests/features/silent.feature
@@ -8,6 +8,7 @@
     Examples: real processes
       | case |
       | answers outlast a silence of all servers |
+      | a pause of daemons is no silence of servers |
 
   Scenario Outline: <case>
     # Each case's docstring in tests/cases/silent.py states the failure that it
@@ -35,5 +36,6 @@
       | a stream runs on no more servers than its route allows |
       | a removed server ends the wait |
       | a server that goes on is used again at once |
+      | a pause of the daemon is no silence of its servers |
       | a silence is no crash of a part |
       | a server that ends in a silence counts what it ran |
