--- a/tests/cases/silent_servers.py
+++ b/tests/cases/silent_servers.py
@@ -11,10 +11,12 @@
 
 from cluster import raw_caller
 from cluster.platform import Platform
+from soak import silences
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+SEED = 1
 DAEMONS = 6
 ENGINES = 6
 EVENTS = 9
@@ -152,7 +154,15 @@
     assert max(traffic.runs().values()) == 1, traffic.runs().most_common(5)
 
 
+async def a_short_session_of_silences_keeps_all_promises() -> None:
+    """Guards against cut answers while silences and other faults overlap."""
+    session = silences.create(SEED, daemons=DAEMONS)
+    violations = await session.play()
+    assert not violations, (violations, session.faults)
+
+
 __all__ = [
     "a_pause_of_daemons_is_no_silence_of_servers",
+    "a_short_session_of_silences_keeps_all_promises",
     "answers_outlast_a_silence_of_all_servers",
 ]
--- a/tests/features/silent.feature
+++ b/tests/features/silent.feature
@@ -9,6 +9,7 @@
       | case |
       | answers outlast a silence of all servers |
       | a pause of daemons is no silence of servers |
+      | a short session of silences keeps all promises |
 
   Scenario Outline: <case>
     # Each case's docstring in tests/cases/silent.py states the failure that it
