Let a silent stream go on where its key can't be checked again

What callers would see: a stream whose server falls silent while the store is unreachable, or after its key was revoked, is cut. Found by reading what a second attempt goes through, not reported.

Cause: the check of key and serving lease before each dispatch refuses the request. For a second attempt beside a silent one that ended an answer which was allowed to go on.

Change: where the check fails, no other server is asked, and the silent attempt stays. The new case fails before the change, both for the lease and for the key.

--- a/src/godwittack/core/hedging.py
+++ b/src/godwittack/core/hedging.py
@@ -23,6 +23,7 @@
     paths,
     placing,
     retries,
+    routing,
     servers,
     silence,
 )
@@ -165,6 +166,9 @@
         return
     if crashes.is_quarantined(world, request):
         return
+    if routing.recheck_key(world, request) is not None:
+        # No further server may get it, but what has begun may go on.
+        return
     is_relay_silent = attempt.silence is entities.Silence.RELAY
     choice = placing.choose(
         world, request, tries_unknown_relays=is_relay_silent
--- a/tests/cases/silent.py
+++ b/tests/cases/silent.py
@@ -337,6 +337,23 @@
     assert core.find(effects.EndStream), core.last_effects
 
 
+def a_stream_outlasts_a_silence_without_a_serving_lease() -> None:
+    """Guards against streams cut because a key can't be checked again."""
+    for revoke in (False, True):
+        core = Core()
+        sent = begun(core, 1)
+        if revoke:
+            core.tell(inputs.TableChanged, routed_core.table(2, keys=()))
+        else:
+            core.renew_serving_lease(for_ms=0)
+        found = lose(core, sent.server_id)
+        core.last_effects = found + hear(core, other(core, sent))
+        check_waits(core)
+        assert not core.find(effects.Dispatch), core.last_effects
+        core.frames(sent, 2, end=True)
+        assert core.find(effects.EndStream), core.last_effects
+
+
 def a_silence_is_no_crash_of_a_part() -> None:
     """Guards against shared prompts withheld because servers were silent."""
     core = Core(servers=6)
@@ -396,6 +413,7 @@
     "a_silent_attempt_that_fails_leaves_the_second_one",
     "a_silent_server_that_goes_on_first_keeps_its_stream",
     "a_stream_outlasts_a_silence_of_all_servers",
+    "a_stream_outlasts_a_silence_without_a_serving_lease",
     "a_stream_runs_on_no_more_servers_than_its_route_allows",
     "a_stream_without_further_attempts_outlasts_a_silence",
     "a_stream_without_retry_budget_outlasts_a_silence",
--- a/tests/features/silent.feature
+++ b/tests/features/silent.feature
@@ -38,5 +38,6 @@
       | a removed server ends the wait |
       | a server that goes on is used again at once |
       | a pause of the daemon is no silence of its servers |
+      | a stream outlasts a silence without a serving lease |
       | a silence is no crash of a part |
       | a server that ends in a silence counts what it ran |
