--- a/tests/soak/repeats.py
+++ b/tests/soak/repeats.py
@@ -301,9 +301,9 @@
     async def _pause(self) -> None:
         chosen = self.rng.sample(range(self.daemons), self.daemons // 4)
         stopped = [self.fleet.processes[number] for number in chosen]
-        _signal(stopped, signal.SIGSTOP)
+        send_signal(stopped, signal.SIGSTOP)
         await self._hold_fault(2.0)
-        _signal(stopped, signal.SIGCONT)
+        send_signal(stopped, signal.SIGCONT)
         self._record_stop(chosen)
 
     async def _store_silent(self) -> None:
@@ -423,7 +423,8 @@
             )
 
 
-def _signal(processes: list, sent_signal: signal.Signals) -> None:
+def send_signal(processes: list, sent_signal: signal.Signals) -> None:
+    """Sends a signal to the processes that have not ended."""
     for process in processes:
         if process.returncode is None:
             process.send_signal(sent_signal)
--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -30,6 +30,8 @@
 # An answer may end at the time limit of its caller and route.
 LIMIT_S = repeats.DEADLINE_MS / 1000 - 0.1
 MAX_SILENCE_S = 1.5
+# Longest time from a kill until the daemon is started again.
+KILL_TO_READY_S = 1.0
 
 PLAN = repeats.Plan(
     requests=("long", "long", "short", "release", "confirm"),
@@ -71,6 +73,10 @@
         self.unexplained: list[Cut] = []
         # When daemons were killed, by number.
         self.kills_s: dict[int, list[float]] = collections.defaultdict(list)
+        # From when to when daemons were paused, by number.
+        self.pauses_s: dict[int, list[tuple[float, float]]] = (
+            collections.defaultdict(list)
+        )
         self._table_version = 1
         return await super().play()
 
@@ -160,8 +166,19 @@
             self._record_stop((number,))
 
     async def _kill(self, number: int) -> None:
-        self.kills_s[number].append(time.monotonic())
         await super()._kill(number)
+        self.kills_s[number].append(time.monotonic())
+
+    async def _pause(self) -> None:
+        chosen = self.rng.sample(range(self.daemons), self.daemons // 4)
+        stopped = [self.fleet.processes[number] for number in chosen]
+        from_s = time.monotonic()
+        repeats.send_signal(stopped, signal.SIGSTOP)
+        await self._hold_fault(2.0)
+        repeats.send_signal(stopped, signal.SIGCONT)
+        for number in chosen:
+            self.pauses_s[number].append((from_s, time.monotonic()))
+        self._record_stop(chosen)
 
     def _check(self) -> None:
         super()._check()
@@ -185,14 +202,24 @@
         """Returns whether nothing was given up for a silence.
 
         Its daemon was killed, its time was over, or it crossed the close of a
-        daemon that stops, which sent it to no server.
+        daemon that stops, which sent it to no server. A daemon that was paused
+        counts the time for which a request may have waited to be read.
         """
         was_killed = any(
-            cut.from_s <= at_s <= cut.to_s + 0.5
+            cut.from_s <= at_s and at_s - KILL_TO_READY_S <= cut.to_s
             for at_s in self.kills_s[cut.daemon]
         )
+        was_paused = any(
+            from_s <= cut.from_s <= to_s
+            for from_s, to_s in self.pauses_s[cut.daemon]
+        )
         is_over = cut.to_s - cut.from_s >= LIMIT_S
-        return was_killed or is_over or not self._has_arrived(cut.name)
+        return (
+            was_killed
+            or was_paused
+            or is_over
+            or not self._has_arrived(cut.name)
+        )
 
     def _has_arrived(self, name: str) -> bool:
         return any(
