--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -12,6 +12,7 @@
 import asyncio
 import collections
 import dataclasses
+import re
 import signal
 import sys
 import time
@@ -32,6 +33,7 @@
 MAX_SILENCE_S = 1.5
 # Longest time from a kill until the daemon is started again.
 KILL_TO_READY_S = 1.0
+RELAY = re.compile(r" relay=edge-(\d+)@")
 
 PLAN = repeats.Plan(
     requests=("long", "long", "short", "release", "confirm"),
@@ -201,13 +203,15 @@
     def _may_end(self, cut: Cut) -> bool:
         """Returns whether nothing was given up for a silence.
 
-        Its daemon was killed, its time was over, or it crossed the close of a
-        daemon that stops, which sent it to no server. A daemon that was paused
-        counts the time for which a request may have waited to be read.
+        Its daemon was killed, or the one that passed it on; its time was over;
+        or it crossed the close of a daemon that stops, which sent it to no
+        server. A daemon that was paused counts the time for which a request may
+        have waited to be read.
         """
         was_killed = any(
             cut.from_s <= at_s and at_s - KILL_TO_READY_S <= cut.to_s
-            for at_s in self.kills_s[cut.daemon]
+            for daemon in {cut.daemon, *self._relays(cut)}
+            for at_s in self.kills_s[daemon]
         )
         was_paused = any(
             from_s <= cut.from_s <= to_s
@@ -221,6 +225,15 @@
             or not self._has_arrived(cut.name)
         )
 
+    def _relays(self, cut: Cut) -> set[int]:
+        """Returns the numbers of the daemons that passed a request on."""
+        return {
+            int(number) - 1
+            for line in self.fleet.log(cut.daemon).splitlines()
+            if f"request={cut.name}~" in line
+            for number in RELAY.findall(line)
+        }
+
     def _has_arrived(self, name: str) -> bool:
         return any(
             arrival.request_id == name
