Describe the work on uneven servers, and add its switch and interfaces

Two deployments have servers of different pace, engines with too little memory for all slots, and expensive traffic between failure domains.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -71,6 +71,13 @@
     return total_ms
 
 
+def placement_wait_ms(
+    world: entities.World, server: entities.ServerRow, priority: int
+) -> float:
+    """Estimates the wait by which engines of an uneven target are compared."""
+    return queue_ms(world, server, priority)
+
+
 def queue_ms(
     world: entities.World, server: entities.ServerRow, priority: int
 ) -> float:
@@ -148,6 +155,7 @@
 __all__ = [
     "add",
     "is_long",
+    "placement_wait_ms",
     "queue_ms",
     "record_cached",
     "record_peer_dispatch",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -476,6 +476,7 @@
         availability_notices: Availability announced by servers, by server id.
         resting_servers: Ids of servers whose requested rest has not ended.
         prefill_costs: Prefill cost learnt from first tokens, by target.
+        uneven_targets: Targets of which a server has reported its pace.
         streams: Which software version began a stream.
         served_versions: Software versions of the servers, by target.
         paused_until_ms: When this process last went on after a pause.
@@ -552,6 +553,7 @@
         )
     )
 
+    uneven_targets: set[str] = dataclasses.field(default_factory=set)
     streams: stream_records.StreamRecords = dataclasses.field(
         default_factory=stream_records.StreamRecords
     )
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -60,6 +60,17 @@
         quota_window_s: Window in which operators tolerate use beyond a quota.
         quota_overage_ratio: That use relative to what the quota allows in it.
         quota_slack: Further units of that use.
+        quota_spare_ratio: Part of that use that may be admitted while this
+            daemon is in contact with the whole fleet; 0 for the default.
+        uneven_servers: Whether each server's pace, memory and distance count
+            in placement, for targets whose servers report their pace.
+        cross_domain_cost_ms: Waiting time that operators accept to keep a
+            request in its failure domain.
+        cross_domain_cost_ms_per_kb: The same, per kilobyte of its body.
+        new_connection_cost_ms: Waiting time that operators accept to use a
+            connection that is already open.
+        late_answer_value: Value of an answer after its route's target latency,
+            relative to one in time; 1 if lateness does not matter.
     """
 
     frame_gap_ms: int = 2_000
@@ -95,6 +106,12 @@
     quota_window_s: float = 8.0
     quota_overage_ratio: float = 0.1
     quota_slack: float = 0.0
+    quota_spare_ratio: float = 0.0
+    uneven_servers: int = 0
+    cross_domain_cost_ms: float = 0.0
+    cross_domain_cost_ms_per_kb: float = 0.0
+    new_connection_cost_ms: float = 0.0
+    late_answer_value: float = 1.0
 
 
 __all__ = ["Policy"]
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -163,6 +163,8 @@
         waiting: Requests waiting at that time.
         slots: Maximum number of requests it runs at a time.
         is_relayed: Whether the answer came through another daemon.
+        pace_percent: Time that work takes on its machine at this moment, in
+            percent of the usual time; 0 if not reported.
     """
 
     at_ms: int
@@ -171,6 +173,7 @@
     waiting: int
     slots: int
     is_relayed: bool = False
+    pace_percent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -14,6 +14,7 @@
     paths,
     server_inputs,
     software,
+    uneven,
     weights,
 )
 
@@ -151,6 +152,8 @@
     server.running = load.running
     server.waiting = load.waiting
     server.slots = load.slots or server.slots
+    if load.pace_percent:
+        uneven.record_pace_reported(world, server.target)
     world.targets_to_dispatch.add(server.target)
 
 
@@ -413,6 +416,7 @@
         software.record_gone(world, server)
         availability.drop_unnamed_notice(world, server_id)
         world.servers_by_target[server.target].pop(server_id, None)
+        uneven.forget_unlisted(world, server.target)
         world.event("server_gone", server=server_id)
 
 
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -18,9 +18,13 @@
     brittle,
     cached_state,
     candidates,
+    engine_memory,
+    locality,
+    pace,
     paths,
     prefill_cost,
     routing,
+    uneven,
     weights,
 )
 
@@ -116,9 +120,15 @@
         version: _sources(world, request, version)
         for version in {server.weights_version for server in usable}
     }
-    home_id = candidates.home_server(request, usable)
+    is_uneven = uneven.is_uneven(world, request.work.target)
+    possible_homes = usable
+    choose_candidates = candidates.choose
+    if is_uneven:
+        possible_homes = locality.home_candidates(world, usable)
+        choose_candidates = locality.candidates
+    home_id = candidates.home_server(request, possible_homes)
     priority = routing.priority(world, request)
-    selected = candidates.choose(
+    selected = choose_candidates(
         world, request, usable, cached_tokens=cached_tokens, home_id=home_id
     )
     placements = [
@@ -212,7 +222,12 @@
     reused_tokens = source.tokens if source else own_tokens
     us_per_token = prefill_cost.us_per_token(world, server)
     prompt_tokens = request.work.prompt_tokens
-    compute_ms = (prompt_tokens - reused_tokens) * us_per_token / 1000
+    compute_ms = pace.prompt_ms(
+        world,
+        server,
+        new_tokens=prompt_tokens - reused_tokens,
+        cached_tokens=reused_tokens,
+    )
     copied_tokens = reused_tokens - own_tokens
     copy_ms = copied_tokens * source.cost_us(server) / 1000 if source else 0.0
     shared_tokens = sum(level.tokens for level in request.work.levels[:-1])
@@ -229,6 +244,8 @@
         cost += paths.RELAY_COST_MS
     if is_home and reused_tokens < max(shared_tokens, 1):
         cost -= HOME_BONUS_MS
+    if uneven.is_uneven(world, request.work.target):
+        cost += _uneven_cost_ms(world, request, server, priority, wait_ms)
     return Placement(
         server=server,
         wait_ms=wait_ms,
@@ -239,6 +256,30 @@
     )
 
 
+def _uneven_cost_ms(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+    priority: int,
+    queue_wait_ms: float,
+) -> float:
+    """Returns what the choice between uneven servers counts in addition.
+
+    Args:
+        world: The tables.
+        request: The request to place.
+        server: The server.
+        priority: Priority of the request.
+        queue_wait_ms: Estimated wait that its cost contains already.
+    """
+    return (
+        backlog.placement_wait_ms(world, server, priority)
+        - queue_wait_ms
+        + engine_memory.wait_ms(world, request, server)
+        + locality.cost_ms(world, request, server)
+    )
+
+
 def _best_source(
     world: entities.World,
     server: entities.ServerRow,
--- /dev/null
+++ b/src/godwittack/core/uneven.py
@@ -0,0 +1,35 @@
+"""Tells for which targets servers are placed by their own pace and memory."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from godwittack.core import entities
+
+
+def is_uneven(world: entities.World, target: str) -> bool:
+    """Returns whether the servers of a target differ in pace.
+
+    Servers that share their machines with others say so by reporting a pace.
+    Where none does, placement needs no estimate for each server.
+    """
+    return bool(world.policy.uneven_servers) and target in world.uneven_targets
+
+
+def record_pace_reported(world: entities.World, target: str) -> None:
+    """Records that a server of a target has reported its pace."""
+    if not world.policy.uneven_servers or target in world.uneven_targets:
+        return
+    world.uneven_targets.add(target)
+    world.event("uneven_servers", target=target, uneven=1)
+
+
+def forget_unlisted(world: entities.World, target: str) -> None:
+    """Forgets a target of which no server is listed any more."""
+    if target in world.uneven_targets and not world.servers_by_target[target]:
+        world.uneven_targets.discard(target)
+        world.event("uneven_servers", target=target, uneven=0)
+
+
+__all__ = ["forget_unlisted", "is_uneven", "record_pace_reported"]
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -51,15 +51,20 @@
 
 class _Engine(wire.Body):
     slots: int = 16
+    kv_capacity_tokens: wire.Count = 0
+    kv_token_bytes: wire.Amount = 0.0
+    link_mbps: wire.Amount = 0.0
     models: tuple[_Model, ...] = ()
 
 
 class _Service(wire.Body):
     name: str
+    max_connections: wire.Count = 0
     engine: _Engine | None = None
     # Set if the service is a store of cached state, not a backend server.
     kv_store_addr: str = ""
     zone: str = ""
+    link_mbps: wire.Amount = 0.0
 
 
 class _Tenant(wire.Body):
@@ -170,6 +175,10 @@
             service.name: forwarding.EngineLimits(
                 model=service.engine.models[0].name,
                 slots=service.engine.slots,
+                max_connections=service.max_connections,
+                kv_capacity_tokens=service.engine.kv_capacity_tokens,
+                kv_token_bytes=service.engine.kv_token_bytes,
+                link_mbps=service.engine.link_mbps,
             )
             for service in config.services
             if service.engine is not None and service.engine.models
@@ -179,6 +188,7 @@
                 name=service.name,
                 address=service.kv_store_addr,
                 failure_domain=service.zone,
+                link_mbps=service.link_mbps,
             )
             for service in config.services
             if service.kv_store_addr
--- a/src/godwittack/table/forwarding.py
+++ b/src/godwittack/table/forwarding.py
@@ -101,11 +101,13 @@
 
     Attributes:
         address: IP and port, in the form that is sent to engines.
+        link_mbps: Bandwidth of its link in Mbit/s; 0 if not stated.
     """
 
     name: str
     address: str
     failure_domain: str = ""
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -115,10 +117,20 @@
     Attributes:
         model: Name of the model that the engines serve.
         slots: Maximum number of requests that one engine runs in a batch.
+        max_connections: Connections that one engine accepts from all daemons;
+            0 if not stated.
+        kv_capacity_tokens: Tokens that fit into an engine's memory; 0 if not
+            stated.
+        kv_token_bytes: Bytes of cached state per token; 0 if not stated.
+        link_mbps: Bandwidth of an engine's link in Mbit/s; 0 if not stated.
     """
 
     model: str
     slots: int = 16
+    max_connections: int = 0
+    kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
