Call the store less during an outage from daemons that don't read it for all

During an outage every daemon called the store about twice a second for each of two tables once the last confirmation was two seconds old; on a fleet of 58 daemons that is some 200 calls a second which the store refuses or resets. The three readers notice its return, and their confirmation reaches the others by gossip.

--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -22,6 +22,10 @@
 # store is noticed within a second without calling it in a tight loop.
 RETRY_FIRST_MS = 100
 RETRY_MAX_MS = 800
+# The same for daemons that are not readers. Together they made most of the
+# calls during an outage; readers notice the recovery and confirm it to them.
+NON_READER_RETRY_FIRST_MS = 400
+NON_READER_RETRY_MAX_MS = 3_200
 # A feed may become stale without an error, so readers also take a snapshot.
 SNAPSHOT_INTERVAL_MS = 15_000
 # A daemon that is not a reader calls the store itself once the last
@@ -115,9 +119,42 @@
                 if not self._is_reader():
                     await asyncio.sleep(NON_READER_INTERVAL_MS / 1000)
             else:
-                pause_ms = self._retry_ms * self._rng.uniform(0.5, 1.0)
-                self._retry_ms = min(RETRY_MAX_MS, 2 * self._retry_ms)
-                await asyncio.sleep(pause_ms / 1000)
+                await self._pause_after_failure()
+
+    async def _pause_after_failure(self) -> None:
+        """Waits until the next call, or until a peer reaches the store."""
+        pause_ms = self.next_pause_ms()
+        ends_ms = self._clock.now_ms() + pause_ms
+        while (left_ms := ends_ms - self._clock.now_ms()) > 0:
+            if self.has_peer_reached_store():
+                return
+            await asyncio.sleep(min(left_ms, CHECK_INTERVAL_MS) / 1000)
+
+    def next_pause_ms(self) -> float:
+        """Returns the pause after a failed call, and doubles the next one.
+
+        A daemon without any rows can't serve yet, and pauses no longer than a
+        reader.
+        """
+        first_ms, max_ms = RETRY_FIRST_MS, RETRY_MAX_MS
+        if not self._is_reader() and not self._needs_snapshot:
+            first_ms, max_ms = (
+                NON_READER_RETRY_FIRST_MS,
+                NON_READER_RETRY_MAX_MS,
+            )
+        pause_ms = min(max_ms, max(first_ms, self._retry_ms))
+        self._retry_ms = min(max_ms, 2 * pause_ms)
+        return pause_ms * self._rng.uniform(0.5, 1.0)
+
+    def has_peer_reached_store(self) -> bool:
+        """Returns whether a peer has news from the store since calls fail."""
+        table_freshness = self._freshness
+        if table_freshness is None or self.failing_since_ms < 0:
+            return False
+        newest_ms = max(
+            table_freshness.confirmed_at_ms, table_freshness.behind_since_ms
+        )
+        return newest_ms > self.failing_since_ms
 
     def can_skip_read(self) -> bool:
         """Returns whether peers confirmed the rows recently enough."""
--- a/tests/cases/feed_follower.py
+++ b/tests/cases/feed_follower.py
@@ -72,9 +72,10 @@
 class FollowerHarness:
     """A feed follower and what it published."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_reader: bool = True) -> None:
         self.clock = ManualClock(START_MS)
         self.feed = FakeFeed(self.clock)
+        self.freshness = freshness.Freshness(topic=freshness.Topic.TABLE)
         self.published: list[dict[str, str]] = []
         self.confirmed: list[int] = []
         self.follower = feed_follower.FeedFollower(
@@ -87,6 +88,8 @@
                 {key: row.value for key, row in rows.items()}
             ),
             on_confirmed=self.confirmed.append,
+            table_freshness=None if is_reader else self.freshness,
+            is_reader=lambda: is_reader,
         )
 
     async def step(self, answer, *, takes_ms: int = 4) -> bool:
@@ -200,3 +203,49 @@
     await harness.step(page(5))
     assert harness.published == [{"a": "1"}]
     assert harness.follower.recovered_at_ms == harness.clock.now_ms()
+
+
+async def daemons_that_are_not_readers_call_less_in_an_outage() -> None:
+    """A daemon with rows backs off further than the readers.
+
+    Guards against an outage in which all daemons call the store twice a second
+    although the readers' calls are enough to notice its return.
+    """
+    reader = FollowerHarness()
+    other = FollowerHarness(is_reader=False)
+    pauses = {}
+    for name, harness in (("reader", reader), ("other", other)):
+        await harness.step(page(5, ("a", "1")))
+        pauses[name] = [harness.follower.next_pause_ms() for _ in range(6)]
+    assert max(pauses["reader"]) <= 800, pauses
+    assert sum(pauses["other"]) > 2 * sum(pauses["reader"]), pauses
+    assert max(pauses["other"]) <= 3_200, pauses
+
+
+async def a_daemon_without_rows_backs_off_no_further_than_a_reader() -> None:
+    """A daemon that has just started keeps asking for its first rows.
+
+    Guards against daemons that serve nobody for three seconds after the store
+    has returned.
+    """
+    harness = FollowerHarness(is_reader=False)
+    await harness.step(error())
+    pauses = [harness.follower.next_pause_ms() for _ in range(6)]
+    assert max(pauses) <= 800, pauses
+
+
+async def a_peer_that_reaches_the_store_ends_the_pause() -> None:
+    """News of a peer from after the failure ends a pause.
+
+    Guards against a change that is applied seconds late, because a daemon still
+    waits after an outage that the readers know to be over.
+    """
+    harness = FollowerHarness(is_reader=False)
+    await harness.step(page(5, ("a", "1")))
+    harness.freshness.record_version(5)
+    harness.freshness.record_confirmation(START_MS)
+    await harness.step(error())
+    assert not harness.follower.has_peer_reached_store()
+    harness.clock.advance(by_ms=500)
+    harness.freshness.record_newer_version(now_ms=harness.clock.now_ms())
+    assert harness.follower.has_peer_reached_store()
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -138,6 +138,9 @@
       | feed_follower | a delayed answer is dated by the store's clock |
       | feed_follower | an outage keeps the last known rows |
       | feed_follower | a row added and removed unseen advances the version |
+      | feed_follower | daemons that are not readers call less in an outage |
+      | feed_follower | a daemon without rows backs off no further than a reader |
+      | feed_follower | a peer that reaches the store ends the pause |
 
     Examples: the lead of a model
       | group   | case |
