End a pause after a failed store call only for newer news

A pause ended at once if any peer had been confirmed since the failures began. Readers keep their pauses; another daemon's pause ends when its rows are confirmed again, or once for each newer version that a peer reports. The new cases of platform.feature fail on the previous commit.

--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -122,11 +122,11 @@
                 await self._pause_after_failure()
 
     async def _pause_after_failure(self) -> None:
-        """Waits until the next call, or until a peer reaches the store."""
-        pause_ms = self.next_pause_ms()
-        ends_ms = self._clock.now_ms() + pause_ms
+        """Waits until the next call, or until a peer makes it worthwhile."""
+        failed_at_ms = self._clock.now_ms()
+        ends_ms = failed_at_ms + self.next_pause_ms()
         while (left_ms := ends_ms - self._clock.now_ms()) > 0:
-            if self.has_peer_reached_store():
+            if self.may_end_pause(failed_at_ms=failed_at_ms):
                 return
             await asyncio.sleep(min(left_ms, CHECK_INTERVAL_MS) / 1000)
 
@@ -146,15 +146,19 @@
         self._retry_ms = min(max_ms, 2 * pause_ms)
         return pause_ms * self._rng.uniform(0.5, 1.0)
 
-    def has_peer_reached_store(self) -> bool:
-        """Returns whether a peer has news from the store since calls fail."""
-        table_freshness = self._freshness
-        if table_freshness is None or self.failing_since_ms < 0:
+    def may_end_pause(self, *, failed_at_ms: int) -> bool:
+        """Returns whether a peer's news ends the pause after a failed call.
+
+        Only news from after the call count: the store may turn this daemon away
+        and serve its peers, and each of their confirmations would cause a call.
+
+        Args:
+            failed_at_ms: When the call failed.
+        """
+        if self._is_reader() or self._freshness is None:
             return False
-        newest_ms = max(
-            table_freshness.confirmed_at_ms, table_freshness.behind_since_ms
-        )
-        return newest_ms > self.failing_since_ms
+        has_newer_version = self._freshness.behind_since_ms > failed_at_ms
+        return has_newer_version or self.can_skip_read()
 
     def can_skip_read(self) -> bool:
         """Returns whether peers confirmed the rows recently enough."""
--- a/tests/cases/feed_follower.py
+++ b/tests/cases/feed_follower.py
@@ -72,7 +72,9 @@
 class FollowerHarness:
     """A feed follower and what it published."""
 
-    def __init__(self, *, is_reader: bool = True) -> None:
+    def __init__(
+        self, *, is_reader: bool = True, has_peers: bool = False
+    ) -> None:
         self.clock = ManualClock(START_MS)
         self.feed = FakeFeed(self.clock)
         self.freshness = freshness.Freshness(topic=freshness.Topic.TABLE)
@@ -88,7 +90,7 @@
                 {key: row.value for key, row in rows.items()}
             ),
             on_confirmed=self.confirmed.append,
-            table_freshness=None if is_reader else self.freshness,
+            table_freshness=self.freshness if has_peers else None,
             is_reader=lambda: is_reader,
         )
 
@@ -212,7 +214,7 @@
     although the readers' calls are enough to notice its return.
     """
     reader = FollowerHarness()
-    other = FollowerHarness(is_reader=False)
+    other = FollowerHarness(is_reader=False, has_peers=True)
     pauses = {}
     for name, harness in (("reader", reader), ("other", other)):
         await harness.step(page(5, ("a", "1")))
@@ -228,24 +230,45 @@
     Guards against daemons that serve nobody for three seconds after the store
     has returned.
     """
-    harness = FollowerHarness(is_reader=False)
+    harness = FollowerHarness(is_reader=False, has_peers=True)
     await harness.step(error())
     pauses = [harness.follower.next_pause_ms() for _ in range(6)]
     assert max(pauses) <= 800, pauses
 
 
-async def a_peer_that_reaches_the_store_ends_the_pause() -> None:
-    """News of a peer from after the failure ends a pause.
+async def a_peer_with_a_newer_version_ends_the_pause_once() -> None:
+    """A newer version that a peer reports ends a pause, but no later one.
 
-    Guards against a change that is applied seconds late, because a daemon still
-    waits after an outage that the readers know to be over.
+    Guards against a change that is applied seconds late after an outage, and
+    against a call without a pause for as long as the store turns this daemon
+    away and serves its peers: one fleet made 20 times its usual calls.
     """
-    harness = FollowerHarness(is_reader=False)
+    harness = FollowerHarness(is_reader=False, has_peers=True)
     await harness.step(page(5, ("a", "1")))
     harness.freshness.record_version(5)
-    harness.freshness.record_confirmation(START_MS)
     await harness.step(error())
-    assert not harness.follower.has_peer_reached_store()
+    failed_at_ms = harness.clock.now_ms()
+    assert not harness.follower.may_end_pause(failed_at_ms=failed_at_ms)
     harness.clock.advance(by_ms=500)
     harness.freshness.record_newer_version(now_ms=harness.clock.now_ms())
-    assert harness.follower.has_peer_reached_store()
+    assert harness.follower.may_end_pause(failed_at_ms=failed_at_ms)
+    await harness.step(error())
+    failed_at_ms = harness.clock.now_ms()
+    harness.freshness.record_confirmation(failed_at_ms - 3_000)
+    assert not harness.follower.may_end_pause(failed_at_ms=failed_at_ms)
+
+
+async def a_reader_keeps_its_pauses_beside_other_readers() -> None:
+    """A reader that the store turns away waits, whatever others confirm.
+
+    Guards against readers that call the store in a loop while it serves other
+    daemons.
+    """
+    harness = FollowerHarness(has_peers=True)
+    await harness.step(page(5, ("a", "1")))
+    await harness.step(error())
+    failed_at_ms = harness.clock.now_ms()
+    harness.clock.advance(by_ms=50)
+    harness.freshness.record_version(5)
+    harness.freshness.record_confirmation(harness.clock.now_ms())
+    assert not harness.follower.may_end_pause(failed_at_ms=failed_at_ms)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -140,7 +140,8 @@
       | feed_follower | a row added and removed unseen advances the version |
       | feed_follower | daemons that are not readers call less in an outage |
       | feed_follower | a daemon without rows backs off no further than a reader |
-      | feed_follower | a peer that reaches the store ends the pause |
+      | feed_follower | a peer with a newer version ends the pause once |
+      | feed_follower | a reader keeps its pauses beside other readers |
 
     Examples: the lead of a model
       | group   | case |
