Tell callers beyond a quota to return one after the other

Cause: all requests that were refused within milliseconds were told the same time, returned together, and all but the first were refused again.

Change: with `quota_spare_ratio`, each refusal reserves the refill that its request will take, and the next one is told the time after it. The refill is split evenly among the daemons that reported use in the last 2 s. A caller is told at most a third of its time left, since it cuts a later one to that; it then reserves nothing. A setting beyond its range is rejected.

--- a/src/godwittack/core/quotas.py
+++ b/src/godwittack/core/quotas.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import effects, entities
+from godwittack.core import effects, entities, return_times
 from godwittack.limit import quota
 from godwittack.table import model
 
@@ -38,6 +38,7 @@
         units=units,
         now_ms=world.now_ms,
         has_free_capacity=_has_free_capacity(world, request.work.target),
+        honoured_ms=return_times.honoured_ms(world, request),
     )
     if not verdict.is_admitted:
         return verdict
--- a/src/godwittack/limit/buckets.py
+++ b/src/godwittack/limit/buckets.py
@@ -17,7 +17,7 @@
 import dataclasses
 import math
 
-from godwittack.limit import quota
+from godwittack.limit import quota, reservations
 
 # Parts of the tolerated excess: the debt up to which every request is admitted,
 # the debt from which none is, and what all daemons may leave unreported.
@@ -49,6 +49,8 @@
 JOINING_PULL = 0.5
 PULL = 0.3
 PULL_INTERVAL_MS = 1_000
+# Age of a report from which its daemon is taken to admit nothing any more.
+REFUSING_PEER_MS = 2_000
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 10_000
 
@@ -76,6 +78,7 @@
         reported: Units of `admitted` that were reported.
         pulled_at_ms: When the level last moved towards that of another daemon.
         peers: Last report of each daemon.
+        returns: What callers will use that were told to return.
     """
 
     limit: quota.Quota
@@ -91,6 +94,9 @@
     heard_at_ms: int = -1
     pulled_at_ms: int = -PULL_INTERVAL_MS
     peers: dict[str, PeerCounter] = dataclasses.field(default_factory=dict)
+    returns: reservations.Reservations = dataclasses.field(
+        default_factory=reservations.Reservations
+    )
 
     @property
     def unreported(self) -> int:
@@ -137,6 +143,7 @@
         units: int,
         now_ms: int,
         has_free_capacity: bool = True,
+        honoured_ms: int = MAX_RETRY_MS,
     ) -> quota.Verdict:
         """Admits a request and takes its units, or refuses it.
 
@@ -149,6 +156,7 @@
             units: What the request uses.
             now_ms: Time of the request.
             has_free_capacity: Whether the spare part may be used.
+            honoured_ms: Longest time that its caller waits if it is refused.
         """
         bucket = self._bucket(workspace, limit, now_ms)
         if units > self.tolerance.allowed(limit):
@@ -156,10 +164,13 @@
         closed_ratio = CLOSED_DEBT_RATIO
         if has_free_capacity and self._knows_all_use(now_ms):
             closed_ratio = self._spare_debt_ratio(limit, units)
-        if not self._may_overdraw(bucket, units, now_ms) or not self._is_open(
-            bucket, closed_ratio
-        ):
-            wait_ms = self._wait_ms(bucket)
+        may_overdraw = self._may_overdraw(bucket, units, now_ms)
+        if not may_overdraw or not self._is_open(bucket, closed_ratio):
+            wait_ms = self._wait_ms(bucket, 0 if may_overdraw else units)
+            if self.tolerance.spare_ratio:
+                wait_ms = self._reserve(
+                    bucket, units, wait_ms, honoured_ms, now_ms
+                )
             return self._verdict(bucket, False, wait_ms, now_ms)
         self._take(workspace, bucket, units, now_ms)
         return self._verdict(bucket, True, 0, now_ms)
@@ -383,15 +394,41 @@
         if bucket.unreported:
             self._unreported.add(workspace)
 
-    def _wait_ms(self, bucket: Bucket) -> int:
-        """Returns when the refill has paid the debt."""
-        open_level = -OPEN_DEBT_RATIO * self._excess(bucket)
+    def _wait_ms(self, bucket: Bucket, units: int) -> int:
+        """Returns when the refill has paid the debt, and these units."""
+        open_level = units - OPEN_DEBT_RATIO * self._excess(bucket)
         per_ms = bucket.limit.per_s * self.reach / 1000
         if per_ms <= 0:
             return MAX_RETRY_MS
         wait_ms = math.ceil((open_level - bucket.level) / per_ms)
         return min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
 
+    def _reserve(
+        self,
+        bucket: Bucket,
+        units: int,
+        wait_ms: int,
+        honoured_ms: int,
+        now_ms: int,
+    ) -> int:
+        """Returns when the refill has paid for those told to return, too.
+
+        The other daemons that report use tell their callers to return to the
+        same refill, which is split evenly.
+        """
+        daemons = 1 + sum(
+            now_ms - counter.heard_at_ms < REFUSING_PEER_MS
+            for counter in bucket.peers.values()
+        )
+        per_ms = bucket.limit.per_s * self.reach / daemons / 1000
+        told_ms = bucket.returns.reserve(
+            now_ms=now_ms,
+            wait_ms=wait_ms,
+            takes_ms=units / per_ms if per_ms > 0 else MAX_RETRY_MS,
+            max_wait_ms=min(MAX_RETRY_MS, honoured_ms),
+        )
+        return max(MIN_RETRY_MS, told_ms)
+
     def _verdict(
         self,
         bucket: Bucket,
--- a/tests/features/operators.feature
+++ b/tests/features/operators.feature
@@ -30,6 +30,7 @@
       | port in use                    | http_address         |
       | short secret                   | cluster_secret_file  |
       | unknown decision               | no number is named   |
+      | decision out of range          | must be at most 0.8  |
       | platform unreachable           | platform_url         |
       | peer port in use by datagrams  | peer_address         |
     And valid settings pass the check
--- a/tests/features/steps/operator_steps.py
+++ b/tests/features/steps/operator_steps.py
@@ -165,6 +165,8 @@
             settings["peer_address"] = f"127.0.0.1:{busy}"
         case "unknown decision":
             settings["decisions"] = {"frame_gap": 1}
+        case "decision out of range":
+            settings["decisions"] = {"quota_spare_ratio": 0.9}
 
 
 @then(
