Order queues by target latency, and refuse beyond shares

Cause: under overload, late requests made those behind them late too, the last to arrive were refused whoever they were, and a workspace that sent several times its load through all daemons looked small at each.

Change: with `late_answer_value` below 1, a queue serves within each priority the workspaces within their share, of them the requests that can be answered within their target latency, then the late ones, which yield for half of the time to their deadline. Weights follow the demand of the fleet, announced in cells `demand/NAME`. Under overload the least deserving request of the workspace that exceeds its share the most is refused, and callers are told times one after the other. Requests that no server could answer by their deadline are refused before it.

Tests: one workspace sends nine tenths of twice the capacity for 30 s (cases/urgent.py, two slots an engine).

--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -16,6 +16,7 @@
     retries,
     routing,
     stream_versions,
+    urgency,
     work,
 )
 from godwittack.table import model
@@ -76,6 +77,7 @@
     retries.earn(world, requested.target)
     world.spill_budget.earn()
     placing.record_demand(world, request)
+    urgency.record_demand(world, request)
     if needs_claim(world, requested):
         claims.begin(world, request)
     elif stream_versions.may_need_version(requested):
--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -20,6 +20,7 @@
     servers,
     silence,
     stream_versions,
+    urgency,
     work,
 )
 
@@ -436,6 +437,7 @@
     if server is not None and request.work.route is not None:
         prefill_cost.record_first_token(world, attempt, server)
         priority = routing.priority(world, request)
+        urgency.record_first_token(world, attempt, server.target, priority)
         previous_ms = server.last_answered_sent_ms.get(priority, 0)
         server.last_answered_sent_ms[priority] = max(
             previous_ms, attempt.sent_at_ms
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -12,16 +12,19 @@
     effects,
     entities,
     kv_cache,
+    overload,
     paths,
     placing,
     quotas,
     rate_limits,
     refusing,
     resting,
+    return_times,
     routing,
+    urgency,
     work,
 )
-from godwittack.limit import fair
+from godwittack.limit import fair, urgency_queue
 
 
 def place(world: entities.World, request: entities.RequestRow) -> None:
@@ -42,10 +45,15 @@
     must_queue = choice.wait_ms > world.policy.hold_ms or queued_ahead > 0
     wait_ms = 0.0
     if must_queue:
+        if overload.refuse_excess(world, request, queue, ahead=queued_ahead):
+            return
+        queued_at_priority = queue.count_ahead(request.workspace)
+        if urgency.is_ordered(world):
+            # Behind its share of the queue only: those beyond theirs wait.
+            queued_ahead -= len(queue) - queued_at_priority
         slots_wait_ms = dispatch_pacing.slots_wait_ms(
             world, request.work.target, queued_ahead
         )
-        queued_at_priority = queue.count_ahead(request.workspace)
         pacing_wait_ms = dispatch_pacing.wait_ms(
             world, request.work.target, priority, ahead=queued_at_priority
         )
@@ -56,13 +64,15 @@
         dispatch_unqueued(world, request, choice)
         return
     queued = _queued_count(world, request.work.target)
-    if queued >= _queue_limit(world, request):
+    if queued >= _queue_limit(world, request) and not overload.displace(
+        world, request, queue
+    ):
         refusing.refuse_unassigned(
             world,
             request,
             effects.Reason.QUEUE_FULL,
             f"{queued} requests wait for {request.work.target} already",
-            refusing.clamp_retry_after_ms(choice.wait_ms),
+            return_times.capacity_ms(world, request, choice.wait_ms),
         )
         return
     _enqueue(world, request, wait_ms=choice.wait_ms)
@@ -93,8 +103,8 @@
     priority = routing.priority(world, request)
     _queue(world, request.work.target, priority).charge(
         workspace=request.workspace,
-        weight=_weight(world, request),
-        cost=_cost(request),
+        weight=urgency.fleet_weight(world, request.workspace),
+        cost=overload.cost(request),
     )
     dispatch(world, request, choice)
 
@@ -137,8 +147,9 @@
     queue.push(
         request_id=request.request_id,
         workspace=request.workspace,
-        weight=_weight(world, request),
-        cost=_cost(request),
+        weight=urgency.fleet_weight(world, request.workspace),
+        cost=overload.cost(request),
+        times=urgency.times(world, request),
     )
     world.targets_to_dispatch.add(request.work.target)
 
@@ -285,7 +296,8 @@
                 if _is_rest_too_long(world, request):
                     refusing.refuse_no_server(world, request)
                     continue
-                if request.answer_start_deadline_ms > world.now_ms:
+                is_due = request.answer_start_deadline_ms <= world.now_ms
+                if not is_due and not urgency.is_hopeless(world, request):
                     continue
                 queued_ahead = _queued_ahead(world, target, priority)
                 wait_ms = dispatch_pacing.slots_wait_ms(
@@ -306,8 +318,17 @@
     return sum(map(len, world.queues[target].values()))
 
 
-def _queue(world: entities.World, target: str, priority: int) -> fair.FairQueue:
-    return world.queues[target].setdefault(priority, fair.FairQueue())
+def _queue(
+    world: entities.World, target: str, priority: int
+) -> urgency_queue.RequestQueue:
+    by_priority = world.queues[target]
+    if priority not in by_priority:
+        by_priority[priority] = (
+            urgency_queue.UrgencyQueue()
+            if urgency.is_ordered(world)
+            else fair.FairQueue()
+        )
+    return by_priority[priority]
 
 
 def _queued_ahead(world: entities.World, target: str, priority: int) -> int:
@@ -317,10 +338,10 @@
 
 
 def _dispatch_from_queue(
-    world: entities.World, queue: fair.FairQueue, priority: int
+    world: entities.World, queue: urgency_queue.RequestQueue, priority: int
 ) -> None:
     while len(queue):
-        queued = queue.heads()[0]
+        queued = queue.heads(world.now_ms)[0]
         request = world.requests[queued.request_id]
         if crashes.is_quarantined(world, request):
             refusing.refuse_quarantined(world, request)
@@ -334,7 +355,7 @@
         ):
             refusing.refuse_late(world, request, choice.wait_ms)
             continue
-        queue.dequeue(queued)
+        queue.dequeue(queued.request_id)
         dispatch_pacing.record_dispatch(
             world,
             request.work.target,
@@ -396,12 +417,15 @@
         return True
     expected_ms = choice.first_token_ms + queue_wait_ms
     left_ms = request.answer_start_deadline_ms - world.now_ms
+    free_in_ms = expected_ms - left_ms
+    if urgency.is_ordered(world):
+        free_in_ms = choice.wait_ms + queue_wait_ms
     refusing.refuse_unassigned(
         world,
         request,
         effects.Reason.DEADLINE,
         f"would begin in {expected_ms:.0f} ms, its limit is {left_ms} ms",
-        refusing.clamp_retry_after_ms(expected_ms - left_ms),
+        return_times.capacity_ms(world, request, free_in_ms),
     )
     return False
 
@@ -427,15 +451,6 @@
     )
 
 
-def _weight(world: entities.World, request: entities.RequestRow) -> float:
-    workspace = world.table.workspaces.get(request.workspace)
-    return workspace.weight if workspace else 1.0
-
-
-def _cost(request: entities.RequestRow) -> float:
-    return float(request.work.prompt_tokens + request.work.max_tokens + 1)
-
-
 __all__ = [
     "dispatch",
     "dispatch_queued",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -14,11 +14,19 @@
     server_inputs,
     stream_records,
     suspects,
+    urgency,
     weights,
 )
 from godwittack.core import policy as policies
 from godwittack.core import work as works
-from godwittack.limit import advertised, buckets, budget, fair, shares
+from godwittack.limit import (
+    advertised,
+    buckets,
+    budget,
+    reservations,
+    shares,
+    urgency_queue,
+)
 from godwittack.placement import residency
 from godwittack.table import model
 
@@ -447,6 +455,11 @@
         started_at_ms: Time of the first input; -1 before it.
         pending_effects: Effects of the input being processed.
         queues: Queued requests, by target and priority.
+        fleet_demand: Demand of all daemons by workspace, as last computed.
+        first_token_ms: Smoothed time from sending a prompt to its first token,
+            by target and priority.
+        reservations: Capacity that callers will use that were told to return,
+            by target and workspace.
         target_budgets: Retry budgets by target, if retries are limited for
             each target separately.
         targets_to_dispatch: Targets whose queues are to be dispatched after
@@ -497,8 +510,17 @@
         default_factory=lambda: collections.defaultdict(dict)
     )
     outcomes: dict[str, OutcomeRow] = dataclasses.field(default_factory=dict)
-    queues: dict[str, dict[int, fair.FairQueue]] = dataclasses.field(
-        default_factory=lambda: collections.defaultdict(dict)
+    queues: dict[str, dict[int, urgency_queue.RequestQueue]] = (
+        dataclasses.field(default_factory=lambda: collections.defaultdict(dict))
+    )
+    fleet_demand: urgency.FleetDemand = dataclasses.field(
+        default_factory=urgency.FleetDemand
+    )
+    first_token_ms: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    reservations: dict[tuple[str, str], reservations.Reservations] = (
+        dataclasses.field(default_factory=dict)
     )
     shares: shares.Shares = dataclasses.field(default_factory=shares.Shares)
     quotas: buckets.Buckets = dataclasses.field(default_factory=buckets.Buckets)
--- a/src/godwittack/core/refusing.py
+++ b/src/godwittack/core/refusing.py
@@ -13,6 +13,7 @@
     outcomes,
     rate_limits,
     resting,
+    return_times,
     work,
 )
 
@@ -20,8 +21,6 @@
     from godwittack.core import routing
 
 NO_SERVER_RETRY_MS = 1_000
-MIN_RETRY_MS = 100
-MAX_RETRY_MS = 60_000
 
 
 def refuse_unassigned(
@@ -96,7 +95,7 @@
         request,
         effects.Reason.DEADLINE,
         "its turn did not come before the deadline",
-        clamp_retry_after_ms(wait_ms),
+        return_times.capacity_ms(world, request, wait_ms),
     )
 
 
@@ -132,11 +131,6 @@
     return limit_ms or rest_ms
 
 
-def clamp_retry_after_ms(wait_ms: float) -> int:
-    """Returns when to retry if the estimated wait is too long."""
-    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms)))
-
-
 def _not_served_status(
     request: entities.RequestRow, outcome: effects.Outcome
 ) -> int:
@@ -147,7 +141,6 @@
 
 __all__ = [
     "capacity_wait_ms",
-    "clamp_retry_after_ms",
     "refuse_late",
     "refuse_no_server",
     "refuse_quarantined",
--- a/src/godwittack/daemon/demand.py
+++ b/src/godwittack/daemon/demand.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from godwittack.core import placing
+from godwittack.core import placing, urgency
 from godwittack.member import assignment
 
 if TYPE_CHECKING:
@@ -17,6 +17,7 @@
 # Published rates of a model are powers of this ratio, from the minimum up.
 RATE_STEP_RATIO = 1.5
 MIN_STEPPED_RATE_PER_S = 0.5
+STEPPED_PREFIXES = (placing.MODEL_CELL_PREFIX, urgency.DEMAND_CELL_PREFIX)
 
 
 def by_member(
@@ -49,11 +50,11 @@
     """Returns a rate as it is published.
 
     Limits are split by exact rates, or the shares would not add up. A model's
-    rate only informs a daemon how much the others send; published exactly, it
-    would be an update to every peer twice a second.
+    or a workspace's rate only informs a daemon how much the others send;
+    published exactly, it would be an update to every peer twice a second.
     """
     if (
-        not cell.startswith(placing.MODEL_CELL_PREFIX)
+        not cell.startswith(STEPPED_PREFIXES)
         or rate_per_s < MIN_STEPPED_RATE_PER_S
     ):
         return round(rate_per_s, 1)
--- a/src/godwittack/limit/fair.py
+++ b/src/godwittack/limit/fair.py
@@ -4,6 +4,10 @@
 
 import collections
 import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from godwittack.limit import urgency_queue
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,9 +37,16 @@
     _cost: float = 0.0
 
     def push(
-        self, *, request_id: str, workspace: str, weight: float, cost: float
+        self,
+        *,
+        request_id: str,
+        workspace: str,
+        weight: float,
+        cost: float,
+        times: urgency_queue.Times,
     ) -> None:
         """Appends a request to its workspace's queue."""
+        del times
         start = max(self.virtual_time, self._last_tags.get(workspace, 0.0))
         tag = start + cost / weight
         self._last_tags[workspace] = tag
@@ -49,15 +60,22 @@
         start = max(self.virtual_time, self._last_tags.get(workspace, 0.0))
         self._last_tags[workspace] = start + cost / weight
 
-    def heads(self) -> list[QueuedRequest]:
+    def heads(self, now_ms: int) -> list[QueuedRequest]:
         """Returns the oldest request of each workspace, in fair order."""
+        del now_ms
         return sorted(
             (queue[0] for queue in self._queues.values() if queue),
             key=lambda request: (request.finish_tag, request.request_id),
         )
 
-    def dequeue(self, request: QueuedRequest) -> None:
+    def dequeue(self, request_id: str) -> None:
         """Removes a request to dispatch, and advances virtual time."""
+        request = next(
+            queued
+            for queue in self._queues.values()
+            for queued in queue
+            if queued.request_id == request_id
+        )
         self.virtual_time = max(
             self.virtual_time, request.finish_tag - request.cost
         )
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -10,6 +10,7 @@
     "routed",
     "sourcing",
     "waiting",
+    "urgent",
     "weights",
     "leading",
     "rollouts",
--- a/tests/cases/waiting.py
+++ b/tests/cases/waiting.py
@@ -21,16 +21,24 @@
     slots would admit 16 at a time.
     """
 
-    def __init__(self, *, gap_ms: int, deadline_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        gap_ms: int,
+        deadline_ms: int,
+        slots: int = 16,
+        **policy_fields,
+    ) -> None:
         route = dataclasses.replace(
             routed_core.ROUTES[0], aim_ms=300, gap_aim_ms=250
         )
-        self.core = routed_core.Core(servers=ENGINES)
+        self.core = routed_core.Core(servers=ENGINES, **policy_fields)
         self.core.tell(
             inputs.TableChanged, routed_core.table(2, routes=(route,))
         )
         self.gap_ms = gap_ms
         self._deadline_ms = deadline_ms
+        self._slots = slots
         self._ends: list[tuple[int, str, effects.Dispatch]] = []
         self._busy_until_ms = {f"e{n}": 0 for n in range(1, ENGINES + 1)}
         self.arrived_ms: dict[str, int] = {}
@@ -71,7 +79,7 @@
                     waiting=left_ms // WORK_MS,
                     waiting_tokens=left_ms * 10,
                     prefill_us_per_token=100,
-                    slots=16,
+                    slots=self._slots,
                 )
             )
 
