Keep the first queued request of each workspace for 20 ms

Cause: with 2,000 queued requests, the order was computed in 4.6 ms at each input that may dispatch, against 0.87 ms in fair order.

Change: the first request of a workspace is kept until the workspace's queue changes, for at most 20 ms.

--- a/src/godwittack/limit/urgency_queue.py
+++ b/src/godwittack/limit/urgency_queue.py
@@ -14,6 +14,11 @@
     from collections.abc import Sequence
 
 
+# How long the first request of a workspace is kept: the order within one
+# changes as requests become late, which matters only to some 10 ms.
+FIRST_VALID_MS = 20
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Times:
     """The times that decide when a request is due.
@@ -111,6 +116,8 @@
     _tags: dict[str, float] = dataclasses.field(default_factory=dict)
     _workspaces: dict[str, str] = dataclasses.field(default_factory=dict)
     _cost: float = 0.0
+    _firsts: dict[str, UrgentRequest] = dataclasses.field(default_factory=dict)
+    _firsts_at_ms: int = 0
 
     def push(
         self,
@@ -126,6 +133,7 @@
         queued = UrgentRequest(request_id, workspace, cost / weight, times)
         self._queues.setdefault(workspace, {})[request_id] = queued
         self._workspaces[request_id] = workspace
+        self._firsts.pop(workspace, None)
         self._cost += queued.cost
 
     def charge(self, *, workspace: str, weight: float, cost: float) -> None:
@@ -144,11 +152,9 @@
             beyond_share = max(0.0, tag - share_end)
             return beyond_share, *request.times.key(now_ms), request.request_id
 
-        firsts = (
-            min(queue.values(), key=lambda queued: queued.times.key(now_ms))
-            for queue in self._queues.values()
+        return sorted(
+            (self._first(name, now_ms) for name in self._queues), key=order
         )
-        return sorted(firsts, key=order)
 
     def dequeue(self, request_id: str) -> None:
         """Removes a request to dispatch, and charges its workspace."""
@@ -163,6 +169,7 @@
         if workspace is None:
             return
         queue = self._queues[workspace]
+        self._firsts.pop(workspace, None)
         self._cost -= queue.pop(request_id).cost
         if not queue:
             del self._queues[workspace]
@@ -201,6 +208,17 @@
             candidates.insert(0, arriving)
         return max(candidates, key=lambda queued: queued.times.key(now_ms))
 
+    def _first(self, workspace: str, now_ms: int) -> UrgentRequest:
+        if now_ms - self._firsts_at_ms >= FIRST_VALID_MS:
+            self._firsts.clear()
+            self._firsts_at_ms = now_ms
+        if workspace not in self._firsts:
+            self._firsts[workspace] = min(
+                self._queues[workspace].values(),
+                key=lambda queued: queued.times.key(now_ms),
+            )
+        return self._firsts[workspace]
+
     def _tag(self, workspace: str) -> float:
         return max(self.virtual_time, self._tags.get(workspace, 0.0))
 
