--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 from typing import TYPE_CHECKING
 from urllib import parse
@@ -11,8 +10,8 @@
 from result import Err, Ok
 
 from godwittack.platform import names, wire
+from godwittack.store import base64_text, protocol
 from godwittack.store import call as calls
-from godwittack.store import protocol
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -66,7 +65,8 @@
                 {**_ref(c.row_id), "row-version": c.version} for c in conditions
             ],
             "writes": [
-                {**_ref(w.row_id), "value": _encode(w.value)} for w in writes
+                {**_ref(w.row_id), "value": base64_text.encode(w.value)}
+                for w in writes
             ],
             "remove": [],
         }
@@ -175,32 +175,19 @@
     return {"table": row_id.table, "part": "", "key": row_id.key}
 
 
-def _encode(value: str) -> str:
-    return base64.b64encode(value.encode()).decode()
-
-
-def _decode(value: str) -> str:
-    """Returns a row's text, or an empty string if it is not valid text.
-
-    An error would discard the whole page for one row of another writer.
-    """
-    try:
-        return base64.b64decode(value, validate=True).decode()
-    except ValueError:
-        return ""
-
-
 def _stored_row(row: _Row, now_ms: int) -> protocol.StoredRow:
     row_id = protocol.RowId(row.table, row.key)
     version = 0 if row.deleted else row.row_version
-    return protocol.StoredRow(row_id, _decode(row.value), version, now_ms)
+    return protocol.StoredRow(
+        row_id, base64_text.decode(row.value), version, now_ms
+    )
 
 
 def _page(page: _Rows) -> protocol.FeedPage:
     rows = tuple(
         protocol.ChangedRow(
             key=row.key,
-            value=_decode(row.value),
+            value=base64_text.decode(row.value),
             version=row.row_version,
             deleted=row.deleted,
         )
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -174,11 +174,8 @@
         engines={
             service.name: forwarding.EngineLimits(
                 model=service.engine.models[0].name,
-                slots=service.engine.slots,
                 max_connections=service.max_connections,
-                kv_capacity_tokens=service.engine.kv_capacity_tokens,
-                kv_token_bytes=service.engine.kv_token_bytes,
-                link_mbps=service.engine.link_mbps,
+                **service.engine.model_dump(exclude={"models"}),
             )
             for service in config.services
             if service.engine is not None and service.engine.models
