--- a/tests/cases/instance_rows.py
+++ b/tests/cases/instance_rows.py
@@ -9,8 +9,8 @@
 from godwittack.core import incarnation, inputs, server_inputs, work
 from godwittack.daemon import instance_rows, published_weights
 from godwittack.lead import rollout
-from godwittack.platform import instances, rows, servers, table
-from godwittack.store import protocol
+from godwittack.platform import instances, servers, table
+from godwittack.store import base64_text, protocol
 
 STARTED_AT_MS = 1_790_000_000_000
 SEED = 14
@@ -123,7 +123,7 @@
             data[offset : offset + rng.randint(0, 3)] = rng.randbytes(
                 rng.randint(0, 3)
             )
-        text = rows._decode(rows._encode("x")[: rng.randint(0, 4)])
+        text = base64_text.decode(base64_text.encode("x")[: rng.randint(0, 4)])
         assert isinstance(text, str)
         parsed = decode(
             a=valid_entry(2), b=data.decode(errors="replace"), c=valid_entry(3)
@@ -131,7 +131,7 @@
         assert {"a", "c"} <= set(parsed.listed)
         assert set(parsed.listed) | set(parsed.refused) == {"a", "b", "c"}
     for value in ("%%%", "gICA", "a", "\u00e9"):
-        assert rows._decode(value) == ""
+        assert base64_text.decode(value) == ""
 
 
 def servers_without_a_start_time_are_identified_by_their_id() -> None:
