Read load headers with a pace as fourth figure

Cause: a header with four figures was discarded as a whole, so that no load was learned from responses of servers that state their pace. Change: three or four figures are read; an unreadable fourth is logged once per server and value, and the first three count.

--- a/src/godwittack/backend/signals.py
+++ b/src/godwittack/backend/signals.py
@@ -26,17 +26,31 @@
 STATUS_TOO_MANY = 429
 STATUS_UNAVAILABLE = 503
 
+# Higher paces are taken as unreadable.
+MAX_PACE_PERCENT = 100_000
+
 # Rest of a server that requests one of an unreadable length.
 DEFAULT_REST_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EchoedLoad:
-    """Load that a server reports with an answer."""
+    """Load that a server reports with an answer.
+
+    Attributes:
+        running: Requests running.
+        waiting: Requests waiting.
+        slots: Maximum number of requests that it runs at a time.
+        pace_percent: Time that work takes at this moment, in percent of the
+            usual time; None if it is missing or can't be read.
+        unreadable_pace: What can't be read as that; empty for nothing.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
+    unreadable_pace: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,7 +88,8 @@
     """Names of the headers by which servers report about themselves.
 
     Attributes:
-        load: Header with running, waiting and slots, separated by commas.
+        load: Header with running, waiting, slots and, from some servers, the
+            pace, separated by commas.
         rate_limit: Headers with the requests a second from all daemons, in all
             spellings.
         leaving: Headers that mark a server about to stop, in all spellings.
@@ -126,6 +141,9 @@
         self._unreadable = unreadable.UnreadableLog(
             "server_rest_unreadable", assumed_ms=DEFAULT_REST_MS
         )
+        self._unreadable_pace = unreadable.UnreadableLog(
+            "server_pace_unreadable"
+        )
 
     def report(
         self,
@@ -165,6 +183,10 @@
                 )
             )
         if signals.load is not None:
+            if signals.load.unreadable_pace:
+                self._unreadable_pace.log(
+                    origin.server_id, signals.load.unreadable_pace
+                )
             self.submit(
                 server_inputs.LoadEchoed(
                     at_ms=now_ms,
@@ -173,6 +195,7 @@
                     waiting=signals.load.waiting,
                     slots=signals.load.slots,
                     is_relayed=origin.is_relayed,
+                    pace_percent=signals.load.pace_percent or 0,
                 )
             )
         self.brittle.report(
@@ -219,11 +242,27 @@
 
 
 def _parse_load(text: str) -> EchoedLoad | None:
-    parts = [headers.parse_number(part) for part in text.split(",")]
-    if len(parts) != 3 or None in parts:
+    parts = text.split(",", 3)
+    counts = [headers.parse_number(part) for part in parts[:3]]
+    if len(counts) != 3 or None in counts:
         return None
-    running, waiting, slots = (part or 0 for part in parts)
-    return EchoedLoad(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots = (count or 0 for count in counts)
+    pace_text = parts[3].strip() if len(parts) > 3 else ""
+    pace_percent = _parse_pace(pace_text)
+    return EchoedLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        pace_percent=pace_percent,
+        unreadable_pace="" if pace_percent else pace_text,
+    )
+
+
+def _parse_pace(text: str) -> int | None:
+    """Returns a pace in percent, None if it is none or not plausible."""
+    percent = headers.parse_number(text)
+    is_plausible = percent is not None and 0 < percent <= MAX_PACE_PERCENT
+    return percent if is_plausible else None
 
 
 def _is_set(text: str) -> bool:
