Estimate prompts and backlogs by each engine's pace on uneven targets

Cause: one linear estimate per model served engines that differ by a factor of 2.7, and attention made the largest prompts more than twice as slow as estimated. Change: each server has a base pace, learned from its first tokens, and a momentary pace from its load headers. The time for a prompt has a fixed part, a part per token and a part per pair. The choice between engines counts the whole backlog; holding back is decided as before. Plain services weigh their load by the pace. A delay observed at first tokens corrects the backlog and decays. Not yet measured under load.

--- a/src/godwittack/core/attempts.py
+++ b/src/godwittack/core/attempts.py
@@ -14,6 +14,7 @@
     hedging,
     inputs,
     outcomes,
+    pace,
     paths,
     prefill_cost,
     routing,
@@ -435,6 +436,7 @@
     server = world.servers.get(attempt.server_id)
     if server is not None and request.work.route is not None:
         prefill_cost.record_first_token(world, attempt, server)
+        pace.record_first_token(world, attempt, server)
         priority = routing.priority(world, request)
         previous_ms = server.last_answered_sent_ms.get(priority, 0)
         server.last_answered_sent_ms[priority] = max(
--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import prefill_cost
+from godwittack.core import pace, prefill_cost, uneven
 
 if TYPE_CHECKING:
     from godwittack.core import entities, server_inputs
@@ -39,11 +39,16 @@
     prompt takes. Dispatched prompts are known at once, and so is their prefill
     cost.
     """
-    us_per_token = prefill_cost.us_per_token(world, server)
-    starts_ms = max(
-        float(world.now_ms), server.backlog_until_ms.get(priority, 0.0)
-    )
-    server.backlog_until_ms[priority] = starts_ms + tokens * us_per_token / 1000
+    now_ms = float(world.now_ms)
+    if uneven.is_uneven(world, server.target):
+        took_ms = pace.occupied_ms(world, server, tokens=tokens)
+        free_at_ms = max(now_ms, server.pace.busy_until_ms)
+        server.pace.busy_until_ms = free_at_ms + took_ms
+    else:
+        us_per_token = prefill_cost.us_per_token(world, server)
+        took_ms = tokens * us_per_token / 1000
+    starts_ms = max(now_ms, server.backlog_until_ms.get(priority, 0.0))
+    server.backlog_until_ms[priority] = starts_ms + took_ms
 
 
 def is_long(
@@ -74,8 +79,23 @@
 def placement_wait_ms(
     world: entities.World, server: entities.ServerRow, priority: int
 ) -> float:
-    """Estimates the wait by which engines of an uneven target are compared."""
-    return queue_ms(world, server, priority)
+    """Estimates the wait by which engines of an uneven target are compared.
+
+    Engines compute admitted prompts one after another, whatever their priority.
+    A short prompt that is more urgent than the long ones before it waits for
+    nearly all of them: 151 ms behind 24,000 to 32,000 tokens.
+    """
+    return known_wait_ms(world, server, priority) + pace.delay_ms(world, server)
+
+
+def known_wait_ms(
+    world: entities.World, server: entities.ServerRow, priority: int
+) -> float:
+    """Returns the same wait without the delay observed lately."""
+    if not uneven.is_uneven(world, server.target):
+        return queue_ms(world, server, priority)
+    backlog_ms = max(0.0, server.pace.busy_until_ms - world.now_ms)
+    return _add_slots_wait(world, server, backlog_ms)
 
 
 def queue_ms(
@@ -83,6 +103,13 @@
 ) -> float:
     """Estimates how long a request waits until a server begins it."""
     wait = wait_ms(world, server, priority=priority)
+    return _add_slots_wait(world, server, wait)
+
+
+def _add_slots_wait(
+    world: entities.World, server: entities.ServerRow, wait: float
+) -> float:
+    """Adds to a wait by how much requests that run or wait delay another."""
     is_fresh = (
         world.now_ms - server.reported_at_ms < world.policy.report_stale_ms
     )
@@ -98,9 +125,11 @@
     completion_interval_ms = (
         world.service_time_ms.get(server.target, 0.0) / slots
     )
-    wait += completion_interval_ms * _completions_needed(in_flight, slots)
+    factor = pace.factor(world, server)
+    completions = _completions_needed(in_flight, slots)
+    wait += completion_interval_ms * completions * factor
     # Every request in a batch makes each of its steps slightly longer.
-    return wait + in_flight * BATCH_DELAY_MS
+    return wait + in_flight * BATCH_DELAY_MS * factor
 
 
 def _completions_needed(in_flight: int, slots: int) -> float:
@@ -155,6 +184,7 @@
 __all__ = [
     "add",
     "is_long",
+    "known_wait_ms",
     "placement_wait_ms",
     "queue_ms",
     "record_cached",
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -4,7 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import availability, backlog, effects, routing
+from godwittack.core import (
+    availability,
+    backlog,
+    effects,
+    pace,
+    prefill_cost,
+    routing,
+    uneven,
+)
 from godwittack.placement import levels
 
 if TYPE_CHECKING:
@@ -43,6 +51,11 @@
         load_age_ms=world.now_ms - server.reported_at_ms
         if server.reported_at_ms >= 0
         else -1,
+        **(
+            {"pace": round(pace.factor(world, server), 2)}
+            if uneven.is_uneven(world, server.target)
+            else {}
+        ),
         after=request.next_frame - 1,
         left_ms=ends_at_ms(request) - world.now_ms,
         **availability.unavailable_servers(world, request.work.target),
@@ -65,11 +78,28 @@
     world: entities.World,
     request: entities.RequestRow,
     choice: placing.Choice,
+    attempt: entities.AttemptRow,
     keys: tuple[int, ...],
 ) -> None:
     """Adds a prompt to its server's backlog, here and at other daemons."""
     priority = routing.priority(world, request)
     tokens = round(choice.uncached_tokens)
+    if uneven.is_uneven(world, choice.server.target):
+        pace.expect_first_token(
+            world,
+            choice.server,
+            attempt,
+            wait_ms=backlog.known_wait_ms(world, choice.server, priority),
+            idle_ms=choice.first_token_ms - choice.wait_ms,
+        )
+        tokens = round(
+            prefill_cost.equivalent_tokens(
+                world,
+                choice.server,
+                new_tokens=tokens,
+                cached_tokens=attempt.expected_cached_tokens,
+            )
+        )
     backlog.add(world, choice.server, tokens=tokens, priority=priority)
     backlog.record_cached(world, choice.server, keys, priority=priority)
     if backlog.is_long(world, choice.server, request.work.prompt_tokens):
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -167,6 +167,9 @@
         sent_at_ms=world.now_ms,
         last_progress_ms=world.now_ms,
         expected_tokens=round(choice.uncached_tokens),
+        expected_cached_tokens=max(
+            0, request.work.prompt_tokens - round(choice.uncached_tokens)
+        ),
         software_version=server.software_version,
         relay=relay,
     )
@@ -185,7 +188,7 @@
                 max_keys=world.policy.max_residency,
             )
     elif keys:
-        dispatch_records.record_prompt(world, request, choice, keys)
+        dispatch_records.record_prompt(world, request, choice, attempt, keys)
     if request.work.route is not None:
         dispatch_records.log_placement(world, request, choice, attempt)
     world.emit(
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -12,6 +12,7 @@
     prefill_cost,
     quarantine,
     server_inputs,
+    server_pace,
     stream_records,
     suspects,
     weights,
@@ -204,6 +205,11 @@
         stream_id: Id of the stream on the engine: the first attempt's id.
         last_progress_ms: When the server last made progress on this attempt.
         expected_tokens: Prompt tokens that are expected not to be cached.
+        expected_cached_tokens: The prompt's other tokens.
+        expected_wait_ms: Expected wait at the server.
+        expected_idle_ms: Expected time to the first token in addition to it.
+        first_token_due_ms: When the first token is expected; 0 if it has
+            arrived, or if the target is not uneven.
         incarnation_id: Unique id of the server's incarnation at dispatch.
         software_version: Version of the server's software at dispatch; empty if
             not known.
@@ -225,6 +231,10 @@
     sent_at_ms: int
     last_progress_ms: int
     expected_tokens: int = 0
+    expected_cached_tokens: int = 0
+    expected_wait_ms: float = 0.0
+    expected_idle_ms: float = 0.0
+    first_token_due_ms: float = 0.0
     opened: bool = False
     is_delimited: bool = True
     incarnation_id: str = ""
@@ -275,6 +285,7 @@
         in_flight: This daemon's unfinished dispatches, by attempt id.
         backlog_until_ms: Estimated time at which its queued prompts are
             computed, by their priority.
+        pace: What is known of its pace, for uneven targets.
         last_answered_sent_ms: Latest send time of a request that it has begun
             to answer, by priority.
         last_contact_ms: When this daemon last received anything from it.
@@ -334,6 +345,9 @@
     slots: int = 0
     in_flight: dict[str, AttemptRow] = dataclasses.field(default_factory=dict)
     backlog_until_ms: dict[int, float] = dataclasses.field(default_factory=dict)
+    pace: server_pace.ServerPace = dataclasses.field(
+        default_factory=server_pace.ServerPace
+    )
     last_answered_sent_ms: dict[int, int] = dataclasses.field(
         default_factory=dict
     )
--- a/src/godwittack/core/pace.py
+++ b/src/godwittack/core/pace.py
@@ -1,19 +1,53 @@
-"""Estimates how long work takes at each server of an uneven target."""
+"""Estimates how long work takes at each server of an uneven target.
+
+Load pattern: engines of one model differ by a factor of 2.7, and a seventh of
+their machines is 2.5 times slower for 600 ms at a time. With one estimate for
+all, slow engines get as many prompts as fast ones, and their queues grow.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import prefill_cost
+from godwittack.core import prefill_cost, prompt_cost, server_pace, uneven
 
 if TYPE_CHECKING:
-    from godwittack.core import entities
+    from godwittack.core import entities, server_inputs
+
+MIN_BASE_PACE = 0.25
+MAX_BASE_PACE = 8.0
+# Prompt whose time is compared between daemons. Each daemon learns its own
+# estimate for the model, so that ratios to it can't be compared.
+REFERENCE_NEW_TOKENS = 4_000
+REFERENCE_CACHED_TOKENS = 13_000
+# Shorter prompts show the fixed part of a first token, not the engine's pace.
+MIN_SAMPLE_TOKENS = 1_000
+# A base pace is computed again after this, as the model's estimate changes.
+BASE_PACE_TTL_MS = 500
+# Without other samples for this long, those with a long wait count too, so that
+# an estimate that makes all waits look long is corrected.
+NO_SAMPLE_MS = 5_000
+# Change of a base pace from which it is logged.
+LOG_CHANGE_RATIO = 1 / 3
 
 
 def factor(world: entities.World, server: entities.ServerRow) -> float:
-    """Returns how long work takes at a server, relative to its model."""
-    del world, server
-    return 1.0
+    """Returns how long work takes at a server now, relative to its model."""
+    if not uneven.is_uneven(world, server.target):
+        return 1.0
+    return base(world, server) * server.pace.momentary(world.now_ms)
+
+
+def base(world: entities.World, server: entities.ServerRow) -> float:
+    """Returns how long work usually takes at a server of an uneven target."""
+    pace = server.pace
+    if not 0 <= world.now_ms - pace.base_at_ms < BASE_PACE_TTL_MS or (
+        pace.base_at_ms < 0
+    ):
+        pace.base = _computed_base(world, server)
+        pace.base_at_ms = world.now_ms
+        _log_base(world, server)
+    return pace.base
 
 
 def prompt_ms(
@@ -31,8 +65,196 @@
         new_tokens: Prompt tokens that it has to compute.
         cached_tokens: Prompt tokens before them that it has cached.
     """
-    del cached_tokens
-    return new_tokens * prefill_cost.us_per_token(world, server) / 1000
+    if not uneven.is_uneven(world, server.target):
+        return new_tokens * prefill_cost.us_per_token(world, server) / 1000
+    work_ms = prefill_cost.prompt_ms(
+        world, server, new_tokens=new_tokens, cached_tokens=cached_tokens
+    )
+    return server.pace.stretched_ms(
+        work_ms * base(world, server), from_ms=_free_at_ms(world, server)
+    )
+
+
+def occupied_ms(
+    world: entities.World, server: entities.ServerRow, *, tokens: float
+) -> float:
+    """Returns for how long a prompt occupies an engine once it is begun."""
+    work_ms = tokens * prefill_cost.computing_us_per_token(world, server) / 1000
+    return server.pace.stretched_ms(
+        work_ms * base(world, server), from_ms=_free_at_ms(world, server)
+    )
+
+
+def delay_ms(world: entities.World, server: entities.ServerRow) -> float:
+    """Returns by how much first tokens come later than estimated.
+
+    Short prompts are not announced, and others are announced late or not at
+    all. A first token that is overdue shows the same before it arrives.
+    """
+    overdue_ms = max(
+        (
+            world.now_ms - attempt.first_token_due_ms
+            for attempt in server.in_flight.values()
+            if attempt.first_token_due_ms
+        ),
+        default=0.0,
+    )
+    return max(overdue_ms, server.pace.current_delay_ms(world.now_ms))
+
+
+def expect_first_token(
+    world: entities.World,
+    server: entities.ServerRow,
+    attempt: entities.AttemptRow,
+    *,
+    wait_ms: float,
+    idle_ms: float,
+) -> None:
+    """Records when the first token of a new attempt is expected.
+
+    Args:
+        world: The tables.
+        server: The server that it is sent to.
+        attempt: The attempt.
+        wait_ms: Estimated wait, the observed delay aside.
+        idle_ms: Estimated time to the first token without waiting.
+    """
+    if not uneven.is_uneven(world, server.target):
+        return
+    attempt.expected_wait_ms = wait_ms
+    attempt.expected_idle_ms = idle_ms
+    attempt.first_token_due_ms = world.now_ms + wait_ms + idle_ms
+
+
+def record_first_token(
+    world: entities.World,
+    attempt: entities.AttemptRow,
+    server: entities.ServerRow,
+) -> None:
+    """Updates the estimates when the first token of an attempt arrives."""
+    due_ms, attempt.first_token_due_ms = attempt.first_token_due_ms, 0.0
+    if not due_ms or not uneven.is_uneven(world, server.target):
+        return
+    pace = server.pace
+    pace.record_delay(world.now_ms - due_ms, world.now_ms)
+    if not _is_informative(world, attempt, server):
+        return
+    sample = prompt_cost.Sample(
+        new_tokens=attempt.expected_tokens,
+        cached_tokens=attempt.expected_cached_tokens,
+        took_ms=(world.now_ms - attempt.sent_at_ms)
+        / pace.momentary(world.now_ms),
+    )
+    if world.policy.learns_pace:
+        world.prefill_costs[server.target].parts.add_sample(sample)
+    if sample.new_tokens >= MIN_SAMPLE_TOKENS:
+        pace.samples.append(sample)
+        pace.sampled_at_ms = world.now_ms
+        pace.base_at_ms = -1
+        base(world, server)
+
+
+def apply_header(
+    world: entities.World,
+    server: entities.ServerRow,
+    load: server_inputs.LoadEchoed,
+) -> None:
+    """Applies the load and pace in a response of a server."""
+    if load.pace_percent:
+        uneven.record_pace_reported(world, server.target)
+    if uneven.is_uneven(world, server.target):
+        server.pace.echoed = server_pace.EchoedLoad(
+            load.running, load.waiting, load.pace_percent, load.at_ms
+        )
+
+
+def _is_informative(
+    world: entities.World,
+    attempt: entities.AttemptRow,
+    server: entities.ServerRow,
+) -> bool:
+    """Returns whether a first token shows the pace rather than the wait.
+
+    This must not depend on the measured time: if only short ones counted, the
+    estimate would fall under load.
+    """
+    is_wait_short = attempt.expected_wait_ms <= attempt.expected_idle_ms
+    last_ms = server.pace.sampled_at_ms
+    return is_wait_short or world.now_ms - last_ms >= NO_SAMPLE_MS
+
+
+def _computed_base(world: entities.World, server: entities.ServerRow) -> float:
+    """Returns the lower quartile of samples, here and at other daemons."""
+    if not prefill_cost.is_known(world, server):
+        return 1.0
+    own = [
+        (
+            sample.took_ms
+            / prefill_cost.prompt_ms(
+                world,
+                server,
+                new_tokens=sample.new_tokens,
+                cached_tokens=sample.cached_tokens,
+            ),
+            1,
+        )
+        for sample in server.pace.samples
+    ]
+    told = _told_ratios(world, server)
+    ratio = server_pace.weighted_quantile([*own, *told])
+    return min(max(ratio, MIN_BASE_PACE), MAX_BASE_PACE) if ratio else 1.0
+
+
+def _told_ratios(
+    world: entities.World, server: entities.ServerRow
+) -> list[tuple[float, int]]:
+    told = server.pace.told
+    if not told:
+        return []
+    since_ms = world.now_ms - server_pace.TOLD_TTL_MS
+    for daemon in [name for name, t in told.items() if t.at_ms < since_ms]:
+        del told[daemon]
+    reference_ms = _reference_ms(world, server)
+    return [(t.reference_ms / reference_ms, t.samples) for t in told.values()]
+
+
+def _reference_ms(world: entities.World, server: entities.ServerRow) -> float:
+    return prefill_cost.prompt_ms(
+        world,
+        server,
+        new_tokens=REFERENCE_NEW_TOKENS,
+        cached_tokens=REFERENCE_CACHED_TOKENS,
+    )
+
+
+def _free_at_ms(world: entities.World, server: entities.ServerRow) -> float:
+    return max(float(world.now_ms), server.pace.busy_until_ms)
+
+
+def _log_base(world: entities.World, server: entities.ServerRow) -> None:
+    pace = server.pace
+    change = abs(pace.base - pace.logged_base)
+    if change < LOG_CHANGE_RATIO * pace.logged_base:
+        return
+    world.event(
+        "server_pace",
+        server=server.server_id,
+        target=server.target,
+        base=round(pace.base, 2),
+        before=round(pace.logged_base, 2),
+        samples=len(pace.samples),
+        told=sum(told.samples for told in pace.told.values()),
+    )
+    pace.logged_base = pace.base
 
 
-__all__ = ["factor", "prompt_ms"]
+__all__ = [
+    "apply_header",
+    "base",
+    "delay_ms",
+    "expect_first_token",
+    "factor",
+    "occupied_ms",
+    "prompt_ms",
+    "record_first_token",
+]
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -11,6 +11,7 @@
     availability,
     brittle,
     candidates,
+    pace,
     paths,
     prefill_cost,
     rate_limits,
@@ -390,13 +391,15 @@
     request: entities.RequestRow,
     usable: list[entities.ServerRow],
 ) -> Choice:
-    def load(server: entities.ServerRow) -> int:
+    def load(server: entities.ServerRow) -> float:
         unreported = sum(
             1
             for attempt in server.in_flight.values()
             if attempt.sent_at_ms > server.reported_at_ms
         )
-        return server.running + server.waiting + unreported
+        in_flight = server.running + server.waiting + unreported
+        # Of idle servers, the one with the best pace is chosen.
+        return (in_flight + 1) * pace.factor(world, server)
 
     # Ties are broken by a hash of the request, not by the server's name: all
     # daemons would choose the first name at the same time and overload it.
--- a/src/godwittack/core/prefill_cost.py
+++ b/src/godwittack/core/prefill_cost.py
@@ -18,6 +18,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from godwittack.core import prompt_cost
+
 if TYPE_CHECKING:
     from godwittack.core import entities
 
@@ -66,9 +68,14 @@
     Attributes:
         us_per_token: Microseconds per prompt token; 0 until there are enough
             samples.
+        parts: The same, apart for what is fixed, per token and per pair of
+            tokens; learnt only for uneven targets.
     """
 
     us_per_token: float = 0.0
+    parts: prompt_cost.PromptCost = dataclasses.field(
+        default_factory=prompt_cost.PromptCost
+    )
     _short_prompt_ms: _Samples = dataclasses.field(default_factory=_Samples)
     _us_per_token_bounds: _Samples = dataclasses.field(default_factory=_Samples)
 
@@ -103,6 +110,63 @@
     return estimated or float(world.policy.prefill_us_per_token)
 
 
+def prompt_ms(
+    world: entities.World,
+    server: entities.ServerRow,
+    *,
+    new_tokens: float,
+    cached_tokens: float,
+) -> float:
+    """Returns the time to a first token at an idle engine of usual pace."""
+    parts = world.prefill_costs[server.target].parts
+    if not parts.is_known:
+        return new_tokens * us_per_token(world, server) / 1000
+    return parts.fixed_ms + parts.computing_ms(
+        new_tokens=new_tokens, cached_tokens=cached_tokens
+    )
+
+
+def equivalent_tokens(
+    world: entities.World,
+    server: entities.ServerRow,
+    *,
+    new_tokens: float,
+    cached_tokens: float,
+) -> float:
+    """Returns the tokens without others before them that take as long.
+
+    Announcements carry a number of tokens only, and daemons of earlier releases
+    multiply it by the time per token.
+    """
+    parts = world.prefill_costs[server.target].parts
+    if not parts.is_known:
+        return new_tokens
+    computing_ms = parts.computing_ms(
+        new_tokens=new_tokens, cached_tokens=cached_tokens
+    )
+    return computing_ms / parts.ms_per_token
+
+
+def computing_us_per_token(
+    world: entities.World, server: entities.ServerRow
+) -> float:
+    """Returns the microseconds per equivalent token at the usual pace."""
+    parts = world.prefill_costs[server.target].parts
+    if parts.is_known:
+        return parts.ms_per_token * 1000
+    return us_per_token(world, server)
+
+
+def is_known(world: entities.World, server: entities.ServerRow) -> bool:
+    """Returns whether the time for a prompt has been learnt or reported."""
+    estimate = world.prefill_costs[server.target]
+    return bool(
+        estimate.parts.is_known
+        or estimate.us_per_token
+        or server.prefill_us_per_token
+    )
+
+
 def record_first_token(
     world: entities.World,
     attempt: entities.AttemptRow,
@@ -131,4 +195,12 @@
     return new != old and (not old or abs(new - old) > LOG_CHANGE_RATIO * old)
 
 
-__all__ = ["PrefillCost", "record_first_token", "us_per_token"]
+__all__ = [
+    "PrefillCost",
+    "computing_us_per_token",
+    "equivalent_tokens",
+    "is_known",
+    "prompt_ms",
+    "record_first_token",
+    "us_per_token",
+]
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -11,6 +11,7 @@
     entities,
     incarnation,
     inputs,
+    pace,
     paths,
     server_inputs,
     software,
@@ -145,6 +146,7 @@
     if server is None:
         return
     server.reported_at_ms = load.at_ms
+    pace.apply_header(world, server, load)
     if load.is_relayed:
         server.heard_alive_ms = load.at_ms
     else:
@@ -152,8 +154,6 @@
     server.running = load.running
     server.waiting = load.waiting
     server.slots = load.slots or server.slots
-    if load.pace_percent:
-        uneven.record_pace_reported(world, server.target)
     world.targets_to_dispatch.add(server.target)
 
 
@@ -377,6 +377,7 @@
     server.waiting_tokens = 0
     server.in_flight.clear()
     server.backlog_until_ms.clear()
+    server.pace.reset_process()
     server.last_answered_sent_ms.clear()
 
 
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -290,7 +290,9 @@
     best: Source | None = None
     best_saved_us = 0.0
     min_tokens = _min_copy_tokens(world, server)
-    compute_us = prefill_cost.us_per_token(world, server) + RECOMPUTE_EXTRA_US
+    us_per_token = prefill_cost.us_per_token(world, server)
+    us_per_token *= pace.factor(world, server)
+    compute_us = us_per_token + RECOMPUTE_EXTRA_US
     for source in sources:
         gained_tokens = source.tokens - own_tokens
         if gained_tokens < min_tokens or source.server is server:
