Count the prompts at engines of uneven targets in tokens

Cause: backlogs were kept as times. Those sent before the first estimate of the time per token counted for ten times too long, and a single late first token made an engine look eight times slower. Change: the prompts sent to an engine are kept in tokens, oldest first, and valued with the current estimates. A base pace counts two assumed samples at the model's pace.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -39,16 +39,14 @@
     prompt takes. Dispatched prompts are known at once, and so is their prefill
     cost.
     """
-    now_ms = float(world.now_ms)
     if uneven.is_uneven(world, server.target):
-        took_ms = pace.occupied_ms(world, server, tokens=tokens)
-        free_at_ms = max(now_ms, server.pace.busy_until_ms)
-        server.pace.busy_until_ms = free_at_ms + took_ms
-    else:
-        us_per_token = prefill_cost.us_per_token(world, server)
-        took_ms = tokens * us_per_token / 1000
-    starts_ms = max(now_ms, server.backlog_until_ms.get(priority, 0.0))
-    server.backlog_until_ms[priority] = starts_ms + took_ms
+        pace.add_prompt(world, server, tokens=tokens, priority=priority)
+        return
+    us_per_token = prefill_cost.us_per_token(world, server)
+    starts_ms = max(
+        float(world.now_ms), server.backlog_until_ms.get(priority, 0.0)
+    )
+    server.backlog_until_ms[priority] = starts_ms + tokens * us_per_token / 1000
 
 
 def is_long(
@@ -65,6 +63,13 @@
     world: entities.World, server: entities.ServerRow, *, priority: int
 ) -> float:
     """Estimates how long a request waits for the prompts sent before it."""
+    if uneven.is_uneven(world, server.target):
+        return pace.backlog_ms(
+            world,
+            server,
+            priority=priority,
+            less_urgent_fraction=LESS_URGENT_FRACTION,
+        )
     total_ms = 0.0
     for other_priority, ends_ms in server.backlog_until_ms.items():
         left_ms = max(0.0, ends_ms - world.now_ms)
@@ -94,8 +99,7 @@
     """Returns the same wait without the delay observed lately."""
     if not uneven.is_uneven(world, server.target):
         return queue_ms(world, server, priority)
-    backlog_ms = max(0.0, server.pace.busy_until_ms - world.now_ms)
-    return _add_slots_wait(world, server, backlog_ms)
+    return _add_slots_wait(world, server, pace.backlog_ms(world, server))
 
 
 def queue_ms(
@@ -156,9 +160,12 @@
     Until then no other server can copy it: a fetch that comes too early finds
     nothing, and the same levels are computed a second time.
     """
-    ready_ms = max(
-        float(world.now_ms), server.backlog_until_ms.get(priority, 0.0)
-    )
+    if uneven.is_uneven(world, server.target):
+        ready_ms = world.now_ms + pace.backlog_ms(world, server)
+    else:
+        ready_ms = max(
+            float(world.now_ms), server.backlog_until_ms.get(priority, 0.0)
+        )
     for key in keys:
         cached_at_ms = server.cache.cached_at_ms(key)
         if cached_at_ms is not None and cached_at_ms <= world.now_ms:
--- a/src/godwittack/core/pace.py
+++ b/src/godwittack/core/pace.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from godwittack.core import entities, server_inputs
 
+MIN_US_PER_TOKEN = 0.01
 MIN_BASE_PACE = 0.25
 MAX_BASE_PACE = 8.0
 # Prompt whose time is compared between daemons. Each daemon learns its own
@@ -26,7 +27,10 @@
 BASE_PACE_TTL_MS = 500
 # Without other samples for this long, those with a long wait count too, so that
 # an estimate that makes all waits look long is corrected.
-NO_SAMPLE_MS = 5_000
+NO_SAMPLE_MS = 30_000
+# Weight of the assumption that a server is as fast as its model's estimate, in
+# samples: a single first token that waited may be ten times too late.
+ASSUMED_SAMPLES = 2
 # Change of a base pace from which it is logged.
 LOG_CHANGE_RATIO = 1 / 3
 
@@ -71,20 +75,71 @@
         world, server, new_tokens=new_tokens, cached_tokens=cached_tokens
     )
     return server.pace.stretched_ms(
-        work_ms * base(world, server), from_ms=_free_at_ms(world, server)
+        work_ms * base(world, server),
+        from_ms=world.now_ms + backlog_ms(world, server),
     )
 
 
-def occupied_ms(
-    world: entities.World, server: entities.ServerRow, *, tokens: float
+def add_prompt(
+    world: entities.World,
+    server: entities.ServerRow,
+    *,
+    tokens: float,
+    priority: int,
+) -> None:
+    """Adds a prompt that was sent to a server of an uneven target."""
+    _remove_computed(world, server)
+    server.pace.prompts.add(priority=priority, tokens=tokens)
+
+
+def backlog_ms(
+    world: entities.World,
+    server: entities.ServerRow,
+    *,
+    priority: int | None = None,
+    less_urgent_fraction: float = 1.0,
 ) -> float:
-    """Returns for how long a prompt occupies an engine once it is begun."""
-    work_ms = tokens * prefill_cost.computing_us_per_token(world, server) / 1000
+    """Returns how long a server takes for the prompts sent to it.
+
+    Args:
+        world: The tables.
+        server: The server, of an uneven target.
+        priority: Priority of the request that waits; None to count all prompts
+            in full.
+        less_urgent_fraction: Fraction of less urgent prompts that counts.
+    """
+    if not server.pace.prompts:
+        return 0.0
+    _remove_computed(world, server)
+    tokens = sum(
+        tokens
+        if priority is None or other_priority <= priority
+        else tokens * less_urgent_fraction
+        for other_priority, tokens in server.pace.prompts.tokens_by_priority()
+    )
     return server.pace.stretched_ms(
-        work_ms * base(world, server), from_ms=_free_at_ms(world, server)
+        tokens * _ms_per_token(world, server), from_ms=world.now_ms
     )
 
 
+def _remove_computed(world: entities.World, server: entities.ServerRow) -> None:
+    """Removes what a server has probably computed since the last time."""
+    prompts = server.pace.prompts
+    elapsed_ms = world.now_ms - prompts.computed_until_ms
+    if elapsed_ms <= 0:
+        return
+    ms_per_token = _ms_per_token(world, server)
+    ms_per_token *= server.pace.momentary(world.now_ms)
+    prompts.remove_computed(elapsed_ms / ms_per_token)
+    prompts.computed_until_ms = world.now_ms
+
+
+def _ms_per_token(world: entities.World, server: entities.ServerRow) -> float:
+    us_per_token = prefill_cost.computing_us_per_token(world, server)
+    # A reported or learnt cost of nothing would make the backlog vanish.
+    return max(us_per_token, MIN_US_PER_TOKEN) / 1000 * base(world, server)
+
+
 def delay_ms(world: entities.World, server: entities.ServerRow) -> float:
     """Returns by how much first tokens come later than estimated.
 
@@ -121,7 +176,7 @@
     """
     if not uneven.is_uneven(world, server.target):
         return
-    attempt.expected_wait_ms = wait_ms
+    attempt.expected_wait_ms = wait_ms + delay_ms(world, server)
     attempt.expected_idle_ms = idle_ms
     attempt.first_token_due_ms = world.now_ms + wait_ms + idle_ms
 
@@ -178,8 +233,10 @@
     This must not depend on the measured time: if only short ones counted, the
     estimate would fall under load.
     """
+    if not prefill_cost.is_known(world, server):
+        return True
     is_wait_short = attempt.expected_wait_ms <= attempt.expected_idle_ms
-    last_ms = server.pace.sampled_at_ms
+    last_ms = max(server.pace.sampled_at_ms, world.started_at_ms)
     return is_wait_short or world.now_ms - last_ms >= NO_SAMPLE_MS
 
 
@@ -200,9 +257,13 @@
         )
         for sample in server.pace.samples
     ]
-    told = _told_ratios(world, server)
-    ratio = server_pace.weighted_quantile([*own, *told])
-    return min(max(ratio, MIN_BASE_PACE), MAX_BASE_PACE) if ratio else 1.0
+    ratios = [*own, *_told_ratios(world, server)]
+    ratio = server_pace.weighted_quantile(ratios)
+    if not ratio:
+        return 1.0
+    samples = sum(weight for _, weight in ratios)
+    ratio **= samples / (samples + ASSUMED_SAMPLES)
+    return min(max(ratio, MIN_BASE_PACE), MAX_BASE_PACE)
 
 
 def _told_ratios(
@@ -227,10 +288,6 @@
     )
 
 
-def _free_at_ms(world: entities.World, server: entities.ServerRow) -> float:
-    return max(float(world.now_ms), server.pace.busy_until_ms)
-
-
 def _log_base(world: entities.World, server: entities.ServerRow) -> None:
     pace = server.pace
     change = abs(pace.base - pace.logged_base)
@@ -249,12 +306,13 @@
 
 
 __all__ = [
+    "add_prompt",
     "apply_header",
+    "backlog_ms",
     "base",
     "delay_ms",
     "expect_first_token",
     "factor",
-    "occupied_ms",
     "prompt_ms",
     "record_first_token",
 ]
--- a/src/godwittack/core/prefill_cost.py
+++ b/src/godwittack/core/prefill_cost.py
@@ -158,13 +158,8 @@
 
 
 def is_known(world: entities.World, server: entities.ServerRow) -> bool:
-    """Returns whether the time for a prompt has been learnt or reported."""
-    estimate = world.prefill_costs[server.target]
-    return bool(
-        estimate.parts.is_known
-        or estimate.us_per_token
-        or server.prefill_us_per_token
-    )
+    """Returns whether the parts of the time for a prompt have been learnt."""
+    return world.prefill_costs[server.target].parts.is_known
 
 
 def record_first_token(
--- a/src/godwittack/core/server_pace.py
+++ b/src/godwittack/core/server_pace.py
@@ -6,6 +6,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from godwittack.core import prompt_queue
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -66,8 +68,7 @@
 
     Attributes:
         echoed: Load and pace in the newest response; None before the first.
-        busy_until_ms: Estimated time at which all prompts sent to it are
-            computed, whatever their priority.
+        prompts: Prompts that it has to compute.
         delay_ms: By how much a first token came later than estimated.
         delay_at_ms: When that was observed.
         samples: Recent first tokens of this daemon.
@@ -79,7 +80,9 @@
     """
 
     echoed: EchoedLoad | None = None
-    busy_until_ms: float = 0.0
+    prompts: prompt_queue.PromptQueue = dataclasses.field(
+        default_factory=prompt_queue.PromptQueue
+    )
     delay_ms: float = 0.0
     delay_at_ms: int = 0
     samples: collections.deque[prompt_cost.Sample] = dataclasses.field(
@@ -94,7 +97,7 @@
     def reset_process(self) -> None:
         """Forgets what depends on the process; the machine is the same."""
         self.echoed = None
-        self.busy_until_ms = 0.0
+        self.prompts.clear()
         self.delay_ms = 0.0
 
     def momentary(self, now_ms: int) -> float:
