Share loads and paces of uneven servers between daemons

Cause: a daemon gets some six responses a second from 30 engines, too few to learn their paces or to see that one is slow for 600 ms. Short prompts have a cached opening at every engine, so that all engines were scored for each and all daemons chose the same one. Change: a response is told to the daemons that receive updates on the target if it is news to them, at most once per server and 200 ms. Announcements of long prompts carry the load, momentary pace and observed delay. Base paces are told as the time for a reference prompt, since each daemon has its own estimate for the model. Engines count as cache holders only if they save 3.5 ms.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import pace, prefill_cost, uneven
+from godwittack.core import pace, pace_sharing, prefill_cost, uneven
 
 if TYPE_CHECKING:
     from godwittack.core import entities, server_inputs
@@ -184,6 +184,7 @@
     server = world.servers.get(dispatch.server_id)
     if server is None:
         return
+    pace_sharing.apply_peer(world, dispatch.load)
     add(world, server, tokens=dispatch.tokens, priority=dispatch.priority)
     record_cached(world, server, dispatch.levels, priority=dispatch.priority)
 
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -9,6 +9,7 @@
     backlog,
     effects,
     pace,
+    pace_sharing,
     prefill_cost,
     routing,
     uneven,
@@ -110,6 +111,8 @@
                 tokens=tokens,
                 priority=priority,
                 levels=keys,
+                load=pace_sharing.announced_load(world, choice.server),
+                delay_ms=round(pace.delay_ms(world, choice.server)),
             )
         )
 
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -6,7 +6,7 @@
 import enum
 from typing import TypeAlias
 
-from godwittack.core import quarantine, work
+from godwittack.core import quarantine, server_pace, work
 from godwittack.limit import quota
 
 
@@ -120,6 +120,13 @@
     Each daemon sees only a part of the requests. Without the announcement
     several daemons would choose the same idle server at the same moment, and
     none would know what the others have just brought into its cache.
+
+    Attributes:
+        tokens: Prompt tokens that the server has to compute; for an uneven
+            target, the tokens that take as long at the mean time per token.
+        load: Newest load of the server, from a response; None if not known.
+        delay_ms: By how much first tokens of the server come later than
+            estimated.
     """
 
     server_id: str
@@ -127,6 +134,8 @@
     tokens: int
     priority: int
     levels: tuple[int, ...]
+    load: server_pace.EchoedLoad | None = None
+    delay_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -360,6 +369,32 @@
     at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TellLoad:
+    """Tells other daemons the load and paces of a server from a response.
+
+    Attributes:
+        reference_prompt_us: Time that the server takes for the reference prompt
+            by this daemon's samples; 0 without samples.
+        samples: Number of these samples.
+        delay_ms: By how much first tokens come later than estimated.
+        at_ms: When the response was received.
+    """
+
+    server_id: str
+    target: str
+    incarnation: str
+    weights_version: str
+    running: int
+    waiting: int
+    slots: int
+    pace_percent: int
+    reference_prompt_us: int
+    samples: int
+    delay_ms: int
+    at_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Field:
     """One key=value pair of a log event."""
@@ -418,6 +453,7 @@
     | TellRateLimit
     | TellUsage
     | TellBrittle
+    | TellLoad
     | Event
     | Forget
     | Stopped
@@ -448,6 +484,7 @@
     "StoreOutcome",
     "TellBrittle",
     "TellCrashes",
+    "TellLoad",
     "TellPaths",
     "TellRateLimit",
     "TellUsage",
--- a/src/godwittack/core/pace.py
+++ b/src/godwittack/core/pace.py
@@ -12,7 +12,7 @@
 from godwittack.core import prefill_cost, prompt_cost, server_pace, uneven
 
 if TYPE_CHECKING:
-    from godwittack.core import entities, server_inputs
+    from godwittack.core import entities
 
 MIN_US_PER_TOKEN = 0.01
 MIN_BASE_PACE = 0.25
@@ -50,7 +50,6 @@
     ):
         pace.base = _computed_base(world, server)
         pace.base_at_ms = world.now_ms
-        _log_base(world, server)
     return pace.base
 
 
@@ -135,7 +134,7 @@
 
 
 def _ms_per_token(world: entities.World, server: entities.ServerRow) -> float:
-    us_per_token = prefill_cost.computing_us_per_token(world, server)
+    us_per_token = prefill_cost.us_per_token(world, server)
     # A reported or learnt cost of nothing would make the backlog vanish.
     return max(us_per_token, MIN_US_PER_TOKEN) / 1000 * base(world, server)
 
@@ -206,21 +205,7 @@
         pace.samples.append(sample)
         pace.sampled_at_ms = world.now_ms
         pace.base_at_ms = -1
-        base(world, server)
-
-
-def apply_header(
-    world: entities.World,
-    server: entities.ServerRow,
-    load: server_inputs.LoadEchoed,
-) -> None:
-    """Applies the load and pace in a response of a server."""
-    if load.pace_percent:
-        uneven.record_pace_reported(world, server.target)
-    if uneven.is_uneven(world, server.target):
-        server.pace.echoed = server_pace.EchoedLoad(
-            load.running, load.waiting, load.pace_percent, load.at_ms
-        )
+        log_base(world, server)
 
 
 def _is_informative(
@@ -244,7 +229,33 @@
     """Returns the lower quartile of samples, here and at other daemons."""
     if not prefill_cost.is_known(world, server):
         return 1.0
-    own = [
+    ratios = [*_own_ratios(world, server), *_told_ratios(world, server)]
+    ratio = server_pace.weighted_quantile(ratios)
+    if not ratio:
+        return 1.0
+    samples = sum(weight for _, weight in ratios)
+    ratio **= samples / (samples + ASSUMED_SAMPLES)
+    return min(max(ratio, MIN_BASE_PACE), MAX_BASE_PACE)
+
+
+def own_reference_ms(
+    world: entities.World, server: entities.ServerRow
+) -> float:
+    """Returns the time for the reference prompt by this daemon's samples.
+
+    It is 0 without samples. What other daemons told is left out: they would
+    hear their own estimates again.
+    """
+    if not prefill_cost.is_known(world, server):
+        return 0.0
+    ratio = server_pace.weighted_quantile(_own_ratios(world, server))
+    return ratio * _reference_ms(world, server)
+
+
+def _own_ratios(
+    world: entities.World, server: entities.ServerRow
+) -> list[tuple[float, int]]:
+    return [
         (
             sample.took_ms
             / prefill_cost.prompt_ms(
@@ -257,13 +268,6 @@
         )
         for sample in server.pace.samples
     ]
-    ratios = [*own, *_told_ratios(world, server)]
-    ratio = server_pace.weighted_quantile(ratios)
-    if not ratio:
-        return 1.0
-    samples = sum(weight for _, weight in ratios)
-    ratio **= samples / (samples + ASSUMED_SAMPLES)
-    return min(max(ratio, MIN_BASE_PACE), MAX_BASE_PACE)
 
 
 def _told_ratios(
@@ -288,8 +292,10 @@
     )
 
 
-def _log_base(world: entities.World, server: entities.ServerRow) -> None:
+def log_base(world: entities.World, server: entities.ServerRow) -> None:
+    """Logs the base pace of a server if it has changed by a third."""
     pace = server.pace
+    base(world, server)
     change = abs(pace.base - pace.logged_base)
     if change < LOG_CHANGE_RATIO * pace.logged_base:
         return
@@ -307,12 +313,13 @@
 
 __all__ = [
     "add_prompt",
-    "apply_header",
     "backlog_ms",
     "base",
     "delay_ms",
     "expect_first_token",
     "factor",
+    "log_base",
+    "own_reference_ms",
     "prompt_ms",
     "record_first_token",
 ]
--- a/src/godwittack/core/prefill_cost.py
+++ b/src/godwittack/core/prefill_cost.py
@@ -106,7 +106,10 @@
     """
     if server.prefill_us_per_token:
         return float(server.prefill_us_per_token)
-    estimated = world.prefill_costs[server.target].us_per_token
+    estimate = world.prefill_costs[server.target]
+    if estimate.parts.is_known:
+        return estimate.parts.mean_ms_per_token * 1000
+    estimated = estimate.us_per_token or estimate.parts.told_ms_per_token * 1000
     return estimated or float(world.policy.prefill_us_per_token)
 
 
@@ -133,7 +136,7 @@
     new_tokens: float,
     cached_tokens: float,
 ) -> float:
-    """Returns the tokens without others before them that take as long.
+    """Returns the tokens that take as long at the mean time per token.
 
     Announcements carry a number of tokens only, and daemons of earlier releases
     multiply it by the time per token.
@@ -144,17 +147,7 @@
     computing_ms = parts.computing_ms(
         new_tokens=new_tokens, cached_tokens=cached_tokens
     )
-    return computing_ms / parts.ms_per_token
-
-
-def computing_us_per_token(
-    world: entities.World, server: entities.ServerRow
-) -> float:
-    """Returns the microseconds per equivalent token at the usual pace."""
-    parts = world.prefill_costs[server.target].parts
-    if parts.is_known:
-        return parts.ms_per_token * 1000
-    return us_per_token(world, server)
+    return computing_ms * 1000 / us_per_token(world, server)
 
 
 def is_known(world: entities.World, server: entities.ServerRow) -> bool:
@@ -192,7 +185,6 @@
 
 __all__ = [
     "PrefillCost",
-    "computing_us_per_token",
     "equivalent_tokens",
     "is_known",
     "prompt_ms",
--- a/src/godwittack/core/prompt_cost.py
+++ b/src/godwittack/core/prompt_cost.py
@@ -24,9 +24,14 @@
 # Maximum growth of a part per sample, as in `prefill_cost`: under overload no
 # prompt finds an idle engine.
 MAX_GROWTH_PER_SAMPLE = 1.005
+# A prompt that was cached, unknown to this daemon, seems to take no time.
+MIN_MS_PER_TOKEN = 1e-4
 # Passes over the parts for each sample; each is fitted to the rest of the
 # others.
 FIT_PASSES = 2
+# Least share of the part per token in the time for usual prompts. From few
+# samples alone, either part may seem to take all of the time.
+MIN_TOKEN_SHARE = 0.4
 # The two halves of the samples must differ by this factor in tokens before each
 # new token, or the parts per token and per pair can't be told apart.
 MIN_CONTEXT_RATIO = 1.5
@@ -64,11 +69,22 @@
 
 @dataclasses.dataclass(slots=True)
 class PromptCost:
-    """Estimated parts of the time for a prompt; 0 until there are samples."""
+    """Estimated parts of the time for a prompt; 0 until there are samples.
+
+    Attributes:
+        fixed_ms: Time to a first token in addition to computing.
+        ms_per_token: Time per new token.
+        ms_per_pair: Time per pair of a new token and a token before it.
+        mean_ms_per_token: Time per new token of usual prompts, pairs included.
+        told_ms_per_token: Lowest such time that another daemon told, for a
+            daemon that has just started; 0 if none did.
+    """
 
     fixed_ms: float = 0.0
     ms_per_token: float = 0.0
     ms_per_pair: float = 0.0
+    mean_ms_per_token: float = 0.0
+    told_ms_per_token: float = 0.0
     _short: collections.deque[Sample] = dataclasses.field(
         default_factory=_samples
     )
@@ -86,6 +102,12 @@
         pairs = new_tokens * (cached_tokens + new_tokens / 2)
         return new_tokens * self.ms_per_token + pairs * self.ms_per_pair
 
+    def record_told(self, ms_per_token: float) -> None:
+        """Records the time per token that another daemon told."""
+        self.told_ms_per_token = min(
+            ms_per_token, self.told_ms_per_token or ms_per_token
+        )
+
     def add_sample(self, sample: Sample) -> None:
         """Updates the parts from the time to a first token."""
         if sample.new_tokens < SHORT_PROMPT_TOKENS:
@@ -101,6 +123,12 @@
     def _fit_long(self) -> None:
         if len(self._long) < MIN_SAMPLES:
             return
+        mean = _low_quantile(
+            self._rest_ms(s, 0.0) / s.new_tokens for s in self._long
+        )
+        self.mean_ms_per_token = max(
+            _limit_growth(mean, self.mean_ms_per_token), MIN_MS_PER_TOKEN
+        )
         ordered = sorted(self._long, key=lambda s: s.context_tokens)
         middle = len(ordered) // 2
         shallow, deep = ordered[:middle], ordered[middle:]
@@ -116,7 +144,13 @@
                 self._rest_ms(s, s.pairs * self.ms_per_pair) / s.new_tokens
                 for s in shallow
             )
-            self.ms_per_token = _limit_growth(per_token, before[0])
+            self.ms_per_token = min(
+                max(
+                    _limit_growth(per_token, before[0]),
+                    self.mean_ms_per_token * MIN_TOKEN_SHARE,
+                ),
+                self.mean_ms_per_token,
+            )
             if has_contrast:
                 per_pair = _low_quantile(
                     self._rest_ms(s, s.new_tokens * self.ms_per_token) / s.pairs
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -18,6 +18,7 @@
     hedging,
     inputs,
     outcomes,
+    pace_sharing,
     paths,
     probing,
     quotas,
@@ -119,6 +120,8 @@
                 servers.apply_load_report(world, input_)
             case server_inputs.LoadEchoed():
                 servers.apply_echoed_load(world, input_)
+            case server_inputs.LoadTold():
+                pace_sharing.apply_peer(world, input_)
             case server_inputs.RateLimitEchoed():
                 rate_limits.apply_echoed_limit(world, input_)
             case server_inputs.RateLimitTold():
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -176,6 +176,38 @@
     pace_percent: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadTold:
+    """Load and paces of a server, from another daemon's last response of it.
+
+    Attributes:
+        running: As in `LoadEchoed`.
+        waiting: As in `LoadEchoed`.
+        slots: As in `LoadEchoed`; 0 if not told.
+        pace_percent: As in `LoadEchoed`.
+        age_ms: How long ago the server sent that response.
+        incarnation: The incarnation that sent it; empty for the known one.
+        daemon: The daemon that tells it; empty if not known.
+        reference_prompt_us: Time that the server takes for the reference prompt
+            by that daemon's own samples.
+        samples: Number of these samples.
+        delay_ms: By how much first tokens came later than estimated.
+    """
+
+    at_ms: int
+    server_id: str
+    running: int
+    waiting: int
+    slots: int = 0
+    pace_percent: int = 0
+    age_ms: int = 0
+    incarnation: str = ""
+    daemon: str = ""
+    reference_prompt_us: int = 0
+    samples: int = 0
+    delay_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RateLimitEchoed:
     """Rate limit that a backend server advertised with an answer.
@@ -271,6 +303,7 @@
         tokens: Prompt tokens that the server has to compute.
         priority: Priority of the request; lower is served first.
         levels: Keys of the levels that will be cached after computation.
+        load: Newest load of the server that the daemon knows, if any.
     """
 
     at_ms: int
@@ -278,6 +311,7 @@
     tokens: int
     priority: int
     levels: tuple[int, ...]
+    load: LoadTold | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -319,6 +353,7 @@
     "CacheDigest",
     "LoadEchoed",
     "LoadReported",
+    "LoadTold",
     "PathAnswered",
     "PathVerdict",
     "PathsTold",
--- a/src/godwittack/core/server_pace.py
+++ b/src/godwittack/core/server_pace.py
@@ -62,6 +62,15 @@
     at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedPace:
+    """What this daemon told the others of a server last."""
+
+    at_ms: int = -1_000_000
+    delay_ms: float = 0.0
+    reference_ms: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class ServerPace:
     """What is known of the pace of one server.
@@ -74,6 +83,7 @@
         samples: Recent first tokens of this daemon.
         sampled_at_ms: When the last of them was taken.
         told: Estimates of other daemons, by daemon.
+        shared: What this daemon told them last.
         base: Last computed base pace.
         base_at_ms: When it was computed; -1 if it must be computed again.
         logged_base: Base pace that was last logged.
@@ -90,6 +100,7 @@
     )
     sampled_at_ms: int = -1_000_000
     told: dict[str, ToldPace] = dataclasses.field(default_factory=dict)
+    shared: SharedPace = dataclasses.field(default_factory=SharedPace)
     base: float = 1.0
     base_at_ms: int = -1
     logged_base: float = 1.0
@@ -160,6 +171,7 @@
     "USUAL_PERCENT",
     "EchoedLoad",
     "ServerPace",
+    "SharedPace",
     "ToldPace",
     "weighted_quantile",
 ]
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -11,7 +11,7 @@
     entities,
     incarnation,
     inputs,
-    pace,
+    pace_sharing,
     paths,
     server_inputs,
     software,
@@ -146,7 +146,6 @@
     if server is None:
         return
     server.reported_at_ms = load.at_ms
-    pace.apply_header(world, server, load)
     if load.is_relayed:
         server.heard_alive_ms = load.at_ms
     else:
@@ -154,6 +153,7 @@
     server.running = load.running
     server.waiting = load.waiting
     server.slots = load.slots or server.slots
+    pace_sharing.apply_header(world, server, load)
     world.targets_to_dispatch.add(server.target)
 
 
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -123,13 +123,15 @@
     is_uneven = uneven.is_uneven(world, request.work.target)
     possible_homes = usable
     choose_candidates = candidates.choose
+    holders = cached_tokens
     if is_uneven:
+        holders = _worthwhile(world, request, cached_tokens)
         possible_homes = locality.home_candidates(world, usable)
         choose_candidates = locality.candidates
     home_id = candidates.home_server(request, possible_homes)
     priority = routing.priority(world, request)
     selected = choose_candidates(
-        world, request, usable, cached_tokens=cached_tokens, home_id=home_id
+        world, request, usable, cached_tokens=holders, home_id=home_id
     )
     placements = [
         _score(
@@ -151,6 +153,26 @@
     return dataclasses.replace(best, fetch_from=fallback)
 
 
+def _worthwhile(
+    world: entities.World,
+    request: entities.RequestRow,
+    cached_tokens: dict[str, int],
+) -> dict[str, int]:
+    """Returns the servers that save enough computing to be looked for.
+
+    Load pattern: all engines have cached the opening of short prompts, and all
+    daemons know their loads. If all were scored, all daemons would send short
+    prompts, which are not announced, to the same engine until the next update.
+    """
+    us_per_token = _engines_us_per_token(world, request)
+    min_tokens = COPY_MIN_SAVED_MS * 1000 / us_per_token
+    return {
+        server_id: tokens
+        for server_id, tokens in cached_tokens.items()
+        if tokens >= min_tokens
+    }
+
+
 def _fallback_source(
     world: entities.World,
     request: entities.RequestRow,
@@ -353,7 +375,8 @@
     world: entities.World, request: entities.RequestRow
 ) -> float:
     """Returns the microseconds per prompt token of the target's engines."""
-    estimated = world.prefill_costs[request.work.target].us_per_token
+    estimate = world.prefill_costs[request.work.target]
+    estimated = estimate.parts.mean_ms_per_token * 1000 or estimate.us_per_token
     return estimated or float(world.policy.prefill_us_per_token)
 
 
--- a/src/godwittack/daemon/dispatch_announcer.py
+++ b/src/godwittack/daemon/dispatch_announcer.py
@@ -50,11 +50,8 @@
         own = self._members.me.member_id
         message = peer_pb2.News(
             dispatched=[
-                peer_pb2.Dispatched(
-                    server_id=announcement.server_id,
-                    tokens=announcement.tokens,
-                    priority=announcement.priority,
-                    levels=announcement.levels,
+                announcement_to_proto(
+                    announcement, now_ms=self._runtime.clock.now_ms()
                 )
             ]
         )
@@ -78,8 +75,47 @@
                     tokens=announcement.tokens,
                     priority=announcement.priority,
                     levels=tuple(announcement.levels),
+                    load=_load_from_proto(announcement, now_ms=now_ms),
                 )
             )
 
 
-__all__ = ["Announcer", "DatagramSender"]
+def announcement_to_proto(
+    announcement: effects.Announce, *, now_ms: int
+) -> peer_pb2.Dispatched:
+    """Returns an announcement as a protobuf message."""
+    message = peer_pb2.Dispatched(
+        server_id=announcement.server_id,
+        tokens=announcement.tokens,
+        priority=announcement.priority,
+        levels=announcement.levels,
+        delay_ms=announcement.delay_ms,
+    )
+    load = announcement.load
+    if load is not None:
+        message.has_load = True
+        message.running = load.running
+        message.waiting = load.waiting
+        message.pace_percent = load.pace_percent
+        message.load_age_ms = max(0, now_ms - load.at_ms)
+    return message
+
+
+def _load_from_proto(
+    message: peer_pb2.Dispatched, *, now_ms: int
+) -> server_inputs.LoadTold | None:
+    """Returns the load in an announcement, None if it has none."""
+    if not message.has_load:
+        return None
+    return server_inputs.LoadTold(
+        at_ms=now_ms,
+        server_id=message.server_id,
+        running=message.running,
+        waiting=message.waiting,
+        pace_percent=message.pace_percent,
+        age_ms=message.load_age_ms,
+        delay_ms=message.delay_ms,
+    )
+
+
+__all__ = ["Announcer", "DatagramSender", "announcement_to_proto"]
--- a/src/godwittack/daemon/peer_updates.py
+++ b/src/godwittack/daemon/peer_updates.py
@@ -127,6 +127,11 @@
             if immediately:
                 outbox.send_pending()
 
+    def publish_told_load(self, load: effects.TellLoad) -> None:
+        """Queues the load in a server's response, for the next flush."""
+        for outbox in self._outboxes_for(self.audience(load.target)):
+            outbox.pending.told_loads[load.server_id] = load
+
     def publish_digest(
         self, digest: server_inputs.CacheDigest, target: str
     ) -> None:
@@ -243,7 +248,7 @@
         """Applies a peer's updates, decoded by the reader of its stream."""
         now_ms = self._runtime.clock.now_ms()
         submit = self._runtime.submit
-        for load in reader.loads(message, now_ms=now_ms):
+        for load in reader.loads(message, now_ms=now_ms, sender_id=sender_id):
             submit(load)
         for digest in reader.digests(message, now_ms=now_ms):
             submit(digest)
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -194,6 +194,7 @@
         self.runtime.on_rate_limit = self._peer_updates.publish_rate_limit
         self.runtime.on_usage = self._peer_updates.publish_usage
         self.runtime.on_paths = self._peer_updates.publish_paths
+        self.runtime.on_load = self._peer_updates.publish_told_load
         self.runtime.on_brittle = self._peer_updates.publish_brittle
         self._gossiper = components.build_gossiper(
             daemon_runtime=self.runtime,
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -36,6 +36,7 @@
         on_rate_limit: Called with each rate limit to publish.
         on_usage: Called with what was admitted here under quotas.
         on_brittle: Called with each server that is brittle, or no longer.
+        on_load: Called with each server's load and paces to publish.
         on_paths: Called with the servers that this daemon can't reach.
         relay: Sends attempts through other daemons; None if it can't.
         streams: Exchanges the versions of streams; None if it can't.
@@ -75,6 +76,8 @@
         self.on_usage = lambda effect: None
         self.on_brittle: Callable[[effects.TellBrittle], None]
         self.on_brittle = lambda effect: None
+        self.on_load: Callable[[effects.TellLoad], None]
+        self.on_load = lambda effect: None
         self.on_paths: Callable[[effects.TellPaths], None]
         self.on_paths = lambda effect: None
         self.relay: relays.RelayClient | None = None
@@ -177,6 +180,8 @@
                     self._spawn(self._ask_path(effect, daemon))
             case effects.TellBrittle():
                 self.on_brittle(effect)
+            case effects.TellLoad():
+                self.on_load(effect)
             case effects.TellPaths():
                 self.on_paths(effect)
             case effects.TellStream():
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -10,7 +10,7 @@
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk
 
-from godwittack.core import silence, weights
+from godwittack.core import silence, uneven, weights
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -61,6 +61,10 @@
         self._meter = meter
         for name, read in _gauges(world).items():
             self.add_gauge(name, read)
+        for name, read_pace in _server_gauges(world).items():
+            meter.create_observable_gauge(
+                name, callbacks=[_server_gauge_callback(world, read_pace)]
+            )
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Adds a gauge that calls `read` at each collection."""
@@ -173,6 +177,32 @@
     }
 
 
+def _server_gauges(
+    world: entities.World,
+) -> dict[str, Callable[[entities.ServerRow], float]]:
+    return {
+        "godwittack_server_base_pace": lambda server: server.pace.base,
+        "godwittack_server_momentary_pace": lambda server: (
+            server.pace.momentary(world.now_ms)
+        ),
+    }
+
+
+def _server_gauge_callback(
+    world: entities.World, read: Callable[[entities.ServerRow], float]
+) -> Callable[[api.CallbackOptions], Iterable[api.Observation]]:
+    """Returns a callback that observes each server of an uneven target."""
+
+    def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+        return [
+            api.Observation(read(server), {"server": server.server_id})
+            for server in world.servers.values()
+            if uneven.is_uneven(world, server.target)
+        ]
+
+    return observe
+
+
 def _cpu_seconds() -> float:
     usage = resource.getrusage(resource.RUSAGE_SELF)
     return usage.ru_utime + usage.ru_stime
--- a/src/godwittack/peer/pending.py
+++ b/src/godwittack/peer/pending.py
@@ -19,6 +19,7 @@
 
     Attributes:
         loads: Newest load report of each server.
+        told_loads: Newest load of each server from a response.
         digests: Cache digests in order.
         leaving: Servers about to stop, each with the incarnation that leaves.
         draining: Servers that get no work while they load weights.
@@ -43,6 +44,9 @@
     loads: dict[str, server_inputs.LoadReported] = dataclasses.field(
         default_factory=dict
     )
+    told_loads: dict[str, effects.TellLoad] = dataclasses.field(
+        default_factory=dict
+    )
     digests: list[server_inputs.CacheDigest] = dataclasses.field(
         default_factory=list
     )
@@ -72,6 +76,7 @@
         """Returns whether there is nothing to send."""
         updates = (
             self.loads,
+            self.told_loads,
             self.digests,
             self.leaving,
             self.draining,
@@ -114,6 +119,7 @@
         digests = self.digests + later.digests
         merged = PendingNews(
             loads={**self.loads, **later.loads},
+            told_loads={**self.told_loads, **later.told_loads},
             # Bounds the memory for a peer that can't be reached; each digest
             # that it misses costs a recomputation.
             digests=digests[-MAX_DIGESTS:],
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -9,6 +9,7 @@
 from godwittack.peer import codec, peer_pb2
 
 if TYPE_CHECKING:
+    from godwittack.core import effects
     from godwittack.peer import pending
 
 
@@ -49,6 +50,10 @@
             loads=[
                 self._load(load, now_ms=now_ms)
                 for load in updates.loads.values()
+            ]
+            + [
+                self._told_load(load, now_ms=now_ms)
+                for load in updates.told_loads.values()
             ],
             digests=[self._digest(digest) for digest in updates.digests],
             leaving=[
@@ -103,6 +108,23 @@
             known.slots = message.slots = load.slots
         return message
 
+    def _told_load(
+        self, load: effects.TellLoad, *, now_ms: int
+    ) -> peer_pb2.Load:
+        message = peer_pb2.Load(
+            running=load.running,
+            waiting=load.waiting,
+            age_ms=max(0, now_ms - load.at_ms),
+            pace_percent=load.pace_percent,
+            reference_prompt_us=load.reference_prompt_us,
+            base_pace_samples=load.samples,
+            delay_ms=load.delay_ms,
+        )
+        known = self._set_server(message, load)
+        if load.slots != known.slots:
+            known.slots = message.slots = load.slots
+        return message
+
     def _digest(self, digest: server_inputs.CacheDigest) -> peer_pb2.Digest:
         message = peer_pb2.Digest(
             stored=digest.stored,
@@ -116,7 +138,11 @@
     def _set_server(
         self,
         message: peer_pb2.Load | peer_pb2.Digest,
-        update: server_inputs.LoadReported | server_inputs.CacheDigest,
+        update: (
+            server_inputs.LoadReported
+            | server_inputs.CacheDigest
+            | effects.TellLoad
+        ),
     ) -> _KnownServer:
         """Sets a message's server, by number alone if the peer knows it."""
         identity = _identity(update)
@@ -144,15 +170,21 @@
         self._servers: dict[int, _KnownServer] = {}
 
     def loads(
-        self, news: peer_pb2.News, *, now_ms: int
-    ) -> list[server_inputs.LoadReported]:
-        """Returns a message's load reports."""
-        found: list[server_inputs.LoadReported] = []
+        self, news: peer_pb2.News, *, now_ms: int, sender_id: str = ""
+    ) -> list[server_inputs.LoadReported | server_inputs.LoadTold]:
+        """Returns a message's loads, from reports and from responses.
+
+        Only those from responses have a pace.
+        """
+        found: list[server_inputs.LoadReported | server_inputs.LoadTold] = []
         for load in news.loads:
             known = self._resolve_server(load)
             if known is None:
                 continue
             known.slots = load.slots or known.slots
+            if load.pace_percent:
+                found.append(_told_load(load, known, sender_id, now_ms))
+                continue
             found.append(
                 server_inputs.LoadReported(
                     at_ms=now_ms,
@@ -211,8 +243,31 @@
         return known
 
 
+def _told_load(
+    load: peer_pb2.Load, known: _KnownServer, sender_id: str, now_ms: int
+) -> server_inputs.LoadTold:
+    return server_inputs.LoadTold(
+        at_ms=now_ms,
+        server_id=known.identity.server_id,
+        running=load.running,
+        waiting=load.waiting,
+        slots=known.slots,
+        pace_percent=load.pace_percent,
+        age_ms=load.age_ms,
+        incarnation=known.identity.incarnation,
+        daemon=sender_id,
+        reference_prompt_us=load.reference_prompt_us,
+        samples=load.base_pace_samples,
+        delay_ms=load.delay_ms,
+    )
+
+
 def _identity(
-    update: server_inputs.LoadReported | server_inputs.CacheDigest,
+    update: (
+        server_inputs.LoadReported
+        | server_inputs.CacheDigest
+        | effects.TellLoad
+    ),
 ) -> ServerIdentity:
     return ServerIdentity(
         update.server_id, update.incarnation, update.weights_version
--- a/src/godwittack/relay/codec.py
+++ b/src/godwittack/relay/codec.py
@@ -170,6 +170,7 @@
         message.running = sent.load.running
         message.waiting = sent.load.waiting
         message.slots = sent.load.slots
+        message.pace_percent = sent.load.pace_percent or 0
     if isinstance(sent.rate_limit, Ok):
         limit_per_s = sent.rate_limit.ok_value
         if limit_per_s is not None:
@@ -199,6 +200,7 @@
             running=message.running,
             waiting=message.waiting,
             slots=message.slots,
+            pace_percent=message.pace_percent or None,
         )
     return signals.ServerSignals(
         load=load,
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -40,11 +40,13 @@
     work.Answer: ("is_delimited",),
     work.Head: ("is_delimited",),
     effects.Dispatch: ("ends_at_ms", "has_own_place", "suspects"),
+    effects.Announce: ("load", "delay_ms"),
     effects.Probe: ("fresh_connection",),
     inputs.MembersChanged: ("known",),
     inputs.RequestArrived: ("waited_ms",),
     inputs.Tick: ("late_ms",),
     server_inputs.LoadEchoed: ("is_relayed", "pace_percent"),
+    server_inputs.PeerDispatched: ("load",),
     server_inputs.ProbeAnswered: (
         "fresh_connection",
         "was_asked",
--- a/tests/sim/uneven_fleets.py
+++ b/tests/sim/uneven_fleets.py
@@ -186,6 +186,7 @@
             collections.defaultdict(dict)
         )
         self.sent_by_speed = collections.Counter()
+        self.told = 0
 
     def at(self, in_ms: float, call) -> None:
         """Calls a function after some time."""
@@ -309,10 +310,25 @@
                     self.refused[kind] += 1
                 case effects.Announce():
                     self._announce(core, effect)
+                case effects.TellLoad():
+                    number = self.cores.index(core)
+                    self.pending[number][effect.server_id] = effect
+                    self.told += 1
 
     def _announce(
         self, sender: routed_core.Core, announced: effects.Announce
     ) -> None:
+        load = None
+        if announced.load is not None:
+            load = server_inputs.LoadTold(
+                at_ms=self.now_ms + LINK_MS,
+                server_id=announced.server_id,
+                running=announced.load.running,
+                waiting=announced.load.waiting,
+                pace_percent=announced.load.pace_percent,
+                age_ms=self.now_ms - announced.load.at_ms,
+                delay_ms=announced.delay_ms,
+            )
         for core in self.cores:
             if core is not sender:
                 self.at(
@@ -324,11 +340,41 @@
                         tokens=announced.tokens,
                         priority=announced.priority,
                         levels=announced.levels,
+                        load=load,
                     ),
                 )
 
     def _flush(self, number: int) -> None:
-        pass
+        pending = self.pending.pop(number, {})
+        sender = f"d{number}"
+        for core in self.cores:
+            if core is not self.cores[number] and pending:
+                self.at(
+                    LINK_MS, lambda core=core: self._told(core, sender, pending)
+                )
+
+    def _told(
+        self,
+        core: routed_core.Core,
+        sender: str,
+        pending: dict[str, effects.TellLoad],
+    ) -> None:
+        for load in pending.values():
+            self._tell(
+                core,
+                server_inputs.LoadTold,
+                server_id=load.server_id,
+                running=load.running,
+                waiting=load.waiting,
+                slots=load.slots,
+                pace_percent=load.pace_percent,
+                age_ms=self.now_ms - load.at_ms,
+                incarnation=load.incarnation,
+                daemon=sender,
+                reference_prompt_us=load.reference_prompt_us,
+                samples=load.samples,
+                delay_ms=load.delay_ms,
+            )
 
     def first_token(self, engine: Engine, prompt: Prompt) -> None:
         """Delivers the head and first event of a stream."""
@@ -398,5 +444,6 @@
             },
             dict(fleet.refused),
             dict(fleet.sent_by_speed),
+            fleet.told,
             f"{time.time() - began_s:.1f}s",
         )
