--- a/src/godwittack/daemon/dispatch_announcer.py
+++ b/src/godwittack/daemon/dispatch_announcer.py
@@ -69,14 +69,7 @@
         now_ms = self._runtime.clock.now_ms()
         for announcement in message.dispatched:
             self._runtime.submit(
-                server_inputs.PeerDispatched(
-                    at_ms=now_ms,
-                    server_id=announcement.server_id,
-                    tokens=announcement.tokens,
-                    priority=announcement.priority,
-                    levels=tuple(announcement.levels),
-                    load=_load_from_proto(announcement, now_ms=now_ms),
-                )
+                announcement_from_proto(announcement, now_ms=now_ms)
             )
 
 
@@ -101,6 +94,20 @@
     return message
 
 
+def announcement_from_proto(
+    message: peer_pb2.Dispatched, *, now_ms: int
+) -> server_inputs.PeerDispatched:
+    """Returns another daemon's announcement."""
+    return server_inputs.PeerDispatched(
+        at_ms=now_ms,
+        server_id=message.server_id,
+        tokens=message.tokens,
+        priority=message.priority,
+        levels=tuple(message.levels),
+        load=_load_from_proto(message, now_ms=now_ms),
+    )
+
+
 def _load_from_proto(
     message: peer_pb2.Dispatched, *, now_ms: int
 ) -> server_inputs.LoadTold | None:
@@ -118,4 +125,9 @@
     )
 
 
-__all__ = ["Announcer", "DatagramSender", "announcement_to_proto"]
+__all__ = [
+    "Announcer",
+    "DatagramSender",
+    "announcement_from_proto",
+    "announcement_to_proto",
+]
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -26,6 +26,7 @@
     "freshness",
     "adapter",
     "instance_rows",
+    "pace",
     "prefill_costs",
     "logs",
     "peers",
--- a/tests/sim/uneven_fleets.py
+++ b/tests/sim/uneven_fleets.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import random
+import sys
 
 from cases import routed_core
 from godwittack.core import effects, inputs, server_inputs, work
@@ -31,21 +32,16 @@
 LINK_MS = 2
 FLUSH_MS = 570
 TARGETS_MS = {"short": 273, "long": 563}
-ROUTES = (
+DEADLINES_MS = {"short": 3_282, "long": 6_760}
+ROUTES = tuple(
     routed_core.route(
-        "long",
+        kind,
         routed_core.ENGINES,
         streaming=True,
-        priority=1,
-        timeout_ms=6_760,
-    ),
-    routed_core.route(
-        "short",
-        routed_core.ENGINES,
-        streaming=True,
-        priority=0,
-        timeout_ms=3_282,
-    ),
+        priority=priority,
+        timeout_ms=DEADLINES_MS[kind],
+    )
+    for priority, kind in enumerate(("short", "long"))
 )
 
 
@@ -185,8 +181,6 @@
         self.pending: dict[int, dict[str, effects.TellLoad]] = (
             collections.defaultdict(dict)
         )
-        self.sent_by_speed = collections.Counter()
-        self.told = 0
 
     def at(self, in_ms: float, call) -> None:
         """Calls a function after some time."""
@@ -268,7 +262,7 @@
             kind,
             name,
             levels=levels,
-            deadline_ms=6_760 if kind == "long" else 3_282,
+            deadline_ms=DEADLINES_MS[kind],
         )
         self._handle(core, core.last_effects)
 
@@ -303,7 +297,6 @@
                 case effects.Dispatch():
                     kind, levels, arrived_ms = self.prompts[effect.request_id]
                     engine = self.engines[effect.server_id]
-                    self.sent_by_speed[engine.speed] += 1
                     engine.add(Prompt(kind, core, effect, levels, arrived_ms))
                 case effects.Refuse():
                     kind, _, _ = self.prompts[effect.request_id]
@@ -313,7 +306,6 @@
                 case effects.TellLoad():
                     number = self.cores.index(core)
                     self.pending[number][effect.server_id] = effect
-                    self.told += 1
 
     def _announce(
         self, sender: routed_core.Core, announced: effects.Announce
@@ -418,32 +410,22 @@
     return sum(ms <= TARGETS_MS[kind] for ms in took) / len(took)
 
 
-if __name__ == "__main__":
-    import sys
-    import time
+def describe(fleet: Fleet) -> str:
+    """Returns median, 95th percentile and part in time of first tokens."""
+    return " ".join(
+        f"{kind}: {quantile(took, 0.5)} {quantile(took, 0.95)} ms"
+        f" {in_time(fleet, kind):.3f} refused {fleet.refused[kind]}"
+        for kind, took in fleet.took_ms.items()
+    )
+
 
-    seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
-    load = float(sys.argv[2]) if len(sys.argv) > 2 else 1.0
-    seconds = float(sys.argv[3]) if len(sys.argv) > 3 else 12
+def main(seed: int, load: float, seconds: float) -> None:
+    """Prints a comparison of the setting off and on."""
     for setting in (0, 1):
-        began_s = time.time()
         fleet = Fleet(uneven_servers=setting, seed=seed, load=load)
         fleet.play(seconds=seconds, measured_from_s=seconds / 3)
-        print(
-            setting,
-            {
-                kind: (
-                    len(took),
-                    quantile(took, 0.5),
-                    quantile(took, 0.95),
-                    quantile(took, 0.99),
-                    round(sum(took) / len(took)),
-                    round(in_time(fleet, kind), 3),
-                )
-                for kind, took in fleet.took_ms.items()
-            },
-            dict(fleet.refused),
-            dict(fleet.sent_by_speed),
-            fleet.told,
-            f"{time.time() - began_s:.1f}s",
-        )
+        print(setting, describe(fleet))
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), float(sys.argv[2]), float(sys.argv[3]))
