Prefer servers of the own failure domain, and open connections

Placement treated all engines alike, so that requests crossed failure domains and daemons opened nearly one connection per request. The core now knows its failure domain, the length of a body and the idle connections to each server, and adds the operators' costs to that of a server. Homes and most candidates are of the own domain, and a daemon keeps to a subset of its engines. Requests that may be repeated use a connection until 500 ms before its server closes it.

--- a/src/godwittack/backend/pool.py
+++ b/src/godwittack/backend/pool.py
@@ -10,18 +10,29 @@
 from godwittack.backend import connection as connections
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from godwittack.clock import Clock
 
 # A connection expires this long before the server's own idle limit, so that a
 # request and the server's close do not cross on the network.
 IDLE_MARGIN_MS = 1_500
+# The same for requests that may be repeated after such a crossing.
+SHORT_IDLE_MARGIN_MS = 500
 # Idle limit of a connection whose server does not state one.
 DEFAULT_IDLE_LIMIT_MS = 3_000
 MAX_IDLE_PER_ADDRESS = 32
 
 
 class Pool:
-    """Opens connections and keeps reusable ones."""
+    """Opens connections and keeps reusable ones.
+
+    Attributes:
+        keeps_expiring: Whether connections of a key are kept for requests that
+            may use them within the usual margin.
+        on_idle: Called with each key whose number of idle connections changed.
+        opened: Connections opened so far.
+    """
 
     def __init__(self, *, clock: Clock, connect_timeout_ms: int) -> None:
         """Starts without connections."""
@@ -30,17 +41,63 @@
         self._idle: dict[str, collections.deque[connections.Connection]] = (
             collections.defaultdict(collections.deque)
         )
-
-    def acquire(self, key: str) -> connections.Connection | None:
-        """Returns the most recently used idle connection, if one is usable."""
+        self.keeps_expiring: Callable[[str], bool] = lambda key: False
+        self.on_idle: Callable[[str], None] = lambda key: None
+        self.opened = 0
+
+    def acquire(
+        self, key: str, *, margin_ms: int = 0
+    ) -> connections.Connection | None:
+        """Returns the most recently used idle connection, if one is usable.
+
+        Args:
+            key: Name of the connections.
+            margin_ms: How long before its server closes it a connection may be
+                used; 0 for the usual margin.
+        """
         idle = self._idle.get(key)
+        if not idle:
+            return None
+        taken = self._take(
+            idle,
+            margin_ms=margin_ms or IDLE_MARGIN_MS,
+            keep_margin_ms=self._keep_margin_ms(key),
+        )
+        self.on_idle(key)
+        return taken
+
+    def _take(
+        self,
+        idle: collections.deque[connections.Connection],
+        *,
+        margin_ms: int,
+        keep_margin_ms: int,
+    ) -> connections.Connection | None:
+        """Removes the newest connection if it may be used, and stale ones."""
         while idle:
-            candidate = idle.pop()
-            if candidate.is_open and not self._is_expired(candidate):
-                return candidate
-            candidate.close()
+            newest = idle[-1]
+            is_kept = not self._is_expired(newest, keep_margin_ms)
+            if not newest.is_open or not is_kept:
+                idle.pop().close()
+            elif self._is_expired(newest, margin_ms):
+                return None
+            else:
+                return idle.pop()
         return None
 
+    def idle(self, key: str) -> tuple[int, int]:
+        """Returns the number of idle connections of a key.
+
+        Returns:
+            The number, and when the server closes the newest one.
+        """
+        idle = self._idle.get(key)
+        if not idle:
+            return 0, 0
+        newest = idle[-1]
+        limit_ms = newest.keep_alive_ms or DEFAULT_IDLE_LIMIT_MS
+        return len(idle), newest.idle_since_ms + limit_ms
+
     async def open(self, address: str) -> connections.Connection:
         """Opens a connection.
 
@@ -56,6 +113,7 @@
                 )
         except TimeoutError as error:
             raise OSError("no connection in time") from error
+        self.opened += 1
         return connection
 
     def release(
@@ -71,17 +129,28 @@
             connection.close()
             return
         idle.append(connection)
+        self.on_idle(key)
 
     def drop(self, key: str) -> None:
         """Closes all idle connections of a key."""
-        for connection in self._idle.pop(key, ()):
+        dropped = self._idle.pop(key, None)
+        if not dropped:
+            return
+        for connection in dropped:
             connection.close()
+        self.on_idle(key)
 
     def close_expired(self) -> None:
         """Closes connections that are closed by the server or expired."""
         for key, idle in list(self._idle.items()):
-            while idle and (not idle[0].is_open or self._is_expired(idle[0])):
+            margin_ms = self._keep_margin_ms(key)
+            before = len(idle)
+            while idle and (
+                not idle[0].is_open or self._is_expired(idle[0], margin_ms)
+            ):
                 idle.popleft().close()
+            if len(idle) < before:
+                self.on_idle(key)
             if not idle:
                 del self._idle[key]
 
@@ -92,10 +161,18 @@
                 connection.close()
         self._idle.clear()
 
-    def _is_expired(self, connection: connections.Connection) -> bool:
+    def _keep_margin_ms(self, key: str) -> int:
+        """Returns how long before its server closes it a connection is kept."""
+        return (
+            SHORT_IDLE_MARGIN_MS if self.keeps_expiring(key) else IDLE_MARGIN_MS
+        )
+
+    def _is_expired(
+        self, connection: connections.Connection, margin_ms: int
+    ) -> bool:
         limit_ms = DEFAULT_IDLE_LIMIT_MS
         if connection.keep_alive_ms:
-            limit_ms = max(0, connection.keep_alive_ms - IDLE_MARGIN_MS)
+            limit_ms = max(0, connection.keep_alive_ms - margin_ms)
         return self._clock.now_ms() - connection.idle_since_ms >= limit_ms
 
 
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -147,7 +147,9 @@
         """Runs one attempt to its end."""
         connection = None
         if not dispatch.fresh_connection:
-            connection = self._pool.acquire(dispatch.server_id)
+            connection = self._pool.acquire(
+                dispatch.server_id, margin_ms=dispatch.idle_margin_ms
+            )
         if connection is None:
             try:
                 connection = await self._open(dispatch)
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -4,7 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import availability, backlog, effects, routing
+from godwittack.core import (
+    availability,
+    backlog,
+    effects,
+    locality,
+    routing,
+    uneven,
+)
 from godwittack.placement import levels
 
 if TYPE_CHECKING:
@@ -45,10 +52,23 @@
         else -1,
         after=request.next_frame - 1,
         left_ms=ends_at_ms(request) - world.now_ms,
+        **_distance(world, server),
         **availability.unavailable_servers(world, request.work.target),
     )
 
 
+def _distance(
+    world: entities.World, server: entities.ServerRow
+) -> dict[str, int]:
+    """Returns the log fields of an uneven target's domain and connections."""
+    if not uneven.is_uneven(world, server.target):
+        return {}
+    return {
+        "remote": int(locality.is_remote(world, server)),
+        "connections": locality.open_connections(server),
+    }
+
+
 def cached_keys(
     request: entities.RequestRow, server: entities.ServerRow
 ) -> tuple[int, ...]:
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -12,6 +12,7 @@
     effects,
     entities,
     kv_cache,
+    locality,
     paths,
     placing,
     quotas,
@@ -173,6 +174,7 @@
     _record_attempt(world, request, attempt)
     brittle.record_dispatch(world, server, attempt, is_at_holder=bool(holder))
     server.in_flight[attempt_id] = attempt
+    locality.record_dispatch(server, request, attempt)
     rate_limits.record_dispatch(world, server)
     if server.ejected_until_ms and not relay:
         server.trial_attempt_id = attempt_id
@@ -195,11 +197,8 @@
             server_id=server.server_id,
             address=server.address,
             stamp=attempt.stamp,
-            # A pooled connection may be dead without either end noticing; a
-            # call that may not be repeated could then be lost with its
-            # outcome unknown. A new one fails before anything is sent.
-            fresh_connection=request.at_most_once
-            and request.work.kind is work.WorkKind.PLAIN,
+            fresh_connection=request.needs_fresh_connection,
+            idle_margin_ms=locality.reuse_margin_ms(world, request),
             after=request.next_frame - 1 if request.work.route else 0,
             priority=routing.priority(world, request),
             workspace=request.workspace if request.work.route else "",
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -78,6 +78,8 @@
         resume_stream: Id of the stream to resume; empty to start one.
         after: Number of the last frame received, for a resumption.
         fresh_connection: Whether a pooled connection must not be used.
+        idle_margin_ms: How long before its server closes it a pooled
+            connection may be used; 0 for the pool's own margin.
         priority: Lower is served first, as defined by engines.
         workspace: Workspace of the request.
         ends_at_ms: When the attempt times out; 0 for no limit.
@@ -111,6 +113,7 @@
     relay: str = ""
     has_own_place: bool = True
     suspects: tuple[str, ...] = ()
+    idle_margin_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -195,6 +195,16 @@
             return self.claim_key is not None
         return not (route.repeatable or route.resumable)
 
+    @property
+    def needs_fresh_connection(self) -> bool:
+        """Returns whether it must not be sent on a pooled connection.
+
+        A pooled connection may be dead without either end noticing; a call
+        that may not be repeated could then be lost with its outcome unknown.
+        A new one fails before anything is sent.
+        """
+        return self.at_most_once and self.work.kind is works.WorkKind.PLAIN
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class AttemptRow:
@@ -313,6 +323,8 @@
         brittle_told_ms: When a daemon last announced that to its peers.
         rejected_at_ms: When it last rejected a request of this daemon.
         passed_on: Requests of other daemons that take places of this one.
+        idle_connections: Idle connections that this daemon has to it.
+        idle_until_ms: When it closes the most recently used of them.
         found_dead_until_ms: Until when to believe other daemons that don't
             reach it either.
     """
@@ -366,6 +378,8 @@
     brittle_told_ms: int = -1_000_000
     rejected_at_ms: int = -1_000_000
     passed_on: int = 0
+    idle_connections: int = 0
+    idle_until_ms: int = 0
     cache: residency.Residency = dataclasses.field(
         default_factory=residency.Residency
     )
@@ -444,6 +458,7 @@
 
     Attributes:
         daemon: This daemon's incarnation, as written into claims.
+        failure_domain: Failure domain of this daemon; empty if unknown.
         started_at_ms: Time of the first input; -1 before it.
         pending_effects: Effects of the input being processed.
         queues: Queued requests, by target and priority.
@@ -477,6 +492,8 @@
         resting_servers: Ids of servers whose requested rest has not ended.
         prefill_costs: Prefill cost learnt from first tokens, by target.
         uneven_targets: Targets of which a server has reported its pace.
+        preferred_engines: Engines to which this daemon prefers to keep
+            connections, by target; removed when servers or daemons change.
         streams: Which software version began a stream.
         served_versions: Software versions of the servers, by target.
         paused_until_ms: When this process last went on after a pause.
@@ -484,6 +501,7 @@
 
     daemon: str
     policy: policies.Policy
+    failure_domain: str = ""
     now_ms: int = 0
     started_at_ms: int = -1
     pending_effects: list[effects.Effect] = dataclasses.field(
@@ -554,6 +572,9 @@
     )
 
     uneven_targets: set[str] = dataclasses.field(default_factory=set)
+    preferred_engines: dict[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
     streams: stream_records.StreamRecords = dataclasses.field(
         default_factory=stream_records.StreamRecords
     )
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -359,6 +359,7 @@
     | server_inputs.ServerListed
     | server_inputs.LoadReported
     | server_inputs.LoadEchoed
+    | server_inputs.IdleConnections
     | server_inputs.RateLimitEchoed
     | server_inputs.RateLimitTold
     | server_inputs.BrittleEchoed
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -11,6 +11,7 @@
     availability,
     brittle,
     candidates,
+    locality,
     paths,
     prefill_cost,
     rate_limits,
@@ -409,7 +410,7 @@
         key=lambda s: (
             s.full_until_ms > world.now_ms,
             brittle.needs_holder(world, s),
-            load(s),
+            load(s) + locality.cost_requests(world, request, s),
             paths.is_lost(s),
             position[s.server_id],
         ),
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -17,6 +17,7 @@
     entities,
     hedging,
     inputs,
+    locality,
     outcomes,
     paths,
     probing,
@@ -49,6 +50,7 @@
         cls,
         *,
         daemon: str,
+        failure_domain: str = "",
         table: model.Table | None = None,
         policy: policies.Policy | None = None,
     ) -> Router:
@@ -56,11 +58,14 @@
 
         Args:
             daemon: This daemon's incarnation, unique across restarts.
+            failure_domain: This daemon's failure domain; empty if unknown.
             table: Operators' table, if one is already known.
             policy: Tunable parameters.
         """
         policy = policy or policies.Policy()
-        world = entities.World(daemon=daemon, policy=policy)
+        world = entities.World(
+            daemon=daemon, policy=policy, failure_domain=failure_domain
+        )
         world.live_daemons = world.serving_daemons = frozenset({daemon})
         world.retry_budget = budget.Budget(
             ratio=policy.retry_ratio,
@@ -119,6 +124,8 @@
                 servers.apply_load_report(world, input_)
             case server_inputs.LoadEchoed():
                 servers.apply_echoed_load(world, input_)
+            case server_inputs.IdleConnections():
+                locality.apply_idle_connections(world, input_)
             case server_inputs.RateLimitEchoed():
                 rate_limits.apply_echoed_limit(world, input_)
             case server_inputs.RateLimitTold():
@@ -191,6 +198,7 @@
                 world.serving_daemons = (
                     frozenset(input_.carriers) or world.live_daemons
                 )
+                world.preferred_engines.clear()
                 rate_limits.recompute_shares(world)
                 brittle.record_members(world, before=before)
                 quotas.record_members(world, before=before)
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -176,6 +176,21 @@
     pace_percent: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class IdleConnections:
+    """Idle connections to a server have been taken, returned or closed.
+
+    Attributes:
+        count: How many there are now.
+        closes_at_ms: When the server closes the most recently used one.
+    """
+
+    at_ms: int
+    server_id: str
+    count: int
+    closes_at_ms: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RateLimitEchoed:
     """Rate limit that a backend server advertised with an answer.
@@ -317,6 +332,7 @@
     "BrittleEchoed",
     "BrittleTold",
     "CacheDigest",
+    "IdleConnections",
     "LoadEchoed",
     "LoadReported",
     "PathAnswered",
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -51,6 +51,7 @@
         )
         world.servers[entry.server_id] = server
         world.servers_by_target[entry.target][entry.server_id] = server
+        world.preferred_engines.pop(entry.target, None)
         availability.apply_notice(world, server)
     _apply_listed_state(world, server, entry)
     # The list lags: it may still show as live a server that has announced that
@@ -416,6 +417,7 @@
         software.record_gone(world, server)
         availability.drop_unnamed_notice(world, server_id)
         world.servers_by_target[server.target].pop(server_id, None)
+        world.preferred_engines.pop(server.target, None)
         uneven.forget_unlisted(world, server.target)
         world.event("server_gone", server=server_id)
 
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -59,6 +59,7 @@
             event; empty if it names none.
         used_tokens: Tokens that it counts as against a quota, those of the
             answer included; None if the caller states no count.
+        body_bytes: Length of its body, if routes decide the target.
     """
 
     kind: WorkKind
@@ -79,6 +80,7 @@
     resume_after: int = 0
     resumes: str = ""
     used_tokens: int | None = None
+    body_bytes: int = 0
 
     @property
     def prompt_tokens(self) -> int:
--- a/src/godwittack/daemon/base.py
+++ b/src/godwittack/daemon/base.py
@@ -71,7 +71,9 @@
             capacity_millicores=settings.capacity_millicores,
         )
         core = router.Router.from_config(
-            daemon=me.member_id, policy=settings.policy()
+            daemon=me.member_id,
+            failure_domain=settings.failure_domain,
+            policy=settings.policy(),
         )
         process_meters = meters.Meters(core.world)
         return cls(
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -12,9 +12,15 @@
 from absl import logging
 from aiohttp import web
 
+from godwittack.backend import idle_reporter, routed
 from godwittack.backend import pool as pools
-from godwittack.backend import routed
-from godwittack.core import availability, brittle, inputs, rate_limits
+from godwittack.core import (
+    availability,
+    brittle,
+    inputs,
+    locality,
+    rate_limits,
+)
 from godwittack.daemon import (
     base,
     crash_rows,
@@ -130,6 +136,7 @@
             event_observer=event_observer,
             probe_timeout_ms=settings.control_timeout_ms,
         )
+        self._report_idle_connections()
         backend.signal_reporter.submit = self.runtime.submit
         backend.may_send = lambda dispatch: availability.may_send(
             core.world, dispatch, now_ms=clock.now_ms()
@@ -274,6 +281,23 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners = listeners.Listeners(clock, delay)
 
+    def _report_idle_connections(self) -> None:
+        """Connects the pool of connections with the core."""
+        world = self.runtime.core.world
+        self._pool.keeps_expiring = functools.partial(
+            locality.keeps_expiring, world
+        )
+        reporter = idle_reporter.IdleReporter(
+            pool=self._pool,
+            clock=self._clock,
+            submit=self.runtime.submit,
+            is_reported=functools.partial(locality.needs_idle_count, world),
+        )
+        self._pool.on_idle = reporter.record
+        self._meters.add_gauge(
+            "godwittack_connections_opened", lambda: self._pool.opened
+        )
+
     def _apply_datagram(self, news: peer_pb2.News) -> None:
         self._announcer.apply(news)
         for told in self._stream_news.read(news):
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -45,6 +45,10 @@
             "godwittack_relayed",
             description="Attempts passed on for other daemons, by outcome",
         )
+        self._remote_placements = meter.create_counter(
+            "godwittack_remote_placements",
+            description="Attempts sent to another failure domain",
+        )
         self._weights_orders = meter.create_histogram(
             "godwittack_weights_order_ms",
             unit="ms",
@@ -88,6 +92,8 @@
             case "relayed":
                 outcome = str(fields["outcome"]).partition(":")[0]
                 self._relayed.add(1, {"outcome": outcome})
+            case "placed" if fields.get("remote"):
+                self._remote_placements.add(1, labels)
             case "retried":
                 self._retries.add(1, labels)
             case "usage":
@@ -142,6 +148,9 @@
             server.rest_until_ms > world.now_ms
             for server in world.servers.values()
         ),
+        "godwittack_idle_connections": lambda: sum(
+            server.idle_connections for server in world.servers.values()
+        ),
         "godwittack_quarantined": lambda: len(world.quarantine),
         "godwittack_retry_tokens": lambda: min(
             (budget.tokens for budget in world.target_budgets.values()),
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -66,6 +66,7 @@
             resume_after=after,
             resumes=request.headers.get(names.RESUMES, ""),
             used_tokens=levels.used_tokens(parts, prompt_tokens, answer_tokens),
+            body_bytes=len(body),
         )
         call = backend.Call(
             method=request.method,
--- a/src/godwittack/session/record.py
+++ b/src/godwittack/session/record.py
@@ -44,9 +44,11 @@
 def header_line(core: router.Router) -> str:
     """Returns the first line of a recording."""
     policy_json = codec.encode_policy(core.world.policy)
-    return json.dumps(
-        {"daemon": core.world.daemon, "policy": json.loads(policy_json)}
-    )
+    world = core.world
+    header = {"daemon": world.daemon, "policy": json.loads(policy_json)}
+    if world.failure_domain:
+        header["failure_domain"] = world.failure_domain
+    return json.dumps(header)
 
 
 def replay(lines: Iterable[str]) -> list[str]:
@@ -90,7 +92,11 @@
 def _router_from_header(line: str) -> router.Router:
     header = json.loads(line)
     policy = codec.decode_policy(json.dumps(header["policy"]))
-    return router.Router.from_config(daemon=header["daemon"], policy=policy)
+    return router.Router.from_config(
+        daemon=header["daemon"],
+        failure_domain=header.get("failure_domain", ""),
+        policy=policy,
+    )
 
 
 __all__ = ["Recorder", "header_line", "replay", "replay_diff"]
