Test failure domains and open connections in placement

Each case guards against one failure of core/locality.py, placement/subsets.py, the pool's margins or the reported counts. The share of an engine in the subsets is rounded down: rounded up, one of nine engines was left with 3 daemons where the others had 9.

--- a/src/godwittack/placement/subsets.py
+++ b/src/godwittack/placement/subsets.py
@@ -4,7 +4,6 @@
 
 import collections
 import functools
-import math
 
 import xxhash
 
@@ -31,13 +30,14 @@
     size = min(size, len(servers))
     chosen: dict[str, set[str]] = {daemon: set() for daemon in daemons}
     taken: collections.Counter[str] = collections.Counter()
-    share = math.ceil(len(daemons) * size / max(1, len(servers)))
+    share = len(daemons) * size // max(1, len(servers))
     for _, daemon, server in _pairs(daemons, servers):
         if len(chosen[daemon]) < size and taken[server] < share:
             chosen[daemon].add(server)
             taken[server] += 1
     for daemon in sorted(daemons):
-        # The last servers with room may be in this daemon's subset already.
+        # Shares are rounded down, and the last servers with room may be in this
+        # daemon's subset already.
         rest = sorted(servers - chosen[daemon], key=lambda s: (taken[s], s))
         added = rest[: size - len(chosen[daemon])]
         chosen[daemon].update(added)
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -9,6 +9,7 @@
 GROUPS = (
     "routed",
     "sourcing",
+    "locality",
     "waiting",
     "weights",
     "leading",
--- a/tests/cases/routed_core.py
+++ b/tests/cases/routed_core.py
@@ -90,6 +90,7 @@
         servers: int = 2,
         record_to=None,
         started_at_ms: int | None = None,
+        failure_domain: str = "",
         **policy_fields,
     ) -> None:
         policy_fields = {
@@ -99,7 +100,9 @@
             **policy_fields,
         }
         self.router = router.Router.from_config(
-            daemon="d", policy=policy.Policy(**policy_fields)
+            daemon="d",
+            failure_domain=failure_domain,
+            policy=policy.Policy(**policy_fields),
         )
         self.recorder = None
         if record_to is not None:
