--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -360,6 +360,7 @@
     | server_inputs.LoadReported
     | server_inputs.LoadEchoed
     | server_inputs.LoadTold
+    | server_inputs.IdleConnections
     | server_inputs.RateLimitEchoed
     | server_inputs.RateLimitTold
     | server_inputs.BrittleEchoed
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -17,6 +17,7 @@
     entities,
     hedging,
     inputs,
+    locality,
     outcomes,
     pace_sharing,
     paths,
@@ -50,6 +51,7 @@
         cls,
         *,
         daemon: str,
+        failure_domain: str = "",
         table: model.Table | None = None,
         policy: policies.Policy | None = None,
     ) -> Router:
@@ -57,11 +59,14 @@
 
         Args:
             daemon: This daemon's incarnation, unique across restarts.
+            failure_domain: This daemon's failure domain; empty if unknown.
             table: Operators' table, if one is already known.
             policy: Tunable parameters.
         """
         policy = policy or policies.Policy()
-        world = entities.World(daemon=daemon, policy=policy)
+        world = entities.World(
+            daemon=daemon, policy=policy, failure_domain=failure_domain
+        )
         world.live_daemons = world.serving_daemons = frozenset({daemon})
         world.retry_budget = budget.Budget(
             ratio=policy.retry_ratio,
@@ -122,6 +127,8 @@
                 servers.apply_echoed_load(world, input_)
             case server_inputs.LoadTold():
                 pace_sharing.apply_peer(world, input_)
+            case server_inputs.IdleConnections():
+                locality.apply_idle_connections(world, input_)
             case server_inputs.RateLimitEchoed():
                 rate_limits.apply_echoed_limit(world, input_)
             case server_inputs.RateLimitTold():
@@ -194,6 +201,7 @@
                 world.serving_daemons = (
                     frozenset(input_.carriers) or world.live_daemons
                 )
+                world.preferred_engines.clear()
                 rate_limits.recompute_shares(world)
                 brittle.record_members(world, before=before)
                 quotas.record_members(world, before=before)
