--- a/src/godwittack/backend/collecting.py
+++ b/src/godwittack/backend/collecting.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import tempfile
 from typing import TYPE_CHECKING
 
@@ -26,8 +27,26 @@
 # Bytes of one body that are kept in memory.
 MEMORY_BYTES = 256 << 10
 # Time for which a server that sent an endless body is not trusted with another
-# large one, unless it completes an answer before.
-DISTRUST_MS = 30_000
+# large one of unknown length, unless it completes an answer before. Otherwise
+# each trial after an ejection would read 32 MB.
+DISTRUST_MS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Source:
+    """What sends a body.
+
+    Attributes:
+        key: Server, and which calls it answers.
+        length: Length of the body as stated; empty if it is not.
+        limit_bytes: Length that it may have.
+        restores_trust: Whether a complete body shows that the server is sound.
+    """
+
+    key: str
+    length: str
+    limit_bytes: int = reply_limits.DEFAULT.answer_bytes
+    restores_trust: bool = False
 
 
 class Spool:
@@ -143,33 +162,30 @@
         self._servers: dict[str, ServerBodies] = {}
 
     async def collect(
-        self, read: Callable[[], Awaitable[bytes]], *, key: str, length: str
+        self, read: Callable[[], Awaitable[bytes]], *, source: Source
     ) -> bytes:
         """Returns a complete body.
 
         Args:
             read: Returns the next bytes of the body, empty bytes at its end.
-            key: Server that sends it, and what kind of calls it answers.
-            length: Its length as the server states it; empty if it does not.
+            source: What sends the body.
 
         Raises:
-            EndlessReplyError: It is longer than an answer may be.
+            EndlessReplyError: It is longer than allowed, or is large and comes
+                from a server that sent an endless body lately.
             ReplyError: It is incomplete, or can't be kept.
         """
-        if length.isdigit() and int(length) > self._limits.answer_bytes:
+        length = source.length
+        if length.isdigit() and int(length) > source.limit_bytes:
             raise reply_limits.EndlessReplyError("body", 0)
-        server = self._servers.setdefault(key, ServerBodies())
+        server = self._servers.setdefault(source.key, ServerBodies())
         body = object()
         spool = Spool()
         try:
-            await self._receive(
-                read, spool, body, server=None if length else server
-            )
-            server.distrust(0)
+            await self._receive(read, spool, body, source, server)
+            if source.restores_trust:
+                server.distrust(0)
             return spool.read()
-        except reply_limits.EndlessReplyError:
-            server.distrust(self._clock.now_ms() + DISTRUST_MS)
-            raise
         except OSError as error:
             raise reply_limits.ReplyError(f"body not kept: {error}") from error
         finally:
@@ -182,16 +198,17 @@
         read: Callable[[], Awaitable[bytes]],
         spool: Spool,
         body: object,
-        *,
-        server: ServerBodies | None,
+        source: Source,
+        server: ServerBodies,
     ) -> None:
         size = 0
         while data := await read():
             size += len(data)
-            if size > self._limits.answer_bytes:
+            if size > source.limit_bytes:
+                server.distrust(self._clock.now_ms() + DISTRUST_MS)
                 raise reply_limits.EndlessReplyError("body", size)
             spool.write(data)
-            if server is not None:
+            if not source.length:
                 await server.wait_for_turn(
                     body, size, limits=self._limits, clock=self._clock
                 )
@@ -203,4 +220,4 @@
                 del self._servers[key]
 
 
-__all__ = ["Collector", "ServerBodies", "Spool"]
+__all__ = ["Collector", "ServerBodies", "Source", "Spool"]
--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -9,8 +9,16 @@
 import pydantic
 from result import Err, Ok, Result
 
-from godwittack.backend import headers, protocol, schema, signals, sse
-from godwittack.core import inputs, work
+from godwittack.backend import (
+    bounded_client,
+    headers,
+    protocol,
+    reply_limits,
+    schema,
+    signals,
+    sse,
+)
+from godwittack.core import inputs, server_inputs, work
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +31,6 @@
 REFUSED_STATUSES = frozenset({429, 503})
 GONE_STATUSES = frozenset({404, 410})
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
-MAX_ANSWER_BYTES = 32 << 20
 SKIPPED_AUTO_HEADERS = (
     "accept",
     "accept-encoding",
@@ -55,6 +62,7 @@
         """
         self._pooled = pooled
         self._fresh = fresh
+        self._clock = clock
         self.signal_reporter = signals.SignalReporter(clock=clock)
         # The core times out silent attempts; only connecting is limited here.
         self._attempt_timeout = aiohttp.ClientTimeout(
@@ -91,6 +99,13 @@
                 inputs.FailureCause.BROKEN,
                 "no connection in time",
             )
+        except reply_limits.EndlessReplyError as error:
+            self._report_endless(error, dispatch)
+            sink.failed(
+                inputs.FailurePhase.SENT,
+                inputs.FailureCause.ENDLESS,
+                str(error),
+            )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             sink.failed(
                 inputs.FailurePhase.SENT,
@@ -226,6 +241,21 @@
             origin, signals.ServerSignals(rest=rest), may_lift_limit=False
         )
 
+    def _report_endless(
+        self, error: reply_limits.EndlessReplyError, dispatch: effects.Dispatch
+    ) -> None:
+        self.signal_reporter.submit(
+            server_inputs.EndlessAnswer(
+                at_ms=self._clock.now_ms(),
+                server_id=dispatch.server_id,
+                incarnation=dispatch.stamp.incarnation
+                if dispatch.stamp
+                else "",
+                what=error.what,
+                size_bytes=error.size_bytes,
+            )
+        )
+
     async def _read_generation(
         self,
         dispatch: effects.Dispatch,
@@ -274,7 +304,7 @@
                 timeout=timeout or self._control_timeout,
                 allow_redirects=False,
             ) as response:
-                data = await response.read()
+                data = await bounded_client.read_body(response)
                 if response.status != 200:
                     return protocol.failed_call(
                         step, address, f"status {response.status}"
@@ -287,7 +317,11 @@
             return protocol.failed_call(
                 step, address, str(error), connection_refused=is_refused
             )
-        except (aiohttp.ClientError, OSError) as error:
+        except (
+            aiohttp.ClientError,
+            reply_limits.EndlessReplyError,
+            OSError,
+        ) as error:
             detail = str(error) or type(error).__name__
             return protocol.failed_call(
                 step, address, detail, connection_broken=True
@@ -382,11 +416,7 @@
 
 
 async def _read_answer(response: aiohttp.ClientResponse) -> work.Answer:
-    body = bytearray()
-    async for data in response.content.iter_any():
-        body.extend(data)
-        if len(body) > MAX_ANSWER_BYTES:
-            raise ValueError(f"answer is longer than {MAX_ANSWER_BYTES} bytes")
+    body = await bounded_client.read_body(response)
     headers = tuple(
         work.Header(name, value)
         for name, value in response.headers.items()
@@ -395,7 +425,7 @@
     return work.Answer(
         response.status,
         headers,
-        bytes(body),
+        body,
         is_delimited=_is_delimited(response),
     )
 
--- a/src/godwittack/backend/reply_limits.py
+++ b/src/godwittack/backend/reply_limits.py
@@ -23,6 +23,9 @@
         framing_bytes: Bytes of framing in all, until an event arrives. Chunks
             of one byte would otherwise multiply what is read for a body.
         answer_bytes: Bytes of the body of a plain answer.
+        control_bytes: Bytes of a report, of cache events, or of the answer to
+            an order. Added to a plain answer they stay below what may be read
+            from one faulty server.
         small_body_bytes: Bytes of a body without a stated length that any
             number of answers of one server may have at the same time.
         shared_body_bytes: Bytes that all such bodies of one server may have
@@ -38,8 +41,9 @@
     chunk_allowance_bytes: int = 256
     framing_bytes: int = 4 << 20
     answer_bytes: int = 32 << 20
+    control_bytes: int = 4 << 20
     small_body_bytes: int = 64 << 10
-    shared_body_bytes: int = 2 << 20
+    shared_body_bytes: int = 1 << 20
 
 
 DEFAULT = ReplyLimits()
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -9,7 +9,14 @@
 
 from result import Err, Ok
 
-from godwittack.backend import collecting, headers, protocol, signals, sse
+from godwittack.backend import (
+    collecting,
+    headers,
+    protocol,
+    reply_limits,
+    signals,
+    sse,
+)
 from godwittack.backend import connection as connections
 from godwittack.backend import pool as pools
 from godwittack.core import inputs, server_inputs, work
@@ -31,8 +38,6 @@
 # requests.
 CONTROL_CONNECTION = "control"
 EVENTS_CONNECTION = "events/control"
-# Bodies that are collected, by whether the server ran the request.
-DECLINED_BODY = "declined"
 
 
 class ConnectionRejectedError(ConnectionResetError):
@@ -342,9 +347,7 @@
         )
         sink.signals(reported, may_lift_limit=may_lift_limit)
         if decline_cause is not None:
-            await self._collect(
-                connection, reply, f"{dispatch.server_id}/{DECLINED_BODY}"
-            )
+            await self._collect(connection, reply, dispatch.server_id)
             self._pool.release(dispatch.server_id, connection, reply)
             sink.failed(
                 inputs.FailurePhase.DECLINED,
@@ -356,7 +359,9 @@
             await _relay(connection, reply, dispatch, sink)
             self._pool.release(dispatch.server_id, connection, reply)
             return
-        body = await self._collect(connection, reply, dispatch.server_id)
+        body = await self._collect(
+            connection, reply, dispatch.server_id, is_answer=True
+        )
         self._pool.release(dispatch.server_id, connection, reply)
         answer = work.Answer(
             reply.status,
@@ -371,11 +376,18 @@
         connection: connections.Connection,
         reply: connections.Reply,
         key: str,
+        *,
+        is_answer: bool = False,
+        limit_bytes: int = reply_limits.DEFAULT.answer_bytes,
     ) -> bytes:
         return await self._collector.collect(
             lambda: connection.read_chunk(reply),
-            key=key,
-            length=reply.header("content-length"),
+            source=collecting.Source(
+                key=key,
+                length=reply.header("content-length"),
+                limit_bytes=limit_bytes,
+                restores_trust=is_answer,
+            ),
         )
 
     def _report_endless(
@@ -457,7 +469,12 @@
                     call.head, call.body, matches=lambda reply: True
                 )
                 reply = await connection.read_head()
-                body = await self._collect(connection, reply, key)
+                body = await self._collect(
+                    connection,
+                    reply,
+                    f"{server_id}/{CONTROL_CONNECTION}",
+                    limit_bytes=reply_limits.DEFAULT.control_bytes,
+                )
         except TimeoutError:
             _close(connection)
             detail = "no answer in time"
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -12,8 +12,8 @@
 from absl import logging
 from aiohttp import web
 
+from godwittack.backend import bounded_client, routed
 from godwittack.backend import pool as pools
-from godwittack.backend import routed
 from godwittack.core import availability, brittle, inputs, rate_limits
 from godwittack.daemon import (
     base,
@@ -472,8 +472,8 @@
     delay: loop_delay.ReadDelay,
 ) -> None:
     """Runs a daemon until it is stopped."""
-    async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(keepalive_timeout=30)
+    async with bounded_client.open_session(
+        bounded_client.BoundedConnector(keepalive_timeout=30)
     ) as session:
         await PlatformDaemon(loaded, session, write_line, delay).run()
 
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -6,11 +6,11 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-import aiohttp
 from absl import logging
 from aiohttp import web
 
 from godwittack import address as addresses
+from godwittack.backend import bounded_client
 from godwittack.backend import http as backend_http
 from godwittack.claim import store as claim_store
 from godwittack.core import inputs
@@ -309,19 +309,21 @@
 
     def __init__(self) -> None:
         """Opens the sessions; needs a running loop."""
-        self.pooled = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+        self.pooled = bounded_client.open_session(
+            bounded_client.BoundedConnector(
                 limit=POOL_CONNECTIONS, keepalive_timeout=15
             ),
             auto_decompress=False,
         )
-        self.fresh = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+        self.fresh = bounded_client.open_session(
+            bounded_client.BoundedConnector(
                 limit=POOL_CONNECTIONS, force_close=True
             ),
             auto_decompress=False,
         )
-        self.platform = aiohttp.ClientSession()
+        self.platform = bounded_client.open_session(
+            bounded_client.BoundedConnector()
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/godwittack/store/call.py
+++ b/src/godwittack/store/call.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+from urllib import parse
 
 import aiohttp
+from absl import logging
 from result import Err, Ok, Result
 
+from godwittack.backend import bounded_client, reply_limits
+
 JSON_TYPE = {"Content-Type": "application/json"}
 
 
@@ -40,6 +44,7 @@
     *,
     body: bytes | None,
     timeout_ms: int,
+    limit_bytes: int = reply_limits.DEFAULT.answer_bytes,
 ) -> Result[Reply, CallFailure]:
     """Makes one call; a redirect is returned as an answer, not followed."""
     try:
@@ -51,11 +56,22 @@
             timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
             allow_redirects=False,
         ) as response:
-            return Ok(Reply(response.status, await response.read()))
+            data = await bounded_client.read_body(
+                response, limit_bytes=limit_bytes
+            )
+            return Ok(Reply(response.status, data))
     except TimeoutError:
         return Err(CallFailure("no answer in time", timed_out=True))
     except aiohttp.ClientConnectorError as error:
         return Err(CallFailure(str(error), may_have_run=False))
+    except reply_limits.EndlessReplyError as error:
+        logging.warning(
+            "event=endless_answer server=%s what=%s bytes=%d",
+            parse.urlsplit(url).netloc,
+            error.what.replace(" ", "_"),
+            error.size_bytes,
+        )
+        return Err(CallFailure(str(error)))
     except (aiohttp.ClientError, OSError) as error:
         return Err(CallFailure(str(error) or type(error).__name__))
 
--- a/src/godwittack/store/http.py
+++ b/src/godwittack/store/http.py
@@ -180,6 +180,7 @@
             self._base_url + path,
             body=body,
             timeout_ms=self._timeout_ms,
+            limit_bytes=MAX_OBJECT_BYTES,
         )
         if isinstance(result, Err):
             failure = result.err_value
--- a/tests/cases/fuzz.py
+++ b/tests/cases/fuzz.py
@@ -109,8 +109,9 @@
             reply = await server_connection.read_head()
             return await collecting.Collector(clock=SystemClock()).collect(
                 lambda: server_connection.read_chunk(reply),
-                key="s",
-                length=reply.header("content-length"),
+                source=collecting.Source(
+                    key="s", length=reply.header("content-length")
+                ),
             )
     except connection.ReplyError:
         return None
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import enum
+import socket
 
 # Bytes that may wait in this process; more would only measure its own memory.
 BUFFERED_BYTES = 1 << 17
@@ -98,6 +99,10 @@
     async def send(self, transport: asyncio.Transport, request_id: str) -> None:
         """Sends until the caller closes the connection."""
         self.answers += 1
+        # What waits here has not been received by the caller.
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFERED_BYTES
+        )
         first, again = _parts(self.kind, request_id.encode())
         gap_s = SLOW_LINE_S if self.kind is Kind.SLOW_HEADER_LINES else 0.0
         if not gap_s:
