--- a/src/godwittack/backend/pool.py
+++ b/src/godwittack/backend/pool.py
@@ -8,6 +8,7 @@
 
 from godwittack import address as addresses
 from godwittack.backend import connection as connections
+from godwittack.backend import reply_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,9 +35,16 @@
         opened: Connections opened so far.
     """
 
-    def __init__(self, *, clock: Clock, connect_timeout_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        connect_timeout_ms: int,
+        limits: reply_limits.ReplyLimits = reply_limits.DEFAULT,
+    ) -> None:
         """Starts without connections."""
         self._clock = clock
+        self._limits = limits
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._idle: dict[str, collections.deque[connections.Connection]] = (
             collections.defaultdict(collections.deque)
@@ -78,7 +86,7 @@
             newest = idle[-1]
             is_kept = not self._is_expired(newest, keep_margin_ms)
             if not newest.is_open or not is_kept:
-                idle.pop().close()
+                idle.pop().retire()
             elif self._is_expired(newest, margin_ms):
                 return None
             else:
@@ -109,7 +117,7 @@
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, connection = await loop.create_connection(
-                    connections.Connection, host, port
+                    lambda: connections.Connection(self._limits), host, port
                 )
         except TimeoutError as error:
             raise OSError("no connection in time") from error
@@ -126,7 +134,7 @@
         idle = self._idle[key]
         reusable = connection.finish(reply, now_ms=self._clock.now_ms())
         if not reusable or len(idle) >= MAX_IDLE_PER_ADDRESS:
-            connection.close()
+            connection.retire()
             return
         idle.append(connection)
         self.on_idle(key)
@@ -148,7 +156,7 @@
             while idle and (
                 not idle[0].is_open or self._is_expired(idle[0], margin_ms)
             ):
-                idle.popleft().close()
+                idle.popleft().retire()
             if len(idle) < before:
                 self.on_idle(key)
             if not idle:
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -47,6 +47,7 @@
     "broken_off",
     "versions",
     "stream_versions",
+    "endless",
     "silent",
     "silent_servers",
     "paths",
