Rank one home of a prompt for all failure domains

With a home in each domain, engines kept up to three copies of a shared part and evicted others. The case of homes per domain is replaced by one that allows no other home from another domain.

--- a/src/godwittack/core/locality.py
+++ b/src/godwittack/core/locality.py
@@ -80,19 +80,6 @@
     return bool(own and other) and own != other
 
 
-def home_candidates(
-    world: entities.World, usable: list[entities.ServerRow]
-) -> list[entities.ServerRow]:
-    """Returns the servers among which the home of a prompt is ranked.
-
-    Every domain has a home of its own, so that its daemons don't send each
-    prompt to another domain. A domain with one engine would have a single home
-    for all prompts.
-    """
-    own = _own_domain(world, usable)
-    return own if len(own) >= 2 else usable
-
-
 def candidates(
     world: entities.World,
     request: entities.RequestRow,
@@ -304,7 +291,6 @@
     "connection_share",
     "cost_ms",
     "cost_requests",
-    "home_candidates",
     "is_remote",
     "keeps_expiring",
     "needs_idle_count",
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -121,14 +121,12 @@
         for version in {server.weights_version for server in usable}
     }
     is_uneven = uneven.is_uneven(world, request.work.target)
-    possible_homes = usable
     choose_candidates = candidates.choose
     holders = cached_tokens
     if is_uneven:
         holders = _worthwhile(world, request, cached_tokens)
-        possible_homes = locality.home_candidates(world, usable)
         choose_candidates = locality.candidates
-    home_id = candidates.home_server(request, possible_homes)
+    home_id = candidates.home_server(request, usable)
     priority = routing.priority(world, request)
     selected = choose_candidates(
         world, request, usable, cached_tokens=holders, home_id=home_id
