Rank one home of a prompt for all failure domains

With a home in each domain, engines kept up to three copies of a shared part and evicted others. The case of homes per domain is replaced by one that allows no other home from another domain. Three cases set the wait of an engine by its old backlog, which uneven targets don't use any more; they set the new one.

--- a/tests/cases/locality.py
+++ b/tests/cases/locality.py
@@ -10,6 +10,7 @@
 from godwittack.backend import idle_reporter
 from godwittack.clock import ManualClock
 from godwittack.core import (
+    backlog,
     cached_state,
     candidates,
     inputs,
@@ -65,9 +66,17 @@
     return core.world.servers[core.dispatch().server_id].failure_domain
 
 
-def _row(core: routed_core.Core):
+def _set_wait(core: routed_core.Core, server, wait_ms: float) -> None:
+    """Gives a server the tokens that it computes in that time."""
+    server.pace.prompts.clear()
+    core.world.now_ms = core.now_ms
+    tokens = wait_ms * 1000 / core.world.policy.prefill_us_per_token
+    backlog.add(core.world, server, tokens=tokens, priority=0)
+
+
+def _row(core: routed_core.Core, **fields):
     """Returns a request that runs, to ask for its costs and candidates."""
-    core.arrive("long", "probe")
+    core.arrive("long", "probe", **fields)
     return core.world.requests["probe"]
 
 
@@ -118,7 +127,7 @@
         )
         for name in ("a0", "a1"):  # The home's bonus is 5 ms.
             server = core.world.servers[name]
-            server.backlog_until_ms[0] = core.now_ms + wait_ms
+            _set_wait(core, server, wait_ms)
         found = _domain_of_prompt(core, "r", body_bytes=body_bytes)
         assert found == domain, (cost_ms, body_bytes, wait_ms)
 
@@ -141,7 +150,7 @@
         core = _core({OWN: 4, FAR: 4})
         core.world.failure_domain = own
         usable = list(core.world.servers_by_target[ENGINES].values())
-        homes.add(candidates.home_server(_row(core), usable))
+        homes.add(candidates.home_server(_row(core, levels=PROMPT), usable))
     assert len(homes) == 1 and homes != {""}
 
 
@@ -222,7 +231,7 @@
         preferred = locality.preferred_engines(core.world, ENGINES)
         for name in preferred:
             server = core.world.servers[name]
-            server.backlog_until_ms[0] = core.now_ms + wait_ms
+            _set_wait(core, server, wait_ms)
         core.arrive("long", "r", levels=PROMPT)
         assert (core.dispatch().server_id in preferred) is is_inside, wait_ms
 
@@ -258,7 +267,7 @@
     core.world.servers["a0"].in_flight = dict(core.world.attempts)
     core.world.servers["a1"].in_flight = {}
     for wait_ms, server in ((90.0, "a0"), (30.0, "a1")):
-        core.world.servers["a1"].backlog_until_ms[0] = core.now_ms + wait_ms
+        _set_wait(core, core.world.servers["a1"], wait_ms)
         core.arrive("short", f"r{wait_ms}")
         assert core.dispatch().server_id == server, wait_ms
         core.world.servers[server].in_flight.pop(core.dispatch().attempt_id)
