--- a/src/godwittack/core/length_routing.py
+++ b/src/godwittack/core/length_routing.py
@@ -22,8 +22,8 @@
 
 # With fewer engines one failure could leave a kind of prompt without any.
 MIN_ENGINES = 3
-# Part of the target latency, or for long prompts of the time left, that a
-# request waits on its own engines before it may use the others.
+# Part of the time left that a short prompt waits on its own engines before it
+# may use the others. It is late there as well, and delays the long ones.
 MAX_WAIT_PART = 0.5
 _RANK_KEY = 0x5E9A
 
@@ -62,8 +62,8 @@
 ) -> list[entities.ServerRow]:
     """Returns the engines for prompts of a request's length.
 
-    All usable ones are returned if there are few, or if the request would wait
-    too long on those for its length.
+    All usable ones are returned if there are few, or if a short prompt would
+    wait too long on those for its length.
     """
     if not is_enabled(world, request.work.target) or len(usable) < MIN_ENGINES:
         return usable
@@ -75,23 +75,23 @@
     is_long = _is_long(world, request)
     names = set(ranked[short_count:] if is_long else ranked[:short_count])
     selected = [server for server in usable if server.server_id in names]
+    # A long prompt never joins short ones: all of them would be late.
+    if is_long or not _is_wait_too_long(world, request, selected):
+        return selected
+    return usable
+
+
+def _is_wait_too_long(
+    world: entities.World,
+    request: entities.RequestRow,
+    servers: list[entities.ServerRow],
+) -> bool:
     priority = routing.priority(world, request)
     wait_ms = min(
-        backlog.placement_wait_ms(world, server, priority)
-        for server in selected
+        backlog.placement_wait_ms(world, server, priority) for server in servers
     )
-    if wait_ms > MAX_WAIT_PART * _patience_ms(world, request, is_long=is_long):
-        return usable
-    return selected
-
-
-def _patience_ms(
-    world: entities.World, request: entities.RequestRow, *, is_long: bool
-) -> float:
     left_ms = request.answer_start_deadline_ms - world.now_ms
-    if is_long or request.work.route is None:
-        return left_ms
-    return min(left_ms, request.work.route.aim_ms)
+    return wait_ms > MAX_WAIT_PART * left_ms
 
 
 def _is_long(world: entities.World, request: entities.RequestRow) -> bool:
