Leave the settings for uneven servers out of recordings at their defaults

The golden sessions failed since: a recorded policy lists every setting that is not left out at its default.

--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -44,7 +44,7 @@
     inputs.MembersChanged: ("known",),
     inputs.RequestArrived: ("waited_ms",),
     inputs.Tick: ("late_ms",),
-    server_inputs.LoadEchoed: ("is_relayed",),
+    server_inputs.LoadEchoed: ("is_relayed", "pace_percent"),
     server_inputs.ProbeAnswered: (
         "fresh_connection",
         "was_asked",
@@ -60,6 +60,12 @@
         "quota_window_s",
         "quota_overage_ratio",
         "quota_slack",
+        "quota_spare_ratio",
+        "uneven_servers",
+        "cross_domain_cost_ms",
+        "cross_domain_cost_ms_per_kb",
+        "new_connection_cost_ms",
+        "late_answer_value",
     ),
 }
 
