Read the memory in engines' reports and publish it to peers

Reports state the memory in use, all memory, what is held and pinned, and the first waiting request, which nothing read. They are published with the load, for targets whose servers report a pace only; a field that is missing or of another type reads as 0 and does not lose the rest of the report. The length hint of a caller is read as well.

--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -138,6 +138,10 @@
     Attributes:
         accepted_orders: Orders accepted so far; -1 if it doesn't count them.
         is_executing_order: Whether it is executing an order.
+        kv_used_tokens: Memory that can't be evicted; 0 if not reported.
+        kv_total_tokens: All of its memory; 0 if not reported.
+        kv_reserved_tokens: Memory that is held or pinned.
+        next_tokens: Prompt tokens of the first waiting request.
     """
 
     incarnation: str
@@ -150,6 +154,10 @@
     leaving: bool = False
     accepted_orders: int = -1
     is_executing_order: bool = False
+    kv_used_tokens: int = 0
+    kv_total_tokens: int = 0
+    kv_reserved_tokens: int = 0
+    next_tokens: int = 0
 
 
 class CacheEventKind(enum.StrEnum):
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -248,6 +248,10 @@
         slots: Maximum number of requests in the engine's batch.
         age_ms: Age of the report.
         leaving: Whether the server is about to stop.
+        kv_used_tokens: Memory that can't be evicted; 0 if not reported.
+        kv_total_tokens: All of its memory; 0 if not reported.
+        kv_reserved_tokens: Memory that is held or pinned.
+        next_tokens: Prompt tokens of the first waiting request.
     """
 
     at_ms: int
@@ -261,6 +265,10 @@
     slots: int
     age_ms: int = 0
     leaving: bool = False
+    kv_used_tokens: int = 0
+    kv_total_tokens: int = 0
+    kv_reserved_tokens: int = 0
+    next_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -271,6 +279,9 @@
         tokens: Prompt tokens that the server has to compute.
         priority: Priority of the request; lower is served first.
         levels: Keys of the levels that will be cached after computation.
+        memory_tokens: Memory that the request occupies; 0 if not announced.
+        shared_tokens: Part of it that requests with the same shared levels
+            use as well.
     """
 
     at_ms: int
@@ -278,6 +289,8 @@
     tokens: int
     priority: int
     levels: tuple[int, ...]
+    memory_tokens: int = 0
+    shared_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -59,6 +59,8 @@
             event; empty if it names none.
         used_tokens: Tokens that it counts as against a quota, those of the
             answer included; None if the caller states no count.
+        length_hint: Tokens that the caller expects to be generated; None if it
+            sent no hint.
     """
 
     kind: WorkKind
@@ -79,6 +81,7 @@
     resume_after: int = 0
     resumes: str = ""
     used_tokens: int | None = None
+    length_hint: int | None = None
 
     @property
     def prompt_tokens(self) -> int:
--- a/src/godwittack/daemon/load_filter.py
+++ b/src/godwittack/daemon/load_filter.py
@@ -11,6 +11,8 @@
 REPEAT_INTERVAL_MS = 2_000
 # A count may change by this fraction without being published.
 RELATIVE_TOLERANCE = 0.1
+# Memory in use may change by this fraction of all memory.
+MEMORY_TOLERANCE = 0.05
 
 
 class LoadFilter:
@@ -38,6 +40,17 @@
         and _is_close(last.running, load.running)
         and _is_close(last.waiting, load.waiting)
         and _is_close(last.waiting_tokens, load.waiting_tokens)
+        and _is_memory_close(last, load)
+    )
+
+
+def _is_memory_close(
+    last: server_inputs.LoadReported, load: server_inputs.LoadReported
+) -> bool:
+    changed_tokens = abs(load.kv_used_tokens - last.kv_used_tokens)
+    return (
+        last.kv_total_tokens == load.kv_total_tokens
+        and changed_tokens <= MEMORY_TOLERANCE * load.kv_total_tokens
     )
 
 
--- a/src/godwittack/daemon/server_watcher.py
+++ b/src/godwittack/daemon/server_watcher.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import cached_state, paths, server_inputs
+from godwittack.core import cached_state, paths, server_inputs, uneven
 from godwittack.daemon import digest as digests
 from godwittack.daemon import load_filter, peer_updates
 from godwittack.member import assignment
@@ -279,7 +279,7 @@
     row: entities.ServerRow, load: backend.EngineLoad, core: runtime.Runtime
 ) -> server_inputs.LoadReported:
     """Returns the core's input for a server's load."""
-    return server_inputs.LoadReported(
+    report = server_inputs.LoadReported(
         at_ms=core.clock.now_ms(),
         server_id=row.server_id,
         incarnation=load.incarnation,
@@ -291,6 +291,16 @@
         slots=load.slots,
         leaving=load.leaving,
     )
+    if not uneven.is_uneven(core.core.world, row.target):
+        # No decision reads the memory, and peers need not be sent its changes.
+        return report
+    return dataclasses.replace(
+        report,
+        kv_used_tokens=load.kv_used_tokens,
+        kv_total_tokens=load.kv_total_tokens,
+        kv_reserved_tokens=load.kv_reserved_tokens,
+        next_tokens=load.next_tokens,
+    )
 
 
 class _Publisher:
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -97,6 +97,10 @@
             prefill_us_per_token=load.prefill_us_per_token,
             age_ms=max(0, now_ms - load.at_ms + load.age_ms),
             leaving=load.leaving,
+            kv_used_tokens=load.kv_used_tokens,
+            kv_total_tokens=load.kv_total_tokens,
+            kv_reserved_tokens=load.kv_reserved_tokens,
+            next_tokens=load.next_tokens,
         )
         known = self._set_server(message, load)
         if load.slots != known.slots:
@@ -166,6 +170,10 @@
                     slots=known.slots,
                     age_ms=load.age_ms,
                     leaving=load.leaving,
+                    kv_used_tokens=load.kv_used_tokens,
+                    kv_total_tokens=load.kv_total_tokens,
+                    kv_reserved_tokens=load.kv_reserved_tokens,
+                    next_tokens=load.next_tokens,
                 )
             )
         return found
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -66,6 +66,9 @@
             resume_after=after,
             resumes=request.headers.get(names.RESUMES, ""),
             used_tokens=levels.used_tokens(parts, prompt_tokens, answer_tokens),
+            length_hint=backend_headers.parse_number(
+                request.headers.get(names.LENGTH_HINT, "")
+            ),
         )
         call = backend.Call(
             method=request.method,
--- a/src/godwittack/platform/names.py
+++ b/src/godwittack/platform/names.py
@@ -13,6 +13,8 @@
 MODEL: Final = "X-Godwittack-Model"
 # Prompt tokens and the maximum number of tokens to generate, not usage.
 TOKEN_COUNTS: Final = "X-Godwittack-Token-Usage"
+# Tokens that the caller expects to be generated.
+LENGTH_HINT: Final = "X-Godwittack-Length-Hint"
 # The prompt's levels in order, each as ID:TOKENS; not a hash of a prefix.
 LEVELS: Final = "X-Godwittack-Prefix-Hash"
 
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -38,6 +38,13 @@
     # Whether an order is being executed, not whether requests run.
     busy: bool = False
     state: object = ""
+    # Memory in tokens: what can't be evicted, all, held and pinned.
+    kv_used: wire.OptionalCount = 0
+    kv_total: wire.OptionalCount = 0
+    held: wire.OptionalCount = 0
+    pinned: wire.OptionalCount = 0
+    # Tokens of the first waiting request.
+    next: wire.OptionalCount = 0
 
 
 class _Events(wire.StrictBody):
@@ -122,6 +129,10 @@
             accepted_orders=report.sequence,
             is_executing_order=report.busy,
             leaving=report.state == "draining",
+            kv_used_tokens=report.kv_used,
+            kv_total_tokens=report.kv_total,
+            kv_reserved_tokens=report.held + report.pinned,
+            next_tokens=report.next,
         )
 
     def events_call(
--- a/src/godwittack/platform/wire.py
+++ b/src/godwittack/platform/wire.py
@@ -12,6 +12,19 @@
 Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
 Positive = Annotated[int, pydantic.Field(ge=1, le=_MAX_NUMBER)]
 Amount = Annotated[float, pydantic.Field(ge=0, le=_MAX_NUMBER)]
+# Largest number that a message between daemons can carry.
+_MAX_UINT32 = 2**32 - 1
+
+
+def _count_or_zero(value: object) -> int:
+    """Returns a number as a count, and 0 for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return 0
+    return round(value) if 0 <= value <= _MAX_UINT32 // 2 else 0
+
+
+# A count that is not worth losing the rest of a body for.
+OptionalCount = Annotated[int, pydantic.BeforeValidator(_count_or_zero)]
 
 
 class Body(pydantic.BaseModel):
@@ -42,4 +55,4 @@
 
 
 __all__ = ["Amount", "Body", "Count", "LoadedModel", "Positive", "StrictBody"]
-__all__ += ["first_error"]
+__all__ += ["OptionalCount", "first_error"]
