Place requests by the free memory of engines, and hold those that fit nowhere

Requests were sent to engines with free slots but no free memory, where they waited or had other requests preempted. Each daemon now estimates the memory in use on each engine of an uneven target: the last report, its own requests, and those that others announce. Placement prefers engines with room; a request that fits on none is held beside the queue, and one that fits on no engine at all is refused with 413. Copy costs follow from the configured links, and the age at which a prompt counts as evicted from memory and rate.

--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from godwittack.core import effects, entities, quotas, silence
+from godwittack.core import (
+    effects,
+    entities,
+    memory_queue,
+    memory_updates,
+    quotas,
+    silence,
+)
 
 SERVICE_TIME_SMOOTHING = 0.1
 
@@ -138,6 +145,7 @@
         **({} if _is_delimited(request, attempt) else {"delimited": 0}),
     )
     if attempt:
+        memory_updates.record_end(world, request, attempt)
         update_service_time(
             world, request.work.target, world.now_ms - attempt.sent_at_ms
         )
@@ -218,6 +226,7 @@
     if request.phase is entities.Phase.QUEUED:
         queue = world.queues[request.work.target][request.queue_priority]
         queue.remove(request.request_id)
+        memory_queue.forget(world, request)
     for cell in request.cells:
         world.shares.record_end(cell)
     quotas.release(world, request)
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -4,11 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import availability, backlog, effects, routing
+from godwittack.core import (
+    availability,
+    backlog,
+    effects,
+    engine_memory,
+    routing,
+)
 from godwittack.placement import levels
 
 if TYPE_CHECKING:
-    from godwittack.core import entities, placing
+    from godwittack.core import entities, memory_records, placing
 
 
 def log_placement(
@@ -43,6 +49,7 @@
         load_age_ms=world.now_ms - server.reported_at_ms
         if server.reported_at_ms >= 0
         else -1,
+        **engine_memory.log_fields(world, request, server),
         after=request.next_frame - 1,
         left_ms=ends_at_ms(request) - world.now_ms,
         **availability.unavailable_servers(world, request.work.target),
@@ -66,6 +73,7 @@
     request: entities.RequestRow,
     choice: placing.Choice,
     keys: tuple[int, ...],
+    memory: memory_records.Occupant | None,
 ) -> None:
     """Adds a prompt to its server's backlog, here and at other daemons."""
     priority = routing.priority(world, request)
@@ -80,6 +88,8 @@
                 tokens=tokens,
                 priority=priority,
                 levels=keys,
+                memory_tokens=memory.tokens if memory else 0,
+                shared_tokens=memory.shared_tokens if memory else 0,
             )
         )
 
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -10,8 +10,11 @@
     dispatch_pacing,
     dispatch_records,
     effects,
+    engine_memory,
     entities,
     kv_cache,
+    memory_queue,
+    memory_updates,
     paths,
     placing,
     quotas,
@@ -29,6 +32,9 @@
     if crashes.is_quarantined(world, request):
         refusing.refuse_quarantined(world, request)
         return
+    if engine_memory.never_fits(world, request):
+        refusing.refuse_too_large(world, request)
+        return
     if request.stream_version:
         _place_at_version(world, request)
         return
@@ -36,6 +42,9 @@
     if choice is None:
         _await_rest(world, request)
         return
+    if choice.memory_wait_ms:
+        _await_memory(world, request, choice)
+        return
     priority = routing.priority(world, request)
     queue = _queue(world, request.work.target, priority)
     queued_ahead = _queued_ahead(world, request.work.target, priority)
@@ -55,17 +64,60 @@
     if not must_queue:
         dispatch_unqueued(world, request, choice)
         return
+    if _has_queue_room(world, request, choice.wait_ms):
+        _enqueue(world, request, wait_ms=choice.wait_ms)
+
+
+def _has_queue_room(
+    world: entities.World, request: entities.RequestRow, wait_ms: float
+) -> bool:
+    """Refuses a request if too many are queued; returns whether it may be."""
     queued = _queued_count(world, request.work.target)
-    if queued >= _queue_limit(world, request):
-        refusing.refuse_unassigned(
-            world,
-            request,
-            effects.Reason.QUEUE_FULL,
-            f"{queued} requests wait for {request.work.target} already",
-            refusing.clamp_retry_after_ms(choice.wait_ms),
-        )
-        return
-    _enqueue(world, request, wait_ms=choice.wait_ms)
+    if queued < _queue_limit(world, request):
+        return True
+    refusing.refuse_unassigned(
+        world,
+        request,
+        effects.Reason.QUEUE_FULL,
+        f"{queued} requests wait for {request.work.target} already",
+        refusing.clamp_retry_after_ms(wait_ms),
+    )
+    return False
+
+
+def _await_memory(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+) -> None:
+    """Holds a request until an engine has memory, or refuses it at once."""
+    wait_ms = choice.memory_wait_ms
+    if _meets_deadline(world, request, choice, wait_ms) and _has_queue_room(
+        world, request, wait_ms
+    ):
+        _hold(world, request, choice)
+
+
+def _hold(
+    world: entities.World,
+    request: entities.RequestRow,
+    choice: placing.Choice,
+) -> None:
+    priority = routing.priority(world, request)
+    # The queue of its priority does not contain it, but is expected to exist.
+    _queue(world, request.work.target, priority)
+    request.phase = entities.Phase.QUEUED
+    request.queue_priority = priority
+    memory_queue.hold(world, request, priority)
+    world.event(
+        "held_for_memory",
+        request.request_id,
+        target=request.work.target,
+        tokens=engine_memory.request_tokens(request),
+        wait_ms=round(choice.memory_wait_ms),
+        held=len(world.memory_holds[request.work.target]),
+        **availability.unavailable_servers(world, request.work.target),
+    )
 
 
 def _place_at_version(
@@ -169,6 +221,7 @@
         expected_tokens=round(choice.uncached_tokens),
         software_version=server.software_version,
         relay=relay,
+        memory=memory_updates.occupant(world, request, choice),
     )
     _record_attempt(world, request, attempt)
     brittle.record_dispatch(world, server, attempt, is_at_holder=bool(holder))
@@ -185,7 +238,9 @@
                 max_keys=world.policy.max_residency,
             )
     elif keys:
-        dispatch_records.record_prompt(world, request, choice, keys)
+        dispatch_records.record_prompt(
+            world, request, choice, keys, attempt.memory
+        )
     if request.work.route is not None:
         dispatch_records.log_placement(world, request, choice, attempt)
     world.emit(
@@ -264,6 +319,7 @@
     an urgent route need not wait behind long queued ones.
     """
     for target in sorted(world.targets_to_dispatch):
+        _dispatch_held(world, target)
         by_priority = world.queues.get(target, {})
         for priority in sorted(by_priority):
             _dispatch_from_queue(world, by_priority[priority], priority)
@@ -276,6 +332,7 @@
     """Refuses queued requests that can no longer be served in time."""
     for target, by_priority in world.queues.items():
         world.targets_to_dispatch.add(target)
+        _expire_held(world, target)
         for priority, queue in by_priority.items():
             for request_id in queue.request_ids():
                 request = world.requests[request_id]
@@ -294,6 +351,14 @@
                 refusing.refuse_late(world, request, wait_ms)
 
 
+def _expire_held(world: entities.World, target: str) -> None:
+    """Refuses requests that were held for memory until their deadline."""
+    for held in memory_queue.in_order(world, target):
+        request = world.requests[held.request_id]
+        if request.answer_start_deadline_ms <= world.now_ms:
+            refusing.refuse_late(world, request, 0.0)
+
+
 def _is_rest_too_long(
     world: entities.World, request: entities.RequestRow
 ) -> bool:
@@ -303,7 +368,9 @@
 
 def _queued_count(world: entities.World, target: str) -> int:
     """Returns how many requests for a target are queued."""
-    return sum(map(len, world.queues[target].values()))
+    return sum(map(len, world.queues[target].values())) + len(
+        world.memory_holds[target]
+    )
 
 
 def _queue(world: entities.World, target: str, priority: int) -> fair.FairQueue:
@@ -316,6 +383,33 @@
     return sum(len(queue) for p, queue in by_priority.items() if p <= priority)
 
 
+def _dispatch_held(world: entities.World, target: str) -> None:
+    """Dispatches requests held for memory that fit on an engine now."""
+    for held in memory_queue.in_order(world, target):
+        request = world.requests[held.request_id]
+        if crashes.is_quarantined(world, request):
+            refusing.refuse_quarantined(world, request)
+            continue
+        memory_queue.reserve_if_due(world, request)
+        choice = placing.choose(world, request)
+        if choice is None or choice.wait_ms > world.policy.hold_ms:
+            continue
+        if choice.memory_wait_ms and not memory_queue.must_send(world, request):
+            continue
+        if _is_too_late(world, request, choice):
+            refusing.refuse_late(world, request, choice.wait_ms)
+            continue
+        memory_queue.forget(world, request)
+        dispatch(world, request, choice)
+
+
+def _is_too_late(
+    world: entities.World, request: entities.RequestRow, choice: placing.Choice
+) -> bool:
+    left_ms = request.answer_start_deadline_ms - world.now_ms
+    return choice.first_token_ms > left_ms
+
+
 def _dispatch_from_queue(
     world: entities.World, queue: fair.FairQueue, priority: int
 ) -> None:
@@ -328,10 +422,7 @@
         choice = placing.choose(world, request)
         if choice is None or choice.wait_ms > world.policy.hold_ms:
             return
-        if (
-            choice.first_token_ms
-            > request.answer_start_deadline_ms - world.now_ms
-        ):
+        if _is_too_late(world, request, choice):
             refusing.refuse_late(world, request, choice.wait_ms)
             continue
         queue.dequeue(queued)
@@ -340,10 +431,15 @@
             request.work.target,
             priority,
             remaining=len(queue),
-            updates_interval=not request.awaits_rest_end,
+            updates_interval=not (
+                request.awaits_rest_end or choice.memory_wait_ms
+            ),
         )
         request.awaits_rest_end = False
-        dispatch(world, request, choice)
+        if choice.memory_wait_ms:
+            _hold(world, request, choice)
+        else:
+            dispatch(world, request, choice)
 
 
 def _record_attempt(
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -44,6 +44,7 @@
     BAD_RESUME = "bad_resume_token"
     VERSION_UNKNOWN = "stream_version_unknown"
     NO_ROUTE = "no_route"
+    TOO_LARGE = "too_large"
     QUARANTINED = "quarantined"
     TIMEOUT = "timeout"
 
@@ -120,6 +121,11 @@
     Each daemon sees only a part of the requests. Without the announcement
     several daemons would choose the same idle server at the same moment, and
     none would know what the others have just brought into its cache.
+
+    Attributes:
+        memory_tokens: Memory that the request occupies; 0 if not estimated.
+        shared_tokens: Part of it that requests with the same shared levels
+            use as well.
     """
 
     server_id: str
@@ -127,6 +133,8 @@
     tokens: int
     priority: int
     levels: tuple[int, ...]
+    memory_tokens: int = 0
+    shared_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -9,6 +9,7 @@
 from godwittack.core import (
     dispatch_pacing,
     effects,
+    memory_records,
     prefill_cost,
     quarantine,
     server_inputs,
@@ -215,6 +216,7 @@
         silence_detail: How it was found, for the log.
         has_own_place: Whether it takes a place of this daemon at a brittle
             server.
+        memory: Memory that it occupies at the server; None if not estimated.
     """
 
     attempt_id: str
@@ -235,6 +237,7 @@
     silent_since_ms: int = 0
     silence_detail: str = ""
     has_own_place: bool = True
+    memory: memory_records.Occupant | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -315,6 +318,7 @@
         passed_on: Requests of other daemons that take places of this one.
         found_dead_until_ms: Until when to believe other daemons that don't
             reach it either.
+        memory: Memory that requests occupy there, if it is an engine.
     """
 
     server_id: str
@@ -366,6 +370,9 @@
     brittle_told_ms: int = -1_000_000
     rejected_at_ms: int = -1_000_000
     passed_on: int = 0
+    memory: memory_records.ServerMemory = dataclasses.field(
+        default_factory=memory_records.ServerMemory
+    )
     cache: residency.Residency = dataclasses.field(
         default_factory=residency.Residency
     )
@@ -477,6 +484,9 @@
         resting_servers: Ids of servers whose requested rest has not ended.
         prefill_costs: Prefill cost learnt from first tokens, by target.
         uneven_targets: Targets of which a server has reported its pace.
+        residences: How long requests occupy memory, by target.
+        memory_holds: Requests that fit into no engine's memory, by target and
+            request id.
         streams: Which software version began a stream.
         served_versions: Software versions of the servers, by target.
         paused_until_ms: When this process last went on after a pause.
@@ -554,6 +564,14 @@
     )
 
     uneven_targets: set[str] = dataclasses.field(default_factory=set)
+    residences: dict[str, memory_records.Residence] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(
+            memory_records.Residence
+        )
+    )
+    memory_holds: dict[str, dict[str, memory_records.Hold]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(dict)
+    )
     streams: stream_records.StreamRecords = dataclasses.field(
         default_factory=stream_records.StreamRecords
     )
@@ -589,7 +607,7 @@
             len(queue)
             for by_priority in self.queues.values()
             for queue in by_priority.values()
-        )
+        ) + sum(map(len, self.memory_holds.values()))
 
 
 __all__ = [
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -49,6 +49,8 @@
         first_token_ms: Estimated time to the first token.
         cost: Cost in milliseconds; the choice with the lowest one is used.
         fetch_from: Address to copy cached state from; empty for none.
+        memory_wait_ms: Estimated time until the request fits into any engine's
+            memory; 0 if it fits into the server's now.
     """
 
     server: entities.ServerRow
@@ -57,6 +59,7 @@
     first_token_ms: float
     cost: float
     fetch_from: str = ""
+    memory_wait_ms: float = 0.0
 
 
 def choose(
@@ -140,6 +143,7 @@
         first_token_ms=placement.first_token_ms,
         cost=placement.cost,
         fetch_from=placement.fetch_from,
+        memory_wait_ms=placement.memory_wait_ms,
     )
 
 
--- a/src/godwittack/core/refusing.py
+++ b/src/godwittack/core/refusing.py
@@ -22,6 +22,7 @@
 NO_SERVER_RETRY_MS = 1_000
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 60_000
+STATUS_TOO_LARGE = 413
 
 
 def refuse_unassigned(
@@ -43,7 +44,7 @@
     closing.refuse(
         world,
         request,
-        status=_not_served_status(request, outcome),
+        status=_not_served_status(request, outcome, reason),
         outcome=outcome,
         reason=reason,
         detail=detail,
@@ -87,6 +88,19 @@
     )
 
 
+def refuse_too_large(
+    world: entities.World, request: entities.RequestRow
+) -> None:
+    """Refuses a request whose prompt fits into the memory of no engine."""
+    refuse_unassigned(
+        world,
+        request,
+        effects.Reason.TOO_LARGE,
+        f"a prompt of {request.work.prompt_tokens} tokens fits into no engine",
+        0,
+    )
+
+
 def refuse_late(
     world: entities.World, request: entities.RequestRow, wait_ms: float
 ) -> None:
@@ -138,10 +152,14 @@
 
 
 def _not_served_status(
-    request: entities.RequestRow, outcome: effects.Outcome
+    request: entities.RequestRow,
+    outcome: effects.Outcome,
+    reason: effects.Reason,
 ) -> int:
     # Callers that use a route take 503 to mean that nothing has run.
     may_have_run = outcome is not effects.Outcome.NOT_RUN
+    if reason is effects.Reason.TOO_LARGE and not may_have_run:
+        return STATUS_TOO_LARGE
     return 502 if request.work.route and may_have_run else 503
 
 
@@ -152,5 +170,6 @@
     "refuse_no_server",
     "refuse_quarantined",
     "refuse_revoked",
+    "refuse_too_large",
     "refuse_unassigned",
 ]
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -17,6 +17,7 @@
     entities,
     hedging,
     inputs,
+    memory_updates,
     outcomes,
     paths,
     probing,
@@ -162,6 +163,7 @@
                     world.table = input_.table
             case server_inputs.PeerDispatched():
                 backlog.record_peer_dispatch(world, input_)
+                memory_updates.record_peer_dispatch(world, input_)
             case inputs.CrashesTold():
                 crashes.apply_peer_update(world, input_)
             case inputs.PeerDemand():
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -11,6 +11,8 @@
     entities,
     incarnation,
     inputs,
+    memory_records,
+    memory_updates,
     paths,
     server_inputs,
     software,
@@ -103,6 +105,8 @@
         return
     restarted = incarnation.is_older(server.incarnation, report.incarnation)
     if measured_at_ms < server.reported_at_ms and not restarted:
+        # Answers have brought a newer load, but never the memory in use.
+        memory_updates.apply_report(world, server, report)
         return
     if not _is_outdated(world, server, report):
         _update_state(world, server, report.incarnation, report.weights_version)
@@ -113,6 +117,7 @@
     server.waiting_tokens = report.waiting_tokens
     server.prefill_us_per_token = report.prefill_us_per_token
     server.slots = report.slots or server.slots
+    memory_updates.apply_report(world, server, report)
     if report.leaving:
         _record_leaving(world, report, server_inputs.Source.REPORT)
     world.targets_to_dispatch.add(server.target)
@@ -378,6 +383,7 @@
     server.in_flight.clear()
     server.backlog_until_ms.clear()
     server.last_answered_sent_ms.clear()
+    server.memory = memory_records.ServerMemory()
 
 
 def _record_leaving(
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -47,9 +47,6 @@
 # Relative cost of the memory that a copied token occupies: it evicts other
 # state from the cache of the server that it is copied to.
 COPY_MEMORY_COST_RATIO = 0.07
-# Time after its last use by which an engine under load has evicted a prompt:
-# memory for 185,000 tokens, some 60,000 tokens computed per second.
-EVICTED_AFTER_MS = 3_000
 # Cost of computing a shared token again, in addition to the compute time.
 RECOMPUTE_EXTRA_US = 40.0
 # Cost reduction for a prompt's home server while its shared levels are neither
@@ -93,6 +90,8 @@
         uncached_tokens: Tokens that the server will have to compute.
         first_token_ms: Estimated time to the first token.
         cost: Cost in milliseconds; the server with the lowest one is used.
+        memory_wait_ms: Estimated time until the request fits into the memory
+            of any server; 0 if it fits into this one's.
     """
 
     server: entities.ServerRow
@@ -101,6 +100,7 @@
     uncached_tokens: float
     first_token_ms: float
     cost: float
+    memory_wait_ms: float = 0.0
 
 
 def choose(
@@ -123,13 +123,19 @@
     is_uneven = uneven.is_uneven(world, request.work.target)
     possible_homes = usable
     choose_candidates = candidates.choose
+    with_room = usable
     if is_uneven:
+        with_room = engine_memory.with_room(world, request, usable)
         possible_homes = locality.home_candidates(world, usable)
         choose_candidates = locality.candidates
     home_id = candidates.home_server(request, possible_homes)
     priority = routing.priority(world, request)
     selected = choose_candidates(
-        world, request, usable, cached_tokens=cached_tokens, home_id=home_id
+        world,
+        request,
+        with_room or usable,
+        cached_tokens=cached_tokens,
+        home_id=home_id,
     )
     placements = [
         _score(
@@ -144,6 +150,11 @@
         for server in selected
     ]
     best = min(placements, key=lambda p: (p.cost, p.server.server_id))
+    if not with_room:
+        best = dataclasses.replace(
+            best,
+            memory_wait_ms=engine_memory.wait_ms(world, request, best.server),
+        )
     if best.fetch_from:
         return best
     same_weights = sources[best.server.weights_version]
@@ -312,6 +323,9 @@
         tokens = _copyable_tokens(world, request, engine, version)
         if tokens:
             us_per_token = prefill_cost.us_per_token(world, engine)
+            copy_us = engine_memory.copy_us_per_token(
+                world, engine, engine.target
+            )
             eviction_probability = _eviction_probability(
                 world, request, engine, version
             )
@@ -319,7 +333,9 @@
                 Source(
                     engine,
                     tokens,
-                    us_per_token * ENGINE_COPY_COST_RATIO,
+                    us_per_token * ENGINE_COPY_COST_RATIO
+                    if copy_us is None
+                    else copy_us,
                     us_per_token * EVICTED_COST_RATIO * eviction_probability,
                 )
             )
@@ -327,11 +343,12 @@
     for store in cached_state.stores(world):
         tokens = _copyable_tokens(world, request, store, version)
         if tokens:
-            sources.append(
-                Source(
-                    store, tokens, engines_us_per_token * STORE_COPY_COST_RATIO
-                )
+            copy_us = engine_memory.copy_us_per_token(
+                world, store, request.work.target
             )
+            if copy_us is None:
+                copy_us = engines_us_per_token * STORE_COPY_COST_RATIO
+            sources.append(Source(store, tokens, copy_us))
     return sources
 
 
@@ -385,7 +402,8 @@
         )
         is not None
     )
-    return min(1.0, max(0, world.now_ms - cached_at_ms) / EVICTED_AFTER_MS)
+    age_ms = max(0, world.now_ms - cached_at_ms)
+    return min(1.0, age_ms / engine_memory.evicted_after_ms(world, engine))
 
 
 def _distance_factor(
--- a/src/godwittack/daemon/dispatch_announcer.py
+++ b/src/godwittack/daemon/dispatch_announcer.py
@@ -55,6 +55,8 @@
                     tokens=announcement.tokens,
                     priority=announcement.priority,
                     levels=announcement.levels,
+                    memory_tokens=announcement.memory_tokens,
+                    shared_tokens=announcement.shared_tokens,
                 )
             ]
         )
@@ -78,6 +80,8 @@
                     tokens=announcement.tokens,
                     priority=announcement.priority,
                     levels=tuple(announcement.levels),
+                    memory_tokens=announcement.memory_tokens,
+                    shared_tokens=announcement.shared_tokens,
                 )
             )
 
