Announce the memory of a long-held request to the other daemons

An engine that one daemon of many keeps free is filled by the others. The announcement of a dispatch is sent for the held request as well, without prompt tokens, every 250 ms; the engine's next report ends it.

--- a/src/godwittack/core/memory_queue.py
+++ b/src/godwittack/core/memory_queue.py
@@ -7,22 +7,26 @@
 
 So a large request waits beside the queue, which goes on. After half of the time
 to its deadline, this daemon sends no other request to the engine with the most
-free memory. After three quarters of it the request is sent in any case: other
-daemons do not know that the engine is kept free, and it can still be served in
-time where it waits at the engine.
+free memory, and announces the memory to the other daemons as if it were in use:
+one daemon of many sends too little to an engine to keep it free. After three
+quarters of that time the request is sent in any case, since it may still be
+served in time where it waits at the engine.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import engine_memory, memory_records, placing
+from godwittack.core import effects, engine_memory, memory_records, placing
 
 if TYPE_CHECKING:
     from godwittack.core import entities
 
 RESERVE_AFTER_PART = 0.5
 SEND_AFTER_PART = 0.75
+# An announced claim counts at the other daemons until the next report of the
+# engine, which does not contain it. Reports are 300 to 900 ms apart.
+CLAIM_INTERVAL_MS = 250
 
 
 def hold(
@@ -59,6 +63,7 @@
         and kept.memory.kept_for == request.request_id
         and placing.is_usable(world, kept, request)
     ):
+        _claim(world, request, held)
         return
     _release(world, held)
     free = {
@@ -79,6 +84,29 @@
         free_tokens=round(free[held.server_id]),
         left_ms=request.answer_start_deadline_ms - world.now_ms,
     )
+    _claim(world, request, held)
+
+
+def _claim(
+    world: entities.World,
+    request: entities.RequestRow,
+    held: memory_records.Hold,
+) -> None:
+    """Announces the memory that a held request will occupy."""
+    if world.now_ms < held.claim_at_ms:
+        return
+    held.claim_at_ms = world.now_ms + CLAIM_INTERVAL_MS
+    world.emit(
+        effects.Announce(
+            server_id=held.server_id,
+            target=request.work.target,
+            tokens=0,
+            priority=held.priority,
+            # The engine has not cached any part of the prompt yet.
+            levels=(),
+            memory_tokens=engine_memory.request_tokens(request),
+        )
+    )
 
 
 def must_send(world: entities.World, request: entities.RequestRow) -> bool:
--- a/src/godwittack/core/memory_records.py
+++ b/src/godwittack/core/memory_records.py
@@ -149,6 +149,7 @@
         reserve_at_ms: When to keep an engine free for it.
         send_at_ms: When to send it in any case.
         server_id: The engine that is kept free; empty for none.
+        claim_at_ms: When to announce its memory to other daemons next.
     """
 
     request_id: str
@@ -156,6 +157,7 @@
     reserve_at_ms: int
     send_at_ms: int
     server_id: str = ""
+    claim_at_ms: int = 0
 
 
 def blocks(tokens: float) -> int:
