Keep claims of memory apart from announced requests, and fix unreadable totals

A claim ended with the engine's next report, so that it counted half of the time. It now lasts 600 ms, replaces the one before, and no report contains it. A prompt larger than one engine was tried there although another has room for it, and a report with a total but no readable use made an engine seem empty. Held requests and engines kept free are gauges.

--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -356,7 +356,8 @@
     for held in memory_queue.in_order(world, target):
         request = world.requests[held.request_id]
         if request.answer_start_deadline_ms <= world.now_ms:
-            refusing.refuse_late(world, request, 0.0)
+            wait_ms = world.residences[target].long_ms
+            refusing.refuse_late(world, request, wait_ms)
 
 
 def _is_rest_too_long(
--- a/src/godwittack/core/engine_memory.py
+++ b/src/godwittack/core/engine_memory.py
@@ -278,8 +278,11 @@
         if key not in used.keys:
             break
         needed -= tokens
-    # A request that may need more than all memory is tried on an empty engine.
-    return total - used.tokens - min(needed, total)
+    prompt_tokens = memory_records.blocks(request.work.prompt_tokens + 1)
+    if prompt_tokens <= total:
+        # If only its answer may need more, it is tried on an empty engine.
+        needed = min(needed, total)
+    return total - used.tokens - needed
 
 
 def _counted_occupants(
--- a/src/godwittack/core/memory_queue.py
+++ b/src/godwittack/core/memory_queue.py
@@ -24,9 +24,6 @@
 
 RESERVE_AFTER_PART = 0.5
 SEND_AFTER_PART = 0.75
-# An announced claim counts at the other daemons until the next report of the
-# engine, which does not contain it. Reports are 300 to 900 ms apart.
-CLAIM_INTERVAL_MS = 250
 
 
 def hold(
@@ -95,14 +92,15 @@
     """Announces the memory that a held request will occupy."""
     if world.now_ms < held.claim_at_ms:
         return
-    held.claim_at_ms = world.now_ms + CLAIM_INTERVAL_MS
+    held.claim_at_ms = world.now_ms + memory_records.CLAIM_INTERVAL_MS
     world.emit(
         effects.Announce(
             server_id=held.server_id,
             target=request.work.target,
             tokens=0,
             priority=held.priority,
-            # The engine has not cached any part of the prompt yet.
+            # Without tokens and levels, it is a claim: nothing is computed or
+            # cached yet.
             levels=(),
             memory_tokens=engine_memory.request_tokens(request),
         )
--- a/src/godwittack/core/memory_records.py
+++ b/src/godwittack/core/memory_records.py
@@ -11,6 +11,10 @@
 PREFILL_DECAY_MS = 5_000
 # Weight of a new sample in the learned times of a target.
 SMOOTHING_FACTOR = 0.1
+# Interval at which a daemon announces the memory that it keeps free, and time
+# after which the others forget it, so that one lost datagram does no harm.
+CLAIM_INTERVAL_MS = 250
+CLAIM_EXPIRES_MS = 600
 # Assumed until requests of a target have ended.
 DEFAULT_MS_PER_TOKEN = 10.0
 DEFAULT_RESIDENCE_MS = 1_000.0
@@ -54,11 +58,13 @@
     Attributes:
         last_end_ms: When its route's time is over at the latest.
         is_reported: Whether the engine's last report counts its memory.
+        is_claim: Whether it is held by the other daemon and not sent yet.
     """
 
     occupant: Occupant
     last_end_ms: int
     is_reported: bool = False
+    is_claim: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -174,6 +180,8 @@
 
 
 __all__ = [
+    "CLAIM_EXPIRES_MS",
+    "CLAIM_INTERVAL_MS",
     "AnnouncedOccupant",
     "Hold",
     "Occupant",
--- a/src/godwittack/core/memory_updates.py
+++ b/src/godwittack/core/memory_updates.py
@@ -73,25 +73,47 @@
     if not dispatch.memory_tokens:
         # The sender is of an older release: the next report counts the request.
         return
+    is_claim = not dispatch.tokens and not dispatch.levels
     memory.announced = [
-        entry for entry in memory.announced if entry.last_end_ms > world.now_ms
+        entry
+        for entry in memory.announced
+        if entry.last_end_ms > world.now_ms
+        # A claim replaces the same one announced before.
+        and not (
+            is_claim
+            and entry.is_claim
+            and entry.occupant.tokens == dispatch.memory_tokens
+        )
     ]
+    left_ms = (
+        memory_records.CLAIM_EXPIRES_MS
+        if is_claim
+        else _timeout_ms(world, server.target)
+    )
+    memory.announced.append(
+        memory_records.AnnouncedOccupant(
+            _announced_occupant(world, server, dispatch),
+            last_end_ms=world.now_ms + left_ms,
+            is_claim=is_claim,
+        )
+    )
+
+
+def _announced_occupant(
+    world: entities.World,
+    server: entities.ServerRow,
+    dispatch: server_inputs.PeerDispatched,
+) -> memory_records.Occupant:
     keys = dispatch.levels[:-1]
     shared_tokens = min(dispatch.shared_tokens, dispatch.memory_tokens)
     if not keys:
         shared_tokens = 0
-    memory.announced.append(
-        memory_records.AnnouncedOccupant(
-            memory_records.Occupant(
-                own_tokens=dispatch.memory_tokens - shared_tokens,
-                # How the tokens are divided among the parts is not announced.
-                shared=tuple((key, shared_tokens // len(keys)) for key in keys),
-                sent_at_ms=dispatch.at_ms,
-                expected_end_ms=world.now_ms
-                + world.residences[server.target].long_ms,
-            ),
-            last_end_ms=world.now_ms + _timeout_ms(world, server.target),
-        )
+    return memory_records.Occupant(
+        own_tokens=dispatch.memory_tokens - shared_tokens,
+        # How the tokens are divided among the parts is not announced.
+        shared=tuple((key, shared_tokens // len(keys)) for key in keys),
+        sent_at_ms=dispatch.at_ms,
+        expected_end_ms=world.now_ms + world.residences[server.target].long_ms,
     )
 
 
@@ -112,7 +134,7 @@
     memory.reserved_tokens = report.kv_reserved_tokens
     waiting = _waiting(server, measured_at_ms, count=report.waiting)
     for entry in memory.announced:
-        if entry.occupant.sent_at_ms < measured_at_ms:
+        if entry.occupant.sent_at_ms < measured_at_ms and not entry.is_claim:
             entry.is_reported |= entry.occupant not in waiting
     memory.announced = [
         entry
@@ -154,7 +176,7 @@
     sent.extend(
         entry.occupant
         for entry in server.memory.announced
-        if not entry.is_reported
+        if not (entry.is_reported or entry.is_claim)
     )
     sent = [one for one in sent if one.sent_at_ms < measured_at_ms]
     sent.sort(key=lambda one: one.sent_at_ms, reverse=True)
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -120,6 +120,12 @@
 def _gauges(world: entities.World) -> dict[str, Callable[[], float]]:
     return {
         "godwittack_queued": lambda: world.queued_count(),
+        "godwittack_held_for_memory": lambda: sum(
+            map(len, world.memory_holds.values())
+        ),
+        "godwittack_engines_kept_free": lambda: sum(
+            bool(server.memory.kept_for) for server in world.servers.values()
+        ),
         "godwittack_in_flight": lambda: len(world.requests),
         "godwittack_limited_servers": lambda: sum(
             server.rate_limit is not None for server in world.servers.values()
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -39,12 +39,12 @@
     busy: bool = False
     state: object = ""
     # Memory in tokens: what can't be evicted, all, held and pinned.
-    kv_used: wire.OptionalCount = 0
-    kv_total: wire.OptionalCount = 0
-    held: wire.OptionalCount = 0
-    pinned: wire.OptionalCount = 0
+    kv_used: wire.OptionalCount = None
+    kv_total: wire.OptionalCount = None
+    held: wire.OptionalCount = None
+    pinned: wire.OptionalCount = None
     # Tokens of the first waiting request.
-    next: wire.OptionalCount = 0
+    next: wire.OptionalCount = None
 
 
 class _Events(wire.StrictBody):
@@ -129,10 +129,13 @@
             accepted_orders=report.sequence,
             is_executing_order=report.busy,
             leaving=report.state == "draining",
-            kv_used_tokens=report.kv_used,
-            kv_total_tokens=report.kv_total,
-            kv_reserved_tokens=report.held + report.pinned,
-            next_tokens=report.next,
+            kv_used_tokens=report.kv_used or 0,
+            # With the total alone the engine would seem empty.
+            kv_total_tokens=0
+            if report.kv_used is None
+            else report.kv_total or 0,
+            kv_reserved_tokens=(report.held or 0) + (report.pinned or 0),
+            next_tokens=report.next or 0,
         )
 
     def events_call(
--- a/src/godwittack/platform/wire.py
+++ b/src/godwittack/platform/wire.py
@@ -12,19 +12,19 @@
 Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
 Positive = Annotated[int, pydantic.Field(ge=1, le=_MAX_NUMBER)]
 Amount = Annotated[float, pydantic.Field(ge=0, le=_MAX_NUMBER)]
-# Largest number that a message between daemons can carry.
-_MAX_UINT32 = 2**32 - 1
+# Two of these can be added up in a field of a message between daemons.
+_MAX_INT32 = 2**31 - 1
 
 
-def _count_or_zero(value: object) -> int:
-    """Returns a number as a count, and 0 for anything else."""
+def _count_or_none(value: object) -> int | None:
+    """Returns a number as a count, and None for anything else."""
     if isinstance(value, bool) or not isinstance(value, int | float):
-        return 0
-    return round(value) if 0 <= value <= _MAX_UINT32 // 2 else 0
+        return None
+    return round(value) if 0 <= value <= _MAX_INT32 else None
 
 
 # A count that is not worth losing the rest of a body for.
-OptionalCount = Annotated[int, pydantic.BeforeValidator(_count_or_zero)]
+OptionalCount = Annotated[int | None, pydantic.BeforeValidator(_count_or_none)]
 
 
 class Body(pydantic.BaseModel):
--- a/src/godwittack/report/text.py
+++ b/src/godwittack/report/text.py
@@ -28,6 +28,7 @@
     "table_service_down": "the platform's table service did not answer",
     "table_not_current": "a daemon was cut off; see godwittack table status",
     "answer_lost": "check these calls at the service before repeating them",
+    "too_large": "the prompt is larger than the memory of every engine",
     "bad_resume_token": "the caller sent a token that is not its own",
 }
 
