--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -50,6 +50,7 @@
     "relaying",
     "brittle",
     "fuzz",
+    "engine_memory",
 )
 
 
