--- a/tests/cases/engine_memory.py
+++ b/tests/cases/engine_memory.py
@@ -18,25 +18,6 @@
 MIN_BEGUN_LARGEST, MIN_BEGUN_OTHERS = 0.9, 0.99
 
 
-def _report(core, server: str, used: int, **fields) -> None:
-    core.tell_named(
-        server_inputs.LoadReported,
-        **{
-            "server_id": server,
-            "incarnation": server,
-            "weights_version": "1",
-            "running": 1,
-            "waiting": 0,
-            "waiting_tokens": 0,
-            "prefill_us_per_token": 0,
-            "slots": memory_load.SLOTS,
-            "kv_used_tokens": used,
-            "kv_total_tokens": TOTAL,
-        }
-        | fields,
-    )
-
-
 def _arrive(core, name: str, *tokens: int, route: str = "long", **fields):
     """Submits a prompt whose first part is the same for all of a route."""
     parts = [work.Level(len(route), size) for size in tokens[:-1]]
@@ -50,7 +31,7 @@
     for _ in range(ms // 500):
         collected.extend(core.wait(500))
         for number, tokens in enumerate(used, start=1):
-            _report(core, f"e{number}", tokens)
+            memory_load.report(core, f"e{number}", tokens)
     return collected
 
 
@@ -62,7 +43,7 @@
     """Returns a core with an engine for each amount of memory in use."""
     core = memory_load.memory_core(is_on=is_on, engines=len(used))
     for number, tokens in enumerate(used, start=1):
-        _report(core, f"e{number}", tokens)
+        memory_load.report(core, f"e{number}", tokens)
     return core
 
 
@@ -70,7 +51,7 @@
     """Guards against a prompt that waits for memory, or preempts another."""
     for is_on, expected in ((True, "e2"), (False, "e1")):
         core = _core(TOTAL - 5_000, 10_000, is_on=is_on)
-        _report(core, "e2", 10_000, running=6)
+        memory_load.report(core, "e2", 10_000, running=6)
         _arrive(core, "r", 13_300, 3_720)
         assert core.dispatch().server_id == expected, is_on
 
@@ -82,7 +63,7 @@
     assert not core.find(effects.Dispatch)
     assert core.world.queued_count() == 1
     core.now_ms += 200
-    _report(core, "e2", 10_000)
+    memory_load.report(core, "e2", 10_000)
     assert core.dispatch().server_id == "e2"
     assert core.world.queued_count() == 0
 
@@ -113,7 +94,7 @@
     refusal = core.refusal()
     assert (refusal.status, refusal.retry_after_ms) == (413, 0), refusal
     assert refusal.outcome is effects.Outcome.NOT_RUN
-    _report(core, "e2", 0, kv_total_tokens=2 * TOTAL)
+    memory_load.report(core, "e2", 0, kv_total_tokens=2 * TOTAL)
     _arrive(core, "fits", 13_300, TOTAL)
     assert core.dispatch().server_id == "e2"
 
@@ -130,13 +111,13 @@
     assert claims and {one.server_id for one in claims} == {"e1"}
     assert all(one.memory_tokens >= 93_100 for one in claims)
     for number in range(8):
-        _report(core, "e1", TOTAL - 60_000)
-        _report(core, "e2", TOTAL - 20_000, running=6)
+        memory_load.report(core, "e1", TOTAL - 60_000)
+        memory_load.report(core, "e2", TOTAL - 20_000, running=6)
         _arrive(core, f"s{number}", 92, 291, route="short")
         assert core.dispatch().server_id == "e2", number
-    _report(core, "e1", 20_000)
+    memory_load.report(core, "e1", 20_000)
     assert core.dispatch().request_id == "large"
-    _report(core, "e2", TOTAL)
+    memory_load.report(core, "e2", TOTAL)
     _arrive(core, "after", 92, 291, route="short")
     assert core.dispatch().server_id == "e1"
 
@@ -157,13 +138,13 @@
     core.tell_named(server_inputs.PeerDispatched, **peer, memory_tokens=60_000)
     assert _used(core, "e1") == 110_000
     core.now_ms += 10
-    _report(core, "e1", 110_000)
+    memory_load.report(core, "e1", 110_000)
     assert _used(core, "e1") == 110_000
     _arrive(core, "r", 16_000, 1_600)
     sent = core.dispatch()
     assert sent.server_id == "e2" and _used(core, "e2") == 67_600
     core.now_ms += 10
-    _report(core, "e2", 67_600)
+    memory_load.report(core, "e2", 67_600)
     assert _used(core, "e2") == 67_600
     core.open(sent)
     core.frames(sent, 1, end=True)
@@ -181,7 +162,7 @@
             server_inputs.PeerDispatched, **claim, memory_tokens=80_000
         )
         core.wait(250)
-        _report(core, "e1", 50_000)
+        memory_load.report(core, "e1", 50_000)
         assert _used(core, "e1") == 130_000
     core.wait(400)
     assert _used(core, "e1") == 50_000
@@ -200,14 +181,14 @@
     core = _core(100_000)
     _arrive(core, "r", 16_000, 16_000)
     core.now_ms += 10
-    _report(core, "e1", 100_000, waiting=1, next_tokens=32_000)
+    memory_load.report(core, "e1", 100_000, waiting=1, next_tokens=32_000)
     assert _used(core, "e1") == 132_000
 
 
 def an_engine_that_restarts_is_empty() -> None:
     """Guards against the memory of a process that has ended."""
     core = _core(TOTAL - 100, TOTAL - 100)
-    _report(core, "e1", 0, incarnation="e1-new", kv_total_tokens=0)
+    memory_load.report(core, "e1", 0, incarnation="e1-new", kv_total_tokens=0)
     assert _used(core, "e1") == 0
 
 
@@ -243,19 +224,12 @@
 
 def reports_of_memory_reach_other_daemons() -> None:
     """Guards against daemons that know the memory of their own engines only."""
-    core = _core(0)
     load = server_inputs.LoadReported(
+        **memory_load.REPORT,
         at_ms=0,
         server_id="e1",
         incarnation="e1",
-        weights_version="1",
-        running=1,
-        waiting=0,
-        waiting_tokens=0,
-        prefill_us_per_token=0,
-        slots=12,
         kv_used_tokens=50_000,
-        kv_total_tokens=TOTAL,
         kv_reserved_tokens=7,
         next_tokens=8,
     )
@@ -268,7 +242,6 @@
     for used, is_published in ((50_000, True), (51_000, False), (70_000, True)):
         changed = dataclasses.replace(load, kv_used_tokens=used)
         assert published.record_if_changed(changed) is is_published, used
-    assert core.world.now_ms
 
 
 def preemptions_fall_and_neither_large_nor_small_prompts_starve() -> None:
--- a/tests/cases/memory_load.py
+++ b/tests/cases/memory_load.py
@@ -22,7 +22,7 @@
 # Mean and largest shared and own part of long prompts.
 LONG_TOKENS = ((13_300, 39_900), (3_720, 53_200))
 DOCUMENTS = 12
-LONG_DEADLINE_MS, SHORT_DEADLINE_MS = 6_317, 3_282
+DEADLINE_MS = {"long": 6_317, "short": 3_282}
 # Per engine and second; bursts of long prompts last 6 s.
 LONG_PER_S, SHORT_PER_S, BURST_FACTOR = 24.6 / 28, 371 / 28, 2.5
 ENGINES, DAEMONS = 4, 3
@@ -32,7 +32,7 @@
         "long",
         routed_core.ENGINES,
         streaming=True,
-        timeout_ms=LONG_DEADLINE_MS,
+        timeout_ms=DEADLINE_MS["long"],
         aim_ms=1_263,
         priority=2,
     ),
@@ -40,26 +40,32 @@
         "short",
         routed_core.ENGINES,
         streaming=True,
-        timeout_ms=SHORT_DEADLINE_MS,
+        timeout_ms=DEADLINE_MS["short"],
         aim_ms=273,
     ),
 )
-
-
-def table(version: int = 2, **limits):
+REPORT = {
+    "weights_version": "1",
+    "running": 1,
+    "waiting": 0,
+    "waiting_tokens": 0,
+    "prefill_us_per_token": 0,
+    "slots": SLOTS,
+    "kv_total_tokens": TOTAL_TOKENS,
+}
+
+
+def _table():
     """Returns the configuration of deployment A, with one model."""
-    result = routed_core.table(version, routes=ROUTES)
-    stated = {
-        "kv_capacity_tokens": TOTAL_TOKENS,
-        "kv_token_bytes": 163_840,
-        "link_mbps": 1_100_000,
-        **limits,
-    }
-    engines = {
-        routed_core.ENGINES: forwarding.EngineLimits(
-            model="m", slots=SLOTS, **stated
-        )
-    }
+    result = routed_core.table(2, routes=ROUTES)
+    limits = forwarding.EngineLimits(
+        model="m",
+        slots=SLOTS,
+        kv_capacity_tokens=TOTAL_TOKENS,
+        kv_token_bytes=163_840,
+        link_mbps=1_100_000,
+    )
+    engines = {routed_core.ENGINES: limits}
     return dataclasses.replace(
         result,
         forwarding=dataclasses.replace(result.forwarding, engines=engines),
@@ -74,7 +80,7 @@
         learns_pace=0,
         prefill_us_per_token=16,
     )
-    core.tell(inputs.TableChanged, table())
+    core.tell(inputs.TableChanged, _table())
     for number in range(1, engines + 1):
         echo_pace(core, f"e{number}")
     return core
@@ -92,6 +98,18 @@
     )
 
 
+def report(
+    core: routed_core.Core, server: str, used_tokens: int, **fields
+) -> list[effects.Effect]:
+    """Delivers an engine's report of its memory."""
+    return core.tell_named(
+        server_inputs.LoadReported,
+        server_id=server,
+        kv_used_tokens=used_tokens,
+        **REPORT | {"incarnation": server} | fields,
+    )
+
+
 def blocks(tokens: int) -> int:
     """Returns the memory allocated for some tokens."""
     return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
@@ -185,9 +203,8 @@
             self.running.append(job)
 
     def _missing(self, job: Job) -> int:
-        in_use = {other.shared[0] for other in self.running}
-        needed = job.own_memory
-        needed += 0 if job.shared[0] in in_use else job.shared[1]
+        is_shared = any(one.shared[0] == job.shared[0] for one in self.running)
+        needed = job.own_memory + (0 if is_shared else job.shared[1])
         return self.used_tokens() + needed - TOTAL_TOKENS
 
     def _victims(self, less_urgent_than: int = -1) -> list[Job]:
@@ -217,7 +234,7 @@
     """What became of one request."""
 
     kind: str
-    tokens: int
+    parts: tuple[work.Level, ...]
     arrived_ms: int
     first_token_ms: int = -1
 
@@ -234,7 +251,6 @@
         self._cores = [memory_core(is_on=is_on) for _ in range(DAEMONS)]
         self.engines = {f"e{n}": Engine() for n in range(1, ENGINES + 1)}
         self.results: dict[str, Result] = {}
-        self._works: dict[str, tuple[work.Level, ...]] = {}
         self._jobs: dict[tuple[int, str], Job] = {}
         self._announced: list[tuple[routed_core.Core, effects.Announce]] = []
 
@@ -262,7 +278,7 @@
     def of(self, kind: str) -> list[Result]:
         """Returns the results of one kind, the largest prompts first."""
         found = [one for one in self.results.values() if one.kind == kind]
-        return sorted(found, key=lambda one: -one.tokens)
+        return sorted(found, key=lambda one: -sum(p.tokens for p in one.parts))
 
     def _arrive(self, at_ms: int) -> None:
         is_burst = at_ms % 12_000 >= 6_000
@@ -290,23 +306,22 @@
             work.Level(10_000 + len(self.results), own),
         )
         core = self._random.choice(self._cores)
-        self.results[name] = Result(kind, shared + own, core.now_ms)
-        self._works[name] = parts
-        deadline_ms = LONG_DEADLINE_MS if kind == "long" else SHORT_DEADLINE_MS
+        self.results[name] = Result(kind, parts, core.now_ms)
         new_effects = core.arrive(
             kind,
             name,
             levels=parts,
             max_tokens=ANSWER_TOKENS[kind],
-            deadline_ms=deadline_ms,
+            deadline_ms=DEADLINE_MS[kind],
         )
         self._handle(core, new_effects)
 
     def _handle(self, core, new_effects: list[effects.Effect]) -> None:
         for effect in new_effects:
             if isinstance(effect, effects.Dispatch):
-                shared, own = self._works[effect.request_id]
-                most = ANSWER_TOKENS[self.results[effect.request_id].kind]
+                result = self.results[effect.request_id]
+                shared, own = result.parts
+                most = ANSWER_TOKENS[result.kind]
                 job = Job(
                     effect,
                     core,
@@ -343,18 +358,12 @@
 
     def _announce(self) -> None:
         announced, self._announced = self._announced, []
-        for sender, one in announced:
+        for sender, announcement in announced:
+            fields = dataclasses.asdict(announcement)
+            del fields["target"]
             for core in self._cores:
                 if core is not sender:
-                    core.tell_named(
-                        server_inputs.PeerDispatched,
-                        server_id=one.server_id,
-                        tokens=one.tokens,
-                        priority=one.priority,
-                        levels=one.levels,
-                        memory_tokens=one.memory_tokens,
-                        shared_tokens=one.shared_tokens,
-                    )
+                    core.tell_named(server_inputs.PeerDispatched, **fields)
 
     def _report(self) -> None:
         for name, engine in self.engines.items():
@@ -363,23 +372,16 @@
                 following.shared[1] + following.own_tokens if following else 0
             )
             for core in self._cores:
-                self._handle(
+                new_effects = report(
                     core,
-                    core.tell_named(
-                        server_inputs.LoadReported,
-                        server_id=name,
-                        incarnation=name,
-                        weights_version="1",
-                        running=len(engine.running),
-                        waiting=len(engine.waiting),
-                        waiting_tokens=0,
-                        prefill_us_per_token=0,
-                        slots=SLOTS,
-                        kv_used_tokens=engine.used_tokens(),
-                        kv_total_tokens=TOTAL_TOKENS,
-                        next_tokens=next_tokens,
-                    ),
+                    name,
+                    engine.used_tokens(),
+                    running=len(engine.running),
+                    waiting=len(engine.waiting),
+                    next_tokens=next_tokens,
                 )
+                self._handle(core, new_effects)
 
 
-__all__ = ["TOTAL_TOKENS", "Engine", "Load", "echo_pace", "memory_core"]
+__all__ = ["REPORT", "SLOTS", "TOTAL_TOKENS", "Load", "Result", "memory_core"]
+__all__ += ["report"]
