--- a/src/godwittack/core/work.py
+++ b/src/godwittack/core/work.py
@@ -60,6 +60,8 @@
         used_tokens: Tokens that it counts as against a quota, those of the
             answer included; None if the caller states no count.
         body_bytes: Length of its body, if routes decide the target.
+        length_hint: Tokens that the caller expects to be generated; None if it
+            sent no hint.
     """
 
     kind: WorkKind
@@ -81,6 +83,7 @@
     resumes: str = ""
     used_tokens: int | None = None
     body_bytes: int = 0
+    length_hint: int | None = None
 
     @property
     def prompt_tokens(self) -> int:
--- a/src/godwittack/daemon/dispatch_announcer.py
+++ b/src/godwittack/daemon/dispatch_announcer.py
@@ -83,6 +83,8 @@
         priority=announcement.priority,
         levels=announcement.levels,
         delay_ms=announcement.delay_ms,
+        memory_tokens=announcement.memory_tokens,
+        shared_tokens=announcement.shared_tokens,
     )
     load = announcement.load
     if load is not None:
@@ -105,6 +107,8 @@
         priority=message.priority,
         levels=tuple(message.levels),
         load=_load_from_proto(message, now_ms=now_ms),
+        memory_tokens=message.memory_tokens,
+        shared_tokens=message.shared_tokens,
     )
 
 
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -67,6 +67,9 @@
             resumes=request.headers.get(names.RESUMES, ""),
             used_tokens=levels.used_tokens(parts, prompt_tokens, answer_tokens),
             body_bytes=len(body),
+            length_hint=backend_headers.parse_number(
+                request.headers.get(names.LENGTH_HINT, "")
+            ),
         )
         call = backend.Call(
             method=request.method,
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -37,10 +37,16 @@
         "parts",
         "used_tokens",
         "body_bytes",
+        "length_hint",
     ),
     work.Answer: ("is_delimited",),
     work.Head: ("is_delimited",),
-    effects.Announce: ("load", "delay_ms"),
+    effects.Announce: (
+        "load",
+        "delay_ms",
+        "memory_tokens",
+        "shared_tokens",
+    ),
     effects.Dispatch: (
         "ends_at_ms",
         "has_own_place",
@@ -52,7 +58,13 @@
     inputs.RequestArrived: ("waited_ms",),
     inputs.Tick: ("late_ms",),
     server_inputs.LoadEchoed: ("is_relayed", "pace_percent"),
-    server_inputs.PeerDispatched: ("load",),
+    server_inputs.LoadReported: (
+        "kv_used_tokens",
+        "kv_total_tokens",
+        "kv_reserved_tokens",
+        "next_tokens",
+    ),
+    server_inputs.PeerDispatched: ("load", "memory_tokens", "shared_tokens"),
     server_inputs.ProbeAnswered: (
         "fresh_connection",
         "was_asked",
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -54,6 +54,7 @@
     "relaying",
     "brittle",
     "fuzz",
+    "engine_memory",
 )
 
 
