Give the memory of engines a setting of its own

Change: decisions.engine_memory (0 or 1, default 0) is required as well, in engine_memory.is_enabled; recordings omit it at its default. The replayed load compares the setting alone, with pace in both runs, and announces through the real encoding. Tests: with the setting at 0, or for other targets, nothing is held, refused, announced or logged by memory.

--- a/src/godwittack/core/engine_memory.py
+++ b/src/godwittack/core/engine_memory.py
@@ -44,6 +44,15 @@
     keys: frozenset[int]
 
 
+def is_enabled(world: entities.World, target: str) -> bool:
+    """Returns whether the memory of a target's engines is estimated and used.
+
+    It has a setting of its own, since placement by memory trades more late
+    short prompts for fewer preemptions.
+    """
+    return bool(world.policy.engine_memory) and uneven.is_uneven(world, target)
+
+
 def wait_ms(
     world: entities.World,
     request: entities.RequestRow,
@@ -113,7 +122,7 @@
     """
     target = request.work.target
     servers = world.servers_by_target[target].values()
-    if not servers or not uneven.is_uneven(world, target):
+    if not servers or not is_enabled(world, target):
         return False
     prompt_tokens = memory_records.blocks(request.work.prompt_tokens + 1)
     return all(
@@ -134,7 +143,7 @@
         target: Target of the engine that is copied to.
     """
     limits = _limits(world, target)
-    if limits is None or not uneven.is_uneven(world, target):
+    if limits is None or not is_enabled(world, target):
         return None
     link_mbps = min(limits.link_mbps, _link_mbps(world, source))
     if not (limits.kv_token_bytes and link_mbps):
@@ -151,7 +160,7 @@
     that requests leave free has been filled with others.
     """
     total = total_tokens(world, server)
-    if not total or not uneven.is_uneven(world, server.target):
+    if not total or not is_enabled(world, server.target):
         return EVICTED_AFTER_MS
     tokens_per_ms = server.memory.prefill_rate.per_ms(world.now_ms)
     evictable_tokens = max(0.0, total - usage(world, server).tokens)
@@ -202,7 +211,7 @@
     server: entities.ServerRow,
 ) -> dict[str, int]:
     """Returns the memory that a request needs and finds, for the log."""
-    if not uneven.is_uneven(world, server.target):
+    if not is_enabled(world, server.target):
         return {}
     if not total_tokens(world, server):
         return {}
@@ -270,7 +279,7 @@
 ) -> float:
     """Returns the free memory less what a request needs; 0 if not known."""
     total = total_tokens(world, server)
-    if not total or not uneven.is_uneven(world, server.target):
+    if not total or not is_enabled(world, server.target):
         return 0.0
     used = usage(world, server)
     needed = request_tokens(request)
@@ -340,6 +349,7 @@
     "fits",
     "free_tokens",
     "generated_tokens",
+    "is_enabled",
     "is_report_fresh",
     "log_fields",
     "never_fits",
--- a/src/godwittack/core/memory_updates.py
+++ b/src/godwittack/core/memory_updates.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, engine_memory, memory_records, uneven
+from godwittack.core import backlog, engine_memory, memory_records
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,7 +25,10 @@
     None if the memory of its target's servers is not estimated.
     """
     server = choice.server
-    if not uneven.is_uneven(world, server.target) or not request.work.levels:
+    if (
+        not engine_memory.is_enabled(world, server.target)
+        or not request.work.levels
+    ):
         return None
     shared = engine_memory.shared_parts(request, server)
     generated_tokens = engine_memory.generated_tokens(request)
@@ -66,7 +69,7 @@
 ) -> None:
     """Records the memory of a request that another daemon has announced."""
     server = world.servers.get(dispatch.server_id)
-    if server is None or not uneven.is_uneven(world, server.target):
+    if server is None or not engine_memory.is_enabled(world, server.target):
         return
     memory = server.memory
     memory.prefill_rate.add(dispatch.tokens, now_ms=world.now_ms)
@@ -123,6 +126,8 @@
     report: server_inputs.LoadReported,
 ) -> None:
     """Applies what a report says of a server's memory."""
+    if not engine_memory.is_enabled(world, server.target):
+        return
     memory = server.memory
     measured_at_ms = report.at_ms - report.age_ms
     if not report.kv_used_tokens and not report.kv_total_tokens:
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -6,7 +6,11 @@
 
 # Beyond 0.8 of the tolerated excess, too little is left for what daemons admit
 # before they hear of each other.
-MAX_VALUES = {"quota_spare_ratio": 0.8, "late_answer_value": 1.0}
+MAX_VALUES = {
+    "quota_spare_ratio": 0.8,
+    "late_answer_value": 1.0,
+    "engine_memory": 1,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,8 +70,10 @@
         quota_slack: Further units of that use.
         quota_spare_ratio: Part of that use that may be admitted while this
             daemon is in contact with the whole fleet; 0 for the default.
-        uneven_servers: Whether each server's pace, memory and distance count
-            in placement, for targets whose servers report their pace.
+        uneven_servers: Whether each server's pace and distance count in
+            placement, for targets whose servers report their pace.
+        engine_memory: Whether, for these targets, the memory of engines counts
+            as well.
         cross_domain_cost_ms: Waiting time that operators accept to keep a
             request in its failure domain.
         cross_domain_cost_ms_per_kb: The same, per kilobyte of its body.
@@ -112,6 +118,7 @@
     quota_slack: float = 0.0
     quota_spare_ratio: float = 0.0
     uneven_servers: int = 0
+    engine_memory: int = 0
     cross_domain_cost_ms: float = 0.0
     cross_domain_cost_ms_per_kb: float = 0.0
     new_connection_cost_ms: float = 0.0
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -124,12 +124,13 @@
     possible_homes = usable
     choose_candidates = candidates.choose
     holders = cached_tokens
-    with_room = usable
     if is_uneven:
         holders = _worthwhile(world, request, cached_tokens)
-        with_room = engine_memory.with_room(world, request, usable)
         possible_homes = locality.home_candidates(world, usable)
         choose_candidates = locality.candidates
+    with_room = usable
+    if engine_memory.is_enabled(world, request.work.target):
+        with_room = engine_memory.with_room(world, request, usable)
     home_id = candidates.home_server(request, possible_homes)
     priority = routing.priority(world, request)
     selected = choose_candidates(
--- a/src/godwittack/core/uneven.py
+++ b/src/godwittack/core/uneven.py
@@ -1,4 +1,4 @@
-"""Tells for which targets servers are placed by their own pace and memory."""
+"""Tells for which targets servers are placed by their own pace."""
 
 from __future__ import annotations
 
--- a/src/godwittack/daemon/server_watcher.py
+++ b/src/godwittack/daemon/server_watcher.py
@@ -12,7 +12,7 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import cached_state, paths, server_inputs, uneven
+from godwittack.core import cached_state, engine_memory, paths, server_inputs
 from godwittack.daemon import digest as digests
 from godwittack.daemon import load_filter, peer_updates
 from godwittack.member import assignment
@@ -291,7 +291,7 @@
         slots=load.slots,
         leaving=load.leaving,
     )
-    if not uneven.is_uneven(core.core.world, row.target):
+    if not engine_memory.is_enabled(core.core.world, row.target):
         # No decision reads the memory, and peers need not be sent its changes.
         return report
     return dataclasses.replace(
--- a/tests/cases/engine_memory.py
+++ b/tests/cases/engine_memory.py
@@ -10,7 +10,9 @@
 from godwittack.daemon import load_filter
 from godwittack.peer import peer_pb2, pending, wire
 from godwittack.platform import servers
+from godwittack.session import codec
 
+ENGINES = routed_core.ENGINES
 TOTAL = memory_load.TOTAL_TOKENS
 SEEDS = range(1, 6)
 # A part of the load is not begun in time under any order: the bursts fill all
@@ -39,9 +41,9 @@
     return engine_memory.usage(core.world, core.world.servers[server]).tokens
 
 
-def _core(*used: int, is_on: bool = True) -> routed_core.Core:
+def _core(*used: int, is_on: bool = True, **fields) -> routed_core.Core:
     """Returns a core with an engine for each amount of memory in use."""
-    core = memory_load.memory_core(is_on=is_on, engines=len(used))
+    core = memory_load.memory_core(is_on=is_on, engines=len(used), **fields)
     for number, tokens in enumerate(used, start=1):
         memory_load.report(core, f"e{number}", tokens)
     return core
@@ -56,6 +58,27 @@
         assert core.dispatch().server_id == expected, is_on
 
 
+def memory_counts_only_where_it_is_set_for_uneven_targets() -> None:
+    """Guards against a default, or one setting alone, that uses the memory."""
+    for is_on, uneven_servers in ((False, 1), (True, 0), (False, 0)):
+        core = _core(TOTAL, TOTAL, is_on=is_on, uneven_servers=uneven_servers)
+        _arrive(core, "r", 39_900, 53_200)
+        core.dispatch()
+        (announced,) = core.find(effects.Announce)
+        assert (announced.memory_tokens, announced.shared_tokens) == (0, 0)
+        placed = next(e for e in core.find(effects.Event) if e.name == "placed")
+        assert not any("memory" in field.key for field in placed.fields)
+        _arrive(core, "too-large", 13_300, TOTAL)
+        core.dispatch()
+        for engine in core.world.servers_by_target[ENGINES].values():
+            assert _used(core, engine.server_id) == 0
+            assert engine.memory.measured_at_ms < 0
+            assert engine_memory.evicted_after_ms(core.world, engine) == 3_000
+        stored = json.loads(codec.encode_policy(core.world.policy))
+        assert stored.get("engine_memory", 0) == int(is_on)
+        assert ("engine_memory" in stored) is is_on
+
+
 def a_prompt_that_fits_on_no_engine_is_held_until_one_has_room() -> None:
     """Guards against a prompt that is sent to wait at a full engine."""
     core = _core(TOTAL - 5_000, TOTAL - 5_000)
@@ -203,7 +226,7 @@
     sent = world.servers[core.dispatch().server_id]
     expected = (TOTAL - _used(core, sent.server_id)) / (66_500 / 5_000)
     assert engine_memory.evicted_after_ms(world, sent) == expected
-    world.policy = dataclasses.replace(world.policy, uneven_servers=0)
+    world.policy = dataclasses.replace(world.policy, engine_memory=0)
     assert engine_memory.evicted_after_ms(world, sent) == 3_000
     assert engine_memory.copy_us_per_token(world, engine, engine.target) is None
 
--- a/tests/cases/memory_load.py
+++ b/tests/cases/memory_load.py
@@ -8,6 +8,7 @@
 
 from cases import routed_core
 from godwittack.core import effects, inputs, server_inputs, work
+from godwittack.daemon import dispatch_announcer
 from godwittack.table import forwarding
 
 TOTAL_TOKENS = 140_763
@@ -72,11 +73,14 @@
     )
 
 
-def memory_core(*, is_on: bool, engines: int = ENGINES) -> routed_core.Core:
+def memory_core(
+    *, is_on: bool, engines: int = ENGINES, uneven_servers: int = 1
+) -> routed_core.Core:
     """Returns a core whose engines have reported their pace."""
     core = routed_core.Core(
         servers=engines,
-        uneven_servers=int(is_on),
+        uneven_servers=uneven_servers,
+        engine_memory=int(is_on),
         learns_pace=0,
         prefill_us_per_token=16,
     )
@@ -359,11 +363,16 @@
     def _announce(self) -> None:
         announced, self._announced = self._announced, []
         for sender, announcement in announced:
-            fields = dataclasses.asdict(announcement)
-            del fields["target"]
+            message = dispatch_announcer.announcement_to_proto(
+                announcement, now_ms=sender.now_ms
+            )
             for core in self._cores:
                 if core is not sender:
-                    core.tell_named(server_inputs.PeerDispatched, **fields)
+                    core.router.step(
+                        dispatch_announcer.announcement_from_proto(
+                            message, now_ms=core.now_ms
+                        )
+                    )
 
     def _report(self) -> None:
         for name, engine in self.engines.items():
