Hold only requests above a quarter of an engine's memory

Cause: a short prompt that is held for memory comes late, although engines admit it before longer ones. Change: a request that fits nowhere is held only if it needs more than a quarter of the memory of the engine with the least cost (HELD_FROM_PART); smaller ones are sent to that engine.

--- a/src/godwittack/core/engine_memory.py
+++ b/src/godwittack/core/engine_memory.py
@@ -21,6 +21,10 @@
 
 # Remaining time of a request that runs for longer than was expected.
 OVERDUE_MS = 50.0
+# Part of an engine's memory from which a request that fits nowhere is held. A
+# short prompt that is held comes late, although engines admit it before longer
+# ones.
+HELD_FROM_PART = 0.25
 # Time after its last use by which an engine under load has evicted a prompt:
 # memory for 185,000 tokens, some 60,000 tokens computed per second. Used where
 # an engine's memory and rate are not known.
@@ -115,6 +119,19 @@
     return [s for s in roomy if fits(world, request, s)] or roomy
 
 
+def is_held(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+) -> bool:
+    """Returns whether a request waits here if it fits into no memory.
+
+    Smaller ones are sent to `server`, and wait there.
+    """
+    held_from_tokens = HELD_FROM_PART * total_tokens(world, server)
+    return request_tokens(request) > held_from_tokens
+
+
 def never_fits(world: entities.World, request: entities.RequestRow) -> bool:
     """Returns whether a prompt is larger than the memory of every engine.
 
@@ -350,6 +367,7 @@
     "free_tokens",
     "generated_tokens",
     "is_enabled",
+    "is_held",
     "is_report_fresh",
     "log_fields",
     "never_fits",
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -52,7 +52,7 @@
         cost: Cost in milliseconds; the choice with the lowest one is used.
         fetch_from: Address to copy cached state from; empty for none.
         memory_wait_ms: Estimated time until the request fits into any engine's
-            memory; 0 if it fits into the server's now.
+            memory; 0 if it is not held until then.
     """
 
     server: entities.ServerRow
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -91,7 +91,7 @@
         first_token_ms: Estimated time to the first token.
         cost: Cost in milliseconds; the server with the lowest one is used.
         memory_wait_ms: Estimated time until the request fits into the memory
-            of any server; 0 if it fits into this one's.
+            of any server; 0 if it is not held until then.
     """
 
     server: entities.ServerRow
@@ -153,7 +153,7 @@
         for server in selected
     ]
     best = min(placements, key=lambda p: (p.cost, p.server.server_id))
-    if not with_room:
+    if not with_room and engine_memory.is_held(world, request, best.server):
         best = dataclasses.replace(
             best,
             memory_wait_ms=engine_memory.wait_ms(world, request, best.server),
--- a/tests/features/engine_memory.feature
+++ b/tests/features/engine_memory.feature
@@ -10,6 +10,7 @@
       | engine_memory | an engine with room is preferred to one with less load |
       | engine_memory | memory counts only where it is set for uneven targets |
       | engine_memory | a prompt that fits on no engine is held until one has room |
+      | engine_memory | only a prompt above a quarter of the memory is held |
       | engine_memory | a held prompt does not outlive its caller or its deadline |
       | engine_memory | a prompt larger than every engine is refused with 413 |
       | engine_memory | small prompts pass a held one and leave its engine free |
