Mend claims, fairness and kept engines in placement by memory

Cause: found in review. (1) A claim counted beside its request for 600 ms once that was sent, and added an empty prompt to the backlog of the engine. (2) A request that was held on arrival was not charged to its workspace. (3) A request that fits nowhere was sent to the engine kept free for another, and an engine too small for the request was kept free. (4) A silent request got a second attempt at an engine without room. Change: an announced request replaces its claim, claims are left out of the backlog, held requests are charged once, engines kept free are used for what fits nowhere only if there is no other, engines too small are not kept free, and no second attempt is made where it does not fit. Tests: the four cases for (1) to (3) fail without the change and pass with it; (4) has no case. engine_memory, golden, platform and uneven: 244 passed, 0 failed.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -185,6 +185,9 @@
     if server is None:
         return
     pace_sharing.apply_peer(world, dispatch.load)
+    if not (dispatch.tokens or dispatch.levels):
+        # It claims memory for a request that is not sent yet.
+        return
     add(world, server, tokens=dispatch.tokens, priority=dispatch.priority)
     record_cached(world, server, dispatch.levels, priority=dispatch.priority)
 
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -108,6 +108,7 @@
     if _meets_deadline(world, request, choice, wait_ms) and _has_queue_room(
         world, request, wait_ms
     ):
+        _charge(world, request)
         _hold(world, request, choice)
 
 
@@ -155,13 +156,18 @@
     choice: placing.Choice,
 ) -> None:
     """Dispatches a request at once, and counts it in the queue's fair order."""
+    _charge(world, request)
+    dispatch(world, request, choice)
+
+
+def _charge(world: entities.World, request: entities.RequestRow) -> None:
+    """Counts a request that does not queue in the queue's fair order."""
     priority = routing.priority(world, request)
     _queue(world, request.work.target, priority).charge(
         workspace=request.workspace,
         weight=urgency.fleet_weight(world, request.workspace),
         cost=overload.cost(request),
     )
-    dispatch(world, request, choice)
 
 
 def _await_rest(world: entities.World, request: entities.RequestRow) -> None:
--- a/src/godwittack/core/engine_memory.py
+++ b/src/godwittack/core/engine_memory.py
@@ -119,6 +119,17 @@
     return [s for s in roomy if fits(world, request, s)] or roomy
 
 
+def not_kept(
+    request: entities.RequestRow, usable: list[entities.ServerRow]
+) -> list[entities.ServerRow]:
+    """Returns the servers that are not kept free for another request.
+
+    All of them if there are no others.
+    """
+    kept_for = ("", request.request_id)
+    return [s for s in usable if s.memory.kept_for in kept_for] or usable
+
+
 def is_held(
     world: entities.World,
     request: entities.RequestRow,
@@ -141,10 +152,17 @@
     servers = world.servers_by_target[target].values()
     if not servers or not is_enabled(world, target):
         return False
+    return all(is_too_small(world, request, server) for server in servers)
+
+
+def is_too_small(
+    world: entities.World,
+    request: entities.RequestRow,
+    server: entities.ServerRow,
+) -> bool:
+    """Returns whether a prompt is larger than all of a server's memory."""
     prompt_tokens = memory_records.blocks(request.work.prompt_tokens + 1)
-    return all(
-        0 < total_tokens(world, server) < prompt_tokens for server in servers
-    )
+    return 0 < total_tokens(world, server) < prompt_tokens
 
 
 def copy_us_per_token(
@@ -304,8 +322,7 @@
         if key not in used.keys:
             break
         needed -= tokens
-    prompt_tokens = memory_records.blocks(request.work.prompt_tokens + 1)
-    if prompt_tokens <= total:
+    if not is_too_small(world, request, server):
         # If only its answer may need more, it is tried on an empty engine.
         needed = min(needed, total)
     return total - used.tokens - needed
@@ -369,8 +386,10 @@
     "is_enabled",
     "is_held",
     "is_report_fresh",
+    "is_too_small",
     "log_fields",
     "never_fits",
+    "not_kept",
     "request_tokens",
     "shared_parts",
     "total_tokens",
--- a/src/godwittack/core/hedging.py
+++ b/src/godwittack/core/hedging.py
@@ -175,6 +175,8 @@
     )
     if choice is None or not brittle.has_room(world, choice.server):
         return
+    if choice.memory_wait_ms:
+        return
     if not dispatching.is_in_time(world, request, choice):
         return
     if _may_be_silent(world, choice.server):
--- a/src/godwittack/core/memory_queue.py
+++ b/src/godwittack/core/memory_queue.py
@@ -67,6 +67,7 @@
         server.server_id: engine_memory.free_tokens(world, server)
         for server in world.servers_by_target[request.work.target].values()
         if not server.memory.kept_for
+        and not engine_memory.is_too_small(world, request, server)
         and placing.is_usable(world, server, request)
     }
     if not free:
--- a/src/godwittack/core/memory_updates.py
+++ b/src/godwittack/core/memory_updates.py
@@ -81,11 +81,9 @@
         entry
         for entry in memory.announced
         if entry.last_end_ms > world.now_ms
-        # A claim replaces the same one announced before.
+        # The claim was announced again, or its request has been sent.
         and not (
-            is_claim
-            and entry.is_claim
-            and entry.occupant.tokens == dispatch.memory_tokens
+            entry.is_claim and entry.occupant.tokens == dispatch.memory_tokens
         )
     ]
     left_ms = (
--- a/src/godwittack/core/sourcing.py
+++ b/src/godwittack/core/sourcing.py
@@ -136,7 +136,7 @@
     selected = choose_candidates(
         world,
         request,
-        with_room or usable,
+        with_room or engine_memory.not_kept(request, usable),
         cached_tokens=holders,
         home_id=home_id,
     )
--- a/tests/cases/engine_memory.py
+++ b/tests/cases/engine_memory.py
@@ -6,7 +6,14 @@
 import json
 
 from cases import memory_load, routed_core
-from godwittack.core import effects, engine_memory, inputs, server_inputs, work
+from godwittack.core import (
+    effects,
+    engine_memory,
+    inputs,
+    server_inputs,
+    urgency,
+    work,
+)
 from godwittack.daemon import load_filter
 from godwittack.peer import peer_pb2, pending, wire
 from godwittack.platform import servers
@@ -159,6 +166,48 @@
     assert core.dispatch().server_id == "e1"
 
 
+def a_prompt_that_fits_nowhere_spares_the_engine_kept_free() -> None:
+    """Guards against requests that take the memory a held one waits for."""
+    core = _core(TOTAL - 60_000, TOTAL)
+    _arrive(core, "large", 39_900, 53_200, deadline_ms=6_000)
+    _wait(core, 3_500, TOTAL - 60_000, TOTAL)
+    memory_load.report(core, "e1", TOTAL)
+    memory_load.report(core, "e2", TOTAL, running=11)
+    _arrive(core, "small", 92, 291, route="short")
+    assert core.dispatch().server_id == "e2"
+
+
+def an_engine_too_small_for_a_prompt_is_not_kept_free() -> None:
+    """Guards against an engine that idles for what can't run there."""
+    core = _core(0, TOTAL - 10_000)
+    memory_load.report(core, "e1", 0, kv_total_tokens=90_000)
+    _arrive(core, "large", 39_900, 53_200, deadline_ms=6_000)
+    for _ in range(7):
+        core.wait(500)
+        memory_load.report(core, "e1", 0, kv_total_tokens=90_000)
+        memory_load.report(core, "e2", TOTAL - 10_000)
+    memories = [core.world.servers[name].memory for name in ("e1", "e2")]
+    assert [one.kept_for for one in memories] == ["", "large"]
+
+
+def a_held_prompt_counts_against_its_workspace() -> None:
+    """Guards against a workspace that exceeds its share by held prompts."""
+    core = _core(TOTAL)
+    _arrive(core, "large", 39_900, 53_200)
+    (workspace,) = {one.workspace for one in core.world.requests.values()}
+    (queue,) = core.world.queues[ENGINES].values()
+    held = core.world.requests["large"]
+    for name in (workspace, "other"):
+        queue.push(
+            request_id=name,
+            workspace=name,
+            weight=1.0,
+            cost=1.0,
+            times=urgency.times(core.world, held),
+        )
+    assert [one.request_id for one in queue.heads(0)] == ["other", workspace]
+
+
 def a_shared_part_counts_once() -> None:
     """Guards against prompts of one document that keep each other out."""
     core = _core(0)
@@ -191,7 +240,10 @@
 
 
 def a_claim_counts_across_reports_until_it_is_not_renewed() -> None:
-    """Guards against an engine that other daemons fill while it drains."""
+    """Guards against an engine that other daemons fill while it drains.
+
+    It also guards against a request that counts twice once it is sent.
+    """
     core = _core(50_000)
     claim = {"server_id": "e1", "tokens": 0, "priority": 2, "levels": ()}
     for _ in range(3):
@@ -201,8 +253,16 @@
         core.wait(250)
         memory_load.report(core, "e1", 50_000)
         assert _used(core, "e1") == 130_000
-    core.wait(400)
-    assert _used(core, "e1") == 50_000
+    core.tell_named(
+        server_inputs.PeerDispatched,
+        **claim | {"tokens": 80_000, "levels": (1,)},
+        memory_tokens=80_000,
+    )
+    assert _used(core, "e1") == 130_000
+    core.tell_named(server_inputs.PeerDispatched, **claim, memory_tokens=60_000)
+    assert _used(core, "e1") == 190_000
+    core.wait(700)
+    assert _used(core, "e1") == 130_000
 
 
 def an_answer_counts_as_its_caller_expects_it() -> None:
--- a/tests/features/engine_memory.feature
+++ b/tests/features/engine_memory.feature
@@ -14,6 +14,9 @@
       | engine_memory | a held prompt does not outlive its caller or its deadline |
       | engine_memory | a prompt larger than every engine is refused with 413 |
       | engine_memory | small prompts pass a held one and leave its engine free |
+      | engine_memory | a prompt that fits nowhere spares the engine kept free |
+      | engine_memory | an engine too small for a prompt is not kept free |
+      | engine_memory | a held prompt counts against its workspace |
 
     Examples: estimate
       | group | case |
