Move number types and header forwarding out of the platform adapter

Change: the number types of JSON bodies and the text of validation errors are in backend/json_fields.py, the selection of a caller's headers in backend/headers.py.

--- a/src/godwittack/backend/headers.py
+++ b/src/godwittack/backend/headers.py
@@ -6,10 +6,12 @@
 
 from result import Err, Ok, Result
 
+from godwittack.core import work
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from godwittack.core import work
+    from aiohttp import web
 
 HOP_BY_HOP = frozenset(
     {
@@ -52,6 +54,25 @@
     )
 
 
+def of_request(
+    request: web.BaseRequest, *, dropped: Collection[str]
+) -> tuple[work.Header, ...]:
+    """Returns the headers of a caller's request that are forwarded.
+
+    Args:
+        request: The request.
+        dropped: Further names to drop, in lower case.
+    """
+    return end_to_end(
+        (
+            work.Header(name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in request.raw_headers
+        ),
+        connection=request.headers.get("Connection", ""),
+        dropped=dropped,
+    )
+
+
 def parse_number(text: str) -> int | None:
     """Returns a header's value as a whole number, None for anything else."""
     text = text.strip()
@@ -104,6 +125,7 @@
     "parse_decimal",
     "end_to_end",
     "is_decimal",
+    "of_request",
     "parse_number",
     "parse_pair",
 ]
--- /dev/null
+++ b/src/godwittack/backend/json_fields.py
@@ -0,0 +1,36 @@
+"""Types of numbers in JSON bodies, and the text of validation errors."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import pydantic
+
+from godwittack.backend import headers
+
+_MAX_NUMBER = 10**headers.MAX_DIGITS
+Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
+Positive = Annotated[int, pydantic.Field(ge=1, le=_MAX_NUMBER)]
+Amount = Annotated[float, pydantic.Field(ge=0, le=_MAX_NUMBER)]
+# Two of these can be added up in a field of a message between daemons.
+_MAX_INT32 = 2**31 - 1
+
+
+def _count_or_none(value: object) -> int | None:
+    """Returns a number as a count, and None for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return round(value) if 0 <= value <= _MAX_INT32 else None
+
+
+# A count that is not worth losing the rest of a body for.
+OptionalCount = Annotated[int | None, pydantic.BeforeValidator(_count_or_none)]
+
+
+def first_error(error: pydantic.ValidationError) -> str:
+    """Returns the first error as one line."""
+    first = error.errors()[0]
+    return ".".join(str(p) for p in first["loc"]) + f": {first['msg']}"
+
+
+__all__ = ["Amount", "Count", "OptionalCount", "Positive", "first_error"]
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -74,7 +74,7 @@
         call = backend.Call(
             method=request.method,
             path=path,
-            headers=_forwarded_headers(request),
+            headers=backend_headers.of_request(request, dropped=_NOT_FORWARDED),
             body=body,
             request_id=request_id,
         )
@@ -102,15 +102,4 @@
         )
 
 
-def _forwarded_headers(request: web.BaseRequest) -> tuple[work.Header, ...]:
-    return backend_headers.end_to_end(
-        (
-            work.Header(name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in request.raw_headers
-        ),
-        connection=request.headers.get("Connection", ""),
-        dropped=_NOT_FORWARDED,
-    )
-
-
 __all__ = ["CallerFormat"]
--- a/src/godwittack/platform/instances.py
+++ b/src/godwittack/platform/instances.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from godwittack import address as addresses
+from godwittack.backend import json_fields
 from godwittack.core import incarnation
 from godwittack.platform import wire
 from godwittack.store import protocol
@@ -23,11 +24,11 @@
     version: str
     state: Literal["ready", "draining"]
     slots: int = pydantic.Field(ge=1, le=MAX_SLOTS)
-    sequence: wire.Count
-    cold_remaining_ms: wire.Amount
+    sequence: json_fields.Count
+    cold_remaining_ms: json_fields.Amount
     models: tuple[wire.LoadedModel, ...] = ()
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: wire.Positive = 0
+    born: json_fields.Positive = 0
 
 
 def instance_from_row(
@@ -37,7 +38,7 @@
     try:
         body = _Server.model_validate_json(row.value)
     except pydantic.ValidationError as error:
-        return Err(wire.first_error(error))
+        return Err(json_fields.first_error(error))
     role = protocol.InstanceRole
     return Ok(
         protocol.Instance(
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -9,6 +9,7 @@
 import pydantic
 from result import Err, Ok
 
+from godwittack.backend import json_fields
 from godwittack.platform import names, wire
 from godwittack.store import base64_text, protocol
 from godwittack.store import call as calls
@@ -155,7 +156,7 @@
         try:
             return Ok((status, _Rows.model_validate_json(result.ok_value.body)))
         except pydantic.ValidationError as error:
-            return self._error(step, wire.first_error(error))
+            return self._error(step, json_fields.first_error(error))
 
     def _error(
         self, step: str, detail: str, *, status: int = 0
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,7 +5,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from godwittack.backend import protocol, routed, signals
+from godwittack.backend import json_fields, protocol, routed, signals
 from godwittack.core import incarnation, inputs
 from godwittack.placement import levels
 from godwittack.platform import names, wire
@@ -29,7 +29,7 @@
 
 class _Report(wire.StrictBody):
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: wire.Positive = 0
+    born: json_fields.Positive = 0
     models: tuple[wire.LoadedModel, ...] = ()
     queue_depth: int = 0
     running: int = 0
@@ -39,17 +39,17 @@
     busy: bool = False
     state: object = ""
     # Memory in tokens: what can't be evicted, all, held and pinned.
-    kv_used: wire.OptionalCount = None
-    kv_total: wire.OptionalCount = None
-    held: wire.OptionalCount = None
-    pinned: wire.OptionalCount = None
+    kv_used: json_fields.OptionalCount = None
+    kv_total: json_fields.OptionalCount = None
+    held: json_fields.OptionalCount = None
+    pinned: json_fields.OptionalCount = None
     # Tokens of the first waiting request.
-    next: wire.OptionalCount = None
+    next: json_fields.OptionalCount = None
 
 
 class _Events(wire.StrictBody):
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: wire.Positive = 0
+    born: json_fields.Positive = 0
     # Changes with each restart of the server.
     boot_epoch: int
     next: int
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -7,6 +7,7 @@
 import pydantic
 from result import Err, Ok, Result
 
+from godwittack.backend import json_fields
 from godwittack.platform import names, wire
 from godwittack.table import forwarding, model
 
@@ -51,20 +52,20 @@
 
 class _Engine(wire.Body):
     slots: int = 16
-    kv_capacity_tokens: wire.Count = 0
-    kv_token_bytes: wire.Amount = 0.0
-    link_mbps: wire.Amount = 0.0
+    kv_capacity_tokens: json_fields.Count = 0
+    kv_token_bytes: json_fields.Amount = 0.0
+    link_mbps: json_fields.Amount = 0.0
     models: tuple[_Model, ...] = ()
 
 
 class _Service(wire.Body):
     name: str
-    max_connections: wire.Count = 0
+    max_connections: json_fields.Count = 0
     engine: _Engine | None = None
     # Set if the service is a store of cached state, not a backend server.
     kv_store_addr: str = ""
     zone: str = ""
-    link_mbps: wire.Amount = 0.0
+    link_mbps: json_fields.Amount = 0.0
 
 
 class _Tenant(wire.Body):
@@ -72,10 +73,10 @@
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
     isolated: bool = False
-    rate_per_s: wire.Amount | None = None
-    burst: wire.Amount | None = None
+    rate_per_s: json_fields.Amount | None = None
+    burst: json_fields.Amount | None = None
     unit: str = ""
-    uncached_tokens: wire.Count | None = None
+    uncached_tokens: json_fields.Count | None = None
 
 
 class _Limits(wire.Body):
@@ -95,7 +96,7 @@
 
 class _Weights(wire.StrictBody):
     model: str
-    version: wire.Positive
+    version: json_fields.Positive
 
 
 def weights_from_row(
@@ -107,7 +108,7 @@
     try:
         published = _Weights.model_validate_json(row.value)
     except pydantic.ValidationError as error:
-        return Err(wire.first_error(error))
+        return Err(json_fields.first_error(error))
     if row.key != names.WEIGHTS_KEY_PREFIX + published.model:
         return Err(f"its value is for model {published.model}")
     return Ok(model.PublishedWeights(published.model, str(published.version)))
@@ -136,7 +137,7 @@
     try:
         config = _Config.model_validate_json(row.value)
     except pydantic.ValidationError as error:
-        return Err(wire.first_error(error))
+        return Err(json_fields.first_error(error))
     table = model.Table(version=version, forwarding=_forwarding(config))
     for service in config.services:
         if service.engine is not None and service.engine.models:
