--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -6,6 +6,8 @@
     effects,
     entities,
     length_routing,
+    memory_queue,
+    memory_updates,
     quotas,
     silence,
 )
@@ -144,6 +146,7 @@
         **({} if _is_delimited(request, attempt) else {"delimited": 0}),
     )
     if attempt:
+        memory_updates.record_end(world, request, attempt)
         update_service_time(
             world, request.work.target, world.now_ms - attempt.sent_at_ms
         )
@@ -227,6 +230,7 @@
     if request.phase is entities.Phase.QUEUED:
         queue = world.queues[request.work.target][request.queue_priority]
         queue.remove(request.request_id)
+        memory_queue.forget(world, request)
     for cell in request.cells:
         world.shares.record_end(cell)
     quotas.release(world, request)
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -8,6 +8,7 @@
     availability,
     backlog,
     effects,
+    engine_memory,
     locality,
     pace,
     pace_sharing,
@@ -18,7 +19,7 @@
 from godwittack.placement import levels
 
 if TYPE_CHECKING:
-    from godwittack.core import entities, placing
+    from godwittack.core import entities, memory_records, placing
 
 
 def log_placement(
@@ -58,6 +59,7 @@
             if uneven.is_uneven(world, server.target)
             else {}
         ),
+        **engine_memory.log_fields(world, request, server),
         after=request.next_frame - 1,
         left_ms=ends_at_ms(request) - world.now_ms,
         **_distance(world, server),
@@ -95,6 +97,7 @@
     choice: placing.Choice,
     attempt: entities.AttemptRow,
     keys: tuple[int, ...],
+    memory: memory_records.Occupant | None,
 ) -> None:
     """Adds a prompt to its server's backlog, here and at other daemons."""
     priority = routing.priority(world, request)
@@ -127,6 +130,8 @@
                 levels=keys,
                 load=pace_sharing.announced_load(world, choice.server),
                 delay_ms=round(pace.delay_ms(world, choice.server)),
+                memory_tokens=memory.tokens if memory else 0,
+                shared_tokens=memory.shared_tokens if memory else 0,
             )
         )
 
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -44,6 +44,7 @@
     BAD_RESUME = "bad_resume_token"
     VERSION_UNKNOWN = "stream_version_unknown"
     NO_ROUTE = "no_route"
+    TOO_LARGE = "too_large"
     QUARANTINED = "quarantined"
     TIMEOUT = "timeout"
 
@@ -130,6 +131,9 @@
         load: Newest load of the server, from a response; None if not known.
         delay_ms: By how much first tokens of the server come later than
             estimated.
+        memory_tokens: Memory that the request occupies; 0 if not estimated.
+        shared_tokens: Part of it that requests with the same shared levels
+            use as well.
     """
 
     server_id: str
@@ -139,6 +143,8 @@
     levels: tuple[int, ...]
     load: server_pace.EchoedLoad | None = None
     delay_ms: int = 0
+    memory_tokens: int = 0
+    shared_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -9,6 +9,7 @@
 from godwittack.core import (
     dispatch_pacing,
     effects,
+    memory_records,
     prefill_cost,
     prompt_mix,
     quarantine,
@@ -240,6 +241,7 @@
         silence_detail: How it was found, for the log.
         has_own_place: Whether it takes a place of this daemon at a brittle
             server.
+        memory: Memory that it occupies at the server; None if not estimated.
     """
 
     attempt_id: str
@@ -264,6 +266,7 @@
     silent_since_ms: int = 0
     silence_detail: str = ""
     has_own_place: bool = True
+    memory: memory_records.Occupant | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -347,6 +350,7 @@
         idle_until_ms: When it closes the most recently used of them.
         found_dead_until_ms: Until when to believe other daemons that don't
             reach it either.
+        memory: Memory that requests occupy there, if it is an engine.
     """
 
     server_id: str
@@ -403,6 +407,9 @@
     passed_on: int = 0
     idle_connections: int = 0
     idle_until_ms: int = 0
+    memory: memory_records.ServerMemory = dataclasses.field(
+        default_factory=memory_records.ServerMemory
+    )
     cache: residency.Residency = dataclasses.field(
         default_factory=residency.Residency
     )
@@ -523,6 +530,9 @@
         prompt_mixes: Numbers of short and long prompts, by target.
         preferred_engines: Engines to which this daemon prefers to keep
             connections, by target; removed when servers or daemons change.
+        residences: How long requests occupy memory, by target.
+        memory_holds: Requests that fit into no engine's memory, by target and
+            request id.
         streams: Which software version began a stream.
         served_versions: Software versions of the servers, by target.
         paused_until_ms: When this process last went on after a pause.
@@ -616,6 +626,14 @@
     preferred_engines: dict[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
+    residences: dict[str, memory_records.Residence] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(
+            memory_records.Residence
+        )
+    )
+    memory_holds: dict[str, dict[str, memory_records.Hold]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(dict)
+    )
     streams: stream_records.StreamRecords = dataclasses.field(
         default_factory=stream_records.StreamRecords
     )
@@ -651,7 +669,7 @@
             len(queue)
             for by_priority in self.queues.values()
             for queue in by_priority.values()
-        )
+        ) + sum(map(len, self.memory_holds.values()))
 
 
 __all__ = [
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -18,6 +18,7 @@
     hedging,
     inputs,
     locality,
+    memory_updates,
     outcomes,
     pace_sharing,
     paths,
@@ -174,6 +175,7 @@
                     world.table = input_.table
             case server_inputs.PeerDispatched():
                 backlog.record_peer_dispatch(world, input_)
+                memory_updates.record_peer_dispatch(world, input_)
             case inputs.CrashesTold():
                 crashes.apply_peer_update(world, input_)
             case inputs.PeerDemand():
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -313,6 +313,10 @@
         slots: Maximum number of requests in the engine's batch.
         age_ms: Age of the report.
         leaving: Whether the server is about to stop.
+        kv_used_tokens: Memory that can't be evicted; 0 if not reported.
+        kv_total_tokens: All of its memory; 0 if not reported.
+        kv_reserved_tokens: Memory that is held or pinned.
+        next_tokens: Prompt tokens of the first waiting request.
     """
 
     at_ms: int
@@ -326,6 +330,10 @@
     slots: int
     age_ms: int = 0
     leaving: bool = False
+    kv_used_tokens: int = 0
+    kv_total_tokens: int = 0
+    kv_reserved_tokens: int = 0
+    next_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -337,6 +345,9 @@
         priority: Priority of the request; lower is served first.
         levels: Keys of the levels that will be cached after computation.
         load: Newest load of the server that the daemon knows, if any.
+        memory_tokens: Memory that the request occupies; 0 if not announced.
+        shared_tokens: Part of it that requests with the same shared levels
+            use as well.
     """
 
     at_ms: int
@@ -345,6 +356,8 @@
     priority: int
     levels: tuple[int, ...]
     load: LoadTold | None = None
+    memory_tokens: int = 0
+    shared_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/platform/wire.py
+++ b/src/godwittack/platform/wire.py
@@ -2,16 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import pydantic
 
-from godwittack.backend import headers
-
-_MAX_NUMBER = 10**headers.MAX_DIGITS
-Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
-Positive = Annotated[int, pydantic.Field(ge=1, le=_MAX_NUMBER)]
-Amount = Annotated[float, pydantic.Field(ge=0, le=_MAX_NUMBER)]
+from godwittack.backend import json_fields
 
 
 class Body(pydantic.BaseModel):
@@ -32,14 +25,7 @@
     """A model with the version of its loaded weights."""
 
     name: str = pydantic.Field(min_length=1)
-    version: Positive
-
-
-def first_error(error: pydantic.ValidationError) -> str:
-    """Returns the first error as one line."""
-    first = error.errors()[0]
-    return ".".join(str(p) for p in first["loc"]) + f": {first['msg']}"
+    version: json_fields.Positive
 
 
-__all__ = ["Amount", "Body", "Count", "LoadedModel", "Positive", "StrictBody"]
-__all__ += ["first_error"]
+__all__ = ["Body", "LoadedModel", "StrictBody"]
