Split the engines of uneven targets by the length of prompts

Cause: each chunk of a long prompt lengthens the steps of all requests on its engine, so that short answers hold a slot six times as long and all slots fill. Change: with `long_prompt_tokens`, short prompts get a part of the engines by the slot time that both kinds need, and long ones never join them.

--- a/src/godwittack/core/length_routing.py
+++ b/src/godwittack/core/length_routing.py
@@ -70,8 +70,7 @@
     ranked = rendezvous.rank(
         _RANK_KEY, tuple(sorted(server.server_id for server in usable))
     )
-    share = world.prompt_mixes[request.work.target].short_share()
-    short_count = min(len(ranked) - 1, max(1, round(share * len(ranked))))
+    short_count = world.prompt_mixes[request.work.target].split(len(ranked))
     is_long = _is_long(world, request)
     names = set(ranked[short_count:] if is_long else ranked[:short_count])
     selected = [server for server in usable if server.server_id in names]
--- a/src/godwittack/core/prompt_mix.py
+++ b/src/godwittack/core/prompt_mix.py
@@ -14,6 +14,9 @@
 ASSUMED_SHORT_MS = 200.0
 ASSUMED_LONG_MS = 1_000.0
 SERVICE_TIME_SMOOTHING = 0.1
+# Change of the engines for short prompts from which the split is changed: an
+# engine that changes sides is mixed until its long prompts have ended.
+MIN_SPLIT_CHANGE = 0.75
 # Slot time that short prompts get relative to their need: they arrive in
 # bursts, and their target latency leaves no time to wait for a slot.
 SHORT_HEADROOM = 1.5
@@ -29,6 +32,8 @@
         short_service_ms: Smoothed time that a short one holds a slot.
         long_service_ms: The same for long ones.
         counted_at_ms: When the numbers were last decayed.
+        engine_count: Number of engines that were last split.
+        short_engine_count: How many of them were for short prompts.
     """
 
     short_requests: float = ASSUMED_REQUESTS * ASSUMED_SHORT_SHARE
@@ -36,6 +41,8 @@
     short_service_ms: float = ASSUMED_SHORT_MS
     long_service_ms: float = ASSUMED_LONG_MS
     counted_at_ms: int = 0
+    engine_count: int = 0
+    short_engine_count: int = 0
 
     def count(self, *, is_long: bool, now_ms: int) -> None:
         """Counts a request."""
@@ -60,5 +67,16 @@
         long_ms = self.long_requests * self.long_service_ms
         return short_ms / max(1e-9, short_ms + long_ms)
 
+    def split(self, engine_count: int) -> int:
+        """Returns how many of at least two engines are for short prompts."""
+        needed = self.short_share() * engine_count
+        change = abs(needed - self.short_engine_count)
+        if engine_count != self.engine_count or change >= MIN_SPLIT_CHANGE:
+            self.engine_count = engine_count
+            self.short_engine_count = min(
+                engine_count - 1, max(1, round(needed))
+            )
+        return self.short_engine_count
+
 
 __all__ = ["PromptMix"]
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -9,6 +9,7 @@
 GROUPS = (
     "routed",
     "sourcing",
+    "length_routing",
     "locality",
     "waiting",
     "urgent",
--- /dev/null
+++ b/tests/features/length_routing.feature
@@ -0,0 +1,14 @@
+Feature: Short and long prompts run on engines of their own
+
+  Scenario Outline: <case>
+    # Each case names the failure that it guards against; see
+    # tests/cases/length_routing.py.
+    When the case "<case>" of "length_routing" is played
+
+    Examples: placement
+      | case |
+      | long prompts stay off the engines of short ones |
+      | prompts are mixed without the setting |
+      | two engines are not split |
+      | short prompts use other engines rather than be refused |
+      | the split follows the slot time of both kinds |
