--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -25,6 +25,7 @@
     resting,
     return_times,
     routing,
+    uneven,
     urgency,
     work,
 )
@@ -52,7 +53,8 @@
     priority = routing.priority(world, request)
     queue = _queue(world, request.work.target, priority)
     queued_ahead = _queued_ahead(world, request.work.target, priority)
-    must_queue = choice.wait_ms > world.policy.hold_ms or queued_ahead > 0
+    hold_ms = uneven.hold_ms(world, request.work.target)
+    must_queue = choice.wait_ms > hold_ms or queued_ahead > 0
     wait_ms = 0.0
     if must_queue:
         if overload.refuse_excess(world, request, queue, ahead=queued_ahead):
@@ -424,7 +426,9 @@
             continue
         memory_queue.reserve_if_due(world, request)
         choice = placing.choose(world, request)
-        if choice is None or choice.wait_ms > world.policy.hold_ms:
+        if choice is None or choice.wait_ms > uneven.hold_ms(
+            world, request.work.target
+        ):
             continue
         if choice.memory_wait_ms and not memory_queue.must_send(world, request):
             continue
@@ -452,7 +456,9 @@
             refusing.refuse_quarantined(world, request)
             continue
         choice = placing.choose(world, request)
-        if choice is None or choice.wait_ms > world.policy.hold_ms:
+        if choice is None or choice.wait_ms > uneven.hold_ms(
+            world, request.work.target
+        ):
             return
         if _is_too_late(world, request, choice):
             refusing.refuse_late(world, request, choice.wait_ms)
--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -18,6 +18,7 @@
     prefill_cost,
     rate_limits,
     sourcing,
+    uneven,
     weights,
     work,
 )
@@ -122,7 +123,7 @@
     """Returns a choice that lets a request wait for a place."""
     wait_ms = max(
         brittle.wait_ms(world, request.work.target),
-        world.policy.hold_ms + 1.0,
+        uneven.hold_ms(world, request.work.target) + 1.0,
     )
     return Choice(
         server=usable[0],
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -74,6 +74,9 @@
             placement, for targets whose servers report their pace.
         engine_memory: Whether, for these targets, the memory of engines counts
             as well.
+        uneven_hold_ms: As `hold_ms`, for these targets; 0 for the same. Their
+            waits are estimated several times as long, nearer to the actual
+            ones, so that `hold_ms` would queue most requests here.
         cross_domain_cost_ms: Waiting time that operators accept to keep a
             request in its failure domain.
         cross_domain_cost_ms_per_kb: The same, per kilobyte of its body.
@@ -121,6 +124,7 @@
     quota_slack: float = 0.0
     quota_spare_ratio: float = 0.0
     uneven_servers: int = 0
+    uneven_hold_ms: int = 0
     engine_memory: int = 0
     cross_domain_cost_ms: float = 0.0
     cross_domain_cost_ms_per_kb: float = 0.0
--- a/src/godwittack/core/uneven.py
+++ b/src/godwittack/core/uneven.py
@@ -17,6 +17,13 @@
     return bool(world.policy.uneven_servers) and target in world.uneven_targets
 
 
+def hold_ms(world: entities.World, target: str) -> int:
+    """Returns the estimated wait from which requests are queued here."""
+    if is_uneven(world, target) and world.policy.uneven_hold_ms:
+        return world.policy.uneven_hold_ms
+    return world.policy.hold_ms
+
+
 def record_pace_reported(world: entities.World, target: str) -> None:
     """Records that a server of a target has reported its pace."""
     if not world.policy.uneven_servers or target in world.uneven_targets:
@@ -32,4 +39,4 @@
         world.event("uneven_servers", target=target, uneven=0)
 
 
-__all__ = ["forget_unlisted", "is_uneven", "record_pace_reported"]
+__all__ = ["forget_unlisted", "hold_ms", "is_uneven", "record_pace_reported"]
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -82,6 +82,7 @@
         "quota_slack",
         "quota_spare_ratio",
         "uneven_servers",
+        "uneven_hold_ms",
         "engine_memory",
         "cross_domain_cost_ms",
         "cross_domain_cost_ms_per_kb",
