--- a/src/godwittack/core/length_routing.py
+++ b/src/godwittack/core/length_routing.py
@@ -14,7 +14,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, routing
+from godwittack.core import backlog, routing, uneven
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -30,8 +30,8 @@
 
 def is_enabled(world: entities.World, target: str) -> bool:
     """Returns whether a target's prompts are split by length."""
-    return bool(world.policy.long_prompt_tokens) and (
-        target in world.uneven_targets
+    return bool(world.policy.long_prompt_tokens) and uneven.is_uneven(
+        world, target
     )
 
 
--- a/src/godwittack/core/uneven.py
+++ b/src/godwittack/core/uneven.py
@@ -7,13 +7,18 @@
 if TYPE_CHECKING:
     from godwittack.core import entities
 
+# Value of `uneven_servers` for targets whose servers report no pace as well.
+ALWAYS = 2
+
 
 def is_uneven(world: entities.World, target: str) -> bool:
-    """Returns whether the servers of a target differ in pace.
+    """Returns whether the servers of a target are treated as uneven.
 
     Servers that share their machines with others say so by reporting a pace.
-    Where none does, placement needs no estimate for each server.
+    Where none does, operators may still know that they differ.
     """
+    if world.policy.uneven_servers == ALWAYS:
+        return True
     return bool(world.policy.uneven_servers) and target in world.uneven_targets
 
 
