--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -10,6 +10,7 @@
     "quota_spare_ratio": 0.8,
     "late_answer_value": 1.0,
     "engine_memory": 1,
+    "uneven_servers": 2,
 }
 
 
@@ -71,7 +72,8 @@
         quota_spare_ratio: Part of that use that may be admitted while this
             daemon is in contact with the whole fleet; 0 for the default.
         uneven_servers: Whether each server's pace and distance count in
-            placement, for targets whose servers report their pace.
+            placement: 1 for targets whose servers report their pace, 2 for all
+            models and services.
         engine_memory: Whether, for these targets, the memory of engines counts
             as well.
         uneven_hold_ms: As `hold_ms`, for these targets; 0 for the same. Their
