--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -150,9 +150,7 @@
         update_service_time(
             world, request.work.target, world.now_ms - attempt.sent_at_ms
         )
-        length_routing.record_service(
-            world, request, world.now_ms - attempt.sent_at_ms
-        )
+        length_routing.record_engine_time(world, request, attempt)
     remove(world, request)
 
 
--- a/src/godwittack/core/length_routing.py
+++ b/src/godwittack/core/length_routing.py
@@ -6,15 +6,15 @@
 instead of 160 ms, all slots fill, and short prompts wait for one beyond their
 target latency, although they are admitted first.
 
-The usable engines are split in the proportion of the slot time that both kinds
-need. All daemons rank the engines alike, so that their splits differ by little.
+The usable engines are split in the proportion of the engine time that both
+kinds take. All daemons rank the engines alike, so that their splits differ by little.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, routing, uneven
+from godwittack.core import backlog, prefill_cost, routing, uneven
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -44,15 +44,23 @@
         )
 
 
-def record_service(
-    world: entities.World, request: entities.RequestRow, took_ms: int
+def record_engine_time(
+    world: entities.World,
+    request: entities.RequestRow,
+    attempt: entities.AttemptRow,
 ) -> None:
-    """Records how long a request ran, from its dispatch to its end."""
+    """Records the engine time of a request that has ended."""
     target = request.work.target
-    if is_enabled(world, target):
-        world.prompt_mixes[target].record_service(
-            is_long=_is_long(world, request), took_ms=took_ms
-        )
+    server = world.servers.get(attempt.server_id)
+    if server is None or not is_enabled(world, target):
+        return
+    us_per_token = prefill_cost.computing_us_per_token(world, server)
+    slots = server.slots or world.policy.slots
+    world.prompt_mixes[target].record_engine_time(
+        is_long=_is_long(world, request),
+        engine_ms=attempt.expected_tokens * us_per_token / 1000
+        + (world.now_ms - attempt.sent_at_ms) / slots,
+    )
 
 
 def select(
@@ -97,4 +105,4 @@
     return request.work.prompt_tokens >= world.policy.long_prompt_tokens
 
 
-__all__ = ["count", "is_enabled", "record_service", "select"]
+__all__ = ["count", "is_enabled", "record_engine_time", "select"]
--- a/src/godwittack/core/prompt_mix.py
+++ b/src/godwittack/core/prompt_mix.py
@@ -1,4 +1,4 @@
-"""Counts short and long prompts, and how long each holds an engine's slot."""
+"""Counts short and long prompts, and the engine time that each takes."""
 
 from __future__ import annotations
 
@@ -7,30 +7,33 @@
 
 # Time constant of the mix: one of 76 daemons gets a long prompt every 3 s.
 MIX_TIME_CONSTANT_MS = 20_000.0
-# Assumed before requests were counted: their number, their time in a slot on
-# engines of their own, and the share of short ones.
+# Assumed before requests were counted: their number, the share of short ones,
+# and the engine time that each takes.
 ASSUMED_REQUESTS = 10.0
 ASSUMED_SHORT_SHARE = 0.9
-ASSUMED_SHORT_MS = 200.0
-ASSUMED_LONG_MS = 1_000.0
-SERVICE_TIME_SMOOTHING = 0.1
+ASSUMED_SHORT_MS = 20.0
+ASSUMED_LONG_MS = 200.0
+ENGINE_TIME_SMOOTHING = 0.1
 # Change of the engines for short prompts from which the split is changed: an
 # engine that changes sides is mixed until its long prompts have ended.
 MIN_SPLIT_CHANGE = 0.75
-# Slot time that short prompts get relative to their need: they arrive in
+# Engine time that short prompts get relative to their need: they arrive in
 # bursts, and their target latency leaves no time to wait for a slot.
 SHORT_HEADROOM = 1.5
 
 
 @dataclasses.dataclass(slots=True)
 class PromptMix:
-    """Numbers of short and long requests, and how long they hold a slot.
+    """Numbers of short and long requests, and the engine time they take.
+
+    The engine time of a request is the time to compute its prompt, and its part
+    of the time that it holds one of the slots.
 
     Attributes:
         short_requests: Decayed number of short requests.
         long_requests: The same for long ones.
-        short_service_ms: Smoothed time that a short one holds a slot.
-        long_service_ms: The same for long ones.
+        short_engine_ms: Smoothed engine time of a short one.
+        long_engine_ms: The same for long ones.
         counted_at_ms: When the numbers were last decayed.
         engine_count: Number of engines that were last split.
         short_engine_count: How many of them were for short prompts.
@@ -38,8 +41,8 @@
 
     short_requests: float = ASSUMED_REQUESTS * ASSUMED_SHORT_SHARE
     long_requests: float = ASSUMED_REQUESTS * (1.0 - ASSUMED_SHORT_SHARE)
-    short_service_ms: float = ASSUMED_SHORT_MS
-    long_service_ms: float = ASSUMED_LONG_MS
+    short_engine_ms: float = ASSUMED_SHORT_MS
+    long_engine_ms: float = ASSUMED_LONG_MS
     counted_at_ms: int = 0
     engine_count: int = 0
     short_engine_count: int = 0
@@ -52,19 +55,19 @@
         self.short_requests = self.short_requests * kept + (not is_long)
         self.long_requests = self.long_requests * kept + is_long
 
-    def record_service(self, *, is_long: bool, took_ms: int) -> None:
-        """Updates the time that requests hold a slot."""
+    def record_engine_time(self, *, is_long: bool, engine_ms: float) -> None:
+        """Updates the engine time that requests take."""
         if is_long:
-            change_ms = took_ms - self.long_service_ms
-            self.long_service_ms += SERVICE_TIME_SMOOTHING * change_ms
+            change_ms = engine_ms - self.long_engine_ms
+            self.long_engine_ms += ENGINE_TIME_SMOOTHING * change_ms
         else:
-            change_ms = took_ms - self.short_service_ms
-            self.short_service_ms += SERVICE_TIME_SMOOTHING * change_ms
+            change_ms = engine_ms - self.short_engine_ms
+            self.short_engine_ms += ENGINE_TIME_SMOOTHING * change_ms
 
     def short_share(self) -> float:
         """Returns the share of the engines that short prompts need."""
-        short_ms = self.short_requests * self.short_service_ms * SHORT_HEADROOM
-        long_ms = self.long_requests * self.long_service_ms
+        short_ms = self.short_requests * self.short_engine_ms * SHORT_HEADROOM
+        long_ms = self.long_requests * self.long_engine_ms
         return short_ms / max(1e-9, short_ms + long_ms)
 
     def split(self, engine_count: int) -> int:
--- a/tests/cases/length_routing.py
+++ b/tests/cases/length_routing.py
@@ -72,16 +72,16 @@
     assert attempt is not None and attempt.server_id not in short_engines
 
 
-def the_split_follows_the_slot_time_of_both_kinds() -> None:
+def the_split_follows_the_engine_time_of_both_kinds() -> None:
     """Guards against engines that idle while those of the other kind queue."""
     mix = prompt_mix.PromptMix()
     for number in range(4_000):
         mix.count(is_long=number % 2 == 0, now_ms=number * 10)
     for _ in range(200):
-        mix.record_service(is_long=True, took_ms=900)
-        mix.record_service(is_long=False, took_ms=200)
-    expected = 200 * prompt_mix.SHORT_HEADROOM
-    expected /= expected + 900
+        mix.record_engine_time(is_long=True, engine_ms=300.0)
+        mix.record_engine_time(is_long=False, engine_ms=20.0)
+    expected = 20 * prompt_mix.SHORT_HEADROOM
+    expected /= expected + 300
     assert abs(mix.short_share() - expected) < 0.02, mix.short_share()
 
 
@@ -89,6 +89,6 @@
     "long_prompts_stay_off_the_engines_of_short_ones",
     "prompts_are_mixed_without_the_setting",
     "short_prompts_use_other_engines_rather_than_be_refused",
-    "the_split_follows_the_slot_time_of_both_kinds",
+    "the_split_follows_the_engine_time_of_both_kinds",
     "two_engines_are_not_split",
 ]
--- a/tests/features/length_routing.feature
+++ b/tests/features/length_routing.feature
@@ -11,4 +11,4 @@
       | prompts are mixed without the setting |
       | two engines are not split |
       | short prompts use other engines rather than be refused |
-      | the split follows the slot time of both kinds |
+      | the split follows the engine time of both kinds |
