--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -209,6 +209,14 @@
         default_factory=dict,
         description="numbers that tune decisions, see `godwittack settings`",
     )
+    contracts: tuple[str, ...] = pydantic.Field(
+        default=(),
+        description="names of the platform's rules that are in force",
+    )
+    decisions_by_contract: dict[str, dict[str, int | float]] = pydantic.Field(
+        default_factory=dict,
+        description="numbers as in decisions, by the contract they are for",
+    )
     membership: dict[str, int | float] = pydantic.Field(
         default_factory=dict,
         description="numbers that tune membership, see `godwittack settings`",
@@ -232,6 +240,15 @@
                 raise ValueError(f"{name} must be at most {maximum:g}")
         return _check_names(value, policies.Policy)
 
+    @pydantic.field_validator("decisions_by_contract")
+    @classmethod
+    def _check_decisions_by_contract(
+        cls, value: dict[str, dict[str, int | float]]
+    ) -> dict[str, dict[str, int | float]]:
+        for numbers in value.values():
+            cls._check_decisions(numbers)
+        return value
+
     @pydantic.field_validator("membership")
     @classmethod
     def _check_membership(
@@ -259,8 +276,12 @@
                 0, self.weights_bound_ms - WEIGHTS_MARGIN_MS
             ),
         )
+        numbers = dict(self.decisions)
+        for contract, overrides in self.decisions_by_contract.items():
+            if contract in self.contracts:
+                numbers.update(overrides)
         return dataclasses.replace(
-            defaults, **_convert_numbers(self.decisions, policies.Policy)
+            defaults, **_convert_numbers(numbers, policies.Policy)
         )
 
     def member_policy(self) -> view.MemberPolicy:
--- a/src/godwittack/core/length_routing.py
+++ b/src/godwittack/core/length_routing.py
@@ -7,14 +7,15 @@
 target latency, although they are admitted first.
 
 The usable engines are split in the proportion of the engine time that both
-kinds take. All daemons rank the engines alike, so that their splits differ by little.
+kinds take. All daemons rank the engines alike, so that their splits differ by
+little.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, prefill_cost, routing, uneven
+from godwittack.core import backlog, routing, uneven
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -54,11 +55,10 @@
     server = world.servers.get(attempt.server_id)
     if server is None or not is_enabled(world, target):
         return
-    us_per_token = prefill_cost.computing_us_per_token(world, server)
     slots = server.slots or world.policy.slots
     world.prompt_mixes[target].record_engine_time(
         is_long=_is_long(world, request),
-        engine_ms=attempt.expected_tokens * us_per_token / 1000
+        engine_ms=attempt.expected_idle_ms
         + (world.now_ms - attempt.sent_at_ms) / slots,
     )
 
--- a/tests/cases/length_routing.py
+++ b/tests/cases/length_routing.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from cases import routed_core
-from godwittack.core import backlog, prompt_mix, server_inputs, work
+from godwittack.core import (
+    backlog,
+    length_routing,
+    prompt_mix,
+    server_inputs,
+    work,
+)
 
 ENGINES = routed_core.ENGINES
 LONG = (work.Level(key=1, tokens=13_000), work.Level(key=2, tokens=4_000))
@@ -72,6 +78,18 @@
     assert attempt is not None and attempt.server_id not in short_engines
 
 
+def an_answer_counts_for_the_split() -> None:
+    """Guards against a failure at the end of each routed answer."""
+    core = _core(long_prompt_tokens=2_048)
+    core.arrive("long", levels=LONG)
+    mix = core.world.prompt_mixes[ENGINES]
+    before_ms = mix.long_engine_ms
+    request = core.world.requests["r"]
+    core.now_ms += 900
+    length_routing.record_engine_time(core.world, request, request.last_attempt)
+    assert mix.long_engine_ms != before_ms
+
+
 def the_split_follows_the_engine_time_of_both_kinds() -> None:
     """Guards against engines that idle while those of the other kind queue."""
     mix = prompt_mix.PromptMix()
@@ -86,6 +104,7 @@
 
 
 __all__ = [
+    "an_answer_counts_for_the_split",
     "long_prompts_stay_off_the_engines_of_short_ones",
     "prompts_are_mixed_without_the_setting",
     "short_prompts_use_other_engines_rather_than_be_refused",
--- a/tests/features/length_routing.feature
+++ b/tests/features/length_routing.feature
@@ -12,3 +12,4 @@
       | two engines are not split |
       | short prompts use other engines rather than be refused |
       | the split follows the engine time of both kinds |
+      | an answer counts for the split |
