--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -20,6 +20,7 @@
     "fleet_bounds",
     "serving",
     "connections",
+    "contracts",
     "crash_rows",
     "crashing",
     "crashing_parts",
