Read settings whose template names no contracts

Daemons of the test clusters did not start: the key `contracts` was rendered without a value and rejected.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -222,6 +222,12 @@
         description="numbers that tune membership, see `godwittack settings`",
     )
 
+    @pydantic.field_validator("contracts", mode="before")
+    @classmethod
+    def _read_empty_contracts(cls, value: object) -> object:
+        # A template writes a key without a value where it has none.
+        return () if value is None else value
+
     @pydantic.field_validator("decisions", mode="before")
     @classmethod
     def _drop_empty_decisions(cls, value: object) -> object:
--- a/tests/cases/contracts.py
+++ b/tests/cases/contracts.py
@@ -31,6 +31,11 @@
         assert policy.hold_ms == 100
 
 
+def a_template_without_contracts_is_read() -> None:
+    """Guards against daemons that don't start where none is named."""
+    assert _settings(contracts=None).contracts == ()
+
+
 def a_wrong_number_is_rejected_whether_its_contract_is_named_or_not() -> None:
     """Guards against a mistake that shows only in another deployment."""
     for numbers in ({"hold": 1}, {"uneven_servers": 3}, {"hold_ms": -1}):
@@ -42,6 +47,7 @@
 
 
 __all__ = [
+    "a_template_without_contracts_is_read",
     "a_wrong_number_is_rejected_whether_its_contract_is_named_or_not",
     "numbers_apply_only_where_their_contract_is_named",
 ]
--- a/tests/features/contracts.feature
+++ b/tests/features/contracts.feature
@@ -8,4 +8,5 @@
     Examples: settings
       | case |
       | numbers apply only where their contract is named |
+      | a template without contracts is read |
       | a wrong number is rejected whether its contract is named or not |
