--- a/src/godwittack/core/prompt_mix.py
+++ b/src/godwittack/core/prompt_mix.py
@@ -17,9 +17,9 @@
 # Change of the engines for short prompts from which the split is changed: an
 # engine that changes sides is mixed until its long prompts have ended.
 MIN_SPLIT_CHANGE = 0.75
-# Engine time that short prompts get relative to their need: they arrive in
-# bursts, and their target latency leaves no time to wait for a slot.
-SHORT_HEADROOM = 1.5
+# Engine time that short prompts get relative to their need. With 1.5 long ones
+# got half of their value in time, while short ones got nine tenths.
+SHORT_HEADROOM = 0.8
 
 
 @dataclasses.dataclass(slots=True)
