Send the loads in responses to all daemons again

Cause: took them for the cost of bytes between domains on a deployment whose servers state no pace. There `pace_sharing` returns before it tells any load, so that its cause was wrong, and its effect elsewhere was never measured. Uneven, golden, locality and length routing pass (42 scenarios).

--- a/src/godwittack/daemon/peer_updates.py
+++ b/src/godwittack/daemon/peer_updates.py
@@ -28,8 +28,6 @@
 FLUSH_INTERVAL_PER_PEER_MS = 10
 # Limit of that interval, relative to the age from which load reports are stale.
 MAX_FLUSH_INTERVAL_RATIO = 0.25
-# Daemons up to which each receives the loads in all others' responses.
-MAX_LOAD_AUDIENCE = 24
 
 
 class PeerUpdates:
@@ -130,17 +128,8 @@
                 outbox.send_pending()
 
     def publish_told_load(self, load: effects.TellLoad) -> None:
-        """Queues the load in a server's response, for the next flush.
-
-        In a large fleet only daemons of the same failure domain receive it:
-        sent to all, it grows with the square of the fleet, and bytes between
-        domains are expensive.
-        """
-        members = self.audience(load.target)
-        if len(members) > MAX_LOAD_AUDIENCE:
-            near = self._runtime.core.world.near_daemons
-            members = [m for m in members if m.member_id in near]
-        for outbox in self._outboxes_for(members):
+        """Queues the load in a server's response, for the next flush."""
+        for outbox in self._outboxes_for(self.audience(load.target)):
             outbox.pending.told_loads[load.server_id] = load
 
     def publish_digest(
