Let daemons meet before a test cuts one of them off

Cause: the test cut daemon 0 off a few milliseconds after its start. It had met no other daemon to relay through (live=1), and its retry budget held 0.15 of a retry. With a cut that came later, requests still used open connections, and the logs, which a thread writes after the answer, were read too early. Change: the test waits until the daemons have met, earns the two retries that finding two lost paths takes, calls until a request is relayed, and waits for the log lines. What it checks is unchanged.

--- a/tests/cases/endless.py
+++ b/tests/cases/endless.py
@@ -313,17 +313,33 @@
     async with platform.Platform(
         daemons=2, can_cut=True, timeout_ms=DEADLINE_MS
     ) as made:
+        # A daemon that has just started has met no other one, and holds no
+        # whole retry yet; finding both paths lost takes two.
+        await made.until_met()
+        for _ in range(2):
+            await made.earn_retry("release")
         made.cut(0, "reset", ["i-s1", "i-s2"])
-        status, _, _ = await made.call("release", "whole")
-        assert status == 200, status
-        assert "relay=" in made.log(0)
+
+        async def relayed() -> bool:
+            status, _, _ = await made.call("release", "whole")
+            assert status == 200, status
+            return "relay=" in made.log(0)
+
+        await platform.until("requests are relayed", relayed)
         for name in ("i-s1", "i-s2"):
             made.replicas[name].faults.endless = fault
         status, _, _ = await made.call("confirm", "confirm-1")
         assert status == 502, status
-        assert "cause=endless" in made.log(0)
-        assert "event=server_ejected server=i-s" in made.log(0)
-        assert "event=endless_answer server=i-s" in made.log(1)
+
+        async def logged() -> bool:
+            return (
+                "cause=endless" in made.log(0)
+                and "event=server_ejected server=i-s" in made.log(0)
+                and "event=endless_answer server=i-s" in made.log(1)
+            )
+
+        # Logs are written by a thread, after the answer.
+        await platform.until("the fault is logged", logged)
         assert fault.sent_bytes <= MAX_READ_BYTES
 
 
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -319,6 +319,20 @@
 
         await until(f"daemon {number} is ready", ready)
 
+    async def until_met(self, number: int = 0) -> None:
+        """Waits until a daemon knows all others."""
+        port = self.fields[number]["internal-port-range"][1]
+        expected = re.compile(
+            rf"^godwittack_live_daemons\{{.*\}} {len(self.fields)}\.0$", re.M
+        )
+
+        async def met() -> bool:
+            url = f"http://127.0.0.1:{port}/metrics"
+            async with self.session.get(url) as response:
+                return bool(expected.search(await response.text()))
+
+        await until(f"daemon {number} has met the others", met)
+
     async def get(self, number: int, part: str, path: str) -> tuple[int, bytes]:
         """Sends a GET request to one of a daemon's listeners."""
         url = f"http://{self.fields[number]['listen'][part]}{path}"
