Queue requests per group of engines that they may use

Cause: with engines split by prompt length, a target's queue knew priorities only. Queued short prompts (priority 0) held back long ones (priority 2) whose engines were idle: a long prompt queued behind all of them, and the queue was emptied only down to the first priority that could not be sent. Change: queues and their dispatch intervals have a key of engine group and priority; requests precede each other only within a group. Without a split there is one group, as before. The lookup of queues leaves dispatching for a module of its own.

--- a/src/godwittack/core/closing.py
+++ b/src/godwittack/core/closing.py
@@ -226,7 +226,7 @@
         close_attempt(world, attempt_id)
     world.requests.pop(request.request_id, None)
     if request.phase is entities.Phase.QUEUED:
-        queue = world.queues[request.work.target][request.queue_priority]
+        queue = world.queues[request.work.target][request.queue_key]
         queue.remove(request.request_id)
         memory_queue.forget(world, request)
     for cell in request.cells:
--- a/src/godwittack/core/dispatch_pacing.py
+++ b/src/godwittack/core/dispatch_pacing.py
@@ -13,14 +13,14 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from godwittack.core import entities
+    from godwittack.core import entities, queue_keys
 
 SMOOTHING_FACTOR = 0.1
 
 
 @dataclasses.dataclass(slots=True)
 class DispatchInterval:
-    """Interval between dispatches for one target and priority.
+    """Interval between dispatches from one queue.
 
     Attributes:
         smoothed_ms: Time from one dispatch to the next while requests wait.
@@ -32,15 +32,15 @@
     measured_from_ms: int = -1
 
 
-def start(world: entities.World, target: str, priority: int) -> None:
-    """Records that the first request of a priority was queued."""
-    _interval(world, target, priority).measured_from_ms = world.now_ms
+def start(world: entities.World, target: str, key: queue_keys.QueueKey) -> None:
+    """Records that the first request of a queue was queued."""
+    _interval(world, target, key).measured_from_ms = world.now_ms
 
 
 def record_dispatch(
     world: entities.World,
     target: str,
-    priority: int,
+    key: queue_keys.QueueKey,
     *,
     remaining: int,
     updates_interval: bool = True,
@@ -50,11 +50,11 @@
     Args:
         world: Tables.
         target: Its target.
-        priority: Priority of its queue.
+        key: Key of its queue.
         remaining: How many requests remain in that queue.
         updates_interval: Whether its wait counts: not if it waited for a rest.
     """
-    interval = _interval(world, target, priority)
+    interval = _interval(world, target, key)
     if interval.measured_from_ms >= 0 and updates_interval:
         gap_ms = world.now_ms - interval.measured_from_ms
         previous_ms = interval.smoothed_ms or float(gap_ms)
@@ -65,10 +65,10 @@
 
 
 def wait_ms(
-    world: entities.World, target: str, priority: int, *, ahead: int
+    world: entities.World, target: str, key: queue_keys.QueueKey, *, ahead: int
 ) -> float:
-    """Returns how long a request waits behind others of its priority."""
-    interval = _interval(world, target, priority)
+    """Returns how long a request waits behind others of its queue."""
+    interval = _interval(world, target, key)
     interval_ms = interval.smoothed_ms
     if interval.measured_from_ms >= 0:
         # A longer gap than usual means that the servers have slowed down.
@@ -99,11 +99,9 @@
 
 
 def _interval(
-    world: entities.World, target: str, priority: int
+    world: entities.World, target: str, key: queue_keys.QueueKey
 ) -> DispatchInterval:
-    return world.dispatch_pacing.setdefault(
-        (target, priority), DispatchInterval()
-    )
+    return world.dispatch_pacing.setdefault((target, key), DispatchInterval())
 
 
 __all__ = [
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -19,17 +19,19 @@
     overload,
     paths,
     placing,
+    queue_keys,
     quotas,
     rate_limits,
     refusing,
     resting,
     return_times,
     routing,
+    target_queues,
     uneven,
     urgency,
     work,
 )
-from godwittack.limit import fair, urgency_queue
+from godwittack.limit import urgency_queue
 
 
 def place(world: entities.World, request: entities.RequestRow) -> None:
@@ -50,24 +52,24 @@
     if choice.memory_wait_ms:
         _await_memory(world, request, choice)
         return
-    priority = routing.priority(world, request)
-    queue = _queue(world, request.work.target, priority)
-    queued_ahead = _queued_ahead(world, request.work.target, priority)
+    key = target_queues.key_of(world, request)
+    queue = target_queues.get(world, request.work.target, key)
+    queued_ahead = target_queues.ahead(world, request.work.target, key)
     hold_ms = uneven.hold_ms(world, request.work.target)
     must_queue = choice.wait_ms > hold_ms or queued_ahead > 0
     wait_ms = 0.0
     if must_queue:
         if overload.refuse_excess(world, request, queue, ahead=queued_ahead):
             return
-        queued_at_priority = queue.count_ahead(request.workspace)
+        queued_at_key = queue.count_ahead(request.workspace)
         if urgency.is_ordered(world):
             # Behind its share of the queue only: those beyond theirs wait.
-            queued_ahead -= len(queue) - queued_at_priority
+            queued_ahead -= len(queue) - queued_at_key
         slots_wait_ms = dispatch_pacing.slots_wait_ms(
             world, request.work.target, queued_ahead
         )
         pacing_wait_ms = dispatch_pacing.wait_ms(
-            world, request.work.target, priority, ahead=queued_at_priority
+            world, request.work.target, key, ahead=queued_at_key
         )
         wait_ms = max(slots_wait_ms, pacing_wait_ms)
     if not _meets_deadline(world, request, choice, wait_ms):
@@ -84,8 +86,10 @@
 ) -> bool:
     """Refuses a request if too many are queued; returns whether it may be."""
     target = request.work.target
-    queue = _queue(world, target, routing.priority(world, request))
-    queued = _queued_count(world, target)
+    queue = target_queues.get(
+        world, target, target_queues.key_of(world, request)
+    )
+    queued = target_queues.count(world, target)
     if queued < _queue_limit(world, request) or overload.displace(
         world, request, queue
     ):
@@ -119,12 +123,12 @@
     request: entities.RequestRow,
     choice: placing.Choice,
 ) -> None:
-    priority = routing.priority(world, request)
-    # The queue of its priority does not contain it, but is expected to exist.
-    _queue(world, request.work.target, priority)
+    key = target_queues.key_of(world, request)
+    # Its queue does not contain it, but is expected to exist.
+    target_queues.get(world, request.work.target, key)
     request.phase = entities.Phase.QUEUED
-    request.queue_priority = priority
-    memory_queue.hold(world, request, priority)
+    request.queue_key = key
+    memory_queue.hold(world, request, key.priority)
     world.event(
         "held_for_memory",
         request.request_id,
@@ -164,8 +168,8 @@
 
 def _charge(world: entities.World, request: entities.RequestRow) -> None:
     """Counts a request that does not queue in the queue's fair order."""
-    priority = routing.priority(world, request)
-    _queue(world, request.work.target, priority).charge(
+    key = target_queues.key_of(world, request)
+    target_queues.get(world, request.work.target, key).charge(
         workspace=request.workspace,
         weight=urgency.fleet_weight(world, request.workspace),
         cost=overload.cost(request),
@@ -175,7 +179,7 @@
 def _await_rest(world: entities.World, request: entities.RequestRow) -> None:
     """Queues a request until a server has rested, or refuses it at once."""
     target = request.work.target
-    has_room = _queued_count(world, target) < min(
+    has_room = target_queues.count(world, target) < min(
         resting.max_waiting(world, target), _queue_limit(world, request)
     )
     if not has_room or not resting.may_wait(world, request):
@@ -190,14 +194,14 @@
 def _enqueue(
     world: entities.World, request: entities.RequestRow, *, wait_ms: float
 ) -> None:
-    """Puts a request into the queue of its priority."""
-    priority = routing.priority(world, request)
-    queue = _queue(world, request.work.target, priority)
-    queued_ahead = _queued_ahead(world, request.work.target, priority)
+    """Puts a request into its queue."""
+    key = target_queues.key_of(world, request)
+    queue = target_queues.get(world, request.work.target, key)
+    queued_ahead = target_queues.ahead(world, request.work.target, key)
     request.phase = entities.Phase.QUEUED
-    request.queue_priority = priority
+    request.queue_key = key
     if not len(queue) and not request.awaits_rest_end:
-        dispatch_pacing.start(world, request.work.target, priority)
+        dispatch_pacing.start(world, request.work.target, key)
     if request.work.route is not None:
         world.event(
             "queued",
@@ -343,20 +347,17 @@
     """
     for target in sorted(world.targets_to_dispatch):
         _dispatch_held(world, target)
-        by_priority = world.queues.get(target, {})
-        for priority in sorted(by_priority):
-            _dispatch_from_queue(world, by_priority[priority], priority)
-            if len(by_priority[priority]):
-                break
+        for key, queue in target_queues.most_urgent_first(world, target):
+            _dispatch_from_queue(world, queue, key)
     world.targets_to_dispatch.clear()
 
 
 def expire_queued(world: entities.World) -> None:
     """Refuses queued requests that can no longer be served in time."""
-    for target, by_priority in world.queues.items():
+    for target, by_key in world.queues.items():
         world.targets_to_dispatch.add(target)
         _expire_held(world, target)
-        for priority, queue in by_priority.items():
+        for key, queue in by_key.items():
             for request_id in queue.request_ids():
                 request = world.requests[request_id]
                 if crashes.is_quarantined(world, request):
@@ -368,7 +369,7 @@
                 is_due = request.answer_start_deadline_ms <= world.now_ms
                 if not is_due and not urgency.is_hopeless(world, request):
                     continue
-                queued_ahead = _queued_ahead(world, target, priority)
+                queued_ahead = target_queues.ahead(world, target, key)
                 wait_ms = dispatch_pacing.slots_wait_ms(
                     world, target, queued_ahead
                 )
@@ -391,32 +392,6 @@
     return request.awaits_rest_end and resting.is_rest_too_long(world, request)
 
 
-def _queued_count(world: entities.World, target: str) -> int:
-    """Returns how many requests for a target are queued."""
-    return sum(map(len, world.queues[target].values())) + len(
-        world.memory_holds[target]
-    )
-
-
-def _queue(
-    world: entities.World, target: str, priority: int
-) -> urgency_queue.RequestQueue:
-    by_priority = world.queues[target]
-    if priority not in by_priority:
-        by_priority[priority] = (
-            urgency_queue.UrgencyQueue()
-            if urgency.is_ordered(world)
-            else fair.FairQueue()
-        )
-    return by_priority[priority]
-
-
-def _queued_ahead(world: entities.World, target: str, priority: int) -> int:
-    """Returns how many queued requests are at least as urgent."""
-    by_priority = world.queues[target]
-    return sum(len(queue) for p, queue in by_priority.items() if p <= priority)
-
-
 def _dispatch_held(world: entities.World, target: str) -> None:
     """Dispatches requests held for memory that fit on an engine now."""
     for held in memory_queue.in_order(world, target):
@@ -447,7 +422,9 @@
 
 
 def _dispatch_from_queue(
-    world: entities.World, queue: urgency_queue.RequestQueue, priority: int
+    world: entities.World,
+    queue: urgency_queue.RequestQueue,
+    key: queue_keys.QueueKey,
 ) -> None:
     while len(queue):
         queued = queue.heads(world.now_ms)[0]
@@ -467,7 +444,7 @@
         dispatch_pacing.record_dispatch(
             world,
             request.work.target,
-            priority,
+            key,
             remaining=len(queue),
             updates_interval=not (
                 request.awaits_rest_end or choice.memory_wait_ms
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -13,6 +13,7 @@
     prefill_cost,
     prompt_mix,
     quarantine,
+    queue_keys,
     server_inputs,
     server_pace,
     stream_records,
@@ -108,7 +109,7 @@
         timeout_at_ms: When the request is ended in any case; 0 for never.
         possible_runs: Dispatches that may have been run by a server.
         head: Status and headers that the caller got with the first event.
-        queue_priority: Priority of the queue that holds the request.
+        queue_key: Key of the queue that holds the request.
         awaits_rest_end: Whether it is queued until a server's requested rest
             ends.
         cells: Limited cells that count the request while it is in flight.
@@ -152,7 +153,7 @@
     timeout_at_ms: int = 0
     possible_runs: int = 0
     head: works.Head | None = None
-    queue_priority: int = 0
+    queue_key: queue_keys.QueueKey = queue_keys.DEFAULT
     awaits_rest_end: bool = False
     cells: tuple[str, ...] = ()
     quota_units: int = 0
@@ -491,7 +492,7 @@
         failure_domain: Failure domain of this daemon; empty if unknown.
         started_at_ms: Time of the first input; -1 before it.
         pending_effects: Effects of the input being processed.
-        queues: Queued requests, by target and priority.
+        queues: Queued requests, by target, and by engine group and priority.
         fleet_demand: Demand of all daemons by workspace, as last computed.
         first_token_ms: Smoothed time from sending a prompt to its first token,
             by target and priority.
@@ -554,7 +555,7 @@
         default_factory=lambda: collections.defaultdict(dict)
     )
     outcomes: dict[str, OutcomeRow] = dataclasses.field(default_factory=dict)
-    queues: dict[str, dict[int, urgency_queue.RequestQueue]] = (
+    queues: dict[str, dict[queue_keys.QueueKey, urgency_queue.RequestQueue]] = (
         dataclasses.field(default_factory=lambda: collections.defaultdict(dict))
     )
     fleet_demand: urgency.FleetDemand = dataclasses.field(
@@ -606,9 +607,9 @@
     quarantine: quarantine.Quarantine = dataclasses.field(
         default_factory=quarantine.Quarantine
     )
-    dispatch_pacing: dict[tuple[str, int], dispatch_pacing.DispatchInterval] = (
-        dataclasses.field(default_factory=dict)
-    )
+    dispatch_pacing: dict[
+        tuple[str, queue_keys.QueueKey], dispatch_pacing.DispatchInterval
+    ] = dataclasses.field(default_factory=dict)
     availability_notices: dict[str, AvailabilityNotice] = dataclasses.field(
         default_factory=dict
     )
@@ -667,8 +668,8 @@
         """Returns the number of queued requests."""
         return sum(
             len(queue)
-            for by_priority in self.queues.values()
-            for queue in by_priority.values()
+            for by_key in self.queues.values()
+            for queue in by_key.values()
         ) + sum(map(len, self.memory_holds.values()))
 
 
--- a/src/godwittack/core/length_routing.py
+++ b/src/godwittack/core/length_routing.py
@@ -15,7 +15,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, routing, uneven
+from godwittack.core import backlog, queue_keys, routing, uneven
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -63,6 +63,19 @@
     )
 
 
+def group_of(
+    world: entities.World, request: entities.RequestRow
+) -> queue_keys.EngineGroup:
+    """Returns the group of engines that a request waits for."""
+    target = request.work.target
+    listed = len(world.servers_by_target[target])
+    if not is_enabled(world, target) or listed < MIN_ENGINES:
+        return queue_keys.EngineGroup.ALL
+    if _is_long(world, request):
+        return queue_keys.EngineGroup.LONG
+    return queue_keys.EngineGroup.SHORT
+
+
 def select(
     world: entities.World,
     request: entities.RequestRow,
--- a/src/godwittack/core/overload.py
+++ b/src/godwittack/core/overload.py
@@ -15,7 +15,7 @@
     effects,
     refusing,
     return_times,
-    routing,
+    target_queues,
     urgency,
 )
 from godwittack.limit import urgency_queue
@@ -41,7 +41,7 @@
     Args:
         world: Tables.
         request: The arriving request.
-        queue: Queue of its priority.
+        queue: Queue that it belongs to.
         ahead: Number of queued requests that are at least as urgent.
 
     Returns:
@@ -55,7 +55,7 @@
         dispatch_pacing.wait_ms(
             world,
             request.work.target,
-            routing.priority(world, request),
+            target_queues.key_of(world, request),
             ahead=len(queue),
         ),
     )
--- a/src/godwittack/core/return_times.py
+++ b/src/godwittack/core/return_times.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import dispatch_pacing, routing, urgency
+from godwittack.core import dispatch_pacing, target_queues, urgency
 from godwittack.limit import reservations
 
 if TYPE_CHECKING:
@@ -39,10 +39,10 @@
     reserved = world.reservations.setdefault(
         (target, request.workspace), reservations.Reservations()
     )
-    priority = routing.priority(world, request)
+    key = target_queues.key_of(world, request)
     takes_ms = max(
         dispatch_pacing.slots_wait_ms(world, target, 1),
-        dispatch_pacing.wait_ms(world, target, priority, ahead=1),
+        dispatch_pacing.wait_ms(world, target, key, ahead=1),
     )
     return _clamp(
         reserved.reserve(
--- a/tests/cases/length_routing.py
+++ b/tests/cases/length_routing.py
@@ -5,6 +5,7 @@
 from cases import routed_core
 from godwittack.core import (
     backlog,
+    inputs,
     length_routing,
     prompt_mix,
     server_inputs,
@@ -78,6 +79,55 @@
     assert attempt is not None and attempt.server_id not in short_engines
 
 
+def _queue_short_prompts(core: routed_core.Core, count: int) -> set[str]:
+    """Queues short prompts for their busy engines; returns these."""
+    _, short_engines = _play(core)
+    for name in short_engines:
+        backlog.add(
+            core.world, core.world.servers[name], tokens=30_000, priority=0
+        )
+    for number in range(count):
+        core.arrive("short", f"queued-{number}", levels=SHORT)
+    return short_engines
+
+
+def queued_short_prompts_leave_the_engines_of_long_ones_to_these() -> None:
+    """Guards against long prompts queued while their engines are idle."""
+    core = _core(long_prompt_tokens=2_048, uneven_hold_ms=200)
+    short_engines = _queue_short_prompts(core, 3)
+    requests = core.world.requests
+    assert all(requests[f"queued-{n}"].last_attempt is None for n in range(3))
+    core.arrive("long", "long", levels=LONG)
+    attempt = requests["long"].last_attempt
+    assert attempt is not None, requests["long"].phase
+    assert attempt.server_id not in short_engines
+
+
+def queued_long_prompts_are_sent_while_short_ones_wait() -> None:
+    """Guards against long prompts kept in the queue by more urgent ones."""
+    core = _core(long_prompt_tokens=2_048, uneven_hold_ms=200)
+    short_engines = _queue_short_prompts(core, 3)
+    for name, server in core.world.servers.items():
+        if server.target == ENGINES and name not in short_engines:
+            backlog.add(core.world, server, tokens=20_000, priority=0)
+    core.arrive("long", "long", levels=LONG)
+    request = core.world.requests["long"]
+    assert request.last_attempt is None, request.last_attempt
+    core.now_ms += 200
+    core.tell(inputs.Tick)
+    assert request.last_attempt is not None, request.phase
+    assert request.last_attempt.server_id not in short_engines
+    assert core.world.requests["queued-0"].last_attempt is None
+
+
+def without_a_split_all_prompts_share_one_order() -> None:
+    """Guards against long prompts that overtake urgent ones at an engine."""
+    core = _core(2, long_prompt_tokens=2_048, uneven_hold_ms=200)
+    _queue_short_prompts(core, 3)
+    core.arrive("long", "long", levels=LONG)
+    assert core.world.requests["long"].last_attempt is None
+
+
 def an_answer_counts_for_the_split() -> None:
     """Guards against a failure at the end of each routed answer."""
     core = _core(long_prompt_tokens=2_048)
@@ -107,7 +157,10 @@
     "an_answer_counts_for_the_split",
     "long_prompts_stay_off_the_engines_of_short_ones",
     "prompts_are_mixed_without_the_setting",
+    "queued_long_prompts_are_sent_while_short_ones_wait",
+    "queued_short_prompts_leave_the_engines_of_long_ones_to_these",
     "short_prompts_use_other_engines_rather_than_be_refused",
     "the_split_follows_the_engine_time_of_both_kinds",
     "two_engines_are_not_split",
+    "without_a_split_all_prompts_share_one_order",
 ]
--- a/tests/features/length_routing.feature
+++ b/tests/features/length_routing.feature
@@ -13,3 +13,6 @@
       | short prompts use other engines rather than be refused |
       | the split follows the engine time of both kinds |
       | an answer counts for the split |
+      | queued short prompts leave the engines of long ones to these |
+      | queued long prompts are sent while short ones wait |
+      | without a split all prompts share one order |
