Split engines by what all daemons know, and wait by kind of prompt

Seen, 76 daemons at the worst load: daemons expected a wait of 56 to 270 ms (median) for long prompts whose first token came after 2.1 to 2.7 s, while 12 of 28 engines or fewer computed them; short prompts waited 135 ms on the others. Cause: each daemon split the engines by its own requests, of which a long one comes every 3 s, so that splits differed by a third; and the wait for a slot was taken from the mean request of the target, a tenth of a long prompt. Change: long prompts are announced as such, and get the engines that the fleet's need, short ones the others. The wait at a full engine counts the completions of its own kind of prompt and what others have sent since the load was known. The split is logged and measured; placed lines tell the prompt's tokens and group.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -126,16 +126,49 @@
         )
         in_flight = max(in_flight, server.running + server.waiting + unreported)
     slots = server.slots or world.policy.slots
+    factor = pace.factor(world, server)
+    split_interval_ms = _split_interval_ms(world, server)
+    if split_interval_ms is not None:
+        in_flight += _announced_since_load(server)
+        completions = _completions_needed(in_flight, slots)
+        # The prompts in the backlog are among those that must end.
+        wait = max(wait, split_interval_ms * completions * factor)
+        return wait + in_flight * BATCH_DELAY_MS * factor
     completion_interval_ms = (
         world.service_time_ms.get(server.target, 0.0) / slots
     )
-    factor = pace.factor(world, server)
     completions = _completions_needed(in_flight, slots)
     wait += completion_interval_ms * completions * factor
     # Every request in a batch makes each of its steps slightly longer.
     return wait + in_flight * BATCH_DELAY_MS * factor
 
 
+def _split_interval_ms(
+    world: entities.World, server: entities.ServerRow
+) -> float | None:
+    """Returns the time between two completions at a full engine of a group.
+
+    Load pattern: an engine for long prompts has twenty of them in flight. Each
+    takes 300 ms, ten times as long as the mean request of the target.
+
+    Returns:
+        The time; None if the engines of its target are not split.
+    """
+    mix = world.prompt_mixes.get(server.target)
+    if mix is None or not mix.short_engines:
+        return None
+    if server.server_id in mix.short_engines:
+        return mix.short_engine_ms
+    return mix.long_engine_ms
+
+
+def _announced_since_load(server: entities.ServerRow) -> int:
+    """Returns how many prompts others have sent since the known load."""
+    return sum(
+        at_ms > server.reported_at_ms for at_ms in server.pace.announced_at_ms
+    )
+
+
 def _completions_needed(in_flight: int, slots: int) -> float:
     """Returns how many requests must end before a server begins the next.
 
@@ -188,6 +221,8 @@
     if not (dispatch.tokens or dispatch.levels):
         # It claims memory for a request that is not sent yet.
         return
+    if uneven.is_uneven(world, server.target):
+        server.pace.announced_at_ms.append(world.now_ms)
     add(world, server, tokens=dispatch.tokens, priority=dispatch.priority)
     record_cached(world, server, dispatch.levels, priority=dispatch.priority)
 
--- a/src/godwittack/core/dispatch_records.py
+++ b/src/godwittack/core/dispatch_records.py
@@ -9,10 +9,12 @@
     backlog,
     effects,
     engine_memory,
+    length_routing,
     locality,
     pace,
     pace_sharing,
     prefill_cost,
+    queue_keys,
     routing,
     uneven,
 )
@@ -55,10 +57,14 @@
         if server.reported_at_ms >= 0
         else -1,
         **(
-            {"pace": round(pace.factor(world, server), 2)}
+            {
+                "tokens": request.work.prompt_tokens,
+                "pace": round(pace.factor(world, server), 2),
+            }
             if uneven.is_uneven(world, server.target)
             else {}
         ),
+        **_group(world, request),
         **engine_memory.log_fields(world, request, server),
         after=request.next_frame - 1,
         left_ms=ends_at_ms(request) - world.now_ms,
@@ -67,6 +73,16 @@
     )
 
 
+def _group(
+    world: entities.World, request: entities.RequestRow
+) -> dict[str, str]:
+    """Returns the log field of the engines for a prompt's length."""
+    group = length_routing.group_of(world, request)
+    if group is queue_keys.EngineGroup.ALL:
+        return {}
+    return {"group": group.value}
+
+
 def _distance(
     world: entities.World, server: entities.ServerRow
 ) -> dict[str, int]:
@@ -118,6 +134,11 @@
                 cached_tokens=attempt.expected_cached_tokens,
             )
         )
+    is_long = length_routing.is_enabled(
+        world, choice.server.target
+    ) and length_routing.is_long(world, request)
+    if is_long:
+        length_routing.record_long(world, choice.server, tokens=tokens)
     backlog.add(world, choice.server, tokens=tokens, priority=priority)
     backlog.record_cached(world, choice.server, keys, priority=priority)
     if backlog.is_long(world, choice.server, request.work.prompt_tokens):
@@ -132,6 +153,7 @@
                 delay_ms=round(pace.delay_ms(world, choice.server)),
                 memory_tokens=memory.tokens if memory else 0,
                 shared_tokens=memory.shared_tokens if memory else 0,
+                is_long=is_long,
             )
         )
 
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -134,6 +134,7 @@
         memory_tokens: Memory that the request occupies; 0 if not estimated.
         shared_tokens: Part of it that requests with the same shared levels
             use as well.
+        is_long: Whether the engines for long prompts compute it.
     """
 
     server_id: str
@@ -145,6 +146,7 @@
     delay_ms: int = 0
     memory_tokens: int = 0
     shared_tokens: int = 0
+    is_long: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/length_routing.py
+++ b/src/godwittack/core/length_routing.py
@@ -6,26 +6,34 @@
 instead of 160 ms, all slots fill, and short prompts wait for one beyond their
 target latency, although they are admitted first.
 
-The usable engines are split in the proportion of the engine time that both
-kinds take. All daemons rank the engines alike, so that their splits differ by
-little.
+The usable engines are split: long prompts get as many as they need, short ones
+the others. All daemons rank the engines alike and learn of the same long
+prompts, so that their splits differ by little.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import backlog, queue_keys, routing, uneven
+from godwittack.core import (
+    backlog,
+    prefill_cost,
+    queue_keys,
+    routing,
+    uneven,
+)
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
-    from godwittack.core import entities
+    from godwittack.core import entities, server_inputs
 
 # With fewer engines one failure could leave a kind of prompt without any.
 MIN_ENGINES = 3
 # Part of the time left that a short prompt waits on its own engines before it
 # may use the others. It is late there as well, and delays the long ones.
 MAX_WAIT_PART = 0.5
+# With swinging demand the split would fill the log.
+LOG_INTERVAL_MS = 1_000
 _RANK_KEY = 0x5E9A
 
 
@@ -39,12 +47,30 @@
 def count(world: entities.World, request: entities.RequestRow) -> None:
     """Counts a new request for the split of its target's engines."""
     target = request.work.target
-    if is_enabled(world, target):
-        world.prompt_mixes[target].count(
-            is_long=_is_long(world, request), now_ms=world.now_ms
+    if is_enabled(world, target) and not is_long(world, request):
+        world.prompt_mixes[target].count_short(now_ms=world.now_ms)
+
+
+def record_long(
+    world: entities.World, server: entities.ServerRow, *, tokens: float
+) -> None:
+    """Records a long prompt that was sent to an engine."""
+    if is_enabled(world, server.target):
+        us_per_token = prefill_cost.us_per_token(world, server)
+        world.prompt_mixes[server.target].add_long(
+            tokens * us_per_token / 1000, now_ms=world.now_ms
         )
 
 
+def record_peer_dispatch(
+    world: entities.World, dispatch: server_inputs.PeerDispatched
+) -> None:
+    """Records a long prompt that another daemon sent to an engine."""
+    server = world.servers.get(dispatch.server_id)
+    if dispatch.is_long and server is not None:
+        record_long(world, server, tokens=dispatch.tokens)
+
+
 def record_engine_time(
     world: entities.World,
     request: entities.RequestRow,
@@ -56,10 +82,11 @@
     if server is None or not is_enabled(world, target):
         return
     slots = server.slots or world.policy.slots
+    engine_ms = (world.now_ms - attempt.sent_at_ms) / slots
+    if is_long(world, request):
+        engine_ms = max(engine_ms, attempt.expected_idle_ms)
     world.prompt_mixes[target].record_engine_time(
-        is_long=_is_long(world, request),
-        engine_ms=attempt.expected_idle_ms
-        + (world.now_ms - attempt.sent_at_ms) / slots,
+        is_long=is_long(world, request), engine_ms=engine_ms
     )
 
 
@@ -71,7 +98,7 @@
     listed = len(world.servers_by_target[target])
     if not is_enabled(world, target) or listed < MIN_ENGINES:
         return queue_keys.EngineGroup.ALL
-    if _is_long(world, request):
+    if is_long(world, request):
         return queue_keys.EngineGroup.LONG
     return queue_keys.EngineGroup.SHORT
 
@@ -91,16 +118,45 @@
     ranked = rendezvous.rank(
         _RANK_KEY, tuple(sorted(server.server_id for server in usable))
     )
-    short_count = world.prompt_mixes[request.work.target].split(len(ranked))
-    is_long = _is_long(world, request)
-    names = set(ranked[short_count:] if is_long else ranked[:short_count])
-    selected = [server for server in usable if server.server_id in names]
+    short_engines = _split(world, request.work.target, ranked)
+    uses_long = is_long(world, request)
+    selected = [
+        server
+        for server in usable
+        if (server.server_id in short_engines) != uses_long
+    ]
     # A long prompt never joins short ones: all of them would be late.
-    if is_long or not _is_wait_too_long(world, request, selected):
+    if uses_long or not _is_wait_too_long(world, request, selected):
         return selected
     return usable
 
 
+def _split(
+    world: entities.World, target: str, ranked: tuple[str, ...]
+) -> frozenset[str]:
+    """Returns the engines for short prompts, and logs changes."""
+    mix = world.prompt_mixes[target]
+    daemons = max(1, len(world.serving_daemons))
+    count = mix.split(len(ranked), daemons=daemons, now_ms=world.now_ms)
+    short_engines = mix.short_engines = frozenset(ranked[:count])
+    is_due = world.now_ms - mix.logged_at_ms >= LOG_INTERVAL_MS
+    if is_due and short_engines != mix.logged_engines:
+        mix.logged_at_ms = world.now_ms
+        mix.logged_engines = short_engines
+        short_need, long_need = mix.needs(daemons=daemons, now_ms=world.now_ms)
+        world.event(
+            "engines_split",
+            target=target,
+            engines=len(ranked),
+            short=count,
+            short_need=round(short_need, 1),
+            long_need=round(long_need, 1),
+            short_ms=round(mix.short_engine_ms, 1),
+            long_ms=round(mix.long_engine_ms),
+        )
+    return short_engines
+
+
 def _is_wait_too_long(
     world: entities.World,
     request: entities.RequestRow,
@@ -114,8 +170,18 @@
     return wait_ms > MAX_WAIT_PART * left_ms
 
 
-def _is_long(world: entities.World, request: entities.RequestRow) -> bool:
+def is_long(world: entities.World, request: entities.RequestRow) -> bool:
+    """Returns whether the engines for long prompts compute a request."""
     return request.work.prompt_tokens >= world.policy.long_prompt_tokens
 
 
-__all__ = ["count", "is_enabled", "record_engine_time", "select"]
+__all__ = [
+    "count",
+    "group_of",
+    "is_enabled",
+    "is_long",
+    "record_engine_time",
+    "record_long",
+    "record_peer_dispatch",
+    "select",
+]
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -17,6 +17,7 @@
     entities,
     hedging,
     inputs,
+    length_routing,
     locality,
     memory_updates,
     outcomes,
@@ -175,6 +176,7 @@
                     world.table = input_.table
             case server_inputs.PeerDispatched():
                 backlog.record_peer_dispatch(world, input_)
+                length_routing.record_peer_dispatch(world, input_)
                 memory_updates.record_peer_dispatch(world, input_)
             case inputs.CrashesTold():
                 crashes.apply_peer_update(world, input_)
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -348,6 +348,7 @@
         memory_tokens: Memory that the request occupies; 0 if not announced.
         shared_tokens: Part of it that requests with the same shared levels
             use as well.
+        is_long: Whether the engines for long prompts compute it.
     """
 
     at_ms: int
@@ -358,6 +359,7 @@
     load: LoadTold | None = None
     memory_tokens: int = 0
     shared_tokens: int = 0
+    is_long: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/godwittack/core/server_pace.py
+++ b/src/godwittack/core/server_pace.py
@@ -28,6 +28,8 @@
 MAX_DELAY_MS = 3_000.0
 # Other daemons' estimates of a server are dropped after this time.
 TOLD_TTL_MS = 60_000
+# More prompts than an engine computes between two reports of its load.
+MAX_ANNOUNCED = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +82,7 @@
         prompts: Prompts that it has to compute.
         delay_ms: By how much a first token came later than estimated.
         delay_at_ms: When that was observed.
+        announced_at_ms: When other daemons announced their last prompts.
         samples: Recent first tokens of this daemon.
         sampled_at_ms: When the last of them was taken.
         told: Estimates of other daemons, by daemon.
@@ -95,6 +98,9 @@
     )
     delay_ms: float = 0.0
     delay_at_ms: int = 0
+    announced_at_ms: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_ANNOUNCED)
+    )
     samples: collections.deque[prompt_cost.Sample] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
     )
@@ -109,6 +115,7 @@
         """Forgets what depends on the process; the machine is the same."""
         self.echoed = None
         self.prompts.clear()
+        self.announced_at_ms.clear()
         self.delay_ms = 0.0
 
     def momentary(self, now_ms: int) -> float:
--- a/src/godwittack/daemon/dispatch_announcer.py
+++ b/src/godwittack/daemon/dispatch_announcer.py
@@ -85,6 +85,7 @@
         delay_ms=announcement.delay_ms,
         memory_tokens=announcement.memory_tokens,
         shared_tokens=announcement.shared_tokens,
+        is_long=announcement.is_long,
     )
     load = announcement.load
     if load is not None:
@@ -109,6 +110,7 @@
         load=_load_from_proto(message, now_ms=now_ms),
         memory_tokens=message.memory_tokens,
         shared_tokens=message.shared_tokens,
+        is_long=message.is_long,
     )
 
 
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -176,6 +176,9 @@
             default=0.0,
         ),
         "godwittack_live_daemons": lambda: len(world.live_daemons),
+        "godwittack_short_prompt_engines": lambda: sum(
+            len(mix.short_engines) for mix in world.prompt_mixes.values()
+        ),
         "godwittack_unstored_outcomes": lambda: len(world.outcomes),
         "godwittack_weights_oldest_ms": lambda: max(
             (
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -46,6 +46,7 @@
         "delay_ms",
         "memory_tokens",
         "shared_tokens",
+        "is_long",
     ),
     effects.Dispatch: (
         "ends_at_ms",
@@ -64,7 +65,12 @@
         "kv_reserved_tokens",
         "next_tokens",
     ),
-    server_inputs.PeerDispatched: ("load", "memory_tokens", "shared_tokens"),
+    server_inputs.PeerDispatched: (
+        "load",
+        "memory_tokens",
+        "shared_tokens",
+        "is_long",
+    ),
     server_inputs.ProbeAnswered: (
         "fresh_connection",
         "was_asked",
--- a/tests/features/length_routing.feature
+++ b/tests/features/length_routing.feature
@@ -11,8 +11,12 @@
       | prompts are mixed without the setting |
       | two engines are not split |
       | short prompts use other engines rather than be refused |
-      | the split follows the engine time of both kinds |
+      | the split follows the need of both kinds |
       | an answer counts for the split |
       | queued short prompts leave the engines of long ones to these |
       | queued long prompts are sent while short ones wait |
       | without a split all prompts share one order |
+      | daemons with other requests split alike |
+      | a full engine of long prompts has a long wait |
+      | prompts announced since a report count |
+      | a changed split is logged once a second |
