Keep the default quota within its bound when daemons are cut off

Cause: daemons that are cut off one by one refill at the full rate until they notice, so that their levels become positive.

Decisions in contact with more than half of the fleet are unchanged.

A daemon in contact with at most half of the fleet, also one outside the serving set, admits a large request only when its refill has paid for it.

A case of one daemon checks the rule and its retry time.

Not fixed: at 20 times the quota, fleets with a cut still pass the bound, which is older than this change. It is recorded apart.

--- a/src/godwittack/limit/buckets.py
+++ b/src/godwittack/limit/buckets.py
@@ -342,13 +342,12 @@
     def _may_overdraw(self, bucket: Bucket, units: int, now_ms: int) -> bool:
         """Returns whether a request may take more than the bucket holds.
 
-        Load pattern: many daemons are cut off one by one. If each admitted a
-        request beyond its part of the quota, all together would pass the bound.
-        At most one part of a fleet reaches more than half of it; its
-        debt is the one that a whole fleet may have.
+        Load pattern: many daemons are cut off one by one. Until they notice,
+        they refill at the full rate, so that their levels are positive or soon
+        will be. If each then admitted a request beyond its part of the quota,
+        all together would pass the bound. At most one part of a fleet reaches
+        more than half of it; its debt is the one that a whole fleet may have.
         """
-        if not self.tolerance.spare_ratio:
-            return True
         is_known = now_ms - self._reach_at_ms < REACH_VALID_MS
         reach = self.reach if is_known else self.own_part
         if reach > MAJORITY:
--- a/tests/cases/quotas.py
+++ b/tests/cases/quotas.py
@@ -24,6 +24,12 @@
 LARGE = quota.Quota(per_s=47_000.0, burst=47_000.0)
 LARGE_TOLERANCE = quota.Tolerance(slack=190_000.0)
 SPARE_RATIO = 0.5
+# Fleets by daemons and seed in which daemons that are cut off one by one passed
+# the bound, by up to 1.067, while each of them could overdraw its bucket.
+CUT_OFF_SEEDS = {
+    63: (1, 2, 20, 28, 33, 34, 52, 70, 82, 89),
+    340: (1, 3, 4),
+}
 QUOTA = quota.Quota(per_s=10_000.0, burst=10_000.0)
 # All sessions of the cases above, and large requests beyond the quota.
 SESSIONS = (
@@ -45,9 +51,13 @@
 )
 
 
-def _play(daemons: int, **fields) -> quota_fleets.Fleet:
+def _play(
+    daemons: int, *, seed: int | None = None, **fields
+) -> quota_fleets.Fleet:
     plan = quota_fleets.Plan(daemons=daemons, **fields)
-    return quota_fleets.Fleet(plan, seed=daemons).play()
+    return quota_fleets.Fleet(
+        plan, seed=daemons if seed is None else seed
+    ).play()
 
 
 def _play_with_spare(daemons: int, **fields) -> float:
@@ -199,6 +209,31 @@
         assert played.worst_window() <= 1.0, fields
 
 
+def daemons_cut_off_one_by_one_do_not_overdraw() -> None:
+    """Guards against one request beyond the quota from each daemon cut off."""
+    for daemons, seeds in CUT_OFF_SEEDS.items():
+        for seed in seeds:
+            worst = _play(daemons, seed=seed, fault="cut").worst_window()
+            assert worst <= 1.0, (daemons, seed, worst)
+
+
+def a_daemon_cut_off_admits_what_its_refill_has_paid() -> None:
+    """Guards against overdrawing, and against retry times that are too early.
+
+    The part of more than half of a fleet overdraws as the whole fleet does.
+    """
+    for reach, admits in ((1.0, True), (4 / 6, True), (1 / 2, False)):
+        quotas = _in_debt(0.0, spare_ratio=0.0)
+        quotas.set_reach(reach, daemons=6, own_part=1 / 6, now_ms=10_000)
+        verdict = quotas.admit("desk", QUOTA, units=5_000, now_ms=10_000)
+        assert verdict.is_admitted == admits, reach
+    at_ms = 10_000 + verdict.retry_after_ms
+    for now_ms in range(10_000, at_ms, 50):
+        quotas.due_reports(now_ms)
+        quotas.set_reach(reach, daemons=6, own_part=1 / 6, now_ms=now_ms)
+    assert quotas.admit("desk", QUOTA, units=5_000, now_ms=at_ms).is_admitted
+
+
 def a_quota_holds_while_its_spare_part_is_used() -> None:
     """Guards against a spare part that passes the tolerated excess."""
     for daemons in FLEETS:
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -19,12 +19,14 @@
       | late reports are counted once |
       | a lowered quota holds after a window |
       | a quota holds over hundreds of daemons |
+      | daemons cut off one by one do not overdraw |
       | a quota holds while its spare part is used |
 
     Examples: decisions of one daemon
       | case |
       | the spare part serves small requests |
       | the spare part is closed without contact |
+      | a daemon cut off admits what its refill has paid |
       | small requests do not starve large ones |
       | a request beyond its quota gets a true retry time |
       | a refusal is logged with its inputs |
