Add the command `waits`, which compares expected with observed waits

Cause: the `placed` lines have the wait that a daemon expected, but nothing compares it with the time to the first token, so that operators can't see whether estimates are off, at which servers, and who waits for it. Change: `godwittack waits LOG...` follows requests through the lines of all daemons, merged by time, and prints medians and ninth deciles of both waits for the log, windows and servers, and first tokens, late shares and refusals by route, workspace, target, size and domain. The observed wait is computed from the daemon's durations where they are logged, since buffered lines have the time at which they were written. `explain` uses the same pattern for fields. Not run on a log of running daemons.

--- a/src/godwittack/command/explain.py
+++ b/src/godwittack/command/explain.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import pathlib
-import re
 import sys
 from typing import TYPE_CHECKING, Annotated
 
 import cyclopts
 
 from godwittack.command import codes, parser
+from godwittack.report import log_lines
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-KEY_VALUE = re.compile(r'(\w+)=("[^"]*"|\S*)')
+KEY_VALUE = log_lines.KEY_VALUE
 REQUEST_KEY = "request"
 # Lines about a server's state, shown for requests that used the server.
 SERVER_STATE_EVENTS = frozenset(
--- a/src/godwittack/command/parser.py
+++ b/src/godwittack/command/parser.py
@@ -36,6 +36,7 @@
         show,
         status,
         undo,
+        waits,
     )
 
 
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -33,6 +33,7 @@
     "pace",
     "prefill_costs",
     "logs",
+    "waits",
     "peers",
     "starts",
     "joining",
