Measure who waits for uneven engines in virtual time

Cause: variants of decisions for uneven servers could be compared only on whole deployments; bench policy knows neither priorities, nor chunked prefill, nor engines of different speed.

Change: scripts/bench.sh uneven runs the core before chunked engines under the two mixes of docs/design/seeing-uneven-load.md. It extends Experiment, RouterPolicy and Engine, which got the hooks that this needs.

Memory does not limit admission. With admission in order of arrival, chunks that take no time, or bursts without a seed, the new cases fail.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "path",
     "policy",
     "target",
+    "uneven",
 )
 
 
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -56,11 +56,16 @@
     slots: int = 32
 
 
-@dataclasses.dataclass(slots=True)
+# Jobs are compared by identity: two may have equal fields.
+@dataclasses.dataclass(slots=True, eq=False)
 class Job:
     """A request at an engine.
 
     Attributes:
+        priority: Lower is admitted first, by engines that know priorities.
+        uncomputed_tokens: Prompt tokens that are left to compute.
+        generated_tokens: Tokens generated so far.
+        is_cancelled: Whether its daemon has closed the connection.
         on_first_token: Called when its first token is generated.
         on_finished: Called when its last token is generated.
     """
@@ -71,6 +76,10 @@
     on_finished: Callable[[], None]
     cached_tokens: int = 0
     prompt_tokens: int = 0
+    priority: int = 0
+    uncomputed_tokens: int = 0
+    generated_tokens: int = 0
+    is_cancelled: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -43,7 +43,7 @@
     def __init__(
         self,
         *,
-        deployment: workload.Deployment,
+        deployment: workload.BaseDeployment,
         policy: str,
         rate_per_s: float,
         seed: int,
@@ -55,14 +55,11 @@
         self.rng = random.Random(f"experiment/{seed}")
         self.arrival_rng = random.Random(f"arrivals/{deployment.name}/{seed}")
         self.rate_per_s = rate_per_s
-        self.workload = workload.Workload(deployment, seed)
+        self.workload = self._create_workload(seed)
         self.timeline = engines.Timeline()
-        self.engine_spec = engines.EngineSpec(
-            cache_tokens=deployment.cache_tokens
-        )
+        self.engine_spec = self._create_engine_spec()
         self.engines = [
-            engines.Engine(f"engine-{n}", self.engine_spec, self.timeline)
-            for n in range(deployment.engines)
+            self._create_engine(number) for number in range(deployment.engines)
         ]
         self.engines_by_name = {engine.name: engine for engine in self.engines}
         self.outcomes: list[RequestOutcome] = []
@@ -81,7 +78,7 @@
         self._load_samples: collections.deque[dict[str, int]] = (
             collections.deque()
         )
-        self.policy = policies.POLICIES[policy](self)
+        self.policy = self._create_policy(policy)
 
     def run(self, run_ms: float = RUN_MS) -> None:
         """Simulates the warm-up and the measured time."""
@@ -97,11 +94,12 @@
         on_first_token: Callable[[], None] = lambda: None,
         on_last_token: Callable[[], None] = lambda: None,
         on_failure: Callable[[inputs.FailurePhase], None] = lambda phase: None,
-    ) -> None:
+        priority: int = 0,
+    ) -> engines.Job:
         """Sends a request to an engine, and its tokens back."""
         self.sent_since_report[request.daemon, engine.name] += 1
         self.dispatch_count += 1
-        hop_ms = self.deployment.hop_ms
+        hop_ms = self.hop_ms(request, engine)
 
         def handle_first_token() -> None:
             self.timeline.call_later(
@@ -118,6 +116,7 @@
             request.output_tokens,
             handle_first_token,
             handle_finished,
+            priority=priority,
         )
         self._failure_callbacks[engine.name][request.number] = on_failure
 
@@ -129,6 +128,17 @@
                 on_failure(inputs.FailurePhase.CONNECT)
 
         self.timeline.call_later(hop_ms, deliver)
+        return job
+
+    def hop_ms(
+        self, request: workload.Request, engine: engines.Engine
+    ) -> float:
+        """Returns the one-way delay between a request's daemon and an engine.
+
+        A subclass may let it depend on both.
+        """
+        del request, engine
+        return self.deployment.hop_ms
 
     def record_refusal(self, request: workload.Request, reason: str) -> None:
         """Records that a request was refused."""
@@ -141,14 +151,29 @@
         for on_failure in callbacks:
             on_failure(inputs.FailurePhase.SENT)
 
+    def _create_workload(self, seed: int) -> workload.Workload:
+        return workload.Workload(self.deployment, seed)
+
+    def _create_engine_spec(self) -> engines.EngineSpec:
+        return engines.EngineSpec(cache_tokens=self.deployment.cache_tokens)
+
+    def _create_engine(self, number: int) -> engines.Engine:
+        name = f"engine-{number}"
+        return engines.Engine(name, self.engine_spec, self.timeline)
+
+    def _create_policy(self, name: str) -> policies.Policy:
+        return policies.POLICIES[name](self)
+
     def _generate_arrivals(self) -> None:
-        request = self.workload.draw()
+        self._arrive(self.workload.draw())
+        gap_ms = self.arrival_rng.expovariate(self.rate_per_s / 1000)
+        self.timeline.call_later(gap_ms, self._generate_arrivals)
+
+    def _arrive(self, request: workload.Request) -> None:
         outcome = RequestOutcome(request, self.timeline.now_ms)
         self._outcomes_by_number[request.number] = outcome
         self.outcomes.append(outcome)
         self.policy.handle_arrival(request)
-        gap_ms = self.arrival_rng.expovariate(self.rate_per_s / 1000)
-        self.timeline.call_later(gap_ms, self._generate_arrivals)
 
     def _record_first_token(
         self,
@@ -157,7 +182,7 @@
         on_first_token: Callable[[], None],
     ) -> None:
         outcome = self._outcomes_by_number[request.number]
-        if outcome.first_token_ms < 0:
+        if outcome.first_token_ms < 0 and not job.is_cancelled:
             outcome.first_token_ms = self.timeline.now_ms
             outcome.cached_tokens = job.cached_tokens
             outcome.prompt_tokens = job.prompt_tokens
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -29,6 +29,7 @@
 PROBE_HOP_MS = 1.0
 LOAD_BOUND_FACTOR = 1.25
 FOREVER_MS = 1 << 50
+TARGET = "rulebook"
 
 
 class Policy(Protocol):
@@ -142,6 +143,8 @@
     event_loss_rate = EVENT_LOSS_RATE
     digest_interval_ms = DIGEST_INTERVAL_MS
     one_core = False
+    # Head of a streamed answer, where routes decide the target.
+    response_head: work.Head | None = None
 
     def __init__(self, experiment: Experiment) -> None:
         """Builds the cores and schedules their updates."""
@@ -156,9 +159,7 @@
         self._load_history: dict[str, list[server_inputs.LoadReported]] = (
             collections.defaultdict(list)
         )
-        self._table = model.Table.from_rows(
-            version=1, rows=_rows(deployment, experiment.workload)
-        )
+        self._table = self._create_table()
         self._incarnations = collections.Counter()
         count = 1 if self.one_core else deployment.daemons
         self.cores = [self._create_core(n) for n in range(count)]
@@ -182,44 +183,63 @@
         """Submits a request to its daemon's core."""
         request_id = str(request.number)
         self._requests[request_id] = request
-        request_work = work.Work(
+        message = inputs.RequestArrived(
+            self._now(), request_id, self._work(request)
+        )
+        self._step(request.daemon % len(self.cores), message)
+
+    def _work(self, request: workload.Request) -> work.Work:
+        return work.Work(
             kind=work.WorkKind.GENERATION,
             token_sha256=request.workspace,
-            target="rulebook",
+            target=TARGET,
             streaming=True,
             levels=request.levels,
             max_tokens=request.output_tokens,
             deadline_ms=self.experiment.deployment.deadline_ms,
         )
-        message = inputs.RequestArrived(self._now(), request_id, request_work)
-        self._step(request.daemon % len(self.cores), message)
+
+    def _create_table(self) -> model.Table:
+        experiment = self.experiment
+        return model.Table.from_rows(
+            version=1, rows=_rows(experiment.deployment, experiment.workload)
+        )
+
+    def _core_policy(self) -> core_policy.Policy:
+        return core_policy.Policy(
+            prefill_us_per_token=(
+                self.experiment.engine_spec.prefill_us_per_token
+            ),
+            # Only the first and last frames are simulated; the time between
+            # them must not time out.
+            frame_gap_ms=FOREVER_MS,
+            **self.experiment.policy_overrides,
+        )
+
+    def _failure_domain(self, daemon: int) -> str:
+        del daemon
+        return ""
+
+    def _list_entry(self, engine: engines.Engine) -> server_inputs.ServerListed:
+        return server_inputs.ServerListed(
+            at_ms=self._now(),
+            server_id=engine.name,
+            address=engine.name,
+            target=TARGET,
+        )
 
     def _create_core(self, daemon: int) -> router.Router:
         self._incarnations[daemon] += 1
         core = router.Router.from_config(
             daemon=f"d{daemon}@{self._incarnations[daemon]}",
+            failure_domain=self._failure_domain(daemon),
             table=self._table,
-            policy=core_policy.Policy(
-                prefill_us_per_token=(
-                    self.experiment.engine_spec.prefill_us_per_token
-                ),
-                # Only the first and last frames are simulated; the time
-                # between them must not time out.
-                frame_gap_ms=FOREVER_MS,
-                **self.experiment.policy_overrides,
-            ),
+            policy=self._core_policy(),
         )
         now_ms = self._now()
         core.step(inputs.RightToServe(now_ms, FOREVER_MS))
         for engine in self.experiment.engines:
-            core.step(
-                server_inputs.ServerListed(
-                    at_ms=now_ms,
-                    server_id=engine.name,
-                    address=engine.name,
-                    target="rulebook",
-                )
-            )
+            core.step(self._list_entry(engine))
             for load in self._load_history[engine.name][-1:]:
                 core.step(load)
         return core
@@ -234,6 +254,19 @@
                 case effects.Refuse():
                     request = self._requests.pop(effect.request_id)
                     self.experiment.record_refusal(request, effect.reason.value)
+                case _:
+                    self._handle_other(daemon, effect)
+
+    def _handle_other(self, daemon: int, effect: effects.Effect) -> None:
+        """Handles an effect that only a subclass simulates."""
+
+    def _receive_head(self, daemon: int, engine: engines.Engine) -> None:
+        """Handles what a response's head states, in a subclass."""
+
+    def _record_sent(
+        self, daemon: int, effect: effects.Dispatch, job: engines.Job
+    ) -> None:
+        """Records an attempt, in a subclass that can cancel it."""
 
     def _dispatch(self, daemon: int, effect: effects.Dispatch) -> None:
         request = self._requests[effect.request_id]
@@ -245,9 +278,14 @@
                 self._step(daemon, make_message(self._now()))
 
         def handle_first_token() -> None:
+            self._receive_head(daemon, engine)
             submit(
                 lambda at_ms: inputs.AttemptOpened(
-                    at_ms, effect.attempt_id, effect.attempt_id, effect.stamp
+                    at_ms,
+                    effect.attempt_id,
+                    effect.attempt_id,
+                    effect.stamp,
+                    self.response_head,
                 )
             )
             frame = (work.Frame(1, b""),)
@@ -276,13 +314,15 @@
                 )
             )
 
-        self.experiment.send(
+        job = self.experiment.send(
             request,
             engine,
             on_first_token=handle_first_token,
             on_last_token=handle_last_token,
             on_failure=handle_failure,
+            priority=effect.priority,
         )
+        self._record_sent(daemon, effect, job)
 
     def _answer_probe(self, daemon: int, name: str) -> None:
         """Answers a probe after a round trip."""
@@ -363,12 +403,15 @@
                         self._now(), core.world.daemon, True, demands
                     )
                     self._step(receiver, message)
-        for daemon in range(len(self.cores)):
-            self._step(daemon, inputs.MembersChanged(self._now(), live))
+        self._tell_members(live)
         self.experiment.timeline.call_later(
             GOSSIP_INTERVAL_MS, self._exchange_demand
         )
 
+    def _tell_members(self, live: tuple[str, ...]) -> None:
+        for daemon in range(len(self.cores)):
+            self._step(daemon, inputs.MembersChanged(self._now(), live))
+
     def _now(self) -> int:
         return int(self.experiment.timeline.now_ms)
 
@@ -425,7 +468,7 @@
     deployment: workload.Deployment, requests: workload.Workload
 ) -> list[model.Row]:
     rows: list[model.Row] = [
-        model.ModelRow(name="rulebook", reuse_weight=deployment.reuse_weight)
+        model.ModelRow(name=TARGET, reuse_weight=deployment.reuse_weight)
     ]
     rows.extend(
         model.WorkspaceRow(
@@ -448,4 +491,11 @@
     "clairvoyant": Clairvoyant,
 }
 
-__all__ = ["POLICIES", "RouterPolicy", "Policy"]
+__all__ = [
+    "FOREVER_MS",
+    "GOSSIP_INTERVAL_MS",
+    "POLICIES",
+    "TARGET",
+    "Policy",
+    "RouterPolicy",
+]
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -11,17 +11,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Deployment:
-    """Sizes of one deployment.
+class BaseDeployment:
+    """Sizes that the simulation of any deployment uses.
 
     Attributes:
         engines: Replicas of the model.
         daemons: Entry instances; they share no memory.
         reuse_weight: Value of this field in the model's table row.
-        deadline_ms: Time until the first token.
         cache_tokens: Prompt tokens that fit into an engine's cache.
-        rulebooks: Rulebooks per workspace.
-        sections: Sections per rulebook.
         hop_ms: One-way delay between daemon and engine.
     """
 
@@ -29,11 +26,23 @@
     engines: int
     daemons: int
     reuse_weight: float
-    deadline_ms: int
     cache_tokens: int
+    hop_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment(BaseDeployment):
+    """Sizes of a deployment with nested prompts.
+
+    Attributes:
+        deadline_ms: Time until the first token.
+        rulebooks: Rulebooks per workspace.
+        sections: Sections per rulebook.
+    """
+
+    deadline_ms: int
     rulebooks: int
     sections: int
-    hop_ms: float
     workspaces: int = 8
     rulebook_tokens: int = 6_000
     section_tokens: int = 1_500
@@ -151,4 +160,4 @@
     return len(cumulative) - 1
 
 
-__all__ = ["DEPLOYMENTS", "Request", "Deployment", "Workload"]
+__all__ = ["DEPLOYMENTS", "BaseDeployment", "Deployment", "Request", "Workload"]
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Runs a measurement: policy, faults, limits, path, capacity, membership, fleet,
-# target.
+# target, uneven.
 set -eu
 cd "$(dirname "$0")/.."
 venv="${VENV:-$PWD/.venv}"
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -57,6 +57,7 @@
     "brittle",
     "fuzz",
     "engine_memory",
+    "uneven_bench",
 )
 
 
