--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -58,6 +58,7 @@
     "brittle",
     "fuzz",
     "engine_memory",
+    "uneven_bench",
 )
 
 
