--- a/src/godwittack/limit/buckets.py
+++ b/src/godwittack/limit/buckets.py
@@ -17,7 +17,12 @@
 import dataclasses
 import math
 
-from godwittack.limit import quota, quota_window, reservations
+from godwittack.limit import (
+    quota,
+    quota_window,
+    reservations,
+    window_rules,
+)
 
 # Parts of the tolerated excess: the debt up to which every request is admitted,
 # the debt from which none is, and what all daemons may leave unreported.
@@ -29,14 +34,6 @@
 SMALL_REQUEST_S = 0.1
 LARGE_REQUEST_PART = 0.5
 MAJORITY = 0.5
-# Part of what may be admitted by the window from which only some requests are.
-OPEN_WINDOW_RATIO = 0.9
-# Share of its part of the quota that a daemon admits in the first window after
-# its start, unless less than this part of the window is used.
-STARTED_SHARE = 0.5
-# In smaller fleets, daemons that restart one after the other within a window
-# lose too much of the record: nine of them passed the bound by 0.05.
-MIN_WINDOW_DAEMONS = 16
 STARTED_FREE_PART = 0.6
 # Part of a bucket's content that may be unreported in addition.
 UNREPORTED_LEVEL_RATIO = 0.5
@@ -90,8 +87,6 @@
         returns: What callers will use that were told to return.
         window: What all daemons admitted lately; kept only if the tolerance
             has a `window_part`.
-        has_adopted: Whether the use before this daemon's start was taken over
-            from another one.
     """
 
     limit: quota.Quota
@@ -113,7 +108,6 @@
     window: quota_window.QuotaWindow = dataclasses.field(
         default_factory=quota_window.QuotaWindow
     )
-    has_adopted: bool = False
 
     @property
     def unreported(self) -> int:
@@ -153,11 +147,9 @@
     _expired_at_ms: int = 0
 
     @property
-    def _keeps_window(self) -> bool:
-        """Whether requests are admitted by the use in the window as well."""
-        return (
-            self.tolerance.window_part > 0
-            and self.daemons >= MIN_WINDOW_DAEMONS
+    def _window_rules(self) -> window_rules.WindowRules:
+        return window_rules.WindowRules(
+            self.tolerance, self.daemons, self._joined_at_ms
         )
 
     def admit(
@@ -239,8 +231,7 @@
         )
         bucket.heard_at_ms = now_ms
         self._subtract(bucket, usage.admitted - before, now_ms)
-        if self.tolerance.window_part and self._is_joining_window(now_ms):
-            self._adopt_window(bucket, usage, now_ms)
+        self._window_rules.adopt(bucket.window, usage, now_ms)
         self._pull(bucket, usage.level, now_ms)
 
     def set_reach(
@@ -254,8 +245,11 @@
                 self._refill(bucket, now_ms)
                 if bucket.level > 0:
                     bucket.level *= kept
-                lost = max(0.0, self.reach - reach)
-                self._add_unknown(bucket, lost * bucket.limit.burst, now_ms)
+                self._window_rules.record(
+                    bucket.window,
+                    (self.reach - reach) * bucket.limit.burst,
+                    now_ms,
+                )
         self.reach = reach
         self.daemons = max(1, daemons)
         self.own_part = own_part
@@ -295,9 +289,7 @@
             opened_at_ms=bucket.opened_at_ms,
             level=bucket.level,
             at_ms=now_ms,
-            window_used=bucket.window.used
-            if bucket.has_adopted or not self._is_joining_window(now_ms)
-            else 0.0,
+            window_used=self._window_rules.reported(bucket.window, now_ms),
         )
 
     def _known_before(
@@ -326,7 +318,7 @@
             used = bucket.limit.per_s * suspended_ms / 1000
             if bucket.level > closed:
                 bucket.level = max(closed, bucket.level - used)
-            self._add_unknown(bucket, used, now_ms)
+            self._window_rules.record(bucket.window, used, now_ms)
             bucket.refilled_at_ms = now_ms
 
     def _bucket(
@@ -341,10 +333,9 @@
                 refilled_at_ms=min(now_ms, self.listening_since_ms),
                 used_at_ms=now_ms,
             )
-            self._assume_earlier_use(bucket, now_ms)
+            self._window_rules.assume_earlier_use(bucket.window, limit, now_ms)
         self._refill(bucket, now_ms)
-        if self.tolerance.window_part:
-            self._expire_window(bucket, now_ms)
+        self._window_rules.expire(bucket.window, now_ms)
         bucket.limit = limit
         bucket.level = min(bucket.level, limit.burst)
         return bucket
@@ -361,7 +352,9 @@
         bucket.level = min(bucket.limit.burst, bucket.level + gained)
         # The daemons out of reach may have admitted their part of the quota.
         others_ms = max(0.0, now_ms - from_ms - part_ms)
-        self._add_unknown(bucket, bucket.limit.per_s * others_ms / 1000, now_ms)
+        self._window_rules.record(
+            bucket.window, bucket.limit.per_s * others_ms / 1000, now_ms
+        )
         bucket.refilled_at_ms = now_ms
 
     def _is_open(self, bucket: Bucket, closed_ratio: float) -> bool:
@@ -390,15 +383,12 @@
 
         As in debt, a part of the requests is admitted close to the limit.
         """
-        if not self._keeps_window or not self._knows_all_use(now_ms):
+        rules = self._window_rules
+        if not rules.is_applied or not self._knows_all_use(now_ms):
             return False
-        limit_units = self.tolerance.window_part * self.tolerance.allowed(
-            bucket.limit
+        bucket.turn += rules.admitted_part(
+            bucket.window, bucket.limit, units=units
         )
-        left = limit_units - bucket.window.used - units
-        if left <= 0:
-            return False
-        bucket.turn += min(1.0, left / ((1 - OPEN_WINDOW_RATIO) * limit_units))
         if bucket.turn < 1.0:
             return False
         bucket.turn -= 1.0
@@ -410,100 +400,27 @@
         With a window kept, it and not the level bounds the use: the level
         forgets what was admitted by the window.
         """
-        if not self._keeps_window:
-            return False
-        if self._exceeds_starting_share(bucket, now_ms):
-            return True
-        return bucket.window.used + units > self._most_in_window(bucket.limit)
-
-    def _exceeds_starting_share(self, bucket: Bucket, now_ms: int) -> bool:
-        """Returns whether a daemon has used its share since it started.
-
-        Load pattern: daemons restart one after the other during a burst, and
-        each knows too little of what is left of it in the window.
-        """
-        if not self._is_joining_window(now_ms):
-            return False
-        if bucket.opened_at_ms < self._joined_at_ms:
-            return False
-        most = self._most_in_window(bucket.limit)
-        if bucket.has_adopted and bucket.window.used < STARTED_FREE_PART * most:
-            return False
-        since_s = (now_ms - self._joined_at_ms) / 1000
-        share = STARTED_SHARE * bucket.limit.per_s / self.daemons
-        return bucket.admitted > share * since_s
-
-    def _most_in_window(self, limit: quota.Quota) -> float:
-        """Returns the use in a window from which no request is admitted.
-
-        The rest of the excess is for what daemons admit before they hear of
-        each other.
-        """
-        excess = self.tolerance.excess(limit)
-        return self.tolerance.allowed(limit) + CLOSED_DEBT_RATIO * excess
+        rules = self._window_rules
+        has_started = bucket.opened_at_ms >= self._joined_at_ms
+        return rules.is_applied and rules.is_exceeded(
+            bucket.window,
+            bucket.limit,
+            units=units,
+            admitted=bucket.admitted if has_started else 0,
+            now_ms=now_ms,
+        )
 
     def _subtract(self, bucket: Bucket, units: float, now_ms: int) -> None:
         """Takes units that this or another daemon admitted."""
+        rules = self._window_rules
         max_debt = self.tolerance.allowed(bucket.limit)
-        if self._keeps_window:
+        if rules.is_applied:
             # Beyond this no request is admitted by the level; a larger debt
             # would refuse requests long after a burst.
             max_debt = CLOSED_DEBT_RATIO * self.tolerance.excess(bucket.limit)
-        if self.tolerance.window_part:
-            self._expire_window(bucket, now_ms)
-            bucket.window.add(units, now_ms=now_ms)
+        rules.record(bucket.window, units, now_ms)
         bucket.level = min(bucket.level, max(bucket.level - units, -max_debt))
 
-    def _add_unknown(self, bucket: Bucket, units: float, now_ms: int) -> None:
-        """Adds what daemons may have admitted that were not heard of."""
-        if self.tolerance.window_part and units > 0:
-            self._expire_window(bucket, now_ms)
-            bucket.window.add(units, now_ms=now_ms)
-
-    def _assume_earlier_use(self, bucket: Bucket, now_ms: int) -> None:
-        """Assumes that all was used until this daemon heard of the others.
-
-        With less, daemons that restart one after the other would each admit
-        what the others have used already.
-        """
-        if not self.tolerance.window_part:
-            return
-        window_ms = round(self.tolerance.window_s * 1000)
-        step_ms = quota_window.SLOT_MS
-        if now_ms - self._joined_at_ms >= window_ms:
-            return
-        # The rate evenly, and the burst as late as possible.
-        step_units = bucket.limit.per_s * step_ms / 1000
-        for at_ms in range(now_ms - window_ms, self._joined_at_ms, step_ms):
-            bucket.window.add(step_units, now_ms=at_ms)
-        burst = self._most_in_window(bucket.limit)
-        burst -= bucket.limit.per_s * self.tolerance.window_s
-        bucket.window.add(burst, now_ms=self._joined_at_ms)
-
-    def _adopt_window(
-        self, bucket: Bucket, usage: quota.Usage, now_ms: int
-    ) -> None:
-        """Takes over the use in the window that another daemon knows of.
-
-        Load pattern: daemons restart one after the other during a burst. What
-        each assumes of the time before leaves the window evenly, while the
-        burst stays in it.
-        """
-        bucket.has_adopted |= usage.window_used > 0
-        missing = usage.window_used - bucket.window.used
-        if missing > 0:
-            bucket.window.add(missing, now_ms=now_ms)
-
-    def _is_joining_window(self, now_ms: int) -> bool:
-        """Returns whether this daemon has not kept a whole window yet."""
-        window_ms = self.tolerance.window_s * 1000
-        return now_ms - self._joined_at_ms < window_ms
-
-    def _expire_window(self, bucket: Bucket, now_ms: int) -> None:
-        bucket.window.expire(
-            window_ms=self.tolerance.window_s * 1000, now_ms=now_ms
-        )
-
     def _may_overdraw(self, bucket: Bucket, units: int, now_ms: int) -> bool:
         """Returns whether a request may take more than the bucket holds.
 
--- a/src/godwittack/limit/quota_window.py
+++ b/src/godwittack/limit/quota_window.py
@@ -21,9 +21,12 @@
 
     Attributes:
         used: Units in the record.
+        is_adopted: Whether the use before this daemon's start was taken over
+            from another one.
     """
 
     used: float = 0.0
+    is_adopted: bool = False
     _slots: collections.deque[tuple[int, float]] = dataclasses.field(
         default_factory=collections.deque
     )
