Drop the assumed use of daemons out of reach once they have reported

Seen, 76 daemons at full size: a workspace was refused although its bucket was positive (level 20,000 to 47,000, reach 1.0). Before, its daemons had heard of 56% of the fleet for some seconds. Cause: for that time the window was charged the quota's rate for the others, on top of what these reported once they were heard of again. The retry time came from the bucket, so that callers returned every 100 ms to a full window. A full window states when enough of it has left.

--- a/src/godwittack/limit/buckets.py
+++ b/src/godwittack/limit/buckets.py
@@ -87,6 +87,8 @@
         returns: What callers will use that were told to return.
         window: What all daemons admitted lately; kept only if the tolerance
             has a `window_part`.
+        unheard: What others may have admitted in addition while this daemon did
+            not hear of them. They report it once it does.
     """
 
     limit: quota.Quota
@@ -108,12 +110,20 @@
     window: quota_window.QuotaWindow = dataclasses.field(
         default_factory=quota_window.QuotaWindow
     )
+    unheard: quota_window.QuotaWindow = dataclasses.field(
+        default_factory=quota_window.QuotaWindow
+    )
 
     @property
     def unreported(self) -> int:
         """Units admitted here that the other daemons do not know of."""
         return self.admitted - self.reported
 
+    @property
+    def window_used(self) -> float:
+        """Units that all daemons may have used in the window."""
+        return self.window.used + self.unheard.used
+
 
 @dataclasses.dataclass(slots=True)
 class Buckets:
@@ -142,6 +152,7 @@
     buckets: dict[str, Bucket] = dataclasses.field(default_factory=dict)
     _reach_at_ms: int = 0
     _joined_at_ms: int = 0
+    _whole_since_ms: int = -JOINING_MS
     _ticked_at_ms: int = 0
     _unreported: set[str] = dataclasses.field(default_factory=set)
     _expired_at_ms: int = 0
@@ -191,6 +202,10 @@
         )
         if not is_admitted or self._exceeds_window(bucket, units, now_ms):
             wait_ms = self._wait_ms(bucket, 0 if may_overdraw else units)
+            window_wait_ms = self._window_rules.wait_ms(
+                bucket.window, limit, units=units, now_ms=now_ms
+            )
+            wait_ms = min(MAX_RETRY_MS, max(wait_ms, window_wait_ms))
             if self.tolerance.spare_ratio:
                 wait_ms = self._reserve(
                     bucket, units, wait_ms, honoured_ms, now_ms
@@ -246,10 +261,12 @@
                 if bucket.level > 0:
                     bucket.level *= kept
                 self._window_rules.record(
-                    bucket.window,
+                    bucket.unheard,
                     (self.reach - reach) * bucket.limit.burst,
                     now_ms,
                 )
+        if reach >= 1.0 > self.reach:
+            self._whole_since_ms = now_ms
         self.reach = reach
         self.daemons = max(1, daemons)
         self.own_part = own_part
@@ -318,7 +335,7 @@
             used = bucket.limit.per_s * suspended_ms / 1000
             if bucket.level > closed:
                 bucket.level = max(closed, bucket.level - used)
-            self._window_rules.record(bucket.window, used, now_ms)
+            self._window_rules.record(bucket.unheard, used, now_ms)
             bucket.refilled_at_ms = now_ms
 
     def _bucket(
@@ -336,6 +353,9 @@
             self._window_rules.assume_earlier_use(bucket.window, limit, now_ms)
         self._refill(bucket, now_ms)
         self._window_rules.expire(bucket.window, now_ms)
+        self._window_rules.expire(bucket.unheard, now_ms)
+        if self._knows_all_use(now_ms):
+            bucket.unheard.clear()
         bucket.limit = limit
         bucket.level = min(bucket.level, limit.burst)
         return bucket
@@ -353,7 +373,7 @@
         # The daemons out of reach may have admitted their part of the quota.
         others_ms = max(0.0, now_ms - from_ms - part_ms)
         self._window_rules.record(
-            bucket.window, bucket.limit.per_s * others_ms / 1000, now_ms
+            bucket.unheard, bucket.limit.per_s * others_ms / 1000, now_ms
         )
         bucket.refilled_at_ms = now_ms
 
@@ -387,7 +407,7 @@
         if not rules.is_applied or not self._knows_all_use(now_ms):
             return False
         bucket.turn += rules.admitted_part(
-            bucket.window, bucket.limit, units=units
+            bucket.window_used, bucket.limit, units=units
         )
         if bucket.turn < 1.0:
             return False
@@ -403,10 +423,11 @@
         rules = self._window_rules
         has_started = bucket.opened_at_ms >= self._joined_at_ms
         return rules.is_applied and rules.is_exceeded(
-            bucket.window,
+            bucket.window_used,
             bucket.limit,
             units=units,
             admitted=bucket.admitted if has_started else 0,
+            is_adopted=bucket.window.is_adopted,
             now_ms=now_ms,
         )
 
@@ -442,7 +463,8 @@
         return (
             self.reach >= 1.0
             and now_ms - self._reach_at_ms < REACH_VALID_MS
-            and now_ms - self._joined_at_ms >= JOINING_MS
+            and now_ms - max(self._joined_at_ms, self._whole_since_ms)
+            >= JOINING_MS
         )
 
     def _spare_debt_ratio(self, limit: quota.Quota, units: int) -> float:
--- a/src/godwittack/limit/quota_window.py
+++ b/src/godwittack/limit/quota_window.py
@@ -52,6 +52,21 @@
             if recorded > removed:
                 self._slots.append((slot, recorded - removed))
 
+    def leaves_in_ms(
+        self, units: float, *, window_ms: float, now_ms: int
+    ) -> int:
+        """Returns when this many units will have left the window."""
+        for slot, recorded in self._slots:
+            units -= recorded
+            if units <= 0:
+                return max(0, round((slot + 1) * SLOT_MS + window_ms - now_ms))
+        return round(window_ms)
+
+    def clear(self) -> None:
+        """Forgets all use."""
+        self._slots.clear()
+        self.used = 0.0
+
     def expire(self, *, window_ms: float, now_ms: int) -> None:
         """Forgets what was admitted before the window."""
         first = (now_ms - window_ms) // SLOT_MS
--- a/src/godwittack/limit/window_rules.py
+++ b/src/godwittack/limit/window_rules.py
@@ -57,41 +57,39 @@
         return now_ms - self.joined_at_ms < self._window_ms
 
     def admitted_part(
-        self,
-        window: quota_window.QuotaWindow,
-        limit: quota.Quota,
-        *,
-        units: int,
+        self, used: float, limit: quota.Quota, *, units: int
     ) -> float:
         """Returns the part of such requests that the window admits, 0 to 1."""
         usable = self.tolerance.window_part * self.tolerance.allowed(limit)
-        left = usable - window.used - units
+        left = usable - used - units
         return max(0.0, min(1.0, left / ((1 - OPEN_RATIO) * usable)))
 
     def is_exceeded(
         self,
-        window: quota_window.QuotaWindow,
+        used: float,
         limit: quota.Quota,
         *,
         units: int,
         admitted: int,
+        is_adopted: bool,
         now_ms: int,
     ) -> bool:
         """Returns whether a request would pass what a window allows.
 
         Args:
-            window: Use in the window.
+            used: Units used in the window.
             limit: Quota of the workspace.
             units: What the request uses.
             admitted: Units that this daemon admitted since it has started; 0
                 if it was only suspended.
+            is_adopted: Whether the use before its start is known.
             now_ms: Time of the request.
         """
         most = self._most(limit)
-        if window.used + units > most:
+        if used + units > most:
             return True
         if not self.is_joining(now_ms) or (
-            window.is_adopted and window.used < STARTED_FREE_PART * most
+            is_adopted and used < STARTED_FREE_PART * most
         ):
             return False
         # Load pattern: daemons restart one after the other during a burst, and
@@ -100,10 +98,26 @@
         share_per_s = STARTED_SHARE * limit.per_s / self.daemons
         return admitted > share_per_s * since_s
 
+    def wait_ms(
+        self,
+        window: quota_window.QuotaWindow,
+        limit: quota.Quota,
+        *,
+        units: int,
+        now_ms: int,
+    ) -> int:
+        """Returns when a request fits into the window again; 0 if it does."""
+        excess = window.used + units - self._most(limit)
+        if not self.is_applied or excess <= 0:
+            return 0
+        return window.leaves_in_ms(
+            excess, window_ms=self._window_ms, now_ms=now_ms
+        )
+
     def record(
         self, window: quota_window.QuotaWindow, units: float, now_ms: int
     ) -> None:
-        """Records what daemons admitted, or may have admitted unheard."""
+        """Records what daemons admitted, or may have admitted."""
         if self.is_recorded and units > 0:
             window.expire(window_ms=self._window_ms, now_ms=now_ms)
             window.add(units, now_ms=now_ms)
--- a/tests/cases/quotas.py
+++ b/tests/cases/quotas.py
@@ -300,6 +300,20 @@
     assert not verdict.is_admitted, verdict
 
 
+def a_full_window_states_when_it_has_room() -> None:
+    """Guards against callers that return every 100 ms and are refused."""
+    quotas = buckets.Buckets(tolerance=quota.Tolerance(window_part=1.0))
+    quotas.start_listening(0)
+    for now_ms in range(0, 21_000, 10):
+        quotas.due_reports(now_ms)
+        quotas.set_reach(1.0, daemons=16, own_part=1 / 16, now_ms=now_ms)
+        if now_ms >= 20_000:
+            verdict = quotas.admit("desk", QUOTA, units=2_000, now_ms=now_ms)
+    # All was used in the last second: it leaves the window after seven more.
+    assert not verdict.is_admitted
+    assert 6_500 <= verdict.retry_after_ms <= 8_000, verdict
+
+
 def _admitted_at(quotas: buckets.Buckets, units: int, now_ms: int) -> int:
     verdict = quotas.admit("desk", QUOTA, units=units, now_ms=now_ms)
     return units if verdict.is_admitted else 0
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -24,6 +24,7 @@
       | a quota holds while its window is used |
       | a burst within the window is admitted |
       | a window is closed while requests wait |
+      | a full window states when it has room |
 
     Examples: decisions of one daemon
       | case |
