--- a/src/godwittack/limit/buckets.py
+++ b/src/godwittack/limit/buckets.py
@@ -34,7 +34,6 @@
 SMALL_REQUEST_S = 0.1
 LARGE_REQUEST_PART = 0.5
 MAJORITY = 0.5
-STARTED_FREE_PART = 0.6
 # Part of a bucket's content that may be unreported in addition.
 UNREPORTED_LEVEL_RATIO = 0.5
 REPORT_INTERVAL_MS = 100
