Serve repeated pieces of the uneven-load work by one piece of code each

Cause: a review of the whole change found the conversion of announcements in the daemon instead of beside the other conversions in peer/codec.py; the end of two load messages, the filter of candidates and the check whether a request must queue written twice; two return paths for one wait; and a quota's window expired at each request of deployments that keep none. Change: each stands once, and windows that are not kept cost nothing. Decisions, messages and checks are as before.

--- a/src/godwittack/core/backlog.py
+++ b/src/godwittack/core/backlog.py
@@ -133,12 +133,12 @@
         completions = _completions_needed(in_flight, slots)
         # The prompts in the backlog are among those that must end.
         wait = max(wait, split_interval_ms * completions * factor)
-        return wait + in_flight * BATCH_DELAY_MS * factor
-    completion_interval_ms = (
-        world.service_time_ms.get(server.target, 0.0) / slots
-    )
-    completions = _completions_needed(in_flight, slots)
-    wait += completion_interval_ms * completions * factor
+    else:
+        completion_interval_ms = (
+            world.service_time_ms.get(server.target, 0.0) / slots
+        )
+        completions = _completions_needed(in_flight, slots)
+        wait += completion_interval_ms * completions * factor
     # Every request in a batch makes each of its steps slightly longer.
     return wait + in_flight * BATCH_DELAY_MS * factor
 
--- a/src/godwittack/core/candidates.py
+++ b/src/godwittack/core/candidates.py
@@ -42,16 +42,23 @@
         return usable
     seed = f"{request.request_id}/{world.now_ms}".encode()
     remaining_hash = xxhash.xxh3_64_intdigest(seed)
-    random_ids = set()
+    chosen = {home_id}
     for _ in range(RANDOM_CANDIDATES):
         remaining_hash, index = divmod(remaining_hash, len(usable))
-        random_ids.add(usable[index].server_id)
+        chosen.add(usable[index].server_id)
+    return with_holders(usable, chosen, cached_tokens)
+
+
+def with_holders(
+    usable: list[entities.ServerRow],
+    chosen: set[str],
+    cached_tokens: dict[str, int],
+) -> list[entities.ServerRow]:
+    """Returns the chosen servers and those that have some tokens cached."""
     return [
         server
         for server in usable
-        if server.server_id in random_ids
-        or server.server_id == home_id
-        or cached_tokens.get(server.server_id, 0)
+        if server.server_id in chosen or cached_tokens.get(server.server_id, 0)
     ]
 
 
@@ -71,4 +78,4 @@
     return rendezvous.rank(last_shared[-1].key, names)[0]
 
 
-__all__ = ["SCORE_ALL_MAX_SERVERS", "choose", "home_server"]
+__all__ = ["SCORE_ALL_MAX_SERVERS", "choose", "home_server", "with_holders"]
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -55,8 +55,7 @@
     key = target_queues.key_of(world, request)
     queue = target_queues.get(world, request.work.target, key)
     queued_ahead = target_queues.ahead(world, request.work.target, key)
-    hold_ms = uneven.hold_ms(world, request.work.target)
-    must_queue = choice.wait_ms > hold_ms or queued_ahead > 0
+    must_queue = _must_wait(world, request, choice) or queued_ahead > 0
     wait_ms = 0.0
     if must_queue:
         if overload.refuse_excess(world, request, queue, ahead=queued_ahead):
@@ -401,9 +400,7 @@
             continue
         memory_queue.reserve_if_due(world, request)
         choice = placing.choose(world, request)
-        if choice is None or choice.wait_ms > uneven.hold_ms(
-            world, request.work.target
-        ):
+        if choice is None or _must_wait(world, request, choice):
             continue
         if choice.memory_wait_ms and not memory_queue.must_send(world, request):
             continue
@@ -414,6 +411,12 @@
         dispatch(world, request, choice)
 
 
+def _must_wait(
+    world: entities.World, request: entities.RequestRow, choice: placing.Choice
+) -> bool:
+    return choice.wait_ms > uneven.hold_ms(world, request.work.target)
+
+
 def _is_too_late(
     world: entities.World, request: entities.RequestRow, choice: placing.Choice
 ) -> bool:
@@ -433,9 +436,7 @@
             refusing.refuse_quarantined(world, request)
             continue
         choice = placing.choose(world, request)
-        if choice is None or choice.wait_ms > uneven.hold_ms(
-            world, request.work.target
-        ):
+        if choice is None or _must_wait(world, request, choice):
             return
         if _is_too_late(world, request, choice):
             refusing.refuse_late(world, request, choice.wait_ms)
--- a/src/godwittack/core/locality.py
+++ b/src/godwittack/core/locality.py
@@ -106,11 +106,7 @@
     chosen.add(home_id)
     if world.policy.new_connection_cost_ms:
         chosen |= preferred_engines(world, request.work.target)
-    return [
-        server
-        for server in usable
-        if server.server_id in chosen or cached_tokens.get(server.server_id, 0)
-    ]
+    return all_candidates.with_holders(usable, chosen, cached_tokens)
 
 
 def preferred_engines(world: entities.World, target: str) -> frozenset[str]:
--- a/src/godwittack/daemon/dispatch_announcer.py
+++ b/src/godwittack/daemon/dispatch_announcer.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from godwittack.core import server_inputs
-from godwittack.peer import peer_pb2
+from godwittack.peer import codec, peer_pb2
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,7 +49,7 @@
         own = self._members.me.member_id
         message = peer_pb2.News(
             dispatched=[
-                announcement_to_proto(
+                codec.announcement_to_proto(
                     announcement, now_ms=self._runtime.clock.now_ms()
                 )
             ]
@@ -69,71 +68,8 @@
         now_ms = self._runtime.clock.now_ms()
         for announcement in message.dispatched:
             self._runtime.submit(
-                announcement_from_proto(announcement, now_ms=now_ms)
+                codec.announcement_from_proto(announcement, now_ms=now_ms)
             )
 
 
-def announcement_to_proto(
-    announcement: effects.Announce, *, now_ms: int
-) -> peer_pb2.Dispatched:
-    """Returns an announcement as a protobuf message."""
-    message = peer_pb2.Dispatched(
-        server_id=announcement.server_id,
-        tokens=announcement.tokens,
-        priority=announcement.priority,
-        levels=announcement.levels,
-        delay_ms=announcement.delay_ms,
-        memory_tokens=announcement.memory_tokens,
-        shared_tokens=announcement.shared_tokens,
-        is_long=announcement.is_long,
-    )
-    load = announcement.load
-    if load is not None:
-        message.has_load = True
-        message.running = load.running
-        message.waiting = load.waiting
-        message.pace_percent = load.pace_percent
-        message.load_age_ms = max(0, now_ms - load.at_ms)
-    return message
-
-
-def announcement_from_proto(
-    message: peer_pb2.Dispatched, *, now_ms: int
-) -> server_inputs.PeerDispatched:
-    """Returns another daemon's announcement."""
-    return server_inputs.PeerDispatched(
-        at_ms=now_ms,
-        server_id=message.server_id,
-        tokens=message.tokens,
-        priority=message.priority,
-        levels=tuple(message.levels),
-        load=_load_from_proto(message, now_ms=now_ms),
-        memory_tokens=message.memory_tokens,
-        shared_tokens=message.shared_tokens,
-        is_long=message.is_long,
-    )
-
-
-def _load_from_proto(
-    message: peer_pb2.Dispatched, *, now_ms: int
-) -> server_inputs.LoadTold | None:
-    """Returns the load in an announcement, None if it has none."""
-    if not message.has_load:
-        return None
-    return server_inputs.LoadTold(
-        at_ms=now_ms,
-        server_id=message.server_id,
-        running=message.running,
-        waiting=message.waiting,
-        pace_percent=message.pace_percent,
-        age_ms=message.load_age_ms,
-        delay_ms=message.delay_ms,
-    )
-
-
-__all__ = [
-    "Announcer",
-    "DatagramSender",
-    "announcement_from_proto",
-    "announcement_to_proto",
-]
+__all__ = ["Announcer", "DatagramSender"]
--- a/src/godwittack/limit/window_rules.py
+++ b/src/godwittack/limit/window_rules.py
@@ -124,7 +124,8 @@
 
     def expire(self, window: quota_window.QuotaWindow, now_ms: int) -> None:
         """Forgets the use before the window."""
-        window.expire(window_ms=self._window_ms, now_ms=now_ms)
+        if self.is_recorded:
+            window.expire(window_ms=self._window_ms, now_ms=now_ms)
 
     def assume_earlier_use(
         self, window: quota_window.QuotaWindow, limit: quota.Quota, now_ms: int
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -107,10 +107,7 @@
             kv_reserved_tokens=load.kv_reserved_tokens,
             next_tokens=load.next_tokens,
         )
-        known = self._set_server(message, load)
-        if load.slots != known.slots:
-            known.slots = message.slots = load.slots
-        return message
+        return self._set_slots(message, load)
 
     def _told_load(
         self, load: effects.TellLoad, *, now_ms: int
@@ -124,6 +121,14 @@
             base_pace_samples=load.samples,
             delay_ms=load.delay_ms,
         )
+        return self._set_slots(message, load)
+
+    def _set_slots(
+        self,
+        message: peer_pb2.Load,
+        load: server_inputs.LoadReported | effects.TellLoad,
+    ) -> peer_pb2.Load:
+        """Names the server, and states its slots if they have changed."""
         known = self._set_server(message, load)
         if load.slots != known.slots:
             known.slots = message.slots = load.slots
--- a/tests/cases/memory_load.py
+++ b/tests/cases/memory_load.py
@@ -8,7 +8,7 @@
 
 from cases import routed_core
 from godwittack.core import effects, inputs, server_inputs, work
-from godwittack.daemon import dispatch_announcer
+from godwittack.peer import codec
 from godwittack.table import forwarding
 
 TOTAL_TOKENS = 140_763
@@ -363,13 +363,13 @@
     def _announce(self) -> None:
         announced, self._announced = self._announced, []
         for sender, announcement in announced:
-            message = dispatch_announcer.announcement_to_proto(
+            message = codec.announcement_to_proto(
                 announcement, now_ms=sender.now_ms
             )
             for core in self._cores:
                 if core is not sender:
                     core.router.step(
-                        dispatch_announcer.announcement_from_proto(
+                        codec.announcement_from_proto(
                             message, now_ms=core.now_ms
                         )
                     )
--- a/tests/cases/pace.py
+++ b/tests/cases/pace.py
@@ -16,8 +16,7 @@
     server_inputs,
     work,
 )
-from godwittack.daemon import dispatch_announcer
-from godwittack.peer import pending, wire
+from godwittack.peer import codec, pending, wire
 from sim import uneven_fleets
 
 LONG = (work.Level(1, 13_000), work.Level(2, 4_000))
@@ -256,13 +255,9 @@
         load=sender.world.servers["e1"].pace.echoed,
         delay_ms=120,
     )
-    message = dispatch_announcer.announcement_to_proto(
-        announced, now_ms=sender.now_ms
-    )
+    message = codec.announcement_to_proto(announced, now_ms=sender.now_ms)
     receiver.now_ms += 200
-    dispatched = dispatch_announcer.announcement_from_proto(
-        message, now_ms=receiver.now_ms
-    )
+    dispatched = codec.announcement_from_proto(message, now_ms=receiver.now_ms)
     receiver.router.step(dispatched)
     assert server.running == 1
     assert pace.delay_ms(receiver.world, server) == 120
