Log what a planned stop waits for and what it cuts

Cause: event=stopped in_flight=0 counts requests of the core, once; it doesn't tell a request that was read after the last look from one that was left no time, or from an answer that was not yet written. Change: the stop moves to daemon/shutdown.py, unchanged in what it does, and logs at each step connections by state, relayed attempts, unsent bytes and when the last request was read, and one line for each request that is cut.

--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -62,6 +63,25 @@
         for server in self._servers:
             server.close_overdue(limits)
 
+    def count_states(
+        self,
+    ) -> collections.Counter[connection_timeouts.ConnectionState]:
+        """Returns the number of open connections in each state."""
+        counts: collections.Counter[connection_timeouts.ConnectionState]
+        counts = collections.Counter()
+        for server in self._servers:
+            counts += server.count_states()
+        return counts
+
+    def unsent_bytes(self) -> int:
+        """Returns how many bytes of responses callers have yet to read."""
+        return sum(server.unsent_bytes() for server in self._servers)
+
+    @property
+    def last_request_ms(self) -> int:
+        """When the head of the last request was read."""
+        return max(server.last_request_ms for server in self._servers)
+
     async def stop(self) -> None:
         """Accepts no more connections."""
         for site in self._tcp_sites:
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import functools
 import signal
 from typing import TYPE_CHECKING
@@ -17,7 +16,6 @@
 from godwittack.core import (
     availability,
     brittle,
-    inputs,
     locality,
     rate_limits,
 )
@@ -38,6 +36,7 @@
     published_weights,
     runtime,
     server_watcher,
+    shutdown,
 )
 from godwittack.entry import bodies, directory, forward
 from godwittack.lead import lease as leases
@@ -390,26 +389,20 @@
         settings = self._settings
         started_ms = self._clock.now_ms()
         grace_ms = round(settings.stop_grace_s * 1000)
-        stop_deadline_ms = started_ms + grace_ms - STOP_MARGIN_MS
-        logging.info("event=stopping in_flight=%d", self._in_flight())
+        stop = shutdown.Shutdown(
+            daemon_runtime=self.runtime,
+            caller_listeners=self._listeners,
+            relay=self._relay_server,
+        )
         self._forward_handler.stopping = self._directory.stopping = True
         await self._gossiper.stop()
-        address_expires_ms = (
-            started_ms
-            + directory.ADDRESS_KEEP_FACTOR * directory.ADDRESS_KEEP_MS
-        )
-        while self._clock.now_ms() < min(address_expires_ms, stop_deadline_ms):
-            await asyncio.sleep(0.05)
-        await self._listeners.stop()
-        self.runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
-        remaining_s = max(0.1, (stop_deadline_ms - self._clock.now_ms()) / 1000)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(remaining_s):
-                await self.runtime.stopped.wait()
-                await self._relay_server.wait_until_idle()
-        await asyncio.sleep(0.05)
+        await stop.drain(
+            expires_ms=started_ms
+            + directory.ADDRESS_KEEP_FACTOR * directory.ADDRESS_KEEP_MS,
+            deadline_ms=started_ms + grace_ms - STOP_MARGIN_MS,
+        )
         await self._close()
-        logging.info("event=stopped in_flight=%d", self._in_flight())
+        stop.log_end()
 
     async def _close(self) -> None:
         await self._background_tasks.cancel()
@@ -487,9 +480,6 @@
             return target
         return forwarding.engines[target].model
 
-    def _in_flight(self) -> int:
-        return len(self.runtime.core.world.requests)
-
 
 async def serve(
     loaded: configs.LoadedSettings,
--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import collections
+import enum
 import socket
 from typing import TYPE_CHECKING
 
@@ -31,6 +33,18 @@
 ACCEPT_TO_READ_ITERATIONS = 2
 
 
+class ConnectionState(enum.StrEnum):
+    """What a caller's connection is doing.
+
+    IDLE: it has no request. READING: the head of a request is incomplete.
+    ANSWERING: a request is served, or its response is being written.
+    """
+
+    IDLE = "idle"
+    READING = "reading"
+    ANSWERING = "answering"
+
+
 def waited_ms(request: web.BaseRequest) -> int:
     """Returns how long a request may have waited since it was sent."""
     connection = request.protocol
@@ -39,7 +53,11 @@
 
 
 class TimeoutServer(web.Server):
-    """An HTTP server that closes connections by the table's timeouts."""
+    """An HTTP server that closes connections by the table's timeouts.
+
+    Attributes:
+        last_request_ms: When the head of the last request was read.
+    """
 
     def __init__(
         self,
@@ -62,6 +80,7 @@
         self._clock = clock
         self._max_line_bytes = max_line_bytes
         self._delay = delay or loop_delay.NoDelay()
+        self.last_request_ms = 0
 
     def __call__(self) -> web.RequestHandler:
         """Returns the protocol of a new connection."""
@@ -88,10 +107,27 @@
                 connection.transport.close()
         return len(overdue)
 
+    def count_states(self) -> collections.Counter[ConnectionState]:
+        """Returns the number of open connections in each state."""
+        return collections.Counter(
+            connection.state
+            for connection in self.connections
+            if isinstance(connection, _Connection)
+        )
+
+    def unsent_bytes(self) -> int:
+        """Returns how many bytes wait for callers to read."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self.connections
+            if connection.transport is not None
+        )
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
         assert isinstance(connection, _Connection)
         connection.request_started()
+        self.last_request_ms = self._clock.now_ms()
         try:
             return await self._serve(request)
         finally:
@@ -110,6 +146,7 @@
         "_first_byte_ms",
         "_idle_since_ms",
         "_in_handler",
+        "_is_answering",
     )
 
     def __init__(
@@ -137,6 +174,16 @@
         self._first_byte_ms = -1
         self._idle_since_ms = clock.now_ms()
         self._in_handler = False
+        self._is_answering = False
+
+    @property
+    def state(self) -> ConnectionState:
+        """What the connection is doing."""
+        if self._is_answering:
+            return ConnectionState.ANSWERING
+        if self._first_byte_ms >= 0:
+            return ConnectionState.READING
+        return ConnectionState.IDLE
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits what the system receives before anything is read."""
@@ -169,6 +216,19 @@
     def request_started(self) -> None:
         """Records that a request's headers were read."""
         self._in_handler = True
+        self._is_answering = True
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Writes what the handler has not written yet."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self._is_answering = False
 
     def request_finished(self) -> None:
         """Records that a request was answered."""
@@ -189,4 +249,4 @@
         return 0 < limit_ms <= now_ms - self._idle_since_ms
 
 
-__all__ = ["TimeoutServer", "waited_ms"]
+__all__ = ["ConnectionState", "TimeoutServer", "waited_ms"]
