Don't cut answers that callers read slowly as idle

What callers saw: an answer read more slowly than the idle timeout broke off. Cause: a connection counted as idle from when the handler returned its response; aiohttp writes it after that, and waits for a slow caller. Change: a connection is answering until finish_response has returned. Evidence: the test, 32 MB unread past the idle timeout, failed before (close_overdue closed 1 connection). Found while looking for other ends of connections on which a caller still reads.

--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -128,10 +128,7 @@
         assert isinstance(connection, _Connection)
         connection.request_started()
         self.last_request_ms = self._clock.now_ms()
-        try:
-            return await self._serve(request)
-        finally:
-            connection.request_finished()
+        return await self._serve(request)
 
 
 class _Connection(web.RequestHandler):
@@ -145,7 +142,6 @@
         "_earliest_sent_ms",
         "_first_byte_ms",
         "_idle_since_ms",
-        "_in_handler",
         "_is_answering",
     )
 
@@ -173,13 +169,12 @@
         self._earliest_sent_ms = clock.now_ms() - delay.accept_delay_ms()
         self._first_byte_ms = -1
         self._idle_since_ms = clock.now_ms()
-        self._in_handler = False
         self._is_answering = False
 
     @property
     def state(self) -> ConnectionState:
         """What the connection is doing."""
-        if self._is_answering:
+        if self._is_answering or self._messages:
             return ConnectionState.ANSWERING
         if self._first_byte_ms >= 0:
             return ConnectionState.READING
@@ -215,7 +210,6 @@
 
     def request_started(self) -> None:
         """Records that a request's headers were read."""
-        self._in_handler = True
         self._is_answering = True
 
     async def finish_response(
@@ -229,24 +223,22 @@
             return await super().finish_response(request, resp, start_time)
         finally:
             self._is_answering = False
-
-    def request_finished(self) -> None:
-        """Records that a request was answered."""
-        self._in_handler = False
-        self._first_byte_ms = -1
-        self._idle_since_ms = self._clock.now_ms()
+            self._first_byte_ms = -1
+            self._idle_since_ms = self._clock.now_ms()
 
     def is_overdue(
         self, limits: forwarding.CallerLimits, *, now_ms: int
     ) -> bool:
         """Returns whether the connection has exceeded its current timeout."""
-        if self._in_handler:
-            return False
-        if self._first_byte_ms >= 0:
-            limit_ms = limits.header_timeout_ms
-            return 0 < limit_ms <= now_ms - self._first_byte_ms
-        limit_ms = limits.idle_timeout_ms
-        return 0 < limit_ms <= now_ms - self._idle_since_ms
+        match self.state:
+            case ConnectionState.ANSWERING:
+                return False
+            case ConnectionState.READING:
+                limit_ms = limits.header_timeout_ms
+                return 0 < limit_ms <= now_ms - self._first_byte_ms
+            case ConnectionState.IDLE:
+                limit_ms = limits.idle_timeout_ms
+                return 0 < limit_ms <= now_ms - self._idle_since_ms
 
 
 __all__ = ["ConnectionState", "TimeoutServer", "waited_ms"]
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -15,10 +15,12 @@
 LIMITS = forwarding.CallerLimits(header_timeout_ms=1_000, idle_timeout_ms=5_000)
 REQUEST = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
 MAX_LINE_BYTES = 1 << 16
+# More than both ends of a connection buffer.
+LONG_ANSWER_BYTES = 32 << 20
 
 
 @contextlib.asynccontextmanager
-async def connected():
+async def connected(answer: bytes = b"whole"):
     """Runs a server that answers when the test lets it, and connects."""
     clock = ManualClock(1_000)
     may_answer = asyncio.Event()
@@ -27,7 +29,7 @@
     async def handle(request):
         bodies.append(await request.read())
         await may_answer.wait()
-        return web.Response(text="whole")
+        return web.Response(body=answer)
 
     server = connection_timeouts.TimeoutServer(
         handle, clock=clock, max_line_bytes=MAX_LINE_BYTES
@@ -122,3 +124,19 @@
         )
         assert b"whole" in await setup.reader.readuntil(b"whole")
         assert setup.bodies == [b"\x1f\x8b\x08"]
+
+
+async def an_answer_that_is_read_slowly_is_not_idle():
+    """A response that is being written outlives the idle timeout.
+
+    Guards against long answers cut for slow callers: the connection counted as
+    idle once the handler had returned the response.
+    """
+    async with connected(answer=b"x" * LONG_ANSWER_BYTES) as setup:
+        setup.may_answer.set()
+        setup.writer.write(REQUEST + b"abc")
+        await setup.reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.05)
+        setup.clock.advance(by_ms=2 * LIMITS.idle_timeout_ms)
+        assert setup.server.close_overdue(LIMITS) == 0
+        await setup.reader.readexactly(LONG_ANSWER_BYTES)
