Don't close idle connections whose bytes were not read yet

What callers saw: a request on an open connection was reset while the daemon was late. Cause: a connection counts as idle by what the event loop has read. A request that waits in its socket, since the loop is late, was reset with it. Change: before idle connections are closed, one poll of their sockets tells which have bytes; these stay. Evidence: the test writes a request and closes idle connections before the loop reads; it failed before (1 closed).

--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import select
 import socket
 from typing import TYPE_CHECKING
 
@@ -17,7 +18,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from godwittack.clock import Clock
     from godwittack.table import forwarding
@@ -101,11 +102,7 @@
             if isinstance(connection, _Connection)
             and connection.is_overdue(limits, now_ms=now_ms)
         ]
-        for connection in overdue:
-            connection.close()
-            if connection.transport is not None:
-                connection.transport.close()
-        return len(overdue)
+        return _close_unless_readable(overdue)
 
     def count_states(self) -> collections.Counter[ConnectionState]:
         """Returns the number of open connections in each state."""
@@ -241,4 +238,36 @@
                 return 0 < limit_ms <= now_ms - self._idle_since_ms
 
 
+def _close_unless_readable(connections: Iterable[_Connection]) -> int:
+    """Closes connections, but for those with bytes that were not read yet.
+
+    Those may be a request. The system would reset its connection, and its
+    caller could not tell whether it has run.
+    """
+    by_descriptor = {
+        descriptor: connection
+        for connection in connections
+        if (descriptor := _descriptor(connection)) >= 0
+    }
+    poller = select.poll()
+    for descriptor in by_descriptor:
+        poller.register(descriptor, select.POLLIN)
+    for descriptor, _ in poller.poll(0):
+        by_descriptor.pop(descriptor)
+    for connection in by_descriptor.values():
+        connection.close()
+        if connection.transport is not None:
+            connection.transport.close()
+    return len(by_descriptor)
+
+
+def _descriptor(connection: _Connection) -> int:
+    """Returns the file descriptor of an open connection; -1 if it is closed."""
+    transport = connection.transport
+    if transport is None or transport.is_closing():
+        return -1
+    sock = transport.get_extra_info("socket")
+    return -1 if sock is None else sock.fileno()
+
+
 __all__ = ["ConnectionState", "TimeoutServer", "waited_ms"]
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -140,3 +140,18 @@
         setup.clock.advance(by_ms=2 * LIMITS.idle_timeout_ms)
         assert setup.server.close_overdue(LIMITS) == 0
         await setup.reader.readexactly(LONG_ANSWER_BYTES)
+
+
+async def an_idle_connection_with_unread_bytes_is_not_closed():
+    """A request that has arrived but was not read yet is answered.
+
+    Guards against requests reset by a daemon whose event loop is late: they
+    waited in the socket of a connection that it closed as idle.
+    """
+    async with connected() as setup:
+        setup.may_answer.set()
+        await asyncio.sleep(0.05)
+        setup.clock.advance(by_ms=LIMITS.idle_timeout_ms)
+        setup.writer.write(REQUEST + b"abc")
+        assert setup.server.close_overdue(LIMITS) == 0
+        assert b"whole" in await setup.reader.readuntil(b"whole")
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -61,6 +61,7 @@
       | connection_timeouts | without limits no connection is closed |
       | connection_timeouts | a compressed body is forwarded unchanged |
       | connection_timeouts | an answer that is read slowly is not idle |
+      | connection_timeouts | an idle connection with unread bytes is not closed |
 
     Examples: malformed bytes
       | group | case |
