Answer every request that is read around a planned stop

Cause: the stop looked at requests, not at connections. The core said once that no request was left; one that an open connection brought after that was read, passed on and cut 50 ms later. Requests were accepted whatever time was left. Change: once callers hold no address, the daemon accepts the connections that wait, stops listening, closes connections at rest, and refuses what still arrives at once (503, not run, Retry-After, Connection: close; the core refuses, so bodies under way and the own interface's requests are refused as well). It ends when every connection is closed, every answer written and every relayed attempt ended; the core's condition is final, as nothing new is admitted. Requests that are left when the time is up get a final answer: 503 if never sent, else 502; begun streams break. A pipelined request that was read is answered before its connection closes. Why it works: nothing that can bring a request is open when the daemon looks for the last time. The tests of parts fail before: requests were begun and left unanswered.

--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -15,6 +15,7 @@
     quotas,
     retries,
     routing,
+    stopping,
     stream_versions,
     urgency,
     work,
@@ -31,6 +32,9 @@
 
 def admit(world: entities.World, arrival: inputs.RequestArrived) -> None:
     """Checks a new request and starts it, or refuses it."""
+    if world.stopping:
+        stopping.refuse(world, arrival.request_id)
+        return
     requested = arrival.work
     if requested.host:
         routed = routing.route(world, arrival)
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -337,7 +337,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopOrdered:
-    """The daemon must stop after finishing its requests in flight."""
+    """The daemon stops: it finishes its requests and accepts no others."""
+
+    at_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopOverdue:
+    """The process must end now, with requests that have not finished."""
 
     at_ms: int
 
@@ -383,6 +390,7 @@
     | StreamAnswered
     | RightToServe
     | StopOrdered
+    | StopOverdue
 )
 
 __all__ = [
@@ -405,6 +413,7 @@
     "RequestArrived",
     "RightToServe",
     "StopOrdered",
+    "StopOverdue",
     "StreamAnswered",
     "StreamResumed",
     "StreamTold",
--- a/src/godwittack/core/resuming.py
+++ b/src/godwittack/core/resuming.py
@@ -11,6 +11,7 @@
     dispatching,
     effects,
     entities,
+    stopping,
     work,
 )
 
@@ -26,6 +27,9 @@
     The token's signature was verified on arrival. This checks that the caller
     belongs to the workspace that the stream was made for.
     """
+    if world.stopping:
+        stopping.refuse(world, message.request_id)
+        return
     workspace = admission.authenticate(
         world, message.request_id, message.token_sha256
     )
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -30,6 +30,7 @@
     server_inputs,
     servers,
     silence,
+    stopping,
     stream_versions,
     timeouts,
     weights,
@@ -219,7 +220,9 @@
                 world.serving_lease_until_ms = input_.until_ms
             case inputs.StopOrdered():
                 world.stopping = True
-                world.event("stopping", in_flight=len(world.requests))
+                world.event("stop_ordered", in_flight=len(world.requests))
+            case inputs.StopOverdue():
+                stopping.end_requests(world)
 
     def _tick(self) -> None:
         world = self.world
--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
+import select
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -20,6 +22,9 @@
 # Limit of the HTTP library for one header line of a request. The table's limit
 # on all headers is checked afterwards, and its refusal names the limit.
 MAX_HEADER_LINE_BYTES = 1 << 16
+# Iterations of the event loop in which connections are still accepted before a
+# listening socket is closed. Each accepts up to HTTP_BACKLOG of them.
+MAX_LAST_ACCEPTS = 8
 
 
 class Listeners:
@@ -32,7 +37,7 @@
         self._clock = clock
         self._delay = delay
         self._servers: list[connection_timeouts.TimeoutServer] = []
-        self._tcp_sites: list[web.TCPSite] = []
+        self._listening: list[asyncio.Server] = []
 
     async def listen(
         self,
@@ -50,13 +55,13 @@
             max_line_bytes=MAX_HEADER_LINE_BYTES,
             delay=self._delay,
         )
-        runner = web.ServerRunner(server)
-        await runner.setup()
         host, port = addresses.split(address)
-        site = web.TCPSite(runner, host, port, backlog=HTTP_BACKLOG)
-        await site.start()
+        loop = asyncio.get_running_loop()
+        listening = await loop.create_server(
+            server, host, port, backlog=HTTP_BACKLOG
+        )
         self._servers.append(server)
-        self._tcp_sites.append(site)
+        self._listening.append(listening)
 
     def close_slow_connections(self, limits: forwarding.CallerLimits) -> None:
         """Closes connections whose callers exceed the time limits."""
@@ -82,10 +87,39 @@
         """When the head of the last request was read."""
         return max(server.last_request_ms for server in self._servers)
 
+    def begin_stop(self) -> None:
+        """Closes each connection after its next response from now on."""
+        for server in self._servers:
+            server.stopping = True
+
     async def stop(self) -> None:
-        """Accepts no more connections."""
-        for site in self._tcp_sites:
-            await site.stop()
+        """Accepts no more connections.
+
+        Those that callers have opened are accepted first: the system resets
+        them when the listening socket is closed.
+        """
+        for _ in range(MAX_LAST_ACCEPTS):
+            if not self._has_unaccepted():
+                break
+            await asyncio.sleep(0)
+        for listening in self._listening:
+            listening.close()
+
+    def close_idle(self, *, min_idle_ms: int) -> None:
+        """Closes connections that have had no request for some time."""
+        for server in self._servers:
+            server.close_idle(min_idle_ms=min_idle_ms)
+
+    def has_connections(self) -> bool:
+        """Returns whether a connection is open or has bytes to send."""
+        return any(server.connections for server in self._servers)
+
+    def _has_unaccepted(self) -> bool:
+        poller = select.poll()
+        for listening in self._listening:
+            for sock in listening.sockets:
+                poller.register(sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
 
 
 __all__ = ["Listeners"]
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -394,7 +394,7 @@
             caller_listeners=self._listeners,
             relay=self._relay_server,
         )
-        self._forward_handler.stopping = self._directory.stopping = True
+        self._directory.stopping = True
         await self._gossiper.stop()
         await stop.drain(
             expires_ms=started_ms
--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -16,8 +15,14 @@
     from godwittack.daemon import listeners, runtime
     from godwittack.relay import server as relay_server
 
-# Log lines for requests that a stop has cut; the others are only counted.
+# Log lines for requests that a stop leaves no time; the others are only counted.
 MAX_LOGGED_REQUESTS = 100
+POLL_S = 0.02
+# Time that a caller has for its first request after it has connected, or for
+# the next one, before its connection is closed.
+MIN_IDLE_MS = 200
+# For writing the final answers of requests that were left no time.
+FINAL_ANSWERS_MS = 300
 
 
 class Shutdown:
@@ -36,6 +41,7 @@
         self._listeners = caller_listeners
         self._relay = relay
         self._started_ms = self._clock.now_ms()
+        self._listeners.begin_stop()
         self._log("stopping")
 
     async def drain(self, *, expires_ms: int, deadline_ms: int) -> None:
@@ -46,30 +52,51 @@
             deadline_ms: When the process must end.
         """
         while self._clock.now_ms() < min(expires_ms, deadline_ms):
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(POLL_S)
         await self._listeners.stop()
-        self._log("not_listening")
         self._runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
-        remaining_s = max(0.1, (deadline_ms - self._clock.now_ms()) / 1000)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(remaining_s):
-                await self._runtime.stopped.wait()
-                await self._relay.wait_until_idle()
+        self._log("not_listening")
+        await self._wait_until_ended(deadline_ms)
+        if not self._has_ended():
+            self._log("overdue")
+            self._log_requests()
+            self._runtime.submit(inputs.StopOverdue(self._clock.now_ms()))
+            await self._wait_until_ended(deadline_ms + FINAL_ANSWERS_MS)
         self._log("drained")
-        await asyncio.sleep(0.05)
 
     def log_end(self) -> None:
-        """Logs what the end of the process cuts."""
+        """Logs that the process ends, and what that cuts."""
+        self._log("stopped")
+
+    async def _wait_until_ended(self, until_ms: int) -> None:
+        """Waits until nothing is left that the end of the process cuts.
+
+        Requests are looked at together with the connections: one that is open
+        may bring another request at any moment.
+        """
+        while True:
+            self._listeners.close_idle(min_idle_ms=MIN_IDLE_MS)
+            if self._has_ended() or self._clock.now_ms() >= until_ms:
+                return
+            await asyncio.sleep(POLL_S)
+
+    def _has_ended(self) -> bool:
+        return (
+            self._runtime.stopped.is_set()
+            and not self._listeners.has_connections()
+            and not self._relay.queues
+        )
+
+    def _log_requests(self) -> None:
         requests = list(self._runtime.core.world.requests.values())
         for request in requests[:MAX_LOGGED_REQUESTS]:
-            self._log_cut(request)
-        self._log("stopped")
+            self._log_overdue(request)
 
-    def _log_cut(self, request: entities.RequestRow) -> None:
+    def _log_overdue(self, request: entities.RequestRow) -> None:
         now_ms = self._clock.now_ms()
         attempt = request.last_attempt
         logging.warning(
-            "event=cut_by_stop request=%s target=%s phase=%s age_ms=%d"
+            "event=overdue_at_stop request=%s target=%s phase=%s age_ms=%d"
             " read_after_ms=%d attempts=%d server=%s answer_started=%d",
             request.request_id,
             request.work.target,
--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -53,10 +53,22 @@
     return connection.waited_ms()
 
 
+def must_close(request: web.BaseRequest) -> bool:
+    """Returns whether a response is the last one on its connection.
+
+    Requests that the caller sent without waiting for this response, and that
+    were read with it, are answered first.
+    """
+    connection = request.protocol
+    assert isinstance(connection, _Connection)
+    return connection.must_close
+
+
 class TimeoutServer(web.Server):
     """An HTTP server that closes connections by the table's timeouts.
 
     Attributes:
+        stopping: Whether connections are closed after their next response.
         last_request_ms: When the head of the last request was read.
     """
 
@@ -81,6 +93,7 @@
         self._clock = clock
         self._max_line_bytes = max_line_bytes
         self._delay = delay or loop_delay.NoDelay()
+        self.stopping = False
         self.last_request_ms = 0
 
     def __call__(self) -> web.RequestHandler:
@@ -104,6 +117,21 @@
         ]
         return _close_unless_readable(overdue)
 
+    def close_idle(self, *, min_idle_ms: int) -> int:
+        """Closes connections without a request; returns how many.
+
+        Args:
+            min_idle_ms: How long they must have had none: a caller that has
+                just connected is about to send one.
+        """
+        now_ms = self._clock.now_ms()
+        return _close_unless_readable(
+            connection
+            for connection in self.connections
+            if isinstance(connection, _Connection)
+            and connection.idle_for_ms(now_ms) >= min_idle_ms
+        )
+
     def count_states(self) -> collections.Counter[ConnectionState]:
         """Returns the number of open connections in each state."""
         return collections.Counter(
@@ -140,11 +168,12 @@
         "_first_byte_ms",
         "_idle_since_ms",
         "_is_answering",
+        "_server",
     )
 
     def __init__(
         self,
-        manager: web.Server,
+        manager: TimeoutServer,
         *,
         clock: Clock,
         loop: asyncio.AbstractEventLoop,
@@ -160,6 +189,7 @@
             # Bodies are forwarded as received, compressed or not.
             auto_decompress=False,
         )
+        self._server = manager
         self._clock = clock
         self._delay = delay
         self._accepted_in_iteration = delay.iterations
@@ -177,6 +207,11 @@
             return ConnectionState.READING
         return ConnectionState.IDLE
 
+    @property
+    def must_close(self) -> bool:
+        """Whether the response to its current request is its last one."""
+        return self._server.stopping and not self._messages
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits what the system receives before anything is read."""
         sock = transport.get_extra_info("socket")
@@ -216,6 +251,8 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Writes what the handler has not written yet."""
+        if self.must_close and not resp.prepared:
+            resp.force_close()
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
@@ -223,6 +260,12 @@
             self._first_byte_ms = -1
             self._idle_since_ms = self._clock.now_ms()
 
+    def idle_for_ms(self, now_ms: int) -> int:
+        """Returns how long it has had no request; -1 if it has one."""
+        if self.state is not ConnectionState.IDLE:
+            return -1
+        return now_ms - self._idle_since_ms
+
     def is_overdue(
         self, limits: forwarding.CallerLimits, *, now_ms: int
     ) -> bool:
@@ -270,4 +313,4 @@
     return -1 if sock is None else sock.fileno()
 
 
-__all__ = ["ConnectionState", "TimeoutServer", "waited_ms"]
+__all__ = ["ConnectionState", "TimeoutServer", "must_close", "waited_ms"]
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from result import Err
 
-from godwittack.core import effects, inputs
+from godwittack.core import effects, inputs, stopping
 from godwittack.entry import (
     bodies,
     connection_timeouts,
@@ -65,11 +65,7 @@
 
 
 class ForwardHandler:
-    """HTTP handler for callers' requests.
-
-    Attributes:
-        stopping: Whether connections are closed after their next response.
-    """
+    """HTTP handler for callers' requests."""
 
     def __init__(
         self,
@@ -80,7 +76,6 @@
         body_reader: bodies.BodyReader,
     ) -> None:
         """Submits requests parsed by `caller_format` to `runtime`."""
-        self.stopping = False
         self._runtime = runtime
         self._settings = settings
         self._format = caller_format
@@ -88,12 +83,6 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request."""
-        response = await self._handle(request)
-        if self.stopping and not response.prepared:
-            response.force_close()
-        return response
-
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         table = self._runtime.core.world.table
         limits = forwarding.CallerLimits()
         if table.forwarding is not None:
@@ -108,6 +97,12 @@
         if isinstance(parsed, Err):
             error = self._format.error_response(parsed.err_value, status=400)
             return await self._respond_unread(request, error)
+        if self._runtime.core.world.stopping:
+            return await self._refuse_unread(
+                request,
+                parsed.ok_value.call,
+                stopping.refusal(parsed.ok_value.call.request_id),
+            )
         read = await self._bodies.read(
             request,
             max_bytes=limits.body_bytes,
@@ -188,7 +183,7 @@
         )
         for header in head.headers:
             response.headers.add(header.name, header.value)
-        if self.stopping:
+        if connection_timeouts.must_close(request):
             response.force_close()
         await response.prepare(request)
         while True:
@@ -222,10 +217,20 @@
         call: backend.Call,
         error: reservations.BodyError,
     ) -> web.Response:
-        """Answers a request whose body was not read."""
+        """Answers a request whose body could not be read."""
         if not error.retry_after_ms:
             return self._error_and_close(error.detail, status=error.status)
-        refusal = error.refusal(call.request_id)
+        return await self._refuse_unread(
+            request, call, error.refusal(call.request_id)
+        )
+
+    async def _refuse_unread(
+        self,
+        request: web.BaseRequest,
+        call: backend.Call,
+        refusal: effects.Refuse,
+    ) -> web.Response:
+        """Refuses a request whose body was not read."""
         self._runtime.record_event(
             effects.Event(
                 "refused",
@@ -246,7 +251,7 @@
     async def _respond_unread(
         self, request: web.BaseRequest, response: web.Response
     ) -> web.Response:
-        if self.stopping:
+        if connection_timeouts.must_close(request):
             response.force_close()
         return await bodies.discard(
             request, response, timeout_ms=self._settings.body_timeout_ms
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -139,6 +139,7 @@
         await asyncio.sleep(0.05)
         setup.clock.advance(by_ms=2 * LIMITS.idle_timeout_ms)
         assert setup.server.close_overdue(LIMITS) == 0
+        assert setup.server.close_idle(min_idle_ms=0) == 0
         await setup.reader.readexactly(LONG_ANSWER_BYTES)
 
 
@@ -154,4 +155,21 @@
         setup.clock.advance(by_ms=LIMITS.idle_timeout_ms)
         setup.writer.write(REQUEST + b"abc")
         assert setup.server.close_overdue(LIMITS) == 0
+        assert setup.server.close_idle(min_idle_ms=0) == 0
         assert b"whole" in await setup.reader.readuntil(b"whole")
+
+
+async def a_stopping_server_answers_pipelined_requests():
+    """Each request that was read is answered, the last one with a close.
+
+    Guards against requests dropped at a stop: the first answer closed the
+    connection although the next request had been read with the first.
+    """
+    async with connected() as setup:
+        setup.writer.write(2 * (REQUEST + b"abc"))
+        await asyncio.sleep(0.05)
+        setup.server.stopping = True
+        setup.may_answer.set()
+        answers = await setup.reader.read()
+        assert answers.count(b"whole") == 2, answers
+        assert answers.count(b"Connection: close") == 1, answers
--- a/tests/cases/routed.py
+++ b/tests/cases/routed.py
@@ -520,6 +520,56 @@
     assert cancelled == [hanging.attempt_id], core.last_effects
 
 
+def a_stopping_daemon_begins_no_request() -> None:
+    """A request that arrives at a stopping daemon is refused as not run.
+
+    Guards against requests cut by the end of the process: one that arrived on
+    an open connection was sent to a server, whatever time was left for it.
+    """
+    core = routed_core.Core()
+    core.arrive("confirm", "r1")
+    begun = core.dispatch()
+    core.tell(inputs.StopOrdered)
+    core.arrive("confirm", "r2")
+    assert not core.find(effects.Dispatch)
+    refusal = core.refusal()
+    assert refusal.outcome is effects.Outcome.NOT_RUN, refusal
+    assert refusal.status == 503 and refusal.retry_after_ms, refusal
+    assert not core.find(effects.Stopped)
+    core.answer(begun)
+    assert core.find(effects.Reply) and core.find(effects.Stopped)
+
+
+def an_overdue_stop_answers_every_request() -> None:
+    """Requests that are left when the process must end get a final answer.
+
+    Guards against callers that can't tell whether a request has run: their
+    connections were closed, also those of requests that were still queued.
+    """
+    core = routed_core.Core(servers=1, hold_ms=0, prefill_us_per_token=15)
+    core.arrive("confirm", "sent")
+    core.arrive("short", "begun")
+    stream = core.dispatch()
+    core.open(stream)
+    core.frames(stream, 1)
+    while not core.world.queued_count():
+        prompt = (work.Level(len(core.world.requests), 4_000),)
+        core.arrive("long", f"r{len(core.world.requests)}", levels=prompt)
+    queued = f"r{len(core.world.requests) - 1}"
+    core.tell(inputs.StopOrdered)
+    core.tell(inputs.StopOverdue)
+    refused = {
+        refusal.request_id: refusal for refusal in core.find(effects.Refuse)
+    }
+    assert refused["sent"].status == 502, refused["sent"]
+    assert refused["sent"].outcome is effects.Outcome.UNKNOWN
+    assert refused[queued].status == 503, refused[queued]
+    assert refused[queued].outcome is effects.Outcome.NOT_RUN
+    (broken,) = core.find(effects.BreakStream)
+    assert broken.request_id == "begun"
+    assert core.find(effects.Stopped) and not core.world.requests
+
+
 def a_refusal_that_says_not_run_is_true() -> None:
     """Over many schedules, not_run is reported only where nothing ran.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -35,6 +35,8 @@
       | routed | a refusal that says not run is true |
       | routed | queued requests stay with a server that responds |
       | routed | a request that was overtaken moves |
+      | routed | a stopping daemon begins no request |
+      | routed | an overdue stop answers every request |
 
     Examples: peers
       | group | case |
@@ -62,6 +64,7 @@
       | connection_timeouts | a compressed body is forwarded unchanged |
       | connection_timeouts | an answer that is read slowly is not idle |
       | connection_timeouts | an idle connection with unread bytes is not closed |
+      | connection_timeouts | a stopping server answers pipelined requests |
 
     Examples: malformed bytes
       | group | case |
