Serve requests whose bodies are under way as a stopping daemon closes

Cause: the core refused whatever arrived after the listening socket was closed, also requests whose head had been read. Change: from then on requests are refused by their head; the core refuses a second later, which bounds how long bodies may take. The time for final answers counts from when they are given, so that a late event loop still writes them.

--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -93,10 +93,10 @@
             server.stopping = True
 
     async def stop(self) -> None:
-        """Accepts no more connections.
+        """Accepts no more connections, and refuses further requests.
 
-        Those that callers have opened are accepted first: the system resets
-        them when the listening socket is closed.
+        Connections that callers have opened are accepted first: the system
+        resets them when the listening socket is closed.
         """
         for _ in range(MAX_LAST_ACCEPTS):
             if not self._has_unaccepted():
@@ -104,6 +104,8 @@
             await asyncio.sleep(0)
         for listening in self._listening:
             listening.close()
+        for server in self._servers:
+            server.refusing = True
 
     def close_idle(self, *, min_idle_ms: int) -> None:
         """Closes connections that have had no request for some time."""
--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -15,12 +15,15 @@
     from godwittack.daemon import listeners, runtime
     from godwittack.relay import server as relay_server
 
-# Log lines for requests that a stop leaves no time; the others are only counted.
+# Log lines for requests that a stop leaves no time; others are only counted.
 MAX_LOGGED_REQUESTS = 100
 POLL_S = 0.02
 # Time that a caller has for its first request after it has connected, or for
 # the next one, before its connection is closed.
 MIN_IDLE_MS = 200
+# Time for bodies that are under way when the daemon stops listening; after it,
+# their requests are refused as well.
+LAST_BODIES_MS = 1_000
 # For writing the final answers of requests that were left no time.
 FINAL_ANSWERS_MS = 300
 
@@ -54,14 +57,17 @@
         while self._clock.now_ms() < min(expires_ms, deadline_ms):
             await asyncio.sleep(POLL_S)
         await self._listeners.stop()
-        self._runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
         self._log("not_listening")
+        bodies_until_ms = self._clock.now_ms() + LAST_BODIES_MS
+        await self._wait_until_ended(min(bodies_until_ms, deadline_ms))
+        self._runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
         await self._wait_until_ended(deadline_ms)
         if not self._has_ended():
             self._log("overdue")
             self._log_requests()
             self._runtime.submit(inputs.StopOverdue(self._clock.now_ms()))
-            await self._wait_until_ended(deadline_ms + FINAL_ANSWERS_MS)
+            final_until_ms = self._clock.now_ms() + FINAL_ANSWERS_MS
+            await self._wait_until_ended(final_until_ms)
         self._log("drained")
 
     def log_end(self) -> None:
@@ -74,17 +80,17 @@
         Requests are looked at together with the connections: one that is open
         may bring another request at any moment.
         """
-        while True:
-            self._listeners.close_idle(min_idle_ms=MIN_IDLE_MS)
-            if self._has_ended() or self._clock.now_ms() >= until_ms:
-                return
+        while not self._has_ended() and self._clock.now_ms() < until_ms:
             await asyncio.sleep(POLL_S)
+            self._listeners.close_idle(min_idle_ms=MIN_IDLE_MS)
 
     def _has_ended(self) -> bool:
-        return (
-            self._runtime.stopped.is_set()
-            and not self._listeners.has_connections()
-            and not self._relay.queues
+        world = self._runtime.core.world
+        return not (
+            world.requests
+            or world.outcomes
+            or self._relay.queues
+            or self._listeners.has_connections()
         )
 
     def _log_requests(self) -> None:
--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -64,11 +64,19 @@
     return connection.must_close
 
 
+def must_refuse(request: web.BaseRequest) -> bool:
+    """Returns whether a request came too late to be served."""
+    connection = request.protocol
+    assert isinstance(connection, _Connection)
+    return connection.must_refuse
+
+
 class TimeoutServer(web.Server):
     """An HTTP server that closes connections by the table's timeouts.
 
     Attributes:
         stopping: Whether connections are closed after their next response.
+        refusing: Whether requests whose body is unread should be refused.
         last_request_ms: When the head of the last request was read.
     """
 
@@ -94,6 +102,7 @@
         self._max_line_bytes = max_line_bytes
         self._delay = delay or loop_delay.NoDelay()
         self.stopping = False
+        self.refusing = False
         self.last_request_ms = 0
 
     def __call__(self) -> web.RequestHandler:
@@ -212,6 +221,11 @@
         """Whether the response to its current request is its last one."""
         return self._server.stopping and not self._messages
 
+    @property
+    def must_refuse(self) -> bool:
+        """Whether its current request should be refused."""
+        return self._server.refusing
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits what the system receives before anything is read."""
         sock = transport.get_extra_info("socket")
@@ -313,4 +327,10 @@
     return -1 if sock is None else sock.fileno()
 
 
-__all__ = ["ConnectionState", "TimeoutServer", "must_close", "waited_ms"]
+__all__ = [
+    "ConnectionState",
+    "TimeoutServer",
+    "must_close",
+    "must_refuse",
+    "waited_ms",
+]
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -97,7 +97,7 @@
         if isinstance(parsed, Err):
             error = self._format.error_response(parsed.err_value, status=400)
             return await self._respond_unread(request, error)
-        if self._runtime.core.world.stopping:
+        if connection_timeouts.must_refuse(request):
             return await self._refuse_unread(
                 request,
                 parsed.ok_value.call,
