Print what daemons do that don't start in a test

Cause: a daemon that isn't ready in time with an empty log was seen six times beside load and never traced; its log tells nothing. Change: on a failed start, the test prints each process's state, its processor time and the stacks of its threads.

--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -192,11 +192,28 @@
         try:
             return await self._start()
         except BaseException:
-            for number in range(len(self.logs)):
-                print(f"--- daemon {number}\n{self.log(number)[-5000:]}")
+            await self._dump_daemons()
             await self.__aexit__()
             raise
 
+    async def _dump_daemons(self) -> None:
+        """Prints what daemons that did not start have done, and do.
+
+        A log may be empty: the state of the process and the stack of its
+        threads tell whether it has run at all.
+        """
+        for number, process in enumerate(self.processes):
+            state = f"exit code {process.returncode}"
+            if process.returncode is None:
+                stat = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
+                fields = stat.rpartition(")")[2].split()
+                state = f"state {fields[0]}, {fields[11]}+{fields[12]} ticks"
+                # faulthandler writes the stacks to the log.
+                process.send_signal(signal.SIGABRT)
+                await process.wait()
+            print(f"--- daemon {number}: {state}\n{self.log(number)[-5000:]}")
+        print(f"--- load {os.getloadavg()}")
+
     async def _start(self) -> Platform:
         self.session = aiohttp.ClientSession()
         await self.store.start(self.store_port)
@@ -269,7 +286,11 @@
                 *self._daemon_arguments(path),
                 stdout=output,
                 stderr=output,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                env={
+                    **os.environ,
+                    "PYTHONUNBUFFERED": "1",
+                    "PYTHONFAULTHANDLER": "1",
+                },
             )
         self._started.append(process)
         return process
