Serve requests whose model was removed from the table

What callers saw (the project's own interface): a generation that was to be retried, or waited for a place, while operators removed its model was cut without an answer. Cause: placement looked the model's row up again, and raised a KeyError. In the task of an attempt it cut that request; in a tick, which serves the queue, it is the failure of a background task, which ends the daemon. Change: placement uses the defaults of a row where the row is gone. What was admitted is served to its end. Evidence: the first test fails on the untouched code (KeyError: 'm' in placing.choose) and passes now. Looked at beside it: on the platform's interface a resumed stream, an answered call and a waiting call outlast the removal of their routes and services; that test passes on the untouched code too, and is kept as there was none.

--- a/src/godwittack/core/placing.py
+++ b/src/godwittack/core/placing.py
@@ -23,6 +23,7 @@
     work,
 )
 from godwittack.placement import rendezvous
+from godwittack.table import model
 
 if TYPE_CHECKING:
     from godwittack.core import entities
@@ -99,7 +100,7 @@
     if request.work.route is not None:
         return _choose_by_backlog(world, request, usable)
     homes = home_servers(world, request, usable)
-    reuse_weight = world.table.models[request.work.target].reuse_weight
+    reuse_weight = _reuse_weight(world, request.work.target)
     waits = {server.server_id: wait_ms(world, server) for server in usable}
     scored = [
         _score(
@@ -231,6 +232,15 @@
     )
 
 
+def _reuse_weight(world: entities.World, target: str) -> float:
+    """Returns how a model weighs recomputed tokens against waiting.
+
+    A request that was admitted is served even if operators remove its model.
+    """
+    row = world.table.models.get(target)
+    return (row or model.ModelRow(name=target)).reuse_weight
+
+
 def _has_path(
     world: entities.World,
     server: entities.ServerRow,
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -63,6 +63,7 @@
     "fuzz",
     "engine_memory",
     "uneven_bench",
+    "endings",
 )
 
 
--- /dev/null
+++ b/tests/features/endings.feature
@@ -0,0 +1,11 @@
+Feature: What is under way outlasts the end of a daemon, a row or a connection
+
+  Scenario Outline: <case>
+    # Each case's docstring in tests/cases/endings.py states the failure that it
+    # guards against.
+    When the case "<case>" of "endings" is played
+
+    Examples: changes of the table
+      | case |
+      | a request survives the removal of its model |
+      | requests survive the removal of their routes |
