Don't end a daemon that gets SIGHUP while it starts

What callers saw: nothing was cut, as a daemon that starts serves no one; but it was gone for another start. Cause: SIGHUP has a handler once the event loop runs. A start takes a second (more beside load), most of it for imports, and until then the signal has its default action, which ends the process. The platform sends it after a change of the settings, at any moment. The test, SIGHUP before the settings are read, fails before (exit code not 2) and passes now. Change: the script of the deployment ignores the signal before it imports anything; the event loop's handler replaces that. Left: SIGTERM and SIGINT at that time end the process at once (-15, and a KeyboardInterrupt), which cuts nothing.

--- a/deploy/daemon.py
+++ b/deploy/daemon.py
@@ -7,8 +7,13 @@
 from __future__ import annotations
 
 import pathlib
+import signal
 import sys
 
+# A start takes a second, most of it for imports. A change of the settings in
+# that time would end the process: it is the default action of the signal.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
 from godwittack.daemon import process
--- a/tests/cases/endings.py
+++ b/tests/cases/endings.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+
 from cases import routed_core
+from cluster import platform
 from godwittack.core import effects, inputs, router, server_inputs, work
 from godwittack.table import model
 
 MODEL = "m"
 KEY = "key-of-desk"
+EXIT_BAD_SETTINGS = 2
 
 
 class ModelCore:
@@ -119,7 +128,37 @@
     assert core.find(effects.Reply)
 
 
+async def a_reload_while_a_daemon_starts_does_not_end_it() -> None:
+    """A daemon that gets SIGHUP before it has read its settings goes on.
+
+    Guards against daemons that end as they start, when the platform restarts
+    them and changes their settings: the default action of the signal.
+    """
+    with tempfile.TemporaryDirectory(prefix="godwittack-") as folder:
+        # The daemon waits for a writer, and the writer for the daemon.
+        path = pathlib.Path(folder) / "settings.yaml"
+        os.mkfifo(path)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(platform.ROOT / "deploy" / "daemon.py"),
+            str(path),
+            stderr=asyncio.subprocess.PIPE,
+        )
+        try:
+            async with asyncio.timeout(platform.WAIT_S):
+                descriptor = await asyncio.to_thread(os.open, path, os.O_WRONLY)
+                process.send_signal(signal.SIGHUP)
+                with os.fdopen(descriptor, "w") as settings:
+                    settings.write("not: settings")
+                _, errors = await process.communicate()
+        finally:
+            if process.returncode is None:
+                process.kill()
+        assert process.returncode == EXIT_BAD_SETTINGS, errors
+
+
 __all__ = [
+    "a_reload_while_a_daemon_starts_does_not_end_it",
     "a_request_survives_the_removal_of_its_model",
     "requests_survive_the_removal_of_their_routes",
 ]
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -9,3 +9,7 @@
       | case |
       | a request survives the removal of its model |
       | requests survive the removal of their routes |
+
+    Examples: signals
+      | case |
+      | a reload while a daemon starts does not end it |
