Count a relayed attempt until its whole answer is written

What callers saw: behind a daemon that passed their request on and stopped, an answer could lack its end; a stream broke and an unsafe call was answered 502 although it had run whole. Cause: a relay counts an attempt as ended when the last event was handed to the connection. Up to 64 KB of it may still be in the process's buffer, if the other daemon reads slowly; the stop sees no attempt and ends the process. Evidence: the test reads an answer of 200 KB slowly over small buffers of the system. Change: before the end of a response is written, the connection's high-water mark is set to 0, so that its end is written only when the system has taken everything; what the system has, it delivers after the process has ended.

--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -235,7 +235,7 @@
             task.add_done_callback(queue.finish)
             while (event := await queue.get()) is not None:
                 await response.write(codec.frame_event(event))
-            await response.write_eof()
+            await _write_end(request, response)
         except asyncio.CancelledError:
             queue.outcome = "sender_gone"
             raise
@@ -385,6 +385,20 @@
         )
 
 
+async def _write_end(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Ends a response; returns once the system has taken all of its bytes.
+
+    Those left in this process would be lost if it ended.
+    """
+    if request.transport is not None:
+        request.transport.set_write_buffer_limits(high=0)
+    await response.write_eof()
+    if request.transport is not None:
+        request.transport.set_write_buffer_limits()
+
+
 def _reply(
     verdict: server_inputs.PathVerdict,
     *,
--- a/tests/cases/endings.py
+++ b/tests/cases/endings.py
@@ -6,17 +6,24 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 
-from cases import routed_core
+from cases import relaying, routed_core
 from cluster import platform
 from godwittack.core import effects, inputs, router, server_inputs, work
+from godwittack.peer import exchange
+from godwittack.relay import codec
 from godwittack.table import model
 
 MODEL = "m"
 KEY = "key-of-desk"
 EXIT_BAD_SETTINGS = 2
+LONG_ANSWER = bytes(200_000)
+# Buffer of the system for a connection.
+BUFFER_BYTES = 4 << 10
+PAUSE_S = 0.005
 
 
 class ModelCore:
@@ -157,7 +164,77 @@
         assert process.returncode == EXIT_BAD_SETTINGS, errors
 
 
+class _LongAnswer:
+    """A backend that answers an attempt with `LONG_ANSWER` once it may."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+
+    async def send(self, dispatch, call, sink) -> None:
+        """Answers."""
+        del call
+        await self.may_answer.wait()
+        sink.answer(
+            dispatch.attempt_id, work.Answer(200, (), LONG_ANSWER), None
+        )
+
+
+async def a_relayed_attempt_ends_once_its_answer_is_written() -> None:
+    """An attempt counts as under way while a part of its answer is unsent.
+
+    Guards against answers whose end is lost: the other daemon read slowly, and
+    the process that stopped ended while it still had the last bytes.
+    """
+    async with relaying.Relays() as relays:
+        backend = relays.relay._backend = _LongAnswer()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        sock.setblocking(False)
+        host, port = relays.address.split(":")
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (host, int(port)))
+        await loop.sock_sendall(sock, _relay_call(relays))
+        await platform.until("it has begun", _begun(relays))
+        (connection,) = relays.peer_server._runner.server.connections
+        transport = connection.transport
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES
+        )
+        backend.may_answer.set()
+        idle = asyncio.create_task(relays.relay.wait_until_idle())
+        while not idle.done():
+            await asyncio.sleep(PAUSE_S)
+            assert not idle.done() or not transport.get_write_buffer_size()
+            await loop.sock_recv(sock, BUFFER_BYTES)
+        sock.close()
+
+
+def _relay_call(relays: relaying.Relays) -> bytes:
+    """Returns another daemon's attempt as it is written."""
+    body = codec.call_to_proto(
+        relays.dispatch(relays.plain),
+        relaying.call(),
+        sender_id="sender",
+        now_ms=relays.clock.now_ms(),
+    ).SerializeToString()
+    head = (
+        f"POST {exchange.RELAY_PATH} HTTP/1.1",
+        "Host: relay",
+        f"{exchange.PROOF_HEADER}: {exchange.proof(relaying.SECRET)}",
+        f"Content-Length: {len(body)}",
+    )
+    return "\r\n".join((*head, "", "")).encode() + body
+
+
+def _begun(relays: relaying.Relays):
+    async def begun() -> bool:
+        return bool(relays.relay.queues)
+
+    return begun
+
+
 __all__ = [
+    "a_relayed_attempt_ends_once_its_answer_is_written",
     "a_reload_while_a_daemon_starts_does_not_end_it",
     "a_request_survives_the_removal_of_its_model",
     "requests_survive_the_removal_of_their_routes",
