Answer the calls of other daemons that cross the end of a daemon

What callers saw: an unsafe request that was passed to a daemon as it ended was answered 502 although nothing had run, or had no answer at all until its time was over. The peer server closed all connections together with the listening socket, also those accepted a moment before, whose call was on its way. And asyncio accepts a connection in one iteration of the loop and attaches it to its server in the next: if the server was closed meanwhile, an assertion fails unseen, and the connection stays open, unread, for as long as the process lives. Change: a listener of our own stops the event loop's reader, lets accepted connections attach, accepts by hand what waits and closes in the same step. After that the peer server answers for 50 ms, or up to 200 ms while calls are read, with the last answer of each connection saying that it closes. Attempts are declined by then, as the core stops. Ruled out: the same for connections that a daemon keeps: a call written as the other side closes one may have been read, and only requests that may be repeated use them.

--- a/src/godwittack/peer/server.py
+++ b/src/godwittack/peer/server.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from google.protobuf import message as proto
 
+from godwittack import accepting
 from godwittack import address as addresses
 from godwittack.peer import exchange, peer_pb2, wire
 
@@ -22,6 +23,10 @@
 BACKLOG = 1_024
 # Time for peers to acknowledge the end of their streams, and for open calls.
 STOP_TIMEOUT_S = 0.1
+# Time in which calls are still answered once no connection is accepted: the
+# round trip of a daemon that has just connected, and the end of a long body.
+MIN_LAST_CALLS_S = 0.05
+MAX_LAST_CALLS_S = 0.2
 
 
 class PeerHandler(Protocol):
@@ -109,6 +114,9 @@
         if streams is not None:
             self._calls[exchange.STREAM_PATH] = streams.answer_query
         self._sockets: set[web.WebSocketResponse] = set()
+        self._listener: accepting.Listener | None = None
+        self._open_calls = 0
+        self._is_stopping = False
         self._runner = web.ServerRunner(
             web.Server(
                 self._answer, access_log=None, handler_cancellation=True
@@ -124,20 +132,48 @@
         """
         host, port = addresses.split(address)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, host, port, backlog=BACKLOG)
-        await site.start()
+        assert self._runner.server is not None
+        self._listener = await accepting.Listener.open(
+            self._runner.server, host, port, backlog=BACKLOG
+        )
 
     async def stop(self) -> None:
-        """Stops listening and ends all streams."""
+        """Stops listening, answers the last calls and ends all streams."""
+        self._is_stopping = True
         await asyncio.gather(
             *(
                 socket.close(code=aiohttp.WSCloseCode.GOING_AWAY)
                 for socket in list(self._sockets)
             )
         )
+        if self._listener is not None:
+            await self._listener.close()
+        await self._answer_last_calls()
         await self._runner.cleanup()
 
+    async def _answer_last_calls(self) -> None:
+        """Answers calls that cross the end of this daemon.
+
+        Another daemon can't tell whether an attempt has run if its connection
+        is closed, but knows that one that is declined has not.
+        """
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + MAX_LAST_CALLS_S
+        await asyncio.sleep(MIN_LAST_CALLS_S)
+        while self._open_calls and loop.time() < ends_s:
+            await asyncio.sleep(MIN_LAST_CALLS_S)
+
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._open_calls += 1
+        try:
+            response = await self._dispatch(request)
+        finally:
+            self._open_calls -= 1
+        if self._is_stopping and not response.prepared:
+            response.force_close()
+        return response
+
+    async def _dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
         proof = request.headers.get(exchange.PROOF_HEADER, "")
         if not hmac.compare_digest(
             proof.encode(), self._expected_proof.encode()
--- a/tests/cases/endings.py
+++ b/tests/cases/endings.py
@@ -11,7 +11,8 @@
 import tempfile
 
 from cases import relaying, routed_core
-from cluster import platform
+from cluster import platform, processes
+from godwittack import accepting
 from godwittack.core import effects, inputs, router, server_inputs, work
 from godwittack.peer import exchange
 from godwittack.relay import codec
@@ -24,6 +25,9 @@
 # Buffer of the system for a connection.
 BUFFER_BYTES = 4 << 10
 PAUSE_S = 0.005
+# Iterations of the event loop between a connection and the end of its listener.
+CROSSINGS = 12
+CALLS_AT_ONCE = 5
 
 
 class ModelCore:
@@ -209,6 +213,74 @@
         sock.close()
 
 
+async def calls_that_cross_the_end_of_a_daemon_have_not_run() -> None:
+    """Other daemons learn that a daemon that ends has sent nothing.
+
+    Guards against connections that are closed with a call unread: the other
+    daemon can't tell whether its server has it, and an unsafe request is
+    answered as if it might have run.
+    """
+    for iterations in range(CROSSINGS):
+        async with relaying.Relays() as relays:
+            relays.core.world.stopping = True
+            sending = [
+                asyncio.create_task(
+                    relays.send(relays.plain, fresh_connection=True)
+                )
+                for _ in range(CALLS_AT_ONCE)
+            ]
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            await relays.peer_server.stop()
+            async with asyncio.timeout(platform.WAIT_S):
+                phases = {
+                    sink.failure[0] for sink in await asyncio.gather(*sending)
+                }
+            assert inputs.FailurePhase.SENT not in phases, iterations
+
+
+async def a_listener_that_closes_serves_the_connections_it_has() -> None:
+    """A connection that was opened before is served whenever it was accepted.
+
+    Guards against connections that stay open without an answer: the event loop
+    drops those that it accepts as the listener closes.
+    """
+    for iterations in range(CROSSINGS):
+        served: list[asyncio.Transport] = []
+        port = processes.free_port()
+        listener = await accepting.Listener.open(
+            lambda served=served: _Recorder(served),
+            "127.0.0.1",
+            port,
+            backlog=CALLS_AT_ONCE,
+        )
+        connections = []
+        for _ in range(CALLS_AT_ONCE):
+            sock = socket.socket()
+            # Established by the system, which accepts it for the daemon.
+            sock.connect(("127.0.0.1", port))
+            connections.append(sock)
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        await listener.close()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert len(served) == CALLS_AT_ONCE, (iterations, len(served))
+        for transport in (*served, *connections):
+            transport.close()
+
+
+class _Recorder(asyncio.Protocol):
+    """Records connections."""
+
+    def __init__(self, served: list[asyncio.Transport]) -> None:
+        self._served = served
+
+    def connection_made(self, transport) -> None:
+        """Records one."""
+        self._served.append(transport)
+
+
 def _relay_call(relays: relaying.Relays) -> bytes:
     """Returns another daemon's attempt as it is written."""
     body = codec.call_to_proto(
@@ -235,7 +307,9 @@
 
 __all__ = [
     "a_relayed_attempt_ends_once_its_answer_is_written",
+    "a_listener_that_closes_serves_the_connections_it_has",
     "a_reload_while_a_daemon_starts_does_not_end_it",
     "a_request_survives_the_removal_of_its_model",
+    "calls_that_cross_the_end_of_a_daemon_have_not_run",
     "requests_survive_the_removal_of_their_routes",
 ]
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -17,3 +17,8 @@
     Examples: attempts that pass another daemon
       | case |
       | a relayed attempt ends once its answer is written |
+      | calls that cross the end of a daemon have not run |
+
+    Examples: listening sockets
+      | case |
+      | a listener that closes serves the connections it has |
