Don't take connections on which a body is discarded for idle

What callers saw: an answer sent before the body had arrived (404, 405, an error of the operators' interface) could be lost in a reset, when the idle timeout or a planned stop closed the connection under a caller that still wrote. Cause: a connection counted as idle once its answer was written. aiohttp then reads and discards the rest of the body; its bytes were also taken for the beginning of the next request's head, and the header timeout counted from them. Change: a connection is idle, or reading a head, only while aiohttp waits for the next request. Evidence: found by reading, for the stop of the own interface, whose routes answer before they read a body; the platform's handler discards bodies itself. The test failed before: close_overdue closed the connection (0 expected).

--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -38,7 +38,8 @@
     """What a caller's connection is doing.
 
     IDLE: it has no request. READING: the head of a request is incomplete.
-    ANSWERING: a request is served, or its response is being written.
+    ANSWERING: a request is served, its response is being written, or the rest
+    of its body is discarded.
     """
 
     IDLE = "idle"
@@ -214,8 +215,15 @@
             return ConnectionState.ANSWERING
         if self._first_byte_ms >= 0:
             return ConnectionState.READING
+        if not self._awaits_request:
+            return ConnectionState.ANSWERING
         return ConnectionState.IDLE
 
+    @property
+    def _awaits_request(self) -> bool:
+        """Whether the next bytes belong to a request, not to a body."""
+        return self._waiter is not None
+
     @property
     def must_close(self) -> bool:
         """Whether the response to its current request is its last one."""
@@ -237,7 +245,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Records when the first bytes of a request arrived."""
-        if self._first_byte_ms < 0:
+        if self._first_byte_ms < 0 and self._awaits_request:
             self._first_byte_ms = self._clock.now_ms()
             if (
                 self._delay.iterations
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -20,14 +20,15 @@
 
 
 @contextlib.asynccontextmanager
-async def connected(answer: bytes = b"whole"):
+async def connected(answer: bytes = b"whole", *, reads_bodies: bool = True):
     """Runs a server that answers when the test lets it, and connects."""
     clock = ManualClock(1_000)
     may_answer = asyncio.Event()
     bodies: list[bytes] = []
 
     async def handle(request):
-        bodies.append(await request.read())
+        if reads_bodies:
+            bodies.append(await request.read())
         await may_answer.wait()
         return web.Response(body=answer)
 
@@ -173,3 +174,24 @@
         answers = await setup.reader.read()
         assert answers.count(b"whole") == 2, answers
         assert answers.count(b"Connection: close") == 1, answers
+
+
+async def a_connection_whose_body_is_still_discarded_is_not_idle():
+    """An answer sent before its request's body arrived stays readable.
+
+    Guards against early answers lost in a reset: the connection counted as idle
+    while the rest of the body was under way. Once the body has ended, the
+    connection is idle, and not one whose headers are unfinished.
+    """
+    async with connected(reads_bodies=False) as setup:
+        setup.may_answer.set()
+        setup.writer.write(REQUEST)
+        assert b"whole" in await setup.reader.readuntil(b"whole")
+        setup.clock.advance(by_ms=LIMITS.idle_timeout_ms)
+        assert setup.server.close_overdue(LIMITS) == 0
+        assert setup.server.close_idle(min_idle_ms=0) == 0
+        setup.writer.write(b"abc")
+        await asyncio.sleep(0.05)
+        assert setup.server.count_states() == {"idle": 1}
+        assert setup.server.close_idle(min_idle_ms=0) == 1
+        assert await setup.reader.read() == b""
