Order engines only with the number of orders that they have accepted

Cause: before each order the lead reads the engine's report, over a pooled connection. When that was silent, the order went out without a precondition; left unanswered, it was carried out seconds later, after newer ones. Evidence: the case, in which reports are silent for three seconds and then on open connections only, failed before (orders without the number).

--- a/src/godwittack/daemon/lead.py
+++ b/src/godwittack/daemon/lead.py
@@ -372,10 +372,23 @@
         """Sends an order and returns its result."""
         drained_incarnation = server.incarnation
         state = await self._fetch_load(server)
+        if state is None:
+            # Open connections may be silent while new ones work.
+            state = await self._fetch_load(server, fresh_connection=True)
         if server.incarnation != drained_incarnation:
             # The drain applied to its previous process; all daemons send work
             # to the new one.
             return order_result.OrderResult.RESTARTED
+        if state is None:
+            # Without the number of accepted orders the server can't tell that
+            # this one is late, and would carry it out after newer ones.
+            logging.info(
+                "event=weights_not_ordered server=%s version=%s detail=%r",
+                server.server_id,
+                version,
+                "no report of its accepted orders",
+            )
+            return order_result.OrderResult.REFUSED
         # Checked again right before sending: this daemon may have been
         # suspended since the last check, and another holder may order now.
         if not led.lease.may_send(server.server_id):
@@ -389,9 +402,7 @@
                 target=server.target,
                 server_id=server.server_id,
                 holder=self._members.me.member_id,
-                expected_accepted_orders=-1
-                if state is None
-                else state.accepted_orders,
+                expected_accepted_orders=state.accepted_orders,
             ),
         )
         detail = str(result.err_value) if isinstance(result, Err) else "ordered"
@@ -413,11 +424,13 @@
         return answer
 
     async def _fetch_load(
-        self, server: entities.ServerRow
+        self, server: entities.ServerRow, *, fresh_connection: bool = False
     ) -> backend.EngineLoad | None:
         """Fetches a server's load; reports new weights and restarts."""
         result = await self._client.load(
-            server.address, server_id=server.server_id
+            server.address,
+            server_id=server.server_id,
+            fresh_connection=fresh_connection,
         )
         if isinstance(result, Err):
             return None
--- a/tests/cases/leading.py
+++ b/tests/cases/leading.py
@@ -309,3 +309,26 @@
         )
 
     one_lead.play(case())
+
+
+def an_order_without_a_report_is_not_sent() -> None:
+    """Each order names the number of orders that its server has accepted.
+
+    Guards against an order that is carried out late and brings a server back to
+    older weights: the report before it timed out on a silent connection, and
+    the order was sent without that number.
+    """
+
+    async def case() -> None:
+        daemon = one_lead.LeadDaemon()
+        daemon.engines.silent = True
+        await daemon.run(for_s=3.0)
+        assert not daemon.engines.orders, daemon.engines.orders
+        daemon.engines.silent = False
+        daemon.engines.silent_connections = {f"e{n}" for n in range(1, 7)}
+        await daemon.run(for_s=8.0)
+        orders = daemon.engines.orders
+        assert len({order.server_id for order in orders}) == 6, orders
+        assert all(order.expected_accepted_orders >= 0 for order in orders)
+
+    one_lead.play(case())
--- a/tests/cases/one_lead.py
+++ b/tests/cases/one_lead.py
@@ -20,6 +20,7 @@
 # roll-out limits how many engines load.
 WAITING_MS = 160
 WAITING_TOKENS = 1_600
+REPORT_TIMEOUT_S = 0.35
 
 
 class Engines:
@@ -31,6 +32,9 @@
         self.versions: dict[str, str] = {}
         self.orders: list[backend.Order] = []
         self.refuse: int = 0
+        self.silent = False
+        # Engines whose open connection is silent, until a call times out.
+        self.silent_connections: set[str] = set()
 
     def drop_connections(self, server_id) -> None:
         """Does nothing: no connections are kept."""
@@ -38,6 +42,13 @@
     async def load(self, address, *, server_id="", fresh_connection=False):
         """Returns a server's report."""
         del address
+        is_silent = (
+            not fresh_connection and server_id in self.silent_connections
+        )
+        if self.silent or is_silent:
+            self.silent_connections.discard(server_id)
+            await asyncio.sleep(REPORT_TIMEOUT_S)
+            return Err(backend.BackendError(step="load", peer="p", detail=""))
         return Ok(
             backend.EngineLoad(
                 incarnation=server_id,
@@ -48,6 +59,9 @@
                 prefill_us_per_token=0,
                 slots=16,
                 leaving=False,
+                accepted_orders=sum(
+                    order.server_id == server_id for order in self.orders
+                ),
             )
         )
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -165,6 +165,7 @@
       | leading | a server that leaves during a store call is not ordered |
       | leading | a roll out continues without pauses |
       | leading | a rejected fencing number ends the lead |
+      | leading | an order without a report is not sent |
       | leading | a server whose address was reused is not ordered again |
       | leading | a server is drained again for each load |
       | leading | a lead that was cut off does not overwrite a new holder |
