Believe an engine that goes back to older weights

Cause: reports with older weights than are known count as made before the last load, without a limit in time. Change: reports that have had older weights for three seconds are believed; the lead then orders the weights anew. Evidence: the case, with single late reports and then a series, failed before: the server kept the newer version.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -306,6 +306,8 @@
     Attributes:
         incarnation: Last incarnation seen; empty until the first contact.
         software_version: Version of its software; empty if not listed.
+        older_weights_since_ms: Since when all of its reports have older
+            weights than are known here; -1 if the last one has not.
         draining_until_ms: No new work before this time, so that weights can
             be loaded without interrupting a stream.
         reported_at_ms: Time to which the last load report applies.
@@ -365,6 +367,7 @@
     incarnation: str = ""
     software_version: str = ""
     weights_version: str = ""
+    older_weights_since_ms: int = -1
     leaving: bool = False
     draining_until_ms: int = 0
     reported_at_ms: int = -1
--- a/src/godwittack/core/servers.py
+++ b/src/godwittack/core/servers.py
@@ -27,6 +27,9 @@
 
 # Time for which a server that reset a new connection is considered full.
 FULL_AFTER_RESET_MS = 300
+# Reports are less than a second old, and made once a second: a server whose
+# reports have older weights for longer has gone back to them.
+REVERTED_AFTER_MS = 3_000
 
 
 def apply_list_entry(
@@ -106,11 +109,12 @@
     ):
         return
     restarted = incarnation.is_older(server.incarnation, report.incarnation)
+    is_outdated = _is_outdated(world, server, report)
     if measured_at_ms < server.reported_at_ms and not restarted:
         # Answers have brought a newer load, but never the memory in use.
         memory_updates.apply_report(world, server, report)
         return
-    if not _is_outdated(world, server, report):
+    if not is_outdated:
         _update_state(world, server, report.incarnation, report.weights_version)
     server.reported_at_ms = measured_at_ms
     crashes.record_report(world, server, report)
@@ -134,14 +138,23 @@
 
     Reports are some hundred milliseconds old, and the list may have announced
     new weights since. If an old one were applied, requests would be sent for
-    weights that are gone, and the same load would be ordered twice.
+    weights that are gone, and the same load would be ordered twice. A server
+    may also go back to older weights, by an order that it carries out late; if
+    its reports were ignored for good, it would decline all requests.
     """
-    return (
+    is_older = (
         world.table.forwarding is not None
         and server.incarnation == report.incarnation
         and server.weights_version != report.weights_version
         and not weights.is_newer(report.weights_version, server.weights_version)
     )
+    if not is_older:
+        server.older_weights_since_ms = -1
+        return False
+    if server.older_weights_since_ms < 0:
+        server.older_weights_since_ms = world.now_ms
+    older_for_ms = world.now_ms - server.older_weights_since_ms
+    return older_for_ms < REVERTED_AFTER_MS
 
 
 def apply_echoed_load(
@@ -366,6 +379,7 @@
     restarted = server.incarnation not in ("", new_incarnation)
     server.incarnation = new_incarnation
     server.weights_version = weights_version
+    server.older_weights_since_ms = -1
     server.cache.clear()
     availability.reconcile_notice(world, server)
     world.event(
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -107,6 +107,29 @@
     assert core.world.servers["e1"].weights_version == "2"
 
 
+def a_server_that_goes_back_to_older_weights_is_noticed() -> None:
+    """Reports of older weights are believed if they don't stop.
+
+    Guards against a server that declines all requests for good: it carried out
+    a late order, and its reports counted as older than its load.
+    """
+    core = routed_core.Core(servers=1)
+    _publish_version(core, "2")
+    _report(core, "e1", "2")
+    for _ in range(2):
+        core.wait(1_000)
+        _report(core, "e1", "1")
+    assert core.world.servers["e1"].weights_version == "2"
+    core.wait(1_000)
+    _report(core, "e1", "2")
+    for _ in range(4):
+        core.wait(1_000)
+        _report(core, "e1", "1")
+    assert core.world.servers["e1"].weights_version == "1"
+    core.arrive("long")
+    assert core.dispatch().stamp.weights_version == "1"
+
+
 def new_weights_end_a_drain() -> None:
     """A server that has loaded new weights gets requests at once.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -103,6 +103,7 @@
       | weights | each publication ages older weights separately |
       | weights | older weights serve until they are too old |
       | weights | a late report does not bring old weights back |
+      | weights | a server that goes back to older weights is noticed |
       | weights | new weights end a drain |
       | weights | cache scopes differ by version and isolation |
       | weights | a refused order frees its place |
