--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -104,6 +104,7 @@
       | weights | each publication ages older weights separately |
       | weights | older weights serve until they are too old |
       | weights | a late report does not bring old weights back |
+      | weights | a server that goes back to older weights is noticed |
       | weights | new weights end a drain |
       | weights | cache scopes differ by version and isolation |
       | weights | a refused order frees its place |
@@ -166,6 +167,7 @@
       | leading | a server that leaves during a store call is not ordered |
       | leading | a roll out continues without pauses |
       | leading | a rejected fencing number ends the lead |
+      | leading | an order without a report is not sent |
       | leading | a server whose address was reused is not ordered again |
       | leading | a server is drained again for each load |
       | leading | a lead that was cut off does not overwrite a new holder |
