--- a/src/godwittack/backend/collecting.py
+++ b/src/godwittack/backend/collecting.py
@@ -16,6 +16,7 @@
 
 from absl import logging
 
+from godwittack import digits
 from godwittack.backend import reply_limits
 
 if TYPE_CHECKING:
@@ -175,8 +176,7 @@
                 from a server that sent an endless body lately.
             ReplyError: It is incomplete, or can't be kept.
         """
-        length = source.length
-        if length.isdigit() and int(length) > source.limit_bytes:
+        if _is_too_long(source):
             raise reply_limits.EndlessReplyError("body", 0)
         server = self._servers.setdefault(source.key, ServerBodies())
         body = object()
@@ -220,4 +220,12 @@
                 del self._servers[key]
 
 
+def _is_too_long(source: Source) -> bool:
+    """Returns whether a body's `Content-Length` exceeds the limit."""
+    length = digits.parse(source.length)
+    if length is None:
+        return len(source.length) > digits.MAX_DIGITS
+    return length > source.limit_bytes
+
+
 __all__ = ["Collector", "ServerBodies", "Source", "Spool"]
--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -20,7 +20,7 @@
 import httptools
 
 from godwittack import liveness
-from godwittack.backend import reply_limits
+from godwittack.backend import headers, reply_limits
 from godwittack.backend.reply_limits import EndlessReplyError, ReplyError
 from godwittack.core import work
 
@@ -529,8 +529,9 @@
     """Returns the server's idle limit, 0 where its headers have none."""
     for part in reply.header("keep-alive").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return int(value) * 1000
+        timeout_s = headers.parse_number(value)
+        if name.lower() == "timeout" and timeout_s is not None:
+            return timeout_s * 1000
     return 0
 
 
--- a/src/godwittack/backend/headers.py
+++ b/src/godwittack/backend/headers.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from godwittack import digits
 from godwittack.core import work
 
 if TYPE_CHECKING:
@@ -27,9 +28,6 @@
     }
 )
 REGENERATED = frozenset({"content-length", "date", "server"})
-# Longer numbers make no sense in any header, and Python's `int` raises an error
-# on thousands of digits.
-MAX_DIGITS = 15
 # Characters of an unreadable header that go into the log.
 MAX_SHOWN_CHARS = 100
 
@@ -75,9 +73,7 @@
 
 def parse_number(text: str) -> int | None:
     """Returns a header's value as a whole number, None for anything else."""
-    text = text.strip()
-    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_DIGITS
-    return int(text) if is_number else None
+    return digits.parse(text.strip())
 
 
 def parse_pair(text: str) -> tuple[int | None, int | None]:
@@ -113,14 +109,11 @@
 def is_decimal(text: str) -> bool:
     """Returns whether a text is a decimal number; the fraction is optional."""
     whole, _, fraction = text.partition(".")
-    digits = whole + fraction
-    is_number = digits.isascii() and digits.isdecimal() and bool(whole)
-    return is_number and len(digits) <= MAX_DIGITS
+    return bool(whole) and digits.parse(whole + fraction) is not None
 
 
 __all__ = [
     "HOP_BY_HOP",
-    "MAX_DIGITS",
     "REGENERATED",
     "parse_decimal",
     "end_to_end",
--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -9,6 +9,7 @@
 import pydantic
 from result import Err, Ok, Result
 
+from godwittack import digits
 from godwittack.backend import (
     bounded_client,
     headers,
@@ -277,8 +278,8 @@
             sink.opened(stream_id, stamp)
         if "x-prompt-tokens" in headers and not dispatch.resume_stream:
             sink.usage(
-                prompt=int(headers["x-prompt-tokens"]),
-                cached=int(headers.get("x-cached-tokens", "0")),
+                prompt=digits.parse(headers["x-prompt-tokens"]) or 0,
+                cached=digits.parse(headers.get("x-cached-tokens", "")) or 0,
                 generated=0,
             )
         if not is_stream:
--- a/src/godwittack/backend/json_fields.py
+++ b/src/godwittack/backend/json_fields.py
@@ -6,9 +6,9 @@
 
 import pydantic
 
-from godwittack.backend import headers
+from godwittack import digits
 
-_MAX_NUMBER = 10**headers.MAX_DIGITS
+_MAX_NUMBER = 10**digits.MAX_DIGITS
 Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
 Positive = Annotated[int, pydantic.Field(ge=1, le=_MAX_NUMBER)]
 Amount = Annotated[float, pydantic.Field(ge=0, le=_MAX_NUMBER)]
--- a/src/godwittack/backend/sse.py
+++ b/src/godwittack/backend/sse.py
@@ -4,6 +4,7 @@
 
 import re
 
+from godwittack import digits
 from godwittack.backend import reply_limits
 from godwittack.core import work
 
@@ -84,7 +85,9 @@
 
     def _frame(self, event: bytes) -> work.Frame:
         found = _NUMBER.search(event)
-        number = int(found[1]) if found else self._last_number + 1
+        number = self._last_number + 1
+        if found:
+            number = _parse_number(found[1])
         self._last_number = number
         is_last = bool(self._done_marker) and self._done_marker in event
         data = bytes(self._between_events) + event
@@ -99,4 +102,11 @@
         return work.Frame(self._last_number + 1, remainder, terminal=True)
 
 
+def _parse_number(text: bytes) -> int:
+    number = digits.parse(text.decode("latin-1").strip())
+    if number is None:
+        raise ValueError(f"the number of an event is {text[:20]!r}")
+    return number
+
+
 __all__ = ["FrameReader"]
--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 import difflib
 import enum
+import math
 import pathlib
 from typing import Annotated, Any, TypeAlias
 
@@ -334,7 +335,9 @@
         raw = yaml.safe_load(text)
     except OSError as error:
         return Err(f"{path}: {error.strerror}; name a readable file")
-    except yaml.YAMLError as error:
+    except RecursionError:
+        return Err(f"{path}: not YAML: nested too deeply")
+    except (yaml.YAMLError, ValueError) as error:
         return Err(f"{path}: not YAML: {' '.join(str(error).split())}")
     if not isinstance(raw, dict):
         return Err(f"{path}: write one `key: value` per line")
@@ -388,6 +391,8 @@
             raise ValueError(f"no number is named {name!r}")
         if number < 0:
             raise ValueError(f"{name} must not be negative")
+        if not math.isfinite(number):
+            raise ValueError(f"{name} must be finite")
     return numbers
 
 
--- a/src/godwittack/core/incarnation.py
+++ b/src/godwittack/core/incarnation.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from godwittack import digits
+
 _SEPARATOR = "@"
 
 
@@ -18,17 +20,16 @@
         server_id: The server's id.
         started_at_ms: Unix milliseconds of its start; 0 if not reported.
     """
-    return (
-        f"{server_id}{_SEPARATOR}{started_at_ms}"
-        if started_at_ms
-        else server_id
-    )
+    # An id that looks like the name of an incarnation gets a start time as
+    # well, so that the one in the id does not count.
+    has_start = started_at_ms or _SEPARATOR in server_id
+    return f"{server_id}{_SEPARATOR}{started_at_ms}" if has_start else server_id
 
 
 def started_at_ms(incarnation: str) -> int:
     """Returns an incarnation's start time; 0 if its name has none."""
     _, separator, started = incarnation.rpartition(_SEPARATOR)
-    return int(started) if separator and started.isdecimal() else 0
+    return (digits.parse(started) or 0) if separator else 0
 
 
 def is_older(incarnation: str, other: str) -> bool:
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -19,6 +19,7 @@
 
 import xxhash
 
+from godwittack import digits
 from godwittack.core import evidence, recent_runs, suspects
 
 if TYPE_CHECKING:
@@ -227,9 +228,10 @@
 
     def _count_ended_incarnation(self, incarnation: str) -> None:
         server, separator, number = incarnation.rpartition(_NUMBER_SEPARATOR)
-        if not separator or not number.isdecimal():
-            server, number = incarnation, "0"
-        ended = int(number) + 1
+        ended = digits.parse(number) if separator else None
+        if ended is None:
+            server, ended = incarnation, 0
+        ended += 1
         self._ended_counts[server] = max(
             self._ended_counts.get(server, 0), ended
         )
--- a/src/godwittack/core/weights.py
+++ b/src/godwittack/core/weights.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from godwittack import digits
+
 if TYPE_CHECKING:
     from godwittack.core import entities, inputs
 
@@ -131,9 +133,10 @@
 
     Versions that are not numbers have no order: any other counts as newer.
     """
-    if version.isdigit() and than.isdigit():
-        return int(version) > int(than)
-    return version != than
+    number, than_number = digits.parse(version), digits.parse(than)
+    if number is None or than_number is None:
+        return version != than
+    return number > than_number
 
 
 __all__ = [
--- a/src/godwittack/entry/calls.py
+++ b/src/godwittack/entry/calls.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from result import Err
 
+from godwittack.backend import headers as backend_headers
 from godwittack.backend import protocol as backend
 from godwittack.core import effects, inputs, work
 from godwittack.entry import (
@@ -89,8 +90,10 @@
         resume_point = self.signer.verify(
             request.headers.get(RESUME_HEADER, "")
         )
-        after = request.headers.get("last-event-id", "0")
-        if resume_point is None or not after.isdigit():
+        after = backend_headers.parse_number(
+            request.headers.get("last-event-id", "0")
+        )
+        if resume_point is None or after is None:
             return refusal.error_response(
                 "send X-Resume-Token as received, and Last-Event-ID",
                 status=403,
@@ -107,7 +110,7 @@
                 server_id=resume_point.server_id,
                 stream_id=resume_point.stream_id,
                 stamp=resume_point.stamp,
-                after=int(after),
+                after=after,
             )
         )
         return await self._respond(request, request_id, caller)
--- a/src/godwittack/entry/operator_api.py
+++ b/src/godwittack/entry/operator_api.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from result import Err
 
+from godwittack import digits
 from godwittack.daemon import change as changes
 from godwittack.entry import bodies, parse, refusal, weights
 from godwittack.report import counters
@@ -123,10 +124,10 @@
     async def history(self, request: web.Request, who: str) -> web.Response:
         """Returns the audit trail, oldest first."""
         del who
-        after = request.query.get("after", "0")
-        if not after.isdigit():
+        after = digits.parse(request.query.get("after", "0"))
+        if after is None:
             return refusal.error_response("after: write a version number")
-        entries = await self.tables.history(after_version=int(after))
+        entries = await self.tables.history(after_version=after)
         if isinstance(entries, Err):
             return _unavailable_response(entries.err_value)
         body = "[" + ",".join(schema.audit_to_json(e) for e in entries.ok_value)
--- a/src/godwittack/entry/parse.py
+++ b/src/godwittack/entry/parse.py
@@ -9,6 +9,7 @@
 import xxhash
 from result import Err, Ok, Result
 
+from godwittack import digits
 from godwittack.backend import headers as backend_headers
 from godwittack.core import work
 from godwittack.placement import levels
@@ -182,9 +183,10 @@
     text = request.headers.get(DEADLINE_HEADER, "")
     if not text:
         return Ok(0)
-    if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    deadline_ms = digits.parse(text)
+    if deadline_ms is None or not 0 < deadline_ms <= MAX_DEADLINE_MS:
         return Err(f"{DEADLINE_HEADER}: write 1 to {MAX_DEADLINE_MS}")
-    return Ok(int(text))
+    return Ok(deadline_ms)
 
 
 __all__ = [
--- /dev/null
+++ b/tests/cases/odd_entries.py
@@ -0,0 +1,219 @@
+"""Odd values from other writers: rows, reports, headers and messages."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import tempfile
+
+from result import Err
+
+from cases import fuzz
+from cases import instance_rows as rows
+from cluster import platform
+from cluster.processes import free_port
+from godwittack import address
+from godwittack.backend import connection, headers, sse
+from godwittack.config import settings
+from godwittack.core import incarnation, quarantine, weights, work
+from godwittack.member import view
+from standins.replica import Replica
+
+ODD_NUMBERS = (
+    "",
+    "+1",
+    "-1",
+    "1_0",
+    " 1",
+    "1e3",
+    "\u00b2",
+    "\u0663\u0663",
+    "9" * 16,
+    "9" * 5_000,
+)
+ODD_ADDRESSES = (
+    "127.0.0.1:\u0663\u0663\u0663\u0663",
+    "127.0.0.1:+80",
+    "127.0.0.1: 80",
+    "127.0.0.1:8_0",
+    "127.0.0.1:080",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + "9" * 5_000,
+    "[127.0.0.1]:80",
+    "127.0.0.1]:80",
+    "::1:80",
+    "[fe80::1%eth0]:80",
+    "[fe80::1%a\r\nEvil: 1]:80",
+    "[fe80::1%" + "a" * 100 + "]:80",
+    "engine:80",
+    "80",
+    ":80",
+)
+
+PLAIN_ROW = {
+    "service": "app",
+    "address": "127.0.0.1:9",
+    "zone": "north",
+    "version": "v1",
+    "slots": 16,
+    "state": "draining",
+    "cold-remaining-ms": 0,
+    "sequence": 1,
+}
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+
+def _row(more: bytes = b"", **fields) -> bytes:
+    """Returns a plain server's row with other fields, and text after them."""
+    return json.dumps({**PLAIN_ROW, **fields}).encode()[:-1] + more + b"}"
+
+
+ODD_ROWS = (
+    DEEP,
+    _row(b', "x": ' + DEEP),
+    b"\xff\xfe",
+    b"",
+    _row(b', "born": 1e400'),
+    _row(b', "sequence": ' + b"9" * 5_000),
+    _row(slots=1 << 70),
+    *(_row(address=odd, state="ready") for odd in ODD_ADDRESSES),
+)
+
+
+def an_odd_address_names_no_server() -> None:
+    """Only IP:PORT in its normal form, in ASCII, is an address.
+
+    Guards against calls that fail in this daemon: the port is written in the
+    digits of another script, or the scope of an IPv6 address holds a line
+    break, which would add a header to the call.
+    """
+    for odd in ODD_ADDRESSES:
+        parsed = rows.decode(
+            a=rows.valid_entry(2),
+            b=rows.entry(address=odd),
+            c=rows.valid_entry(3),
+        )
+        assert set(parsed.listed) == {"a", "c"}, odd
+        assert set(parsed.refused) == {"b"}, odd
+    for valid in ("10.0.0.1:80", "[::1]:65535"):
+        assert address.validate(valid) == valid
+    assert address.split("[::1]:80") == ("::1", 80)
+
+
+def an_odd_number_in_text_is_no_number() -> None:
+    """Only 1 to 15 ASCII digits are a number, wherever text holds one.
+
+    Guards against handlers that fail on digits of other scripts or on
+    thousands of digits: in the id of an event, a version of weights, the name
+    of an incarnation or a header.
+    """
+    for odd in ODD_NUMBERS:
+        assert incarnation.started_at_ms(f"i-1@{odd}") == 0, odd
+        assert weights.is_newer(odd, "1"), odd
+        quarantine.Quarantine().add(
+            quarantine.Crash(
+                content="c", start=f"i-1#{odd}", reporter="d", at_ms=0
+            )
+        )
+        if odd == " 1":
+            continue
+        assert headers.parse_number(odd) is None, odd
+        try:
+            sse.FrameReader(after=0).feed(b"id:%s\n\n" % odd.encode())
+        except ValueError:
+            continue
+        raise AssertionError(odd)
+    assert headers.parse_number(" 15 ") == 15
+    assert incarnation.started_at_ms("i-1@15") == 15
+    assert weights.is_newer("10", "9") and not weights.is_newer("9", "10")
+
+
+def an_odd_idle_limit_loses_no_answer() -> None:
+    """An answer is complete also if its `Keep-Alive` header can't be read.
+
+    Guards against calls that have run and are answered 502: Python's `int`
+    raises an error on thousands of digits, after the answer was read.
+    """
+    for odd in ODD_NUMBERS:
+        server_connection = connection.Connection()
+        server_connection.connection_made(fuzz.FakeTransport())
+        reply = connection.Reply(
+            status=200, headers=[work.Header("Keep-Alive", f"timeout={odd}")]
+        )
+        server_connection.finish(reply, now_ms=0)
+        assert server_connection.keep_alive_ms in (0, 1_000), odd
+
+
+def odd_settings_get_one_line() -> None:
+    """Settings that can't be read give an error that names the file.
+
+    Guards against a start that ends in a traceback: the file is not UTF-8, is
+    nested too deeply, or has a number that is infinite or too long.
+    """
+    policy_field = dataclasses.fields(view.MemberPolicy)[0].name
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        for odd in (
+            b"\xff\xfe\x00",
+            b"name: " + b"[" * 5_000,
+            b"tick_ms: " + b"9" * 5_000,
+            b"membership: {%s: .inf}" % policy_field.encode(),
+        ):
+            path.write_bytes(odd)
+            loaded = settings.load(str(path))
+            assert isinstance(loaded, Err), odd[:40]
+            assert loaded.err_value.startswith(f"{path}: "), loaded.err_value
+            assert "\n" not in loaded.err_value
+
+
+async def odd_entries_stop_no_daemon() -> None:
+    """Daemons serve and follow the list whatever is written between its rows.
+
+    Guards against daemons that end, again at each start, or that no longer see
+    servers come and leave: odd rows are there before the start, come while
+    daemons run, and while the store has lost its history.
+    """
+    platform_run = platform.Platform(daemons=2, engines=1, services=3)
+    for number, data in enumerate(ODD_ROWS):
+        platform_run.store.put_odd("servers", f"i-before-{number}", data)
+    async with platform_run:
+        store = platform_run.store
+        for number, data in enumerate(ODD_ROWS):
+            store.put_odd("servers", f"i-live-{number}", data)
+        for key in ():
+            store.put("servers", key, {**PLAIN_ROW, "state": "ready"})
+        store.faults.forgotten_up_to = store.version
+        await _check_list_is_followed(platform_run)
+
+
+async def _check_list_is_followed(platform_run: platform.Platform) -> None:
+    """Adds a server and removes another one; calls must follow, and succeed."""
+    removed, added = platform_run.replicas["i-s1"], Replica("i-new")
+    platform_run.replicas["i-new"] = added
+    await added.start(free_port())
+    platform_run.list_server("i-new", f"127.0.0.1:{added.port}")
+    platform_run.store.put("servers", "i-s1", None)
+    number = 0
+
+    async def is_used() -> bool:
+        nonlocal number
+        for daemon in range(len(platform_run.processes)):
+            number += 1
+            status, _, _ = await platform_run.call(
+                "release", f"c{number}", daemon=daemon
+            )
+            assert status == 200, status
+        return bool(added.ran)
+
+    await platform.until("the new server is used", is_used)
+    await asyncio.sleep(0.5)
+    ran_before = len(removed.ran)
+    for _ in range(10):
+        await is_used()
+    assert len(removed.ran) == ran_before
+    for daemon, process in enumerate(platform_run.processes):
+        assert process.returncode is None, platform_run.log(daemon)[-2000:]
+        assert "Traceback" not in platform_run.log(daemon), daemon
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -33,6 +33,7 @@
     "freshness",
     "adapter",
     "instance_rows",
+    "odd_entries",
     "pace",
     "prefill_costs",
     "logs",
--- /dev/null
+++ b/tests/features/odd_entries.feature
@@ -0,0 +1,17 @@
+Feature: Odd values from other writers
+
+  Scenario Outline: <case>
+    # Each case's docstring in tests/cases states the failure that it guards
+    # against, or its symptom, sequence and cause.
+    When the case "<case>" of "<group>" is played
+
+    Examples: texts
+      | group       | case |
+      | odd_entries | an odd address names no server |
+      | odd_entries | an odd number in text is no number |
+      | odd_entries | an odd idle limit loses no answer |
+      | odd_entries | odd settings get one line |
+
+    Examples: real processes
+      | group       | case |
+      | odd_entries | odd entries stop no daemon |
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -71,6 +71,20 @@
         self._changed = asyncio.Event()
         return self.version
 
+    def put_odd(self, table: str, key: str, data: bytes, **fields) -> int:
+        """Writes a row with any bytes, as a faulty writer does.
+
+        Args:
+            table: Table of the row.
+            key: Key of the row.
+            data: Its value.
+            **fields: Fields of the row that are answered instead of its own.
+        """
+        version = self.put(table, key, {})
+        encoded = base64.b64encode(data).decode()
+        self.rows[(table, key)].update({"value": encoded, **fields})
+        return version
+
     def _with_faults(self, handler):
         async def handle(request: web.Request) -> web.Response:
             self.calls += 1
