Refuse entries whose id or start time is odd

Callers saw: 503 for every second call while one entry had the address of a sound server and a start in the far future; with one such entry for each server of a service, nothing was served by the daemons that read the list. Daemons logged tracebacks of failed handlers.

Cause: of two entries with one address the later start counts. A start was valid up to 10^15 ms, and the start time was read from the end of the incarnation's name, so an id like "i@" without a start had one. Ids with characters beyond Latin-1 can't be encoded in the header of a call, and one with a line break adds a header to it. Updates of the list from other daemons were not checked at all.

Evidence: event=entry_refused of the sound servers with "address belongs to ..., which started later", then refusals with 421 at the odd id; the traceback ends where the head of a probe is encoded.

Fix: a start lies before the year 2100, the name of an incarnation always ends with its own start time where the id could be taken for one, an id is visible ASCII, and ids and addresses in peers' updates are checked where the message is decoded. A start that is odd but plausible still counts: nothing tells it from the reuse of an address.

--- a/src/godwittack/address/__init__.py
+++ b/src/godwittack/address/__init__.py
@@ -4,12 +4,14 @@
 
 import functools
 import ipaddress
+import re
 
 from godwittack import digits
 
 MAX_PORT = 65_535
 # Longer than any address; longer texts are not kept in the cache of `split`.
 MAX_CHARS = 64
+_VISIBLE = re.compile("[!-~]+")
 
 
 @functools.lru_cache(maxsize=1_024)
@@ -48,4 +50,21 @@
     return address
 
 
-__all__ = ["validate", "split"]
+def is_callable(address: str) -> bool:
+    """Returns whether an address has a host, a valid port, and is ASCII.
+
+    Unlike a valid address, it may have a name instead of an IP.
+    """
+    try:
+        host, port = split(address)
+    except ValueError:
+        return False
+    return bool(host) and is_visible(address) and 0 < port <= MAX_PORT
+
+
+def is_visible(text: str) -> bool:
+    """Returns whether a text is of visible ASCII characters, as in a header."""
+    return bool(_VISIBLE.fullmatch(text))
+
+
+__all__ = ["is_callable", "is_visible", "split", "validate"]
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from absl import logging
+
+from godwittack import address as addresses
 from godwittack.core import inputs, quarantine, server_inputs
 from godwittack.limit import quota
 from godwittack.member import freshness, view
@@ -15,6 +18,8 @@
 
     from godwittack.core import effects
 
+_KNOWN_ROLES = frozenset(role.value for role in platform.InstanceRole)
+
 
 def member_to_proto(member: view.Member) -> peer_pb2.Member:
     """Returns a member as a protobuf message."""
@@ -53,9 +58,9 @@
 ) -> dict[str, platform.Instance | None]:
     """Returns changed entries of the instance list by name, None if removed.
 
-    Entries whose role is unknown to this release are left out.
+    Entries that this release refuses are left out: another release may accept
+    more roles, ids and addresses.
     """
-    known_roles = {role.value for role in platform.InstanceRole}
     return {
         entry.name: (
             None
@@ -74,10 +79,26 @@
             )
         )
         for entry in entries
-        if entry.gone or entry.role in known_roles
+        if entry.gone or _is_usable(entry)
     }
 
 
+def _is_usable(entry: peer_pb2.Listed) -> bool:
+    is_usable = (
+        entry.role in _KNOWN_ROLES
+        and addresses.is_visible(entry.name)
+        and addresses.is_callable(entry.address)
+    )
+    if not is_usable:
+        logging.warning(
+            "event=entry_refused server=%r role=%r address=%r",
+            entry.name,
+            entry.role,
+            entry.address,
+        )
+    return is_usable
+
+
 def belief_to_proto(belief: freshness.Belief) -> peer_pb2.Belief:
     """Returns a belief as a protobuf message."""
     return peer_pb2.Belief(
--- a/src/godwittack/platform/instances.py
+++ b/src/godwittack/platform/instances.py
@@ -28,13 +28,16 @@
     cold_remaining_ms: json_fields.Amount
     models: tuple[wire.LoadedModel, ...] = ()
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: json_fields.Positive = 0
+    born: wire.StartTime = 0
 
 
 def instance_from_row(
     row: protocol.ChangedRow,
 ) -> Result[protocol.Instance, str]:
     """Decodes one row; an error says why it is not a valid server."""
+    if not addresses.is_visible(row.key):
+        # The id is sent in a header of each call.
+        return Err("the id is not of visible ASCII characters")
     try:
         body = _Server.model_validate_json(row.value)
     except pydantic.ValidationError as error:
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -29,7 +29,7 @@
 
 class _Report(wire.StrictBody):
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: json_fields.Positive = 0
+    born: wire.StartTime = 0
     models: tuple[wire.LoadedModel, ...] = ()
     queue_depth: int = 0
     running: int = 0
@@ -49,7 +49,7 @@
 
 class _Events(wire.StrictBody):
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: json_fields.Positive = 0
+    born: wire.StartTime = 0
     # Changes with each restart of the server.
     boot_epoch: int
     next: int
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -19,6 +19,7 @@
 from godwittack.config import settings
 from godwittack.core import incarnation, quarantine, weights, work
 from godwittack.member import view
+from godwittack.peer import codec, peer_pb2
 from standins.replica import Replica
 
 ODD_NUMBERS = (
@@ -53,6 +54,10 @@
     ":80",
 )
 
+# Names are valid in the lists of other platforms.
+ACCEPTED_FROM_PEERS = ("engine:80", "127.0.0.1:080", "[127.0.0.1]:80")
+ACCEPTED_FROM_PEERS += ("127.0.0.1]:80", "::1:80")
+ODD_IDS = ("i-\u20ac", "i-\xe9", "i-x\r\nEvil: 1", "i x", "i\0", "")
 PLAIN_ROW = {
     "service": "app",
     "address": "127.0.0.1:9",
@@ -103,6 +108,74 @@
     assert address.split("[::1]:80") == ("::1", 80)
 
 
+def an_odd_id_names_no_server() -> None:
+    """A server's id has visible ASCII characters only.
+
+    Guards against calls that fail in this daemon, or have a header more: the
+    id is sent in a header of each call.
+    """
+    for odd in ODD_IDS:
+        parsed = rows.decode(
+            **{
+                "a": rows.valid_entry(2),
+                odd: rows.valid_entry(3),
+                "c": rows.valid_entry(4),
+            }
+        )
+        assert set(parsed.listed) == {"a", "c"}, odd
+        assert set(parsed.refused) == {odd}
+
+
+def an_odd_entry_of_a_peer_is_left_out() -> None:
+    """Ids and addresses in peers' updates of the list are checked as well.
+
+    Guards against an odd entry that a daemon of an earlier release accepts
+    and publishes; the entries beside it take effect.
+    """
+    valid = {"role": "engine", "name": "i-1", "address": "10.0.0.1:80"}
+    odd = (
+        *({"name": name} for name in ODD_IDS),
+        *({"address": text} for text in ODD_ADDRESSES if "%" not in text),
+        {"address": "[fe80::1%a\r\nEvil: 1]:80"},
+        {"role": "router"},
+    )
+    for fields in odd:
+        if fields.get("address") in ACCEPTED_FROM_PEERS:
+            continue
+        changes = codec.listed_from_proto(
+            (
+                peer_pb2.Listed(**{**valid, "name": "i-0"}),
+                peer_pb2.Listed(**{**valid, **fields}),
+                peer_pb2.Listed(name="i-2", gone=True),
+            )
+        )
+        assert set(changes) == {"i-0", "i-2"}, fields
+
+
+def an_odd_start_takes_no_server_s_address() -> None:
+    """A start time that is too large, or part of an id, does not count.
+
+    Guards against one entry that hides a sound server: of two entries with one
+    address the later start counts, and calls to the odd id are refused there.
+    """
+    for born in (10**13, 10**15, 1 << 63):
+        parsed = rows.decode(
+            a=rows.valid_entry(2),
+            b={**rows.valid_entry(2), "born": born},
+            c=rows.valid_entry(3),
+        )
+        assert set(parsed.listed) == {"a", "c"}, born
+    without_start = rows.valid_entry(2)
+    del without_start["born"]
+    for odd in ("i@999999999999999", "i@1", "i@" + "9" * 190):
+        parsed = rows.decode(**{"a": without_start, odd: without_start})
+        assert "a" in parsed.listed, odd
+        name = incarnation.make_name(odd, 0)
+        assert not incarnation.is_older("a", name), odd
+    assert incarnation.make_name("i-1", 0) == "i-1"
+    assert incarnation.started_at_ms(incarnation.make_name("i@5", 7)) == 7
+
+
 def an_odd_number_in_text_is_no_number() -> None:
     """Only 1 to 15 ASCII digits are a number, wherever text holds one.
 
@@ -183,8 +256,11 @@
         store = platform_run.store
         for number, data in enumerate(ODD_ROWS):
             store.put_odd("servers", f"i-live-{number}", data)
-        for key in ():
+        for key in ODD_IDS:
             store.put("servers", key, {**PLAIN_ROW, "state": "ready"})
+        taken = f"127.0.0.1:{platform_run.replicas['i-s2'].port}"
+        late = {**PLAIN_ROW, "state": "ready", "address": taken, "born": 10**15}
+        store.put("servers", "i-late", late)
         store.faults.forgotten_up_to = store.version
         await _check_list_is_followed(platform_run)
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -8,6 +8,9 @@
     Examples: texts
       | group       | case |
       | odd_entries | an odd address names no server |
+      | odd_entries | an odd id names no server |
+      | odd_entries | an odd entry of a peer is left out |
+      | odd_entries | an odd start takes no server's address |
       | odd_entries | an odd number in text is no number |
       | odd_entries | an odd idle limit loses no answer |
       | odd_entries | odd settings get one line |
