Send updates to peers whatever numbers they hold

Callers saw: 503 for the requests of a model whose server reports an impossible load in a header ("would begin in ms"), five of six at the daemon that reads it. Daemons beside one that had to publish a negative or huge number got no further updates from it: no loads, crashes, quotas, demand, or changes of the instance list.

Cause: the encoder of messages raises ValueError on a number out of a field's range. The task that sends to a peer ended on it, which nothing logged and nothing repaired. Counts in load reports, numbers in crash rows, and ages were not bounded; a crash that is stored in quarantine counts at any age, and 32 bits hold 49 days of milliseconds.

Evidence: by parts. NewsWriter raises for a load of -1; an outbox whose update fails sends nothing afterwards. By real processes only the refusals for the header were seen.

Fix: every number in a message is limited to its field where the message is built (peer/ranges.py). An update that can't be encoded for another reason is logged and dropped, and the next ones go out on a new stream. Reports, headers and crash rows with impossible numbers are refused when read.

The four cases of "numbers" in odd_entries.feature fail on the sources before this.

--- a/src/godwittack/backend/json_fields.py
+++ b/src/godwittack/backend/json_fields.py
@@ -12,6 +12,9 @@
 Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
 Positive = Annotated[int, pydantic.Field(ge=1, le=_MAX_NUMBER)]
 Amount = Annotated[float, pydantic.Field(ge=0, le=_MAX_NUMBER)]
+# More requests than any server runs or queues.
+MAX_REQUESTS = 1_000_000
+Requests = Annotated[int, pydantic.Field(ge=0, le=MAX_REQUESTS)]
 # Two of these can be added up in a field of a message between daemons.
 _MAX_INT32 = 2**31 - 1
 
@@ -33,4 +36,12 @@
     return ".".join(str(p) for p in first["loc"]) + f": {first['msg']}"
 
 
-__all__ = ["Amount", "Count", "OptionalCount", "Positive", "first_error"]
+__all__ = [
+    "MAX_REQUESTS",
+    "Amount",
+    "Count",
+    "OptionalCount",
+    "Positive",
+    "Requests",
+    "first_error",
+]
--- a/src/godwittack/backend/signals.py
+++ b/src/godwittack/backend/signals.py
@@ -11,6 +11,7 @@
     advertised_limits,
     brittleness,
     headers,
+    json_fields,
     retry_after,
     unreadable,
 )
@@ -247,6 +248,9 @@
     if len(counts) != 3 or None in counts:
         return None
     running, waiting, slots = (count or 0 for count in counts)
+    if max(running, waiting, slots) > json_fields.MAX_REQUESTS:
+        # Taken as true, it would make each request wait longer than it may.
+        return None
     pace_text = parts[3].strip() if len(parts) > 3 else ""
     pace_percent = _parse_pace(pace_text)
     return EchoedLoad(
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -14,6 +14,7 @@
 from absl import logging
 from result import Err
 
+from godwittack.backend import json_fields
 from godwittack.core import inputs, quarantine
 from godwittack.store import protocol
 
@@ -37,15 +38,15 @@
 class _CrashJson(pydantic.BaseModel):
     start: str
     reporter: str
-    at_wall_ms: int
+    at_wall_ms: json_fields.Count
     content: str = ""
-    runs: int = 1
+    runs: json_fields.Count = 1
 
 
 class _CompletionJson(pydantic.BaseModel):
     content: str
-    at_wall_ms: int
-    count: int
+    at_wall_ms: json_fields.Count
+    count: json_fields.Count
 
 
 class _RowJson(pydantic.BaseModel):
@@ -186,7 +187,7 @@
             completions.extend(
                 quarantine.Completion(
                     content=done.content,
-                    at_ms=done.at_wall_ms - wall_offset_ms,
+                    at_ms=min(clock.now_ms(), done.at_wall_ms - wall_offset_ms),
                     reporter=quarantine.STORED,
                     count=done.count,
                 )
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -9,7 +9,7 @@
 
 from godwittack.core import inputs
 from godwittack.member import freshness, view
-from godwittack.peer import codec, exchange, peer_pb2
+from godwittack.peer import codec, exchange, peer_pb2, ranges
 from godwittack.peer import tables as tables_wire
 
 if TYPE_CHECKING:
@@ -289,7 +289,7 @@
                     *self.members.take_updates(),
                 )
             ],
-            table_version=self._keeper.table.version,
+            table_version=ranges.uint64(self._keeper.table.version),
             list_hash=self.list_hash(),
             beliefs=self._beliefs(),
             crashes_digest=self._runtime.core.world.quarantine.digest(),
@@ -326,7 +326,7 @@
             return codec.member_to_proto(me)
         return peer_pb2.Member(
             member_id=me.member_id,
-            refutation=me.refutation,
+            refutation=ranges.uint32(me.refutation),
             state=int(me.state),
             is_overloaded=me.is_overloaded,
         )
--- a/src/godwittack/daemon/outbox.py
+++ b/src/godwittack/daemon/outbox.py
@@ -164,12 +164,30 @@
             await self._send_requested.wait()
             self._send_requested.clear()
             updates, self.pending = self.pending, pending.PendingNews()
-            if await self._send(updates):
+            try:
+                is_sent = await self._send(updates)
+            except ValueError as error:
+                # Sent again, they would fail again, and without this task the
+                # peer would get no further updates.
+                self._drop_unencodable(error)
+                continue
+            if is_sent:
                 continue
             self.pending = updates.merged_with(self.pending)
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
             self._send_requested.set()
 
+    def _drop_unencodable(self, error: ValueError) -> None:
+        """Continues on a new stream after updates that can't be encoded."""
+        logging.error(
+            "event=news_unencodable peer=%s detail=%r",
+            self._address,
+            str(error),
+        )
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
     async def _send(self, updates: pending.PendingNews) -> bool:
         self.last_used_ms = self._clock.now_ms()
         is_new_stream = self._stream is None
--- a/src/godwittack/daemon/stream_news.py
+++ b/src/godwittack/daemon/stream_news.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from godwittack.core import inputs, stream_versions, work
-from godwittack.peer import peer_pb2
+from godwittack.peer import peer_pb2, ranges
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,7 +70,7 @@
             key=told.key,
             target=told.target,
             version=told.version,
-            left_ms=max(0, told.left_ms),
+            left_ms=ranges.uint32(told.left_ms),
         )
         addresses = map(self._address_of, told.daemons)
         self._datagrams.broadcast(
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -10,7 +10,7 @@
 from godwittack.core import inputs, quarantine, server_inputs
 from godwittack.limit import quota
 from godwittack.member import freshness, view
-from godwittack.peer import peer_pb2
+from godwittack.peer import peer_pb2, ranges
 from godwittack.store import protocol as platform
 
 if TYPE_CHECKING:
@@ -28,9 +28,9 @@
         peer_address=member.peer_address,
         http_address=member.http_address,
         failure_domain=member.failure_domain,
-        refutation=member.refutation,
+        refutation=ranges.uint32(member.refutation),
         state=int(member.state),
-        capacity_millicores=member.capacity_millicores,
+        capacity_millicores=ranges.uint32(member.capacity_millicores),
         is_overloaded=member.is_overloaded,
     )
 
@@ -102,7 +102,9 @@
 def belief_to_proto(belief: freshness.Belief) -> peer_pb2.Belief:
     """Returns a belief as a protobuf message."""
     return peer_pb2.Belief(
-        topic=int(belief.topic), version=belief.version, age_ms=belief.age_ms
+        topic=int(belief.topic),
+        version=ranges.uint64(belief.version),
+        age_ms=ranges.uint32(belief.age_ms),
     )
 
 
@@ -139,8 +141,8 @@
         content=crash.content,
         start=crash.start,
         reporter=crash.reporter,
-        age_ms=max(0, now_ms - crash.at_ms),
-        runs=crash.runs,
+        age_ms=ranges.uint32(now_ms - crash.at_ms),
+        runs=ranges.uint32(crash.runs),
     )
 
 
@@ -163,10 +165,10 @@
     """Returns runs without a crash as a protobuf message."""
     return peer_pb2.Completion(
         content=completion.content,
-        age_ms=max(0, now_ms - completion.at_ms),
+        age_ms=ranges.uint32(now_ms - completion.at_ms),
         reporter=completion.reporter,
-        number=completion.number,
-        count=completion.count,
+        number=ranges.uint32(completion.number),
+        count=ranges.uint32(completion.count),
     )
 
 
@@ -192,7 +194,7 @@
         incarnation=limit.incarnation,
         per_s=limit.limit_per_s or 0.0,
         is_lifted=limit.limit_per_s is None,
-        age_ms=max(0, now_ms - limit.at_ms),
+        age_ms=ranges.uint32(now_ms - limit.at_ms),
     )
 
 
@@ -213,8 +215,8 @@
     """Returns a workspace's use of its quota as a protobuf message."""
     return peer_pb2.Usage(
         workspace=usage.workspace,
-        admitted=usage.admitted,
-        opened_ms_ago=max(0, now_ms - usage.opened_at_ms),
+        admitted=ranges.uint64(usage.admitted),
+        opened_ms_ago=ranges.uint64(now_ms - usage.opened_at_ms),
         level=usage.level,
         window_used=usage.window_used,
     )
@@ -241,7 +243,7 @@
         incarnation=brittle.incarnation,
         max_rejected_per_s=brittle.max_rejected_per_s or 0.0,
         is_lifted=brittle.max_rejected_per_s is None,
-        age_ms=max(0, now_ms - brittle.at_ms),
+        age_ms=ranges.uint32(now_ms - brittle.at_ms),
     )
 
 
@@ -275,7 +277,7 @@
         leaving=instance.leaving,
         incarnation=instance.incarnation,
         weights_version=instance.weights_version,
-        slots=instance.slots,
+        slots=ranges.uint32(instance.slots),
         software_version=instance.software_version,
     )
 
@@ -286,21 +288,21 @@
     """Returns an announcement as a protobuf message."""
     message = peer_pb2.Dispatched(
         server_id=announcement.server_id,
-        tokens=announcement.tokens,
-        priority=announcement.priority,
+        tokens=ranges.uint32(announcement.tokens),
+        priority=ranges.uint32(announcement.priority),
         levels=announcement.levels,
-        delay_ms=announcement.delay_ms,
-        memory_tokens=announcement.memory_tokens,
-        shared_tokens=announcement.shared_tokens,
+        delay_ms=ranges.uint32(announcement.delay_ms),
+        memory_tokens=ranges.uint32(announcement.memory_tokens),
+        shared_tokens=ranges.uint32(announcement.shared_tokens),
         is_long=announcement.is_long,
     )
     load = announcement.load
     if load is not None:
         message.has_load = True
-        message.running = load.running
-        message.waiting = load.waiting
-        message.pace_percent = load.pace_percent
-        message.load_age_ms = max(0, now_ms - load.at_ms)
+        message.running = ranges.uint32(load.running)
+        message.waiting = ranges.uint32(load.waiting)
+        message.pace_percent = ranges.uint32(load.pace_percent)
+        message.load_age_ms = ranges.uint32(now_ms - load.at_ms)
     return message
 
 
--- a/src/godwittack/peer/wire.py
+++ b/src/godwittack/peer/wire.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import server_inputs
-from godwittack.peer import codec, peer_pb2
+from godwittack.peer import codec, peer_pb2, ranges
 
 if TYPE_CHECKING:
     from godwittack.core import effects
@@ -62,8 +62,8 @@
             ],
             draining_servers=sorted(updates.draining),
             doubted_servers=sorted(updates.suspected),
-            list_before=updates.list_before,
-            list_version=updates.list_version,
+            list_before=ranges.uint64(updates.list_before),
+            list_version=ranges.uint64(updates.list_version),
             listed=[
                 codec.listed_to_proto(name, instance)
                 for name, instance in updates.listed.items()
@@ -96,16 +96,16 @@
         self, load: server_inputs.LoadReported, *, now_ms: int
     ) -> peer_pb2.Load:
         message = peer_pb2.Load(
-            running=load.running,
-            waiting=load.waiting,
-            waiting_tokens=load.waiting_tokens,
-            prefill_us_per_token=load.prefill_us_per_token,
-            age_ms=max(0, now_ms - load.at_ms + load.age_ms),
+            running=ranges.uint32(load.running),
+            waiting=ranges.uint32(load.waiting),
+            waiting_tokens=ranges.uint32(load.waiting_tokens),
+            prefill_us_per_token=ranges.uint32(load.prefill_us_per_token),
+            age_ms=ranges.uint32(now_ms - load.at_ms + load.age_ms),
             leaving=load.leaving,
-            kv_used_tokens=load.kv_used_tokens,
-            kv_total_tokens=load.kv_total_tokens,
-            kv_reserved_tokens=load.kv_reserved_tokens,
-            next_tokens=load.next_tokens,
+            kv_used_tokens=ranges.uint32(load.kv_used_tokens),
+            kv_total_tokens=ranges.uint32(load.kv_total_tokens),
+            kv_reserved_tokens=ranges.uint32(load.kv_reserved_tokens),
+            next_tokens=ranges.uint32(load.next_tokens),
         )
         return self._set_slots(message, load)
 
@@ -113,13 +113,13 @@
         self, load: effects.TellLoad, *, now_ms: int
     ) -> peer_pb2.Load:
         message = peer_pb2.Load(
-            running=load.running,
-            waiting=load.waiting,
-            age_ms=max(0, now_ms - load.at_ms),
-            pace_percent=load.pace_percent,
-            reference_prompt_us=load.reference_prompt_us,
-            base_pace_samples=load.samples,
-            delay_ms=load.delay_ms,
+            running=ranges.uint32(load.running),
+            waiting=ranges.uint32(load.waiting),
+            age_ms=ranges.uint32(now_ms - load.at_ms),
+            pace_percent=ranges.uint32(load.pace_percent),
+            reference_prompt_us=ranges.uint32(load.reference_prompt_us),
+            base_pace_samples=ranges.uint32(load.samples),
+            delay_ms=ranges.uint32(load.delay_ms),
         )
         return self._set_slots(message, load)
 
@@ -131,7 +131,8 @@
         """Names the server, and states its slots if they have changed."""
         known = self._set_server(message, load)
         if load.slots != known.slots:
-            known.slots = message.slots = load.slots
+            known.slots = load.slots
+            message.slots = ranges.uint32(load.slots)
         return message
 
     def _digest(self, digest: server_inputs.CacheDigest) -> peer_pb2.Digest:
@@ -139,7 +140,7 @@
             stored=digest.stored,
             removed=digest.removed,
             cleared=digest.cleared,
-            tokens=digest.tokens,
+            tokens=map(ranges.uint32, digest.tokens),
         )
         self._set_server(message, digest)
         return message
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -31,8 +31,8 @@
     # Start time in Unix milliseconds; absent if the server does not report it.
     born: wire.StartTime = 0
     models: tuple[wire.LoadedModel, ...] = ()
-    queue_depth: int = 0
-    running: int = 0
+    queue_depth: json_fields.Requests = 0
+    running: json_fields.Requests = 0
     # Number of orders accepted since the server started.
     sequence: int = -1
     # Whether an order is being executed, not whether requests run.
--- a/src/godwittack/relay/codec.py
+++ b/src/godwittack/relay/codec.py
@@ -9,7 +9,7 @@
 
 from godwittack.backend import protocol, signals
 from godwittack.core import effects, inputs, work
-from godwittack.peer import peer_pb2
+from godwittack.peer import peer_pb2, ranges
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -46,9 +46,9 @@
         address=dispatch.address,
         incarnation=dispatch.incarnation,
         resume_stream=dispatch.resume_stream,
-        after=dispatch.after,
+        after=ranges.uint64(dispatch.after),
         fresh_connection=dispatch.fresh_connection,
-        priority=dispatch.priority,
+        priority=ranges.uint32(dispatch.priority),
         workspace=dispatch.workspace,
         cache_scope=dispatch.cache_scope,
         kv_fetch_from=dispatch.kv_fetch_from,
@@ -64,7 +64,7 @@
     )
     if dispatch.ends_at_ms:
         message.has_deadline = True
-        message.remaining_ms = max(0, dispatch.ends_at_ms - now_ms)
+        message.remaining_ms = ranges.uint32(dispatch.ends_at_ms - now_ms)
     if dispatch.stamp is not None:
         message.stamp.CopyFrom(_stamp_to_proto(dispatch.stamp))
     return message
@@ -128,7 +128,9 @@
     """Returns the event for one piece of a stream."""
     return peer_pb2.RelayEvent(
         frame=peer_pb2.RelayFrame(
-            number=sent.number, data=sent.data, is_terminal=sent.terminal
+            number=ranges.uint64(sent.number),
+            data=sent.data,
+            is_terminal=sent.terminal,
         )
     )
 
@@ -169,9 +171,9 @@
     )
     if sent.load is not None:
         message.has_load = True
-        message.running = sent.load.running
-        message.waiting = sent.load.waiting
-        message.slots = sent.load.slots
+        message.running = ranges.uint32(sent.load.running)
+        message.waiting = ranges.uint32(sent.load.waiting)
+        message.slots = ranges.uint32(sent.load.slots)
         message.pace_percent = sent.load.pace_percent or 0
     if isinstance(sent.rate_limit, Ok):
         limit_per_s = sent.rate_limit.ok_value
@@ -188,7 +190,7 @@
     else:
         message.is_brittleness_unreadable = True
     if isinstance(sent.rest, Ok):
-        message.rest_ms = sent.rest.ok_value or 0
+        message.rest_ms = ranges.uint32(sent.rest.ok_value or 0)
     else:
         message.rest_ms = signals.DEFAULT_REST_MS
     return peer_pb2.RelayEvent(signals=message)
--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -24,7 +24,7 @@
     work,
 )
 from godwittack.entry import reservations
-from godwittack.peer import exchange, peer_pb2
+from godwittack.peer import exchange, peer_pb2, ranges
 from godwittack.relay import codec
 
 if TYPE_CHECKING:
@@ -76,7 +76,9 @@
     def usage(self, *, prompt: int, cached: int, generated: int) -> None:
         """Queues the token usage that the engine reported."""
         usage = peer_pb2.RelayUsage(
-            prompt=prompt, cached=cached, generated=generated
+            prompt=ranges.uint32(prompt),
+            cached=ranges.uint32(cached),
+            generated=ranges.uint32(generated),
         )
         self._put(peer_pb2.RelayEvent(usage=usage))
 
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -10,16 +10,26 @@
 
 from result import Err
 
-from cases import fuzz
+from cases import crash_rows, fuzz, peers
 from cases import instance_rows as rows
 from cluster import platform
 from cluster.processes import free_port
 from godwittack import address
 from godwittack.backend import connection, headers, sse
+from godwittack.clock import ManualClock
 from godwittack.config import settings
-from godwittack.core import incarnation, quarantine, weights, work
+from godwittack.core import (
+    effects,
+    incarnation,
+    quarantine,
+    server_inputs,
+    weights,
+    work,
+)
+from godwittack.daemon import outbox
 from godwittack.member import view
-from godwittack.peer import codec, peer_pb2
+from godwittack.peer import codec, peer_pb2, pending, wire
+from godwittack.platform import servers
 from standins.replica import Replica
 
 ODD_NUMBERS = (
@@ -220,6 +230,132 @@
         assert server_connection.keep_alive_ms in (0, 1_000), odd
 
 
+def odd_counts_of_a_server_are_not_taken() -> None:
+    """A report or load header with an impossible count does not count.
+
+    Guards against requests that are refused with 503 as they would begin in
+    years, and against numbers that no message between daemons can hold.
+    """
+    server_format = servers.ServerFormat(str)
+    for odd in (-1, 1 << 32, 10**30, "1", 1.5, None):
+        body = json.dumps({"running": odd, "queue-depth": 0}).encode()
+        try:
+            server_format.read_load(body, "i-1")
+        except ValueError:
+            continue
+        raise AssertionError(odd)
+    for odd in (b'{"running": 1e400}', DEEP, b'{"sequence": ' + b"9" * 5_000):
+        try:
+            server_format.read_load(odd, "i-1")
+        except ValueError:
+            continue
+        raise AssertionError(odd[:40])
+    assert server_format.read_load(b'{"running": 7}', "i-1").running == 7
+    for text, running in (("7,0,8", 7), ("9" * 14 + ",0,8", None)):
+        reply = connection.Reply(
+            headers=[work.Header("X-Godwittack-Server-Load", text)]
+        )
+        load = server_format.read_signals(reply).load
+        assert (load and load.running) == running, text
+
+
+def numbers_out_of_range_are_sent_to_peers() -> None:
+    """An update with a number that its field can't hold is sent nevertheless.
+
+    Guards against a daemon that sends a peer no updates any more, also of the
+    instance list: an age of more than 49 days, a negative or a huge count.
+    """
+    names = {
+        "server_id": "i-1",
+        "incarnation": "i-1",
+        "weights_version": "1",
+        "at_ms": 0,
+    }
+    for odd in (-1, 1 << 32, 10**30):
+        counts = dict.fromkeys(("running", "waiting", "slots"), odd)
+        load = server_inputs.LoadReported(
+            **names, **counts, waiting_tokens=odd, prefill_us_per_token=odd
+        )
+        told = effects.TellLoad(
+            **names,
+            **counts,
+            target="m",
+            pace_percent=odd,
+            reference_prompt_us=odd,
+            samples=odd,
+            delay_ms=-odd,
+        )
+        digest = server_inputs.CacheDigest(
+            **names, cleared=False, stored=(5,), removed=(), tokens=(odd,)
+        )
+        crash = quarantine.Crash(
+            content="c", start="s", reporter="d", at_ms=-odd, runs=odd
+        )
+        completion = quarantine.Completion(
+            content="c", at_ms=-odd, number=odd, count=odd
+        )
+        updates = pending.PendingNews(
+            loads={"i-1": load},
+            told_loads={"i-1": told},
+            digests=[digest],
+            listed={"i-2": None},
+            list_before=odd,
+            list_version=odd,
+            crashes={crash},
+            completions={completion},
+        )
+        message = wire.NewsWriter().write(updates, now_ms=0)
+        sent = peer_pb2.News.FromString(message.SerializeToString())
+        assert sent.loads[0].running == min(max(odd, 0), (1 << 32) - 1)
+        assert sent.listed[0].gone and sent.digests[0].stored == [5]
+
+
+async def an_update_that_can_t_be_sent_stops_no_others() -> None:
+    """After an update that can't be encoded, a peer gets the next ones.
+
+    Guards against the end of the task that sends to a peer: nothing starts it
+    again, and nothing is logged.
+    """
+    streams = peers.ScriptedStreams()
+    sender = outbox.Outbox(
+        own_id="d1", address="a:1", client=streams, clock=ManualClock()
+    )
+    sender.pending.suspected.add("\ud800")
+    sender.send_pending()
+    await asyncio.sleep(0.01)
+    sender.pending.suspected.add("i-1")
+    sender.send_pending()
+    await asyncio.sleep(0.01)
+    sender.close()
+    sent = [news for stream in streams.sent for news in stream]
+    assert [list(news.doubted_servers) for news in sent] == [["i-1"]]
+    assert sent[0].sender_id == "d1"
+
+
+async def odd_crash_rows_are_skipped() -> None:
+    """A crash row with an impossible number is skipped, the others count.
+
+    Guards against a number of another writer that is passed on to every daemon
+    and fits no message.
+    """
+    store = crash_rows.Store()
+    first = crash_rows.Daemon(store)
+    first.crash("s1", "s2", "s3")
+    await asyncio.sleep(0.01)
+    (valid,) = store.rows.values()
+    for number, odd in enumerate(("-1", "1e400", "9" * 30, '"x"', "[" * 9_999)):
+        crash = '{"start": "s", "reporter": "d", "at_wall_ms": ' + odd + "}"
+        store.rows[f"odd-{number}"] = (
+            '{"content": "desk/odd", "crashes": [' + crash + "]}"
+        )
+    store.rows["zzz"] = valid
+    second = crash_rows.Daemon(store)
+    second.crash("s9", content="desk/g")
+    await asyncio.sleep(0.01)
+    assert second.known.until_ms("desk/f") == first.known.until_ms("desk/f")
+    assert not second.known.crashes("desk/odd")
+
+
 def odd_settings_get_one_line() -> None:
     """Settings that can't be read give an error that names the file.
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -15,6 +15,13 @@
       | odd_entries | an odd idle limit loses no answer |
       | odd_entries | odd settings get one line |
 
+    Examples: numbers
+      | group       | case |
+      | odd_entries | odd counts of a server are not taken |
+      | odd_entries | numbers out of range are sent to peers |
+      | odd_entries | an update that can't be sent stops no others |
+      | odd_entries | odd crash rows are skipped |
+
     Examples: real processes
       | group       | case |
       | odd_entries | odd entries stop no daemon |
