Decode the store's answers row by row where one row is odd

Callers saw: nothing at once. Daemons stopped following the table in which the row lay: servers that came got no calls, servers that left got some for ever; a daemon that started was never ready.

Cause: an answer of the store was decoded as a whole. One row without a key, with a field of another type, with a text that is no Unicode, a number out of range or a value nested too deeply made all of it unreadable, and the follower asked for the same answer again. The published protocol leaves a writer the value and the key only, both texts, so this takes a store that passes on more than it should.

On the sources before this, the case of real processes fails with the rows added here (the daemons are not ready within 10 s), and the one by parts has nothing to call.

--- /dev/null
+++ b/src/godwittack/store/json_parts.py
@@ -0,0 +1,56 @@
+"""Splits JSON text into its parts where the whole can't be parsed.
+
+A parser rejects a text as a whole for one value that is nested too deeply, or
+for a number or text that it can't hold. The parts beside it are still valid.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+
+_STRING = r'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
+_TOKEN = re.compile(_STRING + r"|[\[\]{},]", re.DOTALL)
+_NAME = re.compile(rf"\s*({_STRING})\s*:", re.DOTALL)
+
+
+def elements(text: str) -> list[str]:
+    """Returns the texts of an array's elements, or of an object's members.
+
+    Raises:
+        ValueError: The array or object does not end.
+    """
+    found: list[str] = []
+    depth = start = 0
+    for token in _TOKEN.finditer(text):
+        sign = token[0]
+        if sign in ("[", "{"):
+            depth += 1
+            if depth == 1:
+                start = token.end()
+        elif depth == 1 and sign in (",", "]", "}"):
+            found.append(text[start : token.start()])
+            start = token.end()
+            if sign != ",":
+                return [part for part in found if part.strip()]
+        elif sign in ("]", "}"):
+            depth -= 1
+    raise ValueError("JSON text does not end")
+
+
+def members(text: str) -> dict[str, str]:
+    """Returns the texts of an object's values by name.
+
+    Raises:
+        ValueError: The text is no object, or does not end.
+    """
+    found: dict[str, str] = {}
+    for member in elements(text):
+        name = _NAME.match(member)
+        if name is None:
+            raise ValueError("JSON text is no object")
+        found[json.loads(name[1])] = member[name.end() :].strip()
+    return found
+
+
+__all__ = ["elements", "members"]
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -29,7 +29,7 @@
 from godwittack.daemon import outbox
 from godwittack.member import view
 from godwittack.peer import codec, peer_pb2, pending, wire
-from godwittack.platform import servers
+from godwittack.platform import row_pages, servers
 from standins.replica import Replica
 
 ODD_NUMBERS = (
@@ -80,6 +80,44 @@
 }
 DEEP = b"[" * 100_000 + b"]" * 100_000
 
+# Rows that make an answer unreadable, and the keys that can be read.
+ODD_PAGE_ROWS = (
+    (f'{{"key": "b", "x": {DEEP.decode()}}}', ["b"]),
+    (DEEP.decode(), []),
+    ('{"key": "b", "value": null}', ["b"]),
+    ('{"key": "b", "value": 5, "deleted": "maybe"}', ["b"]),
+    ('{"key": "b", "table": []}', ["b"]),
+    ('{"key": "b", "row-version": 1e400}', ["b"]),
+    ('{"key": "b", "row-version": -1}', ["b"]),
+    ('{"key": "b", "row-version": ' + "9" * 5_000 + "}", ["b"]),
+    ('{"key": "b", "value": "\\ud800"}', ["b"]),
+    ('{"key": "\\ud800"}', []),
+    ('{"key": null}', []),
+    ('{"value": "YQ==", "table": 5}', []),
+    ("5", []),
+    ('"}],["', []),
+)
+
+
+def _nested(levels: int) -> list:
+    nested: list = []
+    for _ in range(levels):
+        nested = [nested]
+    return nested
+
+
+# Fields that are answered for rows of the list.
+ODD_FIELDS = (
+    {"x": _nested(500)},
+    {"key": None},
+    {"key": 5},
+    {"key": "\ud800"},
+    {"value": None},
+    {"value": "%%%"},
+    {"table": 5},
+    {"deleted": "maybe"},
+)
+
 
 def _row(more: bytes = b"", **fields) -> bytes:
     """Returns a plain server's row with other fields, and text after them."""
@@ -356,6 +394,28 @@
     assert not second.known.crashes("desk/odd")
 
 
+def an_odd_row_hides_no_row_beside_it() -> None:
+    """An answer of the store is decoded row by row where one row is odd.
+
+    Guards against a table that is no longer followed: a row with a value of
+    another type, nested too deeply or too large makes the answer unreadable,
+    and the same answer is read again and again. A row with a key counts as
+    changed, with an empty value, so that its old state does not stay.
+    """
+    row = '{"table": "t", "key": "%s", "value": "YQ==", "row-version": 3}'
+    for odd, keys in ODD_PAGE_ROWS:
+        body = (
+            f'{{"rows": [{row % "a"}, {odd}, {row % "c"}], "now-ms": 5,'
+            ' "row-version": 9, "has-more": true}'
+        )
+        page = row_pages.parse(body.encode()).ok_value
+        assert [r.key for r in page.rows] == ["a", *keys, "c"], odd[:40]
+        assert (page.row_version, page.now_ms) == (9, 5) and page.has_more
+        assert all(r.value == "YQ==" for r in page.rows if r.key != "b")
+    for invalid in (b"", b"[]", b'{"rows": [{"key": 5}', b'{"rows": 5}'):
+        assert isinstance(row_pages.parse(invalid), Err), invalid
+
+
 def odd_settings_get_one_line() -> None:
     """Settings that can't be read give an error that names the file.
 
@@ -388,8 +448,13 @@
     platform_run = platform.Platform(daemons=2, engines=1, services=3)
     for number, data in enumerate(ODD_ROWS):
         platform_run.store.put_odd("servers", f"i-before-{number}", data)
+    for number, fields in enumerate(ODD_FIELDS):
+        key = f"i-fields-{number}"
+        platform_run.store.put_odd("servers", key, _row(), **fields)
     async with platform_run:
         store = platform_run.store
+        for number, fields in enumerate(ODD_FIELDS):
+            store.put_odd("servers", f"i-live-{number}", _row(), **fields)
         for number, data in enumerate(ODD_ROWS):
             store.put_odd("servers", f"i-live-{number}", data)
         for key in ODD_IDS:
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -22,6 +22,10 @@
       | odd_entries | an update that can't be sent stops no others |
       | odd_entries | odd crash rows are skipped |
 
+    Examples: answers of the store
+      | group       | case |
+      | odd_entries | an odd row hides no row beside it |
+
     Examples: real processes
       | group       | case |
       | odd_entries | odd entries stop no daemon |
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -71,7 +71,7 @@
         self._changed = asyncio.Event()
         return self.version
 
-    def put_odd(self, table: str, key: str, data: bytes, **fields) -> int:
+    def put_odd(self, table: str, key: str, data: bytes, /, **fields) -> int:
         """Writes a row with any bytes, as a faulty writer does.
 
         Args:
