--- /dev/null
+++ b/tests/cases/odd_entries.py
@@ -0,0 +1,496 @@
+"""Odd values from other writers: rows, reports, headers and messages."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import tempfile
+
+from result import Err
+
+from cases import crash_rows, fuzz, peers
+from cases import instance_rows as rows
+from cluster import platform
+from cluster.processes import free_port
+from godwittack import address
+from godwittack.backend import connection, headers, sse
+from godwittack.clock import ManualClock
+from godwittack.config import settings
+from godwittack.core import (
+    effects,
+    incarnation,
+    quarantine,
+    server_inputs,
+    weights,
+    work,
+)
+from godwittack.daemon import outbox
+from godwittack.member import view
+from godwittack.peer import codec, peer_pb2, pending, wire
+from godwittack.platform import row_pages, servers
+from standins.replica import Replica
+
+ODD_NUMBERS = (
+    "",
+    "+1",
+    "-1",
+    "1_0",
+    " 1",
+    "1e3",
+    "\u00b2",
+    "\u0663\u0663",
+    "9" * 16,
+    "9" * 5_000,
+)
+ODD_ADDRESSES = (
+    "127.0.0.1:\u0663\u0663\u0663\u0663",
+    "127.0.0.1:+80",
+    "127.0.0.1: 80",
+    "127.0.0.1:8_0",
+    "127.0.0.1:080",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + "9" * 5_000,
+    "[127.0.0.1]:80",
+    "127.0.0.1]:80",
+    "::1:80",
+    "[fe80::1%eth0]:80",
+    "[fe80::1%a\r\nEvil: 1]:80",
+    "[fe80::1%" + "a" * 100 + "]:80",
+    "engine:80",
+    "80",
+    ":80",
+)
+
+# Names are valid in the lists of other platforms.
+ACCEPTED_FROM_PEERS = ("engine:80", "127.0.0.1:080", "[127.0.0.1]:80")
+ACCEPTED_FROM_PEERS += ("127.0.0.1]:80", "::1:80")
+ODD_IDS = ("i-\u20ac", "i-\xe9", "i-x\r\nEvil: 1", "i x", "i\0", "")
+PLAIN_ROW = {
+    "service": "app",
+    "address": "127.0.0.1:9",
+    "zone": "north",
+    "version": "v1",
+    "slots": 16,
+    "state": "draining",
+    "cold-remaining-ms": 0,
+    "sequence": 1,
+}
+DEEP = b"[" * 100_000 + b"]" * 100_000
+
+# Rows that make an answer unreadable, and the keys that can be read.
+ODD_PAGE_ROWS = (
+    (f'{{"key": "b", "x": {DEEP.decode()}}}', ["b"]),
+    (DEEP.decode(), []),
+    ('{"key": "b", "value": null}', ["b"]),
+    ('{"key": "b", "value": 5, "deleted": "maybe"}', ["b"]),
+    ('{"key": "b", "table": []}', ["b"]),
+    ('{"key": "b", "row-version": 1e400}', ["b"]),
+    ('{"key": "b", "row-version": -1}', ["b"]),
+    ('{"key": "b", "row-version": ' + "9" * 5_000 + "}", ["b"]),
+    ('{"key": "b", "value": "\\ud800"}', ["b"]),
+    ('{"key": "\\ud800"}', []),
+    ('{"key": null}', []),
+    ('{"value": "YQ==", "table": 5}', []),
+    ("5", []),
+    ('"}],["', []),
+)
+
+
+def _nested(levels: int) -> list:
+    nested: list = []
+    for _ in range(levels):
+        nested = [nested]
+    return nested
+
+
+# Fields that are answered for rows of the list.
+ODD_FIELDS = (
+    {"x": _nested(500)},
+    {"key": None},
+    {"key": 5},
+    {"key": "\ud800"},
+    {"value": None},
+    {"value": "%%%"},
+    {"table": 5},
+    {"deleted": "maybe"},
+)
+
+
+def _row(more: bytes = b"", **fields) -> bytes:
+    """Returns a plain server's row with other fields, and text after them."""
+    return json.dumps({**PLAIN_ROW, **fields}).encode()[:-1] + more + b"}"
+
+
+ODD_ROWS = (
+    DEEP,
+    _row(b', "x": ' + DEEP),
+    b"\xff\xfe",
+    b"",
+    _row(b', "born": 1e400'),
+    _row(b', "sequence": ' + b"9" * 5_000),
+    _row(slots=1 << 70),
+    *(_row(address=odd, state="ready") for odd in ODD_ADDRESSES),
+)
+
+
+def an_odd_address_names_no_server() -> None:
+    """Only IP:PORT in its normal form, in ASCII, is an address.
+
+    Guards against calls that fail in this daemon: the port is written in the
+    digits of another script, or the scope of an IPv6 address holds a line
+    break, which would add a header to the call.
+    """
+    for odd in ODD_ADDRESSES:
+        parsed = rows.decode(
+            a=rows.valid_entry(2),
+            b=rows.entry(address=odd),
+            c=rows.valid_entry(3),
+        )
+        assert set(parsed.listed) == {"a", "c"}, odd
+        assert set(parsed.refused) == {"b"}, odd
+    for valid in ("10.0.0.1:80", "[::1]:65535"):
+        assert address.validate(valid) == valid
+    assert address.split("[::1]:80") == ("::1", 80)
+
+
+def an_odd_id_names_no_server() -> None:
+    """A server's id has visible ASCII characters only.
+
+    Guards against calls that fail in this daemon, or have a header more: the
+    id is sent in a header of each call.
+    """
+    for odd in ODD_IDS:
+        parsed = rows.decode(
+            **{
+                "a": rows.valid_entry(2),
+                odd: rows.valid_entry(3),
+                "c": rows.valid_entry(4),
+            }
+        )
+        assert set(parsed.listed) == {"a", "c"}, odd
+        assert set(parsed.refused) == {odd}
+
+
+def an_odd_entry_of_a_peer_is_left_out() -> None:
+    """Ids and addresses in peers' updates of the list are checked as well.
+
+    Guards against an odd entry that a daemon of an earlier release accepts
+    and publishes; the entries beside it take effect.
+    """
+    valid = {"role": "engine", "name": "i-1", "address": "10.0.0.1:80"}
+    odd = (
+        *({"name": name} for name in ODD_IDS),
+        *({"address": text} for text in ODD_ADDRESSES if "%" not in text),
+        {"address": "[fe80::1%a\r\nEvil: 1]:80"},
+        {"role": "router"},
+    )
+    for fields in odd:
+        if fields.get("address") in ACCEPTED_FROM_PEERS:
+            continue
+        changes = codec.listed_from_proto(
+            (
+                peer_pb2.Listed(**{**valid, "name": "i-0"}),
+                peer_pb2.Listed(**{**valid, **fields}),
+                peer_pb2.Listed(name="i-2", gone=True),
+            )
+        )
+        assert set(changes) == {"i-0", "i-2"}, fields
+
+
+def an_odd_start_takes_no_server_s_address() -> None:
+    """A start time that is too large, or part of an id, does not count.
+
+    Guards against one entry that hides a sound server: of two entries with one
+    address the later start counts, and calls to the odd id are refused there.
+    """
+    for born in (10**13, 10**15, 1 << 63):
+        parsed = rows.decode(
+            a=rows.valid_entry(2),
+            b={**rows.valid_entry(2), "born": born},
+            c=rows.valid_entry(3),
+        )
+        assert set(parsed.listed) == {"a", "c"}, born
+    without_start = rows.valid_entry(2)
+    del without_start["born"]
+    for odd in ("i@999999999999999", "i@1", "i@" + "9" * 190):
+        parsed = rows.decode(**{"a": without_start, odd: without_start})
+        assert "a" in parsed.listed, odd
+        name = incarnation.make_name(odd, 0)
+        assert not incarnation.is_older("a", name), odd
+    assert incarnation.make_name("i-1", 0) == "i-1"
+    assert incarnation.started_at_ms(incarnation.make_name("i@5", 7)) == 7
+
+
+def an_odd_number_in_text_is_no_number() -> None:
+    """Only 1 to 15 ASCII digits are a number, wherever text holds one.
+
+    Guards against handlers that fail on digits of other scripts or on
+    thousands of digits: in the id of an event, a version of weights, the name
+    of an incarnation or a header.
+    """
+    for odd in ODD_NUMBERS:
+        assert incarnation.started_at_ms(f"i-1@{odd}") == 0, odd
+        assert weights.is_newer(odd, "1"), odd
+        quarantine.Quarantine().add(
+            quarantine.Crash(
+                content="c", start=f"i-1#{odd}", reporter="d", at_ms=0
+            )
+        )
+        if odd == " 1":
+            continue
+        assert headers.parse_number(odd) is None, odd
+        try:
+            sse.FrameReader(after=0).feed(b"id:%s\n\n" % odd.encode())
+        except ValueError:
+            continue
+        raise AssertionError(odd)
+    assert headers.parse_number(" 15 ") == 15
+    assert incarnation.started_at_ms("i-1@15") == 15
+    assert weights.is_newer("10", "9") and not weights.is_newer("9", "10")
+
+
+def an_odd_idle_limit_loses_no_answer() -> None:
+    """An answer is complete also if its `Keep-Alive` header can't be read.
+
+    Guards against calls that have run and are answered 502: Python's `int`
+    raises an error on thousands of digits, after the answer was read.
+    """
+    for odd in ODD_NUMBERS:
+        server_connection = connection.Connection()
+        server_connection.connection_made(fuzz.FakeTransport())
+        reply = connection.Reply(
+            status=200, headers=[work.Header("Keep-Alive", f"timeout={odd}")]
+        )
+        server_connection.finish(reply, now_ms=0)
+        assert server_connection.keep_alive_ms in (0, 1_000), odd
+
+
+def odd_counts_of_a_server_are_not_taken() -> None:
+    """A report or load header with an impossible count does not count.
+
+    Guards against requests that are refused with 503 as they would begin in
+    years, and against numbers that no message between daemons can hold.
+    """
+    server_format = servers.ServerFormat(str)
+    for odd in (-1, 1 << 32, 10**30, "1", 1.5, None):
+        body = json.dumps({"running": odd, "queue-depth": 0}).encode()
+        try:
+            server_format.read_load(body, "i-1")
+        except ValueError:
+            continue
+        raise AssertionError(odd)
+    for odd in (b'{"running": 1e400}', DEEP, b'{"sequence": ' + b"9" * 5_000):
+        try:
+            server_format.read_load(odd, "i-1")
+        except ValueError:
+            continue
+        raise AssertionError(odd[:40])
+    assert server_format.read_load(b'{"running": 7}', "i-1").running == 7
+    for text, running in (("7,0,8", 7), ("9" * 14 + ",0,8", None)):
+        reply = connection.Reply(
+            headers=[work.Header("X-Godwittack-Server-Load", text)]
+        )
+        load = server_format.read_signals(reply).load
+        assert (load and load.running) == running, text
+
+
+def numbers_out_of_range_are_sent_to_peers() -> None:
+    """An update with a number that its field can't hold is sent nevertheless.
+
+    Guards against a daemon that sends a peer no updates any more, also of the
+    instance list: an age of more than 49 days, a negative or a huge count.
+    """
+    names = {
+        "server_id": "i-1",
+        "incarnation": "i-1",
+        "weights_version": "1",
+        "at_ms": 0,
+    }
+    for odd in (-1, 1 << 32, 10**30):
+        counts = dict.fromkeys(("running", "waiting", "slots"), odd)
+        load = server_inputs.LoadReported(
+            **names, **counts, waiting_tokens=odd, prefill_us_per_token=odd
+        )
+        told = effects.TellLoad(
+            **names,
+            **counts,
+            target="m",
+            pace_percent=odd,
+            reference_prompt_us=odd,
+            samples=odd,
+            delay_ms=-odd,
+        )
+        digest = server_inputs.CacheDigest(
+            **names, cleared=False, stored=(5,), removed=(), tokens=(odd,)
+        )
+        crash = quarantine.Crash(
+            content="c", start="s", reporter="d", at_ms=-odd, runs=odd
+        )
+        completion = quarantine.Completion(
+            content="c", at_ms=-odd, number=odd, count=odd
+        )
+        updates = pending.PendingNews(
+            loads={"i-1": load},
+            told_loads={"i-1": told},
+            digests=[digest],
+            listed={"i-2": None},
+            list_before=odd,
+            list_version=odd,
+            crashes={crash},
+            completions={completion},
+        )
+        message = wire.NewsWriter().write(updates, now_ms=0)
+        sent = peer_pb2.News.FromString(message.SerializeToString())
+        assert sent.loads[0].running == min(max(odd, 0), (1 << 32) - 1)
+        assert sent.listed[0].gone and sent.digests[0].stored == [5]
+
+
+async def an_update_that_can_t_be_sent_stops_no_others() -> None:
+    """After an update that can't be encoded, a peer gets the next ones.
+
+    Guards against the end of the task that sends to a peer: nothing starts it
+    again, and nothing is logged.
+    """
+    streams = peers.ScriptedStreams()
+    sender = outbox.Outbox(
+        own_id="d1", address="a:1", client=streams, clock=ManualClock()
+    )
+    sender.pending.suspected.add("\ud800")
+    sender.send_pending()
+    await asyncio.sleep(0.01)
+    sender.pending.suspected.add("i-1")
+    sender.send_pending()
+    await asyncio.sleep(0.01)
+    sender.close()
+    sent = [news for stream in streams.sent for news in stream]
+    assert [list(news.doubted_servers) for news in sent] == [["i-1"]]
+    assert sent[0].sender_id == "d1"
+
+
+async def odd_crash_rows_are_skipped() -> None:
+    """A crash row with an impossible number is skipped, the others count.
+
+    Guards against a number of another writer that is passed on to every daemon
+    and fits no message.
+    """
+    store = crash_rows.Store()
+    first = crash_rows.Daemon(store)
+    first.crash("s1", "s2", "s3")
+    await asyncio.sleep(0.01)
+    (valid,) = store.rows.values()
+    for number, odd in enumerate(("-1", "1e400", "9" * 30, '"x"', "[" * 9_999)):
+        crash = '{"start": "s", "reporter": "d", "at_wall_ms": ' + odd + "}"
+        store.rows[f"odd-{number}"] = (
+            '{"content": "desk/odd", "crashes": [' + crash + "]}"
+        )
+    store.rows["zzz"] = valid
+    second = crash_rows.Daemon(store)
+    second.crash("s9", content="desk/g")
+    await asyncio.sleep(0.01)
+    assert second.known.until_ms("desk/f") == first.known.until_ms("desk/f")
+    assert not second.known.crashes("desk/odd")
+
+
+def an_odd_row_hides_no_row_beside_it() -> None:
+    """An answer of the store is decoded row by row where one row is odd.
+
+    Guards against a table that is no longer followed: a row with a value of
+    another type, nested too deeply or too large makes the answer unreadable,
+    and the same answer is read again and again. A row with a key counts as
+    changed, with an empty value, so that its old state does not stay.
+    """
+    row = '{"table": "t", "key": "%s", "value": "YQ==", "row-version": 3}'
+    for odd, keys in ODD_PAGE_ROWS:
+        body = (
+            f'{{"rows": [{row % "a"}, {odd}, {row % "c"}], "now-ms": 5,'
+            ' "row-version": 9, "has-more": true}'
+        )
+        page = row_pages.parse(body.encode()).ok_value
+        assert [r.key for r in page.rows] == ["a", *keys, "c"], odd[:40]
+        assert (page.row_version, page.now_ms) == (9, 5) and page.has_more
+        assert all(r.value == "YQ==" for r in page.rows if r.key != "b")
+    for invalid in (b"", b"[]", b'{"rows": [{"key": 5}', b'{"rows": 5}'):
+        assert isinstance(row_pages.parse(invalid), Err), invalid
+
+
+def odd_settings_get_one_line() -> None:
+    """Settings that can't be read give an error that names the file.
+
+    Guards against a start that ends in a traceback: the file is not UTF-8, is
+    nested too deeply, or has a number that is infinite or too long.
+    """
+    policy_field = dataclasses.fields(view.MemberPolicy)[0].name
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        for odd in (
+            b"\xff\xfe\x00",
+            b"name: " + b"[" * 5_000,
+            b"tick_ms: " + b"9" * 5_000,
+            b"membership: {%s: .inf}" % policy_field.encode(),
+        ):
+            path.write_bytes(odd)
+            loaded = settings.load(str(path))
+            assert isinstance(loaded, Err), odd[:40]
+            assert loaded.err_value.startswith(f"{path}: "), loaded.err_value
+            assert "\n" not in loaded.err_value
+
+
+async def odd_entries_stop_no_daemon() -> None:
+    """Daemons serve and follow the list whatever is written between its rows.
+
+    Guards against daemons that end, again at each start, or that no longer see
+    servers come and leave: odd rows are there before the start, come while
+    daemons run, and while the store has lost its history.
+    """
+    platform_run = platform.Platform(daemons=2, engines=1, services=3)
+    for number, data in enumerate(ODD_ROWS):
+        platform_run.store.put_odd("servers", f"i-before-{number}", data)
+    for number, fields in enumerate(ODD_FIELDS):
+        key = f"i-fields-{number}"
+        platform_run.store.put_odd("servers", key, _row(), **fields)
+    async with platform_run:
+        store = platform_run.store
+        for number, fields in enumerate(ODD_FIELDS):
+            store.put_odd("servers", f"i-live-{number}", _row(), **fields)
+        for number, data in enumerate(ODD_ROWS):
+            store.put_odd("servers", f"i-live-{number}", data)
+        for key in ODD_IDS:
+            store.put("servers", key, {**PLAIN_ROW, "state": "ready"})
+        taken = f"127.0.0.1:{platform_run.replicas['i-s2'].port}"
+        late = {**PLAIN_ROW, "state": "ready", "address": taken, "born": 10**15}
+        store.put("servers", "i-late", late)
+        store.faults.forgotten_up_to = store.version
+        await _check_list_is_followed(platform_run)
+
+
+async def _check_list_is_followed(platform_run: platform.Platform) -> None:
+    """Adds a server and removes another one; calls must follow, and succeed."""
+    removed, added = platform_run.replicas["i-s1"], Replica("i-new")
+    platform_run.replicas["i-new"] = added
+    await added.start(free_port())
+    platform_run.list_server("i-new", f"127.0.0.1:{added.port}")
+    platform_run.store.put("servers", "i-s1", None)
+    number = 0
+
+    async def is_used() -> bool:
+        nonlocal number
+        for daemon in range(len(platform_run.processes)):
+            number += 1
+            status, _, _ = await platform_run.call(
+                "release", f"c{number}", daemon=daemon
+            )
+            assert status == 200, status
+        return bool(added.ran)
+
+    await platform.until("the new server is used", is_used)
+    await asyncio.sleep(0.5)
+    ran_before = len(removed.ran)
+    for _ in range(10):
+        await is_used()
+    assert len(removed.ran) == ran_before
+    for daemon, process in enumerate(platform_run.processes):
+        assert process.returncode is None, platform_run.log(daemon)[-2000:]
+        assert "Traceback" not in platform_run.log(daemon), daemon
--- /dev/null
+++ b/tests/features/odd_entries.feature
@@ -0,0 +1,31 @@
+Feature: Odd values from other writers
+
+  Scenario Outline: <case>
+    # Each case's docstring in tests/cases states the failure that it guards
+    # against, or its symptom, sequence and cause.
+    When the case "<case>" of "<group>" is played
+
+    Examples: texts
+      | group       | case |
+      | odd_entries | an odd address names no server |
+      | odd_entries | an odd id names no server |
+      | odd_entries | an odd entry of a peer is left out |
+      | odd_entries | an odd start takes no server's address |
+      | odd_entries | an odd number in text is no number |
+      | odd_entries | an odd idle limit loses no answer |
+      | odd_entries | odd settings get one line |
+
+    Examples: numbers
+      | group       | case |
+      | odd_entries | odd counts of a server are not taken |
+      | odd_entries | numbers out of range are sent to peers |
+      | odd_entries | an update that can't be sent stops no others |
+      | odd_entries | odd crash rows are skipped |
+
+    Examples: answers of the store
+      | group       | case |
+      | odd_entries | an odd row hides no row beside it |
+
+    Examples: real processes
+      | group       | case |
+      | odd_entries | odd entries stop no daemon |
