Test answers and requests that break off inside their heads

Real daemons beside servers that send the first bytes of an answer and then close or reset: ten places through the head, answers with a length, chunks, neither, and after an interim response; safe and unsafe calls, streams of both kinds; heads of 20 KB, heads in 50 pieces over 1.2 s, through another daemon, and beside a silent server; reports, cache events, orders and the store's answers; callers' requests that end in their head or body, closed, reset or half-closed. No fault is known here: all of them pass on the code as it is.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -51,6 +51,7 @@
     "withdrawing",
     "cut_off",
     "broken_off",
+    "torn_heads",
     "versions",
     "stream_versions",
     "split_streams",
--- /dev/null
+++ b/tests/cases/torn_heads.py
@@ -0,0 +1,295 @@
+"""Real daemons beside servers whose answers end inside their heads."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from cases.broken_off import WHOLE_STREAM
+from cluster import platform, raw_caller
+from standins.torn import Form, Torn
+
+# Nothing, part of the status line, parts of the headers, and all but the last
+# three, two and one bytes of a head of some 250 bytes.
+PLACES = (0.0, 0.02, 0.06, 0.2, 0.45, 0.7, 0.9, 0.989, 0.994, 0.998)
+FEW_PLACES = (0.0, 0.3, 0.999)
+# Enough that a few ejected ones are not missed.
+SERVERS = 12
+UNSAFE = ("confirm", "short")
+SAFE = ("release", "long")
+# Time in which a daemon learns that its paths are cut.
+CUT_S = 0.5
+SILENT_S = 1.2
+WORK_S = 0.3
+# Time in which the daemon would have passed on a request that it has read.
+PASSED_ON_S = 0.3
+LONG_HEAD_BYTES = 20_000
+SLOW_PIECES = 50
+SLOW_GAP_S = 0.025
+
+
+def _body(request_id: str) -> bytes:
+    """Returns the body of a request, which no other one has."""
+    return f"{request_id} is answered with its own bytes".encode()
+
+
+def _tear(made: platform.Platform, fault: Torn | None) -> None:
+    for replica in made.replicas.values():
+        replica.faults.torn = fault
+
+
+async def _call(
+    made: platform.Platform, name: str, request_id: str
+) -> raw_caller.Received:
+    return await raw_caller.call(made, name, request_id, body=_body(request_id))
+
+
+def _is_whole(
+    name: str, request_id: str, received: raw_caller.Received
+) -> bool:
+    """Returns whether a request was answered with its own whole answer."""
+    expected = _body(request_id)[::-1]
+    if name in ("long", "short"):
+        expected = WHOLE_STREAM
+    return received.status == 200 and received.body == expected
+
+
+async def _check_whole(
+    made: platform.Platform, name: str, request_id: str
+) -> None:
+    received = await _call(made, name, request_id)
+    assert _is_whole(name, request_id, received), received
+    assert received.has_ended, received
+
+
+async def _check(made: platform.Platform, case: str, fault: Torn) -> None:
+    """Sends a request of each kind whose first answer is torn."""
+    _tear(made, None)
+    for replica in made.replicas.values():
+        replica.work_s = replica.event_gap_s = 0.0
+    await asyncio.gather(*(made.earn_retry(name) for name in SAFE))
+    _tear(made, fault)
+    names = (*SAFE, *UNSAFE)
+    all_received = await asyncio.gather(
+        *(_call(made, name, f"{case}-{name}") for name in names)
+    )
+    for name, received in zip(names, all_received, strict=True):
+        request_id = f"{case}-{name}"
+        shown = (request_id, received, made.log()[-2000:])
+        runs = len(made.ran(request_id))
+        if name in SAFE:
+            assert _is_whole(name, request_id, received), shown
+            assert runs == 2, (runs, *shown)
+        else:
+            assert received.status == 502, shown
+            assert runs == 1, (runs, *shown)
+    assert fault.count == len(names), fault
+    assert made.processes[0].returncode is None
+
+
+async def a_head_that_breaks_off_is_no_answer() -> None:
+    """Guards against a success made of part of a head.
+
+    Safe requests are sent again, unsafe ones run once.
+    """
+    async with platform.Platform(engines=SERVERS, services=SERVERS) as made:
+        for form, place, resets in itertools.product(
+            Form, PLACES, (False, True)
+        ):
+            fault = Torn(form, place, resets)
+            await _check(made, f"{form}-{place}-{resets}", fault)
+
+
+async def a_long_head_that_breaks_off_is_no_answer() -> None:
+    """Guards against a head whose end is assumed at the end of a read."""
+    async with platform.Platform(engines=SERVERS, services=SERVERS) as made:
+        for form, place, resets in itertools.product(
+            Form, FEW_PLACES, (False, True)
+        ):
+            fault = Torn(form, place, resets, padding_bytes=LONG_HEAD_BYTES)
+            await _check(made, f"{form}-{place}-{resets}", fault)
+
+
+async def a_head_in_many_pieces_is_read_whole() -> None:
+    """Guards against a slow head that is taken for a torn one, and the reverse.
+
+    The pieces arrive for over a second.
+    """
+    async with platform.Platform(engines=SERVERS, services=SERVERS) as made:
+        for form in Form:
+            slow = {"pieces": SLOW_PIECES, "gap_s": SLOW_GAP_S}
+            _tear(made, Torn(form, torn_run=0, **slow))
+            await asyncio.gather(
+                *(
+                    _check_whole(made, name, f"whole-{form}-{name}")
+                    for name in (*SAFE, *UNSAFE)
+                )
+            )
+            _tear(made, Torn(form, 0.95, **slow))
+            request_id = f"torn-{form}"
+            received = await _call(made, "confirm", request_id)
+            assert received.status == 502, received
+            assert len(made.ran(request_id)) == 1
+
+
+async def a_relayed_head_that_breaks_off_is_no_answer() -> None:
+    """Guards against an answer that another daemon makes of part of a head."""
+    for resets in (False, True):
+        async with platform.Platform(
+            daemons=2, engines=SERVERS, services=SERVERS, can_cut=True
+        ) as made:
+            await made.earn_retry("release")
+            made.cut(0, "reset")
+            await asyncio.sleep(CUT_S)
+            for form, place in itertools.product(Form, FEW_PLACES):
+                await _check(made, f"{form}-{place}", Torn(form, place, resets))
+            assert made.log(1).count("event=relayed") >= 4 * len(Form)
+
+
+async def a_torn_answer_beside_a_silent_server_ends_nothing() -> None:
+    """Guards against a failure of the second server that ends the first run."""
+    async with platform.Platform() as made:
+        for name, resets in zip(SAFE, (False, True), strict=True):
+            _tear(made, None)
+            for _ in range(2):
+                await made.earn_retry(name)
+            fault = Torn(torn_run=2, resets=resets)
+            _tear(made, fault)
+            for replica in made.replicas.values():
+                replica.work_s = WORK_S
+            request_id = f"beside-{name}"
+            call = asyncio.create_task(_call(made, name, request_id))
+            await asyncio.sleep(WORK_S / 2)
+            (first,) = (
+                replica
+                for replica in made.replicas.values()
+                if any(r.request_id == request_id for r in replica.ran)
+            )
+            first.fall_silent(SILENT_S)
+            received = await call
+            shown = (received, made.log()[-2000:])
+            assert _is_whole(name, request_id, received), shown
+            assert fault.count == 1, shown
+            await asyncio.sleep(SILENT_S)
+
+
+async def reports_that_break_off_in_their_heads_change_nothing() -> None:
+    """Guards against a daemon that ends, or a server without its load."""
+    async with platform.Platform(engines=len(Form)) as made:
+        engines = [r for r in made.replicas.values() if r.model]
+        for place in FEW_PLACES:
+            faults = [Torn(form, place) for form in Form]
+            for replica, fault in zip(engines, faults, strict=True):
+                replica.faults.torn_control = fault
+
+            async def are_torn(faults: list[Torn] = faults) -> bool:
+                return all(fault.count for fault in faults)
+
+            await platform.until("all reports are torn", are_torn)
+            for name in (*SAFE, *UNSAFE):
+                await _check_whole(made, name, f"{place}-{name}")
+        assert "Traceback" not in made.log(), made.log()[-4000:]
+        assert made.processes[0].returncode is None
+
+
+async def an_order_whose_answer_breaks_off_is_carried_out_once() -> None:
+    """Guards against an order that is sent again although it was accepted."""
+    async with platform.Platform() as made:
+        engines = [r for r in made.replicas.values() if r.model]
+        for number, place in enumerate((0.0, 0.05, 0.999), start=2):
+            for replica in engines:
+                replica.faults.torn_control = Torn(place=place)
+            made.store.put("op", "version/m", {"model": "m", "version": number})
+
+            async def is_loaded(number: int = number) -> bool:
+                return all(r.version == number for r in engines)
+
+            await platform.until(f"version {number} is loaded", is_loaded)
+            for replica in engines:
+                accepted = [o["version"] for o in replica.orders]
+                assert accepted == list(range(2, number + 1)), accepted
+
+
+async def a_store_whose_answers_break_off_in_their_heads_is_read_again() -> (
+    None
+):
+    """Guards against a change that is lost with the answer that brought it."""
+    async with platform.Platform() as made:
+        for number, (form, place) in enumerate(
+            itertools.product(Form, FEW_PLACES), start=2
+        ):
+            made.store.faults.torn = Torn(form, place)
+            key = f"key-{number}"
+            keys = (platform.KEY, key)
+            made.store.put("op", "config", platform.config(number, keys=keys))
+
+            async def is_known(key: str = key, number: int = number) -> bool:
+                status, _, _ = await made.call(
+                    "release", f"r-{number}", key=key
+                )
+                return status == 200
+
+            await platform.until(f"{key} is known", is_known)
+            assert made.store.faults.torn.count, form
+        assert "Traceback" not in made.log(), made.log()[-4000:]
+
+
+def _requests(request_id: str) -> list[tuple[bytes, int]]:
+    """Returns requests with a length and chunks, and where their heads end."""
+    head = (
+        "POST /{} HTTP/1.1\r\n"
+        f"Host: {platform.HOST}\r\nX-Godwittack-Request-Id: {request_id}-{{}}"
+        f"\r\nX-Godwittack-Credential: {platform.KEY}\r\n"
+    )
+    found = []
+    for name in ("confirm", "release"):
+        length = head.format(f"{name}/x", f"{name}-l").encode()
+        length += b"Content-Length: 4\r\n\r\n"
+        found.append((length + b"body", len(length)))
+        chunked = head.format(f"{name}/x", f"{name}-c").encode()
+        chunked += b"Transfer-Encoding: chunked\r\n\r\n"
+        found.append((chunked + b"4\r\nbody\r\n0\r\n\r\n", len(chunked)))
+    return found
+
+
+async def a_request_that_breaks_off_never_runs() -> None:
+    """Guards against part of a request that is run as the whole one.
+
+    The caller closes its connection, resets it, or ends only its own half.
+    """
+    async with platform.Platform() as made:
+        host, port = made.fields[0]["listen"]["front"].split(":")
+
+        async def tear(data: bytes, end: str) -> bytes:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            await asyncio.sleep(PASSED_ON_S / 10)
+            if end == "half":
+                writer.write_eof()
+                try:
+                    async with asyncio.timeout(PASSED_ON_S):
+                        answer = await reader.read()
+                except (TimeoutError, ConnectionError):
+                    answer = b""
+                writer.close()
+                return answer
+            if end == "reset":
+                writer.transport.abort()
+            writer.close()
+            return b""
+
+        ends = ("close", "reset", "half")
+        torn = []
+        for number, end in enumerate(ends):
+            for data, head_bytes in _requests(f"t{number}"):
+                cuts = {0, 1, 9, head_bytes // 2, head_bytes - 1, head_bytes}
+                cuts |= set(range(head_bytes + 1, len(data)))
+                torn += [tear(data[:cut], end) for cut in sorted(cuts)]
+        answers = await asyncio.gather(*torn)
+        assert not any(b" 200 " in answer for answer in answers), answers
+        await asyncio.sleep(PASSED_ON_S)
+        ran = [r for replica in made.replicas.values() for r in replica.ran]
+        assert not ran, ran
+        assert "Traceback" not in made.log(), made.log()[-4000:]
+        received = await _call(made, "confirm", "last")
+        assert _is_whole("confirm", "last", received), received
--- /dev/null
+++ b/tests/features/torn_heads.feature
@@ -0,0 +1,18 @@
+Feature: Answers that are broken off inside their heads
+
+  Scenario Outline: <case>
+    # Each case's docstring in tests/cases/torn_heads.py states the failure that
+    # it guards against.
+    When the case "<case>" of "torn_heads" is played
+
+    Examples: real processes
+      | case |
+      | a head that breaks off is no answer |
+      | a long head that breaks off is no answer |
+      | a head in many pieces is read whole |
+      | a relayed head that breaks off is no answer |
+      | a torn answer beside a silent server ends nothing |
+      | reports that break off in their heads change nothing |
+      | an order whose answer breaks off is carried out once |
+      | a store whose answers break off in their heads is read again |
+      | a request that breaks off never runs |
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from standins import endings, endless
+from standins import endings, endless, torn
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -37,6 +37,8 @@
         endless: What it answers requests with, without an end; None for whole
             answers.
         endless_reports: The same for calls for reports and cache events.
+        torn: How answers are broken off inside their heads; None for never.
+        torn_control: The same for reports, cache events and orders.
     """
 
     full: bool = False
@@ -49,6 +51,8 @@
     ending: endings.Ending | None = None
     endless: endless.Endless | None = None
     endless_reports: endless.Endless | None = None
+    torn: torn.Torn | None = None
+    torn_control: torn.Torn | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -227,8 +231,27 @@
             case _:
                 return await self._request(request)
         response.headers.update(self._state_headers())
+        if self.faults.torn_control is not None:
+            await self._tear_control(
+                self.faults.torn_control, request, response
+            )
         return response
 
+    async def _tear_control(
+        self,
+        fault: torn.Torn,
+        request: web.BaseRequest,
+        response: web.Response,
+    ) -> None:
+        """Sends the answer to a call for control past aiohttp."""
+        await fault.send(
+            request.transport,
+            f"HTTP/1.1 {response.status} {response.reason}",
+            response.headers,
+            bytes(response.body or b""),
+            is_torn=fault.begin_run(f"{self.instance} {request.path}"),
+        )
+
     def _state_headers(self) -> dict[str, str]:
         """Returns the headers of the server's state, sent with all answers."""
         headers = {"Server-Leaving": "1"} if self.is_leaving else {}
@@ -381,6 +404,9 @@
             if self.faults.ending is not None:
                 await self._end(self.faults.ending, request, body, headers)
                 return web.Response(headers=headers)
+            if self.faults.torn is not None:
+                await self._tear(self.faults.torn, request, body, headers)
+                return web.Response(headers=headers)
             if self.streams:
                 return await self._stream(request, headers)
             await asyncio.sleep(self.work_s)
@@ -445,6 +471,32 @@
             cut=ending.cut_of(request_id),
         )
 
+    async def _tear(
+        self,
+        fault: torn.Torn,
+        request: web.BaseRequest,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> None:
+        """Answers past aiohttp, and breaks off one answer to each request."""
+        is_torn = fault.begin_run(headers[HEADER_PREFIX + "Request-Id"])
+        content_type = "text/plain"
+        body = body[::-1]
+        if self.streams:
+            content_type = "text/event-stream"
+            after = int(request.headers.get("Last-Event-Id", "0"))
+            numbers = range(after + 1, self.event_count + 1)
+            body = b"".join(map(self._event, numbers))
+        await asyncio.sleep(self.work_s)
+        await self._outlast_silence()
+        await fault.send(
+            request.transport,
+            "HTTP/1.1 200 OK",
+            {**headers, "Content-Type": content_type},
+            body,
+            is_torn=is_torn,
+        )
+
     def _event(self, number: int) -> bytes:
         suffix = f" {self.software}".encode() if self.signs_events else b""
         return b"id: %d\ndata: e%d%s\n\n" % (number, number, suffix)
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -10,6 +10,8 @@
 
 from aiohttp import web
 
+from standins import torn
+
 
 @dataclasses.dataclass
 class StoreFaults:
@@ -21,6 +23,7 @@
         lose_writes: Whether writes are applied and not answered.
         forgotten_up_to: Version up to which the feed has no history.
         latency_s: Delay of each answer.
+        torn: How answers are broken off inside their heads; None for never.
     """
 
     status: int = 0
@@ -28,6 +31,7 @@
     lose_writes: bool = False
     forgotten_up_to: int = 0
     latency_s: float = 0.0
+    torn: torn.Torn | None = None
 
 
 class RowStore:
@@ -80,7 +84,16 @@
                 await asyncio.sleep(3_600)
             if faults.status:
                 return web.Response(status=faults.status)
-            return await handler(request)
+            response = await handler(request)
+            if faults.torn is not None:
+                await faults.torn.send(
+                    request.transport,
+                    f"HTTP/1.1 {response.status} {response.reason}",
+                    response.headers,
+                    bytes(response.body or b""),
+                    is_torn=faults.torn.begin_run(request.path),
+                )
+            return response
 
         return handle
 
