Reject heads that have the ids of two requests

What callers saw: a success with the id and signature of their own answer and the body of another request's. Cause: a server stops inside a header of an answer and then sends the answer to another request on the connection. The parser takes both for one head: the torn header's value runs on into the second status line, the second head follows. Only the first request id was compared, and the length and the body were the second answer's. Evidence: the test's server sends such bytes, in one piece and in two; on the code as it was the caller got the body "other" as a whole 200. Change: an answer with several different ids has failed as any broken answer: a safe request may be sent again, an unsafe one gets 502, and the connection is not used again. The adapter returns the ids, the client decides. Why it works: every answer names its request, so a head that runs on into another one has both ids, unless it was torn before its own; then the only id is the other's, and the answer was skipped as before. The test failed before the change.

--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -165,11 +165,12 @@
 
     def header(self, name: str) -> str:
         """Returns the first header of that name, or an empty string."""
+        return next(iter(self.header_values(name)), "")
+
+    def header_values(self, name: str) -> list[str]:
+        """Returns all headers of that name."""
         lower = name.lower()
-        for header in self.headers:
-            if header.name.lower() == lower:
-                return header.value
-        return ""
+        return [h.value for h in self.headers if h.name.lower() == lower]
 
 
 class Connection(asyncio.Protocol):
@@ -293,7 +294,12 @@
         has_length = bool(reply.header("content-length"))
         no_body = self._is_head_request or reply.status in (204, 304)
         reply.is_close_delimited = not (coding or has_length or no_body)
-        if self._matches is None or not self._matches(reply):
+        try:
+            is_match = self._matches is not None and self._matches(reply)
+        except ReplyError as error:
+            self._give_up(str(error))
+            return
+        if not is_match:
             self._counts.begin_other()
             if reply.is_close_delimited:
                 self._give_up("an answer to another request, without end")
@@ -365,7 +371,8 @@
             head: Request line and headers, with the blank line.
             body: The body.
             matches: Returns whether the head of an answer belongs to the
-                request; others are discarded as they arrive.
+                request; others are discarded as they arrive. Raises ReplyError
+                if the head can't belong to any one request.
             request_id: Id by which answers are matched; empty if they have
                 none.
         """
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -91,8 +91,8 @@
             remaining_ms: Time left for the answer; 0 for no limit.
         """
 
-    def matches(self, reply: connections.Reply, call: protocol.Call) -> bool:
-        """Returns whether an answer belongs to the call."""
+    def request_ids(self, reply: connections.Reply) -> list[str]:
+        """Returns the ids of requests that an answer's head has."""
 
     def decline_cause(
         self, reply: connections.Reply, server_id: str
@@ -341,7 +341,7 @@
         connection.send(
             self._format.request_head(dispatch, call, remaining_ms),
             call.body,
-            matches=lambda reply: self._format.matches(reply, call),
+            matches=lambda reply: self._is_answer_to(call, reply),
             request_id=call.request_id,
         )
         reply = await connection.read_head()
@@ -384,6 +384,21 @@
         )
         sink.answer(dispatch.attempt_id, answer, dispatch.stamp)
 
+    def _is_answer_to(
+        self, call: protocol.Call, reply: connections.Reply
+    ) -> bool:
+        """Returns whether an answer belongs to the call.
+
+        Raises:
+            ReplyError: It has the ids of several requests. A server that breaks
+                off inside a header and goes on with another answer on the
+                connection sends such a head, with the body of the other one.
+        """
+        request_ids = self._format.request_ids(reply)
+        if len(set(request_ids)) > 1:
+            raise connections.ReplyError("a head with several request ids")
+        return bool(request_ids) and request_ids[0] == call.request_id
+
     async def _collect(
         self,
         connection: connections.Connection,
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -90,9 +90,9 @@
             lines.append(f"{names.KV_SAVE_TO}: {dispatch.kv_save_to}")
         return _encode_head(lines)
 
-    def matches(self, reply: connection.Reply, call: protocol.Call) -> bool:
-        """Returns whether a response belongs to the call."""
-        return reply.header(names.REQUEST_ID) == call.request_id
+    def request_ids(self, reply: connection.Reply) -> list[str]:
+        """Returns the ids of requests in a response's head."""
+        return reply.header_values(names.REQUEST_ID)
 
     def decline_cause(
         self, reply: connection.Reply, server_id: str
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -5,8 +5,11 @@
 import asyncio
 import itertools
 
+from cases import connections
 from cases.broken_off import WHOLE_STREAM
 from cluster import platform, raw_caller
+from godwittack.core import inputs
+from standins.scripted import Reply, ScriptedServer
 from standins.torn import Form, Torn
 
 # Nothing, part of the status line, parts of the headers, and all but the last
@@ -293,3 +296,19 @@
         assert "Traceback" not in made.log(), made.log()[-4000:]
         received = await _call(made, "confirm", "last")
         assert _is_whole("confirm", "last", received), received
+
+
+async def a_head_that_breaks_off_before_another_is_no_answer() -> None:
+    """Guards against another request's body under the head of an answer.
+
+    A server stops inside a header after its request's id, and sends the answer
+    to another request on the same connection.
+    """
+    torn = connections.HEAD + b"X-Godwittack-Response-Signature: sig"
+    other = connections.complete(b"other", connections.OTHER)
+    for reply in (Reply(torn + other), Reply(torn, later=other)):
+        async with ScriptedServer(reply) as server:
+            sink = await connections.Backend(server).send()
+            assert sink.answered is None, sink
+            broken = (connections.SENT, inputs.FailureCause.BROKEN)
+            assert sink.failure == broken, sink
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -16,3 +16,7 @@
       | an order whose answer breaks off is carried out once |
       | a store whose answers break off in their heads is read again |
       | a request that breaks off never runs |
+
+    Examples: scripted servers
+      | case |
+      | a head that breaks off before another is no answer |
