Read numbers in servers' heads as ASCII digits of any count

What callers saw: 502 for a whole answer, or a stream that breaks after its last event; safe requests were run again. Reports and cache events of the server were no longer asked for. Cause: `str.isdigit` accepts digits that `int` rejects, such as a superscript two in `Keep-Alive: timeout=`, and `int` rejects more than 4300 digits, such as leading zeros of a valid Content-Length. The ValueError failed the attempt after its answer was complete; in a control call nothing caught it, and the task that polls the server ended. Evidence: the parsers were given some 110 odd heads; these raised where the connection is released or a body is counted. Why it works: `parse_number` never raises, and an unreadable limit counts as not stated. The test failed before the change.

--- a/src/godwittack/backend/collecting.py
+++ b/src/godwittack/backend/collecting.py
@@ -16,7 +16,7 @@
 
 from absl import logging
 
-from godwittack.backend import reply_limits
+from godwittack.backend import headers, reply_limits
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -175,8 +175,7 @@
                 from a server that sent an endless body lately.
             ReplyError: It is incomplete, or can't be kept.
         """
-        length = source.length
-        if length.isdigit() and int(length) > source.limit_bytes:
+        if _exceeds(source.length, source.limit_bytes):
             raise reply_limits.EndlessReplyError("body", 0)
         server = self._servers.setdefault(source.key, ServerBodies())
         body = object()
@@ -220,4 +219,12 @@
                 del self._servers[key]
 
 
+def _exceeds(length: str, limit_bytes: int) -> bool:
+    """Returns whether a stated length, of any number of digits, is too long."""
+    digits = length.strip().lstrip("0")
+    if len(digits) > headers.MAX_DIGITS:
+        return True
+    return (headers.parse_number(digits) or 0) > limit_bytes
+
+
 __all__ = ["Collector", "ServerBodies", "Source", "Spool"]
--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -20,6 +20,7 @@
 import httptools
 
 from godwittack import liveness
+from godwittack.backend import headers as backend_headers
 from godwittack.backend import reply_limits
 from godwittack.backend.reply_limits import EndlessReplyError, ReplyError
 from godwittack.core import work
@@ -536,8 +537,8 @@
     """Returns the server's idle limit, 0 where its headers have none."""
     for part in reply.header("keep-alive").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return int(value) * 1000
+        if name.lower() == "timeout":
+            return (backend_headers.parse_number(value) or 0) * 1000
     return 0
 
 
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -5,6 +5,8 @@
 import asyncio
 import itertools
 
+from result import Ok
+
 from cases import connections
 from cases.broken_off import WHOLE_STREAM
 from cluster import platform, raw_caller
@@ -312,3 +314,30 @@
             assert sink.answered is None, sink
             broken = (connections.SENT, inputs.FailureCause.BROKEN)
             assert sink.failure == broken, sink
+
+
+async def an_unreadable_number_in_a_head_loses_no_answer() -> None:
+    """Guards against a whole answer that fails as `int` rejects a header.
+
+    Digits of other scripts, and more than `int` converts.
+    """
+    idle_limits = ("\xb2".encode("latin-1"), b"9" * 5_000, b"", b"-1", b"+1")
+    for idle_limit in idle_limits:
+        keep_alive = b"Keep-Alive: timeout=" + idle_limit + b"\r\n"
+        answer = connections.complete(b"1", connections.HEAD + keep_alive)
+        report = connections.complete(b"{}", connections.HEAD + keep_alive)
+        async with ScriptedServer(Reply(answer), Reply(report)) as server:
+            backend = connections.Backend(server)
+            sink = await backend.send()
+            assert sink.failure is None, (idle_limit[:5], sink.failure)
+            assert sink.answered.body == b"1", idle_limit[:5]
+            loaded = await backend.routed.load(server.address, server_id="i-1")
+            assert isinstance(loaded, Ok), loaded
+    length = b"Content-Length: " + b"0" * 5_000 + b"2\r\n\r\n{}"
+    async with ScriptedServer(
+        *[Reply(connections.HEAD + length)] * 2
+    ) as server:
+        backend = connections.Backend(server)
+        assert (await backend.send()).answered.body == b"{}"
+        loaded = await backend.routed.load(server.address, server_id="i-1")
+        assert isinstance(loaded, Ok), loaded
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -1,4 +1,4 @@
-Feature: Answers that are broken off inside their heads
+Feature: Heads that are broken off or malformed
 
   Scenario Outline: <case>
     # Each case's docstring in tests/cases/torn_heads.py states the failure that
@@ -20,3 +20,4 @@
     Examples: scripted servers
       | case |
       | a head that breaks off before another is no answer |
+      | an unreadable number in a head loses no answer |
