Don't reuse connections that their servers close

What callers saw: 502 for an unsafe request, and a retry of a safe one, on a connection kept after an earlier answer. Cause: a connection was kept unless its answer had exactly `Connection: close`. Among several options, in a second field, or in HTTP/1.0 without `keep-alive`, a server closes as well. The parser knows that and rejects whatever follows, so the next request on such a connection ran and failed. Evidence: in the test a server answers two requests alike; the second had no answer on the code as it was. Change: the parser says whether a connection persists, from all fields and the version. The test failed before the change.

--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -153,6 +153,7 @@
         is_complete: Whether the end of the body was received.
         is_close_delimited: Whether the body ends only where the server closes
             the connection.
+        is_persistent: Whether the server keeps the connection open.
         chunks: Pieces of the body that have not been read yet.
     """
 
@@ -160,6 +161,7 @@
     headers: list[work.Header] = dataclasses.field(default_factory=list)
     is_complete: bool = False
     is_close_delimited: bool = False
+    is_persistent: bool = False
     chunks: collections.deque[bytes] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -286,6 +288,7 @@
             self._counts.interim_responses += 1
             return
         self._counts.is_in_head = False
+        reply.is_persistent = self._parser.should_keep_alive()
         coding = reply.header("transfer-encoding").strip().lower()
         if coding not in ("", "chunked"):
             # Its body would be forwarded with the coding, but without the
@@ -445,7 +448,7 @@
             and not reply.is_close_delimited
             and not self._has_surplus
             and self._expected is reply
-            and reply.header("connection").lower() != "close"
+            and reply.is_persistent
             and len(self._carried) < MAX_REQUESTS
         )
         self.keep_alive_ms = _keep_alive_ms(reply)
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -341,3 +341,24 @@
         assert (await backend.send()).answered.body == b"{}"
         loaded = await backend.routed.load(server.address, server_id="i-1")
         assert isinstance(loaded, Ok), loaded
+
+
+async def a_connection_that_its_server_closes_is_not_used_again() -> None:
+    """Guards against a request that is lost as its server closes.
+
+    `Connection` names several options, comes twice, or is missing in HTTP/1.0.
+    """
+    old = connections.HEAD.replace(b"HTTP/1.1", b"HTTP/1.0")
+    for head, connection_count in (
+        (connections.HEAD + b"Connection: x, close\r\n", 2),
+        (connections.HEAD + b"Connection: x\r\nConnection: Close\r\n", 2),
+        (old, 2),
+        (old + b"Connection: keep-alive\r\n", 1),
+        (connections.HEAD + b"Connection: keep-alive\r\n", 1),
+    ):
+        answers = [Reply(connections.complete(b"1", head))] * 2
+        async with ScriptedServer(*answers) as server:
+            backend = connections.Backend(server)
+            for name in ("r1", "r2"):
+                assert (await backend.send(name)).answered.body == b"1", head
+            assert server.connections == connection_count, head
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -21,3 +21,4 @@
       | case |
       | a head that breaks off before another is no answer |
       | an unreadable number in a head loses no answer |
+      | a connection that its server closes is not used again |
