--- a/src/godwittack/backend/collecting.py
+++ b/src/godwittack/backend/collecting.py
@@ -176,7 +176,7 @@
                 from a server that sent an endless body lately.
             ReplyError: It is incomplete, or can't be kept.
         """
-        if _is_too_long(source):
+        if _exceeds(source.length, source.limit_bytes):
             raise reply_limits.EndlessReplyError("body", 0)
         server = self._servers.setdefault(source.key, ServerBodies())
         body = object()
@@ -220,12 +220,12 @@
                 del self._servers[key]
 
 
-def _is_too_long(source: Source) -> bool:
-    """Returns whether a body's `Content-Length` exceeds the limit."""
-    length = digits.parse(source.length)
-    if length is None:
-        return len(source.length) > digits.MAX_DIGITS
-    return length > source.limit_bytes
+def _exceeds(length: str, limit_bytes: int) -> bool:
+    """Returns whether a stated length, of any number of digits, is too long."""
+    text = length.strip().lstrip("0")
+    if len(text) > digits.MAX_DIGITS:
+        return True
+    return (digits.parse(text) or 0) > limit_bytes
 
 
 __all__ = ["Collector", "ServerBodies", "Source", "Spool"]
--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -20,7 +20,8 @@
 import httptools
 
 from godwittack import liveness
-from godwittack.backend import headers, reply_limits
+from godwittack.backend import headers as backend_headers
+from godwittack.backend import reply_limits
 from godwittack.backend.reply_limits import EndlessReplyError, ReplyError
 from godwittack.core import work
 
@@ -152,6 +153,7 @@
         is_complete: Whether the end of the body was received.
         is_close_delimited: Whether the body ends only where the server closes
             the connection.
+        is_persistent: Whether the server keeps the connection open.
         chunks: Pieces of the body that have not been read yet.
     """
 
@@ -159,17 +161,19 @@
     headers: list[work.Header] = dataclasses.field(default_factory=list)
     is_complete: bool = False
     is_close_delimited: bool = False
+    is_persistent: bool = False
     chunks: collections.deque[bytes] = dataclasses.field(
         default_factory=collections.deque
     )
 
     def header(self, name: str) -> str:
         """Returns the first header of that name, or an empty string."""
+        return next(iter(self.header_values(name)), "")
+
+    def header_values(self, name: str) -> list[str]:
+        """Returns all headers of that name."""
         lower = name.lower()
-        for header in self.headers:
-            if header.name.lower() == lower:
-                return header.value
-        return ""
+        return [h.value for h in self.headers if h.name.lower() == lower]
 
 
 class Connection(asyncio.Protocol):
@@ -284,6 +288,7 @@
             self._counts.interim_responses += 1
             return
         self._counts.is_in_head = False
+        reply.is_persistent = self._parser.should_keep_alive()
         coding = reply.header("transfer-encoding").strip().lower()
         if coding not in ("", "chunked"):
             # Its body would be forwarded with the coding, but without the
@@ -293,7 +298,12 @@
         has_length = bool(reply.header("content-length"))
         no_body = self._is_head_request or reply.status in (204, 304)
         reply.is_close_delimited = not (coding or has_length or no_body)
-        if self._matches is None or not self._matches(reply):
+        try:
+            is_match = self._matches is not None and self._matches(reply)
+        except ReplyError as error:
+            self._give_up(str(error))
+            return
+        if not is_match:
             self._counts.begin_other()
             if reply.is_close_delimited:
                 self._give_up("an answer to another request, without end")
@@ -365,7 +375,8 @@
             head: Request line and headers, with the blank line.
             body: The body.
             matches: Returns whether the head of an answer belongs to the
-                request; others are discarded as they arrive.
+                request; others are discarded as they arrive. Raises ReplyError
+                if the head can't belong to any one request.
             request_id: Id by which answers are matched; empty if they have
                 none.
         """
@@ -437,7 +448,7 @@
             and not reply.is_close_delimited
             and not self._has_surplus
             and self._expected is reply
-            and reply.header("connection").lower() != "close"
+            and reply.is_persistent
             and len(self._carried) < MAX_REQUESTS
         )
         self.keep_alive_ms = _keep_alive_ms(reply)
@@ -529,9 +540,8 @@
     """Returns the server's idle limit, 0 where its headers have none."""
     for part in reply.header("keep-alive").split(","):
         name, _, value = part.strip().partition("=")
-        timeout_s = headers.parse_number(value)
-        if name.lower() == "timeout" and timeout_s is not None:
-            return timeout_s * 1000
+        if name.lower() == "timeout":
+            return (backend_headers.parse_number(value) or 0) * 1000
     return 0
 
 
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -53,6 +53,7 @@
     "cut_off",
     "stopping",
     "broken_off",
+    "torn_heads",
     "versions",
     "stream_versions",
     "split_streams",
