Resume streams of the only version after all daemons were killed

What callers saw: after all daemons were killed and started again, every stream that a client took up was refused for a minute (503, stream_version_unknown), also where all engines had run one version all along. Cause: which versions served, and where routes led, was known to daemons only. None that has just started may say that only one version is possible. Change: a row in the store holds the versions that the servers of each target had last, when others left, since when that is complete, and digests of the targets of resumable routes; daemons that read the list write it as these change, each daemon reads it once at its start. What is not listed any more counts as gone now, a route with another digest as moved now, a missing or unreadable row says nothing, an older list never overwrites a newer one. Why it works: a claim of one version needs a minute without another one, by the row or by the list since the start.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -132,6 +132,10 @@
         ge=0,
         description="ms that replaced weights may still serve; 0: no limit",
     )
+    is_first_start: bool = pydantic.Field(
+        default=False,
+        description="whether no daemon of the system ever ran before",
+    )
     stop_grace_s: float = pydantic.Field(
         default=8.0,
         gt=0,
@@ -234,6 +238,11 @@
         description="numbers that tune membership, see `godwittack settings`",
     )
 
+    @pydantic.field_validator("is_first_start", mode="before")
+    @classmethod
+    def _read_empty_first_start(cls, value: object) -> object:
+        return False if value is None else value
+
     @pydantic.field_validator("contracts", mode="before")
     @classmethod
     def _read_empty_contracts(cls, value: object) -> object:
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -327,6 +327,38 @@
     knowledge: work.StreamKnowledge | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TargetHistory:
+    """Versions at which a target's streams may have begun before a start.
+
+    Attributes:
+        target: The target.
+        known_for_ms: For how long all of them are known.
+        listed: Those that its servers had last.
+        gone_for_ms: How long ago the last server of each other one left.
+    """
+
+    target: str
+    known_for_ms: int
+    listed: tuple[str, ...]
+    gone_for_ms: tuple[tuple[str, int], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StreamHistoryRead:
+    """The store holds where streams may have begun before this start.
+
+    Attributes:
+        targets: Versions by target.
+        routes: Digest of the targets of each resumable route, by the digest
+            of the route.
+    """
+
+    at_ms: int
+    targets: tuple[TargetHistory, ...]
+    routes: tuple[tuple[str, str], ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RightToServe:
     """Until when this daemon may treat its table as current."""
@@ -386,6 +418,7 @@
     | server_inputs.PeerDispatched
     | CrashesTold
     | MembersChanged
+    | StreamHistoryRead
     | StreamTold
     | StreamAnswered
     | RightToServe
@@ -416,7 +449,9 @@
     "StopOverdue",
     "StreamAnswered",
     "StreamResumed",
+    "StreamHistoryRead",
     "StreamTold",
+    "TargetHistory",
     "TableChanged",
     "Tick",
     "UsageReported",
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -31,6 +31,7 @@
     servers,
     silence,
     stopping,
+    stream_history,
     stream_versions,
     timeouts,
     weights,
@@ -188,6 +189,8 @@
                 quotas.apply_reports(world, input_)
             case inputs.FleetReached():
                 quotas.record_reach(world, input_.part)
+            case inputs.StreamHistoryRead():
+                stream_history.restore(world, input_)
             case inputs.StreamTold():
                 stream_versions.apply_told(world, input_)
             case inputs.StreamAnswered():
--- a/src/godwittack/core/stream_records.py
+++ b/src/godwittack/core/stream_records.py
@@ -130,6 +130,12 @@
         newest_ms = max((self.known_since_ms, *since_ms))
         return max(0, newest_ms + STREAM_LIFE_MS - now_ms)
 
+    def record_gone(self, version: str, at_ms: int) -> None:
+        """Records when the last server of a version was removed."""
+        self.gone_at_ms[version] = max(
+            at_ms, self.gone_at_ms.get(version, at_ms)
+        )
+
     def is_complete(self, *, now_ms: int) -> bool:
         """Returns whether this daemon has seen them all."""
         return now_ms - self.known_since_ms >= STREAM_LIFE_MS
--- a/src/godwittack/daemon/instances.py
+++ b/src/godwittack/daemon/instances.py
@@ -27,6 +27,10 @@
     Readers of the list publish each change to the other daemons, with the
     list's version before and after it. A daemon that detects a gap between
     versions reads the list itself.
+
+    Attributes:
+        follower: Reads the rows of the list.
+        on_applied: Called after changes were reported to the core.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         self._unpublished: listing.Changes = {}
         self._refusals = instance_rows.RefusalLog()
         self.follower: feed_follower.FeedFollower | None = None
+        self.on_applied: Callable[[], None] = lambda: None
         updates.on_versioned_list = self.apply_changes
 
     def apply_rows(self, rows: Mapping[str, protocol.ChangedRow]) -> None:
@@ -174,6 +179,8 @@
             elif self._instances.get(name) != instance:
                 self._instances[name] = instance
                 self._core.submit(listing.server_listed(instance, now_ms))
+        if changes:
+            self.on_applied()
 
     def _publish(
         self, changes: listing.Changes, *, before: int, version: int
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -37,6 +37,7 @@
     runtime,
     server_watcher,
     shutdown,
+    stream_history,
 )
 from godwittack.entry import bodies, directory, forward
 from godwittack.lead import lease as leases
@@ -275,6 +276,14 @@
             directory_format=resolving.DirectoryFormat(),
             serving=self._serving,
         )
+        self._stream_history = stream_history.StreamHistory(
+            store=self._store,
+            runtime=self.runtime,
+            list_version=lambda: self._servers_freshness.version,
+            is_writer=self._is_reader,
+            is_first_start=settings.is_first_start,
+        )
+        self._instance_list.on_applied = self._stream_history.check
         self._store_readers = assignment.CachedAssignment(
             assignment.store_readers
         )
@@ -373,6 +382,7 @@
         self._background_tasks.start(
             self._leader.lead_forever(step_ms=settings.lead_step_ms)
         )
+        self._background_tasks.start(self._stream_history.keep_forever())
         self._background_tasks.start(self._clean_up_forever())
         self._background_tasks.start(
             lag.watch_forever(members=self._members, clock=self._clock)
@@ -458,6 +468,7 @@
             ),
             changed_rows,
         )
+        self._stream_history.check()
         if version_before and self._keeper.table.version > version_before:
             # With only the probes in turn, some daemons would learn of the new
             # version a second later.
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -53,6 +53,7 @@
     "broken_off",
     "versions",
     "stream_versions",
+    "stream_history",
     "split_streams",
     "endless",
     "silent",
--- a/tests/cases/versions.py
+++ b/tests/cases/versions.py
@@ -38,9 +38,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _fleet(daemons: int = 1) -> AsyncIterator[Platform]:
+async def _fleet(
+    daemons: int = 1, software: dict[str, str] = NEW
+) -> AsyncIterator[Platform]:
     """Starts daemons that know each other, and engines of two versions."""
-    made = Platform(daemons=daemons, engines=ENGINES, services=1, software=NEW)
+    made = Platform(
+        daemons=daemons, engines=ENGINES, services=1, software=software
+    )
     for replica in made.replicas.values():
         replica.event_count = EVENTS
 
@@ -210,6 +214,19 @@
                 assert len(versions) == 1, (leaving, name, versions)
 
 
+async def streams_of_one_version_go_on_after_all_daemons_were_killed() -> None:
+    """Guards against streams refused by daemons that know of no others."""
+    async with _fleet(3, software={}) as made:
+        names = [f"s{number}" for number in range(STREAMS)]
+        parts = await asyncio.gather(
+            *(_read(made, 0, name, leave=True) for name in names)
+        )
+        await _kill_all(made, leaving=())
+        for number, (name, part) in enumerate(zip(names, parts, strict=True)):
+            rest = await _take_up(made, number % 3, f"{name}-1", part)
+            assert rest.numbers and rest.numbers[-1] == EVENTS, (name, rest)
+
+
 async def a_short_session_of_streams_keeps_all_promises() -> None:
     """Guards against releases that overlap broken streams and restarts."""
     session = streams.Session(3, daemons=6, plan=streams.PLAN)
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -72,6 +72,7 @@
         "zones": {"north": "all", "south": "all"},
         "listen": listen,
         "internal-port-range": [free_port(), free_port()],
+        "bootstrap": True,
         "seeds": seeds,
         "bounds": dict(BOUNDS),
         "limits": {"cpu-share": 0.537, "cores": 2},
--- a/tests/features/versions.feature
+++ b/tests/features/versions.feature
@@ -12,6 +12,7 @@
       | versions        | a stream taken up twice keeps its version |
       | versions        | a stream outlives its daemon at its version |
       | versions        | no stream is joined after all daemons were killed |
+      | versions        | streams of one version go on after all daemons were killed |
       | versions        | a short session of streams keeps all promises |
       | versions        | a stream that nobody knows is not resumed |
 
@@ -47,3 +48,16 @@
       | split_streams | an unknown stream of a split route is refused |
       | split_streams | a stream is not taken up at another service |
       | split_streams | streams begun after a move are taken up |
+
+    Examples: after all daemons were started again
+      | group | case |
+      | stream_history | the only version resumes streams after a restart |
+      | stream_history | two versions resume no unknown stream after a restart |
+      | stream_history | a version that left during a restart counts |
+      | stream_history | a version that left before a restart counts |
+      | stream_history | a route that moved during a restart resumes no stream |
+      | stream_history | a missing row resumes no stream |
+      | stream_history | an unreadable row resumes no stream |
+      | stream_history | an older list changes no row |
+      | stream_history | a silent store resumes no stream |
+      | stream_history | each change is written once |
