--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -56,6 +56,7 @@
     "torn_heads",
     "versions",
     "stream_versions",
+    "stream_history",
     "split_streams",
     "endless",
     "silent",
