Serve connections that are accepted as a daemon stops listening

What callers saw: a connection opened as a stopping daemon closed its listening socket hung until the process ended. Cause: asyncio accepts a connection in one iteration of its loop and attaches it in the next; a server that is closed between the two drops it without closing the socket. The loop that let waiting connections be accepted closed the server in just that iteration; closing it at once had them reset. Change: the listeners of callers use accepting.Listener, as those of other daemons do.

--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
-import select
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from godwittack import accepting
 from godwittack import address as addresses
 from godwittack.entry import connection_timeouts
 
@@ -22,9 +21,6 @@
 # Limit of the HTTP library for one header line of a request. The table's limit
 # on all headers is checked afterwards, and its refusal names the limit.
 MAX_HEADER_LINE_BYTES = 1 << 16
-# Iterations of the event loop in which connections are still accepted before a
-# listening socket is closed. Each accepts up to HTTP_BACKLOG of them.
-MAX_LAST_ACCEPTS = 8
 
 
 class Listeners:
@@ -37,7 +33,7 @@
         self._clock = clock
         self._delay = delay
         self._servers: list[connection_timeouts.TimeoutServer] = []
-        self._listening: list[asyncio.Server] = []
+        self._listeners: list[accepting.Listener] = []
 
     async def listen(
         self,
@@ -56,12 +52,11 @@
             delay=self._delay,
         )
         host, port = addresses.split(address)
-        loop = asyncio.get_running_loop()
-        listening = await loop.create_server(
+        listener = await accepting.Listener.open(
             server, host, port, backlog=HTTP_BACKLOG
         )
         self._servers.append(server)
-        self._listening.append(listening)
+        self._listeners.append(listener)
 
     def close_slow_connections(self, limits: forwarding.CallerLimits) -> None:
         """Closes connections whose callers exceed the time limits."""
@@ -93,17 +88,9 @@
             server.stopping = True
 
     async def stop(self) -> None:
-        """Accepts no more connections, and refuses further requests.
-
-        Connections that callers have opened are accepted first: the system
-        resets them when the listening socket is closed.
-        """
-        for _ in range(MAX_LAST_ACCEPTS):
-            if not self._has_unaccepted():
-                break
-            await asyncio.sleep(0)
-        for listening in self._listening:
-            listening.close()
+        """Accepts no more connections, and refuses further requests."""
+        for listener in self._listeners:
+            await listener.close()
         for server in self._servers:
             server.refusing = True
 
@@ -116,12 +103,5 @@
         """Returns whether a connection is open or has bytes to send."""
         return any(server.connections for server in self._servers)
 
-    def _has_unaccepted(self) -> bool:
-        poller = select.poll()
-        for listening in self._listening:
-            for sock in listening.sockets:
-                poller.register(sock.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
-
 
 __all__ = ["Listeners"]
