Keep a stop to its times, whatever happens in it

Cause: requests were refused from a step of the stop on, not from a moment; a pipelined request between its queue and its handler had no flag; the first look came before connections that were accepted are counted. Change: requests, and streams whose body ends late, are refused by the clock; what was read counts as being answered; each look follows a pause; faults in the gossip or the core are logged and the stop goes on. Idle connections are closed a hundred at a time, so that none has to wait long between the look for unread bytes and its close; a request whose handler fails is ended in the core; final answers get half a second.

--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -82,17 +82,21 @@
         """When the head of the last request was read."""
         return max(server.last_request_ms for server in self._servers)
 
-    def begin_stop(self) -> None:
-        """Closes each connection after its next response from now on."""
+    def begin_stop(self, *, refuse_from_ms: int) -> None:
+        """Closes each connection after its next response from now on.
+
+        Args:
+            refuse_from_ms: From when on requests are refused. By the clock, so
+                that a late event loop begins none after it.
+        """
         for server in self._servers:
             server.stopping = True
+            server.refuse_from_ms = refuse_from_ms
 
     async def stop(self) -> None:
-        """Accepts no more connections, and refuses further requests."""
+        """Accepts no more connections."""
         for listener in self._listeners:
             await listener.close()
-        for server in self._servers:
-            server.refusing = True
 
     def close_idle(self, *, min_idle_ms: int) -> None:
         """Closes connections that have had no request for some time."""
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -397,20 +397,24 @@
     async def _stop(self) -> None:
         """Announces the stop, waits for callers to leave, drains and closes."""
         settings = self._settings
-        started_ms = self._clock.now_ms()
         grace_ms = round(settings.stop_grace_s * 1000)
         stop = shutdown.Shutdown(
             daemon_runtime=self.runtime,
             caller_listeners=self._listeners,
             relay=self._relay_server,
+            times=shutdown.StopTimes(
+                address_ms=directory.ADDRESS_KEEP_FACTOR
+                * directory.ADDRESS_KEEP_MS,
+                limit_ms=grace_ms - STOP_MARGIN_MS,
+            ),
         )
         self._directory.stopping = True
-        await self._gossiper.stop()
-        await stop.drain(
-            expires_ms=started_ms
-            + directory.ADDRESS_KEEP_FACTOR * directory.ADDRESS_KEEP_MS,
-            deadline_ms=started_ms + grace_ms - STOP_MARGIN_MS,
-        )
+        try:
+            await self._gossiper.stop()
+        except Exception:
+            # Callers' requests must end nevertheless.
+            logging.exception("event=stop_failed step=gossip")
+        await stop.drain()
         await self._close()
         stop.log_end()
 
--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -24,8 +25,22 @@
 # Time for bodies that are under way when the daemon stops listening; after it,
 # their requests are refused as well.
 LAST_BODIES_MS = 1_000
-# For writing the final answers of requests that were left no time.
-FINAL_ANSWERS_MS = 300
+# For writing the final answers of requests that were left no time, and for
+# callers that still read.
+FINAL_ANSWERS_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StopTimes:
+    """Times of a stop, from the signal on.
+
+    Attributes:
+        address_ms: For how long callers may hold this daemon's address.
+        limit_ms: After which requests get their final answers.
+    """
+
+    address_ms: int
+    limit_ms: int
 
 
 class Shutdown:
@@ -37,6 +52,7 @@
         daemon_runtime: runtime.Runtime,
         caller_listeners: listeners.Listeners,
         relay: relay_server.RelayServer,
+        times: StopTimes,
     ) -> None:
         """Begins the stop, with the components that still serve."""
         self._runtime = daemon_runtime
@@ -44,28 +60,26 @@
         self._listeners = caller_listeners
         self._relay = relay
         self._started_ms = self._clock.now_ms()
-        self._listeners.begin_stop()
+        self._expires_ms = self._started_ms + times.address_ms
+        self._deadline_ms = self._started_ms + times.limit_ms
+        self._listeners.begin_stop(refuse_from_ms=self._expires_ms)
         self._log("stopping")
 
-    async def drain(self, *, expires_ms: int, deadline_ms: int) -> None:
-        """Waits until callers have left and their requests have ended.
-
-        Args:
-            expires_ms: When no caller holds this daemon's address any more.
-            deadline_ms: When the process must end.
-        """
-        while self._clock.now_ms() < min(expires_ms, deadline_ms):
+    async def drain(self) -> None:
+        """Waits until callers have left and their requests have ended."""
+        deadline_ms = self._deadline_ms
+        while self._clock.now_ms() < min(self._expires_ms, deadline_ms):
             await asyncio.sleep(POLL_S)
         await self._listeners.stop()
         self._log("not_listening")
         bodies_until_ms = self._clock.now_ms() + LAST_BODIES_MS
         await self._wait_until_ended(min(bodies_until_ms, deadline_ms))
-        self._runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
+        self._submit(inputs.StopOrdered(self._clock.now_ms()))
         await self._wait_until_ended(deadline_ms)
         if not self._has_ended():
             self._log("overdue")
             self._log_requests()
-            self._runtime.submit(inputs.StopOverdue(self._clock.now_ms()))
+            self._submit(inputs.StopOverdue(self._clock.now_ms()))
             final_until_ms = self._clock.now_ms() + FINAL_ANSWERS_MS
             await self._wait_until_ended(final_until_ms)
         self._log("drained")
@@ -80,9 +94,19 @@
         Requests are looked at together with the connections: one that is open
         may bring another request at any moment.
         """
-        while not self._has_ended() and self._clock.now_ms() < until_ms:
+        while True:
+            # First, as connections that were just accepted are counted later.
             await asyncio.sleep(POLL_S)
             self._listeners.close_idle(min_idle_ms=MIN_IDLE_MS)
+            if self._has_ended() or self._clock.now_ms() >= until_ms:
+                return
+
+    def _submit(self, message: inputs.StopOrdered | inputs.StopOverdue) -> None:
+        """Submits an input to the core; a fault there must not end the stop."""
+        try:
+            self._runtime.submit(message)
+        except Exception:
+            logging.exception("event=stop_failed step=%s", message)
 
     def _has_ended(self) -> bool:
         world = self._runtime.core.world
--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import itertools
 import select
 import socket
 from typing import TYPE_CHECKING
@@ -32,6 +33,9 @@
 # Iterations of the event loop between accepting a connection and reading data
 # that the caller sent immediately.
 ACCEPT_TO_READ_ITERATIONS = 2
+# Idle connections closed at once. Sockets are closed an iteration of the event
+# loop after the look for unread bytes, which must be a short one.
+MAX_CLOSED = 100
 
 
 class ConnectionState(enum.StrEnum):
@@ -77,7 +81,8 @@
 
     Attributes:
         stopping: Whether connections are closed after their next response.
-        refusing: Whether requests whose body is unread should be refused.
+        refuse_from_ms: From when on requests should be refused; None for
+            never.
         last_request_ms: When the head of the last request was read.
     """
 
@@ -103,7 +108,7 @@
         self._max_line_bytes = max_line_bytes
         self._delay = delay or loop_delay.NoDelay()
         self.stopping = False
-        self.refusing = False
+        self.refuse_from_ms: int | None = None
         self.last_request_ms = 0
 
     def __call__(self) -> web.RequestHandler:
@@ -128,19 +133,20 @@
         return _close_unless_readable(overdue)
 
     def close_idle(self, *, min_idle_ms: int) -> int:
-        """Closes connections without a request; returns how many.
+        """Closes some connections without a request; returns how many.
 
         Args:
             min_idle_ms: How long they must have had none: a caller that has
                 just connected is about to send one.
         """
         now_ms = self._clock.now_ms()
-        return _close_unless_readable(
+        idle = (
             connection
             for connection in self.connections
             if isinstance(connection, _Connection)
             and connection.idle_for_ms(now_ms) >= min_idle_ms
         )
+        return _close_unless_readable(itertools.islice(idle, MAX_CLOSED))
 
     def count_states(self) -> collections.Counter[ConnectionState]:
         """Returns the number of open connections in each state."""
@@ -232,7 +238,10 @@
     @property
     def must_refuse(self) -> bool:
         """Whether its current request should be refused."""
-        return self._server.refusing
+        refuse_from_ms = self._server.refuse_from_ms
+        return refuse_from_ms is not None and (
+            refuse_from_ms <= self._clock.now_ms()
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits what the system receives before anything is read."""
@@ -278,7 +287,8 @@
         try:
             return await super().finish_response(request, resp, start_time)
         finally:
-            self._is_answering = False
+            # The next request may have been read already.
+            self._is_answering = bool(self._messages)
             self._first_byte_ms = -1
             self._idle_since_ms = self._clock.now_ms()
 
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -115,6 +115,16 @@
                 request, parsed.ok_value.call, read.err_value
             )
         body, reservation = read.ok_value
+        if connection_timeouts.must_refuse(request) and _is_stream(
+            parsed.ok_value.work, table
+        ):
+            # It would be cut if it lasted until the process must end.
+            reservation.release()
+            return await self._refuse_unread(
+                request,
+                parsed.ok_value.call,
+                stopping.refusal(parsed.ok_value.call.request_id),
+            )
         return await self._serve(
             request, parsed.ok_value.with_body(body), reservation
         )
@@ -146,14 +156,14 @@
                 )
             )
             return await self._deliver(request, caller)
-        except (asyncio.CancelledError, ConnectionError):
-            self._submit_caller_gone(request_id)
-            raise
         except TimeoutError:
             # The caller stopped reading for too long; its buffers are freed.
             self._submit_caller_gone(request_id)
             _abort(request)
             raise
+        except BaseException:
+            self._submit_caller_gone(request_id)
+            raise
         finally:
             self._runtime.close_caller(request_id, caller)
 
@@ -267,6 +277,14 @@
     return sum(len(n) + len(v) + 4 for n, v in request.raw_headers)
 
 
+def _is_stream(requested: work.Work, table: model.Table) -> bool:
+    """Returns whether a request's route streams."""
+    if table.forwarding is None:
+        return False
+    route = table.forwarding.match(requested.host, requested.path)
+    return route is not None and route.streaming
+
+
 def _close(request: web.BaseRequest) -> None:
     if request.transport is not None:
         request.transport.close()
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import socket
 import types
+from unittest import mock
 
 from aiohttp import web
 
@@ -17,29 +19,36 @@
 MAX_LINE_BYTES = 1 << 16
 # More than both ends of a connection buffer.
 LONG_ANSWER_BYTES = 32 << 20
+SMALL_BUFFER_BYTES = 4 << 10
 
 
 @contextlib.asynccontextmanager
-async def connected(answer: bytes = b"whole", *, reads_bodies: bool = True):
+async def connected(
+    answer: bytes = b"whole", *, reads_bodies: bool = True, handle=None
+):
     """Runs a server that answers when the test lets it, and connects."""
     clock = ManualClock(1_000)
     may_answer = asyncio.Event()
     bodies: list[bytes] = []
 
-    async def handle(request):
+    async def answer_later(request):
         if reads_bodies:
             bodies.append(await request.read())
         await may_answer.wait()
         return web.Response(body=answer)
 
     server = connection_timeouts.TimeoutServer(
-        handle, clock=clock, max_line_bytes=MAX_LINE_BYTES
+        handle or answer_later, clock=clock, max_line_bytes=MAX_LINE_BYTES
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
     await site.start()
-    reader, writer = await asyncio.open_connection(*runner.addresses[0][:2])
+    # With a small receive buffer, set before the connection is opened.
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    sock.connect(runner.addresses[0][:2])
+    reader, writer = await asyncio.open_connection(sock=sock)
     try:
         yield types.SimpleNamespace(
             clock=clock,
@@ -195,3 +204,54 @@
         assert setup.server.count_states() == {"idle": 1}
         assert setup.server.close_idle(min_idle_ms=0) == 1
         assert await setup.reader.read() == b""
+
+
+async def a_pipelined_request_that_waits_for_its_handler_is_not_idle():
+    """A request that was read is answered, however late the event loop is.
+
+    Guards against a connection closed between the answer to one request and the
+    handler of the next one, which had been read with it.
+    """
+    async with connected() as setup:
+        setup.writer.write(2 * (REQUEST + b"abc"))
+        await asyncio.sleep(0.05)
+        (connection,) = setup.server.connections
+        finish = type(connection).finish_response
+        looks: list[asyncio.Task[None]] = []
+
+        async def look_later():
+            await asyncio.sleep(0)
+            setup.clock.advance(by_ms=LIMITS.idle_timeout_ms)
+            setup.server.close_idle(min_idle_ms=1)
+
+        async def finish_then_be_late(self, *args):
+            result = await finish(self, *args)
+            looks.append(asyncio.create_task(look_later()))
+            return result
+
+        with mock.patch.object(
+            type(connection), "finish_response", finish_then_be_late
+        ):
+            setup.may_answer.set()
+            await setup.reader.readuntil(b"whole")
+            await setup.reader.readuntil(b"whole")
+
+
+async def requests_are_refused_by_the_clock():
+    """A stopping daemon refuses from a moment on, however late its loop is.
+
+    Guards against requests begun after callers should have left, as the event
+    loop reached the step that refuses them late.
+    """
+    async with connected() as setup:
+        (connection,) = await _until_connected(setup.server)
+        setup.server.refuse_from_ms = setup.clock.now_ms() + 1
+        assert not connection.must_refuse
+        setup.clock.advance(by_ms=1)
+        assert connection.must_refuse
+
+
+async def _until_connected(server):
+    while not server.connections:
+        await asyncio.sleep(0.01)
+    return server.connections
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -65,6 +65,8 @@
       | connection_timeouts | an answer that is read slowly is not idle |
       | connection_timeouts | an idle connection with unread bytes is not closed |
       | connection_timeouts | a stopping server answers pipelined requests |
+      | connection_timeouts | a pipelined request that waits for its handler is not idle |
+      | connection_timeouts | requests are refused by the clock |
       | connection_timeouts | a connection whose body is still discarded is not idle |
 
     Examples: malformed bytes
