Mark the end of an answer without framing once it is sent

What callers saw: the first part of a body that looks whole (MIXED), if the process ended while a caller still read. Cause: the connection of an answer without length or chunks is reset until the answer has ended; write_eof of such a response doesn't wait, so that up to 64 KB were still in the process when the connection was set to close in order. Change: the end waits until the system has taken all bytes.

--- a/src/godwittack/entry/delimiting.py
+++ b/src/godwittack/entry/delimiting.py
@@ -36,6 +36,7 @@
         super().__init__(status=status)
         self.force_close()
         self._transport: asyncio.Transport | None = None
+        self._writer: abc.AbstractStreamWriter | None = None
 
     async def prepare(
         self, request: web.BaseRequest
@@ -44,13 +45,19 @@
         if not self.prepared:
             self._transport = request.transport
             _set_linger(self._transport, _RESETS_ON_CLOSE)
-        return await super().prepare(request)
+        self._writer = await super().prepare(request)
+        return self._writer
 
     async def end(self) -> None:
         """Ends the response; its connection is then closed in order.
 
+        The system must have taken all bytes before: if the process ended while
+        it still held some, the caller would take the others for the whole body.
         aiohttp calls `write_eof` for responses that broke off as well.
         """
+        if self._transport is not None and self._writer is not None:
+            self._transport.set_write_buffer_limits(high=0)
+            await self._writer.drain()
         await self.write_eof()
         _set_linger(self._transport, _CLOSES_IN_ORDER)
 
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -11,7 +11,8 @@
 from aiohttp import web
 
 from godwittack.clock import ManualClock
-from godwittack.entry import connection_timeouts
+from godwittack.core import work
+from godwittack.entry import connection_timeouts, delimiting
 from godwittack.table import forwarding
 
 LIMITS = forwarding.CallerLimits(header_timeout_ms=1_000, idle_timeout_ms=5_000)
@@ -19,6 +20,9 @@
 MAX_LINE_BYTES = 1 << 16
 # More than both ends of a connection buffer.
 LONG_ANSWER_BYTES = 32 << 20
+# More than the system takes of an answer with small buffers at both ends, and
+# less than what makes a writer wait.
+UNFRAMED_BYTES = 60 << 10
 SMALL_BUFFER_BYTES = 4 << 10
 
 
@@ -255,3 +259,31 @@
     while not server.connections:
         await asyncio.sleep(0.01)
     return server.connections
+
+
+async def an_answer_without_framing_is_sent_before_its_orderly_end():
+    """The system has an answer without a length before its end is marked.
+
+    Guards against the first part of a body that looks whole: the process ended
+    while it held the rest, and the connection was closed in order.
+    """
+    unsent_bytes: list[int] = []
+
+    async def handle(request):
+        transport = request.transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        answer = work.Answer(200, (), bytes(UNFRAMED_BYTES), False)
+        response = await delimiting.send_answer(request, answer)
+        unsent_bytes.append(transport.get_write_buffer_size())
+        return response
+
+    async with connected(handle=handle) as setup:
+        transport = setup.writer.transport
+        transport.pause_reading()
+        setup.writer.write(REQUEST + b"abc")
+        await asyncio.sleep(0.05)
+        transport.resume_reading()
+        await setup.reader.readuntil(b"\r\n\r\n")
+        assert len(await setup.reader.read()) == UNFRAMED_BYTES
+        assert unsent_bytes == [0], unsent_bytes
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -67,6 +67,7 @@
       | connection_timeouts | a stopping server answers pipelined requests |
       | connection_timeouts | a pipelined request that waits for its handler is not idle |
       | connection_timeouts | requests are refused by the clock |
+      | connection_timeouts | an answer without framing is sent before its orderly end |
       | connection_timeouts | a connection whose body is still discarded is not idle |
 
     Examples: malformed bytes
