Treat lease rows that no daemon can have written as unreadable

Callers saw: answers on older weights for as long as the row lay there, and refusals once those were too old. New weights were not loaded at all.

Cause: a lease row of the right types was believed whatever its numbers. An order that may be sent until far ahead kept every daemon from ordering that server, and a fencing number that no server accepts, or a negative one, ended each lead.

A refused write without the current row makes the row be read again instead of ending the process.

--- a/src/godwittack/lead/lease.py
+++ b/src/godwittack/lead/lease.py
@@ -19,8 +19,9 @@
 
 import pydantic
 from absl import logging
-from result import Err
+from result import Err, Ok, Result
 
+from godwittack.backend import json_fields
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
@@ -36,12 +37,12 @@
 class _OrderJson(pydantic.BaseModel):
     # Time of the store's clock until which the order may be sent.
     until_ms: int
-    fencing: int
+    fencing: json_fields.Count
 
 
 class _RowJson(pydantic.BaseModel):
     holder: str
-    fencing: int
+    fencing: json_fields.Count
     # Incremented by each write, to recognize one whose reply was lost.
     writes: int
     orders: dict[str, _OrderJson] = {}
@@ -205,7 +206,10 @@
             result = reply.ok_value
             self._observe_store_time(result.service_ms, sent_ms)
             if not result.committed:
-                self._apply_row(result.rows[0])
+                if result.rows:
+                    self._apply_row(result.rows[0])
+                else:
+                    self._row_version = -1
                 return False
             self._row, self._row_version = new_row, result.version
             if not result.version and not await self.refresh():
@@ -249,21 +253,45 @@
         self._row_version = row.version
         if not row.version:
             return
-        try:
-            self._row = _RowJson.model_validate_json(row.value)
-        except pydantic.ValidationError as error:
+        parsed = self._parse_row(row)
+        if isinstance(parsed, Err):
             # Written by something else. Fencing numbers never exceed the
             # row's version, so they keep rising when they continue from it.
             logging.error(
                 "event=lease_unreadable row=%s version=%d detail=%r",
                 self._row_id.key,
                 row.version,
-                error.errors()[0]["msg"],
+                parsed.err_value,
             )
             self._row = self._replacement_row(row.version)
+        else:
+            self._row = parsed.ok_value
         if not self.is_own:
             self._granted_until_ms.clear()
 
+    def _parse_row(self, row: protocol.StoredRow) -> Result[_RowJson, str]:
+        """Returns a row's contents, or why no lease has written them.
+
+        An order may be sent for a moment after it was recorded. One that lies
+        further ahead would keep its server from being ordered until then, by
+        any daemon; it also occurs if the store's clock starts anew.
+        """
+        try:
+            parsed = _RowJson.model_validate_json(row.value)
+        except pydantic.ValidationError as error:
+            return Err(json_fields.first_error(error))
+        if parsed.fencing > row.version:
+            return Err("its fencing number exceeds its version")
+        latest_ms = self._store_clock.latest_ms(self._clock.now_ms())
+        max_until_ms = (
+            latest_ms + self._policy.send_ms + self._policy.retention_ms
+        )
+        if any(
+            order.until_ms > max_until_ms for order in parsed.orders.values()
+        ):
+            return Err("an order lies too far ahead")
+        return Ok(parsed)
+
     def _replacement_row(self, version: int) -> _RowJson:
         """Returns a substitute for an unreadable row: all were just ordered."""
         until_ms = self._store_clock.latest_ms(self._clock.now_ms())
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -10,7 +10,7 @@
 
 from result import Err
 
-from cases import crash_rows, fuzz, peers
+from cases import crash_rows, fuzz, one_lead, peers
 from cases import instance_rows as rows
 from cluster import platform
 from cluster.processes import free_port
@@ -416,6 +416,46 @@
         assert isinstance(row_pages.parse(invalid), Err), invalid
 
 
+def an_odd_lease_row_stops_no_roll_out() -> None:
+    """A lease row that no daemon can have written counts as orders just given.
+
+    Guards against weights that are never replaced: the row of another writer
+    has an order that may be sent for years, or a fencing number beyond those
+    that servers accept. Both are valid JSON of the right types.
+    """
+
+    async def case() -> None:
+        daemon = one_lead.LeadDaemon()
+        await daemon.run(for_s=0.5)
+        (row_id,) = daemon.table.rows
+        model_lease = daemon.lead._led[one_lead.MODEL].lease
+        for fencing, until_ms in (
+            (1, 10**12),
+            (1, 10**30),
+            (10**6, 0),
+            (10**30, 0),
+            (-5, 0),
+        ):
+            order = {"until_ms": until_ms, "fencing": max(fencing, 0)}
+            fields = {"holder": "x", "fencing": fencing, "writes": 1}
+            daemon.table.version += 1
+            daemon.table.rows[row_id] = dataclasses.replace(
+                daemon.table.rows[row_id],
+                value=json.dumps({**fields, "orders": {"e1": order}}),
+                version=daemon.table.version,
+            )
+            before = model_lease.fencing
+            assert not await model_lease.record(["e1"])
+            assert not model_lease.may_send("e1")
+            assert await model_lease.record(["e2"]), (fencing, until_ms)
+            assert before < model_lease.fencing <= daemon.table.version
+            await asyncio.sleep(20)
+            assert not model_lease.held_by_others()
+            assert await model_lease.record(["e1"]), (fencing, until_ms)
+
+    one_lead.play(case())
+
+
 def odd_settings_get_one_line() -> None:
     """Settings that can't be read give an error that names the file.
 
