Don't reuse connections that their server is about to close

What callers saw: a call that may be repeated was cut after it had run, and run again, though its server had said on the connection that it closes it. Cause: "Connection: close" was only known as the whole value of the first header of that name. An answer by HTTP/1.0, close among other options, or in a second header, put the connection back into the pool. The next request was written to it: the server resets it, and even an answer on it is refused by the parser ("data after close"). "Keep-Alive: timeout=0" counted as no limit stated, which is 3 s; 1 s is already too short to be used. Evidence: against a server that keeps such a connection, the second request failed as sent and broken with each of the three; with timeout=0 it went out on the old connection. The test covers the four; it fails on the untouched code at the first (HTTP/1.0) and passes now. Change: the parser decides, by version and all headers, whether a connection is kept. Not affected: requests that may run once only always have a new connection.

--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -152,6 +152,8 @@
         is_complete: Whether the end of the body was received.
         is_close_delimited: Whether the body ends only where the server closes
             the connection.
+        keeps_connection: Whether the server expects further requests on the
+            connection, by its version of HTTP and its headers.
         chunks: Pieces of the body that have not been read yet.
     """
 
@@ -159,6 +161,7 @@
     headers: list[work.Header] = dataclasses.field(default_factory=list)
     is_complete: bool = False
     is_close_delimited: bool = False
+    keeps_connection: bool = False
     chunks: collections.deque[bytes] = dataclasses.field(
         default_factory=collections.deque
     )
@@ -293,6 +296,7 @@
         has_length = bool(reply.header("content-length"))
         no_body = self._is_head_request or reply.status in (204, 304)
         reply.is_close_delimited = not (coding or has_length or no_body)
+        reply.keeps_connection = self._parser.should_keep_alive()
         if self._matches is None or not self._matches(reply):
             self._counts.begin_other()
             if reply.is_close_delimited:
@@ -431,16 +435,18 @@
     def finish(self, reply: Reply, *, now_ms: int) -> bool:
         """Ends an exchange; returns whether the connection is reusable."""
         self.idle_since_ms = now_ms
+        keep_alive_ms = _keep_alive_ms(reply)
         is_clean = (
             reply.is_complete
             and not self._is_head_request
             and not reply.is_close_delimited
             and not self._has_surplus
             and self._expected is reply
-            and reply.header("connection").lower() != "close"
+            and reply.keeps_connection
+            and keep_alive_ms != 0
             and len(self._carried) < MAX_REQUESTS
         )
-        self.keep_alive_ms = _keep_alive_ms(reply)
+        self.keep_alive_ms = keep_alive_ms or 0
         self._current = self._expected = self._matches = None
         self._counts = _Counts()
         self._is_awaiting_reply = False
@@ -525,13 +531,13 @@
         self._progress.set()
 
 
-def _keep_alive_ms(reply: Reply) -> int:
-    """Returns the server's idle limit, 0 where its headers have none."""
+def _keep_alive_ms(reply: Reply) -> int | None:
+    """Returns the server's idle limit, None where its headers have none."""
     for part in reply.header("keep-alive").split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.isdigit():
             return int(value) * 1000
-    return 0
+    return None
 
 
 __all__ = [
--- a/tests/cases/endings.py
+++ b/tests/cases/endings.py
@@ -10,13 +10,14 @@
 import sys
 import tempfile
 
-from cases import relaying, routed_core
+from cases import connections, relaying, routed_core
 from cluster import platform, processes
 from godwittack import accepting
 from godwittack.core import effects, inputs, router, server_inputs, work
 from godwittack.peer import exchange
 from godwittack.relay import codec
 from godwittack.table import model
+from standins import scripted
 
 MODEL = "m"
 KEY = "key-of-desk"
@@ -239,6 +240,28 @@
             assert inputs.FailurePhase.SENT not in phases, iterations
 
 
+async def a_connection_that_its_server_will_close_is_not_reused() -> None:
+    """Each way of saying so opens a new connection for the next request.
+
+    Guards against requests sent on a connection that is being closed: they are
+    cut, and those that may be repeated draw on the budget for retries.
+    """
+    for line in (
+        b"HTTP/1.0 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nConnection: keep-alive, close\r\n",
+        b"HTTP/1.1 200 OK\r\nConnection: x\r\nConnection: close\r\n",
+        b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n",
+    ):
+        head = line + b"X-Godwittack-Request-Id: {id}\r\n"
+        reply = scripted.Reply(connections.complete(b"x", head))
+        async with scripted.ScriptedServer(reply, reply) as server:
+            backend = connections.Backend(server)
+            for request_id in ("r1", "r2"):
+                sink = await backend.send(request_id)
+                assert sink.answered, (line, sink.failure)
+            assert server.connections == 2, line
+
+
 async def a_listener_that_closes_serves_the_connections_it_has() -> None:
     """A connection that was opened before is served whenever it was accepted.
 
@@ -254,19 +277,19 @@
             port,
             backlog=CALLS_AT_ONCE,
         )
-        connections = []
+        opened = []
         for _ in range(CALLS_AT_ONCE):
             sock = socket.socket()
             # Established by the system, which accepts it for the daemon.
             sock.connect(("127.0.0.1", port))
-            connections.append(sock)
+            opened.append(sock)
         for _ in range(iterations):
             await asyncio.sleep(0)
         await listener.close()
         await asyncio.sleep(0)
         await asyncio.sleep(0)
         assert len(served) == CALLS_AT_ONCE, (iterations, len(served))
-        for transport in (*served, *connections):
+        for transport in (*served, *opened):
             transport.close()
 
 
@@ -307,6 +330,7 @@
 
 __all__ = [
     "a_relayed_attempt_ends_once_its_answer_is_written",
+    "a_connection_that_its_server_will_close_is_not_reused",
     "a_listener_that_closes_serves_the_connections_it_has",
     "a_reload_while_a_daemon_starts_does_not_end_it",
     "a_request_survives_the_removal_of_its_model",
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -22,3 +22,7 @@
     Examples: listening sockets
       | case |
       | a listener that closes serves the connections it has |
+
+    Examples: connections to servers
+      | case |
+      | a connection that its server will close is not reused |
