--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -442,6 +442,7 @@
     def finish(self, reply: Reply, *, now_ms: int) -> bool:
         """Ends an exchange; returns whether the connection is reusable."""
         self.idle_since_ms = now_ms
+        keep_alive_ms = _keep_alive_ms(reply)
         is_clean = (
             reply.is_complete
             and not self._is_head_request
@@ -449,9 +450,10 @@
             and not self._has_surplus
             and self._expected is reply
             and reply.is_persistent
+            and keep_alive_ms != 0
             and len(self._carried) < MAX_REQUESTS
         )
-        self.keep_alive_ms = _keep_alive_ms(reply)
+        self.keep_alive_ms = keep_alive_ms or 0
         self._current = self._expected = self._matches = None
         self._counts = _Counts()
         self._is_awaiting_reply = False
@@ -536,13 +538,14 @@
         self._progress.set()
 
 
-def _keep_alive_ms(reply: Reply) -> int:
-    """Returns the server's idle limit, 0 where its headers have none."""
+def _keep_alive_ms(reply: Reply) -> int | None:
+    """Returns the server's idle limit, None where its headers have none."""
     for part in reply.header("keep-alive").split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout":
-            return (backend_headers.parse_number(value) or 0) * 1000
-    return 0
+            timeout_s = backend_headers.parse_number(value)
+            return None if timeout_s is None else timeout_s * 1000
+    return None
 
 
 __all__ = [
