Refuse requests by the time of the signal, not of its handling

Cause: the times of the stop count from when the event loop handles the signal. Change: requests are refused 50 ms earlier than callers are expected to have left, by that time.

--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -19,6 +19,8 @@
 # Log lines for requests that a stop leaves no time; others are only counted.
 MAX_LOGGED_REQUESTS = 100
 POLL_S = 0.02
+# By how much the event loop may notice the signal late.
+SIGNAL_DELAY_MS = 50
 # Time that a caller has for its first request after it has connected, or for
 # the next one, before its connection is closed.
 MIN_IDLE_MS = 200
@@ -62,7 +64,9 @@
         self._started_ms = self._clock.now_ms()
         self._expires_ms = self._started_ms + times.address_ms
         self._deadline_ms = self._started_ms + times.limit_ms
-        self._listeners.begin_stop(refuse_from_ms=self._expires_ms)
+        self._listeners.begin_stop(
+            refuse_from_ms=self._expires_ms - SIGNAL_DELAY_MS
+        )
         self._log("stopping")
 
     async def drain(self) -> None:
