Skip odd entries of the instance list of our own interface

Callers saw: refused connections. Every daemon that read the list ended, and ended again at each start, for as long as the entry lay in it.

Cause: the client of the platform's services decoded a whole answer and let the validation error out. The task that polls the list ended on it, and a background task that ends stops the process. The same holds for a version of the table that is no number, a table that can't be read, and a copy that is no UTF-8, at the start. A claim that can't be read ended the task that writes it, so that its call waited until its time was over.

Evidence: event=loop_failed with the decoder's message two seconds after the entry was written, then event=stopped.

Fix: each entry of the list is decoded by itself, also where the answer can't be decoded as a whole, and its id and address are checked; how many were refused is logged when it changes. Other answers that can't be decoded are errors like those of a failed call. An unreadable claim counts as no answer: the key may have been used, so its call is not run.

--- a/src/godwittack/claim/schema.py
+++ b/src/godwittack/claim/schema.py
@@ -5,6 +5,7 @@
 import base64
 
 import pydantic
+from absl import logging
 
 from godwittack.core import work
 from godwittack.store import protocol
@@ -52,17 +53,19 @@
     ).model_dump_json()
 
 
-def from_row(row: protocol.StoredRow) -> work.Claim:
-    """Returns the claim that a row stores."""
-    stored = _ClaimJson.model_validate_json(row.value)
-    answer = None
-    if stored.answer is not None:
-        answer = work.Answer(
-            status=stored.answer.status,
-            headers=tuple(work.Header(n, v) for n, v in stored.answer.headers),
-            body=base64.b64decode(stored.answer.body_base64),
-            is_delimited=stored.answer.is_delimited,
+def from_row(row: protocol.StoredRow) -> work.Claim | None:
+    """Returns the claim that a row stores, None if no daemon has written it."""
+    try:
+        stored = _ClaimJson.model_validate_json(row.value)
+        answer = _parse_answer(stored.answer)
+    except ValueError as error:
+        logging.error(
+            "event=claim_unreadable row=%r version=%d detail=%r",
+            row.row_id.key,
+            row.version,
+            str(error).partition("\n")[0],
         )
+        return None
     return work.Claim(
         state=stored.state,
         nonce=stored.nonce,
@@ -73,4 +76,15 @@
     )
 
 
+def _parse_answer(stored: _AnswerJson | None) -> work.Answer | None:
+    if stored is None:
+        return None
+    return work.Answer(
+        status=stored.status,
+        headers=tuple(work.Header(n, v) for n, v in stored.headers),
+        body=base64.b64decode(stored.body_base64),
+        is_delimited=stored.is_delimited,
+    )
+
+
 __all__ = ["TABLE", "from_row", "row_id", "to_json"]
--- a/src/godwittack/claim/store.py
+++ b/src/godwittack/claim/store.py
@@ -50,6 +50,9 @@
         if row.version == 0:
             return ClaimReply(inputs.ClaimVerdict.UNANSWERED)
         stored = schema.from_row(row)
+        if stored is None:
+            # The key may have been used; the request must not run.
+            return ClaimReply(inputs.ClaimVerdict.UNANSWERED)
         is_own = stored.nonce == effect.claim.nonce
         if is_own and stored.state is work.ClaimState.CLAIMED:
             return ClaimReply(inputs.ClaimVerdict.HELD)
@@ -85,6 +88,8 @@
 def _may_replace(row: protocol.StoredRow, own: work.Claim) -> bool:
     """Returns whether the outcome in `own` may overwrite the stored row."""
     stored = schema.from_row(row)
+    if stored is None:
+        return False
     if stored.nonce == own.nonce:
         return stored.state is work.ClaimState.CLAIMED
     never_sent = own.state is work.ClaimState.RELEASED
--- a/src/godwittack/platform/row_pages.py
+++ b/src/godwittack/platform/row_pages.py
@@ -56,7 +56,7 @@
         reason = json_fields.first_error(error)
     try:
         fields = json_parts.members(body.decode(errors="replace"))
-        row_texts = json_parts.elements(fields.pop("rows"))
+        row_texts = json_parts.array(fields.pop("rows"))
         page = Page.model_validate_json(_object(fields))
     except (KeyError, ValueError):
         return Err(reason)
--- a/src/godwittack/store/http.py
+++ b/src/godwittack/store/http.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 from urllib import parse
 
 import aiohttp
 import pydantic
+from absl import logging
 from result import Err, Ok, Result
 
+from godwittack import address as addresses
+from godwittack.backend import json_fields
 from godwittack.store import call as calls
-from godwittack.store import protocol
+from godwittack.store import json_parts, protocol
 
 if TYPE_CHECKING:
     from godwittack.clock import Clock
 
 MAX_OBJECT_BYTES = 64 << 20
+_Value = TypeVar("_Value")
 
 
 class _RowJson(pydantic.BaseModel):
@@ -42,8 +46,10 @@
     leaving: bool = False
 
 
+_TRANSACTION = pydantic.TypeAdapter(_TransactionJson)
+_ROW = pydantic.TypeAdapter(_RowJson)
 _ROWS = pydantic.TypeAdapter(list[_RowJson])
-_INSTANCES = pydantic.TypeAdapter(list[_InstanceJson])
+_INSTANCE = pydantic.TypeAdapter(_InstanceJson)
 _VERSIONS = pydantic.TypeAdapter(tuple[str, ...])
 
 
@@ -72,6 +78,7 @@
         self._backoff_ms = backoff_ms
         self._clock = clock
         self._backoff_until_ms = 0
+        self._refused: tuple[str, ...] = ()
 
     async def transact(
         self,
@@ -102,7 +109,10 @@
         )
         if isinstance(result, Err):
             return result
-        stored = _TransactionJson.model_validate_json(result.ok_value)
+        parsed = self._parse("transact", _TRANSACTION, result.ok_value)
+        if isinstance(parsed, Err):
+            return parsed
+        stored = parsed.ok_value
         rows = tuple(_row(row) for row in stored.rows)
         return Ok(
             protocol.TransactionResult(
@@ -118,7 +128,7 @@
         result = await self._call("read", "GET", path)
         if isinstance(result, Err):
             return result
-        return Ok(_row(_RowJson.model_validate_json(result.ok_value)))
+        return self._parse("read", _ROW, result.ok_value).map(_row)
 
     async def scan(
         self, table: str, *, after: str, limit: int
@@ -128,7 +138,8 @@
         result = await self._call("scan", "GET", f"/tables/{table}?{query}")
         if isinstance(result, Err):
             return result
-        return Ok([_row(r) for r in _ROWS.validate_json(result.ok_value)])
+        parsed = self._parse("scan", _ROWS, result.ok_value)
+        return parsed.map(lambda rows: [_row(row) for row in rows])
 
     async def get(
         self, name: str
@@ -155,17 +166,46 @@
         result = await self._call("versions", "GET", f"/weights/{model}")
         if isinstance(result, Err):
             return result
-        return Ok(_VERSIONS.validate_json(result.ok_value))
+        return self._parse("versions", _VERSIONS, result.ok_value)
 
     async def instances(
         self,
     ) -> Result[tuple[protocol.Instance, ...], protocol.PlatformError]:
-        """Returns the instance list."""
+        """Returns the valid entries of the instance list.
+
+        Any writer may have written an entry. Each is decoded separately, so
+        that an invalid one hides no others.
+        """
         result = await self._call("instances", "GET", "/instances")
         if isinstance(result, Err):
             return result
-        listed = _INSTANCES.validate_json(result.ok_value)
-        return Ok(tuple(protocol.Instance(**i.model_dump()) for i in listed))
+        try:
+            texts = json_parts.array(result.ok_value.decode(errors="replace"))
+        except ValueError as error:
+            return self._error("instances", str(error))
+        parsed = [_parse_instance(text) for text in texts]
+        self._log_refused(
+            tuple(p.err_value for p in parsed if isinstance(p, Err))
+        )
+        return Ok(tuple(p.ok_value for p in parsed if isinstance(p, Ok)))
+
+    def _log_refused(self, reasons: tuple[str, ...]) -> None:
+        """Logs how many entries are invalid when they change."""
+        if reasons != self._refused:
+            self._refused = reasons
+            logging.warning(
+                "event=entries_refused entries=%d first=%r",
+                len(reasons),
+                reasons[0] if reasons else "",
+            )
+
+    def _parse(
+        self, step: str, adapter: pydantic.TypeAdapter[_Value], body: bytes
+    ) -> Result[_Value, protocol.PlatformError]:
+        try:
+            return Ok(adapter.validate_json(body))
+        except pydantic.ValidationError as error:
+            return self._error(step, json_fields.first_error(error))
 
     async def _call(
         self, step: str, method: str, path: str, body: bytes | None = None
@@ -218,4 +258,16 @@
     )
 
 
+def _parse_instance(text: str) -> Result[protocol.Instance, str]:
+    try:
+        entry = _INSTANCE.validate_json(text)
+    except pydantic.ValidationError as error:
+        return Err(json_fields.first_error(error))
+    if not addresses.is_visible(entry.name):
+        return Err("name: not of visible ASCII characters")
+    if not addresses.is_callable(entry.address):
+        return Err(f"{entry.name}: address: not HOST:PORT")
+    return Ok(protocol.Instance(**entry.model_dump()))
+
+
 __all__ = ["HttpPlatform"]
--- a/src/godwittack/store/json_parts.py
+++ b/src/godwittack/store/json_parts.py
@@ -14,7 +14,7 @@
 _NAME = re.compile(rf"\s*({_STRING})\s*:", re.DOTALL)
 
 
-def elements(text: str) -> list[str]:
+def _elements(text: str) -> list[str]:
     """Returns the texts of an array's elements, or of an object's members.
 
     Raises:
@@ -38,6 +38,17 @@
     raise ValueError("JSON text does not end")
 
 
+def array(text: str) -> list[str]:
+    """Returns the texts of an array's elements.
+
+    Raises:
+        ValueError: The text is no array, or does not end.
+    """
+    if not text.lstrip().startswith("["):
+        raise ValueError("JSON text is no array")
+    return _elements(text)
+
+
 def members(text: str) -> dict[str, str]:
     """Returns the texts of an object's values by name.
 
@@ -45,7 +56,7 @@
         ValueError: The text is no object, or does not end.
     """
     found: dict[str, str] = {}
-    for member in elements(text):
+    for member in _elements(text):
         name = _NAME.match(member)
         if name is None:
             raise ValueError("JSON text is no object")
@@ -53,4 +64,4 @@
     return found
 
 
-__all__ = ["elements", "members"]
+__all__ = ["array", "members"]
--- a/src/godwittack/table/store.py
+++ b/src/godwittack/table/store.py
@@ -5,8 +5,10 @@
 import dataclasses
 from typing import TYPE_CHECKING, TypeAlias
 
+from absl import logging
 from result import Err, Ok, Result
 
+from godwittack import digits
 from godwittack.store import protocol
 from godwittack.table import edit, model, schema
 
@@ -85,27 +87,58 @@
         """Stores the table in `service` and a copy of it in `objects`."""
         self._service = service
         self._objects = objects
+        self._logged_detail = ""
 
     async def version(self) -> Result[int, protocol.PlatformError]:
         """Returns the version, read from a replica that may lag."""
         result = await self._service.read(VERSION_ROW)
         if isinstance(result, Err):
             return result
-        return Ok(int(result.ok_value.value or "0"))
+        version = digits.parse(result.ok_value.value or "0")
+        if version is None:
+            return self._unreadable("version", "it is not a number")
+        return Ok(version)
 
     async def table(self) -> Result[model.Table, protocol.PlatformError]:
         """Returns the table, read from a replica that may lag."""
         result = await self._service.read(TABLE_ROW)
         if isinstance(result, Err):
             return result
-        return Ok(_parse_table(result.ok_value.value))
+        try:
+            return Ok(_parse_table(result.ok_value.value))
+        except ValueError as error:
+            return self._unreadable("table", str(error))
+
+    def _unreadable(
+        self, name: str, detail: str
+    ) -> Err[protocol.PlatformError]:
+        """Returns the error for a row, and logs it if it is another one.
+
+        The row is read again and again; until it can be read, the active table
+        stays.
+        """
+        if detail != self._logged_detail:
+            self._logged_detail = detail
+            logging.error(
+                "event=table_unreadable row=%s detail=%r", name, detail
+            )
+        return Err(
+            protocol.PlatformError(
+                step=f"read {name}",
+                peer="table service",
+                detail=detail,
+                may_have_run=False,
+            )
+        )
 
     async def read_copy(self) -> model.Table | None:
         """Returns the copy in the object store, which may be stale, or None."""
         result = await self._objects.get(COPY_OBJECT_NAME)
         if isinstance(result, Err) or result.ok_value is None:
             return None
-        parsed = schema.table_from_json(result.ok_value.decode())
+        parsed = schema.table_from_json(
+            result.ok_value.decode(errors="replace")
+        )
         return parsed.ok_value if isinstance(parsed, Ok) else None
 
     async def write_copy(self, table: model.Table) -> None:
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -8,19 +8,22 @@
 import pathlib
 import tempfile
 
-from result import Err
+from result import Err, Ok
 
 from cases import crash_rows, fuzz, one_lead, peers
 from cases import instance_rows as rows
-from cluster import platform
+from cluster import platform, processes
 from cluster.processes import free_port
 from godwittack import address
 from godwittack.backend import connection, headers, sse
+from godwittack.claim import schema as claim_schema
+from godwittack.claim import store as claim_store
 from godwittack.clock import ManualClock
 from godwittack.config import settings
 from godwittack.core import (
     effects,
     incarnation,
+    inputs,
     quarantine,
     server_inputs,
     weights,
@@ -30,6 +33,8 @@
 from godwittack.member import view
 from godwittack.peer import codec, peer_pb2, pending, wire
 from godwittack.platform import row_pages, servers
+from godwittack.store import protocol
+from godwittack.table import store as table_store
 from standins.replica import Replica
 
 ODD_NUMBERS = (
@@ -118,6 +123,25 @@
     {"deleted": "maybe"},
 )
 
+VALID_INSTANCE = {
+    "role": "service",
+    "target": "portal",
+    "address": "10.0.0.1:1",
+}
+ODD_INSTANCES = (
+    {},
+    {"role": "router", "address": "10.0.0.1:1"},
+    {**VALID_INSTANCE, "address": 5},
+    {**VALID_INSTANCE, "address": "10.0.0.1:70000"},
+    {**VALID_INSTANCE, "address": "10.0.0.1:\u0663\u0663"},
+    {**VALID_INSTANCE, "leaving": "maybe"},
+    {**VALID_INSTANCE, "name": "i-x\r\nEvil: 1"},
+    {**VALID_INSTANCE, "name": None},
+    {**VALID_INSTANCE, "target": _nested(500)},
+)
+
+KEY = work.ClaimKey(workspace="w", service="s", key="k")
+
 
 def _row(more: bytes = b"", **fields) -> bytes:
     """Returns a plain server's row with other fields, and text after them."""
@@ -456,6 +480,56 @@
     one_lead.play(case())
 
 
+async def odd_rows_of_our_own_store_are_errors() -> None:
+    """An odd version, table or claim of our own interface is an error.
+
+    Guards against a daemon that ends as it polls the table, and against a call
+    that waits for its claim until its time is over.
+    """
+    for odd in ("x", "-1", "1.5", "\u0663", "9" * 5_000, DEEP.decode()):
+        store = table_store.TableStore(OddRows(odd), OddRows(odd))
+        assert isinstance(await store.version(), Err), odd[:40]
+        assert isinstance(await store.table(), Err), odd[:40]
+        assert await store.read_copy() is None
+        row = protocol.StoredRow(claim_schema.row_id(KEY), odd, 3)
+        assert claim_schema.from_row(row) is None, odd[:40]
+        claims = claim_store.ClaimStore(OddRows(odd))
+        claim = work.Claim(
+            state=work.ClaimState.CLAIMED,
+            nonce="n",
+            daemon="d",
+            fingerprint="f",
+        )
+        reply = await claims.claim(
+            effects.WriteClaim("r", key=KEY, claim=claim, over_version=0)
+        )
+        assert reply.verdict is inputs.ClaimVerdict.UNANSWERED
+
+
+class OddRows:
+    """A store all of whose rows and objects have one odd value."""
+
+    def __init__(self, value: str) -> None:
+        self._value = value
+
+    async def read(self, row_id):
+        """Returns the row."""
+        return Ok(protocol.StoredRow(row_id, self._value, 3))
+
+    async def transact(self, conditions, writes):
+        """Fails all conditions."""
+        del writes
+        rows = [
+            protocol.StoredRow(c.row_id, self._value, 3) for c in conditions
+        ]
+        return Ok(protocol.TransactionResult(False, tuple(rows)))
+
+    async def get(self, name):
+        """Returns the object, and a byte that is no UTF-8."""
+        del name
+        return Ok(self._value.encode() + b"\xff")
+
+
 def odd_settings_get_one_line() -> None:
     """Settings that can't be read give an error that names the file.
 
@@ -478,6 +552,39 @@
             assert "\n" not in loaded.err_value
 
 
+def odd_entries_of_our_own_list_stop_no_daemon() -> None:
+    """A daemon of our own interface skips odd entries of the instance list.
+
+    Guards against a daemon that ends as it polls the list, again at each start:
+    an entry has no role, no address, or one that can't be called.
+    """
+    cluster = processes.Cluster()
+    try:
+        cluster.start_platform()
+        cluster.start_service("p1", "portal")
+        cluster.start_daemons("d1")
+        for number, fields in enumerate(ODD_INSTANCES):
+            url = cluster.url("platform", f"/instances/odd-{number}")
+            processes.call("PUT", url, fields)
+        cluster.start_service("p2", "portal")
+
+        def is_known() -> bool:
+            assert not cluster.has_ended("d1"), cluster.log("d1")[-2000:]
+            servers = cluster.ready("d1")["servers"]
+            return set(servers) == {"p1", "p2"}
+
+        processes.wait_until("the new server is known", is_known)
+        cluster.kill("d1")
+        cluster.launch_daemon("d1")
+        processes.wait_until(
+            "the daemon is back", lambda: cluster.ready("d1")["ready"]
+        )
+        processes.wait_until("all servers are known", is_known)
+        assert "Traceback" not in cluster.log("d1")
+    finally:
+        cluster.close()
+
+
 async def odd_entries_stop_no_daemon() -> None:
     """Daemons serve and follow the list whatever is written between its rows.
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -26,7 +26,9 @@
       | group       | case |
       | odd_entries | an odd row hides no row beside it |
       | odd_entries | an odd lease row stops no roll out |
+      | odd_entries | odd rows of our own store are errors |
 
     Examples: real processes
       | group       | case |
       | odd_entries | odd entries stop no daemon |
+      | odd_entries | odd entries of our own list stop no daemon |
