Reject malformed heads in the own interface's answers

What callers saw: part of an answer with a length of ours, an empty success, or an answer with status 0 or 99. Cause: an answer counted as marked once it had a Transfer-Encoding, in any coding. aiohttp reads all but chunks to the end of the connection, and takes the last length that it can hold, 2**64 - 1, for none and the body for empty. It also passes any number on as a status, and an upgrade that nobody asked for. Change: a coding other than chunks, a status below 200, and a body that isn't as long as stated fail the attempt, as they do with routed servers. The test failed before the change: "half" was a whole answer under `Transfer-Encoding: gzip`.

--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -31,6 +31,7 @@
 REFUSED_STATUSES = frozenset({429, 503})
 GONE_STATUSES = frozenset({404, 410})
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
+MIN_FINAL_STATUS = 200
 SKIPPED_AUTO_HEADERS = (
     "accept",
     "accept-encoding",
@@ -416,7 +417,9 @@
 
 
 async def _read_answer(response: aiohttp.ClientResponse) -> work.Answer:
+    _check_head(response)
     body = await bounded_client.read_body(response)
+    _check_length(response, len(body))
     headers = tuple(
         work.Header(name, value)
         for name, value in response.headers.items()
@@ -430,6 +433,35 @@
     )
 
 
+def _check_head(response: aiohttp.ClientResponse) -> None:
+    """Raises ClientPayloadError for a head that frames no answer."""
+    if response.status < MIN_FINAL_STATUS:
+        raise aiohttp.ClientPayloadError(f"status {response.status}")
+    for coding in response.headers.getall("transfer-encoding", []):
+        # Any other coding ends with the connection, and its name would not be
+        # forwarded.
+        if coding.strip().lower() != "chunked":
+            raise aiohttp.ClientPayloadError(
+                f"unsupported transfer coding {coding[:100]!r}"
+            )
+
+
+def _check_length(response: aiohttp.ClientResponse, size: int) -> None:
+    """Raises ClientPayloadError if a body is not as long as stated.
+
+    aiohttp takes a length of 2**64 - 1 for none, and returns an empty body.
+    """
+    length = response.headers.get("content-length", "")
+    has_body = (
+        response.method != "HEAD"
+        and response.status not in STATUSES_WITHOUT_BODY
+    )
+    if length and has_body and (length.strip().lstrip("0") or "0") != str(size):
+        raise aiohttp.ClientPayloadError(
+            f"{size} bytes instead of {length[:100]}"
+        )
+
+
 def _is_delimited(response: aiohttp.ClientResponse) -> bool:
     """Returns whether a server marks the end of its answer."""
     return (
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
+from typing import TYPE_CHECKING
 
 from result import Ok
 
 from cases import connections
 from cases.broken_off import WHOLE_STREAM
 from cluster import platform, raw_caller
-from godwittack.core import inputs
+from godwittack.backend import bounded_client, http, protocol
+from godwittack.clock import SystemClock
+from godwittack.core import effects, inputs
 from standins.scripted import Reply, ScriptedServer
 from standins.torn import Form, Torn
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 # Nothing, part of the status line, parts of the headers, and all but the last
 # three, two and one bytes of a head of some 250 bytes.
 PLACES = (0.0, 0.02, 0.06, 0.2, 0.45, 0.7, 0.9, 0.989, 0.994, 0.998)
@@ -362,3 +369,74 @@
             for name in ("r1", "r2"):
                 assert (await backend.send(name)).answered.body == b"1", head
             assert server.connections == connection_count, head
+
+
+@contextlib.asynccontextmanager
+async def _own_backend() -> AsyncIterator[http.HttpBackend]:
+    """Returns the client of servers that speak the own interface."""
+    async with bounded_client.open_session(
+        bounded_client.BoundedConnector(force_close=True)
+    ) as session:
+        yield http.HttpBackend(
+            pooled=session,
+            fresh=session,
+            clock=SystemClock(),
+            connect_timeout_ms=500,
+            control_timeout_ms=500,
+        )
+
+
+async def _send_own(
+    backend: http.HttpBackend, address: str
+) -> connections.Sink:
+    sink = connections.Sink()
+    sent = effects.Dispatch(
+        request_id="r1",
+        attempt_id="r1",
+        server_id="i-1",
+        address=address,
+        stamp=None,
+    )
+    call = protocol.Call(method="POST", path="/x", headers=(), body=b"b")
+    async with asyncio.timeout(2):
+        await backend.send(sent, call, sink)
+    return sink
+
+
+async def an_answer_of_the_own_interface_makes_no_claim() -> None:
+    """Guards against a length of ours for a body whose end is not marked.
+
+    A transfer coding without chunks ends with the connection; the library
+    takes the greatest length for none, and any number for a status.
+    """
+    head = b"HTTP/1.1 200 OK\r\n"
+    malformed = (
+        head + b"Transfer-Encoding: gzip\r\n\r\nhalf",
+        head + b"Transfer-Encoding: xchunked\r\n\r\nhalf",
+        head + b"Transfer-Encoding: identity\r\n\r\nhalf",
+        head + b"Transfer-Encoding: chun\r\n ked\r\n\r\n4\r\nhalf\r\n",
+        head
+        + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\nhalf",
+        head + b"Content-Length: %d\r\n\r\nhalf" % (2**64 - 1),
+        b"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nhalf",
+        b"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nhalf",
+        b"HTTP/1.1 101 OK\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    )
+    whole = (
+        head + b"Content-Length: 4\r\n\r\nbody",
+        head + b"Transfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        head + b"\r\nbody",
+    )
+    async with _own_backend() as backend:
+        for data in malformed:
+            async with ScriptedServer(Reply(data, then="close")) as server:
+                sink = await _send_own(backend, server.address)
+                assert sink.answered is None, (data, sink)
+                broken = (connections.SENT, inputs.FailureCause.BROKEN)
+                assert sink.failure == broken, (data, sink)
+        for data in whole:
+            async with ScriptedServer(Reply(data, then="close")) as server:
+                sink = await _send_own(backend, server.address)
+                assert sink.answered.body == b"body", (data, sink)
+                has_mark = data != whole[-1]
+                assert sink.answered.is_delimited == has_mark, (data, sink)
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -22,3 +22,4 @@
       | a head that breaks off before another is no answer |
       | an unreadable number in a head loses no answer |
       | a connection that its server closes is not used again |
+      | an answer of the own interface makes no claim |
