Ignore signals once a daemon has stopped

What callers saw: nothing; operators saw a planned stop end by a signal (exit code -1 after SIGHUP, -15 after a second SIGTERM), and a log that may lack its last lines. Cause: the event loop restores the signals' default action as it is closed, 0.3 to 0.5 s before the process is gone (the interpreter's cleanup). Change: when the daemon's run has ended, the three signals are ignored. SIGKILL still ends a process that hangs. Own interface: unchanged; it has no handler for SIGHUP at all.

--- a/src/godwittack/daemon/process.py
+++ b/src/godwittack/daemon/process.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import logging as std_logging
+import signal
 import sys
+from typing import TYPE_CHECKING
 
 from absl import flags, logging
 from result import Err, Ok, Result
@@ -14,6 +16,12 @@
 from godwittack.config import settings as configs
 from godwittack.config import validation
 
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+# Signals that the platform sends to a daemon, or a terminal.
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+
 
 def run(path: str) -> Result[None, str]:
     """Runs a daemon until it is stopped.
@@ -54,11 +62,29 @@
         with asyncio.Runner(
             loop_factory=lambda: asyncio.SelectorEventLoop(selector)
         ) as runner:
-            runner.run(daemon_run)
+            runner.run(_run_to_the_end(daemon_run))
     finally:
         writer.close()
 
 
+async def _run_to_the_end(
+    daemon_run: Coroutine[object, object, None],
+) -> None:
+    """Runs a daemon, and ignores signals once it has stopped.
+
+    The event loop restores their default action when it is closed. A further
+    signal would then end the process before its last log lines are written, and
+    its exit code would be that of a daemon that was cut.
+    """
+    try:
+        await daemon_run
+    finally:
+        loop = asyncio.get_running_loop()
+        for number in HANDLED_SIGNALS:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
+
 def _run_own_interface(path: str, loaded: configs.LoadedSettings) -> None:
     from godwittack.daemon import serve
 
--- a/tests/cases/endings.py
+++ b/tests/cases/endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
@@ -26,6 +27,7 @@
 # Buffer of the system for a connection.
 BUFFER_BYTES = 4 << 10
 PAUSE_S = 0.005
+SIGNAL_INTERVAL_S = 0.05
 # Iterations of the event loop between a connection and the end of its listener.
 CROSSINGS = 12
 CALLS_AT_ONCE = 5
@@ -169,6 +171,30 @@
         assert process.returncode == EXIT_BAD_SETTINGS, errors
 
 
+async def further_signals_change_nothing_about_a_stop() -> None:
+    """A daemon that gets signals until it is gone ends as it ends by one.
+
+    Guards against daemons that are ended by a signal after they have stopped,
+    while their process is cleaned up: with the exit code of a daemon that was
+    cut, and perhaps without their last log lines.
+    """
+    async with platform.Platform() as made:
+        process = made.processes[0]
+        calls = [
+            asyncio.create_task(made.call("release", f"r{number}"))
+            for number in range(CALLS_AT_ONCE)
+        ]
+        async with asyncio.timeout(platform.WAIT_S):
+            while process.returncode is None:
+                for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+                    with contextlib.suppress(ProcessLookupError):
+                        process.send_signal(number)
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
+        assert process.returncode == 0, made.log()[-500:]
+        assert all(status == 200 for status, *_ in await asyncio.gather(*calls))
+        assert "event=stopped" in made.log()
+
+
 class _LongAnswer:
     """A backend that answers an attempt with `LONG_ANSWER` once it may."""
 
@@ -335,5 +361,6 @@
     "a_reload_while_a_daemon_starts_does_not_end_it",
     "a_request_survives_the_removal_of_its_model",
     "calls_that_cross_the_end_of_a_daemon_have_not_run",
+    "further_signals_change_nothing_about_a_stop",
     "requests_survive_the_removal_of_their_routes",
 ]
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -13,6 +13,7 @@
     Examples: signals
       | case |
       | a reload while a daemon starts does not end it |
+      | further signals change nothing about a stop |
 
     Examples: attempts that pass another daemon
       | case |
