Pass on attempts with bodies beyond 1 MB for other daemons

What callers saw: where a daemon is cut off from the servers, requests with bodies beyond 1 MB were refused, though the table allows 4 MB by default. Cause: a relay reads the attempt by the HTTP library's own limit for bodies and answered 413. The sender took that as a daemon that declines, and tried the next one until none was left. The test (4 MiB) fails before and passes now. Change: the body is read without that limit. What bodies may take is reserved by their length before, as for callers' own.

--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -207,7 +207,10 @@
             reservation.release()
 
     async def _relay(self, request: web.BaseRequest) -> web.StreamResponse:
-        message = peer_pb2.RelayCall.FromString(await request.read())
+        # Bounded by the memory that is reserved for it, not by the limit of the
+        # HTTP library, which is lower than that of callers' bodies.
+        body = await request.content.read()
+        message = peer_pb2.RelayCall.FromString(body)
         dispatch = codec.dispatch_from_proto(
             message, now_ms=self._clock.now_ms()
         )
--- a/tests/cases/relaying.py
+++ b/tests/cases/relaying.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import aiohttp
 
@@ -22,6 +23,8 @@
 
 SECRET = b"secret of the cluster"
 TIMEOUT_MS = 400
+# The limit that callers have unless the table names one.
+LONG_BODY_BYTES = 4 << 20
 BODY = bytes(range(256)) * 4
 STAMP = work.Stamp(
     workspace="desk", target="m", weights_version="1", incarnation="i-e1"
@@ -176,6 +179,17 @@
         assert ran.workspace == "desk"
 
 
+async def a_long_body_passes_a_relay() -> None:
+    """Guards against bodies that callers may send and relays refuse to read."""
+    async with Relays() as relays:
+        sink = Sink()
+        sent = dataclasses.replace(call(), body=bytes(LONG_BODY_BYTES))
+        await relays.client.send(relays.dispatch(relays.plain), sent, sink)
+        assert sink.answered is not None, sink.failure
+        (ran,) = relays.plain.ran
+        assert len(ran.body) == LONG_BODY_BYTES
+
+
 async def pieces_of_a_stream_pass_a_relay_as_they_come() -> None:
     """Guards against a relay that holds a stream back until its end."""
     async with Relays() as relays:
--- a/tests/features/cut_off.feature
+++ b/tests/features/cut_off.feature
@@ -62,6 +62,7 @@
     Examples: attempts through another daemon
       | case |
       | an answer passes a relay byte for byte |
+      | a long body passes a relay |
       | pieces of a stream pass a relay as they come |
       | a stream is resumed through a relay |
       | a server stops working once the sender has gone |
