Serve connections that are accepted as a daemon stops listening

Cause: asyncio accepts a connection in one iteration and creates its transport in the next, which asserts that the server isn't closed. The stop closed it in between: it looked only at connections that wait in the system's queue. The accepted socket then has no owner, so that the stop doesn't count it either. Change: the daemon stops accepting, lets the loop create the transports, accepts what waits itself, and closes the socket without another iteration in between. It looks for open connections only after all of these are known.

--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import select
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -13,6 +12,7 @@
 from godwittack.entry import connection_timeouts
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Awaitable, Callable
 
     from godwittack.clock import Clock, loop_delay
@@ -22,9 +22,6 @@
 # Limit of the HTTP library for one header line of a request. The table's limit
 # on all headers is checked afterwards, and its refusal names the limit.
 MAX_HEADER_LINE_BYTES = 1 << 16
-# Iterations of the event loop in which connections are still accepted before a
-# listening socket is closed. Each accepts up to HTTP_BACKLOG of them.
-MAX_LAST_ACCEPTS = 8
 
 
 class Listeners:
@@ -98,14 +95,29 @@
         Connections that callers have opened are accepted first: the system
         resets them when the listening socket is closed.
         """
-        for _ in range(MAX_LAST_ACCEPTS):
-            if not self._has_unaccepted():
-                break
-            await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+        for listening in self._listening:
+            for sock in listening.sockets:
+                loop.remove_reader(sock.fileno())
+        # Connections that the event loop has just accepted get their
+        # transports in its next iteration; a closed server gives them none.
+        await asyncio.sleep(0)
+        accepted = [
+            (server, connection)
+            for server, listening in zip(
+                self._servers, self._listening, strict=True
+            )
+            for sock in listening.sockets
+            for connection in _accept_waiting(sock.dup())
+        ]
         for listening in self._listening:
             listening.close()
         for server in self._servers:
             server.refusing = True
+        for server, connection in accepted:
+            await loop.connect_accepted_socket(server, connection)
+        # Their protocols learn of them in the next iteration.
+        await asyncio.sleep(0)
 
     def close_idle(self, *, min_idle_ms: int) -> None:
         """Closes connections that have had no request for some time."""
@@ -116,12 +128,22 @@
         """Returns whether a connection is open or has bytes to send."""
         return any(server.connections for server in self._servers)
 
-    def _has_unaccepted(self) -> bool:
-        poller = select.poll()
-        for listening in self._listening:
-            for sock in listening.sockets:
-                poller.register(sock.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+
+def _accept_waiting(sock: socket.socket) -> list[socket.socket]:
+    """Accepts the connections that wait, and closes this listening socket."""
+    accepted: list[socket.socket] = []
+    with sock:
+        while len(accepted) < HTTP_BACKLOG:
+            try:
+                connection, _ = sock.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                # None is left, or there are no descriptors for them.
+                break
+            connection.setblocking(False)
+            accepted.append(connection)
+    return accepted
 
 
 __all__ = ["Listeners"]
--- /dev/null
+++ b/tests/cases/listeners.py
@@ -0,0 +1,57 @@
+"""HTTP servers of a daemon, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from aiohttp import web
+
+from cluster import processes
+from godwittack.clock import SystemClock
+from godwittack.daemon import listeners
+
+REQUEST = b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"
+CONNECTIONS = 20
+ANSWERED_S = 2.0
+
+
+async def connections_opened_before_the_stop_are_served():
+    """A connection that a caller has opened is accepted and keeps working.
+
+    Guards against connections lost when the listening socket is closed: those
+    that the event loop had just accepted had no transport yet, and a closed
+    server gives them none; those that waited in the system's queue are reset.
+    """
+    for iterations in range(4):
+        await _connect_and_stop(iterations)
+
+
+async def _connect_and_stop(iterations: int) -> None:
+    async def handle(request):
+        del request
+        return web.Response(body=b"whole")
+
+    served = listeners.Listeners(SystemClock())
+    port = processes.free_port()
+    await served.listen(f"127.0.0.1:{port}", handle)
+    connections = [
+        socket.create_connection(("127.0.0.1", port))
+        for _ in range(CONNECTIONS)
+    ]
+    for _ in range(iterations):
+        await asyncio.sleep(0)
+    await served.stop()
+    assert served.has_connections()
+    for connection in connections:
+        connection.setblocking(False)
+        reader, writer = await asyncio.open_connection(sock=connection)
+        writer.write(REQUEST)
+        async with asyncio.timeout(ANSWERED_S):
+            assert b"whole" in await reader.readuntil(b"whole")
+        writer.close()
+    try:
+        await asyncio.open_connection("127.0.0.1", port)
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the daemon still listens")
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -44,6 +44,7 @@
     "rate_limits",
     "quotas",
     "connection_timeouts",
+    "listeners",
     "quarantines",
     "repeating",
     "repeats",
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -67,6 +67,10 @@
       | connection_timeouts | a stopping server answers pipelined requests |
       | connection_timeouts | a connection whose body is still discarded is not idle |
 
+    Examples: servers for callers
+      | group     | case |
+      | listeners | connections opened before the stop are served |
+
     Examples: malformed bytes
       | group | case |
       | fuzz  | an answer is complete or rejected however it is split |
