Stop daemons with the own interface without cutting requests

With callers that always have a request in flight the stop lasted until its patience ended (22 s for 20 s; 600 s by default). Answers read for longer than some 12 s, and runs left at the end of the patience, ended without an answer. Cause: the stop waited until the core had no request, which open connections can prevent for ever. Then aiohttp's cleanup marked each connection as closing, after which it drops the bytes that arrive, so that bodies never end; it cancelled what was left after 5 s, twice. Change: the application is served by TimeoutServer, and the stop is Shutdown, as on the platform: from SIGTERM on answers carry Connection: close and readiness is 503; once callers hold no address idle connections are closed and requests refused by their head (503, not run). Bodies under way have body_timeout_ms, since the patience allows it. Heads that never end are closed after that time, too, as the stop waits for all connections. Why it works: nothing that can bring a request, or takes an answer, is open when the process ends. The entry on the core's own condition is replaced by one on Shutdown's, which looks at the same and more: the daemon no longer ends by the core's.

--- a/src/godwittack/core/refusing.py
+++ b/src/godwittack/core/refusing.py
@@ -150,11 +150,13 @@
     outcome: effects.Outcome,
     reason: effects.Reason,
 ) -> int:
-    # Callers that use a route take 503 to mean that nothing has run.
+    # Callers that use a route take 503 to mean that nothing has run; all
+    # callers take a stop's 503 to mean that another daemon can run it.
     may_have_run = outcome is not effects.Outcome.NOT_RUN
     if reason is effects.Reason.TOO_LARGE and not may_have_run:
         return STATUS_TOO_LARGE
-    return 502 if request.work.route and may_have_run else 503
+    is_final = request.work.route or reason is effects.Reason.STOPPING
+    return 502 if is_final and may_have_run else 503
 
 
 __all__ = [
--- a/src/godwittack/core/stopping.py
+++ b/src/godwittack/core/stopping.py
@@ -47,7 +47,12 @@
     """
     for request in list(world.requests.values()):
         if request.open_attempts:
-            closing.cancel_attempts(world, request, stop_engine=True)
+            # Callers of the project's own interface can resume their streams
+            # through other daemons.
+            is_resumable = request.answer_started and not request.work.route
+            closing.cancel_attempts(
+                world, request, stop_engine=not is_resumable
+            )
             request.may_have_run = True
         refusing.refuse_unassigned(
             world,
--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -22,6 +22,8 @@
 # Limit of the HTTP library for one header line of a request. The table's limit
 # on all headers is checked afterwards, and its refusal names the limit.
 MAX_HEADER_LINE_BYTES = 1 << 16
+# The same limit for web applications, which have none of their own.
+MAX_APP_HEADER_LINE_BYTES = 8_190
 
 
 class Listeners:
@@ -46,12 +48,40 @@
         Raises:
             OSError: The address is in use.
         """
+        # Bodies are forwarded as received, compressed or not.
         server = connection_timeouts.TimeoutServer(
             handler,
             clock=self._clock,
             max_line_bytes=MAX_HEADER_LINE_BYTES,
             delay=self._delay,
         )
+        await self._listen(address, server)
+
+    async def listen_app(self, address: str, runner: web.AppRunner) -> None:
+        """Starts a server at an address for a web application.
+
+        Args:
+            address: Host and port.
+            runner: Has set up the application, whose routes are used.
+
+        Raises:
+            OSError: The address is in use.
+        """
+        routes = runner.server
+        assert routes is not None
+        server = connection_timeouts.TimeoutServer(
+            routes.request_handler,
+            clock=self._clock,
+            max_line_bytes=MAX_APP_HEADER_LINE_BYTES,
+            delay=self._delay,
+            request_factory=routes.request_factory,
+            decompresses=True,
+        )
+        await self._listen(address, server)
+
+    async def _listen(
+        self, address: str, server: connection_timeouts.TimeoutServer
+    ) -> None:
         host, port = addresses.split(address)
         loop = asyncio.get_running_loop()
         listening = await loop.create_server(
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -3,26 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 
 from absl import logging
 from aiohttp import web
 
-from godwittack import address as addresses
 from godwittack.backend import bounded_client
 from godwittack.backend import http as backend_http
 from godwittack.claim import store as claim_store
-from godwittack.core import inputs
 from godwittack.daemon import (
     base,
     change,
     lead,
+    listeners,
     listing,
     observer,
     peer_updates,
     runtime,
     server_watcher,
+    shutdown,
     tables,
 )
 from godwittack.entry import bodies, calls, operator_api, status, token
@@ -31,14 +30,15 @@
 from godwittack.report import counters
 from godwittack.session import record
 from godwittack.store import http as platform_http
+from godwittack.table import forwarding
 from godwittack.table import store as table_store
 
 if TYPE_CHECKING:
     from godwittack.config import settings as configs
 
 POOL_CONNECTIONS = 4_000
-HTTP_BACKLOG = 1_024
-SHUTDOWN_S = 5.0
+# Interval between two searches for connections with slow request headers.
+CLEANUP_INTERVAL_MS = 500
 
 
 class Daemon:
@@ -148,7 +148,10 @@
         self._peer_server = components.build_peer_server(
             self.gossiper, self._relay_server
         )
-        self._app = self._build_app(loaded, store, platform, counts)
+        self._runner = web.AppRunner(
+            self._build_app(loaded, store, platform, counts)
+        )
+        self._listeners = listeners.Listeners(components.clock)
         self._background_tasks = base.BackgroundTasks()
 
     async def run(self) -> None:
@@ -165,7 +168,7 @@
         self._streams.connect(core=self.runtime, updates=self._peer_updates)
         await self._prepare()
         self._start_background_tasks()
-        runner = await self._listen()
+        await self._listen()
         self.gossiper.announce()
         logging.info(
             "event=serving daemon=%s http=%s peer=%s",
@@ -174,7 +177,7 @@
             self._settings.peer_address,
         )
         await stop.wait()
-        await self._stop(runner)
+        await self._stop()
 
     async def _prepare(self) -> None:
         """Fetches members, table and servers before the first request."""
@@ -210,20 +213,26 @@
             self._leader.lead_forever(step_ms=settings.lead_step_ms)
         )
 
-    async def _listen(self) -> web.AppRunner:
-        runner = web.AppRunner(
-            self._app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_S,
-        )
-        await runner.setup()
-        host, port = addresses.split(self._settings.http_address)
-        site = web.TCPSite(runner, host, port, backlog=HTTP_BACKLOG)
-        await site.start()
-        return runner
+    async def _listen(self) -> None:
+        await self._runner.setup()
+        await self._listeners.listen_app(
+            self._settings.http_address, self._runner
+        )
+        self._background_tasks.start(self._close_slow_forever())
+
+    async def _close_slow_forever(self) -> None:
+        """Closes connections whose request headers never end.
+
+        A planned stop waits until all connections have ended.
+        """
+        limits = forwarding.CallerLimits(
+            header_timeout_ms=self._settings.body_timeout_ms
+        )
+        while True:
+            await asyncio.sleep(CLEANUP_INTERVAL_MS / 1000)
+            self._listeners.close_slow_connections(limits)
 
-    async def _stop(self, runner: web.AppRunner) -> None:
+    async def _stop(self) -> None:
         """Announces the stop, waits for callers to leave, drains, then closes.
 
         Callers keep an address for `address_keep_ms` after they received it.
@@ -231,22 +240,32 @@
         stopped recommending it, so that no caller is refused a connection.
         """
         settings = self._settings
+        stop = shutdown.Shutdown(
+            daemon_runtime=self.runtime,
+            caller_listeners=self._listeners,
+            relay=self._relay_server,
+        )
         await self.gossiper.stop()
-        await asyncio.sleep(
-            (settings.address_keep_ms + settings.gossip_ms) / 1000
-        )
-        self.runtime.submit(inputs.StopOrdered(self.runtime.clock.now_ms()))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(settings.stop_patience_ms / 1000):
-                await self.runtime.stopped.wait()
-                await self._relay_server.wait_until_idle()
-        await runner.cleanup()
+        expires_ms = (
+            self.runtime.clock.now_ms()
+            + settings.address_keep_ms
+            + settings.gossip_ms
+        )
+        await stop.drain(
+            expires_ms=expires_ms,
+            deadline_ms=expires_ms + settings.stop_patience_ms,
+            bodies_ms=settings.body_timeout_ms,
+        )
+        await self._close()
+        stop.log_end()
+
+    async def _close(self) -> None:
         await self._background_tasks.cancel()
         self._server_watcher.close()
         self._peer_updates.close()
         await self.runtime.close()
         await self._components.close(self._peer_server)
-        logging.info("event=stopped")
+        await self._runner.cleanup()
 
     def _build_app(
         self,
--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -47,18 +47,26 @@
         self._listeners.begin_stop()
         self._log("stopping")
 
-    async def drain(self, *, expires_ms: int, deadline_ms: int) -> None:
+    async def drain(
+        self,
+        *,
+        expires_ms: int,
+        deadline_ms: int,
+        bodies_ms: int = LAST_BODIES_MS,
+    ) -> None:
         """Waits until callers have left and their requests have ended.
 
         Args:
             expires_ms: When no caller holds this daemon's address any more.
             deadline_ms: When the process must end.
+            bodies_ms: Time for bodies that are under way when the daemon stops
+                listening.
         """
         while self._clock.now_ms() < min(expires_ms, deadline_ms):
             await asyncio.sleep(POLL_S)
         await self._listeners.stop()
         self._log("not_listening")
-        bodies_until_ms = self._clock.now_ms() + LAST_BODIES_MS
+        bodies_until_ms = self._clock.now_ms() + bodies_ms
         await self._wait_until_ended(min(bodies_until_ms, deadline_ms))
         self._runtime.submit(inputs.StopOrdered(self._clock.now_ms()))
         await self._wait_until_ended(deadline_ms)
--- a/src/godwittack/entry/calls.py
+++ b/src/godwittack/entry/calls.py
@@ -10,9 +10,10 @@
 from result import Err
 
 from godwittack.backend import protocol as backend
-from godwittack.core import effects, inputs, work
+from godwittack.core import effects, inputs, stopping, work
 from godwittack.entry import (
     bodies,
+    connection_timeouts,
     delimiting,
     parse,
     refusal,
@@ -86,6 +87,8 @@
 
     async def resume(self, request: web.Request) -> web.StreamResponse:
         """Serves `/v1/resume`: the rest of a stream started on any daemon."""
+        if connection_timeouts.must_refuse(request):
+            return await self._refuse_stopping(request)
         resume_point = self.signer.verify(
             request.headers.get(RESUME_HEADER, "")
         )
@@ -196,6 +199,8 @@
         if start.late:
             headers["x-late"] = "true"
         response = web.StreamResponse(headers=headers)
+        if connection_timeouts.must_close(request):
+            response.force_close()
         await response.prepare(request)
         while True:
             match await caller.get():
@@ -220,12 +225,14 @@
     async def _read_body(
         self, request: web.Request
     ) -> tuple[bytes, reservations.Reservation] | web.Response:
+        if connection_timeouts.must_refuse(request):
+            return await self._refuse_stopping(request)
         if self._bodies_arriving >= self.settings.max_bodies_arriving:
             response = refusal.error_response(
                 "too many requests are arriving", status=503, reason="busy"
             )
             response.headers["retry-after"] = str(BUSY_RETRY_AFTER_S)
-            return response
+            return await self._respond_unread(request, response)
         self._bodies_arriving += 1
         try:
             read = await self.body_reader.read(
@@ -239,9 +246,12 @@
             return read.ok_value
         error = read.err_value
         if error.retry_after_ms:
-            return refusal.refusal_response(
-                error.refusal(""),
-                echoed_id=request.headers.get("x-request-id", ""),
+            return await self._respond_unread(
+                request,
+                refusal.refusal_response(
+                    error.refusal(""),
+                    echoed_id=request.headers.get("x-request-id", ""),
+                ),
             )
         response = refusal.error_response(
             error.detail, status=error.status, reason="bad_body"
@@ -249,6 +259,37 @@
         response.force_close()
         return response
 
+    async def _refuse_stopping(self, request: web.Request) -> web.Response:
+        """Refuses a request that came after the daemon stopped listening."""
+        request_id = self.runtime.next_request_id()
+        refused = stopping.refusal(request_id)
+        self.runtime.record_event(
+            effects.Event(
+                "refused",
+                request_id,
+                (
+                    effects.Field("reason", refused.reason.value),
+                    effects.Field("outcome", refused.outcome.value),
+                    effects.Field("status", refused.status),
+                    effects.Field("retry_after_ms", refused.retry_after_ms),
+                ),
+            )
+        )
+        echoed_id = request.headers.get("x-request-id", "") or request_id
+        return await self._respond_unread(
+            request, refusal.refusal_response(refused, echoed_id=echoed_id)
+        )
+
+    async def _respond_unread(
+        self, request: web.Request, response: web.Response
+    ) -> web.Response:
+        """Answers a request whose body was not read."""
+        if connection_timeouts.must_close(request):
+            response.force_close()
+        return await bodies.discard(
+            request, response, timeout_ms=self.settings.body_timeout_ms
+        )
+
     def _workspace_for(self, token_digest: str) -> str:
         table = self.runtime.core.world.table
         return table.workspace_by_token.get(token_digest, "")
--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -24,6 +24,7 @@
     from godwittack.table import forwarding
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    RequestFactory = Callable[..., web.BaseRequest]
 
 
 # Buffer of the operating system for each connection: otherwise it accepts up to
@@ -88,6 +89,8 @@
         clock: Clock,
         max_line_bytes: int,
         delay: loop_delay.ReadDelay | None = None,
+        request_factory: RequestFactory | None = None,
+        decompresses: bool = False,
     ) -> None:
         """Serves requests.
 
@@ -96,12 +99,20 @@
             clock: Source of time.
             max_line_bytes: Maximum length of a line in a request's head.
             delay: How late the event loop may read; None for no delay.
+            request_factory: Creates the requests of a web application; None
+                for requests without one.
+            decompresses: Whether bodies are decompressed.
         """
-        super().__init__(self._handle, handler_cancellation=True)
+        super().__init__(
+            self._handle,
+            request_factory=request_factory,
+            handler_cancellation=True,
+        )
         self._serve = handler
         self._clock = clock
         self._max_line_bytes = max_line_bytes
         self._delay = delay or loop_delay.NoDelay()
+        self._decompresses = decompresses
         self.stopping = False
         self.refusing = False
         self.last_request_ms = 0
@@ -114,6 +125,7 @@
             loop=self._loop,
             max_line_bytes=self._max_line_bytes,
             delay=self._delay,
+            decompresses=self._decompresses,
         )
 
     def close_overdue(self, limits: forwarding.CallerLimits) -> int:
@@ -189,6 +201,7 @@
         loop: asyncio.AbstractEventLoop,
         max_line_bytes: int,
         delay: loop_delay.ReadDelay,
+        decompresses: bool,
     ) -> None:
         super().__init__(
             manager,
@@ -196,8 +209,7 @@
             access_log=None,  # type: ignore[arg-type]
             max_line_size=max_line_bytes,
             max_field_size=max_line_bytes,
-            # Bodies are forwarded as received, compressed or not.
-            auto_decompress=False,
+            auto_decompress=decompresses,
         )
         self._server = manager
         self._clock = clock
--- a/src/godwittack/entry/status.py
+++ b/src/godwittack/entry/status.py
@@ -81,10 +81,11 @@
         """Returns whether new requests are accepted, and the reasons."""
         del request
         world = self.runtime.core.world
-        ready = world.has_serving_lease and not world.stopping
+        stopping = self.members.me.state is view.MemberState.LEAVING
+        ready = world.has_serving_lease and not stopping
         body = {
             "ready": ready,
-            "stopping": world.stopping,
+            "stopping": stopping,
             "right_to_serve": world.has_serving_lease,
             "table_version": world.table.version,
             "in_flight": len(world.requests),
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -64,6 +64,7 @@
     "fuzz",
     "engine_memory",
     "uneven_bench",
+    "own_stop",
 )
 
 
--- a/tests/features/promises/graceful_stop.feature
+++ b/tests/features/promises/graceful_stop.feature
@@ -35,3 +35,16 @@
     And key "claim-31" is sent through daemon 1, which gets SIGTERM during the call
     Then the answer has status 200
     And the service ran key "claim-31" 1 times
+
+  Scenario Outline: <case>
+    # Each case's docstring in tests/cases states the failure that it guards
+    # against.
+    When the case "<case>" of "<group>" is played
+
+    Examples: connections that callers keep open
+      | group    | case |
+      | own_stop | a stop ends while callers keep sending |
+      | own_stop | an answer read slowly outlives the stop |
+      | own_stop | requests left when the patience ends are answered |
+      | own_stop | a body that arrives during the stop is answered |
+      | own_stop | connections without a request do not delay the stop |
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -64,6 +64,7 @@
                 "path": request.raw_path,
                 "method": request.method,
                 "bytes": len(body),
+                "padding": "x" * self.faults.values.get("answer_bytes", 0),
             },
             headers={"x-service": "stand-in"},
         )
