--- a/src/godwittack/accepting/__init__.py
+++ b/src/godwittack/accepting/__init__.py
@@ -81,6 +81,8 @@
         while True:
             try:
                 accepted.append(listening.accept()[0])
+            except ConnectionAbortedError:
+                continue
             except OSError:
                 # None waits, or there is no descriptor left for one.
                 return accepted
--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -21,6 +21,8 @@
 # Limit of the HTTP library for one header line of a request. The table's limit
 # on all headers is checked afterwards, and its refusal names the limit.
 MAX_HEADER_LINE_BYTES = 1 << 16
+# The same limit for web applications, which have none of their own.
+MAX_APP_HEADER_LINE_BYTES = 8_190
 
 
 class Listeners:
@@ -45,12 +47,40 @@
         Raises:
             OSError: The address is in use.
         """
+        # Bodies are forwarded as received, compressed or not.
         server = connection_timeouts.TimeoutServer(
             handler,
             clock=self._clock,
             max_line_bytes=MAX_HEADER_LINE_BYTES,
             delay=self._delay,
         )
+        await self._listen(address, server)
+
+    async def listen_app(self, address: str, runner: web.AppRunner) -> None:
+        """Starts a server at an address for a web application.
+
+        Args:
+            address: Host and port.
+            runner: Has set up the application, whose routes are used.
+
+        Raises:
+            OSError: The address is in use.
+        """
+        routes = runner.server
+        assert routes is not None
+        server = connection_timeouts.TimeoutServer(
+            routes.request_handler,
+            clock=self._clock,
+            max_line_bytes=MAX_APP_HEADER_LINE_BYTES,
+            delay=self._delay,
+            request_factory=routes.request_factory,
+            decompresses=True,
+        )
+        await self._listen(address, server)
+
+    async def _listen(
+        self, address: str, server: connection_timeouts.TimeoutServer
+    ) -> None:
         host, port = addresses.split(address)
         listener = await accepting.Listener.open(
             server, host, port, backlog=HTTP_BACKLOG
@@ -82,16 +112,18 @@
         """When the head of the last request was read."""
         return max(server.last_request_ms for server in self._servers)
 
-    def begin_stop(self, *, refuse_from_ms: int) -> None:
-        """Closes each connection after its next response from now on.
+    def begin_stop(self) -> None:
+        """Closes each connection after its next response from now on."""
+        for server in self._servers:
+            server.stopping = True
 
-        Args:
-            refuse_from_ms: From when on requests are refused. By the clock, so
-                that a late event loop begins none after it.
+    def refuse_from(self, at_ms: int) -> None:
+        """Refuses requests that are read after a time.
+
+        By the clock, so that a late event loop begins none after it.
         """
         for server in self._servers:
-            server.stopping = True
-            server.refuse_from_ms = refuse_from_ms
+            server.refuse_from_ms = at_ms
 
     async def stop(self) -> None:
         """Accepts no more connections."""
--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -32,19 +31,6 @@
 FINAL_ANSWERS_MS = 500
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class StopTimes:
-    """Times of a stop, from the signal on.
-
-    Attributes:
-        address_ms: For how long callers may hold this daemon's address.
-        limit_ms: After which requests get their final answers.
-    """
-
-    address_ms: int
-    limit_ms: int
-
-
 class Shutdown:
     """The stop of one daemon."""
 
@@ -54,7 +40,6 @@
         daemon_runtime: runtime.Runtime,
         caller_listeners: listeners.Listeners,
         relay: relay_server.RelayServer,
-        times: StopTimes,
     ) -> None:
         """Begins the stop, with the components that still serve."""
         self._runtime = daemon_runtime
@@ -62,21 +47,30 @@
         self._listeners = caller_listeners
         self._relay = relay
         self._started_ms = self._clock.now_ms()
-        self._expires_ms = self._started_ms + times.address_ms
-        self._deadline_ms = self._started_ms + times.limit_ms
-        self._listeners.begin_stop(
-            refuse_from_ms=self._expires_ms - SIGNAL_DELAY_MS
-        )
+        self._expires_ms = self._started_ms
+        self._listeners.begin_stop()
         self._log("stopping")
 
-    async def drain(self) -> None:
-        """Waits until callers have left and their requests have ended."""
-        deadline_ms = self._deadline_ms
+    def set_expiry(self, expires_ms: int) -> None:
+        """Sets when no caller holds this daemon's address any more."""
+        self._expires_ms = expires_ms
+        self._listeners.refuse_from(expires_ms - SIGNAL_DELAY_MS)
+
+    async def drain(
+        self, *, deadline_ms: int, bodies_ms: int = LAST_BODIES_MS
+    ) -> None:
+        """Waits until callers have left and their requests have ended.
+
+        Args:
+            deadline_ms: When requests that are left get their final answers.
+            bodies_ms: Time for bodies that are under way when the daemon stops
+                listening.
+        """
         while self._clock.now_ms() < min(self._expires_ms, deadline_ms):
             await asyncio.sleep(POLL_S)
         await self._listeners.stop()
         self._log("not_listening")
-        bodies_until_ms = self._clock.now_ms() + LAST_BODIES_MS
+        bodies_until_ms = self._clock.now_ms() + bodies_ms
         await self._wait_until_ended(min(bodies_until_ms, deadline_ms))
         self._submit(inputs.StopOrdered(self._clock.now_ms()))
         await self._wait_until_ended(deadline_ms)
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -45,6 +45,7 @@
     "rate_limits",
     "quotas",
     "connection_timeouts",
+    "listeners",
     "quarantines",
     "repeating",
     "repeats",
@@ -68,6 +69,7 @@
     "engine_memory",
     "uneven_bench",
     "endings",
+    "own_stop",
 )
 
 
