Test requests around a planned stop with real processes

Cause of the gap: callers of the tests opened a connection for each call, or all answers had come before the process ended. The stand-in of a server takes the length of a run by request and the answer to a call, and a row has the server's slots.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -50,6 +50,7 @@
     "availability",
     "withdrawing",
     "cut_off",
+    "stopping",
     "broken_off",
     "versions",
     "stream_versions",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -252,7 +252,7 @@
             "address": address,
             "zone": "north",
             "version": replica.software,
-            "slots": 16,
+            "slots": replica.slots,
             "state": "ready",
             "cold-remaining-ms": 0,
             "sequence": 1,
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -14,7 +14,7 @@
 from standins import endings, endless
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 HEADER_PREFIX = "X-Godwittack-"
 CONTROL_PATHS = ("/report", "/kv-events")
@@ -107,6 +107,10 @@
     rest_s: float
 
 
+def _reversed(body: bytes) -> bytes:
+    return body[::-1] or b"empty"
+
+
 class Replica:
     """One backend server; engines have a model."""
 
@@ -143,6 +147,11 @@
         self.slots = 16
         self.queue = 16
         self.work_s = 0.02
+        # How long a request runs, by its id; None for `work_s` and
+        # `event_gap_s`.
+        self.work_s_by_request: Callable[[str], float] | None = None
+        # Answers a plain call, by its body.
+        self.answer_to: Callable[[bytes], bytes] = _reversed
         self.running = 0
         self.waiting = 0
         self.rejected_s: list[float] = []
@@ -383,8 +392,11 @@
                 return web.Response(headers=headers)
             if self.streams:
                 return await self._stream(request, headers)
-            await asyncio.sleep(self.work_s)
-            return web.Response(body=body[::-1] or b"empty", headers=headers)
+            if self.work_s_by_request is None:
+                await asyncio.sleep(self.work_s)
+            else:
+                await asyncio.sleep(self.work_s_by_request(request_id))
+            return web.Response(body=self.answer_to(body), headers=headers)
         except (asyncio.CancelledError, ConnectionError):
             self.cancelled.append(request_id)
             raise
@@ -453,6 +465,10 @@
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
         after = int(request.headers.get("Last-Event-Id", "0"))
+        gap_s = self.event_gap_s
+        if self.work_s_by_request is not None:
+            request_id = request.headers[HEADER_PREFIX + "Request-Id"]
+            gap_s = self.work_s_by_request(request_id) / self.event_count
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
@@ -464,7 +480,7 @@
                 return response
             await self._outlast_silence()
             await response.write(self._event(number))
-            await asyncio.sleep(self.event_gap_s)
+            await asyncio.sleep(gap_s)
         await self._outlast_silence()
         await response.write_eof()
         return response
