Test connections that are accepted as a daemon stops listening

Cause: the event loop accepts a connection and makes its transport in a later iteration; the listener is closed in between, and the transport can't attach to a closed listener. The socket is left open, unread and uncounted.

--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import contextlib
+import socket
 import types
 
 from aiohttp import web
 
+from cluster import processes
 from godwittack.clock import ManualClock
+from godwittack.daemon import listeners
 from godwittack.entry import connection_timeouts
 from godwittack.table import forwarding
 
 LIMITS = forwarding.CallerLimits(header_timeout_ms=1_000, idle_timeout_ms=5_000)
 REQUEST = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
 MAX_LINE_BYTES = 1 << 16
+ANSWER_S = 2.0
 # More than both ends of a connection buffer.
 LONG_ANSWER_BYTES = 32 << 20
 
@@ -173,3 +177,28 @@
         answers = await setup.reader.read()
         assert answers.count(b"whole") == 2, answers
         assert answers.count(b"Connection: close") == 1, answers
+
+
+async def a_connection_accepted_as_a_daemon_stops_listening_is_answered():
+    """A caller that connects just before gets an answer.
+
+    Guards against an accepted connection that is neither read nor closed: the
+    listener was closed before the event loop had made its transport.
+    """
+
+    async def handle(request):
+        return web.Response(body=await request.read())
+
+    port = processes.free_port()
+    served = listeners.Listeners(ManualClock(1_000))
+    await served.listen(f"127.0.0.1:{port}", handle)
+    connection = socket.create_connection(("127.0.0.1", port))
+    connection.sendall(REQUEST + b"abc")
+    connection.setblocking(False)
+    await served.stop()
+    reader, writer = await asyncio.open_connection(sock=connection)
+    try:
+        async with asyncio.timeout(ANSWER_S):
+            assert await reader.readuntil(b"abc")
+    finally:
+        writer.close()
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -65,6 +65,7 @@
       | connection_timeouts | an answer that is read slowly is not idle |
       | connection_timeouts | an idle connection with unread bytes is not closed |
       | connection_timeouts | a stopping server answers pipelined requests |
+      | connection_timeouts | a connection accepted as a daemon stops listening is answered |
 
     Examples: malformed bytes
       | group | case |
