--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -73,6 +73,7 @@
     Examples: servers for callers
       | group     | case |
       | listeners | connections opened before the stop are served |
+      | connection_timeouts | a connection accepted as a daemon stops listening is answered |
 
     Examples: malformed bytes
       | group | case |
