Don't blame servers for heads that can't be sent

Callers saw: 502 for requests of a workspace whose name is beyond Latin-1, and for prompts while the configuration names a store of cached state with an odd port; then 503 for other requests of the same service, whose servers were ejected one after the other.

Cause: the head of a call was encoded after the attempt counted as sent, so the error of the encoder counted as a connection that broke. A name with a line break was written as it is, and would have added a header.

Evidence: attempt_failed with step=sent and the encoder's message, then server_ejected; 8 of 12 requests of the workspace got 502, the others 503.

Fix: an attempt whose head can't be encoded, or has a line break, ends as declined before anything is sent: 503, not run, and no failure of the server. A store whose address can't be called is left out and logged.

Both cases added here fail on the sources before this.

--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -52,6 +52,10 @@
     """The deadline for an answer passed before anything was sent."""
 
 
+class UnsendableError(Exception):
+    """A call has a header that can't be sent; no server is to blame."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ControlCall:
     """A call that is not a caller's request.
@@ -89,6 +93,9 @@
             dispatch: The attempt.
             call: The caller's request.
             remaining_ms: Time left for the answer; 0 for no limit.
+
+        Raises:
+            ValueError: A header can't be sent.
         """
 
     def matches(self, reply: connections.Reply, call: protocol.Call) -> bool:
@@ -184,7 +191,7 @@
                 inputs.FailureCause.WITHHELD,
                 str(error),
             )
-        except DeadlineExceededError as error:
+        except (DeadlineExceededError, UnsendableError) as error:
             sink.failed(
                 inputs.FailurePhase.DECLINED,
                 inputs.FailureCause.REFUSED,
@@ -338,8 +345,12 @@
         remaining_ms = self._remaining_ms(dispatch)
         if not self.may_send(dispatch):
             raise WithheldError(f"{dispatch.server_id} wants no work any more")
+        try:
+            head = self._format.request_head(dispatch, call, remaining_ms)
+        except ValueError as error:
+            raise UnsendableError(f"its head can't be sent: {error}") from error
         connection.send(
-            self._format.request_head(dispatch, call, remaining_ms),
+            head,
             call.body,
             matches=lambda reply: self._format.matches(reply, call),
             request_id=call.request_id,
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -212,7 +212,12 @@
 
 
 def _encode_head(lines: list[str]) -> bytes:
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+    """Returns a head; raises ValueError if a line can't be part of it."""
+    head = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if head.count("\n") != breaks or head.count("\r") != breaks:
+        raise ValueError("a header has a line break")
+    return (head + "\r\n\r\n").encode("latin-1")
 
 
 __all__ = ["ServerFormat"]
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 import pydantic
+from absl import logging
 from result import Err, Ok, Result
 
+from godwittack import address as addresses
 from godwittack.backend import json_fields
 from godwittack.platform import names, wire
 from godwittack.table import forwarding, model
@@ -189,7 +191,7 @@
                 link_mbps=service.link_mbps,
             )
             for service in config.services
-            if service.kv_store_addr
+            if service.kv_store_addr and _is_callable(service)
         ),
         isolated=frozenset(t.name for t in config.tenants if t.isolated),
         priorities={
@@ -200,6 +202,18 @@
     )
 
 
+def _is_callable(store: _Service) -> bool:
+    """Returns whether a store can be used; prompts are computed without it."""
+    is_callable = addresses.is_callable(store.kv_store_addr)
+    if not is_callable:
+        logging.warning(
+            "event=kv_store_refused name=%r address=%r",
+            store.name,
+            store.kv_store_addr,
+        )
+    return is_callable
+
+
 def _route(route: _Route) -> forwarding.Route:
     split = route.traffic_split or [_Split(service=route.service)]
     return forwarding.Route(
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -13,7 +13,7 @@
 from absl import logging
 from result import Err, Ok
 
-from cases import crash_rows, fuzz, one_lead, peers
+from cases import connections, crash_rows, fuzz, one_lead, peers
 from cases import instance_rows as rows
 from cluster import platform, processes
 from cluster.processes import free_port
@@ -36,6 +36,7 @@
 from godwittack.member import view
 from godwittack.peer import codec, peer_pb2, pending, wire
 from godwittack.platform import instances, row_pages, servers
+from godwittack.platform import table as table_rows
 from godwittack.store import protocol
 from godwittack.table import store as table_store
 from standins.replica import Replica
@@ -295,6 +296,44 @@
         assert server_connection.keep_alive_ms in (0, 1_000), odd
 
 
+async def a_head_that_can_t_be_sent_is_not_sent() -> None:
+    """A call with a header that can't be encoded fails without being sent.
+
+    Guards against a sound server that is ejected, and a caller that is told
+    that its call may have run: a workspace has a name beyond Latin-1, or with a
+    line break, which would add a header.
+    """
+    async with connections.ScriptedServer(
+        connections.Reply(connections.complete(b"1"))
+    ) as server:
+        backend = connections.Backend(server)
+        for odd in ("d\u20ac", "d\r\nEvil: 1", "d\nx", "\udcff"):
+            sink = await backend.send(workspace=odd)
+            assert sink.failure == (
+                inputs.FailurePhase.DECLINED,
+                inputs.FailureCause.REFUSED,
+            ), (odd, sink.failure)
+        assert (await backend.send("r2")).answered.body == b"1"
+
+
+def an_odd_store_of_cached_state_is_left_out() -> None:
+    """A configuration takes effect without a store that can't be called.
+
+    Guards against prompts that fail as the address of the store can't be sent
+    in a header.
+    """
+    config = platform.config(2)
+    for number, odd in enumerate(("nonsense", "a:70000", "10.0.0.1:\u0663")):
+        service = {"name": f"kv-{number}", "kv-store-addr": odd}
+        config["services"].append(service)
+    config["services"].append({"name": "kv", "kv-store-addr": "10.0.0.1:80"})
+    row = protocol.ChangedRow(key="config", value=json.dumps(config), version=2)
+    decoded = table_rows.table_from_rows({"config": row}, version=2, weights={})
+    table = decoded.ok_value
+    assert [store.name for store in table.forwarding.kv_stores] == ["kv"]
+    assert set(table.services) == {"app"} and set(table.models) == {"llm"}
+
+
 def odd_counts_of_a_server_are_not_taken() -> None:
     """A report or load header with an impossible count does not count.
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -13,6 +13,8 @@
       | odd_entries | an odd start takes no server's address |
       | odd_entries | an odd number in text is no number |
       | odd_entries | an odd idle limit loses no answer |
+      | odd_entries | a head that can't be sent is not sent |
+      | odd_entries | an odd store of cached state is left out |
       | odd_entries | odd settings get one line |
 
     Examples: numbers
