Refuse request ids beyond ASCII, and hash keys of any bytes

Callers saw: 500 for a key or an id that is not UTF-8 on a plain service, and 504 for an id beyond ASCII, after the request had run.

Cause: header values reach the handler as UTF-8 with surrogates, and the request's id in an answer is read as Latin-1. Beyond ASCII the two differ, so the answer counted as one to another request; a surrogate can't be encoded when it is hashed.

Evidence: raw requests to one daemon with two such values in each header that a daemon reads: the request's id and the key gave 500 and 504, other headers no failure.

Fix: an id must be visible ASCII, and a key is hashed with its own bytes, so that it is unknown.

The case fails on the sources before this.

--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from result import Err, Ok, Result
 
+from godwittack import address as addresses
 from godwittack.backend import headers as backend_headers
 from godwittack.backend import protocol as backend
 from godwittack.core import work
@@ -36,6 +37,9 @@
                 return Err(f"{name}: sent more than once")
         if not request_id:
             return Err(f"{names.REQUEST_ID}: missing")
+        if not addresses.is_visible(request_id):
+            # Its answer would not be recognized by it.
+            return Err(f"{names.REQUEST_ID}: not of visible ASCII characters")
         after = backend_headers.parse_number(
             request.headers.get(names.LAST_EVENT_ID, "0")
         )
--- a/src/godwittack/table/model.py
+++ b/src/godwittack/table/model.py
@@ -16,7 +16,9 @@
 
 def token_digest(token: str) -> str:
     """Returns the SHA-256 hex digest of a token, or "" for no token."""
-    return hashlib.sha256(token.encode()).hexdigest() if token else ""
+    # Bytes of a header that are not UTF-8 are surrogates in the text.
+    encoded = token.encode(errors="surrogateescape")
+    return hashlib.sha256(encoded).hexdigest() if token else ""
 
 
 class RowKind(enum.StrEnum):
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -334,6 +334,40 @@
     assert set(table.services) == {"app"} and set(table.models) == {"llm"}
 
 
+async def odd_ids_and_keys_of_callers_are_refused() -> None:
+    """A request whose id or key is not ASCII is refused at once.
+
+    Guards against 500, and against a request that runs while its answer is
+    discarded, as the id in it is not recognized.
+    """
+    async with platform.Platform(engines=1, services=3) as platform_run:
+        for odd in (b"\xff\xfe", "\xe9\u20ac".encode()):
+            assert (
+                await _status(platform_run, odd, platform.KEY.encode()) == 400
+            )
+            assert await _status(platform_run, b"r1", odd) == 401
+        assert await _status(platform_run, b"r2", platform.KEY.encode()) == 200
+        assert len(platform_run.ran("r2")) == 1
+        assert "Traceback" not in platform_run.log()
+
+
+async def _status(
+    platform_run: platform.Platform, request_id: bytes, key: bytes
+) -> int:
+    """Returns the status of a request with these bytes as id and key."""
+    front = platform_run.fields[0]["listen"]["front"]
+    reader, writer = await asyncio.open_connection(*front.split(":"))
+    writer.write(
+        b"POST /release/x HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n"
+        b"X-Godwittack-Request-Id: %s\r\nX-Godwittack-Credential: %s\r\n"
+        b"X-Godwittack-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\na"
+        % (platform.HOST.encode(), request_id, key)
+    )
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return int(answer.split(b" ", 2)[1])
+
+
 def odd_counts_of_a_server_are_not_taken() -> None:
     """A report or load header with an impossible count does not count.
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -34,4 +34,5 @@
     Examples: real processes
       | group       | case |
       | odd_entries | odd entries stop no daemon |
+      | odd_entries | odd ids and keys of callers are refused |
       | odd_entries | odd entries of our own list stop no daemon |
