Don't fail on tables that peers can't be sent

Callers saw: nothing. A daemon answered 500, with a traceback, to each peer that asked for its table while the operator's configuration has a workspace whose name or uncounted tokens exceed what our own tables allow.

Evidence: by parts, with names of other characters or of 200, and with 2,000,000 uncounted tokens.

Fix: such a table is logged once and not sent; peers are told its version and read the store. Uncounted tokens may be as many as in the operator's rows. The line for an unreadable configuration names the version that stays in force.

The case by parts fails on the sources before this. The one of real processes holds on them: it shows that odd rows of the operator's table leave routes, keys and weights as they are.

--- a/src/godwittack/daemon/feed_table.py
+++ b/src/godwittack/daemon/feed_table.py
@@ -55,7 +55,11 @@
         if isinstance(table, Err):
             # The active table stays: requests can be served by an older table,
             # but not without one.
-            logging.error("event=table_unreadable detail=%r", table.err_value)
+            logging.error(
+                "event=table_unreadable active_version=%d detail=%r",
+                self.table.version,
+                table.err_value,
+            )
             return
         if table.ok_value is not None:
             self.adopt(table.ok_value)
--- a/src/godwittack/peer/tables.py
+++ b/src/godwittack/peer/tables.py
@@ -5,6 +5,7 @@
 import zlib
 from typing import TYPE_CHECKING
 
+from absl import logging
 from result import Err, Result
 
 from godwittack.peer import peer_pb2
@@ -15,6 +16,8 @@
 
 # Limit of a peer's table after decompression.
 MAX_TABLE_BYTES = 32 << 20
+# Characters of an error that go into the log.
+MAX_DETAIL_CHARS = 200
 
 
 class TableWriter:
@@ -24,8 +27,9 @@
     """
 
     def __init__(self) -> None:
-        """Starts without a compressed table."""
+        """Starts without a serialized table."""
         self._table: model.Table | None = None
+        self._json = ""
         self._deflated = b""
 
     def reply(
@@ -35,17 +39,31 @@
         reply = peer_pb2.TableReply(version=table.version)
         if table.version <= request.known_version:
             return reply
+        self._serialize(table)
+        if not self._json:
+            return reply
         if request.accepts_deflate:
-            reply.table_deflated = self._compressed(table)
+            reply.table_deflated = self._deflated
         else:
-            reply.table_json = schema.table_to_json(table)
+            reply.table_json = self._json
         return reply
 
-    def _compressed(self, table: model.Table) -> bytes:
-        if self._table is not table:
-            self._table = table
-            self._deflated = zlib.compress(schema.table_to_json(table).encode())
-        return self._deflated
+    def _serialize(self, table: model.Table) -> None:
+        if self._table is table:
+            return
+        self._table = table
+        try:
+            self._json = schema.table_to_json(table)
+        except ValueError as error:
+            # The operator's names and numbers may exceed those of our own
+            # tables. Peers that know the version read the store.
+            self._json = ""
+            logging.warning(
+                "event=table_not_sent version=%d detail=%r",
+                table.version,
+                " ".join(str(error).split())[:MAX_DETAIL_CHARS],
+            )
+        self._deflated = zlib.compress(self._json.encode())
 
 
 def read(reply: peer_pb2.TableReply) -> Result[model.Table, str] | None:
--- a/src/godwittack/table/schema.py
+++ b/src/godwittack/table/schema.py
@@ -23,6 +23,7 @@
     str, pydantic.StringConstraints(pattern=r"^([0-9a-f]{64})?$")
 ]
 Count = Annotated[int, pydantic.Field(ge=0, le=1_000_000)]
+Tokens = Annotated[int, pydantic.Field(ge=0, le=10**15)]
 Rate = Annotated[float, pydantic.Field(ge=0, le=1_000_000)]
 Units = Annotated[float, pydantic.Field(ge=0, le=1e15, allow_inf_nan=False)]
 Weight = Annotated[float, pydantic.Field(gt=0, le=1000)]
@@ -43,7 +44,7 @@
     quota_per_s: Units = 0.0
     quota_burst: Units = 0.0
     quota_unit: model.QuotaUnit = model.QuotaUnit.TOKENS
-    uncounted_tokens: Count = 0
+    uncounted_tokens: Tokens = 0
 
     @pydantic.model_serializer(mode="wrap")
     def _omit_no_quota(
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -34,7 +34,7 @@
 )
 from godwittack.daemon import instance_rows, outbox
 from godwittack.member import view
-from godwittack.peer import codec, peer_pb2, pending, wire
+from godwittack.peer import codec, peer_pb2, pending, tables, wire
 from godwittack.platform import instances, row_pages, servers
 from godwittack.platform import table as table_rows
 from godwittack.store import protocol
@@ -334,6 +334,73 @@
     assert set(table.services) == {"app"} and set(table.models) == {"llm"}
 
 
+def an_odd_table_is_not_passed_on() -> None:
+    """A table that peers can't read is not sent, and they are told its version.
+
+    Guards against a handler that fails for each peer that asks: names and
+    numbers of the operator's configuration may exceed those of our own tables.
+    """
+    for fields, is_sent in (
+        ({"name": "d\u20ac"}, False),
+        ({"name": "a b"}, False),
+        ({"name": "n" * 200}, False),
+        ({"uncached-tokens": 2_000_000, "rate-per-s": 1e15}, True),
+    ):
+        config = platform.config(2)
+        config["tenants"] = [{"name": "desk", "api-keys": ["k"], **fields}]
+        row = protocol.ChangedRow(
+            key="config", value=json.dumps(config), version=2
+        )
+        decoded = table_rows.table_from_rows(
+            {"config": row}, version=2, weights={}
+        )
+        writer = tables.TableWriter()
+        for accepts_deflate in (True, False):
+            reply = writer.reply(
+                decoded.ok_value,
+                peer_pb2.TableRequest(accepts_deflate=accepts_deflate),
+            )
+            assert reply.version == 2
+            received = tables.read(reply)
+            if not is_sent:
+                assert received is None, fields
+                continue
+            workspace = received.ok_value.workspaces["desk"]
+            assert workspace.uncounted_tokens == 2_000_000
+
+
+async def an_odd_configuration_leaves_the_older_one_in_force() -> None:
+    """Routes, keys and weights stay until a row can be read again.
+
+    Guards against daemons that end, or that serve nothing, for one odd row of
+    the operator's table. That keys are refused once no newest configuration
+    is known for longer than a revoked key may be used is intended.
+    """
+    async with platform.Platform(engines=1, services=3) as platform_run:
+        store = platform_run.store
+        for number, odd in enumerate(
+            (DEEP, b"\xff", b"", b'{"version": 1e400}')
+        ):
+            for key in ("config", "version/m", "other"):
+                store.put_odd("op", key, odd)
+            store.put_odd("op", f"fields-{number}", odd, **ODD_FIELDS[number])
+            await asyncio.sleep(0.2)
+            for name in ("release", "open", "short"):
+                status, _, _ = await platform_run.call(name, f"{name}-{number}")
+                assert status == 200, (name, status)
+        log = platform_run.log()
+        assert log.count("event=table_unreadable") >= 3
+        assert "event=weights_unreadable" in log and "Traceback" not in log
+        store.put("op", "config", platform.config(3, keys=("new",)))
+
+        async def is_in_force() -> bool:
+            return (await platform_run.call("release", "r", key="new"))[
+                0
+            ] == 200
+
+        await platform.until("the next configuration is in force", is_in_force)
+
+
 async def odd_ids_and_keys_of_callers_are_refused() -> None:
     """A request whose id or key is not ASCII is refused at once.
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -15,6 +15,7 @@
       | odd_entries | an odd idle limit loses no answer |
       | odd_entries | a head that can't be sent is not sent |
       | odd_entries | an odd store of cached state is left out |
+      | odd_entries | an odd table is not passed on |
       | odd_entries | odd settings get one line |
 
     Examples: numbers
@@ -35,4 +36,5 @@
       | group       | case |
       | odd_entries | odd entries stop no daemon |
       | odd_entries | odd ids and keys of callers are refused |
+      | odd_entries | an odd configuration leaves the older one in force |
       | odd_entries | odd entries of our own list stop no daemon |
