Decode cache events one by one where one is odd

The cached state of a server with one odd event was no longer followed.

Cause: an answer with cache events was decoded as a whole, and after an error the same events were asked for again, until the server no longer kept the odd one.

Evidence: by parts, with an event of another length or type, with a number too large and nested too deeply.

Fix: as for rows of the store, the answer is split into its parts and the events are decoded one by one; the odd ones are left out, with a line when the reason changes.

The case fails on the sources before this.

--- a/src/godwittack/platform/row_pages.py
+++ b/src/godwittack/platform/row_pages.py
@@ -55,10 +55,10 @@
     except pydantic.ValidationError as error:
         reason = json_fields.first_error(error)
     try:
-        fields = json_parts.members(body.decode(errors="replace"))
-        row_texts = json_parts.array(fields.pop("rows"))
-        page = Page.model_validate_json(_object(fields))
-    except (KeyError, ValueError):
+        text = body.decode(errors="replace")
+        rest, row_texts = json_parts.split_list(text, "rows")
+        page = Page.model_validate_json(rest)
+    except ValueError:
         return Err(reason)
     rows = tuple(filter(None, map(_parse_row, row_texts)))
     logging.warning(
@@ -96,9 +96,4 @@
     return found
 
 
-def _object(fields: dict[str, str]) -> str:
-    members = (f'"{name}": {value}' for name, value in fields.items())
-    return "{" + ", ".join(members) + "}"
-
-
 __all__ = ["Page", "Row", "parse"]
--- a/src/godwittack/store/json_parts.py
+++ b/src/godwittack/store/json_parts.py
@@ -64,4 +64,18 @@
     return found
 
 
-__all__ = ["array", "members"]
+def split_list(text: str, name: str) -> tuple[str, list[str]]:
+    """Returns an object without one of its lists, and the list's elements.
+
+    Raises:
+        ValueError: The object has no such list, or does not end.
+    """
+    fields = members(text)
+    if name not in fields:
+        raise ValueError(f"JSON text has no {name}")
+    listed = array(fields.pop(name))
+    rest = (f"{json.dumps(key)}: {value}" for key, value in fields.items())
+    return "{" + ", ".join(rest) + "}", listed
+
+
+__all__ = ["array", "members", "split_list"]
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -464,6 +464,36 @@
         assert (load and load.running) == running, text
 
 
+def an_odd_cache_event_hides_no_others() -> None:
+    """Cache events are decoded one by one where one of them is odd.
+
+    Guards against a server whose cached state is no longer followed: the same
+    answer is asked for again and again.
+    """
+    valid = '[%d, "+", "v1/w", "ab12", 800, "m"]'
+    for odd in (
+        "[2]",
+        "null",
+        '[2, "+", "v1/w", "ab12", 1e400, "m"]',
+        '["2", "+", "v1/w", "ab12", 800, "m"]',
+        '[-2, "+", "v1/w", "ab12", 800, "m"]',
+        DEEP.decode(),
+    ):
+        body = (
+            f'{{"boot-epoch": 7, "next": 4, "lost": false, "events":'
+            f" [{valid % 1}, {odd}, {valid % 3}]}}"
+        )
+        batch = servers.ServerFormat(str).read_events(body.encode(), "i-1")
+        assert [event.sequence for event in batch.events] == [1, 3], odd[:40]
+        assert (batch.epoch, batch.next_after) == ("7", 4)
+    for invalid in (b"", b"{}", b'{"boot-epoch": 7, "next": 1e400}', DEEP):
+        try:
+            servers.ServerFormat(str).read_events(invalid, "i-1")
+        except ValueError:
+            continue
+        raise AssertionError(invalid[:40])
+
+
 def numbers_out_of_range_are_sent_to_peers() -> None:
     """An update with a number that its field can't hold is sent nevertheless.
 
