--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -13,7 +13,7 @@
 from absl import logging
 from result import Err, Ok
 
-from cases import crash_rows, fuzz, one_lead, peers
+from cases import connections, crash_rows, fuzz, one_lead, peers
 from cases import instance_rows as rows
 from cluster import platform, processes
 from cluster.processes import free_port
@@ -34,8 +34,9 @@
 )
 from godwittack.daemon import instance_rows, outbox
 from godwittack.member import view
-from godwittack.peer import codec, peer_pb2, pending, wire
+from godwittack.peer import codec, peer_pb2, pending, tables, wire
 from godwittack.platform import instances, row_pages, servers
+from godwittack.platform import table as table_rows
 from godwittack.store import protocol
 from godwittack.table import store as table_store
 from standins.replica import Replica
@@ -295,6 +296,145 @@
         assert server_connection.keep_alive_ms in (0, 1_000), odd
 
 
+async def a_head_that_can_t_be_sent_is_not_sent() -> None:
+    """A call with a header that can't be encoded fails without being sent.
+
+    Guards against a sound server that is ejected, and a caller that is told
+    that its call may have run: a workspace has a name beyond Latin-1, or with a
+    line break, which would add a header.
+    """
+    async with connections.ScriptedServer(
+        connections.Reply(connections.complete(b"1"))
+    ) as server:
+        backend = connections.Backend(server)
+        for odd in ("d\u20ac", "d\r\nEvil: 1", "d\nx", "\udcff"):
+            sink = await backend.send(workspace=odd)
+            assert sink.failure == (
+                inputs.FailurePhase.DECLINED,
+                inputs.FailureCause.REFUSED,
+            ), (odd, sink.failure)
+        assert (await backend.send("r2")).answered.body == b"1"
+
+
+def an_odd_store_of_cached_state_is_left_out() -> None:
+    """A configuration takes effect without a store that can't be called.
+
+    Guards against prompts that fail as the address of the store can't be sent
+    in a header.
+    """
+    config = platform.config(2)
+    for number, odd in enumerate(("nonsense", "a:70000", "10.0.0.1:\u0663")):
+        service = {"name": f"kv-{number}", "kv-store-addr": odd}
+        config["services"].append(service)
+    config["services"].append({"name": "kv", "kv-store-addr": "10.0.0.1:80"})
+    row = protocol.ChangedRow(key="config", value=json.dumps(config), version=2)
+    decoded = table_rows.table_from_rows({"config": row}, version=2, weights={})
+    table = decoded.ok_value
+    assert [store.name for store in table.forwarding.kv_stores] == ["kv"]
+    assert set(table.services) == {"app"} and set(table.models) == {"llm"}
+
+
+def an_odd_table_is_not_passed_on() -> None:
+    """A table that peers can't read is not sent, and they are told its version.
+
+    Guards against a handler that fails for each peer that asks: names and
+    numbers of the operator's configuration may exceed those of our own tables.
+    """
+    for fields, is_sent in (
+        ({"name": "d\u20ac"}, False),
+        ({"name": "a b"}, False),
+        ({"name": "n" * 200}, False),
+        ({"uncached-tokens": 2_000_000, "rate-per-s": 1e15}, True),
+    ):
+        config = platform.config(2)
+        config["tenants"] = [{"name": "desk", "api-keys": ["k"], **fields}]
+        row = protocol.ChangedRow(
+            key="config", value=json.dumps(config), version=2
+        )
+        decoded = table_rows.table_from_rows(
+            {"config": row}, version=2, weights={}
+        )
+        writer = tables.TableWriter()
+        for accepts_deflate in (True, False):
+            reply = writer.reply(
+                decoded.ok_value,
+                peer_pb2.TableRequest(accepts_deflate=accepts_deflate),
+            )
+            assert reply.version == 2
+            received = tables.read(reply)
+            if not is_sent:
+                assert received is None, fields
+                continue
+            workspace = received.ok_value.workspaces["desk"]
+            assert workspace.uncounted_tokens == 2_000_000
+
+
+async def an_odd_configuration_leaves_the_older_one_in_force() -> None:
+    """Routes, keys and weights stay until a row can be read again.
+
+    Guards against daemons that end, or that serve nothing, for one odd row of
+    the operator's table. That keys are refused once no newest configuration
+    is known for longer than a revoked key may be used is intended.
+    """
+    async with platform.Platform(engines=1, services=3) as platform_run:
+        store = platform_run.store
+        for number, odd in enumerate(
+            (DEEP, b"\xff", b"", b'{"version": 1e400}')
+        ):
+            for key in ("config", "version/m", "other"):
+                store.put_odd("op", key, odd)
+            store.put_odd("op", f"fields-{number}", odd, **ODD_FIELDS[number])
+            await asyncio.sleep(0.2)
+            for name in ("release", "open", "short"):
+                status, _, _ = await platform_run.call(name, f"{name}-{number}")
+                assert status == 200, (name, status)
+        log = platform_run.log()
+        assert log.count("event=table_unreadable") >= 3
+        assert "event=weights_unreadable" in log and "Traceback" not in log
+        store.put("op", "config", platform.config(3, keys=("new",)))
+
+        async def is_in_force() -> bool:
+            return (await platform_run.call("release", "r", key="new"))[
+                0
+            ] == 200
+
+        await platform.until("the next configuration is in force", is_in_force)
+
+
+async def odd_ids_and_keys_of_callers_are_refused() -> None:
+    """A request whose id or key is not ASCII is refused at once.
+
+    Guards against 500, and against a request that runs while its answer is
+    discarded, as the id in it is not recognized.
+    """
+    async with platform.Platform(engines=1, services=3) as platform_run:
+        for odd in (b"\xff\xfe", "\xe9\u20ac".encode()):
+            assert (
+                await _status(platform_run, odd, platform.KEY.encode()) == 400
+            )
+            assert await _status(platform_run, b"r1", odd) == 401
+        assert await _status(platform_run, b"r2", platform.KEY.encode()) == 200
+        assert len(platform_run.ran("r2")) == 1
+        assert "Traceback" not in platform_run.log()
+
+
+async def _status(
+    platform_run: platform.Platform, request_id: bytes, key: bytes
+) -> int:
+    """Returns the status of a request with these bytes as id and key."""
+    front = platform_run.fields[0]["listen"]["front"]
+    reader, writer = await asyncio.open_connection(*front.split(":"))
+    writer.write(
+        b"POST /release/x HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n"
+        b"X-Godwittack-Request-Id: %s\r\nX-Godwittack-Credential: %s\r\n"
+        b"X-Godwittack-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\na"
+        % (platform.HOST.encode(), request_id, key)
+    )
+    answer = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return int(answer.split(b" ", 2)[1])
+
+
 def odd_counts_of_a_server_are_not_taken() -> None:
     """A report or load header with an impossible count does not count.
 
@@ -324,6 +464,36 @@
         assert (load and load.running) == running, text
 
 
+def an_odd_cache_event_hides_no_others() -> None:
+    """Cache events are decoded one by one where one of them is odd.
+
+    Guards against a server whose cached state is no longer followed: the same
+    answer is asked for again and again.
+    """
+    valid = '[%d, "+", "v1/w", "ab12", 800, "m"]'
+    for odd in (
+        "[2]",
+        "null",
+        '[2, "+", "v1/w", "ab12", 1e400, "m"]',
+        '["2", "+", "v1/w", "ab12", 800, "m"]',
+        '[-2, "+", "v1/w", "ab12", 800, "m"]',
+        DEEP.decode(),
+    ):
+        body = (
+            f'{{"boot-epoch": 7, "next": 4, "lost": false, "events":'
+            f" [{valid % 1}, {odd}, {valid % 3}]}}"
+        )
+        batch = servers.ServerFormat(str).read_events(body.encode(), "i-1")
+        assert [event.sequence for event in batch.events] == [1, 3], odd[:40]
+        assert (batch.epoch, batch.next_after) == ("7", 4)
+    for invalid in (b"", b"{}", b'{"boot-epoch": 7, "next": 1e400}', DEEP):
+        try:
+            servers.ServerFormat(str).read_events(invalid, "i-1")
+        except ValueError:
+            continue
+        raise AssertionError(invalid[:40])
+
+
 def numbers_out_of_range_are_sent_to_peers() -> None:
     """An update with a number that its field can't hold is sent nevertheless.
 
--- a/tests/features/odd_entries.feature
+++ b/tests/features/odd_entries.feature
@@ -13,11 +13,15 @@
       | odd_entries | an odd start takes no server's address |
       | odd_entries | an odd number in text is no number |
       | odd_entries | an odd idle limit loses no answer |
+      | odd_entries | a head that can't be sent is not sent |
+      | odd_entries | an odd store of cached state is left out |
+      | odd_entries | an odd table is not passed on |
       | odd_entries | odd settings get one line |
 
     Examples: numbers
       | group       | case |
       | odd_entries | odd counts of a server are not taken |
+      | odd_entries | an odd cache event hides no others |
       | odd_entries | numbers out of range are sent to peers |
       | odd_entries | an update that can't be sent stops no others |
       | odd_entries | odd crash rows are skipped |
@@ -32,4 +36,6 @@
     Examples: real processes
       | group       | case |
       | odd_entries | odd entries stop no daemon |
+      | odd_entries | odd ids and keys of callers are refused |
+      | odd_entries | an odd configuration leaves the older one in force |
       | odd_entries | odd entries of our own list stop no daemon |
