Reject heads without a status or with a second coding

What callers saw: a request that waits until its time limit, though its server has answered; a stream that begins with the size of a chunk and breaks off. Cause: the parser accepts any three digits, and statuses below 100 never counted as final. With `chunked` in one field and another coding in a second one, the parser reads to the end of the connection; only the first field was checked. Evidence: the test's server keeps its connection open; both timed out on the code as it was, and the frame "10 id: 1 data: e1" was passed on. Change: a status below 100, and any coding besides chunks in any field, fail the attempt at once. The test failed before the change.

--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -42,6 +42,8 @@
 # Time for which a connection with bytes that belong to no answer is read on, to
 # find out whether they end.
 DRAIN_MS = 200
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
 # Requests that a connection carries before it is replaced, which bounds the
 # ids that it remembers.
 MAX_REQUESTS = 256
@@ -284,20 +286,27 @@
             return
         reply.status = self._parser.get_status_code()
         self._counts.end_head()
-        if 100 <= reply.status < 200:
+        if MIN_STATUS <= reply.status < MIN_FINAL_STATUS:
             self._counts.interim_responses += 1
             return
         self._counts.is_in_head = False
         reply.is_persistent = self._parser.should_keep_alive()
-        coding = reply.header("transfer-encoding").strip().lower()
-        if coding not in ("", "chunked"):
+        if reply.status < MIN_FINAL_STATUS:
+            # The parser accepts any three digits.
+            self._give_up(f"not HTTP: status {reply.status}")
+            return
+        codings = {
+            value.strip().lower()
+            for value in reply.header_values("transfer-encoding")
+        }
+        if codings - {"chunked"}:
             # Its body would be forwarded with the coding, but without the
             # header that names it.
-            self._give_up(f"unsupported transfer coding {coding!r}")
+            self._give_up(f"unsupported transfer coding {sorted(codings)}")
             return
         has_length = bool(reply.header("content-length"))
         no_body = self._is_head_request or reply.status in (204, 304)
-        reply.is_close_delimited = not (coding or has_length or no_body)
+        reply.is_close_delimited = not (codings or has_length or no_body)
         try:
             is_match = self._matches is not None and self._matches(reply)
         except ReplyError as error:
@@ -339,7 +348,7 @@
         """Parser callback: the end of an answer."""
         reply = self._current
         self._counts.is_in_head = True
-        if reply is not None and reply.status >= 200:
+        if reply is not None and reply.status >= MIN_FINAL_STATUS:
             reply.is_complete = True
             self._counts.has_other = False
 
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -440,3 +440,30 @@
                 assert sink.answered.body == b"body", (data, sink)
                 has_mark = data != whole[-1]
                 assert sink.answered.is_delimited == has_mark, (data, sink)
+
+
+async def a_head_that_frames_no_answer_fails_at_once() -> None:
+    """Guards against a wait for the end of what can't end, and raw chunks.
+
+    A status that is none, and a second transfer coding that ends with the
+    connection, on a connection that stays open.
+    """
+    chunked = b"Transfer-Encoding: chunked\r\n"
+    event = connections.chunk(b"id: 1\ndata: e1\n\n")
+    for data in (
+        connections.complete(b"1", connections.HEAD.replace(b"200", b"000")),
+        connections.complete(b"1", connections.HEAD.replace(b"200", b"099")),
+        connections.STREAM
+        + chunked
+        + b"Transfer-Encoding: identity\r\n\r\n"
+        + event,
+        connections.HEAD + chunked + b"Transfer-Encoding: gzip\r\n\r\n",
+    ):
+        async with ScriptedServer(Reply(data)) as server:
+            sink = await connections.Backend(server).send(
+                stamp=connections.STAMP
+            )
+            assert not sink.frames_seen, (data, sink)
+            assert sink.answered is None, (data, sink)
+            broken = (connections.SENT, inputs.FailureCause.BROKEN)
+            assert sink.failure == broken, (data, sink)
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -23,3 +23,4 @@
       | an unreadable number in a head loses no answer |
       | a connection that its server closes is not used again |
       | an answer of the own interface makes no claim |
+      | a head that frames no answer fails at once |
