Return an error for a store's answer that breaks off

What callers saw: nothing by itself; a task of the daemon that read or wrote rows ended with a ValidationError. Cause: the own interface's store client parsed bodies without a check. An answer without a length that is closed after its head or in its body is a complete answer to the library, and its JSON can't be parsed. Evidence: reads, scans, transactions, versions and instances raised for an empty body and for half of one. Change: they return the error as for any call without an answer; a transaction may have run then. The test failed before the change.

--- a/src/godwittack/store/http.py
+++ b/src/godwittack/store/http.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
-from urllib import parse
+from typing import TYPE_CHECKING, TypeVar
+from urllib import parse as urls
 
 import aiohttp
 import pydantic
 from result import Err, Ok, Result
 
+from godwittack.backend import json_fields
 from godwittack.store import call as calls
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from godwittack.clock import Clock
 
+_Parsed = TypeVar("_Parsed")
+
 MAX_OBJECT_BYTES = 64 << 20
 
 
@@ -100,9 +105,12 @@
         result = await self._call(
             "transact", "POST", "/tables/transact", json.dumps(body).encode()
         )
-        if isinstance(result, Err):
-            return result
-        stored = _TransactionJson.model_validate_json(result.ok_value)
+        parsed = self._parse(
+            "transact", _TransactionJson.model_validate_json, result
+        )
+        if isinstance(parsed, Err):
+            return parsed
+        stored = parsed.ok_value
         rows = tuple(_row(row) for row in stored.rows)
         return Ok(
             protocol.TransactionResult(
@@ -114,21 +122,20 @@
         self, row_id: protocol.RowId
     ) -> Result[protocol.StoredRow, protocol.PlatformError]:
         """Returns one row."""
-        path = f"/tables/{row_id.table}/{parse.quote(row_id.key, safe='')}"
+        path = f"/tables/{row_id.table}/{urls.quote(row_id.key, safe='')}"
         result = await self._call("read", "GET", path)
-        if isinstance(result, Err):
-            return result
-        return Ok(_row(_RowJson.model_validate_json(result.ok_value)))
+        return self._parse("read", _RowJson.model_validate_json, result).map(
+            _row
+        )
 
     async def scan(
         self, table: str, *, after: str, limit: int
     ) -> Result[list[protocol.StoredRow], protocol.PlatformError]:
         """Returns rows in key order."""
-        query = parse.urlencode({"after": after, "limit": limit})
+        query = urls.urlencode({"after": after, "limit": limit})
         result = await self._call("scan", "GET", f"/tables/{table}?{query}")
-        if isinstance(result, Err):
-            return result
-        return Ok([_row(r) for r in _ROWS.validate_json(result.ok_value)])
+        parsed = self._parse("scan", _ROWS.validate_json, result)
+        return parsed.map(lambda rows: [_row(row) for row in rows])
 
     async def get(
         self, name: str
@@ -153,19 +160,19 @@
     ) -> Result[tuple[str, ...], protocol.PlatformError]:
         """Returns the weights versions of a model."""
         result = await self._call("versions", "GET", f"/weights/{model}")
-        if isinstance(result, Err):
-            return result
-        return Ok(_VERSIONS.validate_json(result.ok_value))
+        return self._parse("versions", _VERSIONS.validate_json, result)
 
     async def instances(
         self,
     ) -> Result[tuple[protocol.Instance, ...], protocol.PlatformError]:
         """Returns the instance list."""
         result = await self._call("instances", "GET", "/instances")
-        if isinstance(result, Err):
-            return result
-        listed = _INSTANCES.validate_json(result.ok_value)
-        return Ok(tuple(protocol.Instance(**i.model_dump()) for i in listed))
+        parsed = self._parse("instances", _INSTANCES.validate_json, result)
+        return parsed.map(
+            lambda listed: tuple(
+                protocol.Instance(**i.model_dump()) for i in listed
+            )
+        )
 
     async def _call(
         self, step: str, method: str, path: str, body: bytes | None = None
@@ -193,6 +200,20 @@
             return self._error(step, f"status {result.ok_value.status}")
         return Ok(result.ok_value.body)
 
+    def _parse(
+        self,
+        step: str,
+        parse: Callable[[bytes], _Parsed],
+        result: Result[bytes, protocol.PlatformError],
+    ) -> Result[_Parsed, protocol.PlatformError]:
+        """Parses the body of an answer, which may have broken off."""
+        if isinstance(result, Err):
+            return result
+        try:
+            return Ok(parse(result.ok_value))
+        except pydantic.ValidationError as error:
+            return self._error(step, json_fields.first_error(error))
+
     def _start_backoff(self) -> None:
         self._backoff_until_ms = self._clock.now_ms() + self._backoff_ms
 
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -7,7 +7,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from result import Ok
+from result import Err, Ok
 
 from cases import connections
 from cases.broken_off import WHOLE_STREAM
@@ -15,6 +15,8 @@
 from godwittack.backend import bounded_client, http, protocol
 from godwittack.clock import SystemClock
 from godwittack.core import effects, inputs
+from godwittack.store import http as store_http
+from godwittack.store import protocol as store_protocol
 from standins.scripted import Reply, ScriptedServer
 from standins.torn import Form, Torn
 
@@ -467,3 +469,37 @@
             assert sink.answered is None, (data, sink)
             broken = (connections.SENT, inputs.FailureCause.BROKEN)
             assert sink.failure == broken, (data, sink)
+
+
+async def an_answer_of_a_store_that_breaks_off_is_an_error() -> None:
+    """Guards against an exception that ends the task that asked the store.
+
+    The answer has no length, and its connection is closed after its head or in
+    its body.
+    """
+    row = store_protocol.RowId("t", "k")
+    for body in (b"", b'{"table":"t"', b"[{"):
+        answers = [Reply(b"HTTP/1.1 200 OK\r\n\r\n" + body, then="close")] * 5
+        async with (
+            ScriptedServer(*answers) as server,
+            bounded_client.open_session(
+                bounded_client.BoundedConnector(force_close=True)
+            ) as session,
+        ):
+            store = store_http.HttpPlatform(
+                session=session,
+                base_url=f"http://{server.address}",
+                timeout_ms=500,
+                backoff_ms=0,
+                clock=SystemClock(),
+            )
+            written = await store.transact((), ())
+            assert isinstance(written, Err), (body, written)
+            assert written.err_value.may_have_run, (body, written)
+            for result in (
+                await store.read(row),
+                await store.scan("t", after="", limit=1),
+                await store.versions("m"),
+                await store.instances(),
+            ):
+                assert isinstance(result, Err), (body, result)
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -24,3 +24,4 @@
       | a connection that its server closes is not used again |
       | an answer of the own interface makes no claim |
       | a head that frames no answer fails at once |
+      | an answer of a store that breaks off is an error |
