Test every place in a head at which another can go on

Answers without a body (HEAD, 204, 304) are cut at each byte as well, and answers of the own interface that end after their head get no mark.

--- a/tests/cases/connections.py
+++ b/tests/cases/connections.py
@@ -87,11 +87,17 @@
             control_timeout_ms=500,
         )
 
-    async def send(self, name: str = "r1", body: bytes = b"b", **fields):
+    async def send(
+        self,
+        name: str = "r1",
+        body: bytes = b"b",
+        method: str = "POST",
+        **fields,
+    ):
         """Runs one attempt and returns its sink."""
         sink = Sink()
         call = protocol.Call(
-            method="POST",
+            method=method,
             path="/p/x?y=%2f",
             headers=(work.Header("X-Godwittack-Request-Id", name),),
             body=body,
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -325,6 +325,53 @@
             assert sink.failure == broken, sink
 
 
+async def a_head_torn_anywhere_before_another_is_no_answer() -> None:
+    """Guards against a place in a head at which another answer can go on.
+
+    At some places the second answer only names the other request and is
+    skipped; the answer then fails as the connection ends.
+    """
+    length, chunks = b"Content-Length: 5\r\n\r\n", connections.CHUNKED
+    for framing, body in (
+        (length, b"other"),
+        (chunks, connections.chunk(b"other") + b"0\r\n\r\n"),
+    ):
+        own = connections.HEAD.replace(b"{id}", b"r1")
+        own += b"X-Godwittack-Response-Signature: sig.r1\r\n" + framing
+        other = connections.OTHER + framing + body
+        for cut in range(len(own)):
+            reply = Reply(own[:cut] + other, then="close")
+            async with ScriptedServer(reply) as server:
+                sink = await connections.Backend(server).send()
+                assert sink.answered is None, (own[:cut], sink)
+                broken = (connections.SENT, inputs.FailureCause.BROKEN)
+                assert sink.failure == broken, (own[:cut], sink)
+
+
+async def an_answer_without_a_body_is_whole_or_none() -> None:
+    """Guards against part of a head that passes for an answer without a body.
+
+    To HEAD, and with the statuses 204 and 304; cut at every byte.
+    """
+    head = connections.HEAD + b"Content-Length: 5\r\n\r\n"
+    for method, status in (
+        ("HEAD", b"200 OK"),
+        ("POST", b"204 No Content"),
+        ("GET", b"304 Not Modified"),
+    ):
+        whole = head.replace(b"{id}", b"r1").replace(b"200 OK", status)
+        for cut in range(len(whole) + 1):
+            reply = Reply(whole[:cut], then="close")
+            async with ScriptedServer(reply) as server:
+                backend = connections.Backend(server)
+                sink = await backend.send(method=method, body=b"")
+                assert (sink.answered is not None) == (cut == len(whole)), (
+                    whole[:cut],
+                    sink,
+                )
+                assert sink.answered is None or sink.answered.is_delimited
+
+
 async def an_unreadable_number_in_a_head_loses_no_answer() -> None:
     """Guards against a whole answer that fails as `int` rejects a header.
 
@@ -424,10 +471,16 @@
         b"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nhalf",
         b"HTTP/1.1 101 OK\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
     )
+    chunks = b"4\r\nbody\r\n0\r\n\r\n"
     whole = (
-        head + b"Content-Length: 4\r\n\r\nbody",
-        head + b"Transfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-        head + b"\r\nbody",
+        (head + b"Content-Length: 4\r\n\r\nbody", b"body", True),
+        (
+            head + b"Transfer-Encoding: Chunked\r\n\r\n" + chunks,
+            b"body",
+            True,
+        ),
+        (head + b"\r\nbody", b"body", False),
+        (head + b"\r\n", b"", False),
     )
     async with _own_backend() as backend:
         for data in malformed:
@@ -436,11 +489,10 @@
                 assert sink.answered is None, (data, sink)
                 broken = (connections.SENT, inputs.FailureCause.BROKEN)
                 assert sink.failure == broken, (data, sink)
-        for data in whole:
+        for data, body, has_mark in whole:
             async with ScriptedServer(Reply(data, then="close")) as server:
                 sink = await _send_own(backend, server.address)
-                assert sink.answered.body == b"body", (data, sink)
-                has_mark = data != whole[-1]
+                assert sink.answered.body == body, (data, sink)
                 assert sink.answered.is_delimited == has_mark, (data, sink)
 
 
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -20,6 +20,8 @@
     Examples: scripted servers
       | case |
       | a head that breaks off before another is no answer |
+      | a head torn anywhere before another is no answer |
+      | an answer without a body is whole or none |
       | an unreadable number in a head loses no answer |
       | a connection that its server closes is not used again |
       | an answer of the own interface makes no claim |
