--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -309,6 +309,31 @@
         assert _is_whole("confirm", "last", received), received
 
 
+async def a_caller_that_closes_its_half_counts_as_gone() -> None:
+    """Guards against work for a caller that has left.
+
+    It can't be told from one that only sends nothing more.
+    """
+    async with platform.Platform() as made:
+        for replica in made.replicas.values():
+            replica.work_s = SILENT_S
+        host, port = made.fields[0]["listen"]["front"].split(":")
+        safe = [d for d, _ in _requests("half") if b"release" in d]
+        for number, data in enumerate(safe):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            await asyncio.sleep(PASSED_ON_S)
+            ran = [r for v in made.replicas.values() for r in v.ran]
+            assert len(ran) == number + 1, ran
+            writer.write_eof()
+            async with asyncio.timeout(PASSED_ON_S):
+                assert await reader.read() == b""
+            await asyncio.sleep(PASSED_ON_S)
+            cancelled = [r for v in made.replicas.values() for r in v.cancelled]
+            assert len(cancelled) == number + 1, cancelled
+            writer.close()
+
+
 async def a_head_that_breaks_off_before_another_is_no_answer() -> None:
     """Guards against another request's body under the head of an answer.
 
