Test malformed heads and what passes between daemons

Fifty answers whose heads or chunks have no meaning or two, six valid ones with unusual spelling; a relay's answer cut at each byte, as one message and as a stream; an attempt passed to a relay that breaks off in its message.

--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -9,12 +9,15 @@
 
 from result import Err, Ok
 
-from cases import connections
+from cases import connections, relaying
 from cases.broken_off import WHOLE_STREAM
 from cluster import platform, raw_caller
-from godwittack.backend import bounded_client, http, protocol
+from godwittack.backend import bounded_client, http, protocol, signals
 from godwittack.clock import SystemClock
-from godwittack.core import effects, inputs
+from godwittack.core import effects, inputs, work
+from godwittack.peer import exchange
+from godwittack.relay import client as relay_client
+from godwittack.relay import codec
 from godwittack.store import http as store_http
 from godwittack.store import protocol as store_protocol
 from standins.scripted import Reply, ScriptedServer
@@ -580,3 +583,179 @@
                 await store.instances(),
             ):
                 assert isinstance(result, Err), (body, result)
+
+
+def _heads() -> tuple[tuple[bytes, ...], tuple[bytes, ...]]:
+    """Returns answers that frame nothing or another amount, and valid ones."""
+    own = connections.HEAD
+    chunked = own + connections.CHUNKED
+    length = own + b"Content-Length: 4\r\n\r\nbody"
+    whole = b"4\r\nbody\r\n0\r\n\r\n"
+    malformed = (
+        length.replace(b"\r\n", b"\n"),
+        own + b"X-Folded: a\r\n b\r\nContent-Length: 4\r\n\r\nbody",
+        own + b"Content-Length: 4\r\n 0\r\n\r\nbody",
+        own + b"Content-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+        own
+        + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + whole,
+        own
+        + b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+        + whole,
+        *(
+            own + b"Content-Length: " + text + b"\r\n\r\nbody"
+            for text in (
+                b"",
+                b"-4",
+                b"+4",
+                b"4 0",
+                b"4, 4",
+                b"0x4",
+                b"4;",
+                b"9" * 30,
+                b"%d" % (2**64 - 1),
+                "\u0664".encode(),
+                "\xb2".encode("latin-1"),
+            )
+        ),
+        *(
+            length.replace(b"HTTP/1.1 200 OK", line)
+            for line in (
+                b"HTTP/1.1 20 OK",
+                b"HTTP/1.1 2000 OK",
+                b"HTTP/1.1 -200 OK",
+                b"HTTP/1.1 OK",
+                b"HTTP/1.2 200 OK",
+                b"HTTP 200 OK",
+                b"200 OK",
+            )
+        ),
+        *(
+            chunked + size + b"\r\nbody\r\n0\r\n\r\n"
+            for size in (
+                b"",
+                b"-4",
+                b"+4",
+                b"0x4",
+                b"3",
+                b"5",
+                b"f" * 16,
+                b"f" * 17,
+                b"1" + b"0" * 15 + b"4",
+            )
+        ),
+        *(chunked + whole[:cut] for cut in range(len(whole))),
+        *(
+            chunked + b"4\r\nbody\r\n" + end
+            for end in (b"0;a=", b"0\r\nX-Trailer: a", b"0\r\nX-Trailer: a\r\n")
+        ),
+    )
+    valid = (
+        length,
+        length.replace(b"200 OK", b"200"),
+        length.replace(b"200 OK", b"200 " + b"x" * LONG_HEAD_BYTES),
+        own + b"Content-Length:  0004\t\r\n\r\nbody",
+        chunked + whole,
+        chunked + b"4;a=b\r\nbody\r\n0;c\r\nX-Trailer: a\r\n\r\n",
+    )
+    return malformed, valid
+
+
+async def a_malformed_head_is_no_answer() -> None:
+    """Guards against a guess where a head or a chunk has two meanings."""
+    malformed, valid = _heads()
+    for data in malformed:
+        async with ScriptedServer(Reply(data, then="close")) as server:
+            sink = await connections.Backend(server).send()
+            assert sink.answered is None, (data, sink)
+            phase, _ = sink.failure
+            assert phase is connections.SENT, (data, sink)
+    for data in valid:
+        async with ScriptedServer(Reply(data)) as server:
+            sink = await connections.Backend(server).send()
+            assert sink.failure is None, (data[:200], sink)
+            assert sink.answered.body == b"body", (data[:200], sink)
+
+
+async def a_relay_that_breaks_off_brings_no_answer() -> None:
+    """Guards against part of another daemon's messages taken for an answer.
+
+    Cut at each byte, the attempt may have run.
+    """
+    answer = work.Answer(200, (work.Header("X-A", "b"),), b"body")
+    head = work.Head(200, ())
+    frames = (work.Frame(1, b"id: 1\n\n"), work.Frame(2, b"", terminal=True))
+    for events in (
+        (codec.answer("r1", answer, None),),
+        (codec.opened("r1", None, head), *map(codec.frame, frames)),
+    ):
+        messages = b"".join(map(codec.frame_event, events))
+        whole = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        whole += connections.chunk(messages)
+        for cut in range(len(whole) + 1):
+            reply = Reply(whole[:cut], then="close")
+            async with ScriptedServer(reply) as server:
+                sink = await _send_relayed(server.address)
+            is_whole = messages in whole[:cut]
+            ends = [frame for frame in sink.frames_seen if frame.terminal]
+            assert bool(sink.answered or ends) == is_whole, (cut, sink)
+            if not is_whole:
+                relayed = (connections.SENT, inputs.FailureCause.RELAY)
+                assert sink.failure == relayed, (cut, sink)
+
+
+async def _send_relayed(address: str) -> connections.Sink:
+    """Returns what an attempt through a daemon at an address brings."""
+    peers = exchange.PeerClient(secret=b"s", timeout_ms=500)
+    client = relay_client.RelayClient(
+        peers=peers,
+        own_id="sender",
+        address_of={"relay": address}.get,
+        reporter=signals.SignalReporter(clock=SystemClock()),
+        clock=SystemClock(),
+        probe_timeout_ms=500,
+    )
+    sink = connections.Sink()
+    sent = effects.Dispatch(
+        request_id="r1",
+        attempt_id="a1",
+        server_id="i-1",
+        address="127.0.0.1:1",
+        stamp=None,
+        relay="relay",
+        fresh_connection=True,
+    )
+    call = protocol.Call(method="POST", path="/x", headers=(), body=b"b")
+    async with asyncio.timeout(2):
+        await client.send(sent, call, sink)
+    await peers.close()
+    return sink
+
+
+async def a_relayed_request_that_breaks_off_never_runs() -> None:
+    """Guards against an attempt made of part of a daemon's message.
+
+    Such a part may be a valid message without the last fields.
+    """
+    async with relaying.Relays() as relays:
+        message = codec.call_to_proto(
+            relays.dispatch(relays.plain),
+            relaying.call(),
+            sender_id="sender",
+            now_ms=relays.clock.now_ms(),
+        ).SerializeToString()
+        head = (
+            f"POST {exchange.RELAY_PATH} HTTP/1.1\r\nHost: relay\r\n"
+            f"{exchange.PROOF_HEADER}: {exchange.proof(relaying.SECRET)}\r\n"
+            f"Content-Length: {len(message)}\r\n\r\n"
+        ).encode()
+        host, port = relays.address.split(":")
+        for cut in range(0, len(message), 16):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head + message[:cut])
+            await asyncio.sleep(0)
+            writer.close()
+        await asyncio.sleep(PASSED_ON_S)
+        assert not relays.plain.ran, relays.plain.ran
+        sink = await relays.send(relays.plain)
+        assert sink.answered is not None, sink
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -28,3 +28,6 @@
       | an answer of the own interface makes no claim |
       | a head that frames no answer fails at once |
       | an answer of a store that breaks off is an error |
+      | a malformed head is no answer |
+      | a relay that breaks off brings no answer |
+      | a relayed request that breaks off never runs |
