Refuse requests in a transfer coding other than chunks

What callers saw: nothing; their server read the bytes of a coding as the body of the request. Cause: the library accepts `gzip, chunked` and decodes the chunks only. Bodies are passed on with a length, and the header that names the coding concerns one connection. Evidence: a request in that coding ran at the stand-in with the coded bytes as its body. Change: such a request gets 501 before its body is read, as answers in such a coding fail. The test failed before the change.

--- a/src/godwittack/entry/bodies.py
+++ b/src/godwittack/entry/bodies.py
@@ -19,6 +19,9 @@
 MAX_WAIT_MS = 500
 # Part of a caller's deadline for which its body may wait.
 WAIT_PART = 0.25
+STATUS_NOT_IMPLEMENTED = 501
+# Characters of an unsupported coding that go into an answer.
+MAX_SHOWN_CHARS = 100
 # Memory taken for a short body before any of it has arrived.
 FIRST_BYTES = 16 << 10
 
@@ -56,6 +59,14 @@
         Returns:
             The body and its memory, which the caller releases.
         """
+        coding = _unsupported_coding(request)
+        if coding:
+            return Err(
+                reservations.BodyError(
+                    STATUS_NOT_IMPLEMENTED,
+                    f"transfer coding {coding!r}: use chunked",
+                )
+            )
         stated_bytes = request.content_length
         if stated_bytes is not None and stated_bytes > max_bytes:
             return Err(_too_long(max_bytes))
@@ -173,6 +184,19 @@
     return response
 
 
+def _unsupported_coding(request: web.BaseRequest) -> str:
+    """Returns a transfer coding other than chunks; empty if there is none.
+
+    Such a body would be passed on in its coding, but without the header that
+    names it.
+    """
+    text = ",".join(request.headers.getall("Transfer-Encoding", []))
+    for coding in text.split(","):
+        if coding.strip().lower() not in ("", "chunked"):
+            return coding.strip()[:MAX_SHOWN_CHARS]
+    return ""
+
+
 def _too_long(max_bytes: int) -> reservations.BodyError:
     return reservations.BodyError(
         413, f"the body is longer than {max_bytes} bytes"
--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -312,6 +312,32 @@
         assert _is_whole("confirm", "last", received), received
 
 
+async def a_request_in_another_coding_is_not_run() -> None:
+    """Guards against a body in a transfer coding whose name is not passed on.
+
+    The server would read the coded bytes as the caller's body.
+    """
+    async with platform.Platform() as made:
+        for number, coding in enumerate(("gzip, chunked", "GZIP , Chunked")):
+            received = await raw_caller.call(
+                made,
+                "release",
+                f"r{number}",
+                body=b"4\r\nbody\r\n0\r\n\r\n",
+                headers={"Transfer-Encoding": coding, "Content-Length": ""},
+            )
+            assert received.status == 501, received
+            assert not made.ran(f"r{number}")
+        received = await raw_caller.call(
+            made,
+            "release",
+            "chunked",
+            body=b"4\r\nbody\r\n0\r\n\r\n",
+            headers={"Transfer-Encoding": " Chunked", "Content-Length": ""},
+        )
+        assert received.status == 200, received
+
+
 async def a_caller_that_closes_its_half_counts_as_gone() -> None:
     """Guards against work for a caller that has left.
 
--- a/tests/cluster/raw_caller.py
+++ b/tests/cluster/raw_caller.py
@@ -71,7 +71,7 @@
         body: Body of the request.
         http_version: Version of HTTP in the request.
         method: Method of the request.
-        headers: Further headers.
+        headers: Further headers; an empty value leaves out a usual one.
         leave_after: Events of a stream after which the caller leaves; 0 to read
             to the end.
         read_s: Time in which the answer must end.
@@ -112,7 +112,7 @@
         fields["X-Godwittack-Prefix-Hash"] = "ab12:800,cd34:100"
     fields.update(headers)
     lines = [f"{method} /{name}/x HTTP/{http_version}"]
-    lines += [f"{key}: {value}" for key, value in fields.items()]
+    lines += [f"{key}: {value}" for key, value in fields.items() if value]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
--- a/tests/features/torn_heads.feature
+++ b/tests/features/torn_heads.feature
@@ -16,6 +16,7 @@
       | an order whose answer breaks off is carried out once |
       | a store whose answers break off in their heads is read again |
       | a request that breaks off never runs |
+      | a request in another coding is not run |
       | a caller that closes its half counts as gone |
 
     Examples: scripted servers
