--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -7,14 +7,19 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from result import Ok
+from result import Err, Ok
 
-from cases import connections
+from cases import connections, relaying
 from cases.broken_off import WHOLE_STREAM
 from cluster import platform, raw_caller
-from godwittack.backend import bounded_client, http, protocol
+from godwittack.backend import bounded_client, http, protocol, signals
 from godwittack.clock import SystemClock
-from godwittack.core import effects, inputs
+from godwittack.core import effects, inputs, work
+from godwittack.peer import exchange
+from godwittack.relay import client as relay_client
+from godwittack.relay import codec
+from godwittack.store import http as store_http
+from godwittack.store import protocol as store_protocol
 from standins.scripted import Reply, ScriptedServer
 from standins.torn import Form, Torn
 
@@ -307,6 +312,57 @@
         assert _is_whole("confirm", "last", received), received
 
 
+async def a_request_in_another_coding_is_not_run() -> None:
+    """Guards against a body in a transfer coding whose name is not passed on.
+
+    The server would read the coded bytes as the caller's body.
+    """
+    async with platform.Platform() as made:
+        for number, coding in enumerate(("gzip, chunked", "GZIP , Chunked")):
+            received = await raw_caller.call(
+                made,
+                "release",
+                f"r{number}",
+                body=b"4\r\nbody\r\n0\r\n\r\n",
+                headers={"Transfer-Encoding": coding, "Content-Length": ""},
+            )
+            assert received.status == 501, received
+            assert not made.ran(f"r{number}")
+        received = await raw_caller.call(
+            made,
+            "release",
+            "chunked",
+            body=b"4\r\nbody\r\n0\r\n\r\n",
+            headers={"Transfer-Encoding": " Chunked", "Content-Length": ""},
+        )
+        assert received.status == 200, received
+
+
+async def a_caller_that_closes_its_half_counts_as_gone() -> None:
+    """Guards against work for a caller that has left.
+
+    It can't be told from one that only sends nothing more.
+    """
+    async with platform.Platform() as made:
+        for replica in made.replicas.values():
+            replica.work_s = SILENT_S
+        host, port = made.fields[0]["listen"]["front"].split(":")
+        safe = [d for d, _ in _requests("half") if b"release" in d]
+        for number, data in enumerate(safe):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            await asyncio.sleep(PASSED_ON_S)
+            ran = [r for v in made.replicas.values() for r in v.ran]
+            assert len(ran) == number + 1, ran
+            writer.write_eof()
+            async with asyncio.timeout(PASSED_ON_S):
+                assert await reader.read() == b""
+            await asyncio.sleep(PASSED_ON_S)
+            cancelled = [r for v in made.replicas.values() for r in v.cancelled]
+            assert len(cancelled) == number + 1, cancelled
+            writer.close()
+
+
 async def a_head_that_breaks_off_before_another_is_no_answer() -> None:
     """Guards against another request's body under the head of an answer.
 
@@ -323,6 +379,53 @@
             assert sink.failure == broken, sink
 
 
+async def a_head_torn_anywhere_before_another_is_no_answer() -> None:
+    """Guards against a place in a head at which another answer can go on.
+
+    At some places the second answer only names the other request and is
+    skipped; the answer then fails as the connection ends.
+    """
+    length, chunks = b"Content-Length: 5\r\n\r\n", connections.CHUNKED
+    for framing, body in (
+        (length, b"other"),
+        (chunks, connections.chunk(b"other") + b"0\r\n\r\n"),
+    ):
+        own = connections.HEAD.replace(b"{id}", b"r1")
+        own += b"X-Godwittack-Response-Signature: sig.r1\r\n" + framing
+        other = connections.OTHER + framing + body
+        for cut in range(len(own)):
+            reply = Reply(own[:cut] + other, then="close")
+            async with ScriptedServer(reply) as server:
+                sink = await connections.Backend(server).send()
+                assert sink.answered is None, (own[:cut], sink)
+                broken = (connections.SENT, inputs.FailureCause.BROKEN)
+                assert sink.failure == broken, (own[:cut], sink)
+
+
+async def an_answer_without_a_body_is_whole_or_none() -> None:
+    """Guards against part of a head that passes for an answer without a body.
+
+    To HEAD, and with the statuses 204 and 304; cut at every byte.
+    """
+    head = connections.HEAD + b"Content-Length: 5\r\n\r\n"
+    for method, status in (
+        ("HEAD", b"200 OK"),
+        ("POST", b"204 No Content"),
+        ("GET", b"304 Not Modified"),
+    ):
+        whole = head.replace(b"{id}", b"r1").replace(b"200 OK", status)
+        for cut in range(len(whole) + 1):
+            reply = Reply(whole[:cut], then="close")
+            async with ScriptedServer(reply) as server:
+                backend = connections.Backend(server)
+                sink = await backend.send(method=method, body=b"")
+                assert (sink.answered is not None) == (cut == len(whole)), (
+                    whole[:cut],
+                    sink,
+                )
+                assert sink.answered is None or sink.answered.is_delimited
+
+
 async def an_unreadable_number_in_a_head_loses_no_answer() -> None:
     """Guards against a whole answer that fails as `int` rejects a header.
 
@@ -422,10 +525,16 @@
         b"HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nhalf",
         b"HTTP/1.1 101 OK\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
     )
+    chunks = b"4\r\nbody\r\n0\r\n\r\n"
     whole = (
-        head + b"Content-Length: 4\r\n\r\nbody",
-        head + b"Transfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-        head + b"\r\nbody",
+        (head + b"Content-Length: 4\r\n\r\nbody", b"body", True),
+        (
+            head + b"Transfer-Encoding: Chunked\r\n\r\n" + chunks,
+            b"body",
+            True,
+        ),
+        (head + b"\r\nbody", b"body", False),
+        (head + b"\r\n", b"", False),
     )
     async with _own_backend() as backend:
         for data in malformed:
@@ -434,9 +543,245 @@
                 assert sink.answered is None, (data, sink)
                 broken = (connections.SENT, inputs.FailureCause.BROKEN)
                 assert sink.failure == broken, (data, sink)
-        for data in whole:
+        for data, body, has_mark in whole:
             async with ScriptedServer(Reply(data, then="close")) as server:
                 sink = await _send_own(backend, server.address)
-                assert sink.answered.body == b"body", (data, sink)
-                has_mark = data != whole[-1]
+                assert sink.answered.body == body, (data, sink)
                 assert sink.answered.is_delimited == has_mark, (data, sink)
+
+
+async def a_head_that_frames_no_answer_fails_at_once() -> None:
+    """Guards against a wait for the end of what can't end, and raw chunks.
+
+    A status that is none, and a second transfer coding that ends with the
+    connection, on a connection that stays open.
+    """
+    chunked = b"Transfer-Encoding: chunked\r\n"
+    event = connections.chunk(b"id: 1\ndata: e1\n\n")
+    for data in (
+        connections.complete(b"1", connections.HEAD.replace(b"200", b"000")),
+        connections.complete(b"1", connections.HEAD.replace(b"200", b"099")),
+        connections.STREAM
+        + chunked
+        + b"Transfer-Encoding: identity\r\n\r\n"
+        + event,
+        connections.HEAD + chunked + b"Transfer-Encoding: gzip\r\n\r\n",
+    ):
+        async with ScriptedServer(Reply(data)) as server:
+            sink = await connections.Backend(server).send(
+                stamp=connections.STAMP
+            )
+            assert not sink.frames_seen, (data, sink)
+            assert sink.answered is None, (data, sink)
+            broken = (connections.SENT, inputs.FailureCause.BROKEN)
+            assert sink.failure == broken, (data, sink)
+
+
+async def an_answer_of_a_store_that_breaks_off_is_an_error() -> None:
+    """Guards against an exception that ends the task that asked the store.
+
+    The answer has no length, and its connection is closed after its head or in
+    its body.
+    """
+    row = store_protocol.RowId("t", "k")
+    for body in (b"", b'{"table":"t"', b"[{"):
+        answers = [Reply(b"HTTP/1.1 200 OK\r\n\r\n" + body, then="close")] * 5
+        async with (
+            ScriptedServer(*answers) as server,
+            bounded_client.open_session(
+                bounded_client.BoundedConnector(force_close=True)
+            ) as session,
+        ):
+            store = store_http.HttpPlatform(
+                session=session,
+                base_url=f"http://{server.address}",
+                timeout_ms=500,
+                backoff_ms=0,
+                clock=SystemClock(),
+            )
+            written = await store.transact((), ())
+            assert isinstance(written, Err), (body, written)
+            assert written.err_value.may_have_run, (body, written)
+            for result in (
+                await store.read(row),
+                await store.scan("t", after="", limit=1),
+                await store.versions("m"),
+                await store.instances(),
+            ):
+                assert isinstance(result, Err), (body, result)
+
+
+def _heads() -> tuple[tuple[bytes, ...], tuple[bytes, ...]]:
+    """Returns answers that frame nothing or another amount, and valid ones."""
+    own = connections.HEAD
+    chunked = own + connections.CHUNKED
+    length = own + b"Content-Length: 4\r\n\r\nbody"
+    whole = b"4\r\nbody\r\n0\r\n\r\n"
+    malformed = (
+        length.replace(b"\r\n", b"\n"),
+        own + b"X-Folded: a\r\n b\r\nContent-Length: 4\r\n\r\nbody",
+        own + b"Content-Length: 4\r\n 0\r\n\r\nbody",
+        own + b"Content-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+        own
+        + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + whole,
+        own
+        + b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+        + whole,
+        *(
+            own + b"Content-Length: " + text + b"\r\n\r\nbody"
+            for text in (
+                b"",
+                b"-4",
+                b"+4",
+                b"4 0",
+                b"4, 4",
+                b"0x4",
+                b"4;",
+                b"9" * 30,
+                b"%d" % (2**64 - 1),
+                "\u0664".encode(),
+                "\xb2".encode("latin-1"),
+            )
+        ),
+        *(
+            length.replace(b"HTTP/1.1 200 OK", line)
+            for line in (
+                b"HTTP/1.1 20 OK",
+                b"HTTP/1.1 2000 OK",
+                b"HTTP/1.1 -200 OK",
+                b"HTTP/1.1 OK",
+                b"HTTP/1.2 200 OK",
+                b"HTTP 200 OK",
+                b"200 OK",
+            )
+        ),
+        *(
+            chunked + size + b"\r\nbody\r\n0\r\n\r\n"
+            for size in (
+                b"",
+                b"-4",
+                b"+4",
+                b"0x4",
+                b"3",
+                b"5",
+                b"f" * 16,
+                b"f" * 17,
+                b"1" + b"0" * 15 + b"4",
+            )
+        ),
+        *(chunked + whole[:cut] for cut in range(len(whole))),
+        *(
+            chunked + b"4\r\nbody\r\n" + end
+            for end in (b"0;a=", b"0\r\nX-Trailer: a", b"0\r\nX-Trailer: a\r\n")
+        ),
+    )
+    valid = (
+        length,
+        length.replace(b"200 OK", b"200"),
+        length.replace(b"200 OK", b"200 " + b"x" * LONG_HEAD_BYTES),
+        own + b"Content-Length:  0004\t\r\n\r\nbody",
+        chunked + whole,
+        chunked + b"4;a=b\r\nbody\r\n0;c\r\nX-Trailer: a\r\n\r\n",
+    )
+    return malformed, valid
+
+
+async def a_malformed_head_is_no_answer() -> None:
+    """Guards against a guess where a head or a chunk has two meanings."""
+    malformed, valid = _heads()
+    for data in malformed:
+        async with ScriptedServer(Reply(data, then="close")) as server:
+            sink = await connections.Backend(server).send()
+            assert sink.answered is None, (data, sink)
+            phase, _ = sink.failure
+            assert phase is connections.SENT, (data, sink)
+    for data in valid:
+        async with ScriptedServer(Reply(data)) as server:
+            sink = await connections.Backend(server).send()
+            assert sink.failure is None, (data[:200], sink)
+            assert sink.answered.body == b"body", (data[:200], sink)
+
+
+async def a_relay_that_breaks_off_brings_no_answer() -> None:
+    """Guards against part of another daemon's messages taken for an answer.
+
+    Cut at each byte, the attempt may have run.
+    """
+    answer = work.Answer(200, (work.Header("X-A", "b"),), b"body")
+    head = work.Head(200, ())
+    frames = (work.Frame(1, b"id: 1\n\n"), work.Frame(2, b"", terminal=True))
+    for events in (
+        (codec.answer("r1", answer, None),),
+        (codec.opened("r1", None, head), *map(codec.frame, frames)),
+    ):
+        messages = b"".join(map(codec.frame_event, events))
+        whole = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        whole += connections.chunk(messages)
+        for cut in range(len(whole) + 1):
+            reply = Reply(whole[:cut], then="close")
+            async with ScriptedServer(reply) as server:
+                sink = await _send_relayed(server.address)
+            is_whole = messages in whole[:cut]
+            ends = [frame for frame in sink.frames_seen if frame.terminal]
+            assert bool(sink.answered or ends) == is_whole, (cut, sink)
+            if not is_whole:
+                relayed = (connections.SENT, inputs.FailureCause.RELAY)
+                assert sink.failure == relayed, (cut, sink)
+
+
+async def _send_relayed(address: str) -> connections.Sink:
+    """Returns what an attempt through a daemon at an address brings."""
+    peers = exchange.PeerClient(secret=b"s", timeout_ms=500)
+    client = relay_client.RelayClient(
+        peers=peers,
+        own_id="sender",
+        address_of={"relay": address}.get,
+        reporter=signals.SignalReporter(clock=SystemClock()),
+        clock=SystemClock(),
+        probe_timeout_ms=500,
+    )
+    sink = connections.Sink()
+    sent = effects.Dispatch(
+        request_id="r1",
+        attempt_id="a1",
+        server_id="i-1",
+        address="127.0.0.1:1",
+        stamp=None,
+        relay="relay",
+        fresh_connection=True,
+    )
+    call = protocol.Call(method="POST", path="/x", headers=(), body=b"b")
+    async with asyncio.timeout(2):
+        await client.send(sent, call, sink)
+    await peers.close()
+    return sink
+
+
+async def a_relayed_request_that_breaks_off_never_runs() -> None:
+    """Guards against an attempt made of part of a daemon's message.
+
+    Such a part may be a valid message without the last fields.
+    """
+    async with relaying.Relays() as relays:
+        message = codec.call_to_proto(
+            relays.dispatch(relays.plain),
+            relaying.call(),
+            sender_id="sender",
+            now_ms=relays.clock.now_ms(),
+        ).SerializeToString()
+        head = (
+            f"POST {exchange.RELAY_PATH} HTTP/1.1\r\nHost: relay\r\n"
+            f"{exchange.PROOF_HEADER}: {exchange.proof(relaying.SECRET)}\r\n"
+            f"Content-Length: {len(message)}\r\n\r\n"
+        ).encode()
+        host, port = relays.address.split(":")
+        for cut in range(0, len(message), 16):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head + message[:cut])
+            await asyncio.sleep(0)
+            writer.close()
+        await asyncio.sleep(PASSED_ON_S)
+        assert not relays.plain.ran, relays.plain.ran
+        sink = await relays.send(relays.plain)
+        assert sink.answered is not None, sink
