Cut answers of which callers read nothing, also at a planned stop

What callers saw: nothing yet. Cause: only streams have a time in which the caller must read; a whole answer is written by the HTTP library, which waits. Change: a connection whose unsent bytes haven't changed for slow_caller_ms is aborted, looked at each half second. One that is read slowly is waited for, however long it takes. The platform's daemon is not concerned: its stop ends within seconds.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -166,7 +166,7 @@
     )
     slow_caller_ms: Ms = pydantic.Field(
         default=30_000,
-        description="ms for which a caller may leave its stream unread",
+        description="ms for which a caller may leave its answer unread",
     )
     connect_timeout_ms: Ms = pydantic.Field(
         default=1_000, description="ms to open a connection to a server"
--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -95,6 +95,11 @@
         for server in self._servers:
             server.close_overdue(limits)
 
+    def close_unread(self, *, timeout_ms: int) -> None:
+        """Aborts connections whose callers have read nothing for that long."""
+        for server in self._servers:
+            server.close_unread(timeout_ms=timeout_ms)
+
     def count_states(
         self,
     ) -> collections.Counter[connection_timeouts.ConnectionState]:
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -37,7 +37,7 @@
     from godwittack.config import settings as configs
 
 POOL_CONNECTIONS = 4_000
-# Interval between two searches for connections with slow request headers.
+# Interval between two searches for connections of slow callers.
 CLEANUP_INTERVAL_MS = 500
 
 
@@ -221,7 +221,7 @@
         self._background_tasks.start(self._close_slow_forever())
 
     async def _close_slow_forever(self) -> None:
-        """Closes connections whose request headers never end.
+        """Closes connections that callers neither write to nor read from.
 
         A planned stop waits until all connections have ended.
         """
@@ -231,6 +231,9 @@
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_MS / 1000)
             self._listeners.close_slow_connections(limits)
+            self._listeners.close_unread(
+                timeout_ms=self._settings.slow_caller_ms
+            )
 
     async def _stop(self) -> None:
         """Announces the stop, waits for callers to leave, drains, then closes.
--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -139,6 +139,24 @@
         ]
         return _close_unless_readable(overdue)
 
+    def close_unread(self, *, timeout_ms: int) -> int:
+        """Aborts connections whose callers stopped reading; returns how many.
+
+        Args:
+            timeout_ms: How long a caller may read nothing of what is sent.
+        """
+        now_ms = self._clock.now_ms()
+        unread = [
+            connection
+            for connection in self.connections
+            if isinstance(connection, _Connection)
+            and connection.unread_for_ms(now_ms) >= timeout_ms
+        ]
+        for connection in unread:
+            if connection.transport is not None:
+                connection.transport.abort()
+        return len(unread)
+
     def close_idle(self, *, min_idle_ms: int) -> int:
         """Closes connections without a request; returns how many.
 
@@ -191,6 +209,8 @@
         "_idle_since_ms",
         "_is_answering",
         "_server",
+        "_unsent_bytes",
+        "_unsent_since_ms",
     )
 
     def __init__(
@@ -219,6 +239,8 @@
         self._first_byte_ms = -1
         self._idle_since_ms = clock.now_ms()
         self._is_answering = False
+        self._unsent_bytes = 0
+        self._unsent_since_ms = 0
 
     @property
     def state(self) -> ConnectionState:
@@ -294,6 +316,16 @@
             self._first_byte_ms = -1
             self._idle_since_ms = self._clock.now_ms()
 
+    def unread_for_ms(self, now_ms: int) -> int:
+        """Returns how long the caller has read nothing, by repeated calls."""
+        unsent_bytes = 0
+        if self.transport is not None:
+            unsent_bytes = self.transport.get_write_buffer_size()
+        if not unsent_bytes or unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._unsent_since_ms = now_ms
+        return now_ms - self._unsent_since_ms
+
     def idle_for_ms(self, now_ms: int) -> int:
         """Returns how long it has had no request; -1 if it has one."""
         if self.state is not ConnectionState.IDLE:
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -195,3 +195,26 @@
         assert setup.server.count_states() == {"idle": 1}
         assert setup.server.close_idle(min_idle_ms=0) == 1
         assert await setup.reader.read() == b""
+
+
+async def an_answer_that_is_no_longer_read_is_aborted():
+    """A connection whose caller reads nothing is closed after a while.
+
+    Guards against a planned stop that waits for its whole patience for a caller
+    that has stopped reading; one that reads slowly is waited for.
+    """
+    async with connected(answer=b"x" * LONG_ANSWER_BYTES) as setup:
+        setup.may_answer.set()
+        setup.writer.write(REQUEST + b"abc")
+        await setup.reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.05)
+        assert setup.server.close_unread(timeout_ms=1_000) == 0
+        for _ in range(3):
+            setup.clock.advance(by_ms=999)
+            await setup.reader.readexactly(LONG_ANSWER_BYTES // 4)
+            await asyncio.sleep(0.05)
+            assert setup.server.close_unread(timeout_ms=1_000) == 0
+        setup.clock.advance(by_ms=1_000)
+        assert setup.server.close_unread(timeout_ms=1_000) == 1
+        await asyncio.sleep(0.05)
+        assert not setup.server.connections
--- a/tests/cases/own_stop.py
+++ b/tests/cases/own_stop.py
@@ -158,6 +158,26 @@
     return answer
 
 
+def a_caller_that_stops_reading_does_not_delay_the_stop():
+    """An answer that nobody reads is cut after `slow_caller_ms`.
+
+    Guards against a stop that lasts until its patience ends for one caller that
+    hangs with an answer half read.
+    """
+    with serving(slow_caller_ms=1_000) as cluster:
+        cluster.fault("portal-1", "answer_bytes", LONG_ANSWER_BYTES)
+        asyncio.run(_stop_reading(cluster))
+
+
+async def _stop_reading(cluster) -> None:
+    connection = await open_connection.OpenConnection.connect(cluster)
+    connection.send("GET", "/svc/portal/unread")
+    await asyncio.sleep(0.5)
+    stop(cluster)
+    assert await end_of(cluster, within_s=END_S) == 0
+    connection.close()
+
+
 def requests_left_when_the_patience_ends_are_answered():
     """What can't end in time gets a final answer, and a stream can be resumed.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -66,6 +66,7 @@
       | connection_timeouts | an idle connection with unread bytes is not closed |
       | connection_timeouts | a stopping server answers pipelined requests |
       | connection_timeouts | a connection whose body is still discarded is not idle |
+      | connection_timeouts | an answer that is no longer read is aborted |
 
     Examples: servers for callers
       | group     | case |
--- a/tests/features/promises/graceful_stop.feature
+++ b/tests/features/promises/graceful_stop.feature
@@ -45,6 +45,7 @@
       | group    | case |
       | own_stop | a stop ends while callers keep sending |
       | own_stop | an answer read slowly outlives the stop |
+      | own_stop | a caller that stops reading does not delay the stop |
       | own_stop | requests left when the patience ends are answered |
       | own_stop | a body that arrives during the stop is answered |
       | own_stop | connections without a request do not delay the stop |
