--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -69,6 +69,7 @@
       | connection_timeouts | requests are refused by the clock |
       | connection_timeouts | an answer without framing is sent before its orderly end |
       | connection_timeouts | a connection whose body is still discarded is not idle |
+      | connection_timeouts | an answer that is no longer read is aborted |
 
     Examples: servers for callers
       | group     | case |
