Decode bodies with lists outside the adapter

backend/json_items.py decodes a body with a list without the items that can't be decoded, for rows of the store and cache events alike, and logs when the reason changes. Ids of servers are checked where the list is parsed, addresses of stores of cached state where these are listed, and heads are encoded beside the other functions on headers.

--- a/src/godwittack/backend/headers.py
+++ b/src/godwittack/backend/headers.py
@@ -71,6 +71,15 @@
     )
 
 
+def encode_head(lines: Collection[str]) -> bytes:
+    """Returns the head of a message; raises ValueError if it can't be one."""
+    head = "\r\n".join(lines)
+    breaks = len(lines) - 1
+    if head.count("\n") != breaks or head.count("\r") != breaks:
+        raise ValueError("a header has a line break")
+    return (head + "\r\n\r\n").encode("latin-1")
+
+
 def parse_number(text: str) -> int | None:
     """Returns a header's value as a whole number, None for anything else."""
     return digits.parse(text.strip())
@@ -115,6 +124,7 @@
 __all__ = [
     "HOP_BY_HOP",
     "REGENERATED",
+    "encode_head",
     "parse_decimal",
     "end_to_end",
     "is_decimal",
--- a/src/godwittack/backend/json_fields.py
+++ b/src/godwittack/backend/json_fields.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import pydantic
 
 from godwittack import digits
 
+# The year 2100: a start that is still to come is not one of a server, and would
+# count as later than that of every server.
+_MAX_START_MS = 4_102_444_800_000
+StartTime = Annotated[int, pydantic.Field(ge=1, le=_MAX_START_MS)]
+Version = Annotated[int, pydantic.Field(ge=0, lt=2**63)]
 _MAX_NUMBER = 10**digits.MAX_DIGITS
 Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
 Positive = Annotated[int, pydantic.Field(ge=1, le=_MAX_NUMBER)]
@@ -30,9 +35,13 @@
 OptionalCount = Annotated[int | None, pydantic.BeforeValidator(_count_or_none)]
 
 
+_Item = TypeVar("_Item")
+Items = tuple[_Item, ...]
+
+
 def first_error(error: pydantic.ValidationError) -> str:
     """Returns the first error as one line."""
-    first = error.errors()[0]
+    first = error.errors(include_url=False, include_input=False)[0]
     return ".".join(str(p) for p in first["loc"]) + f": {first['msg']}"
 
 
@@ -40,8 +49,11 @@
     "MAX_REQUESTS",
     "Amount",
     "Count",
+    "Items",
     "OptionalCount",
     "Positive",
     "Requests",
+    "StartTime",
+    "Version",
     "first_error",
 ]
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -60,9 +60,9 @@
     """
 
     content: str
-    crashes: tuple[_CrashJson, ...] = ()
-    broken: tuple[_CrashJson, ...] = ()
-    completions: tuple[_CompletionJson, ...] = ()
+    crashes: json_fields.Items[_CrashJson] = ()
+    broken: json_fields.Items[_CrashJson] = ()
+    completions: json_fields.Items[_CompletionJson] = ()
 
 
 class CrashRows:
--- a/src/godwittack/daemon/feed_table.py
+++ b/src/godwittack/daemon/feed_table.py
@@ -8,6 +8,7 @@
 from absl import logging
 from result import Err
 
+from godwittack import address as addresses
 from godwittack.core import inputs, server_inputs
 from godwittack.core.cached_state import STORE_TARGET
 from godwittack.daemon import tables
@@ -19,7 +20,7 @@
 
     from godwittack.member import freshness, view
     from godwittack.store import protocol
-    from godwittack.table import model
+    from godwittack.table import forwarding, model
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -72,7 +73,11 @@
         if table.forwarding is None:
             return
         now_ms = self.runtime.clock.now_ms()
-        kv_stores = {store.name: store for store in table.forwarding.kv_stores}
+        kv_stores = {
+            store.name: store
+            for store in table.forwarding.kv_stores
+            if _is_callable(store)
+        }
         listed_servers = self.runtime.core.world.servers_by_target[STORE_TARGET]
         for name in listed_servers.keys() - kv_stores.keys():
             self.runtime.submit(
@@ -106,4 +111,16 @@
         self.runtime.submit(inputs.RightToServe(now_ms, until_ms))
 
 
+def _is_callable(store: forwarding.KvStore) -> bool:
+    """Returns whether a store can be used; prompts are computed without it."""
+    is_callable = addresses.is_callable(store.address)
+    if not is_callable:
+        logging.warning(
+            "event=kv_store_refused name=%r address=%r",
+            store.name,
+            store.address,
+        )
+    return is_callable
+
+
 __all__ = ["FeedTableKeeper"]
--- a/src/godwittack/daemon/instance_rows.py
+++ b/src/godwittack/daemon/instance_rows.py
@@ -12,6 +12,7 @@
 from absl import logging
 from result import Err, Result
 
+from godwittack import address as addresses
 from godwittack.core import incarnation
 
 if TYPE_CHECKING:
@@ -79,7 +80,12 @@
         }
         parsed = ParsedRows({}, {})
         for key, (_, result) in self._decoded.items():
-            if isinstance(result, Err):
+            if not addresses.is_visible(key):
+                # The id is sent in a header of each call.
+                parsed.refused[key] = (
+                    "the id is not of visible ASCII characters"
+                )
+            elif isinstance(result, Err):
                 parsed.refused[key] = result.err_value
             elif self._failure_domains and (
                 result.ok_value.failure_domain not in self._failure_domains
--- a/src/godwittack/platform/callers.py
+++ b/src/godwittack/platform/callers.py
@@ -35,11 +35,8 @@
         for name in (names.REQUEST_ID, names.API_KEY, "Host"):
             if len(request.headers.getall(name, [])) > 1:
                 return Err(f"{name}: sent more than once")
-        if not request_id:
-            return Err(f"{names.REQUEST_ID}: missing")
         if not addresses.is_visible(request_id):
-            # Its answer would not be recognized by it.
-            return Err(f"{names.REQUEST_ID}: not of visible ASCII characters")
+            return Err(f"{names.REQUEST_ID}: missing, or not visible ASCII")
         after = backend_headers.parse_number(
             request.headers.get(names.LAST_EVENT_ID, "0")
         )
--- a/src/godwittack/platform/instances.py
+++ b/src/godwittack/platform/instances.py
@@ -26,18 +26,15 @@
     slots: int = pydantic.Field(ge=1, le=MAX_SLOTS)
     sequence: json_fields.Count
     cold_remaining_ms: json_fields.Amount
-    models: tuple[wire.LoadedModel, ...] = ()
+    models: json_fields.Items[wire.LoadedModel] = ()
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: wire.StartTime = 0
+    born: json_fields.StartTime = 0
 
 
 def instance_from_row(
     row: protocol.ChangedRow,
 ) -> Result[protocol.Instance, str]:
     """Decodes one row; an error says why it is not a valid server."""
-    if not addresses.is_visible(row.key):
-        # The id is sent in a header of each call.
-        return Err("the id is not of visible ASCII characters")
     try:
         body = _Server.model_validate_json(row.value)
     except pydantic.ValidationError as error:
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -8,7 +8,8 @@
 
 from result import Err, Ok
 
-from godwittack.platform import names, row_pages
+from godwittack.backend import json_fields, json_items
+from godwittack.platform import names, wire
 from godwittack.store import base64_text, protocol
 from godwittack.store import call as calls
 
@@ -25,6 +26,23 @@
 STATUSES_NOT_EXECUTED = frozenset({400, 403, 429, 503})
 
 
+class _Row(wire.Body):
+    table: str = ""
+    key: str
+    value: str = ""
+    row_version: json_fields.Version = 0
+    deleted: bool = False
+
+
+class _Rows(wire.Body):
+    rows: json_fields.Items[_Row] = ()
+    # Newest version in the whole store, not in these rows.
+    row_version: int = 0
+    has_more: bool = False
+    # The store's monotonic clock, with an origin of its own.
+    now_ms: int = 0
+
+
 class Rows:
     """Implements `ConditionalRows` and `RowFeed`."""
 
@@ -90,7 +108,7 @@
 
     async def _scan(
         self, step: str, table: str, from_key: str, *, limit: int
-    ) -> protocol.PlatformResult[row_pages.Page]:
+    ) -> protocol.PlatformResult[_Rows]:
         query = {"table": table, "part": "", "limit": str(limit)}
         if from_key:
             query["from"] = from_key
@@ -118,7 +136,7 @@
         query: Mapping[str, str] | None = None,
         body: bytes | None = None,
         wait_ms: int = 0,
-    ) -> protocol.PlatformResult[tuple[int, row_pages.Page]]:
+    ) -> protocol.PlatformResult[tuple[int, _Rows]]:
         url = f"http://{self._address}{path}"
         if query:
             url = f"{url}?{parse.urlencode(query)}"
@@ -134,7 +152,10 @@
         status = result.ok_value.status
         if status not in (200, STATUS_CONDITION_FAILED):
             return self._error(step, f"status {status}", status=status)
-        page = row_pages.parse(result.ok_value.body)
+        body = result.ok_value.body
+        page = json_items.decode(
+            _Rows, body, items="rows", origin=self._address, key="key"
+        )
         if isinstance(page, Err):
             return self._error(step, page.err_value)
         return Ok((status, page.ok_value))
@@ -157,7 +178,7 @@
     return {"table": row_id.table, "part": "", "key": row_id.key}
 
 
-def _stored_row(row: row_pages.Row, now_ms: int) -> protocol.StoredRow:
+def _stored_row(row: _Row, now_ms: int) -> protocol.StoredRow:
     row_id = protocol.RowId(row.table, row.key)
     version = 0 if row.deleted else row.row_version
     return protocol.StoredRow(
@@ -165,7 +186,7 @@
     )
 
 
-def _page(page: row_pages.Page) -> protocol.FeedPage:
+def _page(page: _Rows) -> protocol.FeedPage:
     rows = tuple(
         protocol.ChangedRow(
             key=row.key,
--- a/src/godwittack/platform/servers.py
+++ b/src/godwittack/platform/servers.py
@@ -5,19 +5,17 @@
 import json
 from typing import TYPE_CHECKING
 
-import pydantic
-
 from godwittack.backend import (
+    headers,
     json_fields,
+    json_items,
     protocol,
     routed,
     signals,
-    unreadable,
 )
 from godwittack.core import incarnation, inputs
 from godwittack.placement import levels
 from godwittack.platform import names, wire
-from godwittack.store import json_parts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,8 +36,8 @@
 
 class _Report(wire.StrictBody):
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: wire.StartTime = 0
-    models: tuple[wire.LoadedModel, ...] = ()
+    born: json_fields.StartTime = 0
+    models: json_fields.Items[wire.LoadedModel] = ()
     queue_depth: json_fields.Requests = 0
     running: json_fields.Requests = 0
     # Number of orders accepted since the server started.
@@ -56,21 +54,15 @@
     next: json_fields.OptionalCount = None
 
 
-# Sequence number, "+" or "-", scope, level id, tokens stored now, model.
-_Event = tuple[json_fields.Count, str, str, str, int, str]
-_EVENT = pydantic.TypeAdapter[_Event](
-    _Event, config=pydantic.ConfigDict(strict=True)
-)
-
-
 class _Events(wire.StrictBody):
     # Start time in Unix milliseconds; absent if the server does not report it.
-    born: wire.StartTime = 0
+    born: json_fields.StartTime = 0
     # Changes with each restart of the server.
     boot_epoch: int
     next: json_fields.Count
     lost: bool = False
-    events: tuple[_Event, ...] = ()
+    # Sequence number, "+" or "-", scope, level id, tokens stored now, model.
+    events: json_fields.Items[tuple[int, str, str, str, int, str]] = ()
 
 
 class ServerFormat:
@@ -79,7 +71,6 @@
     def __init__(self, model_of: Callable[[str], str]) -> None:
         """Uses `model_of` to map a target to the model that it serves."""
         self._model_of = model_of
-        self._unreadable = unreadable.UnreadableLog("cache_events_unreadable")
 
     def request_head(
         self, dispatch: effects.Dispatch, call: protocol.Call, remaining_ms: int
@@ -104,7 +95,7 @@
             lines.append(f"{names.KV_FETCH_FROM}: {dispatch.kv_fetch_from}")
         if dispatch.kv_save_to:
             lines.append(f"{names.KV_SAVE_TO}: {dispatch.kv_save_to}")
-        return _encode_head(lines)
+        return headers.encode_head(lines)
 
     def matches(self, reply: connection.Reply, call: protocol.Call) -> bool:
         """Returns whether a response belongs to the call."""
@@ -168,9 +159,9 @@
 
     def read_events(self, body: bytes, server_id: str) -> protocol.CacheEvents:
         """Decodes cache events; raises ValueError if they are invalid."""
-        parsed, reason = _parse_events(body)
-        if reason:
-            self._unreadable.log(server_id, reason)
+        parsed = json_items.decode(
+            _Events, body, items="events", origin=server_id
+        ).unwrap_or_raise(ValueError)
         events: list[protocol.CacheEvent] = []
         newest_version = ""
         for number, _, scope, level, tokens, _ in parsed.events:
@@ -225,47 +216,9 @@
         return routed.ControlCall(step="order", head=head, body=body)
 
 
-def _parse_events(body: bytes) -> tuple[_Events, str]:
-    """Decodes an answer, without the events that can't be decoded.
-
-    Refused as a whole, it would be asked for again and again, until the server
-    no longer keeps the odd event.
-
-    Returns:
-        The answer, and why an event can't be decoded; empty if all can.
-
-    Raises:
-        ValueError: It is no such answer.
-    """
-    try:
-        return _Events.model_validate_json(body), ""
-    except pydantic.ValidationError as error:
-        reason = json_fields.first_error(error)
-    text = body.decode(errors="replace")
-    rest, event_texts = json_parts.split_list(text, "events")
-    parsed = _Events.model_validate_json(rest)
-    events = tuple(filter(None, map(_parse_event, event_texts)))
-    return parsed.model_copy(update={"events": events}), reason
-
-
-def _parse_event(text: str) -> _Event | None:
-    try:
-        return _EVENT.validate_json(text)
-    except pydantic.ValidationError:
-        return None
-
-
-def _control_head(line: str, address: str, *headers: str) -> bytes:
-    return _encode_head([f"{line} HTTP/1.1", f"Host: {address}", *headers])
-
-
-def _encode_head(lines: list[str]) -> bytes:
-    """Returns a head; raises ValueError if a line can't be part of it."""
-    head = "\r\n".join(lines)
-    breaks = len(lines) - 1
-    if head.count("\n") != breaks or head.count("\r") != breaks:
-        raise ValueError("a header has a line break")
-    return (head + "\r\n\r\n").encode("latin-1")
+def _control_head(line: str, address: str, *more: str) -> bytes:
+    lines = (f"{line} HTTP/1.1", f"Host: {address}", *more)
+    return headers.encode_head(lines)
 
 
 __all__ = ["ServerFormat"]
--- a/src/godwittack/platform/table.py
+++ b/src/godwittack/platform/table.py
@@ -5,10 +5,8 @@
 from typing import TYPE_CHECKING
 
 import pydantic
-from absl import logging
 from result import Err, Ok, Result
 
-from godwittack import address as addresses
 from godwittack.backend import json_fields
 from godwittack.platform import names, wire
 from godwittack.table import forwarding, model
@@ -43,7 +41,7 @@
     max_attempts: int = 1
     priority: int = 0
     service: str = ""
-    traffic_split: tuple[_Split, ...] = ()
+    traffic_split: json_fields.Items[_Split] = ()
     allow_anonymous: bool = False
     resumable: bool = False
 
@@ -57,7 +55,7 @@
     kv_capacity_tokens: json_fields.Count = 0
     kv_token_bytes: json_fields.Amount = 0.0
     link_mbps: json_fields.Amount = 0.0
-    models: tuple[_Model, ...] = ()
+    models: json_fields.Items[_Model] = ()
 
 
 class _Service(wire.Body):
@@ -72,7 +70,7 @@
 
 class _Tenant(wire.Body):
     name: str
-    api_keys: tuple[str, ...] = ()
+    api_keys: json_fields.Items[str] = ()
     priority: int | None = None
     isolated: bool = False
     rate_per_s: json_fields.Amount | None = None
@@ -90,9 +88,9 @@
 
 class _Config(wire.Body):
     version: int
-    routes: tuple[_Route, ...] = ()
-    services: tuple[_Service, ...] = ()
-    tenants: tuple[_Tenant, ...] = ()
+    routes: json_fields.Items[_Route] = ()
+    services: json_fields.Items[_Service] = ()
+    tenants: json_fields.Items[_Tenant] = ()
     limits: _Limits = _Limits()
 
 
@@ -191,7 +189,7 @@
                 link_mbps=service.link_mbps,
             )
             for service in config.services
-            if service.kv_store_addr and _is_callable(service)
+            if service.kv_store_addr
         ),
         isolated=frozenset(t.name for t in config.tenants if t.isolated),
         priorities={
@@ -202,18 +200,6 @@
     )
 
 
-def _is_callable(store: _Service) -> bool:
-    """Returns whether a store can be used; prompts are computed without it."""
-    is_callable = addresses.is_callable(store.kv_store_addr)
-    if not is_callable:
-        logging.warning(
-            "event=kv_store_refused name=%r address=%r",
-            store.name,
-            store.kv_store_addr,
-        )
-    return is_callable
-
-
 def _route(route: _Route) -> forwarding.Route:
     split = route.traffic_split or [_Split(service=route.service)]
     return forwarding.Route(
--- a/src/godwittack/platform/wire.py
+++ b/src/godwittack/platform/wire.py
@@ -2,17 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import pydantic
 
 from godwittack.backend import json_fields
 
-# The year 2100: a start that is still to come is not one of a server, and would
-# count as later than that of every server.
-_MAX_START_MS = 4_102_444_800_000
-StartTime = Annotated[int, pydantic.Field(ge=1, le=_MAX_START_MS)]
-
 
 class Body(pydantic.BaseModel):
     """Base of decoded bodies; ignores unknown fields."""
@@ -35,4 +28,4 @@
     version: json_fields.Positive
 
 
-__all__ = ["Body", "LoadedModel", "StartTime", "StrictBody"]
+__all__ = ["Body", "LoadedModel", "StrictBody"]
--- a/src/godwittack/store/json_parts.py
+++ b/src/godwittack/store/json_parts.py
@@ -8,6 +8,10 @@
 
 import json
 import re
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 _STRING = r'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 _TOKEN = re.compile(_STRING + r"|[\[\]{},]", re.DOTALL)
@@ -64,8 +68,8 @@
     return found
 
 
-def split_list(text: str, name: str) -> tuple[str, list[str]]:
-    """Returns an object without one of its lists, and the list's elements.
+def split_list(text: str, name: str) -> tuple[dict[str, str], list[str]]:
+    """Returns an object's other members, and the elements of one of its lists.
 
     Raises:
         ValueError: The object has no such list, or does not end.
@@ -74,8 +78,13 @@
     if name not in fields:
         raise ValueError(f"JSON text has no {name}")
     listed = array(fields.pop(name))
-    rest = (f"{json.dumps(key)}: {value}" for key, value in fields.items())
-    return "{" + ", ".join(rest) + "}", listed
+    return fields, listed
+
+
+def join(fields: Mapping[str, str]) -> str:
+    """Returns the text of an object with these texts of values."""
+    parts = (f"{json.dumps(name)}: {value}" for name, value in fields.items())
+    return "{" + ", ".join(parts) + "}"
 
 
-__all__ = ["array", "members", "split_list"]
+__all__ = ["array", "join", "members", "split_list"]
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -10,11 +10,14 @@
 import tempfile
 from unittest import mock
 
+import aiohttp
 from absl import logging
+from aiohttp import web
 from result import Err, Ok
 
 from cases import connections, crash_rows, fuzz, one_lead, peers
 from cases import instance_rows as rows
+from cases import weights as weights_cases
 from cluster import platform, processes
 from cluster.processes import free_port
 from godwittack import address
@@ -24,6 +27,7 @@
 from godwittack.clock import ManualClock
 from godwittack.config import settings
 from godwittack.core import (
+    cached_state,
     effects,
     incarnation,
     inputs,
@@ -35,7 +39,8 @@
 from godwittack.daemon import instance_rows, outbox
 from godwittack.member import view
 from godwittack.peer import codec, peer_pb2, pending, tables, wire
-from godwittack.platform import instances, row_pages, servers
+from godwittack.platform import instances, servers
+from godwittack.platform import rows as store_rows
 from godwittack.platform import table as table_rows
 from godwittack.store import protocol
 from godwittack.table import store as table_store
@@ -329,9 +334,10 @@
     config["services"].append({"name": "kv", "kv-store-addr": "10.0.0.1:80"})
     row = protocol.ChangedRow(key="config", value=json.dumps(config), version=2)
     decoded = table_rows.table_from_rows({"config": row}, version=2, weights={})
-    table = decoded.ok_value
-    assert [store.name for store in table.forwarding.kv_stores] == ["kv"]
-    assert set(table.services) == {"app"} and set(table.models) == {"llm"}
+    reader = weights_cases.StoreReader()
+    assert reader.keeper.adopt(decoded.ok_value)
+    listed = reader.core.world.servers_by_target[cached_state.STORE_TARGET]
+    assert set(listed) == {"kv"}
 
 
 def an_odd_table_is_not_passed_on() -> None:
@@ -476,7 +482,7 @@
         "null",
         '[2, "+", "v1/w", "ab12", 1e400, "m"]',
         '["2", "+", "v1/w", "ab12", 800, "m"]',
-        '[-2, "+", "v1/w", "ab12", 800, "m"]',
+        '[2, "+", null, "ab12", 800, "m"]',
         DEEP.decode(),
     ):
         body = (
@@ -591,7 +597,7 @@
     assert not second.known.crashes("desk/odd")
 
 
-def an_odd_row_hides_no_row_beside_it() -> None:
+async def an_odd_row_hides_no_row_beside_it() -> None:
     """An answer of the store is decoded row by row where one row is odd.
 
     Guards against a table that is no longer followed: a row with a value of
@@ -600,17 +606,42 @@
     changed, with an empty value, so that its old state does not stay.
     """
     row = '{"table": "t", "key": "%s", "value": "YQ==", "row-version": 3}'
-    for odd, keys in ODD_PAGE_ROWS:
-        body = (
-            f'{{"rows": [{row % "a"}, {odd}, {row % "c"}], "now-ms": 5,'
-            ' "row-version": 9, "has-more": true}'
+    invalid = ("", "[]", '{"rows": [{"key": 5}', '{"rows": 5}')
+    answers = [
+        f'{{"rows": [{row % "a"}, {odd}, {row % "c"}], "now-ms": 5,'
+        ' "row-version": 9, "has-more": true}'
+        for odd, _ in ODD_PAGE_ROWS
+    ]
+    async with _scripted_rows([*answers, *invalid]) as store:
+        for odd, keys in ODD_PAGE_ROWS:
+            page = (await store.page("t", from_key="")).ok_value
+            assert [r.key for r in page.rows] == ["a", *keys, "c"], odd[:40]
+            assert (page.newest_version, page.service_ms) == (9, 5)
+            assert page.next_key == "c\0"
+            assert all(r.value == "a" for r in page.rows if r.key != "b")
+        for text in invalid:
+            result = await store.page("t", from_key="")
+            assert isinstance(result, Err), text
+
+
+@contextlib.asynccontextmanager
+async def _scripted_rows(answers: list[str]):
+    """Yields a client of a store that gives these answers in turn."""
+    left = iter(answers)
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        del request
+        return web.Response(text=next(left))
+
+    runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0.1)
+    await runner.setup()
+    port = free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    async with aiohttp.ClientSession() as session:
+        yield store_rows.Rows(
+            session=session, address=f"127.0.0.1:{port}", timeout_ms=2_000
         )
-        page = row_pages.parse(body.encode()).ok_value
-        assert [r.key for r in page.rows] == ["a", *keys, "c"], odd[:40]
-        assert (page.row_version, page.now_ms) == (9, 5) and page.has_more
-        assert all(r.value == "YQ==" for r in page.rows if r.key != "b")
-    for invalid in (b"", b"[]", b'{"rows": [{"key": 5}', b'{"rows": 5}'):
-        assert isinstance(row_pages.parse(invalid), Err), invalid
+    await runner.cleanup()
 
 
 def an_odd_lease_row_stops_no_roll_out() -> None:
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -242,7 +242,7 @@
         self.core.step(input_)
 
 
-class _StoreReader:
+class StoreReader:
     """A daemon with one engine that reads its tables from the store."""
 
     def __init__(self) -> None:
@@ -292,7 +292,7 @@
     the newest; neither a confirmation of the new table nor a later change of
     routes changes it.
     """
-    daemon = _StoreReader()
+    daemon = StoreReader()
     daemon.read()
     daemon.core.wait(5_000)
     daemon.read(routed_core.table(2, weights="2"))
@@ -314,7 +314,7 @@
     server with version 2 and of one with version 1 may both have been replaced
     just after the last confirmation of the previous table.
     """
-    daemon = _StoreReader()
+    daemon = StoreReader()
     daemon.read()
     daemon.core.wait(3_000)
     daemon.read(routed_core.table(3, weights="3"))
@@ -339,7 +339,7 @@
     like a daemon that starts.
     """
     for is_confirmed in (True, False):
-        daemon = _StoreReader()
+        daemon = StoreReader()
         if is_confirmed:
             daemon.read()
         daemon.core.wait(20_000)
@@ -356,7 +356,7 @@
     Counted from an older confirmation than the last, a publication would take
     servers out of use while the roll-out still has time.
     """
-    daemon = _StoreReader()
+    daemon = StoreReader()
     daemon.read_for(20_000)
     daemon.core.wait(950)
     daemon.read(routed_core.table(2, weights="2"))
