End the process of a stopped daemon at once

Cause: the cleanup of the interpreter takes 0.2 s of processor time and more of the clock. Change: once the daemon has stopped and its log is written, the process exits without it.

--- a/deploy/daemon.py
+++ b/deploy/daemon.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import signal
 import sys
@@ -27,6 +28,11 @@
     if result.is_err():
         print(result.err_value, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+    # All is closed and written. On a busy machine the interpreter's cleanup
+    # takes a second of the time until the platform kills the process.
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 if __name__ == "__main__":
