--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -1,7 +1,8 @@
-"""Closes callers' connections that exceed the header or idle timeout.
+"""Closes callers' connections by timeouts, and as a daemon stops.
 
 A connection that never completes a request, or stays open without one, holds
-a file descriptor and memory; a few thousand of them exhaust a daemon.
+a file descriptor and memory; a few thousand of them exhaust a daemon. One that
+is closed while a request is on its way, or its answer is being read, cuts it.
 """
 
 from __future__ import annotations
