--- a/tests/cases/torn_heads.py
+++ b/tests/cases/torn_heads.py
@@ -34,8 +34,9 @@
 SERVERS = 12
 UNSAFE = ("confirm", "short")
 SAFE = ("release", "long")
-# Time in which a daemon learns that its paths are cut.
-CUT_S = 0.5
+# Relayed requests of each kind that follow each other before a case begins: a
+# daemon that has just been cut off refuses some.
+RELAYED_CALLS = 10
 SILENT_S = 1.2
 WORK_S = 0.3
 # Time in which the daemon would have passed on a request that it has read.
@@ -84,7 +85,10 @@
     _tear(made, None)
     for replica in made.replicas.values():
         replica.work_s = replica.event_gap_s = 0.0
-    await asyncio.gather(*(made.earn_retry(name) for name in SAFE))
+    try:
+        await asyncio.gather(*(made.earn_retry(name) for name in SAFE))
+    except AssertionError as error:
+        raise AssertionError(f"{error}: {made.log()[-4000:]}") from error
     _tear(made, fault)
     names = (*SAFE, *UNSAFE)
     all_received = await asyncio.gather(
@@ -149,6 +153,20 @@
             assert len(made.ran(request_id)) == 1
 
 
+async def _until_relayed(made: platform.Platform) -> None:
+    """Waits until a daemon that is cut off passes all requests on."""
+    numbers = itertools.count()
+
+    async def are_relayed() -> bool:
+        for name in SAFE * RELAYED_CALLS:
+            status, _, _ = await made.call(name, f"cut-{next(numbers)}")
+            if status != 200:
+                return False
+        return made.log(1).count("event=relayed") >= RELAYED_CALLS
+
+    await platform.until("all requests are relayed", are_relayed)
+
+
 async def a_relayed_head_that_breaks_off_is_no_answer() -> None:
     """Guards against an answer that another daemon makes of part of a head."""
     for resets in (False, True):
@@ -157,7 +175,7 @@
         ) as made:
             await made.earn_retry("release")
             made.cut(0, "reset")
-            await asyncio.sleep(CUT_S)
+            await _until_relayed(made)
             for form, place in itertools.product(Form, FEW_PLACES):
                 await _check(made, f"{form}-{place}", Torn(form, place, resets))
             assert made.log(1).count("event=relayed") >= 4 * len(Form)
