Cancel tasks until they have ended

Cause: aiohttp's timer takes a cancellation for the end of its own timeout if both fall into one iteration of the event loop; the task goes on, and the stop waits for it without end. Change: tasks are cancelled again until they have ended, also those that the end of the event loop would cancel once.

--- a/src/godwittack/daemon/base.py
+++ b/src/godwittack/daemon/base.py
@@ -13,7 +13,7 @@
 
 from godwittack.clock import SystemClock
 from godwittack.core import router
-from godwittack.daemon import gossip, stream_news
+from godwittack.daemon import cancellation, gossip, stream_news
 from godwittack.entry import reservations
 from godwittack.member import view
 from godwittack.metric import meters
@@ -220,9 +220,7 @@
 
     async def cancel(self) -> None:
         """Cancels all tasks and waits until they have ended."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancellation.cancel_all(self._tasks)
 
 
 def install_stop_handler() -> asyncio.Event:
--- a/src/godwittack/daemon/process.py
+++ b/src/godwittack/daemon/process.py
@@ -15,6 +15,7 @@
 from godwittack.clock import loop_delay
 from godwittack.config import settings as configs
 from godwittack.config import validation
+from godwittack.daemon import cancellation
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -70,11 +71,12 @@
 async def _run_to_the_end(
     daemon_run: Coroutine[object, object, None],
 ) -> None:
-    """Runs a daemon, and ignores signals once it has stopped.
+    """Runs a daemon, and ends what is left of it once it has stopped.
 
-    The event loop restores their default action when it is closed. A further
-    signal would then end the process before its last log lines are written, and
-    its exit code would be that of a daemon that was cut.
+    Signals are ignored from then on: the event loop restores their default
+    action when it is closed. A further signal would then end the process before
+    its last log lines are written, and its exit code would be that of a daemon
+    that was cut.
     """
     try:
         await daemon_run
@@ -83,6 +85,10 @@
         for number in HANDLED_SIGNALS:
             loop.remove_signal_handler(number)
             signal.signal(number, signal.SIG_IGN)
+        # The event loop would cancel them only once.
+        await cancellation.cancel_all(
+            asyncio.all_tasks() - {asyncio.current_task()}
+        )
 
 
 def _run_own_interface(path: str, loaded: configs.LoadedSettings) -> None:
@@ -99,7 +105,7 @@
             datefmt="%Y-%m-%dT%H:%M:%S",
         )
     )
-    asyncio.run(serve.serve(loaded))
+    asyncio.run(_run_to_the_end(serve.serve(loaded)))
 
 
 __all__ = ["run"]
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from godwittack.core import effects, inputs, server_inputs
-from godwittack.daemon import attempt, caller
+from godwittack.daemon import attempt, caller, cancellation
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -161,10 +161,7 @@
 
     async def close(self) -> None:
         """Cancels all attempts and other tasks that still run."""
-        tasks = [*self._attempts.values(), *self._tasks]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancellation.cancel_all([*self._attempts.values(), *self._tasks])
 
     def _carry_out(self, effect: effects.Effect) -> None:
         match effect:
