End a daemon at once that is stopped before callers know it

Cause: the stop waited for callers to leave who couldn't have come, and its times counted from when the start was done. Change: a daemon that is to stop before it was announced closes at once.

--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -352,6 +352,11 @@
             await self._listeners.listen(
                 settings.metrics_address, self._metrics
             )
+        if stop.is_set():
+            # No caller can hold the address of a daemon that was not announced.
+            await self._close()
+            logging.info("event=stopped detail=before_serving")
+            return
         self._gossiper.announce()
         self._start_background_tasks()
         logging.info(
--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -26,9 +26,8 @@
 # Time for bodies that are under way when the daemon stops listening; after it,
 # their requests are refused as well.
 LAST_BODIES_MS = 1_000
-# For writing the final answers of requests that were left no time, and for
-# callers that still read.
-FINAL_ANSWERS_MS = 500
+# For writing the final answers of requests that were left no time.
+FINAL_ANSWERS_MS = 300
 
 
 class Shutdown:
