Log when a daemon hears of, reads and uses a version of the operators' rows

What callers saw: a 404 on a route that had been added 3.2 s before. The log had one line when a version was in force. Cause: the three hypotheses of the incident (a confirmation that proves nothing, a table that can't be fetched, an older table under a newer number) look alike in it. Change: table_heard, rows_read, table_fetch_failed and table_fetch_skipped are logged; table_in_force names the configuration, its source, how long before a peer had it and when the version before was confirmed; freshness keeps whose answer confirmed it. Gauges tell version and age of the copies of the operators' rows and of the instance list. No decision changes.

--- a/src/godwittack/daemon/change.py
+++ b/src/godwittack/daemon/change.py
@@ -82,7 +82,7 @@
         if not isinstance(result.ok_value, store.Committed):
             return Ok(result.ok_value)
         entry = result.ok_value.entry
-        self._keeper.adopt(result.ok_value.table)
+        self._keeper.adopt(result.ok_value.table, source="change")
         logging.info(
             "event=table_changed version=%d who=%s cells=%d undoes=%d",
             entry.version,
--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -273,6 +273,15 @@
         # answer would confirm the active one: keys would be refused, and no
         # daemon could skip a call.
         is_newer = self.version > version_before
+        if is_newer:
+            logging.info(
+                "event=rows_read table=%s version=%d before=%d store=%d how=%s",
+                self._table,
+                self.version,
+                version_before,
+                page.newest_version,
+                "snapshot" if is_snapshot else "feed",
+            )
         if rows != before or is_newer or (is_snapshot and not before):
             self._on_rows(rows)
 
@@ -292,7 +301,11 @@
     def _record_failure(self, error: protocol.PlatformError) -> bool:
         if error.history_lost:
             self._needs_snapshot = True
-            logging.info("event=store_history_lost table=%s", self._table)
+            logging.info(
+                "event=store_history_lost table=%s known=%d",
+                self._table,
+                self._feed_version,
+            )
             return True
         if self.failing_since_ms < 0:
             self.failing_since_ms = self._clock.now_ms()
--- a/src/godwittack/daemon/feed_table.py
+++ b/src/godwittack/daemon/feed_table.py
@@ -35,9 +35,9 @@
     members: view.View
     table_freshness: freshness.Freshness
 
-    def adopt(self, table: model.Table) -> bool:
+    def adopt(self, table: model.Table, *, source: str) -> bool:
         """Activates a table if it is newer; never returns to an older one."""
-        if not tables.TableKeeper.adopt(self, table):
+        if not tables.TableKeeper.adopt(self, table, source=source):
             return False
         self.table_freshness.record_version(table.version)
         self._update_kv_stores(table)
@@ -63,7 +63,7 @@
             )
             return
         if table.ok_value is not None:
-            self.adopt(table.ok_value)
+            self.adopt(table.ok_value, source="store")
 
     def _update_kv_stores(self, table: model.Table) -> None:
         """Lists the table's stores of cached state as servers in the core.
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -310,7 +310,10 @@
             belief = codec.belief_from_proto(message)
             if belief is not None and belief.topic in self.freshness:
                 self.freshness[belief.topic].apply_belief(
-                    belief, asked_at_ms=probed_at_ms, now_ms=now_ms
+                    belief,
+                    asked_at_ms=probed_at_ms,
+                    now_ms=now_ms,
+                    peer=answer.sender.member_id,
                 )
 
     def _sender(self, member_id: str) -> peer_pb2.Member:
@@ -401,6 +404,10 @@
         self._keeper.serving_lease.record_version(
             own=own, reported=envelope.table_version, now_ms=now_ms
         )
+        if envelope.table_version > own:
+            self._keeper.record_heard(
+                envelope.table_version, peer=envelope.sender.member_id
+            )
         if envelope.table_version > own and envelope.sender.peer_address:
             task = asyncio.create_task(
                 self._keeper.fetch_from_peer(envelope.sender.peer_address)
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -172,6 +172,9 @@
                 serving=settings.serving_daemons,
             ),
         )
+        self._add_state_gauges(
+            self._keeper.table_freshness, self._servers_freshness
+        )
         for role in serving.Role:
             self._meters.add_gauge(
                 f"godwittack_is_{role.value}",
@@ -311,6 +314,22 @@
             "godwittack_connections_opened", lambda: self._pool.opened
         )
 
+    def _add_state_gauges(self, *copies: freshness.Freshness) -> None:
+        """Adds the version and age of each copy of the store's rows."""
+        for copy in copies:
+            name = copy.topic.name.lower()
+            self._meters.add_gauge(
+                f"godwittack_{name}_version",
+                functools.partial(getattr, copy, "version"),
+            )
+            self._meters.add_gauge(
+                f"godwittack_{name}_confirmed_ago_ms",
+                functools.partial(self._confirmed_ago_ms, copy),
+            )
+
+    def _confirmed_ago_ms(self, copy: freshness.Freshness) -> int:
+        return self._clock.now_ms() - copy.confirmed_at_ms
+
     def _apply_datagram(self, news: peer_pb2.News) -> None:
         self._announcer.apply(news)
         for told in self._stream_news.read(news):
--- a/src/godwittack/daemon/tables.py
+++ b/src/godwittack/daemon/tables.py
@@ -39,14 +39,35 @@
     serving_lease: serving_lease.ServingLease
     on_adopted: Callable[[], None] = lambda: None
     _is_fetching: bool = False
+    _heard_version: int = 0
+    _heard_at_ms: int = 0
 
     @property
     def table(self) -> model.Table:
         """The active table of this daemon."""
         return self.runtime.core.world.table
 
-    def adopt(self, table: model.Table) -> bool:
-        """Activates a table if it is newer; never returns to an older one."""
+    def record_heard(self, version: int, *, peer: str) -> None:
+        """Logs the first report of a peer that it has a newer table."""
+        if version <= max(self._heard_version, self.table.version):
+            return
+        self._heard_version = version
+        self._heard_at_ms = self.runtime.clock.now_ms()
+        logging.info(
+            "event=table_heard version=%d active=%d peer=%s",
+            version,
+            self.table.version,
+            peer,
+        )
+
+    def adopt(self, table: model.Table, *, source: str) -> bool:
+        """Activates a table if it is newer; never returns to an older one.
+
+        Args:
+            table: The table.
+            source: Where it was read, for the log: the store, or a peer.
+        """
+        version_before = self.table.version
         self.runtime.submit(
             inputs.TableChanged(
                 self.runtime.clock.now_ms(),
@@ -58,13 +79,35 @@
         )
         if self.table is not table:
             return False
-        logging.info("event=table_in_force version=%d", table.version)
+        self._log_in_force(version_before, source)
         self.on_adopted()
         return True
 
+    def _log_in_force(self, version_before: int, source: str) -> None:
+        now_ms = self.runtime.clock.now_ms()
+        version, heard_for_ms = self.table.version, -1
+        if version_before < self._heard_version <= version:
+            heard_for_ms = now_ms - self._heard_at_ms
+        forwarding = self.table.forwarding
+        logging.info(
+            "event=table_in_force version=%d config=%d before=%d source=%s"
+            " heard_for_ms=%d confirmed_ago_ms=%d",
+            version,
+            forwarding.config_version if forwarding is not None else 0,
+            version_before,
+            source,
+            heard_for_ms,
+            now_ms - self.serving_lease.last_confirmed_ms(),
+        )
+
     async def fetch_from_peer(self, address: str) -> None:
         """Fetches a peer's table and activates it if it is newer."""
         if self._is_fetching:
+            logging.info(
+                "event=table_fetch_skipped peer=%s active=%d",
+                address,
+                self.table.version,
+            )
             return
         self._is_fetching = True
         try:
@@ -74,10 +117,16 @@
         finally:
             self._is_fetching = False
         if isinstance(reply, Err):
+            logging.info(
+                "event=table_fetch_failed peer=%s active=%d detail=%r",
+                address,
+                self.table.version,
+                reply.err_value.detail,
+            )
             return
         parsed = tables_wire.read(reply.ok_value)
         if isinstance(parsed, Ok):
-            self.adopt(parsed.ok_value)
+            self.adopt(parsed.ok_value, source=address)
         elif parsed is not None:
             logging.info(
                 "event=table_unreadable peer=%s detail=%r",
@@ -106,7 +155,7 @@
         if self.table.version == 0:
             copy = await self.tables.read_copy()
             if copy is not None:
-                self.adopt(copy)
+                self.adopt(copy, source="copy")
 
     async def poll_forever(self, *, poll_ms: int) -> None:
         """Polls once per period, with jitter to spread the daemons' calls."""
@@ -125,7 +174,7 @@
             table = await self.tables.table()
             if isinstance(table, Err):
                 return
-            self.adopt(table.ok_value)
+            self.adopt(table.ok_value, source="store")
         if newest.ok_value <= self.table.version:
             # Counted from the start of the call: a slow reply confirms nothing
             # about the time after it was made.
--- a/src/godwittack/member/freshness.py
+++ b/src/godwittack/member/freshness.py
@@ -11,6 +11,8 @@
 
 # Older confirmations are not sent to peers, which could not use them.
 MAX_BELIEF_AGE_MS = 3_000
+# Source of confirmations that do not come from a peer.
+STORE = "store"
 
 
 class Topic(enum.IntEnum):
@@ -43,6 +45,7 @@
         confirmed_at_ms: When the store last confirmed it to be the newest.
         behind_since_ms: Since when a peer is known to have a newer one; -1 if
             none is known to.
+        confirmed_by: Whose answer that was: the store's, or a daemon's id.
         on_confirmed: Called with the time of each later confirmation.
     """
 
@@ -50,6 +53,7 @@
     version: int = 0
     confirmed_at_ms: int = -1_000_000
     behind_since_ms: int = -1
+    confirmed_by: str = ""
     on_confirmed: Callable[[int], None] = lambda at_ms: None
 
     def record_version(self, version: int) -> None:
@@ -58,14 +62,20 @@
             self.version = version
             self.behind_since_ms = -1
 
-    def record_confirmation(self, at_ms: int) -> None:
+    def record_confirmation(self, at_ms: int, *, by: str = STORE) -> None:
         """Records that the version here was the newest at `at_ms`."""
         if at_ms > self.confirmed_at_ms and self.version:
             self.confirmed_at_ms = at_ms
+            self.confirmed_by = by
             self.on_confirmed(at_ms)
 
     def apply_belief(
-        self, belief: Belief, *, asked_at_ms: int, now_ms: int
+        self,
+        belief: Belief,
+        *,
+        asked_at_ms: int,
+        now_ms: int,
+        peer: str = "",
     ) -> None:
         """Applies a belief that a peer sent.
 
@@ -77,11 +87,12 @@
                 fresher than it is, and a key revoked in the meantime would be
                 accepted.
             now_ms: Time of the arrival.
+            peer: Id of the peer.
         """
         if belief.version > self.version:
             self.record_newer_version(now_ms=now_ms)
         if belief.version == self.version:
-            self.record_confirmation(asked_at_ms - belief.age_ms)
+            self.record_confirmation(asked_at_ms - belief.age_ms, by=peer)
 
     def record_newer_version(self, *, now_ms: int) -> None:
         """Records that a peer has a newer version than is active here.
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -335,7 +335,7 @@
     row = protocol.ChangedRow(key="config", value=json.dumps(config), version=2)
     decoded = table_rows.table_from_rows({"config": row}, version=2, weights={})
     reader = weights_cases.StoreReader()
-    assert reader.keeper.adopt(decoded.ok_value)
+    assert reader.keeper.adopt(decoded.ok_value, source="store")
     listed = reader.core.world.servers_by_target[cached_state.STORE_TARGET]
     assert set(listed) == {"kv"}
 
--- a/tests/cases/weights.py
+++ b/tests/cases/weights.py
@@ -287,7 +287,7 @@
     def read(self, table: model.Table | None = None) -> None:
         """Applies an answer of the store, with a newer table or without."""
         if table is not None:
-            assert self.keeper.adopt(table)
+            assert self.keeper.adopt(table, source="store")
         self.keeper.table_freshness.record_confirmation(self.core.now_ms)
 
     def read_for(self, ms: int) -> None:
