Test what is decided from copies of the store's rows, and how old they are

What callers saw: a route that had been added was refused with 404. The same copies decide on keys, weights and servers. Cause: a copy counts as the store's until something newer is heard. Change: cases for each decision.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -31,6 +31,7 @@
     "part_fleets",
     "feed_follower",
     "freshness",
+    "old_copies",
     "adapter",
     "instance_rows",
     "odd_entries",
