--- a/tests/cases/old_copies.py
+++ b/tests/cases/old_copies.py
@@ -206,6 +206,49 @@
     assert copy.status("release", "r2", key="other") == 0
 
 
+async def a_snapshot_that_repairs_missed_rows_takes_effect() -> None:
+    """Rows that the feed did not report take effect once a snapshot has them.
+
+    Guards against a revoked key that is served for good: the feed becomes stale
+    without an error and reports a version, but not the row that revokes the
+    key; weights are named and reported. The snapshot that readers take for this
+    has the row, but no newer version than the one already read.
+    """
+    copy = _Copy()
+    await copy.step(feed_follower.page(5, ("config", "k")))
+    await copy.step(feed_follower.page(6))
+    await copy.step(feed_follower.page(8, ("version/m", "2")))
+    assert copy.status("release", "r1") == 0
+    copy.wait(feed_follower.feed_follower.SNAPSHOT_INTERVAL_MS)
+    rows = tuple(
+        protocol.ChangedRow(key=key, value=value, version=version)
+        for key, value, version in (
+            ("config", "other", 6),
+            ("version/m", "2", 8),
+        )
+    )
+    whole = protocol.FeedPage(rows=rows, newest_version=8, service_ms=0)
+    await copy.step(Ok(whole))
+    assert copy.harness.feed.calls[-1] == "snapshot op"
+    assert copy.status("release", "r2") == 401
+    assert copy.status("release", "r3", key="other") == 0
+
+
+async def a_store_with_another_clock_dates_its_answers() -> None:
+    """A delayed answer is not dated by the clock of a store before a restart.
+
+    Guards against a revoked key that is served past its time limit: the store
+    restarts and its clock is ahead of the one before, so that every answer
+    seems to have been made as it arrives, also one that took 1.5 s.
+    """
+    harness = feed_follower.FollowerHarness()
+    await harness.step(feed_follower.page(5, ("a", "1"), clock_ms=50_002))
+    await harness.step(feed_follower.page(5, clock_ms=900_002))
+    started_ms = harness.clock.now_ms()
+    await harness.step(feed_follower.page(5, clock_ms=900_010), takes_ms=1_500)
+    assert harness.confirmed[-1] <= started_ms + 10, harness.confirmed
+
+
 async def an_old_table_does_not_refuse_an_added_key_for_good() -> None:
     """A key is unknown for good only by a table that is recent enough.
 
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -32,6 +32,7 @@
     "feed_follower",
     "freshness",
     "old_copies",
+    "old_copies_real",
     "adapter",
     "instance_rows",
     "odd_entries",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -17,6 +17,7 @@
 import yarl
 
 from cluster.processes import free_port
+from godwittack.member import assignment
 from standins.replica import Replica
 from standins.rows import RowStore
 
@@ -313,7 +314,27 @@
             servers: Names of servers; None for all.
         """
         chosen = self.replicas if servers is None else servers
-        ports = [self.replicas[name].port for name in chosen]
+        self._cut_ports(number, mode, [self.replicas[n].port for n in chosen])
+
+    def cut_store(self, number: int, mode: str) -> None:
+        """Cuts a daemon's path to the store; its paths to servers stay.
+
+        Args:
+            number: The daemon.
+            mode: Mode of `standins/cut_daemon.py`.
+        """
+        self._cut_ports(number, mode, [self.store_port])
+
+    def store_readers(self) -> list[int]:
+        """Returns the daemons that poll the store for all others."""
+        serving = re.compile(r"event=serving daemon=(\S+)")
+        found = [serving.findall(self.log(n)) for n in range(len(self.logs))]
+        ids = [member_ids[-1] for member_ids in found]
+        ranked = assignment.rank("store", tuple(sorted(ids)))
+        readers = ranked[: assignment.STORE_READER_COUNT]
+        return sorted(ids.index(member_id) for member_id in readers)
+
+    def _cut_ports(self, number: int, mode: str, ports: list[int]) -> None:
         cut = {"mode": mode, "ports": ports}
         path = self.logs[number].with_suffix(".cut")
         unfinished = path.with_suffix(".tmp")
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -22,6 +22,8 @@
         silent: Whether requests are left unanswered.
         lose_writes: Whether writes are applied and not answered.
         forgotten_up_to: Version up to which the feed has no history.
+        unheard_after: Version after which the feed hears of no change, and
+            says that there is none; -1 if it hears of all.
         latency_s: Delay of each answer.
         torn: How answers are broken off inside their heads; None for never.
     """
@@ -30,6 +32,7 @@
     silent: bool = False
     lose_writes: bool = False
     forgotten_up_to: int = 0
+    unheard_after: int = -1
     latency_s: float = 0.0
     torn: torn.Torn | None = None
 
@@ -111,6 +114,19 @@
 
         return handle
 
+    async def be_silent(self, *, for_s: float = 1.0) -> None:
+        """Lets the feed hear of no change for a time, then drops its history.
+
+        Reads of rows have the changes all the while.
+        """
+        self.faults.unheard_after = self.version
+        await asyncio.sleep(for_s)
+        if self.version > self.faults.unheard_after:
+            self.faults.forgotten_up_to = self.version
+        self.faults.unheard_after = -1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def _transact(self, request: web.Request) -> web.Response:
         transaction = await request.json()
         rows = [self._current_row(c) for c in transaction["precondition"]]
@@ -143,19 +159,23 @@
 
     async def _feed(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
-        if after < self.faults.forgotten_up_to:
-            return web.Response(status=410)
         deadline_s = time.monotonic() + int(request.query["wait-ms"]) / 1000
         while True:
+            if after < self.faults.forgotten_up_to:
+                return web.Response(status=410)
             found = [
                 row
                 for (name, _), row in self.rows.items()
                 if name == request.query["table"] and row["row-version"] > after
             ]
+            newest = self.version
+            if self.faults.unheard_after >= 0:
+                newest = self.faults.unheard_after
+                found = [r for r in found if r["row-version"] <= newest]
             remaining_s = deadline_s - time.monotonic()
             if found or remaining_s <= 0:
                 found.sort(key=lambda row: row["row-version"])
-                return self._answer(found)
+                return self._answer(found, version=newest)
             try:
                 async with asyncio.timeout(remaining_s):
                     await self._changed.wait()
@@ -163,13 +183,18 @@
                 continue
 
     def _answer(
-        self, rows: list[dict], *, status: int = 200, more: bool = False
+        self,
+        rows: list[dict],
+        *,
+        status: int = 200,
+        more: bool = False,
+        version: int | None = None,
     ) -> web.Response:
         return web.json_response(
             {
                 "rows": rows,
                 "has-more": more,
-                "row-version": self.version,
+                "row-version": self.version if version is None else version,
                 "now-ms": time.monotonic_ns() // 1_000_000,
             },
             status=status,
