Test a list of several pages, of which a server leaves between two

What callers would see: requests at a server that has left, until the list changes again. Cause: the reader publishes the rows of both pages under the newest number of any row; the removal, which the feed repeats, has a lower one. Result: fails, listed; a peer that missed the update is confirmed at the same number.

--- a/tests/cases/old_copies.py
+++ b/tests/cases/old_copies.py
@@ -308,6 +308,46 @@
     one_lead.play(case())
 
 
+class _ListReader:
+    """A reader of the list, and a daemon that relies on it."""
+
+    def __init__(self) -> None:
+        self.peer, _, self.peer_freshness, _ = _list_follower(is_reader=False)
+        self.reader, self.follower, self._freshness, self._updates = (
+            _list_follower(is_reader=True)
+        )
+        self._clock = self.reader._core.clock
+        self.feed = feed_follower.FakeFeed(self._clock)
+        self.follower._feed = self.feed
+        self.follower._freshness = self._freshness
+        self.follower._on_confirmed = self._freshness.record_confirmation
+        self.follower._on_rows = lambda rows: self.reader.apply_rows(
+            {name: _instance(name) for name in rows}
+        )
+
+    async def step(self, *answers) -> None:
+        """Makes one call of the reader, of as many pages as there are."""
+        for answer in answers:
+            self.feed.add_answer(answer)
+        await self.follower.step()
+        assert not self.feed.answers
+
+    def deliver(self) -> None:
+        """Delivers the reader's last update."""
+        self.peer.apply_changes(*self._updates.published[-1])
+
+    def confirms(self) -> bool:
+        """Returns whether the reader's belief confirms the peer's list."""
+        now_ms = self._clock.now_ms()
+        belief = self._freshness.current_belief(now_ms=now_ms)
+        before_ms = self.peer_freshness.confirmed_at_ms
+        if belief is not None:
+            self.peer_freshness.apply_belief(
+                belief, asked_at_ms=now_ms, now_ms=now_ms
+            )
+        return self.peer_freshness.confirmed_at_ms > before_ms
+
+
 async def a_missed_removal_is_noticed_after_lost_history() -> None:
     """A list without a server has another version than the one with it.
 
@@ -317,35 +357,41 @@
     lost on its way to another daemon, whose list with the server has the same
     version and counted as confirmed by the reader.
     """
-    peer, _, peer_freshness, _ = _list_follower(is_reader=False)
-    reader, follower, reader_freshness, updates = _list_follower(is_reader=True)
-    clock = reader._core.clock
-    harness = feed_follower.FollowerHarness()
-    harness.feed.clock = clock
-    follower._feed, follower._freshness = harness.feed, reader_freshness
-    follower._on_confirmed = reader_freshness.record_confirmation
-    follower._on_rows = lambda rows: reader.apply_rows(
-        {name: _instance(name) for name in rows}
-    )
-    for answer in (
-        feed_follower.page(5, ("a", "1"), ("b", "1")),
-        feed_follower.error(history_lost=True),
-    ):
-        harness.feed.add_answer(answer)
-        await follower.step()
-    assert peer.apply_changes(*updates.published[-1]) is None
-    assert set(peer._instances) == {"a", "b"}
+    lists = _ListReader()
+    await lists.step(feed_follower.page(5, ("a", "1"), ("b", "1")))
+    lists.deliver()
+    await lists.step(feed_follower.error(history_lost=True))
     rows = feed_follower.page(5, ("a", "1")).ok_value
-    harness.feed.add_answer(Ok(dataclasses.replace(rows, newest_version=8)))
-    await follower.step()
-    assert set(reader._instances) == {"a"}
-    belief = reader_freshness.current_belief(now_ms=clock.now_ms())
-    asked_at_ms = clock.now_ms()
-    if belief is not None:
-        peer_freshness.apply_belief(
-            belief, asked_at_ms=asked_at_ms, now_ms=asked_at_ms
-        )
-    assert peer_freshness.confirmed_at_ms < 0, peer_freshness
+    await lists.step(Ok(dataclasses.replace(rows, newest_version=8)))
+    assert set(lists.reader._instances) == {"a"}
+    assert set(lists.peer._instances) == {"a", "b"}
+    assert not lists.confirms(), lists.peer_freshness
+
+
+async def a_missed_removal_is_noticed_after_a_list_of_several_pages() -> None:
+    """A list of several pages is no newer than its first.
+
+    Guards against a server that gets requests until the list changes again: it
+    leaves after the first page was read, and the second has a newer row. The
+    reader published the list with the server as the newest, so that its removal
+    made no newer one; a daemon that missed that update was confirmed.
+    """
+    lists = _ListReader()
+    first = feed_follower.page(5, ("a", "1"), ("b", "1")).ok_value
+    await lists.step(
+        Ok(dataclasses.replace(first, next_key="c")),
+        feed_follower.page(9, ("z", "1")),
+    )
+    lists.deliver()
+    rows = (
+        protocol.ChangedRow(key="b", value="", version=7, deleted=True),
+        protocol.ChangedRow(key="z", value="1", version=9),
+    )
+    changes = protocol.FeedPage(rows=rows, newest_version=9, service_ms=0)
+    await lists.step(Ok(changes))
+    assert set(lists.reader._instances) == {"a", "z"}
+    assert "b" in lists.peer._instances
+    assert not lists.confirms(), lists.peer_freshness
 
 
 def a_belief_of_the_daemon_s_own_list_confirms_it() -> None:
--- a/tests/features/old_copies.feature
+++ b/tests/features/old_copies.feature
@@ -17,6 +17,7 @@
       | old_copies | a server that leaves is read in time without readers |
       | old_copies | lost history is read in time by daemons that do not poll |
       | old_copies | a missed removal is noticed after lost history |
+      | old_copies | a missed removal is noticed after a list of several pages |
       | old_copies | a belief of the daemon's own list confirms it |
 
     Examples: real processes
