--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -31,6 +31,8 @@
     "part_fleets",
     "feed_follower",
     "freshness",
+    "old_copies",
+    "old_copies_real",
     "adapter",
     "instance_rows",
     "odd_entries",
