Add cases of streams taken up at a daemon that is out of step

Callers whose stream is taken up at a daemon that is cut off while servers of another version join get events of two versions.

A daemon that knows of others and has lost them all asks nobody and counts that as answered. Two daemons with the same old list confirm each other. A route that has moved to another service has the same gap: streams begun on it within the next minute are not told, and the answers of other daemons say nothing about routes, so a daemon with the older table goes on at the service that the route has left, without any fault.

--- a/tests/cases/split_streams.py
+++ b/tests/cases/split_streams.py
@@ -137,3 +137,41 @@
     core.renew_serving_lease()
     _take_up(core, "of a daemon that has ended", 3)
     assert core.dispatch().server_id == "s1"
+
+
+def streams_begun_after_a_move_are_told() -> None:
+    """Guards against a daemon that still has the table from before a move."""
+    core = _core(routed_core.ENGINES, peers=stream_versions.PEERS)
+    core.tell(inputs.TableChanged, _table(3, routed_core.SERVICE))
+    _begin(core, "a")
+    assert core.find(effects.TellStream), core.last_effects
+
+
+def a_table_from_before_a_move_resumes_no_unknown_stream() -> None:
+    """Guards against answers about a service that the route has left."""
+    peers = stream_versions.PEERS
+    for moved_to in ((routed_core.SERVICE,), BOTH):
+        old, in_step = (_core(routed_core.ENGINES, peers=peers) for _ in "12")
+        in_step.tell(inputs.TableChanged, _table(3, *moved_to))
+        _take_up(old, "a")
+        asked = old.find(effects.AskStream)[0]
+        for daemon in asked.daemons:
+            known = stream_versions.stream_versions.knowledge(
+                in_step.world, asked.key, asked.target, now_ms=in_step.now_ms
+            )
+            old.tell_named(
+                inputs.StreamAnswered,
+                request_id=asked.request_id,
+                daemon=daemon,
+                knowledge=known,
+            )
+        _check_unknown(old)
+
+
+def a_daemon_alone_with_an_old_table_resumes_no_unknown_stream() -> None:
+    """Guards against a route that has moved while a daemon was cut off."""
+    peers = stream_versions.PEERS
+    core = _core(routed_core.ENGINES, peers=peers)
+    core.tell(inputs.MembersChanged, ("d",), known=len(peers))
+    _take_up(core, "a")
+    _check_unknown(core)
--- a/tests/cases/stream_versions.py
+++ b/tests/cases/stream_versions.py
@@ -8,6 +8,7 @@
     inputs,
     server_inputs,
     stream_records,
+    stream_versions,
     work,
 )
 from godwittack.table import model
@@ -225,6 +226,178 @@
     _check_refused(core)
 
 
+def _answer_from(
+    core: routed_core.Core, other: routed_core.Core, daemon: str
+) -> None:
+    """Delivers what another core knows of the stream asked about."""
+    asked = core.find(effects.AskStream)
+    key = stream_records.stream_key("desk", "a")
+    target = asked[0].target if asked else routed_core.ENGINES
+    core.tell_named(
+        inputs.StreamAnswered,
+        request_id="again-a~2",
+        daemon=daemon,
+        knowledge=stream_versions.knowledge(
+            other.world, key, target, now_ms=other.now_ms
+        ),
+    )
+
+
+def a_daemon_that_has_lost_all_others_resumes_nothing_unknown() -> None:
+    """Guards against a list from before a cut that shows a single version."""
+    core = _core("v1", peers=PEERS)
+    _pass_life(core)
+    core.tell(inputs.MembersChanged, ("d",), known=len(PEERS))
+    _take_up(core, "a")
+    _check_refused(core)
+
+
+def a_daemon_that_loses_the_others_while_it_asks_resumes_nothing() -> None:
+    """Guards against lost daemons that no longer count as without answer."""
+    core = _core("v1", peers=PEERS)
+    _pass_life(core)
+    _take_up(core, "a")
+    asked = core.find(effects.AskStream)[0].daemons
+    core.tell(inputs.MembersChanged, ("d",), known=len(PEERS))
+    for daemon in asked:
+        _answer(core, daemon)
+    _check_refused(core)
+
+
+def a_daemon_that_lost_all_others_resumes_its_own_streams() -> None:
+    """Guards against refusing streams whose version this daemon has seen."""
+    core = _core("v1", peers=PEERS)
+    _pass_life(core)
+    _begin(core, "a")
+    core.tell(inputs.MembersChanged, ("d",), known=len(PEERS))
+    _take_up(core, "a")
+    assert core.dispatch().server_id == "e1"
+
+
+def two_daemons_cut_off_together_resume_nothing_unknown() -> None:
+    """Guards against old lists that confirm each other."""
+    core, other = (_core("v1", peers=PEERS) for _ in range(2))
+    for one in (core, other):
+        _pass_life(one)
+        one.tell(inputs.MembersChanged, ("d", "p1"), known=len(PEERS))
+    _take_up(core, "a")
+    assert core.find(effects.AskStream)[0].daemons == ("p1",)
+    _answer_from(core, other, "p1")
+    _check_refused(core)
+
+
+def streams_are_told_when_all_servers_are_replaced_at_once() -> None:
+    """Guards against old servers that leave in the moment the new ones join."""
+    for joins_first in (True, False):
+        core = _core("v1", "v1", peers=PEERS)
+        _pass_life(core)
+        _begin(core, "first")
+        told = []
+        if joins_first:
+            _list(core, "e3", "v2")
+            told += core.find(effects.TellStream)
+        for name in ("e1", "e2"):
+            core.tell_named(
+                server_inputs.ServerListed, server_id=name, gone=True
+            )
+            told += core.find(effects.TellStream)
+        if not joins_first:
+            _list(core, "e3", "v2")
+            told += core.find(effects.TellStream)
+        assert [one.version for one in told] == ["v1"], (joins_first, told)
+        _begin(core, "b")
+        assert core.find(effects.TellStream)[0].version == "v2", joins_first
+        _take_up(core, "a")
+        for daemon in core.find(effects.AskStream)[0].daemons:
+            _answer(core, daemon, recent_versions=("v2",), is_complete=True)
+        _check_refused(core)
+
+
+def an_id_listed_again_with_another_version_keeps_both() -> None:
+    """Guards against a version forgotten as its server's id comes back."""
+    for is_removed in (True, False):
+        core = _core("v1", peers=PEERS)
+        _pass_life(core)
+        _begin(core, "first")
+        if is_removed:
+            core.tell_named(
+                server_inputs.ServerListed, server_id="e1", gone=True
+            )
+        _list(core, "e1", "v2", incarnation="e1.2")
+        assert core.find(effects.TellStream)[0].version == "v1", is_removed
+        _take_up(core, "a")
+        for daemon in core.find(effects.AskStream)[0].daemons:
+            _answer(core, daemon, recent_versions=("v2",), is_complete=True)
+        _check_refused(core)
+        # The own record is of the version that is not served any more.
+        _take_up(core, "first")
+        assert core.refusal().reason is effects.Reason.NO_SERVER
+
+
+def a_daemon_with_an_old_list_lets_no_one_in_step_resume() -> None:
+    """Guards against an answer from an old list that outvotes a newer one."""
+    old = _core("v1", peers=PEERS)
+    _pass_life(old)
+    for is_complete in (True, False):
+        core = _core("v1", "v2", peers=PEERS)
+        if is_complete:
+            _pass_life(core)
+        _take_up(core, "a")
+        asked = core.find(effects.AskStream)[0].daemons
+        _answer_from(core, old, asked[0])
+        _answer(core, asked[1])
+        _answer(core, asked[2])
+        _check_refused(core)
+
+
+def one_daemon_in_step_stops_another_with_an_old_list() -> None:
+    """Guards against an old list after a cut has healed, not yet read again."""
+    core = _core("v1", peers=PEERS)
+    _pass_life(core)
+    core.tell(inputs.MembersChanged, ("d",), known=len(PEERS))
+    core.now_ms += 3_000
+    core.tell(inputs.MembersChanged, PEERS, known=len(PEERS))
+    in_step = _core("v1", "v2", peers=PEERS)
+    _take_up(core, "a")
+    asked = core.find(effects.AskStream)[0].daemons
+    assert len(asked) == 3, asked
+    _answer(core, asked[0])
+    _answer(core, asked[1], recent_versions=("v1",), is_complete=True)
+    _answer_from(core, in_step, asked[2])
+    _check_refused(core)
+
+
+def a_holder_whose_record_was_lost_stops_no_other() -> None:
+    """Guards against "unknown" of one holder that counts before the others."""
+    core = _core("v1", peers=PEERS)
+    old = _core("v1", peers=PEERS)
+    for one in (core, old):
+        _pass_life(one)
+    _list(core, "e2", "v2")
+    _take_up(core, "a")
+    asked = core.find(effects.AskStream)[0].daemons
+    _answer_from(core, old, asked[0])
+    assert not core.find(effects.Dispatch), core.last_effects
+    _answer(core, asked[1], is_known=True, version="v2")
+    assert core.dispatch().server_id == "e2"
+
+
+def two_daemons_that_have_just_healed_resume_nothing_unknown() -> None:
+    """Guards against two old lists if all holders in step stay silent."""
+    core, other = (_core("v1", peers=PEERS) for _ in range(2))
+    for one in (core, other):
+        _pass_life(one)
+        one.tell(inputs.MembersChanged, ("d", "p1"), known=len(PEERS))
+        one.now_ms += 3_000
+        # The daemons that hold the record have ended; the list isn't read yet.
+        one.tell(inputs.MembersChanged, ("d", "p1", "p2"), known=len(PEERS))
+    _take_up(core, "a")
+    assert sorted(core.find(effects.AskStream)[0].daemons) == ["p1", "p2"]
+    _answer_from(core, other, "p1")
+    _answer(core, "p2")
+    _check_refused(core)
+
+
 def a_refusal_says_when_the_version_may_be_known() -> None:
     """Guards against take-ups that are refused every half a second."""
     core = _core("v1", peers=PEERS)
--- a/tests/features/versions.feature
+++ b/tests/features/versions.feature
@@ -61,3 +61,19 @@
       | stream_history | an older list changes no row |
       | stream_history | a silent store resumes no stream |
       | stream_history | each change is written once |
+
+    Examples: a daemon that is out of step
+      | group           | case |
+      | stream_versions | a daemon that has lost all others resumes nothing unknown |
+      | stream_versions | a daemon that loses the others while it asks resumes nothing |
+      | stream_versions | a daemon that lost all others resumes its own streams |
+      | stream_versions | two daemons cut off together resume nothing unknown |
+      | stream_versions | streams are told when all servers are replaced at once |
+      | stream_versions | an id listed again with another version keeps both |
+      | stream_versions | a daemon with an old list lets no one in step resume |
+      | stream_versions | one daemon in step stops another with an old list |
+      | stream_versions | a holder whose record was lost stops no other |
+      | stream_versions | two daemons that have just healed resume nothing unknown |
+      | split_streams   | streams begun after a move are told |
+      | split_streams   | a table from before a move resumes no unknown stream |
+      | split_streams   | a daemon alone with an old table resumes no unknown stream |
