Play fleets with daemons that are out of step as a version joins

Callers whose stream is taken up at a daemon that is cut off, alone or with another one, get events of two versions.

The simulated fleets lasted 30 s, less than the life of a stream, so that no daemon in them ever decided by the only version it had seen.

--- a/tests/cases/split_streams.py
+++ b/tests/cases/split_streams.py
@@ -147,6 +147,21 @@
     assert core.find(effects.TellStream), core.last_effects
 
 
+def _answer_all(core: routed_core.Core, in_step: routed_core.Core) -> None:
+    """Delivers what daemons in step know of the stream that is asked for."""
+    asked = core.find(effects.AskStream)[0]
+    for daemon in asked.daemons:
+        known = stream_versions.stream_versions.knowledge(
+            in_step.world, asked.key, asked.target, now_ms=in_step.now_ms
+        )
+        core.tell_named(
+            inputs.StreamAnswered,
+            request_id=asked.request_id,
+            daemon=daemon,
+            knowledge=known,
+        )
+
+
 def a_table_from_before_a_move_resumes_no_unknown_stream() -> None:
     """Guards against answers about a service that the route has left."""
     peers = stream_versions.PEERS
@@ -154,20 +169,25 @@
         old, in_step = (_core(routed_core.ENGINES, peers=peers) for _ in "12")
         in_step.tell(inputs.TableChanged, _table(3, *moved_to))
         _take_up(old, "a")
-        asked = old.find(effects.AskStream)[0]
-        for daemon in asked.daemons:
-            known = stream_versions.stream_versions.knowledge(
-                in_step.world, asked.key, asked.target, now_ms=in_step.now_ms
-            )
-            old.tell_named(
-                inputs.StreamAnswered,
-                request_id=asked.request_id,
-                daemon=daemon,
-                knowledge=known,
-            )
+        _answer_all(old, in_step)
         _check_unknown(old)
 
 
+def a_move_and_back_that_a_daemon_missed_resumes_no_unknown_stream() -> None:
+    """Guards against a newest table that lacks a move in between."""
+    peers = stream_versions.PEERS
+    late, in_step = (_core(routed_core.ENGINES, peers=peers) for _ in "12")
+    in_step.tell(inputs.TableChanged, _table(3, routed_core.SERVICE))
+    for core in (late, in_step):
+        core.tell(inputs.TableChanged, _table(4, routed_core.ENGINES))
+    _take_up(in_step, "a")
+    _answer_all(in_step, in_step)
+    _check_unknown(in_step)
+    _take_up(late, "a")
+    _answer_all(late, in_step)
+    _check_unknown(late)
+
+
 def a_daemon_alone_with_an_old_table_resumes_no_unknown_stream() -> None:
     """Guards against a route that has moved while a daemon was cut off."""
     peers = stream_versions.PEERS
--- a/tests/cases/stream_versions.py
+++ b/tests/cases/stream_versions.py
@@ -12,7 +12,7 @@
     work,
 )
 from godwittack.table import model
-from sim import version_fleets
+from sim import out_of_step_fleets, version_fleets
 
 SENT = inputs.FailurePhase.SENT
 LIFE_MS = stream_records.STREAM_LIFE_MS
@@ -518,3 +518,62 @@
         begun = fleet.begun / fleet.new
         gone_on = fleet.gone_on / fleet.taken_up
         assert gone_on >= begun / 2, (daemons, begun, gone_on)
+
+
+def _play_out_of_step(*plans: out_of_step_fleets.Plan) -> None:
+    for plan in plans:
+        for seed in range(version_fleets.SEEDS):
+            fleet = out_of_step_fleets.Fleet(plan, seed=seed)
+            fleet.run()
+            assert not fleet.mixed, (plan, seed, fleet.mixed)
+            begun = fleet.begun / fleet.new
+            gone_on = fleet.gone_on / fleet.taken_up
+            assert gone_on >= begun / 2, (plan, seed, begun, gone_on)
+
+
+def no_stream_is_mixed_by_a_daemon_that_is_cut_off() -> None:
+    """Guards against the old list of a daemon that has lost all others."""
+    _play_out_of_step(out_of_step_fleets.Plan())
+
+
+def no_stream_is_mixed_by_daemons_that_are_cut_off_together() -> None:
+    """Guards against daemons that confirm each other's old list."""
+    for is_noticed in (True, False):
+        _play_out_of_step(out_of_step_fleets.Plan(cut=2, is_noticed=is_noticed))
+
+
+def no_stream_is_mixed_by_a_daemon_that_stood_still() -> None:
+    """Guards against the old list of a daemon that has just gone on."""
+    _play_out_of_step(out_of_step_fleets.Plan(is_noticed=False, lost_share=1.0))
+
+
+def no_stream_is_mixed_when_old_servers_leave_during_a_cut() -> None:
+    """Guards against take-ups by a list of servers that have all left."""
+    _play_out_of_step(out_of_step_fleets.Plan(cut=2, leave_ms=1_600))
+
+
+def no_stream_is_mixed_when_a_version_came_and_went_during_a_cut() -> None:
+    """Guards against a newest list that lacks what was listed in between."""
+    for is_planned in (False, True):
+        _play_out_of_step(
+            out_of_step_fleets.Plan(
+                daemons=3,
+                cut=2,
+                return_ms=4_500,
+                is_noticed=False,
+                kills_others=True,
+                is_planned=is_planned,
+            )
+        )
+
+
+def no_stream_is_mixed_when_all_daemons_in_step_have_left() -> None:
+    """Guards against a version that only daemons that have left had seen."""
+    _play_out_of_step(
+        out_of_step_fleets.Plan(
+            return_ms=4_500,
+            is_noticed=False,
+            kills_others=True,
+            is_planned=True,
+        )
+    )
--- a/tests/features/versions.feature
+++ b/tests/features/versions.feature
@@ -77,3 +77,10 @@
       | split_streams   | streams begun after a move are told |
       | split_streams   | a table from before a move resumes no unknown stream |
       | split_streams   | a daemon alone with an old table resumes no unknown stream |
+      | stream_versions | no stream is mixed by a daemon that is cut off |
+      | stream_versions | no stream is mixed by daemons that are cut off together |
+      | stream_versions | no stream is mixed by a daemon that stood still |
+      | stream_versions | no stream is mixed when old servers leave during a cut |
+      | stream_versions | no stream is mixed when a version came and went during a cut |
+      | stream_versions | no stream is mixed when all daemons in step have left |
+      | split_streams   | a move and back that a daemon missed resumes no unknown stream |
--- /dev/null
+++ b/tests/sim/out_of_step_fleets.py
@@ -0,0 +1,171 @@
+"""Simulated fleets with daemons that are out of step as versions change."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from cases import routed_core
+from godwittack.core import inputs, server_inputs, stream_records
+from sim import version_fleets
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+RUN_MS = 8_000
+CUT_FROM_MS = 1_000
+HEAL_MS = 5_000
+JOIN_MS = 1_500
+# Daemons that don't answer count as lost after about this time.
+NOTICE_MS = 800
+JOINED_ENGINES = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What happens to a fleet.
+
+    Attributes:
+        daemons: Number of daemons.
+        cut: Number of daemons that are cut off from the others and the store.
+            They reach each other.
+        leave_ms: When the servers of the old version leave; -1 for never.
+        return_ms: When those of the new version leave; -1 for never.
+        is_noticed: Whether daemons count those that they don't reach as lost.
+            Those that stand still instead do not.
+        kills_others: Whether all daemons that were not cut off end as the cut
+            heals.
+        is_planned: Whether they end in good order, so that the rest does not
+            expect them any more.
+        lost_share: Share of the records that are lost on the way.
+    """
+
+    daemons: int = 6
+    cut: int = 1
+    leave_ms: int = -1
+    return_ms: int = -1
+    is_noticed: bool = True
+    kills_others: bool = False
+    is_planned: bool = False
+    lost_share: float = version_fleets.LOST_SHARE
+
+
+class Fleet(version_fleets.Fleet):
+    """Daemons that have seen one version for the life of a stream.
+
+    Some of them are cut off for a time. Meanwhile servers of another version
+    join, and some may leave.
+    """
+
+    def __init__(self, plan: Plan, *, seed: int) -> None:
+        """Starts the daemons of a plan."""
+        super().__init__(seed=seed, daemons=plan.daemons)
+        self.plan = plan
+        self.known_daemons = plan.daemons
+        self.lost_share = plan.lost_share
+        self.now_ms = stream_records.STREAM_LIFE_MS + 1
+        for daemon in self._daemons.values():
+            self._tell(daemon, inputs.Tick(self.now_ms))
+        self._tell_groups()
+
+    def run(self) -> None:
+        """Plays the plan, with streams that begin and are taken up."""
+        for at_ms in range(0, RUN_MS, version_fleets.STEP_MS):
+            for _ in range(version_fleets.STREAMS_PER_STEP):
+                self._after(at_ms, self._begin_new)
+        self._after(CUT_FROM_MS, self._cut)
+        self._after(HEAL_MS, self._heal_all)
+        old = sorted(self._engines)
+        first = version_fleets.ENGINES
+        new = [f"e{first + n}.1" for n in range(JOINED_ENGINES)]
+        self._after(JOIN_MS, lambda: self._change((), new))
+        if self.plan.leave_ms >= 0:
+            self._after(self.plan.leave_ms, lambda: self._change(old, ()))
+        if self.plan.return_ms >= 0:
+            self._after(self.plan.return_ms, lambda: self._change(new, ()))
+        self._play()
+
+    def _cut(self) -> None:
+        daemons = list(self._daemons.values())
+        for daemon in self.rng.sample(daemons, self.plan.cut):
+            daemon.is_cut = True
+        if self.plan.is_noticed:
+            self._after(NOTICE_MS, self._tell_groups)
+
+    def _heal_all(self) -> None:
+        """Heals the cut; the list is read some time later."""
+        if self.plan.kills_others:
+            self._daemons = {
+                address: daemon
+                for address, daemon in self._daemons.items()
+                if daemon.is_cut
+            }
+            if self.plan.is_planned:
+                self.known_daemons = len(self._daemons)
+        for daemon in self._daemons.values():
+            daemon.is_cut = False
+        self._tell_groups()
+
+    def _tell_groups(self) -> None:
+        """Tells each daemon which others it reaches."""
+        for daemon in self._daemons.values():
+            live = tuple(
+                sorted(
+                    other.name
+                    for other in self._daemons.values()
+                    if other.is_cut == daemon.is_cut
+                )
+            )
+            changed = inputs.MembersChanged(
+                self.now_ms, live, known=self.known_daemons
+            )
+            self._tell(daemon, changed)
+
+    def _change(self, gone: Iterable[str], joined: Iterable[str]) -> None:
+        for name in gone:
+            del self._engines[name]
+        for name in joined:
+            self._engines[name] = "v2"
+        for daemon in self._daemons.values():
+            self._read_later(daemon)
+
+    def _read_later(self, daemon: version_fleets.Daemon) -> None:
+        delay_ms = self.rng.randrange(1, version_fleets.MAX_LIST_DELAY_MS)
+        self._after(delay_ms, lambda: self._read_list(daemon))
+
+    def _read_list(self, daemon: version_fleets.Daemon) -> None:
+        """Lets a daemon read the whole list once it reaches the store."""
+        if daemon not in self._daemons.values():
+            return
+        if daemon.is_cut:
+            self._read_later(daemon)
+            return
+        servers = daemon.core.world.servers_by_target[routed_core.ENGINES]
+        for name in sorted(servers.keys() - self._engines.keys()):
+            gone = server_inputs.ServerListed(
+                at_ms=self.now_ms, server_id=name, gone=True
+            )
+            self._tell(daemon, gone)
+        for name, version in self._engines.items():
+            if name not in servers:
+                self._list(daemon, name, version)
+
+    def _reach(
+        self, daemon: version_fleets.Daemon, name: str
+    ) -> version_fleets.Daemon | None:
+        peer = self._running(name)
+        if peer is None or peer.is_cut != daemon.is_cut:
+            return None
+        return peer
+
+    def _running(self, name: str) -> version_fleets.Daemon | None:
+        for daemon in self._daemons.values():
+            if daemon.name == name:
+                return daemon
+        return None
+
+    def _is_linked(self, daemon: version_fleets.Daemon, name: str) -> bool:
+        return self._reach(daemon, name) is not None
+
+
+__all__ = ["Fleet", "Plan"]
--- a/tests/sim/version_fleets.py
+++ b/tests/sim/version_fleets.py
@@ -58,6 +58,7 @@
         begun: Of these, streams that began.
         taken_up: Tries to take a stream up, at daemons that are not cut off.
         gone_on: Of these, tries that went on.
+        lost_share: Share of the records that are lost on the way.
     """
 
     def __init__(self, *, seed: int, daemons: int) -> None:
@@ -71,6 +72,7 @@
         self._engines: dict[str, str] = {}
         self._daemons: dict[int, Daemon] = {}
         self._release = 1
+        self.lost_share = LOST_SHARE
         for number in range(ENGINES):
             self._engines[f"e{number}.0"] = "v1"
         for address in range(daemons):
@@ -89,6 +91,9 @@
             self._after(at_ms, self._kill)
         for at_ms in range(1_500, RUN_MS, CUT_MS):
             self._after(at_ms, self._cut)
+        self._play()
+
+    def _play(self) -> None:
         while self._events:
             self.now_ms, _, act = heapq.heappop(self._events)
             act()
@@ -249,12 +254,18 @@
 
     def _send(self, daemon: Daemon, sent: list[effects.Effect]) -> None:
         for effect in sent:
-            if isinstance(effect, effects.TellStream) and not daemon.is_cut:
+            if isinstance(effect, effects.TellStream):
                 for name in effect.daemons:
-                    self._send_record(name, effect)
+                    if self._is_linked(daemon, name):
+                        self._send_record(name, effect)
+
+    def _is_linked(self, daemon: Daemon, name: str) -> bool:
+        """Returns whether datagrams of a daemon to another can arrive."""
+        del name
+        return not daemon.is_cut
 
     def _send_record(self, name: str, effect: effects.TellStream) -> None:
-        if self.rng.random() < LOST_SHARE:
+        if self.rng.random() < self.lost_share:
             return
 
         def arrive() -> None:
@@ -271,6 +282,10 @@
 
         self._after(HOP_MS, arrive)
 
+    def _reach(self, daemon: Daemon, name: str) -> Daemon | None:
+        """Returns the daemon of a name if another one reaches it."""
+        return None if daemon.is_cut else self._running(name)
+
     def _running(self, name: str) -> Daemon | None:
         """Returns a daemon that others reach."""
         for daemon in self._daemons.values():
@@ -289,7 +304,7 @@
         def answer() -> None:
             if daemon not in self._daemons.values():
                 return
-            peer = None if daemon.is_cut else self._running(name)
+            peer = self._reach(daemon, name)
             knowledge = None
             if peer is not None:
                 knowledge = stream_versions.knowledge(
@@ -307,7 +322,7 @@
             self._tell(daemon, told)
             self._act(daemon, stream, False, is_counted)
 
-        is_reached = not daemon.is_cut and self._running(name) is not None
+        is_reached = self._reach(daemon, name) is not None
         self._after(2 * HOP_MS if is_reached else ASK_TIMEOUT_MS, answer)
 
 
