Play new daemons that ask one that was out of step

A daemon that has just started asks others what it can't know. One that was cut off while a version came and went answers that it has seen all versions, and the new daemon resumes a stream of that version at the other one.

The simulated cores don't read the row of versions in the store, which may cover this in real daemons.

--- a/tests/cases/stream_versions.py
+++ b/tests/cases/stream_versions.py
@@ -577,3 +577,16 @@
             is_planned=True,
         )
     )
+
+
+def no_stream_is_mixed_by_new_daemons_that_ask_one_out_of_step() -> None:
+    """Guards against an old list that completes what a new daemon has seen."""
+    _play_out_of_step(
+        out_of_step_fleets.Plan(
+            cut=2,
+            return_ms=4_500,
+            is_noticed=False,
+            kills_others=True,
+            restarts_others=True,
+        )
+    )
--- a/tests/features/versions.feature
+++ b/tests/features/versions.feature
@@ -84,3 +84,4 @@
       | stream_versions | no stream is mixed when a version came and went during a cut |
       | stream_versions | no stream is mixed when all daemons in step have left |
       | split_streams   | a move and back that a daemon missed resumes no unknown stream |
+      | stream_versions | no stream is mixed by new daemons that ask one out of step |
--- a/tests/sim/out_of_step_fleets.py
+++ b/tests/sim/out_of_step_fleets.py
@@ -35,6 +35,7 @@
             Those that stand still instead do not.
         kills_others: Whether all daemons that were not cut off end as the cut
             heals.
+        restarts_others: Whether they start again at once, knowing nothing.
         is_planned: Whether they end in good order, so that the rest does not
             expect them any more.
         lost_share: Share of the records that are lost on the way.
@@ -46,6 +47,7 @@
     return_ms: int = -1
     is_noticed: bool = True
     kills_others: bool = False
+    restarts_others: bool = False
     is_planned: bool = False
     lost_share: float = version_fleets.LOST_SHARE
 
@@ -95,11 +97,12 @@
     def _heal_all(self) -> None:
         """Heals the cut; the list is read some time later."""
         if self.plan.kills_others:
-            self._daemons = {
-                address: daemon
-                for address, daemon in self._daemons.items()
-                if daemon.is_cut
-            }
+            for address, daemon in list(self._daemons.items()):
+                if daemon.is_cut:
+                    continue
+                del self._daemons[address]
+                if self.plan.restarts_others:
+                    self._start(address)
             if self.plan.is_planned:
                 self.known_daemons = len(self._daemons)
         for daemon in self._daemons.values():
