Add failing tests on routes that are refused after their bound

What callers saw: a route that had been added was refused with 404 3.22 s after its acknowledgement, where 3 s are allowed. Cause: not mended here. Change: the stand-in of the store can silence its feed, after which the history is lost, and let reads of rows lag; tests can cut a daemon's path to the store. Four cases with real processes, six of the follower and one of fetching from peers; the settings of tests have the bounds config-apply-ms and drain-ms, which the template does not read yet.

--- a/tests/cases/feed_follower.py
+++ b/tests/cases/feed_follower.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import dataclasses
 import random
+from unittest import mock
 
 from result import Err, Ok
 
@@ -272,3 +276,136 @@
     harness.freshness.record_version(5)
     harness.freshness.record_confirmation(harness.clock.now_ms())
     assert not harness.follower.may_end_pause(failed_at_ms=failed_at_ms)
+
+
+async def _calls_and_pauses(harness: FollowerHarness, *answers) -> list[str]:
+    """Follows until the answers are used up; returns the calls and pauses."""
+    for answer in answers:
+        harness.feed.add_answer(answer)
+    calls = harness.feed.calls
+
+    async def sleep(delay_s: float) -> None:
+        harness.clock.advance(by_ms=max(1, round(1_000 * delay_s)))
+        if calls[-1] != "pause":
+            calls.append("pause")
+
+    with (
+        mock.patch.object(asyncio, "sleep", sleep),
+        contextlib.suppress(IndexError),
+    ):
+        await harness.follower.follow_forever()
+    return calls
+
+
+async def lost_history_is_followed_by_a_read_at_once() -> None:
+    """A daemon that is not a reader does not pause before the snapshot.
+
+    Guards against a change that is in force half a second late in just the
+    disruption in which it can't come from peers: lost history counted as an
+    answer, after which such daemons pause.
+    """
+    harness = FollowerHarness(is_reader=False, has_peers=True)
+    calls = await _calls_and_pauses(
+        harness, page(5, ("a", "1")), error(history_lost=True), page(9)
+    )
+    lost = calls.index("changes op 5")
+    assert calls[lost + 1] == "snapshot op", calls
+
+
+async def history_lost_again_is_a_failure() -> None:
+    """A snapshot that the feed can't continue from is followed by a pause.
+
+    Guards against a loop of calls: reads of rows lagged behind the history that
+    was lost, so that each snapshot led to lost history again, 150 calls a
+    second and daemon.
+    """
+    harness = FollowerHarness()
+    await harness.step(page(5, ("a", "1")))
+    await harness.step(error(history_lost=True))
+    await harness.step(page(5, ("a", "1")))
+    assert not await harness.step(error(history_lost=True))
+
+
+async def a_snapshot_after_lost_history_confirms_nothing_yet() -> None:
+    """Rows read after lost history hold once the feed continues from them.
+
+    Guards against old rows that count as the newest: reads of rows lagged, and
+    each snapshot confirmed the rows of before the lost history.
+    """
+    harness = FollowerHarness()
+    await harness.step(page(5, ("a", "1")))
+    await harness.step(error(history_lost=True))
+    confirmed = len(harness.confirmed)
+    await harness.step(page(9, ("a", "2")))
+    assert len(harness.confirmed) == confirmed, harness.confirmed
+    await harness.step(page(9))
+    assert len(harness.confirmed) == confirmed + 1, harness.confirmed
+
+
+def _follower_behind(*, peer_version: int) -> FollowerHarness:
+    """Returns a follower of version 5 that knows a peer with a newer one."""
+    harness = FollowerHarness(has_peers=True)
+    harness.freshness.record_version(5)
+    harness.freshness.apply_belief(
+        freshness.Belief(freshness.Topic.TABLE, peer_version, age_ms=0),
+        asked_at_ms=START_MS,
+        now_ms=START_MS,
+    )
+    return harness
+
+
+async def an_answer_older_than_a_peer_s_version_confirms_nothing() -> None:
+    """The store's answer is no proof against a peer's newer version.
+
+    Guards against old routes that count as the newest: the feed hears of no
+    changes for a while, and answers without rows, with the version of before,
+    while a peer has read a newer one.
+    """
+    harness = _follower_behind(peer_version=7)
+    await harness.step(page(5, ("a", "1")))
+    await harness.step(page(5))
+    assert not harness.confirmed, harness.confirmed
+
+
+async def a_passed_version_without_its_rows_leads_to_a_snapshot() -> None:
+    """Rows that the feed has left out are read.
+
+    Guards against a change that is missed for good: a peer has version 7, the
+    feed goes on to version 8 without its rows, and each further call asks for
+    what came later.
+    """
+    harness = _follower_behind(peer_version=7)
+    await harness.step(page(5, ("a", "1")))
+    await harness.step(page(8))
+    await harness.step(page(8, ("a", "2")))
+    assert harness.feed.calls[-1] == "snapshot op", harness.feed.calls
+
+
+async def pages_of_different_versions_make_no_newest_table() -> None:
+    """A change between two pages of a snapshot is in force after the feed.
+
+    Guards against old rows under the newest number: row b of version 7 is on
+    the second page, row a of version 6 was read on the first before it changed.
+    The table counted as version 7, so that the whole one, of version 7 as well,
+    was not newer.
+    """
+    harness = FollowerHarness()
+    built: list[tuple[int, dict[str, str]]] = []
+    harness.follower._on_rows = lambda rows: built.append(
+        (
+            harness.follower.version,
+            {key: row.value for key, row in rows.items()},
+        )
+    )
+    first = page(5, ("a", "1")).ok_value
+    harness.feed.add_answer(Ok(dataclasses.replace(first, next_key="b")))
+    await harness.step(page(7, ("b", "2")))
+    versions_before = [version for version, _ in built]
+    feed_rows = (
+        *page(6, ("a", "2")).ok_value.rows,
+        *page(7, ("b", "2")).ok_value.rows,
+    )
+    whole = dataclasses.replace(page(7).ok_value, rows=feed_rows)
+    await harness.step(Ok(whole))
+    assert built[-1] == (7, {"a": "2", "b": "2"}), built
+    assert all(version < 7 for version in versions_before), built
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -31,6 +31,8 @@
     "part_fleets",
     "feed_follower",
     "freshness",
+    "fetching",
+    "changes_in_force",
     "adapter",
     "instance_rows",
     "odd_entries",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -33,6 +33,8 @@
     "require-fencing": True,
     "revoke-ms": 5000,
     "version-ms": 12000,
+    "config-apply-ms": 2000,
+    "drain-ms": 2000,
     "lease-ms": 3000,
     "grace-s": 8,
     "retry-slack": 52,
@@ -313,7 +315,15 @@
             servers: Names of servers; None for all.
         """
         chosen = self.replicas if servers is None else servers
-        ports = [self.replicas[name].port for name in chosen]
+        self._cut_ports(
+            number, mode, [self.replicas[name].port for name in chosen]
+        )
+
+    def cut_store(self, number: int, mode: str) -> None:
+        """Cuts a daemon's path to the store."""
+        self._cut_ports(number, mode, [self.store_port])
+
+    def _cut_ports(self, number: int, mode: str, ports: list[int]) -> None:
         cut = {"mode": mode, "ports": ports}
         path = self.logs[number].with_suffix(".cut")
         unfinished = path.with_suffix(".tmp")
--- /dev/null
+++ b/tests/features/changes_in_force.feature
@@ -0,0 +1,28 @@
+Feature: A change of the configuration is in force within its bound
+
+  Scenario: Real processes, a route added without a fault
+    When the case "a route added without a fault is served in time" of "changes_in_force" is played
+
+  Scenario: Real processes, a route added as the readers end
+    When the case "a route added as the readers end is served in time" of "changes_in_force" is played
+
+  Scenario: Real processes, a route added while the feed is silent is served within its bound
+    When the case "a route added while the feed is silent is served in time" of "changes_in_force" is played
+
+  Scenario: Real processes, a route added before lost history and late reads is never refused for good
+    When the case "late reads after lost history refuse no added route" of "changes_in_force" is played
+
+  Scenario Outline: <case>
+    # Each case names the failure that it guards against; see
+    # tests/cases/feed_follower.py and tests/cases/fetching.py.
+    When the case "<case>" of "<group>" is played
+
+    Examples: evidence from the store and from peers
+      | group         | case |
+      | feed_follower | lost history is followed by a read at once |
+      | feed_follower | history lost again is a failure |
+      | feed_follower | a snapshot after lost history confirms nothing yet |
+      | feed_follower | an answer older than a peer's version confirms nothing |
+      | feed_follower | a passed version without its rows leads to a snapshot |
+      | feed_follower | pages of different versions make no newest table |
+      | fetching      | a silent peer holds up no fetch from another |
--- a/tests/standins/rows.py
+++ b/tests/standins/rows.py
@@ -13,6 +13,19 @@
 from standins import torn
 
 
+@dataclasses.dataclass(frozen=True)
+class FeedSilence:
+    """A time in which the feed hears of no changes; their history is lost.
+
+    Attributes:
+        version: Newest version before it.
+        ends_s: When it ends.
+    """
+
+    version: int
+    ends_s: float
+
+
 @dataclasses.dataclass
 class StoreFaults:
     """Faults of the store.
@@ -22,6 +35,8 @@
         silent: Whether requests are left unanswered.
         lose_writes: Whether writes are applied and not answered.
         forgotten_up_to: Version up to which the feed has no history.
+        silence: When the feed hears of no changes; None for never.
+        read_lag_s: By how long reads of rows, but not the feed, are late.
         latency_s: Delay of each answer.
         torn: How answers are broken off inside their heads; None for never.
     """
@@ -30,6 +45,8 @@
     silent: bool = False
     lose_writes: bool = False
     forgotten_up_to: int = 0
+    silence: FeedSilence | None = None
+    read_lag_s: float = 0.0
     latency_s: float = 0.0
     torn: torn.Torn | None = None
 
@@ -42,6 +59,8 @@
         self.version = 0
         self.faults = StoreFaults()
         self.calls = 0
+        # Every write with its time, so that reads can show earlier rows.
+        self._writes: list[tuple[float, tuple[str, str], dict]] = []
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
@@ -71,10 +90,20 @@
             "row-version": self.version,
             "deleted": value is None,
         }
+        self._writes.append(
+            (time.monotonic(), (table, key), self.rows[(table, key)])
+        )
+        if self._active_silence() is not None:
+            self.faults.forgotten_up_to = self.version
         self._changed.set()
         self._changed = asyncio.Event()
         return self.version
 
+    def silence_feed(self, seconds: float) -> None:
+        """Lets the feed hear of no changes from now on."""
+        ends_s = time.monotonic() + seconds
+        self.faults.silence = FeedSilence(self.version, ends_s)
+
     def put_odd(self, table: str, key: str, data: bytes, /, **fields) -> int:
         """Writes a row with any bytes, as a faulty writer does.
 
@@ -133,43 +162,72 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         table, start = request.query["table"], request.query.get("from", "")
+        rows, version = self._readable_rows()
         found = [
             row
-            for (name, key), row in sorted(self.rows.items())
+            for (name, key), row in sorted(rows.items())
             if name == table and key >= start and not row["deleted"]
         ]
         limit = int(request.query.get("limit", "500"))
-        return self._answer(found[:limit], more=len(found) > limit)
+        return self._answer(
+            found[:limit], more=len(found) > limit, version=version
+        )
+
+    def _readable_rows(self) -> tuple[dict[tuple[str, str], dict], int]:
+        """Returns the rows and the version that a read shows."""
+        if not self.faults.read_lag_s:
+            return self.rows, self.version
+        until_s = time.monotonic() - self.faults.read_lag_s
+        seen = [
+            (row_id, row)
+            for at_s, row_id, row in self._writes
+            if at_s <= until_s
+        ]
+        return dict(seen), len(seen)
+
+    def _active_silence(self) -> FeedSilence | None:
+        silence = self.faults.silence
+        if silence is None or time.monotonic() >= silence.ends_s:
+            return None
+        return silence
 
     async def _feed(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
-        if after < self.faults.forgotten_up_to:
-            return web.Response(status=410)
-        deadline_s = time.monotonic() + int(request.query["wait-ms"]) / 1000
+        ends_s = time.monotonic() + int(request.query["wait-ms"]) / 1000
         while True:
+            silence = self._active_silence()
+            if silence is None and after < self.faults.forgotten_up_to:
+                return web.Response(status=410)
+            newest = self.version if silence is None else silence.version
             found = [
                 row
                 for (name, _), row in self.rows.items()
-                if name == request.query["table"] and row["row-version"] > after
+                if name == request.query["table"]
+                and after < row["row-version"] <= newest
             ]
-            remaining_s = deadline_s - time.monotonic()
-            if found or remaining_s <= 0:
+            if found or time.monotonic() >= ends_s:
                 found.sort(key=lambda row: row["row-version"])
-                return self._answer(found)
+                return self._answer(found, version=newest)
+            until_s = ends_s if silence is None else min(ends_s, silence.ends_s)
             try:
-                async with asyncio.timeout(remaining_s):
+                async with asyncio.timeout(until_s - time.monotonic()):
                     await self._changed.wait()
             except TimeoutError:
                 continue
 
     def _answer(
-        self, rows: list[dict], *, status: int = 200, more: bool = False
+        self,
+        rows: list[dict],
+        *,
+        status: int = 200,
+        more: bool = False,
+        version: int | None = None,
     ) -> web.Response:
         return web.json_response(
             {
                 "rows": rows,
                 "has-more": more,
-                "row-version": self.version,
+                "row-version": self.version if version is None else version,
                 "now-ms": time.monotonic_ns() // 1_000_000,
             },
             status=status,
@@ -180,4 +238,4 @@
     return base64.b64encode(text.encode()).decode()
 
 
-__all__ = ["RowStore", "StoreFaults"]
+__all__ = ["FeedSilence", "RowStore", "StoreFaults"]
