--- a/tests/cases/old_copies_real.py
+++ b/tests/cases/old_copies_real.py
@@ -22,6 +22,7 @@
 DEAF_BEFORE_LEAVING_S = 0.4
 # After this the store's answers are too old to say what does not exist.
 OUTAGE_S = 4.0
+SILENCE_S = 1.0
 # How long the feed holds a call, and a little more.
 FEED_WAIT_S = 1.5
 
@@ -75,14 +76,13 @@
         for engine in engines:
             engine._order = refuse_order
         others = await _with_deaf_readers(made)
-        silence = asyncio.create_task(made.store.be_silent())
+        made.store.silence_feed(SILENCE_S)
         await asyncio.sleep(0.1)
         made.store.put("op", "version/m", {"model": "m", "version": 2})
         named_at_s = time.monotonic()
         answers = await _call_all(
             made, "short", others, named_at_s + VERSION_S + 1.0
         )
-        await silence
         begun_s = [
             execution.at_s - named_at_s
             for engine in engines
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -33,6 +33,8 @@
     "freshness",
     "old_copies",
     "old_copies_real",
+    "fetching",
+    "changes_in_force",
     "adapter",
     "instance_rows",
     "odd_entries",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -34,6 +34,8 @@
     "require-fencing": True,
     "revoke-ms": 5000,
     "version-ms": 12000,
+    "config-apply-ms": 2000,
+    "drain-ms": 2000,
     "lease-ms": 3000,
     "grace-s": 8,
     "retry-slack": 52,
