Fetch a newer table from a second peer while the first does not answer

A daemon may go on refusing a route that was added for as long as its only fetch runs against a daemon that stands still (400 ms, and again with each such peer). Cause: one fetch at a time, whatever the peer. Change: a fetch may begin 100 ms after the last one did. Peers that tell of a version at the same time still share one. The case asks at that time instead of at once, and that they share one. Result: "a silent peer holds up no fetch from another" failed before (only the silent peer was asked) and passes.

--- a/src/godwittack/daemon/tables.py
+++ b/src/godwittack/daemon/tables.py
@@ -22,6 +22,10 @@
     from godwittack.peer import exchange
     from godwittack.table import store
 
+# Time after which a table is fetched from a second peer: the first one may be
+# suspended, and its answer only fail at the timeout of the call.
+FETCH_INTERVAL_MS = 100
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class TableKeeper:
@@ -38,7 +42,8 @@
     peers: exchange.PeerClient
     serving_lease: serving_lease.ServingLease
     on_adopted: Callable[[], None] = lambda: None
-    _is_fetching: bool = False
+    _fetching: set[str] = dataclasses.field(default_factory=set)
+    _fetched_at_ms: int = 0
     _heard_version: int = 0
     _heard_at_ms: int = 0
 
@@ -102,20 +107,19 @@
 
     async def fetch_from_peer(self, address: str) -> None:
         """Fetches a peer's table and activates it if it is newer."""
-        if self._is_fetching:
-            logging.info(
-                "event=table_fetch_skipped peer=%s active=%d",
-                address,
-                self.table.version,
-            )
+        now_ms = self.runtime.clock.now_ms()
+        if self._fetching and now_ms - self._fetched_at_ms < FETCH_INTERVAL_MS:
+            return
+        if address in self._fetching:
             return
-        self._is_fetching = True
+        self._fetching.add(address)
+        self._fetched_at_ms = now_ms
         try:
             reply = await self.peers.fetch_table(
                 address, known_version=self.table.version
             )
         finally:
-            self._is_fetching = False
+            self._fetching.discard(address)
         if isinstance(reply, Err):
             logging.info(
                 "event=table_fetch_failed peer=%s active=%d detail=%r",
--- a/tests/cases/fetching.py
+++ b/tests/cases/fetching.py
@@ -36,13 +36,18 @@
     peers with the newer table were passed over.
     """
     peers = _Peers(silent="10.0.0.1:1")
+    clock = ManualClock(100_000)
     keeper = tables.TableKeeper(
-        runtime=one_lead.Runtime(ManualClock(100_000)),
+        runtime=one_lead.Runtime(clock),
         peers=peers,
         serving_lease=store_lease.StoreServingLease(bound_ms=5_000),
     )
     held_up = asyncio.create_task(keeper.fetch_from_peer("10.0.0.1:1"))
     await asyncio.sleep(0)
+    # Peers that tell of the same version at the same time share one fetch.
+    await keeper.fetch_from_peer("10.0.0.3:1")
+    assert peers.asked == ["10.0.0.1:1"], peers.asked
+    clock.advance(by_ms=tables.FETCH_INTERVAL_MS)
     other = asyncio.create_task(keeper.fetch_from_peer("10.0.0.2:1"))
     await asyncio.sleep(0.05)
     try:
