Let an answer of the store confirm only what it shows

What callers saw: a route that had been added was refused with 404 3.2 s later. With the feed silent for the second in which a change is made and the three daemons that poll the store cut off from it, all others are confirmed by that silence, find the history lost 1.8 s later, and pause half a second before they read the rows: 2.7 to 3.0 s with nine daemons, and no message lost. Cause: each answer of the store counted as "nothing newer", whatever it can show.

Change: after lost history the rows are read at once and count once the feed continues from them; a second loss in a row is a failure, with growing pauses. The position moves by rows, or after the feed can't be silent any more. A clock from the future starts the dating anew. The cases number tables by their rows, as daemons do, and let the feed continue once after lost history.

--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -9,7 +9,7 @@
 from absl import logging
 from result import Err, Ok
 
-from godwittack.member import freshness
+from godwittack.member import freshness, staleness
 
 if TYPE_CHECKING:
     import random
@@ -28,6 +28,8 @@
 NON_READER_RETRY_MAX_MS = 3_200
 # A feed may become stale without an error, so readers also take a snapshot.
 SNAPSHOT_INTERVAL_MS = 15_000
+# Pause before the next snapshot where one was older than the rows.
+STALE_SNAPSHOT_RETRY_MS = 1_000
 # A daemon that is not a reader calls the store itself once the last
 # confirmation is older: half of the time for which it may serve keys after one.
 MAX_CONFIRMATION_AGE_MS = 2_000
@@ -41,6 +43,9 @@
 # Pause between two such calls, for example before the operators' first table.
 NON_READER_INTERVAL_MS = 500
 
+# Rounding of clocks, by which an answer may seem to be from the future.
+CLOCK_TOLERANCE_MS = 10
+
 Rows = dict[str, "protocol.ChangedRow"]
 
 
@@ -102,6 +107,11 @@
         self._feed_version = 0
         self._snapshot_at_ms = -SNAPSHOT_INTERVAL_MS
         self._needs_snapshot = True
+        # Set until the feed continues after lost history: rows that were read
+        # meanwhile may be older than what was lost.
+        self._is_history_lost = False
+        # Version of an answer without rows, and when it was asked for.
+        self._unproved_version: tuple[int, int] | None = None
         self._retry_ms = RETRY_FIRST_MS
         self._clock_offset_ms = -(1 << 62)
 
@@ -113,13 +123,21 @@
     async def follow_forever(self) -> None:
         """Follows until cancelled."""
         while True:
-            if self.can_skip_read():
-                await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
-            elif await self.step():
-                if not self._is_reader():
-                    await asyncio.sleep(NON_READER_INTERVAL_MS / 1000)
-            else:
-                await self._pause_after_failure()
+            await self._follow_once()
+
+    async def _follow_once(self) -> None:
+        if self.can_skip_read():
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+        elif not await self.step():
+            await self._pause_after_failure()
+        elif not (
+            self._is_reader() or self._must_continue() or self.can_skip_read()
+        ):
+            await asyncio.sleep(NON_READER_INTERVAL_MS / 1000)
+
+    def _must_continue(self) -> bool:
+        """Returns whether the rows are known to be incomplete."""
+        return self._needs_snapshot or self._is_history_lost
 
     async def _pause_after_failure(self) -> None:
         """Waits until the next call, or until a peer makes it worthwhile."""
@@ -163,7 +181,9 @@
     def can_skip_read(self) -> bool:
         """Returns whether peers confirmed the rows recently enough."""
         table_freshness = self._freshness
-        if self._needs_snapshot or table_freshness is None or self._is_reader():
+        if table_freshness is None or self._is_reader():
+            return False
+        if self._must_continue():
             return False
         now_ms = self._clock.now_ms()
         behind = table_freshness.behind_since_ms >= 0
@@ -177,46 +197,91 @@
     async def step(self) -> bool:
         """Makes one call; returns whether it succeeded."""
         started_ms = self._clock.now_ms()
-        is_snapshot_due = (
-            started_ms - self._snapshot_at_ms >= SNAPSHOT_INTERVAL_MS
-        )
-        is_snapshot_due = is_snapshot_due and self._is_reader()
-        is_snapshot = self._needs_snapshot or is_snapshot_due
+        is_snapshot = self._must_read_all(started_ms)
         if is_snapshot:
             result = await self._snapshot()
         else:
             result = await self._feed.changes(
                 self._table,
                 after=self._feed_version,
-                wait_ms=self._wait_ms
-                if self._is_reader()
-                else NON_READER_WAIT_MS,
+                wait_ms=self._usual_wait_ms(),
             )
         if isinstance(result, Err):
             return self._record_failure(result.err_value)
-        self._record_answer(started_ms)
+        self._record_answer()
         page = result.ok_value
-        if page.newest_version < self._feed_version:
-            # Read from a lagging replica: applied, it would revert rows that
-            # the store has acknowledged.
-            logging.info(
-                "event=store_read_stale table=%s newest=%d known=%d",
-                self._table,
-                page.newest_version,
-                self._feed_version,
+        if self._is_stale(page, is_snapshot=is_snapshot):
+            # The feed is polled before a snapshot is due again.
+            self._snapshot_at_ms = (
+                started_ms - SNAPSHOT_INTERVAL_MS + STALE_SNAPSHOT_RETRY_MS
             )
             return False
         if is_snapshot:
+            self._snapshot_at_ms = started_ms
             # An empty table has a state as well.
             self.version = max(1, self.version)
-        self._apply(page, is_snapshot=is_snapshot)
+        self._apply(page, started_ms, is_snapshot=is_snapshot)
+        if not is_snapshot:
+            self._is_history_lost = False
+            # The feed has passed a version that a peer has, and its rows were
+            # not among the changes.
+            if self._is_behind() and page.newest_version >= (
+                self._newest_known()
+            ):
+                self._needs_snapshot = True
+        if not self._is_history_lost:
+            self._retry_ms = RETRY_FIRST_MS
+        if self._is_confirmed():
+            self._on_confirmed(self._answer_as_of_ms(page, started_ms))
+        return True
+
+    def _newest_known(self) -> int:
+        """Returns the newest version that any daemon is known to have."""
+        if self._freshness is None:
+            return 0
+        return max(self._freshness.version, self._freshness.heard_version)
+
+    def _is_behind(self) -> bool:
+        return self.version < self._newest_known()
+
+    def _is_confirmed(self) -> bool:
+        """Returns whether an answer shows that the active rows are the newest.
+
+        It does not where the newest rows could not be decoded: the active rows
+        are then not those that the store confirms.
+        """
+        if self._is_history_lost or self._is_behind():
+            return False
+        return (
+            self._freshness is None or self._freshness.version >= self.version
+        )
+
+    def _must_read_all(self, now_ms: int) -> bool:
+        is_due = now_ms - self._snapshot_at_ms >= SNAPSHOT_INTERVAL_MS
+        return self._needs_snapshot or (is_due and self._is_reader())
+
+    def _usual_wait_ms(self) -> int:
+        return self._wait_ms if self._is_reader() else NON_READER_WAIT_MS
+
+    def _is_stale(self, page: protocol.FeedPage, *, is_snapshot: bool) -> bool:
+        """Returns whether a page is older than rows that are already known.
+
+        Applied, it would revert rows that the store has acknowledged. Changes
+        that are newer than the rows here are applied also if a peer has newer
+        ones; a snapshot would be taken for the peer's version.
+        """
+        known = self._feed_version
         if is_snapshot:
-            self._snapshot_at_ms = started_ms
-        as_of_ms = self._answer_as_of_ms(page, started_ms)
-        if self._freshness is None or self._freshness.version >= self.version:
-            # Skipped where the newest rows could not be decoded: the active
-            # rows are then not those that the store confirms.
-            self._on_confirmed(as_of_ms)
+            known = max(known, self._newest_known())
+        # The first version of a table is that of an empty store as well.
+        if max(1, page.newest_version) >= known:
+            return False
+        logging.info(
+            "event=store_read_stale table=%s newest=%d known=%d",
+            self._table,
+            page.newest_version,
+            known,
+        )
         return True
 
     async def _snapshot(self) -> protocol.PlatformResult[protocol.FeedPage]:
@@ -253,21 +318,39 @@
             return started_ms
         offset_ms = started_ms - page.service_ms
         self._clock_offset_ms = max(self._clock_offset_ms, offset_ms)
+        now_ms = self._clock.now_ms()
         dated_ms = page.service_ms + self._clock_offset_ms
-        return min(max(started_ms, dated_ms), self._clock.now_ms())
+        if dated_ms > now_ms + CLOCK_TOLERANCE_MS:
+            # The store's clock has moved forward, as after a restart.
+            self._clock_offset_ms = offset_ms
+            return started_ms
+        return min(max(started_ms, dated_ms), now_ms)
 
-    def _apply(self, page: protocol.FeedPage, *, is_snapshot: bool) -> None:
+    def _apply(
+        self, page: protocol.FeedPage, started_ms: int, *, is_snapshot: bool
+    ) -> None:
         before, version_before = self.rows, self.version
         rows: Rows = {} if is_snapshot else dict(before)
+        if is_snapshot:
+            # A peer's version may be that of a row that was removed since.
+            self.version = max(self.version, self._newest_known())
         for row in page.rows:
-            self.version = max(self.version, row.version)
+            # Later pages may have rows that are newer than the first page. The
+            # feed repeats them with what else changed by then; until then the
+            # rows are those of the first page's version.
+            self.version = max(
+                self.version, min(row.version, page.newest_version)
+            )
             if row.deleted:
                 rows.pop(row.key, None)
             else:
                 rows[row.key] = row
+        if is_snapshot and version_before:
+            self._number_snapshot(rows, page, version_before)
         self.rows = rows
-        self._feed_version = page.newest_version
-        self._needs_snapshot = False
+        self._advance(page, started_ms, is_snapshot=is_snapshot)
+        if is_snapshot:
+            self._needs_snapshot = False
         # A row may have been added and removed between two calls. If it were
         # not reported, its version would be read but never active, and no
         # answer would confirm the active one: keys would be refused, and no
@@ -285,9 +368,42 @@
         if rows != before or is_newer or (is_snapshot and not before):
             self._on_rows(rows)
 
-    def _record_answer(self, started_ms: int) -> None:
+    def _number_snapshot(
+        self, rows: Rows, page: protocol.FeedPage, version_before: int
+    ) -> None:
+        """Gives rows that the feed left out a newer version.
+
+        A removed row has no version in a snapshot, and one that was missed has
+        an older version than the rows that the feed did bring. By the number of
+        the newest row, neither would be new to the core or to other daemons.
+        """
+        is_removed = bool(self.rows.keys() - rows.keys())
+        is_missed = rows != self.rows and self.version == version_before
+        if is_removed or is_missed:
+            self.version = max(self.version, page.newest_version)
+
+    def _advance(
+        self, page: protocol.FeedPage, started_ms: int, *, is_snapshot: bool
+    ) -> None:
+        """Continues the feed after a page.
+
+        An answer without rows may leave out changes that were just made, and
+        name their version: the feed continues after it only once the feed can
+        no longer be silent about them.
+        """
+        if page.rows or is_snapshot:
+            self._feed_version = page.newest_version
+            self._unproved_version = None
+            return
+        unproved = self._unproved_version
+        if unproved is None:
+            self._unproved_version = page.newest_version, started_ms
+        elif started_ms - unproved[1] > staleness.FEED_SILENCE_MS:
+            self._feed_version = max(self._feed_version, unproved[0])
+            self._unproved_version = page.newest_version, started_ms
+
+    def _record_answer(self) -> None:
         now_ms = self._clock.now_ms()
-        self._retry_ms = RETRY_FIRST_MS
         if self.failing_since_ms < 0:
             return
         self.recovered_at_ms = now_ms
@@ -300,13 +416,16 @@
 
     def _record_failure(self, error: protocol.PlatformError) -> bool:
         if error.history_lost:
-            self._needs_snapshot = True
+            # A snapshot from which the feed can't continue either is older
+            # than what was lost; the next one may be as well.
+            is_repeated = self._is_history_lost
+            self._needs_snapshot = self._is_history_lost = True
             logging.info(
                 "event=store_history_lost table=%s known=%d",
                 self._table,
                 self._feed_version,
             )
-            return True
+            return not is_repeated
         if self.failing_since_ms < 0:
             self.failing_since_ms = self._clock.now_ms()
             logging.info(
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -408,6 +408,10 @@
             self._keeper.record_heard(
                 envelope.table_version, peer=envelope.sender.member_id
             )
+            if freshness.Topic.TABLE in self.freshness:
+                self.freshness[freshness.Topic.TABLE].record_heard(
+                    envelope.table_version, now_ms=now_ms
+                )
         if envelope.table_version > own and envelope.sender.peer_address:
             task = asyncio.create_task(
                 self._keeper.fetch_from_peer(envelope.sender.peer_address)
--- a/src/godwittack/member/freshness.py
+++ b/src/godwittack/member/freshness.py
@@ -45,6 +45,7 @@
         confirmed_at_ms: When the store last confirmed it to be the newest.
         behind_since_ms: Since when a peer is known to have a newer one; -1 if
             none is known to.
+        heard_version: Newest version that a peer is known to have.
         confirmed_by: Whose answer that was: the store's, or a daemon's id.
         on_confirmed: Called with the time of each later confirmation.
     """
@@ -53,6 +54,7 @@
     version: int = 0
     confirmed_at_ms: int = -1_000_000
     behind_since_ms: int = -1
+    heard_version: int = 0
     confirmed_by: str = ""
     on_confirmed: Callable[[int], None] = lambda at_ms: None
 
@@ -60,7 +62,8 @@
         """Records that a newer version became active here."""
         if version > self.version:
             self.version = version
-            self.behind_since_ms = -1
+            if version >= self.heard_version:
+                self.behind_since_ms = -1
 
     def record_confirmation(self, at_ms: int, *, by: str = STORE) -> None:
         """Records that the version here was the newest at `at_ms`."""
@@ -89,11 +92,20 @@
             now_ms: Time of the arrival.
             peer: Id of the peer.
         """
-        if belief.version > self.version:
-            self.record_newer_version(now_ms=now_ms)
-        if belief.version == self.version:
+        self.record_heard(belief.version, now_ms=now_ms)
+        is_newest = self.heard_version <= self.version
+        if belief.version == self.version and is_newest:
             self.record_confirmation(asked_at_ms - belief.age_ms, by=peer)
 
+    def record_heard(self, version: int, *, now_ms: int) -> None:
+        """Records a version that a peer has.
+
+        Nothing confirms an older one any more.
+        """
+        self.heard_version = max(self.heard_version, version)
+        if version > self.version:
+            self.record_newer_version(now_ms=now_ms)
+
     def record_newer_version(self, *, now_ms: int) -> None:
         """Records that a peer has a newer version than is active here.
 
--- a/tests/cases/old_copies.py
+++ b/tests/cases/old_copies.py
@@ -70,7 +70,7 @@
         version = rows["version/m"].value if "version/m" in rows else "1"
         self.keeper.adopt(
             routed_core.table(
-                self.follower.version + 1, keys=keys, weights=version
+                self.follower.version, keys=keys, weights=version
             ),
             source="store",
         )
@@ -164,6 +164,8 @@
     rows = (("config", "other"), ("version/m", "2"))
     await copy.step(feed_follower.error(history_lost=True))
     await copy.step(feed_follower.page(7, *rows))
+    # The feed continues from the snapshot, which shows that it is the newest.
+    await copy.step(feed_follower.page(7))
     assert copy.status("release", "r2") == 401
     while copy.now_ms - changed_at_ms < VERSION_MS:
         copy.wait(500)
@@ -296,6 +298,7 @@
         await harness.step(feed_follower.page(5, ("a", "1")))
         harness.feed.add_answer(feed_follower.error(history_lost=True))
         harness.feed.add_answer(feed_follower.page(9, ("b", "1")))
+        harness.feed.add_answer(feed_follower.page(9))
         started_s = asyncio.get_running_loop().time()
         task = asyncio.create_task(harness.follower.follow_forever())
         while len(harness.feed.calls) < 3:
