Derive the ages and pauses of copies from the time for a change

What callers saw: a route refused with 404 for 2.3 to 2.4 s with the three daemons that poll the store cut off, and requests at a server that had left up to 2.16 s after its leaving was acknowledged, where 2 s are allowed for both on small deployments. Cause: the age at which other daemons read the store themselves (2,000 ms, 15% more for some), the wait for a version that a peer has (400), the pause after a read (500) and after failures (3,200) were constants; no setting named the bound that their sum has to keep. Change: config_bound_ms and drain_bound_ms, taken from the platform's bounds. Poll, read of a version heard of, own read and longest pause are parts of them (docs/design/staleness.md). Daemons read by rank, twice as many at each step, instead of at an age drawn at random.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from godwittack.core import policy as policies
-from godwittack.member import view
+from godwittack.member import staleness, view
 
 Address: TypeAlias = Annotated[
     str,
@@ -31,6 +31,7 @@
 # Subtracted from weights_bound_ms: the time for a publication of weights to
 # reach all daemons, and for a request to wait at its server.
 WEIGHTS_MARGIN_MS = 2_500
+DEFAULT_BOUND_MS = 3_000
 
 
 class Interface(enum.StrEnum):
@@ -104,6 +105,16 @@
         default=5_000,
         description="ms after which a revoked key must not be served",
     )
+    config_bound_ms: Ms = pydantic.Field(
+        default=DEFAULT_BOUND_MS,
+        ge=staleness.MIN_BOUND_MS,
+        description="ms after which a change of the table must be in force",
+    )
+    drain_bound_ms: Ms = pydantic.Field(
+        default=DEFAULT_BOUND_MS,
+        ge=staleness.MIN_BOUND_MS,
+        description="ms after which a server that leaves must get no new work",
+    )
     feed_wait_ms: Ms = pydantic.Field(
         default=1_000,
         description="ms that the store waits for changes before it answers",
@@ -239,6 +250,14 @@
         description="numbers that tune membership, see `godwittack settings`",
     )
 
+    @pydantic.field_validator(
+        "config_bound_ms", "drain_bound_ms", mode="before"
+    )
+    @classmethod
+    def _read_empty_bound(cls, value: object) -> object:
+        # A template writes a key without a value where it has none.
+        return DEFAULT_BOUND_MS if value is None else value
+
     @pydantic.field_validator("is_first_start", mode="before")
     @classmethod
     def _read_empty_first_start(cls, value: object) -> object:
--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -9,7 +9,7 @@
 from absl import logging
 from result import Err, Ok
 
-from godwittack.member import freshness, staleness
+from godwittack.member import assignment, freshness, staleness
 
 if TYPE_CHECKING:
     import random
@@ -22,21 +22,17 @@
 # store is noticed within a second without calling it in a tight loop.
 RETRY_FIRST_MS = 100
 RETRY_MAX_MS = 800
-# The same for daemons that are not readers. Together they made most of the
-# calls during an outage; readers notice the recovery and confirm it to them.
+# The same for daemons that are not readers, up to the age at which they read by
+# themselves. Together they made most of the calls during an outage; readers
+# notice the recovery and confirm it to them.
 NON_READER_RETRY_FIRST_MS = 400
-NON_READER_RETRY_MAX_MS = 3_200
 # A feed may become stale without an error, so readers also take a snapshot.
 SNAPSHOT_INTERVAL_MS = 15_000
 # Pause before the next snapshot where one was older than the rows.
 STALE_SNAPSHOT_RETRY_MS = 1_000
-# A daemon that is not a reader calls the store itself once the last
-# confirmation is older: half of the time for which it may serve keys after one.
-MAX_CONFIRMATION_AGE_MS = 2_000
-# Propagation time of a change; a version that a peer has and this daemon still
-# lacks after it is read from the store.
-MAX_BEHIND_MS = 400
 CHECK_INTERVAL_MS = 100
+# Limits of a table whose changes have no bound of their own.
+DEFAULT_LIMITS = staleness.StalenessLimits.from_bound(3_000, poll_ms=1_000)
 # How long the store may hold a call of a daemon that is not a reader, which
 # needs the current state without waiting for changes.
 NON_READER_WAIT_MS = 1
@@ -67,11 +63,12 @@
         table: str,
         clock: Clock,
         rng: random.Random,
-        wait_ms: int,
         on_rows: Callable[[Mapping[str, protocol.ChangedRow]], None],
         on_confirmed: Callable[[int], None] = lambda as_of_ms: None,
         table_freshness: freshness.Freshness | None = None,
         is_reader: Callable[[], bool] = lambda: True,
+        rank: Callable[[], int] = lambda: 0,
+        limits: staleness.StalenessLimits = DEFAULT_LIMITS,
     ) -> None:
         """Calls `on_rows` on changes.
 
@@ -80,13 +77,15 @@
             table: Table to follow.
             clock: Source of time.
             rng: Spreads retries.
-            wait_ms: How long the store may hold a call for changes.
             on_rows: Called with all rows after a change.
             on_confirmed: Called with the time at which the rows were last
                 known to be the newest.
             table_freshness: Freshness of the rows as reported by peers.
             is_reader: Returns whether this daemon polls the store
                 continuously.
+            rank: Returns the position of this daemon among those that may read
+                the store for others.
+            limits: How old the rows may become.
         """
         self.rows: Rows = {}
         self.failing_since_ms = -1
@@ -95,14 +94,12 @@
         self._table = table
         self._clock = clock
         self._rng = rng
-        self._wait_ms = wait_ms
         self._on_rows = on_rows
         self._on_confirmed = on_confirmed
         self._freshness = table_freshness
         self._is_reader = is_reader
-        self._max_confirmation_age_ms = MAX_CONFIRMATION_AGE_MS * rng.uniform(
-            0.85, 1.15
-        )
+        self._rank = rank
+        self._limits = limits
         self.version = 0
         self._feed_version = 0
         self._snapshot_at_ms = -SNAPSHOT_INTERVAL_MS
@@ -133,7 +130,8 @@
         elif not (
             self._is_reader() or self._must_continue() or self.can_skip_read()
         ):
-            await asyncio.sleep(NON_READER_INTERVAL_MS / 1000)
+            pause_ms = min(NON_READER_INTERVAL_MS, self._limits.behind_ms)
+            await asyncio.sleep(pause_ms / 1000)
 
     def _must_continue(self) -> bool:
         """Returns whether the rows are known to be incomplete."""
@@ -158,7 +156,7 @@
         if not self._is_reader() and not self._needs_snapshot:
             first_ms, max_ms = (
                 NON_READER_RETRY_FIRST_MS,
-                NON_READER_RETRY_MAX_MS,
+                max(NON_READER_RETRY_FIRST_MS, self._limits.own_read_ms),
             )
         pause_ms = min(max_ms, max(first_ms, self._retry_ms))
         self._retry_ms = min(max_ms, 2 * pause_ms)
@@ -187,12 +185,14 @@
             return False
         now_ms = self._clock.now_ms()
         behind = table_freshness.behind_since_ms >= 0
-        if behind and now_ms - table_freshness.behind_since_ms >= MAX_BEHIND_MS:
+        if behind and (
+            now_ms - table_freshness.behind_since_ms >= self._limits.behind_ms
+        ):
             return False
-        return (
-            now_ms - table_freshness.confirmed_at_ms
-            < self._max_confirmation_age_ms
+        own_read_age_ms = self._limits.own_read_age_ms(
+            self._rank(), readers=assignment.STORE_READER_COUNT
         )
+        return now_ms - table_freshness.confirmed_at_ms < own_read_age_ms
 
     async def step(self) -> bool:
         """Makes one call; returns whether it succeeded."""
@@ -261,7 +261,7 @@
         return self._needs_snapshot or (is_due and self._is_reader())
 
     def _usual_wait_ms(self) -> int:
-        return self._wait_ms if self._is_reader() else NON_READER_WAIT_MS
+        return self._limits.poll_ms if self._is_reader() else NON_READER_WAIT_MS
 
     def _is_stale(self, page: protocol.FeedPage, *, is_snapshot: bool) -> bool:
         """Returns whether a page is older than rows that are already known.
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -42,7 +42,13 @@
 from godwittack.entry import bodies, directory, forward
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
-from godwittack.member import assignment, freshness, serving, store_lease
+from godwittack.member import (
+    assignment,
+    freshness,
+    serving,
+    staleness,
+    store_lease,
+)
 from godwittack.platform import callers, names, rows, servers, table
 from godwittack.platform import directory as resolving
 from godwittack.platform import instances as list_rows
@@ -57,9 +63,9 @@
     from godwittack.store import protocol as stores
 
 # Subtracted from the time within which a revoked key must be refused: the
-# store's feed may be silent for a second while changes are made, and a request
-# takes a while to reach its server.
-KEY_BOUND_MARGIN_MS = 1_500
+# store's feed may be silent while changes are made, and a request takes a while
+# to reach its server.
+KEY_BOUND_MARGIN_MS = staleness.FEED_SILENCE_MS + 500
 # Subtracted from the time until SIGKILL, for the last answers and the shutdown.
 STOP_MARGIN_MS = 1_200
 # Interval between two searches for unused and slow connections.
@@ -161,10 +167,10 @@
         self._keeper.table_freshness.on_confirmed = (
             self._keeper.record_confirmation
         )
-        self._published_versions = published_weights.PublishedVersions()
         self._servers_freshness = freshness.Freshness(
             topic=freshness.Topic.SERVERS
         )
+        self._published_versions = published_weights.PublishedVersions()
         self._serving = serving.ServingSetSelector(
             members=members,
             policy=serving.ServingPolicy(
@@ -227,15 +233,25 @@
             list_freshness=self._servers_freshness,
             is_reader=self._is_reader,
         )
+        self._store_ranks = assignment.CachedAssignment(assignment.store_ranks)
         self._operator_rows = self._build_follower(
             names.OPERATOR_TABLE,
             on_rows=self._apply_operator_rows,
             table_freshness=self._keeper.table_freshness,
+            # The keys are among these rows.
+            bound_ms=min(
+                settings.config_bound_ms,
+                max(
+                    staleness.MIN_BOUND_MS,
+                    settings.key_bound_ms - KEY_BOUND_MARGIN_MS,
+                ),
+            ),
         )
         self._server_rows = self._build_follower(
             names.SERVERS_TABLE,
             on_rows=self._instance_list.apply_rows,
             table_freshness=self._servers_freshness,
+            bound_ms=settings.drain_bound_ms,
         )
         self._instance_list.follower = self._server_rows
         self._watcher = server_watcher.ServerWatcher(
@@ -290,9 +306,6 @@
             is_first_start=settings.is_first_start,
         )
         self._instance_list.on_applied = self._stream_history.check
-        self._store_readers = assignment.CachedAssignment(
-            assignment.store_readers
-        )
         self._background_tasks = base.BackgroundTasks()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners = listeners.Listeners(clock, delay)
@@ -314,9 +327,9 @@
             "godwittack_connections_opened", lambda: self._pool.opened
         )
 
-    def _add_state_gauges(self, *copies: freshness.Freshness) -> None:
+    def _add_state_gauges(self, *states: freshness.Freshness) -> None:
         """Adds the version and age of each copy of the store's rows."""
-        for copy in copies:
+        for copy in states:
             name = copy.topic.name.lower()
             self._meters.add_gauge(
                 f"godwittack_{name}_version",
@@ -468,22 +481,29 @@
         *,
         on_rows: Callable[[Mapping[str, stores.ChangedRow]], None],
         table_freshness: freshness.Freshness,
+        bound_ms: int,
     ) -> feed_follower.FeedFollower:
         return feed_follower.FeedFollower(
             feed=self._store,
             table=name,
             clock=self._clock,
             rng=self._rng,
-            wait_ms=self._settings.feed_wait_ms,
             on_rows=on_rows,
             on_confirmed=table_freshness.record_confirmation,
             table_freshness=table_freshness,
             is_reader=self._is_reader,
+            rank=self._store_rank,
+            limits=staleness.StalenessLimits.from_bound(
+                bound_ms, poll_ms=self._settings.feed_wait_ms
+            ),
         )
 
     def _is_reader(self) -> bool:
-        readers = self._store_readers.among(self._members.serving())
-        return self._members.me.member_id in readers
+        return self._store_rank() < assignment.STORE_READER_COUNT
+
+    def _store_rank(self) -> int:
+        ranks = self._store_ranks.among(self._members.serving())
+        return ranks.get(self._members.me.member_id, len(ranks))
 
     def _apply_operator_rows(
         self, changed_rows: Mapping[str, stores.ChangedRow]
--- a/src/godwittack/member/assignment.py
+++ b/src/godwittack/member/assignment.py
@@ -108,10 +108,14 @@
     return _top_ranked("instance-list", members, LIST_READER_COUNT)
 
 
-def store_readers(members: list[view.Member]) -> tuple[str, ...]:
-    """Returns the ids of the members that poll the platform's store."""
-    readers = _top_ranked("store", members, STORE_READER_COUNT)
-    return tuple(member.member_id for member in readers)
+def store_ranks(members: list[view.Member]) -> dict[str, int]:
+    """Returns the position of each member among those that read the store.
+
+    The first `STORE_READER_COUNT` poll it for all; the others read it in this
+    order once these confirm nothing.
+    """
+    ranked = rank("store", tuple(sorted(m.member_id for m in members)))
+    return {member_id: position for position, member_id in enumerate(ranked)}
 
 
 class Audience(Protocol):
@@ -254,7 +258,7 @@
     "audience_ids",
     "workspace_group_ids",
     "leaders",
-    "store_readers",
+    "store_ranks",
     "list_readers",
     "rank",
     "watcher",
--- a/tests/cases/feed_follower.py
+++ b/tests/cases/feed_follower.py
@@ -12,7 +12,7 @@
 
 from godwittack.clock import ManualClock
 from godwittack.daemon import feed_follower
-from godwittack.member import freshness
+from godwittack.member import freshness, staleness
 from godwittack.store import protocol
 
 START_MS = 100_000
@@ -77,7 +77,11 @@
     """A feed follower and what it published."""
 
     def __init__(
-        self, *, is_reader: bool = True, has_peers: bool = False
+        self,
+        *,
+        is_reader: bool = True,
+        has_peers: bool = False,
+        limits: staleness.StalenessLimits = feed_follower.DEFAULT_LIMITS,
     ) -> None:
         self.clock = ManualClock(START_MS)
         self.feed = FakeFeed(self.clock)
@@ -89,13 +93,13 @@
             table="op",
             clock=self.clock,
             rng=random.Random(1),
-            wait_ms=2_000,
             on_rows=lambda rows: self.published.append(
                 {key: row.value for key, row in rows.items()}
             ),
             on_confirmed=self.confirmed.append,
             table_freshness=self.freshness if has_peers else None,
             is_reader=lambda: is_reader,
+            limits=limits,
         )
 
     async def step(self, answer, *, takes_ms: int = 4) -> bool:
--- a/tests/cases/old_copies.py
+++ b/tests/cases/old_copies.py
@@ -10,7 +10,7 @@
 from cases import feed_follower, one_lead, routed_core, weights
 from cases.freshness import _instance, _list_follower
 from godwittack.core import effects
-from godwittack.member import freshness, store_lease
+from godwittack.member import freshness, staleness, store_lease
 from godwittack.store import protocol
 
 # What operators allow: for a new version of weights, for a revoked key, for a
@@ -276,7 +276,11 @@
     the other daemons rely on them for up to 2.3 s more. The read must begin
     early enough to fail once within the time that operators allow for it.
     """
-    harness = feed_follower.FollowerHarness(is_reader=False, has_peers=True)
+    harness = feed_follower.FollowerHarness(
+        is_reader=False,
+        has_peers=True,
+        limits=staleness.StalenessLimits.from_bound(DRAIN_MS, poll_ms=1_000),
+    )
     await harness.step(feed_follower.page(5, ("a", "1")))
     harness.freshness.record_version(5)
     harness.freshness.record_confirmation(harness.clock.now_ms())
