Refuse unknown paths and keys for good only by a confirmed table

What callers saw: a request on a route that was added is refused with 404, which they don't repeat: 3.2 s after the acknowledgement in the record, up to 3.0 s with nine idle daemons while the feed is silent and its pollers are cut off, and 5.0 s while reads lag. Cause: 404 and 401 rest on what the table lacks, and nothing asked how old the table is; 401 went by the lease for known keys (3.5 s), 413 and 431 by the limits of any table, or by built-in ones before the first. Silence and an old copy counted as proof of absence. Change: such a refusal needs a confirmation that is younger than config_bound_ms less the feed's silence and 200 ms. Otherwise the request waits for one read of the store, which requests share; after 150 ms the pollers are asked as well. If neither confirms the table within a second, the route's or the caller's time, the answer is 503 with a time. 413 and 431 become 503 without waiting. What the table has is served as before, also while the store is away. None of this applies to the project's own interface, which serves by a lease. Weighed: 503 at once (callers come back after half a second for what a read of some milliseconds tells), a read for each request.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -327,6 +327,7 @@
             old_weights_limit_ms=max(
                 0, self.weights_bound_ms - WEIGHTS_MARGIN_MS
             ),
+            final_refusal_age_ms=self._final_refusal_age_ms(),
         )
         numbers = dict(self.decisions)
         for contract, overrides in self.decisions_by_contract.items():
@@ -336,6 +337,18 @@
             defaults, **_convert_numbers(numbers, policies.Policy)
         )
 
+    def _final_refusal_age_ms(self) -> int:
+        """Returns the age of a table that may refuse requests for good.
+
+        A daemon of the project's own interface serves by a lease instead.
+        """
+        if self.interface is Interface.OWN:
+            return 0
+        limits = staleness.StalenessLimits.from_bound(
+            self.config_bound_ms, poll_ms=self.feed_wait_ms
+        )
+        return limits.refusal_ms
+
     def member_policy(self) -> view.MemberPolicy:
         """Returns the membership policy with the overrides of `membership`."""
         return dataclasses.replace(
--- a/src/godwittack/core/admission.py
+++ b/src/godwittack/core/admission.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hmac
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
     cell_limits,
     claims,
+    confirming,
     dispatching,
     effects,
     entities,
@@ -20,6 +22,7 @@
     urgency,
     work,
 )
+from godwittack.member import freshness
 from godwittack.table import model
 
 if TYPE_CHECKING:
@@ -39,7 +42,7 @@
     if requested.host:
         routed = routing.route(world, arrival)
         if isinstance(routed, routing.Refusal):
-            refuse_unrouted(world, arrival.request_id, routed)
+            _refuse_or_confirm(world, arrival, routed)
             return
         requested, workspace = routed.work, routed.workspace
     else:
@@ -90,6 +93,48 @@
         dispatching.place(world, request)
 
 
+def _refuse_or_confirm(
+    world: entities.World,
+    arrival: inputs.RequestArrived,
+    refusal: routing.Refusal,
+) -> None:
+    """Refuses a request that the table does not allow.
+
+    A final refusal first waits for a recent confirmation of the table.
+    """
+    if refusal.is_final and not confirming.may_refuse_unknown(world):
+        if confirming.wait(world, arrival):
+            return
+        refusal = routing.unconfirmed(refusal)
+    refuse_unrouted(world, arrival.request_id, refusal)
+
+
+def reconsider_waiting(world: entities.World) -> None:
+    """Admits or refuses the requests that need not wait any longer."""
+    for waiting in list(world.waiting_arrivals.values()):
+        arrival = waiting.arrival
+        routed = routing.route(world, arrival)
+        if (
+            not world.stopping
+            and isinstance(routed, routing.Refusal)
+            and routed.is_final
+            and not confirming.may_refuse_unknown(world)
+        ):
+            is_late = world.now_ms >= waiting.until_ms
+            if not is_late and confirming.request_read(
+                world, freshness.Topic.TABLE
+            ):
+                continue
+            del world.waiting_arrivals[arrival.request_id]
+            refuse_unrouted(
+                world, arrival.request_id, routing.unconfirmed(routed)
+            )
+            continue
+        del world.waiting_arrivals[arrival.request_id]
+        waited_ms = arrival.waited_ms + world.now_ms - waiting.since_ms
+        admit(world, dataclasses.replace(arrival, waited_ms=waited_ms))
+
+
 def authenticate(
     world: entities.World, request_id: str, token_sha256: str
 ) -> model.WorkspaceRow | None:
@@ -231,7 +276,7 @@
     detail: str,
     retry_after_ms: int = 0,
     workspace: str = "",
-    **log_fields: str | int,
+    log_fields: dict[str, str | int] | None = None,
 ) -> None:
     """Refuses a request that has no row yet."""
     world.emit(
@@ -250,7 +295,7 @@
         workspace=workspace,
         reason=reason.value,
         outcome=effects.Outcome.NOT_RUN.value,
-        **log_fields,
+        **(log_fields or {}),
     )
 
 
@@ -265,11 +310,20 @@
         reason=refusal.reason,
         detail=refusal.detail,
         retry_after_ms=refusal.retry_after_ms,
-        http_status=refusal.status,
-        why=refusal.detail,
-        table=world.table.version,
-        keys_good_for_ms=world.serving_lease_until_ms - world.now_ms,
+        log_fields={
+            "http_status": refusal.status,
+            "why": refusal.detail,
+            "table": world.table.version,
+            "keys_good_for_ms": world.serving_lease_until_ms - world.now_ms,
+            **confirming.log_fields(world, freshness.Topic.TABLE),
+        },
     )
 
 
-__all__ = ["admit", "authenticate", "needs_claim", "refuse_unrouted"]
+__all__ = [
+    "admit",
+    "authenticate",
+    "needs_claim",
+    "reconsider_waiting",
+    "refuse_unrouted",
+]
--- a/src/godwittack/core/effects.py
+++ b/src/godwittack/core/effects.py
@@ -8,6 +8,7 @@
 
 from godwittack.core import quarantine, server_pace, work
 from godwittack.limit import quota
+from godwittack.member import freshness
 
 
 class Outcome(enum.StrEnum):
@@ -326,6 +327,13 @@
     daemons: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmState:
+    """Reads a copy of shared state anew, before a final decision."""
+
+    topic: freshness.Topic
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Doubt:
     """Notifies other daemons that a server does not respond."""
@@ -468,6 +476,7 @@
     | TellPaths
     | TellStream
     | AskStream
+    | ConfirmState
     | Doubt
     | TellCrashes
     | TellRateLimit
@@ -483,6 +492,7 @@
     "Announce",
     "AskPaths",
     "AskStream",
+    "ConfirmState",
     "BeginStream",
     "BreakStream",
     "CancelAttempt",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -7,6 +7,7 @@
 import enum
 
 from godwittack.core import (
+    confirming,
     dispatch_pacing,
     effects,
     memory_records,
@@ -31,6 +32,7 @@
     shares,
     urgency_queue,
 )
+from godwittack.member import freshness
 from godwittack.placement import residency
 from godwittack.table import model
 
@@ -548,6 +550,9 @@
         routes_moved_ms: When the targets of a route last changed, by host and
             path prefix.
         paused_until_ms: When this process last went on after a pause.
+        copies: When each copy of shared state was last confirmed.
+        waiting_arrivals: Requests that wait for the table's confirmation, by
+            id.
     """
 
     daemon: str
@@ -657,6 +662,14 @@
         dataclasses.field(default_factory=dict)
     )
     paused_until_ms: int = -1_000_000
+    copies: dict[freshness.Topic, confirming.StateCopy] = dataclasses.field(
+        default_factory=lambda: {
+            topic: confirming.StateCopy() for topic in freshness.Topic
+        }
+    )
+    waiting_arrivals: dict[str, confirming.WaitingArrival] = dataclasses.field(
+        default_factory=dict
+    )
 
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect to the current input's result."""
--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -11,6 +11,7 @@
 
 from godwittack.core import quarantine, server_inputs, work
 from godwittack.limit import quota
+from godwittack.member import freshness
 from godwittack.table import model
 
 
@@ -367,6 +368,34 @@
     until_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateConfirmed:
+    """A copy of shared state was known to be the newest at a time.
+
+    Attributes:
+        by: Whose answer that was: the store's, or a daemon's id.
+    """
+
+    at_ms: int
+    topic: freshness.Topic
+    confirmed_at_ms: int
+    by: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmationEnded:
+    """A read that was to confirm a copy has ended.
+
+    Attributes:
+        has_read: Whether the copy is that of the store at a time after the read
+            began.
+    """
+
+    at_ms: int
+    topic: freshness.Topic
+    has_read: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopOrdered:
     """The daemon stops: it finishes its requests and accepts no others."""
@@ -422,6 +451,8 @@
     | StreamTold
     | StreamAnswered
     | RightToServe
+    | StateConfirmed
+    | ConfirmationEnded
     | StopOrdered
     | StopOverdue
 )
@@ -445,6 +476,8 @@
     "PeerDemand",
     "RequestArrived",
     "RightToServe",
+    "StateConfirmed",
+    "ConfirmationEnded",
     "StopOrdered",
     "StopOverdue",
     "StreamAnswered",
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -91,6 +91,8 @@
         long_prompt_tokens: Length from which prompts are kept on engines of
             their own, for targets whose servers report their pace; 0 to mix
             prompts of all lengths.
+        final_refusal_age_ms: Age of the table's last confirmation up to which
+            unknown paths and keys are refused for good; 0 for any age.
         late_answer_value: Value of an answer after its route's target latency,
             relative to one in time; 1 if lateness does not matter.
     """
@@ -137,6 +139,7 @@
     cross_domain_cost_ms_per_kb: float = 0.0
     new_connection_cost_ms: float = 0.0
     long_prompt_tokens: int = 0
+    final_refusal_age_ms: int = 0
     late_answer_value: float = 1.0
 
 
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -11,6 +11,7 @@
     backlog,
     brittle,
     claims,
+    confirming,
     crashes,
     dispatching,
     effects,
@@ -118,6 +119,7 @@
             case inputs.AttemptFailed():
                 attempts.handle_failure(world, input_)
             case inputs.CallerGone():
+                world.waiting_arrivals.pop(input_.request_id, None)
                 attempts.handle_caller_gone(world, input_)
             case inputs.StreamResumed():
                 resuming.resume(world, input_)
@@ -177,6 +179,11 @@
                     weights.record_desired_versions(world, input_)
                     stream_versions.record_routes(world, input_.table)
                     world.table = input_.table
+                    admission.reconsider_waiting(world)
+            case inputs.StateConfirmed():
+                self._record_confirmation(input_)
+            case inputs.ConfirmationEnded():
+                self._end_confirmation(input_)
             case server_inputs.PeerDispatched():
                 backlog.record_peer_dispatch(world, input_)
                 length_routing.record_peer_dispatch(world, input_)
@@ -224,6 +231,7 @@
             case inputs.StopOrdered():
                 world.stopping = True
                 world.event("stop_ordered", in_flight=len(world.requests))
+                admission.reconsider_waiting(world)
             case inputs.StopOverdue():
                 stopping.end_requests(world)
 
@@ -242,9 +250,21 @@
         availability.end_rests(world)
         crashes.settle(world)
         dispatching.expire_queued(world)
+        admission.reconsider_waiting(world)
         world.quarantine.expire(now_ms=world.now_ms)
         world.streams.expire(now_ms=world.now_ms)
 
+    def _end_confirmation(self, input_: inputs.ConfirmationEnded) -> None:
+        world = self.world
+        confirming.record_end(world, input_)
+        admission.reconsider_waiting(world)
+
+    def _record_confirmation(self, input_: inputs.StateConfirmed) -> None:
+        world = self.world
+        confirming.record_confirmation(world, input_)
+        if confirming.may_refuse_unknown(world):
+            admission.reconsider_waiting(world)
+
     def _apply_outcome_stored(self, input_: inputs.OutcomeStored) -> None:
         is_stored = outcomes.apply_write_result(self.world, input_)
         request = self.world.requests.get(input_.request_id)
@@ -270,7 +290,7 @@
         world = self.world
         if not world.stopping or world.stopped:
             return
-        if world.requests or world.outcomes:
+        if world.requests or world.outcomes or world.waiting_arrivals:
             return
         world.stopped = True
         world.emit(effects.Stopped())
--- a/src/godwittack/core/routing.py
+++ b/src/godwittack/core/routing.py
@@ -15,6 +15,11 @@
 # Retry-after sent by a daemon that has no table, or can't confirm that its
 # table is current.
 NOT_CURRENT_RETRY_MS = 500
+# Reasons for which callers do not send a request again. They rest on what the
+# table lacks, and so on a table that was confirmed recently.
+FINAL_REASONS = frozenset(
+    {effects.Reason.NO_ROUTE, effects.Reason.UNAUTHENTICATED}
+)
 # Workspace of requests on routes that need no API key.
 ANONYMOUS_WORKSPACE = model.WorkspaceRow(
     name="", max_in_flight=model.NO_LIMIT, max_requests_per_s=model.NO_LIMIT
@@ -30,6 +35,11 @@
     detail: str
     retry_after_ms: int = 0
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the caller will not send the request again."""
+        return self.reason in FINAL_REASONS
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutedRequest:
@@ -79,6 +89,13 @@
     return dataclasses.replace(request, target=target, kind=kind)
 
 
+def unconfirmed(refusal: Refusal) -> Refusal:
+    """Returns the refusal to send where a final one can't be confirmed."""
+    return _not_current(
+        f"{refusal.detail} here, and whether that is current is not known"
+    )
+
+
 def recheck_key(
     world: entities.World, request: entities.RequestRow
 ) -> Refusal | None:
@@ -135,5 +152,6 @@
     "priority",
     "recheck_key",
     "route",
+    "unconfirmed",
     "with_target",
 ]
--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -109,6 +109,7 @@
         self._is_history_lost = False
         # Version of an answer without rows, and when it was asked for.
         self._unproved_version: tuple[int, int] | None = None
+        self._reading: asyncio.Task[bool] | None = None
         self._retry_ms = RETRY_FIRST_MS
         self._clock_offset_ms = -(1 << 62)
 
@@ -119,8 +120,12 @@
 
     async def follow_forever(self) -> None:
         """Follows until cancelled."""
-        while True:
-            await self._follow_once()
+        try:
+            while True:
+                await self._follow_once()
+        finally:
+            if self._reading is not None:
+                self._reading.cancel()
 
     async def _follow_once(self) -> None:
         if self.can_skip_read():
@@ -194,22 +199,73 @@
         )
         return now_ms - table_freshness.confirmed_at_ms < own_read_age_ms
 
-    async def step(self) -> bool:
-        """Makes one call; returns whether it succeeded."""
+    async def read_now(self, *, must_read_all: bool = False) -> bool:
+        """Reads the newest rows at once, also beside a call that waits.
+
+        Calls at the same time share one read.
+
+        Args:
+            must_read_all: Whether to read all rows. The feed does not show that
+                nothing changed in the last `staleness.FEED_SILENCE_MS`.
+
+        Returns:
+            Whether the rows are those of the store at some time since the
+            call.
+        """
+        if self._reading is None:
+            self._reading = asyncio.create_task(
+                self._read_newest(must_read_all=must_read_all)
+            )
+            self._reading.add_done_callback(self._forget_read)
+        return await asyncio.shield(self._reading)
+
+    def _forget_read(self, reading: asyncio.Task[bool]) -> None:
+        del reading
+        self._reading = None
+
+    async def _read_newest(self, *, must_read_all: bool) -> bool:
+        """Reads all rows if asked to, or if their history is lost."""
+        if not must_read_all and not self._needs_snapshot:
+            if not await self.step(wait_ms=NON_READER_WAIT_MS):
+                return False
+            if not self._needs_snapshot:
+                return self._is_confirmed()
+        if not await self.step(must_read_all=True):
+            return False
+        if self._is_history_lost:
+            await self.step(wait_ms=NON_READER_WAIT_MS)
+        return self._is_confirmed()
+
+    async def step(
+        self, *, must_read_all: bool = False, wait_ms: int = 0
+    ) -> bool:
+        """Makes one call; returns whether it succeeded.
+
+        Args:
+            must_read_all: Whether to read all rows, not only changes.
+            wait_ms: How long the store may hold the call; 0 for the usual time.
+        """
         started_ms = self._clock.now_ms()
-        is_snapshot = self._must_read_all(started_ms)
+        after = self._feed_version
+        is_snapshot = must_read_all or self._must_read_all(started_ms)
         if is_snapshot:
             result = await self._snapshot()
         else:
             result = await self._feed.changes(
                 self._table,
-                after=self._feed_version,
-                wait_ms=self._usual_wait_ms(),
+                after=after,
+                wait_ms=wait_ms or self._usual_wait_ms(),
             )
         if isinstance(result, Err):
+            if after < self._feed_version:
+                # Another call has succeeded in the meantime.
+                return True
             return self._record_failure(result.err_value)
         self._record_answer()
         page = result.ok_value
+        if after <= page.newest_version < self._feed_version:
+            # Another call has brought newer rows in the meantime.
+            return True
         if self._is_stale(page, is_snapshot=is_snapshot):
             # The feed is polled before a snapshot is due again.
             self._snapshot_at_ms = (
--- a/src/godwittack/daemon/feed_table.py
+++ b/src/godwittack/daemon/feed_table.py
@@ -11,7 +11,7 @@
 from godwittack import address as addresses
 from godwittack.core import inputs, server_inputs
 from godwittack.core.cached_state import STORE_TARGET
-from godwittack.daemon import tables
+from godwittack.daemon import copies, tables
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -99,6 +99,7 @@
 
     def record_confirmation(self, confirmed_at_ms: int) -> None:
         """Records that the table was the newest at a time."""
+        copies.submit_confirmation(self.runtime, self.table_freshness)
         self.serving_lease.record_service_read(now_ms=confirmed_at_ms)
         self.update_serving_lease()
 
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -144,6 +144,20 @@
             *(self._probe(m.peer_address, m.member_id) for m in others)
         )
 
+    async def probe(self, member_ids: frozenset[str]) -> None:
+        """Probes some live daemons, unless a probe is already under way."""
+        others = member_ids - {self.members.me.member_id}
+        # Two failed probes at a time would make a suspect of a daemon that was
+        # late once.
+        await asyncio.gather(
+            *(
+                self._probe(member.peer_address, member.member_id)
+                for member in self.members.live()
+                if member.member_id in others
+                and member.peer_address not in self._probing
+            )
+        )
+
     async def stop(self) -> None:
         """Announces that this daemon leaves, until all others have replied.
 
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -21,6 +21,7 @@
 )
 from godwittack.daemon import (
     base,
+    copies,
     crash_rows,
     dispatch_announcer,
     feed_follower,
@@ -170,6 +171,9 @@
         self._servers_freshness = freshness.Freshness(
             topic=freshness.Topic.SERVERS
         )
+        self._servers_freshness.on_confirmed = lambda at_ms: (
+            copies.submit_confirmation(self.runtime, self._servers_freshness)
+        )
         self._published_versions = published_weights.PublishedVersions()
         self._serving = serving.ServingSetSelector(
             members=members,
@@ -253,6 +257,12 @@
             table_freshness=self._servers_freshness,
             bound_ms=settings.drain_bound_ms,
         )
+        self.runtime.confirm = copies.StateConfirmer(
+            runtime=self.runtime,
+            table=self._operator_rows,
+            servers=self._server_rows,
+            probe_readers=self._probe_readers,
+        ).confirm
         self._instance_list.follower = self._server_rows
         self._watcher = server_watcher.ServerWatcher(
             core=self.runtime,
@@ -505,6 +515,17 @@
         ranks = self._store_ranks.among(self._members.serving())
         return ranks.get(self._members.me.member_id, len(ranks))
 
+    async def _probe_readers(self) -> None:
+        """Asks the daemons that poll the store what it confirmed to them."""
+        ranks = self._store_ranks.among(self._members.serving())
+        await self._gossiper.probe(
+            frozenset(
+                member_id
+                for member_id, rank in ranks.items()
+                if rank < assignment.STORE_READER_COUNT
+            )
+        )
+
     def _apply_operator_rows(
         self, changed_rows: Mapping[str, stores.ChangedRow]
     ) -> None:
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -18,6 +18,7 @@
     from godwittack.clock import Clock
     from godwittack.core import router
     from godwittack.daemon import observer, stream_news
+    from godwittack.member import freshness
     from godwittack.relay import client as relays
     from godwittack.session import record
 
@@ -38,6 +39,7 @@
         on_brittle: Called with each server that is brittle, or no longer.
         on_load: Called with each server's load and paces to publish.
         on_paths: Called with the servers that this daemon can't reach.
+        confirm: Reads a copy of shared state anew, and reports the end.
         relay: Sends attempts through other daemons; None if it can't.
         streams: Exchanges the versions of streams; None if it can't.
     """
@@ -80,6 +82,9 @@
         self.on_load = lambda effect: None
         self.on_paths: Callable[[effects.TellPaths], None]
         self.on_paths = lambda effect: None
+        self.confirm: Callable[
+            [freshness.Topic], Coroutine[object, object, None]
+        ] = self._end_confirmation
         self.relay: relays.RelayClient | None = None
         self.streams: stream_news.StreamNews | None = None
         self._backend = backend_client
@@ -203,6 +208,8 @@
             case effects.AskStream():
                 for daemon in effect.daemons:
                     self._spawn(self._ask_stream(effect, daemon))
+            case effects.ConfirmState():
+                self._spawn(self.confirm(effect.topic))
             case effects.TellCrashes():
                 self.on_crashes(effect)
             case effects.TellRateLimit():
@@ -303,6 +310,12 @@
         else:
             await self._backend.cancel(dispatch.address, dispatch.attempt_id)
 
+    async def _end_confirmation(self, topic: freshness.Topic) -> None:
+        """Ends a read that nothing here can make."""
+        self.submit(
+            inputs.ConfirmationEnded(self.clock.now_ms(), topic, has_read=False)
+        )
+
     async def _ask_path(self, effect: effects.AskPaths, daemon: str) -> None:
         if self.relay is not None:
             self.submit(
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from result import Err
 
-from godwittack.core import effects, inputs, stopping
+from godwittack.core import confirming, effects, inputs, stopping
 from godwittack.entry import (
     bodies,
     connection_timeouts,
@@ -30,6 +30,7 @@
     from godwittack.table import model
 
 STATUS_HEADERS_TOO_LARGE = 431
+STATUS_BODY_TOO_LARGE = 413
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,15 +89,20 @@
         if table.forwarding is not None:
             limits = table.forwarding.limits
         head_bytes = _header_bytes(request)
-        if head_bytes > limits.header_bytes:
+        is_too_long = head_bytes > limits.header_bytes
+        parsed = self._format.parse_request(request, table)
+        if is_too_long and (isinstance(parsed, Err) or self._are_limits_known):
             return self._error_and_close(
                 f"the headers are longer than {limits.header_bytes} bytes",
                 status=STATUS_HEADERS_TOO_LARGE,
             )
-        parsed = self._format.parse_request(request, table)
         if isinstance(parsed, Err):
             error = self._format.error_response(parsed.err_value, status=400)
             return await self._respond_unread(request, error)
+        if is_too_long:
+            return await self._refuse_by_old_limits(
+                request, parsed.ok_value.call
+            )
         if connection_timeouts.must_refuse(request):
             return await self._refuse_unread(
                 request,
@@ -228,12 +234,31 @@
         error: reservations.BodyError,
     ) -> web.Response:
         """Answers a request whose body could not be read."""
+        if error.status == STATUS_BODY_TOO_LARGE and (
+            not self._are_limits_known
+        ):
+            return await self._refuse_by_old_limits(request, call)
         if not error.retry_after_ms:
             return self._error_and_close(error.detail, status=error.status)
         return await self._refuse_unread(
             request, call, error.refusal(call.request_id)
         )
 
+    @property
+    def _are_limits_known(self) -> bool:
+        """Whether the limits are recent enough to refuse by them for good."""
+        world = self._runtime.core.world
+        return confirming.limits_refusal(world, "") is None
+
+    async def _refuse_by_old_limits(
+        self, request: web.BaseRequest, call: backend.Call
+    ) -> web.Response:
+        refusal = confirming.limits_refusal(
+            self._runtime.core.world, call.request_id
+        )
+        assert refusal is not None
+        return await self._refuse_unread(request, call, refusal)
+
     async def _refuse_unread(
         self,
         request: web.BaseRequest,
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -96,6 +96,7 @@
         "cross_domain_cost_ms_per_kb",
         "new_connection_cost_ms",
         "long_prompt_tokens",
+        "final_refusal_age_ms",
         "late_answer_value",
     ),
 }
--- a/tests/cases/old_copies.py
+++ b/tests/cases/old_copies.py
@@ -9,7 +9,7 @@
 
 from cases import feed_follower, one_lead, routed_core, weights
 from cases.freshness import _instance, _list_follower
-from godwittack.core import effects
+from godwittack.core import effects, inputs
 from godwittack.member import freshness, staleness, store_lease
 from godwittack.store import protocol
 
@@ -100,6 +100,9 @@
         """Returns the status of a refusal; 0 if the request is sent."""
         digest = routed_core.digest(key)
         self.core.arrive(route, request, token_sha256=digest)
+        for read in self.core.find(effects.ConfirmState):
+            # No call to the store succeeds.
+            self.core.tell(inputs.ConfirmationEnded, read.topic, has_read=False)
         if self.core.find(effects.Dispatch):
             return 0
         return self.core.refusal().status
@@ -259,7 +262,8 @@
     and it was answered with 401, which callers do not repeat. The use of known
     keys is allowed for longer, since they may still be valid.
     """
-    copy = _Copy()
+    limits = staleness.StalenessLimits.from_bound(APPLY_MS, poll_ms=1_000)
+    copy = _Copy(final_refusal_age_ms=limits.refusal_ms)
     await copy.step(feed_follower.page(5, ("config", "k")))
     copy.wait(500)
     assert copy.status("release", "r1", key="unknown") == 401
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -31,6 +31,7 @@
     "part_fleets",
     "feed_follower",
     "freshness",
+    "confirming",
     "old_copies",
     "old_copies_real",
     "fetching",
