Resume unknown streams only by copies that were followed and read again

Cause: "all servers have had one version" rested on a list of any age. No live peer counted as all peers asked; daemons that were cut off together confirmed each other; a version that came and went in a gap left no trace, and the daemon counted as having seen all of them; the same for the table: a route that had moved, or moved and come back. Streams begun after a move were not told to other daemons. Change: such a stream goes on only if both copies were read since its caller came, and if this daemon or one that answers has followed them for a stream's life without a gap in which a server may have come and gone (the smaller of config_bound_ms and drain_bound_ms). After a gap the recorded history of versions is read again. Streams of routes that moved in the last minute are told. Weighed: telling each stream to three daemons also while one version serves. Without the store a stream without a record is now refused.

--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -328,6 +328,8 @@
                 0, self.weights_bound_ms - WEIGHTS_MARGIN_MS
             ),
             final_refusal_age_ms=self._final_refusal_age_ms(),
+            # A server that leaves stays listed for at least the drain bound.
+            max_unseen_ms=min(self.config_bound_ms, self.drain_bound_ms),
         )
         numbers = dict(self.decisions)
         for contract, overrides in self.decisions_by_contract.items():
--- a/src/godwittack/core/confirming.py
+++ b/src/godwittack/core/confirming.py
@@ -42,6 +42,8 @@
 
     Attributes:
         confirmed_at_ms: When the store last confirmed it.
+        followed_since_ms: Since when it was confirmed without a gap in which
+            changes may have come and gone unseen.
         confirmed_by: Whose answer that was: the store's, or a daemon's id.
         is_confirming: Whether a read that will confirm it is under way.
         requested_at_ms: When that read was requested, or the last one was.
@@ -51,6 +53,7 @@
 
     confirmed_at_ms: int = -1_000_000
     confirmed_by: str = ""
+    followed_since_ms: int = -1_000_000
     is_confirming: bool = False
     requested_at_ms: int = -1_000_000
     read_at_ms: int = -1_000_000
@@ -118,6 +121,29 @@
     return world.policy.final_refusal_age_ms > 0
 
 
+def followed_since_ms(world: entities.World) -> int:
+    """Returns when this daemon last began to follow all copies."""
+    return max(copy.followed_since_ms for copy in world.copies.values())
+
+
+def fill_gaps(world: entities.World) -> None:
+    """Records that changes missed here were read from their history."""
+    for copy in world.copies.values():
+        copy.followed_since_ms = -1_000_000
+
+
+def has_followed(
+    world: entities.World, topic: freshness.Topic, *, for_ms: int
+) -> bool:
+    """Returns whether no change of a copy was missed for a time until now."""
+    if not must_confirm(world):
+        return True
+    copy = world.copies[topic]
+    if world.now_ms - copy.confirmed_at_ms > world.policy.max_unseen_ms:
+        return False
+    return world.now_ms - copy.followed_since_ms >= for_ms
+
+
 def may_refuse_unknown(world: entities.World) -> bool:
     """Returns whether what the table lacks may be refused for good."""
     if not must_confirm(world):
@@ -179,6 +205,9 @@
     copy = world.copies[confirmed.topic]
     if confirmed.confirmed_at_ms <= copy.confirmed_at_ms:
         return
+    gap_ms = confirmed.confirmed_at_ms - copy.confirmed_at_ms
+    if copy.confirmed_by and gap_ms > world.policy.max_unseen_ms:
+        copy.followed_since_ms = confirmed.confirmed_at_ms
     copy.confirmed_at_ms = confirmed.confirmed_at_ms
     copy.confirmed_by = confirmed.by
 
@@ -210,6 +239,9 @@
     "StateCopy",
     "WaitingArrival",
     "confirmed_ago_ms",
+    "fill_gaps",
+    "followed_since_ms",
+    "has_followed",
     "limits_refusal",
     "log_fields",
     "may_refuse_unknown",
--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -553,6 +553,8 @@
         copies: When each copy of shared state was last confirmed.
         waiting_arrivals: Requests that wait for the table's confirmation, by
             id.
+        awaiting_reads: Requests that wait for copies to be read, to take a
+            stream up.
     """
 
     daemon: str
@@ -671,6 +673,8 @@
         default_factory=dict
     )
 
+    awaiting_reads: set[str] = dataclasses.field(default_factory=set)
+
     def emit(self, effect: effects.Effect) -> None:
         """Adds an effect to the current input's result."""
         self.pending_effects.append(effect)
--- a/src/godwittack/core/policy.py
+++ b/src/godwittack/core/policy.py
@@ -93,6 +93,8 @@
             prompts of all lengths.
         final_refusal_age_ms: Age of the table's last confirmation up to which
             unknown paths and keys are refused for good; 0 for any age.
+        max_unseen_ms: Time without a confirmation in which an entry of the
+            instance list, or a change of the table, may have come and gone.
         late_answer_value: Value of an answer after its route's target latency,
             relative to one in time; 1 if lateness does not matter.
     """
@@ -140,6 +142,7 @@
     new_connection_cost_ms: float = 0.0
     long_prompt_tokens: int = 0
     final_refusal_age_ms: int = 0
+    max_unseen_ms: int = 3_000
     late_answer_value: float = 1.0
 
 
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -198,6 +198,7 @@
                 quotas.record_reach(world, input_.part)
             case inputs.StreamHistoryRead():
                 stream_history.restore(world, input_)
+                confirming.fill_gaps(world)
             case inputs.StreamTold():
                 stream_versions.apply_told(world, input_)
             case inputs.StreamAnswered():
@@ -251,6 +252,7 @@
         crashes.settle(world)
         dispatching.expire_queued(world)
         admission.reconsider_waiting(world)
+        stream_versions.await_reads(world)
         world.quarantine.expire(now_ms=world.now_ms)
         world.streams.expire(now_ms=world.now_ms)
 
@@ -258,6 +260,7 @@
         world = self.world
         confirming.record_end(world, input_)
         admission.reconsider_waiting(world)
+        stream_versions.await_reads(world)
 
     def _record_confirmation(self, input_: inputs.StateConfirmed) -> None:
         world = self.world
--- a/src/godwittack/core/software.py
+++ b/src/godwittack/core/software.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from godwittack.core import effects, stream_records
+from godwittack.core import confirming, effects, stream_records
+from godwittack.member import freshness
 from godwittack.placement import rendezvous
 
 if TYPE_CHECKING:
@@ -60,7 +61,13 @@
 def is_complete(world: entities.World, target: str) -> bool:
     """Returns whether `recent_versions` has all of them."""
     served = world.served_versions.get(target)
-    return served is not None and served.is_complete(now_ms=world.now_ms)
+    if served is None or not served.is_complete(now_ms=world.now_ms):
+        return False
+    return confirming.has_followed(
+        world,
+        freshness.Topic.SERVERS,
+        for_ms=stream_records.STREAM_LIFE_MS,
+    )
 
 
 def ambiguous_for_ms(world: entities.World, target: str) -> int:
--- a/src/godwittack/core/stream_versions.py
+++ b/src/godwittack/core/stream_versions.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from godwittack.core import (
+    confirming,
     dispatching,
     effects,
     entities,
@@ -22,6 +23,7 @@
     stream_records,
     work,
 )
+from godwittack.member import freshness
 
 if TYPE_CHECKING:
     from godwittack.core import inputs
@@ -66,7 +68,7 @@
         expires_at_ms=request.arrived_at_ms + life_ms,
     )
     world.streams.add(key, record)
-    is_sure = len(route.targets) == 1 and software.has_one_version(
+    is_sure = _has_one_target(world, request) and software.has_one_version(
         world, request.work.target
     )
     if not is_sure:
@@ -109,20 +111,20 @@
         asked_at_ms=world.now_ms,
         versions=set(software.recent_versions(world, request.work.target)),
         is_complete=software.is_complete(world, request.work.target),
-        has_answer=not daemons,
+        # A daemon that has lost all others does not know what they began.
+        has_answer=not daemons and world.expected_daemons <= 1,
     )
     request.phase = entities.Phase.ASKING
-    if not daemons:
-        _conclude(world, request, request.inquiry)
-        return
-    world.emit(
-        effects.AskStream(
-            request_id=request.request_id,
-            key=key,
-            target=request.work.target,
-            daemons=daemons,
+    if daemons:
+        world.emit(
+            effects.AskStream(
+                request_id=request.request_id,
+                key=key,
+                target=request.work.target,
+                daemons=daemons,
+            )
         )
-    )
+    _conclude_if_answered(world, request, request.inquiry)
 
 
 def handle_answer(world: entities.World, answer: inputs.StreamAnswered) -> None:
@@ -150,8 +152,17 @@
             return
         inquiry.versions.update(answer.knowledge.recent_versions)
         inquiry.is_complete |= answer.knowledge.is_complete
-    if not inquiry.waiting_for:
-        _conclude(world, request, inquiry)
+    _conclude_if_answered(world, request, inquiry)
+
+
+def await_reads(world: entities.World) -> None:
+    """Continues inquiries that wait for copies to be read."""
+    for request_id in sorted(world.awaiting_reads):
+        request = world.requests.get(request_id)
+        if request is None or request.inquiry is None:
+            world.awaiting_reads.discard(request_id)
+        else:
+            _conclude_if_answered(world, request, request.inquiry)
 
 
 def apply_told(world: entities.World, told: inputs.StreamTold) -> None:
@@ -197,18 +208,37 @@
     return "" if was_replaced else attempt.software_version
 
 
-def _conclude(
+def _conclude_if_answered(
     world: entities.World,
     request: entities.RequestRow,
     inquiry: entities.StreamInquiry,
 ) -> None:
-    """Decides for a stream of which no daemon has a record."""
-    is_certain = (
-        inquiry.has_answer
+    """Decides for a stream of which no daemon has a record.
+
+    That all servers have one version, and that the route leads to them, is
+    known from copies that were read after the caller came. Servers of another
+    version may have been added since an earlier read, and the stream have begun
+    at one of them through a daemon that this one does not reach.
+    """
+    if inquiry.waiting_for:
+        return
+    target = request.work.target
+    inquiry.versions.update(software.recent_versions(world, target))
+    has_one_version = (
+        (inquiry.has_answer or confirming.must_confirm(world))
         and inquiry.is_complete
+        and len(inquiry.versions) == 1
         and _has_one_target(world, request)
     )
-    if is_certain and len(inquiry.versions) == 1:
+    outdated = _outdated_copies(world, inquiry) if has_one_version else []
+    if outdated:
+        # A read under way may have begun before this request came.
+        if all(confirming.request_read(world, topic) for topic in outdated):
+            world.awaiting_reads.add(request.request_id)
+            return
+        has_one_version = False
+    world.awaiting_reads.discard(request.request_id)
+    if has_one_version:
         _decide(world, request, next(iter(inquiry.versions)), "only_version")
     else:
         _decide(world, request, "", "none")
@@ -267,6 +297,8 @@
     has_missing_daemons = len(world.live_daemons) < world.expected_daemons
     if has_missing_daemons or (inquiry and inquiry.missing_answers):
         return UNKNOWN_RETRY_MS
+    if inquiry and _outdated_copies(world, inquiry):
+        return UNKNOWN_RETRY_MS
     moved_for_ms = 0 if _has_one_target(world, request) else LIFE_MS
     return max(
         UNKNOWN_RETRY_MS,
@@ -295,6 +327,19 @@
     return True
 
 
+def _outdated_copies(
+    world: entities.World, inquiry: entities.StreamInquiry
+) -> list[freshness.Topic]:
+    """Returns the copies that were not read since the caller came."""
+    if not confirming.must_confirm(world):
+        return []
+    return [
+        topic
+        for topic in freshness.Topic
+        if world.copies[topic].read_at_ms < inquiry.asked_at_ms
+    ]
+
+
 def _has_one_target(
     world: entities.World, request: entities.RequestRow
 ) -> bool:
@@ -302,6 +347,10 @@
     route = request.work.route
     if route is None or len(route.targets) != 1:
         return False
+    if not confirming.has_followed(
+        world, freshness.Topic.TABLE, for_ms=LIFE_MS
+    ):
+        return False
     moved_ms = world.routes_moved_ms.get((route.host, route.prefix))
     return moved_ms is None or world.now_ms - moved_ms >= LIFE_MS
 
@@ -312,6 +361,7 @@
 
 __all__ = [
     "apply_told",
+    "await_reads",
     "handle_answer",
     "knowledge",
     "may_need_version",
--- a/src/godwittack/daemon/stream_history.py
+++ b/src/godwittack/daemon/stream_history.py
@@ -15,7 +15,7 @@
 from absl import logging
 from result import Err
 
-from godwittack.core import inputs, stream_history, stream_records
+from godwittack.core import confirming, inputs, stream_history, stream_records
 from godwittack.store import protocol
 
 if TYPE_CHECKING:
@@ -63,7 +63,11 @@
 
 
 class StreamHistory:
-    """Writes the row as versions and routes change, and reads it once."""
+    """Writes the row as versions and routes change, and reads it.
+
+    It is read at the start, and again after a time in which this daemon may
+    have missed changes.
+    """
 
     def __init__(
         self,
@@ -91,6 +95,7 @@
         self._is_writer = is_writer
         self._is_first_start = is_first_start
         self._changed = asyncio.Event()
+        self._followed_since_ms = -1_000_000
         self._row_version = 0
         self._history: _HistoryJson | None = None
         # The store's clock when the row was last read, and ours.
@@ -104,11 +109,12 @@
         """Reads the row and then writes each change, until cancelled."""
         while not self._is_ready():
             await self._wait_for_change()
-        while not await self._read():
-            await asyncio.sleep(RETRY_PAUSE_S)
-        if self._history is not None:
-            self._runtime.submit(self._as_input(self._history))
+        await self._read_and_report()
         while True:
+            if self._followed_since_ms < confirming.followed_since_ms(
+                self._runtime.core.world
+            ):
+                await self._read_and_report()
             current = self._merge()
             if current != self._history and self._is_writer():
                 if not await self._write(current):
@@ -116,6 +122,17 @@
             else:
                 await self._wait_for_change()
 
+    async def _read_and_report(self) -> None:
+        """Reads the row until the store answers, and reports it to the core."""
+        while True:
+            world = self._runtime.core.world
+            self._followed_since_ms = confirming.followed_since_ms(world)
+            if await self._read():
+                break
+            await asyncio.sleep(RETRY_PAUSE_S)
+        if self._history is not None:
+            self._runtime.submit(self._as_input(self._history))
+
     async def _wait_for_change(self) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CHECK_INTERVAL_S):
--- a/src/godwittack/session/codec.py
+++ b/src/godwittack/session/codec.py
@@ -97,6 +97,7 @@
         "new_connection_cost_ms",
         "long_prompt_tokens",
         "final_refusal_age_ms",
+        "max_unseen_ms",
         "late_answer_value",
     ),
 }
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -36,6 +36,7 @@
     "old_copies_real",
     "fetching",
     "changes_in_force",
+    "following",
     "adapter",
     "instance_rows",
     "odd_entries",
--- a/tests/cases/routed_core.py
+++ b/tests/cases/routed_core.py
@@ -5,6 +5,7 @@
 import hashlib
 
 from godwittack.core import effects, inputs, policy, router, server_inputs, work
+from godwittack.member import freshness
 from godwittack.session import record
 from godwittack.table import forwarding, model
 
@@ -13,6 +14,11 @@
 SERVICE = "booking"
 # Higher than any count, rate or time in milliseconds of these tests.
 NO_LIMIT = 1_000_000
+# What the platform's bounds make of these fields; 0 turns the first one off.
+PLATFORM_POLICY = {"final_refusal_age_ms": 800, "max_unseen_ms": 2_000}
+CONFIRM_INTERVAL_MS = 400
+# A call of the store without an answer ends after this time.
+READ_TIMEOUT_MS = 600
 
 
 def digest(key: str) -> str:
@@ -181,6 +187,29 @@
         self.last_effects = collected
         return collected
 
+    def confirm(self, *, by: str = "store") -> None:
+        """Confirms both copies as of now."""
+        for topic in freshness.Topic:
+            self.tell(inputs.StateConfirmed, topic, self.now_ms, by)
+
+    def follow(self, *, for_ms: int) -> None:
+        """Advances the clock while both copies are confirmed in turn."""
+        end_ms = self.now_ms + for_ms
+        while self.now_ms < end_ms:
+            self.now_ms = min(end_ms, self.now_ms + CONFIRM_INTERVAL_MS)
+            self.confirm()
+
+    def end_reads(self, *, has_read: bool) -> None:
+        """Ends the reads of the last effects, which keep their others."""
+        reads = self.find(effects.ConfirmState)
+        collected = list(self.last_effects)
+        self.now_ms += (1 if has_read else READ_TIMEOUT_MS) if reads else 0
+        for read in reads:
+            collected += self.tell(
+                inputs.ConfirmationEnded, read.topic, has_read=has_read
+            )
+        self.last_effects = collected
+
     def find(self, kind):
         """Returns the last effects that are of a type."""
         return [
@@ -248,4 +277,13 @@
         )
 
 
-__all__ = ["ENGINES", "KEY", "SERVICE", "Core", "digest", "route", "table"]
+__all__ = [
+    "ENGINES",
+    "KEY",
+    "PLATFORM_POLICY",
+    "SERVICE",
+    "Core",
+    "digest",
+    "route",
+    "table",
+]
--- a/tests/cases/split_streams.py
+++ b/tests/cases/split_streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from cases import routed_core, stream_versions
 from godwittack.core import effects, inputs, stream_records
 from godwittack.table import forwarding
@@ -31,14 +33,17 @@
     return routed_core.table(version=version, routes=(split,))
 
 
-def _core(*targets: str, peers: tuple[str, ...] = ("d",)) -> routed_core.Core:
+def _core(
+    *targets: str, peers: tuple[str, ...] = ("d",), **policy_fields
+) -> routed_core.Core:
     """Returns a core with an engine and a plain server of one version."""
-    core = routed_core.Core(servers=0)
+    core = routed_core.Core(servers=0, **policy_fields)
     core.tell(inputs.TableChanged, _table(2, *targets))
     for name, target in zip(("e1", "s1"), BOTH, strict=True):
         core.list_server(name, target, software_version="v1")
     core.tell(inputs.MembersChanged, peers)
-    core.now_ms += LIFE_MS + 1
+    core.confirm()
+    core.follow(for_ms=LIFE_MS + 1)
     core.tell(inputs.Tick)
     core.renew_serving_lease()
     return core
@@ -141,12 +146,21 @@
 
 def streams_begun_after_a_move_are_told() -> None:
     """Guards against a daemon that still has the table from before a move."""
-    core = _core(routed_core.ENGINES, peers=stream_versions.PEERS)
+    core = _following_core()
     core.tell(inputs.TableChanged, _table(3, routed_core.SERVICE))
     _begin(core, "a")
     assert core.find(effects.TellStream), core.last_effects
 
 
+def _following_core() -> routed_core.Core:
+    """Returns a core of a platform's daemon that has followed all changes."""
+    return _core(
+        routed_core.ENGINES,
+        peers=stream_versions.PEERS,
+        **routed_core.PLATFORM_POLICY,
+    )
+
+
 def _answer_all(core: routed_core.Core, in_step: routed_core.Core) -> None:
     """Delivers what daemons in step know of the stream that is asked for."""
     asked = core.find(effects.AskStream)[0]
@@ -164,34 +178,44 @@
 
 def a_table_from_before_a_move_resumes_no_unknown_stream() -> None:
     """Guards against answers about a service that the route has left."""
-    peers = stream_versions.PEERS
-    for moved_to in ((routed_core.SERVICE,), BOTH):
-        old, in_step = (_core(routed_core.ENGINES, peers=peers) for _ in "12")
+    for moved_to, has_read in itertools.product(
+        ((routed_core.SERVICE,), BOTH), (False, True)
+    ):
+        old, in_step = (_following_core() for _ in "12")
         in_step.tell(inputs.TableChanged, _table(3, *moved_to))
         _take_up(old, "a")
         _answer_all(old, in_step)
+        reads = old.last_effects
+        assert not old.find(effects.Dispatch), reads
+        if has_read:
+            old.tell(inputs.TableChanged, _table(3, *moved_to))
+            assert not old.find(effects.Dispatch), old.last_effects
+            old.last_effects = reads
+        old.end_reads(has_read=has_read)
         _check_unknown(old)
 
 
 def a_move_and_back_that_a_daemon_missed_resumes_no_unknown_stream() -> None:
     """Guards against a newest table that lacks a move in between."""
-    peers = stream_versions.PEERS
-    late, in_step = (_core(routed_core.ENGINES, peers=peers) for _ in "12")
+    late, in_step = (_following_core() for _ in "12")
     in_step.tell(inputs.TableChanged, _table(3, routed_core.SERVICE))
     for core in (late, in_step):
         core.tell(inputs.TableChanged, _table(4, routed_core.ENGINES))
     _take_up(in_step, "a")
     _answer_all(in_step, in_step)
+    in_step.end_reads(has_read=True)
     _check_unknown(in_step)
     _take_up(late, "a")
     _answer_all(late, in_step)
+    late.end_reads(has_read=True)
     _check_unknown(late)
 
 
 def a_daemon_alone_with_an_old_table_resumes_no_unknown_stream() -> None:
     """Guards against a route that has moved while a daemon was cut off."""
-    peers = stream_versions.PEERS
-    core = _core(routed_core.ENGINES, peers=peers)
-    core.tell(inputs.MembersChanged, ("d",), known=len(peers))
+    core = _following_core()
+    known = len(stream_versions.PEERS)
+    core.tell(inputs.MembersChanged, ("d",), known=known)
     _take_up(core, "a")
+    core.end_reads(has_read=False)
     _check_unknown(core)
--- a/tests/cases/stream_history.py
+++ b/tests/cases/stream_history.py
@@ -71,9 +71,10 @@
         list_version: int = 1,
         routes=routed_core.ROUTES,
         first: bool = False,
+        **policy_fields,
     ) -> None:
         self.core = routed_core.Core(
-            servers=0, started_at_ms=store.clock.now_ms()
+            servers=0, started_at_ms=store.clock.now_ms(), **policy_fields
         )
         self.core.tell(inputs.TableChanged, routed_core.table(2, routes=routes))
         for number, version in enumerate(versions, 1):
--- a/tests/cases/stream_versions.py
+++ b/tests/cases/stream_versions.py
@@ -20,9 +20,11 @@
 OTHER_KEY = "key-of-other"
 
 
-def _core(*versions: str, peers: tuple[str, ...] = ("d",)) -> routed_core.Core:
+def _core(
+    *versions: str, peers: tuple[str, ...] = ("d",), **policy_fields
+) -> routed_core.Core:
     """Returns a core with one engine of each version, e1 and so on."""
-    core = routed_core.Core(servers=0)
+    core = routed_core.Core(servers=0, **policy_fields)
     for number, version in enumerate(versions, 1):
         _list(core, f"e{number}", version)
     core.tell(inputs.MembersChanged, peers)
@@ -41,6 +43,15 @@
     core.renew_serving_lease()
 
 
+def _following_core() -> routed_core.Core:
+    """Returns a core of a platform's daemon that has followed all changes."""
+    core = _core("v1", peers=PEERS, **routed_core.PLATFORM_POLICY)
+    core.confirm()
+    core.follow(for_ms=LIFE_MS + 1)
+    core.tell(inputs.Tick)
+    return core
+
+
 def _begin(core: routed_core.Core, name: str) -> effects.Dispatch:
     """Begins a stream, delivers two events, and lets its caller leave."""
     core.arrive("long", f"{name}~1", caller_request_id=name)
@@ -82,7 +93,8 @@
     )
 
 
-def _check_refused(core: routed_core.Core) -> None:
+def check_refused(core: routed_core.Core) -> None:
+    """Checks that a stream is refused, with a time to come back."""
     refused = core.refusal()
     assert refused.reason is effects.Reason.VERSION_UNKNOWN, refused
     assert refused.status == 503 and refused.retry_after_ms, refused
@@ -190,7 +202,7 @@
         _take_up(core, "a")
         for daemon in core.find(effects.AskStream)[0].daemons:
             _answer(core, daemon, recent_versions=theirs, is_complete=True)
-        _check_refused(core)
+        check_refused(core)
 
 
 def a_version_that_left_of_late_counts() -> None:
@@ -201,7 +213,7 @@
     _take_up(core, "a")
     for daemon in core.find(effects.AskStream)[0].daemons:
         _answer(core, daemon, recent_versions=("v2",), is_complete=True)
-    _check_refused(core)
+    check_refused(core)
 
 
 def a_single_version_needs_no_record() -> None:
@@ -223,7 +235,7 @@
     _take_up(core, "a")
     for daemon in core.find(effects.AskStream)[0].daemons:
         _answer(core, daemon)
-    _check_refused(core)
+    check_refused(core)
 
 
 def _answer_from(
@@ -245,11 +257,11 @@
 
 def a_daemon_that_has_lost_all_others_resumes_nothing_unknown() -> None:
     """Guards against a list from before a cut that shows a single version."""
-    core = _core("v1", peers=PEERS)
-    _pass_life(core)
+    core = _following_core()
     core.tell(inputs.MembersChanged, ("d",), known=len(PEERS))
     _take_up(core, "a")
-    _check_refused(core)
+    core.end_reads(has_read=False)
+    check_refused(core)
 
 
 def a_daemon_that_loses_the_others_while_it_asks_resumes_nothing() -> None:
@@ -261,7 +273,7 @@
     core.tell(inputs.MembersChanged, ("d",), known=len(PEERS))
     for daemon in asked:
         _answer(core, daemon)
-    _check_refused(core)
+    check_refused(core)
 
 
 def a_daemon_that_lost_all_others_resumes_its_own_streams() -> None:
@@ -276,14 +288,15 @@
 
 def two_daemons_cut_off_together_resume_nothing_unknown() -> None:
     """Guards against old lists that confirm each other."""
-    core, other = (_core("v1", peers=PEERS) for _ in range(2))
+    core, other = (_following_core() for _ in range(2))
     for one in (core, other):
-        _pass_life(one)
         one.tell(inputs.MembersChanged, ("d", "p1"), known=len(PEERS))
     _take_up(core, "a")
     assert core.find(effects.AskStream)[0].daemons == ("p1",)
     _answer_from(core, other, "p1")
-    _check_refused(core)
+    assert not core.find(effects.Dispatch), core.last_effects
+    core.end_reads(has_read=False)
+    check_refused(core)
 
 
 def streams_are_told_when_all_servers_are_replaced_at_once() -> None:
@@ -310,7 +323,7 @@
         _take_up(core, "a")
         for daemon in core.find(effects.AskStream)[0].daemons:
             _answer(core, daemon, recent_versions=("v2",), is_complete=True)
-        _check_refused(core)
+        check_refused(core)
 
 
 def an_id_listed_again_with_another_version_keeps_both() -> None:
@@ -328,7 +341,7 @@
         _take_up(core, "a")
         for daemon in core.find(effects.AskStream)[0].daemons:
             _answer(core, daemon, recent_versions=("v2",), is_complete=True)
-        _check_refused(core)
+        check_refused(core)
         # The own record is of the version that is not served any more.
         _take_up(core, "first")
         assert core.refusal().reason is effects.Reason.NO_SERVER
@@ -347,7 +360,7 @@
         _answer_from(core, old, asked[0])
         _answer(core, asked[1])
         _answer(core, asked[2])
-        _check_refused(core)
+        check_refused(core)
 
 
 def one_daemon_in_step_stops_another_with_an_old_list() -> None:
@@ -364,7 +377,7 @@
     _answer(core, asked[0])
     _answer(core, asked[1], recent_versions=("v1",), is_complete=True)
     _answer_from(core, in_step, asked[2])
-    _check_refused(core)
+    check_refused(core)
 
 
 def a_holder_whose_record_was_lost_stops_no_other() -> None:
@@ -384,9 +397,8 @@
 
 def two_daemons_that_have_just_healed_resume_nothing_unknown() -> None:
     """Guards against two old lists if all holders in step stay silent."""
-    core, other = (_core("v1", peers=PEERS) for _ in range(2))
+    core, other = (_following_core() for _ in range(2))
     for one in (core, other):
-        _pass_life(one)
         one.tell(inputs.MembersChanged, ("d", "p1"), known=len(PEERS))
         one.now_ms += 3_000
         # The daemons that hold the record have ended; the list isn't read yet.
@@ -395,7 +407,8 @@
     assert sorted(core.find(effects.AskStream)[0].daemons) == ["p1", "p2"]
     _answer_from(core, other, "p1")
     _answer(core, "p2")
-    _check_refused(core)
+    core.end_reads(has_read=False)
+    check_refused(core)
 
 
 def a_refusal_says_when_the_version_may_be_known() -> None:
@@ -451,7 +464,7 @@
     core.tell(inputs.TableChanged, table)
     _begin(core, "a")
     _take_up(core, "a", token_sha256=routed_core.digest(OTHER_KEY))
-    _check_refused(core)
+    check_refused(core)
 
 
 def an_id_used_at_two_versions_is_unknown() -> None:
@@ -466,7 +479,7 @@
         left_ms=5_000,
     )
     _take_up(core, "a")
-    _check_refused(core)
+    check_refused(core)
 
 
 def a_stream_taken_up_does_not_hold_up_the_queue() -> None:
--- a/tests/features/versions.feature
+++ b/tests/features/versions.feature
@@ -85,3 +85,19 @@
       | stream_versions | no stream is mixed when all daemons in step have left |
       | split_streams   | a move and back that a daemon missed resumes no unknown stream |
       | stream_versions | no stream is mixed by new daemons that ask one out of step |
+
+    Examples: copies that are followed and read
+      | group     | case |
+      | following | a stream without a record waits for both copies |
+      | following | what the read shows counts |
+      | following | a failed read refuses with a time |
+      | following | a read that never ends resumes nothing |
+      | following | a caller that leaves awaits no read |
+      | following | a read begun before the caller came does not count |
+      | following | many streams share a read |
+      | following | a gap makes the history incomplete for a minute |
+      | following | a copy that nothing confirms is not followed |
+      | following | the history row ends a gap |
+      | following | a version of a gap counts once the row was read |
+      | following | a daemon reads the row again after a gap |
+      | following | a move and back within a gap resumes no unknown stream |
--- a/tests/sim/out_of_step_fleets.py
+++ b/tests/sim/out_of_step_fleets.py
@@ -7,6 +7,7 @@
 
 from cases import routed_core
 from godwittack.core import inputs, server_inputs, stream_records
+from godwittack.member import freshness
 from sim import version_fleets
 
 if TYPE_CHECKING:
@@ -19,6 +20,9 @@
 # Daemons that don't answer count as lost after about this time.
 NOTICE_MS = 800
 JOINED_ENGINES = 3
+TICK_MS = 50
+# Clients come back at most twice, after up to two seconds each.
+END_MS = RUN_MS + 5_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -56,9 +60,12 @@
     """Daemons that have seen one version for the life of a stream.
 
     Some of them are cut off for a time. Meanwhile servers of another version
-    join, and some may leave.
+    join, and some may leave. Copies of daemons that are not cut off are
+    confirmed in turn; the row of the history of versions is never read.
     """
 
+    policy_fields = routed_core.PLATFORM_POLICY
+
     def __init__(self, plan: Plan, *, seed: int) -> None:
         """Starts the daemons of a plan."""
         super().__init__(seed=seed, daemons=plan.daemons)
@@ -69,12 +76,17 @@
         for daemon in self._daemons.values():
             self._tell(daemon, inputs.Tick(self.now_ms))
         self._tell_groups()
+        self._confirm_all()
 
     def run(self) -> None:
         """Plays the plan, with streams that begin and are taken up."""
         for at_ms in range(0, RUN_MS, version_fleets.STEP_MS):
             for _ in range(version_fleets.STREAMS_PER_STEP):
                 self._after(at_ms, self._begin_new)
+        for at_ms in range(0, END_MS, routed_core.CONFIRM_INTERVAL_MS):
+            self._after(at_ms, self._confirm_all)
+        for at_ms in range(0, END_MS, TICK_MS):
+            self._after(at_ms, self._tick_waiting)
         self._after(CUT_FROM_MS, self._cut)
         self._after(HEAL_MS, self._heal_all)
         old = sorted(self._engines)
@@ -87,6 +99,48 @@
             self._after(self.plan.return_ms, lambda: self._change(new, ()))
         self._play()
 
+    def _confirm_all(self) -> None:
+        for daemon in self._daemons.values():
+            if not daemon.is_cut:
+                for topic in freshness.Topic:
+                    self._confirm(daemon, topic, self.now_ms)
+
+    def _confirm(
+        self, daemon: version_fleets.Daemon, topic: freshness.Topic, at_ms: int
+    ) -> None:
+        self._tell(
+            daemon, inputs.StateConfirmed(self.now_ms, topic, at_ms, "store")
+        )
+
+    def _tick_waiting(self) -> None:
+        """Lets daemons begin the next read for those that wait for one."""
+        for daemon in self._daemons.values():
+            if daemon.core.world.awaiting_reads:
+                self._tell(daemon, inputs.Tick(self.now_ms))
+                self._act(daemon)
+
+    def _read(
+        self, daemon: version_fleets.Daemon, topic: freshness.Topic
+    ) -> None:
+        """Reads a copy anew, which fails while the daemon is cut off."""
+        begun_ms, was_cut = self.now_ms, daemon.is_cut
+
+        def end() -> None:
+            if daemon not in self._daemons.values():
+                return
+            has_read = not was_cut and not daemon.is_cut
+            if has_read:
+                if topic is freshness.Topic.SERVERS:
+                    self._apply_list(daemon)
+                self._confirm(daemon, topic, begun_ms)
+            self._tell(
+                daemon, inputs.ConfirmationEnded(self.now_ms, topic, has_read)
+            )
+            self._act(daemon)
+
+        timeout_ms = routed_core.READ_TIMEOUT_MS
+        self._after(timeout_ms if was_cut else version_fleets.HOP_MS, end)
+
     def _cut(self) -> None:
         daemons = list(self._daemons.values())
         for daemon in self.rng.sample(daemons, self.plan.cut):
@@ -143,6 +197,9 @@
         if daemon.is_cut:
             self._read_later(daemon)
             return
+        self._apply_list(daemon)
+
+    def _apply_list(self, daemon: version_fleets.Daemon) -> None:
         servers = daemon.core.world.servers_by_target[routed_core.ENGINES]
         for name in sorted(servers.keys() - self._engines.keys()):
             gone = server_inputs.ServerListed(
--- a/tests/sim/version_fleets.py
+++ b/tests/sim/version_fleets.py
@@ -5,7 +5,7 @@
 import dataclasses
 import heapq
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, ClassVar
 
 from cases import routed_core
 from godwittack.core import effects, inputs, server_inputs, stream_versions
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from godwittack.member import freshness
+
 SEEDS = 12
 RUN_MS = 30_000
 ENGINES = 6
@@ -38,13 +40,24 @@
     tries: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Try:
+    """A request of a client for a stream."""
+
+    stream: Stream
+    is_new: bool
+    is_counted: bool
+
+
 class Daemon:
     """A core, its address, and whether it is cut off from the others."""
 
-    def __init__(self, name: str, now_ms: int) -> None:
+    def __init__(self, name: str, now_ms: int, **policy_fields) -> None:
         self.name = name
         self.is_cut = False
-        self.core = routed_core.Core(servers=0, started_at_ms=now_ms)
+        self.core = routed_core.Core(
+            servers=0, started_at_ms=now_ms, **policy_fields
+        )
         self.core.world.daemon = name
         self.core.renew_serving_lease(for_ms=10**9)
 
@@ -61,6 +74,8 @@
         lost_share: Share of the records that are lost on the way.
     """
 
+    policy_fields: ClassVar[dict[str, int]] = {}
+
     def __init__(self, *, seed: int, daemons: int) -> None:
         self.rng = random.Random(seed)
         self.now_ms = 0
@@ -71,6 +86,7 @@
         self._starts = 0
         self._engines: dict[str, str] = {}
         self._daemons: dict[int, Daemon] = {}
+        self._tries: dict[str, Try] = {}
         self._release = 1
         self.lost_share = LOST_SHARE
         for number in range(ENGINES):
@@ -104,7 +120,8 @@
 
     def _start(self, address: int) -> None:
         self._starts += 1
-        daemon = Daemon(f"d{address}.{self._starts}", self.now_ms)
+        name = f"d{address}.{self._starts}"
+        daemon = Daemon(name, self.now_ms, **self.policy_fields)
         self._daemons[address] = daemon
         for name, version in self._engines.items():
             self._list(daemon, name, version)
@@ -196,6 +213,7 @@
         name = stream.name if is_new else f"{stream.name}.{stream.tries}"
         is_counted = not is_new and not daemon.is_cut
         self.taken_up += is_counted
+        self._tries[f"{name}~"] = Try(stream, is_new, is_counted)
         daemon.core.now_ms = self.now_ms
         daemon.core.arrive(
             "long",
@@ -204,29 +222,28 @@
             resumes="" if is_new else stream.name,
             resume_after=0 if is_new else len(stream.versions),
         )
-        self._act(daemon, stream, is_new, is_counted)
+        self._act(daemon)
 
-    def _act(
-        self, daemon: Daemon, stream: Stream, is_new: bool, is_counted: bool
-    ) -> None:
-        """Carries out the last effects of a core for a client's try."""
+    def _act(self, daemon: Daemon) -> None:
+        """Carries out the last effects of a core for tries of clients."""
         self._send(daemon, daemon.core.last_effects)
         for effect in daemon.core.last_effects:
             if isinstance(effect, effects.AskStream):
                 for peer in effect.daemons:
-                    self._ask(daemon, peer, effect, stream, is_counted)
+                    self._ask(daemon, peer, effect)
             if isinstance(effect, effects.Dispatch):
-                self._deliver(daemon, effect, stream, is_new, is_counted)
+                self._deliver(daemon, effect)
+            if isinstance(effect, effects.ConfirmState):
+                self._read(daemon, effect.topic)
 
-    def _deliver(
-        self,
-        daemon: Daemon,
-        sent: effects.Dispatch,
-        stream: Stream,
-        is_new: bool,
-        is_counted: bool,
-    ) -> None:
+    def _read(self, daemon: Daemon, topic: freshness.Topic) -> None:
+        """Reads a copy anew, for daemons that need it."""
+        raise NotImplementedError
+
+    def _deliver(self, daemon: Daemon, sent: effects.Dispatch) -> None:
         """Delivers one event; then the client leaves, and may come back."""
+        tried = self._tries[sent.request_id]
+        stream = tried.stream
         version = self._version_of(sent.server_id)
         if not version:
             return
@@ -234,8 +251,8 @@
         daemon.core.frames(sent, len(stream.versions) + 1)
         self._send(daemon, daemon.core.last_effects)
         stream.versions.append(version)
-        self.begun += is_new
-        self.gone_on += is_counted
+        self.begun += tried.is_new
+        self.gone_on += tried.is_counted
         if len(set(stream.versions)) > 1:
             self.mixed.append(stream)
         daemon.core.tell(inputs.CallerGone, sent.request_id)
@@ -298,8 +315,6 @@
         daemon: Daemon,
         name: str,
         asked: effects.AskStream,
-        stream: Stream,
-        is_counted: bool,
     ) -> None:
         def answer() -> None:
             if daemon not in self._daemons.values():
@@ -320,7 +335,7 @@
                 knowledge=knowledge,
             )
             self._tell(daemon, told)
-            self._act(daemon, stream, False, is_counted)
+            self._act(daemon)
 
         is_reached = self._reach(daemon, name) is not None
         self._after(2 * HOP_MS if is_reached else ASK_TIMEOUT_MS, answer)
