Record in the store when routes led to other targets

What callers saw: nothing yet; a case shows a stream that goes on at a service at which it did not begin, after its route had moved and moved back while the daemon missed changes for more than max_unseen_ms. Cause: the row of the history has the present targets of routes only, and reading it ends the gap of the operators' table as well. The same holds for a move shortly before all daemons are started again. Change: the row also has when each route last led elsewhere, for as long as a stream may live; daemons that read it refuse streams of that route until then. A move and back that the writing daemon itself misses stays unseen.

--- a/src/godwittack/core/inputs.py
+++ b/src/godwittack/core/inputs.py
@@ -353,11 +353,14 @@
         targets: Versions by target.
         routes: Digest of the targets of each resumable route, by the digest
             of the route.
+        moved_for_ms: How long ago routes led to other targets, by the digest
+            of the route.
     """
 
     at_ms: int
     targets: tuple[TargetHistory, ...]
     routes: tuple[tuple[str, str], ...]
+    moved_for_ms: tuple[tuple[str, int], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/core/stream_history.py
+++ b/src/godwittack/core/stream_history.py
@@ -43,13 +43,22 @@
     for history in read.targets:
         _restore_target(world, history)
     recorded = dict(read.routes)
+    moved_for_ms = dict(read.moved_for_ms)
     moved = 0
     for route in _resumable_routes(world):
-        targets = recorded.get(_digest(route.host, route.prefix))
-        if targets != _digest(*_targets_of(route)):
+        digest = _digest(route.host, route.prefix)
+        if recorded.get(digest) != _digest(*_targets_of(route)):
             # Its streams may have begun elsewhere until a moment ago.
-            world.routes_moved_ms[route.host, route.prefix] = world.now_ms
-            moved += 1
+            moved_ms = world.now_ms
+        elif digest in moved_for_ms:
+            moved_ms = world.now_ms - moved_for_ms[digest]
+        else:
+            continue
+        key = (route.host, route.prefix)
+        world.routes_moved_ms[key] = max(
+            moved_ms, world.routes_moved_ms.get(key, moved_ms)
+        )
+        moved += 1
     world.event(
         "stream_history",
         targets=len(read.targets),
--- a/src/godwittack/daemon/stream_history.py
+++ b/src/godwittack/daemon/stream_history.py
@@ -54,12 +54,15 @@
         table_version: Version of the operators' table that it is as of.
         targets: Versions by target.
         routes: Digests of the targets of resumable routes.
+        moved_ms: When each route last led to other targets than before, by the
+            store's clock, for as long as streams of then may live.
     """
 
     list_version: int
     table_version: int
     targets: dict[str, _TargetJson]
     routes: dict[str, str]
+    moved_ms: dict[str, int] = {}
 
 
 class StreamHistory:
@@ -178,7 +181,7 @@
         """Writes the row if nobody else has; returns whether to go on."""
         value = history.model_dump_json()
         if len(value) > MAX_ROW_BYTES:
-            history = history.model_copy(update={"routes": {}})
+            history = history.model_copy(update={"routes": {}, "moved_ms": {}})
             value = history.model_dump_json()
         result = await self._store.transact(
             (protocol.Condition(ROW, self._row_version),),
@@ -202,8 +205,10 @@
             list_version=0, table_version=0, targets={}, routes={}
         )
         routes, table_version = stored.routes, stored.table_version
+        moved_ms = stored.moved_ms
         digests = stream_history.route_digests(world)
         if self._table_version > table_version and digests != routes:
+            moved_ms = self._update_moved(stored, digests)
             routes, table_version = digests, self._table_version
         targets = dict(stored.targets)
         list_version = self._list_version()
@@ -226,8 +231,23 @@
             table_version=table_version,
             targets=targets,
             routes=routes,
+            moved_ms=moved_ms,
         )
 
+    def _update_moved(
+        self, stored: _HistoryJson, digests: dict[str, str]
+    ) -> dict[str, int]:
+        now_ms = self._store_ms()
+        moved_ms = {
+            route: at_ms
+            for route, at_ms in stored.moved_ms.items()
+            if now_ms - at_ms < stream_records.STREAM_LIFE_MS
+        }
+        for route, targets in stored.routes.items():
+            if digests.get(route) != targets:
+                moved_ms[route] = now_ms
+        return moved_ms
+
     def _update(
         self, known: _TargetJson, listed: frozenset[str]
     ) -> _TargetJson:
@@ -264,6 +284,10 @@
                 for target, known in sorted(history.targets.items())
             ),
             routes=tuple(sorted(history.routes.items())),
+            moved_for_ms=tuple(
+                (route, max(0, now_ms - at_ms))
+                for route, at_ms in sorted(history.moved_ms.items())
+            ),
         )
 
     def _log(self, event: str, detail: str) -> None:
