Play a release with one daemon out of step, with its datagrams cut

Callers saw streams that had begun at a new software version go on at another one, taken up at a daemon that was cut off for some seconds. The trials so far let datagrams through, by which daemons tell each other of streams. Daemons under test can now lose datagrams as well, and one can be cut off from all others, from the store, or both.

--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -59,6 +59,7 @@
     "stream_versions",
     "stream_history",
     "split_streams",
+    "out_of_step",
     "endless",
     "silent",
     "silent_servers",
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -314,7 +314,34 @@
         """
         chosen = self.replicas if servers is None else servers
         ports = [self.replicas[name].port for name in chosen]
-        cut = {"mode": mode, "ports": ports}
+        self._write_cut(number, {"mode": mode, "ports": ports})
+
+    def isolate(self, number: int, *, peers: bool, store: bool) -> None:
+        """Cuts a daemon off from all other daemons, from the store, or both.
+
+        Connections hang and datagrams are lost, in both directions. Paths to
+        backend servers are not cut.
+        """
+        control_ports = [
+            int(fields["listen"]["control"].rpartition(":")[2])
+            for fields in self.fields
+        ]
+        own_port = control_ports.pop(number)
+        ports = [*(control_ports if peers else ())]
+        ports += [self.store_port] if store else []
+        cut = {"mode": "hang", "datagrams": True}
+        self._write_cut(number, {**cut, "ports": ports})
+        if peers:
+            for other in range(len(self.fields)):
+                if other != number:
+                    self._write_cut(other, {**cut, "ports": [own_port]})
+
+    def rejoin(self) -> None:
+        """Ends all cuts."""
+        for number in range(len(self.fields)):
+            self.heal(number)
+
+    def _write_cut(self, number: int, cut: dict[str, object]) -> None:
         path = self.logs[number].with_suffix(".cut")
         unfinished = path.with_suffix(".tmp")
         unfinished.write_text(json.dumps(cut))
--- a/tests/standins/cut_daemon.py
+++ b/tests/standins/cut_daemon.py
@@ -2,9 +2,10 @@
 
 `python -P cut_daemon.py FOLDER SETTINGS` runs `deploy/daemon.py SETTINGS`. The
 file `FOLDER/NAME.cut`, where NAME is the stem of SETTINGS, holds the cut as
-JSON: `{"mode": "hang", "ports": [8001]}`; without it no path is cut. The cut is
-made in the daemon's event loop, so that the server, other daemons and callers
-are not affected.
+JSON: `{"mode": "hang", "ports": [8001]}`; without it no path is cut. With
+`"datagrams": true` no datagrams are sent to these ports either; a cut in both
+directions must be made at both ends. The cut is made in the daemon's event
+loop, so that the server, other daemons and callers are not affected.
 """
 
 from __future__ import annotations
@@ -44,14 +45,23 @@
         self._read_at_s = 0.0
         self._mode: CutMode | None = None
         self._ports: frozenset[int] = frozenset()
+        self._drops_datagrams = False
 
     def mode(self, port: int) -> CutMode | None:
         """Returns how the path to a server's port is cut, None if it isn't."""
+        self._read_if_due()
+        return self._mode if port in self._ports else None
+
+    def drops_datagrams(self, port: int) -> bool:
+        """Returns whether no datagrams are sent to a port."""
+        self._read_if_due()
+        return self._drops_datagrams and port in self._ports
+
+    def _read_if_due(self) -> None:
         now_s = time.monotonic()
         if now_s - self._read_at_s >= READ_INTERVAL_S:
             self._read_at_s = now_s
             self._read()
-        return self._mode if port in self._ports else None
 
     def _read(self) -> None:
         try:
@@ -61,6 +71,7 @@
             return
         self._mode = CutMode(stored["mode"])
         self._ports = frozenset(stored["ports"])
+        self._drops_datagrams = stored.get("datagrams", False)
 
 
 class CutTransport:
@@ -131,6 +142,20 @@
             self._add_reader(transport._sock_fd, transport._read_ready)
         return transport, protocol
 
+    async def create_datagram_endpoint(self, protocol_factory, **kwargs):
+        """Opens a socket that sends no datagrams where the path is cut."""
+        transport, protocol = await super().create_datagram_endpoint(
+            protocol_factory, **kwargs
+        )
+        send = transport.sendto
+
+        def send_unless_cut(data, addr=None) -> None:
+            if addr is None or not self.cut.drops_datagrams(addr[1]):
+                send(data, addr)
+
+        transport.sendto = send_unless_cut
+        return transport, protocol
+
     async def sock_connect(self, sock, address):
         """Connects a socket unless the path is cut."""
         if isinstance(address, tuple):
