--- a/tests/cases/out_of_step.py
+++ b/tests/cases/out_of_step.py
@@ -17,10 +17,12 @@
 import signal
 import sys
 import time
+import types
 
 from cluster import platform, raw_caller
 from cluster.platform import Platform
 from cluster.processes import free_port
+from godwittack.member import assignment
 from soak.streams import Try
 from standins.replica import Replica
 
@@ -33,10 +35,9 @@
 EVENT_GAP_S = 0.04
 MAX_TRIES = 4
 REFUSED = 503
+SERVING = re.compile(r"event=serving daemon=(\S+)")
 NAMED_TIME = re.compile(r"^retry-after: (\d+)\r$", re.M)
-# The new servers are listed so long after the daemon falls out of step, and
-# serve through the others so long before the streams begin.
-JOIN_DELAY_S = 0.3
+# The new servers are listed so long before the streams begin.
 MIN_SERVE_S = 0.5
 # Fewer streams of the new version would prove nothing.
 MIN_TAKEN_UP = 6
@@ -59,7 +60,14 @@
         old_leave: Whether the old servers leave as the new ones join.
         has_to_go_on: Whether streams must go on: it reaches the store and its
             peers.
+        reads_feed: Whether it is one of the daemons that wait for changes at
+            the store; None for either. Others ask the store in turn, which
+            takes five daemons.
+        join_delay_s: How long it is out of step before the new servers are
+            listed.
         out_s: How long it is out of step before streams are taken up.
+        wait_s: How long the streams are taken up after the pause, or the cuts
+            that heal, have ended.
         daemons: Number of daemons.
     """
 
@@ -70,19 +78,30 @@
     heals: bool = False
     old_leave: bool = False
     has_to_go_on: bool = False
+    reads_feed: bool | None = None
+    join_delay_s: float = 0.3
     out_s: float = 2.0
+    wait_s: float = 0.0
     daemons: int = 4
 
 
 PLANS = {
     "peers": Plan(peers=True),
     "peers, briefly": Plan(peers=True, out_s=1.3),
+    # It has lost its peers by 2.4 to 3.1 s, and asks the store by itself at
+    # about 1.3 to 2.3 s and again 1.7 to 2.3 s later.
+    "peers, read between": Plan(
+        peers=True, reads_feed=False, join_delay_s=2.2, out_s=3.0, daemons=5
+    ),
     "both": Plan(peers=True, store=True, out_s=3.0),
     "store": Plan(store=True),
     "paused": Plan(pauses=True, has_to_go_on=True),
     "paused, then both": Plan(
         peers=True, store=True, pauses=True, cut_on_waking=True
     ),
+    "paused, then both for long": Plan(
+        peers=True, store=True, pauses=True, cut_on_waking=True, wait_s=3.0
+    ),
     "both, old leave": Plan(peers=True, store=True, out_s=3.0, old_leave=True),
     "both, healing": Plan(
         peers=True, store=True, out_s=3.0, heals=True, has_to_go_on=True
@@ -130,7 +149,6 @@
         self.log = ""
         self._seed = seed
         self._odd = plan.daemons - 1
-        self._others = range(self._odd)
         self.made = Platform(
             daemons=1, engines=OLD_ENGINES, services=1, can_cut=True
         )
@@ -142,8 +160,8 @@
         async with self.made:
             await self._start_others()
             await self._fall_out_of_step()
-            await asyncio.sleep(JOIN_DELAY_S)
-            left_s = time.monotonic() + self.plan.out_s - JOIN_DELAY_S
+            await asyncio.sleep(self.plan.join_delay_s)
+            left_s = time.monotonic() + self.plan.out_s - self.plan.join_delay_s
             await self._release()
             await asyncio.sleep(MIN_SERVE_S)
             tries = await asyncio.gather(
@@ -151,6 +169,7 @@
             )
             await asyncio.sleep(max(0.0, left_s - time.monotonic()))
             self._end()
+            await asyncio.sleep(self.plan.wait_s)
             await asyncio.gather(
                 *(self._take_up(begun) for begun in tries if _is_left(begun))
             )
@@ -177,11 +196,28 @@
         for number in range(self.plan.daemons):
             await self.made.until_met(number)
 
+        self._odd = self._choose()
+
         async def has_read_the_record() -> bool:
             return "event=stream_history " in self.made.log(self._odd)
 
         await platform.until("the versions are known", has_read_the_record)
 
+    def _choose(self) -> int:
+        """Returns the last daemon that does what the plan says at the store."""
+        ids = [
+            SERVING.search(self.made.log(number)).group(1)
+            for number in range(self.plan.daemons)
+        ]
+        readers = assignment.store_readers(
+            [types.SimpleNamespace(member_id=id_) for id_ in ids]
+        )
+        return max(
+            number
+            for number in range(1, self.plan.daemons)
+            if self.plan.reads_feed in (None, ids[number] in readers)
+        )
+
     async def _fall_out_of_step(self) -> None:
         if self.plan.pauses:
             self.made.signal(self._odd, signal.SIGSTOP)
@@ -224,7 +260,8 @@
 
     async def _begin(self, number: int) -> Try:
         """Begins a stream through another daemon and leaves it."""
-        daemon = self._others[number % len(self._others)]
+        others = [n for n in range(self.plan.daemons) if n != self._odd]
+        daemon = others[number % len(others)]
         attempt = Try(f"s{number}", daemon, time.monotonic(), is_new=True)
         await self._read(attempt, attempt.name, leave_after=LEFT_AFTER)
         return attempt
