--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -316,7 +316,8 @@
             servers: Names of servers; None for all.
         """
         chosen = self.replicas if servers is None else servers
-        self._cut_ports(number, mode, [self.replicas[n].port for n in chosen])
+        ports = [self.replicas[name].port for name in chosen]
+        self._write_cut(number, {"mode": mode, "ports": ports})
 
     def cut_store(self, number: int, mode: str) -> None:
         """Cuts a daemon's path to the store; its paths to servers stay.
@@ -325,7 +326,7 @@
             number: The daemon.
             mode: Mode of `standins/cut_daemon.py`.
         """
-        self._cut_ports(number, mode, [self.store_port])
+        self._write_cut(number, {"mode": mode, "ports": [self.store_port]})
 
     def store_readers(self) -> list[int]:
         """Returns the daemons that poll the store for all others."""
@@ -336,8 +337,32 @@
         readers = ranked[: assignment.STORE_READER_COUNT]
         return sorted(ids.index(member_id) for member_id in readers)
 
-    def _cut_ports(self, number: int, mode: str, ports: list[int]) -> None:
-        cut = {"mode": mode, "ports": ports}
+    def isolate(self, number: int, *, peers: bool, store: bool) -> None:
+        """Cuts a daemon off from all other daemons, from the store, or both.
+
+        Connections hang and datagrams are lost, in both directions. Paths to
+        backend servers are not cut.
+        """
+        control_ports = [
+            int(fields["listen"]["control"].rpartition(":")[2])
+            for fields in self.fields
+        ]
+        own_port = control_ports.pop(number)
+        ports = [*(control_ports if peers else ())]
+        ports += [self.store_port] if store else []
+        cut = {"mode": "hang", "datagrams": True}
+        self._write_cut(number, {**cut, "ports": ports})
+        if peers:
+            for other in range(len(self.fields)):
+                if other != number:
+                    self._write_cut(other, {**cut, "ports": [own_port]})
+
+    def rejoin(self) -> None:
+        """Ends all cuts."""
+        for number in range(len(self.fields)):
+            self.heal(number)
+
+    def _write_cut(self, number: int, cut: dict[str, object]) -> None:
         path = self.logs[number].with_suffix(".cut")
         unfinished = path.with_suffix(".tmp")
         unfinished.write_text(json.dumps(cut))
