--- a/tests/cases/following.py
+++ b/tests/cases/following.py
@@ -58,7 +58,6 @@
         core.now_ms = min(end_ms, core.now_ms + routed_core.CONFIRM_INTERVAL_MS)
         for topic in set(freshness.Topic) - set(topics):
             core.tell(inputs.StateConfirmed, topic, core.now_ms, "store")
-    core.confirm()
 
 
 def _read_history(core: routed_core.Core, *gone: tuple[str, int]) -> None:
@@ -180,8 +179,10 @@
     for topic in freshness.Topic:
         core = _core()
         _miss(core, topic, ms=MAX_UNSEEN_MS)
+        core.confirm()
         assert _goes_on(core), topic
         _miss(core, topic, ms=MAX_UNSEEN_MS + 1)
+        core.confirm()
         gap_ended_ms = core.now_ms
         assert not _goes_on(core), topic
         core.follow(for_ms=gap_ended_ms + LIFE_MS - 1_000 - core.now_ms)
@@ -194,9 +195,7 @@
     """Guards against a daemon that takes a long silence for no change."""
     for topic in freshness.Topic:
         core = _core()
-        core.now_ms += MAX_UNSEEN_MS + 1
-        other = SERVERS if topic is TABLE else TABLE
-        core.tell(inputs.StateConfirmed, other, core.now_ms, "store")
+        _miss(core, topic, ms=MAX_UNSEEN_MS + 1)
         assert not _goes_on(core), topic
 
 
@@ -217,6 +216,7 @@
     """Guards against a row that only says that nothing was missed."""
     core = _core()
     _miss(core, *freshness.Topic, ms=MAX_UNSEEN_MS + 1)
+    core.confirm()
     _read_history(core, ("v2", 1_000))
     assert not _goes_on(core)
     core.follow(for_ms=LIFE_MS)
