Play a daemon that starts a moment after a route has moved

What callers saw: nothing yet; a new daemon goes on with a stream at the service that its route has left for, before it has read the row of the history. Cause: the first confirmation of a copy counts as followed since ever. Change: one case; simulated fleets follow their copies for a stream's life before they are played, which they took for granted.

--- a/tests/cases/following.py
+++ b/tests/cases/following.py
@@ -13,6 +13,7 @@
     inputs,
     stream_history,
     stream_records,
+    work,
 )
 from godwittack.member import freshness
 
@@ -223,6 +224,31 @@
     assert _goes_on(core)
 
 
+def a_new_daemon_knows_no_earlier_target_without_the_row() -> None:
+    """Guards against a route that moved a moment before a daemon started."""
+    core = routed_core.Core(servers=1, **routed_core.PLATFORM_POLICY)
+    core.confirm()
+    core.tell(inputs.MembersChanged, ("d", "p1"))
+    for is_row_read in (False, True):
+        if is_row_read:
+            _read_history(core)
+        core.now_ms += confirming.READ_INTERVAL_MS
+        _take_up(core, f"a{is_row_read}")
+        core.tell_named(
+            inputs.StreamAnswered,
+            request_id=f"a{is_row_read}~2",
+            daemon="p1",
+            knowledge=work.StreamKnowledge(
+                is_known=False,
+                version="",
+                recent_versions=("v1",),
+                is_complete=True,
+            ),
+        )
+        core.end_reads(has_read=True)
+        assert bool(core.find(effects.Dispatch)) == is_row_read
+
+
 async def _resumes_after_gap(*, is_moved: bool) -> bool:
     """Returns whether a daemon resumes after a gap that another one saw."""
     away, back = (
--- a/tests/features/versions.feature
+++ b/tests/features/versions.feature
@@ -99,5 +99,6 @@
       | following | a copy that nothing confirms is not followed |
       | following | the history row ends a gap |
       | following | a version of a gap counts once the row was read |
+      | following | a new daemon knows no earlier target without the row |
       | following | a daemon reads the row again after a gap |
       | following | a move and back within a gap resumes no unknown stream |
--- a/tests/sim/out_of_step_fleets.py
+++ b/tests/sim/out_of_step_fleets.py
@@ -74,6 +74,8 @@
         self.lost_share = plan.lost_share
         self.now_ms = stream_records.STREAM_LIFE_MS + 1
         for daemon in self._daemons.values():
+            daemon.core.confirm()
+            daemon.core.follow(for_ms=self.now_ms - daemon.core.now_ms)
             self._tell(daemon, inputs.Tick(self.now_ms))
         self._tell_groups()
         self._confirm_all()
