Count a copy as followed since its first confirmation

What callers saw: nothing yet; a case shows a daemon that has just started, was told by a peer that the target has had one version, and goes on with a stream that began at another target before the route moved. Cause: the first confirmation of a copy was no gap, although a daemon that starts has not seen where routes led before. Change: it is one, which reading the row of the history ends. Result: the case and those of simulated fleets pass.

--- a/src/godwittack/core/confirming.py
+++ b/src/godwittack/core/confirming.py
@@ -206,7 +206,7 @@
     if confirmed.confirmed_at_ms <= copy.confirmed_at_ms:
         return
     gap_ms = confirmed.confirmed_at_ms - copy.confirmed_at_ms
-    if copy.confirmed_by and gap_ms > world.policy.max_unseen_ms:
+    if gap_ms > world.policy.max_unseen_ms:
         copy.followed_since_ms = confirmed.confirmed_at_ms
     copy.confirmed_at_ms = confirmed.confirmed_at_ms
     copy.confirmed_by = confirmed.by
