--- a/tests/cases/out_of_step.py
+++ b/tests/cases/out_of_step.py
@@ -17,12 +17,10 @@
 import signal
 import sys
 import time
-import types
 
 from cluster import platform, raw_caller
 from cluster.platform import Platform
 from cluster.processes import free_port
-from godwittack.member import assignment
 from soak.streams import Try
 from standins.replica import Replica
 
@@ -38,7 +36,6 @@
 DEADLINE_MS = 30_000
 MAX_PAUSE_S = 2.0
 REFUSED = 503
-SERVING = re.compile(r"event=serving daemon=(\S+)")
 NAMED_TIME = re.compile(r"^retry-after: ([\d.]+)\r$", re.M)
 # The new servers are listed so long before the streams begin.
 MIN_SERVE_S = 0.5
@@ -234,17 +231,11 @@
 
     def _choose(self) -> int:
         """Returns the last daemon that does what the plan says at the store."""
-        ids = [
-            SERVING.search(self.made.log(number)).group(1)
-            for number in range(self.plan.daemons)
-        ]
-        readers = assignment.store_readers(
-            [types.SimpleNamespace(member_id=id_) for id_ in ids]
-        )
+        readers = self.made.store_readers()
         return max(
             number
             for number in range(1, self.plan.daemons)
-            if self.plan.reads_feed in (None, ids[number] in readers)
+            if self.plan.reads_feed in (None, number in readers)
         )
 
     async def _fall_out_of_step(self) -> None:
