Take the row of the history as seen before the first confirmation

What callers saw: in a real-process case, streams of the only version were refused with 503 after all daemons had been started again, for up to the second until the row was read anew. Cause: a daemon that starts may read the row before the feed confirms its copies for the first time, which then counted as a gap. Change: before the first confirmation, the gap counts from the row.

--- a/src/godwittack/core/confirming.py
+++ b/src/godwittack/core/confirming.py
@@ -44,6 +44,7 @@
         confirmed_at_ms: When the store last confirmed it.
         followed_since_ms: Since when it was confirmed without a gap in which
             changes may have come and gone unseen.
+        filled_at_ms: When what was missed was last read from the history.
         confirmed_by: Whose answer that was: the store's, or a daemon's id.
         is_confirming: Whether a read that will confirm it is under way.
         requested_at_ms: When that read was requested, or the last one was.
@@ -54,6 +55,7 @@
     confirmed_at_ms: int = -1_000_000
     confirmed_by: str = ""
     followed_since_ms: int = -1_000_000
+    filled_at_ms: int = -1_000_000
     is_confirming: bool = False
     requested_at_ms: int = -1_000_000
     read_at_ms: int = -1_000_000
@@ -130,6 +132,7 @@
     """Records that changes missed here were read from their history."""
     for copy in world.copies.values():
         copy.followed_since_ms = -1_000_000
+        copy.filled_at_ms = world.now_ms
 
 
 def has_followed(
@@ -205,8 +208,9 @@
     copy = world.copies[confirmed.topic]
     if confirmed.confirmed_at_ms <= copy.confirmed_at_ms:
         return
-    gap_ms = confirmed.confirmed_at_ms - copy.confirmed_at_ms
-    if gap_ms > world.policy.max_unseen_ms:
+    # A daemon that starts may read the row before the first confirmation.
+    seen_ms = copy.confirmed_at_ms if copy.confirmed_by else copy.filled_at_ms
+    if confirmed.confirmed_at_ms - seen_ms > world.policy.max_unseen_ms:
         copy.followed_since_ms = confirmed.confirmed_at_ms
     copy.confirmed_at_ms = confirmed.confirmed_at_ms
     copy.confirmed_by = confirmed.by
