--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -210,7 +210,8 @@
 
         Returns:
             Whether the rows are those of the store at some time since the
-            call.
+            call; without reading all of them, at most
+            `staleness.FEED_SILENCE_MS` before it.
         """
         if self._reading is None:
             self._reading = asyncio.create_task(
