Name the gauges of copies apart, and drop a check that never holds

Cause: a gauge of the table's version existed already, so that the new one of that name was not added; a request that waits for the table's confirmation is not admitted a second time while it waits.

--- a/src/godwittack/core/confirming.py
+++ b/src/godwittack/core/confirming.py
@@ -178,12 +178,9 @@
     """Lets a request wait for the table's confirmation.
 
     Returns:
-        False if it can't: it has waited long enough, too many others wait, or
-        no confirmation can be had now.
+        False if it can't: too many others wait, or a read failed a moment ago.
     """
     waiting = world.waiting_arrivals
-    if arrival.request_id in waiting:
-        return True
     if len(waiting) >= MAX_WAITING:
         return False
     if not request_read(world, freshness.Topic.TABLE):
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -182,9 +182,7 @@
                 serving=settings.serving_daemons,
             ),
         )
-        self._add_state_gauges(
-            self._keeper.table_freshness, self._servers_freshness
-        )
+        self._add_state_gauges()
         for role in serving.Role:
             self._meters.add_gauge(
                 f"godwittack_is_{role.value}",
@@ -337,14 +335,15 @@
             "godwittack_connections_opened", lambda: self._pool.opened
         )
 
-    def _add_state_gauges(self, *states: freshness.Freshness) -> None:
-        """Adds the version and age of each copy of the store's rows."""
-        for copy in states:
-            name = copy.topic.name.lower()
-            self._meters.add_gauge(
-                f"godwittack_{name}_version",
-                functools.partial(getattr, copy, "version"),
-            )
+    def _add_state_gauges(self) -> None:
+        """Adds the age of each copy of the store's rows, and its version."""
+        self._meters.add_gauge(
+            "godwittack_list_version", lambda: self._servers_freshness.version
+        )
+        for name, copy in (
+            ("table", self._keeper.table_freshness),
+            ("list", self._servers_freshness),
+        ):
             self._meters.add_gauge(
                 f"godwittack_{name}_confirmed_ago_ms",
                 functools.partial(self._confirmed_ago_ms, copy),
