--- a/src/godwittack/accepting/__init__.py
+++ b/src/godwittack/accepting/__init__.py
@@ -10,6 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# Connections accepted before the first of them gets its protocol, which may
+# refuse it.
+ACCEPTED_AT_ONCE = 16
 # Iterations of the event loop after which an accepted connection has its
 # protocol.
 ATTACH_ITERATIONS = 2
@@ -35,6 +38,7 @@
         port: int,
         *,
         backlog: int,
+        receive_buffer_bytes: int,
     ) -> Listener:
         """Starts to listen.
 
@@ -43,12 +47,26 @@
             host: Address to listen on.
             port: Port to listen on.
             backlog: Connections that may wait to be accepted.
+            receive_buffer_bytes: What the system receives on a connection
+                before it is read, also on those that wait.
 
         Raises:
             OSError: The address is in use.
         """
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(factory, host, port, backlog=backlog)
+        # The event loop accepts as many at a time as it thinks may wait.
+        server = await loop.create_server(
+            factory, host, port, backlog=ACCEPTED_AT_ONCE, start_serving=False
+        )
+        for sock in server.sockets:
+            # Connections inherit it.
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
+        await server.start_serving()
+        for sock in server.sockets:
+            with socket.socket(fileno=os.dup(sock.fileno())) as listening:
+                listening.listen(backlog)
         return cls(server, factory)
 
     async def close(self) -> None:
--- a/src/godwittack/backend/bounded_client.py
+++ b/src/godwittack/backend/bounded_client.py
@@ -132,9 +132,15 @@
     response: aiohttp.ClientResponse,
     *,
     limit_bytes: int = reply_limits.DEFAULT.answer_bytes,
+    make_room: collecting.MakeRoom | None = None,
 ) -> bytes:
     """Returns a complete body; keeps a large one in a temporary file.
 
+    Args:
+        response: The answer, its body unread.
+        limit_bytes: Length that the body may have.
+        make_room: Waits for memory for some bytes of it; None for no limit.
+
     Raises:
         EndlessReplyError: It is longer than `limit_bytes`.
         OSError: There is no room for it on the disk.
@@ -147,6 +153,8 @@
             if size > limit_bytes:
                 response.close()
                 raise reply_limits.EndlessReplyError("body", size)
+            if make_room is not None:
+                await make_room(len(data))
             spool.write(data)
         return spool.read()
     finally:
--- a/src/godwittack/backend/collecting.py
+++ b/src/godwittack/backend/collecting.py
@@ -25,8 +25,12 @@
 
     from godwittack.clock import Clock
 
+    MakeRoom = Callable[[int], Awaitable[None]]
+
 # Bytes of one body that are kept in memory.
 MEMORY_BYTES = 256 << 10
+# Temporary files that are open at the same time.
+MAX_FILES = 100
 # Time for which a server that sent an endless body is not trusted with another
 # large one of unknown length, unless it completes an answer before. Otherwise
 # each trial after an ejection would read 32 MB.
@@ -53,6 +57,8 @@
 class Spool:
     """Bytes in memory, or in a temporary file once there are many."""
 
+    _open_files = 0
+
     def __init__(self) -> None:
         """Starts empty."""
         self._memory = bytearray()
@@ -68,7 +74,7 @@
             self._file.write(data)
             return
         self._memory += data
-        if len(self._memory) > MEMORY_BYTES:
+        if len(self._memory) > MEMORY_BYTES and Spool._open_files < MAX_FILES:
             self._open_file()
 
     def read(self) -> bytes:
@@ -81,7 +87,9 @@
     def close(self) -> None:
         """Removes the file."""
         if self._file is not None:
+            Spool._open_files -= 1
             self._file.close()
+            self._file = None
 
     def _open_file(self) -> None:
         try:
@@ -93,6 +101,7 @@
             )
             return
         self._file = opened
+        Spool._open_files += 1
         opened.write(self._memory)
         self._memory = bytearray()
 
@@ -163,13 +172,18 @@
         self._servers: dict[str, ServerBodies] = {}
 
     async def collect(
-        self, read: Callable[[], Awaitable[bytes]], *, source: Source
+        self,
+        read: Callable[[], Awaitable[bytes]],
+        *,
+        source: Source,
+        make_room: MakeRoom | None = None,
     ) -> bytes:
         """Returns a complete body.
 
         Args:
             read: Returns the next bytes of the body, empty bytes at its end.
             source: What sends the body.
+            make_room: Waits for memory for some bytes of it; None for no limit.
 
         Raises:
             EndlessReplyError: It is longer than allowed, or is large and comes
@@ -182,7 +196,12 @@
         body = object()
         spool = Spool()
         try:
-            await self._receive(read, spool, body, source, server)
+            if make_room is not None and source.length:
+                # All at once: answers that took memory step by step could wait
+                # for each other.
+                await make_room(digits.parse(source.length.strip()) or 0)
+                make_room = None
+            await self._receive(read, spool, body, source, server, make_room)
             if source.restores_trust:
                 server.distrust(0)
             return spool.read()
@@ -200,10 +219,13 @@
         body: object,
         source: Source,
         server: ServerBodies,
+        make_room: MakeRoom | None,
     ) -> None:
         size = 0
         while data := await read():
             size += len(data)
+            if make_room is not None:
+                await make_room(len(data))
             if size > source.limit_bytes:
                 server.distrust(self._clock.now_ms() + DISTRUST_MS)
                 raise reply_limits.EndlessReplyError("body", size)
--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -29,11 +29,15 @@
     from collections.abc import Callable
 
 # Unread body bytes above which reading from the socket is paused.
-HIGH_WATER_BYTES = 1 << 16
+HIGH_WATER_BYTES = 1 << 14
 # Buffer of the operating system for each connection: otherwise it accepts up to
-# 6 MB that nobody has asked for. 128 KB still carry 45 MB/s with a round trip
-# of 2.8 ms.
-RECEIVE_BUFFER_BYTES = 128 << 10
+# 6 MB that nobody has asked for.
+RECEIVE_BUFFER_BYTES = 16 << 10
+# The same for a long answer once there is memory for it. 128 KB carry 45 MB/s
+# with a round trip of 2.8 ms.
+LONG_ANSWER_BUFFER_BYTES = 128 << 10
+# Bytes read at a time.
+MAX_READ_BYTES = 64 << 10
 # Bytes of a request that are written at a time. The library would copy what the
 # socket doesn't take.
 WRITTEN_BYTES = 64 << 10
@@ -188,6 +192,7 @@
             not stated.
         on_endless: Called if bytes that belong to no answer have no end; other
             faults are raised where an answer is read.
+        on_lost: Called when the connection is closed.
     """
 
     def __init__(
@@ -199,6 +204,7 @@
         self.keep_alive_ms = 0
         self.on_endless: Callable[[EndlessReplyError], None]
         self.on_endless = lambda error: None
+        self.on_lost: Callable[[], None] = lambda: None
         self._limits = limits
         # Hashes of the ids: callers may send long ones, and a collision only
         # costs a new connection.
@@ -227,13 +233,24 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Enables TCP keep-alive, so that a dead network path is detected."""
         assert isinstance(transport, asyncio.Transport)
+        # Read by the event loop before each read.
+        transport.max_size = MAX_READ_BYTES  # type: ignore[attr-defined]
         self._transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
             liveness.enable_keepalive(sock)
-            sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-            )
+            self._set_receive_buffer(RECEIVE_BUFFER_BYTES)
+
+    def widen_buffer(self) -> None:
+        """Lets the system receive more of a long answer at a time."""
+        self._set_receive_buffer(LONG_ANSWER_BUFFER_BYTES)
+
+    def _set_receive_buffer(self, size_bytes: int) -> None:
+        if self._transport is None:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; fails the connection if none are expected."""
@@ -263,6 +280,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the answer that was being read."""
         self._unwritten.clear()
+        self.on_lost()
         self._fail(f"connection lost: {exc}" if exc else "connection closed")
 
     def on_message_begin(self) -> None:
--- a/src/godwittack/backend/http.py
+++ b/src/godwittack/backend/http.py
@@ -218,7 +218,7 @@
         ) as response:
             self._report_signals(dispatch, response)
             if dispatch.stamp is None:
-                sink.answer("", await _read_answer(response), None)
+                sink.answer("", await _read_answer(response, sink), None)
                 return
             if response.status != 200 and _is_refusal(response, dispatch, sink):
                 return
@@ -284,7 +284,8 @@
                 generated=0,
             )
         if not is_stream:
-            sink.answer(stream_id, await _read_answer(response), stamp)
+            answer = await _read_answer(response, sink)
+            sink.answer(stream_id, answer, stamp)
             return
         await _read_frames(dispatch, response, sink)
 
@@ -417,9 +418,11 @@
     return True
 
 
-async def _read_answer(response: aiohttp.ClientResponse) -> work.Answer:
+async def _read_answer(
+    response: aiohttp.ClientResponse, sink: protocol.AttemptSink
+) -> work.Answer:
     _check_head(response)
-    body = await bounded_client.read_body(response)
+    body = await bounded_client.read_body(response, make_room=sink.make_room)
     _check_length(response, len(body))
     headers = tuple(
         work.Header(name, value)
--- a/src/godwittack/backend/pool.py
+++ b/src/godwittack/backend/pool.py
@@ -33,6 +33,7 @@
             may use them within the usual margin.
         on_idle: Called with each key whose number of idle connections changed.
         opened: Connections opened so far.
+        open_count: Connections that are open.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self.keeps_expiring: Callable[[str], bool] = lambda key: False
         self.on_idle: Callable[[str], None] = lambda key: None
         self.opened = 0
+        self.open_count = 0
 
     def acquire(
         self, key: str, *, margin_ms: int = 0, request_id: str = ""
@@ -128,8 +130,13 @@
         except TimeoutError as error:
             raise OSError("no connection in time") from error
         self.opened += 1
+        self.open_count += 1
+        connection.on_lost = self._count_lost
         return connection
 
+    def _count_lost(self) -> None:
+        self.open_count -= 1
+
     def release(
         self,
         key: str,
--- a/src/godwittack/backend/protocol.py
+++ b/src/godwittack/backend/protocol.py
@@ -103,6 +103,9 @@
     async def frames(self, frames: tuple[work.Frame, ...]) -> None:
         """Handles frames; returns once there is room for more."""
 
+    async def make_room(self, size_bytes: int) -> None:
+        """Returns once there is memory for more of a plain answer."""
+
     def answer(
         self,
         echoed_request: str,
--- a/src/godwittack/backend/routed.py
+++ b/src/godwittack/backend/routed.py
@@ -384,7 +384,7 @@
             self._pool.release(dispatch.server_id, connection, reply)
             return
         body = await self._collect(
-            connection, reply, dispatch.server_id, is_answer=True
+            connection, reply, dispatch.server_id, sink=sink
         )
         self._pool.release(dispatch.server_id, connection, reply)
         answer = work.Answer(
@@ -416,17 +416,24 @@
         reply: connections.Reply,
         key: str,
         *,
-        is_answer: bool = False,
+        sink: protocol.AttemptSink | None = None,
         limit_bytes: int = reply_limits.DEFAULT.answer_bytes,
     ) -> bytes:
+        async def make_room(size_bytes: int) -> None:
+            assert sink is not None
+            await sink.make_room(size_bytes)
+            if size_bytes > connections.RECEIVE_BUFFER_BYTES:
+                connection.widen_buffer()
+
         return await self._collector.collect(
             lambda: connection.read_chunk(reply),
             source=collecting.Source(
                 key=key,
                 length=reply.header("content-length"),
                 limit_bytes=limit_bytes,
-                restores_trust=is_answer,
+                restores_trust=sink is not None,
             ),
+            make_room=None if sink is None else make_room,
         )
 
     def _report_endless(
--- a/src/godwittack/config/settings.py
+++ b/src/godwittack/config/settings.py
@@ -177,6 +177,21 @@
         le=1,
         description="part of memory_mb for the bodies of requests",
     )
+    max_fds: int | None = pydantic.Field(
+        default=None,
+        ge=1,
+        description="descriptors of the daemon; the system's limit if not set",
+    )
+    file_fds: int = pydantic.Field(
+        default=200,
+        ge=0,
+        description="descriptors of max_fds that are kept for files",
+    )
+    max_request_line_bytes: int = pydantic.Field(
+        default=16_384,
+        ge=1_024,
+        description="bytes of a request's head beyond the table's header limit",
+    )
     max_bodies_arriving: int = pydantic.Field(
         default=256, ge=1, description="request bodies read at the same time"
     )
@@ -315,10 +330,15 @@
         """Processor time that the daemon may use; 0 if not known."""
         return round((self.cores or 0.0) * (self.core_share or 0.0) * 1000)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the daemon may use; 0 for no limit."""
+        return round((self.memory_mb or 0) * MB_BYTES)
+
     @property
     def body_memory_bytes(self) -> int:
         """Memory for the bodies of requests; 0 for no limit."""
-        return round((self.memory_mb or 0) * MB_BYTES * self.body_memory_ratio)
+        return round(self.memory_bytes * self.body_memory_ratio)
 
     def policy(self) -> policies.Policy:
         """Returns the core's policy with the overrides of `decisions`."""
--- a/src/godwittack/daemon/attempt.py
+++ b/src/godwittack/daemon/attempt.py
@@ -68,6 +68,10 @@
         )
         await self._caller.wait_for_room()
 
+    async def make_room(self, size_bytes: int) -> None:
+        """Waits for memory for a part of a plain answer."""
+        await self._caller.take_answer(size_bytes)
+
     def answer(
         self,
         echoed_request: str,
--- a/src/godwittack/daemon/base.py
+++ b/src/godwittack/daemon/base.py
@@ -13,7 +13,12 @@
 
 from godwittack.clock import SystemClock
 from godwittack.core import router
-from godwittack.daemon import cancellation, gossip, stream_news
+from godwittack.daemon import (
+    cancellation,
+    connection_room,
+    gossip,
+    stream_news,
+)
 from godwittack.entry import reservations
 from godwittack.member import view
 from godwittack.metric import meters
@@ -45,6 +50,7 @@
         probes: Sends probes to other daemons, as datagrams.
         peer_secret: Authenticates messages between daemons.
         seeds: Peer addresses from the settings.
+        room: What connections of clients may take.
         body_memory: Memory for the bodies of requests.
     """
 
@@ -58,6 +64,7 @@
     probes: datagram.DatagramPeers
     peer_secret: bytes
     seeds: tuple[str, ...]
+    room: connection_room.ConnectionRoom
     body_memory: reservations.SharedBodyMemory
 
     @classmethod
@@ -79,8 +86,16 @@
             policy=settings.policy(),
         )
         process_meters = meters.Meters(core.world)
+        room = connection_room.ConnectionRoom(
+            settings,
+            clock=clock,
+            resident_bytes=connection_room.resident_bytes,
+        )
+        room.add_gauges(process_meters)
         body_memory = reservations.SharedBodyMemory(
-            capacity_bytes=settings.body_memory_bytes, clock=clock
+            capacity_bytes=settings.body_memory_bytes,
+            clock=clock,
+            connections=room.account,
         )
         process_meters.add_gauge(
             "godwittack_body_bytes", lambda: body_memory.used_bytes
@@ -115,6 +130,7 @@
             ),
             peer_secret=loaded.cluster_secret,
             seeds=settings.seeds,
+            room=room,
             body_memory=body_memory,
         )
 
@@ -195,6 +211,8 @@
             count_bytes=self.meters.count_peer_bytes,
             relay=relay,
             streams=streams,
+            clock=self.clock,
+            memory=self.room.account,
         )
 
     async def close(self, peer_server: server.PeerServer) -> None:
--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -3,37 +3,30 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
 from godwittack import accepting
 from godwittack import address as addresses
+from godwittack.entry import connection as inbound
 from godwittack.entry import connection_timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from godwittack.clock import Clock, loop_delay
     from godwittack.table import forwarding
 
 HTTP_BACKLOG = 1_024
-# Limit of the HTTP library for one header line of a request. The table's limit
-# on all headers is checked afterwards, and its refusal names the limit.
-MAX_HEADER_LINE_BYTES = 1 << 16
-# The same limit for web applications, which have none of their own.
-MAX_APP_HEADER_LINE_BYTES = 8_190
 
 
 class Listeners:
     """All HTTP servers of one daemon."""
 
-    def __init__(
-        self, clock: Clock, delay: loop_delay.ReadDelay | None = None
-    ) -> None:
-        """Has no servers yet; `delay` measures how late the loop reads."""
-        self._clock = clock
-        self._delay = delay
+    def __init__(self, config: inbound.ConnectionConfig) -> None:
+        """Has no servers yet; `config` is shared by all connections."""
+        self._config = config
         self._servers: list[connection_timeouts.TimeoutServer] = []
         self._listeners: list[accepting.Listener] = []
 
@@ -48,12 +41,7 @@
             OSError: The address is in use.
         """
         # Bodies are forwarded as received, compressed or not.
-        server = connection_timeouts.TimeoutServer(
-            handler,
-            clock=self._clock,
-            max_line_bytes=MAX_HEADER_LINE_BYTES,
-            delay=self._delay,
-        )
+        server = connection_timeouts.TimeoutServer(handler, config=self._config)
         await self._listen(address, server)
 
     async def listen_app(self, address: str, runner: web.AppRunner) -> None:
@@ -70,11 +58,8 @@
         assert routes is not None
         server = connection_timeouts.TimeoutServer(
             routes.request_handler,
-            clock=self._clock,
-            max_line_bytes=MAX_APP_HEADER_LINE_BYTES,
-            delay=self._delay,
+            config=dataclasses.replace(self._config, decompresses=True),
             request_factory=routes.request_factory,
-            decompresses=True,
         )
         await self._listen(address, server)
 
@@ -83,7 +68,11 @@
     ) -> None:
         host, port = addresses.split(address)
         listener = await accepting.Listener.open(
-            server, host, port, backlog=HTTP_BACKLOG
+            server,
+            host,
+            port,
+            backlog=HTTP_BACKLOG,
+            receive_buffer_bytes=self._config.receive_buffer_bytes,
         )
         self._servers.append(server)
         self._listeners.append(listener)
@@ -98,11 +87,13 @@
         for server in self._servers:
             server.close_unread(timeout_ms=timeout_ms)
 
-    def count_states(
-        self,
-    ) -> collections.Counter[connection_timeouts.ConnectionState]:
+    def count_malformed(self) -> int:
+        """Returns how many requests could not be read so far."""
+        return sum(server.malformed for server in self._servers)
+
+    def count_states(self) -> collections.Counter[inbound.ConnectionState]:
         """Returns the number of open connections in each state."""
-        counts: collections.Counter[connection_timeouts.ConnectionState]
+        counts: collections.Counter[inbound.ConnectionState]
         counts = collections.Counter()
         for server in self._servers:
             counts += server.count_states()
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -21,6 +21,7 @@
 )
 from godwittack.daemon import (
     base,
+    connection_room,
     copies,
     crash_rows,
     dispatch_announcer,
@@ -40,7 +41,13 @@
     shutdown,
     stream_history,
 )
-from godwittack.entry import bodies, directory, forward
+from godwittack.entry import (
+    bodies,
+    connection,
+    directory,
+    forward,
+    request_parser,
+)
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
 from godwittack.member import (
@@ -53,6 +60,7 @@
 from godwittack.platform import callers, names, rows, servers, table
 from godwittack.platform import directory as resolving
 from godwittack.platform import instances as list_rows
+from godwittack.table import forwarding
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -316,7 +324,16 @@
         self._instance_list.on_applied = self._stream_history.check
         self._background_tasks = base.BackgroundTasks()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._listeners = listeners.Listeners(clock, delay)
+        self._listeners = listeners.Listeners(
+            connection.ConnectionConfig(
+                clock=clock,
+                delay=delay,
+                memory=components.room.account,
+                limits=self._request_limits,
+                discard_ms=settings.body_timeout_ms,
+            )
+        )
+        self._add_connection_gauges()
 
     def _report_idle_connections(self) -> None:
         """Connects the pool of connections with the core."""
@@ -335,6 +352,26 @@
             "godwittack_connections_opened", lambda: self._pool.opened
         )
 
+    def _request_limits(self) -> request_parser.RequestLimits:
+        """Returns the table's limits, and room for the request line."""
+        table = self.runtime.core.world.table
+        limits = forwarding.CallerLimits()
+        if table.forwarding is not None:
+            limits = table.forwarding.limits
+        return request_parser.RequestLimits(
+            head_bytes=limits.header_bytes
+            + self._settings.max_request_line_bytes,
+            body_bytes=limits.body_bytes,
+        )
+
+    def _add_connection_gauges(self) -> None:
+        self._meters.add_gauge(
+            "godwittack_malformed_requests", self._listeners.count_malformed
+        )
+        room = self._components.room
+        room.outbound_connections = lambda: self._pool.open_count
+        room.longest_body_bytes = lambda: self._request_limits().body_bytes
+
     def _add_state_gauges(self) -> None:
         """Adds the age of each copy of the store's rows, and its version."""
         self._meters.add_gauge(
@@ -399,6 +436,7 @@
             logging.info("event=stopped detail=before_serving")
             return
         self._gossiper.announce()
+        connection_room.prepare_process()
         self._start_background_tasks()
         logging.info(
             "event=serving daemon=%s http=%s peer=%s",
@@ -480,6 +518,7 @@
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_MS / 1000)
             self._pool.close_expired()
+            self._components.room.update()
             table = self.runtime.core.world.table
             if table.forwarding is not None:
                 self._listeners.close_slow_connections(table.forwarding.limits)
@@ -548,10 +587,10 @@
             task.add_done_callback(self._tasks.discard)
 
     def _model_for(self, target: str) -> str:
-        forwarding = self.runtime.core.world.table.forwarding
-        if forwarding is None or target not in forwarding.engines:
+        routes = self.runtime.core.world.table.forwarding
+        if routes is None or target not in routes.engines:
             return target
-        return forwarding.engines[target].model
+        return routes.engines[target].model
 
 
 async def serve(
--- a/src/godwittack/daemon/runtime.py
+++ b/src/godwittack/daemon/runtime.py
@@ -112,16 +112,16 @@
         self,
         request_id: str,
         call: backend.Call,
-        on_unused: Callable[[], None] = lambda: None,
+        memory: caller.CallerMemory | None = None,
     ) -> caller.Caller:
         """Registers a caller before its request is submitted to the core.
 
         Args:
             request_id: Id of the request.
             call: The caller's request.
-            on_unused: Called once nothing holds the call any more.
+            memory: Its memory; None if it takes none.
         """
-        new_caller = caller.Caller(call, on_unused)
+        new_caller = caller.Caller(call, memory)
         self._callers[request_id] = new_caller
         return new_caller
 
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -14,6 +14,7 @@
 from godwittack.daemon import (
     base,
     change,
+    connection_room,
     lead,
     listeners,
     listing,
@@ -24,7 +25,15 @@
     shutdown,
     tables,
 )
-from godwittack.entry import bodies, calls, operator_api, status, token
+from godwittack.entry import (
+    bodies,
+    calls,
+    connection,
+    operator_api,
+    request_parser,
+    status,
+    token,
+)
 from godwittack.lead import lease as leases
 from godwittack.member import serving_lease
 from godwittack.report import counters
@@ -151,7 +160,21 @@
         self._runner = web.AppRunner(
             self._build_app(loaded, store, platform, counts)
         )
-        self._listeners = listeners.Listeners(components.clock)
+        limits = request_parser.RequestLimits(
+            head_bytes=2 * settings.max_request_line_bytes,
+            body_bytes=settings.max_body_bytes,
+        )
+        self._listeners = listeners.Listeners(
+            connection.ConnectionConfig(
+                clock=components.clock,
+                memory=components.room.account,
+                limits=lambda: limits,
+                discard_ms=settings.body_timeout_ms,
+            )
+        )
+        self._meters.add_gauge(
+            "godwittack_malformed_requests", self._listeners.count_malformed
+        )
         self._background_tasks = base.BackgroundTasks()
 
     async def run(self) -> None:
@@ -170,6 +193,7 @@
         self._start_background_tasks()
         await self._listen()
         self.gossiper.announce()
+        connection_room.prepare_process()
         logging.info(
             "event=serving daemon=%s http=%s peer=%s",
             self.gossiper.members.me.member_id,
@@ -230,6 +254,7 @@
         )
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_MS / 1000)
+            self._components.room.update()
             self._listeners.close_slow_connections(limits)
             self._listeners.close_unread(
                 timeout_ms=self._settings.slow_caller_ms
--- a/src/godwittack/daemon/shutdown.py
+++ b/src/godwittack/daemon/shutdown.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from godwittack.core import inputs
-from godwittack.entry import connection_timeouts
+from godwittack.entry import connection
 
 if TYPE_CHECKING:
     from godwittack.core import entities
@@ -138,7 +138,7 @@
     def _log(self, event: str) -> None:
         """Logs how far the stop is, and what is still open."""
         states = self._listeners.count_states()
-        state = connection_timeouts.ConnectionState
+        state = connection.ConnectionState
         logging.info(
             "event=%s after_ms=%d in_flight=%d relayed=%d idle=%d reading=%d"
             " answering=%d unsent_bytes=%d last_request_ms=%d",
--- a/src/godwittack/entry/bodies.py
+++ b/src/godwittack/entry/bodies.py
@@ -5,9 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from aiohttp import web_protocol
 from result import Err, Ok, Result
 
-from godwittack.entry import reservations
+from godwittack.entry import (
+    connection,
+    connection_timeouts,
+    request_parser,
+    reservations,
+)
 from godwittack.limit import body_memory
 
 if TYPE_CHECKING:
@@ -79,12 +85,15 @@
         first_bytes = min(longest_bytes, head_bytes + FIRST_BYTES)
         if stated_bytes and longest_bytes > body_memory.SHORT_BYTES:
             first_bytes = longest_bytes
+        holder = connection_timeouts.holder_of(request)
         reserved = await self.memory.reserve(
-            first_bytes, max_wait_ms=max_wait_ms
+            first_bytes, max_wait_ms=max_wait_ms, holder=holder
         )
         if isinstance(reserved, Err):
             return reserved
         reservation = reserved.ok_value
+        if first_bytes > body_memory.SHORT_BYTES:
+            connection_timeouts.widen_buffer(request)
 
         async def make_room(read_bytes: int) -> reservations.BodyError | None:
             needed_bytes = head_bytes + read_bytes
@@ -94,11 +103,13 @@
             if wanted_bytes > body_memory.SHORT_BYTES:
                 wanted_bytes = longest_bytes
             larger = await self.memory.reserve(
-                wanted_bytes, max_wait_ms=max_wait_ms
+                wanted_bytes, max_wait_ms=max_wait_ms, holder=holder
             )
             if isinstance(larger, Err):
                 return larger.err_value
             reservation.replace_by(larger.ok_value)
+            if wanted_bytes > body_memory.SHORT_BYTES:
+                connection_timeouts.widen_buffer(request)
             return None
 
         try:
@@ -137,51 +148,45 @@
     """
     if request.content_length and request.content_length > max_bytes:
         return Err(_too_long(max_bytes))
-    pieces: list[bytes] = []
-    size_bytes = 0
+    # Many small objects would leave gaps in the heap that are not returned.
+    body = bytearray()
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             async for data in request.content.iter_any():
-                size_bytes += len(data)
+                size_bytes = len(body) + len(data)
                 if size_bytes > max_bytes:
                     return Err(_too_long(max_bytes))
                 error = await make_room(size_bytes) if make_room else None
                 if error is not None:
                     return Err(error)
-                pieces.append(data)
+                body += data
+        return Ok(bytes(body))
     except TimeoutError:
         return Err(
             reservations.BodyError(
                 408, f"the body took longer than {timeout_ms} ms"
             )
         )
-    return Ok(b"".join(pieces))
-
-
-async def discard(
-    request: web.BaseRequest, response: web.Response, *, timeout_ms: int
-) -> web.Response:
-    """Sends a response, then reads the body and discards it.
-
-    A caller that still writes gets the response and not a reset. The library
-    would do so after the request, when bytes of the body look like the
-    beginning of the next request.
-
-    Args:
-        request: The request, its body unread.
-        response: The response.
-        timeout_ms: How long the body may take to arrive; its connection is
-            closed then.
-    """
-    try:
-        await response.prepare(request)
-        await response.write_eof()
-        async with asyncio.timeout(timeout_ms / 1000):
-            async for _ in request.content.iter_any():
-                pass
-    except (TimeoutError, ConnectionError):
-        response.force_close()
-    return response
+    except web_protocol.RequestPayloadError as error:
+        return Err(_payload_error(error))
+    finally:
+        # An exception keeps this frame until the garbage is collected.
+        body.clear()
+
+
+def _payload_error(
+    error: web_protocol.RequestPayloadError,
+) -> reservations.BodyError:
+    """Returns why a body could not be read to its end."""
+    # The body refers to the error, whose frames refer to the body.
+    error.__traceback__ = None
+    if isinstance(error, connection.BodyClosedError):
+        return reservations.BodyError(
+            503, str(error), reservations.MIN_RETRY_MS
+        )
+    if isinstance(error, request_parser.BodyTooLongError):
+        return reservations.BodyError(413, str(error))
+    return reservations.BodyError(400, f"malformed body: {error}")
 
 
 def _unsupported_coding(request: web.BaseRequest) -> str:
@@ -203,4 +208,4 @@
     )
 
 
-__all__ = ["BodyReader", "discard", "read_body"]
+__all__ = ["BodyReader", "read_body"]
--- a/src/godwittack/entry/calls.py
+++ b/src/godwittack/entry/calls.py
@@ -89,7 +89,7 @@
     async def resume(self, request: web.Request) -> web.StreamResponse:
         """Serves `/v1/resume`: the rest of a stream started on any daemon."""
         if connection_timeouts.must_refuse(request):
-            return await self._refuse_stopping(request)
+            return self._refuse_stopping(request)
         resume_point = self.signer.verify(
             request.headers.get(RESUME_HEADER, "")
         )
@@ -102,9 +102,14 @@
                 status=403,
                 reason=effects.Reason.BAD_RESUME.value,
             )
+        reservation = self.body_reader.memory.try_reserve(
+            0, connection_timeouts.holder_of(request)
+        )
+        if reservation is None:
+            return self._busy_response("there is no memory for the stream")
         call = backend.Call(method="GET", path="/", headers=(), body=b"")
         request_id = self.runtime.next_request_id()
-        caller = self.runtime.open_caller(request_id, call)
+        caller = self.runtime.open_caller(request_id, call, reservation)
         self.runtime.submit(
             inputs.StreamResumed(
                 at_ms=self.runtime.clock.now_ms(),
@@ -126,7 +131,7 @@
         reservation: reservations.Reservation,
     ) -> web.StreamResponse:
         request_id = self.runtime.next_request_id()
-        caller = self.runtime.open_caller(request_id, call, reservation.release)
+        caller = self.runtime.open_caller(request_id, call, reservation)
         self.runtime.submit(
             inputs.RequestArrived(
                 self.runtime.clock.now_ms(), request_id, requested_work
@@ -170,7 +175,10 @@
                 return refusal.refusal_response(first, echoed_id=echoed_id)
             case effects.Reply():
                 return await delimiting.send_answer(
-                    request, first.answer, _headers(first, echoed_id)
+                    request,
+                    first.answer,
+                    _headers(first, echoed_id),
+                    piece_timeout_ms=self.settings.slow_caller_ms,
                 )
             case effects.BeginStream():
                 return await self._relay_stream(
@@ -229,13 +237,11 @@
         self, request: web.Request
     ) -> tuple[bytes, reservations.Reservation] | web.Response:
         if connection_timeouts.must_refuse(request):
-            return await self._refuse_stopping(request)
+            return self._refuse_stopping(request)
         if self._bodies_arriving >= self.settings.max_bodies_arriving:
-            response = refusal.error_response(
-                "too many requests are arriving", status=503, reason="busy"
+            return self._respond_unread(
+                request, self._busy_response("too many requests are arriving")
             )
-            response.headers["retry-after"] = str(BUSY_RETRY_AFTER_S)
-            return await self._respond_unread(request, response)
         self._bodies_arriving += 1
         try:
             read = await self.body_reader.read(
@@ -249,7 +255,7 @@
             return read.ok_value
         error = read.err_value
         if error.retry_after_ms:
-            return await self._respond_unread(
+            return self._respond_unread(
                 request,
                 refusal.refusal_response(
                     error.refusal(""),
@@ -262,7 +268,12 @@
         response.force_close()
         return response
 
-    async def _refuse_stopping(self, request: web.Request) -> web.Response:
+    def _busy_response(self, detail: str) -> web.Response:
+        response = refusal.error_response(detail, status=503, reason="busy")
+        response.headers["retry-after"] = str(BUSY_RETRY_AFTER_S)
+        return response
+
+    def _refuse_stopping(self, request: web.Request) -> web.Response:
         """Refuses a request that came after the daemon stopped listening."""
         request_id = self.runtime.next_request_id()
         refused = stopping.refusal(request_id)
@@ -279,19 +290,17 @@
             )
         )
         echoed_id = request.headers.get("x-request-id", "") or request_id
-        return await self._respond_unread(
+        return self._respond_unread(
             request, refusal.refusal_response(refused, echoed_id=echoed_id)
         )
 
-    async def _respond_unread(
+    def _respond_unread(
         self, request: web.Request, response: web.Response
     ) -> web.Response:
         """Answers a request whose body was not read."""
         if connection_timeouts.must_close(request):
             response.force_close()
-        return await bodies.discard(
-            request, response, timeout_ms=self.settings.body_timeout_ms
-        )
+        return response
 
     def _workspace_for(self, token_digest: str) -> str:
         table = self.runtime.core.world.table
--- a/src/godwittack/entry/delimiting.py
+++ b/src/godwittack/entry/delimiting.py
@@ -17,6 +17,8 @@
 
     from godwittack.core import work
 
+# Bytes of an answer that are written at a time.
+PIECE_BYTES = 64 << 10
 _RESETS_ON_CLOSE = struct.pack("ii", 1, 0)
 _CLOSES_IN_ORDER = struct.pack("ii", 0, 0)
 
@@ -83,19 +85,28 @@
     request: web.BaseRequest,
     answer: work.Answer,
     headers: Mapping[str, str] | None = None,
+    *,
+    piece_timeout_ms: int,
 ) -> web.StreamResponse:
     """Returns the response for a whole answer.
 
     An answer without a mark of its end may be incomplete; it is sent without
-    one as well.
+    one as well. A long answer is written in pieces: the library would copy what
+    the caller has not read.
 
     Args:
         request: The caller's request.
         answer: The answer.
         headers: Further headers.
+        piece_timeout_ms: How long the caller may take to read a piece.
+
+    Raises:
+        TimeoutError: The caller reads too slowly.
     """
     response: web.StreamResponse
-    if answer.is_delimited:
+    if answer.is_delimited and len(answer.body) > PIECE_BYTES:
+        response = web.StreamResponse(status=answer.status)
+    elif answer.is_delimited:
         response = web.Response(status=answer.status, body=answer.body)
         response.headers.popall("content-type", None)
     else:
@@ -103,10 +114,16 @@
     for header in answer.headers:
         response.headers.add(header.name, header.value)
     response.headers.update(headers or {})
-    if not answer.is_delimited:
-        await response.prepare(request)
-        await response.write(answer.body)
-        await end(response)
+    if isinstance(response, web.Response):
+        return response
+    if answer.is_delimited:
+        response.content_length = len(answer.body)
+    await response.prepare(request)
+    body = memoryview(answer.body)
+    for start in range(0, len(body), PIECE_BYTES):
+        async with asyncio.timeout(piece_timeout_ms / 1000):
+            await response.write(body[start : start + PIECE_BYTES])
+    await end(response)
     return response
 
 
--- a/src/godwittack/entry/forward.py
+++ b/src/godwittack/entry/forward.py
@@ -98,13 +98,11 @@
             )
         if isinstance(parsed, Err):
             error = self._format.error_response(parsed.err_value, status=400)
-            return await self._respond_unread(request, error)
+            return self._respond_unread(request, error)
         if is_too_long:
-            return await self._refuse_by_old_limits(
-                request, parsed.ok_value.call
-            )
+            return self._refuse_by_old_limits(request, parsed.ok_value.call)
         if connection_timeouts.must_refuse(request):
-            return await self._refuse_unread(
+            return self._refuse_unread(
                 request,
                 parsed.ok_value.call,
                 stopping.refusal(parsed.ok_value.call.request_id),
@@ -117,7 +115,7 @@
             deadline_ms=parsed.ok_value.work.deadline_ms,
         )
         if isinstance(read, Err):
-            return await self._refuse_body(
+            return self._refuse_body(
                 request, parsed.ok_value.call, read.err_value
             )
         body, reservation = read.ok_value
@@ -126,7 +124,7 @@
         ):
             # It would be cut if it lasted until the process must end.
             reservation.release()
-            return await self._refuse_unread(
+            return self._refuse_unread(
                 request,
                 parsed.ok_value.call,
                 stopping.refusal(parsed.ok_value.call.request_id),
@@ -149,9 +147,7 @@
             requested_work, fingerprint=fingerprint
         )
         request_id = self._runtime.next_request_id(call.request_id)
-        caller = self._runtime.open_caller(
-            request_id, call, reservation.release
-        )
+        caller = self._runtime.open_caller(request_id, call, reservation)
         try:
             self._runtime.submit(
                 inputs.RequestArrived(
@@ -180,7 +176,11 @@
             case effects.Refuse() as refusal:
                 return self._format.refusal_response(refusal, caller.call)
             case effects.Reply() as reply:
-                return await delimiting.send_answer(request, reply.answer)
+                return await delimiting.send_answer(
+                    request,
+                    reply.answer,
+                    piece_timeout_ms=self._settings.slow_caller_ms,
+                )
             case effects.BeginStream(head=head) if head is not None:
                 return await self._relay_stream(request, head, caller)
             case other:
@@ -227,7 +227,7 @@
             inputs.CallerGone(self._runtime.clock.now_ms(), request_id)
         )
 
-    async def _refuse_body(
+    def _refuse_body(
         self,
         request: web.BaseRequest,
         call: backend.Call,
@@ -237,10 +237,10 @@
         if error.status == STATUS_BODY_TOO_LARGE and (
             not self._are_limits_known
         ):
-            return await self._refuse_by_old_limits(request, call)
+            return self._refuse_by_old_limits(request, call)
         if not error.retry_after_ms:
             return self._error_and_close(error.detail, status=error.status)
-        return await self._refuse_unread(
+        return self._refuse_unread(
             request, call, error.refusal(call.request_id)
         )
 
@@ -250,16 +250,16 @@
         world = self._runtime.core.world
         return confirming.limits_refusal(world, "") is None
 
-    async def _refuse_by_old_limits(
+    def _refuse_by_old_limits(
         self, request: web.BaseRequest, call: backend.Call
     ) -> web.Response:
         refusal = confirming.limits_refusal(
             self._runtime.core.world, call.request_id
         )
         assert refusal is not None
-        return await self._refuse_unread(request, call, refusal)
+        return self._refuse_unread(request, call, refusal)
 
-    async def _refuse_unread(
+    def _refuse_unread(
         self,
         request: web.BaseRequest,
         call: backend.Call,
@@ -281,16 +281,14 @@
             )
         )
         response = self._format.refusal_response(refusal, call)
-        return await self._respond_unread(request, response)
+        return self._respond_unread(request, response)
 
-    async def _respond_unread(
+    def _respond_unread(
         self, request: web.BaseRequest, response: web.Response
     ) -> web.Response:
         if connection_timeouts.must_close(request):
             response.force_close()
-        return await bodies.discard(
-            request, response, timeout_ms=self._settings.body_timeout_ms
-        )
+        return response
 
     def _error_and_close(self, detail: str, *, status: int) -> web.Response:
         response = self._format.error_response(detail, status=status)
--- a/src/godwittack/entry/reservations.py
+++ b/src/godwittack/entry/reservations.py
@@ -1,4 +1,4 @@
-"""Memory for the bodies of requests, taken before they are read."""
+"""Memory for requests and their answers, taken before they are read."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from godwittack.core import effects
-from godwittack.limit import body_memory
+from godwittack.limit import body_memory, connection_memory
 
 if TYPE_CHECKING:
     from godwittack.clock import Clock
@@ -18,6 +18,14 @@
 # Bytes that the socket and the HTTP library hold of a body that is not read.
 UNREAD_BYTES = body_memory.SHORT_BYTES
 MIN_RETRY_MS = 200
+# Memory for a request besides its head and body: the state that the core keeps
+# of it, and what the connection to its server buffers.
+REQUEST_BYTES = 48 << 10
+# Memory for a stream whose caller doesn't read: the events that are queued,
+# those that are being written, and those that its server has sent meanwhile.
+STALLED_STREAM_BYTES = 256 << 10
+# Interval at which an answer looks for memory, which is also made by time.
+ROOM_POLL_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,47 +57,97 @@
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     size_bytes: int
+    holder: connection_memory.Holder
     granted: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
 class Reservation:
-    """Memory for one body, until it is released."""
+    """Memory for one request and its answer, until it is released."""
 
     def __init__(
-        self, memory: SharedBodyMemory, size_bytes: int, *, now_ms: int
+        self,
+        memory: SharedBodyMemory,
+        size_bytes: int,
+        *,
+        holder: connection_memory.Holder,
+        now_ms: int,
     ) -> None:
         """Is taken from `memory` already."""
         self._memory = memory
+        self._holder = holder
         self._taken_at_ms = now_ms
+        self._answer_bytes = 0
+        self._is_stalled = False
         self.size_bytes = size_bytes
 
     def shrink(self, size_bytes: int) -> None:
-        """Gives back what a body didn't need."""
-        self._memory.shrink(self.size_bytes, size_bytes)
+        """Gives back what a body didn't need; it is complete now."""
+        self._memory.shrink(self._holder, self.size_bytes, size_bytes)
+        self._holder.long_body_bytes = 0
         self.size_bytes = size_bytes
 
     def replace_by(self, other: Reservation) -> None:
         """Takes over another reservation, and gives this one's memory back."""
-        self._memory.give_back(self.size_bytes)
+        self._memory.give_back(self._holder, self.size_bytes)
         self.size_bytes = other.size_bytes
 
+    async def take_answer(self, size_bytes: int) -> None:
+        """Takes memory for a part of the answer; waits until there is some."""
+        account = self._memory.connections
+        while not account.take(
+            self._holder, size_bytes, now_ms=self._memory.now_ms()
+        ):
+            await asyncio.sleep(ROOM_POLL_S)
+        self._answer_bytes += size_bytes
+
+    def begin_stall(self) -> None:
+        """Takes memory for a stream that its caller doesn't read."""
+        account = self._memory.connections
+        if not account.take(
+            self._holder, STALLED_STREAM_BYTES, now_ms=self._memory.now_ms()
+        ):
+            self._holder.client.close_for_room()
+            return
+        self._is_stalled = True
+
+    def end_stall(self) -> None:
+        """Gives back the memory of a stream that goes on."""
+        if self._is_stalled:
+            self._is_stalled = False
+            self._memory.connections.add(self._holder, -STALLED_STREAM_BYTES)
+
     def release(self) -> None:
         """Gives the memory back."""
-        self._memory.give_back(self.size_bytes, since_ms=self._taken_at_ms)
+        self.end_stall()
+        self._memory.connections.add(self._holder, -self._answer_bytes)
+        self._answer_bytes = 0
+        self._memory.give_back(
+            self._holder, self.size_bytes, since_ms=self._taken_at_ms
+        )
+        self._holder.long_body_bytes = 0
 
 
 class SharedBodyMemory:
     """Lets long bodies wait for memory, in the order of their arrival.
 
     Attributes:
+        connections: Account of all that connections hold, also bodies.
         rejected: Bodies for which there was no memory in time.
     """
 
-    def __init__(self, *, capacity_bytes: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        capacity_bytes: int,
+        clock: Clock,
+        connections: connection_memory.ConnectionMemory | None = None,
+    ) -> None:
         """Starts without bodies; a capacity of 0 is no limit."""
         self._account = body_memory.BodyMemory(capacity_bytes)
         self._clock = clock
         self._waiters: collections.deque[_Waiter] = collections.deque()
+        self.connections = connections or connection_memory.ConnectionMemory()
+        self.connections.on_freed = self._grant
         self.rejected = 0
 
     @property
@@ -102,70 +160,129 @@
         """Bodies that wait for memory."""
         return len(self._waiters)
 
-    def try_reserve(self, size_bytes: int) -> Reservation | None:
-        """Takes memory for a body that doesn't wait; None if there is none."""
+    def now_ms(self) -> int:
+        """Returns the current time."""
+        return self._clock.now_ms()
+
+    def try_reserve(
+        self,
+        size_bytes: int,
+        holder: connection_memory.Holder | None = None,
+    ) -> Reservation | None:
+        """Takes memory for a body that doesn't wait; None if there is none.
+
+        Args:
+            size_bytes: Length of the body.
+            holder: The connection that it arrives on; None for no connection.
+        """
+        holder = holder or _unconnected()
         is_long = size_bytes > body_memory.SHORT_BYTES
         if is_long and self._waiters:
             return None
-        if not self._account.take(size_bytes):
+        if not self._take(holder, size_bytes):
             return None
-        return Reservation(self, size_bytes, now_ms=self._clock.now_ms())
+        return self._reservation(holder, size_bytes)
 
     async def reserve(
-        self, size_bytes: int, *, max_wait_ms: int
+        self,
+        size_bytes: int,
+        *,
+        max_wait_ms: int,
+        holder: connection_memory.Holder | None = None,
     ) -> Result[Reservation, BodyError]:
         """Takes memory for a body, or says when to come back.
 
         Args:
             size_bytes: Length of the body.
             max_wait_ms: How long it may wait.
+            holder: The connection that it arrives on; None for no connection.
         """
-        reservation = self.try_reserve(size_bytes)
+        holder = holder or _unconnected()
+        reservation = self.try_reserve(size_bytes, holder)
         if reservation is not None:
             return Ok(reservation)
+        is_long = size_bytes > body_memory.SHORT_BYTES
+        if is_long:
+            self.connections.close_long_body(now_ms=self.now_ms())
         expected_ms = self._account.expected_wait_ms(
             size_bytes, ahead_bytes=sum(w.size_bytes for w in self._waiters)
         )
-        may_wait = (
-            size_bytes > body_memory.SHORT_BYTES and expected_ms <= max_wait_ms
-        )
-        if may_wait and await self._wait(size_bytes, max_wait_ms):
-            return Ok(
-                Reservation(self, size_bytes, now_ms=self._clock.now_ms())
-            )
+        may_wait = is_long and expected_ms <= max_wait_ms
+        if may_wait and await self._wait(holder, size_bytes, max_wait_ms):
+            return Ok(self._reservation(holder, size_bytes))
         self.rejected += 1
         return Err(
             BodyError(
                 503,
-                f"{self.used_bytes} bytes of other requests are in memory",
+                f"{self.connections.used_bytes} bytes of other requests are in"
+                " memory",
                 max(MIN_RETRY_MS, expected_ms),
             )
         )
 
     def give_back(
-        self, size_bytes: int, *, since_ms: int | None = None
+        self,
+        holder: connection_memory.Holder,
+        size_bytes: int,
+        *,
+        since_ms: int | None = None,
     ) -> None:
         """Gives memory back, and passes it on to bodies that wait.
 
         Args:
+            holder: The connection that took it.
             size_bytes: Bytes given back.
             since_ms: When a request took them; None if that says nothing of
                 others.
         """
-        held_ms = None if since_ms is None else self._clock.now_ms() - since_ms
+        held_ms = None if since_ms is None else self.now_ms() - since_ms
         self._account.give_back(size_bytes, held_ms=held_ms)
-        self._grant()
+        self.connections.add(holder, -size_bytes - REQUEST_BYTES)
 
-    def shrink(self, old_bytes: int, new_bytes: int) -> None:
+    def shrink(
+        self,
+        holder: connection_memory.Holder,
+        old_bytes: int,
+        new_bytes: int,
+    ) -> None:
         """Gives a part of a reservation's memory back."""
         self._account.resize(old_bytes, new_bytes)
-        self._grant()
+        self.connections.add(holder, new_bytes - old_bytes)
+
+    def _reservation(
+        self, holder: connection_memory.Holder, size_bytes: int
+    ) -> Reservation:
+        if size_bytes > body_memory.SHORT_BYTES:
+            holder.long_body_bytes = size_bytes
+        return Reservation(
+            self, size_bytes, holder=holder, now_ms=self.now_ms()
+        )
 
-    async def _wait(self, size_bytes: int, max_wait_ms: int) -> bool:
+    def _take(self, holder: connection_memory.Holder, size_bytes: int) -> bool:
+        """Takes memory for a body and its request."""
+        if not self._account.take(size_bytes):
+            return False
+        wanted_bytes = size_bytes + REQUEST_BYTES
+        if self.connections.take(holder, wanted_bytes, now_ms=self.now_ms()):
+            return True
+        is_long = size_bytes > body_memory.SHORT_BYTES
+        if is_long and self._account.long_bytes == size_bytes:
+            # The longest body is served on a machine with little memory.
+            self.connections.add(holder, wanted_bytes)
+            return True
+        self._account.give_back(size_bytes)
+        return False
+
+    async def _wait(
+        self,
+        holder: connection_memory.Holder,
+        size_bytes: int,
+        max_wait_ms: int,
+    ) -> bool:
         """Waits for memory; returns whether it was taken."""
         if not self._account.take(UNREAD_BYTES):
             return False
-        waiter = _Waiter(size_bytes)
+        waiter = _Waiter(size_bytes, holder)
         self._waiters.append(waiter)
         try:
             async with asyncio.timeout(max_wait_ms / 1000):
@@ -175,17 +292,25 @@
             pass
         except asyncio.CancelledError:
             if waiter.granted.is_set():
-                self.give_back(size_bytes)
+                self.give_back(holder, size_bytes)
             raise
         finally:
             if not waiter.granted.is_set():
                 self._waiters.remove(waiter)
-            self.give_back(UNREAD_BYTES)
+            self._account.give_back(UNREAD_BYTES)
+            self._grant()
         return waiter.granted.is_set()
 
     def _grant(self) -> None:
-        while self._waiters and self._account.take(self._waiters[0].size_bytes):
+        while self._waiters and self._take(
+            self._waiters[0].holder, self._waiters[0].size_bytes
+        ):
             self._waiters.popleft().granted.set()
 
 
+def _unconnected() -> connection_memory.Holder:
+    """Returns an entry for memory that no connection holds."""
+    return connection_memory.Holder(connection_memory.Fixed())
+
+
 __all__ = ["BodyError", "Reservation", "SharedBodyMemory"]
--- a/src/godwittack/peer/server.py
+++ b/src/godwittack/peer/server.py
@@ -13,14 +13,26 @@
 
 from godwittack import accepting
 from godwittack import address as addresses
+from godwittack.clock import SystemClock
+from godwittack.entry import connection as inbound
+from godwittack.entry import connection_timeouts, request_parser
+from godwittack.limit import connection_memory
 from godwittack.peer import exchange, peer_pb2, wire
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from godwittack.clock import Clock
+
 # Connections that may wait to be accepted: after a network partition heals,
 # hundreds of daemons connect within one probing period.
 BACKLOG = 1_024
+# Buffer of the operating system for each connection.
+RECEIVE_BUFFER_BYTES = 128 << 10
+# Limits of calls; a caller's body may be passed on in one.
+LIMITS = request_parser.RequestLimits(head_bytes=32 << 10, body_bytes=64 << 20)
+# How long the rest of a call is read after its answer.
+DISCARD_MS = 1_000
 # Time for peers to acknowledge the end of their streams, and for open calls.
 STOP_TIMEOUT_S = 0.1
 # Time in which calls are still answered once no connection is accepted: the
@@ -80,6 +92,8 @@
         count_bytes: Callable[[int], None] = lambda size: None,
         relay: RelayHandler | None = None,
         streams: StreamHandler | None = None,
+        clock: Clock | None = None,
+        memory: connection_memory.ConnectionMemory | None = None,
     ) -> None:
         """Passes messages to handlers.
 
@@ -89,6 +103,8 @@
             count_bytes: Called with the size of each message.
             relay: Passes on attempts; None to offer that to no daemon.
             streams: Answers questions about streams; None for no answers.
+            clock: Source of time; None for the system's.
+            memory: Account of the memory of connections; None for no limit.
         """
         self._handler = handler
         self._relay = relay
@@ -117,11 +133,19 @@
         self._listener: accepting.Listener | None = None
         self._open_calls = 0
         self._is_stopping = False
+        config = inbound.ConnectionConfig(
+            clock=clock or SystemClock(),
+            memory=memory or connection_memory.ConnectionMemory(),
+            limits=lambda: LIMITS,
+            discard_ms=DISCARD_MS,
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+            upgrades=True,
+        )
+        self._server = connection_timeouts.TimeoutServer(
+            self._answer, config=config
+        )
         self._runner = web.ServerRunner(
-            web.Server(
-                self._answer, access_log=None, handler_cancellation=True
-            ),
-            shutdown_timeout=STOP_TIMEOUT_S,
+            self._server, shutdown_timeout=STOP_TIMEOUT_S
         )
 
     async def start(self, address: str) -> None:
@@ -134,7 +158,11 @@
         await self._runner.setup()
         assert self._runner.server is not None
         self._listener = await accepting.Listener.open(
-            self._runner.server, host, port, backlog=BACKLOG
+            self._runner.server,
+            host,
+            port,
+            backlog=BACKLOG,
+            receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
         )
 
     async def stop(self) -> None:
@@ -178,7 +206,11 @@
         if not hmac.compare_digest(
             proof.encode(), self._expected_proof.encode()
         ):
-            return web.Response(status=401, text="not a daemon of this cluster")
+            response = web.Response(
+                status=401, text="not a daemon of this cluster"
+            )
+            response.force_close()
+            return response
         if request.path == exchange.NEWS_PATH:
             return await self._receive_news(request)
         try:
--- a/src/godwittack/relay/client.py
+++ b/src/godwittack/relay/client.py
@@ -146,7 +146,7 @@
         sink: protocol.AttemptSink,
     ) -> None:
         while True:
-            event = await codec.read_event(reader)
+            event = await codec.read_event(reader, sink.make_room)
             if event.HasField("signals"):
                 self._report(dispatch, event.signals)
             elif await codec.deliver(event, sink):
--- a/src/godwittack/relay/codec.py
+++ b/src/godwittack/relay/codec.py
@@ -12,11 +12,13 @@
 from godwittack.peer import peer_pb2, ranges
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
 _LENGTH = struct.Struct(">I")
 # A whole answer of the maximum size, with its headers.
 MAX_EVENT_BYTES = 33 << 20
+# Events up to this size need no memory of their own.
+SMALL_EVENT_BYTES = 64 << 10
 
 
 class MalformedEventError(Exception):
@@ -272,9 +274,15 @@
     return _LENGTH.pack(len(payload)) + payload
 
 
-async def read_event(reader: Reader) -> peer_pb2.RelayEvent:
+async def read_event(
+    reader: Reader, make_room: Callable[[int], Awaitable[None]]
+) -> peer_pb2.RelayEvent:
     """Returns the next event of a stream.
 
+    Args:
+        reader: Reads the stream.
+        make_room: Waits for memory for a large event.
+
     Raises:
         MalformedEventError: The length of the event is impossible.
         asyncio.IncompleteReadError: The stream ended.
@@ -282,6 +290,9 @@
     (size,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
     if size > MAX_EVENT_BYTES:
         raise MalformedEventError(f"an event of {size} bytes")
+    if size > SMALL_EVENT_BYTES:
+        # For its bytes, and for what is decoded from them.
+        await make_room(2 * size)
     return peer_pb2.RelayEvent.FromString(await reader.readexactly(size))
 
 
--- a/src/godwittack/relay/server.py
+++ b/src/godwittack/relay/server.py
@@ -23,7 +23,7 @@
     server_inputs,
     work,
 )
-from godwittack.entry import reservations
+from godwittack.entry import connection_timeouts, reservations
 from godwittack.peer import exchange, peer_pb2, ranges
 from godwittack.relay import codec
 
@@ -49,8 +49,13 @@
 class EventQueue:
     """Implements `AttemptSink`; queues the events of one attempt."""
 
-    def __init__(self) -> None:
-        """Starts without events."""
+    def __init__(self, memory: reservations.Reservation) -> None:
+        """Starts without events.
+
+        Args:
+            memory: Memory for the attempt and its answer.
+        """
+        self._memory = memory
         self.outcome = "broken"
         self._events: collections.deque[peer_pb2.RelayEvent] = (
             collections.deque()
@@ -92,6 +97,10 @@
             self._has_room.clear()
             await self._has_room.wait()
 
+    async def make_room(self, size_bytes: int) -> None:
+        """Waits for memory for a plain answer, and for the event with it."""
+        await self._memory.take_answer(2 * size_bytes)
+
     def answer(
         self,
         echoed_request: str,
@@ -197,18 +206,24 @@
 
     async def relay(self, request: web.BaseRequest) -> web.StreamResponse:
         """Passes one attempt to its server, and its events back."""
-        reservation = self.body_memory.try_reserve(request.content_length or 0)
+        if request.content_length is None:
+            return web.Response(status=411, text="send a body with a length")
+        reservation = self.body_memory.try_reserve(
+            request.content_length, connection_timeouts.holder_of(request)
+        )
         if reservation is None:
             return web.Response(
                 status=exchange.STATUS_DECLINED,
                 text="this daemon has no memory for the body",
             )
         try:
-            return await self._relay(request)
+            return await self._relay(request, reservation)
         finally:
             reservation.release()
 
-    async def _relay(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _relay(
+        self, request: web.BaseRequest, memory: reservations.Reservation
+    ) -> web.StreamResponse:
         # Bounded by the memory that is reserved for it, not by the limit of the
         # HTTP library, which is lower than that of callers' bodies.
         body = await request.content.read()
@@ -224,7 +239,7 @@
         # or the server's entry be removed.
         server = self._world.servers[dispatch.server_id]
         server.passed_on += not dispatch.has_own_place
-        queue = EventQueue()
+        queue = EventQueue(memory)
         self.queues.append(queue)
         self._idle.clear()
         response = web.StreamResponse()
--- a/tests/cases/body_memory.py
+++ b/tests/cases/body_memory.py
@@ -16,6 +16,7 @@
 from godwittack.clock import SystemClock
 from godwittack.daemon import caller
 from godwittack.entry import bodies, connection_timeouts, reservations
+from godwittack.entry import connection as inbound
 from godwittack.limit import body_memory
 from standins import scripted
 
@@ -131,15 +132,15 @@
 
 def a_body_is_held_while_an_attempt_may_use_it() -> None:
     """Guards against bodies not counted once their callers have left."""
-    released: list[bool] = []
+    memory = _memory(MB)
     call = protocol.Call(method="POST", path="/", headers=(), body=b"x")
-    held = caller.Caller(call, lambda: released.append(True))
+    held = caller.Caller(call, memory.try_reserve(1))
     held.hold()  # An attempt.
     held.release()  # The caller's connection.
     held.release()  # The request has ended.
-    assert not released
+    assert memory.used_bytes == 1
     held.release()
-    assert released == [True]
+    assert memory.used_bytes == 0
 
 
 async def a_body_is_written_as_its_server_reads_it() -> None:
@@ -176,7 +177,8 @@
         self.held_bytes: list[int] = []
         self._runner = web.ServerRunner(
             connection_timeouts.TimeoutServer(
-                self._handle, clock=SystemClock(), max_line_bytes=1 << 14
+                self._handle,
+                config=inbound.ConnectionConfig(clock=SystemClock()),
             ),
             shutdown_timeout=0.1,
         )
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -14,12 +14,12 @@
 from godwittack.clock import ManualClock
 from godwittack.core import work
 from godwittack.daemon import listeners
+from godwittack.entry import connection as inbound
 from godwittack.entry import connection_timeouts, delimiting
 from godwittack.table import forwarding
 
 LIMITS = forwarding.CallerLimits(header_timeout_ms=1_000, idle_timeout_ms=5_000)
 REQUEST = b"POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
-MAX_LINE_BYTES = 1 << 16
 ANSWER_S = 2.0
 # More than both ends of a connection buffer.
 LONG_ANSWER_BYTES = 32 << 20
@@ -45,7 +45,7 @@
         return web.Response(body=answer)
 
     server = connection_timeouts.TimeoutServer(
-        handle or answer_later, clock=clock, max_line_bytes=MAX_LINE_BYTES
+        handle or answer_later, config=inbound.ConnectionConfig(clock=clock)
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
@@ -277,7 +277,9 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
         answer = work.Answer(200, (), bytes(UNFRAMED_BYTES), False)
-        response = await delimiting.send_answer(request, answer)
+        response = await delimiting.send_answer(
+            request, answer, piece_timeout_ms=1_000
+        )
         unsent_bytes.append(transport.get_write_buffer_size())
         return response
 
@@ -303,7 +305,9 @@
         return web.Response(body=await request.read())
 
     port = processes.free_port()
-    served = listeners.Listeners(ManualClock(1_000))
+    served = listeners.Listeners(
+        inbound.ConnectionConfig(clock=ManualClock(1_000))
+    )
     await served.listen(f"127.0.0.1:{port}", handle)
     connection = socket.create_connection(("127.0.0.1", port))
     connection.sendall(REQUEST + b"abc")
--- a/tests/cases/connections.py
+++ b/tests/cases/connections.py
@@ -59,6 +59,9 @@
         """Records events."""
         self.frames_seen.extend(frames)
 
+    async def make_room(self, size_bytes) -> None:
+        """Returns at once."""
+
     def answer(self, echoed_request, answer, stamp) -> None:
         """Records a complete answer."""
         del echoed_request, stamp
--- a/tests/cases/fuzz.py
+++ b/tests/cases/fuzz.py
@@ -20,11 +20,11 @@
 )
 from godwittack.clock import SystemClock
 from godwittack.core import effects
+from godwittack.entry import connection as inbound
 from godwittack.entry import connection_timeouts
 from godwittack.platform import servers
 
 EXAMPLES = 150
-MAX_LINE_BYTES = 1 << 16
 # Half of the corrupted requests are incomplete and get no answer.
 CORRUPTED_WAIT_S = 0.05
 GOOD_WAIT_S = 5.0
@@ -293,7 +293,7 @@
         return web.Response(text="served")
 
     server = connection_timeouts.TimeoutServer(
-        handle, clock=SystemClock(), max_line_bytes=MAX_LINE_BYTES
+        handle, config=inbound.ConnectionConfig(clock=SystemClock())
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
--- a/tests/cases/listeners.py
+++ b/tests/cases/listeners.py
@@ -10,6 +10,7 @@
 from cluster import processes
 from godwittack.clock import SystemClock
 from godwittack.daemon import listeners
+from godwittack.entry import connection as inbound
 
 REQUEST = b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"
 CONNECTIONS = 20
@@ -32,7 +33,7 @@
         del request
         return web.Response(body=b"whole")
 
-    served = listeners.Listeners(SystemClock())
+    served = listeners.Listeners(inbound.ConnectionConfig(clock=SystemClock()))
     port = processes.free_port()
     await served.listen(f"127.0.0.1:{port}", handle)
     connections = [
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -25,6 +25,7 @@
     "body_memory",
     "contracts",
     "crash_rows",
+    "crowds",
     "crashing",
     "crashing_parts",
     "suspect_parts",
--- a/tests/cases/relaying.py
+++ b/tests/cases/relaying.py
@@ -471,7 +471,9 @@
     reader = asyncio.StreamReader()
     reader.feed_data(codec.frame_event(event))
     try:
-        await codec.deliver(await codec.read_event(reader), Sink())
+        await codec.deliver(
+            await codec.read_event(reader, Sink().make_room), Sink()
+        )
     except ValueError:
         return
     raise AssertionError("an unknown phase was accepted")
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import re
+import resource
 import signal
 import sys
 import tempfile
@@ -153,6 +154,7 @@
         can_cut: bool = False,
         software: dict[str, str] | None = None,
         timeout_ms: int = 0,
+        descriptors: int = 0,
     ) -> None:
         """Creates the stand-ins without starting them.
 
@@ -165,7 +167,9 @@
             can_cut: Whether the daemons' paths to servers can be cut.
             software: Versions of the software of some servers.
             timeout_ms: Time limit of all routes; 0 for that of each.
+            descriptors: Limit of each daemon's descriptors; 0 for the system's.
         """
+        self._descriptors = descriptors
         self._timeout_ms = timeout_ms
         self._can_cut = can_cut
         self._settings = settings
@@ -290,6 +294,7 @@
                 *self._daemon_arguments(path),
                 stdout=output,
                 stderr=output,
+                preexec_fn=self._limit_descriptors,
                 env={
                     **os.environ,
                     "PYTHONUNBUFFERED": "1",
@@ -299,6 +304,12 @@
         self._started.append(process)
         return process
 
+    def _limit_descriptors(self) -> None:
+        """Limits a process before its program starts."""
+        if self._descriptors:
+            limit = (self._descriptors, self._descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+
     def _daemon_arguments(self, path: pathlib.Path) -> list[str]:
         if self._can_cut:
             # -P: the folder of the script has modules named like the library's.
--- a/tests/standins/replica.py
+++ b/tests/standins/replica.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+LONG_EVENT_BYTES = 4_000
 HEADER_PREFIX = "X-Godwittack-"
 CONTROL_PATHS = ("/report", "/kv-events")
 
@@ -156,6 +157,9 @@
         self.work_s_by_request: Callable[[str], float] | None = None
         # Answers a plain call, by its body.
         self.answer_to: Callable[[bytes], bytes] = _reversed
+        # Length of the answers to requests whose ids begin with this prefix.
+        self.long_answer_prefix = ""
+        self.long_answer_bytes = 0
         self.running = 0
         self.waiting = 0
         self.rejected_s: list[float] = []
@@ -416,6 +420,9 @@
             if self.faults.torn is not None:
                 await self._tear(self.faults.torn, request, body, headers)
                 return web.Response(headers=headers)
+            prefix = self.long_answer_prefix
+            if prefix and request_id.startswith(prefix):
+                return await self._answer_long(request, headers)
             if self.streams:
                 return await self._stream(request, headers)
             if self.work_s_by_request is None:
@@ -427,6 +434,22 @@
             self.cancelled.append(request_id)
             raise
 
+    async def _answer_long(
+        self, request: web.BaseRequest, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Answers with many bytes, as fast as they are read."""
+        if not self.streams:
+            body = b"p" * self.long_answer_bytes
+            return web.Response(body=body, headers=headers)
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        for number in range(1, self.long_answer_bytes // LONG_EVENT_BYTES):
+            data = b"x" * LONG_EVENT_BYTES
+            await response.write(b"id: %d\ndata: %s\n\n" % (number, data))
+        await response.write_eof()
+        return response
+
     async def _crash_on_part(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> web.StreamResponse:
