Test requests of one connection, the account, and a soak of crowds

Cause: the account and the parser were shown by whole daemons only, and nothing showed that a request inside the limits is still served, or what happens beside kills, stops, pauses and changes.

--- a/tests/cases/crowds.py
+++ b/tests/cases/crowds.py
@@ -3,39 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 
 from cluster import crowd
 from cluster import platform as platforms
+from soak import crowds as soak
 
-MB = 1_000_000
-# A machine with less memory than most, so that few clients exceed it.
-MEMORY_MB = 120
-# Descriptors of a machine, and those of them that are kept for files.
-DESCRIPTORS = 4_100
-FILE_DESCRIPTORS = 200
-# The same of a small machine.
+# Descriptors of a small machine.
 FEW_DESCRIPTORS = 400
 SECONDS = 4.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Bounds:
-    descriptors: int = DESCRIPTORS
-
-    def check(self, peak: crowd.Peak) -> None:
-        """Checks what a daemon held against its machine."""
-        assert peak.bytes <= MEMORY_MB * MB, peak
-        assert peak.descriptors <= self.descriptors, peak
-        assert peak.sockets <= self.descriptors - FILE_DESCRIPTORS, peak
-
-
 async def _play(
-    kind: str, clients: int, *, descriptors: int = DESCRIPTORS
+    kind: str, clients: int, *, descriptors: int = crowd.DESCRIPTORS
 ) -> None:
     """Plays a crowd, and checks its daemon during it and afterwards."""
     async with platforms.Platform(
-        settings=f"memory_mb: {MEMORY_MB}", descriptors=descriptors
+        settings=f"memory_mb: {crowd.MEMORY_MB}", descriptors=descriptors
     ) as made:
         crowd.allow_long_bodies(made, 2)
         crowd.answer_long(made)
@@ -45,7 +28,7 @@
         await crowd.Crowd(made, kind, clients=clients, seconds=SECONDS).play()
         watch.cancel()
         assert made.processes[0].returncode is None, made.log()[-2_000:]
-        _Bounds(descriptors).check(peak)
+        crowd.check_bounds(peak, descriptors)
         await _until_served(made)
 
 
@@ -155,3 +138,12 @@
 async def heads_without_end_at_the_metrics_address() -> None:
     """Guards against a listener whose heads have no limit."""
     await _play("metrics", 100)
+
+
+async def a_short_session_of_crowds_and_faults() -> None:
+    """Guards against crowds beside kills, stops, pauses and changes.
+
+    Plays one seed of the soak, of which fifty are played by hand.
+    """
+    findings = await soak.Session(seed=1).play()
+    assert not findings.broken, findings
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -53,6 +53,7 @@
     "quotas",
     "connection_timeouts",
     "listeners",
+    "inbound",
     "quarantines",
     "repeating",
     "repeats",
--- a/tests/cluster/crowd.py
+++ b/tests/cluster/crowd.py
@@ -18,6 +18,12 @@
 
     from cluster.platform import Platform
 
+MB = 1_000_000
+# A machine with less memory than most, so that few clients exceed it.
+MEMORY_MB = 120
+# Descriptors of a machine, and those of them that are kept for files.
+DESCRIPTORS = 4_100
+FILE_DESCRIPTORS = 200
 BODY_BYTES = 4 << 20
 HEADER_BYTES = 16_384
 PIECE = b"10000\r\n" + b"p" * 65_536 + b"\r\n"
@@ -149,10 +155,17 @@
     """Clients of one daemon that all send the same, for some time."""
 
     def __init__(
-        self, made: Platform, kind: str, *, clients: int, seconds: float
+        self,
+        made: Platform,
+        kind: str,
+        *,
+        clients: int,
+        seconds: float,
+        daemon: int = 0,
     ) -> None:
-        """Prepares clients of daemon 0 of `made`."""
+        """Prepares clients of one daemon of `made`."""
         self._made = made
+        self._daemon = daemon
         self._kind = kind
         self._clients = clients
         self._seconds = seconds
@@ -180,7 +193,8 @@
 
     async def _follow(self, script: Script) -> None:
         loop = asyncio.get_running_loop()
-        host, port = _listeners(self._made)[script.listener].split(":")
+        listeners = _listeners(self._made, self._daemon)
+        host, port = listeners[script.listener].split(":")
         with socket.socket() as connection:
             connection.setblocking(False)
             if script.reads_slowly:
@@ -221,13 +235,14 @@
     sockets: int = 0
     descriptors: int = 0
 
-    async def watch(self, made: Platform) -> None:
-        """Samples daemon 0 until it is cancelled."""
+    async def watch(self, made: Platform, daemon: int = 0) -> None:
+        """Samples a daemon until it is cancelled."""
         ports = {
-            int(address.split(":")[1]) for address in _listeners(made).values()
+            int(address.split(":")[1])
+            for address in _listeners(made, daemon).values()
         }
         while True:
-            pid = made.processes[0].pid
+            pid = made.processes[daemon].pid
             links = _descriptors(pid)
             inodes = {
                 link[8:-1] for link in links if link.startswith("socket:[")
@@ -239,6 +254,13 @@
             await asyncio.sleep(SAMPLE_S)
 
 
+def check_bounds(peak: Peak, descriptors: int) -> None:
+    """Checks what a daemon held against its machine."""
+    assert peak.bytes <= MEMORY_MB * MB, peak
+    assert peak.descriptors <= descriptors, peak
+    assert peak.sockets <= descriptors - FILE_DESCRIPTORS, peak
+
+
 def answer_long(made: Platform) -> None:
     """Lets all backend servers answer some requests at length."""
     for replica in made.replicas.values():
@@ -264,9 +286,9 @@
     return [(kind, clients // len(kinds)) for kind in kinds]
 
 
-def _listeners(made: Platform) -> dict[str, str]:
-    """Returns the addresses on which daemon 0 listens."""
-    fields = made.fields[0]
+def _listeners(made: Platform, daemon: int) -> dict[str, str]:
+    """Returns the addresses on which a daemon listens."""
+    fields = made.fields[daemon]
     port = fields["internal-port-range"][1]
     return {**fields["listen"], "metrics": f"{fields['ip']}:{port}"}
 
@@ -307,10 +329,13 @@
 
 
 __all__ = [
+    "DESCRIPTORS",
+    "MEMORY_MB",
     "SCRIPTS",
     "Crowd",
     "Peak",
     "allow_long_bodies",
     "answer_long",
+    "check_bounds",
     "mixture",
 ]
--- a/tests/features/crowds.feature
+++ b/tests/features/crowds.feature
@@ -28,3 +28,4 @@
       | heads without end at the ready address |
       | heads without end at the control address |
       | heads without end at the metrics address |
+      | a short session of crowds and faults |
