Split the request parser, and keep connections below the descriptors

Change: connections that are being closed count until they have ended, and 8 are accepted at a time. Limits, bodies and the settings of connections have modules of their own; behaviour there is unchanged.

--- a/src/godwittack/accepting/__init__.py
+++ b/src/godwittack/accepting/__init__.py
@@ -12,7 +12,7 @@
 
 # Connections accepted before the first of them gets its protocol, which may
 # refuse it.
-ACCEPTED_AT_ONCE = 16
+ACCEPTED_AT_ONCE = 8
 # Iterations of the event loop after which an accepted connection has its
 # protocol.
 ATTACH_ITERATIONS = 2
--- a/src/godwittack/daemon/listeners.py
+++ b/src/godwittack/daemon/listeners.py
@@ -11,7 +11,7 @@
 from godwittack import accepting
 from godwittack import address as addresses
 from godwittack.entry import connection as inbound
-from godwittack.entry import connection_timeouts
+from godwittack.entry import connection_config, connection_timeouts
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -24,7 +24,7 @@
 class Listeners:
     """All HTTP servers of one daemon."""
 
-    def __init__(self, config: inbound.ConnectionConfig) -> None:
+    def __init__(self, config: connection_config.ConnectionConfig) -> None:
         """Has no servers yet; `config` is shared by all connections."""
         self._config = config
         self._servers: list[connection_timeouts.TimeoutServer] = []
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -43,10 +43,10 @@
 )
 from godwittack.entry import (
     bodies,
-    connection,
+    connection_config,
     directory,
     forward,
-    request_parser,
+    request_limits,
 )
 from godwittack.lead import lease as leases
 from godwittack.lead import rollout
@@ -325,7 +325,7 @@
         self._background_tasks = base.BackgroundTasks()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners = listeners.Listeners(
-            connection.ConnectionConfig(
+            connection_config.ConnectionConfig(
                 clock=clock,
                 delay=delay,
                 memory=components.room.account,
@@ -352,13 +352,13 @@
             "godwittack_connections_opened", lambda: self._pool.opened
         )
 
-    def _request_limits(self) -> request_parser.RequestLimits:
+    def _request_limits(self) -> request_limits.RequestLimits:
         """Returns the table's limits, and room for the request line."""
         table = self.runtime.core.world.table
         limits = forwarding.CallerLimits()
         if table.forwarding is not None:
             limits = table.forwarding.limits
-        return request_parser.RequestLimits(
+        return request_limits.RequestLimits(
             head_bytes=limits.header_bytes
             + self._settings.max_request_line_bytes,
             body_bytes=limits.body_bytes,
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -28,9 +28,9 @@
 from godwittack.entry import (
     bodies,
     calls,
-    connection,
+    connection_config,
     operator_api,
-    request_parser,
+    request_limits,
     status,
     token,
 )
@@ -160,12 +160,12 @@
         self._runner = web.AppRunner(
             self._build_app(loaded, store, platform, counts)
         )
-        limits = request_parser.RequestLimits(
+        limits = request_limits.RequestLimits(
             head_bytes=2 * settings.max_request_line_bytes,
             body_bytes=settings.max_body_bytes,
         )
         self._listeners = listeners.Listeners(
-            connection.ConnectionConfig(
+            connection_config.ConnectionConfig(
                 clock=components.clock,
                 memory=components.room.account,
                 limits=lambda: limits,
--- a/src/godwittack/entry/bodies.py
+++ b/src/godwittack/entry/bodies.py
@@ -9,9 +9,8 @@
 from result import Err, Ok, Result
 
 from godwittack.entry import (
-    connection,
     connection_timeouts,
-    request_parser,
+    request_limits,
     reservations,
 )
 from godwittack.limit import body_memory
@@ -180,11 +179,11 @@
     """Returns why a body could not be read to its end."""
     # The body refers to the error, whose frames refer to the body.
     error.__traceback__ = None
-    if isinstance(error, connection.BodyClosedError):
+    if isinstance(error, request_limits.BodyClosedError):
         return reservations.BodyError(
             503, str(error), reservations.MIN_RETRY_MS
         )
-    if isinstance(error, request_parser.BodyTooLongError):
+    if isinstance(error, request_limits.BodyTooLongError):
         return reservations.BodyError(413, str(error))
     return reservations.BodyError(400, f"malformed body: {error}")
 
--- a/src/godwittack/entry/connection.py
+++ b/src/godwittack/entry/connection.py
@@ -4,37 +4,33 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import enum
 import socket
 from typing import TYPE_CHECKING, cast
 
 from aiohttp import web, web_protocol
 
-from godwittack.clock import loop_delay
-from godwittack.entry import request_parser
+from godwittack.entry import (
+    connection_config,
+    request_body,
+    request_limits,
+    request_parser,
+)
 from godwittack.limit import connection_memory
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from godwittack.clock import Clock
     from godwittack.entry import connection_timeouts
 
-# Buffer of the operating system for each connection: otherwise it accepts up to
-# 6 MB of a body that waits to be read.
-RECEIVE_BUFFER_BYTES = 16 << 10
-# The same for a long body once there is memory for it.
+# Buffer of the operating system for a long body once there is memory for it.
 LONG_BODY_BUFFER_BYTES = 128 << 10
-# Memory that a connection holds while it is open: the buffer above, and the
+# Memory that a connection holds while it is open: the usual buffer, and the
 # objects of the event loop and the HTTP library.
-CONNECTION_BYTES = RECEIVE_BUFFER_BYTES + (16 << 10)
+CONNECTION_BYTES = connection_config.RECEIVE_BUFFER_BYTES + (16 << 10)
 # Bytes read at a time.
 MAX_READ_BYTES = 32 << 10
 # Iterations of the event loop between accepting a connection and reading data
 # that the caller sent immediately.
 ACCEPT_TO_READ_ITERATIONS = 2
-DEFAULT_DISCARD_MS = 10_000
 # A client that has read without a pause for this long is no slow one.
 READ_PAUSE_MS = 1_000
 # After an error the rest of what a client sends is read for this long, so that
@@ -58,41 +54,6 @@
     ANSWERING = "answering"
 
 
-class BodyClosedError(web_protocol.RequestPayloadError):
-    """A body was given up to make room for other requests."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ConnectionConfig:
-    """What the connections of a listener share.
-
-    Attributes:
-        clock: Source of time.
-        delay: How late the event loop may read.
-        memory: Account of the memory that connections hold.
-        limits: Returns the limits of the next request.
-        discard_ms: How long the rest of a body is read after its answer.
-        receive_buffer_bytes: Buffer of the operating system.
-        decompresses: Whether bodies are decompressed.
-        upgrades: Whether connections may switch to WebSocket.
-    """
-
-    clock: Clock
-    delay: loop_delay.ReadDelay = dataclasses.field(
-        default_factory=loop_delay.NoDelay
-    )
-    memory: connection_memory.ConnectionMemory = dataclasses.field(
-        default_factory=connection_memory.ConnectionMemory
-    )
-    limits: Callable[[], request_parser.RequestLimits] = lambda: (
-        request_parser.DEFAULT_LIMITS
-    )
-    discard_ms: int = DEFAULT_DISCARD_MS
-    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES
-    decompresses: bool = False
-    upgrades: bool = False
-
-
 class Connection(web.RequestHandler):
     """One connection, with the times that its timeouts count from."""
 
@@ -123,7 +84,7 @@
         self,
         manager: connection_timeouts.TimeoutServer,
         *,
-        config: ConnectionConfig,
+        config: connection_config.ConnectionConfig,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         """Creates an unconnected instance; the event loop connects it."""
@@ -220,7 +181,7 @@
         """Gives back the memory that the connection itself held."""
         self._request_parser.close()
         for _, payload in self._messages:
-            request_parser.drop_unread(payload)
+            request_body.drop_unread(payload)
         super().connection_lost(exc)
         if self._holder is not None:
             taken = CONNECTION_BYTES + self._pending_bytes
@@ -308,7 +269,9 @@
         ):
             # Its reader refuses the request.
             self._request_parser.give_up_body(
-                BodyClosedError("no memory while the body arrives")
+                request_limits.BodyClosedError(
+                    "no memory while the body arrives"
+                )
             )
         elif self.transport is not None:
             self.transport.abort()
@@ -317,7 +280,7 @@
         """Lets the system receive more of a long body at a time."""
         if self.transport is None or self._holder is None:
             return
-        extra = LONG_BODY_BUFFER_BYTES - RECEIVE_BUFFER_BYTES
+        extra = LONG_BODY_BUFFER_BYTES - connection_config.RECEIVE_BUFFER_BYTES
         self._config.memory.add(self._holder, extra)
         self._request_bytes += extra
         set_receive_buffer(self.transport, LONG_BODY_BUFFER_BYTES)
@@ -374,11 +337,11 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Returns the response to a request that could not be read."""
-        if isinstance(exc, BodyClosedError):
+        if isinstance(exc, request_limits.BodyClosedError):
             status = 503
         elif isinstance(exc, web_protocol.RequestPayloadError):
             status = 400
-        elif isinstance(exc, request_parser.RefusedHeadError):
+        elif isinstance(exc, request_limits.RefusedHeadError):
             status = exc.code
         elif status >= 500:
             return super().handle_error(request, status, exc, message)
@@ -485,12 +448,4 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
-__all__ = [
-    "CONNECTION_BYTES",
-    "DEFAULT_DISCARD_MS",
-    "RECEIVE_BUFFER_BYTES",
-    "BodyClosedError",
-    "Connection",
-    "ConnectionConfig",
-    "ConnectionState",
-]
+__all__ = ["CONNECTION_BYTES", "Connection", "ConnectionState"]
--- a/src/godwittack/entry/connection_timeouts.py
+++ b/src/godwittack/entry/connection_timeouts.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from godwittack.entry import connection as inbound
+from godwittack.entry import connection_config
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -86,7 +87,7 @@
         self,
         handler: Handler,
         *,
-        config: inbound.ConnectionConfig,
+        config: connection_config.ConnectionConfig,
         request_factory: RequestFactory | None = None,
     ) -> None:
         """Serves requests.
--- a/src/godwittack/entry/request_parser.py
+++ b/src/godwittack/entry/request_parser.py
@@ -3,19 +3,17 @@
 aiohttp's parser limits lines and the number of headers. It limits neither the
 whole head nor trailers nor chunk extensions, calls three functions for each
 chunk, and reports an error again with each further read. Here it parses heads
-only, each in a parser of its own. Bodies with a length need no parser, and
-`httptools`, which wraps the same C parser, decodes chunks.
+only, each in a parser of its own; `request_body.py` decodes bodies.
 """
 
 from __future__ import annotations
 
-import contextlib
-import dataclasses
 from typing import TYPE_CHECKING, Any
 
-import httptools
 from aiohttp import http_exceptions, http_parser, streams, web_protocol
 
+from godwittack.entry import request_body, request_limits
+
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
@@ -25,69 +23,22 @@
     Message = tuple[http_parser.RawRequestMessage, streams.StreamReader]
     Parsed = tuple[list[Message], bool, bytes]
 
-STATUS_HEADERS_TOO_LARGE = 431
-STATUS_UNAVAILABLE = 503
-HEAD_END = b"\r\n\r\n"
 LINE_ENDS = b"\r\n"
-# A head that makes the chunk decoder expect a body in chunks.
-CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 # Memory for each byte and each line of a head: the parser keeps names and
 # values both as bytes and as text, in objects of their own.
 HEAD_BYTE_COST = 3
 HEAD_LINE_COST_BYTES = 512
 # Memory for a request that is being served, besides its head.
 REQUEST_COST_BYTES = 16 << 10
-# A body may have this many bytes of framing for each byte: a chunk of one byte
-# has five.
-FRAMING_FACTOR = 8
 # Bytes of a body kept before its reader takes them, at which reading pauses;
 # the library pauses at twice as many.
 READ_AHEAD_BYTES = 8 << 10
 # Memory for a body that its reader has not taken yet, here and in the system.
 READ_AHEAD_COST_BYTES = 64 << 10
-# Bytes beyond the longest body that are read to tell that it is too long.
-OVERRUN_BYTES = 1
 # Requests parsed ahead of the one that is being answered.
 MAX_QUEUED = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RequestLimits:
-    """What one request may have.
-
-    Attributes:
-        head_bytes: Bytes of the request line, all headers, and blank lines
-            before them. Trailers and chunk extensions may have as many.
-        body_bytes: Bytes of the body.
-    """
-
-    head_bytes: int
-    body_bytes: int
-
-
-DEFAULT_LIMITS = RequestLimits(head_bytes=32 << 10, body_bytes=4 << 20)
-
-
-class RefusedHeadError(http_exceptions.HttpProcessingError):
-    """A request is refused before its head is complete."""
-
-
-class HeadTooLongError(RefusedHeadError):
-    """A head exceeds its limit."""
-
-    code = STATUS_HEADERS_TOO_LARGE
-
-
-class NoMemoryError(RefusedHeadError):
-    """There is no memory for a request."""
-
-    code = STATUS_UNAVAILABLE
-
-
-class BodyTooLongError(web_protocol.RequestPayloadError):
-    """A body, or its framing, exceeds its limit."""
-
-
 class RequestParser:
     """Implements the interface of aiohttp's request parser.
 
@@ -101,7 +52,7 @@
         protocol: base_protocol.BaseProtocol,
         loop: asyncio.AbstractEventLoop,
         *,
-        limits: Callable[[], RequestLimits],
+        limits: Callable[[], request_limits.RequestLimits],
         take: Callable[[int], bool],
         decompresses: bool = False,
         upgrades: bool = False,
@@ -132,7 +83,7 @@
         self._is_inside_head = False
         # The last bytes of an unfinished head: its end may be split.
         self._head_tail = b""
-        self._body: _Body | None = None
+        self._body: request_body.Body | None = None
         self._queued = 0
         self._is_paused = False
         self._tail = b""
@@ -241,7 +192,9 @@
                 return b"", False
             data = started
             self._is_inside_head = True
-        size = _end_of(HEAD_END, self._head_tail, data)
+        size = request_body.end_of(
+            request_body.BLANK_LINE, self._head_tail, data
+        )
         part, rest = (data[:size], data[size:]) if size else (data, b"")
         self._count_head(len(part))
         cost = HEAD_BYTE_COST * len(part)
@@ -249,9 +202,11 @@
             cost += REQUEST_COST_BYTES
         cost += HEAD_LINE_COST_BYTES * part.count(b"\n")
         if not self._take(cost):
-            raise NoMemoryError(message="no memory for the headers")
+            raise request_limits.NoMemoryError(
+                message="no memory for the headers"
+            )
         parsed, upgraded, _ = self._head.feed_data(part)
-        self._head_tail = _last_bytes(self._head_tail, part)
+        self._head_tail = request_body.last_bytes(self._head_tail, part)
         if not size:
             return b"", False
         if not parsed:
@@ -265,7 +220,7 @@
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._limits.head_bytes:
-            raise HeadTooLongError(
+            raise request_limits.HeadTooLongError(
                 message=f"the headers are longer than"
                 f" {self._limits.head_bytes} bytes"
             )
@@ -288,7 +243,7 @@
         if stated is not None:
             cost = min(cost, int(stated))
         if not self._take(cost):
-            raise NoMemoryError(message="no memory for the body")
+            raise request_limits.NoMemoryError(message="no memory for the body")
         if not message.chunked and stated is None:
             # A tunnel, which no listener offers.
             payload.feed_eof()
@@ -300,10 +255,14 @@
                 message.compression,
                 max_decompress_size=READ_AHEAD_BYTES,
             )
-        decoder = None if message.chunked else _Counted(int(stated or 0))
-        self._body = _Body(payload, sink, decoder or _Chunked(), limits)
+        decoder = (
+            None if message.chunked else request_body.Counted(int(stated or 0))
+        )
+        self._body = request_body.Body(
+            payload, sink, decoder or request_body.Chunked(), limits
+        )
 
-    def _feed_body(self, body: _Body, data: bytes) -> bytes:
+    def _feed_body(self, body: request_body.Body, data: bytes) -> bytes:
         """Passes a piece of a body on; returns what follows it."""
         try:
             rest = body.feed(data)
@@ -335,165 +294,4 @@
         )
 
 
-class _Body:
-    """The body of one request while it arrives."""
-
-    def __init__(
-        self,
-        payload: streams.StreamReader,
-        sink: Any,
-        decoder: _Counted | _Chunked,
-        limits: RequestLimits,
-    ) -> None:
-        self._payload = payload
-        self._sink = sink
-        self._decoder = decoder
-        self._limits = limits
-        self._read_bytes = 0
-        self._decoded_bytes = 0
-        # Whether the sink has decompressed only a part of what it was given.
-        self.has_more = False
-        self.is_complete = False
-
-    def feed(self, data: bytes) -> bytes:
-        """Decodes bytes; returns those after the body.
-
-        Raises:
-            BodyTooLongError: The body, or its framing, is too long.
-            HttpProcessingError: Its framing is malformed.
-        """
-        if self.has_more:
-            self.has_more = self._sink.feed_data(b"")
-            if self.has_more:
-                return data
-        if not self._decoder.is_complete:
-            decoded, rest = self._decoder.decode(data)
-            self._read_bytes += len(data) - len(rest)
-            self._decoded_bytes += len(decoded)
-            if decoded:
-                self.has_more = self._sink.feed_data(decoded)
-            self._check()
-            data = rest
-        if self._decoder.is_complete and not self.has_more:
-            self.is_complete = True
-            self._sink.feed_eof()
-        return data
-
-    def fail(self, error: web_protocol.RequestPayloadError) -> None:
-        """Raises an error where the body is read."""
-        self._payload.set_exception(error)
-
-    def drop(self) -> None:
-        """Drops what its reader has not taken."""
-        drop_unread(self._payload)
-
-    def _check(self) -> None:
-        if self._decoded_bytes > self._limits.body_bytes + OVERRUN_BYTES:
-            raise BodyTooLongError(
-                f"the body is longer than {self._limits.body_bytes} bytes"
-            )
-        framing = self._read_bytes - self._decoded_bytes
-        allowed = self._limits.head_bytes + FRAMING_FACTOR * self._decoded_bytes
-        if framing > allowed:
-            raise BodyTooLongError(f"{framing} bytes frame the body")
-
-
-class _Counted:
-    """Decodes a body of a stated length."""
-
-    def __init__(self, length_bytes: int) -> None:
-        self._left_bytes = length_bytes
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether all bytes have arrived."""
-        return not self._left_bytes
-
-    def decode(self, data: bytes) -> tuple[bytes, bytes]:
-        """Returns bytes of the body, and those after it."""
-        decoded, rest = data[: self._left_bytes], data[self._left_bytes :]
-        self._left_bytes -= len(decoded)
-        return decoded, rest
-
-
-class _Chunked:
-    """Decodes a body in chunks; drops extensions and trailers."""
-
-    def __init__(self) -> None:
-        self.is_complete = False
-        self._pieces: list[bytes] = []
-        # The parser calls this for each piece.
-        self.on_body = self._pieces.append
-        self._parser = httptools.HttpRequestParser(self)
-        self._parser.feed_data(CHUNKED_HEAD)
-        self._tail = b""
-
-    def on_message_complete(self) -> None:
-        """Parser callback: the end of the body."""
-        self.is_complete = True
-
-    def decode(self, data: bytes) -> tuple[bytes, bytes]:
-        """Returns bytes of the body, and those after it.
-
-        Raises:
-            HttpProcessingError: The chunks are malformed.
-        """
-        start = 0
-        try:
-            while start < len(data) and not self.is_complete:
-                # A body ends with a blank line, so that nothing after it is
-                # given to the parser.
-                end = _end_of(HEAD_END, self._tail, data, start) or len(data)
-                part = data[start:end]
-                self._parser.feed_data(part)
-                self._tail = _last_bytes(self._tail, part)
-                start = end
-        except httptools.HttpParserError as error:
-            raise http_exceptions.TransferEncodingError(str(error)) from error
-        decoded = b"".join(self._pieces)
-        self._pieces.clear()
-        return decoded, data[start:]
-
-
-def drop_unread(payload: streams.StreamReader) -> None:
-    """Drops the bytes of a body that its reader has not taken."""
-    if payload.exception() is None and not payload.at_eof():
-        with contextlib.suppress(RuntimeError):
-            payload.read_nowait()
-
-
-def _end_of(mark: bytes, before: bytes, data: bytes, start: int = 0) -> int:
-    """Returns where in `data` a mark ends; 0 if it doesn't.
-
-    Args:
-        mark: The bytes to find.
-        before: The last bytes before `start`, fewer than `mark` has.
-        data: Where to search.
-        start: From where.
-    """
-    split = before + data[start : start + len(mark) - 1]
-    found = split.find(mark)
-    if found >= 0:
-        return start + found + len(mark) - len(before)
-    found = data.find(mark, start)
-    return found + len(mark) if found >= 0 else 0
-
-
-def _last_bytes(before: bytes, data: bytes) -> bytes:
-    """Returns the bytes that may be the beginning of the end of a head."""
-    size = len(HEAD_END) - 1
-    return data[-size:] if len(data) >= size else (before + data)[-size:]
-
-
-__all__ = [
-    "DEFAULT_LIMITS",
-    "MAX_QUEUED",
-    "READ_AHEAD_BYTES",
-    "BodyTooLongError",
-    "HeadTooLongError",
-    "NoMemoryError",
-    "RefusedHeadError",
-    "RequestLimits",
-    "RequestParser",
-    "drop_unread",
-]
+__all__ = ["MAX_QUEUED", "RequestParser"]
--- a/src/godwittack/limit/connection_memory.py
+++ b/src/godwittack/limit/connection_memory.py
@@ -174,7 +174,7 @@
         if self._has_place() or not self._may_search(now_ms):
             return
         spare = max(1, round(self.max_connections * SEARCH_SLACK_RATIO))
-        excess = self._open_connections - self.max_connections
+        excess = len(self._holders) - self._closing - self.max_connections
         for number, candidate in enumerate(self._candidates(now_ms)):
             is_in_use = candidate.kind is WaitKind.GOING_ON
             if is_in_use and number >= excess + spare:
@@ -228,12 +228,10 @@
                 return True
         return False
 
-    @property
-    def _open_connections(self) -> int:
-        return len(self._holders) - self._closing
-
     def _has_place(self) -> bool:
-        return not 0 < self.max_connections <= self._open_connections
+        # Those that are being closed have their descriptors until they have
+        # ended.
+        return not 0 < self.max_connections <= len(self._holders)
 
     def _has_room(self, size_bytes: int) -> bool:
         if not self.capacity_bytes:
--- a/src/godwittack/peer/server.py
+++ b/src/godwittack/peer/server.py
@@ -14,8 +14,11 @@
 from godwittack import accepting
 from godwittack import address as addresses
 from godwittack.clock import SystemClock
-from godwittack.entry import connection as inbound
-from godwittack.entry import connection_timeouts, request_parser
+from godwittack.entry import (
+    connection_config,
+    connection_timeouts,
+    request_limits,
+)
 from godwittack.limit import connection_memory
 from godwittack.peer import exchange, peer_pb2, wire
 
@@ -30,7 +33,7 @@
 # Buffer of the operating system for each connection.
 RECEIVE_BUFFER_BYTES = 128 << 10
 # Limits of calls; a caller's body may be passed on in one.
-LIMITS = request_parser.RequestLimits(head_bytes=32 << 10, body_bytes=64 << 20)
+LIMITS = request_limits.RequestLimits(head_bytes=32 << 10, body_bytes=64 << 20)
 # How long the rest of a call is read after its answer.
 DISCARD_MS = 1_000
 # Time for peers to acknowledge the end of their streams, and for open calls.
@@ -133,7 +136,7 @@
         self._listener: accepting.Listener | None = None
         self._open_calls = 0
         self._is_stopping = False
-        config = inbound.ConnectionConfig(
+        config = connection_config.ConnectionConfig(
             clock=clock or SystemClock(),
             memory=memory or connection_memory.ConnectionMemory(),
             limits=lambda: LIMITS,
--- a/tests/cases/body_memory.py
+++ b/tests/cases/body_memory.py
@@ -15,8 +15,12 @@
 from godwittack.backend import connection, protocol
 from godwittack.clock import SystemClock
 from godwittack.daemon import caller
-from godwittack.entry import bodies, connection_timeouts, reservations
-from godwittack.entry import connection as inbound
+from godwittack.entry import (
+    bodies,
+    connection_config,
+    connection_timeouts,
+    reservations,
+)
 from godwittack.limit import body_memory
 from standins import scripted
 
@@ -178,7 +182,7 @@
         self._runner = web.ServerRunner(
             connection_timeouts.TimeoutServer(
                 self._handle,
-                config=inbound.ConnectionConfig(clock=SystemClock()),
+                config=connection_config.ConnectionConfig(clock=SystemClock()),
             ),
             shutdown_timeout=0.1,
         )
--- a/tests/cases/connection_timeouts.py
+++ b/tests/cases/connection_timeouts.py
@@ -14,8 +14,7 @@
 from godwittack.clock import ManualClock
 from godwittack.core import work
 from godwittack.daemon import listeners
-from godwittack.entry import connection as inbound
-from godwittack.entry import connection_timeouts, delimiting
+from godwittack.entry import connection_config, connection_timeouts, delimiting
 from godwittack.table import forwarding
 
 LIMITS = forwarding.CallerLimits(header_timeout_ms=1_000, idle_timeout_ms=5_000)
@@ -45,7 +44,8 @@
         return web.Response(body=answer)
 
     server = connection_timeouts.TimeoutServer(
-        handle or answer_later, config=inbound.ConnectionConfig(clock=clock)
+        handle or answer_later,
+        config=connection_config.ConnectionConfig(clock=clock),
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
@@ -306,7 +306,7 @@
 
     port = processes.free_port()
     served = listeners.Listeners(
-        inbound.ConnectionConfig(clock=ManualClock(1_000))
+        connection_config.ConnectionConfig(clock=ManualClock(1_000))
     )
     await served.listen(f"127.0.0.1:{port}", handle)
     connection = socket.create_connection(("127.0.0.1", port))
--- a/tests/cases/endings.py
+++ b/tests/cases/endings.py
@@ -15,7 +15,7 @@
 from cluster import platform, processes
 from godwittack import accepting
 from godwittack.core import effects, inputs, router, server_inputs, work
-from godwittack.entry import connection as inbound
+from godwittack.entry import connection_config
 from godwittack.peer import exchange
 from godwittack.relay import codec
 from godwittack.table import model
@@ -303,7 +303,7 @@
             "127.0.0.1",
             port,
             backlog=CALLS_AT_ONCE,
-            receive_buffer_bytes=inbound.RECEIVE_BUFFER_BYTES,
+            receive_buffer_bytes=connection_config.RECEIVE_BUFFER_BYTES,
         )
         opened = []
         for _ in range(CALLS_AT_ONCE):
--- a/tests/cases/fuzz.py
+++ b/tests/cases/fuzz.py
@@ -20,8 +20,7 @@
 )
 from godwittack.clock import SystemClock
 from godwittack.core import effects
-from godwittack.entry import connection as inbound
-from godwittack.entry import connection_timeouts
+from godwittack.entry import connection_config, connection_timeouts
 from godwittack.platform import servers
 
 EXAMPLES = 150
@@ -293,7 +292,7 @@
         return web.Response(text="served")
 
     server = connection_timeouts.TimeoutServer(
-        handle, config=inbound.ConnectionConfig(clock=SystemClock())
+        handle, config=connection_config.ConnectionConfig(clock=SystemClock())
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
--- a/tests/cases/inbound.py
+++ b/tests/cases/inbound.py
@@ -10,8 +10,11 @@
 from cluster import crowd
 from cluster import platform as platforms
 from godwittack.clock import SystemClock
-from godwittack.entry import connection as inbound
-from godwittack.entry import connection_timeouts, request_parser
+from godwittack.entry import (
+    connection_config,
+    connection_timeouts,
+    request_limits,
+)
 from godwittack.limit import connection_memory
 
 KB = 1 << 10
@@ -19,7 +22,7 @@
 ANSWER_S = 5.0
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
-LIMITS = request_parser.RequestLimits(head_bytes=4_000, body_bytes=100)
+LIMITS = request_limits.RequestLimits(head_bytes=4_000, body_bytes=100)
 
 
 class _Client:
@@ -118,13 +121,13 @@
 
 
 @contextlib.asynccontextmanager
-async def _echo(limits: request_parser.RequestLimits):
+async def _echo(limits: request_limits.RequestLimits):
     """Runs a server that answers with the length of each body."""
 
     async def handle(request):
         return web.Response(text=f"read {len(await request.read())}.")
 
-    config = inbound.ConnectionConfig(
+    config = connection_config.ConnectionConfig(
         clock=SystemClock(), limits=lambda: limits
     )
     runner = web.ServerRunner(
--- a/tests/cases/listeners.py
+++ b/tests/cases/listeners.py
@@ -10,7 +10,7 @@
 from cluster import processes
 from godwittack.clock import SystemClock
 from godwittack.daemon import listeners
-from godwittack.entry import connection as inbound
+from godwittack.entry import connection_config
 
 REQUEST = b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"
 CONNECTIONS = 20
@@ -33,7 +33,9 @@
         del request
         return web.Response(body=b"whole")
 
-    served = listeners.Listeners(inbound.ConnectionConfig(clock=SystemClock()))
+    served = listeners.Listeners(
+        connection_config.ConnectionConfig(clock=SystemClock())
+    )
     port = processes.free_port()
     await served.listen(f"127.0.0.1:{port}", handle)
     connections = [
