--- a/src/godwittack/daemon/connection_room.py
+++ b/src/godwittack/daemon/connection_room.py
@@ -127,10 +127,12 @@
         )
 
     def _set_max_connections(self) -> None:
-        max_fds, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if self._settings.max_fds is not None:
-            max_fds = min(max_fds, self._settings.max_fds)
-        sockets = max(1, max_fds - self._settings.file_fds)
+        system_fds, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        limits = [self._settings.max_fds or 0, system_fds]
+        max_fds = min((limit for limit in limits if limit > 0), default=0)
+        if not max_fds:
+            return
+        sockets = max(max_fds - self._settings.file_fds, max_fds // 2)
         outbound = max(
             round(sockets * OUTBOUND_RATIO), self.outbound_connections()
         )
--- a/tests/cases/inbound.py
+++ b/tests/cases/inbound.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import contextlib
+import resource
+from unittest import mock
 
 from aiohttp import web
 
 from cluster import crowd
 from cluster import platform as platforms
-from godwittack.clock import SystemClock
+from godwittack.clock import ManualClock, SystemClock
+from godwittack.config import settings as configs
+from godwittack.daemon import connection_room
 from godwittack.entry import (
     connection_config,
     connection_timeouts,
@@ -120,6 +124,28 @@
     assert account.open(_Client(), KB, now_ms=0) is not None
 
 
+def _room(system_fds: int, **fields: object) -> connection_room.ConnectionRoom:
+    """Returns what clients may take where the system has some limit."""
+    loaded = configs.Settings.model_construct(**fields)
+    limit = (system_fds, system_fds)
+    with mock.patch.object(resource, "getrlimit", return_value=limit):
+        return connection_room.ConnectionRoom(
+            loaded, clock=ManualClock(1_000), resident_bytes=lambda: 70 * MB
+        )
+
+
+def the_room_follows_the_machine() -> None:
+    """Guards against an account that is larger than the machine allows."""
+    room = _room(4_100, memory_mb=150, max_fds=None)
+    assert room.account.max_connections == 2_925
+    assert room.account.capacity_bytes < 80 * MB
+    assert _room(4_100, max_fds=400).account.max_connections == 150
+    assert _room(100, max_fds=400).account.max_connections == 38
+    unlimited = _room(resource.RLIM_INFINITY, max_fds=None)
+    assert unlimited.account.max_connections == 0
+    assert unlimited.account.capacity_bytes == 0
+
+
 @contextlib.asynccontextmanager
 async def _echo(limits: request_limits.RequestLimits):
     """Runs a server that answers with the length of each body."""
--- a/tests/features/inbound.feature
+++ b/tests/features/inbound.feature
@@ -13,6 +13,7 @@
       | large amounts leave room for short requests |
       | a large amount waits for what is given back |
       | connections beyond the maximum are refused |
+      | the room follows the machine |
 
     Examples: requests
       | case |
