Receive 64 KB from servers before there is memory for more

What callers saw: answers without a stated length came in slowly from servers on loopback, and a server with an endless body was read twice, 68 MB of 40 allowed. Cause: the receive buffer towards servers was cut to 16 KB with the account. A sender waits between its packets where less than a few of them is received, and those of loopback have 64 KB. Change: 64 KB, and 75 instead of 85% of what is left are given out.

--- a/src/godwittack/backend/connection.py
+++ b/src/godwittack/backend/connection.py
@@ -31,8 +31,9 @@
 # Unread body bytes above which reading from the socket is paused.
 HIGH_WATER_BYTES = 1 << 14
 # Buffer of the operating system for each connection: otherwise it accepts up to
-# 6 MB that nobody has asked for.
-RECEIVE_BUFFER_BYTES = 16 << 10
+# 6 MB that nobody has asked for. A sender waits between its packets where less
+# is received than a few of them, and those of loopback have 64 KB.
+RECEIVE_BUFFER_BYTES = 64 << 10
 # The same for a long answer once there is memory for it. 128 KB carry 45 MB/s
 # with a round trip of 2.8 ms.
 LONG_ANSWER_BUFFER_BYTES = 128 << 10
--- a/src/godwittack/daemon/connection_room.py
+++ b/src/godwittack/daemon/connection_room.py
@@ -25,7 +25,7 @@
 MARGIN_RATIO = 0.1
 # Part of the rest that the account may give out: its sizes are estimates, and
 # allocators need more than they are asked for.
-ACCOUNT_RATIO = 0.85
+ACCOUNT_RATIO = 0.75
 # However much the process holds itself, some requests are served beside one
 # with the longest body.
 MIN_CAPACITY_BYTES = 4 << 20
