Say what failed messages between daemons waited for, and when positions move

Cause: a stream between daemons that ended left TimeoutError() alone, whether the peer's queue of connections was full, the peer busy or the link slow; a position in the feed that moved without rows, and a failure that was dropped as another call had read on, left no line. Change: messages are counted by kind, with connections opened and failures by what was waited for (metrics, and a line each 5 s in which some failed); feed_passed and store_failure_dropped.

--- a/src/godwittack/daemon/base.py
+++ b/src/godwittack/daemon/base.py
@@ -121,12 +121,12 @@
             peers=exchange.PeerClient(
                 secret=loaded.cluster_secret,
                 timeout_ms=settings.peer_timeout_ms,
-                count_bytes=process_meters.count_peer_bytes,
+                messages=process_meters.peer_traffic,
             ),
             probes=datagram.DatagramPeers(
                 secret=loaded.cluster_secret,
                 timeout_ms=settings.peer_timeout_ms,
-                count_bytes=process_meters.count_peer_bytes,
+                messages=process_meters.peer_traffic,
             ),
             peer_secret=loaded.cluster_secret,
             seeds=settings.seeds,
@@ -208,7 +208,7 @@
         return server.PeerServer(
             handler=handler,
             secret=self.peer_secret,
-            count_bytes=self.meters.count_peer_bytes,
+            messages=self.meters.peer_traffic,
             relay=relay,
             streams=streams,
             clock=self.clock,
--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -260,6 +260,15 @@
         if isinstance(result, Err):
             if after < self._feed_version:
                 # Another call has succeeded in the meantime.
+                logging.info(
+                    "event=store_failure_dropped table=%s after=%d"
+                    " position=%d history_lost=%d detail=%r",
+                    self._table,
+                    after,
+                    self._feed_version,
+                    result.err_value.history_lost,
+                    result.err_value.detail,
+                )
                 return True
             return self._record_failure(result.err_value)
         self._record_answer()
@@ -456,6 +465,16 @@
         if unproved is None:
             self._unproved_version = page.newest_version, started_ms
         elif started_ms - unproved[1] > staleness.FEED_SILENCE_MS:
+            if unproved[0] > self._feed_version:
+                logging.info(
+                    "event=feed_passed table=%s version=%d before=%d"
+                    " position=%d named_ago_ms=%d",
+                    self._table,
+                    self.version,
+                    self._feed_version,
+                    unproved[0],
+                    self._clock.now_ms() - unproved[1],
+                )
             self._feed_version = max(self._feed_version, unproved[0])
             self._unproved_version = page.newest_version, started_ms
 
--- a/src/godwittack/daemon/platform_daemon.py
+++ b/src/godwittack/daemon/platform_daemon.py
@@ -474,6 +474,7 @@
         self._background_tasks.start(
             lag.watch_forever(members=self._members, clock=self._clock)
         )
+        self._background_tasks.start(self._meters.peer_traffic.log_forever())
 
     async def _metrics(self, request: web.BaseRequest) -> web.Response:
         del request
--- a/src/godwittack/daemon/serve.py
+++ b/src/godwittack/daemon/serve.py
@@ -236,6 +236,9 @@
         self._background_tasks.start(
             self._leader.lead_forever(step_ms=settings.lead_step_ms)
         )
+        self._background_tasks.start(
+            self._components.meters.peer_traffic.log_forever()
+        )
 
     async def _listen(self) -> None:
         await self._runner.setup()
--- a/src/godwittack/metric/meters.py
+++ b/src/godwittack/metric/meters.py
@@ -11,6 +11,7 @@
 from opentelemetry.sdk import metrics as sdk
 
 from godwittack.core import silence, uneven, weights
+from godwittack.peer import traffic
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -19,7 +20,11 @@
 
 
 class Meters:
-    """All instruments of one daemon."""
+    """All instruments of one daemon.
+
+    Attributes:
+        peer_traffic: Counts messages to and from other daemons.
+    """
 
     def __init__(self, world: entities.World) -> None:
         """Creates the instruments; gauges read from `world`."""
@@ -54,14 +59,21 @@
             unit="ms",
             description="Orders to load weights, by outcome and time to it",
         )
-        # Summed here for each message and read on demand: calling a counter
+        # Counted there for each message and read on demand: calling a counter
         # instrument takes as long as reading the message.
-        self._peer_bytes = 0
+        self.peer_traffic = traffic.PeerTraffic()
         meter.create_observable_counter(
             "godwittack_peer_bytes",
-            callbacks=[_gauge_callback(lambda: self._peer_bytes)],
+            callbacks=[_gauge_callback(lambda: self.peer_traffic.total_bytes)],
             unit="By",
         )
+        for name, read_kind in _traffic_counters().items():
+            meter.create_observable_counter(
+                name, callbacks=[_kind_callback(self.peer_traffic, read_kind)]
+            )
+        meter.create_observable_counter(
+            "godwittack_peer_failed", callbacks=[self._observe_failed]
+        )
         self._meter = meter
         for name, read in _gauges(world).items():
             self.add_gauge(name, read)
@@ -107,9 +119,14 @@
         """Records the outcome and duration of an order to load weights."""
         self._weights_orders.record(after_ms, {"outcome": outcome})
 
-    def count_peer_bytes(self, size: int) -> None:
-        """Counts a message sent to or received from another daemon."""
-        self._peer_bytes += size
+    def _observe_failed(
+        self, _: api.CallbackOptions
+    ) -> Iterable[api.Observation]:
+        return [
+            api.Observation(count, {"kind": kind, "waited_for": phase})
+            for kind, counts in self.peer_traffic.by_kind.items()
+            for phase, count in counts.failed.items()
+        ]
 
     def exposition(self) -> bytes:
         """Returns all metrics in Prometheus' text format."""
@@ -195,6 +212,28 @@
     }
 
 
+def _traffic_counters() -> dict[str, Callable[[traffic.Counts], int]]:
+    return {
+        "godwittack_peer_messages": lambda counts: counts.messages,
+        "godwittack_peer_opened": lambda counts: counts.opened,
+        "godwittack_peer_kind_bytes": lambda counts: counts.size_bytes,
+    }
+
+
+def _kind_callback(
+    messages: traffic.PeerTraffic, read: Callable[[traffic.Counts], int]
+) -> Callable[[api.CallbackOptions], Iterable[api.Observation]]:
+    """Returns a callback that observes each kind of message."""
+
+    def observe(_: api.CallbackOptions) -> Iterable[api.Observation]:
+        return [
+            api.Observation(read(counts), {"kind": kind})
+            for kind, counts in messages.by_kind.items()
+        ]
+
+    return observe
+
+
 def _server_gauges(
     world: entities.World,
 ) -> dict[str, Callable[[entities.ServerRow], float]]:
--- a/src/godwittack/peer/datagram.py
+++ b/src/godwittack/peer/datagram.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from godwittack import address as addresses
-from godwittack.peer import exchange, peer_pb2
+from godwittack.peer import exchange, peer_pb2, traffic
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -60,14 +60,14 @@
         *,
         secret: bytes,
         timeout_ms: int,
-        count_bytes: Callable[[int], None] = lambda size: None,
+        messages: traffic.PeerTraffic | None = None,
     ) -> None:
         """Authenticates with the cluster's secret; see `PeerClient`."""
         self._handler: ProbeHandler | None = None
         self.on_news: Callable[[peer_pb2.News], None] = lambda news: None
         self._key = hmac.digest(secret, _PROOF_LABEL, "sha256")
         self._timeout_ms = timeout_ms
-        self._count_bytes = count_bytes
+        self._messages = messages or traffic.PeerTraffic()
         self._transport: asyncio.DatagramTransport | None = None
         self._pending_replies: dict[
             bytes, asyncio.Future[peer_pb2.Envelope]
@@ -104,6 +104,9 @@
                     return Ok(reply.result())
         finally:
             del self._pending_replies[nonce]
+        traffic.Progress(
+            self._messages.by_kind[traffic.Kind.DATAGRAM], traffic.Phase.ANSWER
+        ).fail()
         return Err(
             exchange.PeerError(
                 step="probe",
@@ -124,7 +127,7 @@
 
         Datagrams without a valid proof are dropped.
         """
-        self._count_bytes(len(data))
+        self._messages.count(traffic.Kind.DATAGRAM, len(data))
         kind, nonce = data[:1], data[1 : 1 + _NONCE_BYTES]
         payload = data[_HEAD_BYTES:]
         proof = data[1 + _NONCE_BYTES : _HEAD_BYTES]
@@ -152,7 +155,7 @@
 
     def _send(self, packet: bytes, addr: tuple[str, int]) -> None:
         if self._transport is not None and not self._transport.is_closing():
-            self._count_bytes(len(packet))
+            self._messages.count(traffic.Kind.DATAGRAM, len(packet))
             self._transport.sendto(packet, addr)
 
     def _pack_envelope(
--- a/src/godwittack/peer/exchange.py
+++ b/src/godwittack/peer/exchange.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from godwittack import liveness
-from godwittack.peer import peer_pb2
+from godwittack.peer import peer_pb2, traffic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,16 +70,16 @@
         *,
         secret: bytes,
         timeout_ms: int,
-        count_bytes: Callable[[int], None] = lambda size: None,
+        messages: traffic.PeerTraffic | None = None,
     ) -> None:
         """Authenticates with the cluster's secret.
 
         Args:
             secret: The cluster's secret.
             timeout_ms: Timeout of one call.
-            count_bytes: Called with the size of each message sent or received.
+            messages: Counts each message; None for counts of its own.
         """
-        self._count_bytes = count_bytes
+        self._messages = messages or traffic.PeerTraffic()
         self._headers = {PROOF_HEADER: proof(secret)}
         self._timeout_s = timeout_ms / 1000
         self._client_session: aiohttp.ClientSession | None = None
@@ -90,7 +90,12 @@
     ) -> Result[peer_pb2.Envelope, PeerError]:
         """Sends an envelope and returns the peer's."""
         return await self._call(
-            "exchange", address, EXCHANGE_PATH, message, peer_pb2.Envelope
+            traffic.Kind.EXCHANGE,
+            "exchange",
+            address,
+            EXCHANGE_PATH,
+            message,
+            peer_pb2.Envelope,
         )
 
     def open_news(
@@ -107,7 +112,7 @@
             address=address,
             headers=self._headers,
             timeout_s=self._timeout_s,
-            count_bytes=self._count_bytes,
+            messages=self._messages,
             on_broken=on_broken,
         )
 
@@ -119,7 +124,12 @@
             known_version=known_version, accepts_deflate=True
         )
         return await self._call(
-            "fetch table", address, TABLE_PATH, request, peer_pb2.TableReply
+            traffic.Kind.TABLE,
+            "fetch table",
+            address,
+            TABLE_PATH,
+            request,
+            peer_pb2.TableReply,
         )
 
     async def fetch_report(
@@ -128,7 +138,12 @@
         """Returns a peer's counters."""
         request = peer_pb2.ReportRequest()
         return await self._call(
-            "fetch report", address, REPORT_PATH, request, peer_pb2.ReportReply
+            traffic.Kind.REPORT,
+            "fetch report",
+            address,
+            REPORT_PATH,
+            request,
+            peer_pb2.ReportReply,
         )
 
     def open_call(
@@ -148,7 +163,7 @@
             fresh_connection: Whether to open a connection for the call. A
                 pooled one may be dead, and a call written to it be lost.
         """
-        self._count_bytes(message.ByteSize())
+        self._messages.count(traffic.Kind.RELAY, message.ByteSize())
         return self._get_session(fresh=fresh_connection).post(
             f"http://{address}{path}",
             data=message.SerializeToString(),
@@ -163,6 +178,7 @@
     ) -> Result[peer_pb2.PathReply, PeerError]:
         """Asks a peer whether it reaches a server."""
         return await self._call(
+            traffic.Kind.PATH,
             "ask path",
             address,
             PATH_PATH,
@@ -176,6 +192,7 @@
     ) -> Result[peer_pb2.StreamReply, PeerError]:
         """Asks a peer which software version began a stream."""
         return await self._call(
+            traffic.Kind.STREAM,
             "ask stream",
             address,
             STREAM_PATH,
@@ -189,6 +206,7 @@
     ) -> Result[peer_pb2.RelayCancelled, PeerError]:
         """Asks a peer to end a stream on an engine."""
         return await self._call(
+            traffic.Kind.CANCEL,
             "cancel stream",
             address,
             RELAY_CANCEL_PATH,
@@ -209,19 +227,22 @@
                 self._fresh_session = aiohttp.ClientSession(
                     connector=aiohttp.TCPConnector(
                         limit=0, force_close=True, socket_factory=_open_socket
-                    )
+                    ),
+                    trace_configs=[traffic.trace_config()],
                 )
             return self._fresh_session
         if self._client_session is None:
             self._client_session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(
                     limit=0, keepalive_timeout=30, socket_factory=_open_socket
-                )
+                ),
+                trace_configs=[traffic.trace_config()],
             )
         return self._client_session
 
     async def _call(
         self,
+        kind: traffic.Kind,
         step: str,
         address: str,
         path: str,
@@ -230,30 +251,35 @@
         *,
         timeout_s: float | None = None,
     ) -> Result[_Message, PeerError]:
-        self._count_bytes(message.ByteSize())
+        self._messages.count(kind, message.ByteSize())
         timeout_s = timeout_s or self._timeout_s
-        try:
-            # A timeout closes the connection, and the next call uses another.
-            async with (
-                asyncio.timeout(timeout_s),
-                self._get_session().post(
-                    f"http://{address}{path}",
-                    data=message.SerializeToString(),
-                    headers=self._headers,
-                ) as response,
-            ):
-                body = await response.read()
-            if response.status != 200:
+        with self._messages.follow(kind) as progress:
+            try:
+                # A timeout closes the connection, and the next call uses
+                # another.
+                async with (
+                    asyncio.timeout(timeout_s),
+                    self._get_session().post(
+                        f"http://{address}{path}",
+                        data=message.SerializeToString(),
+                        headers=self._headers,
+                    ) as response,
+                ):
+                    body = await response.read()
+                if response.status != 200:
+                    return _error(
+                        step, address, _status_detail(response.status, body)
+                    )
+                answer = reply_type.FromString(body)
+            except TimeoutError:
+                progress.fail()
                 return _error(
-                    step, address, _status_detail(response.status, body)
+                    step, address, _timeout_detail(progress, timeout_s)
                 )
-            answer = reply_type.FromString(body)
-        except TimeoutError:
-            limit_ms = round(timeout_s * 1000)
-            return _error(step, address, f"no answer within {limit_ms} ms")
-        except (aiohttp.ClientError, proto.DecodeError) as error:
-            return _error(step, address, repr(error))
-        self._count_bytes(len(body))
+            except (aiohttp.ClientError, proto.DecodeError) as error:
+                progress.fail()
+                return _error(step, address, repr(error))
+        self._messages.count(kind, len(body))
         return Ok(answer)
 
 
@@ -267,7 +293,7 @@
         address: str,
         headers: dict[str, str],
         timeout_s: float,
-        count_bytes: Callable[[int], None],
+        messages: traffic.PeerTraffic,
         on_broken: Callable[[], None],
     ) -> None:
         """Prepares a stream; the first message opens its connection."""
@@ -275,7 +301,7 @@
         self._address = address
         self._headers = headers
         self._timeout_s = timeout_s
-        self._count_bytes = count_bytes
+        self._messages = messages
         self._on_broken = on_broken
         self._socket: aiohttp.ClientWebSocketResponse | None = None
         self._watch_task: asyncio.Task[None] | None = None
@@ -283,15 +309,23 @@
     async def send(self, news: peer_pb2.News) -> Result[None, PeerError]:
         """Sends a message; after an error the stream is closed for good."""
         payload = news.SerializeToString()
-        self._count_bytes(len(payload))
-        try:
-            async with asyncio.timeout(self._timeout_s):
-                if self._socket is None:
-                    self._socket = await self._open()
-                await self._socket.send_bytes(payload)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            self.close()
-            return _error("send news", self._address, repr(error))
+        self._messages.count(traffic.Kind.NEWS, len(payload))
+        with self._messages.follow(traffic.Kind.NEWS) as progress:
+            try:
+                async with asyncio.timeout(self._timeout_s):
+                    if self._socket is None:
+                        self._socket = await self._open()
+                    progress.phase = traffic.Phase.WRITE
+                    await self._socket.send_bytes(payload)
+            except TimeoutError:
+                progress.fail()
+                self.close()
+                detail = _timeout_detail(progress, self._timeout_s)
+                return _error("send news", self._address, detail)
+            except (aiohttp.ClientError, OSError) as error:
+                progress.fail()
+                self.close()
+                return _error("send news", self._address, repr(error))
         return Ok(None)
 
     def close(self) -> None:
@@ -340,6 +374,13 @@
     return sock
 
 
+def _timeout_detail(progress: traffic.Progress, timeout_s: float) -> str:
+    return (
+        f"no answer within {round(timeout_s * 1000)} ms,"
+        f" waiting for {progress.phase}"
+    )
+
+
 def _status_detail(status: int, body: bytes) -> str:
     return f"status {status} {body[:200].decode(errors='replace')}"
 
--- a/src/godwittack/peer/server.py
+++ b/src/godwittack/peer/server.py
@@ -20,7 +20,7 @@
     request_limits,
 )
 from godwittack.limit import connection_memory
-from godwittack.peer import exchange, peer_pb2, wire
+from godwittack.peer import exchange, peer_pb2, traffic, wire
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -42,6 +42,15 @@
 # round trip of a daemon that has just connected, and the end of a long body.
 MIN_LAST_CALLS_S = 0.05
 MAX_LAST_CALLS_S = 0.2
+# Kinds of calls, by path.
+_KINDS = {
+    exchange.EXCHANGE_PATH: traffic.Kind.EXCHANGE,
+    exchange.TABLE_PATH: traffic.Kind.TABLE,
+    exchange.REPORT_PATH: traffic.Kind.REPORT,
+    exchange.PATH_PATH: traffic.Kind.PATH,
+    exchange.STREAM_PATH: traffic.Kind.STREAM,
+    exchange.RELAY_CANCEL_PATH: traffic.Kind.CANCEL,
+}
 
 
 class PeerHandler(Protocol):
@@ -92,7 +101,7 @@
         *,
         handler: PeerHandler,
         secret: bytes,
-        count_bytes: Callable[[int], None] = lambda size: None,
+        messages: traffic.PeerTraffic | None = None,
         relay: RelayHandler | None = None,
         streams: StreamHandler | None = None,
         clock: Clock | None = None,
@@ -103,7 +112,7 @@
         Args:
             handler: Handles messages.
             secret: The cluster's secret.
-            count_bytes: Called with the size of each message.
+            messages: Counts each message; None for counts of its own.
             relay: Passes on attempts; None to offer that to no daemon.
             streams: Answers questions about streams; None for no answers.
             clock: Source of time; None for the system's.
@@ -119,7 +128,7 @@
                 exchange.RELAY_CANCEL_PATH: relay.cancel,
                 exchange.PATH_PATH: relay.answer_path,
             }
-        self._count_bytes = count_bytes
+        self._messages = messages or traffic.PeerTraffic()
         self._expected_proof = exchange.proof(secret)
         self._calls: dict[str, Callable[[bytes], proto.Message]] = {
             exchange.EXCHANGE_PATH: lambda body: handler.handle_exchange(
@@ -234,7 +243,7 @@
         else:
             return web.Response(status=404, text="no such call")
         payload = answer.SerializeToString()
-        self._count_bytes(len(body) + len(payload))
+        self._messages.count(_KINDS[request.path], len(body) + len(payload))
         return web.Response(body=payload)
 
     async def _receive_news(
@@ -248,7 +257,7 @@
             async for message in socket:
                 if message.type is not aiohttp.WSMsgType.BINARY:
                     break
-                self._count_bytes(len(message.data))
+                self._messages.count(traffic.Kind.NEWS, len(message.data))
                 news = peer_pb2.News.FromString(message.data)
                 sender_id = sender_id or news.sender_id
                 self._handler.handle_news(sender_id, news, reader)
--- a/tests/cases/peers.py
+++ b/tests/cases/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import socket
 import sys
 import time
 import types
@@ -20,7 +21,14 @@
 from godwittack.daemon import peer_updates
 from godwittack.limit import quota, shares
 from godwittack.member import view
-from godwittack.peer import datagram, exchange, peer_pb2, server, tables
+from godwittack.peer import (
+    datagram,
+    exchange,
+    peer_pb2,
+    server,
+    tables,
+    traffic,
+)
 from godwittack.table import model, schema
 
 SECRET = b"s" * 32
@@ -104,6 +112,34 @@
         assert result.ok_value.table_version == 7, result
 
 
+async def a_failed_call_names_what_it_waited_for():
+    """A peer that accepts no connection differs from one that is silent.
+
+    Guards against updates that end with TimeoutError() alone, which look the
+    same behind a full queue of connections, a busy peer and a slow link.
+    """
+    counted = traffic.PeerTraffic()
+    client = exchange.PeerClient(
+        secret=SECRET, timeout_ms=100, messages=counted
+    )
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        listening.listen(0)
+        host, port = listening.getsockname()
+        # Connected by the system, and never answered.
+        silent = await client.fetch_report(f"{host}:{port}")
+        stream = client.open_news(f"{host}:{port}", on_broken=_never)
+        full = await stream.send(_leaving("s0"))
+    await client.close()
+    assert "waiting for answer" in silent.err_value.detail, silent
+    assert "waiting for connect" in full.err_value.detail, full
+    reports = counted.by_kind[traffic.Kind.REPORT]
+    updates = counted.by_kind[traffic.Kind.NEWS]
+    assert reports.failed == {traffic.Phase.ANSWER: 1}, reports
+    assert updates.failed == {traffic.Phase.CONNECT: 1}, updates
+    assert (reports.opened, updates.opened) == (1, 0)
+
+
 async def a_peer_with_another_secret_gets_neither_answers_nor_streams():
     """Each entry point checks the proof of the cluster secret.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -42,6 +42,7 @@
       | group | case |
       | peers | updates arrive in order with their sender |
       | peers | calls are answered |
+      | peers | a failed call names what it waited for |
       | peers | a peer with another secret gets neither answers nor streams |
       | peers | unreadable messages are refused |
       | peers | a server that stops ends its streams at once |
