Follow the store's feed from the last row that was read

Cause: an answer of the feed names the newest version of all tables and may leave its row out for a second. The position in the feed moved to a version that was named without rows once a later call had none either, if that call began more than a second after the earlier one BEGAN; a call that the store holds lasts a second, so two in a row were enough. Rows moved it to the named version as well, past rows that were left out behind them. The lost history that would have had all read again was dropped if a call beside it had moved the position. A daemon that does not poll reads all rows where its position is older than 15 s. Why it works: an answer that says nothing changes nothing, so the next call asks for the same change again, and gets its row or the lost history. Ruled out: dating the naming by the answer's arrival is sound only while no silence is ever longer than a second, and wrong for good if one is.

--- a/src/godwittack/backend/json_items.py
+++ b/src/godwittack/backend/json_items.py
@@ -15,7 +15,7 @@
 from godwittack.store import json_parts
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 _Body = TypeVar("_Body", bound=pydantic.BaseModel)
 
@@ -30,6 +30,7 @@
     items: str,
     origin: str,
     key: str = "",
+    on_dropped: Callable[[int], None] = lambda count: None,
 ) -> Result[_Body, str]:
     """Decodes a body; an error says why it is not one.
 
@@ -41,6 +42,7 @@
         key: Name of the field that identifies an item. An item of which this
             field can be decoded keeps all such fields, and counts as changed
             to whoever compares it with an earlier one; empty to leave it out.
+        on_dropped: Called with the number of items that are left out.
     """
     try:
         return Ok(body_type.model_validate_json(data))
@@ -57,6 +59,7 @@
     found = [decoder.parse(text) or decoder.reduce(text, key) for text in texts]
     kept = tuple(item for item in found if item is not None)
     _LOG.log(origin, f"{reason}; kept {len(kept)} of {len(texts)} {items}")
+    on_dropped(len(texts) - len(kept))
     return Ok(body.model_copy(update={items: kept}))
 
 
--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -26,7 +26,8 @@
 # themselves. Together they made most of the calls during an outage; readers
 # notice the recovery and confirm it to them.
 NON_READER_RETRY_FIRST_MS = 400
-# A feed may become stale without an error, so readers also take a snapshot.
+# A feed may become stale without an error, so readers also take a snapshot. It
+# is shorter than stores keep their history.
 SNAPSHOT_INTERVAL_MS = 15_000
 # Pause before the next snapshot where one was older than the rows.
 STALE_SNAPSHOT_RETRY_MS = 1_000
@@ -107,8 +108,8 @@
         # Set until the feed continues after lost history: rows that were read
         # meanwhile may be older than what was lost.
         self._is_history_lost = False
-        # Version of an answer without rows, and when it was asked for.
-        self._unproved_version: tuple[int, int] | None = None
+        # When the call was made that set the position in the feed.
+        self._position_at_ms = -SNAPSHOT_INTERVAL_MS
         self._reading: asyncio.Task[bool] | None = None
         self._retry_ms = RETRY_FIRST_MS
         self._clock_offset_ms = -(1 << 62)
@@ -323,8 +324,15 @@
         )
 
     def _must_read_all(self, now_ms: int) -> bool:
-        is_due = now_ms - self._snapshot_at_ms >= SNAPSHOT_INTERVAL_MS
-        return self._needs_snapshot or (is_due and self._is_reader())
+        """Returns whether to read all rows, and not only changes.
+
+        A position that is not moved may be older than the store's history.
+        """
+        read_at_ms = (
+            self._snapshot_at_ms if self._is_reader() else self._position_at_ms
+        )
+        is_due = now_ms - read_at_ms >= SNAPSHOT_INTERVAL_MS
+        return self._needs_snapshot or is_due
 
     def _usual_wait_ms(self) -> int:
         return self._limits.poll_ms if self._is_reader() else NON_READER_WAIT_MS
@@ -451,32 +459,24 @@
     def _advance(
         self, page: protocol.FeedPage, started_ms: int, *, is_snapshot: bool
     ) -> None:
-        """Continues the feed after a page.
+        """Continues the feed after the last row that was read.
 
-        An answer without rows may leave out changes that were just made, and
-        name their version: the feed continues after it only once the feed can
-        no longer be silent about them.
+        An answer names the newest version of all tables, and may leave out
+        changes that were just made: a change that the position passes is missed
+        until the next snapshot, and each answer until then confirms the rows
+        without it.
         """
-        if page.rows or is_snapshot:
-            self._feed_version = page.newest_version
-            self._unproved_version = None
-            return
-        unproved = self._unproved_version
-        if unproved is None:
-            self._unproved_version = page.newest_version, started_ms
-        elif started_ms - unproved[1] > staleness.FEED_SILENCE_MS:
-            if unproved[0] > self._feed_version:
-                logging.info(
-                    "event=feed_passed table=%s version=%d before=%d"
-                    " position=%d named_ago_ms=%d",
-                    self._table,
-                    self.version,
-                    self._feed_version,
-                    unproved[0],
-                    self._clock.now_ms() - unproved[1],
-                )
-            self._feed_version = max(self._feed_version, unproved[0])
-            self._unproved_version = page.newest_version, started_ms
+        position = page.newest_version
+        if not is_snapshot:
+            last = max((row.version for row in page.rows), default=0)
+            position = min(position, last)
+        has_moved = position > self._feed_version and not page.dropped
+        if is_snapshot or has_moved:
+            self._feed_version = position
+            self._position_at_ms = started_ms
+        elif page.rows or page.dropped:
+            # The feed would repeat these rows at once.
+            self._needs_snapshot = True
 
     def _record_answer(self) -> None:
         now_ms = self._clock.now_ms()
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from urllib import parse
 
+import pydantic
 from result import Err, Ok
 
 from godwittack.backend import json_fields, json_items
@@ -41,6 +42,16 @@
     has_more: bool = False
     # The store's monotonic clock, with an origin of its own.
     now_ms: int = 0
+    _dropped: int = pydantic.PrivateAttr(default=0)
+
+    @property
+    def dropped(self) -> int:
+        """Rows of the answer that could not be decoded."""
+        return self._dropped
+
+    def record_dropped(self, count: int) -> None:
+        """Records that some rows of the answer could not be decoded."""
+        self._dropped = count
 
 
 class Rows:
@@ -153,11 +164,18 @@
         if status not in (200, STATUS_CONDITION_FAILED):
             return self._error(step, f"status {status}", status=status)
         body = result.ok_value.body
+        dropped: list[int] = []
         page = json_items.decode(
-            _Rows, body, items="rows", origin=self._address, key="key"
+            _Rows,
+            body,
+            items="rows",
+            origin=self._address,
+            key="key",
+            on_dropped=dropped.append,
         )
         if isinstance(page, Err):
             return self._error(step, page.err_value)
+        page.ok_value.record_dropped(sum(dropped))
         return Ok((status, page.ok_value))
 
     def _error(
@@ -201,6 +219,7 @@
         newest_version=page.row_version,
         service_ms=page.now_ms,
         next_key=rows[-1].key + "\0" if page.has_more and rows else "",
+        dropped=page.dropped,
     )
 
 
--- a/src/godwittack/store/protocol.py
+++ b/src/godwittack/store/protocol.py
@@ -133,15 +133,18 @@
 
     Attributes:
         rows: All rows of a snapshot, or the changed rows in order.
-        newest_version: Version up to which the page has all changes.
+        newest_version: Newest version of all tables. The rows of a snapshot are
+            those of this version; changes may be without the latest ones.
         service_ms: Monotonic clock of the store when it answered.
         next_key: Key at which the next page begins; empty on the last page.
+        dropped: Rows that could not be decoded, and are not among `rows`.
     """
 
     rows: tuple[ChangedRow, ...]
     newest_version: int
     service_ms: int = 0
     next_key: str = ""
+    dropped: int = 0
 
 
 class RowFeed(Protocol):
--- a/tests/sim/silent_store.py
+++ b/tests/sim/silent_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import random
 
 from result import Err, Ok
@@ -14,6 +15,7 @@
 from sim import loop as loops
 
 SESSION_S = 12.0
+SILENCE_S = staleness.FEED_SILENCE_MS / 1000
 CALL_TIMEOUT_S = 0.6
 # A confirmation is dated by the store's clock, which is read in whole ms.
 ROUNDING_MS = 2
@@ -123,9 +125,8 @@
             return _failed("status 410", history_lost=True)
         while True:
             changed = self._changed
-            newest = self.acknowledged[-1][1]
-            is_silent = self._silence_left_s() > 0
-            if not is_silent and newest.version > after:
+            newest = self._newest_heard()
+            if newest.version > after:
                 return self._page(newest)
             left_s = ends_s - self._loop.time()
             if left_s <= 0:
@@ -138,16 +139,20 @@
                     return self._page()
                 return _failed("reset")
 
-    def _silence_left_s(self) -> float:
+    def _newest_heard(self) -> protocol.ChangedRow:
+        """Returns the newest row that the feed has heard of."""
         now_s = self._loop.time() - self._started_s
-        return max(
-            (
-                starts_s + staleness.FEED_SILENCE_MS / 1000 - now_s
-                for starts_s in self._plan.silences_s
-                if starts_s <= now_s
-            ),
-            default=0.0,
-        )
+        begun_s = [
+            starts_s
+            for starts_s in self._plan.silences_s
+            if starts_s <= now_s < starts_s + SILENCE_S
+        ]
+        heard = [
+            row
+            for at_s, row in self.acknowledged
+            if not begun_s or at_s - self._started_s < min(begun_s)
+        ]
+        return heard[-1]
 
     def _page(self, *rows: protocol.ChangedRow):
         return Ok(
@@ -224,7 +229,7 @@
 
         events = [(SESSION_S, None)]
         for starts_s in plan.silences_s:
-            ends_s = starts_s + staleness.FEED_SILENCE_MS / 1000
+            ends_s = starts_s + SILENCE_S
             events.append((ends_s, store.end_silence))
             for _ in range(rng.randint(1, 2)):
                 events.append(
@@ -237,13 +242,11 @@
                 events.append((rng.uniform(starts_s - 1, ends_s + 1), read))
             if rng.random() < 0.3:
                 events.append((rng.uniform(starts_s - 1, ends_s), "role"))
-        for _ in range(rng.randint(0, 8)):
-            events.append(
-                (
-                    rng.uniform(0.1, 8.0),
-                    lambda: store.write(is_other_table=True),
-                )
+        for is_other_table in rng.choices((True, True, False), k=8):
+            change = functools.partial(
+                store.write, is_other_table=is_other_table
             )
+            events.append((rng.uniform(0.1, 8.0), change))
         return sorted(events, key=lambda event: event[0])
 
 
