--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -75,6 +75,8 @@
     Examples: servers for callers
       | group     | case |
       | listeners | connections opened before the stop are served |
+      | listeners | the queue of connections is long from its start |
+      | listeners | a crowd is accepted in small parts |
       | connection_timeouts | a connection accepted as a daemon stops listening is answered |
 
     Examples: malformed bytes
