Send peers the difference between two versions of the table

What callers saw: versions of the configuration in force seconds late, on links of 10 Mbit/s that carry requests as well. Cause: one daemon hears of a change first, and sends the whole table to nearly all others: 889 KB at 40 daemons with 1,400 routes (users' figure), 712 ms of its link, against fetches that are given up after 400 ms and begun again elsewhere. Change: a fetch names the digest of the table that the asking daemon has. If it is one of the last three of the one that is asked, the answer has the list items that changed, and the places of those that stay; the digest of the whole shows that the result is the same table. Otherwise, and after an answer that could not be read, the whole table is sent as before. Sets are serialized in order, so that the same table has the same digest everywhere. Ruled out: compression with the earlier version as a dictionary reaches back 32 KB only; a tree of who asks whom adds a hop for each daemon that is late. Messages of older releases are read, and have no difference. A case with 1,400 routes, and one in which the difference does not fit.

--- a/src/godwittack/daemon/feed_table.py
+++ b/src/godwittack/daemon/feed_table.py
@@ -35,9 +35,11 @@
     members: view.View
     table_freshness: freshness.Freshness
 
-    def adopt(self, table: model.Table, *, source: str) -> bool:
+    def adopt(
+        self, table: model.Table, *, source: str, text: str | None = None
+    ) -> bool:
         """Activates a table if it is newer; never returns to an older one."""
-        if not tables.TableKeeper.adopt(self, table, source=source):
+        if not tables.TableKeeper.adopt(self, table, source=source, text=text):
             return False
         self.table_freshness.record_version(table.version)
         self._update_kv_stores(table)
--- a/src/godwittack/daemon/gossip.py
+++ b/src/godwittack/daemon/gossip.py
@@ -97,7 +97,7 @@
         self._announced = False
         # Members that know this daemon's addresses.
         self._has_own_addresses: set[str] = set()
-        self._table_writer = tables_wire.TableWriter()
+        self._table_writer = tables_wire.TableWriter(keeper.texts)
 
     async def gossip_forever(self, *, gossip_ms: int) -> None:
         """Probes others each period."""
--- a/src/godwittack/daemon/tables.py
+++ b/src/godwittack/daemon/tables.py
@@ -36,14 +36,21 @@
         peers: Client for other daemons.
         serving_lease: Until when this daemon may treat its table as current.
         on_adopted: Called after a newer table has become active here.
+        texts: The last active tables as JSON.
     """
 
     runtime: runtimes.Runtime
     peers: exchange.PeerClient
     serving_lease: serving_lease.ServingLease
     on_adopted: Callable[[], None] = lambda: None
+    texts: tables_wire.TableTexts = dataclasses.field(
+        default_factory=tables_wire.TableTexts
+    )
     _fetching: set[str] = dataclasses.field(default_factory=set)
     _fetched_at_ms: int = 0
+    # Set after a table that could not be read, which may be due to a difference
+    # that did not fit.
+    _needs_whole: bool = False
     _heard_version: int = 0
     _heard_at_ms: int = 0
 
@@ -65,12 +72,15 @@
             peer,
         )
 
-    def adopt(self, table: model.Table, *, source: str) -> bool:
+    def adopt(
+        self, table: model.Table, *, source: str, text: str | None = None
+    ) -> bool:
         """Activates a table if it is newer; never returns to an older one.
 
         Args:
             table: The table.
             source: Where it was read, for the log: the store, or a peer.
+            text: Its JSON; None if it is not known.
         """
         version_before = self.table.version
         self.runtime.submit(
@@ -84,6 +94,7 @@
         )
         if self.table is not table:
             return False
+        self.texts.add(table, text)
         self._log_in_force(version_before, source)
         self.on_adopted()
         return True
@@ -114,9 +125,12 @@
             return
         self._fetching.add(address)
         self._fetched_at_ms = now_ms
+        base = self.texts.newest(self.table)
         try:
             reply = await self.peers.fetch_table(
-                address, known_version=self.table.version
+                address,
+                known_version=self.table.version,
+                base_digest=0 if self._needs_whole else base.digest,
             )
         finally:
             self._fetching.discard(address)
@@ -128,10 +142,13 @@
                 reply.err_value.detail,
             )
             return
-        parsed = tables_wire.read(reply.ok_value)
+        parsed = tables_wire.read(reply.ok_value, base=base.text or "")
         if isinstance(parsed, Ok):
-            self.adopt(parsed.ok_value, source=address)
+            found = parsed.ok_value
+            self._needs_whole = False
+            self.adopt(found.table, source=address, text=found.text)
         elif parsed is not None:
+            self._needs_whole = True
             logging.info(
                 "event=table_unreadable peer=%s detail=%r",
                 address,
--- a/src/godwittack/peer/exchange.py
+++ b/src/godwittack/peer/exchange.py
@@ -117,11 +117,19 @@
         )
 
     async def fetch_table(
-        self, address: str, *, known_version: int
+        self, address: str, *, known_version: int, base_digest: int = 0
     ) -> Result[peer_pb2.TableReply, PeerError]:
-        """Returns a peer's table."""
+        """Returns a peer's table, or its difference to the table here.
+
+        Args:
+            address: Address of the peer.
+            known_version: Version of the table here.
+            base_digest: Digest of its JSON; 0 for no difference.
+        """
         request = peer_pb2.TableRequest(
-            known_version=known_version, accepts_deflate=True
+            known_version=known_version,
+            accepts_deflate=True,
+            base_digest=base_digest,
         )
         return await self._call(
             traffic.Kind.TABLE,
--- a/src/godwittack/table/schema.py
+++ b/src/godwittack/table/schema.py
@@ -106,6 +106,18 @@
     tokens: dict[str, str] = {}
     forwarding: forwardings.Forwarding | None = None
 
+    @pydantic.field_serializer("forwarding", mode="wrap")
+    def _sort_sets(
+        self,
+        forwarding: forwardings.Forwarding | None,
+        serialize: pydantic.SerializerFunctionWrapHandler,
+    ) -> object:
+        """Makes the stored form the same in all processes."""
+        fields = serialize(forwarding)
+        if fields is not None:
+            fields["isolated"] = sorted(fields["isolated"])
+        return fields
+
 
 def check_row(
     kind: model.RowKind, cells: Mapping[str, model.CellValue]
--- a/tests/cases/fetching.py
+++ b/tests/cases/fetching.py
@@ -20,7 +20,7 @@
         self.asked: list[str] = []
         self._silent = silent
 
-    async def fetch_table(self, address, *, known_version):
+    async def fetch_table(self, address, *, known_version, base_digest):
         """Answers that there is no newer table, or never."""
         self.asked.append(address)
         if address == self._silent:
--- a/tests/cases/odd_entries.py
+++ b/tests/cases/odd_entries.py
@@ -371,7 +371,7 @@
             if not is_sent:
                 assert received is None, fields
                 continue
-            workspace = received.ok_value.workspaces["desk"]
+            workspace = received.ok_value.table.workspaces["desk"]
             assert workspace.uncounted_tokens == 2_000_000
 
 
--- a/tests/cases/peers.py
+++ b/tests/cases/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 import socket
 import sys
@@ -23,17 +24,20 @@
 from godwittack.member import view
 from godwittack.peer import (
     datagram,
+    deltas,
     exchange,
     peer_pb2,
     server,
     tables,
     traffic,
 )
-from godwittack.table import model, schema
+from godwittack.table import forwarding, model, schema
 
 SECRET = b"s" * 32
 OTHER_SECRET = b"x" * 32
 TIMEOUT_MS = 2_000
+# 120 KB for one change of forty daemons.
+MAX_DELTA_BYTES = 3_000
 
 
 class FakeHandler:
@@ -449,12 +453,93 @@
         sizes.append(reply.ByteSize())
         read = tables.read(reply)
         assert read is not None
-        assert schema.table_to_json(read.ok_value) == schema.table_to_json(sent)
+        assert schema.table_to_json(
+            read.ok_value.table
+        ) == schema.table_to_json(sent)
     assert sizes[1] < sizes[0] / 2, sizes
     newest = peer_pb2.TableRequest(known_version=7, accepts_deflate=True)
     assert tables.read(writer.reply(sent, newest)) is None
 
 
+def a_changed_route_is_sent_as_a_difference() -> None:
+    """A peer that has the version before gets what has changed.
+
+    Guards against a link that is full for a second: each of sixty peers gets
+    the whole table for one route.
+    """
+    texts = tables.TableTexts()
+    before, after = _large_table(5), _large_table(6, added=1)
+    for sent in (before, after):
+        texts.add(sent)
+    writer = tables.TableWriter(texts)
+    received = tables.TableTexts()
+    base = received.newest(before)
+    request = peer_pb2.TableRequest(
+        known_version=5, accepts_deflate=True, base_digest=base.digest
+    )
+    reply = writer.reply(after, request)
+    assert reply.ByteSize() < MAX_DELTA_BYTES, reply.ByteSize()
+    read = tables.read(reply, base=base.text)
+    assert _is_table(read, after)
+
+
+def a_difference_to_another_table_is_not_applied() -> None:
+    """A peer gets the whole table where its own is not known, or not as it is.
+
+    Guards against routes of two versions in one table.
+    """
+    before, after = _large_table(5), _large_table(6, added=1)
+    texts = tables.TableTexts()
+    texts.add(after)
+    request = peer_pb2.TableRequest(
+        known_version=5,
+        accepts_deflate=True,
+        base_digest=deltas.digest(schema.table_to_json(before)),
+    )
+    whole = tables.TableWriter(texts).reply(after, request)
+    assert _is_table(tables.read(whole), after)
+    other = schema.table_to_json(_large_table(4, added=-7))
+    reply = peer_pb2.TableReply(
+        version=6,
+        delta=deltas.diff(
+            schema.table_to_json(before), schema.table_to_json(after)
+        ),
+    )
+    read = tables.read(reply, base=other)
+    assert read is not None and read.is_err()
+
+
+def _is_table(read, sent: model.Table) -> bool:
+    """Returns whether a reply was read as the table that was sent."""
+    if read is None or read.is_err():
+        return False
+    text = schema.table_to_json(sent)
+    found = read.ok_value
+    return text == found.text == schema.table_to_json(found.table)
+
+
+def _large_table(version: int, *, added: int = 0) -> model.Table:
+    """Returns a table with many routes; `added` of them at the end."""
+    routes = tuple(
+        forwarding.Route(
+            name=f"r{n}",
+            host=f"h{n}.example",
+            prefix=f"/p{n}/",
+            targets=(forwarding.WeightedTarget(target="app"),),
+            timeout_ms=3_000,
+        )
+        for n in range(1_400 + added)
+    )
+    return dataclasses.replace(
+        routed_core.table(version),
+        forwarding=forwarding.Forwarding(
+            config_version=version,
+            routes=routes,
+            isolated=frozenset(f"w{n}" for n in range(20)),
+        ),
+    )
+
+
 def a_damaged_table_is_rejected() -> None:
     """A truncated, corrupted or oversized reply is an error, not a table."""
     request = peer_pb2.TableRequest(accepts_deflate=True)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -55,6 +55,8 @@
       | peers | a model's rate is sent when it changes |
       | peers | a forwarded table is unchanged |
       | peers | a damaged table is rejected |
+      | peers | a changed route is sent as a difference |
+      | peers | a difference to another table is not applied |
 
     Examples: timeouts of callers' connections
       | group               | case |
--- a/tests/sim/connections.py
+++ b/tests/sim/connections.py
@@ -96,7 +96,7 @@
         """Opens a stream of updates to a peer."""
         return FleetStream(self, address)
 
-    async def fetch_table(self, address, *, known_version):
+    async def fetch_table(self, address, *, known_version, base_digest):
         """Fetches the table from a peer."""
         other = await self._connect(address)
         if other is None:
