Test early answers that a reset ends, and statuses that are none

Reported of systems like ours: an early 200 without a length, part of a body and a reset while the upload is still written, passed on as a whole answer; an answer whose status was 000, passed on. Not covered: such an early answer that ends with a FIN, which is whole by its framing.

--- a/tests/standins/scripted.py
+++ b/tests/standins/scripted.py
@@ -15,7 +15,8 @@
     Attributes:
         data: Bytes sent; `{id}` is replaced by the request's id.
         reads_body: Whether the request's body is read before replying.
-        then: What follows: "keep", "close" or "reset" the connection.
+        then: What follows: "keep", "close" or "reset" the connection, or
+            "stop", a reset before the body is read.
         later: Bytes sent `LATER_S` after `data`.
         before_next: Bytes sent before the next reply on the same connection;
             `{id}` is replaced as in `data`.
@@ -80,6 +81,10 @@
                 writer.write(extra + reply.data.replace(b"{id}", _id(head)))
                 extra = reply.before_next.replace(b"{id}", _id(head))
                 await writer.drain()
+                if reply.then == "stop":
+                    await asyncio.sleep(LATER_S)
+                    _reset(writer)
+                    return
                 if not reply.reads_body:
                     await asyncio.sleep(LATER_S)
                     body = await reader.readexactly(size)
