Bound the updates that daemons send each other when servers end

What callers saw: versions of the configuration in force 4 to 6 s late, a third to two thirds of the requests late, and readiness that came and went, on a fleet of 63 daemons of which 22 are cut off and 17 servers end at a time. Cause: updates that grow with the square of the daemons. Each daemon told all others at once of each server that it lost, each time with the whole list; each suspicion went to all from each; a probe whose digest of crashes differed, as most do while crashes are on their way, had all crashes and completed runs sent again. A message that was late was given up after 400 ms, merged with all that came meanwhile, and sent again after the same pause on a new connection. Change: lost servers go with the next flush; a suspicion that two daemons have told a moment ago is not told again; crashes are sent again once their set has not changed for half a second, to a few peers at a time and ever less often; urgent updates to one peer share messages (2 ms for each peer between two); failed streams pause 0.5 to 4 s, growing; loads older than 2 s are left out. Why it works: what an event costs no longer depends on how many see it, and a late message makes the next one neither larger nor sooner. Ruled out: the queue of connections alone, after which the bytes stay.

--- a/src/godwittack/core/entities.py
+++ b/src/godwittack/core/entities.py
@@ -349,6 +349,7 @@
             is lost.
         inquiry: The question to other daemons that is not yet answered.
         asked_at_ms: When other daemons were last asked.
+        doubted_by: When other daemons told that it did not respond to them.
         max_rejected_per_s: Requests that it may reject in a second before it
             falls over; None if it has not said so.
         brittle_heard_ms: When it last said whether it is brittle.
@@ -409,6 +410,7 @@
     peer_paths: dict[str, PeerPath] = dataclasses.field(default_factory=dict)
     inquiry: Inquiry | None = None
     asked_at_ms: int = -1_000_000
+    doubted_by: dict[str, int] = dataclasses.field(default_factory=dict)
     found_dead_until_ms: int = 0
     max_rejected_per_s: float | None = None
     brittle_heard_ms: int = -1_000_000
--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -31,6 +31,10 @@
 # sixty daemons probed at once, their probes were half of all calls to engines
 # besides requests, mostly for prompts that took a little longer.
 PROBE_SPREAD_MS = 600
+# Daemons that tell all others of a silent server, and the time in which they
+# count. One alone may be cut off from some.
+DOUBTS_TOLD = 2
+DOUBT_SPREADS_MS = 1_000
 # Multiple of a plain service's smoothed response time after which it is probed.
 # A probe waits in the same queue as calls and makes it longer.
 SERVICE_TIME_FACTOR = 3.0
@@ -132,7 +136,10 @@
     broken network path would make all others eject every server.
     """
     server = world.servers.get(report.server_id)
-    if server is not None and server.ejected_until_ms <= world.now_ms:
+    if server is None:
+        return
+    server.doubted_by[report.daemon] = world.now_ms
+    if server.ejected_until_ms <= world.now_ms:
         silence.probe(world, server)
 
 
@@ -162,7 +169,12 @@
     was_in_service = not server.ejected_until_ms
     is_silent = not result.alive and world.table.forwarding is not None
     # A daemon that is cut off would make all others doubt live servers.
-    if is_silent and was_in_service and not paths.is_cut_off(world):
+    if (
+        is_silent
+        and was_in_service
+        and not paths.is_cut_off(world)
+        and not _is_widely_doubted(world, server)
+    ):
         world.emit(effects.Doubt(server.server_id, server.target))
     servers.apply_probe_result(world, result)
     if is_silent:
@@ -174,6 +186,23 @@
         )
 
 
+def _is_widely_doubted(
+    world: entities.World, server: entities.ServerRow
+) -> bool:
+    """Returns whether several daemons have told all others a moment ago.
+
+    When a server ends, most daemons notice it within a second: if each told all
+    others, the messages would grow with the square of their number.
+    """
+    oldest_ms = world.now_ms - DOUBT_SPREADS_MS
+    server.doubted_by = {
+        daemon: at_ms
+        for daemon, at_ms in server.doubted_by.items()
+        if at_ms >= oldest_ms
+    }
+    return len(server.doubted_by) >= DOUBTS_TOLD
+
+
 def apply_path_answer(
     world: entities.World, answer: server_inputs.PathAnswered
 ) -> None:
--- a/src/godwittack/core/server_inputs.py
+++ b/src/godwittack/core/server_inputs.py
@@ -73,10 +73,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerDoubted:
-    """A backend server did not respond to another daemon."""
+    """A backend server did not respond to another daemon.
+
+    Attributes:
+        daemon: The other daemon.
+    """
 
     at_ms: int
     server_id: str
+    daemon: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/godwittack/daemon/outbox.py
+++ b/src/godwittack/daemon/outbox.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import TYPE_CHECKING, Protocol
 
 from absl import logging
@@ -18,12 +19,23 @@
     from godwittack.limit import quota
     from godwittack.peer import exchange
 
-RETRY_PAUSE_MS = 500
-# Minimum time between two transfers of all crashes to one peer. In between,
-# its own update about the same crashes may arrive.
-RESEND_INTERVAL_MS = 500
+# Pause after a failed message, doubled up to the maximum: a peer behind a full
+# link would otherwise get more connections than one that answers.
+RETRY_FIRST_MS = 500
+RETRY_MAX_MS = 4_000
+# Minimum time between two messages to one peer, per peer. The first of a burst
+# is sent at once, and the rest of it with the next message.
+INTERVAL_PER_PEER_MS = 2
+MAX_INTERVAL_MS = 200
+# Minimum time between two transfers of all crashes to one peer, doubled up to
+# the maximum. In between, its own update about the same crashes may arrive, and
+# what two daemons keep may differ for good.
+RESEND_FIRST_MS = 500
+RESEND_MAX_MS = 8_000
 # A stream without messages for this long is closed.
 IDLE_TIMEOUT_MS = 10_000
+# Loads that have waited for longer are not sent.
+MAX_LOAD_AGE_MS = 2_000
 # Reports of use that are repeated on a new stream, in case they were lost.
 USAGE_KEPT_MS = 30_000
 
@@ -66,8 +78,17 @@
         address: str,
         client: NewsClient,
         clock: Clock,
+        peers: Callable[[], int] = lambda: 1,
     ) -> None:
-        """Starts a task that sends to `address` once updates are pending."""
+        """Starts a task that sends to `address` once updates are pending.
+
+        Args:
+            own_id: Id of this daemon.
+            address: Address of the peer.
+            client: Opens the stream.
+            clock: Source of time.
+            peers: Returns the number of peers with an outbox.
+        """
         self.pending = pending.PendingNews()
         self.last_demands: tuple[inputs.CellDemand, ...] = ()
         self.last_usages: dict[str, quota.Usage] = {}
@@ -78,7 +99,13 @@
         self._clock = clock
         self._stream: NewsStream | None = None
         self._writer = wire.NewsWriter()
-        self._last_resend_ms = -RESEND_INTERVAL_MS
+        self._peers = peers
+        # Differs from daemon to daemon, so that they retry at different times.
+        self._rng = random.Random(f"{own_id} {address}")
+        self._retry_ms = RETRY_FIRST_MS
+        self._sent_ms = clock.now_ms() - MAX_INTERVAL_MS
+        self._resend_ms = RESEND_FIRST_MS
+        self._resent_ms = clock.now_ms() - RESEND_MAX_MS
         self._send_requested = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -106,15 +133,21 @@
         self.send_pending()
 
     def resend_all_crashes(self, crash_history: quarantine.Quarantine) -> None:
-        """Sends all known crashes, at most once per resend interval."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._last_resend_ms >= RESEND_INTERVAL_MS:
-            self._last_resend_ms = now_ms
-            self.send_crashes(
-                crash_history.crashes_to_exchange()
-                + crash_history.broken_runs(),
-                crash_history.completions(),
-            )
+        """Sends all known crashes, unless they were sent a while ago."""
+        since_ms = self._clock.now_ms() - self._resent_ms
+        if since_ms < self._resend_ms:
+            return
+        is_repeated = since_ms < RESEND_MAX_MS
+        self._resend_ms = (
+            min(RESEND_MAX_MS, 2 * self._resend_ms)
+            if is_repeated
+            else RESEND_FIRST_MS
+        )
+        self._resent_ms = self._clock.now_ms()
+        self.send_crashes(
+            crash_history.crashes_to_exchange() + crash_history.broken_runs(),
+            crash_history.completions(),
+        )
 
     def send_pending(self) -> None:
         """Has the pending updates sent at once."""
@@ -162,6 +195,7 @@
     async def _run(self) -> None:
         while True:
             await self._send_requested.wait()
+            await self._wait_for_turn()
             self._send_requested.clear()
             updates, self.pending = self.pending, pending.PendingNews()
             try:
@@ -172,11 +206,25 @@
                 self._drop_unencodable(error)
                 continue
             if is_sent:
+                self._retry_ms = RETRY_FIRST_MS
                 continue
             self.pending = updates.merged_with(self.pending)
-            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+            await asyncio.sleep(self._next_pause_ms() / 1000)
             self._send_requested.set()
 
+    async def _wait_for_turn(self) -> None:
+        interval_ms = min(MAX_INTERVAL_MS, INTERVAL_PER_PEER_MS * self._peers())
+        early_ms = self._sent_ms + interval_ms - self._clock.now_ms()
+        if early_ms > 0:
+            await asyncio.sleep(early_ms / 1000)
+        self._sent_ms = self._clock.now_ms()
+
+    def _next_pause_ms(self) -> float:
+        """Returns the pause after a failed message, and doubles the next."""
+        pause_ms = self._retry_ms
+        self._retry_ms = min(RETRY_MAX_MS, 2 * pause_ms)
+        return pause_ms * self._rng.uniform(0.5, 1.0)
+
     def _drop_unencodable(self, error: ValueError) -> None:
         """Continues on a new stream after updates that can't be encoded."""
         logging.error(
@@ -188,6 +236,20 @@
             self._stream.close()
             self._stream = None
 
+    def _drop_outdated(self, updates: pending.PendingNews) -> None:
+        """Leaves out loads that the peer would not use any more."""
+        oldest_ms = self._clock.now_ms() - MAX_LOAD_AGE_MS
+        updates.loads = {
+            name: load
+            for name, load in updates.loads.items()
+            if load.at_ms >= oldest_ms
+        }
+        updates.told_loads = {
+            name: load
+            for name, load in updates.told_loads.items()
+            if load.at_ms >= oldest_ms
+        }
+
     async def _send(self, updates: pending.PendingNews) -> bool:
         self.last_used_ms = self._clock.now_ms()
         is_new_stream = self._stream is None
@@ -199,6 +261,7 @@
             # The demand sent on a stream that broke may not have arrived.
             updates.demands = self.last_demands
             updates.usages = {**self._recent_usages(), **updates.usages}
+        self._drop_outdated(updates)
         message = self._writer.write(updates, now_ms=self._clock.now_ms())
         if is_new_stream:
             message.sender_id = self._own_id
--- a/src/godwittack/daemon/peer_updates.py
+++ b/src/godwittack/daemon/peer_updates.py
@@ -26,6 +26,10 @@
 # sixty peers and five flushes a second, updates took two fifths of a daemon's
 # processor time.
 FLUSH_INTERVAL_PER_PEER_MS = 10
+# Crashes are sent again once no other one has become known for this long, and
+# at this interval for each peer.
+RESEND_AFTER_MS = 500
+RESEND_PER_PEER_MS = 20
 # Limit of that interval, relative to the age from which load reports are stale.
 MAX_FLUSH_INTERVAL_RATIO = 0.25
 
@@ -71,6 +75,10 @@
         self._runtime = runtime
         self._client = client
         self._outboxes: dict[str, outboxes.Outbox] = {}
+        # The digest of the own crashes, and when it changed.
+        self._crashes_digest = 0
+        self._crashes_changed_ms = 0
+        self._resent_ms = -1_000_000
         # Incarnations published as leaving, by server id.
         self._known_leaving: dict[str, str] = {}
         self._audiences: dict[str, list[view.Member]] = {}
@@ -169,7 +177,9 @@
         """Publishes the servers that this daemon can't reach.
 
         The daemons that receive updates on any of the targets need it: they
-        choose each other to pass on requests and to watch servers.
+        choose each other to pass on requests and to watch servers. It is sent
+        with the next flush: a cut changes the list once for each server, and
+        each message has the whole list.
         """
         members = {
             member.member_id: member
@@ -178,7 +188,6 @@
         }
         for outbox in self._outboxes_for(members.values()):
             outbox.pending.lost_paths = update.lost
-            outbox.send_pending()
 
     def publish_crashes(self, report: effects.TellCrashes) -> None:
         """Publishes crashes to a target's audience, or without one to all."""
@@ -204,14 +213,25 @@
     def compare_crashes(self, sender_id: str, digest: int) -> None:
         """Sends all known crashes to a peer whose digest of them differs.
 
-        The peer may have missed updates, or started after they were sent.
+        The peer may have missed updates, or started after they were sent. While
+        updates are on their way the digests of most daemons differ, so that
+        only crashes known for a while are sent again, to a few peers at a time.
         """
-        quarantine = self._runtime.core.world.quarantine
-        if digest == quarantine.digest():
+        own = self._runtime.core.world.quarantine.digest()
+        now_ms = self._runtime.clock.now_ms()
+        if own != self._crashes_digest:
+            self._crashes_digest, self._crashes_changed_ms = own, now_ms
+        if digest == own or not own:
             return
+        spacing_ms = RESEND_PER_PEER_MS * len(self._outboxes)
+        is_settled = now_ms - self._crashes_changed_ms >= RESEND_AFTER_MS
+        is_due = is_settled and now_ms - self._resent_ms >= spacing_ms
+        if digest and not is_due:
+            return
+        self._resent_ms = now_ms
         peers = [m for m in self._members.live() if m.member_id == sender_id]
         for outbox in self._outboxes_for(peers):
-            outbox.resend_all_crashes(quarantine)
+            outbox.resend_all_crashes(self._runtime.core.world.quarantine)
 
     def publish_draining(self, server_id: str, target: str) -> None:
         """Publishes a drain to the daemons that serve a model.
@@ -256,7 +276,7 @@
             until_ms = now_ms + DRAIN_TTL_MS
             submit(server_inputs.ServerDraining(now_ms, server_id, until_ms))
         for server_id in message.doubted_servers:
-            submit(server_inputs.ServerDoubted(now_ms, server_id))
+            submit(server_inputs.ServerDoubted(now_ms, server_id, sender_id))
         for brittle in message.brittle:
             submit(codec.brittle_from_proto(brittle, now_ms=now_ms))
         for limit in message.rate_limits:
@@ -343,9 +363,13 @@
                 address=member.peer_address,
                 client=self._client,
                 clock=self._runtime.clock,
+                peers=self._count_outboxes,
             )
         return outbox
 
+    def _count_outboxes(self) -> int:
+        return len(self._outboxes)
+
     def _queue_demands(self) -> None:
         """Queues each cell's demand for the peers that share its limit."""
         demands = self._demands()
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -58,6 +58,14 @@
       | peers | a changed route is sent as a difference |
       | peers | a difference to another table is not applied |
 
+    Examples: updates whose number is bounded
+      | group | case |
+      | paced_updates | a cut is told in one message to each peer |
+      | paced_updates | urgent updates of a burst share messages |
+      | paced_updates | an unreachable peer is tried less and less often |
+      | paced_updates | crashes are sent again once they have settled |
+      | paced_updates | a suspicion that has spread is not told again |
+
     Examples: timeouts of callers' connections
       | group               | case |
       | connection_timeouts | unfinished request headers time out |
