Let one answer at a time exceed the account of connections

Cause: the account holds 8 MB there, of which large amounts get 6.4. The longest body is always let in; its answer, as long, then waited for memory that only its own request could give back. Change: one request at a time may take up to 4 MB for its answer beyond the account. The case times out without the change.

--- a/src/godwittack/entry/reservations.py
+++ b/src/godwittack/entry/reservations.py
@@ -26,6 +26,9 @@
 STALLED_STREAM_BYTES = 256 << 10
 # Interval at which an answer looks for memory, which is also made by time.
 ROOM_POLL_S = 0.05
+# What the answer of one request may take beyond the account: its body may fill
+# the account alone, and it would wait for itself.
+EXCESS_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,6 +80,7 @@
         self._holder = holder
         self._taken_at_ms = now_ms
         self._answer_bytes = 0
+        self._excess_bytes = 0
         self._is_stalled = False
         self.size_bytes = size_bytes
 
@@ -97,9 +101,20 @@
         while not account.take(
             self._holder, size_bytes, now_ms=self._memory.now_ms()
         ):
+            if self._may_exceed(size_bytes):
+                account.add(self._holder, size_bytes)
+                self._excess_bytes += size_bytes
+                break
             await asyncio.sleep(ROOM_POLL_S)
         self._answer_bytes += size_bytes
 
+    def _may_exceed(self, size_bytes: int) -> bool:
+        """Returns whether the answer may go on without memory for it."""
+        return (
+            self._excess_bytes + size_bytes <= EXCESS_BYTES
+            and self._memory.begin_excess(self)
+        )
+
     def begin_stall(self) -> None:
         """Takes memory for a stream that its caller doesn't read."""
         account = self._memory.connections
@@ -119,6 +134,8 @@
     def release(self) -> None:
         """Gives the memory back."""
         self.end_stall()
+        self._memory.end_excess(self)
+        self._excess_bytes = 0
         self._memory.connections.add(self._holder, -self._answer_bytes)
         self._answer_bytes = 0
         self._memory.give_back(
@@ -148,6 +165,7 @@
         self._waiters: collections.deque[_Waiter] = collections.deque()
         self.connections = connections or connection_memory.ConnectionMemory()
         self.connections.on_freed = self._grant
+        self._exceeding: Reservation | None = None
         self.rejected = 0
 
     @property
@@ -164,6 +182,17 @@
         """Returns the current time."""
         return self._clock.now_ms()
 
+    def begin_excess(self, reservation: Reservation) -> bool:
+        """Lets one request at a time exceed the account by its answer."""
+        if self._exceeding is None:
+            self._exceeding = reservation
+        return self._exceeding is reservation
+
+    def end_excess(self, reservation: Reservation) -> None:
+        """Lets another request exceed the account."""
+        if self._exceeding is reservation:
+            self._exceeding = None
+
     def try_reserve(
         self,
         size_bytes: int,
--- a/tests/cases/body_memory.py
+++ b/tests/cases/body_memory.py
@@ -21,7 +21,7 @@
     connection_timeouts,
     reservations,
 )
-from godwittack.limit import body_memory
+from godwittack.limit import body_memory, connection_memory
 from standins import scripted
 
 MB = 1 << 20
@@ -128,6 +128,31 @@
     assert account.take(BODY_BYTES)
 
 
+async def the_answer_to_the_longest_body_is_not_waited_for() -> None:
+    """One request at a time gets its answer though its body fills the memory.
+
+    Guards against a request that waits for its own memory until its deadline.
+    """
+    account = connection_memory.ConnectionMemory()
+    account.capacity_bytes = 8 * MB
+    memory = reservations.SharedBodyMemory(
+        capacity_bytes=8 * MB, clock=SystemClock(), connections=account
+    )
+    first = (await memory.reserve(4 * MB, max_wait_ms=100)).ok_value
+    second = (await memory.reserve(SHORT, max_wait_ms=100)).ok_value
+    async with asyncio.timeout(1):
+        for _ in range(64):
+            await first.take_answer(4 * MB // 64)
+    waiting = asyncio.create_task(second.take_answer(MB))
+    await asyncio.sleep(0.1)
+    assert not waiting.done()
+    first.release()
+    async with asyncio.timeout(1):
+        await waiting
+    second.release()
+    assert account.used_bytes == 0, account.used_bytes
+
+
 def without_a_limit_all_bodies_are_let_in() -> None:
     """Guards against a limit where no memory is set."""
     account = body_memory.BodyMemory(0)
--- a/tests/features/body_memory.feature
+++ b/tests/features/body_memory.feature
@@ -12,6 +12,7 @@
       | a body without memory in time is rejected at once |
       | memory is given back by callers that leave |
       | the longest body is served with little memory |
+      | the answer to the longest body is not waited for |
       | without a limit all bodies are let in |
       | a body is held while an attempt may use it |
       | a body is written as its server reads it |
