Read pages of rows for as long as they keep arriving

What callers would see: a daemon on a link of 5 Mbit/s that serves no configuration, or an old one, with 1,400 routes and no peer that has it: its row is 447 KB, 715 ms of that link, against a time limit of 600 ms for any call to the store. Change: a page may take 5 s, with no pause longer than a call to the store may take. Other calls keep their limit. Result: the case (400 KB within 0.5 s, a limit of 200 ms) fails before and passes; a page that stops is given up after the pause.

--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -21,6 +21,9 @@
 
 # Maximum number of rows that the store returns at a time.
 MAX_PAGE_ROWS = 500
+# Longest time for a page that keeps arriving. A configuration of a thousand
+# routes takes most of a second on a slow link.
+PAGE_TRANSFER_MS = 5_000
 STATUS_HISTORY_LOST = 410
 STATUS_CONDITION_FAILED = 412
 # Statuses by which the store reports that the call had no effect.
@@ -123,7 +126,13 @@
         query = {"table": table, "part": "", "limit": str(limit)}
         if from_key:
             query["from"] = from_key
-        result = await self._call(step, "GET", names.ROWS_GET, query=query)
+        result = await self._call(
+            step,
+            "GET",
+            names.ROWS_GET,
+            query=query,
+            transfer_ms=PAGE_TRANSFER_MS,
+        )
         return result if isinstance(result, Err) else Ok(result.ok_value[1])
 
     async def changes(
@@ -147,6 +156,7 @@
         query: Mapping[str, str] | None = None,
         body: bytes | None = None,
         wait_ms: int = 0,
+        transfer_ms: int = 0,
     ) -> protocol.PlatformResult[tuple[int, _Rows]]:
         url = f"http://{self._address}{path}"
         if query:
@@ -157,6 +167,7 @@
             url,
             body=body,
             timeout_ms=self._timeout_ms + wait_ms,
+            transfer_ms=transfer_ms,
         )
         if isinstance(result, Err):
             return self._error(step, result.err_value.detail)
--- a/src/godwittack/store/call.py
+++ b/src/godwittack/store/call.py
@@ -44,16 +44,36 @@
     *,
     body: bytes | None,
     timeout_ms: int,
+    transfer_ms: int = 0,
     limit_bytes: int = reply_limits.DEFAULT.answer_bytes,
 ) -> Result[Reply, CallFailure]:
-    """Makes one call; a redirect is returned as an answer, not followed."""
+    """Makes one call; a redirect is returned as an answer, not followed.
+
+    Args:
+        session: Makes the call.
+        method: HTTP method.
+        url: What is called.
+        body: Body of the request; None for none.
+        timeout_ms: Longest time until the answer begins, or until it is whole
+            if `transfer_ms` is 0.
+        transfer_ms: Longest time until it is whole, as long as no pause in it
+            exceeds `timeout_ms`.
+        limit_bytes: Length that the answer may have.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+    if transfer_ms:
+        timeout = aiohttp.ClientTimeout(
+            total=transfer_ms / 1000,
+            connect=timeout_ms / 1000,
+            sock_read=timeout_ms / 1000,
+        )
     try:
         async with session.request(
             method,
             url,
             data=body,
             headers=JSON_TYPE if body else {},
-            timeout=aiohttp.ClientTimeout(total=timeout_ms / 1000),
+            timeout=timeout,
             allow_redirects=False,
         ) as response:
             data = await bounded_client.read_body(
--- a/tests/features/changes_in_force.feature
+++ b/tests/features/changes_in_force.feature
@@ -29,6 +29,7 @@
       | feed_follower | a passed version without its rows leads to a snapshot |
       | feed_follower | pages of different versions make no newest table |
       | fetching      | a silent peer holds up no fetch from another |
+      | fetching      | a large configuration is read over a slow link |
 
     Examples: changes that the feed keeps to itself
       | group          | case |
