--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -279,7 +279,7 @@
             return True
         if self._is_stale(page, is_snapshot=is_snapshot):
             # The feed is polled before a snapshot is due again.
-            self._snapshot_at_ms = (
+            self._snapshot_at_ms = self._position_at_ms = (
                 started_ms - SNAPSHOT_INTERVAL_MS + STALE_SNAPSHOT_RETRY_MS
             )
             return False
--- a/tests/cases/feed_follower.py
+++ b/tests/cases/feed_follower.py
@@ -200,6 +200,39 @@
     assert harness.confirmed[-1] <= START_MS + 10, harness.confirmed
 
 
+async def the_feed_is_asked_after_a_late_snapshot() -> None:
+    """A daemon that does not poll asks the feed after an older snapshot.
+
+    Guards against a change that is missed while reads of rows lag: the last row
+    is older than the history, and each snapshot is older than that row.
+    """
+    harness = FollowerHarness(is_reader=False)
+    await harness.step(page(5, ("a", "1")))
+    await harness.step(page(7, ("a", "2")))
+    harness.clock.advance(by_ms=feed_follower.SNAPSHOT_INTERVAL_MS)
+    assert not await harness.step(page(5, ("a", "1")))
+    await harness.step(page(8, ("a", "3")))
+    assert harness.feed.calls[-2:] == ["snapshot op", "changes op 7"]
+    assert harness.published[-1] == {"a": "3"}, harness.published
+
+
+async def a_row_that_cannot_be_decoded_is_asked_for_once() -> None:
+    """Rows that are left out of an answer lead to a snapshot.
+
+    Guards against calls without a pause: the feed repeats what came after the
+    last row that was read.
+    """
+    harness = FollowerHarness()
+    await harness.step(page(5, ("a", "1")))
+    unreadable = protocol.FeedPage(rows=(), newest_version=7, dropped=1)
+    await harness.step(Ok(unreadable))
+    await harness.step(page(7, ("a", "1")))
+    await harness.step(page(7))
+    assert harness.feed.calls[-2:] == ["snapshot op", "changes op 7"], (
+        harness.feed.calls
+    )
+
+
 async def an_outage_keeps_the_last_known_rows() -> None:
     """While the store is unavailable, the last rows stay active.
 
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -174,6 +174,8 @@
       | feed_follower | a stale read reverts nothing |
       | feed_follower | a long poll confirms from its answer on |
       | feed_follower | a delayed answer is dated by the store's clock |
+      | feed_follower | the feed is asked after a late snapshot |
+      | feed_follower | a row that cannot be decoded is asked for once |
       | feed_follower | an outage keeps the last known rows |
       | feed_follower | a row added and removed unseen advances the version |
       | feed_follower | daemons that are not readers call less in an outage |
