--- a/src/godwittack/daemon/feed_follower.py
+++ b/src/godwittack/daemon/feed_follower.py
@@ -9,6 +9,7 @@
 from absl import logging
 from result import Err, Ok
 
+from godwittack.daemon import answer_dating
 from godwittack.member import assignment, freshness, staleness
 
 if TYPE_CHECKING:
@@ -40,9 +41,6 @@
 # Pause between two such calls, for example before the operators' first table.
 NON_READER_INTERVAL_MS = 500
 
-# Rounding of clocks, by which an answer may seem to be from the future.
-CLOCK_TOLERANCE_MS = 10
-
 Rows = dict[str, "protocol.ChangedRow"]
 
 
@@ -112,7 +110,7 @@
         self._position_at_ms = -SNAPSHOT_INTERVAL_MS
         self._reading: asyncio.Task[bool] | None = None
         self._retry_ms = RETRY_FIRST_MS
-        self._clock_offset_ms = -(1 << 62)
+        self._dating = answer_dating.AnswerDating(clock)
 
     @property
     def read_version(self) -> int:
@@ -299,7 +297,7 @@
         if not self._is_history_lost:
             self._retry_ms = RETRY_FIRST_MS
         if self._is_confirmed():
-            self._on_confirmed(self._answer_as_of_ms(page, started_ms))
+            self._on_confirmed(self._dating.as_of_ms(page, started_ms))
         return True
 
     def _newest_known(self) -> int:
@@ -378,28 +376,6 @@
             rows.extend(result.ok_value.rows)
         return Ok(dataclasses.replace(first, rows=tuple(rows), next_key=""))
 
-    def _answer_as_of_ms(self, page: protocol.FeedPage, started_ms: int) -> int:
-        """Returns a lower bound of the local time at which a page was produced.
-
-        A call that waits for changes is sent long before its answer is
-        produced. Every answer carries the store's clock: one that arrived
-        quickly gives a lower bound of the offset to the local clock, by which
-        the other answers are dated. Dated by the start of the call, the last
-        confirmation would seem older, and keys would be refused two seconds
-        too soon after the store became unreachable.
-        """
-        if not page.service_ms:
-            return started_ms
-        offset_ms = started_ms - page.service_ms
-        self._clock_offset_ms = max(self._clock_offset_ms, offset_ms)
-        now_ms = self._clock.now_ms()
-        dated_ms = page.service_ms + self._clock_offset_ms
-        if dated_ms > now_ms + CLOCK_TOLERANCE_MS:
-            # The store's clock has moved forward, as after a restart.
-            self._clock_offset_ms = offset_ms
-            return started_ms
-        return min(max(started_ms, dated_ms), now_ms)
-
     def _apply(
         self, page: protocol.FeedPage, started_ms: int, *, is_snapshot: bool
     ) -> None:
--- a/src/godwittack/daemon/outbox.py
+++ b/src/godwittack/daemon/outbox.py
@@ -22,7 +22,7 @@
 # Pause after a failed message, doubled up to the maximum: a peer behind a full
 # link would otherwise get more connections than one that answers.
 RETRY_FIRST_MS = 500
-RETRY_MAX_MS = 4_000
+RETRY_MAX_MS = 2_000
 # Minimum time between two messages to one peer, per peer. The first of a burst
 # is sent at once, and the rest of it with the next message.
 INTERVAL_PER_PEER_MS = 2
