--- a/src/godwittack/core/probing.py
+++ b/src/godwittack/core/probing.py
@@ -138,6 +138,7 @@
     server = world.servers.get(report.server_id)
     if server is None:
         return
+    _forget_old_doubts(world, server)
     server.doubted_by[report.daemon] = world.now_ms
     if server.ejected_until_ms <= world.now_ms:
         silence.probe(world, server)
@@ -194,13 +195,19 @@
     When a server ends, most daemons notice it within a second: if each told all
     others, the messages would grow with the square of their number.
     """
+    _forget_old_doubts(world, server)
+    return len(server.doubted_by) >= DOUBTS_TOLD
+
+
+def _forget_old_doubts(
+    world: entities.World, server: entities.ServerRow
+) -> None:
     oldest_ms = world.now_ms - DOUBT_SPREADS_MS
     server.doubted_by = {
         daemon: at_ms
         for daemon, at_ms in server.doubted_by.items()
         if at_ms >= oldest_ms
     }
-    return len(server.doubted_by) >= DOUBTS_TOLD
 
 
 def apply_path_answer(
