Count dropped rows and long transfers outside the adapter

Change: bodies with a list know how many items were left out (backend/json_items); any GET to the store may take 5 s longer as long as it keeps arriving, not just pages, as a row that comes by the feed is as large (store/call).

--- a/src/godwittack/backend/json_items.py
+++ b/src/godwittack/backend/json_items.py
@@ -15,7 +15,7 @@
 from godwittack.store import json_parts
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Mapping
 
 _Body = TypeVar("_Body", bound=pydantic.BaseModel)
 
@@ -23,6 +23,21 @@
 _LOG = unreadable.UnreadableLog("items_unreadable")
 
 
+class ListBody(pydantic.BaseModel):
+    """Base of bodies that know how many of their items were left out."""
+
+    _dropped: int = pydantic.PrivateAttr(default=0)
+
+    @property
+    def dropped(self) -> int:
+        """Items that could not be decoded."""
+        return self._dropped
+
+    def record_dropped(self, count: int) -> None:
+        """Records that items could not be decoded."""
+        self._dropped = count
+
+
 def decode(
     body_type: type[_Body],
     data: bytes,
@@ -30,7 +45,6 @@
     items: str,
     origin: str,
     key: str = "",
-    on_dropped: Callable[[int], None] = lambda count: None,
 ) -> Result[_Body, str]:
     """Decodes a body; an error says why it is not one.
 
@@ -42,7 +56,6 @@
         key: Name of the field that identifies an item. An item of which this
             field can be decoded keeps all such fields, and counts as changed
             to whoever compares it with an earlier one; empty to leave it out.
-        on_dropped: Called with the number of items that are left out.
     """
     try:
         return Ok(body_type.model_validate_json(data))
@@ -59,8 +72,10 @@
     found = [decoder.parse(text) or decoder.reduce(text, key) for text in texts]
     kept = tuple(item for item in found if item is not None)
     _LOG.log(origin, f"{reason}; kept {len(kept)} of {len(texts)} {items}")
-    on_dropped(len(texts) - len(kept))
-    return Ok(body.model_copy(update={items: kept}))
+    body = body.model_copy(update={items: kept})
+    if isinstance(body, ListBody):
+        body.record_dropped(len(texts) - len(kept))
+    return Ok(body)
 
 
 class _ItemDecoder(Generic[_Body]):
@@ -106,4 +121,4 @@
         return self.parse(json_parts.join(kept))
 
 
-__all__ = ["decode"]
+__all__ = ["ListBody", "decode"]
--- a/src/godwittack/platform/rows.py
+++ b/src/godwittack/platform/rows.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 from urllib import parse
 
-import pydantic
 from result import Err, Ok
 
 from godwittack.backend import json_fields, json_items
@@ -21,9 +20,6 @@
 
 # Maximum number of rows that the store returns at a time.
 MAX_PAGE_ROWS = 500
-# Longest time for a page that keeps arriving. A configuration of a thousand
-# routes takes most of a second on a slow link.
-PAGE_TRANSFER_MS = 5_000
 STATUS_HISTORY_LOST = 410
 STATUS_CONDITION_FAILED = 412
 # Statuses by which the store reports that the call had no effect.
@@ -38,23 +34,13 @@
     deleted: bool = False
 
 
-class _Rows(wire.Body):
+class _Rows(json_items.ListBody, wire.Body):
     rows: json_fields.Items[_Row] = ()
     # Newest version in the whole store, not in these rows.
     row_version: int = 0
     has_more: bool = False
     # The store's monotonic clock, with an origin of its own.
     now_ms: int = 0
-    _dropped: int = pydantic.PrivateAttr(default=0)
-
-    @property
-    def dropped(self) -> int:
-        """Rows of the answer that could not be decoded."""
-        return self._dropped
-
-    def record_dropped(self, count: int) -> None:
-        """Records that some rows of the answer could not be decoded."""
-        self._dropped = count
 
 
 class Rows:
@@ -126,13 +112,7 @@
         query = {"table": table, "part": "", "limit": str(limit)}
         if from_key:
             query["from"] = from_key
-        result = await self._call(
-            step,
-            "GET",
-            names.ROWS_GET,
-            query=query,
-            transfer_ms=PAGE_TRANSFER_MS,
-        )
+        result = await self._call(step, "GET", names.ROWS_GET, query=query)
         return result if isinstance(result, Err) else Ok(result.ok_value[1])
 
     async def changes(
@@ -143,9 +123,7 @@
         result = await self._call(
             "feed", "GET", names.ROWS_FEED, query=query, wait_ms=wait_ms
         )
-        if isinstance(result, Err):
-            return result
-        return Ok(_page(result.ok_value[1]))
+        return result.map(lambda answer: _page(answer[1]))
 
     async def _call(
         self,
@@ -156,7 +134,6 @@
         query: Mapping[str, str] | None = None,
         body: bytes | None = None,
         wait_ms: int = 0,
-        transfer_ms: int = 0,
     ) -> protocol.PlatformResult[tuple[int, _Rows]]:
         url = f"http://{self._address}{path}"
         if query:
@@ -167,7 +144,6 @@
             url,
             body=body,
             timeout_ms=self._timeout_ms + wait_ms,
-            transfer_ms=transfer_ms,
         )
         if isinstance(result, Err):
             return self._error(step, result.err_value.detail)
@@ -175,18 +151,11 @@
         if status not in (200, STATUS_CONDITION_FAILED):
             return self._error(step, f"status {status}", status=status)
         body = result.ok_value.body
-        dropped: list[int] = []
         page = json_items.decode(
-            _Rows,
-            body,
-            items="rows",
-            origin=self._address,
-            key="key",
-            on_dropped=dropped.append,
+            _Rows, body, items="rows", origin=self._address, key="key"
         )
         if isinstance(page, Err):
             return self._error(step, page.err_value)
-        page.ok_value.record_dropped(sum(dropped))
         return Ok((status, page.ok_value))
 
     def _error(
--- a/src/godwittack/store/call.py
+++ b/src/godwittack/store/call.py
@@ -12,6 +12,9 @@
 from godwittack.backend import bounded_client, reply_limits
 
 JSON_TYPE = {"Content-Type": "application/json"}
+# Longest time for an answer that keeps arriving. A configuration of a thousand
+# routes takes most of a second on a slow link.
+TRANSFER_MS = 5_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,7 +47,6 @@
     *,
     body: bytes | None,
     timeout_ms: int,
-    transfer_ms: int = 0,
     limit_bytes: int = reply_limits.DEFAULT.answer_bytes,
 ) -> Result[Reply, CallFailure]:
     """Makes one call; a redirect is returned as an answer, not followed.
@@ -54,16 +56,14 @@
         method: HTTP method.
         url: What is called.
         body: Body of the request; None for none.
-        timeout_ms: Longest time until the answer begins, or until it is whole
-            if `transfer_ms` is 0.
-        transfer_ms: Longest time until it is whole, as long as no pause in it
-            exceeds `timeout_ms`.
+        timeout_ms: Longest time until the answer is whole; for a GET until it
+            begins, and of a pause in it.
         limit_bytes: Length that the answer may have.
     """
     timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
-    if transfer_ms:
+    if method == "GET":
         timeout = aiohttp.ClientTimeout(
-            total=transfer_ms / 1000,
+            total=(timeout_ms + TRANSFER_MS) / 1000,
             connect=timeout_ms / 1000,
             sock_read=timeout_ms / 1000,
         )
