Refuse what all servers ran in an outage for seconds, not minutes

Callers saw: after all servers of a service had ended together, each equal request on a route got 503 with Retry-After of nearly 600 s from all daemons, though new servers were up and idle. Three of eight servers that ended at one moment were enough while runs last a second.

Cause: three ended servers that ran a content blamed it, whatever else they ran and whenever they ended. A popular request is on each server at each moment. A completed run acquits it, but none was sent for ten minutes, and those under way were cancelled.

Ruled out: a request that does crash (the same content completed before and after), and lost messages (all daemons agree).

Change: crashes of servers that may have ended within half a second of each other count as one time; a crash tells how long its server was silent, as a silent server may have ended at any moment since its last sign of life. At one time the content is refused for two seconds, at two for ten minutes as before. After a quarantine each daemon sends one run at a time, to one server, until one has completed: a run that ends its server makes it two times. Messages and rows of older daemons don't tell the silence and count as six seconds. What is new with each crash is a longer quarantine only if it follows one, as for parts, since an outage of ten servers would have made it 64 times as long.

Why it works: what ends servers does so again in its next run and is refused from then on; what doesn't is acquitted by it everywhere.

Same cause looked for: weighing of parts (silences that overlap could count as several times; now shared), hedging, lost paths, brittle servers, pace.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -17,6 +17,7 @@
     closing,
     effects,
     entities,
+    evidence,
     quarantine,
     suspects,
     work,
@@ -78,6 +79,7 @@
         target=server.target,
         is_answered=is_answered,
         is_silent=is_silent,
+        silent_ms=_silent_ms(world, server) if is_silent else 0,
     )
     was_sent_before_end = attempt.sent_at_ms <= server.ended_at_ms
     if run.start == server.ended_incarnation_id and was_sent_before_end:
@@ -88,6 +90,12 @@
     return True
 
 
+def _silent_ms(world: entities.World, server: entities.ServerRow) -> int:
+    """Returns how long a server has given no sign of life, within bounds."""
+    heard_ms = max(server.last_contact_ms, server.reported_at_ms)
+    return min(CRASH_WINDOW_MS, max(0, world.now_ms - heard_ms))
+
+
 def forget_run(
     world: entities.World,
     request: entities.RequestRow,
@@ -332,11 +340,47 @@
 
 def is_quarantined(world: entities.World, request: entities.RequestRow) -> bool:
     """Returns whether a request may not be sent to any server now."""
-    return bool(len(world.quarantine)) and is_blocked(
-        world, request.suspect_keys
+    return bool(len(world.quarantine)) and (
+        is_blocked(world, request.suspect_keys)
+        or _is_on_trial(world, request.suspect_keys)
+    )
+
+
+def _is_on_trial(world: entities.World, keys: Iterable[str]) -> bool:
+    """Returns whether a run tests at present what a request is blamed for.
+
+    After a quarantine one run at a time is sent, to one server, until one has
+    completed.
+    """
+    blamed = world.quarantine.blamed(tuple(keys))
+    if not blamed:
+        return False
+    return any(
+        request.open_attempts and blamed.issubset(request.suspect_keys)
+        for request in world.requests.values()
+    ) or any(
+        blamed.issubset(run.keys)
+        for server in world.servers.values()
+        for run in _recent_runs(world, server)
     )
 
 
+def log_trial(
+    world: entities.World, request: entities.RequestRow, server_id: str
+) -> None:
+    """Logs that a request is sent to learn if it still crashes servers."""
+    if not len(world.quarantine):
+        return
+    blamed = world.quarantine.blamed(request.suspect_keys)
+    if blamed:
+        world.event(
+            "quarantine_trial",
+            request.request_id,
+            server=server_id,
+            **_key_fields(world, blamed),
+        )
+
+
 def is_blocked(world: entities.World, keys: Iterable[str]) -> bool:
     """Returns whether what holds all of these keys may not be sent now."""
     until_ms = world.quarantine.until_ms(*keys)
@@ -399,6 +443,7 @@
             start=run.start,
             reporter=world.daemon,
             at_ms=run.at_ms,
+            silent_ms=run.silent_ms,
         )
         for run in runs
         for key in run.keys
@@ -452,9 +497,10 @@
         "quarantined",
         **_key_fields(world, keys),
         starts=",".join(sorted({crash.start for crash in crashes})),
+        times=len(evidence.separate_times_ms(crashes)),
         reporters=",".join(sorted({crash.reporter for crash in crashes})),
         oldest_ms=world.now_ms - min(crash.at_ms for crash in crashes),
-        for_ms=world.quarantine.until_ms(*keys) - world.now_ms,
+        for_ms=max(0, world.quarantine.until_ms(*keys) - world.now_ms),
     )
     if any(crash.reporter == world.daemon for crash in crashes):
         # Daemons without updates on these servers may still get the request.
@@ -497,7 +543,7 @@
             continue
         if request.at_most_once and not request.work.is_streamed:
             continue
-        if not is_quarantined(world, request):
+        if not is_blocked(world, request.suspect_keys):
             continue
         closing.cancel_attempts(world, request, stop_engine=True)
         request.may_have_run = True
@@ -577,6 +623,7 @@
     "incarnation_id",
     "is_blocked",
     "is_quarantined",
+    "log_trial",
     "needs_sign_of_life",
     "quarantine_fields",
     "quarantine_left_ms",
--- a/src/godwittack/core/dispatching.py
+++ b/src/godwittack/core/dispatching.py
@@ -252,6 +252,7 @@
         relay=relay,
         memory=memory_updates.occupant(world, request, choice),
     )
+    crashes.log_trial(world, request, server.server_id)
     _record_attempt(world, request, attempt)
     brittle.record_dispatch(world, server, attempt, is_at_holder=bool(holder))
     server.in_flight[attempt_id] = attempt
--- a/src/godwittack/core/evidence.py
+++ b/src/godwittack/core/evidence.py
@@ -58,6 +58,11 @@
         """When its end was observed."""
         ...
 
+    @property
+    def silent_ms(self) -> int:
+        """Time before `at_ms` in which it may have ended already."""
+        ...
+
     @property
     def runs(self) -> int:
         """Runs that it broke at the daemon that observed it."""
@@ -175,7 +180,7 @@
         part: What is known of the part.
         usual: What is known of all runs on its target.
     """
-    times_ms = _distinct_times(crash.at_ms for crash in part.crashes)
+    times_ms = separate_times_ms(part.crashes)
     if len(times_ms) < TIMES_TO_BLAME:
         return 0.0
     if _never_completes(part, usual, times_ms):
@@ -208,24 +213,29 @@
     return 2 * crashes >= all_crashes and others >= OTHERS_PER_CRASH * crashes
 
 
-def _distinct_times(at_ms: Iterable[int]) -> list[int]:
-    """Returns the times of crashes without those soon after another."""
-    times: list[int] = []
-    for time_ms in sorted(at_ms):
-        if not times or time_ms > times[-1] + TOGETHER_MS:
-            times.append(time_ms)
-    return times
+def separate_times_ms(crashes: Iterable[Timed]) -> list[int]:
+    """Returns the times of crashes without those that may share a cause.
+
+    The end of a silent server lies somewhere in its silence: those of servers
+    that were silent at one moment may have been one event.
+    """
+    times_ms: list[int] = []
+    for crash in sorted(crashes, key=lambda crash: crash.at_ms):
+        earliest_ms = crash.at_ms - crash.silent_ms
+        if not times_ms or earliest_ms > times_ms[-1] + TOGETHER_MS:
+            times_ms.append(crash.at_ms)
+    return times_ms
 
 
 def _score_from(part: PartEvidence, usual: UsualRuns, from_ms: int) -> float:
     """Compares how often a part is at crashes with its chance to be there."""
-    times_ms = [c.at_ms for c in part.crashes if c.at_ms >= from_ms]
-    own = len(times_ms)
+    crashes_since = [c for c in part.crashes if c.at_ms >= from_ms]
+    own = len(crashes_since)
     if own < CRASHES_TO_BLAME:
         return 0.0
-    if len(_distinct_times(times_ms)) < TIMES_TO_BLAME:
+    if len(separate_times_ms(crashes_since)) < TIMES_TO_BLAME:
         return 0.0
-    to_ms = max(times_ms) + REPORT_DELAY_MS
+    to_ms = max(crash.at_ms for crash in crashes_since) + REPORT_DELAY_MS
     completed = part.completed(from_ms)
     if own < HARMFUL_SHARE * (own + completed):
         return 0.0
@@ -297,10 +307,12 @@
     "CRASHES_TO_BLAME",
     "HISTORY_MS",
     "REPORT_DELAY_MS",
+    "TIMES_TO_BLAME",
     "TOGETHER_MS",
     "Findings",
     "PartEvidence",
     "UsualRuns",
     "score",
+    "separate_times_ms",
     "weigh",
 ]
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -35,9 +35,14 @@
 CRASHES_TO_ANNOUNCE_RUNS = 2
 # Least time between two announcements of the runs on a target.
 ANNOUNCE_INTERVAL_MS = 500
-# Length of the first quarantine; each further crash of a content doubles it,
-# and each further crash of parts after a quarantine.
+# Length of the first quarantine; each crash after a quarantine doubles it.
 QUARANTINE_MS = 600_000
+# Length of the quarantine of a content whose servers all ended at one time:
+# they may have one cause of their own, and one more run tells.
+TRIAL_AFTER_MS = 2_000
+# Time for which a server is taken to have been silent before its end where the
+# record of a crash doesn't say.
+UNKNOWN_SILENCE_MS = 6_000
 MAX_DOUBLINGS = 6
 # Time for which parts must look harmful before they are refused: the completed
 # runs that other daemons announce arrive after the crashes.
@@ -75,6 +80,8 @@
         reporter: Daemon that observed the crash.
         at_ms: When the crash was observed.
         runs: Runs with the key that the reporter lost.
+        silent_ms: Time before `at_ms` in which the server may have ended
+            already; 0 where a connection closed.
     """
 
     content: str
@@ -82,6 +89,7 @@
     reporter: str
     at_ms: int
     runs: int = 1
+    silent_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -114,6 +122,7 @@
         target: Model or service of the server.
         is_answered: Whether the answer may be whole: its end had no mark.
         is_silent: Whether its connection was only silent.
+        silent_ms: Time since its server's last sign of life, if it was.
     """
 
     keys: tuple[str, ...]
@@ -122,6 +131,7 @@
     target: str
     is_answered: bool = False
     is_silent: bool = False
+    silent_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -501,29 +511,22 @@
         return max(map(self._content_until_ms, blamed))
 
     def _content_until_ms(self, content: str) -> int:
-        by_incarnation = self._crashes[content]
-        doublings = min(
-            len(by_incarnation) - CRASHES_TO_QUARANTINE, MAX_DOUBLINGS
-        )
-        last_ms = max(crash.at_ms for crash in by_incarnation.values())
-        return last_ms + QUARANTINE_MS * 2**doublings
-
-    def _parts_until_ms(self, parts: frozenset[str]) -> int:
-        """Returns when parts may be sent again.
+        """Returns when a content may be sent again.
 
-        Several crashes happen before the first quarantine; only those after
-        a quarantine make the next one longer.
+        Servers that end together, as in a loss of power, end with all that
+        they run: this says little about any of it.
         """
-        times = sorted(
+        crashes = self.crashes(content)
+        times_ms = evidence.separate_times_ms(crashes)
+        if len(times_ms) < evidence.TIMES_TO_BLAME:
+            return max(crash.at_ms for crash in crashes) + TRIAL_AFTER_MS
+        return _until_ms(crash.at_ms for crash in crashes)
+
+    def _parts_until_ms(self, parts: frozenset[str]) -> int:
+        """Returns when parts may be sent again."""
+        return _until_ms(
             crash.at_ms for key in parts for crash in self.crashes(key)
         )
-        if not times:
-            return 0
-        ended = sum(
-            later - earlier >= QUARANTINE_MS
-            for earlier, later in itertools.pairwise(times)
-        )
-        return times[-1] + QUARANTINE_MS * 2 ** min(ended, MAX_DOUBLINGS)
 
     def crashes_to_exchange(self) -> tuple[Crash, ...]:
         """Returns the crashes that other daemons should know as well.
@@ -630,11 +633,29 @@
         self._is_settled = False
 
 
+def _until_ms(crashes_ms: Iterable[int]) -> int:
+    """Returns when a quarantine for crashes ends; 0 without crashes.
+
+    Several crashes happen before the first quarantine; only those after a
+    quarantine make the next one longer.
+    """
+    times_ms = sorted(crashes_ms)
+    if not times_ms:
+        return 0
+    ended = sum(
+        later_ms - earlier_ms >= QUARANTINE_MS
+        for earlier_ms, later_ms in itertools.pairwise(times_ms)
+    )
+    return times_ms[-1] + QUARANTINE_MS * 2 ** min(ended, MAX_DOUBLINGS)
+
+
 __all__ = [
     "CRASHES_TO_PERSIST",
     "CRASHES_TO_QUARANTINE",
     "RETENTION_MS",
     "STORED",
+    "TRIAL_AFTER_MS",
+    "UNKNOWN_SILENCE_MS",
     "BrokenRun",
     "Changes",
     "Completion",
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -41,6 +41,7 @@
     at_wall_ms: json_fields.Count
     content: str = ""
     runs: json_fields.Count = 1
+    silent_ms: json_fields.Count = quarantine.UNKNOWN_SILENCE_MS
 
 
 class _CompletionJson(pydantic.BaseModel):
@@ -178,6 +179,7 @@
                         clock.now_ms(), crash.at_wall_ms - wall_offset_ms
                     ),
                     runs=crash.runs,
+                    silent_ms=crash.silent_ms,
                 )
                 for crash in stored.crashes + stored.broken
                 if _is_still_relevant(
@@ -216,6 +218,7 @@
             reporter=crash.reporter,
             at_wall_ms=crash.at_ms + wall_offset_ms,
             runs=crash.runs,
+            silent_ms=crash.silent_ms,
         )
         for crash in crashes
     )
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -143,6 +143,7 @@
         reporter=crash.reporter,
         age_ms=ranges.uint32(now_ms - crash.at_ms),
         runs=ranges.uint32(crash.runs),
+        silent_ms=ranges.uint32(crash.silent_ms),
     )
 
 
@@ -156,6 +157,11 @@
         reporter=message.reporter,
         at_ms=now_ms - message.age_ms,
         runs=message.runs or 1,
+        silent_ms=(
+            message.silent_ms
+            if message.HasField("silent_ms")
+            else quarantine.UNKNOWN_SILENCE_MS
+        ),
     )
 
 
--- a/tests/cases/crash_rows.py
+++ b/tests/cases/crash_rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import types
 
 from result import Err, Ok
@@ -251,3 +252,30 @@
     await _settle()
     second.core.wait(1_000)
     assert second.known.blamed((bad,)), store.rows
+
+
+async def a_row_of_an_older_daemon_leaves_a_trial() -> None:
+    """Guards against long quarantines that older daemons have stored."""
+    store = Store()
+    first = Daemon(store)
+    for number in range(3):
+        crash = quarantine.Crash(
+            content="desk/f",
+            start=f"s{number}",
+            reporter="d",
+            at_ms=first.core.now_ms - 900 * number,
+        )
+        first.known.add(crash)
+        first.rows.record(effects.TellCrashes(target="", crashes=(crash,)))
+    await _settle()
+    for key, value in store.rows.items():
+        row = json.loads(value)
+        for stored in row["crashes"]:
+            del stored["silent_ms"]
+        store.rows[key] = json.dumps(row)
+    second = Daemon(store)
+    second.crash("s9", content="desk/g")
+    await _settle()
+    assert second.known.blamed(("desk/f",))
+    left_ms = second.known.until_ms("desk/f") - second.core.now_ms
+    assert left_ms <= quarantine.TRIAL_AFTER_MS, left_ms
--- a/tests/cases/crashing.py
+++ b/tests/cases/crashing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import re
 import signal
 
@@ -20,6 +21,12 @@
 PROPAGATION_S = 1.5
 
 
+# Time after which an entry of a silent server expires.
+EXPIRY_S = 3.7
+# Time after servers are back within which all requests are served again.
+RECOVERY_S = 5.0
+
+
 class Crashes:
     """A cluster whose servers crash on one body, and their replacements."""
 
@@ -177,3 +184,83 @@
         # One more crash makes the daemons read the stored crashes.
         assert len(crashes.crashed) <= MAX_CRASHES + 1, crashes.crashed
         assert await crashes.send_crashing("short", "last", daemon=2) == 503
+
+
+async def _replace_silent(platform: Platform, names: list[str]) -> None:
+    """Removes the entries of servers that fell silent, and starts others."""
+    await asyncio.sleep(EXPIRY_S)
+    for name in names:
+        platform.store.put("servers", name, None)
+    for number, name in enumerate(names):
+        await platform.replicas.pop(name).stop()
+        replacement = Replica(f"i-t{number}")
+        replacement.crashes_on = CRASHING
+        port = free_port()
+        await replacement.start(port)
+        platform.replicas[replacement.instance] = replacement
+        platform.list_server(replacement.instance, f"127.0.0.1:{port}")
+
+
+async def _send_equal(platform: Platform, statuses: dict[str, int]) -> None:
+    """Sends one request again and again to each daemon, until cancelled."""
+
+    async def send(request_id: str, daemon: int) -> None:
+        try:
+            result = await platform.call("release", request_id, daemon=daemon)
+            statuses[request_id] = result[0]
+        except aiohttp.ClientError:
+            statuses[request_id] = 0
+
+    async with asyncio.TaskGroup() as group:
+        for number in itertools.count():
+            for daemon in range(len(platform.fields)):
+                group.create_task(send(f"equal-{number}-{daemon}", daemon))
+            await asyncio.sleep(0.25)
+
+
+async def _end_all_silently(platform: Platform) -> dict[str, int]:
+    """Lets all plain servers end at one moment, under equal requests.
+
+    Returns:
+        The statuses of those that were sent after the recovery, by request.
+    """
+    names = [n for n, r in platform.replicas.items() if not r.model]
+    statuses: dict[str, int] = {}
+    sending = asyncio.create_task(_send_equal(platform, statuses))
+    await asyncio.sleep(1)
+    for name in names:
+        platform.replicas[name].fall_silent(3_600)
+    await _replace_silent(platform, names)
+    await asyncio.sleep(RECOVERY_S)
+    before = set(statuses)
+    await asyncio.sleep(2)
+    sending.cancel()
+    await asyncio.wait([sending])
+    return {n: s for n, s in statuses.items() if n not in before}
+
+
+async def an_outage_of_all_servers_refuses_no_popular_request() -> None:
+    """Guards against minutes of refusals for what ran on all lost servers."""
+    async with Platform(daemons=3, services=3) as platform:
+        for replica in platform.replicas.values():
+            replica.work_s = 0.1
+        await Crashes(platform).until_joined()
+        statuses = await _end_all_silently(platform)
+        assert set(statuses.values()) == {200}, statuses
+
+
+async def an_outage_hides_no_request_that_crashes_servers() -> None:
+    """Guards against acquitting what crashes servers beside an outage."""
+    async with Platform(daemons=3, services=3) as platform:
+        crashes = Crashes(platform)
+        await crashes.until_joined()
+        for daemon in range(2):
+            await crashes.send_crashing("release", f"a{daemon}", daemon=daemon)
+            await crashes.replace()
+        await _end_all_silently(platform)
+        for number in range(12):
+            await crashes.send_crashing(
+                "release", f"b{number}", daemon=number % 3
+            )
+            await crashes.replace()
+        assert len(crashes.crashed) <= MAX_CRASHES + 1, crashes.crashed
--- a/tests/cases/quarantines.py
+++ b/tests/cases/quarantines.py
@@ -5,7 +5,14 @@
 import random
 
 from cases import routed_core
-from godwittack.core import effects, inputs, quarantine, server_inputs
+from godwittack.core import (
+    effects,
+    evidence,
+    inputs,
+    quarantine,
+    server_inputs,
+)
+from godwittack.peer import codec
 
 SENT = inputs.FailurePhase.SENT
 CONNECT = inputs.FailurePhase.CONNECT
@@ -375,3 +382,105 @@
         )
         assert not _announced(core), number
     assert not _is_refused(core)
+
+
+def _end_together(core: routed_core.Core, *, count: int = 3) -> None:
+    """Ends servers at one moment, while each runs the same content."""
+    sent = []
+    for number in range(count):
+        core.arrive("short", f"r{number}", fingerprint="f")
+        sent.append(core.dispatch())
+    assert len({item.server_id for item in sent}) == count, sent
+    for item in sent:
+        core.fail(item, SENT)
+        core.tell(
+            server_inputs.ProbeAnswered, item.server_id, alive=False, ended=True
+        )
+
+
+def servers_that_end_together_refuse_a_request_for_seconds() -> None:
+    """Guards against long quarantines of what runs on all lost servers."""
+    core = _core()
+    _end_together(core)
+    assert _is_refused(core)
+    core.wait(quarantine.TRIAL_AFTER_MS)
+    assert not _is_refused(core)
+    assert [done.content for done in _announced(core, "completions")] == [
+        "desk/f"
+    ]
+
+
+def one_run_at_a_time_follows_a_quarantine() -> None:
+    """Guards against several servers lost to what is sent again at once."""
+    core = _core()
+    _end_together(core)
+    core.wait(quarantine.TRIAL_AFTER_MS)
+    core.arrive("short", "trial", fingerprint="f")
+    trial = core.dispatch()
+    assert _is_refused(core)
+    core.open(trial)
+    core.frames(trial, 1, end=True)
+    for name in ("a", "b"):
+        core.arrive("short", name, fingerprint="f")
+        assert core.dispatch()
+
+
+def a_run_that_may_have_crashed_delays_the_next_one() -> None:
+    """Guards against a second trial before the end of the first is known."""
+    core = _core()
+    _end_together(core)
+    core.wait(quarantine.TRIAL_AFTER_MS)
+    core.arrive("short", "trial", fingerprint="f")
+    core.fail(core.dispatch(), SENT)
+    assert not core.find(effects.Dispatch), core.last_effects
+    assert _is_refused(core)
+
+
+def a_trial_that_ends_its_server_confirms_a_quarantine() -> None:
+    """Guards against ever new trials of what does crash servers."""
+    core = _core()
+    _end_together(core)
+    core.wait(quarantine.TRIAL_AFTER_MS)
+    _crash(core)
+    core.wait(quarantine.TRIAL_AFTER_MS)
+    assert _is_refused(core)
+    left_ms = core.refusal().retry_after_ms
+    assert left_ms > quarantine.QUARANTINE_MS / 2, left_ms
+
+
+def crashes_one_after_the_other_leave_no_trial() -> None:
+    """Guards against trials of a request that is the only one that runs."""
+    core = _core()
+    for _ in range(3):
+        _crash(core)
+        core.wait(evidence.TOGETHER_MS + SHORT_WAIT_MS)
+    core.wait(quarantine.TRIAL_AFTER_MS)
+    assert _is_refused(core)
+
+
+def silences_that_overlap_count_as_one_end() -> None:
+    """Guards against blame for servers that are found silent one by one."""
+    for silent_ms, expected in ((2_000, 1), (0, 3)):
+        crashes = [
+            quarantine.Crash(
+                content="c",
+                start=f"s{number}",
+                reporter="d",
+                at_ms=1_000 * number,
+                silent_ms=silent_ms,
+            )
+            for number in range(3)
+        ]
+        assert len(evidence.separate_times_ms(crashes)) == expected
+
+
+def a_server_of_unknown_silence_may_have_ended_before() -> None:
+    """Guards against blame by daemons that don't tell how long it was."""
+    crash = quarantine.Crash(
+        content="c", start="s", reporter="d", at_ms=9_000, silent_ms=700
+    )
+    message = codec.crash_to_proto(crash, now_ms=10_000)
+    assert codec.crash_from_proto(message, now_ms=10_000) == crash
+    message.ClearField("silent_ms")
+    received = codec.crash_from_proto(message, now_ms=10_000)
+    assert received.silent_ms == quarantine.UNKNOWN_SILENCE_MS
--- a/tests/features/crashing.feature
+++ b/tests/features/crashing.feature
@@ -12,6 +12,12 @@
   Scenario: Real processes, all daemons killed after the crashes
     When the case "a quarantine outlives a restart of the fleet" of "crashing" is played
 
+  Scenario: Real processes, all servers end together under equal requests
+    When the case "an outage of all servers refuses no popular request" of "crashing" is played
+
+  Scenario: Real processes, an outage beside a request that crashes servers
+    When the case "an outage hides no request that crashes servers" of "crashing" is played
+
   Scenario Outline: <case>
     # Each case names the failure that it guards against; see
     # tests/cases/quarantines.py.
@@ -37,6 +43,14 @@
       | quarantines | an exchange makes up for lost crash reports |
       | quarantines | crashes remembered are bounded |
       | quarantines | an attempt that was never sent is not blamed |
+      | quarantines | servers that end together refuse a request for seconds |
+      | quarantines | one run at a time follows a quarantine |
+      | quarantines | a run that may have crashed delays the next one |
+      | quarantines | a trial that ends its server confirms a quarantine |
+      | quarantines | crashes one after the other leave no trial |
+      | quarantines | silences that overlap count as one end |
+      | quarantines | a server of unknown silence may have ended before |
+      | crash_rows | a row of an older daemon leaves a trial |
       | crash_rows | unreadable rows are skipped |
       | crash_rows | a call to an unavailable store is retried |
       | crash_rows | a quarantine that was lifted stays so |
