Leave shared cached state behind when a workspace becomes isolated

Callers saw: after a configuration had made a workspace isolated, requests of the others went on from the prompts that it had cached before, for as long as an engine or store kept them.

Cause: the scope of cached state was one constant for all workspaces that are not isolated. Isolation moved a workspace to a scope of its own, and left what it had made where the others look.

Change: those that are not isolated share under a name made from the set of isolated workspaces, as the table has it; with none isolated it stays as it was. Names of workspaces are quoted, so that none is taken for a group. A log line tells when the name changes.

Why it works: state under a name is made and used only while just that set is isolated, by workspaces that are not in it. Keys of prompt parts, homes at stores and events of engines use the same owner, so that beliefs follow.

Same cause looked for: saves and fetches, waiting, repeated, continued and relayed requests (the scope is read at each send), own prompts (hashed with their workspace). Left: a request that waits through the change keeps its old keys of parts, a matter of placement only.

--- a/src/godwittack/core/kv_cache.py
+++ b/src/godwittack/core/kv_cache.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from godwittack.core import entities
+    from godwittack.table import model
 
 # Compute time from which saving levels to a store is worth the transfer.
 SAVE_MIN_COMPUTE_MS = 7.0
@@ -27,7 +28,7 @@
     A store discards nothing when weights change, and engines check neither the
     workspace nor the version of the state that they fetch. Without the version
     in the scope, an answer could be computed from state of older weights;
-    without the workspace, an isolated workspace would share state with others.
+    without the owner, an isolated workspace would share state with others.
     """
     forwarding = world.table.forwarding
     if forwarding is None:
@@ -36,6 +37,21 @@
     return f"v{server.weights_version}/{owner}"
 
 
+def log_group_change(world: entities.World, table: model.Table) -> None:
+    """Logs that workspaces leave their shared cached state behind."""
+    if world.table.forwarding is None or table.forwarding is None:
+        return
+    before = world.table.forwarding.shared_owner
+    after = table.forwarding.shared_owner
+    if before != after:
+        world.event(
+            "cache_group_changed",
+            group=after,
+            before=before,
+            isolated=len(table.forwarding.isolated),
+        )
+
+
 def plan_save(
     world: entities.World,
     request: entities.RequestRow,
@@ -76,4 +92,4 @@
     return store.address
 
 
-__all__ = ["plan_save", "scope"]
+__all__ = ["log_group_change", "plan_save", "scope"]
--- a/src/godwittack/core/router.py
+++ b/src/godwittack/core/router.py
@@ -18,6 +18,7 @@
     entities,
     hedging,
     inputs,
+    kv_cache,
     length_routing,
     locality,
     memory_updates,
@@ -177,6 +178,7 @@
                 # deliver an older table than the active one.
                 if input_.table.version > world.table.version:
                     weights.record_desired_versions(world, input_)
+                    kv_cache.log_group_change(world, input_.table)
                     stream_versions.record_routes(world, input_.table)
                     world.table = input_.table
                     admission.reconsider_waiting(world)
--- a/src/godwittack/table/forwarding.py
+++ b/src/godwittack/table/forwarding.py
@@ -3,9 +3,19 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
+import hashlib
+import json
+import urllib.parse
 
 import xxhash
 
+# Length of the name of a group of workspaces that share cached state.
+GROUP_DIGITS = 16
+# Sets of isolated workspaces whose groups are kept: the tables of a change, and
+# of daemons that still have the one before.
+MAX_GROUPS = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WeightedTarget:
@@ -151,13 +161,24 @@
     isolated: frozenset[str] = frozenset()
     priorities: dict[str, int] = dataclasses.field(default_factory=dict)
 
+    @property
+    def shared_owner(self) -> str:
+        """Name of the group of all workspaces that are not isolated.
+
+        It depends on which ones are isolated: one that becomes so leaves its
+        state behind in a group that nobody uses any more.
+        """
+        return _group(self.isolated)
+
     def cache_owner(self, workspace: str) -> str:
         """Returns the owner of the cached state that a workspace may use.
 
-        That is the workspace itself if it is isolated, else "" for the state
-        that all others share.
+        That is the workspace itself if it is isolated, else the group of all
+        that are not.
         """
-        return workspace if workspace in self.isolated else ""
+        if workspace in self.isolated:
+            return urllib.parse.quote(workspace, safe="")
+        return self.shared_owner
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the host's route with the longest prefix of `path`."""
@@ -170,6 +191,18 @@
         return best
 
 
+@functools.lru_cache(maxsize=MAX_GROUPS)
+def _group(isolated: frozenset[str]) -> str:
+    """Returns the name of the group of all workspaces but the isolated ones.
+
+    It is the same at all daemons, and begins like no quoted workspace.
+    """
+    if not isolated:
+        return ""
+    names = json.dumps(sorted(isolated)).encode()
+    return f"/{hashlib.sha256(names).hexdigest()[:GROUP_DIGITS]}"
+
+
 __all__ = [
     "CallerLimits",
     "EngineLimits",
--- a/tests/cases/registry.py
+++ b/tests/cases/registry.py
@@ -14,6 +14,7 @@
     "waiting",
     "urgent",
     "weights",
+    "isolation",
     "leading",
     "rollouts",
     "rollout_bounds",
