Read the limits of a request as it begins, not with the one before

Callers saw: after a configuration had raised max-body-bytes, each kept connection answered its next longer body with 413 by the old limit, however long ago the change was. Clients don't retry a 413.

Cause: the parser of a connection read the limits as the connection was opened, and again with each complete head, for the next request.

Ruled out: a daemon without the configuration, and the check at the end of a head, which reads the table.

Change: the limits of a request are read as it begins, and again once it would exceed them. Head, framing and body share them. The library's head parser, which is created beforehand, gets no limits of its own: all bytes are counted before it.

Why it works: nothing is kept from one request to the next. A request that is arriving while a limit changes may have either, so that neither a raise nor a cut refuses what was proper as it was sent.

Same cause looked for: timeouts, memory for the longest body, checks of the headers and stated lengths, other listeners, connections to servers and between daemons; these read the table at each use or don't depend on it.

--- a/src/godwittack/entry/request_body.py
+++ b/src/godwittack/entry/request_body.py
@@ -36,7 +36,7 @@
         payload: streams.StreamReader,
         sink: Any,
         decoder: Counted | Chunked,
-        limits: request_limits.RequestLimits,
+        limits: request_limits.LimitsInForce,
     ) -> None:
         """Passes what `decoder` returns to `sink`, which feeds `payload`."""
         self._payload = payload
@@ -82,13 +82,15 @@
         drop_unread(self._payload)
 
     def _check(self) -> None:
-        if self._decoded_bytes > self._limits.body_bytes + OVERRUN_BYTES:
+        wanted = self._decoded_bytes - OVERRUN_BYTES
+        allowed = self._limits.max_body_bytes(wanted)
+        if wanted > allowed:
             raise request_limits.BodyTooLongError(
-                f"the body is longer than {self._limits.body_bytes} bytes"
+                f"the body is longer than {allowed} bytes"
             )
         framing = self._read_bytes - self._decoded_bytes
-        allowed = self._limits.head_bytes + FRAMING_FACTOR * self._decoded_bytes
-        if framing > allowed:
+        extra = framing - FRAMING_FACTOR * self._decoded_bytes
+        if extra > self._limits.max_head_bytes(extra):
             raise request_limits.BodyTooLongError(
                 f"{framing} bytes frame the body"
             )
--- a/src/godwittack/entry/request_limits.py
+++ b/src/godwittack/entry/request_limits.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 from aiohttp import http_exceptions, web_protocol
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 STATUS_HEADERS_TOO_LARGE = 431
 STATUS_UNAVAILABLE = 503
 
@@ -27,6 +31,38 @@
 DEFAULT_LIMITS = RequestLimits(head_bytes=32 << 10, body_bytes=4 << 20)
 
 
+class LimitsInForce:
+    """The limits of one request while it arrives.
+
+    Limits may change meanwhile: it may have what was allowed as it began, and
+    what is allowed now.
+    """
+
+    def __init__(self, read: Callable[[], RequestLimits]) -> None:
+        """Reads the limits as the request begins."""
+        self._read = read
+        self._limits = read()
+
+    def max_head_bytes(self, wanted_bytes: int) -> int:
+        """Returns the limit on a head, or on framing, of a wanted length."""
+        if wanted_bytes > self._limits.head_bytes:
+            self._widen()
+        return self._limits.head_bytes
+
+    def max_body_bytes(self, wanted_bytes: int) -> int:
+        """Returns the limit on a body of a wanted length."""
+        if wanted_bytes > self._limits.body_bytes:
+            self._widen()
+        return self._limits.body_bytes
+
+    def _widen(self) -> None:
+        now = self._read()
+        self._limits = RequestLimits(
+            head_bytes=max(self._limits.head_bytes, now.head_bytes),
+            body_bytes=max(self._limits.body_bytes, now.body_bytes),
+        )
+
+
 class RefusedHeadError(http_exceptions.HttpProcessingError):
     """A request is refused before its head is complete."""
 
@@ -56,6 +92,7 @@
     "BodyClosedError",
     "BodyTooLongError",
     "HeadTooLongError",
+    "LimitsInForce",
     "NoMemoryError",
     "RefusedHeadError",
     "RequestLimits",
--- a/src/godwittack/entry/request_parser.py
+++ b/src/godwittack/entry/request_parser.py
@@ -37,6 +37,9 @@
 READ_AHEAD_COST_BYTES = 64 << 10
 # Requests parsed ahead of the one that is being answered.
 MAX_QUEUED = 2
+# The library's own limits on lines and their number: the whole head is limited
+# before it is passed on, and a parser outlives a change of that limit.
+NO_LIMIT = (1 << 31) - 1
 
 
 class RequestParser:
@@ -62,7 +65,7 @@
         Args:
             protocol: Pauses reading while a body is not taken.
             loop: The event loop.
-            limits: Returns the limits of the next request.
+            limits: Returns the limits in force.
             take: Takes memory for a part of a head; returns whether there is
                 enough.
             decompresses: Whether bodies are decompressed.
@@ -71,7 +74,7 @@
         self._protocol = protocol
         self._loop = loop
         self._read_limits = limits
-        self._limits = limits()
+        self._limits = request_limits.LimitsInForce(limits)
         self._take = take
         self._decompresses = decompresses
         self._upgrades = upgrades
@@ -186,6 +189,7 @@
     ) -> tuple[bytes, bool]:
         """Parses up to the end of a head; returns the rest."""
         if not self._is_inside_head:
+            self._limits = request_limits.LimitsInForce(self._read_limits)
             started = data.lstrip(LINE_ENDS)
             self._count_head(len(data) - len(started))
             if not started:
@@ -219,10 +223,10 @@
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > self._limits.head_bytes:
+        allowed = self._limits.max_head_bytes(self._head_bytes)
+        if self._head_bytes > allowed:
             raise request_limits.HeadTooLongError(
-                message=f"the headers are longer than"
-                f" {self._limits.head_bytes} bytes"
+                message=f"the headers are longer than {allowed} bytes"
             )
 
     def _begin_body(
@@ -230,8 +234,6 @@
         message: http_parser.RawRequestMessage,
         payload: streams.StreamReader,
     ) -> None:
-        limits = self._limits
-        self._limits = self._read_limits()
         self._head = self._new_head_parser()
         self._head_bytes = 0
         self._head_tail = b""
@@ -259,7 +261,7 @@
             None if message.chunked else request_body.Counted(int(stated or 0))
         )
         self._body = request_body.Body(
-            payload, sink, decoder or request_body.Chunked(), limits
+            payload, sink, decoder or request_body.Chunked(), self._limits
         )
 
     def _feed_body(self, body: request_body.Body, data: bytes) -> bytes:
@@ -280,15 +282,13 @@
         return rest
 
     def _new_head_parser(self) -> http_parser.HttpRequestParser:
-        # The library's own limits are beyond that on the whole head.
-        limit = self._limits.head_bytes
         return http_parser.HttpRequestParser(
             self._protocol,
             self._loop,
             READ_AHEAD_BYTES,
-            max_line_size=limit,
-            max_field_size=limit,
-            max_headers=limit,
+            max_line_size=NO_LIMIT,
+            max_field_size=NO_LIMIT,
+            max_headers=NO_LIMIT,
             payload_exception=web_protocol.RequestPayloadError,
             auto_decompress=False,
         )
--- a/tests/cases/inbound.py
+++ b/tests/cases/inbound.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import resource
+from typing import TYPE_CHECKING
 from unittest import mock
 
 from aiohttp import web
@@ -21,12 +22,20 @@
 )
 from godwittack.limit import connection_memory
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
 KB = 1 << 10
 MB = 1 << 20
 ANSWER_S = 5.0
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 LIMITS = request_limits.RequestLimits(head_bytes=4_000, body_bytes=100)
+WIDE_LIMITS = request_limits.RequestLimits(
+    head_bytes=100_000, body_bytes=50_000
+)
+# Time within which a configuration is in force after its acknowledgement.
+APPLY_S = 2.0
 
 
 class _Client:
@@ -147,14 +156,14 @@
 
 
 @contextlib.asynccontextmanager
-async def _echo(limits: request_limits.RequestLimits):
+async def _echo(read_limits: Callable[[], request_limits.RequestLimits]):
     """Runs a server that answers with the length of each body."""
 
     async def handle(request):
         return web.Response(text=f"read {len(await request.read())}.")
 
     config = connection_config.ConnectionConfig(
-        clock=SystemClock(), limits=lambda: limits
+        clock=SystemClock(), limits=read_limits
     )
     runner = web.ServerRunner(
         connection_timeouts.TimeoutServer(handle, config=config),
@@ -195,7 +204,7 @@
     first = CHUNKED + b"3;a=b\r\nabc\r\n2\r\n\r\n\r\n0\r\nX-T: 1\r\n\r\n"
     second = HEAD + b"Content-Length: 4\r\n\r\n\r\n\r\n"
     data = b"\r\n" + first + second
-    async with _echo(LIMITS) as address:
+    async with _echo(lambda: LIMITS) as address:
         for split in range(1, len(data)):
             answers = await _exchange(
                 address, data[:split], data[split:], answers=2
@@ -210,7 +219,7 @@
     end = b"Content-Length: 1\r\n\r\n"
     pad = b"p" * (head_bytes - len(HEAD + b"X: \r\n" + end))
     one_byte_chunks = b"1\r\nx\r\n" * LIMITS.body_bytes + b"0\r\n\r\n"
-    async with _echo(LIMITS) as address:
+    async with _echo(lambda: LIMITS) as address:
         for request, size in (
             (HEAD + short_headers + end + b"x", 1),
             (HEAD + b"X: " + pad + b"\r\n" + end + b"x", 1),
@@ -223,7 +232,7 @@
 async def what_exceeds_a_limit_is_refused() -> None:
     """Guards against requests that are read on without a limit."""
     framing = b"1" + b";e=" + b"e" * 6_000
-    async with _echo(LIMITS) as address:
+    async with _echo(lambda: LIMITS) as address:
         for request in (
             b"\r\n" * 3_000,
             HEAD + b"X: " + b"p" * 5_000,
@@ -260,3 +269,182 @@
         status = int(head.split()[1])
         writer.close()
         assert status == 200, head
+
+
+class _ChangingLimits:
+    """Limits that change while connections are open."""
+
+    def __init__(self) -> None:
+        self.now = LIMITS
+
+    def read(self) -> request_limits.RequestLimits:
+        """Returns the limits in force."""
+        return self.now
+
+
+class _KeptConnection:
+    """A client's connection that is kept for several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def open(cls, host: str, port: int | str) -> _KeptConnection:
+        """Connects to a server."""
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    async def send(self, *parts: bytes) -> int:
+        """Sends one request; returns the status of its answer."""
+        await self.write(*parts)
+        return await self.read_status()
+
+    async def write(self, *parts: bytes) -> None:
+        """Sends bytes, each part after the one before was read."""
+        for part in parts:
+            self._writer.write(part)
+            await self._writer.drain()
+            await asyncio.sleep(0.05)
+
+    async def read_status(self) -> int:
+        """Reads one answer; returns its status."""
+        async with asyncio.timeout(ANSWER_S):
+            head = await self._reader.readuntil(b"\r\n\r\n")
+            (length,) = (
+                int(line.partition(b":")[2])
+                for line in head.lower().split(b"\r\n")
+                if line.startswith(b"content-length:")
+            )
+            await self._reader.readexactly(length)
+        return int(head.split()[1])
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._writer.close()
+
+
+@contextlib.asynccontextmanager
+async def _kept_connection(
+    limits: _ChangingLimits,
+) -> AsyncIterator[_KeptConnection]:
+    """Opens a connection that has had one answer."""
+    async with _echo(limits.read) as address:
+        connection = await _KeptConnection.open(*address)
+        try:
+            assert await connection.send(HEAD + b"\r\n") == 200
+            yield connection
+        finally:
+            connection.close()
+
+
+def _with_length(size: int) -> bytes:
+    return HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+
+
+def _in_chunks(size: int, extension: bytes = b"") -> bytes:
+    chunk = b"%x%s\r\n" % (size, extension) + b"x" * size
+    return CHUNKED + chunk + b"\r\n0\r\n\r\n"
+
+
+async def a_kept_connection_follows_raised_limits() -> None:
+    """Guards against requests refused by the limits of the one before."""
+    for request in (
+        _with_length(40_000),
+        _in_chunks(40_000),
+        _in_chunks(100, b";e=" + b"e" * 90_000),
+        HEAD + b"X: " + b"p" * 90_000 + b"\r\n\r\n",
+        HEAD + b"X: p\r\n" * 10_000 + b"\r\n",
+    ):
+        limits = _ChangingLimits()
+        async with _kept_connection(limits) as connection:
+            limits.now = WIDE_LIMITS
+            status = await connection.send(request)
+            assert status == 200, (status, request[:100])
+
+
+async def a_kept_connection_follows_lowered_limits() -> None:
+    """Guards against requests served by the limits of the one before."""
+    for request, expected in (
+        (_with_length(200), 400),
+        (_in_chunks(200), 400),
+        (HEAD + b"X: " + b"p" * 9_000 + b"\r\n\r\n", 431),
+    ):
+        limits = _ChangingLimits()
+        limits.now = WIDE_LIMITS
+        async with _kept_connection(limits) as connection:
+            limits.now = LIMITS
+            status = await connection.send(request)
+            assert status == expected, (status, request[:100])
+
+
+async def a_request_that_is_arriving_may_have_either_limit() -> None:
+    """Guards against requests refused for a change while they arrive."""
+    long_head = HEAD + b"X: " + b"p" * 90_000 + b"\r\n\r\n"
+    for request in (_with_length(40_000), _in_chunks(40_000), long_head):
+        split = len(CHUNKED) + 20
+        for before, after in ((LIMITS, WIDE_LIMITS), (WIDE_LIMITS, LIMITS)):
+            limits = _ChangingLimits()
+            async with _kept_connection(limits) as connection:
+                limits.now = before
+                await connection.write(request[:split])
+                limits.now = after
+                status = await connection.send(request[split:])
+                assert status == 200, (status, request[:100], before)
+
+
+async def a_request_behind_another_follows_the_limits() -> None:
+    """Guards against pipelined requests that meet the limits of the first."""
+    limits = _ChangingLimits()
+    async with _kept_connection(limits) as connection:
+        first = _with_length(50)
+        await connection.write(first[:-1])
+        limits.now = WIDE_LIMITS
+        await connection.write(first[-1:] + _with_length(40_000))
+        assert await connection.read_status() == 200
+        assert await connection.read_status() == 200
+
+
+def _request(request_id: str, *, head_kb: int, body_bytes: int) -> bytes:
+    """Returns a call whose head is longer by some lines of 1 KB."""
+    pad = f"X-Pad: {'p' * (KB - 9)}\r\n" * head_kb
+    fields = f"{pad}Content-Length: {body_bytes}\r\n\r\n"
+    return crowd.head(request_id, headers=fields) + bytes(body_bytes)
+
+
+async def kept_connections_follow_a_configuration() -> None:
+    """Guards against kept connections that refuse by an old configuration."""
+    low = {"max-header-bytes": 4_096, "max-body-bytes": 65_536}
+    high = {"max-header-bytes": 65_536, "max-body-bytes": 4 << 20}
+    short = _request("short", head_kb=0, body_bytes=10)
+    longer = (
+        _request("body", head_kb=0, body_bytes=100_000),
+        _request("head", head_kb=60, body_bytes=10),
+        _request("both", head_kb=15, body_bytes=1_000_000),
+    )
+    async with platforms.Platform(daemons=2) as made:
+
+        async def configure(version: int, limits: dict[str, int]) -> None:
+            config = {**platforms.config(version), "limits": limits}
+            made.store.put("op", "config", config)
+            await asyncio.sleep(APPLY_S)
+
+        await configure(2, low)
+        kept = [
+            await _KeptConnection.open(*fields["listen"]["front"].split(":"))
+            for fields in made.fields
+            for _ in longer
+        ]
+        requests = longer * len(made.fields)
+        for connection in kept:
+            assert await connection.send(short) == 200
+        await configure(3, high)
+        for connection, request in zip(kept, requests, strict=True):
+            status = await connection.send(request)
+            assert status == 200, (status, request[:100])
+        await configure(4, low)
+        for connection, request in zip(kept, requests, strict=True):
+            status = await connection.send(request)
+            assert status in (413, 431), (status, request[:100])
+            connection.close()
--- a/tests/features/inbound.feature
+++ b/tests/features/inbound.feature
@@ -21,3 +21,11 @@
       | what one request may have is served |
       | what exceeds a limit is refused |
       | a body in chunks of one byte is served |
+
+    Examples: limits that change
+      | case |
+      | a kept connection follows raised limits |
+      | a kept connection follows lowered limits |
+      | a request that is arriving may have either limit |
+      | a request behind another follows the limits |
+      | kept connections follow a configuration |
