Keep the product out of the stand-in of the platform

Cause: tests/cluster/platform.py imported godwittack.member.assignment, to tell which daemons read the store.

Change: that question has a module of its own, which the cases use that ask it. A case checks that the stand-ins import nothing of the product; it failed before.

--- a/tests/cases/adapter.py
+++ b/tests/cases/adapter.py
@@ -25,6 +25,7 @@
 DECIDES = re.compile(
     r"^\s*(import|from) (time|random|asyncio)\b|sleep\(|retry\b", re.MULTILINE
 )
+OF_PRODUCT = re.compile(r"^\s*(import|from) godwittack\b", re.MULTILINE)
 NAMES_FOR_TEXT = ('"""', "#")
 
 
@@ -471,3 +472,12 @@
 
 
 __all__ = ["KEY"]
+
+
+def stand_ins_import_nothing_of_the_product() -> None:
+    """Guards against cases outside the suite that can't start the stand-ins."""
+    tests = platform.ROOT / "tests"
+    alone = [*sorted((tests / "standins").glob("*.py"))]
+    alone += [tests / "cluster" / n for n in ("platform.py", "processes.py")]
+    for path in alone:
+        assert not OF_PRODUCT.search(path.read_text()), path
--- a/tests/cases/changes_in_force.py
+++ b/tests/cases/changes_in_force.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from cluster import platform
+from cluster import platform, store_readers
 
 BOUND_S = platform.BOUNDS["config-apply-ms"] / 1000
 # The route must be served this long after its acknowledgement, whatever was
@@ -158,7 +158,7 @@
     async with _fleet(daemons=9) as made:
         fleet = ChangedFleet(made)
         await asyncio.sleep(SETTLE_S)
-        readers = made.store_readers()
+        readers = store_readers.find(made)
         for number in readers:
             made.cut_store(number, "hang")
         await asyncio.sleep(LOST_BEFORE_S)
@@ -239,7 +239,7 @@
     async with _fleet(daemons=9) as made:
         fleet = ChangedFleet(made)
         await asyncio.sleep(SETTLE_S)
-        readers = made.store_readers()
+        readers = store_readers.find(made)
         for number in readers:
             made.signal(number, signal.SIGKILL)
         await asyncio.sleep(0.1)
--- a/tests/cases/old_copies_real.py
+++ b/tests/cases/old_copies_real.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from cluster import platform
+from cluster import platform, store_readers
 from cluster.platform import Platform, until
 
 # What operators allow from the acknowledgement of new weights, and from that of
@@ -51,7 +51,7 @@
     """Cuts the readers off the store; returns the other daemons."""
     for number in range(DAEMONS):
         await made.until_met(number)
-    readers = made.store_readers()
+    readers = store_readers.find(made)
     for number in readers:
         made.cut_store(number, "hang")
     await asyncio.sleep(DEAF_BEFORE_S)
@@ -105,7 +105,7 @@
     async with Platform(daemons=DAEMONS, can_cut=True) as made:
         for number in range(DAEMONS):
             await made.until_met(number)
-        readers = made.store_readers()
+        readers = store_readers.find(made)
         others = [n for n in range(DAEMONS) if n not in readers]
         await _call_all(made, "open", others, time.monotonic() + 0.5)
         services = [made.replicas["i-s1"], made.replicas["i-s2"]]
--- a/tests/cases/out_of_step.py
+++ b/tests/cases/out_of_step.py
@@ -18,7 +18,7 @@
 import sys
 import time
 
-from cluster import platform, raw_caller
+from cluster import platform, raw_caller, store_readers
 from cluster.platform import Platform
 from cluster.processes import free_port
 from soak.streams import Try
@@ -231,7 +231,7 @@
 
     def _choose(self) -> int:
         """Returns the last daemon that does what the plan says at the store."""
-        readers = self.made.store_readers()
+        readers = store_readers.find(self.made)
         return max(
             number
             for number in range(1, self.plan.daemons)
--- a/tests/cluster/platform.py
+++ b/tests/cluster/platform.py
@@ -18,7 +18,6 @@
 import yarl
 
 from cluster.processes import free_port
-from godwittack.member import assignment
 from standins.replica import Replica
 from standins.rows import RowStore
 
@@ -339,15 +338,6 @@
         """
         self._write_cut(number, {"mode": mode, "ports": [self.store_port]})
 
-    def store_readers(self) -> list[int]:
-        """Returns the daemons that poll the store for all others."""
-        serving = re.compile(r"event=serving daemon=(\S+)")
-        found = [serving.findall(self.log(n)) for n in range(len(self.logs))]
-        ids = [member_ids[-1] for member_ids in found]
-        ranked = assignment.rank("store", tuple(sorted(ids)))
-        readers = ranked[: assignment.STORE_READER_COUNT]
-        return sorted(ids.index(member_id) for member_id in readers)
-
     def isolate(self, number: int, *, peers: bool, store: bool) -> None:
         """Cuts a daemon off from all other daemons, from the store, or both.
 
--- a/tests/features/platform_path.feature
+++ b/tests/features/platform_path.feature
@@ -23,4 +23,5 @@
       | adapter | a missing setting is named |
       | adapter | wire names appear only in the adapter |
       | adapter | the adapter makes no decisions |
+      | adapter | stand ins import nothing of the product |
       | adapter | a short soak keeps every promise |
