Tell crashes apart by runs that were sent after an earlier one

Cause: time alone doesn't tell an outage from a request that ends a server in 20 ms. In an outage the runs that break were all under way at one moment.

Change: a crash tells how long the longest broken run had lasted. One that was sent more than 5 ms after an earlier crash was on a server that had outlived it, so that the two are at two times. Of several reports of one crash the longest run counts, in any order. Records of older daemons count as six seconds.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -17,7 +18,6 @@
     closing,
     effects,
     entities,
-    evidence,
     quarantine,
     suspects,
     work,
@@ -80,6 +80,7 @@
         is_answered=is_answered,
         is_silent=is_silent,
         silent_ms=_silent_ms(world, server) if is_silent else 0,
+        run_ms=world.now_ms - attempt.sent_at_ms,
     )
     was_sent_before_end = attempt.sent_at_ms <= server.ended_at_ms
     if run.start == server.ended_incarnation_id and was_sent_before_end:
@@ -437,19 +438,7 @@
         contents=",".join(contents),
         **({"parts": _part_names(parts)} if parts else {}),
     )
-    crashes = tuple(
-        quarantine.Crash(
-            content=key,
-            start=run.start,
-            reporter=world.daemon,
-            at_ms=run.at_ms,
-            silent_ms=run.silent_ms,
-        )
-        for run in runs
-        for key in run.keys
-    )
-    # One crash for each key of the requests that ran there.
-    distinct = {(c.content, c.start): c for c in reversed(crashes)}
+    distinct = _distinct_crashes(world, runs)
     broken = (
         quarantine.Crash(
             content=suspects.target_key(server.target),
@@ -460,11 +449,34 @@
         )
         for start in {run.start for run in runs}
     )
-    crashes = (*distinct.values(), *broken)
+    crashes = (*distinct, *broken)
     world.emit(effects.TellCrashes(target=server.target, crashes=crashes))
     _add_crashes(world, crashes)
 
 
+def _distinct_crashes(
+    world: entities.World, runs: list[quarantine.BrokenRun]
+) -> list[quarantine.Crash]:
+    """Returns one crash for each incarnation and key of what ran there."""
+    found: dict[tuple[str, str], quarantine.Crash] = {}
+    for run in runs:
+        for key in run.keys:
+            crash = quarantine.Crash(
+                content=key,
+                start=run.start,
+                reporter=world.daemon,
+                at_ms=run.at_ms,
+                silent_ms=run.silent_ms,
+                run_ms=run.run_ms,
+            )
+            first = found.setdefault((key, run.start), crash)
+            if run.run_ms > first.run_ms:
+                found[key, run.start] = dataclasses.replace(
+                    first, run_ms=run.run_ms
+                )
+    return list(found.values())
+
+
 def _add_crashes(
     world: entities.World, crashes: Iterable[quarantine.Crash]
 ) -> None:
@@ -497,7 +509,7 @@
         "quarantined",
         **_key_fields(world, keys),
         starts=",".join(sorted({crash.start for crash in crashes})),
-        times=len(evidence.separate_times_ms(crashes)),
+        times=max(world.quarantine.time_count(key) for key in keys),
         reporters=",".join(sorted({crash.reporter for crash in crashes})),
         oldest_ms=world.now_ms - min(crash.at_ms for crash in crashes),
         for_ms=max(0, world.quarantine.until_ms(*keys) - world.now_ms),
--- a/src/godwittack/core/evidence.py
+++ b/src/godwittack/core/evidence.py
@@ -38,6 +38,9 @@
 TOGETHER_MS = 500
 # Difference between the times at which daemons observe one crash.
 REPORT_DELAY_MS = 100
+# Time for which a run may still be sent to a server that has ended, until its
+# connection is known to be closed.
+SEND_DELAY_MS = 5
 # Crashes, and different times of them, that are enough to blame a part of which
 # no run is known to have completed, while others have: so many for each crash.
 CRASHES_WITHOUT_COMPLETION = 4
@@ -63,6 +66,11 @@
         """Time before `at_ms` in which it may have ended already."""
         ...
 
+    @property
+    def run_ms(self) -> int:
+        """How long the longest run that it broke had lasted."""
+        ...
+
     @property
     def runs(self) -> int:
         """Runs that it broke at the daemon that observed it."""
@@ -213,20 +221,42 @@
     return 2 * crashes >= all_crashes and others >= OTHERS_PER_CRASH * crashes
 
 
-def separate_times_ms(crashes: Iterable[Timed]) -> list[int]:
+def separate_times_ms(
+    crashes: Iterable[Timed], *, counts_sends: bool = False
+) -> list[int]:
     """Returns the times of crashes without those that may share a cause.
 
-    The end of a silent server lies somewhere in its silence: those of servers
-    that were silent at one moment may have been one event.
+    Args:
+        crashes: The crashes.
+        counts_sends: Whether runs that began after a crash are separate from
+            it: no server that ends with others gets a run after that.
     """
     times_ms: list[int] = []
     for crash in sorted(crashes, key=lambda crash: crash.at_ms):
-        earliest_ms = crash.at_ms - crash.silent_ms
-        if not times_ms or earliest_ms > times_ms[-1] + TOGETHER_MS:
+        if (
+            not times_ms
+            or _is_long_after(crash, times_ms[-1])
+            or (counts_sends and _was_sent_after(crash, times_ms[-1]))
+        ):
             times_ms.append(crash.at_ms)
     return times_ms
 
 
+def _is_long_after(crash: Timed, earlier_ms: int) -> bool:
+    """Returns whether a server ended well after an earlier crash.
+
+    The end of a silent server lies somewhere in its silence: those of servers
+    that were silent at one moment may have been one event.
+    """
+    return crash.at_ms - crash.silent_ms > earlier_ms + TOGETHER_MS
+
+
+def _was_sent_after(crash: Timed, earlier_ms: int) -> bool:
+    """Returns whether all runs of a crash began after an earlier one."""
+    sent_ms = crash.at_ms - crash.run_ms
+    return not crash.silent_ms and sent_ms > earlier_ms + SEND_DELAY_MS
+
+
 def _score_from(part: PartEvidence, usual: UsualRuns, from_ms: int) -> float:
     """Compares how often a part is at crashes with its chance to be there."""
     crashes_since = [c for c in part.crashes if c.at_ms >= from_ms]
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -40,9 +40,9 @@
 # Length of the quarantine of a content whose servers all ended at one time:
 # they may have one cause of their own, and one more run tells.
 TRIAL_AFTER_MS = 2_000
-# Time for which a server is taken to have been silent before its end where the
-# record of a crash doesn't say.
-UNKNOWN_SILENCE_MS = 6_000
+# Time for which a server is taken to have been silent before its end, and runs
+# to have lasted, where the record of a crash doesn't say.
+UNKNOWN_MS = 6_000
 MAX_DOUBLINGS = 6
 # Time for which parts must look harmful before they are refused: the completed
 # runs that other daemons announce arrive after the crashes.
@@ -82,6 +82,7 @@
         runs: Runs with the key that the reporter lost.
         silent_ms: Time before `at_ms` in which the server may have ended
             already; 0 where a connection closed.
+        run_ms: How long the longest of these runs had lasted.
     """
 
     content: str
@@ -90,6 +91,7 @@
     at_ms: int
     runs: int = 1
     silent_ms: int = 0
+    run_ms: int = UNKNOWN_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -123,6 +125,7 @@
         is_answered: Whether the answer may be whole: its end had no mark.
         is_silent: Whether its connection was only silent.
         silent_ms: Time since its server's last sign of life, if it was.
+        run_ms: How long it had lasted.
     """
 
     keys: tuple[str, ...]
@@ -132,6 +135,7 @@
     is_answered: bool = False
     is_silent: bool = False
     silent_ms: int = 0
+    run_ms: int = UNKNOWN_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -210,7 +214,12 @@
         by_incarnation = self._crashes.setdefault(key, {})
         is_part = suspects.is_part(key)
         limit = MAX_CRASHES_PER_PART if is_part else MAX_CRASHES_PER_KEY
-        if crash.start in by_incarnation or len(by_incarnation) >= limit:
+        known = by_incarnation.get(crash.start)
+        if known is not None and crash.run_ms > known.run_ms:
+            by_incarnation[crash.start] = dataclasses.replace(
+                known, run_ms=crash.run_ms
+            )
+        if known is not None or len(by_incarnation) >= limit:
             return False
         by_incarnation[crash.start] = crash
         self._digest = None
@@ -451,6 +460,13 @@
         """Returns the known crashes of a key."""
         return tuple(self._crashes.get(key, {}).values())
 
+    def time_count(self, key: str) -> int:
+        """Returns at how many times servers crashed that ran a key."""
+        times_ms = evidence.separate_times_ms(
+            self.crashes(key), counts_sends=suspects.is_content(key)
+        )
+        return len(times_ms)
+
     def completed_count(self, key: str) -> int:
         """Returns how many runs with a part are known to have completed."""
         known = self._completions.get(key, {})
@@ -517,8 +533,7 @@
         they run: this says little about any of it.
         """
         crashes = self.crashes(content)
-        times_ms = evidence.separate_times_ms(crashes)
-        if len(times_ms) < evidence.TIMES_TO_BLAME:
+        if self.time_count(content) < evidence.TIMES_TO_BLAME:
             return max(crash.at_ms for crash in crashes) + TRIAL_AFTER_MS
         return _until_ms(crash.at_ms for crash in crashes)
 
@@ -655,7 +670,7 @@
     "RETENTION_MS",
     "STORED",
     "TRIAL_AFTER_MS",
-    "UNKNOWN_SILENCE_MS",
+    "UNKNOWN_MS",
     "BrokenRun",
     "Changes",
     "Completion",
--- a/src/godwittack/daemon/crash_rows.py
+++ b/src/godwittack/daemon/crash_rows.py
@@ -41,7 +41,8 @@
     at_wall_ms: json_fields.Count
     content: str = ""
     runs: json_fields.Count = 1
-    silent_ms: json_fields.Count = quarantine.UNKNOWN_SILENCE_MS
+    silent_ms: json_fields.Count = quarantine.UNKNOWN_MS
+    run_ms: json_fields.Count = quarantine.UNKNOWN_MS
 
 
 class _CompletionJson(pydantic.BaseModel):
@@ -180,6 +181,7 @@
                     ),
                     runs=crash.runs,
                     silent_ms=crash.silent_ms,
+                    run_ms=crash.run_ms,
                 )
                 for crash in stored.crashes + stored.broken
                 if _is_still_relevant(
@@ -219,6 +221,7 @@
             at_wall_ms=crash.at_ms + wall_offset_ms,
             runs=crash.runs,
             silent_ms=crash.silent_ms,
+            run_ms=crash.run_ms,
         )
         for crash in crashes
     )
--- a/src/godwittack/peer/codec.py
+++ b/src/godwittack/peer/codec.py
@@ -144,6 +144,7 @@
         age_ms=ranges.uint32(now_ms - crash.at_ms),
         runs=ranges.uint32(crash.runs),
         silent_ms=ranges.uint32(crash.silent_ms),
+        run_ms=ranges.uint32(crash.run_ms),
     )
 
 
@@ -160,7 +161,12 @@
         silent_ms=(
             message.silent_ms
             if message.HasField("silent_ms")
-            else quarantine.UNKNOWN_SILENCE_MS
+            else quarantine.UNKNOWN_MS
+        ),
+        run_ms=(
+            message.run_ms
+            if message.HasField("run_ms")
+            else quarantine.UNKNOWN_MS
         ),
     )
 
--- a/tests/cases/quarantines.py
+++ b/tests/cases/quarantines.py
@@ -477,10 +477,51 @@
 def a_server_of_unknown_silence_may_have_ended_before() -> None:
     """Guards against blame by daemons that don't tell how long it was."""
     crash = quarantine.Crash(
-        content="c", start="s", reporter="d", at_ms=9_000, silent_ms=700
+        content="c",
+        start="s",
+        reporter="d",
+        at_ms=9_000,
+        silent_ms=700,
+        run_ms=900,
     )
     message = codec.crash_to_proto(crash, now_ms=10_000)
     assert codec.crash_from_proto(message, now_ms=10_000) == crash
     message.ClearField("silent_ms")
+    message.ClearField("run_ms")
     received = codec.crash_from_proto(message, now_ms=10_000)
-    assert received.silent_ms == quarantine.UNKNOWN_SILENCE_MS
+    assert received.silent_ms == received.run_ms == quarantine.UNKNOWN_MS
+
+
+def runs_sent_after_a_crash_are_blamed_at_once() -> None:
+    """Guards against a trial of what ended servers one by one in moments."""
+    core = _core()
+    for _ in range(3):
+        _crash(core)
+        core.now_ms += 4 * evidence.SEND_DELAY_MS
+    core.wait(quarantine.TRIAL_AFTER_MS)
+    assert _is_refused(core)
+    assert core.refusal().retry_after_ms > quarantine.QUARANTINE_MS / 2
+
+
+def the_longest_run_tells_what_ended_together() -> None:
+    """Guards against daemons that judge by the report that came first."""
+    reports = [
+        quarantine.Crash(
+            content="c",
+            start=f"s{number}",
+            reporter=f"d{run_ms}",
+            at_ms=1_000 + 30 * number,
+            run_ms=run_ms,
+        )
+        for number in range(3)
+        for run_ms in (1, 200)
+    ]
+    for seed in range(20):
+        state = quarantine.Quarantine()
+        for crash in random.Random(seed).sample(reports, len(reports)):
+            state.add(crash)
+        assert state.time_count("c") == 1, seed
+    state = quarantine.Quarantine()
+    for crash in reports[::2]:
+        state.add(crash)
+    assert state.time_count("c") == 3
--- a/tests/features/crashing.feature
+++ b/tests/features/crashing.feature
@@ -48,6 +48,8 @@
       | quarantines | a run that may have crashed delays the next one |
       | quarantines | a trial that ends its server confirms a quarantine |
       | quarantines | crashes one after the other leave no trial |
+      | quarantines | runs sent after a crash are blamed at once |
+      | quarantines | the longest run tells what ended together |
       | quarantines | silences that overlap count as one end |
       | quarantines | a server of unknown silence may have ended before |
       | crash_rows | a row of an older daemon leaves a trial |
