--- a/tests/cases/inbound.py
+++ b/tests/cases/inbound.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from cluster import crowd
+from cluster import crowd, raw_caller
 from cluster import platform as platforms
 from godwittack.clock import ManualClock, SystemClock
 from godwittack.config import settings as configs
@@ -36,6 +36,8 @@
 )
 # Time within which a configuration is in force after its acknowledgement.
 APPLY_S = 2.0
+# Time in which a part of a request reaches the server.
+ARRIVAL_S = 0.05
 
 
 class _Client:
@@ -282,63 +284,32 @@
         return self.now
 
 
-class _KeptConnection:
-    """A client's connection that is kept for several requests."""
-
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
-
-    @classmethod
-    async def open(cls, host: str, port: int | str) -> _KeptConnection:
-        """Connects to a server."""
-        return cls(*await asyncio.open_connection(host, int(port)))
-
-    async def send(self, *parts: bytes) -> int:
-        """Sends one request; returns the status of its answer."""
-        await self.write(*parts)
-        return await self.read_status()
-
-    async def write(self, *parts: bytes) -> None:
-        """Sends bytes, each part after the one before was read."""
-        for part in parts:
-            self._writer.write(part)
-            await self._writer.drain()
-            await asyncio.sleep(0.05)
-
-    async def read_status(self) -> int:
-        """Reads one answer; returns its status."""
-        async with asyncio.timeout(ANSWER_S):
-            head = await self._reader.readuntil(b"\r\n\r\n")
-            (length,) = (
-                int(line.partition(b":")[2])
-                for line in head.lower().split(b"\r\n")
-                if line.startswith(b"content-length:")
-            )
-            await self._reader.readexactly(length)
-        return int(head.split()[1])
-
-    def close(self) -> None:
-        """Closes the connection."""
-        self._writer.close()
-
-
 @contextlib.asynccontextmanager
 async def _kept_connection(
     limits: _ChangingLimits,
-) -> AsyncIterator[_KeptConnection]:
+) -> AsyncIterator[raw_caller.Connection]:
     """Opens a connection that has had one answer."""
     async with _echo(limits.read) as address:
-        connection = await _KeptConnection.open(*address)
+        streams = await asyncio.open_connection(*address)
+        connection = raw_caller.Connection(*streams)
         try:
-            assert await connection.send(HEAD + b"\r\n") == 200
+            assert await _status(connection, HEAD + b"\r\n") == 200
             yield connection
         finally:
             connection.close()
 
 
+async def _status(connection: raw_caller.Connection, request: bytes) -> int:
+    """Sends a request; returns the status of its answer."""
+    connection.write(request)
+    return await _next_status(connection)
+
+
+async def _next_status(connection: raw_caller.Connection) -> int:
+    async with asyncio.timeout(ANSWER_S):
+        return (await connection.read()).status
+
+
 def _with_length(size: int) -> bytes:
     return HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
 
@@ -360,7 +331,7 @@
         limits = _ChangingLimits()
         async with _kept_connection(limits) as connection:
             limits.now = WIDE_LIMITS
-            status = await connection.send(request)
+            status = await _status(connection, request)
             assert status == 200, (status, request[:100])
 
 
@@ -375,7 +346,7 @@
         limits.now = WIDE_LIMITS
         async with _kept_connection(limits) as connection:
             limits.now = LIMITS
-            status = await connection.send(request)
+            status = await _status(connection, request)
             assert status == expected, (status, request[:100])
 
 
@@ -388,9 +359,10 @@
             limits = _ChangingLimits()
             async with _kept_connection(limits) as connection:
                 limits.now = before
-                await connection.write(request[:split])
+                connection.write(request[:split])
+                await asyncio.sleep(ARRIVAL_S)
                 limits.now = after
-                status = await connection.send(request[split:])
+                status = await _status(connection, request[split:])
                 assert status == 200, (status, request[:100], before)
 
 
@@ -399,11 +371,12 @@
     limits = _ChangingLimits()
     async with _kept_connection(limits) as connection:
         first = _with_length(50)
-        await connection.write(first[:-1])
+        connection.write(first[:-1])
+        await asyncio.sleep(ARRIVAL_S)
         limits.now = WIDE_LIMITS
-        await connection.write(first[-1:] + _with_length(40_000))
-        assert await connection.read_status() == 200
-        assert await connection.read_status() == 200
+        connection.write(first[-1:] + _with_length(40_000))
+        assert await _next_status(connection) == 200
+        assert await _next_status(connection) == 200
 
 
 def _request(request_id: str, *, head_kb: int, body_bytes: int) -> bytes:
@@ -432,19 +405,19 @@
 
         await configure(2, low)
         kept = [
-            await _KeptConnection.open(*fields["listen"]["front"].split(":"))
-            for fields in made.fields
+            await raw_caller.Connection.open(made, daemon)
+            for daemon in range(len(made.fields))
             for _ in longer
         ]
         requests = longer * len(made.fields)
         for connection in kept:
-            assert await connection.send(short) == 200
+            assert await _status(connection, short) == 200
         await configure(3, high)
         for connection, request in zip(kept, requests, strict=True):
-            status = await connection.send(request)
+            status = await _status(connection, request)
             assert status == 200, (status, request[:100])
         await configure(4, low)
         for connection, request in zip(kept, requests, strict=True):
-            status = await connection.send(request)
+            status = await _status(connection, request)
             assert status in (413, 431), (status, request[:100])
             connection.close()
