Merge the reports of one crash in one place

Cause: the longest broken run of a crash was kept by two copies of one rule, when a daemon records runs and when it takes a report, and when a server was last heard was computed in two modules.

Change: Crash.with_run and silence.heard_ms serve both. A constant stands beside the one that it belongs to. Behaviour is the same.

--- a/src/godwittack/core/crashes.py
+++ b/src/godwittack/core/crashes.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -19,6 +18,7 @@
     effects,
     entities,
     quarantine,
+    silence,
     suspects,
     work,
 )
@@ -93,8 +93,8 @@
 
 def _silent_ms(world: entities.World, server: entities.ServerRow) -> int:
     """Returns how long a server has given no sign of life, within bounds."""
-    heard_ms = max(server.last_contact_ms, server.reported_at_ms)
-    return min(CRASH_WINDOW_MS, max(0, world.now_ms - heard_ms))
+    silent_ms = world.now_ms - silence.heard_ms(server)
+    return min(CRASH_WINDOW_MS, max(0, silent_ms))
 
 
 def forget_run(
@@ -469,11 +469,8 @@
                 silent_ms=run.silent_ms,
                 run_ms=run.run_ms,
             )
-            first = found.setdefault((key, run.start), crash)
-            if run.run_ms > first.run_ms:
-                found[key, run.start] = dataclasses.replace(
-                    first, run_ms=run.run_ms
-                )
+            name = (key, run.start)
+            found[name] = found.get(name, crash).with_run(run.run_ms)
     return list(found.values())
 
 
--- a/src/godwittack/core/evidence.py
+++ b/src/godwittack/core/evidence.py
@@ -337,6 +337,7 @@
     "CRASHES_TO_BLAME",
     "HISTORY_MS",
     "REPORT_DELAY_MS",
+    "SEND_DELAY_MS",
     "TIMES_TO_BLAME",
     "TOGETHER_MS",
     "Findings",
--- a/src/godwittack/core/hedging.py
+++ b/src/godwittack/core/hedging.py
@@ -204,7 +204,7 @@
     """
     if paths.is_lost(server):
         return False
-    heard_ms = max(server.last_contact_ms, server.reported_at_ms)
+    heard_ms = silence.heard_ms(server)
     return 0 <= heard_ms <= world.now_ms - silence.SILENT_MS
 
 
--- a/src/godwittack/core/quarantine.py
+++ b/src/godwittack/core/quarantine.py
@@ -37,13 +37,13 @@
 ANNOUNCE_INTERVAL_MS = 500
 # Length of the first quarantine; each crash after a quarantine doubles it.
 QUARANTINE_MS = 600_000
+MAX_DOUBLINGS = 6
 # Length of the quarantine of a content whose servers all ended at one time:
 # they may have one cause of their own, and one more run tells.
 TRIAL_AFTER_MS = 2_000
 # Time for which a server is taken to have been silent before its end, and runs
 # to have lasted, where the record of a crash doesn't say.
 UNKNOWN_MS = 6_000
-MAX_DOUBLINGS = 6
 # Time for which parts must look harmful before they are refused: the completed
 # runs that other daemons announce arrive after the crashes.
 SETTLE_MS = 300
@@ -93,6 +93,12 @@
     silent_ms: int = 0
     run_ms: int = UNKNOWN_MS
 
+    def with_run(self, run_ms: int) -> Crash:
+        """Returns the crash with one more broken run."""
+        if run_ms <= self.run_ms:
+            return self
+        return dataclasses.replace(self, run_ms=run_ms)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Completion:
@@ -215,11 +221,10 @@
         is_part = suspects.is_part(key)
         limit = MAX_CRASHES_PER_PART if is_part else MAX_CRASHES_PER_KEY
         known = by_incarnation.get(crash.start)
-        if known is not None and crash.run_ms > known.run_ms:
-            by_incarnation[crash.start] = dataclasses.replace(
-                known, run_ms=crash.run_ms
-            )
-        if known is not None or len(by_incarnation) >= limit:
+        if known is not None:
+            by_incarnation[crash.start] = known.with_run(crash.run_ms)
+            return False
+        if len(by_incarnation) >= limit:
             return False
         by_incarnation[crash.start] = crash
         self._digest = None
--- a/src/godwittack/core/silence.py
+++ b/src/godwittack/core/silence.py
@@ -65,6 +65,11 @@
     world.emit(effects.Probe(server.server_id, server.address))
 
 
+def heard_ms(server: entities.ServerRow) -> int:
+    """Returns when a server was last heard, here or by its load report."""
+    return max(server.last_contact_ms, server.reported_at_ms)
+
+
 def contact_age_ms(world: entities.World, server: entities.ServerRow) -> int:
     """Returns the time since this daemon last heard a server; -1 for never."""
     if server.last_contact_ms < 0:
@@ -139,6 +144,7 @@
     "SILENT_MS",
     "attempt_fields",
     "contact_age_ms",
+    "heard_ms",
     "discount_pause",
     "log_attempt",
     "longest_wait_ms",
